--- /dev/null
+++ b/pipitlink/__main__.py
@@ -0,0 +1,4 @@
+from .command import main
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/pipitlink/cache/__init__.py
@@ -0,0 +1,3 @@
+from .cache import Cache
+
+__all__ = ["Cache"]
--- /dev/null
+++ b/pipitlink/cache/chunks.py
@@ -0,0 +1,9 @@
+from hashlib import blake2b
+
+__all__ = ["CHUNK", "chunk_key"]
+
+CHUNK = 4096
+
+
+def chunk_key(path: str, n: int) -> bytes:
+    return blake2b(f"{path}\0{n}".encode(), digest_size=16).digest()
--- /dev/null
+++ b/pipitlink/cache/poller.py
@@ -0,0 +1,96 @@
+from datetime import timedelta
+
+import attrs
+from twisted.internet import defer
+
+from ..beats import ms, spawn
+
+__all__ = ["Poller", "Seen"]
+
+HOT = ms(10)
+
+
+@attrs.define
+class Seen:
+    path: str
+    durable: int = 0
+    cached: int = 0
+    final: bool = False
+    durable_since: timedelta = timedelta(0)
+    readers: int = 0
+    asked: timedelta = timedelta(0)
+    proved: timedelta | None = None
+
+
+class Poller:
+    """Reads lengths for all readers of the process: often from the metadata cache, less often from the depots."""
+
+    def __init__(self, ctx, cache):
+        self._ctx = ctx
+        self._cache = cache
+        self._seen: dict[str, Seen] = {}
+        self._waiters: list[defer.Deferred] = []
+
+    def open(self):
+        p = self._ctx.props
+        self._ctx.beats.every(ms(p.poll_ms), self._poll, self._ctx.report("poll"))
+        self._ctx.beats.every(ms(p.durable_poll_ms), self._poll_durable, self._ctx.report("durable_poll"))
+
+    def join(self, path: str) -> Seen:
+        s = self._seen.setdefault(path, Seen(path))
+        s.readers += 1
+        return s
+
+    def leave(self, path: str):
+        s = self._seen.get(path)
+        if s is not None:
+            s.readers -= 1
+            if s.readers <= 0:
+                del self._seen[path]
+
+    def _grow(self, s: Seen, durable: int, cached: int, final: bool = False) -> bool:
+        grew = durable > s.durable or cached > s.cached or (final and not s.final)
+        if durable > s.durable:
+            if s.durable <= s.cached:
+                s.durable_since = self._ctx.beats.now()
+            s.durable = durable
+        s.cached = max(s.cached, min(cached, s.durable))
+        s.final = s.final or final
+        return grew
+
+    async def _poll(self):
+        if self._seen:
+            got = await self._cache.get_lengths(list(self._seen))
+            self._take((p, m.durable, m.cached, False) for p, m in got.items())
+
+    async def _poll_durable(self):
+        if self._seen:
+            await self.prove(list(self._seen))
+
+    async def prove(self, paths: list[str]):
+        """Asks the depots themselves for the durable lengths."""
+        asked = self._ctx.beats.now()
+        got = await self._ctx.ledger.states(paths)
+        self._take((p, st.committed, 0, st.final) for p, st in got.items())
+        for p in got:
+            if p in self._seen:
+                self._seen[p].proved = asked
+
+    def _take(self, news):
+        grew = False
+        for path, durable, cached, final in news:
+            if path in self._seen:
+                grew = self._grow(self._seen[path], durable, cached, final) or grew
+        if grew:
+            waiters, self._waiters = self._waiters, []
+            for d in waiters:
+                d.callback(None)
+
+    async def moved(self, limit: timedelta):
+        """Waits until any watched length grows, or the limit has passed."""
+        d = defer.Deferred(lambda d: self._waiters.remove(d) if d in self._waiters else None)
+        self._waiters.append(d)
+        beat = self._ctx.beats.later(limit, lambda: (self._waiters.remove(d), d.callback(None)))
+        await d
+        if beat.active():
+            beat.cancel()
--- /dev/null
+++ b/pipitlink/charts/__init__.py
@@ -0,0 +1,72 @@
+import tomllib
+import types
+from functools import cache
+from importlib import resources
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+__all__ = ["Charted", "chart_data"]
+
+
+@cache
+def chart_data(name: str) -> dict:
+    return tomllib.loads(resources.files(__name__).joinpath(f"{name}.toml").read_text())
+
+
+class _Core:
+    def __init__(self, owner, state):
+        self.owner = owner
+        self.state = state
+
+
+def _input(name):
+    def put(self) -> None: ...
+
+    put.__name__ = put.__qualname__ = name
+    return put
+
+
+def _move(start, name, goal, do):
+    def behave(inputs, core: _Core) -> None:
+        core.state = goal
+        if do:
+            getattr(core.owner, "_" + do)()
+
+    behave.__name__ = f"{start}_{name}"
+    return behave
+
+
+@cache
+def _machine(name: str):
+    data = chart_data(name)
+    names = sorted({m["on"] for m in data["move"]} | {i for v in data.get("ignore", {}).values() for i in v})
+    inputs = types.new_class("Inputs", (Protocol,), {}, lambda ns: ns.update({n: _input(n) for n in names}))
+    builder = TypeMachineBuilder(inputs, _Core)
+    states = {s: builder.state(s) for s in data["states"]}
+    for m in data["move"]:
+        for start in [m["from"]] if isinstance(m["from"], str) else m["from"]:
+            step = states[start].upon(getattr(inputs, m["on"])).to(states[m["to"]])
+            step(_move(start, m["on"], m["to"], m.get("do", "")))
+    for start, ignored in data.get("ignore", {}).items():
+        for n in ignored:
+            states[start].upon(getattr(inputs, n)).loop()(_move(start, n, start, ""))
+    return data["start"], builder.build()
+
+
+class Charted:
+    """Mixin: a state chart from a data file, with `put` for its inputs and `state` for where it is."""
+
+    chart = ""
+
+    def _open_chart(self):
+        start, machine = _machine(self.chart)
+        self._core = _Core(self, start)
+        self._inputs = machine(self._core)
+
+    @property
+    def state(self) -> str:
+        return self._core.state
+
+    def put(self, name: str):
+        getattr(self._inputs, name)()
--- /dev/null
+++ b/pipitlink/context.py
@@ -0,0 +1,41 @@
+import secrets
+from random import Random
+
+import attrs
+
+from .beats import Beats, spawn
+from .journal import Journal
+from .props import Props
+from .wire.desk import Desk
+
+__all__ = ["Context", "fresh_id"]
+
+
+def fresh_id() -> str:
+    return secrets.token_hex(8)
+
+
+@attrs.define(eq=False)
+class Context:
+    """All that a process's parts share, handed to each of them."""
+
+    role: str
+    node: str
+    props: Props
+    reactor: object
+    beats: Beats
+    journal: Journal
+    desk: Desk
+    chance: Random
+    roster: object = None
+    setup: object = None
+    ledger: object = None
+    cache: object = None
+    engines: object = None
+
+    def report(self, what: str):
+        return lambda e: self.journal.fault(what, e)
+
+    def spawned(self, work, what: str):
+        """Starts work that nobody waits for; its faults go to the journal."""
+        return spawn(work).addErrback(lambda f: self.journal.fault(what, f.value))
--- /dev/null
+++ b/pipitlink/depot/grants.py
@@ -0,0 +1,74 @@
+from datetime import timedelta
+
+import attrs
+
+from ..beats import secs
+from ..wire.ledger_pb2 import LeaseAsk, LeaseReceipt, RenewAsk, RenewReceipt
+
+__all__ = ["Grants", "LEASE_SPAN", "HOLD_SPAN"]
+
+LEASE_SPAN = secs(3)
+HOLD_SPAN = secs(2)
+
+
+@attrs.define
+class _Grant:
+    holder: str
+    epoch: int
+    until: timedelta
+
+
+class Grants:
+    """Mixin: short log leases with rising, synced epochs."""
+
+    def _open_grants(self):
+        self._grants: dict[str, _Grant] = {}
+        self._quiet_until = self._ctx.beats.now() + LEASE_SPAN
+        d = self._ctx.desk
+        d.answer("ledger.lease", LeaseAsk, self._lease)
+        d.answer("ledger.renew", RenewAsk, self._renew)
+
+    def _live_grant(self, log: str) -> _Grant | None:
+        g = self._grants.get(log)
+        if g is not None and g.until > self._ctx.beats.now():
+            return g
+        return None
+
+    def _state(self, log: str):
+        s = self.shed.state(log)
+        g = self._live_grant(log)
+        if g is not None:
+            s.holder = g.holder
+            s.lease_ms = int((g.until - self._ctx.beats.now()).total_seconds() * 1000)
+        return s
+
+    async def _lease(self, node, ask: LeaseAsk):
+        now = self._ctx.beats.now()
+        g = self._live_grant(ask.log)
+        state = self._state(ask.log)
+        if g is not None and g.holder != ask.holder:
+            return LeaseReceipt(why="held", state=state)
+        if g is None and now < self._quiet_until and state.epoch > 0:
+            state.lease_ms = int((self._quiet_until - now).total_seconds() * 1000)
+            return LeaseReceipt(why="just_started", state=state)
+        if ask.epoch <= state.epoch:
+            return LeaseReceipt(why="epoch", state=state)
+        self._grants[ask.log] = _Grant(ask.holder, ask.epoch, now + LEASE_SPAN)
+        await self._durable(lambda t: self.shed.promise(ask.log, ask.epoch, t))
+        return LeaseReceipt(granted=True, state=self._state(ask.log))
+
+    async def _renew(self, node, ask: RenewAsk):
+        until = self._ctx.beats.now() + LEASE_SPAN
+        out = RenewReceipt()
+        for h in ask.held:
+            g = self._grants.get(h.log)
+            promised = self.shed.state(h.log).epoch
+            if promised != h.epoch:
+                continue
+            if ask.release:
+                if g is not None and g.epoch == h.epoch:
+                    del self._grants[h.log]
+            else:
+                self._grants[h.log] = _Grant(ask.holder, h.epoch, until)
+                out.kept.append(h.log)
+        return out
--- /dev/null
+++ b/pipitlink/depot/node.py
@@ -0,0 +1,134 @@
+import json
+from pathlib import Path
+
+from twisted.internet import defer
+from twisted.internet.threads import deferToThread
+
+from ..beats import spawn
+from ..context import fresh_id
+from ..disk import Disk, swap_in
+from ..faults import Damaged, NoRoom, PropsFault
+from ..wire.ledger_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
+                               WriteReceipt)
+from .grants import Grants
+from .shed import Shed
+
+__all__ = ["DepotNode", "node_id"]
+
+MAX_READ = 8 * 1024 * 1024
+MAX_LOG = 64 * 1024 * 1024
+MAX_STAGED = 16
+
+
+def node_id(folder: Path, fleet: str) -> str:
+    """The node's own id, kept in its data folder; an empty folder makes a new node."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / "node.json"
+    if path.exists():
+        kept = json.loads(path.read_text())
+        if kept["fleet"] != fleet:
+            raise PropsFault([f"data: {folder} belongs to fleet {kept['fleet']!r}, not {fleet!r}"])
+        return kept["node"]
+    node = fresh_id()
+    swap_in(path, json.dumps({"fleet": fleet, "node": node}).encode())
+    return node
+
+
+class DepotNode(Grants):
+    def __init__(self, ctx, disk: Disk | None = None):
+        self._ctx = ctx
+        budget = ctx.props.budget_mb * 1024 * 1024
+        self.shed = Shed(Path(ctx.props.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024))
+        self._flushing = False
+        self._staged: dict[tuple[str, int], bytes] = {}
+
+    def open(self):
+        self.shed.recover()
+        self._ctx.journal.note("recovered", logs=len(self.shed.logs), used=self.shed.used())
+        self._open_grants()
+        d = self._ctx.desk
+        d.answer("ledger.write", WriteAsk, self._write)
+        d.answer("ledger.mark", MarkAsk, self._mark)
+        d.answer("ledger.read", ReadAsk, self._read)
+        d.answer("ledger.states", StatesAsk, self._states)
+        d.answer("ledger.list", ListAsk, self._list)
+
+    def _durable(self, put) -> defer.Deferred | None:
+        """Queues what `put` makes and fires when it is synced."""
+        ticket = defer.Deferred()
+        if put(ticket) is False:
+            return None
+        if not self._flushing:
+            self._flushing = True
+            spawn(self._flush())
+        return ticket
+
+    async def _flush(self):
+        try:
+            while True:
+                done = await deferToThread(self.shed.segments.flush)
+                if not done:
+                    return
+                for ticket in done:
+                    ticket.callback(None)
+        except Exception as e:
+            self._ctx.journal.fault("disk_failed", e)
+            if isinstance(e, Damaged):
+                self._ctx.reactor.stop()
+                return
+            self._recover_after(e)
+        finally:
+            self._flushing = False
+
+    def _recover_after(self, e: Exception):
+        lost = self.shed.segments.abandon()
+        self.shed.recover()
+        for ticket in lost:
+            ticket.errback(NoRoom(f"the disk refused: {e}"))
+
+    async def _write(self, node, ask: WriteAsk):
+        key = (ask.log, ask.epoch)
+        if ask.staged:
+            return self._stage(key, ask)
+        data = self._staged.pop(key, b"")[:ask.staged_bytes] + ask.data
+        if len(data) != ask.staged_bytes + len(ask.data):
+            return WriteReceipt(why="elsewhere", state=self._state(ask.log))
+        e = Entry(kind=Entry.WRITE, log=ask.log, epoch=ask.epoch, position=ask.position, data=data,
+                  final=ask.final, committed=ask.committed)
+        ticket = self._durable(
+            lambda t: self.shed.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t))
+        if ticket is None:
+            return WriteReceipt(why="elsewhere", state=self._state(ask.log))
+        end = ask.position + len(data)
+        await ticket
+        self.shed.settle(ask.log, ask.epoch, end, ask.final)
+        return WriteReceipt(done=True, state=self._state(ask.log))
+
+    def _stage(self, key, ask: WriteAsk) -> WriteReceipt:
+        """Keeps a part of a long mend until its last part makes it one entry."""
+        have = b"" if ask.position == 0 else self._staged.get(key, b"")
+        if len(have) != ask.position or len(self._staged) > MAX_STAGED or len(have) > MAX_LOG:
+            raise NoRoom(f"{ask.log}: this part does not follow on what is staged")
+        self._staged[key] = have + ask.data
+        return WriteReceipt(done=True)
+
+    async def _mark(self, node, ask: MarkAsk):
+        k = self.shed.logs.get(ask.log)
+        if k is not None and k.tail_epoch == ask.epoch:
+            k.committed = max(k.committed, min(ask.committed, k.length))
+
+    async def _read(self, node, ask: ReadAsk):
+        spans = self.shed.spans(ask.log, ask.position, min(ask.length, MAX_READ))
+        return ReadReceipt(data=await deferToThread(self._gather, spans))
+
+    def _gather(self, spans) -> bytes:
+        return b"".join(self.shed.segments.read_bytes(spot, n) for spot, n in spans)
+
+    async def _states(self, node, ask: StatesAsk):
+        return States(states=[self._state(log) for log in ask.logs[:4096]])
+
+    async def _list(self, node, ask: ListAsk):
+        return States(states=[self._state(n) for n in sorted(self.shed.logs) if n.startswith(ask.prefix)])
+
+    def close(self):
+        self.shed.close()
--- /dev/null
+++ b/pipitlink/depot/segments.py
@@ -0,0 +1,146 @@
+import os
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+from ..disk import HEAD, Disk, frame, frames
+from ..faults import Damaged
+
+__all__ = ["Segments", "Spot"]
+
+SEGMENT = 16 * 1024 * 1024
+Spot = tuple[int, int]
+
+
+class Segments:
+    """Plain append files of checksummed frames. Writers queue entries; `flush`, on a thread, syncs a group."""
+
+    def __init__(self, folder: Path, disk: Disk, lock=None):
+        self._folder = folder
+        self._disk = disk
+        self._lock = lock or threading.Lock()
+        self._flushing = lock.twin() if hasattr(lock, "twin") else threading.Lock()
+        self._pending: list[tuple[bytes, object]] = []
+        self._taken: list[tuple[bytes, object]] = []
+        self._fds: dict[int, int] = {}
+        self._sizes: dict[int, int] = {}
+        self._next: Spot = (1, 0)
+        self._at: Spot = (1, 0)
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def _path(self, n: int) -> Path:
+        return self._folder / f"seg-{n:08d}.log"
+
+    def recover(self) -> Iterator[tuple[Spot, bytes]]:
+        """Yields every good entry; a torn end of the newest file is cut off, damage elsewhere is told."""
+        for fd in self._fds.values():
+            os.close(fd)
+        self._fds, self._sizes = {}, {}
+        numbers = sorted(int(p.stem[4:]) for p in self._folder.glob("seg-*.log"))
+        for n in numbers:
+            data = self._path(n).read_bytes()
+            end = 0
+            for at, body, end in frames(data):
+                yield (n, at), body
+            self._open(n)
+            self._sizes[n] = end
+            if end < len(data):
+                if n != numbers[-1]:
+                    raise Damaged(f"{self._path(n).name} is damaged at {end}")
+                self._disk.cut(self._fds[n], end)
+            if n == numbers[-1]:
+                self._disk.sync(self._fds[n])
+        last = numbers[-1] if numbers else 1
+        if not numbers:
+            self._open(last)
+            self._sizes[last] = 0
+            self._disk.sync_folder(self._folder)
+        with self._lock:
+            self._pending = []
+            self._at = self._next = (last, self._sizes[last])
+
+    def _open(self, n: int):
+        self._fds[n] = os.open(self._path(n), os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+
+    def used(self) -> int:
+        with self._lock:
+            return sum(self._sizes.values()) + sum(len(d) for d, _ in self._pending)
+
+    def put(self, body: bytes, ticket) -> Spot:
+        """Queues an entry and says where it will stand."""
+        data = frame(body)
+        with self._lock:
+            n, at = self._next
+            if at and at + len(data) > SEGMENT:
+                n, at = n + 1, 0
+            self._next = (n, at + len(data))
+            self._pending.append((data, ((n, at), ticket)))
+            return n, at
+
+    def flush(self) -> list:
+        """Writes and syncs what is queued; returns the tickets that are now durable."""
+        with self._flushing:
+            with self._lock:
+                batch = self._taken = self._pending
+                self._pending = []
+            touched = set()
+            for data, ((n, at), _) in batch:
+                if n not in self._fds:
+                    self._open(n)
+                    self._sizes[n] = 0
+                    self._disk.sync_folder(self._folder)
+                self._disk.append(self._fds[n], data)
+                touched.add(n)
+                with self._lock:
+                    self._sizes[n] = at + len(data)
+                    self._at = (n, at + len(data))
+            try:
+                for n in sorted(touched):
+                    self._disk.sync(self._fds[n])
+            except OSError as e:
+                raise Damaged(f"sync failed: {e}") from e
+            self._taken = []
+            return [ticket for _, (_, ticket) in batch]
+
+    def abandon(self) -> list:
+        """Forgets what is queued after a failed flush."""
+        with self._lock:
+            batch = self._taken + self._pending
+            self._taken, self._pending = [], []
+        return [ticket for _, (_, ticket) in batch]
+
+    def read_bytes(self, spot: Spot, length: int) -> bytes:
+        n, at = spot
+        data = os.pread(self._fds[n], length, at + HEAD)
+        if len(data) != length:
+            raise Damaged(f"{self._path(n).name} ends early at {at}")
+        return data
+
+    def read_entry(self, spot: Spot) -> bytes:
+        n, at = spot
+        head = os.pread(self._fds[n], HEAD, at)
+        size = int.from_bytes(head[:4], "big")
+        for _, body, _ in frames(head + os.pread(self._fds[n], size, at + HEAD)):
+            return body
+        raise Damaged(f"{self._path(n).name} is damaged at {at}")
+
+    def numbers(self) -> list[int]:
+        with self._lock:
+            return sorted(self._sizes)
+
+    def newest(self) -> int:
+        with self._lock:
+            return self._next[0]
+
+    def drop(self, n: int):
+        fd = self._fds.pop(n)
+        with self._lock:
+            self._sizes.pop(n, None)
+        os.close(fd)
+        self._path(n).unlink()
+        self._disk.sync_folder(self._folder)
+
+    def close(self):
+        for fd in self._fds.values():
+            os.close(fd)
+        self._fds = {}
--- /dev/null
+++ b/pipitlink/depot/shed.py
@@ -0,0 +1,163 @@
+import bisect
+from collections import Counter
+from pathlib import Path
+
+import attrs
+
+from ..disk import Disk
+from ..faults import Fenced, NoRoom
+from ..wire.ledger_pb2 import Entry, LogState
+from .segments import Segments, Spot
+
+__all__ = ["Shed", "Kept"]
+
+
+@attrs.define(eq=False)
+class Kept:
+    """One log as this depot keeps it. `epoch` is the highest promised, `tail_epoch` that of its last writer."""
+
+    log: str
+    epoch: int = 0
+    tail_epoch: int = 0
+    length: int = 0
+    committed: int = 0
+    final: bool = False
+    promise_spot: Spot | None = None
+    stamp_spot: Spot | None = None
+    starts: list[int] = attrs.field(factory=list)
+    extents: list[tuple[int, int, Spot]] = attrs.field(factory=list)
+    synced: tuple[int, int, bool] = (0, 0, False)
+
+    def cut(self, position: int):
+        while self.extents and self.extents[-1][0] >= position:
+            self.extents.pop()
+            self.starts.pop()
+        if self.extents:
+            start, length, spot = self.extents[-1]
+            if start + length > position:
+                self.extents[-1] = (start, position - start, spot)
+        self.length = position
+
+    def add(self, length: int, spot: Spot):
+        if length:
+            self.starts.append(self.length)
+            self.extents.append((self.length, length, spot))
+            self.length += length
+
+
+class Shed:
+    """The logs of one depot: what each holds, and the rules an entry must meet."""
+
+    def __init__(self, folder: Path, disk: Disk, budget: int, reserve: int):
+        self.segments = Segments(folder, disk)
+        self.budget = budget
+        self.reserve = reserve
+        self.logs: dict[str, Kept] = {}
+        self._live: Counter = Counter()
+
+    def recover(self):
+        self.logs = {}
+        for spot, body in self.segments.recover():
+            self._replay(Entry.FromString(body), spot, len(body))
+        for k in self.logs.values():
+            k.synced = (k.tail_epoch, k.length, k.final)
+
+    def _replay(self, e: Entry, spot: Spot, size: int):
+        if e.kind == Entry.FORGET:
+            self.logs.pop(e.log, None)
+            return
+        k = self.logs.setdefault(e.log, Kept(e.log))
+        k.epoch = max(k.epoch, e.epoch)
+        if e.kind == Entry.PROMISE:
+            k.promise_spot = spot
+            return
+        self._apply(k, e, spot, size)
+
+    def _apply(self, k: Kept, e: Entry, spot: Spot, size: int):
+        if e.position < k.length:
+            k.cut(e.position)
+        k.add(len(e.data), (spot[0], spot[1] + size - len(e.data)))
+        k.stamp_spot = spot
+        k.tail_epoch = e.epoch
+        k.final = e.final
+        k.committed = min(max(k.committed, e.committed), k.length)
+
+    def used(self) -> int:
+        return self.segments.used()
+
+    def state(self, log: str) -> LogState:
+        k = self.logs.get(log)
+        if k is None:
+            return LogState(log=log)
+        tail_epoch, length, final = k.synced
+        return LogState(log=log, epoch=k.epoch, tail_epoch=tail_epoch, length=length,
+                        committed=min(k.committed, length), final=final)
+
+    def promise(self, log: str, epoch: int, ticket) -> None:
+        k = self.logs.setdefault(log, Kept(log))
+        if epoch <= k.epoch:
+            raise Fenced(f"{log}: epoch {k.epoch} is promised")
+        self._room(64, True)
+        k.epoch = epoch
+        e = Entry(kind=Entry.PROMISE, log=log, epoch=epoch)
+        k.promise_spot = self.segments.put(e.SerializeToString(), ticket)
+
+    def _room(self, size: int, reserved: bool):
+        most = self.budget if reserved else self.budget - self.reserve
+        if self.used() + size > most:
+            raise NoRoom(f"the data folder holds {self.used()} of {self.budget} bytes")
+
+    def write(self, e: Entry, expect_tail_epoch: int, expect_length: int, reserved: bool, ticket) -> bool:
+        """Queues a write; False if this replica does not stand where the writer expects."""
+        k = self.logs.setdefault(e.log, Kept(e.log))
+        if e.epoch < k.epoch:
+            raise Fenced(f"{e.log}: epoch {k.epoch} is promised")
+        if (k.tail_epoch, k.length) != (expect_tail_epoch, expect_length) or e.position > k.length:
+            return False
+        if e.position < k.committed:
+            raise Fenced(f"{e.log}: bytes below {k.committed} are committed")
+        self._room(len(e.data) + 128, reserved)
+        k.epoch = e.epoch
+        body = _packed(e)
+        self._apply(k, e, self.segments.put(body, ticket), len(body))
+        return True
+
+    def settle(self, log: str, tail_epoch: int, length: int, final: bool):
+        k = self.logs.get(log)
+        if k is not None:
+            k.synced = (tail_epoch, length, final)
+
+    def spans(self, log: str, position: int, length: int) -> list[tuple[Spot, int]]:
+        """Where the synced bytes of a stretch lie: (place of bytes, count) in order."""
+        k = self.logs.get(log)
+        if k is None:
+            return []
+        end = min(position + length, k.synced[1])
+        out = []
+        i = max(0, bisect.bisect_right(k.starts, position) - 1)
+        while i < len(k.extents) and position < end:
+            start, size, (n, at) = k.extents[i]
+            skip = position - start
+            take = min(size - skip, end - position)
+            if take > 0:
+                out.append(((n, at + skip), take))
+                position += take
+            i += 1
+        return out
+
+    def forget(self, log: str, ticket):
+        self.logs.pop(log, None)
+        self.segments.put(Entry(kind=Entry.FORGET, log=log).SerializeToString(), ticket)
+
+    def close(self):
+        self.segments.close()
+
+
+def _packed(e: Entry) -> bytes:
+    """The entry with its data last, so that log bytes lie in one stretch of the file."""
+    head = Entry()
+    head.CopyFrom(e)
+    head.ClearField("data")
+    if not e.data:
+        return head.SerializeToString()
+    return head.SerializeToString() + Entry(data=e.data).SerializeToString()
--- /dev/null
+++ b/pipitlink/disk.py
@@ -0,0 +1,61 @@
+import os
+import zlib
+from pathlib import Path
+
+__all__ = ["Disk", "swap_in", "frame", "frames", "HEAD"]
+
+HEAD = 8
+
+
+class Disk:
+    """The file calls that must last, in one place so that tests can put a failing layer under them."""
+
+    def append(self, fd: int, data: bytes):
+        while data:
+            data = data[os.write(fd, data):]
+
+    def sync(self, fd: int):
+        os.fdatasync(fd)
+
+    def cut(self, fd: int, length: int):
+        os.ftruncate(fd, length)
+
+    def sync_folder(self, folder: Path):
+        fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+
+def swap_in(path: Path, data: bytes, disk: Disk | None = None):
+    disk = disk or Disk()
+    new = path.with_name(path.name + ".new")
+    fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        disk.append(fd, data)
+        disk.sync(fd)
+    finally:
+        os.close(fd)
+    os.replace(new, path)
+    disk.sync_folder(path.parent)
+
+
+def frame(data: bytes) -> bytes:
+    size = len(data).to_bytes(4, "big")
+    return size + zlib.crc32(data, zlib.crc32(size)).to_bytes(4, "big") + data
+
+
+def frames(data: bytes, start: int = 0):
+    """Yields (position, payload, end) for each whole good frame, and stops at the first that is not."""
+    at = start
+    while at + HEAD <= len(data):
+        size = int.from_bytes(data[at:at + 4], "big")
+        end = at + HEAD + size
+        if end > len(data):
+            return
+        body = data[at + HEAD:end]
+        if zlib.crc32(body, zlib.crc32(data[at:at + 4])) != int.from_bytes(data[at + 4:at + 8], "big"):
+            return
+        yield at, bytes(body), end
+        at = end
--- /dev/null
+++ b/pipitlink/faults.py
@@ -0,0 +1,153 @@
+__all__ = [
+    "PipitFault", "PropsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
+    "LedgerFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "Damaged",
+    "GuideFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
+    "OfficeFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
+]
+
+
+class PipitFault(Exception):
+    code = "fault"
+
+
+class PropsFault(PipitFault):
+    code = "bad_props"
+
+    def __init__(self, lines: list[str]):
+        super().__init__("; ".join(lines))
+        self.lines = lines
+
+
+class WireFault(PipitFault):
+    code = "wire"
+
+
+class CutOff(WireFault):
+    """The colleague could not be asked: nothing was sent, or no receipt will come."""
+
+    code = "cut_off"
+
+    def __init__(self, text: str, sent: bool = True):
+        super().__init__(text)
+        self.sent = sent
+
+
+class Overdue(WireFault):
+    code = "overdue"
+
+
+class Refused(WireFault):
+    """The colleague took the call and answered with a fault."""
+
+    code = "refused"
+
+    def __init__(self, fault: str, note: str):
+        super().__init__(f"{fault}: {note}")
+        self.fault = fault
+        self.note = note
+
+
+class Unmet(WireFault):
+    code = "unmet"
+
+
+class LedgerFault(PipitFault):
+    code = "ledger"
+
+
+class Fenced(LedgerFault):
+    code = "fenced"
+
+
+class NoMajority(LedgerFault):
+    code = "no_majority"
+
+
+class NoRoom(LedgerFault):
+    code = "no_room"
+
+
+class NotHeld(LedgerFault):
+    code = "not_held"
+
+    def __init__(self, text: str, holder: str = ""):
+        super().__init__(text)
+        self.holder = holder
+
+
+class Damaged(LedgerFault):
+    code = "damaged"
+
+
+class GuideFault(PipitFault):
+    code = "guide"
+    status = 500
+    outcome = "failed"
+
+    def __init__(self, text: str, *, code: str = "", field: str = "", status: int = 0,
+                 outcome: str = "", retry_after: int = 0):
+        super().__init__(text)
+        self.code = code or type(self).code
+        self.field = field
+        self.status = status or type(self).status
+        self.outcome = outcome or type(self).outcome
+        self.retry_after = retry_after
+
+
+class BadAsk(GuideFault):
+    code = "bad_request"
+    status = 400
+    outcome = "not_run"
+
+
+class NotFound(GuideFault):
+    code = "not_found"
+    status = 404
+    outcome = "not_run"
+
+
+class Crowded(GuideFault):
+    code = "crowded"
+    status = 503
+    outcome = "not_run"
+
+    def __init__(self, text: str, *, retry_after: int = 1, **words):
+        super().__init__(text, retry_after=retry_after, **words)
+
+
+class BackEndFault(GuideFault):
+    code = "back_end"
+    status = 502
+    outcome = "unknown"
+
+
+class OfficeFault(PipitFault):
+    code = "office"
+
+
+class NotLeading(OfficeFault):
+    code = "not_leading"
+
+    def __init__(self, text: str, leader: str = ""):
+        super().__init__(text)
+        self.leader = leader
+
+
+class Unproven(OfficeFault):
+    code = "unproven"
+
+
+class WrongBase(OfficeFault):
+    code = "wrong_base"
+
+    def __init__(self, sequence: int):
+        super().__init__(f"the table is at sequence {sequence}")
+        self.sequence = sequence
+
+
+class BadRows(OfficeFault):
+    code = "bad_rows"
+
+    def __init__(self, faults: list[dict]):
+        super().__init__("; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults))
+        self.faults = faults
--- /dev/null
+++ b/pipitlink/guide/__init__.py
@@ -0,0 +1,3 @@
+from .node import GuideNode
+
+__all__ = ["GuideNode"]
--- /dev/null
+++ b/pipitlink/guide/asks.py
@@ -0,0 +1,128 @@
+from datetime import timedelta
+
+import attrs
+from twisted.internet import defer
+
+from ..charts import Charted, chart_data
+from ..context import fresh_id
+from ..faults import BackEndFault, GuideFault
+
+__all__ = ["Ask", "AskTable"]
+
+_OUTCOMES = chart_data("ask")["outcome"]
+
+
+@attrs.define(eq=False, slots=False)
+class Ask(Charted):
+    """The record of one request in this process."""
+
+    chart = "ask"
+
+    model: str
+    prompt: str
+    limit: timedelta
+    prefix: str = ""
+    repeatable: bool = False
+    max_tokens: int = 256
+    kind: str = "live"
+    pool: str = ""
+    customer: str = ""
+    id: str = attrs.field(factory=fresh_id)
+    engine: object = None
+    tries: int = 0
+    avoid: set = attrs.field(factory=set)
+    pieces: list[str] = attrs.field(factory=list)
+    size: int = 0
+    fault: GuideFault | None = None
+    taken_at: timedelta = timedelta(0)
+    left_at: timedelta | None = None
+    readers: int = 0
+    work: object = None
+    feed: object = None
+    _moved: list = attrs.field(factory=list)
+
+    def __attrs_post_init__(self):
+        self._open_chart()
+
+    def _unpick(self):
+        if self.engine is not None:
+            self.avoid.add(self.engine.name)
+        self.engine = None
+
+    @property
+    def lot(self) -> bool:
+        return self.kind == "item"
+
+    @property
+    def outcome(self) -> str:
+        return _OUTCOMES[self.state]
+
+    @property
+    def settled(self) -> bool:
+        return self.fault is not None or self.state == "done"
+
+    def show(self, text: str):
+        self.put("piece")
+        self.pieces.append(text)
+        self.size += len(text)
+        self.move()
+
+    def fail(self, fault: Exception):
+        if not isinstance(fault, GuideFault):
+            fault = BackEndFault(str(fault) or type(fault).__name__, outcome=self.outcome)
+        self.fault = fault
+        self.move()
+
+    def move(self):
+        moved, self._moved = self._moved, []
+        for d in moved:
+            if not d.called:
+                d.callback(None)
+
+    def moved(self) -> defer.Deferred:
+        d = defer.Deferred(lambda d: self._moved.remove(d) if d in self._moved else None)
+        self._moved.append(d)
+        return d
+
+
+class AskTable:
+    """Requests are records in this table; named passes are run over each, in order."""
+
+    passes = {
+        "live": ("admit", "pick", "relay"),
+        "item": ("admit", "pick", "relay"),
+        "fetch": ("admit", "pick", "fetch"),
+    }
+
+    def _open_table(self):
+        self.asks: dict[str, Ask] = {}
+
+    async def run(self, ask: Ask):
+        """Runs the passes over one record until it is settled. Faults end up on the record."""
+        ask.taken_at = self._ctx.beats.now()
+        self.asks[ask.id] = ask
+        try:
+            while not ask.settled:
+                for name in self.passes[ask.kind]:
+                    again = await getattr(self, "_pass_" + name)(ask)
+                    if again:
+                        break
+        except defer.CancelledError:
+            ask.put("lose")
+            ask.fail(GuideFault("the request was ended", code="ended", outcome=ask.outcome))
+        except Exception as e:
+            if not isinstance(e, GuideFault):
+                self._ctx.journal.fault("ask_failed", e, ask=ask.id)
+            ask.put("lose")
+            ask.fail(e)
+        finally:
+            if ask.kind != "live" or not ask.readers:
+                self._retire(ask)
+        self._ctx.journal.trace("ask", ask=ask.id, model=ask.model, state=ask.state, tries=ask.tries,
+                                pieces=len(ask.pieces), code=ask.fault.code if ask.fault else "ok")
+
+    def _retire(self, ask: Ask):
+        if ask.kind != "live":
+            self.asks.pop(ask.id, None)
+        else:
+            self._ctx.beats.later(self._hold, self.asks.pop, ask.id, None)
--- /dev/null
+++ b/pipitlink/guide/dispatch.py
@@ -0,0 +1,210 @@
+from datetime import timedelta
+from hashlib import blake2b
+
+from twisted.internet import defer
+
+from ..beats import ms, secs, spawn, wall_ms
+from ..disk import frames
+from ..faults import LedgerFault, NotHeld, Overdue, PipitFault
+from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, Item, LogRecord, Result, Started
+from .asks import Ask
+from .lots import OpenLot, result_log
+
+__all__ = ["Dispatch"]
+
+TAKE_BEAT = ms(200)
+FEED_BEAT = ms(50)
+TAKE_AGAIN = ms(700)
+ITEM_LIMIT = secs(120)
+MAX_TRIES = 8
+MAX_TAKING = 8
+
+
+def _rank(lot: str, node: str) -> bytes:
+    return blake2b(f"{lot}\0{node}".encode(), digest_size=8).digest()
+
+
+class Dispatch:
+    """Mixin: owns lots by the lease of their result logs and runs their items in the room that is left."""
+
+    def _open_dispatch(self):
+        self._ctx.desk.answer("lots.end", EndAsk, self._end_for)
+        self._ctx.beats.every(TAKE_BEAT, self._take_lots, self._ctx.report("take_lots"))
+        self._ctx.beats.every(FEED_BEAT, self._feed, self._ctx.report("feed"))
+
+    def _owner(self, lot_id: str) -> str:
+        guides = self._ctx.roster.members("guide", standing=("alive",))
+        return max(guides, key=lambda m: _rank(lot_id, m.node)).node
+
+    def _take_lots(self):
+        if not self.current():
+            return
+        now = self._ctx.beats.now()
+        taking = sum(o.taking for o in self.open_lots.values())
+        for o in sorted(self.open_lots.values(), key=lambda o: o.lot.limit_ms):
+            if o.holder is not None and o.holder.lost:
+                self._lose(o)
+            if o.holder or o.taking or o.try_at > now or taking >= MAX_TAKING:
+                continue
+            if self._owner(o.id) == self._ctx.node:
+                o.taking = True
+                taking += 1
+                spawn(self._own(o)).addErrback(lambda f: self._ctx.journal.fault("own_failed", f.value))
+
+    async def _own(self, o: OpenLot):
+        """Takes the lease, reads what is there, and lists as unknown what another owner had started."""
+        try:
+            h = await self.keep(result_log(o.id))
+        except (PipitFault, Overdue) as e:
+            o.try_at = self._ctx.beats.now() + TAKE_AGAIN
+            self._ctx.journal.trace("lot_not_taken", lot=o.id, text=e)
+            return
+        finally:
+            o.taking = False
+        o.results.clear()
+        o.started.clear()
+        for _, body, _ in frames(bytes(h.data)):
+            o.learn(LogRecord.FromString(body))
+        if h.final or o.ended:
+            self._ctx.spawned(self._ctx.ledger.release([h]), "release")
+            self._close(o.id)
+            return
+        o.holder = h
+        doubtful = [i for i in o.started if i not in o.results and not o.lot.items[i].repeatable]
+        self._ctx.journal.note("lot_owned", lot=o.id, epoch=h.epoch, items=len(o.lot.items), done=len(o.results),
+                               doubtful=len(doubtful))
+        for i in doubtful:
+            await self._list(o, Result(item=i, outcome="unknown", code="owner_lost"))
+        o.waiting = [i for i in range(len(o.lot.items)) if i not in o.results]
+        await self._finish_if_done(o)
+
+    def _lose(self, o: OpenLot):
+        for work in o.running.values():
+            work.cancel()
+        o.holder, o.waiting, o.running = None, [], {}
+        o.try_at = self._ctx.beats.now() + TAKE_AGAIN
+
+    def _feed(self):
+        """Starts items while there is room: by limit, then priority, and by turns among customers."""
+        if not self.current():
+            return
+        now = self._ctx.beats.now()
+        wall = wall_ms(self._ctx.beats.wall())
+        owned = [o for o in self.open_lots.values() if o.holder is not None and o.waiting and not o.ended]
+        busy: dict[str, int] = {}
+        for o in self.open_lots.values():
+            busy[o.lot.customer] = busy.get(o.lot.customer, 0) + len(o.running)
+        full: set[str] = set()
+        while owned:
+            o = min(owned, key=lambda o: (self._urgency(o, wall), -o.lot.priority, busy[o.lot.customer],
+                                          o.lot.limit_ms))
+            i = next((i for i in o.waiting if o.again_at.get(i, now) <= now and o.lot.items[i].model not in full), None)
+            if i is None or not o.holder.held():
+                owned.remove(o)
+                continue
+            item = o.lot.items[i]
+            late = o.lot.limit_ms <= wall
+            if not late and not self._room_for(item):
+                full.add(item.model)
+                continue
+            o.waiting.remove(i)
+            busy[o.lot.customer] += 1
+            o.running[i] = work = spawn(self._run_item(o, i, item, late))
+            work.addBoth(self._ran, o, i)
+            if not o.waiting:
+                owned.remove(o)
+
+    def _urgency(self, o: OpenLot, wall: int) -> int:
+        """Steps of time left: lots due within seconds go before those due within minutes, hours, days."""
+        left = max(0, o.lot.limit_ms - wall)
+        return next((n for n, span in enumerate((5_000, 30_000, 300_000, 3_600_000, 21_600_000)) if left < span), 5)
+
+    def _room_for(self, item: Item) -> bool:
+        known = self.candidates(item.model)
+        return any(self.engines.standing(e) == "ready" and self.engines.has_room(e, self._ctx.props.lot_reserve)
+                   for e, _ in known)
+
+    def _ran(self, r, o: OpenLot, i: int):
+        o.running.pop(i, None)
+        if isinstance(getattr(r, "value", None), Exception) and not r.check(defer.CancelledError, LedgerFault):
+            self._ctx.journal.fault("item_failed", r.value, lot=o.id, item=i)
+        if o.holder is not None and not o.holder.lost and i not in o.results and i not in o.waiting and not o.ended:
+            o.waiting.append(i)
+            o.again_at[i] = self._ctx.beats.now() + TAKE_AGAIN
+
+    async def _run_item(self, o: OpenLot, i: int, item: Item, late: bool):
+        if late:
+            await self._list(o, Result(item=i, outcome="not_run", code="limit_passed"))
+            return await self._finish_if_done(o)
+        if not item.repeatable and i not in o.started:
+            await o.holder.append([LogRecord(started=Started(item=i)).SerializeToString()], reserved=True)
+            o.started.add(i)
+        if not o.holder.held() or o.ended:
+            raise NotHeld(f"{o.id}: the lease ended before the item was sent")
+        now = self._ctx.beats.now()
+        left = timedelta(milliseconds=o.lot.limit_ms) - timedelta(milliseconds=wall_ms(self._ctx.beats.wall()))
+        ask = Ask(kind="item", model=item.model, prompt=item.prompt, prefix=item.prefix, repeatable=item.repeatable,
+                  max_tokens=item.max_tokens or 256, limit=now + min(ITEM_LIMIT, left), customer=o.lot.customer)
+        work = spawn(self.run(ask))
+        try:
+            await work
+        except defer.CancelledError:
+            work.cancel()
+            raise
+        if ask.fault is None:
+            r = Result(item=i, outcome="done", text="".join(ask.pieces), engine=ask.engine.name, run=ask.id)
+        else:
+            o.tries[i] = o.tries.get(i, 0) + (ask.outcome != "not_run")
+            again = ask.outcome == "not_run" or (item.repeatable and ask.outcome == "unknown")
+            if again and o.tries[i] < MAX_TRIES and ask.fault.code != "limit_passed":
+                o.again_at[i] = self._ctx.beats.now() + ms(100)
+                o.waiting.append(i)
+                return
+            outcome = "failed" if ask.fault.outcome == "failed" else ask.outcome
+            r = Result(item=i, outcome=outcome, code=ask.fault.code, run=ask.id)
+        await self._list(o, r)
+        await self._finish_if_done(o)
+
+    async def _list(self, o: OpenLot, r: Result):
+        if r.item in o.results or o.ended:
+            return
+        o.results[r.item] = r
+        await o.holder.append([LogRecord(result=r).SerializeToString()], reserved=True)
+
+    async def _finish_if_done(self, o: OpenLot):
+        if len(o.results) == len(o.lot.items) and not o.ended and not o.running.keys() - {r for r in o.results}:
+            h = o.holder
+            if h is None or h.final or h.committed < len(h.data):
+                return
+            await h.append([LogRecord(ended=Ended(why="done")).SerializeToString()], final=True, reserved=True)
+            self._ctx.journal.note("lot_done", lot=o.id)
+            await self._let_go(o)
+
+    async def _let_go(self, o: OpenLot):
+        h, o.holder = o.holder, None
+        self._close(o.id)
+        await self._ctx.beats.pause(secs(1))
+        await self._ctx.ledger.release([h])
+
+    async def _end_for(self, node, ask: EndAsk):
+        return EndReceipt(state=await self.end_here(ask.lot))
+
+    async def end_here(self, lot_id: str) -> str:
+        """Ends a lot that this guide owns: first for good in its log, then its running items."""
+        o = self.open_lots.get(lot_id)
+        if o is None:
+            return "closed" if lot_id in self._closed else "unknown"
+        if o.holder is None:
+            await self._own(o)
+        if o.holder is None:
+            return "closed" if lot_id in self._closed else "not_owned"
+        o.ended = True
+        o.waiting = []
+        try:
+            await o.holder.append([LogRecord(ended=Ended(why="ended")).SerializeToString()], final=True, reserved=True)
+        finally:
+            for work in list(o.running.values()):
+                work.cancel()
+        self._ctx.journal.note("lot_ended", lot=lot_id)
+        spawn(self._let_go(o)).addErrback(lambda f: None)
+        return "ended"
--- /dev/null
+++ b/pipitlink/guide/engines.py
@@ -0,0 +1,182 @@
+from datetime import timedelta
+
+import attrs
+
+from ..beats import ms, secs, spawn, to_ms
+from ..wire.frame_pb2 import Nothing
+from ..wire.roster_pb2 import EngineList, EngineNews, Gossip, Load, Loads
+
+__all__ = ["Engines", "Engine"]
+
+SILENT_SPAN = secs(3)
+FORGET_SPAN = secs(60)
+LOADS_BEAT = ms(200)
+LOADS_SPAN = secs(2)
+RAMP_SPAN = secs(8)
+BACK_OFF = secs(1)
+
+
+@attrs.define(eq=False)
+class Engine:
+    news: EngineNews
+    renewed: timedelta
+    ready_since: timedelta
+    live: int = 0
+    lots: int = 0
+    failed_at: timedelta | None = None
+    others: dict[str, tuple[int, timedelta]] = attrs.field(factory=dict)
+
+    @property
+    def name(self) -> str:
+        return self.news.engine
+
+    @property
+    def mine(self) -> int:
+        return self.live + self.lots
+
+
+class Engines:
+    """The back ends as this guide believes them to be, kept alike among guides by pushes and gossip."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self._engines: dict[str, Engine] = {}
+        self._room: list = []
+        self._told: dict[str, int] = {}
+
+    def open(self):
+        self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
+        self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
+        self._ctx.roster.carry(self._fill, self._take)
+        self._ctx.beats.every(LOADS_BEAT, self._tell_loads, self._ctx.report("loads"))
+
+    def all(self) -> list[Engine]:
+        return sorted(self._engines.values(), key=lambda e: e.name)
+
+    def announce(self, news: EngineNews):
+        news.age_ms = 0
+        self._merge(news)
+        self._push(EngineList(engines=[self._engines[news.engine].news]))
+
+    def _push(self, what: EngineList):
+        for m in self._ctx.roster.members("guide", me=False):
+            place = (m.host, m.port)
+            spawn(self._ctx.desk.call(place, "engines.tell", what, Nothing, ms(500))).addErrback(lambda f: None)
+
+    async def _told_engines(self, node, what: EngineList):
+        for n in what.engines:
+            self._merge(n)
+
+    def _fill(self, g: Gossip):
+        now = self._ctx.beats.now()
+        for e in self._engines.values():
+            n = g.engines.add()
+            n.CopyFrom(e.news)
+            n.age_ms = to_ms(now - e.renewed)
+
+    def _take(self, g: Gossip):
+        for n in g.engines[:1024]:
+            self._merge(n)
+
+    def _merge(self, n: EngineNews):
+        now = self._ctx.beats.now()
+        renewed = now - ms(n.age_ms)
+        if now - renewed > FORGET_SPAN or not n.engine:
+            return
+        e = self._engines.get(n.engine)
+        if e is None or n.incarnation > e.news.incarnation:
+            kept = EngineNews()
+            kept.CopyFrom(n)
+            back = Engine(kept, renewed, now)
+            if e is not None:
+                back.live, back.lots, back.others = e.live, e.lots, e.others
+            self._engines[n.engine] = back
+            self._ctx.journal.note("engine", engine=n.engine, state=n.state, incarnation=n.incarnation,
+                                   address=n.address)
+            self.roomier()
+            return
+        if n.incarnation < e.news.incarnation:
+            return
+        if now - e.renewed > SILENT_SPAN and now - renewed < SILENT_SPAN:
+            e.ready_since = now
+        e.renewed = max(e.renewed, renewed)
+        if n.state == "leaving" and e.news.state != "leaving":
+            e.news.state = "leaving"
+            self._ctx.journal.note("engine", engine=n.engine, state="leaving", incarnation=n.incarnation)
+
+    def standing(self, e: Engine) -> str:
+        now = self._ctx.beats.now()
+        if e.news.state == "leaving":
+            return "leaving"
+        if now - e.renewed > SILENT_SPAN:
+            return "gone"
+        if e.failed_at is not None and now - e.failed_at < BACK_OFF:
+            return "suspect"
+        return "ready"
+
+    def failed(self, e: Engine):
+        e.failed_at = self._ctx.beats.now()
+
+    def capacity(self, e: Engine) -> int:
+        """What may run on it now: a cold engine is filled step by step."""
+        age = (self._ctx.beats.now() - e.ready_since) / RAMP_SPAN
+        return max(1, int(e.news.capacity * min(1.0, 0.1 + 0.9 * age)))
+
+    def running(self, e: Engine) -> int:
+        now = self._ctx.beats.now()
+        return e.mine + sum(n for n, at in e.others.values() if now - at < LOADS_SPAN)
+
+    def has_room(self, e: Engine, reserve: float = 0.0) -> bool:
+        """Within the guide's sure share, or within what the shared counts leave, borrowed by halves."""
+        cap = int(self.capacity(e) * (1 - reserve))
+        guides = max(1, len(self._ctx.roster.members("guide", standing=("alive",))))
+        free = cap - self.running(e)
+        if free <= 0:
+            return False
+        if e.mine < cap // guides:
+            return True
+        told = self._told.get(e.name, 0)
+        return e.mine - told < max(1, free // guides + 1)
+
+    def started(self, e: Engine, lot: bool):
+        if lot:
+            e.lots += 1
+        else:
+            e.live += 1
+
+    def ended(self, e: Engine, lot: bool):
+        e = self._engines.get(e.name, e)
+        if lot:
+            e.lots = max(0, e.lots - 1)
+        else:
+            e.live = max(0, e.live - 1)
+        self.roomier()
+
+    def wait_room(self, d):
+        self._room.append(d)
+
+    def roomier(self):
+        room, self._room = self._room, []
+        for d in room:
+            if not d.called:
+                d.callback(None)
+
+    def _tell_loads(self):
+        now = self._ctx.beats.now()
+        for name, e in list(self._engines.items()):
+            if now - e.renewed > FORGET_SPAN and not e.mine:
+                del self._engines[name]
+        mine = {e.name: e.mine for e in self._engines.values()}
+        self._told = mine
+        what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r) for n, r in mine.items()])
+        for m in self._ctx.roster.members("guide", me=False):
+            place = (m.host, m.port)
+            spawn(self._ctx.desk.call(place, "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
+        self.roomier()
+
+    async def _told_loads(self, node, what: Loads):
+        now = self._ctx.beats.now()
+        for one in what.loads:
+            e = self._engines.get(one.engine)
+            if e is not None:
+                e.others[what.guide] = (one.running, now)
--- /dev/null
+++ b/pipitlink/guide/intake.py
@@ -0,0 +1,66 @@
+from ..beats import Joined, ms, wall_ms
+from ..faults import BadAsk, Crowded
+from ..wire.lots_pb2 import Item, LogRecord, Lot
+from ..web import answered, send_json
+from .bodies import LotBody, read_json
+
+__all__ = ["Intake", "lot_parts"]
+
+ROTATE = 4 * 1024 * 1024
+
+
+def lot_parts(lot: str) -> tuple[str, int]:
+    """A lot's id names the log that it stands in and its place there."""
+    node, _, rest = lot.partition(".")
+    turn, _, place = rest.partition(".")
+    if not (node.isalnum() and turn.isdigit() and place.isdigit() and len(lot) < 80):
+        raise BadAsk(f"{lot[:80]!r} is not the id of a lot", code="bad_id", field="lot")
+    return f"lots/{node}.{turn}", int(place)
+
+
+class Intake:
+    """Mixin: takes lots in, each by one append to this guide's own lot log."""
+
+    def _open_intake(self):
+        self._lot_log = None
+        self._lot_turn = 0
+        self._opening = Joined()
+
+    async def _own_log(self):
+        """The guide's lot log for now; a new one where there is none, or when it has grown long."""
+        log = self._lot_log
+        if log is None or log.lost or len(log.data) >= ROTATE:
+            log = await self._opening.run("lots", self._open_log)
+        return log
+
+    async def _open_log(self):
+        self._lot_turn += 1
+        self._lot_log = await self.keep(f"lots/{self._ctx.node}.{self._lot_turn}")
+        return self._lot_log
+
+    @answered
+    async def take_lot(self, request):
+        b = read_json(request, LotBody)
+        if not self.current():
+            raise Crowded("this guide is not current", code="not_current")
+        if len(b.items) > self._ctx.props.max_items:
+            raise BadAsk(f"items: a lot may have {self._ctx.props.max_items} items", code="bad_field", field="items")
+        taken = wall_ms(self._ctx.beats.wall())
+        lot = Lot(customer=b.customer, priority=b.priority, taken_ms=taken, limit_ms=taken + b.limit_ms,
+                  key=b.idempotency_key,
+                  items=[Item(model=i.model, prompt=i.prompt, prefix=i.prefix_key, repeatable=i.repeatable,
+                              max_tokens=i.max_tokens) for i in b.items])
+        lot_id = await self._store_lot(lot)
+        return send_json(request, {"lot": lot_id, "items": len(b.items)}, 201, {"Location": f"/v1/lots/{lot_id}"})
+
+    async def _store_lot(self, lot: Lot) -> str:
+        try:
+            log = await self._ctx.beats.within(ms(2500), self._own_log())
+        except Exception as e:
+            raise Crowded(f"the store cannot take lots now: {e}", code=getattr(e, "code", "store")) from e
+        if not log.held():
+            raise Crowded("the lot log's lease is not current", code="store")
+        start = await log.append([LogRecord(lot=lot).SerializeToString()])
+        lot_id = f"{log.log.removeprefix('lots/')}.{start}"
+        self._known(lot_id, lot)
+        return lot_id
--- /dev/null
+++ b/pipitlink/guide/node.py
@@ -0,0 +1,80 @@
+from klein import Klein
+
+from ..beats import secs
+from ..faults import NotFound
+from ..web import Site, listen, send_fault, send_json
+from .asks import AskTable
+from .dispatch import Dispatch
+from .engines import Engines
+from .fetching import Fetching
+from .intake import Intake
+from .live import Live
+from .lots import Lots
+from .picking import Admitting, Picking, RetryBudget
+from .relaying import Relaying
+from .results import Results
+
+__all__ = ["GuideNode"]
+
+
+class GuideNode(Admitting, Picking, Relaying, Live, Fetching, Intake, Lots, Dispatch, Results, AskTable):
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self.engines = ctx.engines = Engines(ctx)
+        self._retry_budget = RetryBudget()
+        self._hold = secs(ctx.props.resume_hold_s)
+        self._waiting = 0
+        self._port = None
+
+    def open(self):
+        self._open_table()
+        self._open_relaying()
+        self.engines.open()
+        self._open_intake()
+        self._open_lots()
+        self._open_results()
+        self._open_dispatch()
+
+    async def listen(self, host: str, port: int) -> int:
+        site = Site(self._routes().resource(), self._ctx.props.max_body_kb * 1024)
+        self._port, port = await listen(self._ctx.reactor, site, host, port)
+        return port
+
+    def current(self) -> bool:
+        return self._ctx.setup.ready()
+
+    async def keep(self, log: str):
+        """Holds a log and shadows it into the caches."""
+        h = await self._ctx.ledger.hold(log)
+        self._ctx.cache.shadow(log, h)
+        return h
+
+    def _routes(self) -> Klein:
+        app = Klein()
+        add = app.route
+        add("/v1/generate", methods=["POST"])(self.generate)
+        add("/v1/generate/<run>", methods=["GET"])(self.resume)
+        add("/v1/engines", methods=["POST"])(self.announce)
+        add("/v1/fetch/<pool>/", methods=["GET"])(self.fetch)
+        add("/v1/fetch/<pool>/<path:path>", methods=["GET"])(self.fetch)
+        add("/v1/lots", methods=["POST"])(self.take_lot)
+        add("/v1/lots/<lot>", methods=["GET"])(self.show_lot)
+        add("/v1/lots/<lot>/results", methods=["GET"])(self.show_results)
+        add("/v1/lots/<lot>", methods=["DELETE"])(self.end_lot)
+        add("/v1/ready", methods=["GET"])(self.ready)
+        add("/v1/live", methods=["GET"])(lambda request: send_json(request, {"live": True}))
+        add("/", defaults={"path": ""})(self._nowhere)
+        add("/<path:path>")(self._nowhere)
+        return app
+
+    def ready(self, request):
+        ok = self.current()
+        return send_json(request, {"ready": ok, "setup": self._ctx.setup.sequence}, 200 if ok else 503)
+
+    def _nowhere(self, request, path):
+        return send_fault(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
+
+    async def end(self):
+        if self._port is not None:
+            await self._port.stopListening()
+        await self._ctx.ledger.release(list(self._ctx.ledger.holders.values()))
--- /dev/null
+++ b/pipitlink/guide/picking.py
@@ -0,0 +1,127 @@
+import math
+from hashlib import blake2b
+
+from twisted.internet import defer
+
+from ..beats import ms
+from ..faults import Crowded, GuideFault, NotFound
+
+__all__ = ["Admitting", "Picking", "RetryBudget"]
+
+MAX_TRIES = 3
+PICK_WAIT = ms(500)
+MAX_WAITING = 128
+
+
+def _score(key: str, name: str, weight: float) -> float:
+    h = int.from_bytes(blake2b(f"{key}\0{name}".encode(), digest_size=8).digest(), "big")
+    return -weight / math.log((h + 1) / (2 ** 64 + 1))
+
+
+class Admitting:
+    """Mixin: the pass that lets a request in or sheds it early."""
+
+    async def _pass_admit(self, ask):
+        if ask.tries:
+            return False
+        if not self.current():
+            raise Crowded("this guide is not current", code="not_current", retry_after=1)
+        now = self._ctx.beats.now()
+        if ask.limit <= now:
+            raise GuideFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
+        if not ask.lot and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.props.max_running:
+            raise Crowded("too many requests are running here")
+        return False
+
+
+class Picking:
+    """Mixin: the pass that picks a back end: weights, standing, zone, warm prefix, bounded load."""
+
+    def candidates(self, model: str, pool: str = ""):
+        out = []
+        for e in self.engines.all():
+            if (model in e.news.models if not pool else e.news.pool == pool):
+                weight = self._ctx.setup.weight(model, e.news.pool)
+                if weight > 0 and not self._ctx.setup.zone_empty(e.news.zone):
+                    out.append((e, weight))
+        return out
+
+    def _pick(self, ask):
+        ready = [(e, w) for e, w in self.candidates(ask.model, ask.pool)
+                 if self.engines.standing(e) == "ready" and e.name not in ask.avoid]
+        reserve = self._ctx.props.lot_reserve if ask.lot else 0.0
+        free = [(e, w) for e, w in ready if self.engines.has_room(e, reserve)]
+        if not free:
+            return None
+        loads = {e.name: self.engines.running(e) / max(1, self.engines.capacity(e)) for e, _ in ready}
+        if not ask.prefix:
+            return min(free, key=lambda p: (loads[p[0].name] / p[1], self._ctx.chance.random()))[0]
+        bound = 1.25 * sum(loads.values()) / len(loads)
+        free.sort(key=lambda p: -_score(ask.prefix, p[0].name, p[1]))
+        for e, _ in free:
+            if loads[e.name] <= bound + 1 / max(1, self.engines.capacity(e)):
+                return e
+        return free[0][0]
+
+    async def _pass_pick(self, ask):
+        until = min(ask.limit, self._ctx.beats.now() + PICK_WAIT)
+        while True:
+            e = self._pick(ask)
+            if e is not None:
+                break
+            known = self.candidates(ask.model, ask.pool)
+            if not known:
+                raise NotFound(f"nothing serves {ask.pool or ask.model!r}", field="pool" if ask.pool else "model")
+            if ask.avoid and not [k for k, _ in known if k.name not in ask.avoid]:
+                ask.avoid.clear()
+            left = until - self._ctx.beats.now()
+            if left <= ms(0) or self._waiting >= MAX_WAITING:
+                raise Crowded("no back end has room", retry_after=1)
+            await self._wait_room(left)
+        ask.engine = e
+        ask.tries += 1
+        ask.put("pick")
+        return False
+
+    async def _wait_room(self, left):
+        d = defer.Deferred()
+        self.engines.wait_room(d)
+        beat = self._ctx.beats.later(min(left, ms(100)), lambda: d.called or d.callback(None))
+        self._waiting += 1
+        try:
+            await d
+        finally:
+            self._waiting -= 1
+            if beat.active():
+                beat.cancel()
+
+    def _may_go_again(self, ask) -> bool:
+        """A second back end is allowed after a sure `not_run`, or for a repeatable request with nothing shown."""
+        if ask.tries >= MAX_TRIES or ask.pieces or self._ctx.beats.now() >= ask.limit:
+            return False
+        if not self._retry_budget.take():
+            return False
+        if ask.state == "taken":
+            return True
+        if ask.state == "lost" and ask.repeatable:
+            ask.put("again")
+            return True
+        return False
+
+
+class RetryBudget:
+    """Second tries are a share of first ones, so that trouble is not doubled."""
+
+    def __init__(self, share: float = 0.2, most: float = 20.0):
+        self._share = share
+        self._most = most
+        self._left = most
+
+    def earn(self):
+        self._left = min(self._most, self._left + self._share)
+
+    def take(self) -> bool:
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
--- /dev/null
+++ b/pipitlink/guide/results.py
@@ -0,0 +1,166 @@
+from datetime import timedelta
+
+import attrs
+from twisted.internet import defer
+
+from ..beats import ms, secs
+from ..faults import Crowded, NotFound, Refused, WireFault
+from ..wire.lots_pb2 import EndAsk, EndReceipt, LogRecord, Lot
+from ..web import answered, send_json
+from .intake import lot_parts
+from .live import whole_number
+from .lots import result_log
+
+__all__ = ["Results"]
+
+KEEP_SPAN = secs(30)
+FRESH = ms(400)
+READ_LIMIT = secs(4)
+MOST = 500
+
+
+@attrs.define(eq=False)
+class _Reader:
+    """One lot's result list, read in order and kept while callers ask for it."""
+
+    tail: object
+    used: timedelta
+    results: list = attrs.field(factory=list)
+    listed: set[int] = attrs.field(factory=set)
+    ended: str = ""
+    turn: defer.DeferredLock = attrs.field(factory=defer.DeferredLock)
+
+    def learn(self, record: LogRecord):
+        what = record.WhichOneof("of")
+        if what == "result" and record.result.item not in self.listed and not self.ended:
+            self.listed.add(record.result.item)
+            self.results.append(record.result)
+        elif what == "ended":
+            self.ended = self.ended or record.ended.why
+
+
+class Results:
+    """Mixin: answers for any lot, whichever guide took it or owns it."""
+
+    def _open_results(self):
+        self._readers: dict[str, _Reader] = {}
+        self._lot_cache: dict[str, Lot] = {}
+        self._ctx.beats.every(secs(5), self._drop_readers, self._ctx.report("readers"))
+
+    def _drop_readers(self):
+        now = self._ctx.beats.now()
+        for lot_id, r in list(self._readers.items()):
+            if now - r.used > KEEP_SPAN:
+                r.tail.close()
+                del self._readers[lot_id]
+
+    async def _find_lot(self, lot_id: str) -> Lot:
+        o = self.open_lots.get(lot_id)
+        if o is not None:
+            return o.lot
+        if lot_id in self._lot_cache:
+            return self._lot_cache[lot_id]
+        log, at = lot_parts(lot_id)
+        tail = self._ctx.cache.tail(log)
+        try:
+            await self._ctx.cache.poller.prove([log])
+            if tail.seen.proved is None:
+                raise Crowded("the store cannot be read now", code="no_majority", outcome="unknown")
+            if tail.seen.durable <= at:
+                raise NotFound("there is no such lot", code="no_such_lot", field="lot")
+            tail.position = at
+            for _ in range(20):
+                for place, body in await tail.more():
+                    record = LogRecord.FromString(body)
+                    if place == at and record.WhichOneof("of") == "lot":
+                        if len(self._lot_cache) > 256:
+                            self._lot_cache.clear()
+                        self._lot_cache[lot_id] = record.lot
+                        return record.lot
+                if tail.position >= tail.seen.durable:
+                    break
+                if tail.goal() <= tail.position:
+                    await tail.wait()
+            raise NotFound("there is no such lot", code="no_such_lot", field="lot")
+        finally:
+            tail.close()
+
+    async def _read_results(self, lot_id: str) -> _Reader:
+        """Reads on at least to where the log surely was when the caller asked."""
+        now = self._ctx.beats.now()
+        r = self._readers.get(lot_id)
+        if r is None:
+            r = self._readers[lot_id] = _Reader(self._ctx.cache.tail(result_log(lot_id), secs(1)), now)
+        r.used = now
+        seen = r.tail.seen
+        if seen.proved is None or now - seen.proved > FRESH:
+            await self._ctx.cache.poller.prove([r.tail.path])
+        if seen.proved is None or self._ctx.beats.now() - seen.proved > secs(1):
+            raise Crowded("the store cannot be read now", code="no_majority", outcome="unknown")
+        async with r.turn:
+            await self._read_to(r, seen.durable)
+        return r
+
+    async def _read_to(self, r: _Reader, goal: int):
+        seen = r.tail.seen
+        while r.tail.position < goal or seen.cached > r.tail.position:
+            before = r.tail.position
+            for _, body in await r.tail.more():
+                r.learn(LogRecord.FromString(body))
+            if r.tail.position == before:
+                await r.tail.wait()
+
+    def _shown(self, lot_id: str, lot: Lot, r: _Reader) -> dict:
+        state = {"done": "done", "ended": "ended"}.get(r.ended, "open")
+        return {"lot": lot_id, "state": state, "items": len(lot.items), "listed": len(r.results),
+                "customer": lot.customer, "priority": lot.priority, "limit": lot.limit_ms}
+
+    @answered
+    async def show_lot(self, request, lot: str):
+        found = await self._find_lot(lot)
+        r = await self._ctx.beats.within(READ_LIMIT, self._read_results(lot))
+        return send_json(request, self._shown(lot, found, r))
+
+    @answered
+    async def show_results(self, request, lot: str):
+        start = whole_number(request, "from")
+        found = await self._find_lot(lot)
+        r = await self._ctx.beats.within(READ_LIMIT, self._read_results(lot))
+        out = self._shown(lot, found, r)
+        page = r.results[start:start + MOST]
+        out["from"] = start
+        out["next"] = start + len(page)
+        out["results"] = [{"n": start + k, "item": x.item, "outcome": x.outcome, "code": x.code, "text": x.text,
+                           "engine": x.engine} for k, x in enumerate(page)]
+        return send_json(request, out)
+
+    @answered
+    async def end_lot(self, request, lot: str):
+        found = await self._find_lot(lot)
+        self._known(lot, found)
+        until = self._ctx.beats.now() + secs(8)
+        while self._ctx.beats.now() < until:
+            state = await self._ask_owner(lot)
+            if state in ("ended", "closed"):
+                return send_json(request, {"lot": lot, "state": state})
+            await self._ctx.beats.pause(ms(300))
+        raise Crowded("the lot's owner could not be asked", code="no_owner", outcome="unknown")
+
+    async def _ask_owner(self, lot: str) -> str:
+        """Asks the lease's holder; where there is none, this guide takes the lot up itself."""
+        log = result_log(lot)
+        state = (await self._ctx.ledger.states([log])).get(log)
+        if state is not None and state.final:
+            return "closed"
+        holder = state.holder if state is not None else ""
+        m = self._ctx.roster.find(holder) if holder else None
+        if not holder or holder == self._ctx.node:
+            return await self.end_here(lot)
+        if m is None:
+            return "lost"
+        try:
+            r = await self._ctx.desk.call((m.host, m.port), "lots.end", EndAsk(lot=lot), EndReceipt, secs(3))
+            return r.state
+        except (WireFault, Refused) as e:
+            self._ctx.journal.trace("owner_unheard", lot=lot, text=e)
+            return "lost"
--- /dev/null
+++ b/pipitlink/ledger/holder.py
@@ -0,0 +1,234 @@
+from datetime import timedelta
+
+from twisted.internet import defer
+
+from ..beats import ms, secs, spawn
+from ..depot.grants import HOLD_SPAN
+from ..disk import frame
+from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
+from ..wire.frame_pb2 import Nothing
+from ..wire.ledger_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk,
+                               WriteAsk, WriteReceipt)
+
+__all__ = ["Holder"]
+
+WRITE_LIMIT = secs(2)
+RETRY_BEAT = ms(150)
+IDLE_BEAT = secs(1)
+MAX_WRITE = 4 * 1024 * 1024
+
+
+class Holder:
+    """The one owner of a log while its lease lasts: settles the tail it found, then appends to all replicas."""
+
+    def __init__(self, ctx, ledger, log: str):
+        self._ctx = ctx
+        self._ledger = ledger
+        self.log = log
+        self.epoch = 0
+        self.shelf = ledger.shelf(log)
+        self.data = bytearray()
+        self.committed = 0
+        self.final = False
+        self.lost = ""
+        self._states: dict[str, LogState] = {}
+        self._renewals: dict[str, timedelta] = {}
+        self._acked: dict[str, int] = {}
+        self._no_room: set[str] = set()
+        self._sending: set[str] = set()
+        self._waiters: list[tuple[int, defer.Deferred]] = []
+        self._reserved = False
+        self._watchers: list = []
+
+    def held(self) -> bool:
+        """By the own clock, and earlier than the depots' view ends."""
+        if self.lost:
+            return False
+        now = self._ctx.beats.now()
+        return self.shelf.agree([d for d, at in self._renewals.items() if now - at < HOLD_SPAN])
+
+    def renewing(self):
+        now = self._ctx.beats.now()
+        if not self.lost and not self.shelf.agree([d for d, at in self._renewals.items() if now - at < HOLD_SPAN]):
+            self.lapse("lease ran out")
+
+    def renewed(self, depot: str, asked: timedelta):
+        self._renewals[depot] = max(asked, self._renewals.get(depot, asked))
+
+    def lapse(self, why: str):
+        if self.lost:
+            return
+        self.lost = why
+        self._ledger.drop(self)
+        self._ctx.journal.note("lease_lost", log=self.log, epoch=self.epoch, why=why)
+        waiters, self._waiters = self._waiters, []
+        for _, d in waiters:
+            d.errback(NotHeld(f"{self.log}: {why}"))
+        for do in self._watchers:
+            do(self)
+
+    def watch(self, do):
+        self._watchers.append(do)
+
+    async def take(self):
+        epoch = 1
+        for _ in range(4):
+            asked = self._ctx.beats.now()
+            ask = LeaseAsk(log=self.log, holder=self._ctx.node, epoch=epoch, shelf_sequence=self.shelf.sequence)
+            got = await self._ledger.ask_each(self.shelf.everyone, "ledger.lease", ask, LeaseReceipt,
+                                              enough=lambda g: self.shelf.agree([n for n, r in g.items() if r.granted]))
+            granted = [n for n, r in got.items() if r.granted]
+            if self.shelf.agree(granted):
+                break
+            for r in got.values():
+                if r.why in ("held", "just_started") and not r.granted:
+                    raise NotHeld(f"{self.log} is held", r.state.holder)
+            if not self.shelf.agree(got):
+                raise NoMajority(f"{self.log}: {len(got)} of {len(self.shelf.everyone)} depots answered")
+            epoch = max(r.state.epoch for r in got.values()) + 1
+        else:
+            raise NotHeld(f"{self.log}: outbid")
+        self.epoch = epoch
+        for n in granted:
+            self._renewals[n] = asked
+            self._states[n] = got[n].state
+        await self._settle_tail(granted)
+
+    async def _settle_tail(self, granted):
+        """Makes the newest-epoch tail that a majority shows durable under the own epoch."""
+        best = max(granted, key=lambda n: (self._states[n].tail_epoch, self._states[n].length))
+        state = self._states[best]
+        if state.length:
+            self.data = bytearray(await self._read_tail(best, state.length))
+        self.final = state.final
+        self.committed = max(s.committed for s in self._states.values())
+        self._best = (state.tail_epoch, state.length)
+        if state.length:
+            await self._reach(state.length, restamp=True)
+
+    async def _read_tail(self, node: str, length: int) -> bytes:
+        out = b""
+        while len(out) < length:
+            r = await self._ledger.ask(node, "ledger.read", ReadAsk(log=self.log, position=len(out),
+                                                                     length=min(MAX_WRITE, length - len(out))),
+                                       ReadReceipt, WRITE_LIMIT)
+            if not r.data:
+                raise NoMajority(f"{self.log}: {node} could not show its tail")
+            out += r.data
+        return out
+
+    async def append(self, records: list[bytes], final: bool = False, reserved: bool = False) -> int:
+        """Appends whole records; returns where they start, once a majority has synced them."""
+        if not self.held():
+            self.renewing()
+            raise NotHeld(f"{self.log}: {self.lost or 'the lease is not current'}")
+        if self.final:
+            raise Fenced(f"{self.log} is final")
+        self._reserved = reserved
+        self._no_room.clear()
+        self.final = self.final or final
+        start = len(self.data)
+        self.data += b"".join(frame(r) for r in records)
+        await self._reach(len(self.data))
+        return start
+
+    async def _reach(self, end: int, restamp: bool = False):
+        d = defer.Deferred()
+        if not restamp and self.committed >= end:
+            return
+        self._waiters.append((end, d))
+        for n in self.shelf.everyone:
+            self._send_to(n)
+        await self._ctx.beats.within(WRITE_LIMIT * 2, d)
+
+    def _send_to(self, node: str):
+        if node not in self._sending and not self.lost:
+            self._sending.add(node)
+            spawn(self._send(node)).addBoth(lambda r: self._sent(node, r))
+
+    def _sent(self, node, r):
+        self._sending.discard(node)
+        if isinstance(r, Exception) or hasattr(r, "value"):
+            self._ctx.journal.fault("send_failed", getattr(r, "value", r), log=self.log, depot=node)
+
+    def _settled(self, state: LogState) -> bool:
+        return state.tail_epoch == self.epoch and state.length == len(self.data) and state.final == self.final
+
+    async def _send(self, node: str):
+        """One task for each replica, while it lacks anything."""
+        while not self.lost:
+            state = self._states.get(node)
+            try:
+                if state is None:
+                    state = await self._ask_state(node)
+                if self._settled(state):
+                    return
+                self._states[node] = await self._write_to(node, state)
+            except Refused as e:
+                if e.fault == "fenced":
+                    self.lapse(str(e))
+                    return
+                if e.fault == "no_room":
+                    self._full(node)
+                    return
+                self._states.pop(node, None)
+                await self._ctx.beats.pause(RETRY_BEAT)
+            except WireFault as e:
+                self._states.pop(node, None)
+                self._ctx.journal.trace("replica_behind", log=self.log, depot=node, text=e)
+                await self._ctx.beats.pause(RETRY_BEAT if self._waiters else IDLE_BEAT)
+            self._advance()
+
+    async def _ask_state(self, node: str) -> LogState:
+        r = await self._ledger.ask(node, "ledger.states", StatesAsk(logs=[self.log]), States)
+        return r.states[0]
+
+    async def _write_to(self, node: str, state: LogState) -> LogState:
+        if state.tail_epoch == self.epoch:
+            start = state.length
+        elif (state.tail_epoch, state.length) == self._best or state.tail_epoch == self._best[0]:
+            start = min(state.length, self._best[1])
+        else:
+            start = min(state.committed, state.length)
+        data = bytes(self.data[start:])
+        final = self.final
+        ask = WriteAsk(log=self.log, epoch=self.epoch, shelf_sequence=self.shelf.sequence, position=start,
+                       expect_tail_epoch=state.tail_epoch, expect_length=state.length,
+                       committed=self.committed, final=final, reserved=self._reserved)
+        while len(data) - ask.staged_bytes > MAX_WRITE:
+            at = ask.staged_bytes
+            part = WriteAsk(log=self.log, epoch=self.epoch, staged=True, position=at, data=data[at:at + MAX_WRITE])
+            await self._ledger.ask(node, "ledger.write", part, WriteReceipt, WRITE_LIMIT)
+            ask.staged_bytes += len(part.data)
+        ask.data = data[ask.staged_bytes:]
+        r = await self._ledger.ask(node, "ledger.write", ask, WriteReceipt, WRITE_LIMIT)
+        return r.state
+
+    def _full(self, node):
+        self._no_room.add(node)
+        rest = [n for n in self.shelf.everyone if n not in self._no_room]
+        if not self.shelf.agree(rest):
+            waiters, self._waiters = self._waiters, []
+            for _, d in waiters:
+                d.errback(NoRoom(f"{self.log}: the depots are out of room"))
+            self.lapse("no room")
+
+    def _advance(self):
+        marks = {n: s.length for n, s in self._states.items() if s.tail_epoch == self.epoch}
+        if not self.shelf.agree(marks):
+            return
+        reached = self.shelf.reached(marks)
+        ready = [w for w in self._waiters if w[0] <= reached]
+        self._waiters = [w for w in self._waiters if w[0] > reached]
+        if reached > self.committed or ready:
+            self.committed = max(reached, self.committed)
+            spawn(self._mark()).addErrback(lambda f: None)
+            for do in self._watchers:
+                do(self)
+        for _, d in ready:
+            if not d.called:
+                d.callback(None)
+
+    async def _mark(self):
+        ask = MarkAsk(log=self.log, epoch=self.epoch, committed=self.committed)
+        await self._ledger.ask_each(self.shelf.everyone, "ledger.mark", ask, Nothing)
--- /dev/null
+++ b/pipitlink/ledger/ledger.py
@@ -0,0 +1,168 @@
+from twisted.internet import defer
+
+from ..beats import ms, secs, spawn
+from ..faults import NoMajority, WireFault
+from ..wire.ledger_pb2 import (Held, ListAsk, LogState, ReadAsk, ReadReceipt, RenewAsk, RenewReceipt, States,
+                               StatesAsk)
+from .holder import Holder
+from .shelf import Shelf, shelf_of
+
+__all__ = ["Ledger"]
+
+RENEW_BEAT = ms(600)
+ASK_LIMIT = ms(800)
+MAX_SPAN = 4 * 1024 * 1024
+
+
+class Ledger:
+    """The durable logs as a node outside the depots sees them."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self.holders: dict[str, Holder] = {}
+
+    def open(self):
+        self._ctx.beats.every(RENEW_BEAT, self._renew, self._ctx.report("renew"))
+
+    def shelf(self, log: str) -> Shelf:
+        return self._ctx.setup.shelf(shelf_of(log, self._ctx.setup.shelves))
+
+    def place(self, node: str):
+        m = self._ctx.roster.find(node)
+        return (m.host, m.port) if m is not None else None
+
+    async def ask(self, node: str, verb: str, what, kind, limit=ASK_LIMIT):
+        place = self.place(node)
+        if place is None:
+            raise WireFault(f"depot {node} is not on the roster")
+        return await self._ctx.desk.call(place, verb, what, kind, limit)
+
+    async def ask_each(self, nodes, verb: str, what, kind, limit=ASK_LIMIT, enough=None) -> dict:
+        """Asks all at once; returns the receipts that came, early once `enough` of them are in."""
+        got: dict[str, object] = {}
+        done = defer.Deferred()
+        left = len(nodes)
+
+        async def one(node):
+            nonlocal left
+            try:
+                got[node] = await self.ask(node, verb, what, kind, limit)
+            except WireFault as e:
+                self._ctx.journal.trace("depot_unheard", depot=node, verb=verb, text=e)
+            finally:
+                left -= 1
+                if not done.called and (left == 0 or (enough is not None and enough(got))):
+                    done.callback(None)
+
+        for n in nodes:
+            spawn(one(n)).addErrback(lambda f: self._ctx.journal.fault("ask_each", f.value))
+        if nodes:
+            await done
+        return dict(got)
+
+    async def hold(self, log: str) -> Holder:
+        """Takes the lease of a log, settles its tail and returns the holder, ready to write."""
+        h = Holder(self._ctx, self, log)
+        await h.take()
+        self.holders[log] = h
+        return h
+
+    def drop(self, h: Holder):
+        if self.holders.get(h.log) is h:
+            del self.holders[h.log]
+
+    async def _renew(self):
+        by_depot: dict[str, list[Holder]] = {}
+        for h in list(self.holders.values()):
+            h.renewing()
+            for d in h.shelf.everyone:
+                by_depot.setdefault(d, []).append(h)
+        for depot, holders in by_depot.items():
+            spawn(self._renew_at(depot, holders)).addErrback(lambda f: None)
+
+    async def _renew_at(self, depot: str, holders: list[Holder]):
+        asked = self._ctx.beats.now()
+        ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in holders])
+        r = await self.ask(depot, "ledger.renew", ask, RenewReceipt)
+        kept = set(r.kept)
+        for h in holders:
+            if h.log in kept:
+                h.renewed(depot, asked)
+
+    async def release(self, holders: list[Holder]):
+        by_depot: dict[str, list[Held]] = {}
+        for h in holders:
+            h.lapse("released")
+            for d in h.shelf.everyone:
+                by_depot.setdefault(d, []).append(Held(log=h.log, epoch=h.epoch))
+        for depot, held in by_depot.items():
+            ask = RenewAsk(holder=self._ctx.node, held=held, release=True)
+            await self.ask_each([depot], "ledger.renew", ask, RenewReceipt, ms(400))
+
+    async def states(self, logs: list[str]) -> dict[str, LogState]:
+        """What is surely durable of each log, by a majority of its depots; logs without one are left out."""
+        by_depot: dict[str, list[str]] = {}
+        for log in logs:
+            for d in self.shelf(log).everyone:
+                by_depot.setdefault(d, []).append(log)
+        heard: dict[str, dict[str, LogState]] = {}
+
+        async def one(depot, names):
+            r = (await self.ask_each([depot], "ledger.states", StatesAsk(logs=names), States)).get(depot)
+            for s in r.states if r else ():
+                heard.setdefault(s.log, {})[depot] = s
+
+        await defer.gatherResults([spawn(one(d, n)) for d, n in by_depot.items()])
+        out = {}
+        for log, states in heard.items():
+            shelf = self.shelf(log)
+            if shelf.agree(states):
+                out[log] = agreed(shelf, states)
+        return out
+
+    async def list(self, prefix: str) -> dict[str, LogState]:
+        """Every log whose name starts so, as far as the depots that answer know them."""
+        depots = sorted({d for n in range(self._ctx.setup.shelves) for d in self._ctx.setup.shelf(n).everyone})
+        got = await self.ask_each(depots, "ledger.list", ListAsk(prefix=prefix), States, secs(1))
+        heard: dict[str, dict[str, LogState]] = {}
+        for depot, r in got.items():
+            for s in r.states:
+                heard.setdefault(s.log, {})[depot] = s
+        return {log: agreed(self.shelf(log), states) for log, states in heard.items()}
+
+    async def read(self, log: str, position: int, length: int) -> bytes:
+        """Reads one span from the durable log, whole or not at all."""
+        out = b""
+        nodes = list(self.shelf(log).everyone)
+        self._ctx.chance.shuffle(nodes)
+        for node in nodes:
+            while len(out) < length:
+                ask = ReadAsk(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
+                try:
+                    data = (await self.ask(node, "ledger.read", ask, ReadReceipt, secs(2))).data
+                except WireFault:
+                    break
+                if not data:
+                    break
+                out += data
+            if len(out) >= length:
+                return out
+        raise NoMajority(f"{log}: bytes {position + len(out)} to {position + length} could not be read")
+
+
+def agreed(shelf: Shelf, states: dict[str, LogState]) -> LogState:
+    """The longest length that is surely committed: told as such, or held by majorities under one tail epoch."""
+    best = LogState(log=next(iter(states.values())).log)
+    best.committed = max(s.committed for s in states.values())
+    for epoch in {s.tail_epoch for s in states.values()}:
+        held = {d: s.length for d, s in states.items() if s.tail_epoch == epoch}
+        if shelf.agree(held):
+            best.committed = max(best.committed, shelf.reached(held))
+    best.epoch = max(s.epoch for s in states.values())
+    best.tail_epoch = max(s.tail_epoch for s in states.values())
+    best.length = best.committed
+    best.final = any(s.final and s.length <= best.committed for s in states.values())
+    for s in states.values():
+        if s.holder and s.lease_ms >= best.lease_ms:
+            best.holder, best.lease_ms = s.holder, s.lease_ms
+    return best
--- /dev/null
+++ b/pipitlink/ledger/shelf.py
@@ -0,0 +1,38 @@
+from hashlib import blake2b
+
+import attrs
+
+__all__ = ["Shelf", "shelf_of"]
+
+
+def shelf_of(log: str, shelves: int) -> int:
+    return int.from_bytes(blake2b(log.encode(), digest_size=4).digest(), "big") % shelves
+
+
+@attrs.frozen
+class Shelf:
+    """Where a shelf's logs are kept. While `joining` is to take the place of `leaving`, both sets must agree."""
+
+    number: int
+    sequence: int
+    depots: tuple[str, ...]
+    joining: str = ""
+    leaving: str = ""
+
+    @property
+    def sets(self) -> tuple[tuple[str, ...], ...]:
+        if not self.joining:
+            return (self.depots,)
+        return self.depots, tuple(self.joining if d == self.leaving else d for d in self.depots)
+
+    @property
+    def everyone(self) -> tuple[str, ...]:
+        return self.depots + ((self.joining,) if self.joining else ())
+
+    def agree(self, nodes) -> bool:
+        """Whether these nodes are a majority of each set."""
+        return bool(self.depots) and all(2 * sum(d in nodes for d in s) > len(s) for s in self.sets)
+
+    def reached(self, marks: dict[str, int]) -> int:
+        """The highest position that a majority of each set has reached."""
+        return min(sorted((marks.get(d, 0) for d in s), reverse=True)[len(s) // 2] for s in self.sets)
--- /dev/null
+++ b/pipitlink/process.py
@@ -0,0 +1,101 @@
+import signal
+import sys
+from pathlib import Path
+from random import Random
+
+from twisted.internet import reactor
+
+from .beats import Beats, secs, spawn
+from .cache import Cache
+from .context import Context, fresh_id
+from .depot import DepotNode, node_id
+from .faults import PropsFault
+from .guide import GuideNode
+from .journal import open_journal
+from .ledger import Ledger
+from .props import Props
+from .roster import Roster
+from .setup import ThinSetup
+from .wire.desk import Desk
+from .wire.roster_pb2 import Member
+
+__all__ = ["run"]
+
+DRAIN = secs(8)
+
+
+class Process:
+    """One guide, depot or office, from its props to its end."""
+
+    def __init__(self, role: str, props: Props):
+        node = fresh_id() if role == "guide" else node_id(Path(props.data), props.fleet)
+        journal = open_journal(props.log_level, role=role, node=node)
+        beats = Beats(reactor)
+        desk = Desk(reactor, beats, journal, props.fleet, node)
+        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random())
+        self.exit = 0
+        self._ending = False
+        self.node = None
+
+    async def open(self):
+        ctx, p = self.ctx, self.ctx.props
+        ctx.roster = Roster(ctx)
+        if ctx.role != "guide":
+            ctx.roster.remember_in(Path(p.data))
+        ctx.setup = ThinSetup(ctx)
+        ctx.ledger = Ledger(ctx)
+        _, port = await ctx.desk.listen(p.bind, p.port)
+        ctx.desk.place = (p.host, port)
+        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port)
+        if ctx.role == "guide":
+            ctx.cache = Cache(ctx)
+            self.node = GuideNode(ctx)
+            self.node.open()
+            me.http_port = await self.node.listen(p.bind, p.http_port)
+            ctx.ledger.open()
+            ctx.cache.open()
+        elif ctx.role == "depot":
+            self.node = DepotNode(ctx)
+            self.node.open()
+        ctx.roster.open(me)
+        ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
+
+    async def end(self):
+        if self._ending:
+            return
+        self._ending = True
+        self.ctx.journal.note("ending")
+        try:
+            await self.ctx.beats.within(DRAIN, self._close())
+        except Exception as e:
+            self.ctx.journal.fault("ended_roughly", e)
+        reactor.stop()
+
+    async def _close(self):
+        if hasattr(self.node, "end"):
+            await self.node.end()
+        self.ctx.beats.end()
+        await self.ctx.desk.end()
+
+    def fail(self, f):
+        self.exit = 1
+        if f.check(PropsFault):
+            for line in f.value.lines:
+                print(line, file=sys.stderr)
+            self.exit = 2
+        else:
+            self.ctx.journal.fault("not_started", f.value)
+        reactor.callWhenRunning(reactor.stop)
+
+
+def run(role: str, props: Props) -> int:
+    process = Process(role, props)
+
+    def begin():
+        for s in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(s, lambda *_: reactor.callFromThread(lambda: spawn(process.end())))
+        spawn(process.open()).addErrback(process.fail)
+
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=False)
+    return process.exit
--- /dev/null
+++ b/pipitlink/props.py
@@ -0,0 +1,144 @@
+import re
+import tomllib
+from ipaddress import ip_address
+from pathlib import Path
+
+import attrs
+import cattrs
+
+from .faults import PropsFault
+
+__all__ = ["Props", "read_props", "ROLES"]
+
+ROLES = ("guide", "depot", "office")
+_LEVELS = ("debug", "info", "warning", "error")
+_NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,62}$")
+
+
+def _port(_, a, value):
+    if not 0 <= value <= 65535:
+        raise ValueError(f"{a.name} must be between 0 and 65535, not {value}")
+
+
+def _address(_, a, value):
+    try:
+        ip_address(value)
+    except ValueError:
+        raise ValueError(f"{a.name} must be an IP number, not {value!r}") from None
+
+
+def _name(_, a, value):
+    if not _NAME.match(value):
+        raise ValueError(f"{a.name} must be a short lower-case name, not {value!r}")
+
+
+def _places(_, a, value):
+    for place in value:
+        host, _, port = place.rpartition(":")
+        try:
+            ip_address(host)
+            ok = 0 < int(port) < 65536
+        except ValueError:
+            ok = False
+        if not ok:
+            raise ValueError(f"{a.name} must be IP:PORT places, not {place!r}")
+
+
+def _positive(_, a, value):
+    if value <= 0:
+        raise ValueError(f"{a.name} must be above 0, not {value}")
+
+
+def _level(_, a, value):
+    if value not in _LEVELS:
+        raise ValueError(f"{a.name} must be one of {', '.join(_LEVELS)}, not {value!r}")
+
+
+@attrs.frozen(kw_only=True)
+class Props:
+    fleet: str = attrs.field(default="pipit", validator=_name)
+    zone: str = attrs.field(default="zone-a", validator=_name)
+    bind: str = attrs.field(default="127.0.0.1", validator=_address)
+    advertise: str = attrs.field(default="", converter=lambda v: v or "")
+    port: int = attrs.field(default=0, validator=_port)
+    http_port: int = attrs.field(default=0, validator=_port)
+    operator_port: int = attrs.field(default=0, validator=_port)
+    seeds: tuple[str, ...] = attrs.field(factory=tuple, converter=tuple, validator=_places)
+    founders: tuple[str, ...] = attrs.field(factory=tuple, converter=tuple, validator=_places)
+    data: str = ""
+    budget_mb: int = attrs.field(default=1024, validator=_positive)
+    log_level: str = attrs.field(default="info", validator=_level)
+    shelves: int = attrs.field(default=16, validator=_positive)
+    max_body_kb: int = attrs.field(default=1024, validator=_positive)
+    max_items: int = attrs.field(default=1000, validator=_positive)
+    max_running: int = attrs.field(default=512, validator=_positive)
+    lot_reserve: float = attrs.field(default=0.25)
+    poll_ms: int = attrs.field(default=50, validator=_positive)
+    durable_poll_ms: int = attrs.field(default=250, validator=_positive)
+    hedge_ms: int = attrs.field(default=30, validator=_positive)
+    postpone_ms: int = attrs.field(default=200, validator=_positive)
+    chunk_ttl_s: int = attrs.field(default=600, validator=_positive)
+    cache_mb: int = attrs.field(default=64, validator=_positive)
+    reader_kb_s: int = attrs.field(default=20480, validator=_positive)
+    resume_hold_s: int = attrs.field(default=5, validator=_positive)
+    retention_s: int = attrs.field(default=86400, validator=_positive)
+    plug: str = ""
+
+    @lot_reserve.validator
+    def _share(self, a, value):
+        if not 0 <= value < 1:
+            raise ValueError(f"lot_reserve must be from 0 up to 1, not {value}")
+
+    @advertise.validator
+    def _advertised(self, a, value):
+        if value:
+            _address(self, a, value)
+
+    @property
+    def host(self) -> str:
+        return self.advertise or self.bind
+
+
+def _check(role: str, p: Props) -> list[str]:
+    lines = []
+    if role != "guide" and not p.data:
+        lines.append(f"data: a {role} needs a data folder")
+    if p.bind in ("0.0.0.0", "::") and not p.advertise:
+        lines.append("advertise: needed when bind is a wildcard")
+    return lines
+
+
+def read_props(role: str, path: str | None, flags: dict) -> Props:
+    lines: list[str] = []
+    raw: dict = {}
+    if path:
+        try:
+            raw = tomllib.loads(Path(path).read_text())
+        except OSError as e:
+            raise PropsFault([f"props: {path}: {e.strerror}"]) from e
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
+            raise PropsFault([f"props: {path}: {e}"]) from e
+    raw.update({k: v for k, v in flags.items() if v is not None})
+    fields = {a.name: a for a in attrs.fields(Props)}
+    words = {}
+    for name, value in raw.items():
+        name = name.replace("-", "_")
+        if name not in fields:
+            lines.append(f"{name}: no such prop")
+            continue
+        a = fields[name]
+        try:
+            if a.type is int and isinstance(value, float):
+                raise ValueError(f"{value!r} is not a whole number")
+            if a.type == tuple[str, ...] and isinstance(value, str):
+                value = [v for v in value.split(",") if v]
+            words[name] = cattrs.structure(value, a.type)
+            Props(**{name: words[name]})
+        except Exception as e:
+            lines.append(f"{name}: {e}")
+    if not lines:
+        p = Props(**words)
+        lines = _check(role, p)
+        if not lines:
+            return p
+    raise PropsFault(lines)
--- /dev/null
+++ b/pipitlink/roster/__init__.py
@@ -0,0 +1,3 @@
+from .roster import Roster
+
+__all__ = ["Roster"]
--- /dev/null
+++ b/pipitlink/roster/entry.py
@@ -0,0 +1,44 @@
+from datetime import timedelta
+
+from ..charts import Charted
+from ..wire.roster_pb2 import Member
+
+__all__ = ["Entry"]
+
+
+class Entry(Charted):
+    chart = "standing"
+
+    def __init__(self, member: Member, now: timedelta, journal):
+        self.member = member
+        self.since = now
+        self._journal = journal
+        self._open_chart()
+        if member.standing == "suspect":
+            self.put("missed")
+        elif member.standing == "gone":
+            self.put("lapsed")
+
+    @property
+    def place(self):
+        return self.member.host, self.member.port
+
+    def turn(self, input_: str, now: timedelta):
+        before = self.state
+        self.put(input_)
+        self.member.standing = self.state
+        if self.state != before:
+            self.since = now
+
+    def _suspected(self):
+        self._say("suspect")
+
+    def _returned(self):
+        self._say("alive")
+
+    def _lost(self):
+        self._say("gone")
+
+    def _say(self, standing):
+        self._journal.note("standing", colleague=self.member.node, role=self.member.role, standing=standing,
+                           incarnation=self.member.incarnation)
--- /dev/null
+++ b/pipitlink/roster/memory.py
@@ -0,0 +1,34 @@
+import json
+from pathlib import Path
+
+from ..disk import swap_in
+from ..beats import spawn
+
+__all__ = ["Memory"]
+
+
+class Memory:
+    """Mixin: colleagues remembered on disk, where the node has one, so that seeds are not needed again."""
+
+    def remember_in(self, folder: Path):
+        self._file = folder / "colleagues.json"
+
+    def _recall(self):
+        if self._file is None or not self._file.exists():
+            return
+        try:
+            places = [(str(h), int(p)) for h, p in json.loads(self._file.read_text())]
+        except (ValueError, TypeError, OSError) as e:
+            self._ctx.journal.fault("colleagues_forgotten", e)
+            return
+        for place in places[:64]:
+            spawn(self._probe(place))
+
+    def _keep(self):
+        if self._file is None:
+            return
+        places = sorted({e.place for e in self._entries.values() if e.state == "alive"})
+        try:
+            swap_in(self._file, json.dumps(places).encode())
+        except OSError as e:
+            self._ctx.journal.fault("colleagues_not_kept", e)
--- /dev/null
+++ b/pipitlink/roster/roster.py
@@ -0,0 +1,217 @@
+from datetime import timedelta
+
+from ..beats import ms, secs, spawn
+from ..faults import WireFault
+from ..wire.frame_pb2 import Nothing
+from ..wire.roster_pb2 import Gossip, Member, ProbeFor, ProbeReceipt
+from .entry import Entry
+from .memory import Memory
+
+__all__ = ["Roster"]
+
+PROBE_BEAT = ms(200)
+PROBE_LIMIT = ms(400)
+SUSPECT_SPAN = secs(1.5)
+FORGET_SPAN = secs(600)
+MAX_TOLD = 128
+_RANK = {"alive": 0, "suspect": 1, "gone": 2}
+
+
+class Roster(Memory):
+    """Who is in the fleet: direct probes, probes through colleagues, suspicion that the accused can refute."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self._entries: dict[str, Entry] = {}
+        self._round: list[str] = []
+        self._watchers: list = []
+        self._carriers: list = []
+        self.me = Member()
+        self._file = None
+
+    def open(self, me: Member):
+        self.me = me
+        self.me.standing = "alive"
+        d = self._ctx.desk
+        d.answer("roster.probe", Gossip, self._probed)
+        d.answer("roster.probe_for", ProbeFor, self._probe_for)
+        d.answer("roster.tell", Gossip, self._told)
+        self._recall()
+        self._ctx.beats.every(PROBE_BEAT, self._beat, self._ctx.report("roster_beat"))
+        self._ctx.beats.every(secs(1), self._greet_seeds, self._ctx.report("roster_seeds"))
+
+    def watch(self, do):
+        self._watchers.append(do)
+
+    def carry(self, fill, take):
+        self._carriers.append((fill, take))
+
+    def members(self, role: str | None = None, standing=("alive", "suspect"), me: bool = True) -> list[Member]:
+        out = [e.member for e in self._entries.values() if e.state in standing]
+        if me:
+            out.append(self.me)
+        return sorted((m for m in out if role is None or m.role == role), key=lambda m: m.node)
+
+    def find(self, node: str) -> Member | None:
+        if node == self.me.node:
+            return self.me
+        e = self._entries.get(node)
+        return e.member if e else None
+
+    def standing(self, node: str) -> str:
+        if node == self.me.node:
+            return "alive"
+        e = self._entries.get(node)
+        return e.state if e else "unknown"
+
+    def since(self, node: str) -> timedelta:
+        e = self._entries.get(node)
+        return self._ctx.beats.now() - e.since if e else timedelta(0)
+
+    def everyone(self) -> list[Member]:
+        return self.members(standing=("alive", "suspect", "gone"))
+
+    def _gossip(self) -> Gossip:
+        g = Gossip(sender=self.me.node)
+        told = list(self._entries.values())
+        if len(told) > MAX_TOLD:
+            fresh = sorted(told, key=lambda e: -e.since)[: MAX_TOLD // 2]
+            told = fresh + self._ctx.chance.sample(told, MAX_TOLD // 2)
+        g.members.append(self.me)
+        g.members.extend(e.member for e in told)
+        for fill, _ in self._carriers:
+            fill(g)
+        return g
+
+    def _absorb(self, g: Gossip):
+        for m in g.members[: MAX_TOLD * 2]:
+            self._hear(m, m.node == g.sender)
+        for _, take in self._carriers:
+            take(g)
+
+    def _hear(self, m: Member, own: bool):
+        if not m.node or m.standing not in _RANK:
+            return
+        now = self._ctx.beats.now()
+        if m.node == self.me.node:
+            if m.standing != "alive" and m.incarnation >= self.me.incarnation:
+                self.me.incarnation = m.incarnation + 1
+                self._ctx.journal.note("refuted", incarnation=self.me.incarnation)
+                self.tell()
+            return
+        e = self._entries.get(m.node)
+        if e is None:
+            if m.standing == "gone":
+                return
+            kept = Member()
+            kept.CopyFrom(m)
+            e = self._entries[m.node] = Entry(kept, now, self._ctx.journal)
+            self._ctx.journal.note("met", colleague=m.node, role=m.role, zone=m.zone, place=f"{m.host}:{m.port}")
+            self._changed(e)
+            return
+        if m.incarnation < e.member.incarnation:
+            return
+        if m.incarnation == e.member.incarnation and _RANK[m.standing] <= _RANK[e.state]:
+            return
+        before = e.state
+        newer = m.incarnation > e.member.incarnation
+        e.member.CopyFrom(m)
+        e.member.standing = e.state
+        if newer:
+            e.turn("refuted", now)
+        if m.standing == "suspect":
+            e.turn("missed", now)
+        elif m.standing == "gone":
+            e.turn("lapsed", now)
+        if e.state != before or newer:
+            self._changed(e)
+
+    def _changed(self, e: Entry):
+        self._keep()
+        for do in self._watchers:
+            do(e.member)
+
+    async def _probed(self, node, g: Gossip):
+        self._absorb(g)
+        return self._gossip()
+
+    async def _told(self, node, g: Gossip):
+        self._absorb(g)
+        return Nothing()
+
+    async def _probe_for(self, node, ask: ProbeFor):
+        e = self._entries.get(ask.target)
+        return ProbeReceipt(alive=e is not None and await self._probe(e.place) == ask.target)
+
+    async def _probe(self, place) -> str:
+        try:
+            g = await self._ctx.desk.call(place, "roster.probe", self._gossip(), Gossip, PROBE_LIMIT)
+        except WireFault:
+            return ""
+        self._absorb(g)
+        return g.sender
+
+    def tell(self):
+        g = self._gossip()
+        for m in self.members(me=False):
+            spawn(self._tell_one((m.host, m.port), g)).addErrback(lambda f: None)
+
+    async def _tell_one(self, place, g):
+        await self._ctx.desk.call(place, "roster.tell", g, Nothing, PROBE_LIMIT)
+
+    async def _greet_seeds(self):
+        known = {e.place for e in self._entries.values() if e.state == "alive"} | {self._ctx.desk.place}
+        if len(known) > 3 and self._ctx.chance.random() > 0.1:
+            return
+        for seed in self._ctx.props.seeds:
+            host, _, port = seed.rpartition(":")
+            if (host, int(port)) not in known:
+                spawn(self._probe((host, int(port))))
+
+    def _beat(self):
+        now = self._ctx.beats.now()
+        for e in list(self._entries.values()):
+            if e.state == "suspect" and now - e.since > SUSPECT_SPAN:
+                e.turn("lapsed", now)
+                self._changed(e)
+            elif e.state == "gone" and now - e.since > FORGET_SPAN:
+                del self._entries[e.member.node]
+        for _ in range(1 + len(self._entries) // 40):
+            e = self._next()
+            if e is not None:
+                spawn(self._check(e)).addErrback(lambda f: self._ctx.journal.fault("probe", f.value))
+
+    def _next(self) -> Entry | None:
+        while True:
+            if not self._round:
+                self._round = [n for n, e in self._entries.items()
+                               if e.state != "gone" or self._ctx.chance.random() < 0.2]
+                self._ctx.chance.shuffle(self._round)
+                if not self._round:
+                    return None
+            e = self._entries.get(self._round.pop())
+            if e is not None:
+                return e
+
+    async def _check(self, e: Entry):
+        asked_at = e.member.incarnation
+        sender = await self._probe(e.place)
+        if sender == e.member.node:
+            return
+        if sender:
+            e.turn("lapsed", self._ctx.beats.now())
+            self._changed(e)
+            return
+        helpers = [m for m in self.members(me=False, standing=("alive",)) if m.node != e.member.node]
+        for m in self._ctx.chance.sample(helpers, min(3, len(helpers))):
+            try:
+                r = await self._ctx.desk.call((m.host, m.port), "roster.probe_for", ProbeFor(target=e.member.node),
+                                              ProbeReceipt, PROBE_LIMIT * 2)
+            except WireFault:
+                continue
+            if r.alive:
+                return
+        if e.state == "alive" and e.member.incarnation == asked_at:
+            e.turn("missed", self._ctx.beats.now())
+            self._changed(e)
+            self.tell()
--- /dev/null
+++ b/pipitlink/setup/__init__.py
@@ -0,0 +1,3 @@
+from .thin import ThinSetup
+
+__all__ = ["ThinSetup"]
--- /dev/null
+++ b/pipitlink/web.py
@@ -0,0 +1,123 @@
+import json
+
+from twisted.internet import defer
+from twisted.web import server
+
+from .beats import spawn
+from .faults import (BadRows, CutOff, Fenced, GuideFault, NoMajority, NoRoom, NotHeld, NotLeading, Overdue, Refused,
+                     Unproven, WireFault, WrongBase)
+
+__all__ = ["Site", "answered", "send_json", "send_fault", "listen"]
+
+
+class _Request(server.Request):
+    def gotLength(self, length):
+        if length is not None and length > self.channel.site.max_body:
+            self._too_long()
+            return
+        super().gotLength(length)
+
+    def handleContentChunk(self, data):
+        if self.content is None:
+            return
+        if self.content.tell() + len(data) > self.channel.site.max_body:
+            self._too_long()
+            return
+        super().handleContentChunk(data)
+
+    def _too_long(self):
+        body = json.dumps({"error": {"code": "body_too_long", "outcome": "not_run",
+                                     "message": f"a body may have {self.channel.site.max_body} bytes"}}).encode()
+        self.content = None
+        t = self.channel.transport
+        t.write(b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
+                b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+        self.channel.loseConnection()
+
+    def process(self):
+        if self.content is not None:
+            super().process()
+
+
+class Site(server.Site):
+    """The HTTP face of a process, with bodies and idle streams bounded."""
+
+    def __init__(self, resource, max_body: int):
+        super().__init__(resource, requestFactory=_Request, timeout=60)
+        self.max_body = max_body
+        self.displayTracebacks = False
+        self.noisy = False
+
+    def log(self, request):
+        pass
+
+
+async def listen(reactor, site: Site, host: str, port: int):
+    from twisted.internet.endpoints import TCP4ServerEndpoint
+
+    opened = await TCP4ServerEndpoint(reactor, port, backlog=512, interface=host).listen(site)
+    return opened, opened.getHost().port
+
+
+def send_json(request, body, status: int = 200, headers: dict | None = None):
+    request.setResponseCode(status)
+    request.setHeader(b"Content-Type", b"application/json")
+    for k, v in (headers or {}).items():
+        request.setHeader(k.encode(), str(v).encode())
+    return json.dumps(body).encode()
+
+
+def _plain(e: Exception) -> GuideFault:
+    """Turns a fault from a layer below into what a caller is told."""
+    if isinstance(e, GuideFault):
+        return e
+    if isinstance(e, WrongBase):
+        return GuideFault(str(e), code=e.code, status=412, outcome="not_run")
+    if isinstance(e, BadRows):
+        return GuideFault(str(e), code=e.code, status=422, outcome="not_run")
+    if isinstance(e, (NoRoom,)):
+        return GuideFault(str(e), code=e.code, status=507, outcome="not_run")
+    if isinstance(e, NotLeading):
+        return GuideFault(str(e), code=e.code, status=503, outcome="not_run", retry_after=1)
+    if isinstance(e, (NoMajority, NotHeld, Overdue, CutOff, Unproven, Fenced, Refused, WireFault)):
+        return GuideFault(str(e), code=e.code, status=503, outcome="unknown", retry_after=1)
+    return GuideFault("the module failed on this request", code="internal", status=500, outcome="unknown")
+
+
+def send_fault(request, e: Exception):
+    f = _plain(e)
+    body = {"code": f.code, "message": str(f), "outcome": f.outcome}
+    if f.field:
+        body["field"] = f.field
+    if isinstance(e, WrongBase):
+        body["sequence"] = e.sequence
+    if isinstance(e, BadRows):
+        body["faults"] = e.faults
+    headers = {"Retry-After": f.retry_after} if f.retry_after else {}
+    return send_json(request, {"error": body}, f.status, headers)
+
+
+def answered(do):
+    """Wraps a klein handler written as a coroutine: faults become JSON, a lost caller ends the work."""
+
+    def handler(self, request, *words, **named):
+        work = spawn(do(self, request, *words, **named))
+        gone = request.notifyFinish()
+        gone.addErrback(lambda f: work.cancel())
+
+        def fault(f):
+            if f.check(defer.CancelledError):
+                return b""
+            if not isinstance(f.value, (GuideFault, WireFault)) and not hasattr(f.value, "code"):
+                self._ctx.journal.fault("request_failed", f.value, path=request.path.decode("utf-8", "replace"))
+            if request.startedWriting:
+                request.transport.abortConnection()
+                return b""
+            return send_fault(request, f.value)
+
+        return work.addErrback(fault)
+
+    handler.__name__ = do.__name__
+    return handler
+
+
--- /dev/null
+++ b/pipitlink/wire/desk.py
@@ -0,0 +1,117 @@
+from datetime import timedelta
+
+from google.protobuf.message import DecodeError
+from twisted.internet import defer
+from twisted.internet.endpoints import HostnameEndpoint, TCP4ServerEndpoint, connectProtocol
+
+from ..beats import Beats, Joined, ms
+from ..faults import CutOff, Overdue, PipitFault, Refused, Unmet, WireFault
+from .frame_pb2 import Hello, Nothing
+from .stream import WIRE, Stream, StreamFactory
+
+__all__ = ["Desk", "Place"]
+
+Place = tuple[str, int]
+_CONNECT = ms(600)
+
+
+class Desk:
+    """Where calls from colleagues are answered and calls to them are made."""
+
+    def __init__(self, reactor, beats: Beats, journal, fleet: str, node: str, gate=None):
+        self._reactor = reactor
+        self._beats = beats
+        self.journal = journal
+        self._fleet = fleet
+        self.node = node
+        self.incarnation = 1
+        self._verbs: dict = {}
+        self._streams: dict[Place, Stream] = {}
+        self._opening = Joined()
+        self._met: set[Stream] = set()
+        self._port = None
+        self._gate = gate
+        self.place: Place = ("", 0)
+
+    def hello(self) -> Hello:
+        return Hello(fleet=self._fleet, wire=WIRE, node=self.node, incarnation=self.incarnation)
+
+    def check(self, hello: Hello):
+        if hello.fleet != self._fleet:
+            raise WireFault(f"colleague of fleet {hello.fleet!r}, this is {self._fleet!r}")
+        if hello.wire != WIRE:
+            raise WireFault(f"colleague speaks wire sequence {hello.wire}, this is {WIRE}")
+
+    def answer(self, verb: str, kind, do):
+        self._verbs[verb] = (kind, do)
+
+    async def attend(self, colleague: Hello, verb: str, body: bytes):
+        if verb not in self._verbs:
+            raise Unmet(f"no such call here: {verb}")
+        kind, do = self._verbs[verb]
+        try:
+            ask = kind.FromString(body)
+        except DecodeError as e:
+            raise WireFault(f"{verb}: {e}") from e
+        if self._gate is not None:
+            await self._gate.inbound(colleague.node, verb)
+        r = await do(colleague.node, ask)
+        return Nothing() if r is None else r
+
+    def met(self, s: Stream):
+        self._met.add(s)
+
+    def gone(self, s: Stream):
+        self._met.discard(s)
+        for place, held in list(self._streams.items()):
+            if held is s:
+                del self._streams[place]
+
+    async def listen(self, host: str, port: int) -> Place:
+        self._port = await TCP4ServerEndpoint(self._reactor, port, interface=host).listen(StreamFactory(self))
+        return host, self._port.getHost().port
+
+    async def end(self):
+        if self._port is not None:
+            await self._port.stopListening()
+        for s in [*self._met, *self._streams.values()]:
+            s.transport.loseConnection()
+
+    async def _open(self, place: Place) -> Stream:
+        s = Stream(self)
+        try:
+            point = HostnameEndpoint(self._reactor, place[0], place[1], timeout=_CONNECT.total_seconds())
+            await connectProtocol(point, s)
+            await self._beats.within(_CONNECT, s.ready)
+        except (WireFault, defer.CancelledError):
+            s.transport and s.transport.abortConnection()
+            raise
+        except Exception as e:
+            raise CutOff(f"{place[0]}:{place[1]}: {e}", sent=False) from e
+        self._streams[place] = s
+        return s
+
+    def _stream(self, place: Place) -> defer.Deferred:
+        if place in self._streams:
+            return defer.succeed(self._streams[place])
+        return self._opening.run(place, lambda: self._open(place))
+
+    async def call(self, place: Place, verb: str, ask, kind, limit: timedelta):
+        try:
+            return await self._beats.within(limit, self._call(place, verb, ask, kind))
+        except Overdue as e:
+            raise Overdue(f"{verb} to {place[0]}:{place[1]}: {e}") from e
+
+    async def _call(self, place: Place, verb: str, ask, kind):
+        if place == self.place:
+            try:
+                return await self.attend(self.hello(), verb, ask.SerializeToString())
+            except PipitFault as e:
+                raise Refused(e.code, str(e)) from e
+        if self._gate is not None:
+            await self._gate.outbound(place, verb)
+        s = await self._stream(place)
+        f = await s.call(verb, ask.SerializeToString())
+        if f.fault:
+            raise Refused(f.fault, f.note)
+        return kind.FromString(f.body)
--- /dev/null
+++ b/pipitlink/wire/stream.py
@@ -0,0 +1,143 @@
+from twisted.internet import defer, protocol
+from twisted.protocols.basic import Int32StringReceiver
+
+from ..beats import spawn
+from ..faults import CutOff, WireFault
+from .frame_pb2 import Frame, Hello
+
+__all__ = ["Stream", "StreamFactory", "MAX_FRAME", "WIRE"]
+
+MAX_FRAME = 96 * 1024 * 1024
+MAX_INBOX = 512
+MAX_ATTENDED = 256
+WIRE = 1
+
+
+class Stream(Int32StringReceiver):
+    """A connection to one colleague, with one task that reads it from hello to end."""
+
+    MAX_LENGTH = MAX_FRAME
+
+    def __init__(self, desk):
+        self._desk = desk
+        self._inbox: list[bytes] = []
+        self._waiter: defer.Deferred | None = None
+        self._calls: dict[int, defer.Deferred] = {}
+        self._next = 0
+        self._attended = 0
+        self._held = False
+        self.colleague = Hello()
+        self.ended = False
+        self.ready: defer.Deferred = defer.Deferred(lambda d: None)
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.sendString(self._desk.hello().SerializeToString())
+        self._task = spawn(self._serve())
+
+    def stringReceived(self, data):
+        self._inbox.append(data)
+        if len(self._inbox) + self._attended >= MAX_INBOX and not self._held:
+            self._held = True
+            self.transport.pauseProducing()
+        self._wake()
+
+    def lengthLimitExceeded(self, length):
+        self._desk.journal.warn("frame_too_long", length=length, colleague=self.colleague.node)
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.ended = True
+        self._wake()
+        calls, self._calls = self._calls, {}
+        for d in calls.values():
+            if not d.called:
+                d.errback(CutOff("the stream ended before the receipt"))
+        if not self.ready.called:
+            self.ready.errback(CutOff("the stream ended before the hello", sent=False))
+        self._desk.gone(self)
+
+    def _wake(self):
+        if self._waiter is not None:
+            d, self._waiter = self._waiter, None
+            d.callback(None)
+
+    async def _take(self) -> bytes | None:
+        while not self._inbox:
+            if self.ended:
+                return None
+            self._waiter = defer.Deferred()
+            await self._waiter
+        data = self._inbox.pop(0)
+        if self._held and len(self._inbox) + self._attended < MAX_INBOX // 2 and not self.ended:
+            self._held = False
+            self.transport.resumeProducing()
+        return data
+
+    async def _serve(self):
+        try:
+            first = await self._take()
+            if first is None:
+                return
+            self.colleague.ParseFromString(first)
+            self._desk.check(self.colleague)
+            self.ready.callback(self)
+            while (data := await self._take()) is not None:
+                f = Frame.FromString(data)
+                if f.receipt:
+                    self._settle(f)
+                elif self._attended >= MAX_ATTENDED:
+                    self._send(Frame(call=f.call, receipt=True, fault="crowded", note="too many calls at once"))
+                else:
+                    spawn(self._attend(f))
+        except Exception as e:
+            self._desk.journal.fault("stream_refused", e, colleague=self.colleague.node)
+            if not self.ready.called:
+                self.ready.errback(WireFault(str(e)))
+            self.transport.abortConnection()
+
+    async def _attend(self, f: Frame):
+        self._attended += 1
+        out = Frame(call=f.call, receipt=True)
+        try:
+            out.body = (await self._desk.attend(self.colleague, f.verb, f.body)).SerializeToString()
+        except Exception as e:
+            out.fault = getattr(e, "code", "fault")
+            out.note = str(e)
+            if out.fault == "fault":
+                self._desk.journal.fault("call_failed", e, verb=f.verb)
+        finally:
+            self._attended -= 1
+        self._send(out)
+
+    def _send(self, f: Frame):
+        if not self.ended:
+            self.sendString(f.SerializeToString())
+
+    def _settle(self, f: Frame):
+        d = self._calls.pop(f.call, None)
+        if d is not None and not d.called:
+            d.callback(f)
+
+    def call(self, verb: str, body: bytes) -> defer.Deferred:
+        if self.ended:
+            return defer.fail(CutOff("the stream has ended", sent=False))
+        self._next += 1
+        n = self._next
+        d = defer.Deferred(lambda _: self._calls.pop(n, None))
+        self._calls[n] = d
+        self._send(Frame(call=n, verb=verb, body=body))
+        return d
+
+
+class StreamFactory(protocol.Factory):
+    noisy = False
+
+    def __init__(self, desk):
+        self._desk = desk
+
+    def buildProtocol(self, addr):
+        s = Stream(self._desk)
+        s.ready.addErrback(lambda f: None)
+        self._desk.met(s)
+        return s
--- /dev/null
+++ b/rehearsal/backend.py
@@ -0,0 +1,127 @@
+"""A stand-in back end: a model engine with a token stream, or a pool of plain files. It notes every run."""
+import hashlib
+import json
+import os
+import time
+
+import treq
+from klein import Klein
+from twisted.internet import defer, endpoints, reactor, task
+from twisted.web.server import Site
+
+__all__ = ["Backend", "answer_pieces", "card_bytes"]
+
+
+def answer_pieces(prompt: str, most: int) -> list[str]:
+    """The one right answer to a prompt, so that a checker knows it without asking."""
+    seed = hashlib.sha256(prompt.encode()).hexdigest()
+    return [f"{seed[i % 32:i % 32 + 6]}.{i} " for i in range(min(most, 4 + int(seed[:2], 16) % 12))]
+
+
+def card_bytes(path: str) -> bytes:
+    seed = hashlib.sha256(path.encode()).hexdigest()
+    return (seed * (20 + int(seed[:2], 16))).encode()
+
+
+class Backend:
+    app = Klein()
+
+    def __init__(self, name, pool, models, zone, capacity, guides, notes, step, port):
+        self.name, self.pool, self.models, self.zone = name, pool, models, zone
+        self.capacity, self.guides, self.step, self.port = capacity, list(guides), step, port
+        self.state = "ready"
+        self.mode = "well"
+        self.running = 0
+        self._notes = open(notes, "a", buffering=1) if notes else open(os.devnull, "w")
+        self._incarnation = time.time_ns() // 1000
+
+    def note(self, event, **pairs):
+        self._notes.write(json.dumps({"at": time.monotonic(), "engine": self.name, "event": event, **pairs}) + "\n")
+
+    async def open(self):
+        at = endpoints.TCP4ServerEndpoint(reactor, self.port, interface="127.0.0.1")
+        site = Site(self.app.resource())
+        site.log = lambda request: None
+        site.noisy = False
+        self.port = (await at.listen(site)).getHost().port
+        self.note("open", port=self.port)
+        task.LoopingCall(lambda: defer.ensureDeferred(self.announce())).start(1.0)
+
+    async def announce(self):
+        body = {"engine": self.name, "address": f"127.0.0.1:{self.port}", "pool": self.pool, "models": self.models,
+                "zone": self.zone, "capacity": self.capacity, "incarnation": self._incarnation, "state": self.state}
+        for guide in list(self.guides):
+            try:
+                r = await treq.post(f"http://{guide}/v1/engines", json=body, timeout=1)
+                told = await treq.json_content(r)
+                if r.code == 200 and told["guides"]:
+                    self.guides = sorted(told["guides"], key=lambda g: hashlib.sha256((g + self.name).encode()).digest())
+                    return
+            except Exception:
+                continue
+
+    @app.route("/v1/completions", methods=["POST"])
+    async def complete(self, request):
+        body = json.loads(request.content.read())
+        run = (request.getHeader("X-Request-Id") or "").strip()
+        if self.mode == "refuse" or self.running >= self.capacity:
+            self.note("refused", run=run)
+            request.setResponseCode(503)
+            return b"busy"
+        self.note("run", run=run, prompt=body["prompt"], state=self.state, running=self.running + 1)
+        self.running += 1
+        gone = []
+        request.notifyFinish().addErrback(lambda f: gone.append(1))
+        try:
+            if self.mode == "hang":
+                while not gone:
+                    await task.deferLater(reactor, 0.1)
+                return b""
+            request.setHeader(b"Content-Type", b"text/event-stream")
+            pieces = answer_pieces(body["prompt"], body["max_tokens"])
+            for n, text in enumerate(pieces):
+                await task.deferLater(reactor, self.step)
+                if gone:
+                    self.note("left", run=run, pieces=n)
+                    return b""
+                if self.mode == "cut" and n == len(pieces) // 2:
+                    self.note("cut", run=run)
+                    request.transport.abortConnection()
+                    return b""
+                chunk = {"id": run, "choices": [{"index": 0, "text": text, "finish_reason": None}]}
+                request.write(f"data: {json.dumps(chunk)}\n\n".encode())
+            request.write(b"data: [DONE]\n\n")
+            self.note("done", run=run)
+            return b""
+        finally:
+            self.running -= 1
+
+    @app.route("/cards/<path:path>", methods=["GET"])
+    async def card(self, request, path):
+        data = card_bytes(path)
+        await task.deferLater(reactor, self.step)
+        if self.mode == "cut":
+            request.setHeader(b"Content-Length", str(len(data)).encode())
+            request.write(data[:len(data) // 2])
+            request.transport.loseConnection()
+            return b""
+        return data
+
+    @app.route("/mode/<mode>", methods=["POST"])
+    async def set_mode(self, request, mode):
+        if mode in ("leaving", "ready"):
+            self.state = mode
+            await self.announce()
+            self.note("told", state=mode)
+        else:
+            self.mode = mode
+        return b"ok"
+
+
+def run_backend(words: dict) -> int:
+    b = Backend(words["--name"], words["--pool"], [m for m in words["--models"].split(",") if m], words["--zone"],
+                int(words["--capacity"]), words["--guides"].split(","), words["--notes"], float(words["--step"]),
+                int(words["--port"]))
+    reactor.callWhenRunning(lambda: defer.ensureDeferred(b.open()))
+    reactor.run()
+    return 0
--- /dev/null
+++ b/rehearsal/fleet.py
@@ -0,0 +1,170 @@
+"""A whole fleet of real processes on loopback."""
+import http.client
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+__all__ = ["Fleet", "free_ports", "wait_for"]
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+
+
+def free_ports(n: int) -> list[int]:
+    socks = [socket.socket() for _ in range(n)]
+    try:
+        for s in socks:
+            s.bind(("127.0.0.1", 0))
+        return [s.getsockname()[1] for s in socks]
+    finally:
+        for s in socks:
+            s.close()
+
+
+def wait_for(check, limit: float, what: str):
+    """Waits on a condition, up to a limit."""
+    until = time.monotonic() + limit
+    while True:
+        got = check()
+        if got:
+            return got
+        if time.monotonic() > until:
+            raise AssertionError(f"not within {limit} s: {what}")
+        time.sleep(0.02)
+
+
+class Program:
+    def __init__(self, name, words, log, ports):
+        self.name, self.words, self.log, self.ports = name, words, log, ports
+        self.process = None
+
+    def start(self):
+        out = open(self.log, "ab")
+        self.process = subprocess.Popen([sys.executable, "-m", *self.words], stdout=out, stderr=out,
+                                        stdin=subprocess.DEVNULL)
+        out.close()
+
+    def signal(self, s):
+        if self.process and self.process.poll() is None:
+            os.kill(self.process.pid, s)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def freeze(self):
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        self.signal(signal.SIGCONT)
+
+    def end(self, limit: float = 12):
+        self.signal(signal.SIGTERM)
+        return self.process.wait(limit)
+
+
+class Fleet:
+    def __init__(self, guides=3, depots=4, offices=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
+                 props=None):
+        self.folder = Path(keep or tempfile.mkdtemp(prefix="rehearsal-"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._keep = keep
+        self.programs: dict[str, Program] = {}
+        self.level = level
+        self.props = props or {}
+        self.capacity, self.step = capacity, step
+        counts = {"guide": guides, "depot": depots, "office": offices}
+        self._ports = {f"{role}{i}": tuple(free_ports(3)) for role, n in counts.items() for i in range(n)}
+        firsts = [self._ports[f"{r}0"][0] for r in ("office", "depot", "guide") if counts[r]]
+        self.seeds = [f"127.0.0.1:{p}" for p in firsts]
+        self.founders = [f"127.0.0.1:{self._ports[f'office{i}'][0]}" for i in range(min(3, offices))]
+        for name in self._ports:
+            role = name.rstrip("0123456789")
+            self.add_node(role, name, ZONES[int(name[len(role):]) % 4])
+        self.engines = [f"engine{i}" for i in range(engines)]
+        self.cards = [f"card{i}" for i in range(cards)]
+        for i, name in enumerate(self.engines):
+            self.add_backend(name, "models", "pipit-small", ZONES[i % 4])
+        for i, name in enumerate(self.cards):
+            self.add_backend(name, "cards", "", ZONES[i % 4])
+
+    def add_node(self, role: str, name: str, zone: str, seeds=None, **more) -> Program:
+        ports = self._ports.setdefault(name, tuple(free_ports(3)))
+        sets = {"zone": zone, "port": ports[0], "seeds": ",".join(seeds or self.seeds), "log_level": self.level,
+                **self.props, **more}
+        if role == "guide":
+            sets["http_port"] = ports[1]
+        else:
+            sets["data"] = self.folder / name
+            sets["operator_port"] = ports[2]
+        if role == "office" and self.founders:
+            sets["founders"] = ",".join(self.founders)
+        words = ["pipitlink", role]
+        for k, v in sets.items():
+            words += ["--set", f"{k}={v}"]
+        p = self.programs[name] = Program(name, words, self.folder / f"{name}.log", ports)
+        return p
+
+    def add_backend(self, name: str, pool: str, models: str, zone: str) -> Program:
+        port, = free_ports(1)
+        words = ["rehearsal", "backend", "--name", name, "--pool", pool, "--models", models, "--zone", zone,
+                 "--capacity", str(self.capacity), "--port", str(port), "--step", str(self.step),
+                 "--guides", ",".join(f"127.0.0.1:{self._ports[n][1]}" for n in self.nodes("guide")),
+                 "--notes", str(self.folder / f"{name}.notes")]
+        p = self.programs[name] = Program(name, words, self.folder / f"{name}.log", (port,))
+        return p
+
+    def nodes(self, role: str) -> list[str]:
+        return [n for n in self._ports if n.rstrip("0123456789") == role]
+
+    def start(self, limit: float = 30):
+        for p in self.programs.values():
+            if p.process is None:
+                p.start()
+        for n in self.nodes("guide"):
+            wait_for(lambda: self.call(n, "GET", "/v1/ready")[0] == 200, limit, f"{n} is ready")
+
+    def stop(self):
+        for p in self.programs.values():
+            if p.process is not None:
+                p.thaw()
+                p.signal(signal.SIGKILL)
+        for p in self.programs.values():
+            if p.process is not None:
+                p.process.wait()
+        if not self._keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def call(self, name: str, method: str, path: str, body=None, headers=None, limit: float = 10):
+        """(status, JSON or bytes, headers); status 0 where nothing answered."""
+        ports = self.programs[name].ports
+        port = ports[0] if len(ports) == 1 else ports[1] if name.startswith("guide") else ports[2]
+        c = http.client.HTTPConnection("127.0.0.1", port, timeout=limit)
+        try:
+            data = json.dumps(body) if body is not None and not isinstance(body, bytes) else body
+            c.request(method, path, data, {"Content-Type": "application/json", **(headers or {})})
+            r = c.getresponse()
+            raw = r.read()
+            if r.headers.get_content_type() == "application/json":
+                return r.status, json.loads(raw), r.headers
+            return r.status, raw, r.headers
+        except (OSError, http.client.HTTPException) as e:
+            return 0, repr(e), {}
+        finally:
+            c.close()
+
+    def notes(self) -> list[dict]:
+        out = []
+        for path in self.folder.glob("*.notes"):
+            for line in path.read_text().splitlines():
+                try:
+                    out.append(json.loads(line))
+                except ValueError:
+                    continue
+        return out
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,49 @@
+import unittest
+
+from rehearsal.backend import answer_pieces, card_bytes
+from rehearsal.fleet import Fleet, wait_for
+
+
+class WholePath(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(guides=3, depots=3, offices=0, engines=2, cards=1)
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start()
+        wait_for(lambda: cls.generate("warm")[0] == 200, 10, "an engine is known")
+
+    @classmethod
+    def generate(cls, prompt, guide="guide0", **more):
+        return cls.fleet.call(guide, "POST", "/v1/generate", {"model": "pipit-small", "prompt": prompt,
+                                                              "stream": False, **more})
+
+    def test_a_stream_is_the_engines_own_and_ends_with_a_record(self):
+        status, raw, headers = self.fleet.call("guide1", "POST", "/v1/generate",
+                                               {"model": "pipit-small", "prompt": "where is the ferry"})
+        self.assertEqual(status, 200)
+        self.assertEqual(headers.get_content_type(), "text/event-stream")
+        events = raw.decode().strip().split("\n\n")
+        pieces = answer_pieces("where is the ferry", 256)
+        self.assertEqual([e.splitlines()[0] for e in events[1:-1]], [f"id: {n}" for n in range(len(pieces))])
+        self.assertTrue(events[-1].startswith("event: end\n"))
+
+    def test_a_card_passes_unchanged(self):
+        wait_for(lambda: self.fleet.call("guide0", "GET", "/v1/fetch/cards/cards/a")[0] == 200, 10, "cards are known")
+        self.assertEqual(self.fleet.call("guide2", "GET", "/v1/fetch/cards/cards/delos")[1], card_bytes("delos"))
+
+    def test_a_lot_goes_in_and_any_guide_shows_its_results(self):
+        items = [{"model": "pipit-small", "prompt": f"brief {n}"} for n in range(12)]
+        status, lot, _ = self.fleet.call("guide0", "POST", "/v1/lots", {"items": items})
+        self.assertEqual(status, 201)
+        path = f"/v1/lots/{lot['lot']}"
+        wait_for(lambda: self.fleet.call("guide1", "GET", path)[1].get("state") == "done", 20, "the lot is done")
+        shown = self.fleet.call("guide2", "GET", path + "/results")[1]["results"]
+        self.assertEqual(sorted(r["item"] for r in shown), list(range(12)))
+        for r in shown:
+            self.assertEqual(r["text"], "".join(answer_pieces(f"brief {r['item']}", 256)))
+
+    def test_bad_asks_name_the_field(self):
+        for body, field in (({"model": "m"}, "prompt"), ({"model": 3, "prompt": ""}, "model"),
+                            ({"model": "m", "prompt": "", "colour": 1}, "colour")):
+            status, said, _ = self.fleet.call("guide0", "POST", "/v1/generate", body)
+            self.assertEqual((status, said["error"].get("field")), (400, field), said)
