--- a/pipitlink/depot/grants.py
+++ b/pipitlink/depot/grants.py
@@ -54,7 +54,7 @@
         if ask.epoch <= state.epoch:
             return LeaseReceipt(why="epoch", state=state)
         self._grants[ask.log] = _Grant(ask.holder, ask.epoch, now + LEASE_SPAN)
-        await self._durable(lambda t: self.shed.promise(ask.log, ask.epoch, t))
+        await self._syncer.put(lambda t: self.shed.promise(ask.log, ask.epoch, t))
         return LeaseReceipt(granted=True, state=self._state(ask.log))
 
     async def _renew(self, node, ask: RenewAsk):
--- a/pipitlink/depot/node.py
+++ b/pipitlink/depot/node.py
@@ -1,13 +1,12 @@
 import json
 from pathlib import Path
 
-from twisted.internet import defer
 from twisted.internet.threads import deferToThread
 
-from ..beats import spawn
 from ..context import fresh_id
 from ..disk import Disk, swap_in
-from ..faults import Damaged, NoRoom, PropsFault
+from ..faults import NoRoom, PropsFault
+from ..syncing import Syncer
 from ..wire.ledger_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
                                WriteReceipt)
 from .grants import Grants
@@ -39,7 +38,7 @@
         self._ctx = ctx
         budget = ctx.props.budget_mb * 1024 * 1024
         self.shed = Shed(Path(ctx.props.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024))
-        self._flushing = False
+        self._syncer = Syncer(ctx, self.shed.segments, self.shed.recover)
         self._staged: dict[tuple[str, int], bytes] = {}
 
     def open(self):
@@ -53,39 +52,6 @@
         d.answer("ledger.states", StatesAsk, self._states)
         d.answer("ledger.list", ListAsk, self._list)
 
-    def _durable(self, put) -> defer.Deferred | None:
-        """Queues what `put` makes and fires when it is synced."""
-        ticket = defer.Deferred()
-        if put(ticket) is False:
-            return None
-        if not self._flushing:
-            self._flushing = True
-            spawn(self._flush())
-        return ticket
-
-    async def _flush(self):
-        try:
-            while True:
-                done = await deferToThread(self.shed.segments.flush)
-                if not done:
-                    return
-                for ticket in done:
-                    ticket.callback(None)
-        except Exception as e:
-            self._ctx.journal.fault("disk_failed", e)
-            if isinstance(e, Damaged):
-                self._ctx.reactor.stop()
-                return
-            self._recover_after(e)
-        finally:
-            self._flushing = False
-
-    def _recover_after(self, e: Exception):
-        lost = self.shed.segments.abandon()
-        self.shed.recover()
-        for ticket in lost:
-            ticket.errback(NoRoom(f"the disk refused: {e}"))
-
     async def _write(self, node, ask: WriteAsk):
         key = (ask.log, ask.epoch)
         if ask.staged:
@@ -95,7 +61,7 @@
             return WriteReceipt(why="elsewhere", state=self._state(ask.log))
         e = Entry(kind=Entry.WRITE, log=ask.log, epoch=ask.epoch, position=ask.position, data=data,
                   final=ask.final, committed=ask.committed)
-        ticket = self._durable(
+        ticket = self._syncer.put(
             lambda t: self.shed.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t))
         if ticket is None:
             return WriteReceipt(why="elsewhere", state=self._state(ask.log))
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/guide/picking.py
@@ -41,7 +41,8 @@
         out = []
         for e in self.engines.all():
             if (model in e.news.models if not pool else e.news.pool == pool):
-                weight = self._ctx.setup.weight(model, e.news.pool)
+                row = self._ctx.setup.row(model, e.news.pool)
+                weight = row.weight if row is not None else 1.0
                 if weight > 0 and not self._ctx.setup.zone_empty(e.news.zone):
                     out.append((e, weight))
         return out
--- /dev/null
+++ b/pipitlink/office/__init__.py
@@ -0,0 +1,3 @@
+from .node import OfficeNode
+
+__all__ = ["OfficeNode"]
--- /dev/null
+++ b/pipitlink/office/archive.py
@@ -0,0 +1,155 @@
+import dbm.dumb
+import os
+import shutil
+import zlib
+from pathlib import Path
+
+from twisted.internet import defer
+
+from ..disk import Disk
+from ..faults import Damaged
+from ..segments import Segments
+from ..syncing import Syncer
+from ..wire.office_pb2 import Ballot, OfficeEntry, OfficeRecord, Snapshot
+from ..wire.setup_pb2 import Row, SheetData
+
+__all__ = ["Archive"]
+
+TRIM_EVERY = 2000
+KEEP_ENTRIES = 500
+
+
+class Archive:
+    """What an office keeps on disk: its ballot, the agreed log, and a snapshot that is swapped in whole."""
+
+    def __init__(self, ctx, folder: Path, disk: Disk):
+        self._folder = folder
+        self._disk = disk
+        self._segments = Segments(folder / "agreed", disk)
+        self._syncer = Syncer(ctx, self._segments, self._replayed)
+        self.ballot = Ballot()
+        self.snapshot = Snapshot()
+        self.entries: list[OfficeEntry] = []
+
+    def recover(self):
+        self.snapshot = self._load_snapshot()
+        self._replayed()
+
+    def _replayed(self):
+        self.entries = []
+        for _, body in self._segments.recover():
+            r = OfficeRecord.FromString(body)
+            what = r.WhichOneof("of")
+            if what == "ballot":
+                self.ballot = r.ballot
+            elif what == "entry":
+                self._place(r.entry)
+            elif what == "snapshot" and r.snapshot.index > self.last_index():
+                self.entries = []
+                if r.snapshot.index > self.snapshot.index:
+                    raise Damaged(f"the snapshot at {r.snapshot.index} is missing")
+
+    def _place(self, e: OfficeEntry):
+        if e.index <= self.snapshot.index:
+            return
+        del self.entries[max(0, e.index - self.snapshot.index - 1):]
+        self.entries.append(e)
+
+    def last_index(self) -> int:
+        return self.snapshot.index + len(self.entries)
+
+    def term_at(self, index: int) -> int | None:
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if self.snapshot.index < index <= self.last_index():
+            return self.entries[index - self.snapshot.index - 1].term
+        return None
+
+    def after(self, index: int, most: int = 256) -> list[OfficeEntry]:
+        start = index - self.snapshot.index
+        return self.entries[max(0, start):start + most]
+
+    def put_ballot(self, term: int, vote: str):
+        self.ballot = Ballot(term=term, vote=vote)
+        return self._put(OfficeRecord(ballot=self.ballot))
+
+    def put_entry(self, e: OfficeEntry):
+        self._place(e)
+        return self._put(OfficeRecord(entry=e))
+
+    def _put(self, r: OfficeRecord):
+        body = r.SerializeToString()
+        return self._syncer.put(lambda ticket: self._segments.put(body, ticket))
+
+    def all_synced(self):
+        """Fires once all that was queued before is on disk."""
+        return self._put(OfficeRecord()) if self._syncer.busy else defer.succeed(None)
+
+    def keep_snapshot(self, s: Snapshot):
+        """Blocking: writes the snapshot aside, syncs it and swaps it in."""
+        goal = self._folder / f"setup-{s.index:012d}"
+        new = self._folder / "setup.new"
+        shutil.rmtree(new, ignore_errors=True)
+        new.mkdir(parents=True)
+        rows = sorted(s.sheet.rows, key=lambda r: r.name)
+        crc = 0
+        with dbm.dumb.open(str(new / "setup"), "n") as db:
+            for r in rows:
+                body = r.SerializeToString()
+                crc = zlib.crc32(body, crc)
+                db[b"row/" + r.name.encode()] = body
+            head = Snapshot()
+            head.CopyFrom(s)
+            del head.sheet.rows[:]
+            body = head.SerializeToString()
+            db[b"head"] = zlib.crc32(body, crc).to_bytes(4, "big") + body
+        for p in new.iterdir():
+            fd = os.open(p, os.O_RDONLY)
+            try:
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+        self._disk.sync_folder(new)
+        shutil.rmtree(goal, ignore_errors=True)
+        os.replace(new, goal)
+        self._disk.sync_folder(self._folder)
+        for old in self._folder.glob("setup-*"):
+            if old != goal:
+                shutil.rmtree(old, ignore_errors=True)
+
+    def _load_snapshot(self) -> Snapshot:
+        found = sorted(self._folder.glob("setup-*"), reverse=True)
+        if not found:
+            return Snapshot()
+        try:
+            with dbm.dumb.open(str(found[0] / "setup"), "r") as db:
+                rows = [Row.FromString(db[k]) for k in sorted(db.keys()) if k.startswith(b"row/")]
+                rows.sort(key=lambda r: r.name)
+                crc = 0
+                for r in rows:
+                    crc = zlib.crc32(r.SerializeToString(), crc)
+                head = db[b"head"]
+        except Exception as e:
+            raise Damaged(f"the snapshot {found[0].name} cannot be read: {e}") from e
+        if zlib.crc32(head[4:], crc) != int.from_bytes(head[:4], "big"):
+            raise Damaged(f"the snapshot {found[0].name} is damaged")
+        s = Snapshot.FromString(head[4:])
+        s.sheet.rows.extend(rows)
+        return s
+
+    def use_snapshot(self, s: Snapshot):
+        """After `keep_snapshot`: drops what it covers from the log, in memory and on disk."""
+        rest = [e for e in self.entries if e.index > s.index] if self.term_at(s.index) == s.term else []
+        old = self._segments.numbers()
+        self.snapshot, self.entries = s, rest
+        self._segments.roll()
+        mark = Snapshot(index=s.index, term=s.term, sheet=SheetData())
+        self._put(OfficeRecord(snapshot=mark))
+        for e in rest:
+            self._put(OfficeRecord(entry=e))
+        done = self._put(OfficeRecord(ballot=self.ballot))
+        done.addCallback(lambda _: [self._segments.drop(n) for n in old if n != self._segments.newest()])
+        return done
+
+    def close(self):
+        self._segments.close()
--- /dev/null
+++ b/pipitlink/office/edits.py
@@ -0,0 +1,188 @@
+import json
+
+from klein import Klein
+
+from ..beats import secs
+from ..context import fresh_id
+from ..faults import (BadAsk, CutOff, GuideFault, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
+                      WrongBase)
+from ..setup import Sheet
+from ..web import Site, answered, listen, send_fault, send_json
+from ..wire.office_pb2 import EditAsk, EditReceipt, ReadTableAsk
+from ..wire.setup_pb2 import Command, DepotEdit, SheetData, TableEdit, ZoneEdit
+from .rows import row_dict, row_from, rows_from
+
+__all__ = ["Edits"]
+
+FORWARD_LIMIT = secs(7)
+
+
+def _base(request) -> int:
+    raw = request.getHeader("If-Match")
+    if raw is None:
+        raise BadAsk("an edit states the sequence it builds on, in If-Match", code="no_base", field="If-Match",
+                     status=428)
+    try:
+        return int(raw.strip().strip('"'))
+    except ValueError:
+        raise BadAsk("If-Match must be the table's sequence", code="bad_field", field="If-Match") from None
+
+
+def _edit_id(request) -> str:
+    edit = request.getHeader("Edit-Id") or fresh_id()
+    if not 1 <= len(edit) <= 100:
+        raise BadAsk("Edit-Id must have 1 to 100 characters", code="bad_field", field="Edit-Id")
+    return edit
+
+
+def _body(request) -> dict:
+    try:
+        raw = json.loads(request.content.read())
+    except (ValueError, RecursionError) as e:
+        raise BadAsk(f"the body is not JSON: {e}", code="bad_json") from e
+    if not isinstance(raw, dict):
+        raise BadAsk("the body must be a JSON object", code="bad_body")
+    return raw
+
+
+class Edits:
+    """Mixin: the operators' interface to the setup, the same at every office."""
+
+    def _open_edits(self):
+        self._ctx.desk.answer("office.edit", EditAsk, self._edit_for)
+        self._ctx.desk.answer("office.read", ReadTableAsk, self._read_for)
+        self._http = None
+
+    async def _edit_for(self, node, ask: EditAsk) -> EditReceipt:
+        return EditReceipt(outcome=await self.edit(ask.command))
+
+    async def _read_for(self, node, _) -> SheetData:
+        await self.sure_leader()
+        return self.sheet.data()
+
+    async def _newest(self) -> Sheet:
+        """The newest agreed setup, proved by the leader, or a fault; never an older one."""
+        if self.state == "leader":
+            await self.sure_leader()
+            return self.sheet
+        try:
+            return Sheet(await self._ask_leader("office.read", ReadTableAsk(), SheetData))
+        except (WireFault, NotLeading) as e:
+            raise GuideFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
+                             outcome="failed", retry_after=1) from e
+
+    async def _ask_leader(self, verb, what, kind):
+        if not self.leader or self.leader == self._ctx.node:
+            raise NotLeading("no leader is known")
+        return await self.ask_office(self.leader, verb, what, kind, FORWARD_LIMIT)
+
+    async def _do_edit(self, request, c: Command):
+        try:
+            if self.state == "leader":
+                out = await self.edit(c)
+            else:
+                out = (await self._ask_leader("office.edit", EditAsk(command=c), EditReceipt)).outcome
+        except (Overdue, Unproven, CutOff, Refused, NotLeading) as e:
+            sent = not (isinstance(e, NotLeading) or isinstance(e, CutOff) and not e.sent
+                        or isinstance(e, Refused) and e.fault == "not_leading")
+            raise GuideFault(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
+                             f"no office leads now: {e}", code="unproven" if sent else "no_leader", status=503,
+                             outcome="unknown" if sent else "not_run", retry_after=1) from e
+        if out.code == "wrong_base":
+            raise WrongBase(out.sequence)
+        if out.code == "no_such_row":
+            raise NotFound("there is no such row", code=out.code, field="row")
+        if out.code != "done":
+            raise GuideFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
+        return send_json(request, {"sequence": out.sequence, "edit": c.edit}, 200, {"ETag": f'"{out.sequence}"'})
+
+    @answered
+    async def show_table(self, request):
+        s = await self._newest()
+        rows = {name: row_dict(r) for name, r in sorted(s.rows.items())}
+        return send_json(request, {"sequence": s.table, "rows": rows}, 200, {"ETag": f'"{s.table}"'})
+
+    @answered
+    async def put_table(self, request):
+        raw = _body(request)
+        if set(raw) - {"rows", "sequence"} or not isinstance(raw.get("rows"), dict):
+            raise BadAsk("the body must be {\"rows\": {name: row}}", code="bad_field", field="rows")
+        edit = TableEdit(base=_base(request), whole=True, puts=rows_from(raw["rows"]))
+        return await self._do_edit(request, Command(edit=_edit_id(request), table=edit))
+
+    @answered
+    async def show_row(self, request, name: str):
+        s = await self._newest()
+        if name not in s.rows:
+            raise NotFound("there is no such row", code="no_such_row", field="row")
+        return send_json(request, {"sequence": s.table, "row": row_dict(s.rows[name])}, 200, {"ETag": f'"{s.table}"'})
+
+    @answered
+    async def put_row(self, request, name: str):
+        edit = TableEdit(base=_base(request), puts=[row_from(name, _body(request))])
+        return await self._do_edit(request, Command(edit=_edit_id(request), table=edit))
+
+    @answered
+    async def drop_row(self, request, name: str):
+        edit = TableEdit(base=_base(request), drops=[name])
+        return await self._do_edit(request, Command(edit=_edit_id(request), table=edit))
+
+    @answered
+    async def put_zone(self, request, zone: str):
+        empty = _body(request).get("empty")
+        if not isinstance(empty, bool):
+            raise BadAsk("empty must be true or false", code="bad_field", field="empty")
+        return await self._do_edit(request, Command(edit=_edit_id(request), zone=ZoneEdit(zone=zone, empty=empty)))
+
+    @answered
+    async def show_zones(self, request):
+        s = await self._newest()
+        zones = sorted({m.zone for m in self._ctx.roster.everyone()} | s.empty_zones)
+        return send_json(request, {"zones": {z: {"empty": z in s.empty_zones} for z in zones}})
+
+    @answered
+    async def show_depots(self, request):
+        s = await self._newest()
+        out = {}
+        for d, standing in s.depots.items():
+            m = self._ctx.roster.find(d)
+            shelves = sum(d in tuple(x.depots) + (x.joining,) for x in s.shelves.values())
+            out[d] = {"standing": standing, "heard": self._ctx.roster.standing(d), "zone": m.zone if m else "",
+                      "place": f"{m.host}:{m.port}" if m else "", "shelves": shelves}
+        return send_json(request, {"depots": out})
+
+    @answered
+    async def retire_depot(self, request, depot: str):
+        s = await self._newest()
+        if depot not in s.depots:
+            raise NotFound("there is no such depot", code="no_such_depot", field="depot")
+        self.check_retirement(s, depot)
+        c = Command(edit=_edit_id(request), depot=DepotEdit(depot=depot, standing="retiring"))
+        return await self._do_edit(request, c)
+
+    async def listen(self, host: str, port: int) -> int:
+        app = Klein()
+        add = app.route
+        add("/v1/table", methods=["GET"])(self.show_table)
+        add("/v1/table", methods=["PUT"])(self.put_table)
+        add("/v1/table/rows/<name>", methods=["GET"])(self.show_row)
+        add("/v1/table/rows/<name>", methods=["PUT"])(self.put_row)
+        add("/v1/table/rows/<name>", methods=["DELETE"])(self.drop_row)
+        add("/v1/zones", methods=["GET"])(self.show_zones)
+        add("/v1/zones/<zone>", methods=["PUT"])(self.put_zone)
+        add("/v1/depots", methods=["GET"])(self.show_depots)
+        add("/v1/depots/<depot>/retire", methods=["POST"])(self.retire_depot)
+        add("/v1/ready", methods=["GET"])(self.ready)
+        add("/", defaults={"path": ""})(self._nowhere)
+        add("/<path:path>")(self._nowhere)
+        self._http, port = await listen(self._ctx.reactor, Site(app.resource(), 32 * 1024 * 1024), host, port)
+        return port
+
+    def ready(self, request):
+        ok = bool(self.leader)
+        return send_json(request, {"ready": ok, "leader": self.leader, "state": self.state}, 200 if ok else 503)
+
+    def _nowhere(self, request, path):
+        return send_fault(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
+
+
--- /dev/null
+++ b/pipitlink/office/guides.py
@@ -0,0 +1,110 @@
+from datetime import timedelta
+
+import attrs
+from twisted.internet import defer
+
+from ..beats import ms, secs
+from ..faults import NotLeading, Overdue
+from ..setup.follower import HOLD_FOLLOW, LEASE_SPAN
+from ..wire.setup_pb2 import Command, Delta, FollowAsk, FollowReceipt, Outcome
+
+__all__ = ["Guides"]
+
+FRESH_SPAN = ms(500)
+EDIT_LIMIT = secs(5)
+
+
+@attrs.define
+class _Follower:
+    role: str
+    sequence: int
+    until: timedelta
+
+
+class Guides:
+    """Mixin: delivers the setup, leases it to guides, and knows when an edit is in effect everywhere."""
+
+    def _open_guides(self):
+        self.followers: dict[str, _Follower] = {}
+        self._news: list[defer.Deferred] = []
+        self._ctx.desk.answer("office.follow", FollowAsk, self._follow)
+
+    def _fresh(self) -> bool:
+        return self.state == "leader" and self._ctx.beats.now() - self.heard_majority_at() < FRESH_SPAN
+
+    async def _follow(self, node, ask: FollowAsk) -> FollowReceipt:
+        if not self._fresh():
+            raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
+        self.followers[ask.node] = _Follower(ask.role, ask.sequence, self._ctx.beats.now() + LEASE_SPAN)
+        self.wake_news()
+        if ask.sequence >= self.sheet.sequence and not ask.at_once:
+            await self._wait_news(HOLD_FOLLOW, lambda: self.sheet.sequence > ask.sequence)
+        if not self._fresh():
+            raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
+        out = FollowReceipt(sequence=self.sheet.sequence, leased=True, office=self._ctx.node)
+        if ask.sequence < self.sheet.sequence:
+            entries = [e for e in self.archive.after(ask.sequence, 4096) if e.index <= self.sheet.sequence]
+            if entries and entries[0].index == ask.sequence + 1 and ask.sequence:
+                out.deltas.extend(Delta(sequence=e.index, command=e.command) for e in entries)
+                out.sequence = entries[-1].index
+                out.leased = out.sequence == self.sheet.sequence
+            else:
+                out.sheet.CopyFrom(self.sheet.data())
+        return out
+
+    def wake_news(self):
+        news, self._news = self._news, []
+        for d in news:
+            if not d.called:
+                d.callback(None)
+
+    async def _wait_news(self, limit: timedelta, until):
+        end = self._ctx.beats.now() + limit
+        while not until():
+            left = end - self._ctx.beats.now()
+            if left <= ms(0):
+                return False
+            d = defer.Deferred()
+            self._news.append(d)
+            beat = self._ctx.beats.later(left, lambda d=d: d.called or d.callback(None))
+            await d
+            if beat.active():
+                beat.cancel()
+        return True
+
+    def _in_effect(self, sequence: int) -> bool:
+        """Every guide with a live lease has it, no lease of an earlier leader is left, and most depots have it."""
+        now = self._ctx.beats.now()
+        if now < self._elected_at + LEASE_SPAN:
+            return False
+        if any(f.role == "guide" and f.until > now and f.sequence < sequence for f in self.followers.values()):
+            return False
+        witnesses = self.sheet.witnesses()
+        have = sum(self._shows(w, sequence) for w in witnesses)
+        return 2 * have > len(witnesses) or not witnesses
+
+    def _shows(self, depot: str, sequence: int) -> bool:
+        f = self.followers.get(depot)
+        return f is not None and f.sequence >= sequence
+
+    async def edit(self, c: Command, limit: timedelta = EDIT_LIMIT) -> Outcome:
+        """Proposes an edit and returns once it is agreed and in effect everywhere."""
+        end = self._ctx.beats.now() + limit
+        out = await self._ctx.beats.within(limit, self._propose(c))
+        if out.code != "done":
+            await self.sure_leader()
+            return out
+        sequence = self.sheet.sequence
+        while not self._in_effect(sequence):
+            if self.state != "leader":
+                raise NotLeading(self.leader, self.leader)
+            if self._ctx.beats.now() >= end:
+                raise Overdue("the edit is agreed but not yet shown to be in effect everywhere")
+            await self._wait_news(ms(50), lambda: self._in_effect(sequence))
+        return out
+
+    def _forget_followers(self):
+        now = self._ctx.beats.now()
+        for node, f in list(self.followers.items()):
+            if f.until + secs(60) < now:
+                del self.followers[node]
--- /dev/null
+++ b/pipitlink/office/leading.py
@@ -0,0 +1,187 @@
+from datetime import timedelta
+
+from twisted.internet import defer
+
+from ..beats import ZERO, ms, secs
+from ..faults import NotLeading, Unproven, WireFault
+from ..wire.office_pb2 import AppendAsk, AppendReceipt, OfficeEntry
+from ..wire.setup_pb2 import Command, Outcome
+
+__all__ = ["Leading"]
+
+HEART_BEAT = ms(100)
+APPEND_LIMIT = ms(500)
+SNAPSHOT_LIMIT = secs(5)
+
+
+class Leading:
+    """Mixin: the leader's side of the agreement, one task for each other office."""
+
+    def _open_leading(self):
+        self._match: dict[str, int] = {}
+        self._acked_at: dict[str, timedelta] = {}
+        self._senders: set[str] = set()
+        self._wakes: dict[str, defer.Deferred] = {}
+        self._proposed: dict[int, tuple[int, defer.Deferred]] = {}
+        self._synced = 0
+        self._elected_at = timedelta(0)
+        self._ctx.desk.answer("office.append", AppendAsk, self._append)
+
+    def _lead(self):
+        self.leader = self._ctx.node
+        self._elected_at = self._ctx.beats.now()
+        self._match, self._acked_at = {}, {}
+        self._ctx.journal.note("leading", term=self.term, voters=",".join(self.voters()))
+        self._ctx.spawned(self._propose(Command(nothing=True)), "first_entry")
+
+    def _yielded(self):
+        self._ctx.journal.note("yielded", term=self.term)
+        self.leader = ""
+        proposed, self._proposed = self._proposed, {}
+        for _, d in proposed.values():
+            d.errback(Unproven("the leader changed before the outcome was known"))
+        self._wake_all()
+
+    def heard_majority_at(self) -> timedelta:
+        """The latest time for which a majority of the voters is known to have followed this leader."""
+        now = self._ctx.beats.now()
+        at = sorted((now if v == self._ctx.node else self._acked_at.get(v, ZERO) for v in self.voters()), reverse=True)
+        return at[len(at) // 2] if at else ZERO
+
+    def _send_to_all(self):
+        for m in self._ctx.roster.members("office", me=False):
+            if m.node not in self._senders:
+                self._senders.add(m.node)
+                self._ctx.spawned(self._send(m.node, self.term), "send_entries")
+
+    async def _send(self, node: str, term: int):
+        after = self.archive.last_index()
+        try:
+            while self.state == "leader" and self.term == term and self._ctx.roster.standing(node) != "gone":
+                sent = self._ctx.beats.now()
+                ask = self._entries_for(node, after)
+                limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
+                try:
+                    r = await self.ask_office(node, "office.append", ask, AppendReceipt, limit)
+                except WireFault:
+                    await self._ctx.beats.pause(HEART_BEAT)
+                    continue
+                if r.term > self.term:
+                    await self.meet_term(r.term)
+                    return
+                if self.term != term or self.state != "leader":
+                    return
+                self._acked_at[node] = sent
+                if r.done:
+                    after = self._match[node] = r.last
+                    self._advance()
+                else:
+                    after = min(r.last, max(0, after - 1)) if not ask.HasField("snapshot") else 0
+                if after >= self.archive.last_index() or not r.done and ask.HasField("snapshot"):
+                    await self._wait_wake(node)
+        finally:
+            self._senders.discard(node)
+
+    def _entries_for(self, node: str, after: int) -> AppendAsk:
+        ask = AppendAsk(term=self.term, leader=self._ctx.node, commit=self.commit)
+        prev = self.archive.term_at(after)
+        if prev is None or (after == 0 and self.archive.snapshot.index == 0 and not self._match.get(node)):
+            ask.snapshot.CopyFrom(self.archive.snapshot)
+            after, prev = self.archive.snapshot.index, self.archive.snapshot.term
+        ask.prev_index, ask.prev_term = after, prev
+        ask.entries.extend(self.archive.after(after))
+        return ask
+
+    async def _wait_wake(self, node: str):
+        d = self._wakes[node] = defer.Deferred()
+        beat = self._ctx.beats.later(HEART_BEAT, lambda: d.called or d.callback(None))
+        await d
+        if beat.active():
+            beat.cancel()
+
+    def _wake_all(self):
+        wakes, self._wakes = self._wakes, {}
+        for d in wakes.values():
+            if not d.called:
+                d.callback(None)
+
+    async def _propose(self, c: Command) -> Outcome:
+        """Appends a command; returns its outcome once it is agreed and applied."""
+        if self.state != "leader":
+            raise NotLeading(self.leader, self.leader)
+        term = self.term
+        index = self.archive.last_index() + 1
+        d = defer.Deferred()
+        self._proposed[index] = (term, d)
+        synced = self.archive.put_entry(OfficeEntry(index=index, term=term, command=c))
+        self._wake_all()
+        await synced
+        if self.term == term:
+            self._synced = max(self._synced, index)
+            self._advance()
+        return await d
+
+    def _advance(self):
+        if self.state != "leader":
+            return
+        marks = sorted((self._synced if v == self._ctx.node else self._match.get(v, 0) for v in self.voters()),
+                       reverse=True)
+        if not marks:
+            return
+        reached = marks[len(marks) // 2]
+        if reached > self.commit and self.archive.term_at(reached) == self.term:
+            self.commit = reached
+            self.apply()
+            self._wake_all()
+
+    def settle(self, index: int, term: int, outcome: Outcome):
+        got = self._proposed.pop(index, None)
+        if got is not None:
+            if got[0] == term:
+                got[1].callback(outcome)
+            else:
+                got[1].errback(Unproven("another leader's entry stands in its place"))
+
+    async def sure_leader(self):
+        """Returns once a majority has answered this leader after the call began, and its term has an agreed entry."""
+        if self.state != "leader":
+            raise NotLeading(self.leader, self.leader)
+        asked = self._ctx.beats.now()
+        term = self.term
+        until = asked + secs(2)
+        while True:
+            if self.state != "leader" or self.term != term:
+                raise NotLeading(self.leader, self.leader)
+            if self.heard_majority_at() >= asked and self.archive.term_at(self.commit) == term:
+                return
+            if self._ctx.beats.now() > until:
+                raise Unproven("a majority of the offices was not heard")
+            self._wake_all()
+            await self._ctx.beats.pause(ms(10))
+
+    async def _append(self, node, ask: AppendAsk) -> AppendReceipt:
+        if ask.term < self.term:
+            return AppendReceipt(term=self.term)
+        await self.meet_term(ask.term)
+        if self.state == "candidate":
+            self.put("yield")
+        if self.term != ask.term or self.state == "leader":
+            return AppendReceipt(term=self.term)
+        now = self._ctx.beats.now()
+        self._heard_at = self._led_at = now
+        self.leader = ask.leader
+        if ask.HasField("snapshot") and (self.state == "newcomer" or ask.snapshot.index > self.archive.last_index()):
+            await self.adopt(ask.snapshot)
+        if self.state == "newcomer" or self.archive.term_at(ask.prev_index) != ask.prev_term:
+            return AppendReceipt(term=self.term, last=min(self.archive.last_index(), max(0, ask.prev_index - 1)))
+        for e in ask.entries:
+            if self.archive.term_at(e.index) != e.term and e.index > self.archive.snapshot.index:
+                self.archive.put_entry(e)
+        await self.archive.all_synced()
+        if self.term != ask.term:
+            return AppendReceipt(term=self.term)
+        last = ask.prev_index + len(ask.entries)
+        if min(ask.commit, last) > self.commit:
+            self.commit = min(ask.commit, last)
+            self.apply()
+        return AppendReceipt(term=self.term, done=True, last=last)
--- /dev/null
+++ b/pipitlink/office/node.py
@@ -0,0 +1,131 @@
+from pathlib import Path
+
+from twisted.internet.threads import deferToThread
+
+from ..beats import ms, secs
+from ..charts import Charted
+from ..disk import Disk
+from ..faults import WireFault
+from ..setup import Sheet
+from ..wire.frame_pb2 import Nothing
+from ..wire.office_pb2 import Snapshot
+from .archive import KEEP_ENTRIES, TRIM_EVERY, Archive
+from .edits import Edits
+from .guides import Guides
+from .leading import Leading
+from .shelving import Shelving
+from .voters import Voters
+from .voting import Founding, Voting
+
+__all__ = ["OfficeNode"]
+
+BEAT = ms(50)
+
+
+class OfficeNode(Founding, Voting, Leading, Guides, Edits, Shelving, Voters, Charted):
+    chart = "voter"
+
+    def __init__(self, ctx, disk: Disk | None = None):
+        self._ctx = ctx
+        self.archive = Archive(ctx, Path(ctx.props.data), disk or Disk())
+        self.sheet = Sheet()
+        self.commit = 0
+        self.leader = ""
+        self.founders: tuple[str, ...] = ()
+        self._adopting = False
+        self._trimming = False
+        self._open_chart()
+
+    def open(self):
+        self.archive.recover()
+        self._take_sheet(self.archive.snapshot)
+        self._open_voting()
+        self._open_leading()
+        self._open_guides()
+        self._open_edits()
+        self._ctx.desk.answer("office.empty", Nothing, self._empty)
+        if self.archive.snapshot.sheet.voters:
+            self.put("founded")
+        b, report = self._ctx.beats, self._ctx.report
+        b.every(BEAT, self._election_beat, report("election"))
+        b.every(ms(300), self._found_beat, report("founding"))
+        b.every(ms(100), self._lead_beat, report("leading"))
+        b.every(ms(300), self._shelve_beat, report("shelving"))
+        b.every(ms(500), self._voters_beat, report("voters"))
+
+    def _say(self):
+        self._ctx.journal.note("office_founded", term=self.term, last=self.archive.last_index())
+
+    def _take_sheet(self, s: Snapshot):
+        self.sheet = Sheet(s.sheet)
+        self.sheet.sequence = s.index
+        self.commit = max(self.commit, s.index)
+        self.founders = self.founders or tuple(s.sheet.voters)
+
+    def voters(self) -> tuple[str, ...]:
+        """The newest voters in the log count, agreed or not yet."""
+        for e in reversed(self.archive.entries):
+            if e.command.WhichOneof("of") == "offices":
+                return tuple(e.command.offices.voters)
+        return tuple(self.archive.snapshot.sheet.voters)
+
+    async def ask_office(self, node: str, verb: str, what, kind, limit):
+        m = self._ctx.roster.find(node)
+        if m is None:
+            raise WireFault(f"office {node} is not on the roster")
+        return await self._ctx.desk.call((m.host, m.port), verb, what, kind, limit)
+
+    def apply(self):
+        while self.sheet.sequence < self.commit:
+            e = self.archive.entries[self.sheet.sequence - self.archive.snapshot.index]
+            outcome = self.sheet.apply(e.index, e.command)
+            self.settle(e.index, e.term, outcome)
+        self.wake_news()
+        if len(self.archive.entries) > TRIM_EVERY + KEEP_ENTRIES and not self._trimming:
+            self._trimming = True
+            self._ctx.spawned(self._trim(), "trim")
+
+    async def _trim(self):
+        """Keeps a snapshot of what is agreed, less the newest entries, and drops the log below it."""
+        try:
+            base = self.archive.snapshot
+            index = self.commit - KEEP_ENTRIES
+            sheet = Sheet(base.sheet)
+            for e in self.archive.entries[:index - base.index]:
+                sheet.apply(e.index, e.command)
+            s = Snapshot(index=index, term=self.archive.term_at(index), sheet=sheet.data())
+            await deferToThread(self.archive.keep_snapshot, s)
+            if self.archive.snapshot is base:
+                await self.archive.use_snapshot(s)
+                self._ctx.journal.note("trimmed", index=index)
+        finally:
+            self._trimming = False
+
+    async def adopt(self, s: Snapshot):
+        """Takes a whole snapshot in place of the own log."""
+        if self._adopting or self._trimming:
+            return
+        self._adopting = True
+        try:
+            await deferToThread(self.archive.keep_snapshot, s)
+            await self.archive.use_snapshot(s)
+            self._take_sheet(s)
+            if self.state == "newcomer":
+                self.put("founded")
+        finally:
+            self._adopting = False
+
+    def _lead_beat(self):
+        if self.state == "leader":
+            self._send_to_all()
+            self._forget_followers()
+
+    def close(self):
+        self.archive.close()
+
+    async def end(self):
+        if self._http is not None:
+            await self._http.stopListening()
+        if self.state == "leader":
+            self.step_down()
+            await self._ctx.beats.pause(secs(0.05))
--- /dev/null
+++ b/pipitlink/office/voters.py
@@ -0,0 +1,47 @@
+from ..beats import secs
+from ..wire.setup_pb2 import Command, Offices
+
+__all__ = ["Voters"]
+
+GONE_SPAN = secs(3)
+VOTERS = 3
+
+
+class Voters:
+    """Mixin: a lost voter's place goes to a standby, one membership change at a time."""
+
+    def _caught_up(self, node: str) -> bool:
+        now = self._ctx.beats.now()
+        return self._match.get(node, -1) >= self.commit - 50 and now - self._acked_at.get(node, -GONE_SPAN) < secs(1)
+
+    def _lost_voter(self, node: str) -> bool:
+        now = self._ctx.beats.now()
+        heard = max(self._acked_at.get(node, self._elected_at), self._elected_at)
+        return node != self._ctx.node and now - heard > GONE_SPAN and self._ctx.roster.standing(node) != "alive"
+
+    async def _voters_beat(self):
+        if self.state != "leader" or self.archive.term_at(self.commit) != self.term:
+            return
+        voters = self.voters()
+        if voters != self.sheet.voters:
+            return
+        change = self._next_voters(voters)
+        if change is not None:
+            self._ctx.journal.note("voters", was=",".join(voters), next=",".join(change))
+            await self._propose(Command(offices=Offices(voters=change)))
+
+    def _next_voters(self, voters: tuple[str, ...]) -> tuple[str, ...] | None:
+        lost = [v for v in voters if self._lost_voter(v)]
+        live = [v for v in voters if v not in lost]
+        if len(voters) > VOTERS:
+            extra = lost[0] if lost else max(v for v in voters if v != self._ctx.node)
+            rest = tuple(v for v in voters if v != extra)
+            return rest if 2 * len([v for v in rest if v in live]) > len(rest) else None
+        if lost or len(voters) < VOTERS:
+            standbys = [m for m in self._ctx.roster.members("office", standing=("alive",), me=False)
+                        if m.node not in voters and self._caught_up(m.node)]
+            zones = {m.zone for v in live if (m := self._ctx.roster.find(v))}
+            standbys.sort(key=lambda m: (m.zone in zones, m.node))
+            if standbys and 2 * (len(live) + 1) > len(voters) + 1:
+                return tuple(sorted((*voters, standbys[0].node)))
+        return None
--- /dev/null
+++ b/pipitlink/office/voting.py
@@ -0,0 +1,166 @@
+from datetime import timedelta
+
+from twisted.internet import defer
+
+from ..beats import ms, spawn
+from ..faults import WireFault
+from ..wire.office_pb2 import FoundReceipt, Snapshot, VoteAsk, VoteReceipt
+from ..wire.frame_pb2 import Nothing
+from ..wire.setup_pb2 import SheetData
+
+__all__ = ["Voting", "Founding", "STICKY_SPAN"]
+
+STICKY_SPAN = ms(600)
+LONGEST = ms(1200)
+ASK_LIMIT = ms(400)
+
+
+class Founding:
+    """Mixin: the first voters, from an explicit list that is used only if every one of them is empty."""
+
+    async def _found_beat(self):
+        if self.state != "newcomer" or not self._ctx.props.founders:
+            return
+        got = []
+        for founder in self._ctx.props.founders:
+            host, _, port = founder.rpartition(":")
+            try:
+                got.append(await self._ctx.desk.call((host, int(port)), "office.empty", Nothing(), FoundReceipt,
+                                                     ASK_LIMIT))
+            except WireFault:
+                got.append(None)
+        for r in got:
+            if r is not None and self._ctx.node in r.voters:
+                await self._found(tuple(r.voters))
+                return
+        first_host, _, first_port = self._ctx.props.founders[0].rpartition(":")
+        first = (first_host, int(first_port)) == self._ctx.desk.place
+        if first and all(r is not None and not r.founded for r in got):
+            await self._found(tuple(sorted(r.node for r in got)))
+
+    async def _empty(self, node, _) -> FoundReceipt:
+        founded = self.state != "newcomer"
+        return FoundReceipt(node=self._ctx.node, founded=founded, voters=self.founders if founded else ())
+
+    async def _found(self, voters: tuple[str, ...]):
+        if self.state != "newcomer" or self._ctx.node not in voters:
+            return
+        s = Snapshot(index=0, term=0, sheet=SheetData(voters=voters))
+        await self.adopt(s)
+        self._ctx.journal.note("founded", voters=",".join(voters))
+
+
+class Voting:
+    """Mixin: elections with a pre-vote. Ballots are synced before they are answered."""
+
+    def _open_voting(self):
+        now = self._ctx.beats.now()
+        self._heard_at = self._led_at = now
+        self._patience = self._new_patience()
+        self._ctx.desk.answer("office.vote", VoteAsk, self._vote)
+
+    def _new_patience(self) -> timedelta:
+        return STICKY_SPAN + (LONGEST - STICKY_SPAN) * self._ctx.chance.random()
+
+    def _election_beat(self):
+        now = self._ctx.beats.now()
+        if self.state == "leader":
+            if now - max(self.heard_majority_at(), self._elected_at) > LONGEST:
+                self._ctx.journal.note("majority_unheard", term=self.term)
+                self.step_down()
+            return
+        if self.state != "follower" or self._ctx.node not in self.voters():
+            return
+        if now - self._heard_at > self._patience:
+            self.put("stand")
+            self._patience = self._new_patience()
+            self._heard_at = now
+            return spawn(self._stand()).addErrback(self._stood_badly)
+
+    def _stood_badly(self, f):
+        self._ctx.journal.fault("election_failed", f.value)
+        self.put("yield")
+
+    async def _stand(self):
+        if not await self._poll(self.term + 1, pre=True):
+            self.put("yield")
+            return
+        term = self.term + 1
+        await self.archive.put_ballot(term, self._ctx.node)
+        if self.term != term or self.state != "candidate":
+            return
+        self.leader = ""
+        if await self._poll(term, pre=False) and self.term == term and self.state == "candidate":
+            self.put("won")
+        elif self.state == "candidate":
+            self.put("yield")
+
+    async def _poll(self, term: int, pre: bool) -> bool:
+        voters = self.voters()
+        last = self.archive.last_index()
+        ask = VoteAsk(term=term, candidate=self._ctx.node, last_index=last, last_term=self.archive.term_at(last),
+                      pre=pre)
+        granted = {self._ctx.node}
+        done = defer.Deferred()
+        left = len(voters) - 1
+
+        async def one(node):
+            nonlocal left
+            try:
+                r = await self.ask_office(node, "office.vote", ask, VoteReceipt, ASK_LIMIT)
+                if r.granted:
+                    granted.add(node)
+                elif r.term > self.term and not pre:
+                    await self.meet_term(r.term)
+            except WireFault:
+                pass
+            left -= 1
+            if not done.called and (left == 0 or self.is_majority(granted)):
+                done.callback(None)
+
+        for n in voters:
+            if n != self._ctx.node:
+                self._ctx.spawned(one(n), "poll")
+        if left:
+            await done
+        return self.is_majority(granted)
+
+    async def _vote(self, node, ask: VoteAsk) -> VoteReceipt:
+        if self.state == "newcomer":
+            return VoteReceipt(term=self.term)
+        now = self._ctx.beats.now()
+        last = self.archive.last_index()
+        fresh = (ask.last_term, ask.last_index) >= (self.archive.term_at(last), last)
+        content = self.state == "leader" or now - self._led_at < STICKY_SPAN
+        if ask.term < self.term or content or not fresh:
+            return VoteReceipt(term=self.term)
+        if ask.pre:
+            return VoteReceipt(term=self.term, granted=ask.term > self.term)
+        if ask.term > self.term:
+            self.step_down()
+        elif self.archive.ballot.vote not in ("", ask.candidate):
+            return VoteReceipt(term=self.term)
+        await self.archive.put_ballot(ask.term, ask.candidate)
+        kept = (self.term, self.archive.ballot.vote) == (ask.term, ask.candidate)
+        if kept:
+            self._heard_at = self._ctx.beats.now()
+        return VoteReceipt(term=self.term, granted=kept)
+
+    async def meet_term(self, term: int):
+        """A higher term was seen: this office follows from now on, and keeps the term first."""
+        if term > self.term:
+            self.step_down()
+            await self.archive.put_ballot(term, "")
+
+    @property
+    def term(self) -> int:
+        return self.archive.ballot.term
+
+    def step_down(self):
+        self.put("yield")
+
+    def is_majority(self, nodes) -> bool:
+        voters = self.voters()
+        return 2 * sum(v in nodes for v in voters) > len(voters)
+
+
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -15,7 +15,8 @@
 from .ledger import Ledger
 from .props import Props
 from .roster import Roster
-from .setup import ThinSetup
+from .office import OfficeNode
+from .setup import Setup
 from .wire.desk import Desk
 from .wire.roster_pb2 import Member
 
@@ -42,7 +43,7 @@
         ctx.roster = Roster(ctx)
         if ctx.role != "guide":
             ctx.roster.remember_in(Path(p.data))
-        ctx.setup = ThinSetup(ctx)
+        ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
         _, port = await ctx.desk.listen(p.bind, p.port)
         ctx.desk.place = (p.host, port)
@@ -57,7 +58,13 @@
         elif ctx.role == "depot":
             self.node = DepotNode(ctx)
             self.node.open()
+        else:
+            self.node = OfficeNode(ctx)
+            self.node.open()
+            me.operator_port = await self.node.listen(p.bind, p.operator_port)
         ctx.roster.open(me)
+        if ctx.role != "office":
+            ctx.setup.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
     async def end(self):
--- a/pipitlink/depot/segments.py
+++ b/pipitlink/segments.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from ..disk import HEAD, Disk, frame, frames
-from ..faults import Damaged
+from .disk import HEAD, Disk, frame, frames
+from .faults import Damaged
 
 __all__ = ["Segments", "Spot"]
 
@@ -128,6 +128,12 @@
         with self._lock:
             return sorted(self._sizes)
 
+    def roll(self):
+        """What is queued from now on goes to a new file."""
+        with self._lock:
+            if self._next[1]:
+                self._next = (self._next[0] + 1, 0)
+
     def newest(self) -> int:
         with self._lock:
             return self._next[0]
--- a/pipitlink/setup/__init__.py
+++ b/pipitlink/setup/__init__.py
@@ -1,3 +1,4 @@
-from .thin import ThinSetup
+from .follower import Setup
+from .sheet import Sheet
 
-__all__ = ["ThinSetup"]
+__all__ = ["Setup", "Sheet"]
--- /dev/null
+++ b/pipitlink/setup/follower.py
@@ -0,0 +1,178 @@
+from datetime import timedelta
+
+from twisted.internet import defer
+
+from ..beats import ms, secs
+from ..charts import Charted
+from ..faults import Refused, WireFault
+from ..ledger.shelf import Shelf
+from ..wire.frame_pb2 import Nothing
+from ..wire.setup_pb2 import FollowAsk, FollowReceipt, WitnessReceipt
+from .sheet import Sheet
+
+__all__ = ["Setup", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
+
+LEASE_SPAN = secs(1.5)
+OWN_SPAN = secs(1.2)
+HOLD_FOLLOW = ms(250)
+FOLLOW_LIMIT = ms(700)
+WITNESS_BEAT = ms(300)
+WITNESS_SPAN = secs(1)
+PAUSE = ms(100)
+
+
+class Setup(Charted):
+    """The setup as a node outside the offices follows it: higher sequences only, and a proof that it is the newest."""
+
+    chart = "currency"
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self.sheet = Sheet()
+        self.shelves = ctx.props.shelves
+        self._leased_at: timedelta | None = None
+        self._proved_at: timedelta | None = None
+        self._office = ""
+        self._followed = False
+        self._watchers: list = []
+        self._nudged: defer.Deferred | None = None
+        self._open_chart()
+
+    def open(self):
+        d = self._ctx.desk
+        d.answer("setup.pass_on", FollowAsk, self._pass_on)
+        d.answer("setup.witness", Nothing, self._witness)
+        d.answer("setup.sheet", Nothing, self._whole)
+        self._ctx.roster.carry(self._fill, self._take)
+        self._ctx.spawned(self._follow(), "follow_setup")
+        if self._ctx.role == "guide":
+            self._ctx.beats.every(WITNESS_BEAT, self._ask_witnesses, self._ctx.report("witness"))
+
+    @property
+    def sequence(self) -> int:
+        return self.sheet.sequence
+
+    def watch(self, do):
+        self._watchers.append(do)
+
+    def ready(self) -> bool:
+        """Whether new work may be admitted: checked at the moment of use, so a node that woke asks afresh."""
+        now = self._ctx.beats.now()
+        if self.sequence == 0 or not self.sheet.shelves:
+            return False
+        if self._leased_at is not None and now - self._leased_at < OWN_SPAN:
+            self.put("leased")
+        elif self._proved_at is not None and now - self._proved_at < WITNESS_SPAN:
+            self.put("proved")
+        else:
+            self.put("lapse")
+        return self.state in ("led", "witnessed")
+
+    def _say(self):
+        self._ctx.journal.note("currency", state=self.state, sequence=self.sequence)
+
+    def shelf(self, n: int) -> Shelf:
+        return self.sheet.shelf(n)
+
+    def row(self, model: str, pool: str):
+        return self.sheet.row(model, pool)
+
+    def zone_empty(self, zone: str) -> bool:
+        return zone in self.sheet.empty_zones
+
+    def _fill(self, g):
+        g.setup_sequence = self.sequence
+
+    def _take(self, g):
+        if g.setup_sequence > self.sequence and self._nudged is not None:
+            d, self._nudged = self._nudged, None
+            d.callback(None)
+
+    def _absorb(self, r: FollowReceipt) -> bool:
+        before = self.sequence
+        if r.HasField("sheet") and r.sheet.sequence > self.sequence:
+            self.sheet = Sheet(r.sheet)
+        for delta in r.deltas:
+            if delta.sequence == self.sequence + 1:
+                self.sheet.apply(delta.sequence, delta.command)
+        if self.sequence != before:
+            self._ctx.journal.note("setup", sequence=self.sequence, table=self.sheet.table)
+            for do in self._watchers:
+                do()
+        return self.sequence >= r.sequence
+
+    async def _follow(self):
+        """One task that follows the setup from an office, or through a colleague where no office is heard."""
+        failures = 0
+        while not self._ctx.beats.ended:
+            try:
+                await self._follow_once(failures)
+                failures = 0
+            except (WireFault, Refused) as e:
+                failures += 1
+                leader = e.note if isinstance(e, Refused) and e.fault == "not_leading" else ""
+                if leader and leader != self._office:
+                    self._office, failures = leader, 0
+                    continue
+                self._office = ""
+                self._ctx.journal.trace("no_office", text=e)
+                self._nudged = defer.Deferred()
+                await self._ctx.beats.within(PAUSE, self._nudged).addErrback(lambda f: None)
+
+    async def _follow_once(self, failures: int):
+        place, verb = self._whom(failures)
+        asked = self._ctx.beats.now()
+        ask = FollowAsk(node=self._ctx.node, role=self._ctx.role, sequence=self.sequence,
+                        at_once=self._leased_at is None)
+        r = await self._ctx.desk.call(place, verb, ask, FollowReceipt, FOLLOW_LIMIT)
+        if r.office and verb == "office.follow":
+            self._office = r.office
+        if not self._absorb(r):
+            return
+        if r.leased:
+            self._leased_at = asked
+            self._followed = True
+            self.ready()
+
+    def _whom(self, failures: int):
+        offices = self._ctx.roster.members("office", me=False)
+        known = [m for m in offices if m.node == self._office]
+        if known and not failures:
+            return (known[0].host, known[0].port), "office.follow"
+        colleagues = self._ctx.roster.members("guide", standing=("alive",), me=False)
+        if offices and (failures % 3 or not colleagues):
+            m = self._ctx.chance.choice(offices)
+            return (m.host, m.port), "office.follow"
+        if not colleagues:
+            raise WireFault("neither an office nor a colleague is known")
+        m = self._ctx.chance.choice(colleagues)
+        return (m.host, m.port), "setup.pass_on"
+
+    async def _pass_on(self, node, ask: FollowAsk) -> FollowReceipt:
+        """A colleague that hears no office follows through this node."""
+        m = self._ctx.roster.find(self._office) if self._office else None
+        if m is None:
+            raise WireFault("no office is heard here either")
+        return await self._ctx.desk.call((m.host, m.port), "office.follow", ask, FollowReceipt, FOLLOW_LIMIT)
+
+    async def _witness(self, node, _) -> WitnessReceipt:
+        return WitnessReceipt(current=self._followed, sequence=self.sequence)
+
+    async def _whole(self, node, _) -> FollowReceipt:
+        return FollowReceipt(sequence=self.sequence, sheet=self.sheet.data())
+
+    async def _ask_witnesses(self):
+        """Proof without an office: an edit is only acknowledged when a majority of the depots has it."""
+        witnesses = self.sheet.witnesses()
+        now = self._ctx.beats.now()
+        if not witnesses or (self._leased_at is not None and now - self._leased_at < OWN_SPAN / 2):
+            return
+        got = await self._ctx.ledger.ask_each(witnesses, "setup.witness", Nothing(), WitnessReceipt, ms(500))
+        sure = {n: r.sequence for n, r in got.items() if r.current}
+        newest = max(sure, key=sure.get, default="")
+        if newest and sure[newest] > self.sequence:
+            self._absorb(await self._ctx.ledger.ask(newest, "setup.sheet", Nothing(), FollowReceipt))
+        if 2 * len(sure) > len(witnesses) and self.sequence >= max(sure.values()) \
+                and witnesses == self.sheet.witnesses():
+            self._proved_at = now
+            self.ready()
--- /dev/null
+++ b/pipitlink/setup/sheet.py
@@ -0,0 +1,106 @@
+from collections import OrderedDict
+
+from ..ledger.shelf import Shelf
+from ..wire.setup_pb2 import Command, DepotEdit, Outcome, Row, SheetData, ShelfRow
+
+__all__ = ["Sheet", "MAX_ROWS"]
+
+MAX_OUTCOMES = 2000
+MAX_ROWS = 100_000
+
+
+class Sheet:
+    """The setup: the weight table, zones, depots, shelves and voters, as the agreed commands make it."""
+
+    def __init__(self, data: SheetData | None = None):
+        data = data or SheetData()
+        self.sequence = data.sequence
+        self.table = data.table
+        self.rows: dict[str, Row] = {r.name: r for r in data.rows}
+        self.empty_zones: set[str] = set(data.empty_zones)
+        self.depots: dict[str, str] = {d.depot: d.standing for d in data.depots}
+        self.shelves: dict[int, ShelfRow] = {s.number: s for s in data.shelves}
+        self.voters: tuple[str, ...] = tuple(data.voters)
+        self.outcomes: OrderedDict[str, Outcome] = OrderedDict((o.edit, o) for o in data.outcomes)
+        self._by_target: dict[tuple[str, str], Row] | None = None
+
+    def data(self) -> SheetData:
+        return SheetData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
+                         empty_zones=sorted(self.empty_zones), shelves=self.shelves.values(), voters=self.voters,
+                         depots=[DepotEdit(depot=d, standing=s) for d, s in self.depots.items()],
+                         outcomes=self.outcomes.values())
+
+    def apply(self, sequence: int, c: Command) -> Outcome:
+        """Applies one agreed command. The same edit id never takes effect twice."""
+        self.sequence = sequence
+        if c.edit and c.edit in self.outcomes:
+            return self.outcomes[c.edit]
+        what = c.WhichOneof("of")
+        code = getattr(self, "_apply_" + what)(getattr(c, what), sequence) if what else "done"
+        at = self.table if what == "table" else sequence
+        out = Outcome(edit=c.edit, code=code, sequence=at)
+        if c.edit:
+            self.outcomes[c.edit] = out
+            while len(self.outcomes) > MAX_OUTCOMES:
+                self.outcomes.popitem(last=False)
+        return out
+
+    def _apply_table(self, e, sequence) -> str:
+        if e.base != self.table:
+            return "wrong_base"
+        kept = 0 if e.whole else len(self.rows)
+        if kept + len(e.puts) > MAX_ROWS:
+            return "too_many_rows"
+        if any(d not in self.rows for d in e.drops):
+            return "no_such_row"
+        if e.whole:
+            self.rows = {}
+        for d in e.drops:
+            self.rows.pop(d, None)
+        for r in e.puts:
+            self.rows[r.name] = r
+        self.table = sequence
+        self._by_target = None
+        return "done"
+
+    def _apply_zone(self, e, sequence) -> str:
+        (self.empty_zones.add if e.empty else self.empty_zones.discard)(e.zone)
+        return "done"
+
+    def _apply_depot(self, e, sequence) -> str:
+        if e.standing == "removed":
+            self.depots.pop(e.depot, None)
+        else:
+            self.depots[e.depot] = e.standing
+        return "done"
+
+    def _apply_shelving(self, e, sequence) -> str:
+        for s in e.shelves:
+            have = self.shelves.get(s.number)
+            if have is not None and s.sequence != have.sequence + 1:
+                return "wrong_base"
+        for s in e.shelves:
+            self.shelves[s.number] = s
+        return "done"
+
+    def _apply_offices(self, e, sequence) -> str:
+        self.voters = tuple(e.voters)
+        return "done"
+
+    def _apply_nothing(self, e, sequence) -> str:
+        return "done"
+
+    def shelf(self, n: int) -> Shelf:
+        s = self.shelves.get(n)
+        if s is None:
+            return Shelf(n, 0, ())
+        return Shelf(n, s.sequence, tuple(s.depots), s.joining, s.leaving)
+
+    def row(self, model: str, pool: str) -> Row | None:
+        if self._by_target is None:
+            self._by_target = {(r.model, r.pool): r for r in self.rows.values()}
+        t = self._by_target
+        return t.get((model, pool)) or t.get((model, "")) or t.get(("", pool))
+
+    def witnesses(self) -> list[str]:
+        return sorted(self.depots)
--- /dev/null
+++ b/pipitlink/syncing.py
@@ -0,0 +1,44 @@
+from twisted.internet import defer
+from twisted.internet.threads import deferToThread
+
+from .beats import spawn
+from .faults import Damaged, NoRoom
+
+__all__ = ["Syncer"]
+
+
+class Syncer:
+    """Group sync: whatever is queued while the disk is busy goes to it together."""
+
+    def __init__(self, ctx, segments, recover):
+        self._ctx = ctx
+        self._segments = segments
+        self._recover = recover
+        self.busy = False
+
+    def put(self, queue) -> defer.Deferred | None:
+        """Queues what `queue` makes for a ticket; fires when it is synced. None where it queued nothing."""
+        ticket = defer.Deferred()
+        if queue(ticket) is False:
+            return None
+        if not self.busy:
+            self.busy = True
+            spawn(self._flush())
+        return ticket
+
+    async def _flush(self):
+        try:
+            while done := await deferToThread(self._segments.flush):
+                for ticket in done:
+                    ticket.callback(None)
+        except Damaged as e:
+            self._ctx.journal.fault("disk_lost", e)
+            self._ctx.reactor.stop()
+        except Exception as e:
+            self._ctx.journal.fault("disk_failed", e)
+            lost = self._segments.abandon()
+            self._recover()
+            for ticket in lost:
+                ticket.errback(NoRoom(f"the disk refused: {e}"))
+        finally:
+            self.busy = False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 class WholePath(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.fleet = Fleet(guides=3, depots=3, offices=0, engines=2, cards=1)
+        cls.fleet = Fleet(guides=3, depots=3, offices=3, engines=2, cards=1)
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         wait_for(lambda: cls.generate("warm")[0] == 200, 10, "an engine is known")
