Stage the real nodes on injected beats and cause kills, freezes, cuts and power losses

Cause: two faults seen on real processes: an append hung for 4 s beside an idle depot, because a write queued just as the group sync found nothing left waited for the next one; and a lot whose owner was killed listed 92 of 100 items as unknown, since all were marked started before any had a place on an engine. Ruled out: the lease (epochs were right) and the depots' disks (both idle).

--- a/pipitlink/beats.py
+++ b/pipitlink/beats.py
@@ -86,9 +86,8 @@
 
         def lapse():
             beat[0] = None
+            out.errback(Overdue(f"no receipt within {span.total_seconds():g} s"))
             d.cancel()
-            if not out.called:
-                out.errback(Overdue(f"no receipt within {span.total_seconds():g} s"))
 
         def settle(result):
             if beat[0] is not None and beat[0].active():
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -2,6 +2,7 @@
 from random import Random
 
 import attrs
+from twisted.internet.threads import deferToThread
 
 from .beats import Beats, spawn
 from .journal import Journal
@@ -32,6 +33,7 @@
     ledger: object = None
     cache: object = None
     engines: object = None
+    on_thread: object = deferToThread
 
     def report(self, what: str):
         return lambda e: self.journal.fault(what, e)
--- a/pipitlink/depot/node.py
+++ b/pipitlink/depot/node.py
@@ -1,8 +1,6 @@
 import json
 from pathlib import Path
 
-from twisted.internet.threads import deferToThread
-
 from ..context import fresh_id
 from ..disk import Disk, swap_in
 from ..faults import NoRoom, PropsFault
@@ -85,7 +83,7 @@
 
     async def _read(self, node, ask: ReadAsk):
         spans = self.shed.spans(ask.log, ask.position, min(ask.length, MAX_READ))
-        return ReadReceipt(data=await deferToThread(self._gather, spans))
+        return ReadReceipt(data=await self._ctx.on_thread(self._gather, spans))
 
     def _gather(self, spans) -> bytes:
         return b"".join(self.shed.segments.read_bytes(spot, n) for spot, n in spans)
--- a/pipitlink/guide/asks.py
+++ b/pipitlink/guide/asks.py
@@ -38,13 +38,22 @@
     left_at: timedelta | None = None
     readers: int = 0
     work: object = None
+    mark: object = None
+    give_back: object = None
     feed: object = None
     _moved: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
         self._open_chart()
 
+    def give(self):
+        """Gives the back end's place back, once."""
+        if self.give_back is not None:
+            give_back, self.give_back = self.give_back, None
+            give_back()
+
     def _unpick(self):
+        self.give()
         if self.engine is not None:
             self.avoid.add(self.engine.name)
         self.engine = None
@@ -90,7 +99,7 @@
 
     passes = {
         "live": ("admit", "pick", "relay"),
-        "item": ("admit", "pick", "relay"),
+        "item": ("admit", "pick", "mark", "relay"),
         "fetch": ("admit", "pick", "fetch"),
     }
 
@@ -116,11 +125,17 @@
             ask.put("lose")
             ask.fail(e)
         finally:
+            ask.give()
             if ask.kind != "live" or not ask.readers:
                 self._retire(ask)
         self._ctx.journal.trace("ask", ask=ask.id, model=ask.model, state=ask.state, tries=ask.tries,
                                 pieces=len(ask.pieces), code=ask.fault.code if ask.fault else "ok")
 
+    async def _pass_mark(self, ask):
+        """Before the first byte may leave: what must be durable first."""
+        if ask.mark is not None:
+            await ask.mark()
+
     def _retire(self, ask: Ask):
         if ask.kind != "live":
             self.asks.pop(ask.id, None)
--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/guide/dispatch.py
@@ -44,6 +44,8 @@
         for o in sorted(self.open_lots.values(), key=lambda o: o.lot.limit_ms):
             if o.holder is not None and o.holder.lost:
                 self._lose(o)
+            elif o.holder is not None and len(o.results) == len(o.lot.items) and not o.running:
+                self._ctx.spawned(self._finish_if_done(o), "finish")
             if o.holder or o.taking or o.try_at > now or taking >= MAX_TAKING:
                 continue
             if self._owner(o.id) == self._ctx.node:
@@ -95,6 +97,7 @@
         for o in self.open_lots.values():
             busy[o.lot.customer] = busy.get(o.lot.customer, 0) + len(o.running)
         full: set[str] = set()
+        room: dict[str, int] = {}
         while owned:
             o = min(owned, key=lambda o: (self._urgency(o, wall), -o.lot.priority, busy[o.lot.customer],
                                           o.lot.limit_ms))
@@ -104,9 +107,13 @@
                 continue
             item = o.lot.items[i]
             late = o.lot.limit_ms <= wall
-            if not late and not self._room_for(item):
-                full.add(item.model)
-                continue
+            if not late:
+                if item.model not in room:
+                    room[item.model] = self._room_for(item.model)
+                if room[item.model] <= 0:
+                    full.add(item.model)
+                    continue
+                room[item.model] -= 1
             o.waiting.remove(i)
             busy[o.lot.customer] += 1
             o.running[i] = work = spawn(self._run_item(o, i, item, late))
@@ -119,10 +126,11 @@
         left = max(0, o.lot.limit_ms - wall)
         return next((n for n, span in enumerate((5_000, 30_000, 300_000, 3_600_000, 21_600_000)) if left < span), 5)
 
-    def _room_for(self, item: Item) -> bool:
-        known = self.candidates(item.model)
-        return any(self.engines.standing(e) == "ready" and self.engines.has_room(e, self._ctx.props.lot_reserve)
-                   for e, _ in known)
+    def _room_for(self, model: str) -> int:
+        """How many items may be started now, less those that have no back end yet."""
+        free = sum(self.engines.room(e, self.lot_reserve(model, e)) for e, _ in self.candidates(model)
+                   if self.engines.standing(e) == "ready")
+        return free - sum(a.kind == "item" and a.model == model and a.engine is None for a in self.asks.values())
 
     def _ran(self, r, o: OpenLot, i: int):
         o.running.pop(i, None)
@@ -136,15 +144,11 @@
         if late:
             await self._list(o, Result(item=i, outcome="not_run", code="limit_passed"))
             return await self._finish_if_done(o)
-        if not item.repeatable and i not in o.started:
-            await o.holder.append([LogRecord(started=Started(item=i)).SerializeToString()], reserved=True)
-            o.started.add(i)
-        if not o.holder.held() or o.ended:
-            raise NotHeld(f"{o.id}: the lease ended before the item was sent")
         now = self._ctx.beats.now()
         left = timedelta(milliseconds=o.lot.limit_ms) - timedelta(milliseconds=wall_ms(self._ctx.beats.wall()))
         ask = Ask(kind="item", model=item.model, prompt=item.prompt, prefix=item.prefix, repeatable=item.repeatable,
-                  max_tokens=item.max_tokens or 256, limit=now + min(ITEM_LIMIT, left), customer=o.lot.customer)
+                  max_tokens=item.max_tokens or 256, limit=now + min(ITEM_LIMIT, left), customer=o.lot.customer,
+                  mark=lambda: self._mark_started(o, i, item))
         work = spawn(self.run(ask))
         try:
             await work
@@ -165,6 +169,14 @@
         await self._list(o, r)
         await self._finish_if_done(o)
 
+    async def _mark_started(self, o: OpenLot, i: int, item: Item):
+        """An item that may not be repeated is durably started before its call; then the lease must still hold."""
+        if not item.repeatable and i not in o.started:
+            await o.holder.append([LogRecord(started=Started(item=i)).SerializeToString()], reserved=True)
+            o.started.add(i)
+        if o.holder is None or not o.holder.held() or o.ended:
+            raise NotHeld(f"{o.id}: the lease ended before the item was sent")
+
     async def _list(self, o: OpenLot, r: Result):
         if r.item in o.results or o.ended:
             return
@@ -174,7 +186,7 @@
     async def _finish_if_done(self, o: OpenLot):
         if len(o.results) == len(o.lot.items) and not o.ended and not o.running.keys() - {r for r in o.results}:
             h = o.holder
-            if h is None or h.final or h.committed < len(h.data):
+            if h is None or h.final or h.lost or h.committed < len(h.data):
                 return
             await h.append([LogRecord(ended=Ended(why="done")).SerializeToString()], final=True, reserved=True)
             self._ctx.journal.note("lot_done", lot=o.id)
@@ -201,7 +213,11 @@
         o.ended = True
         o.waiting = []
         try:
-            await o.holder.append([LogRecord(ended=Ended(why="ended")).SerializeToString()], final=True, reserved=True)
+            if o.holder.final:
+                await o.holder.all_durable()
+            else:
+                record = LogRecord(ended=Ended(why="ended")).SerializeToString()
+                await o.holder.append([record], final=True, reserved=True)
         finally:
             for work in list(o.running.values()):
                 work.cancel()
--- a/pipitlink/guide/engines.py
+++ b/pipitlink/guide/engines.py
@@ -126,30 +126,24 @@
         now = self._ctx.beats.now()
         return e.mine + sum(n for n, at in e.others.values() if now - at < LOADS_SPAN)
 
-    def has_room(self, e: Engine, reserve: float = 0.0) -> bool:
-        """Within the guide's sure share, or within what the shared counts leave, borrowed by halves."""
+    def room(self, e: Engine, reserve: float = 0.0) -> int:
+        """This guide's sure share, or what the shared counts leave, borrowed by parts between two tellings."""
         cap = int(self.capacity(e) * (1 - reserve))
         guides = max(1, len(self._ctx.roster.members("guide", standing=("alive",))))
         free = cap - self.running(e)
-        if free <= 0:
-            return False
-        if e.mine < cap // guides:
-            return True
-        told = self._told.get(e.name, 0)
-        return e.mine - told < max(1, free // guides + 1)
-
-    def started(self, e: Engine, lot: bool):
-        if lot:
-            e.lots += 1
-        else:
-            e.live += 1
-
-    def ended(self, e: Engine, lot: bool):
-        e = self._engines.get(e.name, e)
-        if lot:
-            e.lots = max(0, e.lots - 1)
-        else:
-            e.live = max(0, e.live - 1)
+        borrow = max(1, free // guides + 1) - max(0, e.mine - self._told.get(e.name, 0))
+        return max(0, min(free, max(cap // guides - e.mine, borrow)))
+
+    def take(self, e: Engine, lot: bool):
+        """Takes a place on the back end; returns what gives it back."""
+        kind = "lots" if lot else "live"
+        setattr(e, kind, getattr(e, kind) + 1)
+        return lambda: self._give(e.name, kind)
+
+    def _give(self, name: str, kind: str):
+        e = self._engines.get(name)
+        if e is not None:
+            setattr(e, kind, max(0, getattr(e, kind) - 1))
         self.roomier()
 
     def wait_room(self, d):
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/guide/picking.py
@@ -10,6 +10,7 @@
 
 MAX_TRIES = 3
 PICK_WAIT = ms(500)
+CURRENT_WAIT = ms(600)
 MAX_WAITING = 128
 
 
@@ -24,8 +25,7 @@
     async def _pass_admit(self, ask):
         if ask.tries:
             return False
-        if not self.current():
-            raise Crowded("this guide is not current", code="not_current", retry_after=1)
+        await self._await_current()
         now = self._ctx.beats.now()
         if ask.limit <= now:
             raise GuideFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
@@ -34,6 +34,15 @@
         return False
 
 
+    async def _await_current(self):
+        """A node that just woke gets a short while to prove its setup again."""
+        until = self._ctx.beats.now() + CURRENT_WAIT
+        while not self.current():
+            if self._ctx.beats.now() >= until:
+                raise Crowded("this guide cannot prove its setup now", code="not_current")
+            await self._ctx.beats.pause(ms(20))
+
+
 class Picking:
     """Mixin: the pass that picks a back end: weights, standing, zone, warm prefix, bounded load."""
 
@@ -47,11 +56,16 @@
                     out.append((e, weight))
         return out
 
+    def lot_reserve(self, model: str, e) -> float:
+        """The share of a back end that lots leave to live requests."""
+        row = self._ctx.setup.row(model, e.news.pool)
+        return 1 - row.lot_share if row is not None and row.lot_share > 0 else self._ctx.props.lot_reserve
+
     def _pick(self, ask):
         ready = [(e, w) for e, w in self.candidates(ask.model, ask.pool)
                  if self.engines.standing(e) == "ready" and e.name not in ask.avoid]
-        reserve = self._ctx.props.lot_reserve if ask.lot else 0.0
-        free = [(e, w) for e, w in ready if self.engines.has_room(e, reserve)]
+        free = [(e, w) for e, w in ready
+                if self.engines.room(e, self.lot_reserve(ask.model, e) if ask.lot else 0.0) > 0]
         if not free:
             return None
         loads = {e.name: self.engines.running(e) / max(1, self.engines.capacity(e)) for e, _ in ready}
@@ -80,6 +94,7 @@
                 raise Crowded("no back end has room", retry_after=1)
             await self._wait_room(left)
         ask.engine = e
+        ask.give_back = self.engines.take(e, ask.lot)
         ask.tries += 1
         ask.put("pick")
         return False
--- a/pipitlink/guide/relaying.py
+++ b/pipitlink/guide/relaying.py
@@ -84,7 +84,6 @@
     async def _send(self, ask, do) -> bool:
         e = ask.engine
         self._retry_budget.earn()
-        self.engines.started(e, ask.lot)
         try:
             left = ask.limit - self._ctx.beats.now()
             await self._ctx.beats.within(left, do(ask, e))
@@ -112,7 +111,7 @@
             fault = BackEndFault(str(f) or type(f).__name__, code="limit_passed" if late else "lost",
                                  status=504 if late else 502, outcome=ask.outcome)
         finally:
-            self.engines.ended(e, ask.lot)
+            ask.give()
         if self._may_go_again(ask):
             return True
         raise fault
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -132,6 +132,10 @@
         await self._reach(len(self.data))
         return start
 
+    async def all_durable(self):
+        """Returns once everything written so far is durable."""
+        await self._reach(len(self.data))
+
     async def _reach(self, end: int, restamp: bool = False):
         d = defer.Deferred()
         if not restamp and self.committed >= end:
--- a/pipitlink/office/node.py
+++ b/pipitlink/office/node.py
@@ -1,7 +1,5 @@
 from pathlib import Path
 
-from twisted.internet.threads import deferToThread
-
 from ..beats import ms, secs
 from ..charts import Charted
 from ..disk import Disk
@@ -94,7 +92,7 @@
             for e in self.archive.entries[:index - base.index]:
                 sheet.apply(e.index, e.command)
             s = Snapshot(index=index, term=self.archive.term_at(index), sheet=sheet.data())
-            await deferToThread(self.archive.keep_snapshot, s)
+            await self._ctx.on_thread(self.archive.keep_snapshot, s)
             if self.archive.snapshot is base:
                 await self.archive.use_snapshot(s)
                 self._ctx.journal.note("trimmed", index=index)
@@ -107,7 +105,7 @@
             return
         self._adopting = True
         try:
-            await deferToThread(self.archive.keep_snapshot, s)
+            await self._ctx.on_thread(self.archive.keep_snapshot, s)
             await self.archive.use_snapshot(s)
             self._take_sheet(s)
             if self.state == "newcomer":
--- a/pipitlink/segments.py
+++ b/pipitlink/segments.py
@@ -102,6 +102,10 @@
             self._taken = []
             return [ticket for _, (_, ticket) in batch]
 
+    def waiting(self) -> bool:
+        with self._lock:
+            return bool(self._pending)
+
     def abandon(self) -> list:
         """Forgets what is queued after a failed flush."""
         with self._lock:
--- a/pipitlink/syncing.py
+++ b/pipitlink/syncing.py
@@ -1,5 +1,4 @@
 from twisted.internet import defer
-from twisted.internet.threads import deferToThread
 
 from .beats import spawn
 from .faults import Damaged, NoRoom
@@ -28,8 +27,8 @@
 
     async def _flush(self):
         try:
-            while done := await deferToThread(self._segments.flush):
-                for ticket in done:
+            while self._segments.waiting():
+                for ticket in await self._ctx.on_thread(self._segments.flush):
                     ticket.callback(None)
         except Damaged as e:
             self._ctx.journal.fault("disk_lost", e)
--- /dev/null
+++ b/rehearsal/stage.py
@@ -0,0 +1,365 @@
+"""The real node code on injected beats: a staged network that cuts and delays, disks that lose what is unsynced."""
+import os
+import shutil
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from pipitlink.beats import Beats, spawn
+from pipitlink.cache import Cache
+from pipitlink.context import Context
+from pipitlink.depot import DepotNode
+from pipitlink.disk import Disk
+from pipitlink.faults import CutOff, Overdue, PipitFault, Refused, Unmet
+from pipitlink.journal import Journal
+from pipitlink.ledger import Ledger
+from pipitlink.office import OfficeNode
+from pipitlink.props import Props
+from pipitlink.roster import Roster
+from pipitlink.setup import Setup
+from pipitlink.wire.frame_pb2 import Nothing
+from pipitlink.wire.roster_pb2 import Member
+
+__all__ = ["Stage", "Actor", "LosingDisk"]
+
+
+class _Sink:
+    def __init__(self):
+        self.lines: list[str] = []
+
+    def log(self, level, shape, line):
+        self.lines.append(f"{level} {line}")
+
+
+class LosingDisk(Disk):
+    """Knows what was synced; `lose_power` drops the rest, and may leave a torn part of it."""
+
+    def __init__(self, chance: Random):
+        self._chance = chance
+        self._synced: dict[str, int] = {}
+        self._held: dict[str, int] = {}
+        self.full = False
+
+    def _name(self, fd: int) -> str:
+        return os.readlink(f"/proc/self/fd/{fd}")
+
+    def append(self, fd, data):
+        if self.full:
+            raise OSError(28, "No space left on device")
+        super().append(fd, data)
+        name = self._name(fd)
+        self._synced.setdefault(name, 0)
+
+    def sync(self, fd):
+        self._synced[self._name(fd)] = os.fstat(fd).st_size
+
+    def cut(self, fd, length):
+        super().cut(fd, length)
+        name = self._name(fd)
+        self._synced[name] = min(self._synced.get(name, 0), length)
+
+    def sync_folder(self, folder):
+        pass
+
+    def lose_power(self):
+        for name, synced in self._synced.items():
+            if os.path.exists(name):
+                size = os.path.getsize(name)
+                if size > synced:
+                    os.truncate(name, synced + self._chance.randrange(size - synced + 1))
+
+
+class _Desk:
+    """The staged side of `Desk`: the same calls, carried by the stage."""
+
+    def __init__(self, stage, actor):
+        self._stage = stage
+        self._actor = actor
+        self.place = actor.place
+        self.node = actor.node
+        self.incarnation = 1
+        self._verbs: dict = {}
+
+    def answer(self, verb, kind, do):
+        self._verbs[verb] = (kind, do)
+
+    async def attend(self, node, verb, body):
+        if verb not in self._verbs:
+            raise Unmet(f"no such call here: {verb}")
+        kind, do = self._verbs[verb]
+        r = await do(node, kind.FromString(body))
+        return (Nothing() if r is None else r).SerializeToString()
+
+    async def call(self, place, verb, ask, kind, limit):
+        body = ask.SerializeToString()
+        try:
+            return kind.FromString(await self._actor.ctx.beats.within(
+                limit, self._stage.carry(self._actor, place, verb, body)))
+        except Overdue as e:
+            raise Overdue(f"{verb} to {place}: {e}") from e
+
+
+class Actor:
+    """One node on the stage; it can be killed, frozen, woken and started again on the same disk."""
+
+    def __init__(self, stage, role, name, zone, port):
+        self.stage, self.role, self.name, self.zone = stage, role, name, zone
+        self.place = ("10.0.0.1", port)
+        self.folder = stage.folder / name
+        self.disk = LosingDisk(stage.chance)
+        self.lives = 0
+        self.alive = False
+        self.frozen = False
+        self.ctx = None
+
+    def start(self):
+        stage = self.stage
+        self.lives += 1
+        self.alive = True
+        self.folder.mkdir(exist_ok=True)
+        keep = self.folder / "id"
+        if self.role == "guide" or not keep.exists():
+            keep.write_text(f"{self.name}x{self.lives}x{stage.fresh()}")
+        self.node = keep.read_text()
+        props = Props(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "office" else (),
+                      data=str(self.folder), shelves=stage.shelves, **stage.props)
+        self.clock = _Watch(stage.clock)
+        beats = Beats(self.clock, seconds=stage.clock.seconds)
+        self.ctx = Context(self.role, self.node, props, self.clock, beats, Journal(stage.sink, node=self.node), None,
+                           Random(stage.chance.random()))
+        ctx = self.ctx
+        ctx.desk = _Desk(stage, self)
+        ctx.on_thread = self._on_thread
+        ctx.roster = Roster(ctx)
+        ctx.setup = Setup(ctx)
+        ctx.ledger = Ledger(ctx)
+        self.part = None
+        if self.role == "depot":
+            self.part = DepotNode(ctx, self.disk)
+            self.part.open()
+        elif self.role == "office":
+            self.part = OfficeNode(ctx, self.disk)
+            self.part.open()
+        else:
+            ctx.cache = Cache(ctx)
+            ctx.ledger.open()
+            ctx.cache.open()
+        ctx.roster.open(Member(node=self.node, incarnation=1, role=self.role, zone=self.zone, host=self.place[0],
+                               port=self.place[1]))
+        if self.role != "office":
+            ctx.setup.open()
+
+    def _on_thread(self, do, *words):
+        d = defer.Deferred()
+        span = 0.001 + 0.004 * self.stage.chance.random()
+
+        def work():
+            try:
+                r = do(*words)
+            except Exception as e:
+                self.clock.callLater(span, d.errback, e)
+                return
+            self.clock.callLater(span, d.callback, r)
+
+        self.clock.callLater(0, work)
+        return d
+
+    def kill(self, power: bool = False):
+        self.alive = self.frozen = False
+        self.ctx.beats.ended = True
+        self.clock.stop()
+        if self.part is not None:
+            self.part.close()
+        if power:
+            self.disk.lose_power()
+
+    def wipe(self):
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.disk = LosingDisk(self.stage.chance)
+
+    def freeze(self):
+        self.frozen = True
+        self.clock.hold()
+
+    def thaw(self):
+        self.frozen = False
+        self.clock.release()
+
+
+class _Call:
+    """A call on a life's own clock."""
+
+    def __init__(self, watch, do, words, named):
+        self._watch, self._work = watch, (do, words, named)
+
+    def active(self) -> bool:
+        return self._work is not None
+
+    def cancel(self):
+        self._work = None
+
+    def fire(self):
+        if self._work is None or self._watch.stopped:
+            return
+        if self._watch.held is not None:
+            self._watch.held.append(self)
+            return
+        (do, words, named), self._work = self._work, None
+        do(*words, **named)
+
+
+class _Watch:
+    """A life's own reactor on the stage's clock: calls stop when it is killed and wait while it is frozen."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.stopped = False
+        self.held: list | None = None
+
+    def callLater(self, span, do, *words, **named):
+        call = _Call(self, do, words, named)
+        self._clock.callLater(span, call.fire)
+        return call
+
+    def hold(self):
+        self.held = self.held or []
+
+    def release(self):
+        held, self.held = self.held or [], None
+        for call in held:
+            call.fire()
+
+    def stop(self):
+        self.stopped = True
+
+
+class Stage:
+    def __init__(self, seed: int, offices=4, depots=4, guides=3, shelves=4, props=None):
+        self.seed = seed
+        self.chance = Random(seed)
+        self.clock = Clock()
+        self.clock.advance(1000)
+        self.folder = Path(tempfile.mkdtemp(prefix="stage-"))
+        self.sink = _Sink()
+        self.shelves = shelves
+        self.props = props or {}
+        self.cuts: set[tuple[str, str]] = set()
+        self._fresh = 0
+        self.actors: dict[str, Actor] = {}
+        port = 1000
+        for role, n in (("office", offices), ("depot", depots), ("guide", guides)):
+            for i in range(n):
+                self.add(role, f"{role}{i}", "zone-" + "abcd"[i % 4], port)
+                port += 1
+        firsts = [self.actors[f"{r}0"] for r, n in (("office", offices), ("depot", depots), ("guide", guides)) if n]
+        self.seeds = tuple(f"{a.place[0]}:{a.place[1]}" for a in firsts)
+        self.founders = tuple(f"{a.place[0]}:{a.place[1]}" for a in self.role("office")[:3])
+
+    def add(self, role, name, zone, port) -> Actor:
+        self.actors[name] = Actor(self, role, name, zone, port)
+        return self.actors[name]
+
+    def fresh(self) -> str:
+        self._fresh += 1
+        return f"{self._fresh:04d}"
+
+    def role(self, role: str, alive: bool = False) -> list[Actor]:
+        return [a for a in self.actors.values() if a.role == role and (a.alive and not a.frozen or not alive)]
+
+    def start(self):
+        for a in self.actors.values():
+            a.start()
+
+    def cut(self, some, others, one_way: bool = False):
+        for a in some:
+            for b in others:
+                self.cuts.add((a, b))
+                if not one_way:
+                    self.cuts.add((b, a))
+
+    def heal(self):
+        self.cuts.clear()
+
+    def _delay(self) -> float:
+        return 0.0005 + 0.003 * self.chance.random()
+
+    def carry(self, sender: Actor, place, verb, body) -> defer.Deferred:
+        goal = next((a for a in self.actors.values() if a.place == place and a.alive), None)
+        d = defer.Deferred()
+        mine = sender.ctx
+
+        def back(result):
+            if (goal.name, sender.name) not in self.cuts and goal.alive:
+                self.clock.callLater(self._delay(), settle, result)
+
+        def settle(result):
+            if sender.alive and sender.ctx is mine and not d.called:
+                sender.clock.callLater(0, d.errback if isinstance(result, Exception) else d.callback, result)
+
+        def arrive():
+            if not goal.alive:
+                settle(CutOff("the colleague ended", sent=True))
+                return
+            goal.clock.callLater(0, attend)
+
+        def attend():
+            def turned(f):
+                e = f.value
+                back(Refused(e.code, str(e)) if isinstance(e, PipitFault) else Refused("fault", repr(e)))
+
+            spawn(goal.ctx.desk.attend(sender.node, verb, body)).addCallbacks(back, turned)
+
+        if goal is None:
+            self.clock.callLater(self._delay(), settle, CutOff("nobody is there", sent=False))
+        elif (sender.name, goal.name) not in self.cuts:
+            self.clock.callLater(self._delay(), arrive)
+        return d
+
+    def run(self, seconds: float, step: float = 0.005):
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end:
+            self.clock.advance(step)
+
+    def until(self, check, limit: float, what: str):
+        end = self.clock.seconds() + limit
+        while True:
+            got = check()
+            if got:
+                return got
+            if self.clock.seconds() > end:
+                raise AssertionError(f"seed {self.seed}: not within {limit} s: {what}")
+            self.clock.advance(0.005)
+
+    def do(self, work, limit: float = 20, what: str = "the work"):
+        """Runs a coroutine to its end on the stage's clock; returns its result or raises its fault."""
+        box = []
+        spawn(work).addBoth(box.append)
+        self.until(lambda: box, limit, what)
+        if hasattr(box[0], "raiseException"):
+            box[0].raiseException()
+        return box[0]
+
+    def beats(self) -> Beats:
+        """Beats for whoever stands outside the nodes."""
+        return Beats(self.clock, seconds=self.clock.seconds)
+
+    def leader(self):
+        now = [a for a in self.role("office", alive=True) if a.part.state == "leader" and a.part._fresh()]
+        return now[0] if len(now) == 1 else None
+
+    def ready(self, limit: float = 30):
+        self.until(lambda: self.leader() is not None and all(
+            a.ctx.setup.ready() for a in self.role("guide", alive=True)), limit, "the fleet is ready")
+
+    def wait(self, span: timedelta):
+        self.run(span.total_seconds())
+
+    def end(self):
+        for a in self.actors.values():
+            if a.alive:
+                a.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
--- /dev/null
+++ b/tests/test_stage_logs.py
@@ -0,0 +1,160 @@
+"""Logs and leases under kills, power losses, freezes and cuts, over many seeds."""
+import unittest
+
+from pipitlink.beats import ms
+from pipitlink.disk import frames
+from pipitlink.faults import Fenced, NotHeld, PipitFault
+from rehearsal.stage import Stage
+from rehearsal.trouble import Trouble, seeds
+
+SEEDS = seeds(4)
+
+
+class _Writers:
+    """Guides that race for one log, and readers that note every byte they were shown."""
+
+    def __init__(self, stage, log="results/x"):
+        self.stage, self.log = stage, log
+        self.acked: dict[int, bytes] = {}
+        self.shown = b""
+        self.faults: list[str] = []
+        self.over = False
+        self.holds = 0
+
+    async def write(self, actor):
+        n = 0
+        while not self.over:
+            if not actor.alive:
+                return
+            ctx = actor.ctx
+            try:
+                h = await ctx.ledger.hold(self.log)
+                self.holds += 1
+                for _ in range(ctx.chance.randrange(1, 12)):
+                    n += 1
+                    body = f"{ctx.node}/{n}".encode() + b"." * ctx.chance.randrange(3000)
+                    at = await h.append([body])
+                    self.acked[at] = body
+                    await ctx.beats.pause(ms(ctx.chance.randrange(60)))
+                if ctx.chance.random() < 0.5:
+                    await ctx.ledger.release([h])
+            except PipitFault:
+                pass
+            await ctx.beats.pause(ms(200 + ctx.chance.randrange(800)))
+
+    async def read(self, actor):
+        while not self.over and actor.alive:
+            ctx = actor.ctx
+            try:
+                state = (await ctx.ledger.states([self.log])).get(self.log)
+                if state is not None and state.committed:
+                    self.check(await ctx.ledger.read(self.log, 0, state.committed))
+            except PipitFault:
+                pass
+            await ctx.beats.pause(ms(150))
+
+    def check(self, data: bytes):
+        a, b = sorted((data, self.shown), key=len)
+        if not b.startswith(a):
+            self.faults.append(f"shown bytes moved below {len(a)}")
+        self.shown = b
+
+
+class LogsUnderTrouble(unittest.TestCase):
+    def run_seed(self, seed):
+        stage = Stage(seed, offices=3, depots=3, guides=3, shelves=2)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        w = _Writers(stage)
+        trouble = Trouble(stage, roles=("depot", "depot", "guide"))
+        work = [x for a in stage.role("guide") for x in (w.write(a), w.read(a))]
+        trouble.during(work, faults=10)
+        stage.run(8)
+        w.over = True
+        stage.run(3)
+        stage.ready()
+        for a in stage.role("guide"):
+            stage.do(a.ctx.ledger.release(list(a.ctx.ledger.holders.values())))
+        last = stage.role("guide")[0].ctx
+
+        async def final():
+            while True:
+                try:
+                    return await last.ledger.hold(w.log)
+                except NotHeld:
+                    await last.beats.pause(ms(500))
+
+        data = bytes(stage.do(final(), 30).data)
+        w.check(data)
+        self.assertEqual(w.faults, [], trouble.told)
+        found = {at: body for at, body, _ in frames(data)}
+        for at, body in w.acked.items():
+            self.assertEqual(found.get(at), body, f"seed {seed}: acknowledged at {at} and gone; {trouble.told}")
+        return len(w.acked), w.holds
+
+    def test_nothing_acknowledged_is_lost_and_nothing_shown_moves(self):
+        acked = holds = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                a, h = self.run_seed(seed)
+                acked, holds = acked + a, holds + h
+        self.assertGreater(acked, 20 * len(SEEDS))
+        self.assertGreater(holds, 3 * len(SEEDS))
+
+
+class Leases(unittest.TestCase):
+    def setUp(self):
+        self.stage = Stage(5, offices=3, depots=3, guides=2, shelves=2)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.stage.ready()
+        self.one, self.two = self.stage.role("guide")
+
+    def test_a_holder_that_slept_past_its_lease_is_fenced_and_stops_by_its_own_clock(self):
+        h = self.stage.do(self.one.ctx.ledger.hold("results/a"))
+        self.stage.do(h.append([b"one"]))
+        with self.assertRaises(NotHeld):
+            self.stage.do(self.two.ctx.ledger.hold("results/a"))
+        self.one.freeze()
+        self.stage.run(4)
+        h2 = self.stage.do(self.two.ctx.ledger.hold("results/a"))
+        self.assertGreater(h2.epoch, h.epoch)
+        self.stage.do(h2.append([b"two"]))
+        self.one.thaw()
+        self.assertFalse(h.held())
+        with self.assertRaises((NotHeld, Fenced)):
+            self.stage.do(h.append([b"late"]))
+        self.stage.run(3)
+        state = self.stage.do(self.two.ctx.ledger.states(["results/a"]))["results/a"]
+        data = self.stage.do(self.two.ctx.ledger.read("results/a", 0, state.committed))
+        self.assertEqual([b for _, b, _ in frames(data)], [b"one", b"two"])
+
+    def test_a_new_holder_keeps_a_tail_that_only_one_depot_was_sent(self):
+        h = self.stage.do(self.one.ctx.ledger.hold("results/b"))
+        self.stage.do(h.append([b"first"]))
+        depots = [a.name for a in self.stage.role("depot")]
+        self.stage.cut([self.one.name], depots[1:])
+        with self.assertRaises(PipitFault):
+            self.stage.do(h.append([b"unsure"]))
+        self.one.kill()
+        self.stage.heal()
+        self.stage.run(4)
+        h2 = self.stage.do(self.two.ctx.ledger.hold("results/b"))
+        bodies = [b for _, b, _ in frames(bytes(h2.data))]
+        self.assertEqual(bodies[0], b"first")
+        self.stage.do(h2.append([b"next"]))
+        states = [a.part.shed.state("results/b") for a in self.stage.role("depot")]
+        self.stage.run(2)
+        self.assertEqual(len({(s.tail_epoch) for s in states if s.length == max(x.length for x in states)}), 1)
+
+    def test_a_full_disk_refuses_lots_but_keeps_room_for_ends(self):
+        h = self.stage.do(self.one.ctx.ledger.hold("results/c"))
+        for a in self.stage.role("depot"):
+            shed = a.part.shed
+            shed.budget = shed.used() + shed.reserve + 2000
+        self.stage.run(1.5)
+        with self.assertRaises(PipitFault) as no:
+            self.stage.do(h.append([b"x" * 8000]))
+        self.assertEqual(no.exception.code, "no_room")
+        self.stage.do(h.append([b"end"], reserved=True))
--- /dev/null
+++ b/tests/test_stage_offices.py
@@ -0,0 +1,181 @@
+"""The agreed setup under trouble: edits, reads, delivery and votes, over many seeds."""
+import unittest
+
+from pipitlink.beats import ms
+from pipitlink.faults import NotLeading, PipitFault, Unproven, WireFault
+from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
+from rehearsal.stage import Stage
+from rehearsal.trouble import Trouble, seeds
+
+SEEDS = seeds(4)
+IN_EFFECT = 2.0
+
+
+def edit_of(name, base, text):
+    return Command(edit=text, table=TableEdit(base=base, puts=[Row(name=name, model=text)]))
+
+
+class _Operators:
+    """Operators that race with edits on the newest table they could read, and what they were told."""
+
+    def __init__(self, stage):
+        self.stage = stage
+        self.over = False
+        self.acked: list[tuple[float, int, str]] = []
+        self.refused: set[str] = set()
+        self.faults: list[str] = []
+        self.reads = 0
+        self.n = 0
+
+    def newest(self) -> int:
+        return self.acked[-1][1] if self.acked else 0
+
+    async def operate(self, who: int):
+        chance, beats = self.stage.chance, self.beats
+        while not self.over:
+            await beats.pause(ms(100 + chance.randrange(500)))
+            office = chance.choice(self.stage.role("office"))
+            if not office.alive or office.frozen:
+                continue
+            part = office.part
+            try:
+                floor = self.newest()
+                await part.sure_leader()
+                table = part.sheet.table
+                self.reads += 1
+                if table < floor:
+                    self.faults.append(f"read {table} after {floor} was acknowledged")
+                self.n += 1
+                text = f"edit{self.n}"
+                out = await part.edit(edit_of(f"row{who}", table, text))
+                if out.code == "done":
+                    self.acked.append((self.stage.clock.seconds(), out.sequence, text))
+                    self.acked.sort(key=lambda a: a[1])
+                else:
+                    self.refused.add(text)
+            except (NotLeading, Unproven, WireFault, PipitFault):
+                pass
+
+    def watch(self):
+        """Every guide that would admit work now has all that was acknowledged two seconds ago."""
+        now = self.stage.clock.seconds()
+        old = max((seq for at, seq, _ in self.acked if now - at > IN_EFFECT), default=0)
+        for a in self.stage.role("guide", alive=True):
+            setup = a.ctx.setup
+            if setup.ready() and setup.sheet.table < old:
+                self.faults.append(f"{a.name} admits at table {setup.sheet.table}, {old} is in effect, {now}")
+
+
+class SetupUnderTrouble(unittest.TestCase):
+    def run_seed(self, seed, roles):
+        stage = Stage(seed, offices=4, depots=4, guides=3, shelves=2)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        ops = _Operators(stage)
+        ops.beats = stage.beats()
+        plain_run = stage.run
+
+        def run(seconds, step=0.005):
+            for _ in range(int(seconds / 0.05)):
+                plain_run(0.05, step)
+                ops.watch()
+
+        stage.run = run
+        trouble = Trouble(stage, roles=roles)
+        trouble.during([ops.operate(0), ops.operate(1)], faults=12)
+        stage.run(6)
+        ops.over = True
+        stage.run(8)
+        stage.ready()
+        self.assertEqual(ops.faults, [], f"seed {seed}: {trouble.told}")
+        sheet = stage.leader().part.sheet
+        done = {o.edit: o.sequence for o in sheet.outcomes.values() if o.code == "done"}
+        for _, sequence, text in ops.acked:
+            self.assertEqual(done.get(text), sequence, f"seed {seed}: {text} was acknowledged and is gone")
+        self.assertFalse(ops.refused & set(done))
+        tables = {a.part.sheet.table for a in stage.role("office")} | {a.ctx.setup.sheet.table
+                                                                      for a in stage.role("guide")}
+        self.assertEqual(tables, {sheet.table}, f"seed {seed}")
+        return len(ops.acked)
+
+    def test_edits_hold_while_offices_fail(self):
+        self.assertGreater(sum(self.run_seed(s, ("office",)) for s in SEEDS), 5 * len(SEEDS))
+
+    def test_edits_hold_while_everything_fails(self):
+        self.assertGreater(sum(self.run_seed(s, ("office", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
+
+
+class Offices(unittest.TestCase):
+    def setUp(self):
+        self.stage = Stage(9, shelves=2)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.stage.ready()
+
+    def test_an_empty_disk_is_a_newcomer_and_the_standby_takes_the_lost_vote(self):
+        voters = self.stage.leader().part.voters()
+        lost = next(a for a in self.stage.role("office") if a.node in voters and a is not self.stage.leader())
+        old = lost.node
+        lost.kill(power=True)
+        lost.wipe()
+        lost.start()
+        self.assertNotEqual(lost.node, old)
+        self.assertEqual(lost.part.state, "newcomer")
+        self.stage.until(lambda: self.stage.leader() and old not in self.stage.leader().part.sheet.voters
+                         and len(self.stage.leader().part.sheet.voters) == 3, 12, "the standby votes")
+        self.stage.until(lambda: lost.part.sheet.sequence == self.stage.leader().part.sheet.sequence, 5, "it follows")
+
+    def test_a_lone_side_refuses_edits_and_reads(self):
+        leader = self.stage.leader()
+        rest = [a.name for a in self.stage.actors.values() if a is not leader]
+        self.stage.cut([leader.name], rest)
+        with self.assertRaises(PipitFault):
+            self.stage.do(leader.part.edit(edit_of("r", 0, "lone")), 10)
+        with self.assertRaises(PipitFault):
+            self.stage.do(leader.part.sure_leader(), 10)
+        self.stage.until(lambda: self.stage.leader() is not None, 10, "the others lead")
+        self.assertIsNot(self.stage.leader(), leader)
+        self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "theirs")), 10)
+        self.stage.heal()
+        self.stage.run(3)
+        self.assertEqual(leader.part.sheet.rows["r"].model, "theirs")
+
+    def test_service_goes_on_with_all_offices_cut_off_and_no_edit_is_acknowledged(self):
+        offices = [a.name for a in self.stage.role("office")]
+        others = [a.name for a in self.stage.actors.values() if a.role != "office"]
+        self.stage.cut(offices, others)
+        for _ in range(100):
+            self.stage.run(0.1)
+            if _ > 30:
+                self.assertEqual([a.ctx.setup.state for a in self.stage.role("guide") if a.ctx.setup.ready()],
+                                 ["witnessed"] * 3)
+        with self.assertRaises(PipitFault):
+            self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
+
+    def test_the_same_edit_id_gives_its_true_outcome(self):
+        part = self.stage.leader().part
+        first = self.stage.do(part.edit(edit_of("r", 0, "once")))
+        again = self.stage.do(part.edit(edit_of("r", 0, "once")))
+        self.assertEqual((first.code, first.sequence), (again.code, again.sequence))
+        lost = self.stage.do(part.edit(edit_of("r", 0, "second")))
+        self.assertEqual(lost.code, "wrong_base")
+        self.assertEqual(part.sheet.rows["r"].model, "once")
+
+    def test_a_long_log_is_trimmed_and_a_newcomer_takes_the_snapshot(self):
+        leader = self.stage.leader()
+
+        async def many():
+            for n in range(2700):
+                await leader.part._propose(Command(nothing=True))
+
+        self.stage.do(many(), 600)
+        self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
+        late = self.stage.add("office", "office9", "zone-a", 1900)
+        late.start()
+        self.stage.until(lambda: late.part.sheet.sequence == leader.part.sheet.sequence, 10, "the newcomer follows")
+        for a in (leader, late):
+            a.kill(power=True)
+            a.start()
+        self.stage.ready()
+        self.assertGreater(late.part.archive.snapshot.index, 0)
