Refuse a lot before a byte is sent where the depots are out of room

Cause: a refusal for room came after the bytes had left, and the holder then gave the log up, so the reserve could not take the lot's end (a staged test showed it). Before: end after a refused append: NotHeld. After: leases carry the room left, the append is refused up front as not_run, and the end is taken. Conclusion: late refusals still end the lease and are told as unknown.

--- a/pipitlink/depot/grants.py
+++ b/pipitlink/depot/grants.py
@@ -55,11 +55,11 @@
             return LeaseReceipt(why="epoch", state=state)
         self._grants[ask.log] = _Grant(ask.holder, ask.epoch, now + LEASE_SPAN)
         await self._syncer.put(lambda t: self.shed.promise(ask.log, ask.epoch, t))
-        return LeaseReceipt(granted=True, state=self._state(ask.log))
+        return LeaseReceipt(granted=True, state=self._state(ask.log), room=self.shed.room())
 
     async def _renew(self, node, ask: RenewAsk):
         until = self._ctx.beats.now() + LEASE_SPAN
-        out = RenewReceipt()
+        out = RenewReceipt(room=self.shed.room())
         for h in ask.held:
             g = self._grants.get(h.log)
             promised = self.shed.state(h.log).epoch
--- a/pipitlink/depot/shed.py
+++ b/pipitlink/depot/shed.py
@@ -102,6 +102,10 @@
         e = Entry(kind=Entry.PROMISE, log=log, epoch=epoch)
         k.promise_spot = self.segments.put(e.SerializeToString(), ticket)
 
+    def room(self) -> int:
+        """Bytes that may still be taken before the reserve is touched."""
+        return max(0, self.budget - self.reserve - self.used())
+
     def _room(self, size: int, reserved: bool):
         most = self.budget if reserved else self.budget - self.reserve
         if self.used() + size > most:
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -66,6 +66,10 @@
 class NoRoom(LedgerFault):
     code = "no_room"
 
+    def __init__(self, text: str, sent: bool = True):
+        super().__init__(text)
+        self.sent = sent
+
 
 class NotHeld(LedgerFault):
     code = "not_held"
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -35,6 +35,7 @@
         self._renewals: dict[str, timedelta] = {}
         self._acked: dict[str, int] = {}
         self._no_room: set[str] = set()
+        self._room: dict[str, int] = {}
         self._sending: set[str] = set()
         self._waiters: list[tuple[int, defer.Deferred]] = []
         self._reserved = False
@@ -52,7 +53,8 @@
         if not self.lost and not self.shelf.agree([d for d, at in self._renewals.items() if now - at < HOLD_SPAN]):
             self.lapse("lease ran out")
 
-    def renewed(self, depot: str, asked: timedelta):
+    def renewed(self, depot: str, asked: timedelta, room: int):
+        self._room[depot] = room
         self._renewals[depot] = max(asked, self._renewals.get(depot, asked))
 
     def lapse(self, why: str):
@@ -90,7 +92,7 @@
             raise NotHeld(f"{self.log}: outbid")
         self.epoch = epoch
         for n in granted:
-            self._renewals[n] = asked
+            self.renewed(n, asked, got[n].room)
             self._states[n] = got[n].state
         await self._settle_tail(granted)
 
@@ -124,6 +126,9 @@
             raise NotHeld(f"{self.log}: {self.lost or 'the lease is not current'}")
         if self.final:
             raise Fenced(f"{self.log} is final")
+        size = sum(len(r) + 64 for r in records)
+        if not reserved and not self.shelf.agree([n for n, room in self._room.items() if room > size]):
+            raise NoRoom(f"{self.log}: the depots are out of room", sent=False)
         self._reserved = reserved
         self._no_room.clear()
         self.final = self.final or final
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/ledger/ledger.py
@@ -87,7 +87,7 @@
         kept = set(r.kept)
         for h in holders:
             if h.log in kept:
-                h.renewed(depot, asked)
+                h.renewed(depot, asked, r.room)
 
     async def release(self, holders: list[Holder]):
         by_depot: dict[str, list[Held]] = {}
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -75,8 +75,8 @@
         return GuideFault(str(e), code=e.code, status=412, outcome="not_run")
     if isinstance(e, BadRows):
         return GuideFault(str(e), code=e.code, status=422, outcome="not_run")
-    if isinstance(e, (NoRoom,)):
-        return GuideFault(str(e), code=e.code, status=507, outcome="not_run")
+    if isinstance(e, NoRoom):
+        return GuideFault(str(e), code=e.code, status=507, outcome="unknown" if e.sent else "not_run", retry_after=30)
     if isinstance(e, NotLeading):
         return GuideFault(str(e), code=e.code, status=503, outcome="not_run", retry_after=1)
     if isinstance(e, (NoMajority, NotHeld, Overdue, CutOff, Unproven, Fenced, Refused, WireFault)):
