Move shelves off lost and retired depots, one replica at a time through the setup

Cause: a depot that died for good left its shelves with two copies; a second loss would be final. Built: a joining depot copies what a majority holds once they refuse the older placement, both sets must agree meanwhile, and the leader ends the move when told; retirement, fair shares for new depots and mending of copies that were away go the same way. Seen on the stage: two losses in turn, an empty replacement, a retirement and a new depot, each under appends to four logs; all acknowledged records stand where they were.

--- /dev/null
+++ b/pipitlink/depot/copying.py
@@ -0,0 +1,96 @@
+from ..beats import ms, secs
+from ..faults import Fenced, LedgerFault, NoMajority, WireFault
+from ..ledger.shelf import Shelf
+from ..wire.frame_pb2 import Nothing
+from ..wire.ledger_pb2 import CaughtUp, Entry, ListAsk, LogState, States
+from .grants import LEASE_SPAN
+
+__all__ = ["Copying"]
+
+JOIN_BEAT = ms(500)
+MEND_BEAT = secs(3)
+ASK_LIMIT = secs(1)
+COPY_KB_S = 16 * 1024
+
+
+def _rank(s: LogState) -> tuple[int, int]:
+    return s.tail_epoch, s.length
+
+
+class Copying:
+    """Mixin: a depot brings its copies up to what a majority of the shelf holds, when it joins or has been away."""
+
+    def _open_copying(self):
+        self._mine: set[int] = set()
+        self._ctx.setup.watch(self._shelves_moved)
+        self._ctx.beats.every(JOIN_BEAT, self._join_shelves, self._ctx.report("join"))
+        self._ctx.beats.every(MEND_BEAT, self._mend_shelves, self._ctx.report("mend"))
+
+    def _shelves(self) -> list[Shelf]:
+        setup = self._ctx.setup
+        return [s for n in sorted(setup.sheet.shelves) if self._ctx.node in (s := setup.shelf(n)).everyone]
+
+    def _shelves_moved(self):
+        mine = {s.number for s in self._shelves()}
+        if mine - self._mine:
+            self._quiet_until = self._ctx.beats.now() + LEASE_SPAN
+        self._mine = mine
+
+    async def _join_shelves(self):
+        for shelf in self._shelves():
+            if shelf.joining == self._ctx.node and await self._copy_shelf(shelf, joining=True):
+                await self._tell_caught_up(shelf)
+
+    async def _mend_shelves(self):
+        for shelf in self._shelves():
+            if shelf.joining != self._ctx.node:
+                await self._copy_shelf(shelf, joining=False)
+
+    async def _copy_shelf(self, shelf: Shelf, joining: bool) -> bool:
+        """True once this depot holds all that a majority of the others, all at this placement, are seen to hold."""
+        others = [d for d in shelf.depots if d != self._ctx.node]
+        got = await self._ctx.ledger.ask_each(others, "ledger.list", ListAsk(shelf=shelf.number, one_shelf=True),
+                                              States, ASK_LIMIT)
+        at = {d: r for d, r in got.items() if r.shelf_sequence >= shelf.sequence}
+        if joining and not 2 * len(at) > len(shelf.depots):
+            return False
+        best: dict[str, tuple[LogState, str]] = {}
+        promised: dict[str, int] = {}
+        for depot, r in at.items():
+            for s in r.states:
+                promised[s.log] = max(promised.get(s.log, 0), s.epoch)
+                if s.log not in best or _rank(s) > _rank(best[s.log][0]):
+                    best[s.log] = (s, depot)
+        whole = True
+        for log, (state, depot) in best.items():
+            try:
+                if _rank(state) > _rank(self.shed.state(log)):
+                    await self._copy_log(log, state, depot)
+                if joining and promised[log] > self.shed.state(log).epoch:
+                    await self._syncer.put(lambda t, log=log: self.shed.promise(log, promised[log], t, granted=False))
+            except (LedgerFault, WireFault) as e:
+                self._ctx.journal.trace("copy_put_off", log=log, text=e)
+                whole = False
+        return whole
+
+    async def _copy_log(self, log: str, state: LogState, depot: str):
+        """Makes this copy the same as that depot's, unsure tail and all, in one entry."""
+        mine = self.shed.state(log)
+        start = mine.length if mine.tail_epoch == state.tail_epoch else min(mine.committed, state.length)
+        data = await self._ctx.ledger.read_from(depot, log, start, state.length - start)
+        if len(data) != state.length - start:
+            raise NoMajority(f"{log}: {depot} did not show all of it")
+        e = Entry(kind=Entry.WRITE, log=log, epoch=state.tail_epoch, position=start, data=data, final=state.final,
+                  committed=min(state.committed, state.length))
+        done = self._syncer.put(lambda t: self.shed.copy(e, mine.tail_epoch, mine.length, t))
+        if done is None:
+            raise Fenced(f"{log} moved meanwhile")
+        await done
+        self.shed.settle(log, state.tail_epoch, state.length, state.final)
+        self._ctx.journal.note("copied", log=log, bytes=len(data), source=depot)
+        await self._ctx.beats.pause(secs(len(data) / (COPY_KB_S * 1024)))
+
+    async def _tell_caught_up(self, shelf: Shelf):
+        told = CaughtUp(depot=self._ctx.node, shelf=shelf.number, sequence=shelf.sequence)
+        offices = [m.node for m in self._ctx.roster.members("office", me=False)]
+        await self._ctx.ledger.ask_each(offices, "office.caught_up", told, Nothing, ms(500))
--- a/pipitlink/depot/grants.py
+++ b/pipitlink/depot/grants.py
@@ -43,6 +43,7 @@
         return s
 
     async def _lease(self, node, ask: LeaseAsk):
+        self._check_shelf(ask.log, ask.shelf_sequence)
         now = self._ctx.beats.now()
         g = self._live_grant(ask.log)
         state = self._state(ask.log)
--- a/pipitlink/depot/node.py
+++ b/pipitlink/depot/node.py
@@ -3,10 +3,12 @@
 
 from ..context import fresh_id
 from ..disk import Disk, swap_in
-from ..faults import NoRoom, PropsFault
+from ..faults import NoRoom, OldShelf, PropsFault
+from ..ledger.shelf import shelf_of
 from ..syncing import Syncer
 from ..wire.ledger_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
                                WriteReceipt)
+from .copying import Copying
 from .grants import Grants
 from .shed import Shed
 
@@ -31,7 +33,7 @@
     return node
 
 
-class DepotNode(Grants):
+class DepotNode(Grants, Copying):
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
         budget = ctx.props.budget_mb * 1024 * 1024
@@ -43,6 +45,7 @@
         self.shed.recover()
         self._ctx.journal.note("recovered", logs=len(self.shed.logs), used=self.shed.used())
         self._open_grants()
+        self._open_copying()
         d = self._ctx.desk
         d.answer("ledger.write", WriteAsk, self._write)
         d.answer("ledger.mark", MarkAsk, self._mark)
@@ -51,6 +54,7 @@
         d.answer("ledger.list", ListAsk, self._list)
 
     async def _write(self, node, ask: WriteAsk):
+        self._check_shelf(ask.log, ask.shelf_sequence)
         key = (ask.log, ask.epoch)
         if ask.staged:
             return self._stage(key, ask)
@@ -92,7 +96,17 @@
         return States(states=[self._state(log) for log in ask.logs[:4096]])
 
     async def _list(self, node, ask: ListAsk):
-        return States(states=[self._state(n) for n in sorted(self.shed.logs) if n.startswith(ask.prefix)])
+        names = (n for n in sorted(self.shed.logs) if n.startswith(ask.prefix))
+        if ask.one_shelf:
+            names = (n for n in names if shelf_of(n, self._ctx.setup.shelves) == ask.shelf)
+        return States(states=[self._state(n) for n in names],
+                      shelf_sequence=self._ctx.setup.shelf(ask.shelf).sequence if ask.one_shelf else 0)
+
+    def _check_shelf(self, log: str, sequence: int):
+        """A writer that counts on an older placement must look again before it goes on."""
+        shelf = self._ctx.setup.shelf(shelf_of(log, self._ctx.setup.shelves))
+        if sequence < shelf.sequence:
+            raise OldShelf(f"shelf {shelf.number} is at sequence {shelf.sequence}, not {sequence}")
 
     def close(self):
         self.shed.close()
--- a/pipitlink/depot/shed.py
+++ b/pipitlink/depot/shed.py
@@ -18,6 +18,7 @@
 
     log: str
     epoch: int = 0
+    granted: int = 0
     tail_epoch: int = 0
     length: int = 0
     committed: int = 0
@@ -61,6 +62,7 @@
             self._replay(Entry.FromString(body), spot, len(body))
         for k in self.logs.values():
             k.synced = (k.tail_epoch, k.length, k.final)
+            k.granted = k.epoch
 
     def _replay(self, e: Entry, spot: Spot, size: int):
         if e.kind == Entry.FORGET:
@@ -93,12 +95,14 @@
         return LogState(log=log, epoch=k.epoch, tail_epoch=tail_epoch, length=length,
                         committed=min(k.committed, length), final=final)
 
-    def promise(self, log: str, epoch: int, ticket) -> None:
+    def promise(self, log: str, epoch: int, ticket, granted: bool = True) -> None:
         k = self.logs.setdefault(log, Kept(log))
         if epoch <= k.epoch:
             raise Fenced(f"{log}: epoch {k.epoch} is promised")
         self._room(64, True)
         k.epoch = epoch
+        if granted:
+            k.granted = epoch
         e = Entry(kind=Entry.PROMISE, log=log, epoch=epoch)
         k.promise_spot = self.segments.put(e.SerializeToString(), ticket)
 
@@ -111,21 +115,29 @@
         if self.used() + size > most:
             raise NoRoom(f"the data folder holds {self.used()} of {self.budget} bytes")
 
-    def write(self, e: Entry, expect_tail_epoch: int, expect_length: int, reserved: bool, ticket) -> bool:
+    def write(self, e: Entry, expect_tail_epoch: int, expect_length: int, reserved: bool, ticket,
+              copied: bool = False) -> bool:
         """Queues a write; False if this replica does not stand where the writer expects."""
         k = self.logs.setdefault(e.log, Kept(e.log))
-        if e.epoch < k.epoch:
+        if e.epoch < k.epoch and not copied:
             raise Fenced(f"{e.log}: epoch {k.epoch} is promised")
         if (k.tail_epoch, k.length) != (expect_tail_epoch, expect_length) or e.position > k.length:
             return False
         if e.position < k.committed:
             raise Fenced(f"{e.log}: bytes below {k.committed} are committed")
         self._room(len(e.data) + 128, reserved)
-        k.epoch = e.epoch
+        k.epoch = max(k.epoch, e.epoch)
         body = _packed(e)
         self._apply(k, e, self.segments.put(body, ticket), len(body))
         return True
 
+    def copy(self, e: Entry, expect_tail_epoch: int, expect_length: int, ticket) -> bool:
+        """A copy of another depot's state; never where a later holder has already counted on what is here."""
+        k = self.logs.get(e.log)
+        if k is not None and k.granted > e.epoch:
+            raise Fenced(f"{e.log}: epoch {k.granted} was granted here")
+        return self.write(e, expect_tail_epoch, expect_length, True, ticket, copied=True)
+
     def settle(self, log: str, tail_epoch: int, length: int, final: bool):
         k = self.logs.get(log)
         if k is not None:
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -1,6 +1,6 @@
 __all__ = [
     "PipitFault", "PropsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
-    "LedgerFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "Damaged",
+    "LedgerFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldShelf", "Damaged",
     "GuideFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
     "OfficeFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
 ]
@@ -71,6 +71,10 @@
         self.sent = sent
 
 
+class OldShelf(LedgerFault):
+    code = "old_shelf"
+
+
 class NotHeld(LedgerFault):
     code = "not_held"
 
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -7,8 +7,8 @@
 from ..disk import frame
 from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
 from ..wire.frame_pb2 import Nothing
-from ..wire.ledger_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk,
-                               WriteAsk, WriteReceipt)
+from ..wire.ledger_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, States, StatesAsk, WriteAsk,
+                               WriteReceipt)
 
 __all__ = ["Holder"]
 
@@ -39,6 +39,7 @@
         self._sending: set[str] = set()
         self._waiters: list[tuple[int, defer.Deferred]] = []
         self._reserved = False
+        self._best = (0, 0)
         self._watchers: list = []
 
     def held(self) -> bool:
@@ -49,10 +50,22 @@
         return self.shelf.agree([d for d, at in self._renewals.items() if now - at < HOLD_SPAN])
 
     def renewing(self):
+        self.look_again()
         now = self._ctx.beats.now()
         if not self.lost and not self.shelf.agree([d for d, at in self._renewals.items() if now - at < HOLD_SPAN]):
             self.lapse("lease ran out")
 
+    def look_again(self):
+        """Follows its shelf where the setup has moved it."""
+        shelf = self._ledger.shelf(self.log)
+        if shelf.sequence > self.shelf.sequence:
+            self.shelf = shelf
+            for n in [n for n in self._states if n not in shelf.everyone]:
+                del self._states[n]
+            if self.data and not self.lost:
+                for n in shelf.everyone:
+                    self._send_to(n)
+
     def renewed(self, depot: str, asked: timedelta, room: int):
         self._room[depot] = room
         self._renewals[depot] = max(asked, self._renewals.get(depot, asked))
@@ -101,24 +114,15 @@
         best = max(granted, key=lambda n: (self._states[n].tail_epoch, self._states[n].length))
         state = self._states[best]
         if state.length:
-            self.data = bytearray(await self._read_tail(best, state.length))
+            self.data = bytearray(await self._ledger.read_from(best, self.log, 0, state.length))
+            if len(self.data) != state.length:
+                raise NoMajority(f"{self.log}: {best} could not show its tail")
         self.final = state.final
-        self.committed = max(s.committed for s in self._states.values())
         self._best = (state.tail_epoch, state.length)
+        self.committed = max(s.committed for s in self._states.values())
         if state.length:
             await self._reach(state.length, restamp=True)
 
-    async def _read_tail(self, node: str, length: int) -> bytes:
-        out = b""
-        while len(out) < length:
-            r = await self._ledger.ask(node, "ledger.read", ReadAsk(log=self.log, position=len(out),
-                                                                     length=min(MAX_WRITE, length - len(out))),
-                                       ReadReceipt, WRITE_LIMIT)
-            if not r.data:
-                raise NoMajority(f"{self.log}: {node} could not show its tail")
-            out += r.data
-        return out
-
     async def append(self, records: list[bytes], final: bool = False, reserved: bool = False) -> int:
         """Appends whole records; returns where they start, once a majority has synced them."""
         if not self.held():
@@ -165,7 +169,7 @@
 
     async def _send(self, node: str):
         """One task for each replica, while it lacks anything."""
-        while not self.lost:
+        while not self.lost and node in self.shelf.everyone:
             state = self._states.get(node)
             try:
                 if state is None:
@@ -180,6 +184,8 @@
                 if e.fault == "no_room":
                     self._full(node)
                     return
+                if e.fault == "old_shelf":
+                    self.look_again()
                 self._states.pop(node, None)
                 await self._ctx.beats.pause(RETRY_BEAT)
             except WireFault as e:
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/ledger/ledger.py
@@ -136,19 +136,25 @@
         nodes = list(self.shelf(log).everyone)
         self._ctx.chance.shuffle(nodes)
         for node in nodes:
-            while len(out) < length:
-                ask = ReadAsk(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
-                try:
-                    data = (await self.ask(node, "ledger.read", ask, ReadReceipt, secs(2))).data
-                except WireFault:
-                    break
-                if not data:
-                    break
-                out += data
+            out += await self.read_from(node, log, position + len(out), length - len(out))
             if len(out) >= length:
                 return out
         raise NoMajority(f"{log}: bytes {position + len(out)} to {position + length} could not be read")
 
+    async def read_from(self, node: str, log: str, position: int, length: int) -> bytes:
+        """What one depot shows of a span: less than all of it where it has less or cannot be heard."""
+        out = b""
+        while len(out) < length:
+            ask = ReadAsk(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
+            try:
+                data = (await self.ask(node, "ledger.read", ask, ReadReceipt, secs(2))).data
+            except WireFault:
+                break
+            if not data:
+                break
+            out += data
+        return out
+
 
 def agreed(shelf: Shelf, states: dict[str, LogState]) -> LogState:
     """The longest length that is surely committed: told as such, or held by majorities under one tail epoch."""
--- a/pipitlink/office/node.py
+++ b/pipitlink/office/node.py
@@ -41,6 +41,7 @@
         self._open_leading()
         self._open_guides()
         self._open_edits()
+        self._open_shelving()
         self._ctx.desk.answer("office.empty", Nothing, self._empty)
         if self.archive.snapshot.sheet.voters:
             self.put("founded")
--- a/pipitlink/office/shelving.py
+++ b/pipitlink/office/shelving.py
@@ -3,26 +3,45 @@
 from ..beats import secs
 from ..faults import GuideFault
 from ..setup import Sheet
+from ..wire.ledger_pb2 import CaughtUp
 from ..wire.setup_pb2 import Command, DepotEdit, ShelfRow, Shelving as ShelvingRow
 
 __all__ = ["Shelving"]
 
 COPIES = 3
-SETTLE = secs(2)
+SETTLE = secs(1)
+REPAIR_AFTER = secs(5)
+MAX_MOVES = 4
 
 
 class Shelving:
-    """Mixin: the leader places shelves on depots, zones kept distinct where possible."""
+    """Mixin: the leader places shelves on depots, zones kept distinct where possible, and moves them off lost ones."""
+
+    def _open_shelving(self):
+        self._caught_up_shelves: set[tuple[int, int, str]] = set()
+        self._ctx.desk.answer("office.caught_up", CaughtUp, self._told_caught_up)
+
+    async def _told_caught_up(self, node, told: CaughtUp):
+        self._caught_up_shelves.add((told.shelf, told.sequence, told.depot))
+        if len(self._caught_up_shelves) > 10_000:
+            self._caught_up_shelves.clear()
 
     async def _shelve_beat(self):
         if self.state != "leader" or self.archive.term_at(self.commit) != self.term:
             return
-        if self._ctx.beats.now() - self._elected_at < SETTLE / 2:
+        if self._ctx.beats.now() - self._elected_at < SETTLE:
             return
-        if await self._admit_depot():
+        if await self._admit_depot() or await self._let_depot_go():
             return
         if not self.sheet.shelves:
             await self._first_shelves()
+            return
+        rows = self._next_moves()
+        if rows:
+            await self._propose(Command(shelving=ShelvingRow(shelves=rows)))
+            for r in rows:
+                self._ctx.journal.note("shelf", shelf=r.number, sequence=r.sequence, depots=",".join(r.depots),
+                                       joining=r.joining, leaving=r.leaving)
 
     async def _proved(self, c: Command):
         """One change of the witnesses at a time, each in effect before the next."""
@@ -36,10 +55,31 @@
                 return True
         return False
 
+    async def _let_depot_go(self) -> bool:
+        """A depot that keeps no shelf any more: a retired one may be switched off, a lost one is taken off."""
+        for depot, standing in self.sheet.depots.items():
+            if not self.sheet.shelves or self._holds(self.sheet)[depot]:
+                continue
+            if standing == "retiring" or (standing != "retired" and self._lost(depot)):
+                goal = "retired" if standing == "retiring" else "removed"
+                await self._proved(Command(depot=DepotEdit(depot=depot, standing=goal)))
+                self._ctx.journal.note("depot_let_go", depot=depot, standing=goal)
+                return True
+        return False
+
+    def _holds(self, sheet: Sheet) -> Counter:
+        return Counter(d for s in sheet.shelves.values() for d in (*s.depots, s.joining) if d)
+
     def _zone(self, depot: str) -> str:
         m = self._ctx.roster.find(depot)
         return m.zone if m is not None else ""
 
+    def _lost(self, depot: str) -> bool:
+        standing = self._ctx.roster.standing(depot)
+        if standing == "unknown":
+            return self._ctx.beats.now() - self._elected_at > 2 * REPAIR_AFTER
+        return standing == "gone" and self._ctx.roster.since(depot) > REPAIR_AFTER
+
     def _serving(self) -> list[str]:
         return [d for d, s in self.sheet.depots.items()
                 if s == "serving" and self._ctx.roster.standing(d) == "alive"]
@@ -62,10 +102,59 @@
     def _pick_depot(self, depots, beside, held) -> str:
         zones = {self._zone(d) for d in beside}
         free = [d for d in depots if d not in beside]
-        return min(free, key=lambda d: (self._zone(d) in zones, held[d], d))
+        return min(free, key=lambda d: (self._zone(d) in zones, held[d], d), default="")
+
+    def _next_moves(self) -> list[ShelfRow]:
+        """Moves that can end now, else a few that can begin; one replica of a shelf at a time."""
+        ending, moving = [], 0
+        for s in self.sheet.shelves.values():
+            if not s.joining:
+                continue
+            moving += 1
+            if (s.number, s.sequence, s.joining) in self._caught_up_shelves:
+                depots = [s.joining if d == s.leaving else d for d in s.depots]
+                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, depots=depots))
+            elif self._lost(s.joining):
+                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, depots=s.depots))
+        if ending:
+            return ending
+        starting = []
+        held = self._holds(self.sheet)
+        serving = self._serving()
+        for s in sorted(self.sheet.shelves.values(), key=lambda s: s.number):
+            if s.joining or moving + len(starting) >= MAX_MOVES:
+                continue
+            leaving = next((d for d in s.depots if self._lost(d)), "") \
+                or next((d for d in s.depots if self.sheet.depots.get(d) == "retiring"), "")
+            if leaving:
+                beside = [d for d in s.depots if d != leaving]
+                joining = self._pick_depot([d for d in serving if d not in s.depots], beside, held)
+                if joining:
+                    held[joining] += 1
+                    starting.append(self._move(s, leaving, joining))
+        return starting or ([] if moving else self._evening_out(held, serving))
+
+    def _move(self, s: ShelfRow, leaving: str, joining: str) -> ShelfRow:
+        return ShelfRow(number=s.number, sequence=s.sequence + 1, depots=s.depots, joining=joining, leaving=leaving)
+
+    def _evening_out(self, held: Counter, serving: list[str]) -> list[ShelfRow]:
+        """A new depot takes a fair share, one shelf at a time, where zones stay as distinct as they were."""
+        if len(serving) <= COPIES:
+            return []
+        low = min(serving, key=lambda d: (held[d], d))
+        for high in sorted(serving, key=lambda d: -held[d]):
+            if held[high] - held[low] < 2:
+                return []
+            for s in self.sheet.shelves.values():
+                rest = {self._zone(d) for d in s.depots if d != high}
+                if high in s.depots and low not in s.depots and (self._zone(low) not in rest
+                                                                 or self._zone(high) in rest):
+                    return [self._move(s, high, low)]
+        return []
 
     def check_retirement(self, sheet: Sheet, depot: str):
-        rest = [d for d, s in sheet.depots.items() if s == "serving" and d != depot]
+        rest = [d for d, s in sheet.depots.items()
+                if s == "serving" and d != depot and self._ctx.roster.standing(d) == "alive"]
         if len(rest) < COPIES:
-            raise GuideFault(f"{len(rest)} depots would be left and each shelf needs {COPIES}", code="too_few_copies",
-                             status=409, outcome="not_run")
+            raise GuideFault(f"{len(rest)} live depots would be left and each shelf needs {COPIES}",
+                             code="too_few_copies", status=409, outcome="not_run")
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -103,4 +103,4 @@
         return t.get((model, pool)) or t.get((model, "")) or t.get(("", pool))
 
     def witnesses(self) -> list[str]:
-        return sorted(self.depots)
+        return sorted(d for d, s in self.depots.items() if s != "retired")
--- /dev/null
+++ b/tests/test_stage_shelves.py
@@ -0,0 +1,111 @@
+"""Shelves move off lost and retired depots, and nothing acknowledged is lost on the way."""
+import unittest
+
+from pipitlink.beats import ms
+from pipitlink.disk import frames
+from pipitlink.faults import GuideFault, PipitFault
+from pipitlink.wire.setup_pb2 import Command, DepotEdit
+from rehearsal.stage import Stage
+from rehearsal.trouble import seeds
+
+
+class _Log:
+    def __init__(self, stage, log):
+        self.stage, self.log = stage, log
+        self.acked: dict[int, bytes] = {}
+        self.over = False
+
+    async def write(self, actor):
+        n = 0
+        ctx = actor.ctx
+        while not self.over:
+            try:
+                h = await ctx.ledger.hold(self.log)
+                while not self.over:
+                    n += 1
+                    body = f"{self.log}/{n}".encode()
+                    self.acked[await h.append([body])] = body
+                    await ctx.beats.pause(ms(40))
+            except PipitFault:
+                await ctx.beats.pause(ms(300))
+        for h in list(ctx.ledger.holders.values()):
+            if h.log == self.log:
+                await ctx.ledger.release([h])
+
+
+class Shelves(unittest.TestCase):
+    def stage(self, seed, **more):
+        stage = Stage(seed, offices=3, guides=3, shelves=4, **more)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        logs = [_Log(stage, f"results/{n}") for n in range(4)]
+        for n, log in enumerate(logs):
+            stage.role("guide")[n % 3].ctx.spawned(log.write(stage.role("guide")[n % 3]), "write")
+        return stage, logs
+
+    def check(self, stage, logs):
+        for log in logs:
+            log.over = True
+        stage.run(4)
+        for log in logs:
+            self.assertGreater(len(log.acked), 20)
+            h = stage.do(stage.role("guide")[0].ctx.ledger.hold(log.log), 30)
+            found = {at: body for at, body, _ in frames(bytes(h.data))}
+            for at, body in log.acked.items():
+                self.assertEqual(found.get(at), body, f"seed {stage.seed} {log.log}")
+
+    def placed(self, stage, without):
+        leader = stage.leader()
+        if leader is None:
+            return False
+        rows = leader.part.sheet.shelves.values()
+        return all(not s.joining and without not in s.depots and len(s.depots) == 3 for s in rows)
+
+    def test_two_losses_in_turn_with_repair_between_lose_nothing(self):
+        for seed in seeds(3):
+            with self.subTest(seed=seed):
+                stage, logs = self.stage(seed, depots=5)
+                for lost in stage.chance.sample(stage.role("depot"), 2):
+                    stage.run(2)
+                    node = lost.node
+                    lost.kill(power=True)
+                    lost.wipe()
+                    stage.until(lambda: self.placed(stage, node), 40, "the shelves have moved")
+                self.check(stage, logs)
+
+    def test_an_empty_depot_in_place_of_a_lost_one_takes_its_shelves(self):
+        stage, logs = self.stage(7, depots=4)
+        stage.run(2)
+        lost = stage.role("depot")[1]
+        node = lost.node
+        lost.kill(power=True)
+        lost.wipe()
+        lost.start()
+        stage.until(lambda: self.placed(stage, node), 40, "the shelves have moved")
+        stage.until(lambda: stage.leader() and node not in stage.leader().part.sheet.depots, 10, "it is off the sheet")
+        self.check(stage, logs)
+
+    def test_a_retired_depot_gives_up_its_shelves_and_then_may_be_switched_off(self):
+        stage, logs = self.stage(8, depots=4)
+        gone = stage.role("depot")[2]
+        part = stage.leader().part
+        part.check_retirement(part.sheet, gone.node)
+        stage.do(part.edit(Command(depot=DepotEdit(depot=gone.node, standing="retiring"))))
+        stage.until(lambda: stage.leader() and stage.leader().part.sheet.depots.get(gone.node) == "retired", 60,
+                    "it may be switched off")
+        with self.assertRaises(GuideFault) as no:
+            stage.leader().part.check_retirement(stage.leader().part.sheet, stage.role("depot")[0].node)
+        self.assertEqual(no.exception.code, "too_few_copies")
+        gone.kill()
+        stage.run(3)
+        self.check(stage, logs)
+
+    def test_a_new_depot_takes_a_fair_share(self):
+        stage, logs = self.stage(9, depots=3)
+        new = stage.add("depot", "depot7", "zone-d", 1700)
+        new.start()
+        stage.until(lambda: stage.leader() and stage.leader().part._holds(stage.leader().part.sheet)[new.node] >= 2, 60,
+                    "it has shelves")
+        stage.run(5)
+        self.check(stage, logs)
