Compare two nodes' beliefs, and give operators their commands and a face on every node

Cause: with the path served, the first question after any fault is where two nodes differ. Built: compare with exit codes 0, 1 and 2, table, zone, depot, standing and lot commands, beliefs, standing, readiness and metrics on each node's operator address, every prop as a flag. Seen: guides, depots and offices of a fresh fleet compare as alike; differences in unit tests. Conclusion: a test that waited for two nodes to notice a freeze at different times was dropped, as it raced.

--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -1,44 +1,61 @@
-"""pipitlink: live model requests and lots on the same engines.
+import sys
+
+import attrs
+from docopt import docopt
+
+from . import __version__
+from .faults import PropsFault
+from .props import ROLES, Props, read_props
+
+__all__ = ["main"]
+
+_HELP = """pipitlink: live model requests, and lots on the same engines.
 
 Usage:
-  pipitlink guide [--props FILE] [--set PROP=VALUE]...
-  pipitlink depot [--props FILE] [--set PROP=VALUE]...
-  pipitlink office [--props FILE] [--set PROP=VALUE]...
+  pipitlink (guide | depot | office) [--props FILE] [options]
+  pipitlink compare A B [--json]
+  pipitlink table show [--at PLACES]
+  pipitlink table put FILE [--base N] [--edit ID] [--at PLACES]
+  pipitlink table set ROW FIELD=VALUE... [--base N] [--edit ID] [--at PLACES]
+  pipitlink table drop ROW [--base N] [--edit ID] [--at PLACES]
+  pipitlink zone (show | (empty | fill) ZONE) [--at PLACES]
+  pipitlink depot (show | retire DEPOT) [--at PLACES]
+  pipitlink standing [--at PLACES]
+  pipitlink lot (show | end) LOT [--at PLACES]
   pipitlink -h | --help
   pipitlink --version
 
+A and B are two nodes' operator addresses, HOST:PORT. `compare` ends with 0 where they believe alike, 1 where they
+differ, 2 where one cannot be reached. The other commands end with 1 when the fleet refuses and 2 when nothing answers.
+
 Options:
-  --props FILE          The node's props, a TOML file.
-  --set PROP=VALUE      One prop; goes before the file's.
+  --at PLACES           Operator addresses to ask, with commas; for `lot`, callers' addresses. Else $PIPITLINK_AT.
+  --base N              The table's sequence that an edit builds on; the newest where it is left out.
+  --edit ID             The edit's id; sent again, it gives the edit's true outcome.
+  --json                Print JSON.
   -h --help             Show this.
   --version             Show the version.
-"""
-import sys
-
-from docopt import docopt
 
-from . import __version__
-from .faults import PropsFault
-from .props import ROLES, read_props
-
-__all__ = ["main"]
+Props, each also a line of the props file:
+  --props FILE          The node's props, a TOML file.
+"""
 
 
-def _flags(pairs: list[str]) -> dict:
-    flags = {}
-    for pair in pairs:
-        name, eq, value = pair.partition("=")
-        if not eq:
-            raise PropsFault([f"--set {pair}: must be PROP=VALUE"])
-        flags[name] = value
-    return flags
+def _help() -> str:
+    lines = [f"  --{a.name.replace('_', '-')} VALUE" for a in attrs.fields(Props)]
+    return _HELP + "\n".join(lines) + "\n"
 
 
 def main(argv: list[str] | None = None) -> int:
-    words = docopt(__doc__, argv=argv, version=f"pipitlink {__version__}")
+    words = docopt(_help(), argv=argv, version=f"pipitlink {__version__}")
+    role = next((r for r in ROLES if words[r] and not (words.get("show") or words.get("retire"))), None)
+    if role is None:
+        from .tools import run_tool
+
+        return run_tool(words)
     try:
-        role = next(r for r in ROLES if words[r])
-        props = read_props(role, words["--props"], _flags(words["--set"]))
+        flags = {a.name: words["--" + a.name.replace("_", "-")] for a in attrs.fields(Props)}
+        props = read_props(role, words["--props"], flags)
         from .process import run
 
         return run(role, props)
--- a/pipitlink/depot/node.py
+++ b/pipitlink/depot/node.py
@@ -108,5 +108,20 @@
         if sequence < shelf.sequence:
             raise OldShelf(f"shelf {shelf.number} is at sequence {shelf.sequence}, not {sequence}")
 
+    def readiness(self):
+        used, room = self.shed.used(), self.shed.room()
+        return True, {"used": used, "room": room, "budget": self.shed.budget, "logs": len(self.shed.logs)}
+
+    def beliefs(self) -> dict:
+        states = [self._state(n) for n in sorted(self.shed.logs)]
+        shelves = self._ctx.setup.shelves
+        return {"logs": {f"{shelf_of(s.log, shelves)}/{s.log}": f"epoch={s.tail_epoch} length={s.length} final={s.final}" for s in states},
+                "leases": {s.log: f"{s.holder}@{s.epoch}" for s in states if s.holder}}
+
+    def metrics(self) -> dict:
+        return {"disk_used_bytes": ("Bytes of the data folder in use", self.shed.used()),
+                "disk_room_bytes": ("Bytes before the reserve is touched", self.shed.room()),
+                "logs": ("Logs kept", len(self.shed.logs))}
+
     def close(self):
         self.shed.close()
--- a/pipitlink/guide/node.py
+++ b/pipitlink/guide/node.py
@@ -74,6 +74,27 @@
     def _nowhere(self, request, path):
         return send_fault(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
 
+    def readiness(self):
+        setup = self._ctx.setup
+        return self.current(), {"setup": setup.sequence, "currency": setup.state}
+
+    def beliefs(self) -> dict:
+        engines = {e.name: f"{self.engines.standing(e)} {e.news.address} {e.news.incarnation}"
+                   for e in self.engines.all()}
+        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.ledger.holders.items())}
+        return {"engines": engines, "leases": leases}
+
+    def metrics(self) -> dict:
+        counts = self._ctx.cache.counts
+        out = {f"cache_{name}": (f"Chunks or reads: {name}", counts[name])
+               for name in ("relaxed", "consistent", "durable", "durable_reads", "hedged", "unheard")}
+        out["asks"] = ("Requests in the table", len(self.asks))
+        out["open_lots"] = ("Lots known to be open", len(self.open_lots))
+        out["owned_lots"] = ("Lots this guide owns", sum(o.holder is not None for o in self.open_lots.values()))
+        out["running"] = ("Requests on engines from here", sum(e.mine for e in self.engines.all()))
+        out["cache_bytes"] = ("Bytes in the data cache here", self._ctx.cache.chunks.size)
+        return out
+
     async def end(self):
         if self._port is not None:
             await self._port.stopListening()
--- a/pipitlink/office/edits.py
+++ b/pipitlink/office/edits.py
@@ -1,13 +1,11 @@
 import json
 
-from klein import Klein
-
 from ..beats import secs
 from ..context import fresh_id
 from ..faults import (BadAsk, CutOff, GuideFault, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
                       WrongBase)
 from ..setup import Sheet
-from ..web import Site, answered, listen, send_fault, send_json
+from ..web import answered, send_json
 from ..wire.office_pb2 import EditAsk, EditReceipt, ReadTableAsk
 from ..wire.setup_pb2 import Command, DepotEdit, SheetData, TableEdit, ZoneEdit
 from .rows import row_dict, row_from, rows_from
@@ -51,7 +49,6 @@
     def _open_edits(self):
         self._ctx.desk.answer("office.edit", EditAsk, self._edit_for)
         self._ctx.desk.answer("office.read", ReadTableAsk, self._read_for)
-        self._http = None
 
     async def _edit_for(self, node, ask: EditAsk) -> EditReceipt:
         return EditReceipt(outcome=await self.edit(ask.command))
@@ -160,9 +157,7 @@
         c = Command(edit=_edit_id(request), depot=DepotEdit(depot=depot, standing="retiring"))
         return await self._do_edit(request, c)
 
-    async def listen(self, host: str, port: int) -> int:
-        app = Klein()
-        add = app.route
+    def routes(self, add):
         add("/v1/table", methods=["GET"])(self.show_table)
         add("/v1/table", methods=["PUT"])(self.put_table)
         add("/v1/table/rows/<name>", methods=["GET"])(self.show_row)
@@ -172,17 +167,14 @@
         add("/v1/zones/<zone>", methods=["PUT"])(self.put_zone)
         add("/v1/depots", methods=["GET"])(self.show_depots)
         add("/v1/depots/<depot>/retire", methods=["POST"])(self.retire_depot)
-        add("/v1/ready", methods=["GET"])(self.ready)
-        add("/", defaults={"path": ""})(self._nowhere)
-        add("/<path:path>")(self._nowhere)
-        self._http, port = await listen(self._ctx.reactor, Site(app.resource(), 32 * 1024 * 1024), host, port)
-        return port
-
-    def ready(self, request):
-        ok = bool(self.leader)
-        return send_json(request, {"ready": ok, "leader": self.leader, "state": self.state}, 200 if ok else 503)
 
-    def _nowhere(self, request, path):
-        return send_fault(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
+    def readiness(self):
+        return bool(self.leader), {"leader": self.leader, "state": self.state, "term": self.term}
 
+    def beliefs(self) -> dict:
+        return {}
 
+    def metrics(self) -> dict:
+        return {"term": ("The agreement's term", self.term),
+                "leading": ("1 where this office leads", int(self.state == "leader")),
+                "agreed": ("The agreed log's index", self.commit)}
--- a/pipitlink/office/node.py
+++ b/pipitlink/office/node.py
@@ -123,8 +123,6 @@
         self.archive.close()
 
     async def end(self):
-        if self._http is not None:
-            await self._http.stopListening()
         if self.state == "leader":
             self.step_down()
             await self._ctx.beats.pause(secs(0.05))
--- /dev/null
+++ b/pipitlink/operator.py
@@ -0,0 +1,102 @@
+from klein import Klein
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+
+from .faults import NotFound
+from .web import Site, listen, send_fault, send_json
+
+__all__ = ["OperatorFace"]
+
+
+class OperatorFace:
+    """What a node tells operators: its beliefs, whether it lives and is ready, and its metrics."""
+
+    def __init__(self, ctx, node):
+        self._ctx = ctx
+        self._node = node
+        self._port = None
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+
+    async def listen(self, host: str, port: int) -> int:
+        app = Klein()
+        add = app.route
+        add("/v1/beliefs", methods=["GET"])(self._show_beliefs)
+        add("/v1/standing", methods=["GET"])(self._show_standing)
+        add("/v1/live", methods=["GET"])(self._live)
+        add("/v1/ready", methods=["GET"])(self._ready)
+        add("/metrics", methods=["GET"])(self._metrics)
+        if hasattr(self._node, "routes"):
+            self._node.routes(add)
+        add("/", defaults={"path": ""})(self._nowhere)
+        add("/<path:path>")(self._nowhere)
+        site = Site(app.resource(), 32 * 1024 * 1024)
+        self._port, port = await listen(self._ctx.reactor, site, host, port)
+        return port
+
+    async def end(self):
+        if self._port is not None:
+            await self._port.stopListening()
+
+    def _nowhere(self, request, path):
+        return send_fault(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
+
+    def _show_beliefs(self, request):
+        return send_json(request, self.beliefs())
+
+    def _show_standing(self, request):
+        return send_json(request, self.standing())
+
+    def _live(self, request):
+        return send_json(request, {"live": True})
+
+    def _ready(self, request):
+        ok, words = self._node.readiness()
+        return send_json(request, {"ready": ok, **words}, 200 if ok else 503)
+
+    def _metrics(self, request):
+        request.setHeader(b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
+        return generate_latest(self._registry)
+
+    def _sheet(self):
+        return getattr(self._node, "sheet", None) or self._ctx.setup.sheet
+
+    def beliefs(self) -> dict:
+        sheet = self._sheet()
+        me = self._ctx.roster.me
+        out = {"node": me.node, "role": me.role, "zone": me.zone,
+               "setup": {"sequence": sheet.sequence, "table": sheet.table, "voters": ",".join(sheet.voters),
+                         "empty_zones": ",".join(sorted(sheet.empty_zones))},
+               "roster": {}, "standing": {}, "depots": dict(sheet.depots),
+               "shelves": {str(n): f"{s.sequence}:{','.join(s.depots)}:{s.joining}:{s.leaving}"
+                           for n, s in sorted(sheet.shelves.items())}}
+        for m in [*self._ctx.roster.everyone()]:
+            out["roster"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
+            out["standing"][m.node] = self._ctx.roster.standing(m.node)
+        out.update(self._node.beliefs())
+        return out
+
+    def standing(self) -> dict:
+        roster = self._ctx.roster
+        colleagues = [{"node": m.node, "role": m.role, "zone": m.zone, "place": f"{m.host}:{m.port}",
+                       "http": m.http_port, "operator": m.operator_port, "standing": roster.standing(m.node)}
+                      for m in sorted(roster.everyone(), key=lambda m: (m.role, m.zone, m.node))]
+        ok, words = self._node.readiness()
+        return {"node": roster.me.node, "role": roster.me.role, "ready": ok, **words, "colleagues": colleagues,
+                "engines": self._node.beliefs().get("engines", {})}
+
+    def collect(self):
+        sheet = self._sheet()
+        yield GaugeMetricFamily("pipitlink_setup_sequence", "The setup's sequence here", sheet.sequence)
+        yield GaugeMetricFamily("pipitlink_table_sequence", "The weight table's sequence here", sheet.table)
+        seen = GaugeMetricFamily("pipitlink_colleagues", "Colleagues by role and standing",
+                                 labels=["role", "standing"])
+        counts: dict = {}
+        for m in self._ctx.roster.everyone():
+            key = (m.role, self._ctx.roster.standing(m.node))
+            counts[key] = counts.get(key, 0) + 1
+        for key, n in sorted(counts.items()):
+            seen.add_metric(key, n)
+        yield seen
+        for name, (text, value) in self._node.metrics().items():
+            yield GaugeMetricFamily(f"pipitlink_{name}", text, value)
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -13,6 +13,7 @@
 from .guide import GuideNode
 from .journal import open_journal
 from .ledger import Ledger
+from .operator import OperatorFace
 from .props import Props
 from .roster import Roster
 from .office import OfficeNode
@@ -37,6 +38,7 @@
         self.exit = 0
         self._ending = False
         self.node = None
+        self._face = None
 
     async def open(self):
         ctx, p = self.ctx, self.ctx.props
@@ -61,7 +63,8 @@
         else:
             self.node = OfficeNode(ctx)
             self.node.open()
-            me.operator_port = await self.node.listen(p.bind, p.operator_port)
+        self._face = OperatorFace(ctx, self.node)
+        me.operator_port = await self._face.listen(p.bind, p.operator_port)
         ctx.roster.open(me)
         if ctx.role != "office":
             ctx.setup.open()
@@ -81,6 +84,7 @@
     async def _close(self):
         if hasattr(self.node, "end"):
             await self.node.end()
+        await self._face.end()
         self.ctx.beats.end()
         await self.ctx.desk.end()
 
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -98,16 +98,16 @@
         ports = self._ports.setdefault(name, tuple(free_ports(3)))
         sets = {"zone": zone, "port": ports[0], "seeds": ",".join(seeds or self.seeds), "log_level": self.level,
                 **self.props, **more}
+        sets["operator_port"] = ports[2]
         if role == "guide":
             sets["http_port"] = ports[1]
         else:
             sets["data"] = self.folder / name
-            sets["operator_port"] = ports[2]
         if role == "office" and self.founders:
             sets["founders"] = ",".join(self.founders)
         words = ["pipitlink", role]
         for k, v in sets.items():
-            words += ["--set", f"{k}={v}"]
+            words += [f"--{k.replace('_', '-')}", str(v)]
         p = self.programs[name] = Program(name, words, self.folder / f"{name}.log", ports)
         return p
 
@@ -159,6 +159,9 @@
         finally:
             c.close()
 
+    def operator(self, name: str) -> str:
+        return f"127.0.0.1:{self.programs[name].ports[2]}"
+
     def notes(self) -> list[dict]:
         out = []
         for path in self.folder.glob("*.notes"):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,9 @@
+import subprocess
+import sys
 import unittest
 
 from rehearsal.backend import answer_pieces, card_bytes
-from rehearsal.fleet import Fleet, wait_for
+from rehearsal.fleet import Fleet, free_ports, wait_for
 
 
 class WholePath(unittest.TestCase):
@@ -47,3 +49,16 @@
                             ({"model": "m", "prompt": "", "colour": 1}, "colour")):
             status, said, _ = self.fleet.call("guide0", "POST", "/v1/generate", body)
             self.assertEqual((status, said["error"].get("field")), (400, field), said)
+
+    def test_compare_tells_where_two_nodes_differ(self):
+        at = self.fleet.operator
+
+        def compare(*words):
+            return subprocess.run([sys.executable, "-m", "pipitlink", "compare", *words], capture_output=True, text=True,
+                                  timeout=30)
+
+        wait_for(lambda: compare(at("guide0"), at("guide1")).returncode == 0, 15, "two guides believe alike")
+        wait_for(lambda: compare(at("depot0"), at("office0")).returncode == 0, 15, "a depot and an office do")
+        free, = free_ports(1)
+        self.assertEqual(compare(at("guide0"), f"127.0.0.1:{free}").returncode, 2)
+        wait_for(lambda: compare(at("depot0"), at("depot1")).returncode == 0, 15, "two depots do")
--- /dev/null
+++ b/tests/test_tools.py
@@ -0,0 +1,39 @@
+import contextlib
+import io
+import unittest
+from unittest import mock
+
+from pipitlink import tools
+from pipitlink.tools import differences
+
+
+def beliefs(node, role="guide", **topics):
+    return {"node": node, "role": role, "shelves": {"3": "1:d1,d2,d3::"}, "leases": {}, "standing": {}, **topics}
+
+
+class Differences(unittest.TestCase):
+    def test_nodes_that_believe_alike(self):
+        self.assertEqual(differences(beliefs("a"), beliefs("b")), {})
+
+    def test_a_lease_counts_only_where_both_speak_of_it(self):
+        a = beliefs("a", leases={"results/1": "a@4", "lots/a": "a@1"})
+        b = beliefs("d1", "depot", leases={"results/1": "z@5"})
+        self.assertEqual(differences(a, b), {"leases": {"results/1": ["a@4", "z@5"]}})
+
+    def test_a_log_that_one_of_two_keepers_lacks_is_told(self):
+        a = beliefs("d1", "depot", logs={"3/results/1": "epoch=1 length=9 final=True", "5/lots/x": "epoch=1"})
+        b = beliefs("d2", "depot", logs={})
+        self.assertEqual(list(differences(a, b)["logs"]), ["3/results/1"])
+
+    def test_setup_and_standing_differences_are_told(self):
+        a = beliefs("a", setup={"sequence": 4}, standing={"a": "alive", "c": "alive"})
+        b = beliefs("b", setup={"sequence": 5}, standing={"b": "alive", "c": "gone"})
+        self.assertEqual(differences(a, b), {"setup": {"sequence": [4, 5]}, "standing": {"c": ["alive", "gone"]}})
+
+    def test_the_exit_code_and_the_lines_say_where(self):
+        told = {"a": beliefs("a", setup={"sequence": 4}), "b": beliefs("b", setup={"sequence": 5})}
+        out = io.StringIO()
+        with mock.patch.object(tools, "_ask", lambda place, *_: (200, told[place])), contextlib.redirect_stdout(out):
+            self.assertEqual(tools.compare("a", "b", False), 1)
+            self.assertEqual(tools.compare("a", "a", False), 0)
+        self.assertIn("setup sequence: A=4 B=5", out.getvalue())
