--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -3,6 +3,7 @@
 Usage:
   rehearsal backend --name NAME --guides LIST [--pool POOL] [--models LIST] [--zone ZONE] [--capacity N]
                     [--port N] [--step S] [--notes FILE]
+  rehearsal soak [--profile NAME] [--seed N] [--minutes M] [--keep FOLDER] [--faults LIST] [--level LEVEL]
   rehearsal -h | --help
 
 Options:
@@ -15,6 +16,12 @@
   --port N          Its port. [default: 0]
   --step S          Seconds between pieces. [default: 0.01]
   --notes FILE      Where it notes its runs.
+  --profile NAME    periplous, maizes or small. [default: small]
+  --seed N          The schedule's seed. [default: 1]
+  --minutes M       How long faults are brought about. [default: 2]
+  --keep FOLDER     Keeps data and logs there.
+  --faults LIST     Only these faults, with commas.
+  --level LEVEL     The fleet's log level. [default: info]
 """
 from docopt import docopt
 
@@ -23,6 +30,15 @@
 
 def main(argv=None) -> int:
     words = docopt(__doc__, argv=argv)
+    if words["soak"]:
+        from .soak import FAULTS, PROFILES, Soak
+
+        faults = tuple(words["--faults"].split(",")) if words["--faults"] else FAULTS
+        if words["--profile"] not in PROFILES or set(faults) - set(FAULTS):
+            print(f"profiles: {', '.join(PROFILES)}; faults: {', '.join(FAULTS)}")
+            return 2
+        return Soak(words["--profile"], int(words["--seed"]), float(words["--minutes"]), words["--keep"], faults,
+                    words["--level"]).run()
     from .backend import run_backend
 
     return run_backend(words)
