Take keyed lots once, keep rows' rates, end old lot logs and give back their room

Cause: a resent lot was doubled, rates in the table had no effect, and depots only ever grew. Ruled out: dropping only the oldest file, which one long-lived log there blocked (seen in the test). Seen: 12 final logs wither and used room falls below half on three depots; kept bytes are the same after a power loss.

--- a/pipitlink/depot/copying.py
+++ b/pipitlink/depot/copying.py
@@ -17,6 +17,10 @@
     return s.tail_epoch, s.length
 
 
+def _withered(s: LogState) -> bool:
+    return s.final and not s.length
+
+
 class Copying:
     """Mixin: a depot brings its copies up to what a majority of the shelf holds, when it joins or has been away."""
 
@@ -64,7 +68,8 @@
         whole = True
         for log, (state, depot) in best.items():
             try:
-                if _rank(state) > _rank(self.shed.state(log)):
+                mine = self.shed.state(log)
+                if _rank(state) > _rank(mine) and not (_withered(mine) and mine.tail_epoch >= state.tail_epoch):
                     await self._copy_log(log, state, depot)
                 if joining and promised[log] > self.shed.state(log).epoch:
                     await self._syncer.put(lambda t, log=log: self.shed.promise(log, promised[log], t, granted=False))
@@ -81,7 +86,7 @@
         if len(data) != state.length - start:
             raise NoMajority(f"{log}: {depot} did not show all of it")
         e = Entry(kind=Entry.WRITE, log=log, epoch=state.tail_epoch, position=start, data=data, final=state.final,
-                  committed=min(state.committed, state.length))
+                  committed=min(state.committed, state.length), closed_ms=state.closed_ms)
         done = self._syncer.put(lambda t: self.shed.copy(e, mine.tail_epoch, mine.length, t))
         if done is None:
             raise Fenced(f"{log} moved meanwhile")
--- /dev/null
+++ b/pipitlink/depot/keeping.py
@@ -0,0 +1,60 @@
+from collections import Counter
+
+from ..beats import secs, wall_ms
+from ..wire.ledger_pb2 import Entry
+
+__all__ = ["Keeping"]
+
+BEAT = secs(5)
+FULL_SHARE = 0.5
+STONE_MS = 40 * 86_400_000
+
+
+class Keeping:
+    """Mixin: drops the bytes of logs that ended long ago, and gives back the room of old files."""
+
+    def _open_keeping(self):
+        self._ctx.beats.every(BEAT, self._keep, self._ctx.report("keeping"))
+
+    async def _keep(self):
+        now = wall_ms(self._ctx.beats.wall())
+        span = self._ctx.props.retention_s * 1000
+        for k in list(self.shed.logs.values()):
+            if not (k.final and k.closed_ms):
+                continue
+            if now - k.closed_ms > span + STONE_MS:
+                await self._syncer.put(lambda t, k=k: self.shed.forget(k.log, t))
+            elif k.length and now - k.closed_ms > span:
+                await self._syncer.put(lambda t, k=k: self.shed.wither(k.log, t))
+                self._ctx.journal.note("log_withered", log=k.log)
+        await self._give_back()
+
+    def _emptiest(self) -> int | None:
+        """The older file with the smallest share that counts, if that is small enough."""
+        live: Counter = Counter()
+        for k in self.shed.logs.values():
+            for _, length, spot in k.extents:
+                live[spot[0]] += length
+        segments = self.shed.segments
+        numbers = segments.numbers()[:-1]
+        shares = {n: live[n] / max(1, segments.size(n)) for n in numbers
+                  if n == numbers[0] or n not in self.shed.forgets}
+        n = min(shares, key=shares.get, default=None)
+        return n if n is not None and shares[n] <= FULL_SHARE else None
+
+    async def _give_back(self):
+        """Writes what still counts in one file to the newest, and drops the file."""
+        n = self._emptiest()
+        if n is None:
+            return
+        for k in [k for k in self.shed.logs.values() if k.stands_in(n)]:
+            before = (k.epoch, k.tail_epoch, k.length, k.final)
+            data = await self._ctx.on_thread(self._gather, self.shed.spans(k.log, 0, k.length))
+            if before != (k.epoch, k.tail_epoch, k.length, k.final) or len(data) != k.length \
+                    or k.synced != (k.tail_epoch, k.length, k.final):
+                return
+            await self._syncer.put(lambda t, k=k, data=data: self.shed.rewrite(k, data, t))
+        if not any(k.stands_in(n) for k in self.shed.logs.values()):
+            await self._syncer.put(lambda t: self.shed.segments.put(Entry(kind=Entry.NOTHING).SerializeToString(), t))
+            self.shed.segments.drop(n)
+            self._ctx.journal.note("room_given_back", file=n, used=self.shed.used())
--- a/pipitlink/depot/node.py
+++ b/pipitlink/depot/node.py
@@ -10,6 +10,7 @@
                                WriteReceipt)
 from .copying import Copying
 from .grants import Grants
+from .keeping import Keeping
 from .shed import Shed
 
 __all__ = ["DepotNode", "node_id"]
@@ -33,7 +34,7 @@
     return node
 
 
-class DepotNode(Grants, Copying):
+class DepotNode(Grants, Copying, Keeping):
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
         budget = ctx.props.budget_mb * 1024 * 1024
@@ -46,6 +47,7 @@
         self._ctx.journal.note("recovered", logs=len(self.shed.logs), used=self.shed.used())
         self._open_grants()
         self._open_copying()
+        self._open_keeping()
         d = self._ctx.desk
         d.answer("ledger.write", WriteAsk, self._write)
         d.answer("ledger.mark", MarkAsk, self._mark)
@@ -62,7 +64,7 @@
         if len(data) != ask.staged_bytes + len(ask.data):
             return WriteReceipt(why="elsewhere", state=self._state(ask.log))
         e = Entry(kind=Entry.WRITE, log=ask.log, epoch=ask.epoch, position=ask.position, data=data,
-                  final=ask.final, committed=ask.committed)
+                  final=ask.final, committed=ask.committed, closed_ms=ask.closed_ms)
         ticket = self._syncer.put(
             lambda t: self.shed.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t))
         if ticket is None:
--- a/pipitlink/depot/shed.py
+++ b/pipitlink/depot/shed.py
@@ -1,5 +1,4 @@
 import bisect
-from collections import Counter
 from pathlib import Path
 
 import attrs
@@ -23,12 +22,18 @@
     length: int = 0
     committed: int = 0
     final: bool = False
+    closed_ms: int = 0
     promise_spot: Spot | None = None
     stamp_spot: Spot | None = None
     starts: list[int] = attrs.field(factory=list)
     extents: list[tuple[int, int, Spot]] = attrs.field(factory=list)
     synced: tuple[int, int, bool] = (0, 0, False)
 
+    def stands_in(self, n: int) -> bool:
+        """Whether anything that counts for this log lies in that file."""
+        spots = [self.promise_spot, self.stamp_spot, *(spot for _, _, spot in self.extents)]
+        return any(spot is not None and spot[0] == n for spot in spots)
+
     def cut(self, position: int):
         while self.extents and self.extents[-1][0] >= position:
             self.extents.pop()
@@ -54,7 +59,7 @@
         self.budget = budget
         self.reserve = reserve
         self.logs: dict[str, Kept] = {}
-        self._live: Counter = Counter()
+        self.forgets: set[int] = set()
 
     def recover(self):
         self.logs = {}
@@ -65,14 +70,20 @@
             k.granted = k.epoch
 
     def _replay(self, e: Entry, spot: Spot, size: int):
+        if e.kind == Entry.NOTHING:
+            return
         if e.kind == Entry.FORGET:
             self.logs.pop(e.log, None)
+            self.forgets.add(spot[0])
             return
         k = self.logs.setdefault(e.log, Kept(e.log))
         k.epoch = max(k.epoch, e.epoch)
         if e.kind == Entry.PROMISE:
             k.promise_spot = spot
             return
+        if e.kind == Entry.WITHER:
+            self._wither(k, e, spot)
+            return
         self._apply(k, e, spot, size)
 
     def _apply(self, k: Kept, e: Entry, spot: Spot, size: int):
@@ -82,6 +93,7 @@
         k.stamp_spot = spot
         k.tail_epoch = e.epoch
         k.final = e.final
+        k.closed_ms = e.closed_ms
         k.committed = min(max(k.committed, e.committed), k.length)
 
     def used(self) -> int:
@@ -93,7 +105,7 @@
             return LogState(log=log)
         tail_epoch, length, final = k.synced
         return LogState(log=log, epoch=k.epoch, tail_epoch=tail_epoch, length=length,
-                        committed=min(k.committed, length), final=final)
+                        committed=min(k.committed, length), final=final, closed_ms=k.closed_ms)
 
     def promise(self, log: str, epoch: int, ticket, granted: bool = True) -> None:
         k = self.logs.setdefault(log, Kept(log))
@@ -161,9 +173,35 @@
             i += 1
         return out
 
+    def wither(self, log: str, ticket):
+        """Drops a final log's bytes and keeps that it was final."""
+        k = self.logs[log]
+        e = Entry(kind=Entry.WITHER, log=log, epoch=k.tail_epoch, final=True, closed_ms=k.closed_ms)
+        self._wither(k, e, self.segments.put(e.SerializeToString(), ticket))
+        k.synced = (k.tail_epoch, 0, True)
+
+    def _wither(self, k: Kept, e: Entry, spot: Spot):
+        k.cut(0)
+        k.tail_epoch, k.final, k.closed_ms, k.committed, k.stamp_spot = e.epoch, True, e.closed_ms, 0, spot
+
+    def rewrite(self, k: Kept, data: bytes, ticket):
+        """The whole log once more, at the end of the newest file."""
+        e = Entry(kind=Entry.PROMISE, log=k.log, epoch=k.epoch)
+        k.promise_spot = self.segments.put(e.SerializeToString(), None)
+        e = Entry(kind=Entry.WRITE if data or not k.final else Entry.WITHER, log=k.log, epoch=k.tail_epoch, data=data,
+                  final=k.final, committed=k.committed, closed_ms=k.closed_ms)
+        body = _packed(e)
+        spot = self.segments.put(body, ticket)
+        if e.kind == Entry.WITHER:
+            self._wither(k, e, spot)
+        else:
+            k.cut(0)
+            self._apply(k, e, spot, len(body))
+
     def forget(self, log: str, ticket):
         self.logs.pop(log, None)
-        self.segments.put(Entry(kind=Entry.FORGET, log=log).SerializeToString(), ticket)
+        n, _ = self.segments.put(Entry(kind=Entry.FORGET, log=log).SerializeToString(), ticket)
+        self.forgets.add(n)
 
     def close(self):
         self.segments.close()
--- a/pipitlink/guide/intake.py
+++ b/pipitlink/guide/intake.py
@@ -1,4 +1,4 @@
-from ..beats import Joined, ms, wall_ms
+from ..beats import Joined, ms, secs, wall_ms
 from ..faults import BadAsk, Crowded
 from ..wire.lots_pb2 import Item, LogRecord, Lot
 from ..web import answered, send_json
@@ -7,6 +7,7 @@
 __all__ = ["Intake", "lot_parts"]
 
 ROTATE = 4 * 1024 * 1024
+ROTATE_SPAN = secs(43_200)
 
 
 def lot_parts(lot: str) -> tuple[str, int]:
@@ -24,17 +25,20 @@
     def _open_intake(self):
         self._lot_log = None
         self._lot_turn = 0
+        self._lot_log_at = self._ctx.beats.now()
         self._opening = Joined()
 
     async def _own_log(self):
         """The guide's lot log for now; a new one where there is none, or when it has grown long."""
         log = self._lot_log
-        if log is None or log.lost or len(log.data) >= ROTATE:
+        if log is None or log.lost or len(log.data) >= ROTATE or \
+                self._ctx.beats.now() - self._lot_log_at > ROTATE_SPAN:
             log = await self._opening.run("lots", self._open_log)
         return log
 
     async def _open_log(self):
         self._lot_turn += 1
+        self._lot_log_at = self._ctx.beats.now()
         self._lot_log = await self.keep(f"lots/{self._ctx.node}.{self._lot_turn}")
         return self._lot_log
 
@@ -50,8 +54,9 @@
                   key=b.idempotency_key,
                   items=[Item(model=i.model, prompt=i.prompt, prefix=i.prefix_key, repeatable=i.repeatable,
                               max_tokens=i.max_tokens) for i in b.items])
-        lot_id = await self._store_lot(lot)
-        return send_json(request, {"lot": lot_id, "items": len(b.items)}, 201, {"Location": f"/v1/lots/{lot_id}"})
+        lot_id, again = await self._store_keyed(lot) if lot.key else (await self._store_lot(lot), False)
+        return send_json(request, {"lot": lot_id, "items": len(b.items), "again": again}, 200 if again else 201,
+                         {"Location": f"/v1/lots/{lot_id}"})
 
     async def _store_lot(self, lot: Lot) -> str:
         try:
--- a/pipitlink/guide/lots.py
+++ b/pipitlink/guide/lots.py
@@ -2,13 +2,15 @@
 
 import attrs
 
-from ..beats import secs
+from ..beats import secs, wall_ms
 from ..faults import PipitFault
-from ..wire.lots_pb2 import LogRecord, Lot, Result
+from ..wire.lots_pb2 import Ended, LogRecord, Lot, Result
 
 __all__ = ["OpenLot", "Lots", "result_log"]
 
 LIST_BEAT = secs(1)
+CLOSE_BEAT = secs(10)
+DAY_MS = 86_400_000
 
 
 def result_log(lot: str) -> str:
@@ -49,7 +51,9 @@
         self.open_lots: dict[str, OpenLot] = {}
         self._closed: set[str] = set()
         self._tails: dict[str, object] = {}
+        self._lots_of: dict[str, set[str]] = {}
         self._ctx.beats.every(LIST_BEAT, self._list_logs, self._ctx.report("list_logs"))
+        self._ctx.beats.every(CLOSE_BEAT, self._close_logs, self._ctx.report("close_logs"))
 
     def _known(self, lot_id: str, lot: Lot):
         if lot_id not in self._closed and lot_id not in self.open_lots:
@@ -67,20 +71,46 @@
             mine = self.open_lots.get(lot_id)
             if state.final and lot_id not in self._closed and not (mine and mine.holder):
                 self._close(lot_id)
-        for log in await self._ctx.ledger.list("lots/"):
-            if log not in self._tails:
+        for log, state in (await self._ctx.ledger.list("lots/")).items():
+            if log not in self._tails and not state.final:
                 self._tails[log] = self._ctx.cache.tail(log)
+                self._lots_of[log] = set()
                 self._ctx.spawned(self._follow(log), "follow")
 
+    async def _close_logs(self):
+        """Ends lot logs that nobody writes to any more, once every lot in them is closed."""
+        for log, tail in list(self._tails.items()):
+            writer, _, turn = log.removeprefix("lots/").partition(".")
+            if writer.startswith("keyed"):
+                idle = int(turn) < wall_ms(self._ctx.beats.wall()) // DAY_MS - 1
+            elif writer == self._ctx.node:
+                idle = int(turn) < self._lot_turn
+            else:
+                idle = self._ctx.roster.standing(writer) in ("gone", "unknown")
+            unread = tail.seen.proved is None or tail.position < tail.seen.durable
+            if not idle or unread or self._lots_of.get(log, set()) - self._closed or self._owner(log) != self._ctx.node:
+                continue
+            try:
+                h = self._ctx.ledger.holders.get(log) or await self._ctx.ledger.hold(log)
+                if not h.final:
+                    await h.append([LogRecord(ended=Ended(why="done")).SerializeToString()], final=True, reserved=True)
+                await self._ctx.ledger.release([h])
+                self._tails.pop(log).close()
+                self._ctx.journal.note("lot_log_ended", log=log, lots=len(self._lots_of.pop(log, ())))
+            except PipitFault as e:
+                self._ctx.journal.trace("lot_log_kept", log=log, text=e)
+
     async def _follow(self, log: str):
         """One task for each lot log, reading it in order."""
         tail = self._tails[log]
-        while not self._ctx.beats.ended:
+        while not self._ctx.beats.ended and self._tails.get(log) is tail:
             try:
                 for at, body in await tail.more():
                     record = LogRecord.FromString(body)
                     if record.WhichOneof("of") == "lot":
-                        self._known(f"{log.removeprefix('lots/')}.{at}", record.lot)
+                        lot_id = f"{log.removeprefix('lots/')}.{at}"
+                        self._lots_of.setdefault(log, set()).add(lot_id)
+                        self._known(lot_id, record.lot)
             except PipitFault as e:
                 self._ctx.journal.fault("log_unread", e, log=log)
                 await self._ctx.beats.pause(secs(1))
--- a/pipitlink/guide/node.py
+++ b/pipitlink/guide/node.py
@@ -8,6 +8,8 @@
 from .engines import Engines
 from .fetching import Fetching
 from .intake import Intake
+from .keyed import Keyed
+from .limits import Limits
 from .live import Live
 from .lots import Lots
 from .picking import Admitting, Picking, RetryBudget
@@ -17,7 +19,8 @@
 __all__ = ["GuideNode"]
 
 
-class GuideNode(Admitting, Picking, Relaying, Live, Fetching, Intake, Lots, Dispatch, Results, AskTable):
+class GuideNode(Admitting, Picking, Limits, Relaying, Live, Fetching, Intake, Keyed, Lots, Dispatch, Results,
+                AskTable):
     def __init__(self, ctx):
         self._ctx = ctx
         self.engines = ctx.engines = Engines(ctx)
@@ -30,7 +33,9 @@
         self._open_table()
         self._open_relaying()
         self.engines.open()
+        self._open_limits()
         self._open_intake()
+        self._open_keyed()
         self._open_lots()
         self._open_results()
         self._open_dispatch()
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/guide/picking.py
@@ -31,6 +31,8 @@
             raise GuideFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if not ask.lot and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.props.max_running:
             raise Crowded("too many requests are running here")
+        if not ask.lot:
+            self._keep_rate(ask)
         return False
 
 
@@ -56,6 +58,10 @@
                     out.append((e, weight))
         return out
 
+    def _has_room(self, ask, e) -> bool:
+        reserve = self.lot_reserve(ask.model, e) if ask.lot else 0.0
+        return self.engines.room(e, reserve) > 0 and self._within_concurrency(ask.model, e.news.pool)
+
     def lot_reserve(self, model: str, e) -> float:
         """The share of a back end that lots leave to live requests."""
         row = self._ctx.setup.row(model, e.news.pool)
@@ -64,8 +70,7 @@
     def _pick(self, ask):
         ready = [(e, w) for e, w in self.candidates(ask.model, ask.pool)
                  if self.engines.standing(e) == "ready" and e.name not in ask.avoid]
-        free = [(e, w) for e, w in ready
-                if self.engines.room(e, self.lot_reserve(ask.model, e) if ask.lot else 0.0) > 0]
+        free = [(e, w) for e, w in ready if self._has_room(ask, e)]
         if not free:
             return None
         loads = {e.name: self.engines.running(e) / max(1, self.engines.capacity(e)) for e, _ in ready}
--- a/pipitlink/guide/results.py
+++ b/pipitlink/guide/results.py
@@ -97,6 +97,8 @@
             await self._ctx.cache.poller.prove([r.tail.path])
         if seen.proved is None or self._ctx.beats.now() - seen.proved > secs(1):
             raise Crowded("the store cannot be read now", code="no_majority", outcome="unknown")
+        if seen.final and not seen.durable:
+            raise NotFound("the lot's results were removed after their retention", code="results_removed", status=410)
         async with r.turn:
             await self._read_to(r, seen.durable)
         return r
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn
+from ..beats import ms, secs, spawn, wall_ms
 from ..depot.grants import HOLD_SPAN
 from ..disk import frame
 from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
@@ -30,6 +30,7 @@
         self.data = bytearray()
         self.committed = 0
         self.final = False
+        self.closed_ms = 0
         self.lost = ""
         self._states: dict[str, LogState] = {}
         self._renewals: dict[str, timedelta] = {}
@@ -117,7 +118,7 @@
             self.data = bytearray(await self._ledger.read_from(best, self.log, 0, state.length))
             if len(self.data) != state.length:
                 raise NoMajority(f"{self.log}: {best} could not show its tail")
-        self.final = state.final
+        self.final, self.closed_ms = state.final, state.closed_ms
         self._best = (state.tail_epoch, state.length)
         self.committed = max(s.committed for s in self._states.values())
         if state.length:
@@ -135,7 +136,8 @@
             raise NoRoom(f"{self.log}: the depots are out of room", sent=False)
         self._reserved = reserved
         self._no_room.clear()
-        self.final = self.final or final
+        if final:
+            self.final, self.closed_ms = True, wall_ms(self._ctx.beats.wall())
         start = len(self.data)
         self.data += b"".join(frame(r) for r in records)
         await self._reach(len(self.data))
@@ -209,7 +211,7 @@
         final = self.final
         ask = WriteAsk(log=self.log, epoch=self.epoch, shelf_sequence=self.shelf.sequence, position=start,
                        expect_tail_epoch=state.tail_epoch, expect_length=state.length,
-                       committed=self.committed, final=final, reserved=self._reserved)
+                       committed=self.committed, final=final, reserved=self._reserved, closed_ms=self.closed_ms)
         while len(data) - ask.staged_bytes > MAX_WRITE:
             at = ask.staged_bytes
             part = WriteAsk(log=self.log, epoch=self.epoch, staged=True, position=at, data=data[at:at + MAX_WRITE])
--- a/pipitlink/segments.py
+++ b/pipitlink/segments.py
@@ -138,6 +138,10 @@
             if self._next[1]:
                 self._next = (self._next[0] + 1, 0)
 
+    def size(self, n: int) -> int:
+        with self._lock:
+            return self._sizes.get(n, 0)
+
     def newest(self) -> int:
         with self._lock:
             return self._next[0]
--- a/pipitlink/syncing.py
+++ b/pipitlink/syncing.py
@@ -29,7 +29,8 @@
         try:
             while self._segments.waiting():
                 for ticket in await self._ctx.on_thread(self._segments.flush):
-                    ticket.callback(None)
+                    if ticket is not None:
+                        ticket.callback(None)
         except Damaged as e:
             self._ctx.journal.fault("disk_lost", e)
             self._ctx.reactor.stop()
@@ -37,7 +38,7 @@
             self._ctx.journal.fault("disk_failed", e)
             lost = self._segments.abandon()
             self._recover()
-            for ticket in lost:
+            for ticket in filter(None, lost):
                 ticket.errback(NoRoom(f"the disk refused: {e}"))
         finally:
             self.busy = False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,3 +62,28 @@
         free, = free_ports(1)
         self.assertEqual(compare(at("guide0"), f"127.0.0.1:{free}").returncode, 2)
         wait_for(lambda: compare(at("depot0"), at("depot1")).returncode == 0, 15, "two depots do")
+
+    def test_a_lot_sent_twice_with_one_key_is_taken_once(self):
+        body = {"items": [{"model": "pipit-small", "prompt": "keyed"}], "customer": "c", "idempotency_key": "k1"}
+        first = self.fleet.call("guide0", "POST", "/v1/lots", body)
+        again = self.fleet.call("guide1", "POST", "/v1/lots", body)
+        self.assertEqual((first[0], again[0], again[1]["lot"]), (201, 200, first[1]["lot"]))
+        other = self.fleet.call("guide2", "POST", "/v1/lots", {**body, "items": body["items"] * 2})
+        self.assertEqual((other[0], other[1]["error"]["code"]), (409, "key_in_use"))
+        path = f"/v1/lots/{first[1]['lot']}"
+        wait_for(lambda: self.fleet.call("guide1", "GET", path)[1].get("state") == "done", 20, "the lot is done")
+        self.assertEqual(len([n for n in self.fleet.notes() if n["event"] == "run" and n["prompt"] == "keyed"]), 1)
+
+    def test_a_row_limits_the_rate_and_says_when_to_come_back(self):
+        base = self.fleet.call("office0", "GET", "/v1/table")[1]["sequence"]
+        row = {"model": "pipit-small", "pool": "models", "rate": 1.5}
+        self.assertEqual(self.fleet.call("office1", "PUT", "/v1/table/rows/slow", row, {"If-Match": str(base)})[0], 200)
+        try:
+            told = [self.generate(f"rate {n}") for n in range(3)]
+            limited = [(t[0], t[1]["error"]["code"], t[1]["error"]["outcome"], int(t[2]["Retry-After"]) >= 1)
+                       for t in told if t[0] != 200]
+            self.assertIn((429, "rate_limited", "not_run", True), limited)
+        finally:
+            base = self.fleet.call("office0", "GET", "/v1/table")[1]["sequence"]
+            said = self.fleet.call("office2", "DELETE", "/v1/table/rows/slow", None, {"If-Match": str(base)})
+            self.assertEqual(said[0], 200)
--- /dev/null
+++ b/tests/test_stage_keeping.py
@@ -0,0 +1,96 @@
+"""Room is given back without losing what counts, and damage is met honestly."""
+import unittest
+from unittest import mock
+
+from pipitlink import segments
+from pipitlink.disk import frames
+from pipitlink.faults import Damaged, PipitFault
+from rehearsal.stage import Stage
+
+
+class Keeping(unittest.TestCase):
+    def setUp(self):
+        p = mock.patch.object(segments, "SEGMENT", 20_000)
+        p.start()
+        self.addCleanup(p.stop)
+        self.stage = Stage(3, offices=3, depots=3, guides=2, shelves=2, props={"retention_s": 60})
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.stage.ready()
+        self.guide, self.other = (a.ctx for a in self.stage.role("guide"))
+        self.wall = self.guide.beats.wall()
+        self.began = self.stage.clock.seconds()
+        for a in self.stage.actors.values():
+            a.ctx.beats.wall = self._wall
+
+    def _wall(self):
+        from datetime import timedelta
+
+        return self.wall + timedelta(seconds=self.stage.clock.seconds() - self.began)
+
+    def write(self, log, n, final):
+        async def go():
+            h = await self.guide.ledger.hold(log)
+            for i in range(n):
+                await h.append([f"{log}/{i}".encode() * 100], final=final and i == n - 1)
+            return h
+
+        return self.stage.do(go(), 60)
+
+    def used(self):
+        return [a.part.shed.used() for a in self.stage.role("depot")]
+
+    def test_old_logs_wither_their_room_comes_back_and_the_rest_stays(self):
+        kept = self.write("lots/kept", 10, False)
+        for n in range(12):
+            self.stage.do(self.guide.ledger.release([self.write(f"results/{n}", 10, True)]))
+        full = self.used()
+        self.stage.run(200)
+        self.assertTrue(all(now < was / 2 for now, was in zip(self.used(), full)), (self.used(), full))
+        for a in self.stage.role("depot"):
+            a.kill(power=True)
+            a.start()
+            a.ctx.beats.wall = self._wall
+        self.stage.run(5)
+        states = self.stage.do(self.other.ledger.list("results/"))
+        self.assertEqual([(s.final, s.length) for s in states.values()], [(True, 0)] * 12)
+        state = self.stage.do(self.other.ledger.states(["lots/kept"]))["lots/kept"]
+        data = self.stage.do(self.other.ledger.read("lots/kept", 0, state.committed))
+        self.assertEqual(data, bytes(kept.data))
+
+    def test_a_torn_end_is_cut_and_mended_from_the_others(self):
+        h = self.write("lots/torn", 5, False)
+        a = self.stage.role("depot")[0]
+        a.kill()
+        path = max((a.folder / "logs").glob("seg-*.log"))
+        data = path.read_bytes()
+        path.write_bytes(data[:-7])
+        a.start()
+        self.assertLess(a.part.shed.state("lots/torn").length, len(h.data))
+        self.stage.until(lambda: a.part.shed.state("lots/torn").length == len(h.data), 20, "mended")
+        got = self.stage.do(self.other.ledger.read_from(a.node, "lots/torn", 0, len(h.data)))
+        self.assertEqual(got, bytes(h.data))
+
+    def test_damage_inside_an_old_file_is_never_served(self):
+        self.write("lots/hurt", 60, False)
+        a = self.stage.role("depot")[0]
+        a.kill()
+        first = min((a.folder / "logs").glob("seg-*.log"))
+        data = bytearray(first.read_bytes())
+        data[len(data) // 2] ^= 0xFF
+        first.write_bytes(data)
+        with self.assertRaises(Damaged):
+            a.start()
+
+    def test_a_real_full_disk_is_refused_and_recovers(self):
+        h = self.write("lots/full", 3, False)
+        for a in self.stage.role("depot"):
+            a.disk.full = True
+        with self.assertRaises(PipitFault):
+            self.stage.do(h.append([b"no room"]), 30)
+        for a in self.stage.role("depot"):
+            a.disk.full = False
+        self.stage.run(5)
+        h = self.write("lots/full", 1, False)
+        bodies = [b for _, b, _ in frames(bytes(h.data))]
+        self.assertEqual(bodies[:3], [f"lots/full/{i}".encode() * 100 for i in range(3)])
