Never join a second body to a first, nor forget a try that may have run

Reading the same code showed a second hole: a repeatable request whose first try was lost and whose second was refused was told not_run. After: a shown byte ends the tries and the caller's connection is aborted; a lost try makes the outcome unknown for good. Also: a request whose every back end refused is answered at once, and damaged data folders are set aside so that the node begins anew. Tests: each place of a drop, and all orders of the group sync.

--- a/pipitlink/disk.py
+++ b/pipitlink/disk.py
@@ -1,8 +1,9 @@
 import os
+import shutil
 import zlib
 from pathlib import Path
 
-__all__ = ["Disk", "swap_in", "frame", "frames", "HEAD"]
+__all__ = ["Disk", "swap_in", "set_aside", "frame", "frames", "HEAD"]
 
 HEAD = 8
 
@@ -41,6 +42,16 @@
     disk.sync_folder(path.parent)
 
 
+def set_aside(folder: Path):
+    """Moves all that a data folder holds into its `damaged` folder, in place of what was there before."""
+    aside = folder / "damaged"
+    shutil.rmtree(aside, ignore_errors=True)
+    aside.mkdir()
+    for p in list(folder.iterdir()):
+        if p != aside:
+            os.replace(p, aside / p.name)
+
+
 def frame(data: bytes) -> bytes:
     size = len(data).to_bytes(4, "big")
     return size + zlib.crc32(data, zlib.crc32(size)).to_bytes(4, "big") + data
--- a/pipitlink/guide/asks.py
+++ b/pipitlink/guide/asks.py
@@ -34,6 +34,8 @@
     pieces: list[str] = attrs.field(factory=list)
     size: int = 0
     fault: GuideFault | None = None
+    refusal: GuideFault | None = None
+    reached: bool = False
     taken_at: timedelta = timedelta(0)
     left_at: timedelta | None = None
     readers: int = 0
@@ -64,7 +66,8 @@
 
     @property
     def outcome(self) -> str:
-        return _OUTCOMES[self.state]
+        said = _OUTCOMES[self.state]
+        return "unknown" if said == "not_run" and self.reached else said
 
     @property
     def settled(self) -> bool:
@@ -79,6 +82,8 @@
     def fail(self, fault: Exception):
         if not isinstance(fault, GuideFault):
             fault = BackEndFault(str(fault) or type(fault).__name__, outcome=self.outcome)
+        if self.reached and fault.outcome == "not_run":
+            fault.outcome = "unknown"
         self.fault = fault
         self.move()
 
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/guide/picking.py
@@ -92,8 +92,8 @@
             known = self.candidates(ask.model, ask.pool)
             if not known:
                 raise NotFound(f"nothing serves {ask.pool or ask.model!r}", field="pool" if ask.pool else "model")
-            if ask.avoid and not [k for k, _ in known if k.name not in ask.avoid]:
-                ask.avoid.clear()
+            if all(k.name in ask.avoid for k, _ in known):
+                raise ask.refusal or Crowded("no other back end is left to try")
             left = until - self._ctx.beats.now()
             if left <= ms(0) or self._waiting >= MAX_WAITING:
                 raise Crowded("no back end has room", retry_after=1)
@@ -118,13 +118,14 @@
 
     def _may_go_again(self, ask) -> bool:
         """A second back end is allowed after a sure `not_run`, or for a repeatable request with nothing shown."""
-        if ask.tries >= MAX_TRIES or ask.pieces or self._ctx.beats.now() >= ask.limit:
+        if ask.tries >= MAX_TRIES or ask.pieces or ask.size or self._ctx.beats.now() >= ask.limit:
             return False
         if not self._retry_budget.take():
             return False
         if ask.state == "taken":
             return True
         if ask.state == "lost" and ask.repeatable:
+            ask.reached = True
             ask.put("again")
             return True
         return False
--- a/pipitlink/guide/relaying.py
+++ b/pipitlink/guide/relaying.py
@@ -113,6 +113,7 @@
         finally:
             ask.give()
         if self._may_go_again(ask):
+            ask.refusal = fault
             return True
         raise fault
 
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -9,7 +9,8 @@
 from .cache import Cache
 from .context import Context, fresh_id
 from .depot import DepotNode, node_id
-from .faults import PropsFault
+from .disk import set_aside
+from .faults import Damaged, PropsFault
 from .guide import GuideNode
 from .journal import open_journal
 from .ledger import Ledger
@@ -47,6 +48,7 @@
             ctx.roster.remember_in(Path(p.data))
         ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
+        self._open_kept()
         _, port = await ctx.desk.listen(p.bind, p.port)
         ctx.desk.place = (p.host, port)
         me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port)
@@ -57,12 +59,6 @@
             me.http_port = await self.node.listen(p.bind, p.http_port)
             ctx.ledger.open()
             ctx.cache.open()
-        elif ctx.role == "depot":
-            self.node = DepotNode(ctx)
-            self.node.open()
-        else:
-            self.node = OfficeNode(ctx)
-            self.node.open()
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
         ctx.roster.open(me)
@@ -70,6 +66,23 @@
             ctx.setup.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
+    def _open_kept(self):
+        """Opens what is on disk. Damage that replicas can mend is set aside, and the node begins anew and empty."""
+        ctx, kinds = self.ctx, {"depot": DepotNode, "office": OfficeNode}
+        if ctx.role not in kinds:
+            return
+        self.node = kinds[ctx.role](ctx)
+        try:
+            self.node.open()
+        except Damaged as e:
+            ctx.journal.fault("set_aside", e)
+            folder = Path(ctx.props.data)
+            set_aside(folder)
+            ctx.node = ctx.desk.node = node_id(folder, ctx.props.fleet)
+            ctx.journal = ctx.desk.journal = ctx.journal.bind(node=ctx.node)
+            self.node = kinds[ctx.role](ctx)
+            self.node.open()
+
     async def end(self):
         if self._ending:
             return
--- /dev/null
+++ b/tests/test_interleavings.py
@@ -0,0 +1,76 @@
+"""Every order in which writers and the group sync can meet."""
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+from pipitlink.disk import Disk, frames
+from pipitlink.segments import Segments
+from rehearsal.interleave import Interleave, StepLock
+
+
+class _StepDisk(Disk):
+    def __init__(self, run):
+        self._run = run
+        self.synced = 0
+
+    def append(self, fd, data):
+        self._run.point()
+        super().append(fd, data)
+
+    def sync(self, fd):
+        size = os.fstat(fd).st_size
+        self._run.point()
+        self.synced = size
+
+    def sync_folder(self, folder):
+        pass
+
+
+class GroupSync(unittest.TestCase):
+    def explore(self, segments_kind=Segments):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        count = [0]
+
+        def make(run):
+            count[0] += 1
+            disk = _StepDisk(run)
+            s = segments_kind(Path(folder.name) / str(count[0]), disk, StepLock(run))
+            list(s.recover())
+            spots, told = {}, []
+
+            def put(name):
+                spots[name] = s.put(name.encode(), name)
+
+            def flush():
+                for name in s.flush():
+                    end = spots[name][1] + len(name) + 8 if name in spots else None
+                    told.append(name)
+                    assert end is None or end <= disk.synced, f"{name} was told before it was synced"
+
+            def check():
+                told.extend(s.flush())
+                assert sorted(told) == ["one", "two"], f"told {told}"
+                data = (Path(folder.name) / str(count[0]) / "seg-00000001.log").read_bytes()
+                found = {body.decode(): (1, at) for at, body, _ in frames(data)}
+                assert found == spots, f"{found} is not {spots}"
+                s.close()
+
+            return [lambda: (put("one"), put("two")), flush], check
+
+        return Interleave.explore(make)
+
+    def test_nothing_is_told_before_it_is_synced_and_all_stands_where_it_was_told(self):
+        self.assertGreater(self.explore(), 500)
+
+    def test_the_checker_finds_a_sync_that_takes_what_came_late(self):
+        class Hasty(Segments):
+            def flush(self):
+                tickets = super().flush()
+                with self._lock:
+                    late = [ticket for _, (_, ticket) in self._pending]
+                return tickets + late
+
+        with self.assertRaises(AssertionError):
+            self.explore(Hasty)
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,197 @@
+"""What a caller is told for each place at which a back end can fail, against what had reached the back end."""
+import json
+import socket
+import threading
+import unittest
+
+from rehearsal.fleet import Fleet, free_ports, wait_for
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(text: str) -> bytes:
+    return f"{len(text):x}\r\n{text}\r\n".encode()
+
+
+def piece(text: str) -> bytes:
+    return chunk("data: " + json.dumps({"choices": [{"text": text}]}) + "\n\n")
+
+
+class _Raw:
+    """A back end that reads a request, sends given bytes and closes; it counts the requests that reached it."""
+
+    def __init__(self, answer: bytes, read=True, hold=False):
+        self.answer, self.read, self.hold = answer, read, hold
+        self.reached = 0
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.port = self._sock.getsockname()[1]
+        self._kept = []
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                c, _ = self._sock.accept()
+            except OSError:
+                return
+            if self.read:
+                c.recv(65536)
+                self.reached += 1
+            c.sendall(self.answer)
+            if self.hold:
+                self._kept.append(c)
+            else:
+                c.close()
+
+    def close(self):
+        self._sock.close()
+        for c in self._kept:
+            c.close()
+
+
+class Outcomes(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(guides=1, depots=3, offices=3, engines=0, cards=1)
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start()
+        cls.n = 0
+
+    def announce(self, port, model, pool="models"):
+        Outcomes.n += 1
+        status, said, _ = self.fleet.call("guide0", "POST", "/v1/engines", {
+            "engine": f"raw{Outcomes.n}", "address": f"127.0.0.1:{port}", "pool": pool, "models": [model],
+            "zone": "zone-a", "capacity": 4})
+        self.assertEqual(status, 200, said)
+
+    def ask(self, model, stream=False, repeatable=False, limit_ms=1500):
+        return self.fleet.call("guide0", "POST", "/v1/generate", {
+            "model": model, "prompt": "p", "stream": stream, "repeatable": repeatable, "limit_ms": limit_ms})
+
+    def told(self, answer, **more):
+        raw = _Raw(answer, **more)
+        self.addCleanup(raw.close)
+        model = f"model{raw.port}"
+        self.announce(raw.port, model)
+        status, said, headers = self.ask(model)
+        return raw, status, said["error"]["outcome"], headers
+
+    def test_each_place_of_a_drop(self):
+        done = chunk("data: [DONE]\n\n") + b"0\r\n\r\n"
+        cases = {
+            "closed after the request": (b"", "unknown", 502),
+            "closed in the headers": (HEAD[:30], "unknown", 502),
+            "closed after the headers": (HEAD, "unknown", 502),
+            "closed after a piece": (HEAD + piece("a"), "unknown", 502),
+            "ended without the end mark": (HEAD + piece("a") + b"0\r\n\r\n", "unknown", 502),
+            "an end mark and then a cut": (HEAD + piece("a") + chunk("data: [DONE]\n\n"), "unknown", 502),
+            "a piece that cannot be read": (HEAD + chunk("data: {\"choices\": 3}\n\n") + done, "unknown", 502),
+            "refused as busy": (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "not_run", 503),
+            "refused for good": (b"HTTP/1.1 400 No\r\nContent-Length: 3\r\n\r\nbad", "failed", 502),
+        }
+        for name, (answer, outcome, code) in cases.items():
+            with self.subTest(name):
+                raw, status, told, headers = self.told(answer)
+                self.assertEqual((status, told), (code, outcome))
+                self.assertEqual(raw.reached, 1)
+                self.assertEqual("Retry-After" in headers, outcome == "not_run")
+
+    def test_nobody_listens(self):
+        port, = free_ports(1)
+        self.announce(port, "nobody")
+        status, said, headers = self.ask("nobody")
+        self.assertEqual((status, said["error"]["outcome"], headers["Retry-After"]), (503, "not_run", "1"))
+
+    def test_a_hang_ends_with_the_limit_and_is_unknown(self):
+        raw, status, told, _ = self.told(b"", hold=True)
+        self.assertEqual((raw.reached, status, told), (1, 504, "unknown"))
+
+    def test_only_a_repeatable_request_goes_to_a_second_back_end(self):
+        for repeatable in (False, True):
+            model = f"two-{repeatable}"
+            bad = _Raw(b"")
+            good = _Raw(HEAD + piece("whole") + chunk("data: [DONE]\n\n") + b"0\r\n\r\n")
+            self.addCleanup(bad.close)
+            self.addCleanup(good.close)
+            self.announce(bad.port, model)
+            if not repeatable:
+                got = self.ask(model)
+                self.assertEqual((got[0], bad.reached), (502, 1))
+                continue
+            self.announce(good.port, model)
+            for _ in range(40):
+                got = self.ask(model, repeatable=True)
+                self.assertEqual((got[0], got[1].get("text")), (200, "whole"))
+                if bad.reached:
+                    break
+            self.assertEqual((bad.reached, good.reached > 0), (1, True))
+
+    def test_a_try_that_may_have_run_is_not_forgotten_by_a_second_that_did_not(self):
+        bad = _Raw(b"")
+        busy = _Raw(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        for raw in (bad, busy):
+            self.addCleanup(raw.close)
+            self.announce(raw.port, "both")
+        for _ in range(6):
+            reached = bad.reached
+            status, said, _ = self.ask("both", repeatable=True)
+            self.assertNotEqual(status, 200)
+            self.assertEqual(said["error"]["outcome"], "unknown" if bad.reached > reached else "not_run")
+
+    def test_a_stream_that_is_cut_shows_a_fault_and_no_end(self):
+        raw = _Raw(HEAD + piece("a") + piece("b"))
+        self.addCleanup(raw.close)
+        self.announce(raw.port, "cut")
+        c = socket.create_connection(("127.0.0.1", self.fleet.programs["guide0"].ports[1]), timeout=5)
+        body = json.dumps({"model": "cut", "prompt": "p"})
+        c.sendall(f"POST /v1/generate HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        data = b""
+        while more := c.recv(65536):
+            data += more
+        c.close()
+        self.assertIn(b'event: fault', data)
+        self.assertIn(b'"outcome": "unknown"', data)
+        self.assertNotIn(b"event: end", data)
+        self.assertFalse(data.endswith(b"0\r\n\r\n"), "the body ends as if it were whole")
+
+    def test_a_run_resumes_exactly_where_it_stopped_and_is_not_joined_to_another(self):
+        raw = _Raw(HEAD + piece("a") + piece("b"), hold=True)
+        self.addCleanup(raw.close)
+        self.announce(raw.port, "resumed")
+        c = socket.create_connection(("127.0.0.1", self.fleet.programs["guide0"].ports[1]), timeout=5)
+        body = json.dumps({"model": "resumed", "prompt": "p", "limit_ms": 20000})
+        c.sendall(f"POST /v1/generate HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        data = b""
+        while data.count(b"event: piece") < 2:
+            data += c.recv(65536)
+        run = json.loads(data.partition(b"event: run\ndata: ")[2].partition(b"\n")[0])["id"]
+        c.close()
+        for conn in raw._kept:
+            conn.sendall(piece("c") + chunk("data: [DONE]\n\n") + b"0\r\n\r\n")
+        status, shown, _ = self.fleet.call("guide0", "GET", f"/v1/generate/{run}?from=1")
+        self.assertEqual(status, 200)
+        texts = [json.loads(e.partition("data: ")[2]) for e in shown.decode().split("\n\n") if "event: piece" in e]
+        self.assertEqual(texts, [{"n": 1, "text": "b"}, {"n": 2, "text": "c"}])
+        self.assertIn(b"event: end", shown)
+        self.assertEqual(self.fleet.call("guide0", "GET", f"/v1/generate/{run}?from=9")[0], 416)
+        self.assertEqual(self.fleet.call("guide0", "GET", "/v1/generate/nobody?from=0")[0], 404)
+
+    def test_a_card_cut_short_never_ends_cleanly(self):
+        wait_for(lambda: self.fleet.call("guide0", "GET", "/v1/fetch/cards/cards/a")[0] == 200, 10, "cards are known")
+        self.fleet.call("card0", "POST", "/mode/cut")
+        try:
+            for n in range(5):
+                status, body, _ = self.fleet.call("guide0", "GET", f"/v1/fetch/cards/cards/{n}")
+                self.assertEqual(status, 0, body)
+        finally:
+            self.fleet.call("card0", "POST", "/mode/well")
+
+    def test_bodies_are_bounded(self):
+        status, said, _ = self.fleet.call("guide0", "POST", "/v1/generate", b"x" * (1024 * 1024 + 1))
+        self.assertIn(status, (0, 413))
+        if status:
+            self.assertEqual(said["error"]["code"], "body_too_long")
+        self.assertEqual(self.fleet.call("guide0", "POST", "/v1/generate", b"[1")[1]["error"]["code"], "bad_json")
+        self.assertEqual(self.fleet.call("guide0", "GET", "/v1/lots/zz")[1]["error"]["code"], "bad_id")
+        self.assertEqual(self.fleet.call("guide0", "GET", "/v1/lots/ab.1.0")[1]["error"]["code"], "no_such_lot")
+        self.assertEqual(self.fleet.call("guide0", "GET", "/v1/lots/ab.1.0/results?from=x")[1]["error"]["field"], "from")
