Test the caches' order of writes and reads, and measure a healthy fleet

Cause: the Fast ACS path had no test of its own, and no figures were kept. Seen: chunk writes of one partial chunk wait for one another, the cached length waits for all below it, a lost replica costs no durable read, and with every cache gone reads take under a second.

--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -4,6 +4,7 @@
   rehearsal backend --name NAME --guides LIST [--pool POOL] [--models LIST] [--zone ZONE] [--capacity N]
                     [--port N] [--step S] [--notes FILE]
   rehearsal soak [--profile NAME] [--seed N] [--minutes M] [--keep FOLDER] [--faults LIST] [--level LEVEL]
+  rehearsal bench [--profile NAME] [--seed N] [--rounds N] [--window S]
   rehearsal -h | --help
 
 Options:
@@ -21,6 +22,8 @@
   --minutes M       How long faults are brought about. [default: 2]
   --keep FOLDER     Keeps data and logs there.
   --faults LIST     Only these faults, with commas.
+  --rounds N        How many pairs of windows are measured. [default: 5]
+  --window S        Seconds in a window. [default: 6]
   --level LEVEL     The fleet's log level. [default: info]
 """
 from docopt import docopt
@@ -39,6 +42,10 @@
             return 2
         return Soak(words["--profile"], int(words["--seed"]), float(words["--minutes"]), words["--keep"], faults,
                     words["--level"]).run()
+    if words["bench"]:
+        from .bench import Bench
+
+        return Bench(words["--profile"], int(words["--seed"]), int(words["--rounds"]), float(words["--window"])).run()
     from .backend import run_backend
 
     return run_backend(words)
--- /dev/null
+++ b/rehearsal/bench.py
@@ -0,0 +1,138 @@
+"""Measures a healthy fleet: windows with and without lots beside live traffic, in turn."""
+import json
+import re
+import threading
+import time
+from random import Random
+
+from .callers import Caller, Callers
+from .fleet import Fleet, wait_for
+from .soak import PROFILES, spread
+
+__all__ = ["Bench"]
+
+ROW = {"model": "bench", "pool": "models", "weight": 1}
+
+
+class Bench:
+    def __init__(self, profile: str, seed: int, rounds: int, window: float):
+        self.p = PROFILES[profile]
+        self.rounds, self.window = rounds, window
+        p = self.p
+        self.fleet = Fleet(guides=p["guides"], depots=p["depots"], offices=p["offices"], engines=p["engines"],
+                           cards=p["cards"], capacity=8, step=0.02)
+        self.calls = Callers(self.fleet, Random(seed))
+        self._n = 0
+        self._seen: list[float] = []
+
+    def run(self) -> int:
+        try:
+            self.fleet.start(60)
+            wait_for(lambda: self.calls.generate("warm")["end"], 20, "an engine is known")
+            time.sleep(9)
+            c = self.calls
+            c.start(Caller(c, "walk", 1 / self.p["live"], lambda c, n: c.generate(n, prefix=f"tour{hash(n) % 5}")))
+            c.start(Caller(c, "card", 1 / self.p["fetch"], lambda c, n: c.fetch(n)))
+            windows = {"alone": [], "beside_lots": []}
+            for _ in range(self.rounds):
+                for kind, spans in windows.items():
+                    began = time.monotonic()
+                    if kind == "beside_lots":
+                        self._lots()
+                    time.sleep(max(0.0, self.window - (time.monotonic() - began)))
+                    spans.append((began, time.monotonic()))
+                    if kind == "beside_lots":
+                        self._drain()
+            edits = [self._edit(n) for n in range(20)]
+            self.calls.stop()
+            self._say(windows, edits)
+            return 0
+        finally:
+            self.calls.stop()
+            self.fleet.stop()
+
+    def _lots(self):
+        for _ in range(4):
+            self._n += 1
+            e = self.calls.lot(f"bench-{self._n}", 40, watch=False)
+            threading.Thread(target=self._watch, args=(e["lot"],), daemon=True).start()
+
+    def _watch(self, lot):
+        """Notes when each item is first visible at a guide that need not own the lot."""
+        start, guide = 0, self.calls.guide()
+        until = time.monotonic() + 60
+        while time.monotonic() < until:
+            status, said, _ = self.fleet.call(guide, "GET", f"/v1/lots/{lot}/results?from={start}")
+            now = time.monotonic()
+            if status == 200:
+                for r in said["results"]:
+                    self.calls.note("visible", lot=lot, item=r["item"], seen=now)
+                start = said["next"]
+                if said["state"] == "done":
+                    return
+            time.sleep(0.03)
+
+    def _drain(self):
+        lots = [e["lot"] for e in self.calls.taken() if e["event"] == "lot" and e["lot"]]
+        guide = self.fleet.nodes("guide")[0]
+        for lot in lots[-4:]:
+            wait_for(lambda: self.fleet.call(guide, "GET", f"/v1/lots/{lot}")[1].get("state") == "done", 60, "done")
+
+    def _edit(self, n) -> dict:
+        """From the request to its receipt, and to the moment when every guide is seen to have it."""
+        office = self.fleet.nodes("office")[n % len(self.fleet.nodes("office"))]
+        base = self.fleet.call(office, "GET", "/v1/table")[1]["sequence"]
+        began = time.monotonic()
+        status, said, _ = self.fleet.call(office, "PUT", "/v1/table/rows/bench", {**ROW, "weight": n + 1},
+                                          {"If-Match": str(base)})
+        acked = time.monotonic()
+        assert status == 200, said
+
+        def everywhere():
+            return all(self.fleet.call(g, "GET", "/v1/ready")[1]["setup"] >= said["sequence"]
+                       for g in self.fleet.nodes("guide"))
+
+        wait_for(everywhere, 5, "every guide has the edit")
+        return {"acked": acked - began, "everywhere": time.monotonic() - began}
+
+    def _counts(self) -> dict:
+        out: dict[str, float] = {}
+        for g in self.fleet.nodes("guide"):
+            status, text, _ = self._metrics(g)
+            for name, value in re.findall(r"^pipitlink_cache_(\w+) (\S+)$", text.decode(), re.M):
+                out[name] = out.get(name, 0) + float(value)
+        return out
+
+    def _metrics(self, guide):
+        import http.client
+
+        c = http.client.HTTPConnection("127.0.0.1", self.fleet.programs[guide].ports[2], timeout=5)
+        c.request("GET", "/metrics")
+        r = c.getresponse()
+        return r.status, r.read(), r.headers
+
+    def _say(self, windows, edits):
+        events, notes = self.calls.taken(), self.fleet.notes()
+        told = [e for e in events if e["event"] == "told" and e["end"] and e["prompt"] != "warm"]
+        lots = {e["lot"]: e for e in events if e["event"] == "lot" and e["lot"]}
+        done = {}
+        prompts = {n["run"]: n["prompt"] for n in notes if n["event"] == "run"}
+        for n in notes:
+            if n["event"] == "done":
+                done[prompts.get(n["run"])] = n["at"]
+        visible = sorted(e["seen"] - done[lots[e["lot"]]["prompts"][e["item"]]] for e in events
+                         if e["event"] == "visible" and lots[e["lot"]]["prompts"][e["item"]] in done)
+        out = {"profile": self.p, "windows": self.rounds}
+        for kind, spans in windows.items():
+            inside = [[e for e in told if a <= e["asked"] < b] for a, b in spans]
+            out[f"first_piece_{kind}"] = spread(sorted(e["first"] for es in inside for e in es))
+            out[f"first_piece_{kind}_p50_by_window"] = [spread(sorted(e["first"] for e in es)).get("p50") for es in inside]
+        out["lot_accept"] = spread(sorted(e["took"] for e in lots.values()))
+        out["result_visible_after_engine"] = spread(visible)
+        out["edit_acked"] = spread(sorted(e["acked"] for e in edits))
+        out["edit_everywhere"] = spread(sorted(e["everywhere"] for e in edits))
+        counts = self._counts()
+        read = sum(counts.get(k, 0) for k in ("relaxed", "consistent", "durable"))
+        out["cache_hit_share"] = round((counts.get("relaxed", 0) + counts.get("consistent", 0)) / max(1, read), 4)
+        out["cache_counts"] = counts
+        print(json.dumps(out, indent=1))
--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -9,7 +9,7 @@
 from .checker import check
 from .fleet import ZONES, Fleet, wait_for
 
-__all__ = ["Soak", "PROFILES"]
+__all__ = ["Soak", "PROFILES", "FAULTS", "spread"]
 
 PROFILES = {
     "periplous": {"guides": 8, "depots": 4, "offices": 4, "engines": 6, "cards": 4, "live": 6, "fetch": 27},
@@ -270,12 +270,12 @@
                 outcomes[key] = outcomes.get(key, 0) + 1
         print(json.dumps({
             "live": len(live), "whole": len(whole), "faults": outcomes,
-            "first_ms": _spread(firsts), "cards": len(fetched), "cards_ok": sum(e["status"] == 200 for e in fetched),
-            "card_ms": _spread(sorted(e["took"] for e in fetched if e["status"] == 200)),
+            "first_ms": spread(firsts), "cards": len(fetched), "cards_ok": sum(e["status"] == 200 for e in fetched),
+            "card_ms": spread(sorted(e["took"] for e in fetched if e["status"] == 200)),
             "lots": len(lots), "lots_taken": sum(bool(e["lot"]) for e in lots),
-            "lot_ms": _spread(sorted(e["took"] for e in lots if e["lot"])),
+            "lot_ms": spread(sorted(e["took"] for e in lots if e["lot"])),
             "edits": len(edits), "edits_done": sum(e["status"] == 200 for e in edits),
-            "edit_ms": _spread(sorted(e["took"] for e in edits if e["status"] == 200)),
+            "edit_ms": spread(sorted(e["took"] for e in edits if e["status"] == 200)),
             "runs": sum(n["event"] == "run" for n in notes)}, indent=1))
         for line in bad:
             print("VIOLATION", line)
@@ -283,7 +283,7 @@
         return 1 if bad else 0
 
 
-def _spread(values: list[float]) -> dict:
+def spread(values: list[float]) -> dict:
     if not values:
         return {}
     at = lambda q: round(1000 * values[min(len(values) - 1, int(q * len(values)))], 1)  # noqa: E731
--- /dev/null
+++ b/tests/test_stage_cache.py
@@ -0,0 +1,227 @@
+"""The caches: the order of chunk writes, the order of reads, and what holds when they are lost."""
+import unittest
+
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from pipitlink.beats import Beats, ms, secs
+from pipitlink.cache.chunks import CHUNK, chunk_key
+from pipitlink.cache.shadow import Shadow
+from pipitlink.cache.stores import DataStore, LengthStore
+from pipitlink.journal import Journal
+from pipitlink.wire.cache_pb2 import Lengths
+from rehearsal.stage import Stage
+
+
+class _Held:
+    def __init__(self):
+        self.data, self.committed, self.lost = bytearray(), 0, ""
+        self._do = None
+
+    def watch(self, do):
+        self._do = do
+
+    def grow(self, n: int):
+        start = len(self.data)
+        self.data += bytes((start + i) % 251 for i in range(n))
+        self.committed = len(self.data)
+        self._do(self)
+
+
+class _Cache:
+    """Takes chunk writes and holds each until the test lets it through."""
+
+    def __init__(self):
+        self.waiting: list[tuple[dict, defer.Deferred]] = []
+        self.cached = self.durable = 0
+
+    def put_chunks(self, chunks):
+        d = defer.Deferred()
+        self.waiting.append((chunks, d))
+        return d
+
+    def let(self, i: int, took: bool = True):
+        chunks, d = self.waiting.pop(i)
+        d.callback(set(chunks) if took else set())
+
+    async def put_lengths(self, lengths):
+        for one in lengths.values():
+            assert one.cached >= self.cached or one.cached == 0, "the cached length went back"
+            self.cached = max(self.cached, one.cached)
+            self.durable = max(self.durable, one.durable)
+
+
+class _Ctx:
+    def __init__(self):
+        self.clock = Clock()
+        self.beats = Beats(self.clock, seconds=self.clock.seconds)
+        self.node = "me"
+        self.journal = Journal(self)
+
+    def log(self, *words):
+        pass
+
+
+class ChunkOrder(unittest.TestCase):
+    def setUp(self):
+        self.ctx, self.cache, self.held = _Ctx(), _Cache(), _Held()
+        self.shadow = Shadow(self.ctx, self.cache, "log", self.held)
+
+    def number(self, i):
+        chunks, _ = self.cache.waiting[i]
+        return next(n for n in range(64) if chunk_key("log", n) in chunks)
+
+    def test_every_write_begins_at_the_chunks_start(self):
+        for n in (100, 5000, 9000):
+            self.held.grow(n)
+            while self.cache.waiting:
+                chunks, _ = self.cache.waiting[0]
+                n = self.number(0)
+                data = chunks[chunk_key("log", n)]
+                self.assertEqual(data, bytes(self.held.data[n * CHUNK:n * CHUNK + len(data)]))
+                self.cache.let(0)
+        self.assertEqual(self.cache.cached, 14100)
+
+    def test_writes_of_a_partial_chunk_wait_for_one_another(self):
+        self.held.grow(100)
+        self.held.grow(100)
+        self.held.grow(100)
+        self.assertEqual(len(self.cache.waiting), 1)
+        self.cache.let(0)
+        self.assertEqual(len(self.cache.waiting), 1)
+        self.assertEqual(len(next(iter(self.cache.waiting[0][0].values()))), 300)
+        self.cache.let(0)
+        self.assertEqual((self.cache.waiting, self.cache.cached), ([], 300))
+
+    def test_the_cached_length_waits_for_every_chunk_below_it(self):
+        self.held.grow(5 * CHUNK + 10)
+        self.assertEqual(len(self.cache.waiting), 6)
+        self.cache.waiting.sort(key=lambda w: -len(next(iter(w[0].values()))))
+        order = [self.number(i) for i in range(6)]
+        lowest = order.index(0)
+        for i in reversed([i for i in range(6) if i != lowest]):
+            self.cache.let(i)
+            self.assertEqual(self.cache.cached, 0)
+        self.cache.let(0)
+        self.assertEqual((self.cache.cached, self.cache.durable), (5 * CHUNK + 10, 5 * CHUNK + 10))
+
+    def test_a_write_that_too_few_replicas_took_is_made_again(self):
+        self.held.grow(10)
+        self.cache.let(0, took=False)
+        self.assertEqual(self.cache.cached, 0)
+        self.ctx.clock.advance(1)
+        self.cache.let(0)
+        self.assertEqual(self.cache.cached, 10)
+
+
+class Stores(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.beats = Beats(self.clock, seconds=self.clock.seconds)
+
+    def test_chunks_only_grow_and_go_by_age_or_room(self):
+        s = DataStore(self.beats, secs(10), 30)
+        s.put(b"a", b"12345")
+        s.put(b"a", b"123")
+        self.assertEqual(s.get(b"a"), b"12345")
+        s.put(b"b", b"x" * 28)
+        self.assertEqual((s.get(b"a"), s.size), (b"", 28))
+        self.clock.advance(11)
+        self.assertEqual((s.get(b"b"), s.size), (b"", 0))
+
+    def test_lengths_only_grow(self):
+        s = LengthStore(self.beats, secs(10))
+        s.merge(Lengths(path="p", durable=9, cached=5))
+        s.merge(Lengths(path="p", durable=7, cached=6))
+        self.assertEqual((s.get("p").durable, s.get("p").cached), (9, 6))
+
+
+class Readers(unittest.TestCase):
+    def setUp(self):
+        self.stage = Stage(4, offices=3, depots=3, guides=5, shelves=2)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.stage.ready()
+        self.writer, *self.others = self.stage.role("guide")
+
+    def write(self, records):
+        ctx = self.writer.ctx
+
+        async def go():
+            h = ctx.ledger.holders.get("results/r")
+            if h is None:
+                h = await ctx.ledger.hold("results/r")
+                ctx.cache.shadow("results/r", h)
+            for r in records:
+                await h.append([r])
+
+        self.stage.do(go())
+
+    def read(self, ctx, n):
+        tail = ctx.cache.tail("results/r")
+        got = []
+
+        async def go():
+            while len(got) < n:
+                if not (more := await tail.more()):
+                    await tail.wait()
+                got.extend(body for _, body in more)
+
+        began = self.stage.clock.seconds()
+        self.stage.do(go(), 5)
+        tail.close()
+        return got, self.stage.clock.seconds() - began
+
+    def test_reads_come_from_the_caches_and_within_a_poll_or_two(self):
+        records = [f"{n}".encode() * 700 for n in range(40)]
+        self.write(records)
+        self.stage.run(0.5)
+        ctx = self.others[0].ctx
+        got, took = self.read(ctx, 40)
+        self.assertEqual(got, records)
+        self.assertEqual((ctx.cache.counts["durable"], ctx.cache.counts["relaxed"] > 10), (0, True))
+        self.assertLess(took, 0.3)
+
+    def test_with_every_cache_gone_reads_are_slower_and_still_right(self):
+        records = [f"{n}".encode() * 700 for n in range(40)]
+        self.write(records)
+        self.stage.run(0.5)
+        self.writer.freeze()
+        for a in self.others:
+            a.ctx.cache.chunks._chunks.clear()
+            a.ctx.cache.lengths._files.clear()
+        ctx = self.others[0].ctx
+        got, took = self.read(ctx, 40)
+        self.assertEqual(got, records)
+        self.assertGreater(ctx.cache.counts["durable"], 10)
+        self.assertLess(took, 1.0)
+
+    def test_missing_chunks_come_in_one_span_and_a_lost_replica_costs_no_durable_read(self):
+        records = [f"{n}".encode() * 700 for n in range(40)]
+        self.write(records)
+        self.stage.run(0.5)
+        ctx = self.others[0].ctx
+        self.others[1].kill()
+        got, _ = self.read(ctx, 40)
+        self.assertEqual((got, ctx.cache.counts["durable"]), (records, 0))
+        for a in (self.writer, *(o for o in self.others if o.alive)):
+            for n in (2, 5):
+                a.ctx.cache.chunks._chunks.pop(chunk_key("results/r", n), None)
+        before = ctx.cache.counts["durable_reads"]
+        got, _ = self.read(ctx, 40)
+        self.assertEqual((got, ctx.cache.counts["durable_reads"] - before), (records, 1))
+
+    def test_a_postponed_durable_read_ends_well_within_the_promise(self):
+        ctx = self.others[0].ctx
+        tail = ctx.cache.tail("results/r")
+        self.stage.cut([self.writer.name], [a.name for a in self.others])
+        self.write([b"one"])
+        began = self.stage.clock.seconds()
+
+        async def go():
+            while not await tail.more():
+                await tail.wait()
+
+        self.stage.do(go(), 3)
+        self.assertLess(self.stage.clock.seconds() - began, 0.9)
+        self.assertLess(ms(ctx.props.postpone_ms), secs(1) / 2)
