Drain a guide that is told to end, and reserve ports that nobody is given

Cause: a guide ended by SIGTERM cut its streams and left its lots to lapse; and one test fleet of six did not come up, a reserved port having gone to another process's outgoing connection meanwhile. Before: streams cut at once. After: streams end, leases are handed over, colleagues are told; ports lie below the range that outgoing connections are given.

--- a/pipitlink/depot/node.py
+++ b/pipitlink/depot/node.py
@@ -125,5 +125,9 @@
                 "disk_room_bytes": ("Bytes before the reserve is touched", self.shed.room()),
                 "logs": ("Logs kept", len(self.shed.logs))}
 
+    async def end(self):
+        await self._ctx.roster.leave()
+        self.close()
+
     def close(self):
         self.shed.close()
--- a/pipitlink/guide/node.py
+++ b/pipitlink/guide/node.py
@@ -1,6 +1,6 @@
 from klein import Klein
 
-from ..beats import secs
+from ..beats import ms, secs
 from ..faults import NotFound
 from ..web import Site, listen, send_fault, send_json
 from .asks import AskTable
@@ -18,6 +18,8 @@
 
 __all__ = ["GuideNode"]
 
+DRAIN = secs(6)
+
 
 class GuideNode(Admitting, Picking, Limits, Relaying, Live, Fetching, Intake, Keyed, Lots, Dispatch, Results,
                 AskTable):
@@ -28,6 +30,7 @@
         self._hold = secs(ctx.props.resume_hold_s)
         self._waiting = 0
         self._port = None
+        self._draining = False
 
     def open(self):
         self._open_table()
@@ -46,7 +49,7 @@
         return port
 
     def current(self) -> bool:
-        return self._ctx.setup.ready()
+        return not self._draining and self._ctx.setup.ready()
 
     async def keep(self, log: str):
         """Holds a log and shadows it into the caches."""
@@ -101,6 +104,14 @@
         return out
 
     async def end(self):
+        """Drains: nothing new is admitted, what runs may end, and the leases are handed over."""
+        self._draining = True
         if self._port is not None:
             await self._port.stopListening()
+        until = self._ctx.beats.now() + DRAIN
+        while any(not a.settled for a in self.asks.values()) and self._ctx.beats.now() < until:
+            await self._ctx.beats.pause(ms(50))
+        for o in self.open_lots.values():
+            self._lose(o)
         await self._ctx.ledger.release(list(self._ctx.ledger.holders.values()))
+        await self._ctx.roster.leave()
--- a/pipitlink/office/node.py
+++ b/pipitlink/office/node.py
@@ -1,6 +1,6 @@
 from pathlib import Path
 
-from ..beats import ms, secs
+from ..beats import ms
 from ..charts import Charted
 from ..disk import Disk
 from ..faults import WireFault
@@ -125,4 +125,4 @@
     async def end(self):
         if self.state == "leader":
             self.step_down()
-            await self._ctx.beats.pause(secs(0.05))
+        await self._ctx.roster.leave()
--- a/pipitlink/roster/roster.py
+++ b/pipitlink/roster/roster.py
@@ -1,5 +1,7 @@
 from datetime import timedelta
 
+from twisted.internet import defer
+
 from ..beats import ms, secs, spawn
 from ..faults import WireFault
 from ..wire.frame_pb2 import Nothing
@@ -94,7 +96,7 @@
             return
         now = self._ctx.beats.now()
         if m.node == self.me.node:
-            if m.standing != "alive" and m.incarnation >= self.me.incarnation:
+            if self.me.standing == "alive" and m.standing != "alive" and m.incarnation >= self.me.incarnation:
                 self.me.incarnation = m.incarnation + 1
                 self._ctx.journal.note("refuted", incarnation=self.me.incarnation)
                 self.tell()
@@ -151,10 +153,15 @@
         self._absorb(g)
         return g.sender
 
-    def tell(self):
+    def tell(self) -> list:
         g = self._gossip()
-        for m in self.members(me=False):
-            spawn(self._tell_one((m.host, m.port), g)).addErrback(lambda f: None)
+        return [spawn(self._tell_one((m.host, m.port), g)).addErrback(lambda f: None)
+                for m in self.members(me=False)]
+
+    async def leave(self):
+        """Tells all colleagues that this node ends, so that nobody has to find out."""
+        self.me.standing = "gone"
+        await defer.DeferredList(self.tell())
 
     async def _tell_one(self, place, g):
         await self._ctx.desk.call(place, "roster.tell", g, Nothing, PROBE_LIMIT)
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -16,15 +16,25 @@
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 
 
+_given: set[int] = set()
+
+
 def free_ports(n: int) -> list[int]:
-    socks = [socket.socket() for _ in range(n)]
-    try:
-        for s in socks:
-            s.bind(("127.0.0.1", 0))
-        return [s.getsockname()[1] for s in socks]
-    finally:
-        for s in socks:
-            s.close()
+    """Ports that nobody uses, below those that outgoing connections are given."""
+    out: list[int] = []
+    at = 12_000 + os.getpid() * 97 % 18_000
+    while len(out) < n:
+        at = at + 1 if at < 31_000 else 12_000
+        if at in _given:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", at))
+            except OSError:
+                continue
+        _given.add(at)
+        out.append(at)
+    return out
 
 
 def wait_for(check, limit: float, what: str):
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -3,7 +3,9 @@
 import socket
 import threading
 import unittest
+from random import Random
 
+from rehearsal.callers import Callers
 from rehearsal.fleet import Fleet, free_ports, wait_for
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -195,3 +197,25 @@
         self.assertEqual(self.fleet.call("guide0", "GET", "/v1/lots/zz")[1]["error"]["code"], "bad_id")
         self.assertEqual(self.fleet.call("guide0", "GET", "/v1/lots/ab.1.0")[1]["error"]["code"], "no_such_lot")
         self.assertEqual(self.fleet.call("guide0", "GET", "/v1/lots/ab.1.0/results?from=x")[1]["error"]["field"], "from")
+
+
+class Draining(unittest.TestCase):
+    def test_a_guide_told_to_end_finishes_its_streams_and_hands_its_lots_over(self):
+        fleet = Fleet(guides=2, depots=3, offices=3, engines=2, cards=0, step=0.15)
+        self.addCleanup(fleet.stop)
+        fleet.start()
+        calls = Callers(fleet, Random(1))
+        wait_for(lambda: calls.generate("warm", guide="guide0")["end"], 20, "an engine is known")
+        lot = fleet.call("guide0", "POST", "/v1/lots", {"items": [{"model": "pipit-small", "prompt": f"d{n}"}
+                                                                  for n in range(20)]})[1]["lot"]
+        told = []
+        t = threading.Thread(target=lambda: told.append(calls.generate("draining", guide="guide0")))
+        t.start()
+        wait_for(lambda: any(n["event"] == "run" and n["prompt"] == "draining" for n in fleet.notes()), 10, "it runs")
+        self.assertEqual(fleet.programs["guide0"].end(), 0)
+        t.join(10)
+        self.assertTrue(told[0]["end"], told)
+        wait_for(lambda: fleet.call("guide1", "GET", f"/v1/lots/{lot}")[1].get("state") == "done", 30, "the lot is done")
+        listed = fleet.call("guide1", "GET", f"/v1/lots/{lot}/results")[1]["results"]
+        self.assertEqual({r["outcome"] for r in listed}, {"done"})
+        self.assertEqual(len(listed), 20)
