Ask only after open lots, hand lots over in an emptied zone, and say what was heard

After: only open lots are asked after; lots move off an emptied zone; such a model is 503 with a time to come back.

--- a/pipitlink/guide/asks.py
+++ b/pipitlink/guide/asks.py
@@ -5,7 +5,7 @@
 
 from ..charts import Charted, chart_data
 from ..context import fresh_id
-from ..faults import BackEndFault, GuideFault
+from ..faults import BackEndFault, GuideFault, LedgerFault
 
 __all__ = ["Ask", "AskTable"]
 
@@ -125,7 +125,7 @@
             ask.put("lose")
             ask.fail(GuideFault("the request was ended", code="ended", outcome=ask.outcome))
         except Exception as e:
-            if not isinstance(e, GuideFault):
+            if not isinstance(e, (GuideFault, LedgerFault)):
                 self._ctx.journal.fault("ask_failed", e, ask=ask.id)
             ask.put("lose")
             ask.fail(e)
--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/guide/dispatch.py
@@ -34,11 +34,14 @@
 
     def _owner(self, lot_id: str) -> str:
         guides = self._ctx.roster.members("guide", standing=("alive",))
+        guides = [m for m in guides if not self._ctx.setup.zone_empty(m.zone)] or guides
         return max(guides, key=lambda m: _rank(lot_id, m.node)).node
 
     def _take_lots(self):
         if not self.current():
             return
+        if self._ctx.setup.zone_empty(self._ctx.props.zone):
+            self._hand_over()
         now = self._ctx.beats.now()
         taking = sum(o.taking for o in self.open_lots.values())
         for o in sorted(self.open_lots.values(), key=lambda o: o.lot.limit_ms):
@@ -80,6 +83,13 @@
         o.waiting = [i for i in range(len(o.lot.items)) if i not in o.results]
         await self._finish_if_done(o)
 
+    def _hand_over(self):
+        """In an emptied zone a guide gives up its lots once nothing of theirs runs; others take them up."""
+        for o in self.open_lots.values():
+            if o.holder is not None and not o.running and not o.holder.lost:
+                self._ctx.spawned(self._ctx.ledger.release([o.holder]), "hand_over")
+                self._lose(o)
+
     def _lose(self, o: OpenLot):
         for work in o.running.values():
             work.cancel()
@@ -88,7 +98,7 @@
 
     def _feed(self):
         """Starts items while there is room: by limit, then priority, and by turns among customers."""
-        if not self.current():
+        if not self.current() or self._ctx.setup.zone_empty(self._ctx.props.zone):
             return
         now = self._ctx.beats.now()
         wall = wall_ms(self._ctx.beats.wall())
--- a/pipitlink/guide/live.py
+++ b/pipitlink/guide/live.py
@@ -149,7 +149,8 @@
     def stop(self):
         if self._on:
             self._on = False
-            self._request.unregisterProducer()
+            if self._request.channel is not None:
+                self._request.unregisterProducer()
 
     def pauseProducing(self):
         self.full = True
--- a/pipitlink/guide/lots.py
+++ b/pipitlink/guide/lots.py
@@ -11,6 +11,7 @@
 LIST_BEAT = secs(1)
 CLOSE_BEAT = secs(10)
 DAY_MS = 86_400_000
+MOST_ASKED = 2000
 
 
 def result_log(lot: str) -> str:
@@ -66,16 +67,28 @@
     async def _list_logs(self):
         if not self._ctx.setup.ready():
             return
-        for log, state in (await self._ctx.ledger.list("results/")).items():
-            lot_id = log.removeprefix("results/")
-            mine = self.open_lots.get(lot_id)
-            if state.final and lot_id not in self._closed and not (mine and mine.holder):
-                self._close(lot_id)
+        await self._see_closed()
         for log, state in (await self._ctx.ledger.list("lots/")).items():
-            if log not in self._tails and not state.final:
+            tail = self._tails.get(log)
+            if tail is None and not state.final:
                 self._tails[log] = self._ctx.cache.tail(log)
                 self._lots_of[log] = set()
                 self._ctx.spawned(self._follow(log), "follow")
+            elif tail is not None and state.final and tail.position >= state.committed:
+                self._leave_log(log)
+
+    async def _see_closed(self):
+        """Lots that another guide finished or ended are open here no longer."""
+        theirs = [o.id for o in self.open_lots.values() if o.holder is None and not o.taking]
+        for i in range(0, len(theirs), MOST_ASKED):
+            logs = [result_log(lot_id) for lot_id in theirs[i:i + MOST_ASKED]]
+            for log, state in (await self._ctx.ledger.states(logs)).items():
+                if state.final:
+                    self._close(log.removeprefix("results/"))
+
+    def _leave_log(self, log: str):
+        self._tails.pop(log).close()
+        self._closed -= self._lots_of.pop(log, set())
 
     async def _close_logs(self):
         """Ends lot logs that nobody writes to any more, once every lot in them is closed."""
@@ -95,8 +108,8 @@
                 if not h.final:
                     await h.append([LogRecord(ended=Ended(why="done")).SerializeToString()], final=True, reserved=True)
                 await self._ctx.ledger.release([h])
-                self._tails.pop(log).close()
-                self._ctx.journal.note("lot_log_ended", log=log, lots=len(self._lots_of.pop(log, ())))
+                self._ctx.journal.note("lot_log_ended", log=log, lots=len(self._lots_of.get(log, ())))
+                self._leave_log(log)
             except PipitFault as e:
                 self._ctx.journal.trace("lot_log_kept", log=log, text=e)
 
--- a/pipitlink/guide/node.py
+++ b/pipitlink/guide/node.py
@@ -31,6 +31,7 @@
         self._waiting = 0
         self._port = None
         self._draining = False
+        self._opened_at = ctx.beats.now()
 
     def open(self):
         self._open_table()
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/guide/picking.py
@@ -3,7 +3,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms
+from ..beats import ms, secs
 from ..faults import Crowded, GuideFault, NotFound
 
 __all__ = ["Admitting", "Picking", "RetryBudget"]
@@ -12,6 +12,7 @@
 PICK_WAIT = ms(500)
 CURRENT_WAIT = ms(600)
 MAX_WAITING = 128
+YOUNG_SPAN = secs(4)
 
 
 def _score(key: str, name: str, weight: float) -> float:
@@ -90,6 +91,9 @@
             if e is not None:
                 break
             known = self.candidates(ask.model, ask.pool)
+            if not known and self._may_yet_come(ask):
+                raise Crowded(f"nothing that serves {ask.pool or ask.model!r} is heard now", code="none_heard",
+                              retry_after=2)
             if not known:
                 raise NotFound(f"nothing serves {ask.pool or ask.model!r}", field="pool" if ask.pool else "model")
             if all(k.name in ask.avoid for k, _ in known):
@@ -104,6 +108,11 @@
         ask.put("pick")
         return False
 
+    def _may_yet_come(self, ask) -> bool:
+        """A guide that just started has not heard all back ends yet, and what the table names is only away."""
+        young = self._ctx.beats.now() - self._opened_at < YOUNG_SPAN
+        return young or self._ctx.setup.row(ask.model, ask.pool) is not None
+
     async def _wait_room(self, left):
         d = defer.Deferred()
         self.engines.wait_room(d)
--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -192,20 +192,23 @@
         name = self._pick("depot")
         self.say(f"{name} loses its disk and comes back empty")
         p = self.fleet.programs[name]
+        place = f"127.0.0.1:{p.ports[0]}"
+        lost = next((n for n, d in self._depots().items() if d["place"] == place), "")
         p.kill()
         data = Path(p.words[p.words.index("--data") + 1])
         data.rename(data.with_name(f"{name}-lost-{len(self.told)}"))
         p.start()
-        self._wait_placed()
+        self._wait_placed(lost)
 
-    def _wait_placed(self):
+    def _depots(self) -> dict:
+        status, said, _ = self.fleet.call(self._leader(), "GET", "/v1/depots")
+        return said["depots"] if status == 200 else {}
+
+    def _wait_placed(self, lost: str):
         def placed():
-            status, said, _ = self.fleet.call(self._leader(), "GET", "/v1/depots")
-            if status != 200:
-                return False
-            depots = said["depots"].values()
-            return len(depots) >= 4 and all(d["heard"] == "alive" for d in depots) \
-                and sum(d["shelves"] for d in depots) == 48
+            depots = self._depots()
+            return len(depots) >= 4 and lost not in depots and all(d["heard"] == "alive" for d in depots.values()) \
+                and sum(d["shelves"] for d in depots.values()) == 48
 
         began = time.monotonic()
         wait_for(placed, 90, "the shelves are placed again")
