--- /dev/null
+++ b/pipitlink/plugs.py
@@ -0,0 +1,37 @@
+"""A place for test-only plugs in the transport. Nothing is plugged in unless a prop names it."""
+import importlib
+
+import pluggy
+
+__all__ = ["Gate", "hookimpl"]
+
+hookspec = pluggy.HookspecMarker("pipitlink")
+hookimpl = pluggy.HookimplMarker("pipitlink")
+
+
+class _Spec:
+    @hookspec(firstresult=True)
+    def outbound(self, place, verb):
+        """Before a call leaves: None lets it go, a Deferred holds it up."""
+
+    @hookspec(firstresult=True)
+    def inbound(self, node, verb):
+        """Before a call is answered: None lets it through, a Deferred holds it up."""
+
+
+class Gate:
+    def __init__(self, plug: str, ctx):
+        self._hooks = pluggy.PluginManager("pipitlink")
+        self._hooks.add_hookspecs(_Spec)
+        module, _, words = plug.partition(":")
+        self._hooks.register(importlib.import_module(module).make_plug(words, ctx))
+
+    async def outbound(self, place, verb):
+        held = self._hooks.hook.outbound(place=place, verb=verb)
+        if held is not None:
+            await held
+
+    async def inbound(self, node, verb):
+        held = self._hooks.hook.inbound(node=node, verb=verb)
+        if held is not None:
+            await held
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -15,6 +15,7 @@
 from .journal import open_journal
 from .ledger import Ledger
 from .operator import OperatorFace
+from .plugs import Gate
 from .props import Props
 from .roster import Roster
 from .office import OfficeNode
@@ -36,6 +37,8 @@
         beats = Beats(reactor)
         desk = Desk(reactor, beats, journal, props.fleet, node)
         self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random())
+        if props.plug:
+            desk.gate = Gate(props.plug, self.ctx)
         self.exit = 0
         self._ending = False
         self.node = None
--- a/pipitlink/wire/desk.py
+++ b/pipitlink/wire/desk.py
@@ -18,7 +18,7 @@
 class Desk:
     """Where calls from colleagues are answered and calls to them are made."""
 
-    def __init__(self, reactor, beats: Beats, journal, fleet: str, node: str, gate=None):
+    def __init__(self, reactor, beats: Beats, journal, fleet: str, node: str):
         self._reactor = reactor
         self._beats = beats
         self.journal = journal
@@ -30,7 +30,7 @@
         self._opening = Joined()
         self._met: set[Stream] = set()
         self._port = None
-        self._gate = gate
+        self.gate = None
         self.place: Place = ("", 0)
 
     def hello(self) -> Hello:
@@ -53,8 +53,8 @@
             ask = kind.FromString(body)
         except DecodeError as e:
             raise WireFault(f"{verb}: {e}") from e
-        if self._gate is not None:
-            await self._gate.inbound(colleague.node, verb)
+        if self.gate is not None:
+            await self.gate.inbound(colleague.node, verb)
         r = await do(colleague.node, ask)
         return Nothing() if r is None else r
 
@@ -108,8 +108,8 @@
                 return await self.attend(self.hello(), verb, ask.SerializeToString())
             except PipitFault as e:
                 raise Refused(e.code, str(e)) from e
-        if self._gate is not None:
-            await self._gate.outbound(place, verb)
+        if self.gate is not None:
+            await self.gate.outbound(place, verb)
         s = await self._stream(place)
         f = await s.call(verb, ask.SerializeToString())
         if f.fault:
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -107,7 +107,7 @@
     def add_node(self, role: str, name: str, zone: str, seeds=None, **more) -> Program:
         ports = self._ports.setdefault(name, tuple(free_ports(3)))
         sets = {"zone": zone, "port": ports[0], "seeds": ",".join(seeds or self.seeds), "log_level": self.level,
-                **self.props, **more}
+                "plug": f"rehearsal.plug:{self.folder}/cuts.json", **self.props, **more}
         sets["operator_port"] = ports[2]
         if role == "guide":
             sets["http_port"] = ports[1]
@@ -169,6 +169,24 @@
         finally:
             c.close()
 
+    def place(self, name: str) -> str:
+        return f"127.0.0.1:{self.programs[name].ports[0]}"
+
+    def cut(self, some, others, one_way: bool = False):
+        """Cuts the colleagues' calls between two sets of nodes, until the next cut or `heal`."""
+        pairs = [[self.place(a), self.place(b)] for a in some for b in others]
+        if not one_way:
+            pairs += [[b, a] for a, b in pairs]
+        self._tell_cuts({"cuts": pairs})
+
+    def heal(self):
+        self._tell_cuts({})
+
+    def _tell_cuts(self, told: dict):
+        new = self.folder / "cuts.new"
+        new.write_text(json.dumps(told))
+        new.replace(self.folder / "cuts.json")
+
     def operator(self, name: str) -> str:
         return f"127.0.0.1:{self.programs[name].ports[2]}"
 
--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -18,7 +18,7 @@
 }
 FAULTS = ("kill_guide", "kill_depot", "kill_office", "kill_leader", "freeze_guide", "freeze_depot", "freeze_leader",
           "engine_crash", "engine_cut", "engine_refuse", "engine_leaving", "zone", "lots_crowd", "end_lot",
-          "two_editors", "guide_roll", "depot_empty")
+          "two_editors", "guide_roll", "depot_empty", "split_offices", "offices_away", "zone_cut", "one_way")
 
 
 class Soak:
@@ -204,6 +204,39 @@
         status, said, _ = self.fleet.call(self._leader(), "GET", "/v1/depots")
         return said["depots"] if status == 200 else {}
 
+    def _cut(self, text, some, others, span, one_way=False):
+        self.say(f"{text} for {span:.1f} s: {','.join(some)} | {','.join(others)}")
+        self.fleet.cut(some, others, one_way)
+        time.sleep(span)
+        self.fleet.heal()
+
+    def _nodes(self):
+        return [n for r in ("guide", "depot", "office") for n in self.fleet.nodes(r)]
+
+    def _split_offices(self):
+        offices = self.fleet.nodes("office")
+        self.chance.shuffle(offices)
+        k = self.chance.choice((1, 2))
+        self._cut("offices split", offices[:k], offices[k:], 2 + 4 * self.chance.random())
+
+    def _offices_away(self):
+        self._cut("offices away", self.fleet.nodes("office"), [n for n in self._nodes() if "office" not in n],
+                  2 + 5 * self.chance.random())
+
+    def _zone_cut(self):
+        """A zone's machines hear no other zone; the platform moves its clients."""
+        i = self.chance.randrange(4)
+        inside = [n for n in self._nodes() if int(n.lstrip("guidepotfc")) % 4 == i]
+        guides = {n for n in inside if n.startswith("guide")}
+        self.calls.down |= guides
+        self._cut("zone cut", inside, [n for n in self._nodes() if n not in inside], 2 + 4 * self.chance.random())
+        time.sleep(2)
+        self.calls.down -= guides
+
+    def _one_way(self):
+        one = self.chance.choice(self._nodes())
+        self._cut("one-way cut", [one], [n for n in self._nodes() if n != one], 2 + 3 * self.chance.random(), True)
+
     def _wait_placed(self, lost: str):
         def placed():
             depots = self._depots()
