Keep the voters at hand, and give the stage a heap of calls

Cause: a staged test of a long log took over 150 s. Profile: 300 proposals cost 6.9 s; the offices read their whole log for the newest voters at each beat, and the stage's clock sorted some thousand cancelled limits at every call. Before: 300 proposals 6.9 s, office tests 210 s. After: 0.6 s and 17 s with the same verdicts.

--- a/pipitlink/office/archive.py
+++ b/pipitlink/office/archive.py
@@ -30,13 +30,14 @@
         self.ballot = Ballot()
         self.snapshot = Snapshot()
         self.entries: list[OfficeEntry] = []
+        self._votes: list[tuple[int, tuple[str, ...]]] = []
 
     def recover(self):
         self.snapshot = self._load_snapshot()
         self._replayed()
 
     def _replayed(self):
-        self.entries = []
+        self.entries, self._votes = [], []
         for _, body in self._segments.recover():
             r = OfficeRecord.FromString(body)
             what = r.WhichOneof("of")
@@ -54,6 +55,16 @@
             return
         del self.entries[max(0, e.index - self.snapshot.index - 1):]
         self.entries.append(e)
+        while self._votes and self._votes[-1][0] >= e.index:
+            self._votes.pop()
+        if e.command.WhichOneof("of") == "offices":
+            self._votes.append((e.index, tuple(e.command.offices.voters)))
+
+    def voters(self) -> tuple[str, ...]:
+        """The newest voters in the log count, agreed or not yet."""
+        if self._votes and self._votes[-1][0] > self.snapshot.index:
+            return self._votes[-1][1]
+        return tuple(self.snapshot.sheet.voters)
 
     def last_index(self) -> int:
         return self.snapshot.index + len(self.entries)
@@ -141,7 +152,10 @@
         """After `keep_snapshot`: drops what it covers from the log, in memory and on disk."""
         rest = [e for e in self.entries if e.index > s.index] if self.term_at(s.index) == s.term else []
         old = self._segments.numbers()
-        self.snapshot, self.entries = s, rest
+        self.snapshot, self.entries = s, []
+        self._votes = []
+        for e in rest:
+            self._place(e)
         self._segments.roll()
         mark = Snapshot(index=s.index, term=s.term, sheet=SheetData())
         self._put(OfficeRecord(snapshot=mark))
--- a/pipitlink/office/node.py
+++ b/pipitlink/office/node.py
@@ -62,11 +62,7 @@
         self.founders = self.founders or tuple(s.sheet.voters)
 
     def voters(self) -> tuple[str, ...]:
-        """The newest voters in the log count, agreed or not yet."""
-        for e in reversed(self.archive.entries):
-            if e.command.WhichOneof("of") == "offices":
-                return tuple(e.command.offices.voters)
-        return tuple(self.archive.snapshot.sheet.voters)
+        return self.archive.voters()
 
     async def ask_office(self, node: str, verb: str, what, kind, limit):
         m = self._ctx.roster.find(node)
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -1,4 +1,5 @@
 """The real node code on injected beats: a staged network that cuts and delays, disks that lose what is unsynced."""
+import heapq
 import os
 import shutil
 import tempfile
@@ -7,7 +8,6 @@
 from random import Random
 
 from twisted.internet import defer
-from twisted.internet.task import Clock
 
 from pipitlink.beats import Beats, spawn
 from pipitlink.cache import Cache
@@ -190,8 +190,34 @@
         self.clock.release()
 
 
+class _Clock:
+    """The stage's time: a heap of calls, since thousands of limits are set and cancelled in each second of it."""
+
+    def __init__(self):
+        self._now = 1000.0
+        self._calls: list = []
+        self._count = 0
+
+    def seconds(self) -> float:
+        return self._now
+
+    def callLater(self, span, do, *words):
+        self._count += 1
+        call = _Call(None, do, words, {})
+        heapq.heappush(self._calls, (self._now + span, self._count, call))
+        return call
+
+    def advance(self, span: float):
+        end = self._now + span
+        while self._calls and self._calls[0][0] <= end:
+            at, _, call = heapq.heappop(self._calls)
+            self._now = max(self._now, at)
+            call.fire()
+        self._now = end
+
+
 class _Call:
-    """A call on a life's own clock."""
+    """A call on the stage's clock, or on a life's own."""
 
     def __init__(self, watch, do, words, named):
         self._watch, self._work = watch, (do, words, named)
@@ -203,9 +229,9 @@
         self._work = None
 
     def fire(self):
-        if self._work is None or self._watch.stopped:
+        if self._work is None or (self._watch is not None and self._watch.stopped):
             return
-        if self._watch.held is not None:
+        if self._watch is not None and self._watch.held is not None:
             self._watch.held.append(self)
             return
         (do, words, named), self._work = self._work, None
@@ -241,8 +267,7 @@
     def __init__(self, seed: int, offices=4, depots=4, guides=3, shelves=4, props=None):
         self.seed = seed
         self.chance = Random(seed)
-        self.clock = Clock()
-        self.clock.advance(1000)
+        self.clock = _Clock()
         self.folder = Path(tempfile.mkdtemp(prefix="stage-"))
         self.sink = _Sink()
         self.shelves = shelves
