Test picks, ramps and rates on injected beats, and let go of stuck callers

Cause: the slow start of a cold engine, shares of guides and bad props had no test; a caller whose stream never drained was kept for ever; a row's priority had no effect on lots. Seen: four guides with late news pass an engine's limit of 40 by at most 4; a cold engine of 10 takes 1, then 5, then 10. Conclusion: a stuck caller is let go after 20 s.

--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/guide/dispatch.py
@@ -109,7 +109,7 @@
         full: set[str] = set()
         room: dict[str, int] = {}
         while owned:
-            o = min(owned, key=lambda o: (self._urgency(o, wall), -o.lot.priority, busy[o.lot.customer],
+            o = min(owned, key=lambda o: (self._urgency(o, wall), -self._priority(o), busy[o.lot.customer],
                                           o.lot.limit_ms))
             i = next((i for i in o.waiting if o.again_at.get(i, now) <= now and o.lot.items[i].model not in full), None)
             if i is None or not o.holder.held():
@@ -136,6 +136,11 @@
         left = max(0, o.lot.limit_ms - wall)
         return next((n for n, span in enumerate((5_000, 30_000, 300_000, 3_600_000, 21_600_000)) if left < span), 5)
 
+    def _priority(self, o: OpenLot) -> int:
+        """The lot's own priority, and what the table adds for the model that it waits for first."""
+        row = self._ctx.setup.row(o.lot.items[o.waiting[0]].model, "") if o.waiting else None
+        return o.lot.priority + (row.priority if row is not None else 0)
+
     def _room_for(self, model: str) -> int:
         """How many items may be started now, less those that have no back end yet."""
         free = sum(self.engines.room(e, self.lot_reserve(model, e)) for e, _ in self.candidates(model)
--- a/pipitlink/guide/live.py
+++ b/pipitlink/guide/live.py
@@ -3,14 +3,16 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, spawn
-from ..faults import BadAsk, NotFound
+from ..beats import ms, secs, spawn
+from ..faults import BadAsk, NotFound, Overdue
 from ..web import answered, send_fault, send_json
+from ..wire.roster_pb2 import EngineNews
 from .asks import Ask
 from .bodies import EngineBody, GenerateBody, read_json
-from ..wire.roster_pb2 import EngineNews
 
-__all__ = ["Live"]
+__all__ = ["Live", "whole_number"]
+
+STUCK_SPAN = secs(20)
 
 
 def _event(name: str, n: int | None, body: dict) -> bytes:
@@ -88,7 +90,7 @@
                 while at < len(ask.pieces):
                     if wait.full:
                         self.hold_back(ask, True)
-                        await wait.free()
+                        await self._ctx.beats.within(STUCK_SPAN, wait.free())
                     request.write(_event("piece", at, {"n": at, "text": ask.pieces[at]}))
                     at += 1
                 self.hold_back(ask, False)
@@ -107,6 +109,11 @@
         except defer.CancelledError:
             wait.stop()
             raise
+        except Overdue:
+            self._ctx.journal.note("caller_stuck", ask=ask.id, at=at)
+            wait.stop()
+            request.transport.abortConnection()
+            return await defer.Deferred(lambda _: None)
         finally:
             ask.readers -= 1
             self._leave(ask)
--- /dev/null
+++ b/tests/test_guide_parts.py
@@ -0,0 +1,187 @@
+"""Parts of a guide on injected beats: engines, picks, rates, props."""
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+
+from twisted.internet.task import Clock
+
+from pipitlink.beats import Beats
+from pipitlink.command import main
+from pipitlink.faults import BadRows, Crowded, PropsFault
+from pipitlink.guide.asks import Ask
+from pipitlink.guide.engines import Engines
+from pipitlink.guide.limits import Limits
+from pipitlink.guide.picking import Picking, RetryBudget
+from pipitlink.journal import Journal
+from pipitlink.office.rows import rows_from
+from pipitlink.props import read_props
+from pipitlink.setup import Sheet
+from pipitlink.wire.roster_pb2 import EngineNews, Member
+from pipitlink.wire.setup_pb2 import Row
+
+
+class _Roster:
+    def __init__(self, guides):
+        self.guides = guides
+
+    def members(self, role=None, standing=(), me=True):
+        return [Member(node=f"g{i}") for i in range(self.guides if me else 0)]
+
+
+class _Setup:
+    def __init__(self):
+        self.sheet = Sheet()
+
+    def row(self, model, pool):
+        return self.sheet.row(model, pool)
+
+    def zone_empty(self, zone):
+        return zone in self.sheet.empty_zones
+
+
+class _Guide(Picking, Limits):
+    def __init__(self, guides=1):
+        self.clock = Clock()
+        self._ctx = self
+        self.beats = Beats(self.clock, seconds=self.clock.seconds)
+        self.journal = Journal(self)
+        self.node, self.chance = "g0", Random(1)
+        self.roster, self.setup = _Roster(guides), _Setup()
+        self.props = type("Props", (), {"lot_reserve": 0.25})
+        self.engines = Engines(self)
+        self._retry_budget = RetryBudget()
+        self.asks = {}
+        self._open_limits()
+
+    def log(self, *words):
+        pass
+
+    def news(self, name, state="ready", incarnation=1, capacity=10, zone="z", age_ms=0):
+        self.engines._merge(EngineNews(engine=name, incarnation=incarnation, address="127.0.0.1:1", pool="models",
+                                       models=["m"], capacity=capacity, zone=zone, state=state, age_ms=age_ms))
+
+    def ask(self, prefix="", kind="live"):
+        return Ask(model="m", prompt="", prefix=prefix, kind=kind, limit=self.beats.now())
+
+    def later(self, seconds, *names, **more):
+        for _ in range(seconds):
+            self.clock.advance(1)
+            for n in names:
+                self.news(n, **more)
+
+    def fill(self, ask):
+        n = 0
+        while (e := self._pick(ask)) is not None:
+            self.engines.take(e, ask.lot)
+            n += 1
+        return n
+
+
+class Picks(unittest.TestCase):
+    def test_a_cold_engine_is_filled_step_by_step_and_again_when_it_returns(self):
+        g = _Guide()
+        g.news("e")
+        self.assertEqual(g.fill(g.ask()), 1)
+        g.later(4, "e")
+        self.assertEqual(g.fill(g.ask()), 4)
+        g.later(6, "e")
+        self.assertEqual(g.fill(g.ask()), 5)
+        g.later(1, "e", incarnation=2)
+        e = g.engines.all()[0]
+        e.live = 0
+        self.assertEqual(g.fill(g.ask()), 1)
+
+    def test_a_leaving_or_silent_engine_and_an_emptied_zone_get_nothing(self):
+        g = _Guide()
+        g.later(10, "e")
+        g.news("e", state="leaving")
+        g.news("e", state="ready")
+        self.assertIsNone(g._pick(g.ask()))
+        g.later(10, "f")
+        self.assertIsNotNone(g._pick(g.ask()))
+        g.clock.advance(3.5)
+        self.assertIsNone(g._pick(g.ask()))
+        g.news("f")
+        g.setup.sheet.empty_zones.add("z")
+        self.assertIsNone(g._pick(g.ask()))
+
+    def test_lots_leave_the_reserve_and_a_rows_share_goes_before_it(self):
+        g = _Guide()
+        g.later(10, "e", capacity=20)
+        self.assertEqual(g.fill(g.ask(kind="item")), 15)
+        self.assertEqual(g.fill(g.ask()), 5)
+        g = _Guide()
+        g.later(10, "e", capacity=20)
+        g.setup.sheet.rows["r"] = Row(name="r", model="m", weight=1, lot_share=0.5)
+        self.assertEqual(g.fill(g.ask(kind="item")), 10)
+
+    def test_guides_with_late_news_cannot_together_pass_the_limit_by_much(self):
+        guides = [_Guide(guides=4) for _ in range(4)]
+        for g in guides:
+            g.later(10, "e", capacity=40)
+        self.assertLessEqual(sum(g.fill(g.ask()) for g in guides), 44)
+
+    def test_one_prefix_keeps_to_one_engine_until_that_is_loaded(self):
+        g = _Guide()
+        g.later(10, "a", "b", "c", capacity=8)
+        first = g._pick(g.ask("tour")).name
+        self.assertEqual({g._pick(g.ask("tour")).name for _ in range(20)}, {first})
+        picked = []
+        for _ in range(9):
+            e = g._pick(g.ask("tour"))
+            picked.append(e.name)
+            g.engines.take(e, False)
+        self.assertEqual(picked[0], first)
+        self.assertGreater(len(set(picked)), 1)
+
+    def test_weights_from_the_table(self):
+        g = _Guide()
+        g.later(10, "a")
+        g.setup.sheet.rows["r"] = Row(name="r", model="m", pool="models", weight=0)
+        self.assertEqual(g.candidates("m"), [])
+
+    def test_a_rate_is_shared_among_guides_and_says_when_to_come_back(self):
+        g = _Guide(guides=2)
+        g.later(10, "e")
+        g.setup.sheet.rows["r"] = Row(name="r", model="m", weight=1, rate=4)
+        for _ in range(2):
+            g._keep_rate(g.ask())
+        with self.assertRaises(Crowded) as no:
+            g._keep_rate(g.ask())
+        self.assertEqual((no.exception.status, no.exception.outcome, no.exception.retry_after), (429, "not_run", 1))
+        g.later(1, "e")
+        g._keep_rate(g.ask())
+
+    def test_second_tries_have_a_budget(self):
+        b = RetryBudget(share=0.5, most=2)
+        self.assertEqual([b.take() for _ in range(3)], [True, True, False])
+        b.earn()
+        b.earn()
+        self.assertTrue(b.take())
+
+
+class Checked(unittest.TestCase):
+    def test_every_bad_prop_is_told_in_one_line(self):
+        err = io.StringIO()
+        with contextlib.redirect_stderr(err):
+            self.assertEqual(main(["depot", "--port", "x", "--zone", "A B", "--seeds", "nowhere"]), 2)
+        self.assertEqual([line.partition(":")[0] for line in err.getvalue().splitlines()], ["zone", "port", "seeds"])
+        with tempfile.TemporaryDirectory() as d:
+            path = Path(d) / "p.toml"
+            path.write_text('colour = 1\nport = 7\n')
+            with self.assertRaises(PropsFault) as no:
+                read_props("guide", str(path), {})
+            self.assertEqual(no.exception.lines, ["colour: no such prop"])
+            path.write_text('port = 7\nzone = "b"\n')
+            props = read_props("guide", str(path), {"port": "8"})
+            self.assertEqual((props.port, props.zone), (8, "b"))
+
+    def test_a_bad_sheet_names_each_row_and_field(self):
+        with self.assertRaises(BadRows) as no:
+            rows_from({"a": {"model": "m", "weight": -1}, "b": {}, "c": {"model": "m2", "rate": "fast"},
+                       "d": {"model": "x", "pool": "y"}, "e": {"model": "x", "pool": "y"}})
+        self.assertEqual([(f["row"], f["field"]) for f in no.exception.faults],
+                         [("a", "weight"), ("b", "model"), ("c", "rate"), ("e", "model")])
