List an item as not run only where no try of it may have run

Cause: found by reading. An item whose lot's limit passed was listed as not_run even after a lost try, and a repeatable one even after a takeover, though its earlier owner notes nothing before its call. Before: not_run. After: unknown, unless this owner is the first or the item is noted before its call. Test: each case of repeatable, tries and epoch.

--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/guide/dispatch.py
@@ -157,7 +157,7 @@
 
     async def _run_item(self, o: OpenLot, i: int, item: Item, late: bool):
         if late:
-            await self._list(o, Result(item=i, outcome="not_run", code="limit_passed"))
+            await self._list(o, Result(item=i, outcome=self._proved(o, i, "not_run"), code="limit_passed"))
             return await self._finish_if_done(o)
         now = self._ctx.beats.now()
         left = timedelta(milliseconds=o.lot.limit_ms) - timedelta(milliseconds=wall_ms(self._ctx.beats.wall()))
@@ -180,10 +180,15 @@
                 o.waiting.append(i)
                 return
             outcome = "failed" if ask.fault.outcome == "failed" else ask.outcome
-            r = Result(item=i, outcome=outcome, code=ask.fault.code, run=ask.id)
+            r = Result(item=i, outcome=self._proved(o, i, outcome), code=ask.fault.code, run=ask.id)
         await self._list(o, r)
         await self._finish_if_done(o)
 
+    def _proved(self, o: OpenLot, i: int, outcome: str) -> str:
+        """`not_run` only where no try of this owner, nor one that an earlier owner need not have noted, may have run."""
+        touched = o.tries.get(i, 0) or (o.lot.items[i].repeatable and o.holder.epoch > 1)
+        return "unknown" if outcome == "not_run" and touched else outcome
+
     async def _mark_started(self, o: OpenLot, i: int, item: Item):
         """An item that may not be repeated is durably started before its call; then the lease must still hold."""
         if not item.repeatable and i not in o.started:
--- a/tests/test_guide_parts.py
+++ b/tests/test_guide_parts.py
@@ -12,13 +12,16 @@
 from pipitlink.command import main
 from pipitlink.faults import BadRows, Crowded, PropsFault
 from pipitlink.guide.asks import Ask
+from pipitlink.guide.dispatch import Dispatch
 from pipitlink.guide.engines import Engines
 from pipitlink.guide.limits import Limits
+from pipitlink.guide.lots import OpenLot
 from pipitlink.guide.picking import Picking, RetryBudget
 from pipitlink.journal import Journal
 from pipitlink.office.rows import rows_from
 from pipitlink.props import read_props
 from pipitlink.setup import Sheet
+from pipitlink.wire.lots_pb2 import Item, Lot
 from pipitlink.wire.roster_pb2 import EngineNews, Member
 from pipitlink.wire.setup_pb2 import Row
 
@@ -163,6 +166,22 @@
         self.assertTrue(b.take())
 
 
+class Listed(unittest.TestCase):
+    def test_an_item_that_may_have_run_is_never_listed_as_not_run(self):
+        def listed(repeatable, tries, epoch, outcome="not_run"):
+            o = OpenLot("x", Lot(items=[Item(model="m", repeatable=repeatable)]))
+            o.tries[0] = tries
+            o.holder = type("Holder", (), {"epoch": epoch})
+            return Dispatch()._proved(o, 0, outcome)
+
+        self.assertEqual(listed(False, 0, 1), "not_run")
+        self.assertEqual(listed(False, 0, 5), "not_run")
+        self.assertEqual(listed(True, 0, 1), "not_run")
+        self.assertEqual(listed(True, 0, 2), "unknown")
+        self.assertEqual(listed(True, 2, 1), "unknown")
+        self.assertEqual(listed(True, 2, 1, "failed"), "failed")
+
+
 class Checked(unittest.TestCase):
     def test_every_bad_prop_is_told_in_one_line(self):
         err = io.StringIO()
