Run the admission rule through every order of questions, edits, leaders and time

Seen: 4620 orders with one leader and 9240 with a change of leader hold on the real code; a leader that does not wait is caught.

--- /dev/null
+++ b/tests/test_currency_orders.py
@@ -0,0 +1,157 @@
+"""Every order of a guide's questions, an edit, a change of leader and time itself, against the admission rule."""
+import itertools
+import unittest
+import unittest.mock
+from datetime import timedelta
+
+from pipitlink.beats import Beats, spawn
+from pipitlink.faults import NotLeading
+from pipitlink.journal import Journal
+from pipitlink.office.guides import Guides
+from pipitlink.setup.follower import Setup
+from pipitlink.setup.sheet import Sheet
+from pipitlink.wire.office_pb2 import OfficeEntry
+from pipitlink.wire.setup_pb2 import Command, DepotEdit, FollowAsk, Row, SheetData, ShelfRow, TableEdit
+
+TICK = 0.5
+BASE = SheetData(sequence=1, shelves=[ShelfRow(number=0, sequence=1, depots=["d"])])
+EDIT = Command(table=TableEdit(base=0, puts=[Row(name="r", model="m")]))
+
+
+class _Ctx:
+    def __init__(self):
+        self.now = 1000.0
+        self.beats = Beats(None, seconds=lambda: self.now)
+        self.journal = Journal(self)
+        self.props = type("Props", (), {"shelves": 1})
+        self.node = "office"
+
+    def log(self, *words):
+        pass
+
+
+class _Leader(Guides):
+    def __init__(self, ctx, elected_at, fresh_until):
+        self._ctx, self._elected_at, self._fresh_until = ctx, elected_at, fresh_until
+        self.state, self.leader = "leader", "office"
+        self.sheet = Sheet(BASE)
+        self.followers, self._news = {}, []
+        self.archive = self
+
+    def heard_majority_at(self):
+        now = self._ctx.beats.now()
+        return now if now < self._fresh_until else now - timedelta(seconds=9)
+
+    def after(self, index, most):
+        return [OfficeEntry(index=2, command=EDIT)] if index == 1 and self.sheet.sequence == 2 else []
+
+    def commit(self):
+        if self.sheet.sequence == 1:
+            self.sheet.apply(2, EDIT)
+
+
+class _Play:
+    """One order of steps on the real admission and delivery code; `cut` takes the guide off the first leader's voters."""
+
+    def __init__(self, change_leader: bool):
+        self.ctx = _Ctx()
+        now = self.ctx.beats.now()
+        forever = now + timedelta(days=1)
+        self.first = _Leader(self.ctx, now - timedelta(seconds=9), now + timedelta(seconds=0.5)
+                             if change_leader else forever)
+        self.leaders = [self.first]
+        self.guide = Setup(self.ctx)
+        self.guide.sheet = Sheet(BASE)
+        self.change_leader = change_leader
+        self.asked = self.ask = self.receipt = None
+        self.acked = False
+
+    def tick(self):
+        self.ctx.now += TICK
+
+    def send(self):
+        self.asked = self.ctx.beats.now()
+        self.ask = FollowAsk(node="g", role="guide", sequence=self.guide.sequence, at_once=True)
+
+    def answer(self):
+        box = []
+        for leader in reversed(self.leaders):
+            spawn(leader._follow("g", self.ask)).addCallbacks(box.append, lambda f: f.trap(NotLeading) and None)
+            if box:
+                break
+        self.receipt = box[0] if box else None
+
+    def absorb(self):
+        if self.receipt is not None and self.guide._absorb(self.receipt) and self.receipt.leased:
+            self.guide._leased_at = self.asked
+
+    def elect(self):
+        """Voters refuse another leader for 600 ms after they heard theirs."""
+        if self.change_leader and self.ctx.now >= 1000.6:
+            now = self.ctx.beats.now()
+            self.leaders.append(_Leader(self.ctx, now, now + timedelta(days=1)))
+
+    def commit(self):
+        self.leaders[-1].commit()
+
+    def acknowledge(self):
+        leader = self.leaders[-1]
+        if leader.sheet.sequence == 2 and leader._in_effect(2) and leader._fresh():
+            self.acked = True
+
+    def broken(self) -> bool:
+        return self.acked and self.guide.ready() and self.guide.sequence < 2
+
+
+def orders(*lines):
+    """All ways of running through these lines, each in its own order."""
+    if not any(lines):
+        yield ()
+        return
+    for i, line in enumerate(lines):
+        if line:
+            for rest in orders(*lines[:i], line[1:], *lines[i + 1:]):
+                yield (line[0], *rest)
+
+
+class CurrencyOrders(unittest.TestCase):
+    def play(self, change_leader, lines):
+        seen = acked = admitted = 0
+        for order in orders(*lines):
+            p = _Play(change_leader)
+            seen += 1
+            for step in order:
+                getattr(p, step)()
+                self.assertFalse(p.broken(), order)
+            acked += p.acked
+            admitted += p.guide.ready()
+        return seen, acked, admitted
+
+    def test_no_order_admits_work_without_an_acknowledged_edit(self):
+        guide = ("send", "answer", "absorb", "send", "answer", "absorb")
+        seen, acked, admitted = self.play(False, (guide, ("commit", "acknowledge"), ("tick",) * 3))
+        self.assertEqual(seen, 4620)
+        self.assertGreater(min(acked, admitted), 500)
+
+    def test_nor_with_a_change_of_leader_in_between(self):
+        guide = ("send", "answer", "absorb")
+        seen, acked, _ = self.play(True, (guide, ("elect", "commit", "acknowledge"), ("tick",) * 5))
+        self.assertEqual(seen, 9240)
+        self.assertGreater(acked, 20)
+
+    def test_a_leader_that_does_not_wait_is_caught(self):
+        with unittest.mock.patch.object(_Leader, "_in_effect", lambda self, sequence: True):
+            with self.assertRaises(AssertionError):
+                self.play(False, (("send", "answer", "absorb"), ("commit", "acknowledge"), ("tick",) * 2))
+
+    def test_witnesses_meet(self):
+        """A majority of depots meets any majority of the set before or after one change, whichever of them has the edit."""
+        depots = "abcd"
+        for change in (set(depots), set("abc"), set("abcde")):
+            for one in itertools.combinations(depots, 3):
+                for other in itertools.combinations(sorted(change), len(change) // 2 + 1):
+                    self.assertTrue(set(one) & set(other), (one, other))
+        sheet = Sheet(BASE)
+        sheet.apply(2, Command(depot=DepotEdit(depot="a", standing="serving")))
+        sheet.apply(3, Command(depot=DepotEdit(depot="b", standing="retired")))
+        self.assertEqual(sheet.witnesses(), ["a"])
