Go on once most cache replicas answered, and postpone while the cache follows

Every cache call waited for its slowest replica, and a log that grows steadily counted as ahead of its cache since its first byte, so postponement was over after 200 ms although the cache followed. Ruled out: lost chunks (no consistent read was needed) and the depots' answers.

--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -3,7 +3,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn
+from ..beats import ms, secs
 from ..faults import WireFault
 from ..wire.cache_pb2 import Chunk, ChunkKeys, Chunks, Lengths, LengthsList, Paths
 from ..wire.frame_pb2 import Nothing
@@ -56,17 +56,27 @@
             raise WireFault(f"guide {node} is not on the roster")
         return await self._ctx.desk.call((m.host, m.port), verb, what, kind, CACHE_LIMIT)
 
-    async def _each(self, asks: dict[str, object], verb: str, kind) -> dict[str, object]:
-        got = {}
+    async def _each(self, asks: dict[str, object], verb: str, kind, enough) -> dict[str, object]:
+        """Asks all at once and goes on as soon as the receipts that are in are enough; the rest may still come."""
+        got: dict[str, object] = {}
+        done = defer.Deferred()
+        left = len(asks)
 
         async def one(node, what):
+            nonlocal left
             try:
                 got[node] = await self._ask(node, verb, what, kind)
             except WireFault:
                 self.counts["unheard"] += 1
+            left -= 1
+            if not done.called and (left == 0 or enough(got)):
+                done.callback(None)
 
-        await defer.gatherResults([spawn(one(n, w)) for n, w in asks.items()])
-        return got
+        for n, w in asks.items():
+            self._ctx.spawned(one(n, w), verb)
+        if asks:
+            await done
+        return dict(got)
 
     def _spread(self, keys, wrap) -> dict[str, list]:
         by_node: dict[str, list] = {}
@@ -80,9 +90,12 @@
         """Writes chunks to their replicas; returns the keys that a majority of theirs took."""
         by_node = self._spread(chunks, lambda k: k)
         asks = {n: Chunks(chunks=[Chunk(key=k, data=chunks[k]) for k in ks]) for n, ks in by_node.items()}
-        got = await self._each(asks, "cache.put", Nothing)
+        got = await self._each(asks, "cache.put", Nothing, self._all_by_majority(chunks, lambda k: k))
         return self._by_majority(chunks, lambda k: k, got)
 
+    def _all_by_majority(self, keys, wrap):
+        return lambda got: len(self._by_majority(keys, wrap, got)) == len(keys)
+
     def _by_majority(self, keys, wrap, got) -> set:
         ring = self.ring()
         out = set()
@@ -95,12 +108,13 @@
     async def put_lengths(self, lengths: dict[str, Lengths]):
         by_node = self._spread(lengths, str.encode)
         asks = {n: LengthsList(lengths=[lengths[p] for p in ps]) for n, ps in by_node.items()}
-        await self._each(asks, "cache.lengths_put", Nothing)
+        await self._each(asks, "cache.lengths_put", Nothing, self._all_by_majority(lengths, str.encode))
 
     async def get_lengths(self, paths: list[str]) -> dict[str, Lengths]:
         """Consistent bulk read: only lengths that at least a majority of the replicas were asked for."""
         by_node = self._spread(paths, str.encode)
-        got = await self._each({n: Paths(paths=ps) for n, ps in by_node.items()}, "cache.lengths", LengthsList)
+        got = await self._each({n: Paths(paths=ps) for n, ps in by_node.items()}, "cache.lengths", LengthsList,
+                               self._all_by_majority(paths, str.encode))
         heard = self._by_majority(paths, str.encode, got)
         out = {p: Lengths(path=p) for p in heard}
         for r in got.values():
@@ -118,7 +132,8 @@
         """At least two of the three replicas; the longest value is the newest."""
         asks = {n: ChunkKeys(keys=ks) for n, ks in self._spread(keys, lambda k: k).items()}
         out: dict[bytes, bytes] = {}
-        for r in (await self._each(asks, "cache.get", Chunks)).values():
+        got = await self._each(asks, "cache.get", Chunks, self._all_by_majority(keys, lambda k: k))
+        for r in got.values():
             for c in r.chunks:
                 out[c.key] = max(out.get(c.key, b""), c.data, key=len)
         return out
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -1,3 +1,4 @@
+from collections import deque
 from datetime import timedelta
 
 import attrs
@@ -7,7 +8,7 @@
 
 __all__ = ["Poller", "Seen"]
 
-HOT = ms(10)
+MOST_AHEAD = 256
 
 
 @attrs.define
@@ -16,11 +17,16 @@
     durable: int = 0
     cached: int = 0
     final: bool = False
-    durable_since: timedelta = timedelta(0)
+    ahead: deque = attrs.field(factory=deque)
+    cached_at: timedelta = timedelta(0)
     readers: int = 0
     asked: timedelta = timedelta(0)
     proved: timedelta | None = None
 
+    def ahead_since(self, now: timedelta) -> timedelta:
+        """Since when the oldest durable byte that is not cached yet has been known."""
+        return self.ahead[0][1] if self.ahead else now
+
 
 class Poller:
     """Reads lengths for all readers of the process: often from the metadata cache, less often from the depots."""
@@ -51,10 +57,15 @@
     def _grow(self, s: Seen, durable: int, cached: int, final: bool = False) -> bool:
         grew = durable > s.durable or cached > s.cached or (final and not s.final)
         if durable > s.durable:
-            if s.durable <= s.cached:
-                s.durable_since = self._ctx.beats.now()
             s.durable = durable
-        s.cached = max(s.cached, min(cached, s.durable))
+            if len(s.ahead) < MOST_AHEAD:
+                s.ahead.append((durable, self._ctx.beats.now()))
+            else:
+                s.ahead[-1] = (durable, s.ahead[-1][1])
+        if min(cached, s.durable) > s.cached:
+            s.cached, s.cached_at = min(cached, s.durable), self._ctx.beats.now()
+        while s.ahead and s.ahead[0][0] <= s.cached:
+            s.ahead.popleft()
         s.final = s.final or final
         return grew
 
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -31,9 +31,11 @@
         self._cache.poller.leave(self.path)
 
     def _postponed(self) -> bool:
-        """A durable read waits a small share of the time that the reader has, in the hope of the cache."""
-        waited = self._ctx.beats.now() - self.seen.durable_since
-        return waited < min(ms(self._ctx.props.postpone_ms), self._limit / 5)
+        """A durable read waits while the cache follows, for a small share of the time that the reader has."""
+        now, s = self._ctx.beats.now(), self.seen
+        since = s.ahead_since(now)
+        still = now - max(since, s.cached_at)
+        return still < min(ms(self._ctx.props.postpone_ms), self._limit / 5) and now - since < self._limit / 2
 
     def goal(self) -> int:
         if self.seen.cached > self.position:
