--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -1,6 +1,7 @@
 """Mixed load and a seeded schedule of faults on a whole fleet, with the checker outside."""
 import json
 import statistics
+import threading
 import time
 from pathlib import Path
 from random import Random
@@ -18,7 +19,8 @@
 }
 FAULTS = ("kill_guide", "kill_depot", "kill_office", "kill_leader", "freeze_guide", "freeze_depot", "freeze_leader",
           "engine_crash", "engine_cut", "engine_refuse", "engine_leaving", "zone", "lots_crowd", "end_lot",
-          "two_editors", "guide_roll", "depot_empty", "split_offices", "offices_away", "zone_cut", "one_way")
+          "two_editors", "guide_roll", "depot_empty", "split_offices", "offices_away", "zone_cut", "one_way",
+          "crowd")
 
 
 class Soak:
@@ -166,6 +168,21 @@
         for n in range(6):
             self._lot(f"crowd-{self._n}-{n}", 25, 600_000)
 
+    def _crowd(self):
+        """Far more live requests at once than the engines have room for: each gets an answer or an honest no."""
+        n = 3 * self.fleet.capacity * len(self.fleet.engines)
+        self.say(f"a crowd of {n}")
+        began = time.monotonic()
+        crowd = [threading.Thread(target=self.calls.generate, args=(f"crowd-{len(self.told)}-{i}",)) for i in range(n)]
+        for t in crowd:
+            t.start()
+        for t in crowd:
+            t.join(30)
+        told = [e for e in self.calls.taken() if e["event"] == "told" and e["prompt"].startswith(f"crowd-{len(self.told)}-")]
+        shed = sorted(e["at"] - e["asked"] for e in told if e["fault"])
+        self.say(f"the crowd: {sum(bool(e['end']) for e in told)} whole, {len(shed)} shed, the last after "
+                 f"{shed[-1] if shed else 0:.2f} s, all told after {time.monotonic() - began:.2f} s")
+
     def _end_lot(self):
         self.say("a lot is ended")
         e = self.calls.lot(f"ending-{self._n}-{len(self.told)}", 200, 3_600_000, watch=False)
