Poll hot lengths each 10 ms, and end a reader's beat with the reader

Cause: a reader that waits for the cache to follow polled at 50 ms like all others; and reading the poller showed that a wait that was given up left a beat that would fail later.

--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -20,6 +20,7 @@
     ahead: deque = attrs.field(factory=deque)
     cached_at: timedelta = timedelta(0)
     readers: int = 0
+    hot: int = 0
     asked: timedelta = timedelta(0)
     proved: timedelta | None = None
 
@@ -40,6 +41,7 @@
     def open(self):
         p = self._ctx.props
         self._ctx.beats.every(ms(p.poll_ms), self._poll, self._ctx.report("poll"))
+        self._ctx.beats.every(ms(p.hot_poll_ms), self._poll_hot, self._ctx.report("hot_poll"))
         self._ctx.beats.every(ms(p.durable_poll_ms), self._poll_durable, self._ctx.report("durable_poll"))
 
     def join(self, path: str) -> Seen:
@@ -70,8 +72,14 @@
         return grew
 
     async def _poll(self):
-        if self._seen:
-            got = await self._cache.get_lengths(list(self._seen))
+        await self._poll_these(list(self._seen))
+
+    async def _poll_hot(self):
+        await self._poll_these([p for p, s in self._seen.items() if s.hot])
+
+    async def _poll_these(self, paths: list[str]):
+        if paths:
+            got = await self._cache.get_lengths(paths)
             self._take((p, m.durable, m.cached, False) for p, m in got.items())
 
     async def _poll_durable(self):
@@ -101,7 +109,13 @@
         """Waits until any watched length grows, or the limit has passed."""
         d = defer.Deferred(lambda d: self._waiters.remove(d) if d in self._waiters else None)
         self._waiters.append(d)
-        beat = self._ctx.beats.later(limit, lambda: (self._waiters.remove(d), d.callback(None)))
-        await d
-        if beat.active():
-            beat.cancel()
+        beat = self._ctx.beats.later(limit, self._moved_on, d)
+        try:
+            await d
+        finally:
+            if beat.active():
+                beat.cancel()
+
+    def _moved_on(self, d: defer.Deferred):
+        self._waiters.remove(d)
+        d.callback(None)
--- a/pipitlink/props.py
+++ b/pipitlink/props.py
@@ -74,6 +74,7 @@
     max_running: int = attrs.field(default=512, validator=_positive)
     lot_reserve: float = attrs.field(default=0.25)
     poll_ms: int = attrs.field(default=50, validator=_positive)
+    hot_poll_ms: int = attrs.field(default=10, validator=_positive)
     durable_poll_ms: int = attrs.field(default=250, validator=_positive)
     hedge_ms: int = attrs.field(default=30, validator=_positive)
     postpone_ms: int = attrs.field(default=200, validator=_positive)
