Test the order of lots, colleagues remembered without seeds, and a refuted suspicion

Cause: three things the path rests on had no test of their own. Seen: due lots go first, then priority, then customers by turns, into the room that is left; two nodes restarted with dead seeds meet all eleven; a thawed depot is alive again under a higher incarnation.

--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -135,6 +135,8 @@
         ctx.desk = _Desk(stage, self)
         ctx.on_thread = self._on_thread
         ctx.roster = Roster(ctx)
+        if self.role != "guide":
+            ctx.roster.remember_in(self.folder)
         ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
         self.part = None
--- a/tests/test_guide_parts.py
+++ b/tests/test_guide_parts.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 from random import Random
 
+from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats
+from pipitlink.beats import Beats, wall_ms
 from pipitlink.command import main
 from pipitlink.faults import BadRows, Crowded, PropsFault
 from pipitlink.guide.asks import Ask
@@ -190,6 +191,56 @@
         self.assertTrue(b.take())
 
 
+class _Dispatcher(_Guide, Dispatch):
+    def __init__(self):
+        super().__init__()
+        self.props = type("Props", (), {"lot_reserve": 0.25, "zone": "z"})
+        self.open_lots, self.began = {}, []
+
+    def current(self):
+        return True
+
+    def lot(self, name, customer, items, due_s, priority=0):
+        wall = wall_ms(self.beats.wall())
+        o = OpenLot(name, Lot(customer=customer, priority=priority, limit_ms=wall + due_s * 1000,
+                              items=[Item(model="m")] * items))
+        o.holder = type("Holder", (), {"held": lambda self: True, "lost": "", "epoch": 1})()
+        o.waiting = list(range(items))
+        self.open_lots[name] = o
+        return o
+
+    async def _run_item(self, o, i, item, late):
+        self.began.append("late" if late else o.id)
+        self.engines.take(self.engines.all()[0], True)
+        await defer.Deferred()
+
+
+class OrderOfLots(unittest.TestCase):
+    def test_soon_due_first_then_priority_then_customers_by_turns_and_only_into_the_room(self):
+        g = _Dispatcher()
+        g.later(10, "e", capacity=16)
+        g.lot("night-a", "a", 20, 30_000)
+        g.lot("night-b", "b", 20, 30_000)
+        g.lot("raised", "a", 2, 30_000, priority=3)
+        g.lot("due", "c", 2, 4)
+        g._feed()
+        self.assertEqual(g.began[:4], ["due", "due", "raised", "raised"])
+        self.assertEqual(sorted(g.began[4:]), ["night-a"] * 3 + ["night-b"] * 5)
+        g._feed()
+        self.assertEqual(len(g.began), 12)
+        g.engines.all()[0].lots = 0
+        g.engines.all()[0].live = 14
+        g._feed()
+        self.assertEqual(len(g.began), 12)
+
+    def test_what_is_past_its_limit_is_listed_and_takes_no_room(self):
+        g = _Dispatcher()
+        g.later(10, "e", capacity=4)
+        g.lot("past", "a", 2, -1)
+        g._feed()
+        self.assertEqual(g.began, ["late", "late"])
+
+
 class Listed(unittest.TestCase):
     def test_an_item_that_may_have_run_is_never_listed_as_not_run(self):
         def listed(repeatable, tries, epoch, outcome="not_run"):
--- a/tests/test_stage_offices.py
+++ b/tests/test_stage_offices.py
@@ -153,6 +153,20 @@
         with self.assertRaises(PipitFault):
             self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
 
+    def test_nodes_that_met_need_no_seed_again_and_a_wrong_suspicion_is_refuted(self):
+        self.stage.seeds = ("10.0.0.1:9", "10.0.0.1:10", "10.0.0.1:11")
+        depot, office = self.stage.role("depot")[1], self.stage.role("office")[3]
+        for a in (depot, office):
+            a.kill()
+            a.start()
+        for a in (depot, office):
+            self.stage.until(lambda: len(a.ctx.roster.members(standing=("alive",))) == 11, 10, "all are met again")
+        depot.freeze()
+        self.stage.until(lambda: office.ctx.roster.standing(depot.node) == "gone", 10, "it is held for gone")
+        depot.thaw()
+        self.stage.until(lambda: office.ctx.roster.standing(depot.node) == "alive", 10, "it has refuted that")
+        self.assertGreater(depot.ctx.roster.me.incarnation, 1)
+
     def test_the_same_edit_id_gives_its_true_outcome(self):
         part = self.stage.leader().part
         first = self.stage.do(part.edit(edit_of("r", 0, "once")))
