Never tell an agreed edit as not run, and refuse edits where an office has no room

Cause: found by reading. An office that stopped leading while it waited for an agreed edit to be in effect said that it does not lead, which the operator was told as not_run. And an office's byte budget was checked nowhere. Before: not_run. After: unknown, and the same edit id gives done; an edit beyond the budget is 507 and not_run before it is proposed. Tests: both, staged.

--- a/pipitlink/office/archive.py
+++ b/pipitlink/office/archive.py
@@ -66,6 +66,10 @@
             return self._votes[-1][1]
         return tuple(self.snapshot.sheet.voters)
 
+    def used(self) -> int:
+        """Bytes on disk: the log, and the snapshot twice, as it is while one is swapped in."""
+        return self._segments.used() + 2 * self.snapshot.ByteSize()
+
     def last_index(self) -> int:
         return self.snapshot.index + len(self.entries)
 
--- a/pipitlink/office/edits.py
+++ b/pipitlink/office/edits.py
@@ -2,7 +2,7 @@
 
 from ..beats import secs
 from ..context import fresh_id
-from ..faults import (BadAsk, CutOff, GuideFault, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
+from ..faults import (BadAsk, CutOff, GuideFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
                       WrongBase)
 from ..setup import Sheet
 from ..web import answered, send_json
@@ -81,7 +81,9 @@
                 out = (await self._ask_leader("office.edit", EditAsk(command=c), EditReceipt)).outcome
         except (Overdue, Unproven, CutOff, Refused, NotLeading) as e:
             sent = not (isinstance(e, NotLeading) or isinstance(e, CutOff) and not e.sent
-                        or isinstance(e, Refused) and e.fault == "not_leading")
+                        or isinstance(e, Refused) and e.fault in ("not_leading", "no_room"))
+            if isinstance(e, Refused) and e.fault == "no_room":
+                raise NoRoom(e.note, sent=False) from e
             raise GuideFault(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
                              f"no office leads now: {e}", code="unproven" if sent else "no_leader", status=503,
                              outcome="unknown" if sent else "not_run", retry_after=1) from e
--- a/pipitlink/office/guides.py
+++ b/pipitlink/office/guides.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..beats import ms, secs
-from ..faults import NotLeading, Overdue
+from ..faults import NoRoom, NotLeading, Overdue, Unproven
 from ..setup.follower import HOLD_FOLLOW, LEASE_SPAN
 from ..wire.setup_pb2 import Command, Delta, FollowAsk, FollowReceipt, Outcome
 
@@ -12,6 +12,7 @@
 
 FRESH_SPAN = ms(500)
 EDIT_LIMIT = secs(5)
+ROOM_SHARE = 0.9
 
 
 @attrs.define
@@ -90,6 +91,8 @@
     async def edit(self, c: Command, limit: timedelta = EDIT_LIMIT) -> Outcome:
         """Proposes an edit and returns once it is agreed and in effect everywhere."""
         end = self._ctx.beats.now() + limit
+        if self.archive.used() + 3 * c.ByteSize() > self._ctx.props.budget_mb * 1024 * 1024 * ROOM_SHARE:
+            raise NoRoom("the office's data folder has no room for this edit", sent=False)
         out = await self._ctx.beats.within(limit, self._propose(c))
         if out.code != "done":
             await self.sure_leader()
@@ -97,7 +100,7 @@
         sequence = self.sheet.sequence
         while not self._in_effect(sequence):
             if self.state != "leader":
-                raise NotLeading(self.leader, self.leader)
+                raise Unproven("the edit is agreed, but this office no longer leads to see it in effect")
             if self._ctx.beats.now() >= end:
                 raise Overdue("the edit is agreed but not yet shown to be in effect everywhere")
             await self._wait_news(ms(50), lambda: self._in_effect(sequence))
--- a/tests/test_stage_offices.py
+++ b/tests/test_stage_offices.py
@@ -1,8 +1,9 @@
 """The agreed setup under trouble: edits, reads, delivery and votes, over many seeds."""
 import unittest
+import unittest.mock
 
 from pipitlink.beats import ms
-from pipitlink.faults import NotLeading, PipitFault, Unproven, WireFault
+from pipitlink.faults import NoRoom, NotLeading, PipitFault, Unproven, WireFault
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
@@ -167,6 +168,23 @@
         self.stage.until(lambda: office.ctx.roster.standing(depot.node) == "alive", 10, "it has refuted that")
         self.assertGreater(depot.ctx.roster.me.incarnation, 1)
 
+    def test_an_office_without_room_refuses_edits_up_front(self):
+        part = self.stage.leader().part
+        with unittest.mock.patch.object(part.archive, "used", lambda: 10 ** 12), self.assertRaises(NoRoom) as no:
+            self.stage.do(part.edit(edit_of("r", 0, "no room")))
+        self.assertFalse(no.exception.sent)
+        self.assertEqual(self.stage.do(part.edit(edit_of("r", 0, "room"))).code, "done")
+
+    def test_an_agreed_edit_whose_leader_yields_is_unproven_and_not_refused(self):
+        part = self.stage.leader().part
+        self.stage.clock.callLater(1, part.step_down)
+        with unittest.mock.patch.object(part, "_in_effect", lambda sequence: False), self.assertRaises(Unproven):
+            self.stage.do(part.edit(edit_of("r", 0, "agreed")))
+        self.stage.until(lambda: self.stage.leader() is not None, 10, "an office leads")
+        self.stage.run(2)
+        again = self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "agreed")))
+        self.assertEqual(again.code, "done")
+
     def test_the_same_edit_id_gives_its_true_outcome(self):
         part = self.stage.leader().part
         first = self.stage.do(part.edit(edit_of("r", 0, "once")))
