--- a/pipitlink/office/archive.py
+++ b/pipitlink/office/archive.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from ..disk import Disk
+from ..disk import Disk, swap_in
 from ..faults import Damaged
 from ..segments import Segments
 from ..syncing import Syncer
@@ -34,6 +34,9 @@
 
     def recover(self):
         self.snapshot = self._load_snapshot()
+        kept = self.snapshot.sheet.voters and any((self._folder / "agreed").glob("seg-*.log"))
+        if (self._folder / "founded").exists() and not kept:
+            raise Damaged("this office took part in the agreement and its files are gone")
         self._replayed()
 
     def _replayed(self):
@@ -128,6 +131,8 @@
         shutil.rmtree(goal, ignore_errors=True)
         os.replace(new, goal)
         self._disk.sync_folder(self._folder)
+        if not (self._folder / "founded").exists():
+            swap_in(self._folder / "founded", b"", self._disk)
         for old in self._folder.glob("setup-*"):
             if old != goal:
                 shutil.rmtree(old, ignore_errors=True)
--- a/tests/test_stage_offices.py
+++ b/tests/test_stage_offices.py
@@ -3,7 +3,7 @@
 import unittest.mock
 
 from pipitlink.beats import ms
-from pipitlink.faults import NoRoom, NotLeading, PipitFault, Unproven, WireFault
+from pipitlink.faults import Damaged, NoRoom, NotLeading, PipitFault, Unproven, WireFault
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
@@ -185,6 +185,16 @@
         again = self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "agreed")))
         self.assertEqual(again.code, "done")
 
+    def test_an_office_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself(self):
+        for name, pattern in (("office0", "agreed/seg-*.log"), ("office1", "setup-*/setup.dat")):
+            a = self.stage.actors[name]
+            a.kill()
+            for path in a.folder.glob(pattern):
+                path.unlink()
+            with self.assertRaises(Damaged):
+                a.start()
+            a.alive = False
+
     def test_the_same_edit_id_gives_its_true_outcome(self):
         part = self.stage.leader().part
         first = self.stage.do(part.edit(edit_of("r", 0, "once")))
