--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -4,7 +4,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ms, spawn
+from ..beats import ms
 
 __all__ = ["Poller", "Seen"]
 
--- a/pipitlink/cache/ring.py
+++ b/pipitlink/cache/ring.py
@@ -17,7 +17,6 @@
 
     def __init__(self, nodes: dict[str, str]):
         self.nodes = dict(nodes)
-        self._zones = len(set(nodes.values()))
         self._ring = sorted((_point(f"{n}/{i}".encode()), n) for n in nodes for i in range(_POINTS))
         self._points = [p for p, _ in self._ring]
         self.replicas = lru_cache(maxsize=8192)(self._replicas)
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -23,7 +23,6 @@
         self.seen = cache.poller.join(path)
         self.position = 0
         self._bytes = bytearray()
-        self._parsed = 0
         self._rate = ctx.props.reader_kb_s * 1024
         self._free_at = ctx.beats.now()
 
--- a/pipitlink/guide/asks.py
+++ b/pipitlink/guide/asks.py
@@ -36,7 +36,6 @@
     fault: GuideFault | None = None
     refusal: GuideFault | None = None
     reached: bool = False
-    taken_at: timedelta = timedelta(0)
     left_at: timedelta | None = None
     readers: int = 0
     work: object = None
@@ -113,7 +112,6 @@
 
     async def run(self, ask: Ask):
         """Runs the passes over one record until it is settled. Faults end up on the record."""
-        ask.taken_at = self._ctx.beats.now()
         self.asks[ask.id] = ask
         try:
             while not ask.settled:
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -34,7 +34,6 @@
         self.lost = ""
         self._states: dict[str, LogState] = {}
         self._renewals: dict[str, timedelta] = {}
-        self._acked: dict[str, int] = {}
         self._no_room: set[str] = set()
         self._room: dict[str, int] = {}
         self._sending: set[str] = set()
--- a/pipitlink/roster/roster.py
+++ b/pipitlink/roster/roster.py
@@ -87,11 +87,11 @@
 
     def _absorb(self, g: Gossip):
         for m in g.members[: MAX_TOLD * 2]:
-            self._hear(m, m.node == g.sender)
+            self._hear(m)
         for _, take in self._carriers:
             take(g)
 
-    def _hear(self, m: Member, own: bool):
+    def _hear(self, m: Member):
         if not m.node or m.standing not in _RANK:
             return
         now = self._ctx.beats.now()
--- a/pipitlink/segments.py
+++ b/pipitlink/segments.py
@@ -25,7 +25,6 @@
         self._fds: dict[int, int] = {}
         self._sizes: dict[int, int] = {}
         self._next: Spot = (1, 0)
-        self._at: Spot = (1, 0)
         folder.mkdir(parents=True, exist_ok=True)
 
     def _path(self, n: int) -> Path:
@@ -57,7 +56,7 @@
             self._disk.sync_folder(self._folder)
         with self._lock:
             self._pending = []
-            self._at = self._next = (last, self._sizes[last])
+            self._next = (last, self._sizes[last])
 
     def _open(self, n: int):
         self._fds[n] = os.open(self._path(n), os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -93,7 +92,6 @@
                 touched.add(n)
                 with self._lock:
                     self._sizes[n] = at + len(data)
-                    self._at = (n, at + len(data))
             try:
                 for n in sorted(touched):
                     self._disk.sync(self._fds[n])
@@ -120,14 +118,6 @@
             raise Damaged(f"{self._path(n).name} ends early at {at}")
         return data
 
-    def read_entry(self, spot: Spot) -> bytes:
-        n, at = spot
-        head = os.pread(self._fds[n], HEAD, at)
-        size = int.from_bytes(head[:4], "big")
-        for _, body, _ in frames(head + os.pread(self._fds[n], size, at + HEAD)):
-            return body
-        raise Damaged(f"{self._path(n).name} is damaged at {at}")
-
     def numbers(self) -> list[int]:
         with self._lock:
             return sorted(self._sizes)
