Wait on a Deferred or a lapse in one place

Cause: reading the whole change again. Four waits (an office's news, a sender's wake, room on a back end, a length that moves) each hung their own beat beside a Deferred, and two did not take it down when the wait was cancelled. Seen: offices staged, guides' parts, caches, outcomes and both fleet tests pass.

--- a/pipitlink/beats.py
+++ b/pipitlink/beats.py
@@ -80,6 +80,15 @@
         call = self.later(span, d.callback, None)
         return d
 
+    async def await_or_lapse(self, d: defer.Deferred, span: timedelta):
+        """Waits until the Deferred fires, or fires it when the span has passed."""
+        beat = self.later(span, lambda: d.called or d.callback(None))
+        try:
+            await d
+        finally:
+            if beat.active():
+                beat.cancel()
+
     def within(self, span: timedelta, work) -> defer.Deferred:
         d = work if isinstance(work, defer.Deferred) else spawn(work)
         out = defer.Deferred(lambda _: d.cancel())
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -107,15 +107,10 @@
 
     async def moved(self, limit: timedelta):
         """Waits until any watched length grows, or the limit has passed."""
-        d = defer.Deferred(lambda d: self._waiters.remove(d) if d in self._waiters else None)
+        d = defer.Deferred()
         self._waiters.append(d)
-        beat = self._ctx.beats.later(limit, self._moved_on, d)
         try:
-            await d
+            await self._ctx.beats.await_or_lapse(d, limit)
         finally:
-            if beat.active():
-                beat.cancel()
-
-    def _moved_on(self, d: defer.Deferred):
-        self._waiters.remove(d)
-        d.callback(None)
+            if d in self._waiters:
+                self._waiters.remove(d)
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/guide/picking.py
@@ -116,14 +116,11 @@
     async def _wait_room(self, left):
         d = defer.Deferred()
         self.engines.wait_room(d)
-        beat = self._ctx.beats.later(min(left, ms(100)), lambda: d.called or d.callback(None))
         self._waiting += 1
         try:
-            await d
+            await self._ctx.beats.await_or_lapse(d, min(left, ms(100)))
         finally:
             self._waiting -= 1
-            if beat.active():
-                beat.cancel()
 
     def _may_go_again(self, ask) -> bool:
         """A second back end is allowed after a sure `not_run`, or for a repeatable request with nothing shown."""
--- a/pipitlink/office/guides.py
+++ b/pipitlink/office/guides.py
@@ -67,10 +67,7 @@
                 return False
             d = defer.Deferred()
             self._news.append(d)
-            beat = self._ctx.beats.later(left, lambda d=d: d.called or d.callback(None))
-            await d
-            if beat.active():
-                beat.cancel()
+            await self._ctx.beats.await_or_lapse(d, left)
         return True
 
     def _in_effect(self, sequence: int) -> bool:
--- a/pipitlink/office/leading.py
+++ b/pipitlink/office/leading.py
@@ -94,10 +94,7 @@
 
     async def _wait_wake(self, node: str):
         d = self._wakes[node] = defer.Deferred()
-        beat = self._ctx.beats.later(HEART_BEAT, lambda: d.called or d.callback(None))
-        await d
-        if beat.active():
-            beat.cancel()
+        await self._ctx.beats.await_or_lapse(d, HEART_BEAT)
 
     def _wake_all(self):
         wakes, self._wakes = self._wakes, {}
