--- /dev/null
+++ b/pipitlink/changes.py
@@ -0,0 +1,68 @@
+from collections import deque
+
+import treq
+from cloudevents.core.bindings.http import to_structured
+from cloudevents.core.formats.json import JSONFormat
+from cloudevents.core.v1.event import CloudEvent
+from twisted.internet import defer
+
+from .beats import secs
+
+__all__ = ["Changes"]
+
+MOST = 256
+LIMIT = secs(2)
+CHANGES = {"setup", "standing", "met", "engine", "lot_owned", "lot_done", "lot_ended", "leading", "currency",
+           "depot_admitted", "depot_let_go", "shelf", "voters"}
+
+
+class Changes:
+    """Tells each change that the journal notes as a CloudEvent, where a prop names a listener.
+
+    It is off the path: the inbox is bounded, one task empties it, and what cannot be told in time is dropped and counted.
+    """
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self._inbox: deque = deque()
+        self._waiter: defer.Deferred | None = None
+        self.told = self.dropped = 0
+
+    def open(self):
+        if self._ctx.props.changes_to:
+            self._ctx.journal.watch(self._noted)
+            self._ctx.spawned(self._tell(), "tell_changes")
+
+    def _noted(self, event: str, pairs: dict):
+        if event not in CHANGES:
+            return
+        if len(self._inbox) >= MOST:
+            self._inbox.popleft()
+            self.dropped += 1
+        words = {k: v if isinstance(v, (int, float, bool)) else str(v) for k, v in pairs.items()}
+        p = self._ctx.props
+        self._inbox.append(CloudEvent({"type": f"pipitlink.{event}", "source": f"/{p.fleet}/{p.zone}/{self._ctx.node}",
+                                       "time": self._ctx.beats.wall(), "datacontenttype": "application/json"}, words))
+        if self._waiter is not None and not self._waiter.called:
+            self._waiter.callback(None)
+
+    async def _tell(self):
+        while not self._ctx.beats.ended:
+            if not self._inbox:
+                self._waiter = defer.Deferred(lambda _: None)
+                await self._waiter
+                continue
+            message = to_structured(self._inbox.popleft(), JSONFormat())
+            try:
+                await self._ctx.beats.within(LIMIT, self._post(message))
+                self.told += 1
+            except Exception as e:
+                self.dropped += 1
+                self._ctx.journal.trace("change_untold", text=e)
+
+    async def _post(self, message):
+        r = await treq.post(f"http://{self._ctx.props.changes_to}", data=message.body, headers=message.headers,
+                            reactor=self._ctx.reactor, persistent=False, allow_redirects=False)
+        await treq.content(r)
+        if r.code >= 400:
+            raise ValueError(f"the listener answered {r.code}")
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -33,6 +33,7 @@
     ledger: object = None
     cache: object = None
     engines: object = None
+    changes: object = None
     on_thread: object = deferToThread
 
     def report(self, what: str):
--- a/pipitlink/journal.py
+++ b/pipitlink/journal.py
@@ -19,12 +19,18 @@
     def __init__(self, sink, **always):
         self._sink = sink
         self._always = always
+        self._watchers: list = []
 
     def bind(self, **more) -> "Journal":
         return Journal(self._sink, **{**self._always, **more})
 
+    def watch(self, do):
+        self._watchers.append(do)
+
     def note(self, event: str, **pairs):
         self._write("INFO", event, pairs)
+        for do in self._watchers:
+            do(event, pairs)
 
     def warn(self, event: str, **pairs):
         self._write("WARNING", event, pairs)
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -98,5 +98,8 @@
         for key, n in sorted(counts.items()):
             seen.add_metric(key, n)
         yield seen
+        changes = self._ctx.changes
+        yield GaugeMetricFamily("pipitlink_changes_told", "Changes told as CloudEvents", changes.told)
+        yield GaugeMetricFamily("pipitlink_changes_dropped", "Changes that could not be told", changes.dropped)
         for name, (text, value) in self._node.metrics().items():
             yield GaugeMetricFamily(f"pipitlink_{name}", text, value)
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -7,6 +7,7 @@
 
 from .beats import Beats, secs, spawn
 from .cache import Cache
+from .changes import Changes
 from .context import Context, fresh_id
 from .depot import DepotNode, node_id
 from .disk import set_aside
@@ -64,6 +65,8 @@
             ctx.cache.open()
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
+        ctx.changes = Changes(ctx)
+        ctx.changes.open()
         ctx.roster.open(me)
         if ctx.role != "office":
             ctx.setup.open()
--- a/pipitlink/props.py
+++ b/pipitlink/props.py
@@ -44,6 +44,11 @@
             raise ValueError(f"{a.name} must be IP:PORT places, not {place!r}")
 
 
+def _listener(_, a, value):
+    if value:
+        _places(_, a, [value.partition("/")[0]])
+
+
 def _positive(_, a, value):
     if value <= 0:
         raise ValueError(f"{a.name} must be above 0, not {value}")
@@ -83,6 +88,7 @@
     reader_kb_s: int = attrs.field(default=20480, validator=_positive)
     resume_hold_s: int = attrs.field(default=5, validator=_positive)
     retention_s: int = attrs.field(default=86400, validator=_positive)
+    changes_to: str = attrs.field(default="", validator=_listener)
     plug: str = ""
 
     @lot_reserve.validator
--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -6,6 +6,7 @@
   rehearsal soak [--profile NAME] [--seed N] [--minutes M] [--keep FOLDER] [--faults LIST] [--level LEVEL]
                  [--together N]
   rehearsal bench [--profile NAME] [--seed N] [--rounds N] [--window S]
+  rehearsal bench --promise LIST [--profile NAME] [--seed N] [--rounds N]
   rehearsal -h | --help
 
 Options:
@@ -24,7 +25,8 @@
   --keep FOLDER     Keeps data and logs there.
   --faults LIST     Only these faults, with commas.
   --together N      How many faults last at once. [default: 2]
-  --rounds N        How many pairs of windows are measured. [default: 5]
+  --rounds N        How many pairs of windows are measured, or how often each fault comes. [default: 5]
+  --promise LIST    leaving, edit, reading, result, ended, zone, back; with commas, or all.
   --window S        Seconds in a window. [default: 6]
   --level LEVEL     The fleet's log level. [default: info]
 """
@@ -45,6 +47,14 @@
             return 2
         return Soak(words["--profile"], int(words["--seed"]), float(words["--minutes"]), words["--keep"], faults,
                     words["--level"], int(words["--together"])).run()
+    if words["bench"] and words["--promise"]:
+        from .promises import PROMISES, Promises
+
+        names = list(PROMISES) if words["--promise"] == "all" else words["--promise"].split(",")
+        if set(names) - set(PROMISES):
+            print(f"promises: {', '.join(PROMISES)}")
+            return 2
+        return Promises(words["--profile"], int(words["--seed"]), names, int(words["--rounds"])).run()
     if words["bench"]:
         from .bench import Bench
 
--- /dev/null
+++ b/rehearsal/promises.py
@@ -0,0 +1,141 @@
+"""Each promise in seconds: its fault brought about many times on a whole fleet, and how long it took each time."""
+import json
+import time
+from random import Random
+
+from .callers import Caller
+from .closing import CLOSINGS, PROMISE
+from .fleet import ZONES, wait_for
+from .profiles import spread
+from .soak import Soak
+
+__all__ = ["Promises", "PROMISES"]
+
+PROMISES = {"leaving": 2.0, "edit": 2.0, "reading": 1.0, "result": 1.0, "ended": 3.0, "zone": 5.0, "back": PROMISE}
+
+
+class Promises(Soak):
+    def __init__(self, profile: str, seed: int, names, times: int):
+        super().__init__(profile, seed, 0)
+        self.names, self.times = names, times
+        self.c = Random(seed)
+
+    def run(self) -> int:
+        try:
+            self.fleet.start(60)
+            self._began = time.monotonic()
+            wait_for(lambda: self.calls.generate("warm")["end"], 20, "an engine is known")
+            time.sleep(9)
+            c = self.calls
+            c.start(Caller(c, "walk", 1 / self.profile["live"] / 2, lambda c, n: c.generate(n)))
+            c.start(Caller(c, "card", 1 / self.profile["fetch"], lambda c, n: c.fetch(n)))
+            c.start(Caller(c, "night", 6, lambda c, n: self.lot(n, 40, 3_600_000)))
+            for name in self.names:
+                took = [v for n in range(self.times) for v in getattr(self, "_measure_" + name)(n)]
+                limit = PROMISES[name]
+                print(json.dumps({"promise": name, "limit_s": limit, "missed": sum(v > limit for v in took),
+                                  "ms": spread(took)}), flush=True)
+            return 0
+        finally:
+            self.calls.stop()
+            self.fleet.stop()
+
+    def _last_run(self, since, engines, until=None) -> float:
+        """Seconds from a moment to the last run that began at any of these engines; 0 where none did."""
+        return max((n["at"] - since for n in self.fleet.notes()
+                    if n["event"] in ("run", "card") and n["engine"] in engines and n["at"] > since
+                    and (until is None or n["at"] < until)), default=0.0)
+
+    def _measure_leaving(self, n):
+        name = self.fleet.engines[n % len(self.fleet.engines)]
+        self.fleet.call(name, "POST", "/mode/leaving")
+        told = time.monotonic()
+        time.sleep(3)
+        until = time.monotonic()
+        self.fleet.programs[name].kill()
+        self.fleet.programs[name].start()
+        time.sleep(1)
+        return [self._last_run(told, [name], until)]
+
+    def _measure_edit(self, n):
+        """From the receipt to the moment when the last guide shows the edit."""
+        e = self.calls.edit(f"row-{n % 4}", {"model": f"m{n}"}, f"edit-{n}-{time.monotonic()}", self._any(self.c, "office"))
+        acked = time.monotonic()
+        if e.get("status") != 200:
+            return [99.0]
+        wait_for(lambda: all(self.fleet.call(g, "GET", "/v1/ready")[1]["setup"] >= e["sequence"]
+                             for g in self.fleet.nodes("guide")), 10, "every guide has it")
+        return [time.monotonic() - acked]
+
+    def _measure_reading(self, n):
+        """A depot is killed as a lot is accepted; from the receipt to the first time that every guide shows the lot."""
+        depot = self.fleet.nodes("depot")[n % 4]
+        e = self.calls.lot(f"reading-{n}", 4, watch=False)
+        acked = time.monotonic()
+        self.fleet.programs[depot].kill()
+        took = [99.0] if not e["lot"] else []
+        for g in self.fleet.nodes("guide") if e["lot"] else ():
+            wait_for(lambda: self.calls.read_lot(e["lot"], g)["status"] == 200, 20, f"{g} shows it")
+            took.append(time.monotonic() - acked)
+        self.fleet.programs[depot].start()
+        time.sleep(5)
+        return took[-1:]
+
+    def _measure_result(self, n):
+        """From the end of an item's run to its place in the list at another guide, with one guide killed meanwhile."""
+        down = self.fleet.nodes("guide")[n % len(self.fleet.nodes("guide"))]
+        g = self.calls.guide(but=down)
+        e = self.calls.lot(f"result-{n}", 6, watch=False, guide=g)
+        self.calls.down.add(down)
+        self.fleet.programs[down].kill()
+        seen: dict[int, float] = {}
+
+        def all_seen():
+            r = self.calls.read_lot(e["lot"], g)
+            for x in r["results"] or ():
+                seen.setdefault(x["item"], time.monotonic())
+            return len(seen) == 6
+
+        wait_for(all_seen, 40, "all are listed")
+        self.fleet.programs[down].start()
+        self._wait_up([down])
+        self.calls.down.discard(down)
+        prompts = {x["run"]: x["prompt"] for x in self.fleet.notes() if x["event"] == "run"}
+        done = {prompts.get(x["run"]): x["at"] for x in self.fleet.notes() if x["event"] == "done"}
+        return [at - done[p] for i, at in seen.items() if (p := f"result-{n}/{i}") in done]
+
+    def _measure_ended(self, n):
+        e = self.calls.lot(f"ended-{n}", 120, 3_600_000, watch=False)
+        time.sleep(0.8)
+        self.calls.end_lot(e["lot"])
+        acked = time.monotonic()
+        time.sleep(4)
+        mine = {x["run"] for x in self.fleet.notes() if x["event"] == "run" and x["prompt"].startswith(f"ended-{n}/")}
+        return [max((x["at"] - acked for x in self.fleet.notes() if x.get("run") in mine and x["at"] > acked), default=0.0)]
+
+    def _measure_zone(self, n):
+        zone = ZONES[n % 4]
+        if self.calls.zone(zone, True, self.leader()) != 200:
+            return [99.0]
+        acked = time.monotonic()
+        time.sleep(6)
+        until = time.monotonic()
+        took = self._last_run(acked, [e for e in self.fleet.engines + self.fleet.cards if self.fleet.zones[e] == zone], until)
+        self.calls.zone(zone, False, self.leader())
+        time.sleep(2)
+        return [took]
+
+    def _measure_back(self, n):
+        """Each kind of closing fault in turn; the repair is waited for in between."""
+        kind = CLOSINGS[n % len(CLOSINGS)]
+        names = self.inside(ZONES[n % 4], True) if kind == "zone" else [
+            self._any(self.c, "guide"), self.busiest(), self.leader()]
+        heal = self._closing_fault(kind, names, self.c)
+        took = self._wait_served(names, time.monotonic())
+        self.say(f"service back after {took:.1f} s")
+        heal()
+        self._wait_up([x for x in names if x in self.nodes()])
+        self.calls.down.clear()
+        wait_for(lambda: sum(d["shelves"] for d in self.depots().values() if d["heard"] == "alive") == 48, 90, "placed")
+        time.sleep(3)
+        return [took]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,18 +1,43 @@
 import subprocess
 import sys
+import threading
 import unittest
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from random import Random
 
+from cloudevents.core.bindings.http import HTTPMessage, from_structured
+from cloudevents.core.formats.json import JSONFormat
+
 from rehearsal.backend import answer_pieces, card_bytes
 from rehearsal.callers import Callers
 from rehearsal.checker import check
 from rehearsal.fleet import Fleet, free_ports, wait_for
 
 
+class _Listener(BaseHTTPRequestHandler):
+    """Takes CloudEvents, as an operator's receiver would."""
+
+    told: list = []
+
+    def do_POST(self):
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        self.told.append(from_structured(HTTPMessage(dict(self.headers), body), JSONFormat()))
+        self.send_response(204)
+        self.end_headers()
+
+    def log_message(self, *_):
+        pass
+
+
 class WholePath(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.fleet = Fleet(guides=3, depots=3, offices=3, engines=2, cards=1)
+        listener = ThreadingHTTPServer(("127.0.0.1", 0), _Listener)
+        threading.Thread(target=listener.serve_forever, daemon=True).start()
+        cls.addClassCleanup(listener.server_close)
+        cls.addClassCleanup(listener.shutdown)
+        place = f"127.0.0.1:{listener.server_address[1]}/changes"
+        cls.fleet = Fleet(guides=3, depots=3, offices=3, engines=2, cards=1, props={"changes_to": place})
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         wait_for(lambda: cls.generate("warm")[0] == 200, 10, "an engine is known")
@@ -61,6 +86,17 @@
         for r in shown:
             self.assertEqual(r["text"], "".join(answer_pieces(f"brief {r['item']}", 256)))
 
+    def test_changes_are_told_as_cloudevents(self):
+        lot = self.fleet.call("guide0", "POST", "/v1/lots", {"items": [{"model": "pipit-small", "prompt": "told"}]})[1]["lot"]
+
+        def told(kind):
+            return [e for e in _Listener.told if e.get_type() == f"pipitlink.{kind}"]
+
+        done = wait_for(lambda: [e for e in told("lot_done") if e.get_data()["lot"] == lot], 20, "the lot's end is told")
+        self.assertEqual(len(done), 1)
+        self.assertTrue(done[0].get_source().startswith("/pipit/zone-"))
+        self.assertTrue(told("engine") and told("setup") and told("leading"))
+
     def test_bad_asks_name_the_field(self):
         for body, field in (({"model": "m"}, "prompt"), ({"model": 3, "prompt": ""}, "model"),
                             ({"model": "m", "prompt": "", "colour": 1}, "colour")):
