Acknowledge edits with half of an even number of witnesses, once their set is settled

Cause: with two of four depots away no edit was acknowledged, though a guide needs three of four to prove its setup. Ruled out: counting only the depots that are heard, since a guide may hear the others. Half is sound only while the set of witnesses stands: removing one of five, a guide could prove an old setup by the lost one and two others. After: a change of the set needs more than half and is then said to be settled in the setup; with that, half is enough for any later leader. Staged: two of four killed, the edit is acknowledged, offices are cut off, the two come back without it, and no guide admits work without the edit; while the set is unsettled the same edit is refused.

--- a/pipitlink/office/guides.py
+++ b/pipitlink/office/guides.py
@@ -71,7 +71,11 @@
         return True
 
     def _in_effect(self, sequence: int) -> bool:
-        """Every guide with a live lease has it, no lease of an earlier leader is left, and most depots have it."""
+        """Every guide with a live lease has it, no lease of an earlier leader is left, and enough depots have it.
+
+        A guide proves its setup by more than half of the witnesses, so half of them are enough here, once the last change
+        of the witnesses is known to be with more than half.
+        """
         now = self._ctx.beats.now()
         if now < self._elected_at + LEASE_SPAN:
             return False
@@ -79,7 +83,8 @@
             return False
         witnesses = self.sheet.witnesses()
         have = sum(self._shows(w, sequence) for w in witnesses)
-        return 2 * have > len(witnesses) or not witnesses
+        return 2 * have > len(witnesses) or not witnesses \
+            or 2 * have == len(witnesses) and self.sheet.settled == self.sheet.witnesses_at
 
     def _shows(self, depot: str, sequence: int) -> bool:
         f = self.followers.get(depot)
--- a/pipitlink/office/shelving.py
+++ b/pipitlink/office/shelving.py
@@ -31,7 +31,9 @@
             return
         if self._ctx.beats.now() - self._elected_at < SETTLE:
             return
-        if await self._admit_depot() or await self._let_depot_go():
+        if await self._settle_witnesses():
+            return
+        if self.sheet.settled == self.sheet.witnesses_at and (await self._admit_depot() or await self._let_depot_go()):
             return
         if not self.sheet.shelves:
             await self._first_shelves()
@@ -44,9 +46,17 @@
                                        joining=r.joining, leaving=r.leaving)
 
     async def _proved(self, c: Command):
-        """One change of the witnesses at a time, each in effect before the next."""
+        """One change of the witnesses at a time, each in effect before the next, by more than half of them."""
         await self.edit(c, secs(3))
 
+    async def _settle_witnesses(self) -> bool:
+        """Says in the setup that the last change of the witnesses is in effect; only then is half of them enough."""
+        at = self.sheet.witnesses_at
+        if at == self.sheet.settled or not self._in_effect(at):
+            return False
+        await self._propose(Command(settled=at))
+        return True
+
     async def _admit_depot(self) -> bool:
         for m in self._ctx.roster.members("depot", standing=("alive",)):
             if m.node not in self.sheet.depots and m.node in self.followers:
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -21,12 +21,15 @@
         self.depots: dict[str, str] = {d.depot: d.standing for d in data.depots}
         self.shelves: dict[int, ShelfRow] = {s.number: s for s in data.shelves}
         self.voters: tuple[str, ...] = tuple(data.voters)
+        self.witnesses_at = data.witnesses_at
+        self.settled = data.settled
         self.outcomes: OrderedDict[str, Outcome] = OrderedDict((o.edit, o) for o in data.outcomes)
         self._by_target: dict[tuple[str, str], Row] | None = None
 
     def data(self) -> SheetData:
         return SheetData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
                          empty_zones=sorted(self.empty_zones), shelves=self.shelves.values(), voters=self.voters,
+                         witnesses_at=self.witnesses_at, settled=self.settled,
                          depots=[DepotEdit(depot=d, standing=s) for d, s in self.depots.items()],
                          outcomes=self.outcomes.values())
 
@@ -68,10 +71,17 @@
         return "done"
 
     def _apply_depot(self, e, sequence) -> str:
+        before = self.witnesses()
         if e.standing == "removed":
             self.depots.pop(e.depot, None)
         else:
             self.depots[e.depot] = e.standing
+        if self.witnesses() != before:
+            self.witnesses_at = sequence
+        return "done"
+
+    def _apply_settled(self, at, sequence) -> str:
+        self.settled = at
         return "done"
 
     def _apply_shelving(self, e, sequence) -> str:
--- a/tests/test_stage_offices.py
+++ b/tests/test_stage_offices.py
@@ -154,6 +154,35 @@
         with self.assertRaises(PipitFault):
             self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
 
+    def test_edits_go_on_with_two_of_four_depots_away_and_no_guide_misses_one(self):
+        sheet = self.stage.leader().part.sheet
+        self.assertEqual(sheet.settled, sheet.witnesses_at)
+        depots = self.stage.role("depot")
+        for a in depots[:2]:
+            a.kill()
+        leader = self.stage.leader().part
+        self.stage.do(leader.edit(edit_of("r", sheet.table, "two away")), 6)
+        newest = leader.sheet.table
+        self.stage.cut([a.name for a in self.stage.role("office")],
+                       [a.name for a in self.stage.actors.values() if a.role != "office"])
+        for a in depots[:2]:
+            a.start()
+        for _ in range(100):
+            self.stage.run(0.05)
+            for g in self.stage.role("guide"):
+                self.assertFalse(g.ctx.setup.ready() and g.ctx.setup.sheet.table < newest)
+        self.stage.heal()
+        self.stage.ready()
+
+    def test_half_of_the_witnesses_are_not_enough_while_their_set_changes(self):
+        leader, beats = self.stage.leader().part, self.stage.beats()
+        leader.sheet.settled -= 1
+        leader._settle_witnesses = lambda: beats.pause(ms(0))
+        for a in self.stage.role("depot")[:2]:
+            a.kill()
+        with self.assertRaises(PipitFault):
+            self.stage.do(leader.edit(edit_of("r", leader.sheet.table, "unsettled")), 6)
+
     def test_nodes_that_met_need_no_seed_again_and_a_wrong_suspicion_is_refuted(self):
         self.stage.seeds = ("10.0.0.1:9", "10.0.0.1:10", "10.0.0.1:11")
         depot, office = self.stage.role("depot")[1], self.stage.role("office")[3]
