--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -242,6 +242,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.engines = self.guide_kind = None
         self.notes: list[dict] = []
+        self.watch_calls = None
         self._fresh = 0
         self.actors: dict[str, Actor] = {}
         port = 1000
@@ -316,6 +317,8 @@
         if goal is None:
             self.clock.callLater(self._delay(), settle, CutOff("nobody is there", sent=False))
         elif (sender.name, goal.name) not in self.cuts:
+            if self.watch_calls is not None:
+                self.watch_calls(sender, verb)
             self.clock.callLater(self._delay(), arrive)
         return d
 
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -7,6 +7,9 @@
 from rehearsal.trouble import Trouble, seeds
 
 SEEDS = seeds(3)
+FEW = seeds(1)
+OWNED = ("ledger.lease", "ledger.write", "ledger.renew", "ledger.mark", "lots.end", "office.append", "office.vote",
+         "office.follow", "ledger.read", "office.caught_up")
 ROLES = ("guide", "guide", "depot", "office")
 
 
@@ -19,13 +22,13 @@
 
 
 class LotsUnderTrouble(unittest.TestCase):
-    def run_seed(self, seed, roles=ROLES, faults=10):
+    def run_seed(self, seed, bring):
         stage = staged(seed)
         self.addCleanup(stage.end)
         c = Customers(stage)
-        trouble = Trouble(stage, roles=roles)
+        trouble = Trouble(stage, roles=ROLES)
         c.note("hurt", id=0, what="trouble", nodes=[], bearable=False)
-        trouble.during([c.hand_in(), c.hand_in(), c.read(), c.read(), c.end_some(), c.live(), c.engines()], faults)
+        bring(stage, trouble, [c.hand_in(), c.hand_in(), c.read(), c.read(), c.end_some(), c.live(), c.engines()])
         c.over = True
         stage.run(9)
         c.note("healed", id=0, settle=0)
@@ -53,7 +56,35 @@
         return "\n".join(map(str, out)) + "\n" + "\n".join(
             line for line in stage.sink.lines if lot in line)[-4000:]
 
-    def test_lots_hold_under_trouble(self):
-        done = [self.run_seed(s) for s in SEEDS]
+    def judge(self, bring, few=SEEDS):
+        done = [self.run_seed(s, bring) for s in few]
         self.assertGreater(sum(lots for lots, _ in done), 3 * len(done))
         self.assertGreater(sum(runs for _, runs in done), 20 * len(done))
+
+    def test_lots_hold_under_trouble(self):
+        self.judge(lambda stage, trouble, work: trouble.during(work, 10))
+
+    def test_a_node_that_freezes_in_the_midst_of_each_step_that_has_an_owner(self):
+        """Its call has just left; it wakes after its lease, its setup and its leadership have ended."""
+        def bring(stage, trouble, work):
+            steps = list(OWNED)
+            stage.chance.shuffle(steps)
+            trouble.during(work, 0)
+            for verb in steps[:5]:
+                skip = [stage.chance.randrange(12)]
+
+                def trip(sender, said):
+                    if said == verb and sender.alive and not sender.frozen:
+                        skip[0] -= 1
+                        if skip[0] < 0:
+                            stage.watch_calls = None
+                            trouble.told.append(f"{stage.clock.seconds():.3f} {sender.name} freezes in {verb}")
+                            stage.clock.callLater(0.0007, sender.freeze)
+                            stage.clock.callLater(5, sender.thaw)
+
+                stage.watch_calls = trip
+                stage.run(9)
+            stage.watch_calls = None
+            stage.run(6)
+
+        self.judge(bring, FEW)
