--- a/pipitlink/guide/asks.py
+++ b/pipitlink/guide/asks.py
@@ -1,6 +1,9 @@
+import bisect
 from datetime import timedelta
+from itertools import accumulate
 
 import attrs
+from prometheus_client.core import HistogramMetricFamily
 from twisted.internet import defer
 
 from ..charts import Charted, chart_data
@@ -44,6 +47,7 @@
     permit: object = None
     give_back: object = None
     feed: object = None
+    on_first: object = None
     _moved: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
@@ -83,6 +87,8 @@
 
     def show(self, text: str):
         self.put("piece")
+        if not self.pieces and self.on_first is not None:
+            self.on_first()
         self.pieces.append(text)
         self.size += len(text)
         self.move()
@@ -107,6 +113,25 @@
         return d
 
 
+class Spread:
+    """Counts of spans by their length, as a metric."""
+
+    bounds = (0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 10.0)
+
+    def __init__(self):
+        self._counts = [0] * (len(self.bounds) + 1)
+        self._sum = 0.0
+
+    def add(self, span: timedelta):
+        s = span.total_seconds()
+        self._counts[bisect.bisect_left(self.bounds, s)] += 1
+        self._sum += s
+
+    def family(self, name: str, text: str):
+        names = [*map(str, self.bounds), "+Inf"]
+        return HistogramMetricFamily(name, text, list(zip(names, accumulate(self._counts))), self._sum)
+
+
 class AskTable:
     """Requests are records in this table; named passes are run over each, in order."""
 
@@ -118,10 +143,14 @@
 
     def _open_table(self):
         self.asks: dict[str, Ask] = {}
+        self.first_pieces = Spread()
 
     async def run(self, ask: Ask):
         """Runs the passes over one record until it is settled. Faults end up on the record."""
         self.asks[ask.id] = ask
+        if ask.kind == "live":
+            began = self._ctx.beats.now()
+            ask.on_first = lambda: self.first_pieces.add(self._ctx.beats.now() - began)
         try:
             while not ask.settled:
                 for name in self.passes[ask.kind]:
--- a/pipitlink/guide/node.py
+++ b/pipitlink/guide/node.py
@@ -107,6 +107,9 @@
         out["cache_bytes"] = ("Bytes in the data cache here", self._ctx.cache.chunks.size)
         return out
 
+    def families(self):
+        return [self.first_pieces.family("pipitlink_first_piece_seconds", "From a live request's arrival to its first piece")]
+
     async def end(self):
         """Drains: nothing new is admitted, what runs may end, and the leases are handed over."""
         self._draining = True
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -103,3 +103,5 @@
         yield GaugeMetricFamily("pipitlink_changes_dropped", "Changes that could not be told", changes.dropped)
         for name, (text, value) in self._node.metrics().items():
             yield GaugeMetricFamily(f"pipitlink_{name}", text, value)
+        if hasattr(self._node, "families"):
+            yield from self._node.families()
--- a/rehearsal/bench.py
+++ b/rehearsal/bench.py
@@ -11,6 +11,7 @@
 
 __all__ = ["Bench"]
 
+FIRST = r'^pipitlink_first_piece_seconds_bucket\{le="(\S+)"\} (\S+)$'
 ROW = {"model": "bench", "pool": "models", "weight": 1}
 
 
@@ -34,13 +35,16 @@
             c.start(Caller(c, "walk", 1 / self.p["live"], lambda c, n: c.generate(n, prefix=f"tour{hash(n) % 5}")))
             c.start(Caller(c, "card", 1 / self.p["fetch"], lambda c, n: c.fetch(n)))
             windows = {"alone": [], "beside_lots": []}
+            self.inside: dict = {k: {} for k in windows}
             for _ in range(self.rounds):
                 for kind, spans in windows.items():
-                    began = time.monotonic()
+                    began, before = time.monotonic(), self._counts(FIRST)
                     if kind == "beside_lots":
                         self._lots()
                     time.sleep(max(0.0, self.window - (time.monotonic() - began)))
                     spans.append((began, time.monotonic()))
+                    for le, n in self._counts(FIRST).items():
+                        self.inside[kind][le] = self.inside[kind].get(le, 0) + n - before.get(le, 0)
                     if kind == "beside_lots":
                         self._drain()
             edits = [self._edit(n) for n in range(20)]
@@ -95,11 +99,11 @@
         wait_for(everywhere, 5, "every guide has the edit")
         return {"acked": acked - began, "everywhere": time.monotonic() - began}
 
-    def _counts(self) -> dict:
+    def _counts(self, shape=r"^pipitlink_cache_(\w+) (\S+)$") -> dict:
         out: dict[str, float] = {}
         for g in self.fleet.nodes("guide"):
             status, text, _ = self._metrics(g)
-            for name, value in re.findall(r"^pipitlink_cache_(\w+) (\S+)$", text.decode(), re.M):
+            for name, value in re.findall(shape, text.decode(), re.M):
                 out[name] = out.get(name, 0) + float(value)
         return out
 
@@ -127,6 +131,8 @@
             inside = [[e for e in told if a <= e["asked"] < b] for a, b in spans]
             out[f"first_piece_{kind}"] = spread(e["first"] for es in inside for e in es)
             out[f"first_piece_{kind}_p50_by_window"] = [spread(sorted(e["first"] for e in es)).get("p50") for es in inside]
+            out[f"first_piece_{kind}_in_guides_share_within_s"] = {
+                le: round(n / max(1, self.inside[kind]["+Inf"]), 4) for le, n in self.inside[kind].items()}
         out["lot_accept"] = spread(e["took"] for e in lots.values())
         out["result_visible_after_engine"] = spread(visible)
         out["edit_acked"] = spread(e["acked"] for e in edits)
