Yield where the leader's own disk refuses an entry that others may have

Cause, found by reading and then brought about: a leader whose disk was full took the refused entry back from its memory and went on to lead in the same term, so that its next edit stood at the same index and term as the refused one, which the followers held. They kept theirs: the tables differed for good, and a refused edit was in effect at two of three. Before: the staged test ends with two different tables. After: the leader yields, the edit is 'unknown' (it was 'not run' where it came through another office), and a later leader settles it one way for all. The soak tells the longest gap within a stream, beside crowds and apart from them.

--- a/pipitlink/office/leading.py
+++ b/pipitlink/office/leading.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..beats import ZERO, ms, secs
-from ..faults import NotLeading, Unproven, WireFault
+from ..faults import NoRoom, NotLeading, Unproven, WireFault
 from ..wire.office_pb2 import AppendAsk, AppendReceipt, OfficeEntry
 from ..wire.setup_pb2 import Command, Outcome
 
@@ -112,7 +112,12 @@
         self._proposed[index] = (term, d)
         synced = self.archive.put_entry(OfficeEntry(index=index, term=term, command=c))
         self._wake_all()
-        await synced
+        try:
+            await synced
+        except NoRoom as e:
+            d.addErrback(lambda f: None)
+            self.step_down()
+            raise Unproven(f"the leader's disk refused the entry, and others may have it: {e}") from e
         if self.term == term:
             self._synced = max(self._synced, index)
             self._advance()
--- a/rehearsal/callers.py
+++ b/rehearsal/callers.py
@@ -100,7 +100,7 @@
         """
         guide = guide or self.guide()
         asked = self.note("ask", kind="live", prompt=prompt, guide=guide, repeatable=repeatable)
-        t = {"pieces": [], "first": None, "end": False, "fault": None, "run": "", "retry": None, "status": 0}
+        t = {"pieces": [], "first": None, "end": False, "fault": None, "run": "", "retry": None, "status": 0, "gap": 0.0}
         body = {"model": model, "prompt": prompt, "repeatable": repeatable, "limit_ms": int(limit * 900),
                 "prefix_key": prefix}
         left = self._stream(t, guide, limit, "POST", "/v1/generate", json.dumps(body), leave_at, slow)
@@ -122,10 +122,12 @@
             if r.status != 200:
                 t["fault"], t["retry"] = json.loads(r.read())["error"], r.headers.get("Retry-After")
                 return False
-            t["run"] = r.headers.get("X-Run-Id", "")
+            t["run"], last = r.headers.get("X-Run-Id", ""), time.monotonic()
             for name, data in self._events(r):
                 if name == "piece":
-                    t["first"] = t["first"] or time.monotonic()
+                    now = time.monotonic()
+                    t["gap"] = max(t["gap"], now - last if t["pieces"] else 0.0)
+                    t["first"], last = t["first"] or now, now
                     t["pieces"].append((data["n"], data["text"]))
                     if leave_at and len(t["pieces"]) >= leave_at:
                         return True
--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -188,6 +188,9 @@
             if e["fault"]:
                 key = f"{e['model']}:{e['fault'].get('code')}/{e['fault'].get('outcome')}"
                 outcomes[key] = outcomes.get(key, 0) + 1
+        crowds = [(e["at"], e["at"] + 3) for e in events if e["event"] == "hurt" and e["what"] == "crowd"]
+        plain = [e for e in whole if not e["slow"] and not e["prompt"].startswith("crowd-")]
+        beside = [e for e in plain if any(a <= e["at"] <= b for a, b in crowds)]
         of = lambda kind: [e for e in events if e["event"] == kind]  # noqa: E731
         print(json.dumps({
             "live": len(live), "whole": len(whole), "faults": outcomes,
@@ -201,6 +204,8 @@
             "read_ms": spread(e["took"] for e in of("results") if e["status"] == 200),
             "edits": len(of("edit")), "edits_done": sum(e["status"] == 200 for e in of("edit")),
             "edit_ms": spread(e["took"] for e in of("edit") if e["status"] == 200),
+            "longest_gap_ms": spread(e["gap"] for e in plain if e not in beside),
+            "longest_gap_beside_crowds_ms": spread(e["gap"] for e in beside),
             "faults_brought": len(of("hurt")), "runs": sum(n["event"] == "run" for n in notes)}, indent=1))
         for line in bad[:200]:
             print("VIOLATION", line)
--- a/tests/test_stage_offices.py
+++ b/tests/test_stage_offices.py
@@ -212,6 +212,23 @@
         self.assertFalse(no.exception.sent)
         self.assertEqual(self.stage.do(part.edit(edit_of("r", 0, "room"))).code, "done")
 
+    def test_a_leader_whose_disk_refuses_an_entry_yields_and_never_puts_another_in_its_place(self):
+        leader = self.stage.leader()
+        leader.disk.full = True
+        with self.assertRaises(PipitFault) as no:
+            self.stage.do(leader.part.edit(edit_of("r", 0, "refused by its disk")))
+        leader.disk.full = False
+        for n in range(3):
+            part = self.stage.until(self.stage.leader, 10, "an office leads").part
+            self.stage.do(part.sure_leader())
+            out = self.stage.do(part.edit(edit_of("s", part.sheet.table, f"next{n}")))
+            self.assertEqual(out.code, "done")
+        self.stage.run(3)
+        sheets = {(a.part.sheet.table, *sorted((r.name, r.model) for r in a.part.sheet.rows.values()))
+                  for a in self.stage.role("office")}
+        self.assertEqual(len(sheets), 1, sheets)
+        self.assertIsInstance(no.exception, Unproven)
+
     def test_an_agreed_edit_whose_leader_yields_is_unproven_and_not_refused(self):
         part = self.stage.leader().part
         self.stage.clock.callLater(1, part.step_down)
