After a sleep, send nothing to an engine until it is heard again

Cause: a guide frozen for 2 to 3 s woke with engines that still counted as heard, proved its setup within milliseconds, and could send work to one that had said meanwhile, more than 2 s ago, that it leaves. Before: the staged connect that outlasts a sleep of 2 s is written. After: a guide that was not run for 1.5 s holds every engine for suspect until it is heard again, from itself or through a colleague; announcements come each second. Disks that are full for a while join the staged trouble.

--- a/pipitlink/guide/engines.py
+++ b/pipitlink/guide/engines.py
@@ -3,7 +3,7 @@
 
 import attrs
 
-from ..beats import ms, secs, spawn, to_ms, wall_ms
+from ..beats import ZERO, ms, secs, spawn, to_ms, wall_ms
 from ..wire.frame_pb2 import Nothing
 from ..wire.roster_pb2 import EngineList, EngineNews, Gossip, Load, Loads
 
@@ -16,6 +16,7 @@
 RAMP_SPAN = secs(8)
 BACK_OFF = secs(1)
 TURN_MS = 100
+SLEPT_SPAN = secs(1.5)
 
 
 @attrs.define(eq=False)
@@ -46,6 +47,8 @@
         self._room: list = []
         self._told: dict[str, int] = {}
         self._carriers: list = []
+        self._looked_at = ctx.beats.now()
+        self._woke_at = ZERO
 
     def carry(self, fill, take):
         """More that goes to all guides with the loads."""
@@ -111,13 +114,21 @@
             e.news.state = "leaving"
             self._ctx.journal.note("engine", engine=n.engine, state="leaving", incarnation=n.incarnation)
 
-    def standing(self, e: Engine) -> str:
+    def _look(self) -> timedelta:
+        """Notes where this guide slept: what engines said meanwhile is not known until they are heard again."""
         now = self._ctx.beats.now()
+        if now - self._looked_at > SLEPT_SPAN:
+            self._woke_at = now
+        self._looked_at = now
+        return now
+
+    def standing(self, e: Engine) -> str:
+        now = self._look()
         if e.news.state == "leaving":
             return "leaving"
         if now - e.renewed > SILENT_SPAN:
             return "gone"
-        if e.failed_at is not None and now - e.failed_at < BACK_OFF:
+        if e.renewed < self._woke_at or e.failed_at is not None and now - e.failed_at < BACK_OFF:
             return "suspect"
         return "ready"
 
@@ -174,7 +185,7 @@
                 d.callback(None)
 
     def _tell_loads(self):
-        now = self._ctx.beats.now()
+        now = self._look()
         for name, e in list(self._engines.items()):
             if now - e.renewed > FORGET_SPAN and not e.mine:
                 del self._engines[name]
--- a/rehearsal/trouble.py
+++ b/rehearsal/trouble.py
@@ -15,7 +15,7 @@
 class Trouble:
     """Brings faults about at random; never more lost at once than the fleet promises to bear, when `bearable`."""
 
-    def __init__(self, stage, roles=("office", "depot", "guide"), kinds=("kill", "power", "freeze", "cut", "one_way")):
+    def __init__(self, stage, roles=("office", "depot", "guide"), kinds=("kill", "power", "freeze", "cut", "one_way", "full")):
         self._stage = stage
         self._roles = roles
         self._kinds = kinds
@@ -33,6 +33,9 @@
         if kind in ("kill", "power"):
             actor.kill(power=kind == "power")
             stage.clock.callLater(span, self._start, actor)
+        elif kind == "full":
+            actor.disk.full = True
+            stage.clock.callLater(span, self._empty, actor.disk)
         elif kind == "freeze":
             actor.freeze()
             stage.clock.callLater(span, self._thaw, actor)
@@ -44,6 +47,9 @@
             stage.cuts |= pairs
             stage.clock.callLater(span, self._mend, pairs)
 
+    def _empty(self, disk):
+        disk.full = False
+
     def _start(self, actor):
         if not actor.alive:
             actor.start()
@@ -59,6 +65,7 @@
         """Ends every fault, and starts what is down."""
         self._stage.heal()
         for a in self._stage.actors.values():
+            a.disk.full = False
             self._start(a)
             self._thaw(a)
 
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -64,6 +64,7 @@
     "its weight is 0": lambda g: g.edit(Row(name="r", model="m", weight=0)),
     "the setup is not proved": lambda g: setattr(g.setup, "proved", False),
     "it slept, and the engine is silent since": lambda g: g.reactor.advance(3.5),
+    "it slept for less than that, and the engine may have said anything": lambda g: g.reactor.advance(2),
     "the lease is lost, or the lot ended": lambda g: setattr(g, "held", False),
 }
 
