Begin each term without a mark of what the own disk has synced

Cause, found by reading: a leader kept the highest index that it had synced in an earlier term. Its log may have been cut back since, and then a new entry counted as synced by it before it was: with one follower's sync it was agreed, applied and read back while it stood on one disk of three. Before: the staged test sees the edit in a table while the leader's disk hangs. After: none shows it.

--- a/pipitlink/office/leading.py
+++ b/pipitlink/office/leading.py
@@ -30,7 +30,7 @@
     def _lead(self):
         self.leader = self._ctx.node
         self._elected_at = self._ctx.beats.now()
-        self._match, self._acked_at = {}, {}
+        self._match, self._acked_at, self._synced = {}, {}, 0
         self._ctx.journal.note("leading", term=self.term, voters=",".join(self.voters()))
         self._ctx.spawned(self._propose(Command(nothing=True)), "first_entry")
 
--- a/tests/test_stage_offices.py
+++ b/tests/test_stage_offices.py
@@ -2,6 +2,8 @@
 import unittest
 import unittest.mock
 
+from twisted.internet import defer
+
 from pipitlink.beats import ms
 from pipitlink.faults import Damaged, NoRoom, NotLeading, PipitFault, Unproven, WireFault
 from pipitlink.wire.office_pb2 import EditAsk, EditReceipt
@@ -229,6 +231,20 @@
         self.assertEqual(len(sheets), 1, sheets)
         self.assertIsInstance(no.exception, Unproven)
 
+    def test_a_leader_does_not_count_what_its_own_disk_has_not_synced_in_this_term(self):
+        """Its mark from an earlier term may lie beyond a log that was cut back since."""
+        for a in self.stage.role("office"):
+            a.part._synced = 10 ** 6
+        self.stage.leader().part.step_down()
+        leader = self.stage.until(self.stage.leader, 10, "an office leads")
+        self.stage.run(2)
+        others = [a for a in self.stage.role("office") if a is not leader and a.node in leader.part.voters()]
+        others[0].kill()
+        leader.ctx.on_thread = lambda do, *words: defer.Deferred()
+        with self.assertRaises(PipitFault):
+            self.stage.do(leader.part.edit(edit_of("r", 0, "not on two disks")), 12)
+        self.assertEqual([a.name for a in self.stage.role("office") if "r" in a.part.sheet.rows], [])
+
     def test_an_agreed_edit_whose_leader_yields_is_unproven_and_not_refused(self):
         part = self.stage.leader().part
         self.stage.clock.callLater(1, part.step_down)
