--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -1,7 +1,7 @@
 import sys
 
 import attrs
-from docopt import docopt
+from docopt import DocoptExit, docopt
 
 from . import __version__
 from .faults import PropsFault
@@ -26,7 +26,8 @@
   pipitlink --version
 
 A and B are two nodes' operator addresses, HOST:PORT. `compare` ends with 0 where they believe alike, 1 where they
-differ, 2 where one cannot be reached. The other commands end with 1 when the fleet refuses and 2 when nothing answers.
+differ, 2 where one cannot be reached. The other commands end with 1 when the fleet refuses and 2 when nothing answers
+or the command is not understood.
 
 Options:
   --at PLACES           Operator addresses to ask, with commas; for `lot`, callers' addresses. Else $PIPITLINK_AT.
@@ -47,7 +48,11 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    words = docopt(_help(), argv=argv, version=f"pipitlink {__version__}")
+    try:
+        words = docopt(_help(), argv=argv, version=f"pipitlink {__version__}")
+    except DocoptExit as e:
+        print(e, file=sys.stderr)
+        return 2
     role = next((r for r in ROLES if words[r] and not (words.get("show") or words.get("retire"))), None)
     if role is None:
         from .tools import run_tool
--- a/tests/test_guide_parts.py
+++ b/tests/test_guide_parts.py
@@ -300,6 +300,9 @@
     def test_every_bad_prop_is_told_in_one_line(self):
         err = io.StringIO()
         with contextlib.redirect_stderr(err):
+            self.assertEqual(main(["nonsense"]), 2)
+            err.truncate(0)
+            err.seek(0)
             self.assertEqual(main(["depot", "--port", "x", "--zone", "A B", "--seeds", "nowhere"]), 2)
         self.assertEqual([line.partition(":")[0] for line in err.getvalue().splitlines()], ["zone", "port", "seeds"])
         with tempfile.TemporaryDirectory() as d:
