Let a new owner run the rest while what it found started is being listed

Cause, found by reading and then brought about with slow disks: a new owner waited for each started item to be listed as unknown, and took up the others only then. Where one of those appends took over 4 s while the lease held, since renewing needs no disk, it gave up in the middle and the lot stood still under a living owner. Before: the staged test, depots' disks slow for 6 s after the owner was killed, is not done after 60 s. After: it is. Slow disks join the staged trouble.

--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/guide/dispatch.py
@@ -78,9 +78,9 @@
         doubtful = [i for i in o.started if i not in o.results and not o.lot.items[i].repeatable]
         self._ctx.journal.note("lot_owned", lot=o.id, epoch=h.epoch, items=len(o.lot.items), done=len(o.results),
                                doubtful=len(doubtful))
+        o.waiting = [i for i in range(len(o.lot.items)) if i not in o.results and i not in doubtful]
         for i in doubtful:
-            await self._list(o, Result(item=i, outcome="unknown", code="owner_lost"))
-        o.waiting = [i for i in range(len(o.lot.items)) if i not in o.results]
+            self._ctx.spawned(self._list(o, Result(item=i, outcome="unknown", code="owner_lost")), "list_doubtful")
         await self._finish_if_done(o)
 
     def _hand_over(self):
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -76,6 +76,7 @@
         self.lives = 0
         self.alive = False
         self.frozen = False
+        self.slow = 0.0
         self.ctx = None
 
     def start(self):
@@ -122,7 +123,7 @@
 
     def _on_thread(self, do, *words):
         d = defer.Deferred()
-        span = 0.001 + 0.004 * self.stage.chance.random()
+        span = self.slow + 0.001 + 0.004 * self.stage.chance.random()
 
         def work():
             try:
--- a/rehearsal/trouble.py
+++ b/rehearsal/trouble.py
@@ -15,7 +15,7 @@
 class Trouble:
     """Brings faults about at random; never more lost at once than the fleet promises to bear, when `bearable`."""
 
-    def __init__(self, stage, roles=("office", "depot", "guide"), kinds=("kill", "power", "freeze", "cut", "one_way", "full")):
+    def __init__(self, stage, roles=("office", "depot", "guide"), kinds=("kill", "power", "freeze", "cut", "one_way", "full", "slow")):
         self._stage = stage
         self._roles = roles
         self._kinds = kinds
@@ -36,6 +36,9 @@
         elif kind == "full":
             actor.disk.full = True
             stage.clock.callLater(span, self._empty, actor.disk)
+        elif kind == "slow":
+            actor.slow = span
+            stage.clock.callLater(2 * span, self._quicken, actor)
         elif kind == "freeze":
             actor.freeze()
             stage.clock.callLater(span, self._thaw, actor)
@@ -47,6 +50,9 @@
             stage.cuts |= pairs
             stage.clock.callLater(span, self._mend, pairs)
 
+    def _quicken(self, actor):
+        actor.slow = 0.0
+
     def _empty(self, disk):
         disk.full = False
 
@@ -65,7 +71,7 @@
         """Ends every fault, and starts what is down."""
         self._stage.heal()
         for a in self._stage.actors.values():
-            a.disk.full = False
+            a.disk.full, a.slow = False, 0.0
             self._start(a)
             self._thaw(a)
 
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -64,6 +64,26 @@
     def test_lots_hold_under_trouble(self):
         self.judge(lambda stage, trouble, work: trouble.during(work, 10))
 
+    def test_a_new_owner_whose_depots_are_slow_lists_what_was_started_and_runs_the_rest(self):
+        stage = staged(5)
+        self.addCleanup(stage.end)
+        c = Customers(stage)
+        lot = stage.until(lambda: stage.do(c.one_lot(12)), 20, "a lot is taken")
+        stage.until(lambda: sum(n["event"] == "run" for n in stage.notes) >= 3, 30, "items run")
+
+        def owner():
+            return next((a for a in stage.role("guide", alive=True) if (o := a.part.open_lots.get(lot)) and o.holder), None)
+
+        owner().kill()
+        stage.until(owner, 30, "another guide owns it")
+        for a in stage.role("depot"):
+            a.slow = 5.0
+        stage.run(6)
+        for a in stage.role("depot"):
+            a.slow = 0.0
+        stage.until(lambda: stage.do(c.one_read(lot), 10)["state"] == "done", 60, "it is done")
+        self.assertEqual(check(c.events, stage.notes, {}, capacity=4), [])
+
     def test_a_node_that_freezes_in_the_midst_of_each_step_that_has_an_owner(self):
         """Its call has just left; it wakes after its lease, its setup and its leadership have ended."""
         def bring(stage, trouble, work):
