Judge a run that is cut within the notice of its end as over

The judge's own fault. Seen: a false account of six short runs is no violation now; four at once still are.

--- a/rehearsal/judges.py
+++ b/rehearsal/judges.py
@@ -90,8 +90,9 @@
                     out.append(f"{model}: {n} runs in {span:g} s at a rate of {rate:g}")
                     break
     running: dict[str, str] = {}
-    seen = sorted(({**n, "at": n["at"] - NOTICE} if n["event"] in ("left", "cut") else n for n in notes),
-                  key=lambda n: n["at"])
+    began = {n["run"]: n["at"] for n in notes if n["event"] == "run"}
+    seen = sorted(({**n, "at": max(began.get(n["run"], 0), n["at"] - NOTICE)} if n["event"] in ("left", "cut") else n
+                   for n in notes), key=lambda n: (n["at"], n["event"] != "run"))
     for n in seen:
         if n["event"] == "run" and n.get("model") == model:
             running[n["run"]] = n["engine"]
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -58,6 +58,14 @@
         self.assertEqual(self.caught(unread("g", True)), [])
         self.assertEqual(self.caught(unread("other", False)), [])
 
+    def test_runs_that_end_at_once_do_not_count_as_running(self):
+        def short(ev, no):
+            for i in range(6):
+                no.append({"at": 70 + i, "event": "run", "engine": "e", "run": f"r{i}", "prompt": f"p{i}", "model": "narrow"})
+                no.append({"at": 70.05 + i, "event": "cut", "engine": "e", "run": f"r{i}"})
+
+        self.assertEqual(self.caught(short, limits={"narrow": (0, 3)}), [])
+
     def test_floors_are_judged_while_nothing_is_wrong_and_while_one_fault_lasts(self):
         def asked(n, good, hurt=False):
             def plant(ev, no):
