Share the durable read of a span among the readers that want it

Cause: each reader at a guide that missed the same chunks asked the depots for them, so many readers of one lost chunk made as many durable reads. Before: three readers, three reads.

--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -3,7 +3,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..beats import Joined, ms, secs
 from ..faults import WireFault
 from ..wire.cache_pb2 import Chunk, ChunkKeys, Chunks, Lengths, LengthsList, Paths
 from ..wire.frame_pb2 import Nothing
@@ -29,6 +29,15 @@
         self.poller = Poller(ctx, self)
         self.counts: Counter = Counter()
         self._ring = Ring({})
+        self._spans = Joined()
+
+    async def read_durable(self, path: str, start: int, length: int) -> bytes:
+        """One span of the durable log; readers that want the same one meanwhile share the read."""
+        def read():
+            self.counts["durable_reads"] += 1
+            return self._ctx.ledger.read(path, start, length)
+
+        return await self._spans.run((path, start, length), read)
 
     def open(self):
         d = self._ctx.desk
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -99,8 +99,7 @@
             span_start = missing[0] * CHUNK
             span_end = missing[-1] * CHUNK + need[missing[-1]]
             self._cache.counts["durable"] += len(missing)
-            self._cache.counts["durable_reads"] += 1
-            span = await self._ctx.ledger.read(self.path, span_start, span_end - span_start)
+            span = await self._cache.read_durable(self.path, span_start, span_end - span_start)
         out = bytearray()
         for n in numbers:
             at = n * CHUNK
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats, ms, secs
+from pipitlink.beats import Beats, ms, secs, spawn
 from pipitlink.cache.chunks import CHUNK, chunk_key
 from pipitlink.cache.shadow import Shadow
 from pipitlink.cache.stores import DataStore, LengthStore
@@ -210,6 +210,12 @@
         before = ctx.cache.counts["durable_reads"]
         got, _ = self.read(ctx, 40)
         self.assertEqual((got, ctx.cache.counts["durable_reads"] - before), (records, 1))
+        tails = [ctx.cache.tail("results/r") for _ in range(3)]
+        self.stage.run(0.5)
+        before = ctx.cache.counts["durable_reads"]
+        reads = [spawn(t.read(0, t.seen.cached)) for t in tails]
+        got = self.stage.do(defer.gatherResults(reads))
+        self.assertEqual((len(set(got)), ctx.cache.counts["durable_reads"] - before), (1, 1), "readers share one span")
 
     def test_a_postponed_durable_read_ends_well_within_the_promise(self):
         ctx = self.others[0].ctx
