--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -2,9 +2,10 @@
 import heapq
 import shutil
 import tempfile
-from datetime import timedelta
+from datetime import datetime, timedelta, timezone
 from pathlib import Path
 from random import Random
+from unittest import mock
 
 from twisted.internet import defer
 
@@ -91,7 +92,7 @@
         props = Props(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "office" else (),
                       data=str(self.folder), shelves=stage.shelves, **stage.props)
         self.clock = _Watch(stage.clock)
-        beats = Beats(self.clock, seconds=stage.clock.seconds)
+        beats = stage.beats(self.clock)
         self.ctx = Context(self.role, self.node, props, self.clock, beats, Journal(stage.sink, node=self.node), None,
                            Random(stage.chance.random()))
         ctx = self.ctx
@@ -244,6 +245,9 @@
         self.engines = self.guide_kind = None
         self.notes: list[dict] = []
         self.watch_calls = None
+        self._tokens = mock.patch("pipitlink.context.secrets.token_hex",
+                                  lambda n: f"{self.chance.getrandbits(8 * n):0{2 * n}x}")
+        self._tokens.start()
         self._fresh = 0
         self.actors: dict[str, Actor] = {}
         port = 1000
@@ -347,9 +351,11 @@
             box[0].raiseException()
         return box[0]
 
-    def beats(self) -> Beats:
-        """Beats for whoever stands outside the nodes."""
-        return Beats(self.clock, seconds=self.clock.seconds)
+    def beats(self, clock=None) -> Beats:
+        """Beats on the stage's time, for a node's life or for whoever stands outside the nodes."""
+        out = Beats(clock or self.clock, seconds=self.clock.seconds)
+        out.wall = lambda: datetime.fromtimestamp(1_700_000_000 + self.clock.seconds(), timezone.utc)
+        return out
 
     def leader(self):
         now = [a for a in self.role("office", alive=True) if a.part.state == "leader" and a.part._fresh()]
@@ -366,4 +372,5 @@
         for a in self.actors.values():
             if a.alive:
                 a.kill()
+        self._tokens.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
