--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -84,6 +84,23 @@
         stage.until(lambda: stage.do(c.one_read(lot), 10)["state"] == "done", 60, "it is done")
         self.assertEqual(check(c.events, stage.notes, {}, capacity=4), [])
 
+    def test_an_end_that_did_not_get_durable_leaves_the_lot_open_for_its_next_owner(self):
+        stage = staged(6)
+        self.addCleanup(stage.end)
+        c = Customers(stage)
+        lot = stage.until(lambda: stage.do(c.one_lot(12)), 20, "a lot is taken")
+        owner = stage.until(lambda: next((a for a in stage.role("guide") if (o := a.part.open_lots.get(lot)) and o.holder),
+                                         None), 30, "a guide owns it")
+        depots = [a.name for a in stage.role("depot")]
+        stage.cut([owner.name], depots)
+        got, fault = stage.do(c._ask(lambda part: part.end_here(lot), 9.0, owner), 12)
+        self.assertIsNone(got)
+        stage.heal()
+        stage.until(lambda: stage.do(c.one_read(lot), 10)["state"] in ("done", "ended"), 60, "it is done or ended")
+        c.note("lot_ended", lot=lot, status=503, said={})
+        self.assertEqual(check([e for e in c.events if e["status"] in (200, 201, 503) and e["event"] != "results" or
+                                e.get("status") == 200], stage.notes, {}, capacity=4), [])
+
     def test_a_node_that_freezes_in_the_midst_of_each_step_that_has_an_owner(self):
         """Its call has just left; it wakes after its lease, its setup and its leadership have ended."""
         def bring(stage, trouble, work):
