Say rendezvous ranks, a guide's turn and a run's face once each

Cause: the whole change read again. The steward of a row ranked guides by a hash that lots and prefixes already had; room on an engine listed and ranked all guides twice for each candidate of each pick; each place that fell free copied a list of 64; holding a stream back asked whether a run had a feed at all; and two benches read all notes twice. After: one rank for lots, rows and prefixes, the guides ranked once, a bounded deque, a run held elsewhere says that it has no feed. Behaviour is the same and no test was changed. Left: lots, offices and caches each gather receipts until enough are in, in four places with other ends; engines and limits each note that the guide slept, with other bounds.

--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/guide/dispatch.py
@@ -1,5 +1,4 @@
 from datetime import timedelta
-from hashlib import blake2b
 
 from twisted.internet import defer
 
@@ -9,6 +8,7 @@
 from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, Item, LogRecord, Result, Started
 from .asks import Ask
 from .lots import OpenLot, result_log
+from .picking import rank
 
 __all__ = ["Dispatch"]
 
@@ -20,10 +20,6 @@
 MAX_TAKING = 8
 
 
-def _rank(lot: str, node: str) -> bytes:
-    return blake2b(f"{lot}\0{node}".encode(), digest_size=8).digest()
-
-
 class Dispatch:
     """Mixin: owns lots by the lease of their result logs and runs their items in the room that is left."""
 
@@ -35,7 +31,7 @@
     def _owner(self, lot_id: str) -> str:
         guides = self._ctx.roster.members("guide", standing=("alive",))
         guides = [m for m in guides if not self._ctx.setup.zone_empty(m.zone)] or guides
-        return max(guides, key=lambda m: _rank(lot_id, m.node)).node
+        return max(guides, key=lambda m: rank(lot_id, m.node)).node
 
     def _take_lots(self):
         if not self.current():
--- a/pipitlink/guide/engines.py
+++ b/pipitlink/guide/engines.py
@@ -162,12 +162,13 @@
         cap = int(self.capacity(e) * (1 - reserve))
         free = cap - self.running(e)
         borrowed = max(0, e.mine - self._told.get(e.name, 0))
-        left = self._part(e, max(0, free + borrowed)) - borrowed
-        sure = 0 if self._cold(e) else self._part(e, cap) - e.mine
+        part = self._parts(e)
+        left = part(max(0, free + borrowed)) - borrowed
+        sure = 0 if self._cold(e) else part(cap) - e.mine
         return max(0, min(free, max(sure, left)))
 
-    def _part(self, e: Engine, n: int) -> int:
-        """This guide's part of n places. The parts of all guides add up to n; the odd ones go round by turns.
+    def _parts(self, e: Engine):
+        """Tells this guide's part of n places. The parts of all guides add up to n; the odd ones go round by turns.
 
         While the engine is cold, guides that were heard a short while ago keep their parts: they may only be cut off.
         """
@@ -178,7 +179,7 @@
                        if roster.since(m.node) < RAMP_SPAN}
         ranked = sorted(guides, key=lambda g: blake2b(f"{e.name}/{g}".encode(), digest_size=8).digest())
         turn = (ranked.index(self._ctx.node) + wall_ms(self._ctx.beats.wall()) // TURN_MS) % len(ranked)
-        return n // len(ranked) + (turn < n % len(ranked))
+        return lambda n: n // len(ranked) + (turn < n % len(ranked))
 
     def take(self, e: Engine, lot: bool):
         """Takes a place on the back end; returns what gives it back."""
--- a/pipitlink/guide/limits.py
+++ b/pipitlink/guide/limits.py
@@ -1,4 +1,5 @@
 import math
+from collections import deque
 from datetime import timedelta
 from hashlib import blake2b
 
@@ -8,6 +9,7 @@
 from ..context import fresh_id
 from ..faults import Crowded, Refused, WireFault
 from ..wire.roster_pb2 import Loads, Permit, PermitAsk, PermitReceipt
+from .picking import rank
 
 __all__ = ["Limits", "ComeBack"]
 
@@ -59,12 +61,11 @@
 
     def __init__(self, beats, most: int = 64):
         self._beats = beats
-        self._most = most
-        self._freed: list[timedelta] = []
+        self._freed: deque[timedelta] = deque(maxlen=most)
         self._next = ZERO
 
     def freed(self):
-        self._freed = [*self._freed, self._beats.now()][-self._most:]
+        self._freed.append(self._beats.now())
 
     def seconds(self) -> int:
         now = self._beats.now()
@@ -100,7 +101,7 @@
 
     def _steward(self, row: str) -> str:
         guides = {m.node for m in self._ctx.roster.members("guide", standing=("alive",))} | {self._ctx.node}
-        return max(guides, key=lambda g: blake2b(f"{row}\0{g}".encode(), digest_size=8).digest())
+        return max(guides, key=lambda g: rank(row, g))
 
     def _look(self):
         """Notes when the guides changed, or this one slept: places may be out of which a new steward has not heard."""
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/guide/picking.py
@@ -6,7 +6,7 @@
 from ..beats import ms, secs
 from ..faults import Crowded, GuideFault, NotFound
 
-__all__ = ["Admitting", "Picking", "RetryBudget"]
+__all__ = ["Admitting", "Picking", "RetryBudget", "rank"]
 
 MAX_TRIES = 3
 PICK_WAIT = ms(500)
@@ -15,8 +15,13 @@
 YOUNG_SPAN = secs(4)
 
 
+def rank(key: str, name: str) -> bytes:
+    """The rendezvous rank of a name for a key: whoever knows the same names picks the same one."""
+    return blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+
+
 def _score(key: str, name: str, weight: float) -> float:
-    h = int.from_bytes(blake2b(f"{key}\0{name}".encode(), digest_size=8).digest(), "big")
+    h = int.from_bytes(rank(key, name), "big")
     return -weight / math.log((h + 1) / (2 ** 64 + 1))
 
 
--- a/pipitlink/guide/relaying.py
+++ b/pipitlink/guide/relaying.py
@@ -304,5 +304,5 @@
 
     def hold_back(self, ask, full: bool):
         """Backpressure: a reader whose stream is full pauses the engine's stream."""
-        if getattr(ask, "feed", None) is not None:
+        if ask.feed is not None:
             (ask.feed.pauseProducing if full else ask.feed.resumeProducing)()
--- a/pipitlink/guide/runs.py
+++ b/pipitlink/guide/runs.py
@@ -15,6 +15,8 @@
 class FarRun:
     """A run that another guide holds, as far as it has been read here; written out like a run of this guide's own."""
 
+    feed = None
+
     def __init__(self, run: str, start: int):
         self.id = run
         self.pieces: list = [""] * start
--- a/rehearsal/promises.py
+++ b/rehearsal/promises.py
@@ -110,8 +110,9 @@
         self.fleet.programs[down].start()
         self._wait_up([down])
         self.calls.down.discard(down)
-        prompts = {x["run"]: x["prompt"] for x in self.fleet.notes() if x["event"] == "run"}
-        done = {prompts.get(x["run"]): x["at"] for x in self.fleet.notes() if x["event"] == "done"}
+        notes = self.fleet.notes()
+        prompts = {x["run"]: x["prompt"] for x in notes if x["event"] == "run"}
+        done = {prompts.get(x["run"]): x["at"] for x in notes if x["event"] == "done"}
         return [at - done[p] for i, at in seen.items() if (p := f"result-{n}/{i}") in done]
 
     def _measure_ended(self, n):
@@ -120,8 +121,9 @@
         self.calls.end_lot(e["lot"])
         acked = time.monotonic()
         time.sleep(4)
-        mine = {x["run"] for x in self.fleet.notes() if x["event"] == "run" and x["prompt"].startswith(f"ended-{n}/")}
-        return [max((x["at"] - acked for x in self.fleet.notes() if x.get("run") in mine and x["at"] > acked), default=0.0)]
+        notes = self.fleet.notes()
+        mine = {x["run"] for x in notes if x["event"] == "run" and x["prompt"].startswith(f"ended-{n}/")}
+        return [max((x["at"] - acked for x in notes if x.get("run") in mine and x["at"] > acked), default=0.0)]
 
     def _measure_zone(self, n):
         zone = ZONES[n % 4]
