--- /dev/null
+++ b/pipitlink/dialect/batches.py
@@ -0,0 +1,5 @@
+__all__ = ["BatchWords"]
+
+
+class BatchWords:
+    """Paths and JSON shapes of batches."""
--- /dev/null
+++ b/pipitlink/dialect/control.py
@@ -0,0 +1,5 @@
+__all__ = ["ControlWords"]
+
+
+class ControlWords:
+    """Paths and JSON shapes of configurations, engine announcements, zones and retirements."""
