--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -1,15 +1,18 @@
+import gc
 import signal
 import sys
 from pathlib import Path
 from random import Random
 
+import attrs
 from twisted.internet import reactor
 
-from .beats import Beats, secs, spawn
+from .beats import Beats, ms, secs, spawn
 from .cache import Cache
 from .changes import Changes
 from .context import Context, fresh_id
 from .depot import DepotNode, node_id
+from .dialect import Dialect
 from .disk import set_aside
 from .faults import Damaged, PropsFault
 from .guide import GuideNode
@@ -18,6 +21,7 @@
 from .operator import OperatorFace
 from .plugs import Gate
 from .props import Props
+from .router import RouterNode
 from .roster import Roster
 from .office import OfficeNode
 from .setup import Setup
@@ -26,13 +30,14 @@
 
 __all__ = ["run"]
 
-DRAIN = secs(8)
+ENDING = secs(2)
+REREAD_BEAT = secs(2)
 
 
 class Process:
     """One guide, depot or office, from its props to its end."""
 
-    def __init__(self, role: str, props: Props):
+    def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None):
         node = fresh_id() if role == "guide" else node_id(Path(props.data), props.fleet)
         journal = open_journal(props.log_level, role=role, node=node)
         beats = Beats(reactor)
@@ -40,6 +45,9 @@
         self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random())
         if props.plug:
             desk.gate = Gate(props.plug, self.ctx)
+        if dialect is not None:
+            self.ctx.dialect = dialect
+        self._reread = reread
         self.exit = 0
         self._ending = False
         self.node = None
@@ -58,7 +66,7 @@
         me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port)
         if ctx.role == "guide":
             ctx.cache = Cache(ctx)
-            self.node = GuideNode(ctx)
+            self.node = (RouterNode if p.interface == "routes" else GuideNode)(ctx)
             self.node.open()
             me.http_port = await self.node.listen(p.bind, p.http_port)
             ctx.ledger.open()
@@ -96,7 +104,7 @@
         self._ending = True
         self.ctx.journal.note("ending")
         try:
-            await self.ctx.beats.within(DRAIN, self._close())
+            await self.ctx.beats.within(ms(self.ctx.props.drain_ms) + ENDING, self._close())
         except Exception as e:
             self.ctx.journal.fault("ended_roughly", e)
         reactor.stop()
@@ -108,6 +116,17 @@
         self.ctx.beats.end()
         await self.ctx.desk.end()
 
+    def reread(self):
+        """Takes new seeds from the settings, where they moved; all else is as it was at the start."""
+        try:
+            props = self._reread()
+        except PropsFault as e:
+            self.ctx.journal.fault("settings_unread", e)
+            return
+        if props.seeds != self.ctx.props.seeds:
+            self.ctx.props = attrs.evolve(self.ctx.props, seeds=props.seeds)
+            self.ctx.journal.note("settings", seeds=",".join(props.seeds))
+
     def fail(self, f):
         self.exit = 1
         if f.check(PropsFault):
@@ -119,10 +138,17 @@
         reactor.callWhenRunning(reactor.stop)
 
 
-def run(role: str, props: Props) -> int:
-    process = Process(role, props)
+def run(role: str, props: Props, dialect: Dialect | None = None, reread=None) -> int:
+    """Runs one node until it is told to end. `reread`, if given, reads its settings again: on SIGHUP and now and then."""
+    process = Process(role, props, dialect, reread)
 
     def begin():
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 20)
+        if reread is not None:
+            signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(process.reread))
+            process.ctx.beats.every(REREAD_BEAT, process.reread, process.ctx.report("reread"))
         for s in (signal.SIGTERM, signal.SIGINT):
             signal.signal(s, lambda *_: reactor.callFromThread(lambda: spawn(process.end())))
         spawn(process.open()).addErrback(process.fail)
--- a/pipitlink/props.py
+++ b/pipitlink/props.py
@@ -11,6 +11,7 @@
 __all__ = ["Props", "read_props", "ROLES"]
 
 ROLES = ("guide", "depot", "office")
+_INTERFACES = ("models", "routes")
 _LEVELS = ("debug", "info", "warning", "error")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,62}$")
 
@@ -68,6 +69,11 @@
     port: int = attrs.field(default=0, validator=_port)
     http_port: int = attrs.field(default=0, validator=_port)
     operator_port: int = attrs.field(default=0, validator=_port)
+    ready_port: int = attrs.field(default=0, validator=_port)
+    interface: str = attrs.field(default="models")
+    unproved_s: int = attrs.field(default=0)
+    accept_ms: int = attrs.field(default=0)
+    drain_ms: int = attrs.field(default=6000, validator=_positive)
     seeds: tuple[str, ...] = attrs.field(factory=tuple, converter=tuple, validator=_places)
     founders: tuple[str, ...] = attrs.field(factory=tuple, converter=tuple, validator=_places)
     data: str = ""
@@ -97,6 +103,17 @@
         if not 0 <= value < 1:
             raise ValueError(f"lot_reserve must be from 0 up to 1, not {value}")
 
+    @interface.validator
+    def _interface(self, a, value):
+        if value not in _INTERFACES:
+            raise ValueError(f"interface must be one of {', '.join(_INTERFACES)}, not {value!r}")
+
+    @unproved_s.validator
+    @accept_ms.validator
+    def _not_below(self, a, value):
+        if value < 0:
+            raise ValueError(f"{a.name} must not be below 0, not {value}")
+
     @advertise.validator
     def _advertised(self, a, value):
         if value:
--- a/pipitlink/router/__init__.py
+++ b/pipitlink/router/__init__.py
@@ -0,0 +1,3 @@
+from .node import RouterNode
+
+__all__ = ["RouterNode"]
--- /dev/null
+++ b/pipitlink/router/call.py
@@ -0,0 +1,84 @@
+from datetime import timedelta
+
+import attrs
+
+from ..charts import Charted, chart_data
+from ..faults import GuideFault
+from ..wire.setup_pb2 import Route
+
+__all__ = ["Call", "HOP_HEADERS", "prompt_parts"]
+
+_OUTCOMES = chart_data("ask")["outcome"]
+HOP_HEADERS = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                         b"upgrade", b"content-length", b"expect", b"proxy-authenticate", b"proxy-authorization"))
+
+
+def prompt_parts(value: bytes | None) -> list[tuple[str, int]]:
+    """The parts of a prompt in order, as (id, tokens), from ID:TOKENS split by commas; what cannot be read is left out."""
+    out = []
+    for part in (value or b"").decode("ascii", "replace").split(","):
+        name, _, tokens = part.strip().rpartition(":")
+        if name and tokens.isdigit():
+            out.append((name, int(tokens)))
+    return out
+
+
+@attrs.define(eq=False, slots=False)
+class Call(Charted):
+    """The record of one request by route on its way to an engine. Head and body are opaque; what is known stands here."""
+
+    chart = "ask"
+
+    id: bytes
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    route: Route
+    limit: timedelta
+    sink: object
+    began: timedelta
+    repeatable: bool = False
+    resumable: bool = False
+    batch: bool = False
+    parts: list[tuple[str, int]] = attrs.field(factory=list)
+    tokens: int = 0
+    last_event: int = 0
+    still: object = None
+    pool: str = ""
+    engine: object = None
+    link: object = None
+    tries: int = 0
+    ran: int = 0
+    sent_at: timedelta | None = None
+    avoid: set = attrs.field(factory=set)
+    headed: bool = False
+    reached: bool = False
+    ended: str = ""
+
+    def __attrs_post_init__(self):
+        self._open_chart()
+
+    def _unpick(self):
+        if self.engine is not None:
+            self.avoid.add(self.engine.name)
+        self.engine = self.link = None
+
+    @property
+    def outcome(self) -> str:
+        said = _OUTCOMES[self.state]
+        return "unknown" if said == "not_run" and self.reached else said
+
+    @property
+    def shared(self) -> list[tuple[str, int]]:
+        """The parts that other requests may share: all but the last, which is the request's or its session's own."""
+        return self.parts[:-1]
+
+    def stop(self, why: str):
+        """Ends the exchange that is under way, if there is one; its engine sees the connection close."""
+        self.ended = self.ended or why
+        if self.link is not None:
+            self.link.discard()
+
+    def fault(self, text: str, **words) -> GuideFault:
+        return GuideFault(text, outcome=self.outcome, **words)
--- /dev/null
+++ b/pipitlink/router/choosing.py
@@ -0,0 +1,127 @@
+from datetime import timedelta
+
+from twisted.internet import defer
+
+from ..beats import ms, secs
+from ..faults import Crowded
+from ..guide.picking import rank
+
+__all__ = ["Choosing"]
+
+READ_PER_MS = 150
+RUN_COST_MS = 1.5
+FAR_COST_MS = 3.0
+LIVE_FILL = 1.5
+BATCH_FILL = 0.75
+SHORT_WAIT = ms(60)
+WAIT_SHARE = 0.2
+STICKY_TOKENS = 256
+MAX_WAITING = 256
+
+
+class Choosing:
+    """Mixin: which engine a call goes to: by pool, standing, zone, kept prompt parts, what is read and what runs there."""
+
+    def _open_choosing(self):
+        self._waiting = 0
+
+    def _share_pool(self, call) -> str:
+        """One pool of the route's shares, by chance, kept for the call."""
+        shares = [s for s in call.route.shares if s.share > 0]
+        if len(shares) == 1:
+            return shares[0].pool
+        at = self._ctx.chance.random() * sum(s.share for s in shares)
+        for s in shares:
+            at -= s.share
+            if at < 0:
+                return s.pool
+        return shares[-1].pool
+
+    def ready_engines(self, pool: str) -> list:
+        empty = self._ctx.setup.sheet.empty_zones
+        return [e for e in self.engines.pool(pool)
+                if e.news.zone not in empty and self.engines.standing(e) == "ready"]
+
+    def _usable(self, call) -> list:
+        ready = self.ready_engines(call.pool)
+        if not ready and not call.batch:
+            empty = self._ctx.setup.sheet.empty_zones
+            ready = [e for e in self.engines.pool(call.pool)
+                     if e.news.zone not in empty and self.engines.standing(e) in ("suspect",)]
+        return [e for e in ready if e.name not in call.avoid] or ([] if call.ran else ready)
+
+    def _fill(self, call) -> float:
+        return BATCH_FILL if call.batch else LIVE_FILL
+
+    def _choose(self, call):
+        """The engine with the least expected wait among those with room, or none."""
+        usable = self._usable(call)
+        fill = self._fill(call)
+        best, least = None, 0.0
+        shared = call.shared
+        home = ""
+        if sum(n for _, n in shared) >= STICKY_TOKENS and len(usable) > 1:
+            key = "/".join(name for name, _ in shared)
+            home = max(usable, key=lambda e: rank(key, e.name)).name
+        for e in usable:
+            load = self.engines.load(e)
+            if load >= fill * e.places or not self.engines.admit(e) or not self._reachable(e):
+                continue
+            missing = call.parts[-1][1] if call.parts else 0
+            if e.name != home:
+                missing += e.kept.missing(shared) if shared else 0
+            cost = (missing + e.reading) / READ_PER_MS + RUN_COST_MS * load + self._ctx.chance.random()
+            if load >= e.places:
+                cost += 20.0 * (1 + load - e.places)
+            if e.news.zone != self._ctx.props.zone:
+                cost += FAR_COST_MS
+            if best is None or cost < least:
+                best, least = e, cost
+        return best
+
+    def _reachable(self, e) -> bool:
+        return self.links.idle(e.address) > 0 or self.links.count(e.address) < self.most_links(e)
+
+    def most_links(self, e) -> int:
+        """This guide's part of the engine's connection bound, with some left for guides that come."""
+        pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
+        bound = pool.max_connections if pool is not None and pool.max_connections else 1000
+        return max(1, int(0.9 * bound / max(1, self.engines.guides())))
+
+    async def choose(self, call):
+        """Waits a short while for room; then the caller is told at once when to come back."""
+        if not call.pool:
+            call.pool = self._share_pool(call)
+        now = self._ctx.beats.now()
+        wait = min(SHORT_WAIT, timedelta(milliseconds=call.route.aim_ms * WAIT_SHARE)) if not call.batch else ms(0)
+        until = min(call.limit, now + wait)
+        while True:
+            e = self._choose(call)
+            if e is not None:
+                return e
+            left = until - self._ctx.beats.now()
+            if left <= ms(0) or self._waiting >= MAX_WAITING:
+                raise Crowded("no engine has room", code="no_room", retry_after=self._come_back())
+            d = defer.Deferred()
+            self.engines.wait_room(d)
+            self._waiting += 1
+            try:
+                await self._ctx.beats.await_or_lapse(d, min(left, ms(15)))
+            finally:
+                self._waiting -= 1
+
+    def _come_back(self) -> float:
+        """Seconds until a new try is worth while; spread, so that a crowd does not come back as one."""
+        return round(0.05 + 0.15 * self._ctx.chance.random(), 3)
+
+    def batch_room(self, route) -> int:
+        """How many items of batches on this route may be started now from here."""
+        room = 0
+        for s in route.shares:
+            if s.share > 0:
+                for e in self.ready_engines(s.pool):
+                    if not self.engines.cold(e):
+                        room += max(0, int(BATCH_FILL * e.places) - self.engines.load(e))
+                    elif self.engines.admit(e):
+                        room += 1
+        return room
--- /dev/null
+++ b/pipitlink/router/engines.py
@@ -0,0 +1,286 @@
+from collections import OrderedDict
+from datetime import timedelta
+
+import attrs
+
+from ..beats import ZERO, ms, secs, spawn
+from ..wire.frame_pb2 import Nothing
+from ..wire.roster_pb2 import EngineList, EngineNews, Load, Loads
+
+__all__ = ["Engines", "Engine"]
+
+SILENT_SPAN = secs(3.6)
+FORGET_SPAN = secs(30)
+LOADS_BEAT = ms(200)
+LOADS_AT_LEAST = secs(1)
+LOADS_SPAN = secs(3)
+SLEPT_SPAN = secs(1.5)
+SUSPECT_SPAN = ms(700)
+LONGEST_SUSPECT = secs(6)
+
+
+class _KeptParts:
+    """Which prompt parts an engine has likely kept, as far as this guide's own requests tell: newest last, bounded."""
+
+    def __init__(self, most_tokens: int):
+        self._most = most_tokens
+        self._parts: OrderedDict[str, int] = OrderedDict()
+        self._tokens = 0
+
+    def missing(self, parts: list[tuple[str, int]]) -> int:
+        """Tokens of these parts that have to be read: from the first part that is not kept on."""
+        at = 0
+        for at, (name, _) in enumerate(parts):
+            if name not in self._parts:
+                break
+        else:
+            return 0
+        return sum(n for _, n in parts[at:])
+
+    def add(self, parts: list[tuple[str, int]]):
+        for name, n in parts:
+            if name in self._parts:
+                self._parts.move_to_end(name)
+            else:
+                self._parts[name] = n
+                self._tokens += n
+        while self._tokens > self._most and self._parts:
+            _, n = self._parts.popitem(last=False)
+            self._tokens -= n
+
+
+@attrs.define(eq=False)
+class Engine:
+    """One life of an engine as this guide knows it."""
+
+    news: EngineNews
+    heard: timedelta
+    cold_until: timedelta
+    kept: _KeptParts
+    running: int = 0
+    batch: int = 0
+    reading: int = 0
+    bytes_at: timedelta = ZERO
+    suspect_until: timedelta = ZERO
+    failures: int = 0
+    allowance: float = 0.0
+    allowed_at: timedelta = ZERO
+    peers: dict[str, tuple[int, timedelta]] = attrs.field(factory=dict)
+
+    @property
+    def name(self) -> str:
+        return self.news.engine
+
+    @property
+    def address(self) -> str:
+        return self.news.address
+
+    @property
+    def places(self) -> int:
+        return max(1, self.news.capacity)
+
+
+class Engines:
+    """The engines as the control plane tells of them, what this guide has running there and what its peers have."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self._engines: dict[str, Engine] = {}
+        self._pools: dict[str, list[Engine]] = {}
+        self._room: list = []
+        self._carriers: list = []
+        self._told: dict[str, int] = {}
+        self._told_at = ZERO
+        self._looked_at = ctx.beats.now()
+        self._woke_at = ZERO
+        self._gone_watchers: list = []
+        self._reopened: dict[str, timedelta] = {}
+        self._emptied: frozenset = frozenset()
+
+    def open(self):
+        self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
+        self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
+        self._ctx.setup.watch(self._zones_moved)
+        self._ctx.beats.every(LOADS_BEAT, self._tell_loads, self._ctx.report("loads"))
+
+    def carry(self, fill, take):
+        """More that goes to all guides with the loads: fill(Loads) returns whether there is something new to tell."""
+        self._carriers.append((fill, take))
+
+    def watch_gone(self, do):
+        self._gone_watchers.append(do)
+
+    def all(self) -> list[Engine]:
+        return sorted(self._engines.values(), key=lambda e: e.name)
+
+    def pool(self, name: str) -> list[Engine]:
+        return self._pools.get(name, [])
+
+    async def _told_engines(self, node, what: EngineList):
+        for n in what.engines:
+            self.merge(n)
+
+    def merge(self, n: EngineNews):
+        now = self._look()
+        heard = now - ms(n.age_ms)
+        e = self._engines.get(n.engine)
+        if e is None:
+            if n.state == "gone" or now - heard > SILENT_SPAN or not n.engine:
+                return
+            kept = EngineNews()
+            kept.CopyFrom(n)
+            pool = self._ctx.setup.sheet.routes.pools.get(n.pool)
+            room = int(0.8 * pool.cache_tokens) if pool is not None else 0
+            e = self._engines[n.engine] = Engine(kept, heard, heard + ms(n.cold_ms), _KeptParts(room))
+            e.bytes_at = now
+            for other in list(self._engines.values()):
+                if other is not e and other.address == e.address:
+                    self._forget(other)
+            self._pools.setdefault(n.pool, []).append(e)
+            self._ctx.journal.note("engine", engine=n.engine, state=n.state, address=n.address, pool=n.pool)
+            self.roomier()
+            return
+        if n.state == "gone":
+            self._forget(e)
+            return
+        if n.sequence < e.news.sequence:
+            return
+        e.heard = max(e.heard, heard)
+        if n.sequence > e.news.sequence:
+            e.cold_until = heard + ms(n.cold_ms)
+            e.news.sequence = n.sequence
+        if n.state == "leaving" and e.news.state != "leaving":
+            e.news.state = "leaving"
+            self._ctx.journal.note("engine", engine=n.engine, state="leaving")
+
+    def _forget(self, e: Engine):
+        if self._engines.pop(e.name, None) is not None:
+            self._pools[e.news.pool].remove(e)
+            self._ctx.journal.note("engine", engine=e.name, state="gone")
+            e.news.state = "gone"
+            for do in self._gone_watchers:
+                do(e)
+
+    def replaced(self, e: Engine):
+        """Another engine answers at its address."""
+        self._forget(e)
+
+    def _look(self) -> timedelta:
+        now = self._ctx.beats.now()
+        if now - self._looked_at > SLEPT_SPAN:
+            self._woke_at = now
+        self._looked_at = now
+        return now
+
+    def standing(self, e: Engine) -> str:
+        now = self._look()
+        if e.news.state != "ready":
+            return e.news.state
+        if now - e.heard > SILENT_SPAN:
+            return "silent"
+        if e.heard < self._woke_at - SILENT_SPAN or e.suspect_until > now:
+            return "suspect"
+        return "ready"
+
+    def failed(self, e: Engine):
+        """Evidence that it is in trouble: it is left aside for a while that grows, and then tried again."""
+        e.failures = min(e.failures + 1, 6)
+        if e.failures > 1:
+            span = min(SUSPECT_SPAN * 2 ** (e.failures - 2), LONGEST_SUSPECT)
+            e.suspect_until = self._ctx.beats.now() + span
+
+    def unreached(self, e: Engine):
+        e.failures = min(max(2, e.failures + 1), 6)
+        e.suspect_until = self._ctx.beats.now() + min(SUSPECT_SPAN * 2 ** (e.failures - 2), LONGEST_SUSPECT)
+
+    def served(self, e: Engine):
+        e.failures = 0
+
+    def load(self, e: Engine) -> int:
+        """Requests on it, from here and, as last told, from the peers."""
+        now = self._ctx.beats.now()
+        return e.running + sum(n for n, at in e.peers.values() if now - at < LOADS_SPAN)
+
+    def guides(self) -> int:
+        return len(self._ctx.roster.members("guide"))
+
+    def _zones_moved(self):
+        now = self._ctx.beats.now()
+        emptied = frozenset(self._ctx.setup.sheet.empty_zones)
+        for zone in self._emptied - emptied:
+            self._reopened[zone] = now
+        self._emptied = emptied
+
+    def cold(self, e: Engine) -> bool:
+        now = self._ctx.beats.now()
+        if e.cold_until > now:
+            return True
+        at = self._reopened.get(e.news.zone)
+        pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
+        return at is not None and pool is not None and now - at < ms(pool.warmup_ms)
+
+    def admit(self, e: Engine) -> bool:
+        """Whether a cold engine may be sent one more request now: its rate is shared out among the guides."""
+        pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
+        if pool is None or not pool.cold_rate or not self.cold(e):
+            return True
+        now = self._ctx.beats.now()
+        rate = 0.9 * pool.cold_rate / max(1, self.guides())
+        e.allowance = min(1.0, e.allowance + rate * (now - e.allowed_at).total_seconds())
+        e.allowed_at = now
+        return e.allowance >= 1.0
+
+    def take(self, e: Engine, reading: int, batch: bool):
+        """Takes a place on it; returns what gives the prompt's reading back, and what gives the place back."""
+        e.running += 1
+        e.batch += batch
+        e.reading += reading
+        e.allowance = max(0.0, e.allowance - 1.0)
+        left = [reading]
+
+        def read():
+            e.reading -= left[0]
+            left[0] = 0
+
+        def give():
+            read()
+            e.running -= 1
+            e.batch -= batch
+            self.roomier()
+
+        return read, give
+
+    def wait_room(self, d):
+        self._room.append(d)
+
+    def roomier(self):
+        room, self._room = self._room, []
+        for d in room:
+            if not d.called:
+                d.callback(None)
+
+    def _tell_loads(self):
+        now = self._look()
+        for e in list(self._engines.values()):
+            if now - e.heard > FORGET_SPAN and not e.running:
+                self._forget(e)
+        mine = {e.name: e.running for e in self._engines.values() if e.running}
+        what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r) for n, r in mine.items()])
+        news = [fill(what) for fill, _ in self._carriers]
+        if mine == self._told and not any(news) and now - self._told_at < LOADS_AT_LEAST:
+            return
+        self._told, self._told_at = mine, now
+        for m in self._ctx.roster.members("guide", me=False):
+            spawn(self._ctx.desk.call((m.host, m.port), "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
+
+    async def _told_loads(self, node, what: Loads):
+        for _, take in self._carriers:
+            take(what)
+        now = self._ctx.beats.now()
+        running = {one.engine: one.running for one in what.loads}
+        for e in self._engines.values():
+            n = running.get(e.name, 0)
+            if n:
+                e.peers[what.guide] = (n, now)
+            else:
+                e.peers.pop(what.guide, None)
--- /dev/null
+++ b/pipitlink/router/node.py
@@ -0,0 +1,80 @@
+from klein import Klein
+
+from ..beats import ms, secs
+from ..web import Site, listen, send_json
+from .batches import Batches
+from .choosing import Choosing
+from .engines import Engines
+from .front import Front
+from .items import Items
+from .links import Links
+from .relay import Relay
+
+__all__ = ["RouterNode"]
+
+
+class RouterNode(Front, Choosing, Relay, Items, Batches):
+    """A guide that serves by routes: opaque requests to engines of pools, and batches on the same engines."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self.engines = ctx.engines = Engines(ctx)
+        self.links = Links(ctx)
+        self._ready_port = None
+        self._draining = False
+
+    def open(self):
+        self._open_front()
+        self.engines.open()
+        self._open_choosing()
+        self._open_relay()
+        self._open_batches()
+
+    async def listen(self, host: str, port: int) -> int:
+        if self._ctx.props.ready_port:
+            app = Klein()
+            app.route("/", defaults={"path": ""})(self._show_ready)
+            app.route("/<path:path>")(self._show_ready)
+            self._ready_port, _ = await listen(self._ctx.reactor, Site(app.resource(), 1024), host,
+                                               self._ctx.props.ready_port)
+        return await self.listen_callers(host, port)
+
+    def current(self) -> bool:
+        return self._ctx.setup.usable()
+
+    def _show_ready(self, request, path):
+        ok, words = self.readiness()
+        return send_json(request, {"ready": ok, **words}, 200 if ok else 503)
+
+    def readiness(self):
+        setup = self._ctx.setup
+        ok = not self._draining and self.current() and setup.sheet.routes.version > 0 and bool(self.engines.all())
+        return ok, {"setup": setup.sequence, "currency": setup.state}
+
+    def beliefs(self) -> dict:
+        engines = {e.name: f"{self.engines.standing(e)} {e.address}" for e in self.engines.all()}
+        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.ledger.holders.items())}
+        return {"engines": engines, "leases": leases}
+
+    def metrics(self) -> dict:
+        out = {f"calls_{name}": (f"Calls to engines: {name}", n) for name, n in self.counts.items()}
+        out["calls"] = ("Calls under way", len(self.calls))
+        out["links_opened"] = ("Connections opened to engines", self.links.opened)
+        out.update({f"refused_{code}": (f"Requests refused: {code}", n) for code, n in self.refused.items()})
+        out.update(self.batch_metrics())
+        return out
+
+    async def end(self):
+        """Drains: not ready at once, new requests are served a while, what runs may end, leases are handed over."""
+        self._draining = True
+        p = self._ctx.props
+        until = self._ctx.beats.now() + ms(p.drain_ms)
+        batches = self._ctx.spawned(self._end_batches(), "end_batches")
+        await self.end_front(ms(p.accept_ms), until)
+        await batches
+        for call in list(self.calls):
+            call.stop("ending")
+        self.links.close()
+        if self._ready_port is not None:
+            await self._ready_port.stopListening()
+        await self._ctx.roster.leave()
--- /dev/null
+++ b/pipitlink/router/relay.py
@@ -0,0 +1,310 @@
+from twisted.internet import defer, protocol
+from twisted.web.client import ResponseDone
+
+from ..beats import ms, spawn
+from ..faults import BackEndFault, Crowded, GuideFault
+from .call import HOP_HEADERS
+from .events import EventStream
+
+__all__ = ["Relay"]
+
+WATCH_BEAT = ms(200)
+MUTE_SPAN = ms(900)
+MAX_TRIES = 6
+FRESH_LINK = ms(1000)
+RETRY_PAUSE = ms(15)
+
+
+class _Flow(protocol.Protocol):
+    """The body of one engine's answer on its way to the call's sink, as it comes."""
+
+    def __init__(self, relay, call, e, response, read):
+        self._relay, self._call, self._engine = relay, call, e
+        self._response, self._read = response, read
+        self._events = EventStream(call.last_event) if call.resumable and response.code == 200 else None
+        self.over = defer.Deferred()
+
+    def dataReceived(self, data):
+        if self.over.called:
+            return
+        try:
+            self._read()
+            if self._events is not None:
+                for event in self._events.take(data):
+                    self._show(event)
+                    self._call.last_event = self._events.last
+            else:
+                self._show(data)
+        except Exception as e:
+            self._fail(e)
+
+    def _show(self, data):
+        call = self._call
+        if not call.headed:
+            call.headed = True
+            call.sink.head(self._response)
+        call.put("piece")
+        call.sink.data(data)
+
+    def _fail(self, e):
+        if not self.over.called:
+            self.over.errback(e)
+            if self._call.link is not None:
+                self._call.link.discard()
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        if self.over.called:
+            return
+        if not reason.check(ResponseDone):
+            self.over.errback(BackEndFault("the engine's answer was cut short", code="cut_short"))
+        elif self._events is not None and not self._events.whole:
+            self.over.errback(BackEndFault("the engine's answer ended inside an event", code="cut_short"))
+        else:
+            if not self._call.headed:
+                self._call.headed = True
+                self._call.sink.head(self._response)
+            self.over.callback(None)
+
+
+class Relay:
+    """Mixin: sends a call to its engine, takes in the answer, and goes on elsewhere only where nothing is doubled."""
+
+    def _open_relay(self):
+        self.calls: set = set()
+        self.counts = {"tries": 0, "resumed": 0, "spoilt": 0, "refused": 0}
+        self.engines.watch_gone(lambda e: self.links.drop(e.address))
+        self._ctx.beats.every(WATCH_BEAT, self._watch_calls, self._ctx.report("watch_calls"))
+
+    def _watch_calls(self):
+        """Ends exchanges with engines that are gone or mute, where the call can go on or begin again elsewhere."""
+        self.links.sweep()
+        now = self._ctx.beats.now()
+        for call in list(self.calls):
+            e = call.engine
+            if e is None or call.sent_at is None or not (call.repeatable or call.resumable):
+                continue
+            standing = self.engines.standing(e)
+            mute = e.bytes_at < call.sent_at and now - call.sent_at > MUTE_SPAN
+            if standing == "silent" or standing == "gone" and now - e.bytes_at > MUTE_SPAN or mute:
+                if mute:
+                    self.engines.unreached(e)
+                call.link and call.link.discard()
+
+    async def relay(self, call):
+        """Runs a call until its answer is whole at the sink; a fault says what is known of it."""
+        self.calls.add(call)
+        try:
+            while True:
+                e = await self.choose(call)
+                call.engine = e
+                call.tries += 1
+                self.counts["tries"] += 1
+                call.put("pick")
+                try:
+                    await self._try(call, e)
+                    call.put("finish")
+                    return
+                except GuideFault as f:
+                    if not self._may_go_on(call, f):
+                        raise
+                if call.state == "lost":
+                    call.reached = True
+                    call.put("again")
+                if call.tries > 2:
+                    await self._ctx.beats.pause(RETRY_PAUSE * call.tries)
+        except defer.CancelledError:
+            call.put("lose")
+            raise
+        except GuideFault as f:
+            if call.reached and f.outcome == "not_run":
+                f.outcome = "unknown"
+            raise
+        finally:
+            self.calls.discard(call)
+
+    def _may_go_on(self, call, fault) -> bool:
+        """Another try is allowed where nothing ran, or where running again, or from the last event on, is no harm."""
+        if call.ended or call.tries >= MAX_TRIES or self._ctx.beats.now() >= call.limit:
+            return False
+        if call.batch:
+            return False
+        if call.state == "taken":
+            return fault.code != "no_room"
+        if call.ran >= max(2, call.route.max_tries) + 1:
+            return False
+        if call.state != "lost":
+            return False
+        return call.resumable or call.repeatable and not call.headed
+
+    def _check_still(self, call, e):
+        """What held when the engine was chosen must hold as the first byte leaves."""
+        if call.ended:
+            raise call.fault("the request was ended", code="ended")
+        if call.limit <= self._ctx.beats.now():
+            raise call.fault("the deadline has passed", code="limit_passed", status=504)
+        if self.engines.standing(e) not in ("ready", "suspect") or e.news.zone in self._ctx.setup.sheet.empty_zones:
+            raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
+        route = self._ctx.setup.sheet.routes.routes.get(call.route.name)
+        if route is not call.route:
+            if route is None or all(s.pool != call.pool or not s.share > 0 for s in route.shares):
+                call.pool = ""
+                raise Crowded("the route has moved", code="route_moved")
+        if call.still is not None:
+            call.still()
+
+    async def _link(self, call, e):
+        link = self.links.take(e.address, None if call.repeatable or call.resumable else FRESH_LINK)
+        if link is None:
+            link = await self.links.open(e.address, self.most_links(e))
+        return link
+
+    async def _try(self, call, e):
+        missing = (call.parts[-1][1] if call.parts else 0) + e.kept.missing(call.shared)
+        read, give = self.engines.take(e, missing, call.batch)
+        try:
+            try:
+                link = await self._link(call, e)
+            except GuideFault as f:
+                if f.code == "unreached":
+                    self.engines.unreached(e)
+                raise
+            try:
+                self._check_still(call, e)
+            except GuideFault:
+                self._release(link)
+                raise
+            call.link = link
+            call.put("send")
+            call.sent_at = self._ctx.beats.now()
+            e.kept.add(call.parts)
+            await self._exchange(call, e, link, read)
+            self.engines.served(e)
+        except GuideFault as f:
+            if call.state == "picked":
+                call.put("unreached")
+                f.outcome = call.outcome
+            elif call.state in ("sent", "shown"):
+                call.put("lose")
+            raise
+        finally:
+            call.sent_at = None
+            call.link = None
+            give()
+
+    def _release(self, link):
+        if not link.spoilt and link.state == "QUIESCENT":
+            self.links.give_back(link)
+
+    def _head(self, call, e) -> list[tuple[bytes, bytes]]:
+        words = self._ctx.dialect
+        ours = {words.deadline_ms, words.target, words.urgency}
+        if call.last_event:
+            ours.add(words.event_id)
+        out = [(n, v) for n, v in call.headers if n not in ours]
+        left = max(1, int((call.limit - self._ctx.beats.now()) / ms(1)))
+        out.append((words.deadline_ms, b"%d" % left))
+        out.append((words.target, e.name.encode()))
+        out.append((words.urgency, b"%d" % (7 if call.batch else min(5, 2 + max(0, call.route.priority)))))
+        if call.last_event:
+            out.append((words.event_id, b"%d" % call.last_event))
+        return out
+
+    async def _exchange(self, call, e, link, read):
+        def heard():
+            e.bytes_at = self._ctx.beats.now()
+
+        link.on_bytes = heard
+        try:
+            response = await link.send(call.method, call.target, self._head(call, e), call.body)
+        except defer.CancelledError:
+            link.discard()
+            raise
+        except Exception as f:
+            link.discard()
+            call.ran += 1
+            self._lost_with(call, e)
+            raise BackEndFault(f"{e.name} did not answer: {f}", code="lost", outcome="unknown") from f
+        try:
+            await self._take_answer(call, e, link, response, read)
+        except BaseException:
+            if not link.spoilt and link.state != "QUIESCENT":
+                link.discard()
+            raise
+
+    def _lost_with(self, call, e):
+        if not call.ended and self._ctx.beats.now() < call.limit:
+            self.engines.failed(e)
+
+    async def _take_answer(self, call, e, link, response, read):
+        words, heads = self._ctx.dialect, response.headers
+        self._note_keep(link, heads)
+        said = heads.getRawHeaders(words.request_id, (None,))[0]
+        code = response.code
+        if said is not None and said != call.id or said is None and 200 <= code < 300:
+            self.counts["spoilt"] += 1
+            call.ran += 1
+            link.discard()
+            raise BackEndFault(f"{e.name} sent another request's answer", code="spoilt", outcome="unknown")
+        if code == 421 or heads.hasHeader(words.not_executed):
+            await self._refused(call, e, link, response)
+        call.ran += 1
+        if 200 <= code < 300 and not heads.hasHeader(words.seal):
+            link.discard()
+            raise BackEndFault(f"{e.name} answered without its seal", code="spoilt", outcome="unknown")
+        if code >= 500 and not call.headed and not call.batch and (call.repeatable or call.resumable) \
+                and call.ran < max(2, call.route.max_tries):
+            await self._drain(link, response)
+            raise BackEndFault(f"{e.name} answered {code}", code="engine_failed", outcome="unknown")
+        if call.headed and code != 200:
+            await self._drain(link, response)
+            raise BackEndFault(f"{e.name} answered {code} to a resumed stream", code="engine_failed", outcome="unknown")
+        flow = _Flow(self, call, e, response, read)
+        response.deliverBody(flow)
+        try:
+            await flow.over
+        except GuideFault:
+            self._lost_with(call, e)
+            raise
+
+    async def _refused(self, call, e, link, response):
+        """The engine says that nothing ran."""
+        self.counts["refused"] += 1
+        call.put("refuse")
+        code = response.code
+        await self._drain(link, response)
+        if code == 421:
+            self.engines.replaced(e)
+        else:
+            self.engines.failed(e)
+        raise Crowded(f"{e.name} refused with {code}", code="engine_crowded", retry_after=self._come_back())
+
+    async def _drain(self, link, response):
+        """Reads the rest of an answer that nobody is shown, so that its connection can be used again."""
+        done = defer.Deferred()
+
+        class _Drop(protocol.Protocol):
+            def connectionLost(self, reason=protocol.connectionDone):
+                done.called or done.callback(None)
+
+        response.deliverBody(_Drop())
+        await self._ctx.beats.await_or_lapse(done, ms(100))
+        if not link.spoilt and link.state not in ("QUIESCENT", "CONNECTION_LOST"):
+            link.discard()
+
+    def _note_keep(self, link, heads):
+        for value in heads.getRawHeaders(b"keep-alive", ()):
+            for part in value.split(b","):
+                name, _, n = part.strip().partition(b"=")
+                if name.lower() == b"timeout" and n.strip().isdigit():
+                    link.keep = ms(1000 * int(n))
+
+    def spawned_relay(self, call):
+        return spawn(self.relay(call))
+
+
+def passed_headers(response):
+    """The engine's headers that a caller is shown: all but those that concern one connection."""
+    for name, values in response.headers.getAllRawHeaders():
+        if name.lower() not in HOP_HEADERS:
+            for value in values:
+                yield name, value
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -68,6 +68,14 @@
             self.put("lapse")
         return self.state in ("led", "witnessed")
 
+    def usable(self) -> bool:
+        """Whether requests may be served: proved, or without proof for as long as the props allow that."""
+        if self.ready():
+            return True
+        span = self._ctx.props.unproved_s
+        proofs = [at for at in (self._leased_at, self._proved_at) if at is not None]
+        return bool(span and proofs and self.sequence) and self._ctx.beats.now() - max(proofs) < secs(span)
+
     def _say(self):
         self._ctx.journal.note("currency", state=self.state, sequence=self.sequence)
 
