--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -13,6 +13,7 @@
 MAX_TRIES = 6
 FRESH_LINK = ms(1000)
 RETRY_PAUSE = ms(15)
+PROMISES = (408, 429, 503)
 
 
 class _Flow(protocol.Protocol):
@@ -248,6 +249,10 @@
         if code == 421 or heads.hasHeader(words.not_executed):
             await self._refused(call, e, link, response)
         call.ran += 1
+        if code in PROMISES:
+            await self._drain(link, response)
+            raise BackEndFault(f"{e.name} answered {code} without saying that nothing ran", code="engine_failed",
+                               outcome="unknown")
         if 200 <= code < 300 and not heads.hasHeader(words.seal):
             link.discard()
             raise BackEndFault(f"{e.name} answered without its seal", code="spoilt", outcome="unknown")
--- /dev/null
+++ b/tests/router_parts.py
@@ -0,0 +1,184 @@
+"""A guide's live path by routes on one clock: real front, relay and links over transports in memory, with scripted engines."""
+from datetime import datetime, timezone
+from random import Random
+from types import SimpleNamespace
+
+from twisted.internet import defer
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from pipitlink.beats import Beats, ms
+from pipitlink.dialect import Dialect
+from pipitlink.journal import Journal
+from pipitlink.props import Props
+from pipitlink.router.choosing import Choosing
+from pipitlink.router.engines import Engines
+from pipitlink.router.front import Front, _Factory
+from pipitlink.router.items import Items
+from pipitlink.router.links import Links
+from pipitlink.router.relay import Relay
+from pipitlink.setup.routes import RouteTable
+from pipitlink.wire.roster_pb2 import EngineNews, Member
+from pipitlink.wire.setup_pb2 import Bounds, Config, Pool, PoolShare, Route
+
+__all__ = ["Rig", "route", "head", "chunk", "END"]
+
+END = b"0\r\n\r\n"
+
+
+def head(call_id, status="200 OK", seal=True, more=(), length=None) -> bytes:
+    lines = [f"HTTP/1.1 {status}"]
+    if call_id is not None:
+        lines.append(f"X-Request-Id: {call_id}")
+    if seal:
+        lines.append("X-Engine-Seal: s1")
+    lines += list(more)
+    lines.append("Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(n, text) -> bytes:
+    return f"id: {n}\ndata: {text}\n\n".encode()
+
+
+def route(name, prefix, kind="streaming", pools=(("models", 1),), **words) -> Route:
+    words = {"deadline_ms": 5000, "aim_ms": 250, "max_tries": 2, **words}
+    return Route(name=name, host="h.example", prefix=prefix, kind=kind,
+                 shares=[PoolShare(pool=p, share=s) for p, s in pools], **words)
+
+
+class _Transport(StringTransport):
+    """What one side writes is kept; closing is told to the protocol as a network would."""
+
+    protocol = None
+
+    def __init__(self):
+        super().__init__()
+        self.gone = False
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def abortConnection(self):
+        self.close()
+
+    forceAbortClient = abortConnection
+
+    def loseConnection(self):
+        self.close()
+
+    def close(self):
+        if not self.gone:
+            self.gone = True
+            self.disconnecting = True
+            from twisted.internet.error import ConnectionDone
+            from twisted.python.failure import Failure
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+
+class _Node(Front, Choosing, Relay, Items):
+    def __init__(self, ctx, rig):
+        self._ctx = ctx
+        self.engines = ctx.engines = Engines(ctx)
+        self.links = Links(ctx, rig.connect)
+        self._open_front()
+        self.engines.open()
+        self._open_choosing()
+        self._open_relay()
+
+    def current(self):
+        return True
+
+
+class Rig:
+    """`ask` sends a caller's request; `at(engine)` gives the connections to an engine, oldest first."""
+
+    def __init__(self, routes, pools=None, seed=1, guides=1):
+        self.clock = Clock()
+        self.clock.advance(1000)
+        self.lines = []
+        beats = Beats(self.clock, seconds=self.clock.seconds)
+        beats.wall = lambda: datetime.fromtimestamp(1_700_000_000 + self.clock.seconds(), timezone.utc)
+        pools = pools or [Pool(name="models", max_connections=100, places=4, cache_tokens=100_000)]
+        self.sheet = SimpleNamespace(empty_zones=set(), routes=RouteTable(Config(
+            version=1, routes=routes, pools=pools, bounds=Bounds(max_body_bytes=100_000))))
+        self.setup = SimpleNamespace(sheet=self.sheet, watch=lambda do: None, usable=lambda: True)
+        roster = SimpleNamespace(members=lambda role=None, standing=(), me=True: [
+            Member(node=f"g{i}") for i in range(guides) if i or me])
+        desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
+        self.ctx = SimpleNamespace(
+            node="g0", beats=beats, setup=self.setup, roster=roster, desk=desk, dialect=Dialect(), chance=Random(seed),
+            reactor=self.clock, props=Props(zone="zone-a"), journal=Journal(SimpleNamespace(
+                log=lambda level, shape, line: self.lines.append(line))),
+            report=lambda what: lambda e: self.lines.append(f"{what} {e!r}"), engines=None)
+
+        def spawned(work, what):
+            return defer.ensureDeferred(work).addErrback(lambda f: self.lines.append(f"{what} {f.value!r}"))
+
+        self.ctx.spawned = spawned
+        self.ctx.dialect.batch_call = lambda method, path, query, headers: None
+        self.connections: dict[str, list] = {}
+        self.refusing: set[str] = set()
+        self.node = _Node(self.ctx, self)
+        self.sequence = 0
+
+    def engine(self, name, zone="zone-a", state="ready", pool="models", capacity=4, cold_ms=0, address=None):
+        self.sequence += 1
+        self.node.engines.merge(EngineNews(
+            engine=name, incarnation=1, address=address or f"10.0.0.{name[1:]}:80", pool=pool, zone=zone, state=state,
+            capacity=capacity, sequence=self.sequence, cold_ms=cold_ms))
+        return self.node.engines._engines.get(name)
+
+    def connect(self, link):
+        if link.address in self.refusing:
+            return defer.fail(ConnectionRefusedError(link.address))
+        t = _Transport()
+        t.protocol = link
+        self.connections.setdefault(link.address, []).append(link)
+        link.makeConnection(t)
+        return defer.succeed(link)
+
+    def at(self, name):
+        return self.connections.get(f"10.0.0.{name[1:]}:80", [])
+
+    def asked(self) -> list[tuple[str, object, bytes]]:
+        """All requests that engines were sent and have not been looked at: (engine, link, bytes)."""
+        out = []
+        for address, links in self.connections.items():
+            for link in links:
+                data = link.transport.value()
+                if data:
+                    link.transport.clear()
+                    out.append(("e" + address.split(":")[0].rsplit(".", 1)[1], link, data))
+        return out
+
+    def one(self):
+        got = self.asked()
+        if len(got) != 1:
+            raise AssertionError(f"{len(got)} requests at engines, not one: {[g[2][:80] for g in got]} {self.lines}")
+        return got[0]
+
+    def caller(self):
+        channel = _Factory(self.node, self.clock).buildProtocol(None)
+        t = _Transport()
+        t.protocol = channel
+        channel.makeConnection(t)
+        return channel
+
+    def ask(self, path="/a/x", call_id="c1", body=b"hello", headers=(), channel=None, method="POST"):
+        channel = channel or self.caller()
+        lines = [f"{method} {path} HTTP/1.1", "Host: h.example", f"X-Request-Id: {call_id}", *headers,
+                 f"Content-Length: {len(body)}"]
+        channel.dataReceived("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return channel
+
+    def pass_time(self, span_ms):
+        for _ in range(max(1, int(span_ms // 5))):
+            self.clock.advance(ms(5).total_seconds())
+
+    def seen(self, channel) -> bytes:
+        return channel.transport.value()
