--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -2,6 +2,7 @@
 
 from ..ledger.shelf import Shelf
 from ..wire.setup_pb2 import Command, DepotEdit, Outcome, Row, SheetData, ShelfRow
+from .routes import RouteTable
 
 __all__ = ["Sheet", "MAX_ROWS"]
 
@@ -10,15 +11,17 @@
 
 
 class Sheet:
-    """The setup: the weight table, zones, depots, shelves and voters, as the agreed commands make it."""
+    """The setup: the weight table, routes, zones, depots, shelves and voters, as the agreed commands make it."""
 
     def __init__(self, data: SheetData | None = None):
         data = data or SheetData()
         self.sequence = data.sequence
         self.table = data.table
         self.rows: dict[str, Row] = {r.name: r for r in data.rows}
+        self.routes = RouteTable(data.config)
         self.empty_zones: set[str] = set(data.empty_zones)
         self.depots: dict[str, str] = {d.depot: d.standing for d in data.depots}
+        self.depot_names: dict[str, str] = {d.depot: d.name for d in data.depots if d.name}
         self.shelves: dict[int, ShelfRow] = {s.number: s for s in data.shelves}
         self.voters: tuple[str, ...] = tuple(data.voters)
         self.witnesses_at = data.witnesses_at
@@ -30,8 +33,9 @@
         return SheetData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
                          empty_zones=sorted(self.empty_zones), shelves=self.shelves.values(), voters=self.voters,
                          witnesses_at=self.witnesses_at, settled=self.settled,
-                         depots=[DepotEdit(depot=d, standing=s) for d, s in self.depots.items()],
-                         outcomes=self.outcomes.values())
+                         depots=[DepotEdit(depot=d, standing=s, name=self.depot_names.get(d))
+                                 for d, s in self.depots.items()],
+                         outcomes=self.outcomes.values(), config=self.routes.config())
 
     def apply(self, sequence: int, c: Command) -> Outcome:
         """Applies one agreed command. The same edit id never takes effect twice."""
@@ -40,7 +44,7 @@
             return self.outcomes[c.edit]
         what = c.WhichOneof("of")
         code = getattr(self, "_apply_" + what)(getattr(c, what), sequence) if what else "done"
-        at = self.table if what == "table" else sequence
+        at = {"table": self.table, "config": self.routes.version}.get(what, sequence)
         out = Outcome(edit=c.edit, code=code, sequence=at)
         if c.edit:
             self.outcomes[c.edit] = out
@@ -66,6 +70,17 @@
         self._by_target = None
         return "done"
 
+    def _apply_config(self, e, sequence) -> str:
+        if e.base != self.routes.version:
+            return "wrong_base"
+        if e.version <= self.routes.version:
+            return "old_version"
+        edited = self.routes.edited(e)
+        if edited.faults():
+            return "invalid"
+        self.routes = edited
+        return "done"
+
     def _apply_zone(self, e, sequence) -> str:
         (self.empty_zones.add if e.empty else self.empty_zones.discard)(e.zone)
         return "done"
@@ -74,8 +89,11 @@
         before = self.witnesses()
         if e.standing == "removed":
             self.depots.pop(e.depot, None)
+            self.depot_names.pop(e.depot, None)
         else:
             self.depots[e.depot] = e.standing
+            if e.name:
+                self.depot_names[e.depot] = e.name
         if self.witnesses() != before:
             self.witnesses_at = sequence
         return "done"
