--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -5,6 +5,7 @@
 from twisted.internet.threads import deferToThread
 
 from .beats import Beats, spawn
+from .dialect import Dialect
 from .journal import Journal
 from .props import Props
 from .wire.desk import Desk
@@ -35,6 +36,7 @@
     engines: object = None
     changes: object = None
     on_thread: object = deferToThread
+    dialect: Dialect = attrs.field(factory=Dialect)
 
     def report(self, what: str):
         return lambda e: self.journal.fault(what, e)
--- a/pipitlink/office/__init__.py
+++ b/pipitlink/office/__init__.py
@@ -1,3 +1,4 @@
+from .control import ControlFace
 from .node import OfficeNode
 
-__all__ = ["OfficeNode"]
+__all__ = ["ControlFace", "OfficeNode"]
--- /dev/null
+++ b/pipitlink/office/announcing.py
@@ -0,0 +1,165 @@
+from datetime import timedelta
+
+import attrs
+from twisted.internet import defer
+
+from ..beats import ms, secs, to_ms
+from ..faults import Crowded, WireFault
+from ..wire.frame_pb2 import Nothing
+from ..wire.roster_pb2 import EngineList, EngineNews
+
+__all__ = ["Announcing"]
+
+BATCH_BEAT = ms(800)
+PUSH_LIMIT = ms(400)
+PUSH_PAUSE = ms(200)
+PUSH_SPAN = secs(3)
+CONFIRM_SPAN = ms(700)
+FORGET_SPAN = secs(30)
+GONE_SPAN = secs(60)
+FINAL = ("leaving", "gone")
+
+
+class _Telling:
+    """One change on its way to all guides, and which of them have confirmed it."""
+
+    def __init__(self, guides):
+        self.guides = set(guides)
+        self.confirmed: set[str] = set()
+        self.running = len(self.guides)
+        self._waiting: list[defer.Deferred] = []
+
+    def wait(self) -> defer.Deferred:
+        self._waiting.append(defer.Deferred())
+        return self._waiting[-1]
+
+    def wake(self):
+        waiting, self._waiting = self._waiting, []
+        for d in waiting:
+            if not d.called:
+                d.callback(None)
+
+
+@attrs.define(eq=False)
+class _Announced:
+    news: EngineNews
+    heard_at: timedelta
+    telling: _Telling | None = None
+
+
+class Announcing:
+    """Mixin: engines announce themselves here, and every guide is told; neither a leader nor a majority is needed."""
+
+    def _open_announcing(self):
+        self._announced: dict[str, _Announced] = {}
+        self._renewed: set[str] = set()
+        self._owed: dict[str, set[str]] = {}
+        self._ctx.roster.watch(self._guide_changed)
+        self._ctx.beats.every(BATCH_BEAT, self._tell_renewed, self._ctx.report("renewed_engines"))
+
+    async def announce(self, n: EngineNews):
+        """Takes an engine's news; returns once it may be acknowledged. The newest sequence wins, leaving is for good."""
+        have = self._announced.get(n.engine)
+        late = have is not None and n.state != "gone" and n.sequence <= have.news.sequence
+        if have is not None and have.news.state == "gone" or late:
+            if have.news.state in FINAL and n.state in FINAL:
+                await self._confirmed(have)
+            return
+        if have is None:
+            have = self._announced[n.engine] = _Announced(EngineNews(), self._ctx.beats.now())
+        before, have.news = have.news, n
+        have.heard_at = self._ctx.beats.now()
+        if before.state == "leaving" and n.state != "gone":
+            n.state = "leaving"
+        if (n.state, n.address) != (before.state, before.address) or n.cold_ms and not before.cold_ms:
+            if n.state != before.state:
+                self._ctx.journal.note("engine", engine=n.engine, state=n.state, address=n.address)
+            self._tell(have)
+        else:
+            self._renewed.add(n.engine)
+        if n.state in FINAL:
+            await self._confirmed(have)
+
+    def _guides(self, standing=("alive", "suspect")):
+        return self._ctx.roster.members("guide", standing=standing, me=False)
+
+    def _tell(self, have: _Announced):
+        have.telling = t = _Telling(m.node for m in self._guides())
+        for node in t.guides:
+            self._ctx.spawned(self._tell_guide(node, [have.news.engine], t), "tell_engines")
+
+    async def _tell_guide(self, node: str, engines, t: _Telling):
+        until = self._ctx.beats.now() + PUSH_SPAN
+        try:
+            while self._ctx.roster.standing(node) in ("alive", "suspect"):
+                if await self._push(node, engines):
+                    t.confirmed.add(node)
+                    return
+                if self._ctx.beats.now() + PUSH_PAUSE > until:
+                    return
+                await self._ctx.beats.pause(PUSH_PAUSE)
+        finally:
+            t.running -= 1
+            t.wake()
+
+    async def _push(self, node: str, engines) -> bool:
+        m = self._ctx.roster.find(node)
+        if m is None:
+            return False
+        try:
+            await self._ctx.desk.call((m.host, m.port), "engines.tell", self._list(engines), Nothing, PUSH_LIMIT)
+        except WireFault as e:
+            self._ctx.journal.trace("engines_untold", guide=node, text=e)
+            return False
+        return True
+
+    def _list(self, engines) -> EngineList:
+        now = self._ctx.beats.now()
+        out = EngineList()
+        for name in engines:
+            have = self._announced.get(name)
+            if have is not None:
+                n = out.engines.add()
+                n.CopyFrom(have.news)
+                n.age_ms = to_ms(now - have.heard_at)
+        return out
+
+    async def _confirmed(self, have: _Announced):
+        """Waits until all live guides have confirmed the change, for a short while; one of them must have."""
+        if have.telling is None or not have.telling.running and not have.telling.confirmed:
+            self._tell(have)
+        t = have.telling
+        end = self._ctx.beats.now() + CONFIRM_SPAN
+        while True:
+            live = {m.node for m in self._guides(("alive",))}
+            left = end - self._ctx.beats.now()
+            if (live & t.guides) <= t.confirmed or not t.running or left <= ms(0):
+                break
+            await self._ctx.beats.await_or_lapse(t.wait(), left)
+        if live and not t.confirmed:
+            raise Crowded("no guide has confirmed that this engine leaves", code="untold")
+
+    async def _tell_renewed(self):
+        self._forget_engines()
+        renewed, self._renewed = self._renewed, set()
+        owed, self._owed = self._owed, {}
+        for m in self._guides():
+            engines = renewed | owed.get(m.node, set())
+            if engines:
+                self._ctx.spawned(self._tell_batch(m.node, engines), "tell_engines")
+
+    async def _tell_batch(self, node: str, engines: set[str]):
+        if not await self._push(node, sorted(engines)):
+            self._owed.setdefault(node, set()).update(engines)
+
+    def _forget_engines(self):
+        now = self._ctx.beats.now()
+        for name, have in list(self._announced.items()):
+            if now - have.heard_at > (GONE_SPAN if have.news.state == "gone" else FORGET_SPAN):
+                del self._announced[name]
+
+    def _guide_changed(self, m):
+        """A guide that is met, or is back, is told all that is known here."""
+        if m.role == "guide" and self._announced and self._ctx.roster.standing(m.node) == "alive":
+            t = _Telling([m.node])
+            self._ctx.spawned(self._tell_guide(m.node, sorted(self._announced), t), "tell_engines")
--- a/pipitlink/office/archive.py
+++ b/pipitlink/office/archive.py
@@ -17,6 +17,9 @@
 
 TRIM_EVERY = 2000
 KEEP_ENTRIES = 500
+TRIM_BYTES = 24 * 1024 * 1024
+KEEP_BYTES = 6 * 1024 * 1024
+SEND_BYTES = 4 * 1024 * 1024
 
 
 class Archive:
@@ -30,6 +33,7 @@
         self.ballot = Ballot()
         self.snapshot = Snapshot()
         self.entries: list[OfficeEntry] = []
+        self._entry_bytes = 0
         self._votes: list[tuple[int, tuple[str, ...]]] = []
 
     def recover(self):
@@ -40,7 +44,7 @@
         self._replayed()
 
     def _replayed(self):
-        self.entries, self._votes = [], []
+        self.entries, self._votes, self._entry_bytes = [], [], 0
         for _, body in self._segments.recover():
             r = OfficeRecord.FromString(body)
             what = r.WhichOneof("of")
@@ -49,14 +53,16 @@
             elif what == "entry":
                 self._place(r.entry)
             elif what == "snapshot" and r.snapshot.index > self.last_index():
-                self.entries = []
+                self.entries, self._entry_bytes = [], 0
                 if r.snapshot.index > self.snapshot.index:
                     raise Damaged(f"the snapshot at {r.snapshot.index} is missing")
 
     def _place(self, e: OfficeEntry):
         if e.index <= self.snapshot.index:
             return
-        del self.entries[max(0, e.index - self.snapshot.index - 1):]
+        start = max(0, e.index - self.snapshot.index - 1)
+        self._entry_bytes += e.ByteSize() - sum(o.ByteSize() for o in self.entries[start:])
+        del self.entries[start:]
         self.entries.append(e)
         while self._votes and self._votes[-1][0] >= e.index:
             self._votes.pop()
@@ -85,7 +91,24 @@
 
     def after(self, index: int, most: int = 256) -> list[OfficeEntry]:
         start = index - self.snapshot.index
-        return self.entries[max(0, start):start + most]
+        return self._bounded(self.entries[max(0, start):start + most], SEND_BYTES)
+
+    def _bounded(self, entries: list[OfficeEntry], most: int) -> list[OfficeEntry]:
+        """The first of these that have so many bytes together; one at least."""
+        size = 0
+        for n, e in enumerate(entries):
+            size += e.ByteSize()
+            if n and size > most:
+                return entries[:n]
+        return entries
+
+    def long(self) -> bool:
+        return len(self.entries) > TRIM_EVERY + KEEP_ENTRIES or self._entry_bytes > TRIM_BYTES and len(self.entries) > 1
+
+    def trim_at(self, commit: int) -> int:
+        """Up to where the log may go into a snapshot: the newest entries stay, as far as they are not too large."""
+        newest = self.entries[:max(0, commit - self.snapshot.index)][-KEEP_ENTRIES:]
+        return commit - len(self._bounded(newest[::-1], KEEP_BYTES))
 
     def put_ballot(self, term: int, vote: str):
         self.ballot = Ballot(term=term, vote=vote)
@@ -161,7 +184,7 @@
         """After `keep_snapshot`: drops what it covers from the log, in memory and on disk."""
         rest = [e for e in self.entries if e.index > s.index] if self.term_at(s.index) == s.term else []
         old = self._segments.numbers()
-        self.snapshot, self.entries = s, []
+        self.snapshot, self.entries, self._entry_bytes = s, [], 0
         self._votes = []
         for e in rest:
             self._place(e)
--- /dev/null
+++ b/pipitlink/office/control.py
@@ -0,0 +1,129 @@
+from hashlib import blake2b
+
+from klein import Klein
+
+from ..faults import BadAsk, GuideFault, NotFound
+from ..setup.routes import RouteTable
+from ..web import Site, answered, listen, send_fault, send_json
+from ..wire.roster_pb2 import EngineNews
+from ..wire.setup_pb2 import Command, ZoneEdit
+from .edits import edit_base, edit_id
+
+__all__ = ["Control", "ControlFace"]
+
+MAX_BODY = 8 * 1024 * 1024
+
+
+def _send(request, body: bytes, headers: dict | None = None) -> bytes:
+    request.setHeader(b"Content-Type", b"application/json")
+    for k, v in (headers or {}).items():
+        request.setHeader(k, v)
+    return body
+
+
+def _digest(request, base: int, body: bytes) -> str:
+    """An edit that is sent again unchanged, to any office, is the same edit."""
+    words = b"%b %d " % (request.method, base)
+    return "config-" + blake2b(words + body, digest_size=16).hexdigest()
+
+
+class Control:
+    """Configurations, zones, retirements and announcements of engines, at one office in one set of words."""
+
+    def __init__(self, ctx, office, words):
+        self._ctx = ctx
+        self._office = office
+        self._words = words
+
+    def routes(self, add):
+        for method, path, action in self._words.control_paths:
+            add(path, methods=[method], endpoint=f"control_{action}")(getattr(self, action))
+
+    @answered
+    async def show_config(self, request):
+        table = (await self._office.newest()).routes
+        return _send(request, self._words.config_body(table.config()), {b"ETag": b'"%d"' % table.version})
+
+    @answered
+    async def put_config(self, request):
+        return await self._edit_config(request, whole=True)
+
+    @answered
+    async def patch_config(self, request):
+        return await self._edit_config(request, whole=False)
+
+    async def _edit_config(self, request, whole: bool):
+        base = edit_base(request)
+        body = request.content.read()
+        edit = self._words.config_edit(body, base, whole)
+        if whole:
+            faults = RouteTable().edited(edit).faults()
+            if faults:
+                raise BadAsk("; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid")
+        c = Command(edit=edit_id(request, _digest(request, base, body)), config=edit)
+        out = await self._office.decide(c)
+        if out.code == "wrong_base":
+            raise GuideFault(f"the configuration is at version {out.sequence}", code=out.code, status=412,
+                             outcome="not_run")
+        if out.code != "done":
+            raise BadAsk(f"the edit was refused: {out.code}", code=out.code)
+        return send_json(request, {"version": out.sequence, "edit": c.edit}, 200, {"ETag": f'"{out.sequence}"'})
+
+    @answered
+    async def empty_zone(self, request, zone: str):
+        return await self._edit_zone(request, zone, True)
+
+    @answered
+    async def fill_zone(self, request, zone: str):
+        return await self._edit_zone(request, zone, False)
+
+    async def _edit_zone(self, request, zone: str, empty: bool):
+        c = Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty))
+        out = await self._office.decide(c)
+        if out.code != "done":
+            raise GuideFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
+        return send_json(request, {"sequence": out.sequence, "edit": c.edit})
+
+    @answered
+    async def put_engine(self, request, engine: str):
+        await self._office.announce(self._words.engine_news(engine, request.content.read()))
+        return _send(request, self._words.engine_answer())
+
+    @answered
+    async def drop_engine(self, request, engine: str):
+        await self._office.announce(EngineNews(engine=engine, incarnation=1, state="gone"))
+        return _send(request, self._words.engine_answer())
+
+    @answered
+    async def retire(self, request, depot: str):
+        edit = edit_id(request)
+        sequence = await self._office.retire(depot, edit)
+        return send_json(request, {"sequence": sequence, "edit": edit}, 200, {"ETag": f'"{sequence}"'})
+
+    @answered
+    async def show_retirement(self, request, depot: str):
+        return _send(request, self._words.retirement_answer(await self._office.retirement(depot)))
+
+
+class ControlFace:
+    """The office's address for operators and engines, in the words of the dialect."""
+
+    def __init__(self, ctx, office):
+        self._ctx = ctx
+        self._control = Control(ctx, office, ctx.dialect)
+        self._port = None
+
+    async def listen(self, host: str, port: int) -> int:
+        app = Klein()
+        self._control.routes(app.route)
+        app.route("/", defaults={"path": ""})(self._nowhere)
+        app.route("/<path:path>")(self._nowhere)
+        self._port, port = await listen(self._ctx.reactor, Site(app.resource(), MAX_BODY), host, port)
+        return port
+
+    async def end(self):
+        if self._port is not None:
+            await self._port.stopListening()
+
+    def _nowhere(self, request, path):
+        return send_fault(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
--- a/pipitlink/office/edits.py
+++ b/pipitlink/office/edits.py
@@ -9,28 +9,31 @@
 from ..setup import Sheet
 from ..web import answered, send_json
 from ..wire.office_pb2 import EditAsk, EditReceipt, ReadTableAsk
-from ..wire.setup_pb2 import Command, DepotEdit, SheetData, TableEdit, ZoneEdit
+from ..wire.setup_pb2 import Command, Outcome, SheetData, TableEdit, ZoneEdit
 from .rows import row_dict, row_from, rows_from
 
-__all__ = ["Edits"]
+__all__ = ["Edits", "edit_base", "edit_id"]
 
 FORWARD_LIMIT = secs(7)
 LOOK_BEAT = ms(50)
 
 
-def _base(request) -> int:
+def edit_base(request) -> int:
     raw = request.getHeader("If-Match")
     if raw is None:
         raise BadAsk("an edit states the sequence it builds on, in If-Match", code="no_base", field="If-Match",
                      status=428)
     try:
-        return int(raw.strip().strip('"'))
+        base = int(raw.strip().strip('"'))
     except ValueError:
-        raise BadAsk("If-Match must be the table's sequence", code="bad_field", field="If-Match") from None
+        base = -1
+    if not 0 <= base < 2 ** 63:
+        raise BadAsk("If-Match must be the sequence it builds on", code="bad_field", field="If-Match")
+    return base
 
 
-def _edit_id(request) -> str:
-    edit = request.getHeader("Edit-Id") or fresh_id()
+def edit_id(request, otherwise: str = "") -> str:
+    edit = request.getHeader("Edit-Id") or otherwise or fresh_id()
     if not 1 <= len(edit) <= 100:
         raise BadAsk("Edit-Id must have 1 to 100 characters", code="bad_field", field="Edit-Id")
     return edit
@@ -60,7 +63,7 @@
         await self.sure_leader()
         return self.sheet.data()
 
-    async def _newest(self) -> Sheet:
+    async def newest(self) -> Sheet:
         """The newest agreed setup, proved by the leader, or a fault; never an older one."""
         if self.state == "leader":
             await self.sure_leader()
@@ -90,12 +93,12 @@
         except defer.CancelledError:
             raise Unproven("the leader changed before it answered") from None
 
-    async def _do_edit(self, request, c: Command):
+    async def decide(self, c: Command) -> Outcome:
+        """The outcome of an edit, here or at the leader; a fault says whether it may have been taken."""
         try:
             if self.state == "leader":
-                out = await self.edit(c)
-            else:
-                out = (await self._ask_leader("office.edit", EditAsk(command=c), EditReceipt)).outcome
+                return await self.edit(c)
+            return (await self._ask_leader("office.edit", EditAsk(command=c), EditReceipt)).outcome
         except (Overdue, Unproven, CutOff, Refused, NotLeading) as e:
             sent = not (isinstance(e, NotLeading) or isinstance(e, CutOff) and not e.sent
                         or isinstance(e, Refused) and e.fault in ("not_leading", "no_room"))
@@ -104,6 +107,9 @@
             raise GuideFault(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
                              f"no office leads now: {e}", code="unproven" if sent else "no_leader", status=503,
                              outcome="unknown" if sent else "not_run", retry_after=1) from e
+
+    async def _do_edit(self, request, c: Command):
+        out = await self.decide(c)
         if out.code == "wrong_base":
             raise WrongBase(out.sequence)
         if out.code == "no_such_row":
@@ -114,7 +120,7 @@
 
     @answered
     async def show_table(self, request):
-        s = await self._newest()
+        s = await self.newest()
         rows = {name: row_dict(r) for name, r in sorted(s.rows.items())}
         return send_json(request, {"sequence": s.table, "rows": rows}, 200, {"ETag": f'"{s.table}"'})
 
@@ -123,59 +129,50 @@
         raw = _body(request)
         if set(raw) - {"rows", "sequence"} or not isinstance(raw.get("rows"), dict):
             raise BadAsk("the body must be {\"rows\": {name: row}}", code="bad_field", field="rows")
-        edit = TableEdit(base=_base(request), whole=True, puts=rows_from(raw["rows"]))
-        return await self._do_edit(request, Command(edit=_edit_id(request), table=edit))
+        edit = TableEdit(base=edit_base(request), whole=True, puts=rows_from(raw["rows"]))
+        return await self._do_edit(request, Command(edit=edit_id(request), table=edit))
 
     @answered
     async def show_row(self, request, name: str):
-        s = await self._newest()
+        s = await self.newest()
         if name not in s.rows:
             raise NotFound("there is no such row", code="no_such_row", field="row")
         return send_json(request, {"sequence": s.table, "row": row_dict(s.rows[name])}, 200, {"ETag": f'"{s.table}"'})
 
     @answered
     async def put_row(self, request, name: str):
-        edit = TableEdit(base=_base(request), puts=[row_from(name, _body(request))])
-        return await self._do_edit(request, Command(edit=_edit_id(request), table=edit))
+        edit = TableEdit(base=edit_base(request), puts=[row_from(name, _body(request))])
+        return await self._do_edit(request, Command(edit=edit_id(request), table=edit))
 
     @answered
     async def drop_row(self, request, name: str):
-        edit = TableEdit(base=_base(request), drops=[name])
-        return await self._do_edit(request, Command(edit=_edit_id(request), table=edit))
+        edit = TableEdit(base=edit_base(request), drops=[name])
+        return await self._do_edit(request, Command(edit=edit_id(request), table=edit))
 
     @answered
     async def put_zone(self, request, zone: str):
         empty = _body(request).get("empty")
         if not isinstance(empty, bool):
             raise BadAsk("empty must be true or false", code="bad_field", field="empty")
-        return await self._do_edit(request, Command(edit=_edit_id(request), zone=ZoneEdit(zone=zone, empty=empty)))
+        return await self._do_edit(request, Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty)))
 
     @answered
     async def show_zones(self, request):
-        s = await self._newest()
+        s = await self.newest()
         zones = sorted({m.zone for m in self._ctx.roster.everyone()} | s.empty_zones)
         return send_json(request, {"zones": {z: {"empty": z in s.empty_zones} for z in zones}})
 
     @answered
     async def show_depots(self, request):
-        s = await self._newest()
+        s = await self.newest()
         out = {}
         for d, standing in s.depots.items():
             m = self._ctx.roster.find(d)
             shelves = sum(d in tuple(x.depots) + (x.joining,) for x in s.shelves.values())
-            out[d] = {"standing": standing, "heard": self._ctx.roster.standing(d), "zone": m.zone if m else "",
+            out[d] = {"standing": standing, "name": s.depot_names.get(d, ""), "heard": self._ctx.roster.standing(d), "zone": m.zone if m else "",
                       "place": f"{m.host}:{m.port}" if m else "", "shelves": shelves}
         return send_json(request, {"depots": out})
 
-    @answered
-    async def retire_depot(self, request, depot: str):
-        s = await self._newest()
-        if depot not in s.depots:
-            raise NotFound("there is no such depot", code="no_such_depot", field="depot")
-        self.check_retirement(s, depot)
-        c = Command(edit=_edit_id(request), depot=DepotEdit(depot=depot, standing="retiring"))
-        return await self._do_edit(request, c)
-
     def routes(self, add):
         add("/v1/table", methods=["GET"])(self.show_table)
         add("/v1/table", methods=["PUT"])(self.put_table)
@@ -185,7 +182,6 @@
         add("/v1/zones", methods=["GET"])(self.show_zones)
         add("/v1/zones/<zone>", methods=["PUT"])(self.put_zone)
         add("/v1/depots", methods=["GET"])(self.show_depots)
-        add("/v1/depots/<depot>/retire", methods=["POST"])(self.retire_depot)
 
     def readiness(self):
         return bool(self.leader), {"leader": self.leader, "state": self.state, "term": self.term}
--- a/pipitlink/office/guides.py
+++ b/pipitlink/office/guides.py
@@ -95,9 +95,13 @@
         end = self._ctx.beats.now() + limit
         if self.archive.used() + 3 * c.ByteSize() > self._ctx.props.budget_mb * 1024 * 1024 * ROOM_SHARE:
             raise NoRoom("the office's data folder has no room for this edit", sent=False)
-        out = await self._ctx.beats.within(limit, self._propose(c))
-        if out.code != "done":
+        out = self.sheet.outcomes.get(c.edit) if c.edit else None
+        known = out is not None
+        if not known:
+            out = await self._ctx.beats.within(limit, self._propose(c))
+        if known or out.code != "done":
             await self.sure_leader()
+        if out.code != "done":
             return out
         sequence = self.sheet.sequence
         while not self._in_effect(sequence):
--- a/pipitlink/office/node.py
+++ b/pipitlink/office/node.py
@@ -2,15 +2,19 @@
 
 from ..beats import ms
 from ..charts import Charted
+from ..dialect.control import ControlWords
 from ..disk import Disk
 from ..faults import WireFault
 from ..setup import Sheet
 from ..wire.frame_pb2 import Nothing
 from ..wire.office_pb2 import Snapshot
-from .archive import KEEP_ENTRIES, TRIM_EVERY, Archive
+from .announcing import Announcing
+from .archive import Archive
+from .control import Control
 from .edits import Edits
 from .guides import Guides
 from .leading import Leading
+from .retiring import Retiring
 from .shelving import Shelving
 from .voters import Voters
 from .voting import Founding, Voting
@@ -20,7 +24,7 @@
 BEAT = ms(50)
 
 
-class OfficeNode(Founding, Voting, Leading, Guides, Edits, Shelving, Voters, Charted):
+class OfficeNode(Founding, Voting, Leading, Guides, Edits, Retiring, Announcing, Shelving, Voters, Charted):
     chart = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
@@ -42,6 +46,7 @@
         self._open_guides()
         self._open_edits()
         self._open_shelving()
+        self._open_announcing()
         self._ctx.desk.answer("office.empty", Nothing, self._empty)
         if self.archive.snapshot.sheet.voters:
             self.put("founded")
@@ -55,6 +60,10 @@
     def _say(self):
         self._ctx.journal.note("office_founded", term=self.term, last=self.archive.last_index())
 
+    def routes(self, add):
+        super().routes(add)
+        Control(self._ctx, self, ControlWords()).routes(add)
+
     def _take_sheet(self, s: Snapshot):
         self.sheet = Sheet(s.sheet)
         self.sheet.sequence = s.index
@@ -76,7 +85,7 @@
             outcome = self.sheet.apply(e.index, e.command)
             self.settle(e.index, e.term, outcome)
         self.wake_news()
-        if len(self.archive.entries) > TRIM_EVERY + KEEP_ENTRIES and not self._trimming:
+        if self.archive.long() and not self._trimming:
             self._trimming = True
             self._ctx.spawned(self._trim(), "trim")
 
@@ -84,7 +93,9 @@
         """Keeps a snapshot of what is agreed, less the newest entries, and drops the log below it."""
         try:
             base = self.archive.snapshot
-            index = self.commit - KEEP_ENTRIES
+            index = self.archive.trim_at(self.commit)
+            if index <= base.index:
+                return
             sheet = Sheet(base.sheet)
             for e in self.archive.entries[:index - base.index]:
                 sheet.apply(e.index, e.command)
--- a/pipitlink/office/shelving.py
+++ b/pipitlink/office/shelving.py
@@ -59,12 +59,17 @@
 
     async def _admit_depot(self) -> bool:
         for m in self._ctx.roster.members("depot", standing=("alive",)):
-            if m.node not in self.sheet.depots and m.node in self.followers:
-                await self._proved(Command(depot=DepotEdit(depot=m.node, standing="serving")))
+            if m.node not in self.sheet.depots and m.node in self.followers and not self._name_retired(m.name):
+                await self._proved(Command(depot=DepotEdit(depot=m.node, standing="serving", name=m.name)))
                 self._ctx.journal.note("depot_admitted", depot=m.node, zone=m.zone)
                 return True
         return False
 
+    def _name_retired(self, name: str) -> bool:
+        """Whether a depot of this name was retired: its machine is on its way out, also with an empty disk."""
+        return bool(name) and any(self.sheet.depots[d] != "serving"
+                                  for d, n in self.sheet.depot_names.items() if n == name)
+
     async def _let_depot_go(self) -> bool:
         """A depot that keeps no shelf any more: a retired one may be switched off, a lost one is taken off."""
         for depot, standing in self.sheet.depots.items():
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -9,6 +9,7 @@
 from .cache import Cache
 from .changes import Changes
 from .context import Context, fresh_id
+from .dialect import Dialect
 from .depot import DepotNode, node_id
 from .disk import set_aside
 from .faults import Damaged, PropsFault
@@ -19,7 +20,7 @@
 from .plugs import Gate
 from .props import Props
 from .roster import Roster
-from .office import OfficeNode
+from .office import ControlFace, OfficeNode
 from .setup import Setup
 from .wire.desk import Desk
 from .wire.roster_pb2 import Member
@@ -32,18 +33,19 @@
 class Process:
     """One guide, depot or office, from its props to its end."""
 
-    def __init__(self, role: str, props: Props):
+    def __init__(self, role: str, props: Props, dialect: Dialect | None = None):
         node = fresh_id() if role == "guide" else node_id(Path(props.data), props.fleet)
         journal = open_journal(props.log_level, role=role, node=node)
         beats = Beats(reactor)
         desk = Desk(reactor, beats, journal, props.fleet, node)
-        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random())
+        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random(),
+                           dialect=dialect or Dialect())
         if props.plug:
             desk.gate = Gate(props.plug, self.ctx)
         self.exit = 0
         self._ending = False
         self.node = None
-        self._face = None
+        self._face = self._control = None
 
     async def open(self):
         ctx, p = self.ctx, self.ctx.props
@@ -55,7 +57,8 @@
         self._open_kept()
         _, port = await ctx.desk.listen(p.bind, p.port)
         ctx.desk.place = (p.host, port)
-        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port)
+        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port,
+                    name=p.name)
         if ctx.role == "guide":
             ctx.cache = Cache(ctx)
             self.node = GuideNode(ctx)
@@ -65,6 +68,9 @@
             ctx.cache.open()
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
+        if ctx.role == "office" and p.control_port:
+            self._control = ControlFace(ctx, self.node)
+            await self._control.listen(p.bind, p.control_port)
         ctx.changes = Changes(ctx)
         ctx.changes.open()
         ctx.roster.open(me)
@@ -105,6 +111,8 @@
         if hasattr(self.node, "end"):
             await self.node.end()
         await self._face.end()
+        if self._control is not None:
+            await self._control.end()
         self.ctx.beats.end()
         await self.ctx.desk.end()
 
--- a/pipitlink/props.py
+++ b/pipitlink/props.py
@@ -32,6 +32,11 @@
         raise ValueError(f"{a.name} must be a short lower-case name, not {value!r}")
 
 
+def _name_or_none(_, a, value):
+    if value:
+        _name(_, a, value)
+
+
 def _places(_, a, value):
     for place in value:
         host, _, port = place.rpartition(":")
@@ -62,12 +67,14 @@
 @attrs.frozen(kw_only=True)
 class Props:
     fleet: str = attrs.field(default="pipit", validator=_name)
+    name: str = attrs.field(default="", validator=_name_or_none)
     zone: str = attrs.field(default="zone-a", validator=_name)
     bind: str = attrs.field(default="127.0.0.1", validator=_address)
     advertise: str = attrs.field(default="", converter=lambda v: v or "")
     port: int = attrs.field(default=0, validator=_port)
     http_port: int = attrs.field(default=0, validator=_port)
     operator_port: int = attrs.field(default=0, validator=_port)
+    control_port: int = attrs.field(default=0, validator=_port)
     seeds: tuple[str, ...] = attrs.field(factory=tuple, converter=tuple, validator=_places)
     founders: tuple[str, ...] = attrs.field(factory=tuple, converter=tuple, validator=_places)
     data: str = ""
