--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/guide/dispatch.py
@@ -8,7 +8,7 @@
 from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, Item, LogRecord, Result, Started
 from .asks import Ask
 from .lots import OpenLot, result_log
-from .picking import rank
+from ..rendezvous import rank
 
 __all__ = ["Dispatch"]
 
--- a/pipitlink/guide/limits.py
+++ b/pipitlink/guide/limits.py
@@ -9,7 +9,7 @@
 from ..context import fresh_id
 from ..faults import Crowded, Refused, WireFault
 from ..wire.roster_pb2 import Loads, Permit, PermitAsk, PermitReceipt
-from .picking import rank
+from ..rendezvous import rank
 
 __all__ = ["Limits", "ComeBack"]
 
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -15,15 +15,13 @@
 from .dialect import Dialect
 from .disk import set_aside
 from .faults import Damaged, PropsFault
-from .guide import GuideNode
 from .journal import open_journal
 from .ledger import Ledger
 from .operator import OperatorFace
 from .plugs import Gate
 from .props import Props
-from .router import RouterNode
 from .roster import Roster
-from .office import OfficeNode
+from .office import ControlFace, OfficeNode
 from .setup import Setup
 from .wire.desk import Desk
 from .wire.roster_pb2 import Member
@@ -42,16 +40,15 @@
         journal = open_journal(props.log_level, role=role, node=node)
         beats = Beats(reactor)
         desk = Desk(reactor, beats, journal, props.fleet, node)
-        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random())
+        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random(),
+                           dialect=dialect or Dialect())
         if props.plug:
             desk.gate = Gate(props.plug, self.ctx)
-        if dialect is not None:
-            self.ctx.dialect = dialect
         self._reread = reread
         self.exit = 0
         self._ending = False
         self.node = None
-        self._face = None
+        self._face = self._control = None
 
     async def open(self):
         ctx, p = self.ctx, self.ctx.props
@@ -63,16 +60,20 @@
         self._open_kept()
         _, port = await ctx.desk.listen(p.bind, p.port)
         ctx.desk.place = (p.host, port)
-        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port)
+        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port,
+                    name=p.name)
         if ctx.role == "guide":
             ctx.cache = Cache(ctx)
-            self.node = (RouterNode if p.interface == "routes" else GuideNode)(ctx)
+            self.node = self._guide_kind()(ctx)
             self.node.open()
             me.http_port = await self.node.listen(p.bind, p.http_port)
             ctx.ledger.open()
             ctx.cache.open()
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
+        if ctx.role == "office" and p.control_port:
+            self._control = ControlFace(ctx, self.node)
+            await self._control.listen(p.bind, p.control_port)
         ctx.changes = Changes(ctx)
         ctx.changes.open()
         ctx.roster.open(me)
@@ -80,6 +81,15 @@
             ctx.setup.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
+    def _guide_kind(self):
+        if self.ctx.props.interface == "routes":
+            from .router import RouterNode
+
+            return RouterNode
+        from .guide import GuideNode
+
+        return GuideNode
+
     def _open_kept(self):
         """Opens what is on disk. Damage that replicas can mend is set aside, and the node begins anew and empty."""
         ctx, kinds = self.ctx, {"depot": DepotNode, "office": OfficeNode}
@@ -113,6 +123,8 @@
         if hasattr(self.node, "end"):
             await self.node.end()
         await self._face.end()
+        if self._control is not None:
+            await self._control.end()
         self.ctx.beats.end()
         await self.ctx.desk.end()
 
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -4,7 +4,7 @@
 
 from ..beats import ms, secs
 from ..faults import Crowded
-from ..guide.picking import rank
+from ..rendezvous import rank
 
 __all__ = ["Choosing"]
 
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -11,6 +11,7 @@
 
 SILENT_SPAN = secs(3.6)
 FORGET_SPAN = secs(30)
+ENDED_SPAN = secs(60)
 LOADS_BEAT = ms(200)
 LOADS_AT_LEAST = secs(1)
 LOADS_SPAN = secs(3)
@@ -94,6 +95,7 @@
         self._looked_at = ctx.beats.now()
         self._woke_at = ZERO
         self._gone_watchers: list = []
+        self._ended: dict[str, timedelta] = {}
         self._reopened: dict[str, timedelta] = {}
         self._emptied: frozenset = frozenset()
 
@@ -125,7 +127,9 @@
         heard = now - ms(n.age_ms)
         e = self._engines.get(n.engine)
         if e is None:
-            if n.state == "gone" or now - heard > SILENT_SPAN or not n.engine:
+            if n.state == "gone":
+                self._ended[n.engine] = now
+            if n.engine in self._ended or now - heard > SILENT_SPAN or not n.engine:
                 return
             kept = EngineNews()
             kept.CopyFrom(n)
@@ -158,6 +162,7 @@
             self._pools[e.news.pool].remove(e)
             self._ctx.journal.note("engine", engine=e.name, state="gone")
             e.news.state = "gone"
+            self._ended[e.name] = self._ctx.beats.now()
             for do in self._gone_watchers:
                 do(e)
 
@@ -264,6 +269,10 @@
         for e in list(self._engines.values()):
             if now - e.heard > FORGET_SPAN and not e.running:
                 self._forget(e)
+                del self._ended[e.name]
+        for name, at in list(self._ended.items()):
+            if now - at > ENDED_SPAN:
+                del self._ended[name]
         mine = {e.name: e.running for e in self._engines.values() if e.running}
         what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r) for n, r in mine.items()])
         news = [fill(what) for fill, _ in self._carriers]
