--- a/pipitlink/depot/node.py
+++ b/pipitlink/depot/node.py
@@ -98,7 +98,8 @@
         return States(states=[self._state(log) for log in ask.logs[:4096]])
 
     async def _list(self, node, ask: ListAsk):
-        names = (n for n in sorted(self.shed.logs) if n.startswith(ask.prefix))
+        kept = ((n, k) for n, k in self.shed.logs.items() if n.startswith(ask.prefix))
+        names = sorted(n for n, k in kept if not ask.open_only or k.length and not k.synced[2])
         if ask.one_shelf:
             names = (n for n in names if shelf_of(n, self._ctx.setup.shelves) == ask.shelf)
         return States(states=[self._state(n) for n in names],
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -32,6 +32,7 @@
         self.final = False
         self.closed_ms = 0
         self.lost = ""
+        self.granted: dict[str, int] = {}
         self._states: dict[str, LogState] = {}
         self._renewals: dict[str, timedelta] = {}
         self._no_room: set[str] = set()
@@ -93,6 +94,7 @@
             got = await self._ledger.ask_each(self.shelf.everyone, "ledger.lease", ask, LeaseReceipt,
                                               enough=lambda g: self.shelf.agree([n for n, r in g.items() if r.granted]))
             granted = [n for n, r in got.items() if r.granted]
+            self.granted.update((n, epoch) for n in granted)
             if self.shelf.agree(granted):
                 break
             for r in got.values():
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/ledger/ledger.py
@@ -66,10 +66,21 @@
     async def hold(self, log: str) -> Holder:
         """Takes the lease of a log, settles its tail and returns the holder, ready to write."""
         h = Holder(self._ctx, self, log)
-        await h.take()
+        try:
+            await h.take()
+        except BaseException:
+            h.lost = "not taken"
+            self._ctx.spawned(self._give_back(h), "give_back")
+            raise
         self.holders[log] = h
         return h
 
+    async def _give_back(self, h: Holder):
+        """What some depots granted of a lease that was not taken, so that another need not wait until it lapses."""
+        for depot, epoch in h.granted.items():
+            ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
+            self._ctx.spawned(self.ask_each([depot], "ledger.renew", ask, RenewReceipt, ms(400)), "give_back")
+
     def drop(self, h: Holder):
         if self.holders.get(h.log) is h:
             del self.holders[h.log]
@@ -140,13 +151,22 @@
 
     async def list(self, prefix: str) -> dict[str, LogState]:
         """Every log whose name starts so, as far as the depots that answer know them."""
-        depots = sorted({d for n in range(self._ctx.setup.shelves) for d in self._ctx.setup.shelf(n).everyone})
-        got = await self.ask_each(depots, "ledger.list", ListAsk(prefix=prefix), States, secs(1))
+        return (await self._list(ListAsk(prefix=prefix)))[0]
+
+    async def list_open(self, prefix: str) -> tuple[dict[str, LogState], bool]:
+        """Those that some depot has as not final, and whether enough depots answered that none was missed."""
+        return await self._list(ListAsk(prefix=prefix, open_only=True))
+
+    async def _list(self, ask: ListAsk) -> tuple[dict[str, LogState], bool]:
+        shelves = [self._ctx.setup.shelf(n) for n in range(self._ctx.setup.shelves)]
+        depots = sorted({d for s in shelves for d in s.everyone})
+        got = await self.ask_each(depots, "ledger.list", ask, States, secs(1))
         heard: dict[str, dict[str, LogState]] = {}
         for depot, r in got.items():
             for s in r.states:
                 heard.setdefault(s.log, {})[depot] = s
-        return {log: agreed(self.shelf(log), states) for log, states in heard.items()}
+        found = {log: agreed(self.shelf(log), states) for log, states in heard.items()}
+        return found, all(s.agree(got) for s in shelves)
 
     async def read(self, log: str, position: int, length: int) -> bytes:
         """Reads one span from the durable log, whole or not at all; where one depot is slow, from the next as well."""
