--- /dev/null
+++ b/pipitlink/router/batch_intake.py
@@ -0,0 +1,141 @@
+from datetime import timedelta
+
+from ..beats import Joined, ZERO, ms, secs, wall_ms
+from ..faults import BadAsk, Crowded, GuideFault, LedgerFault, NotHeld, PipitFault, WireFault
+from ..wire.lots_pb2 import Batch, LogRecord
+from .batches import OpenBatch, batch_log, good_id
+
+__all__ = ["BatchIntake", "refusal"]
+
+MARGIN = ms(30)
+LOOK_AGAIN = ms(40)
+QUOTA_WAIT = secs(1.5)
+COMPARE_SPAN = ms(400)
+
+
+def refusal(e: GuideFault, dialect) -> tuple[int, dict, bytes]:
+    headers = {"Content-Type": "application/json"}
+    if e.retry_after:
+        headers["Retry-After"] = str(e.retry_after)
+    return e.status, headers, dialect.show_fault(e)
+
+
+def _unknown(text: str, status: int = 504) -> GuideFault:
+    return GuideFault(text, code="unknown_outcome", status=status, outcome="unknown")
+
+
+class BatchIntake:
+    """Mixin: takes batches in. Whoever takes the lease of a batch's empty log writes the batch there, and owns it.
+
+    429 and 503 are only said where this try wrote nothing; once a write has left, the answer is 202 or unknown.
+    """
+
+    def _open_batch_intake(self):
+        self._taking = Joined()
+
+    async def take_batch(self, route, host: str, path: str, lot_id: str, raw: bytes, deadline: timedelta):
+        """`deadline` is a point on the beats' time."""
+        try:
+            if not good_id(lot_id):
+                raise BadAsk("the batch needs an id of 1 to 64 letters, digits, - and _", code="bad_id", field="id")
+            items = self.dialect.read_lot(raw)
+            taken = wall_ms(self._ctx.beats.wall())
+            batch = Batch(id=lot_id, host=host, path=path, route=route.name, taken_ms=taken, items=items.items)
+            left = deadline - MARGIN - self._ctx.beats.now()
+            if left <= ZERO:
+                raise Crowded("the deadline has passed", code="deadline_passed")
+            same = await self._ctx.beats.within(left, self._taking.run(
+                lot_id, lambda: self._take(batch, route, deadline - MARGIN)))
+            if not self._alike(same, batch):
+                raise GuideFault("this id was used for another batch", code="id_in_use", field="id", status=409,
+                                 outcome="not_run")
+            return 202, {"Content-Type": "application/json"}, self.dialect.show_taken(lot_id, len(batch.items))
+        except GuideFault as e:
+            return refusal(e, self.dialect)
+        except (PipitFault, TimeoutError) as e:
+            return refusal(_unknown(f"the batch may yet be taken: {e}"), self.dialect)
+
+    def _alike(self, one: Batch | None, other: Batch) -> bool:
+        return one is None or (one.host, one.path, list(one.items)) == (other.host, other.path, list(other.items))
+
+    async def _take(self, batch: Batch, route, until: timedelta) -> Batch | None:
+        """The batch as it is durable now; None where it surely is but could not be read again."""
+        o = self.batches.get(batch.id)
+        if o is None or o.holder.lost:
+            known = await self._known_batch(batch.id)
+            if known is not None:
+                return known or None
+            if self._closing_batches or not self._ctx.setup.ready():
+                raise Crowded("this guide takes no batches now", code="not_current")
+            await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
+        try:
+            return await self._in_turn(batch.id, lambda: self._write_batch(batch, until))
+        finally:
+            self._drop_grant(batch.id)
+
+    async def _known_batch(self, batch_id: str) -> Batch | bool | None:
+        """None where nothing is durable of it; False where it is but cannot be read at once."""
+        state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
+        if state is None:
+            raise Crowded("the store cannot be read now", code="no_majority")
+        if not state.committed and not state.final:
+            return None
+        try:
+            listing = await self._ctx.beats.within(COMPARE_SPAN, self._listing_of(batch_id))
+            return listing.batch or False
+        except PipitFault:
+            return False
+
+    async def _write_batch(self, batch: Batch, until: timedelta) -> Batch | None:
+        o = await self._hold_for_intake(batch.id, until)
+        if isinstance(o, bool):
+            return None
+        if o.batch is None:
+            if o.holder.final:
+                await self._ctx.ledger.release([o.holder])
+                return None
+            await self._append_batch(o, batch)
+        elif not o.taken():
+            await self._all_durable(o)
+        return o.batch
+
+    async def _hold_for_intake(self, batch_id: str, until: timedelta) -> OpenBatch | bool:
+        """The batch held here, or True where another guide has taken it; waits while one may be about to."""
+        while True:
+            try:
+                return await self._hold_batch(batch_id)
+            except (LedgerFault, WireFault) as e:
+                fault = e
+            try:
+                if await self._known_batch(batch_id) is not None:
+                    return True
+            except Crowded as e:
+                fault = e
+            if not isinstance(fault, NotHeld) or self._ctx.beats.now() + 2 * LOOK_AGAIN >= until:
+                raise Crowded(f"the batch cannot be taken here now: {fault}", code="store")
+            await self._ctx.beats.pause(LOOK_AGAIN)
+
+    async def _append_batch(self, o: OpenBatch, batch: Batch):
+        h = o.holder
+        o.batch = batch
+        o.prepare()
+        self._adopt(o)
+        try:
+            await h.append([LogRecord(batch=batch).SerializeToString()])
+        except PipitFault as e:
+            if h.data:
+                if not h.lost:
+                    await self._all_durable(o)
+                    return
+                raise _unknown(f"the batch may yet be taken: {e}", 500) from e
+            self._lose_batch(o)
+            await self._ctx.ledger.release([h])
+            raise Crowded(f"the store takes no batches now: {e}", code="store") from e
+
+    async def _all_durable(self, o: OpenBatch):
+        try:
+            await self._await_durable(o)
+        except PipitFault as e:
+            raise _unknown(f"the batch may yet be taken: {e}", 500) from e
+        if o.holder.lost:
+            raise _unknown("the lease ended before the batch was durable", 500)
--- /dev/null
+++ b/pipitlink/router/batch_read.py
@@ -0,0 +1,236 @@
+from datetime import timedelta
+
+import attrs
+from twisted.internet import defer
+
+from ..beats import ZERO, ms, secs
+from ..faults import Crowded, GuideFault, NotFound, PipitFault, Refused, WireFault
+from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, LogRecord
+from .batch_intake import refusal
+from .batches import Listing, batch_log, good_id
+
+__all__ = ["BatchRead"]
+
+KEEP_SPAN = secs(30)
+FRESH = ms(400)
+PROVED_SPAN = secs(1)
+READ_LIMIT = secs(4)
+LONGEST_WAIT = secs(20)
+END_LIMIT = secs(8)
+END_BEAT = ms(150)
+ASK_LIMIT = secs(3)
+
+
+@attrs.define(eq=False)
+class _Reader:
+    """A batch that another guide owns, or nobody any more, read in order and kept while callers ask for it."""
+
+    tail: object
+    used: timedelta
+    listing: Listing = attrs.field(factory=Listing)
+    turn: defer.DeferredLock = attrs.field(factory=defer.DeferredLock)
+    closed: bool = False
+
+    def close(self):
+        if not self.closed:
+            self.closed = True
+            self.tail.close()
+
+    def over(self) -> bool:
+        return bool(self.listing.ended) and self.listing.batch is not None
+
+
+class BatchRead:
+    """Mixin: tells any batch's outputs and items at any guide, and ends batches through their owners."""
+
+    def _open_batch_reads(self):
+        self._batch_readers: dict[str, _Reader] = {}
+        self._ctx.desk.answer("batches.end", EndAsk, self._end_batch_for)
+        self._ctx.beats.every(secs(5), self._drop_batch_readers, self._ctx.report("batch_readers"))
+
+    def _drop_batch_readers(self):
+        now = self._ctx.beats.now()
+        for b, r in list(self._batch_readers.items()):
+            if now - r.used > KEEP_SPAN:
+                self._drop_reader(b, r)
+
+    def _drop_reader(self, batch_id: str, r: _Reader):
+        r.close()
+        if self._batch_readers.get(batch_id) is r:
+            del self._batch_readers[batch_id]
+
+    def _owned_listing(self, batch_id: str):
+        o = self.batches.get(batch_id)
+        return o if o is not None and o.taken() and o.holder.held() else None
+
+    async def _listing_of(self, batch_id: str) -> Listing:
+        """The batch as it surely is by now; a fault where it is not known, or nothing is sure."""
+        if not good_id(batch_id):
+            raise NotFound("there is no such batch", code="no_such_batch", field="id")
+        o = self._owned_listing(batch_id)
+        if o is not None:
+            return o.listing
+        r = self._batch_readers.get(batch_id)
+        if r is None:
+            r = self._batch_readers[batch_id] = _Reader(self._ctx.cache.tail(batch_log(batch_id), secs(1)),
+                                                        self._ctx.beats.now())
+        r.used = self._ctx.beats.now()
+        if not r.over():
+            try:
+                await self._ctx.beats.within(READ_LIMIT, self._read_batch_on(batch_id, r))
+            except PipitFault:
+                if r.listing.batch is None:
+                    self._drop_reader(batch_id, r)
+                raise
+        return r.listing
+
+    async def _read_batch_on(self, batch_id: str, r: _Reader):
+        seen = r.tail.seen
+        now = self._ctx.beats.now()
+        if seen.proved is None or now - seen.proved > FRESH:
+            await self._ctx.cache.poller.prove([r.tail.path])
+        if seen.proved is None or self._ctx.beats.now() - seen.proved > PROVED_SPAN:
+            raise Crowded("the store cannot be read now", code="no_majority", outcome="unknown")
+        if not seen.durable:
+            await self._say_absent(batch_id, seen)
+        async with r.turn:
+            await self._catch_up(r, seen.durable)
+        if r.listing.batch is None:
+            raise Crowded("the batch cannot be read now", code="unread", outcome="unknown")
+        if r.over():
+            r.close()
+
+    async def _say_absent(self, batch_id: str, seen):
+        """404 only where a majority of the depots shows not one byte of it, not even such as may yet be durable."""
+        if seen.final:
+            raise NotFound("the batch was removed after its retention", code="batch_removed", status=410)
+        state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
+        if state is None or state.tail_epoch:
+            raise Crowded("the store is not sure of this batch now", code="not_sure", outcome="unknown")
+        raise NotFound("there is no such batch", code="no_such_batch", field="id")
+
+    async def _catch_up(self, r: _Reader, goal: int):
+        seen = r.tail.seen
+        while not r.closed and (r.tail.position < goal or seen.cached > r.tail.position):
+            before = r.tail.position
+            for _, body in await r.tail.more():
+                r.listing.learn(LogRecord.FromString(body))
+            if r.tail.position == before:
+                await r.tail.wait()
+
+    async def read_batch(self, lot_id: str, start: int, wait: timedelta):
+        """Outputs from a position on; held until there is one, the batch is whole, or `wait` has passed."""
+        try:
+            until = self._ctx.beats.now() + min(max(wait, ZERO), LONGEST_WAIT)
+            while True:
+                listing = await self._listing_of(lot_id)
+                left = until - self._ctx.beats.now()
+                if len(listing.outputs) > start or listing.whole() or left <= ZERO or self._closing_batches:
+                    break
+                await self._listing_moves(lot_id, left)
+            body = self.dialect.show_outputs(listing.batch, listing.outputs, start)
+            return 200, {"Content-Type": "application/json"}, body
+        except GuideFault as e:
+            return refusal(e, self.dialect)
+        except PipitFault as e:
+            return refusal(Crowded(f"the batch cannot be read now: {e}", code="unread"), self.dialect)
+
+    async def _listing_moves(self, batch_id: str, left: timedelta):
+        o = self._owned_listing(batch_id)
+        if o is not None:
+            d = defer.Deferred()
+            o.waiters.append(d)
+            try:
+                await self._ctx.beats.await_or_lapse(d, min(left, secs(1)))
+            finally:
+                if d in o.waiters:
+                    o.waiters.remove(d)
+            return
+        r = self._batch_readers.get(batch_id)
+        if r is None or r.closed:
+            return
+        until = self._ctx.beats.now() + left
+        while r.tail.goal() <= r.tail.position and self._ctx.beats.now() < until and not r.closed:
+            await self._ctx.cache.poller.moved(until - self._ctx.beats.now())
+
+    async def read_item(self, lot_id: str, item_id: str):
+        try:
+            listing = await self._listing_of(lot_id)
+            item = next((i for i in listing.batch.items if i.id == item_id), None)
+            if item is None:
+                raise NotFound("there is no such item", code="no_such_item", field="id")
+            return 200, {"Content-Type": "application/octet-stream"}, item.body
+        except GuideFault as e:
+            return refusal(e, self.dialect)
+        except PipitFault as e:
+            return refusal(Crowded(f"the batch cannot be read now: {e}", code="unread"), self.dialect)
+
+    async def end_batch(self, lot_id: str):
+        try:
+            if not good_id(lot_id):
+                raise NotFound("there is no such batch", code="no_such_batch", field="id")
+            until = self._ctx.beats.now() + END_LIMIT
+            while True:
+                state = await self._end_once(lot_id)
+                if state in ("ended", "closed"):
+                    return 200, {"Content-Type": "application/json"}, self.dialect.show_ended(lot_id)
+                if self._ctx.beats.now() >= until:
+                    raise Crowded("the batch's owner could not be asked", code="no_owner", outcome="unknown")
+                await self._ctx.beats.pause(END_BEAT)
+        except GuideFault as e:
+            return refusal(e, self.dialect)
+
+    async def _end_once(self, batch_id: str) -> str:
+        if self._owned_listing(batch_id) is not None:
+            return await self._end_here(batch_id)
+        log = batch_log(batch_id)
+        state = (await self._ctx.ledger.states([log])).get(log)
+        if state is None:
+            return "unsure"
+        if state.final:
+            return "closed"
+        if not state.tail_epoch and not state.holder:
+            raise NotFound("there is no such batch", code="no_such_batch", field="id")
+        if state.holder in ("", self._ctx.node):
+            return await self._end_here(batch_id)
+        m = self._ctx.roster.find(state.holder)
+        if m is None:
+            return "unsure"
+        try:
+            r = await self._ctx.desk.call((m.host, m.port), "batches.end", EndAsk(lot=batch_id), EndReceipt, ASK_LIMIT)
+            return r.state
+        except (WireFault, Refused) as e:
+            self._ctx.journal.trace("owner_unheard", batch=batch_id, text=e)
+            return "unsure"
+
+    async def _end_batch_for(self, node, ask: EndAsk) -> EndReceipt:
+        return EndReceipt(state=await self._end_here(ask.lot) if good_id(ask.lot) else "unknown")
+
+    async def _end_here(self, batch_id: str) -> str:
+        try:
+            return await self._in_turn(batch_id, lambda: self._end_held(batch_id))
+        except PipitFault as e:
+            self._ctx.journal.trace("batch_not_ended", batch=batch_id, text=e)
+            return "unsure"
+
+    async def _end_held(self, batch_id: str) -> str:
+        """Ended for good in its log first; only then, or where that is under way, is it told."""
+        o = await self._hold_batch(batch_id)
+        if o.batch is None:
+            final = o.holder.final
+            await self._ctx.ledger.release([o.holder])
+            return "closed" if final else "unsure"
+        if not o.taken():
+            return "unsure"
+        if o.holder.final:
+            await o.holder.all_durable()
+            return "closed"
+        work = o.holder.append([LogRecord(ended=Ended(why="ended")).SerializeToString()], final=True, reserved=True)
+        try:
+            await work
+        finally:
+            if o.holder.final:
+                for run in list(o.running.values()):
+                    run.cancel()
+        self._ctx.journal.note("batch_ended", batch=batch_id)
+        return "ended"
--- /dev/null
+++ b/pipitlink/router/batch_run.py
@@ -0,0 +1,202 @@
+from heapq import heapify, heappop, heappush
+
+from twisted.internet import defer
+
+from ..beats import ms, secs, spawn, wall_ms
+from ..faults import Fenced, LedgerFault, NotHeld, Overdue, PipitFault
+from ..wire.lots_pb2 import Ended, LogRecord, Output
+from .batches import OpenBatch
+from .items import ItemAnswer, ItemCall
+
+__all__ = ["BatchRun"]
+
+FEED_BEAT = ms(25)
+FIRST_PAUSE = ms(50)
+LONGEST_PAUSE = secs(1)
+DUE_CLASS_MS = 2000
+SKEW = ms(1500)
+HELD_BEAT = ms(100)
+GONE_SPAN = secs(3)
+DONE, ABANDONED = "done", "abandoned"
+
+
+class BatchRun:
+    """Mixin: runs the items of the batches that this guide owns, and lists what became of them."""
+
+    def _open_batch_run(self):
+        self._feed_wake: defer.Deferred | None = None
+        self._batch_turn = 0
+        self._ctx.spawned(self._feed_batches(), "feed_batches")
+
+    def _wake_feed(self):
+        d, self._feed_wake = self._feed_wake, None
+        if d is not None and not d.called:
+            d.callback(None)
+
+    async def _feed_batches(self):
+        while not self._ctx.beats.ended:
+            try:
+                waits = self._feed_once()
+            except Exception as e:
+                self._ctx.journal.fault("feed_batches", e)
+                waits = True
+            d = self._feed_wake = defer.Deferred()
+            if waits:
+                self.engines.wait_room(d)
+                await self._ctx.beats.await_or_lapse(d, FEED_BEAT)
+            else:
+                await self._ctx.beats.await_or_lapse(d, secs(1))
+
+    def _feed_once(self) -> bool:
+        """Starts items while there is room: what is due first goes first, by turns among batches due alike."""
+        if self._closing_batches or not self._ctx.setup.ready():
+            return bool(self.batches)
+        now = self._ctx.beats.now()
+        wall = wall_ms(self._ctx.beats.wall())
+        routes = self._batch_routes()
+        room: dict[str, int] = {}
+        ready, waits = [], False
+        for o in list(self.batches.values()):
+            if not (o.taken() and o.current() and len(o.done) < len(o.batch.items)):
+                continue
+            route = routes.get(o.batch.route)
+            self._give_up_dead(o, route, now, wall)
+            if route is None or not o.waiting:
+                continue
+            waits = True
+            if route.name not in room:
+                room[route.name] = self.batch_room(route)
+            if room[route.name] > 0:
+                ready.append((self._urgency(o, route, wall), o.id, o, route))
+        heapify(ready)
+        while ready:
+            _, _, o, route = heappop(ready)
+            i = next((i for i in o.waiting if o.again_at.get(i, now) <= now), None) if room[route.name] > 0 else None
+            if i is None:
+                continue
+            room[route.name] -= 1
+            o.waiting.remove(i)
+            self._batch_turn += 1
+            o.turn = self._batch_turn
+            self._start_item(o, i, route)
+            heappush(ready, (self._urgency(o, route, wall), o.id, o, route))
+        return waits
+
+    def _urgency(self, o: OpenBatch, route, wall: int):
+        """What can still be in time goes before what is late already."""
+        due = o.batch.taken_ms + route.due_ms
+        late = due < wall
+        return late, 0 if late else due // DUE_CLASS_MS, o.turn, o.batch.taken_ms
+
+    def _give_up_dead(self, o: OpenBatch, route, now, wall: int):
+        """Items are abandoned once their route is gone for good, or their retention has passed."""
+        if route is not None:
+            o.route_gone = None
+            dead = route.retain_ms and wall > o.batch.taken_ms + route.retain_ms + SKEW / ms(1)
+        else:
+            o.route_gone = o.route_gone or now
+            dead = now - o.route_gone >= GONE_SPAN
+        if dead:
+            for i in [i for i in range(len(o.batch.items)) if i not in o.done]:
+                self._list_output(o, i, ABANDONED)
+
+    def _start_item(self, o: OpenBatch, i: int, route):
+        item = o.batch.items[i]
+        call = o.calls.get(i)
+        if call is None:
+            call = o.calls[i] = ItemCall(id=item.id, route=route, path=item.path,
+                                         headers=[(h.name, h.value) for h in item.headers], body=item.body,
+                                         tokens=item.tokens, still=lambda: self._check_item(o, i))
+        call.route = route
+        work = spawn(self._try_item(o, i, call))
+        o.running[i] = work
+        work.addBoth(self._item_ended, o, i, work)
+
+    def _check_item(self, o: OpenBatch, i: int):
+        if not o.current() or i in o.done or self.batches.get(o.id) is not o:
+            raise NotHeld(f"{o.id}: item {i} must not be sent any more")
+
+    async def _try_item(self, o: OpenBatch, i: int, call: ItemCall):
+        try:
+            answer = await self.run_item(call)
+        except PipitFault as e:
+            self._ctx.journal.trace("item_fault", batch=o.id, item=call.id, text=e)
+            answer = ItemAnswer()
+        if i in o.done or not o.current():
+            return
+        if answer.complete:
+            self._list_output(o, i, DONE, b"\n".join(call.texts))
+            return
+        if answer.status == 422:
+            self._list_output(o, i, ABANDONED)
+            return
+        if answer.status == 500:
+            o.failures[i] = o.failures.get(i, 0) + 1
+            if o.failures[i] >= max(1, call.route.max_tries):
+                self._list_output(o, i, ABANDONED)
+                return
+        pause = o.pauses.get(i, FIRST_PAUSE)
+        o.pauses[i] = min(LONGEST_PAUSE, pause * 2)
+        o.again_at[i] = self._ctx.beats.now() + max(pause, min(answer.wait, LONGEST_PAUSE))
+
+    def _item_ended(self, r, o: OpenBatch, i: int, work):
+        if o.running.get(i) is work:
+            del o.running[i]
+        if hasattr(r, "value") and not r.check(defer.CancelledError):
+            self._ctx.journal.fault("item_failed", r.value, batch=o.id, item=i)
+            o.again_at[i] = self._ctx.beats.now() + LONGEST_PAUSE
+        if i not in o.done and i not in o.waiting and i not in o.running and self.batches.get(o.id) is o:
+            o.waiting.append(i)
+        self._wake_feed()
+
+    def _list_output(self, o: OpenBatch, i: int, state: str, text: bytes = b""):
+        """The first word on an item stands; it goes to the log with all that has come by then."""
+        if i in o.done:
+            return
+        o.done.add(i)
+        if i in o.waiting:
+            o.waiting.remove(i)
+        o.calls.pop(i, None)
+        o.queue.append(Output(item=i, state=state, text=text))
+        if state == ABANDONED and i in o.running:
+            o.running[i].cancel()
+        self._flush(o)
+
+    def _finish_if_done(self, o: OpenBatch):
+        if len(o.done) == len(o.batch.items):
+            self._flush(o)
+
+    def _flush(self, o: OpenBatch):
+        if not o.flushing:
+            o.flushing = True
+            self._ctx.spawned(self._flush_queue(o), "flush_batch")
+
+    async def _flush_queue(self, o: OpenBatch):
+        try:
+            while not o.holder.lost and not o.holder.final and (o.queue or len(o.done) == len(o.batch.items)):
+                if not o.holder.held():
+                    await self._ctx.beats.pause(HELD_BEAT)
+                    continue
+                group, o.queue = o.queue, []
+                records = [LogRecord(output=x).SerializeToString() for x in group]
+                final = len(o.done) == len(o.batch.items)
+                if final:
+                    records.append(LogRecord(ended=Ended(why="done")).SerializeToString())
+                try:
+                    await o.holder.append(records, final=final, reserved=True)
+                except Overdue:
+                    await self._await_durable(o)
+        except LedgerFault as e:
+            if not isinstance(e, (Fenced, NotHeld)):
+                self._ctx.journal.fault("outputs_unlisted", e, batch=o.id)
+            if not o.holder.lost and not o.holder.final:
+                o.holder.lapse("outputs could not be listed")
+        finally:
+            o.flushing = False
+
+    async def _await_durable(self, o: OpenBatch):
+        while not o.holder.lost:
+            try:
+                return await o.holder.all_durable()
+            except Overdue:
+                continue
--- /dev/null
+++ b/pipitlink/router/batches.py
@@ -0,0 +1,228 @@
+import re
+from datetime import timedelta
+
+import attrs
+from twisted.internet import defer
+
+from ..beats import ms, secs
+from ..disk import frames
+from ..faults import PipitFault
+from ..guide.picking import rank
+from ..wire.lots_pb2 import Batch, LogRecord, Output
+
+__all__ = ["Batches", "Listing", "OpenBatch", "batch_log", "good_id"]
+
+PREFIX = "batch/"
+LIST_BEAT = secs(1)
+NEXT_OWNER = secs(1.5)
+RELEASE_AFTER = secs(1)
+DRAIN = secs(3)
+MAX_ADOPTING = 16
+_ID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
+
+
+def batch_log(batch_id: str) -> str:
+    return PREFIX + batch_id
+
+
+def good_id(batch_id: str) -> bool:
+    return bool(_ID.match(batch_id))
+
+
+class Listing:
+    """A batch as its log tells it: the whole of it first, then outputs in the order of their positions."""
+
+    def __init__(self):
+        self.batch: Batch | None = None
+        self.outputs: list[Output] = []
+        self.listed: set[int] = set()
+        self.ended = ""
+
+    def learn(self, record: LogRecord):
+        what = record.WhichOneof("of")
+        if what == "batch" and self.batch is None:
+            self.batch = record.batch
+        elif what == "output" and not self.ended and record.output.item not in self.listed:
+            self.listed.add(record.output.item)
+            self.outputs.append(record.output)
+        elif what == "ended":
+            self.ended = self.ended or record.ended.why
+
+    def whole(self) -> bool:
+        return bool(self.ended) or self.batch is not None and len(self.outputs) == len(self.batch.items)
+
+
+@attrs.define(eq=False)
+class OpenBatch:
+    """A batch that this guide owns: what is durable of it, and what each item waits for."""
+
+    id: str
+    holder: object
+    batch: Batch | None = None
+    listing: Listing = attrs.field(factory=Listing)
+    position: int = 0
+    done: set[int] = attrs.field(factory=set)
+    waiting: list[int] = attrs.field(factory=list)
+    running: dict[int, object] = attrs.field(factory=dict)
+    calls: dict[int, object] = attrs.field(factory=dict)
+    again_at: dict[int, timedelta] = attrs.field(factory=dict)
+    pauses: dict[int, timedelta] = attrs.field(factory=dict)
+    failures: dict[int, int] = attrs.field(factory=dict)
+    queue: list[Output] = attrs.field(factory=list)
+    flushing: bool = False
+    closing: bool = False
+    turn: int = 0
+    route_gone: timedelta | None = None
+    waiters: list[defer.Deferred] = attrs.field(factory=list)
+
+    def learn(self):
+        """Takes in what has become durable."""
+        data = bytes(self.holder.data[self.position:self.holder.committed])
+        at = 0
+        for _, body, end in frames(data):
+            self.listing.learn(LogRecord.FromString(body))
+            at = end
+        self.position += at
+        if at or self.holder.lost:
+            waiters, self.waiters = self.waiters, []
+            for d in waiters:
+                d.called or d.callback(None)
+
+    def taken(self) -> bool:
+        return self.listing.batch is not None
+
+    def current(self) -> bool:
+        return self.holder.held() and not self.holder.final
+
+    def prepare(self):
+        self.done = set(self.listing.listed)
+        self.waiting = [i for i in range(len(self.batch.items)) if i not in self.done]
+
+    def tokens_left(self) -> int:
+        if self.holder.final:
+            return 0
+        return sum(x.tokens for i, x in enumerate(self.batch.items) if i not in self.done)
+
+
+class Batches:
+    """Mixin: one log for each batch, whose lease's holder owns it; what nobody owns is taken up again."""
+
+    def _open_batches(self):
+        self.batches: dict[str, OpenBatch] = {}
+        self._batch_turns: dict[str, defer.DeferredLock] = {}
+        self._adopting = defer.DeferredSemaphore(MAX_ADOPTING)
+        self._orphans: dict[str, timedelta] = {}
+        self._closing_batches = False
+        self._open_quota()
+        self._open_batch_intake()
+        self._open_batch_run()
+        self._open_batch_reads()
+        self._ctx.beats.every(LIST_BEAT, self._list_batches, self._ctx.report("list_batches"))
+
+    async def _end_batches(self):
+        """Takes nothing new, lets what runs end for a short while, and hands the leases over."""
+        self._closing_batches = True
+        until = self._ctx.beats.now() + DRAIN
+        while any(o.running or o.queue or o.flushing for o in self.batches.values()) \
+                and self._ctx.beats.now() < until:
+            await self._ctx.beats.pause(ms(25))
+        await self._ctx.ledger.release([o.holder for o in list(self.batches.values())])
+
+    def batch_metrics(self) -> dict:
+        open_ = [o for o in self.batches.values() if not o.holder.final]
+        return {"batches_owned": ("Batches this guide owns", len(open_)),
+                "batch_items_waiting": ("Items that wait for an engine here", sum(len(o.waiting) for o in open_)),
+                "batch_items_running": ("Items on engines from here", sum(len(o.running) for o in open_))}
+
+    def _batch_routes(self) -> dict:
+        return self._ctx.setup.sheet.routes.routes
+
+    async def _in_turn(self, batch_id: str, do):
+        """Work on one batch's lease, one after another."""
+        lock = self._batch_turns.setdefault(batch_id, defer.DeferredLock())
+        try:
+            async with lock:
+                return await do()
+        finally:
+            if not lock.locked and not lock.waiting and self._batch_turns.get(batch_id) is lock:
+                del self._batch_turns[batch_id]
+
+    async def _hold_batch(self, batch_id: str) -> OpenBatch:
+        """The batch with its lease held here: as it was, or taken anew; without a `batch` where its log is empty."""
+        o = self.batches.get(batch_id)
+        if o is not None and not o.holder.lost:
+            return o
+        h = await self._ctx.ledger.hold(batch_log(batch_id))
+        o = OpenBatch(batch_id, h)
+        o.learn()
+        o.batch = o.listing.batch
+        if o.batch is not None:
+            o.prepare()
+            self._adopt(o)
+            self._ctx.journal.note("batch_adopted", batch=batch_id, epoch=h.epoch, items=len(o.batch.items),
+                                   listed=len(o.done), final=h.final)
+            if h.final:
+                self._batch_moved(o)
+            else:
+                self._finish_if_done(o)
+        return o
+
+    def _adopt(self, o: OpenBatch):
+        self.batches[o.id] = o
+        self._ctx.cache.shadow(o.holder.log, o.holder)
+        o.holder.watch(lambda h: self._batch_moved(o))
+        self._wake_feed()
+
+    def _batch_moved(self, o: OpenBatch):
+        o.learn()
+        if o.holder.lost:
+            self._lose_batch(o)
+        elif o.holder.final and o.listing.ended and not o.closing:
+            o.closing = True
+            self._ctx.spawned(self._close_batch(o), "close_batch")
+        else:
+            self._wake_feed()
+
+    def _lose_batch(self, o: OpenBatch):
+        if self.batches.get(o.id) is o:
+            del self.batches[o.id]
+        o.waiting.clear()
+        for work in list(o.running.values()):
+            work.cancel()
+
+    async def _close_batch(self, o: OpenBatch):
+        """The third replica gets a short while to follow before the lease is given back."""
+        self._told_done(o.id, o.batch.route)
+        self._ctx.journal.note("batch_closed", batch=o.id, why=o.listing.ended, listed=len(o.listing.outputs))
+        await self._ctx.beats.pause(RELEASE_AFTER)
+        await self._ctx.ledger.release([o.holder])
+
+    async def _list_batches(self):
+        started = self._ctx.beats.now()
+        found, sure = await self._ctx.ledger.list_open(PREFIX)
+        self._listed_lots({log.removeprefix(PREFIX) for log in found}, started, sure)
+        now = self._ctx.beats.now()
+        me = self._ctx.node
+        free = {log.removeprefix(PREFIX) for log, s in found.items() if s.holder in ("", me)} - set(self.batches)
+        self._orphans = {b: self._orphans.get(b, now) for b in free}
+        if self._closing_batches or not self._ctx.setup.ready():
+            return
+        guides = [m.node for m in self._ctx.roster.members("guide", standing=("alive",))]
+        for b in sorted(free):
+            place = sorted(guides, key=lambda g: rank(b, g), reverse=True).index(me)
+            if now - self._orphans[b] >= place * NEXT_OWNER:
+                self._orphans[b] = now
+                self._ctx.spawned(self._take_up(b), "take_up")
+
+    async def _take_up(self, batch_id: str):
+        async with self._adopting:
+            await self._in_turn(batch_id, lambda: self._take_up_now(batch_id))
+
+    async def _take_up_now(self, batch_id: str):
+        try:
+            o = await self._hold_batch(batch_id)
+        except PipitFault as e:
+            self._ctx.journal.trace("batch_not_taken_up", batch=batch_id, text=e)
+            return
+        if o.batch is None:
+            await self._ctx.ledger.release([o.holder])
--- /dev/null
+++ b/pipitlink/router/quota.py
@@ -0,0 +1,211 @@
+from datetime import timedelta
+
+import attrs
+
+from ..beats import Joined, ZERO, ms, secs
+from ..faults import Crowded, GuideFault, PipitFault, Refused, WireFault
+from ..guide.picking import rank
+from ..wire.roster_pb2 import Loads, QuotaAsk, QuotaReceipt, WaitingLot
+
+__all__ = ["Quota"]
+
+SETTLE_SPAN = ms(600)
+SLEPT_SPAN = secs(1.5)
+GRANT_SPAN = secs(5)
+LISTED_LATE = secs(1)
+DONE_TOLD_SPAN = secs(3)
+UNREAD_SPAN = secs(10)
+KNOWN_SPAN = secs(60)
+ASK_LIMIT = ms(400)
+WAIT_STEP = ms(50)
+
+
+@attrs.define
+class _Told:
+    """The tokens of a batch that are not finished, as its owner last told; without a guide where nobody does now."""
+
+    route: str
+    tokens: int
+    guide: str
+    at: timedelta
+
+
+@attrs.define
+class _Grant:
+    route: str
+    tokens: int
+    until: timedelta
+
+
+class Quota:
+    """Mixin: the waiting tokens of a route are counted over all guides by one of them, its steward.
+
+    Owners tell what waits with their loads, so every guide has the count; grants not told yet are the steward's own.
+    """
+
+    def _open_quota(self):
+        self._told: dict[str, _Told] = {}
+        self._grants: dict[str, _Grant] = {}
+        self._granted: dict[str, tuple[str, int]] = {}
+        self._done_lots: dict[str, tuple[str, timedelta]] = {}
+        self._unknown_lots: dict[str, timedelta] = {}
+        self._counting: set[str] = set()
+        self._quota_guides: frozenset = frozenset()
+        self._quota_moved_at = self._quota_looked_at = self._ctx.beats.now()
+        self._lots_listed_at: timedelta | None = None
+        self._listing_lots = Joined()
+        self._ctx.desk.answer("quota.take", QuotaAsk, self._quota_for)
+        self.engines.carry(self._fill_lots, self._take_lots_told)
+
+    def _own_waiting(self) -> list[WaitingLot]:
+        now = self._ctx.beats.now()
+        out = {b: WaitingLot(lot=b, route=route, tokens=n) for b, (route, n) in self._granted.items()}
+        for b, (route, until) in list(self._done_lots.items()):
+            if until <= now:
+                del self._done_lots[b]
+            else:
+                out[b] = WaitingLot(lot=b, route=route)
+        for b, o in self.batches.items():
+            if not o.holder.lost:
+                out[b] = WaitingLot(lot=b, route=o.batch.route, tokens=o.tokens_left())
+        return list(out.values())
+
+    def _told_done(self, batch_id: str, route: str):
+        self._done_lots[batch_id] = route, self._ctx.beats.now() + DONE_TOLD_SPAN
+
+    def _fill_lots(self, what: Loads):
+        self._look_at_guides()
+        what.lots.extend(self._own_waiting())
+
+    def _take_lots_told(self, what: Loads):
+        self._learn_lots(what.guide, what.lots)
+
+    def _learn_lots(self, guide: str, lots):
+        now = self._ctx.beats.now()
+        named = set()
+        for w in lots:
+            named.add(w.lot)
+            self._told[w.lot] = _Told(w.route, w.tokens, guide, now)
+            self._grants.pop(w.lot, None)
+            self._unknown_lots.pop(w.lot, None)
+        for b, t in self._told.items():
+            if t.guide == guide and b not in named:
+                t.guide, t.at = "", now
+
+    def _listed_lots(self, names: set[str], started: timedelta, sure: bool):
+        """What a list of the open logs says: of which batches nobody has told yet, and which are over."""
+        now = self._ctx.beats.now()
+        self._unknown_lots = {b: self._unknown_lots.get(b, now) for b in names
+                              if b not in self._told and b not in self.batches}
+        if not sure:
+            return
+        self._lots_listed_at = started
+        for b, t in list(self._told.items()):
+            if t.guide and t.guide != self._ctx.node and self._ctx.roster.standing(t.guide) in ("gone", "unknown"):
+                t.guide, t.at = "", now
+            if b not in names and (not t.guide or not t.tokens) and started - t.at >= LISTED_LATE:
+                del self._told[b]
+
+    def _look_at_guides(self):
+        now = self._ctx.beats.now()
+        guides = frozenset(m.node for m in self._ctx.roster.members("guide", standing=("alive",)))
+        if guides != self._quota_guides or now - self._quota_looked_at > SLEPT_SPAN:
+            self._quota_guides, self._quota_moved_at = guides, now
+        self._quota_looked_at = now
+
+    def _quota_steward(self, route: str) -> str:
+        guides = {m.node for m in self._ctx.roster.members("guide", standing=("alive",))} | {self._ctx.node}
+        return max(guides, key=lambda g: rank(f"quota/{route}", g))
+
+    def _count_is_sure(self) -> bool:
+        """Not while guides change, nor on the smaller side of a cut, nor before all open batches are counted."""
+        self._look_at_guides()
+        now = self._ctx.beats.now()
+        alive = self._ctx.roster.members("guide", standing=("alive",))
+        places = {(m.host, m.port) for m in alive}
+        away = [m for m in self._ctx.roster.members("guide", standing=("suspect", "gone"), me=False)
+                if (m.host, m.port) not in places and self._ctx.roster.since(m.node) < KNOWN_SPAN]
+        if not self._ctx.setup.ready() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
+            return False
+        if self._lots_listed_at is None or self._lots_listed_at < self._quota_moved_at + SETTLE_SPAN / 2:
+            self._ctx.spawned(self._listing_lots.run("list", self._list_batches), "list_batches")
+            return False
+        unread = [b for b, at in self._unknown_lots.items() if now - at < UNREAD_SPAN]
+        for b in unread:
+            if b not in self._counting:
+                self._counting.add(b)
+                self._ctx.spawned(self._count_lot(b), "count_lot")
+        return not unread
+
+    async def _count_lot(self, batch_id: str):
+        """Counts a batch from its log, since nobody has told of it."""
+        try:
+            listing = await self._listing_of(batch_id)
+        except PipitFault as e:
+            self._ctx.journal.trace("batch_not_counted", batch=batch_id, text=e)
+            await self._ctx.beats.pause(ms(200))
+            return
+        finally:
+            self._counting.discard(batch_id)
+        if batch_id in self._unknown_lots:
+            left = 0 if listing.ended else sum(x.tokens for i, x in enumerate(listing.batch.items)
+                                               if i not in listing.listed)
+            self._told[batch_id] = _Told(listing.batch.route, left, "", self._ctx.beats.now())
+            del self._unknown_lots[batch_id]
+
+    async def _quota_for(self, node, ask: QuotaAsk) -> QuotaReceipt:
+        return self._quota_here(ask)
+
+    def _quota_here(self, ask: QuotaAsk) -> QuotaReceipt:
+        if not ask.tokens:
+            self._grants.pop(ask.lot, None)
+            return QuotaReceipt()
+        route = self._batch_routes().get(ask.route)
+        if self._quota_steward(ask.route) != self._ctx.node or route is None or not self._count_is_sure():
+            return QuotaReceipt(unsure=True)
+        if not route.max_waiting_tokens:
+            return QuotaReceipt(granted=True)
+        now = self._ctx.beats.now()
+        self._learn_lots(self._ctx.node, self._own_waiting())
+        for b in [b for b, g in self._grants.items() if g.until <= now]:
+            del self._grants[b]
+        told = sum(t.tokens for b, t in self._told.items() if t.route == ask.route and b != ask.lot)
+        granted = sum(g.tokens for b, g in self._grants.items() if g.route == ask.route and b != ask.lot)
+        if told + granted + ask.tokens > route.max_waiting_tokens:
+            return QuotaReceipt(wait_ms=1000)
+        self._grants[ask.lot] = _Grant(ask.route, ask.tokens, now + GRANT_SPAN)
+        return QuotaReceipt(granted=True)
+
+    async def _ask_quota(self, ask: QuotaAsk) -> QuotaReceipt:
+        steward = self._quota_steward(ask.route)
+        if steward == self._ctx.node:
+            return self._quota_here(ask)
+        m = self._ctx.roster.find(steward)
+        try:
+            return await self._ctx.desk.call((m.host, m.port), "quota.take", ask, QuotaReceipt, ASK_LIMIT)
+        except (WireFault, Refused):
+            return QuotaReceipt(unsure=True)
+
+    async def _await_quota(self, route, batch, until: timedelta):
+        """Room for the whole batch, or a refusal: 429 where it surely does not fit, 503 where nobody can tell."""
+        tokens = sum(i.tokens for i in batch.items)
+        if not route.max_waiting_tokens or not tokens:
+            return
+        ask = QuotaAsk(route=route.name, lot=batch.id, tokens=tokens)
+        while True:
+            r = QuotaReceipt() if tokens > route.max_waiting_tokens else await self._ask_quota(ask)
+            if r.granted:
+                self._granted[batch.id] = route.name, tokens
+                return
+            if not r.unsure:
+                raise GuideFault(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
+                                 status=429, outcome="not_run", retry_after=1)
+            if self._ctx.beats.now() + WAIT_STEP > until:
+                raise Crowded("the tokens that wait cannot be counted now", code="not_counted")
+            await self._ctx.beats.pause(WAIT_STEP)
+
+    def _drop_grant(self, batch_id: str):
+        """A grant is told as this guide's own until its batch is, and given back where it came to nothing."""
+        granted = self._granted.pop(batch_id, None)
+        if granted is not None and batch_id not in self.batches:
+            self._ctx.spawned(self._ask_quota(QuotaAsk(route=granted[0], lot=batch_id)), "give_quota")
--- /dev/null
+++ b/tests/batch_parts.py
@@ -0,0 +1,204 @@
+"""Guides that keep batches, on a stage, with engines that are staged inside them, and callers who hand batches in."""
+import base64
+import json
+
+from twisted.internet import defer
+
+from pipitlink.beats import ms, secs
+from pipitlink.dialect import Dialect
+from pipitlink.faults import PipitFault
+from pipitlink.guide.engines import Engines
+from pipitlink.router.batch_intake import BatchIntake
+from pipitlink.router.batch_read import BatchRead
+from pipitlink.router.batch_run import BatchRun
+from pipitlink.router.batches import Batches
+from pipitlink.router.items import ItemAnswer
+from pipitlink.router.quota import Quota
+from pipitlink.wire.setup_pb2 import Route
+from rehearsal.stage import Stage
+
+__all__ = ["BatchGuide", "Callers", "staged", "route", "text_of"]
+
+EVENTS = 6
+
+
+def route(name="bulk", **words):
+    return Route(**{"name": name, "host": "h", "prefix": f"/{name}/", "kind": "bulk", "max_tries": 3, "due_ms": 20_000,
+                    "retain_ms": 600_000, **words})
+
+
+def text_of(item: str) -> str:
+    return "\n".join(f"{item} event {n}" for n in range(1, EVENTS + 1))
+
+
+class BatchGuide(Quota, BatchIntake, BatchRun, BatchRead, Batches):
+    """What a guide does for batches; an item's path says how engines answer it."""
+
+    stage = None
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self.engines = ctx.engines = Engines(ctx)
+        self.dialect = Dialect()
+        self.busy = 0
+        self.places = 6
+
+    def open(self):
+        self.engines.open()
+        self._open_batches()
+
+    def _batch_routes(self):
+        return self.stage.routes
+
+    def batch_room(self, route):
+        return self.places - self.busy
+
+    async def run_item(self, call):
+        self.busy += 1
+        stage = self.stage
+        try:
+            await self._ctx.beats.pause(ms(stage.chance.choice((1, 5, 40, 300))))
+            call.still()
+            stage.runs.append({"at": stage.clock.seconds(), "item": call.id, "after": call.last_event,
+                               "guide": self._ctx.node, "path": call.path, "headers": call.headers, "body": call.body})
+            for word, status in (("/422", 422), ("/500", 500), ("/503", 503)):
+                if call.path.endswith(word):
+                    await self._ctx.beats.pause(ms(20))
+                    return ItemAnswer(status=status, not_run=status == 503)
+            for n in range(call.last_event + 1, EVENTS + 1):
+                await self._ctx.beats.pause(stage.step)
+                if stage.chance.random() < stage.breaks:
+                    return ItemAnswer(status=200)
+                call.texts.append(f"{call.id} event {n}".encode())
+                call.last_event = n
+            return ItemAnswer(status=200, complete=True)
+        finally:
+            self.busy -= 1
+
+
+def staged(seed, guides=3, routes=None, settle=2.0, **words):
+    stage = Stage(seed, offices=3, depots=4, guides=guides, shelves=2, **words)
+    stage.routes = {r.name: r for r in routes or [route()]}
+    stage.runs, stage.step, stage.breaks = [], ms(40), 0.05
+    stage.with_engines(BatchGuide, None, 0)
+    stage.start()
+    stage.ready()
+    stage.run(settle)
+    return stage
+
+
+class Callers:
+    """Hands batches in, reads and ends them at any guide; notes what was answered, and what of it was wrong."""
+
+    def __init__(self, stage):
+        self.stage, self.beats = stage, stage.beats()
+        self.over = False
+        self.items: dict[str, list[dict]] = {}
+        self.taken: dict[str, float] = {}
+        self.refused: set[str] = set()
+        self.ended: dict[str, float] = {}
+        self.seen: dict[str, dict[int, dict]] = {}
+        self.wrong: list[str] = []
+        self._n = 0
+
+    def lot(self, items=6, tokens=10, path="/bulk/x", name=None):
+        self._n += 1
+        name = name or f"lot{self._n}"
+        self.items[name] = [{"id": f"{name}i{i}", "path": path, "headers": {"A": "b"}, "tokens": tokens,
+                             "body": base64.b64encode(f"{name}/{i}".encode()).decode()} for i in range(items)]
+        return name
+
+    def guide(self):
+        up = self.stage.role("guide", alive=True)
+        return self.stage.chance.choice(up) if up else None
+
+    async def ask(self, do, guide=None, limit=6.0):
+        """(status, headers, body), with status 0 where no answer came."""
+        g = guide or self.guide()
+        if g is None:
+            return 0, {}, b""
+        try:
+            return await self.beats.within(secs(limit), do(g.part))
+        except (PipitFault, defer.CancelledError):
+            return 0, {}, b""
+
+    async def hand_in(self, name, guide=None, limit=3.0, row="bulk"):
+        raw = json.dumps({"items": self.items[name]}).encode()
+        r = self.stage.routes[row]
+        status, headers, _ = await self.ask(
+            lambda p: p.take_batch(r, "h", f"/{row}/", name, raw, p._ctx.beats.now() + secs(limit)), guide, limit + 1)
+        if status == 202:
+            self.taken.setdefault(name, self.stage.clock.seconds())
+        return status
+
+    async def read(self, name, start=0, wait=0, guide=None):
+        asked = self.stage.clock.seconds()
+        status, _, body = await self.ask(lambda p: p.read_batch(name, start, ms(wait)), guide, 6 + wait / 1000)
+        if status != 200:
+            if status in (404, 410) and asked - self.taken.get(name, asked) > 0:
+                self.wrong.append(f"{asked:.3f} {name}: {status} though it was taken")
+            return status, None
+        doc = json.loads(body)
+        self._judge(name, start, doc)
+        return status, doc
+
+    def _judge(self, name, start, doc):
+        seen = self.seen.setdefault(name, {})
+        ids = [i["id"] for i in self.items[name]]
+        if doc["total"] != len(ids) or doc["next"] != start + len(doc["outputs"]):
+            self.wrong.append(f"{name}: {doc['total']} items, next {doc['next']} after {start}")
+        for n, out in enumerate(doc["outputs"], start):
+            if seen.setdefault(n, out) != out:
+                self.wrong.append(f"{name}: position {n} moved")
+            if out["id"] not in ids or any(o["id"] == out["id"] and k != n for k, o in seen.items()):
+                self.wrong.append(f"{name}: {out['id']} is not of it, or stands there twice")
+            if out["state"] == "done" and out["text"] != text_of(out["id"]):
+                self.wrong.append(f"{name}: the text of {out['id']} is not whole: {out['text']!r}")
+            path = next(i["path"] for i in self.items[name] if i["id"] == out["id"])
+            if out["state"] == "abandoned" and path.endswith("x") and name not in self.ended:
+                self.wrong.append(f"{name}: {out['id']} was abandoned without a cause")
+
+    async def body(self, name, n, guide=None):
+        item = self.items[name][n]
+        status, _, body = await self.ask(lambda p: p.read_item(name, item["id"]), guide)
+        if status == 200 and body != base64.b64decode(item["body"]):
+            self.wrong.append(f"{name}: the body of {item['id']} came back wrong")
+        return status
+
+    async def end(self, name, guide=None):
+        self.ended.setdefault(name, float("inf"))
+        status, _, _ = await self.ask(lambda p: p.end_batch(name), guide, 10)
+        if status == 200:
+            self.ended[name] = min(self.ended[name], self.stage.clock.seconds())
+        return status
+
+    def whole(self, name):
+        status, doc = self.stage.do(self.read(name))
+        return status == 200 and len(doc["outputs"]) == len(self.items[name]) and doc
+
+    async def hand_in_all(self):
+        """Each batch again at other guides, until it is taken or surely refused."""
+        chance = self.stage.chance
+        while not self.over:
+            await self.beats.pause(ms(300 + chance.randrange(900)))
+            name, said = self.lot(2 + chance.randrange(8)), []
+            for _ in range(4):
+                said.append(await self.hand_in(name))
+                if said[-1] == 202:
+                    break
+            if set(said) <= {429, 503}:
+                self.refused.add(name)
+
+    async def read_some(self):
+        while not self.over:
+            await self.beats.pause(ms(100 + self.stage.chance.randrange(300)))
+            if self.taken:
+                name = self.stage.chance.choice(list(self.taken))
+                start = self.stage.chance.choice((0, len(self.seen.get(name, ()))))
+                await self.read(name, start, self.stage.chance.choice((0, 1000)))
+
+    async def end_some(self):
+        while not self.over:
+            await self.beats.pause(ms(2500 + self.stage.chance.randrange(4000)))
+            if self.taken:
+                await self.end(self.stage.chance.choice(list(self.taken)))
