--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -73,7 +73,6 @@
         call = self._item_call(item)
         try:
             await self.relay(call)
-            item.last_event = call.last_event
             status = call.sink.status
             return ItemAnswer(status=status, complete=status == 200)
         except defer.CancelledError:
@@ -82,8 +81,8 @@
         except LedgerFault:
             raise
         except GuideFault as f:
-            item.last_event = call.last_event
             wait = ms(1000 * f.retry_after) if f.retry_after else ms(50)
             return ItemAnswer(not_run=f.outcome == "not_run", wait=wait)
         finally:
+            item.last_event = call.last_event
             item.engine = call.engine
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -2,18 +2,22 @@
 
 from ..beats import ms, secs
 from ..web import Site, listen, send_json
+from .batch_intake import BatchIntake
+from .batch_read import BatchRead
+from .batch_run import BatchRun
 from .batches import Batches
 from .choosing import Choosing
 from .engines import Engines
 from .front import Front
 from .items import Items
 from .links import Links
+from .quota import Quota
 from .relay import Relay
 
 __all__ = ["RouterNode"]
 
 
-class RouterNode(Front, Choosing, Relay, Items, Batches):
+class RouterNode(Front, Choosing, Relay, Items, Batches, BatchIntake, BatchRun, BatchRead, Quota):
     """A guide that serves by routes: opaque requests to engines of pools, and batches on the same engines."""
 
     def __init__(self, ctx):
@@ -39,6 +43,10 @@
                                                self._ctx.props.ready_port)
         return await self.listen_callers(host, port)
 
+    @property
+    def dialect(self):
+        return self._ctx.dialect
+
     def current(self) -> bool:
         return self._ctx.setup.usable()
 
