--- a/pipitlink/office/voting.py
+++ b/pipitlink/office/voting.py
@@ -11,6 +11,7 @@
 __all__ = ["Voting", "Founding", "STICKY_SPAN"]
 
 STICKY_SPAN = ms(600)
+FRESH_STEP = ms(60)
 LONGEST = ms(1200)
 ASK_LIMIT = ms(400)
 
@@ -56,6 +57,8 @@
     def _open_voting(self):
         now = self._ctx.beats.now()
         self._heard_at = self._led_at = now
+        self._started_at = now
+        self._fresh_at = now + FRESH_STEP * (1 + self._ctx.chance.random())
         self._patience = self._new_patience()
         self._ctx.desk.answer("office.vote", VoteAsk, self._vote)
 
@@ -71,6 +74,10 @@
             return
         if self.state != "follower" or self._ctx.node not in self.voters():
             return
+        if self._just_started() and now >= self._fresh_at:
+            self._fresh_at = now + FRESH_STEP * (2 + 2 * self._ctx.chance.random())
+            self.put("stand")
+            return spawn(self._stand(fresh=True)).addErrback(self._stood_badly)
         if now - self._heard_at > self._patience:
             self.put("stand")
             self._patience = self._new_patience()
@@ -81,8 +88,12 @@
         self._ctx.journal.fault("election_failed", f.value)
         self.put("yield")
 
-    async def _stand(self):
-        if not await self._poll(self.term + 1, pre=True):
+    def _just_started(self) -> bool:
+        """Started a short while ago, and no leader heard since."""
+        return self._led_at == self._started_at and self._ctx.beats.now() - self._started_at < STICKY_SPAN
+
+    async def _stand(self, fresh: bool = False):
+        if not await self._poll(self.term + 1, pre=True, fresh=fresh):
             self.put("yield")
             return
         term = self.term + 1
@@ -90,17 +101,23 @@
         if self.term != term or self.state != "candidate":
             return
         self.leader = ""
-        if await self._poll(term, pre=False) and self.term == term and self.state == "candidate":
+        if await self._poll(term, pre=False, fresh=fresh) and self.term == term and self.state == "candidate":
             self.put("won")
         elif self.state == "candidate":
             self.put("yield")
 
-    async def _poll(self, term: int, pre: bool) -> bool:
+    async def _poll(self, term: int, pre: bool, fresh: bool = False) -> bool:
+        """Whether a majority would vote, or votes, for this office.
+
+        Where all voters just started, none of them leads and whoever led has ended, so nobody's leader has to be waited
+        out. That is asked first, of every single voter, and each must know the same voters.
+        """
         voters = self.voters()
         last = self.archive.last_index()
         ask = VoteAsk(term=term, candidate=self._ctx.node, last_index=last, last_term=self.archive.term_at(last),
-                      pre=pre)
+                      pre=pre, fresh=fresh, voters=voters if fresh else ())
         granted = {self._ctx.node}
+        started = {self._ctx.node}
         done = defer.Deferred()
         left = len(voters) - 1
 
@@ -108,6 +125,8 @@
             nonlocal left
             try:
                 r = await self.ask_office(node, "office.vote", ask, VoteReceipt, ASK_LIMIT)
+                if r.fresh:
+                    started.add(node)
                 if r.granted:
                     granted.add(node)
                 elif r.term > self.term and not pre:
@@ -115,7 +134,7 @@
             except WireFault:
                 pass
             left -= 1
-            if not done.called and (left == 0 or self.is_majority(granted)):
+            if not done.called and (left == 0 or self.is_majority(granted) and not (fresh and pre)):
                 done.callback(None)
 
         for n in voters:
@@ -123,6 +142,8 @@
                 self._ctx.spawned(one(n), "poll")
         if left:
             await done
+        if fresh and pre and not started.issuperset(voters):
+            return False
         return self.is_majority(granted)
 
     async def _vote(self, node, ask: VoteAsk) -> VoteReceipt:
@@ -130,12 +151,13 @@
             return VoteReceipt(term=self.term)
         now = self._ctx.beats.now()
         last = self.archive.last_index()
-        fresh = (ask.last_term, ask.last_index) >= (self.archive.term_at(last), last)
-        content = self.state == "leader" or now - self._led_at < STICKY_SPAN
-        if ask.term < self.term or content or not fresh:
-            return VoteReceipt(term=self.term)
+        whole = (ask.last_term, ask.last_index) >= (self.archive.term_at(last), last)
+        fresh = ask.fresh and self._just_started() and tuple(ask.voters) == self.voters()
+        content = self.state == "leader" or now - self._led_at < STICKY_SPAN and not fresh
+        if ask.term < self.term or content or not whole:
+            return VoteReceipt(term=self.term, fresh=fresh)
         if ask.pre:
-            return VoteReceipt(term=self.term, granted=ask.term > self.term)
+            return VoteReceipt(term=self.term, granted=ask.term > self.term, fresh=fresh)
         if ask.term > self.term:
             self.step_down()
         elif self.archive.ballot.vote not in ("", ask.candidate):
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -35,7 +35,7 @@
 class Process:
     """One guide, depot or office, from its props to its end."""
 
-    def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None):
+    def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None):
         node = fresh_id() if role == "guide" else node_id(Path(props.data), props.fleet)
         journal = open_journal(props.log_level, role=role, node=node)
         beats = Beats(reactor)
@@ -45,6 +45,7 @@
         if props.plug:
             desk.gate = Gate(props.plug, self.ctx)
         self._reread = reread
+        self._early = early
         self.exit = 0
         self._ending = False
         self.node = None
@@ -66,6 +67,8 @@
             ctx.cache = Cache(ctx)
             self.node = self._guide_kind()(ctx)
             self.node.open()
+            if self._early is not None:
+                self.node.early = self._early
             me.http_port = await self.node.listen(p.bind, p.http_port)
             ctx.ledger.open()
             ctx.cache.open()
@@ -150,9 +153,13 @@
         reactor.callWhenRunning(reactor.stop)
 
 
-def run(role: str, props: Props, dialect: Dialect | None = None, reread=None) -> int:
-    """Runs one node until it is told to end. `reread`, if given, reads its settings again: on SIGHUP and now and then."""
-    process = Process(role, props, dialect, reread)
+def run(role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None) -> int:
+    """Runs one node until it is told to end.
+
+    `reread`, if given, reads its settings again: on SIGHUP and now and then. `early` is the callers' socket, if it listens
+    already.
+    """
+    process = Process(role, props, dialect, reread, early)
 
     def begin():
         gc.collect()
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -15,8 +15,7 @@
 
 IDLE_TIMEOUT = secs(15)
 MAX_BODY = 4 * 1024 * 1024
-STUCK_SPAN = secs(10)
-NO_CONTENT = {204, 304}
+START_SPAN = ms(800)
 
 
 class _Pace:
@@ -173,8 +172,11 @@
 class Front:
     """Mixin: callers' HTTP. Heads and bodies pass through; what is this tier's own is answered in the dialect's words."""
 
+    early = None
+
     def _open_front(self):
         self.channels: set = set()
+        self._opened_at = self._ctx.beats.now()
         self.ending = False
         self._ports: list = []
         self.refused = {}
@@ -187,11 +189,22 @@
         return self._ctx.setup.sheet.routes.bounds.max_body_bytes or MAX_BODY
 
     async def listen_callers(self, host: str, port: int) -> int:
+        if self.early is not None:
+            factory = _Factory(self, self._ctx.reactor)
+            opened = self._ctx.reactor.adoptStreamPort(self.early.fileno(), self.early.family, factory)
+            self.early.close()
+            self._ports.append(opened)
+            return opened.getHost().port
         point = TCP4ServerEndpoint(self._ctx.reactor, port, backlog=1024, interface=host)
         opened = await point.listen(_Factory(self, self._ctx.reactor))
         self._ports.append(opened)
         return opened.getHost().port
 
+    def _until_ready(self) -> float:
+        """Seconds until a new try is worth while: a guide that just started has its setup in about a second."""
+        left = (START_SPAN - (self._ctx.beats.now() - self._opened_at)).total_seconds()
+        return round(max(0.2, left) + 0.2 * self._ctx.chance.random(), 3)
+
     async def serve(self, request: Inbound):
         """One request, from its last byte read to the last byte of its answer."""
         try:
@@ -230,7 +243,7 @@
 
         meant = words.batch_call(request.method, path, query, header)
         if not self.current():
-            raise Crowded("this guide cannot prove its setup now", code="not_current", retry_after=0.3)
+            raise Crowded("this guide cannot prove its setup now", code="not_current", retry_after=self._until_ready())
         if meant is not None:
             name, kwargs = meant
             request.answer(*await getattr(self, name)(**kwargs))
@@ -240,7 +253,7 @@
         route = table.match(host, path)
         if route is None:
             if not table.version:
-                raise Crowded("no configuration has come yet", code="no_config", retry_after=0.3)
+                raise Crowded("no configuration has come yet", code="no_config", retry_after=self._until_ready())
             raise NotFound(f"no route for {host}{path[:80]}", code="no_route")
         limit = began + ms(route.deadline_ms)
         asked = request.header(words.deadline_ms)
--- /dev/null
+++ b/tests/test_stage_restart.py
@@ -0,0 +1,63 @@
+"""How soon the offices lead again after all of them ended, and that nobody else's leader is put aside by it."""
+import unittest
+
+from rehearsal.stage import Stage
+from rehearsal.trouble import seeds
+
+SEEDS = seeds(4)
+
+
+class Restart(unittest.TestCase):
+    def _fleet(self, seed):
+        stage = Stage(seed, offices=4, depots=3, guides=1)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        stage.run(1)
+        return stage
+
+    def _restart(self, stage, offices):
+        for a in offices:
+            a.kill(power=True)
+        stage.run(1.5)
+        for a in offices:
+            a.start()
+
+    def test_all_offices_that_started_together_lead_within_half_a_second(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                stage = self._fleet(seed)
+                self._restart(stage, stage.role("office"))
+                stage.until(stage.leader, 0.55, "a leader after a restart of all offices")
+
+    def test_an_office_that_starts_alone_does_not_put_the_leader_aside(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                stage = self._fleet(seed)
+                leader = stage.leader()
+                term = leader.part.term
+                others = [a for a in stage.role("office") if a is not leader and a.node in leader.part.voters()]
+                for a in others[:1]:
+                    a.kill(power=True)
+                    a.start()
+                stage.run(2)
+                self.assertIs(stage.leader(), leader)
+                self.assertEqual(leader.part.term, term)
+
+    def test_two_that_started_wait_out_a_leader_that_they_cannot_hear(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                stage = self._fleet(seed)
+                leader = stage.leader()
+                others = [a for a in stage.role("office") if a is not leader]
+                stage.cut([leader.name], [a.name for a in others])
+                for a in others:
+                    a.kill(power=True)
+                    a.start()
+                stage.run(0.55)
+                self.assertFalse([a.name for a in others if a.part.state == "leader"])
+                stage.until(lambda: [a for a in others if a.part.state == "leader"], 6, "another leader in time")
+
+
+if __name__ == "__main__":
+    unittest.main()
