--- a/pipitlink/office/edits.py
+++ b/pipitlink/office/edits.py
@@ -16,6 +16,7 @@
 
 FORWARD_LIMIT = secs(7)
 LOOK_BEAT = ms(50)
+LEADER_SPAN = secs(1.5)
 
 
 def edit_base(request) -> int:
@@ -74,16 +75,19 @@
             raise GuideFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
                              outcome="failed", retry_after=1) from e
 
+    def _leader_silent(self) -> bool:
+        return self._ctx.beats.now() - self._led_at > LEADER_SPAN
+
     async def _ask_leader(self, verb, what, kind):
         """Passes a call on to the leader, and waits for it no longer than that one is held for the leader."""
         leader = self.leader
-        if not leader or leader == self._ctx.node:
+        if not leader or leader == self._ctx.node or self._leader_silent():
             raise NotLeading("no leader is known")
         d = spawn(self.ask_office(leader, verb, what, kind, FORWARD_LIMIT))
 
         def look():
             if not d.called:
-                if self.leader != leader:
+                if self.leader != leader or self._leader_silent():
                     d.cancel()
                 self._ctx.beats.later(LOOK_BEAT, look)
 
@@ -91,7 +95,7 @@
         try:
             return await d
         except defer.CancelledError:
-            raise Unproven("the leader changed before it answered") from None
+            raise Unproven("the leader changed or was lost before it answered") from None
 
     async def decide(self, c: Command) -> Outcome:
         """The outcome of an edit, here or at the leader; a fault says whether it may have been taken."""
--- /dev/null
+++ b/tests/control_calls.py
@@ -0,0 +1,95 @@
+"""Calls to an office's control interface on the stage, without sockets."""
+import importlib.util
+import io
+import json
+from pathlib import Path
+
+from twisted.internet import defer
+
+from pipitlink.dialect.control import ControlWords
+from pipitlink.office.control import Control
+
+__all__ = ["Caller", "platform_words", "config_of", "route_of"]
+
+
+def platform_words():
+    path = Path(__file__).resolve().parent.parent / "platform" / "control.py"
+    spec = importlib.util.spec_from_file_location("platform_control", path)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module.PlatformControl()
+
+
+def route_of(name, pool="p", **more):
+    return {"name": name, "host": "h.example", "prefix": f"/{name}/", "kind": "mutating", "deadline_ms": 2500,
+            "pool": pool, **more}
+
+
+def config_of(version, *routes, pools=("p",)):
+    return {"version": version, "routes": list(routes) or [route_of("r")], "pools": [{"name": p} for p in pools],
+            "bounds": {"max_header_bytes": 16384}}
+
+
+class _Request:
+    startedWriting = False
+
+    def __init__(self, method: str, body: bytes, headers: dict):
+        self.method, self.path = method.encode(), b"/"
+        self.content = io.BytesIO(body)
+        self.status = 200
+        self.sent: dict = {}
+        self._headers = {k.lower(): v for k, v in headers.items()}
+
+    def getHeader(self, name):
+        return self._headers.get(name.lower())
+
+    def setHeader(self, name, value):
+        self.sent[name] = value
+
+    def setResponseCode(self, status):
+        self.status = status
+
+    def notifyFinish(self):
+        return defer.Deferred()
+
+
+class Caller:
+    """Asks an office by the paths of its words, as its HTTP face would."""
+
+    def __init__(self, stage, words=None):
+        self.stage = stage
+        self.words = words or ControlWords()
+
+    def begin(self, office, method: str, path: str, body=None, headers=None, words=None) -> list:
+        """Starts a call; the list holds (status, body) once it is answered."""
+        raw = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+        request = _Request(method, raw, headers or {})
+        action, named = self._find(method, path)
+        box = []
+        d = getattr(Control(office.ctx, office.part, words or self.words), action)(request, **named)
+        d.addCallback(lambda out: box.append((request.status, json.loads(out))))
+        return box
+
+    def _find(self, method, path):
+        for m, pattern, action in self.words.control_paths:
+            parts, given = pattern.split("/"), path.split("/")
+            if m == method and len(parts) == len(given) and all(p == g or p[:1] == "<" for p, g in zip(parts, given)):
+                return action, {p[1:-1]: g for p, g in zip(parts, given) if p[:1] == "<"}
+        raise AssertionError(f"{method} {path} is not among the paths")
+
+    def ask(self, office, *words, limit: float = 8, **named):
+        box = self.begin(office, *words, **named)
+        self.stage.until(lambda: box, limit, "the call is answered")
+        return box[0]
+
+    def put(self, office, config, base: int):
+        return self.ask(office, "PUT", self._config_path(), config, {"If-Match": str(base)})
+
+    def patch(self, office, config, base: int):
+        return self.ask(office, "PATCH", self._config_path(), config, {"If-Match": str(base)})
+
+    def get(self, office):
+        return self.ask(office, "GET", self._config_path())
+
+    def _config_path(self) -> str:
+        return self.words.control_paths[0][1]
--- /dev/null
+++ b/tests/test_stage_config.py
@@ -0,0 +1,300 @@
+"""The configuration of routes and pools, edited at any office while others edit it, fail and come back."""
+import json
+import unittest
+from unittest import mock
+
+from pipitlink.office import archive
+from pipitlink.wire.setup_pb2 import Command
+from rehearsal.stage import Stage
+
+from .control_calls import Caller, config_of, route_of
+
+
+class Config(unittest.TestCase):
+    def setUp(self):
+        self.stage = Stage(17, shelves=2)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.stage.ready()
+        self.stage.run(2)
+        self.caller = Caller(self.stage)
+        self.offices = self.stage.role("office")
+        self.other = next(a for a in self.offices if a is not self.stage.leader())
+
+    def versions(self, role):
+        return {a.ctx.setup.sheet.routes.version for a in self.stage.role(role, alive=True)}
+
+    def new_leader(self):
+        old = self.stage.leader()
+        old.kill(power=True)
+        self.stage.until(lambda: self.stage.leader() not in (None, old), 15, "another leads")
+        self.stage.run(2)
+        return old
+
+    def test_an_edit_is_in_effect_at_every_guide_when_it_is_acknowledged_and_that_is_soon(self):
+        for version, office in ((3, self.stage.leader()), (4, self.other), (9, self.offices[3])):
+            base = max(self.versions("guide"))
+            before = self.stage.clock.seconds()
+            self.assertEqual(self.caller.put(office, config_of(version), base)[0], 200)
+            self.assertLess(self.stage.clock.seconds() - before, 0.5)
+            self.assertEqual(self.versions("guide"), {version})
+        self.assertIsNotNone(self.stage.role("guide")[0].ctx.setup.sheet.routes.match("h.example", "/r/x"))
+
+    def test_of_two_edits_on_the_same_base_one_wins(self):
+        self.caller.put(self.other, config_of(1), 0)
+        for n in range(1, 6):
+            first, second = self.stage.chance.sample(self.offices, 2)
+            boxes = [self.caller.begin(office, "PUT", "/v1/config", config_of(10 * n + i), {"If-Match": str(base)})
+                     for base in [max(self.versions("guide"))] for i, office in enumerate((first, second))]
+            self.stage.until(lambda: all(boxes), 8, "both are answered")
+            told = sorted(b[0][0] for b in boxes)
+            self.assertEqual(told, [200, 412])
+            won = 10 * n + [b[0][0] for b in boxes].index(200)
+            self.assertEqual(self.versions("guide"), {won})
+            self.assertEqual(self.caller.get(self.offices[n % 4])[1], config_of(won))
+
+    def test_a_stale_base_and_an_old_version_are_refused(self):
+        self.caller.put(self.other, config_of(5), 0)
+        for base, version, status, code in ((0, 9, 412, "wrong_base"), (4, 9, 412, "wrong_base"),
+                                            (5, 5, 400, "old_version"), (5, 4, 400, "old_version")):
+            told = self.caller.put(self.other, config_of(version), base)
+            self.assertEqual((told[0], told[1]["error"]["code"]), (status, code))
+            told = self.caller.patch(self.other, {"version": version}, base)
+            self.assertEqual((told[0], told[1]["error"]["code"]), (status, code))
+        self.assertEqual(self.caller.get(self.offices[0])[1], config_of(5))
+
+    def test_an_edit_without_its_base_or_with_a_bad_one_is_refused(self):
+        for headers, status in (({}, 428), ({"If-Match": "five"}, 400), ({"If-Match": "-1"}, 400),
+                                ({"If-Match": str(2 ** 70)}, 400)):
+            self.assertEqual(self.caller.ask(self.other, "PUT", "/v1/config", config_of(5), headers)[0], status)
+        self.assertEqual(self.caller.ask(self.other, "PUT", "/v1/config", config_of(5), {"If-Match": '"0"'})[0], 200)
+
+    def test_nothing_is_proposed_for_what_cannot_be_read_or_is_invalid(self):
+        self.caller.put(self.other, config_of(5), 0)
+        agreed = self.stage.leader().part.commit
+        whole = json.dumps(config_of(6)).encode()
+
+        def with_route(**more):
+            return config_of(6, {**route_of("r"), **more})
+
+        def without(field):
+            return config_of(6, {k: v for k, v in route_of("r").items() if k != field})
+
+        bad = {
+            "empty": b"", "cut short": whole[:-9], "not UTF-8": whole[:-1] + b'"\xff"}', "an array": b"[]",
+            "a name twice in an object": whole[:-1] + b',"version":7}', "NaN": whole.replace(b"2500", b"NaN"),
+            "an endless number": whole.replace(b"2500", b"1e999"), "deep": b'{"version":' + b"[" * 100_000,
+            "an unknown pool": config_of(6, route_of("r", "q")), "no time": with_route(deadline_ms=0),
+            "negative time": with_route(deadline_ms=-5), "a true time": with_route(deadline_ms=True),
+            "the same place": config_of(6, route_of("a", prefix="/x/"), route_of("b", prefix="/x/")),
+            "the same name": config_of(6, route_of("a"), route_of("a", prefix="/x/")),
+            "the same pool": config_of(6, pools=("p", "p")), "a kind": with_route(kind="odd"),
+            "both": with_route(shares=[{"pool": "p", "share": 1}]),
+            "no weight": config_of(6, {**without("pool")["routes"][0], "shares": [{"pool": "p", "share": 0}]}),
+            "negative weight": config_of(6, {**without("pool")["routes"][0], "shares": [
+                {"pool": "p", "share": -1}, {"pool": "p", "share": 3}]}),
+            "no shares": config_of(6, {**without("pool")["routes"][0], "shares": []}),
+            "a bare prefix": with_route(prefix="/x"), "sticky": with_route(sticky=1), "half a try": without("kind"),
+            "a text try": with_route(max_tries="2"), "routes": {**config_of(6), "routes": {}},
+            "no pools": {k: v for k, v in config_of(6).items() if k != "pools"},
+            "no bounds": {k: v for k, v in config_of(6).items() if k != "bounds"},
+            "a text version": config_of("6"), "no version": config_of(None), "a fraction": config_of(6.5),
+            "a nameless pool": {**config_of(6), "pools": [{}]}, "a half letter": with_route(host="\ud800"),
+            **{f"no {f}": without(f) for f in ("name", "host", "prefix", "deadline_ms", "pool")},
+        }
+        for what, body in bad.items():
+            with self.subTest(what):
+                self.assertEqual(self.caller.put(self.other, body, 5)[0], 400)
+        self.assertEqual(self.stage.leader().part.commit, agreed)
+        self.assertEqual(self.caller.get(self.offices[0])[1], config_of(5))
+
+    def test_a_patch_that_would_leave_an_invalid_whole_is_refused(self):
+        self.caller.put(self.other, config_of(5, route_of("a"), route_of("b")), 0)
+        for n, e in enumerate(({"drops": {"pools": ["p"]}}, {"puts": {"routes": [route_of("c", prefix="/a/")]}},
+                               {"puts": {"routes": [route_of("c", "q")]}}, {"puts": [], "drops": {}},
+                               {"puts": {"routes": [{"name": "a"}]}}, {"drops": {"routes": "a"}},
+                               {"puts": {"routes": [route_of("a"), route_of("a")]}})):
+            self.assertEqual(self.caller.patch(self.other, {"version": 6 + n, **e}, 5)[0], 400, e)
+        self.assertEqual(self.caller.get(self.offices[0])[1], config_of(5, route_of("a"), route_of("b")))
+
+    def test_a_patch_merges_by_name_and_all_comes_back_as_it_was_sent(self):
+        first = config_of(5, route_of("a", odd={"x": [1, 2.50, "\u00e9"]}), route_of("b"), pools=("p", "q"))
+        self.caller.put(self.other, first, 0)
+        self.assertEqual(self.caller.get(self.offices[1])[1], first)
+        changed = route_of("a", "new", sticky=True, aim_ms=2.5)
+        status, _ = self.caller.patch(self.other, {
+            "version": 8, "puts": {"routes": [changed, route_of("c")], "pools": [{"name": "new", "cold_rate": 0.5}]},
+            "drops": {"routes": ["b", "never"], "pools": ["q"]}}, 5)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.caller.get(self.offices[0])[1], {
+            "version": 8, "routes": [changed, route_of("c")], "bounds": first["bounds"],
+            "pools": [{"name": "p"}, {"name": "new", "cold_rate": 0.5}]})
+        self.assertEqual(self.caller.patch(self.other, {"version": 9, "bounds": {"idle_timeout_ms": 5}}, 8)[0], 200)
+        self.assertEqual(self.caller.get(self.offices[0])[1]["bounds"], {"idle_timeout_ms": 5})
+        table = self.stage.role("guide")[0].ctx.setup.sheet.routes
+        self.assertEqual((table.routes["a"].aim_ms, table.bounds.idle_timeout_ms), (3, 5))
+
+    def test_the_same_edit_again_has_the_same_outcome_at_any_office_also_under_another_leader(self):
+        early = config_of(9, route_of("early"))
+        self.assertEqual(self.caller.put(self.other, early, 5)[0], 412)
+        self.assertEqual(self.caller.put(self.other, config_of(5), 0)[0], 200)
+        self.assertEqual(self.caller.put(self.other, config_of(7, route_of("x")), 5)[0], 200)
+        self.assertEqual(self.caller.put(self.other, config_of(8, route_of("x"), route_of("y")), 7)[0], 200)
+        for _ in range(2):
+            for office in self.stage.role("office", alive=True):
+                self.assertEqual(self.caller.put(office, config_of(5), 0)[0], 200)
+                self.assertEqual(self.caller.put(office, config_of(7, route_of("x")), 5)[0], 200)
+                self.assertEqual(self.caller.put(office, early, 5)[0], 412)
+                self.assertEqual(self.caller.put(office, config_of(7, route_of("z")), 5)[0], 412)
+            self.assertEqual(self.versions("guide"), {8})
+            self.new_leader().start()
+            self.stage.until(lambda: {a.part.leader for a in self.offices} == {self.stage.leader().node}, 5, "all follow")
+
+    def test_a_call_that_was_cut_off_and_sent_again_elsewhere_is_taken_once(self):
+        leader = self.stage.leader()
+        lost = self.caller.begin(leader, "PUT", "/v1/config", config_of(4), {"If-Match": "0"})
+        self.stage.until(lambda: leader.part.sheet.routes.version == 4, 5, "it is agreed")
+        leader.kill()
+        self.assertEqual(lost, [])
+        self.stage.until(lambda: self.stage.leader(), 15, "another leads")
+        self.assertEqual(self.caller.put(self.other, config_of(4), 0)[0], 200)
+        self.assertEqual(self.caller.put(self.other, config_of(5), 4)[0], 200)
+
+    def test_the_same_edit_sent_over_and_over_grows_the_log_once(self):
+        self.caller.put(self.other, config_of(4), 0)
+        agreed = self.stage.leader().part.commit
+        for _ in range(20):
+            self.assertEqual(self.caller.put(self.other, config_of(4), 0)[0], 200)
+        self.assertEqual(self.stage.leader().part.commit, agreed)
+
+    def test_the_configuration_outlives_a_loss_of_power_at_every_office(self):
+        self.caller.put(self.other, config_of(4), 0)
+        self.caller.patch(self.other, {"version": 6, "puts": {"routes": [route_of("c")]}}, 4)
+        for a in self.offices:
+            a.kill(power=True)
+        for a in self.offices:
+            a.start()
+        self.stage.ready()
+        for a in self.offices:
+            self.assertEqual(self.caller.get(a)[1], config_of(6, route_of("r"), route_of("c")))
+            self.assertEqual(self.caller.put(a, config_of(4), 0)[0], 200)
+        self.stage.until(lambda: self.versions("guide") == {6}, 5, "the guides keep it")
+
+    def test_the_configuration_outlives_snapshot_and_trim_and_reaches_a_newcomer(self):
+        self.caller.put(self.other, config_of(4), 0)
+        leader = self.stage.leader()
+
+        async def many():
+            for n in range(2700):
+                await leader.part._propose(Command(nothing=True))
+
+        self.stage.do(many(), 600)
+        self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
+        late = self.stage.add("office", "office9", "zone-a", 1900)
+        late.start()
+        self.stage.until(lambda: late.part.sheet.sequence == leader.part.sheet.sequence, 10, "the newcomer follows")
+        for a in self.stage.role("office"):
+            a.kill(power=True)
+            a.start()
+        self.stage.ready()
+        for a in (leader, late):
+            self.assertEqual(self.caller.get(a)[1], config_of(4))
+            self.assertEqual(self.caller.put(a, config_of(4), 0)[0], 200)
+
+    def test_a_log_of_large_edits_is_trimmed_by_its_size(self):
+        with mock.patch.object(archive, "TRIM_BYTES", 300_000), mock.patch.object(archive, "KEEP_BYTES", 60_000), \
+                mock.patch.object(archive, "SEND_BYTES", 50_000):
+            big = [route_of(f"r{n}", note="x" * 300) for n in range(50)]
+            for n in range(1, 31):
+                self.assertEqual(self.caller.put(self.other, config_of(n, *big), n - 1)[0], 200)
+            self.stage.run(1)
+            for a in self.offices:
+                held = sum(e.ByteSize() for e in a.part.archive.entries)
+                self.assertLess(held, 400_000)
+                self.assertEqual(held, a.part.archive._entry_bytes)
+            late = self.stage.add("office", "office9", "zone-a", 1900)
+            late.start()
+            self.stage.until(lambda: late.part.sheet.sequence == self.stage.leader().part.sheet.sequence, 10,
+                             "the newcomer follows")
+            for a in self.stage.role("office"):
+                a.kill(power=True)
+                a.start()
+            self.stage.ready()
+            self.assertEqual(self.caller.get(late)[1], config_of(30, *big))
+
+    def test_an_office_without_a_leader_says_so_at_once(self):
+        rest = [a.name for a in self.stage.actors.values() if a is not self.other]
+        self.stage.cut([self.other.name], rest)
+        self.stage.run(2)
+        before = self.stage.clock.seconds()
+        for box in (self.caller.put(self.other, config_of(4), 0), self.caller.get(self.other)):
+            self.assertEqual((box[0], box[1]["error"]["outcome"]), (503, box[1]["error"]["outcome"]))
+        self.assertLess(self.stage.clock.seconds() - before, 0.1)
+        self.stage.heal()
+        self.stage.run(3)
+        self.assertEqual(self.caller.put(self.other, config_of(4), 0)[0], 200)
+
+    def test_zones_are_emptied_and_filled_in_effect_at_every_guide(self):
+        for n in range(2):
+            for method, empty in (("PUT", True), ("PUT", True), ("DELETE", False), ("DELETE", False)):
+                self.assertEqual(self.caller.ask(self.other, method, "/v1/zones/zone-b/empty")[0], 200)
+                self.assertEqual({a.ctx.setup.zone_empty("zone-b") for a in self.stage.role("guide")}, {empty})
+
+
+class Retire(unittest.TestCase):
+    def setUp(self):
+        self.stage = Stage(23, depots=4, shelves=4)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.depot = self.stage.role("depot")[1]
+        self.name_depot()
+        self.stage.ready()
+        self.stage.until(lambda: len(self.stage.leader().part.sheet.depots) == 4, 20, "all depots are admitted")
+        self.stage.run(3)
+        self.caller = Caller(self.stage)
+
+    def name_depot(self):
+        self.depot.ctx.roster.me.name = "box-1"
+        self.depot.ctx.roster.me.incarnation += 1
+
+    def ask(self, method, name, office=None):
+        return self.caller.ask(office or self.stage.role("office")[2], method, f"/v1/depots/{name}/retire")
+
+    def test_a_depot_is_retired_by_its_name_and_stays_known_when_its_machine_is_gone(self):
+        self.assertEqual(self.ask("GET", "box-1"), (200, {"state": "serving"}))
+        self.assertEqual(self.ask("POST", "box-1")[0], 200)
+        self.assertEqual(self.ask("POST", "box-1")[0], 200)
+        self.stage.until(lambda: self.ask("GET", "box-1")[1] == {"state": "retired"}, 60, "it is emptied")
+        shelves = self.stage.leader().part.sheet.shelves.values()
+        self.assertFalse([s for s in shelves if self.depot.node in (*s.depots, s.joining)])
+        self.depot.kill(power=True)
+        self.depot.wipe()
+        for a in self.stage.role("office"):
+            a.kill(power=True)
+            a.start()
+        self.stage.ready()
+        self.assertEqual(self.ask("GET", "box-1"), (200, {"state": "retired"}))
+        self.assertEqual(self.ask("POST", "box-1")[0], 200)
+        self.assertEqual(self.ask("GET", "box-1"), (200, {"state": "retired"}))
+
+    def test_an_emptied_machine_that_comes_back_with_another_disk_is_not_admitted(self):
+        self.assertEqual(self.ask("POST", "box-1")[0], 200)
+        old = self.depot.node
+        self.depot.kill(power=True)
+        self.depot.wipe()
+        self.depot.start()
+        self.name_depot()
+        self.assertNotEqual(self.depot.node, old)
+        self.stage.run(8)
+        self.assertNotIn(self.depot.node, self.stage.leader().part.sheet.depots)
+        self.stage.until(lambda: self.ask("GET", "box-1")[1] == {"state": "retired"}, 60, "it is emptied")
+
+    def test_unknown_names_and_too_few_depots_are_refused_and_a_repeat_is_not(self):
+        for method in ("POST", "GET"):
+            self.assertEqual(self.ask(method, "box-9")[0], 404)
+        self.assertEqual(self.ask("POST", "box-1")[0], 200)
+        rest = [a for a in self.stage.role("depot") if a is not self.depot]
+        told = self.ask("POST", rest[0].node)
+        self.assertEqual((told[0], told[1]["error"]["code"]), (409, "too_few_copies"))
+        self.assertEqual(self.ask("POST", "box-1")[0], 200)
+        self.assertEqual(self.ask("POST", self.depot.node)[0], 200)
