--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -18,6 +18,8 @@
   pipitlink table put FILE [--base N] [--edit ID] [--at PLACES]
   pipitlink table set ROW FIELD=VALUE... [--base N] [--edit ID] [--at PLACES]
   pipitlink table drop ROW [--base N] [--edit ID] [--at PLACES]
+  pipitlink config show [--at PLACES]
+  pipitlink config put FILE [--base N] [--edit ID] [--at PLACES]
   pipitlink zone (show | (empty | fill) ZONE) [--at PLACES]
   pipitlink depot (show | retire DEPOT) [--at PLACES]
   pipitlink standing [--at PLACES]
@@ -31,7 +33,8 @@
 
 Options:
   --at PLACES           Operator addresses to ask, with commas; for `lot`, callers' addresses. Else $PIPITLINK_AT.
-  --base N              The table's sequence that an edit builds on; the newest where it is left out.
+  --base N              What an edit builds on, the table's sequence or the configuration's version; the newest where
+                        it is left out.
   --edit ID             The edit's id; sent again, it gives the edit's true outcome.
   --json                Print JSON.
   -h --help             Show this.
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -112,6 +112,29 @@
         return text
 
 
+def _read_file(path: str):
+    try:
+        with open(path) as f:
+            return json.load(f)
+    except (OSError, ValueError) as e:
+        print(f"{path}: {e}", file=sys.stderr)
+        return None
+
+
+def _config(words: dict, places: list[str]) -> int:
+    status, body = 200, None
+    if words["show"] or words["--base"] is None:
+        status, body = _ask_any(places, "GET", "/v1/config")
+    if words["show"] or status != 200:
+        return _say(status, body)
+    config = _read_file(words["FILE"])
+    if config is None:
+        return 2
+    base = body["version"] if words["--base"] is None else words["--base"]
+    heads = {"If-Match": str(base), **({"Edit-Id": words["--edit"]} if words["--edit"] else {})}
+    return _say(*_ask_any(places, "PUT", "/v1/config", config, heads))
+
+
 def _table(words: dict, places: list[str]) -> int:
     if words["show"]:
         return _say(*_ask_any(places, "GET", "/v1/table"))
@@ -123,11 +146,8 @@
         base = body["sequence"]
     heads = {"If-Match": str(base), **({"Edit-Id": words["--edit"]} if words["--edit"] else {})}
     if words["put"]:
-        try:
-            with open(words["FILE"]) as f:
-                sheet = json.load(f)
-        except (OSError, ValueError) as e:
-            print(f"{words['FILE']}: {e}", file=sys.stderr)
+        sheet = _read_file(words["FILE"])
+        if sheet is None:
             return 2
         return _say(*_ask_any(places, "PUT", "/v1/table", {"rows": sheet.get("rows", sheet)}, heads))
     path = f"/v1/table/rows/{words['ROW']}"
@@ -148,6 +168,8 @@
     try:
         if words["table"]:
             return _table(words, places)
+        if words["config"]:
+            return _config(words, places)
         if words["zone"]:
             if words["show"]:
                 return _say(*_ask_any(places, "GET", "/v1/zones"))
