--- /dev/null
+++ b/tests/test_config_trouble.py
@@ -0,0 +1,118 @@
+"""Operators that change the configuration at any office, as callers with a second of patience, while nodes fail."""
+import unittest
+
+from pipitlink.beats import ms
+from rehearsal.stage import Stage
+from rehearsal.trouble import Trouble, seeds
+
+from .control_calls import Caller, config_of, route_of
+
+SEEDS = seeds(3)
+IN_EFFECT = 2.0
+
+
+class _Operators:
+    def __init__(self, stage):
+        self.stage, self.caller, self.beats = stage, Caller(stage), stage.beats()
+        self.over = False
+        self.sent: dict[int, dict] = {}
+        self.bases: dict[int, list[int]] = {}
+        self.acked: list[tuple[float, int]] = []
+        self.refused: set[int] = set()
+        self.faults: list[str] = []
+        self.version = 0
+
+    def newest(self) -> int:
+        return max((v for _, v in self.acked), default=0)
+
+    async def call(self, *words):
+        """One call to some office, as (status, body); None where it is silent for a second."""
+        office = self.stage.chance.choice(self.stage.role("office"))
+        if not office.alive or office.frozen:
+            return None
+        box = self.caller.begin(office, *words)
+        for _ in range(100):
+            if box:
+                return box[0] if box[0][0] < 500 else None
+            await self.beats.pause(ms(10))
+        return None
+
+    async def operate(self, who: int):
+        while not self.over:
+            await self.beats.pause(ms(100 + self.stage.chance.randrange(500)))
+            floor = self.newest()
+            got = await self.call("GET", "/v1/config")
+            if got is None:
+                continue
+            base = got[1]["version"]
+            if base < floor:
+                self.faults.append(f"read {base} after {floor} was acknowledged")
+            if base and got[1] != self.sent[base]:
+                self.faults.append(f"version {base} is not what was sent")
+            self.version += 1 + self.stage.chance.randrange(3)
+            version = self.version
+            config = self.sent[version] = config_of(version, route_of(f"r{who}", note=version))
+            for _ in range(8):
+                told = await self.call("PUT", "/v1/config", config, {"If-Match": str(base)})
+                if told is not None:
+                    break
+                await self.beats.pause(ms(100))
+            if told is None:
+                continue
+            if told[0] == 200:
+                self.acked.append((self.stage.clock.seconds(), version))
+                self.bases.setdefault(base, []).append(version)
+            elif told[0] in (400, 412):
+                self.refused.add(version)
+            else:
+                self.faults.append(f"{told}")
+
+    def watch(self):
+        now = self.stage.clock.seconds()
+        old = max((v for at, v in self.acked if now - at > IN_EFFECT), default=0)
+        for a in self.stage.role("guide", alive=True):
+            held = a.ctx.setup.sheet.routes.version
+            if a.ctx.setup.ready() and held < old:
+                self.faults.append(f"{a.name} admits at version {held}, {old} is in effect")
+
+
+class ConfigUnderTrouble(unittest.TestCase):
+    def run_seed(self, seed, roles):
+        stage = Stage(seed, offices=4, depots=4, guides=3, shelves=2)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        ops = _Operators(stage)
+        plain_run = stage.run
+
+        def run(seconds, step=0.005):
+            for _ in range(int(seconds / 0.05)):
+                plain_run(0.05, step)
+                ops.watch()
+
+        stage.run = run
+        trouble = Trouble(stage, roles=roles)
+        trouble.during([ops.operate(0), ops.operate(1)], faults=12)
+        stage.run(6)
+        ops.over = True
+        stage.run(10)
+        stage.ready()
+        what = f"seed {seed}: {trouble.told}"
+        self.assertEqual(ops.faults, [], what)
+        self.assertEqual([t for t in trouble.told if "work ended" in t], [])
+        self.assertEqual({b: v for b, v in ops.bases.items() if len(v) > 1}, {}, what)
+        last = Caller(stage).get(stage.leader())[1]
+        self.assertEqual(last, ops.sent[last["version"]], what)
+        self.assertGreaterEqual(last["version"], ops.newest(), what)
+        self.assertNotIn(last["version"], ops.refused, what)
+        done = {o.sequence for o in stage.leader().part.sheet.outcomes.values() if o.code == "done"}
+        self.assertLessEqual({v for _, v in ops.acked}, done, what)
+        self.assertFalse(ops.refused & done, what)
+        self.assertEqual({a.ctx.setup.sheet.routes.version for a in stage.role("guide")}, {last["version"]}, what)
+        return len(ops.acked)
+
+    def test_configurations_hold_while_offices_fail(self):
+        self.assertGreater(sum(self.run_seed(s, ("office",)) for s in SEEDS), 5 * len(SEEDS))
+
+    def test_configurations_hold_while_everything_fails(self):
+        self.assertGreater(sum(self.run_seed(s, ("office", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
