--- a/pipitlink/office/voting.py
+++ b/pipitlink/office/voting.py
@@ -58,7 +58,8 @@
         now = self._ctx.beats.now()
         self._heard_at = self._led_at = now
         self._started_at = now
-        self._fresh_at = now + FRESH_STEP * (1 + self._ctx.chance.random())
+        self._fresh_spent = False
+        self._fresh_at: timedelta | None = None
         self._patience = self._new_patience()
         self._ctx.desk.answer("office.vote", VoteAsk, self._vote)
 
@@ -74,8 +75,8 @@
             return
         if self.state != "follower" or self._ctx.node not in self.voters():
             return
-        if self._just_started() and now >= self._fresh_at:
-            self._fresh_at = now + FRESH_STEP * (2 + 2 * self._ctx.chance.random())
+        if self._just_started() and now >= self._fresh_turn(now):
+            self._fresh_at = now + FRESH_STEP * len(self.voters())
             self.put("stand")
             return spawn(self._stand(fresh=True)).addErrback(self._stood_badly)
         if now - self._heard_at > self._patience:
@@ -89,13 +90,21 @@
         self.put("yield")
 
     def _just_started(self) -> bool:
-        """Started a short while ago, and no leader heard since."""
-        return self._led_at == self._started_at and self._ctx.beats.now() - self._started_at < STICKY_SPAN
+        """Started a short while ago, and since then neither heard a leader nor voted."""
+        return not self._fresh_spent and self._led_at == self._started_at \
+            and self._ctx.beats.now() - self._started_at < STICKY_SPAN
+
+    def _fresh_turn(self, now: timedelta) -> timedelta:
+        """Voters that start together stand one after another, so that none takes the vote of the one before."""
+        if self._fresh_at is None:
+            self._fresh_at = self._started_at + FRESH_STEP * (1 + self.voters().index(self._ctx.node))
+        return self._fresh_at
 
     async def _stand(self, fresh: bool = False):
         if not await self._poll(self.term + 1, pre=True, fresh=fresh):
             self.put("yield")
             return
+        self._fresh_spent = True
         term = self.term + 1
         await self.archive.put_ballot(term, self._ctx.node)
         if self.term != term or self.state != "candidate":
@@ -158,6 +167,7 @@
             return VoteReceipt(term=self.term, fresh=fresh)
         if ask.pre:
             return VoteReceipt(term=self.term, granted=ask.term > self.term, fresh=fresh)
+        self._fresh_spent = True
         if ask.term > self.term:
             self.step_down()
         elif self.archive.ballot.vote not in ("", ask.candidate):
