--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -15,6 +15,8 @@
 LONGEST_PAUSE = secs(1)
 DUE_CLASS_MS = 2000
 SKEW = ms(1500)
+LINGER = ms(100)
+LINGER_DUE_MS = 2000
 HELD_BEAT = ms(100)
 GONE_SPAN = secs(3)
 DONE, ABANDONED = "done", "abandoned"
@@ -173,8 +175,16 @@
             o.flushing = True
             self._ctx.spawned(self._flush_queue(o), "flush_batch")
 
+    def _may_linger(self, o: OpenBatch) -> bool:
+        """Outputs wait a little for others to share their write, unless nothing more comes soon or time is short."""
+        route = self._batch_routes().get(o.batch.route)
+        left = o.batch.taken_ms + route.due_ms - wall_ms(self._ctx.beats.wall()) if route is not None else 0
+        return bool(o.running) and left > LINGER_DUE_MS and not self._closing_batches
+
     async def _flush_queue(self, o: OpenBatch):
         try:
+            if self._may_linger(o):
+                await self._ctx.beats.pause(LINGER)
             while not o.holder.lost and not o.holder.final and (o.queue or len(o.done) == len(o.batch.items)):
                 if not o.holder.held():
                     await self._ctx.beats.pause(HELD_BEAT)
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -176,13 +176,14 @@
         self._wake_feed()
 
     def _batch_moved(self, o: OpenBatch):
+        before = o.taken()
         o.learn()
         if o.holder.lost:
             self._lose_batch(o)
         elif o.holder.final and o.listing.ended and not o.closing:
             o.closing = True
             self._ctx.spawned(self._close_batch(o), "close_batch")
-        else:
+        elif not before:
             self._wake_feed()
 
     def _lose_batch(self, o: OpenBatch):
