--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -11,8 +11,10 @@
 READ_PER_MS = 150
 RUN_COST_MS = 1.5
 FAR_COST_MS = 3.0
+FULL_COST_MS = 20.0
+CROWDED_COST_MS = 6.0
 LIVE_FILL = 1.5
-BATCH_FILL = 0.75
+BATCH_FILL = 1.0
 SHORT_WAIT = ms(60)
 WAIT_SHARE = 0.2
 STICKY_TOKENS = 256
@@ -64,7 +66,9 @@
             key = "/".join(name for name, _ in shared)
             home = max(usable, key=lambda e: rank(key, e.name)).name
         for e in usable:
-            load = self.engines.load(e)
+            load, batch = self.engines.load(e), self.engines.batch_load(e)
+            if not call.batch:
+                load -= batch
             if load >= fill * e.places or not self.engines.admit(e) or not self._reachable(e):
                 continue
             missing = call.parts[-1][1] if call.parts else 0
@@ -72,7 +76,9 @@
                 missing += e.kept.missing(shared) if shared else 0
             cost = (missing + e.reading) / READ_PER_MS + RUN_COST_MS * load + self._ctx.chance.random()
             if load >= e.places:
-                cost += 20.0 * (1 + load - e.places)
+                cost += FULL_COST_MS * (1 + load - e.places)
+            elif not call.batch and load + batch >= e.places:
+                cost += CROWDED_COST_MS
             if e.news.zone != self._ctx.props.zone:
                 cost += FAR_COST_MS
             if best is None or cost < least:
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -66,7 +66,7 @@
     failures: int = 0
     allowance: float = 0.0
     allowed_at: timedelta = ZERO
-    peers: dict[str, tuple[int, timedelta]] = attrs.field(factory=dict)
+    peers: dict[str, tuple[int, int, timedelta]] = attrs.field(factory=dict)
 
     @property
     def name(self) -> str:
@@ -90,7 +90,7 @@
         self._pools: dict[str, list[Engine]] = {}
         self._room: list = []
         self._carriers: list = []
-        self._told: dict[str, int] = {}
+        self._told: dict[str, tuple[int, int]] = {}
         self._told_at = ZERO
         self._looked_at = ctx.beats.now()
         self._woke_at = ZERO
@@ -204,7 +204,12 @@
     def load(self, e: Engine) -> int:
         """Requests on it, from here and, as last told, from the peers."""
         now = self._ctx.beats.now()
-        return e.running + sum(n for n, at in e.peers.values() if now - at < LOADS_SPAN)
+        return e.running + sum(n for n, _, at in e.peers.values() if now - at < LOADS_SPAN)
+
+    def batch_load(self, e: Engine) -> int:
+        """How many of them are items of batches."""
+        now = self._ctx.beats.now()
+        return e.batch + sum(b for _, b, at in e.peers.values() if now - at < LOADS_SPAN)
 
     def guides(self) -> int:
         return len(self._ctx.roster.members("guide"))
@@ -273,8 +278,8 @@
         for name, at in list(self._ended.items()):
             if now - at > ENDED_SPAN:
                 del self._ended[name]
-        mine = {e.name: e.running for e in self._engines.values() if e.running}
-        what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r) for n, r in mine.items()])
+        mine = {e.name: (e.running, e.batch) for e in self._engines.values() if e.running}
+        what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r, batch=b) for n, (r, b) in mine.items()])
         news = [fill(what) for fill, _ in self._carriers]
         if mine == self._told and not any(news) and now - self._told_at < LOADS_AT_LEAST:
             return
@@ -286,10 +291,10 @@
         for _, take in self._carriers:
             take(what)
         now = self._ctx.beats.now()
-        running = {one.engine: one.running for one in what.loads}
+        running = {one.engine: one for one in what.loads}
         for e in self._engines.values():
-            n = running.get(e.name, 0)
-            if n:
-                e.peers[what.guide] = (n, now)
+            one = running.get(e.name)
+            if one is not None:
+                e.peers[what.guide] = (one.running, one.batch, now)
             else:
                 e.peers.pop(what.guide, None)
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -104,6 +104,7 @@
                 try:
                     await self._try(call, e)
                     call.put("finish")
+                    self._ctx.journal.trace("call", id=call.id.decode("latin-1"), route=call.route.name, tries=call.tries)
                     return
                 except GuideFault as f:
                     if not self._may_go_on(call, f):
