--- a/pipitlink/beats.py
+++ b/pipitlink/beats.py
@@ -6,7 +6,7 @@
 
 from .faults import Overdue
 
-__all__ = ["Beats", "ms", "secs", "to_ms", "wall_ms", "ZERO", "spawn", "Joined"]
+__all__ = ["Beats", "Repeat", "ms", "secs", "to_ms", "wall_ms", "ZERO", "spawn", "Joined"]
 
 ZERO = timedelta(0)
 
@@ -64,7 +64,7 @@
         self._reactor = reactor
         self._seconds = seconds
         self.ended = False
-        self._repeats: set[defer.Deferred] = set()
+        self._repeats: list[Repeat] = []
 
     def now(self) -> timedelta:
         return timedelta(seconds=self._seconds())
@@ -108,25 +108,82 @@
         d.addBoth(settle)
         return out
 
-    def every(self, span: timedelta, do, report) -> defer.Deferred:
-        async def go():
-            while not self.ended:
-                try:
-                    r = do()
-                    if isawaitable(r):
-                        await r
-                except defer.CancelledError:
-                    raise
-                except Exception as e:
-                    report(e)
-                await self.pause(span)
-
-        d = spawn(go())
-        d.addErrback(lambda f: f.trap(defer.CancelledError) and None)
-        self._repeats.add(d)
-        return d
+    def every(self, span: timedelta, do, report, due=None) -> "Repeat":
+        """Runs `do` on every beat; `due` may tell how long nothing can be due, or None for until it is woken."""
+        r = Repeat(self, span, do, report, due)
+        self._repeats.append(r)
+        r.begin()
+        return r
 
     def end(self):
         self.ended = True
-        for d in list(self._repeats):
-            d.cancel()
+        repeats, self._repeats = self._repeats, []
+        for r in repeats:
+            r.cancel()
+
+
+class Repeat:
+    """Work repeated on a beat. Beats on which nothing is due are left out; the others keep their phase."""
+
+    def __init__(self, beats: Beats, span: timedelta, do, report, due=None):
+        self._beats, self._span, self._do, self._report, self._due = beats, span, do, report, due
+        self._ended = False
+        self._call = self._work = self._next_at = None
+        self._at = ZERO
+
+    def begin(self):
+        self._call = self._next_at = None
+        if self._beats.ended or self._ended:
+            return
+        try:
+            r = self._do()
+        except Exception as e:
+            self._report(e)
+            r = None
+        if r is not None and isawaitable(r):
+            self._work = spawn(r)
+            self._work.addErrback(self._failed).addBoth(self._settled)
+        else:
+            self._rest()
+
+    def _failed(self, f):
+        if not self._ended:
+            self._report(f.value)
+
+    def _settled(self, _):
+        self._work = None
+        if not self._ended:
+            self._rest()
+
+    def _rest(self):
+        now = self._beats.now()
+        self._next_at = now + self._span
+        if self._due is None:
+            self._hang(self._next_at, now)
+            return
+        due = self._due()
+        if due is not None:
+            self._hang(now + self._span * max(1, -(-due // self._span)), now)
+
+    def _hang(self, at: timedelta, now: timedelta):
+        self._at = at
+        self._call = self._beats.later(at - now, self.begin)
+
+    def wake(self):
+        """Something is due: it runs on the next beat."""
+        if self._ended or self._next_at is None:
+            return
+        now = self._beats.now()
+        at = self._next_at + self._span * max(0, -((self._next_at - now) // self._span))
+        if self._call is not None:
+            if self._at <= at:
+                return
+            self._call.cancel()
+        self._hang(at, now)
+
+    def cancel(self):
+        self._ended = True
+        if self._call is not None and self._call.active():
+            self._call.cancel()
+        if self._work is not None:
+            self._work.cancel()
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -250,6 +250,7 @@
         self._tokens.start()
         self._fresh = 0
         self.actors: dict[str, Actor] = {}
+        self._beats: list[Beats] = []
         port = 1000
         for role, n in (("office", offices), ("depot", depots), ("guide", guides)):
             for i in range(n):
@@ -354,6 +355,7 @@
     def beats(self, clock=None) -> Beats:
         """Beats on the stage's time, for a node's life or for whoever stands outside the nodes."""
         out = Beats(clock or self.clock, seconds=self.clock.seconds)
+        self._beats.append(out)
         out.wall = lambda: datetime.fromtimestamp(1_700_000_000 + self.clock.seconds(), timezone.utc)
         return out
 
@@ -372,5 +374,7 @@
         for a in self.actors.values():
             if a.alive:
                 a.kill()
+        for beats in self._beats:
+            beats.end()
         self._tokens.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
