Take up the faults of an office's records that are queued with others

Before: the runner fails SetupUnderTrouble.test_edits_hold_while_everything_fails (26 errors) and test_edits_hold_while_offices_fail (55). After: test_stage_offices, 16 passed, 0 failed.

--- a/pipitlink/office/archive.py
+++ b/pipitlink/office/archive.py
@@ -13,12 +13,16 @@
 from ..wire.office_pb2 import Ballot, OfficeEntry, OfficeRecord, Snapshot
 from ..wire.setup_pb2 import Row, SheetData
 
-__all__ = ["Archive"]
+__all__ = ["Archive", "told_by_the_last"]
 
 TRIM_EVERY = 2000
 KEEP_ENTRIES = 500
 
 
+def told_by_the_last(_):
+    """Of records queued together the last fails with any before it, so only that one is waited for."""
+
+
 class Archive:
     """What an office keeps on disk: its ballot, the agreed log, and a snapshot that is swapped in whole."""
 
@@ -167,9 +171,8 @@
             self._place(e)
         self._segments.roll()
         mark = Snapshot(index=s.index, term=s.term, sheet=SheetData())
-        self._put(OfficeRecord(snapshot=mark))
-        for e in rest:
-            self._put(OfficeRecord(entry=e))
+        for r in (OfficeRecord(snapshot=mark), *(OfficeRecord(entry=e) for e in rest)):
+            self._put(r).addErrback(told_by_the_last)
         done = self._put(OfficeRecord(ballot=self.ballot))
         done.addCallback(lambda _: [self._segments.drop(n) for n in old if n != self._segments.newest()])
         return done
--- a/pipitlink/office/leading.py
+++ b/pipitlink/office/leading.py
@@ -6,6 +6,7 @@
 from ..faults import NoRoom, NotLeading, Unproven, WireFault
 from ..wire.office_pb2 import AppendAsk, AppendReceipt, OfficeEntry
 from ..wire.setup_pb2 import Command, Outcome
+from .archive import told_by_the_last
 
 __all__ = ["Leading"]
 
@@ -178,7 +179,7 @@
             return AppendReceipt(term=self.term, last=min(self.archive.last_index(), max(0, ask.prev_index - 1)))
         for e in ask.entries:
             if self.archive.term_at(e.index) != e.term and e.index > self.archive.snapshot.index:
-                self.archive.put_entry(e)
+                self.archive.put_entry(e).addErrback(told_by_the_last)
         await self.archive.all_synced()
         if self.term != ask.term:
             return AppendReceipt(term=self.term)
