Do not take news that waited for a sleeping guide as fresh

Cause: gossip and pushes of engines carry ages as of their sending. A guide that was frozen took what had waited for it as just said, and its gossip made the other guides believe an engine that had been silent for longer than 3 s. Now: for 500 ms after it woke a guide takes no news of engines.

--- a/pipitlink/guide/engines.py
+++ b/pipitlink/guide/engines.py
@@ -19,6 +19,7 @@
 TURN_MS = 100
 SOON = ms(5)
 SLEPT_SPAN = secs(1.5)
+HELD_SPAN = ms(500)
 
 
 @attrs.define(eq=False)
@@ -78,8 +79,9 @@
             spawn(self._ctx.desk.call(place, "engines.tell", what, Nothing, ms(500))).addErrback(lambda f: None)
 
     async def _told_engines(self, node, what: EngineList):
-        for n in what.engines:
-            self._merge(n)
+        if not self._just_woke():
+            for n in what.engines:
+                self._merge(n)
 
     def _fill(self, g: Gossip):
         now = self._ctx.beats.now()
@@ -89,8 +91,14 @@
             n.age_ms = to_ms(now - e.renewed)
 
     def _take(self, g: Gossip):
-        for n in g.engines[:1024]:
-            self._merge(n)
+        if not self._just_woke():
+            for n in g.engines[:1024]:
+                self._merge(n)
+
+    def _just_woke(self) -> bool:
+        """What arrives now may have waited while this guide slept, and tells ages as of then."""
+        now = self._look()
+        return self._woke_at > ZERO and now - self._woke_at < HELD_SPAN
 
     def _merge(self, n: EngineNews):
         now = self._ctx.beats.now()
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -101,6 +101,22 @@
         self.assertEqual(check([e for e in c.events if e["status"] in (200, 201, 503) and e["event"] != "results" or
                                 e.get("status") == 200], stage.notes, {}, capacity=4), [])
 
+    def test_news_of_engines_that_waited_for_a_sleeping_guide_is_not_fresh(self):
+        stage = staged(4, engines=1)
+        self.addCleanup(stage.end)
+        stage.run(3)
+        engine, guide = stage.engines["engine0"], stage.actors["guide2"]
+        guide.freeze()
+        stage.run(0.9)
+        engine.silent = True
+        stage.run(4.1)
+        guide.thaw()
+        for _ in range(60):
+            stage.run(0.05)
+            for a in stage.role("guide"):
+                engines = a.part.engines
+                self.assertNotIn("ready", [engines.standing(e) for e in engines.all()], a.name)
+
     def test_a_node_that_freezes_in_the_midst_of_each_step_that_has_an_owner(self):
         """Its call has just left; it wakes after its lease, its setup and its leadership have ended."""
         def bring(stage, trouble, work):
