--- a/pipitlink/office/voting.py
+++ b/pipitlink/office/voting.py
@@ -89,7 +89,7 @@
     def _election_due(self) -> timedelta:
         """How long no election can be due. A leader looks often: the voters, and so who was heard, may change."""
         now = self._ctx.beats.now()
-        if self.state == "follower":
+        if self.state == "follower" and not self._just_started():
             return self._heard_at + self._patience - now
         if self.state == "leader":
             return min(LOOK_SPAN, max(self.heard_majority_at(), self._elected_at) + LONGEST - now)
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -31,7 +31,7 @@
     """
 
     def _open_batch_intake(self):
-        self._taking = Joined()
+        self._batches_taking = Joined()
 
     async def take_batch(self, route, host: str, path: str, lot_id: str, raw: bytes, deadline: timedelta):
         """`deadline` is a point on the beats' time."""
@@ -44,9 +44,9 @@
             left = deadline - MARGIN - self._ctx.beats.now()
             if left <= ZERO:
                 raise Crowded("the deadline has passed", code="deadline_passed")
-            same = await self._ctx.beats.within(left, self._taking.run(
-                lot_id, lambda: self._take(batch, route, deadline - MARGIN)))
-            if not self._alike(same, batch):
+            same = await self._ctx.beats.within(left, self._batches_taking.run(
+                lot_id, lambda: self._take_once(batch, route, deadline - MARGIN)))
+            if not self._same_batch(same, batch):
                 raise GuideFault("this id was used for another batch", code="id_in_use", field="id", status=409,
                                  outcome="not_run")
             return 202, {"Content-Type": "application/json"}, self.dialect.show_taken(lot_id, len(batch.items))
@@ -55,24 +55,34 @@
         except (PipitFault, TimeoutError) as e:
             return refusal(_unknown(f"the batch may yet be taken: {e}"), self.dialect)
 
-    def _alike(self, one: Batch | None, other: Batch) -> bool:
+    def _same_batch(self, one: Batch | None, other: Batch) -> bool:
         return one is None or (one.host, one.path, list(one.items)) == (other.host, other.path, list(other.items))
 
-    async def _take(self, batch: Batch, route, until: timedelta) -> Batch | None:
+    async def _take_once(self, batch: Batch, route, until: timedelta) -> Batch | None:
         """The batch as it is durable now; None where it surely is but could not be read again."""
         o = self.batches.get(batch.id)
         if o is None or o.holder.lost:
-            known = await self._known_batch(batch.id)
-            if known is not None:
-                return known or None
-            if self._closing_batches or not self._ctx.setup.usable():
-                raise Crowded("this guide takes no batches now", code="not_current")
-            await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
+            try:
+                if self._closing_batches or not self._ctx.setup.usable():
+                    raise Crowded("this guide takes no batches now", code="not_current")
+                await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
+            except GuideFault as e:
+                return await self._batch_taken_already(batch.id, e)
         try:
-            return await self._in_turn(batch.id, lambda: self._write_batch(batch, until))
+            return await self._in_batch_turn(batch.id, lambda: self._write_batch(batch, until))
         finally:
             self._drop_grant(batch.id)
 
+    async def _batch_taken_already(self, batch_id: str, refused: GuideFault) -> Batch | None:
+        """What an earlier try has taken is not refused."""
+        try:
+            known = await self._known_batch(batch_id)
+        except Crowded:
+            raise refused from None
+        if known is None:
+            raise refused
+        return known or None
+
     async def _known_batch(self, batch_id: str) -> Batch | bool | None:
         """None where nothing is durable of it; False where it is but cannot be read at once."""
         state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
@@ -88,27 +98,28 @@
 
     async def _write_batch(self, batch: Batch, until: timedelta) -> Batch | None:
         o = await self._hold_for_intake(batch.id, until)
-        if isinstance(o, bool):
-            return None
+        if not isinstance(o, OpenBatch):
+            return o or None
         if o.batch is None:
             if o.holder.final:
                 await self._ctx.ledger.release([o.holder])
                 return None
             await self._append_batch(o, batch)
         elif not o.taken():
-            await self._all_durable(o)
+            await self._batch_durable(o)
         return o.batch
 
-    async def _hold_for_intake(self, batch_id: str, until: timedelta) -> OpenBatch | bool:
-        """The batch held here, or True where another guide has taken it; waits while one may be about to."""
+    async def _hold_for_intake(self, batch_id: str, until: timedelta) -> OpenBatch | Batch | bool:
+        """The batch held here, or as another guide has taken it; waits while one may be about to."""
         while True:
             try:
                 return await self._hold_batch(batch_id)
             except (LedgerFault, WireFault) as e:
                 fault = e
             try:
-                if await self._known_batch(batch_id) is not None:
-                    return True
+                known = await self._known_batch(batch_id)
+                if known is not None:
+                    return known
             except Crowded as e:
                 fault = e
             if not isinstance(fault, NotHeld) or self._ctx.beats.now() + 2 * LOOK_AGAIN >= until:
@@ -119,22 +130,22 @@
         h = o.holder
         o.batch = batch
         o.prepare()
-        self._adopt(o)
+        self._adopt_batch(o)
         try:
             await h.append([LogRecord(batch=batch).SerializeToString()])
         except PipitFault as e:
             if h.data:
                 if not h.lost:
-                    await self._all_durable(o)
+                    await self._batch_durable(o)
                     return
                 raise _unknown(f"the batch may yet be taken: {e}", 500) from e
             self._lose_batch(o)
             await self._ctx.ledger.release([h])
             raise Crowded(f"the store takes no batches now: {e}", code="store") from e
 
-    async def _all_durable(self, o: OpenBatch):
+    async def _batch_durable(self, o: OpenBatch):
         try:
-            await self._await_durable(o)
+            await self._await_batch_durable(o)
         except PipitFault as e:
             raise _unknown(f"the batch may yet be taken: {e}", 500) from e
         if o.holder.lost:
