--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -9,6 +9,7 @@
   rehearsal bench --promise LIST [--profile NAME] [--seed N] [--rounds N]
   rehearsal capacity [--series LIST] [--within M] [--cores N] [--keep PATH] [--picture FILE]
   rehearsal capacity --from LIST [--picture FILE]
+  rehearsal capacity --inner
   rehearsal host
   rehearsal -h | --help
 
@@ -34,6 +35,7 @@
   --within M        Minutes after which no new point is begun. [default: 20]
   --cores N         Cores that hollow fleets may keep busy. [default: 3]
   --series LIST     Series of points, with commas. [default: all]
+  --inner           Times single steps of a guide's own code at full size instead.
   --from LIST       Files of points that were kept, with commas: shows these and measures none.
   --picture FILE    Draws them there; needs the extra `capacity`.
   --level LEVEL     The fleet's log level. [default: info]
@@ -89,6 +91,10 @@
     if set(names) - set(SERIES):
         print(f"series: {', '.join(SERIES)}")
         return 2
+    if words["--inner"]:
+        from .inner import inner
+
+        return inner()
     c = Capacity(names, float(words["--within"]), float(words["--cores"]), words["--keep"], words["--picture"])
     if words["--from"]:
         c.points = [p for f in words["--from"].split(",") for p in json.loads(Path(f).read_text())]
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -1,6 +1,6 @@
 """What hollow nodes are given to do: engines that announce, edits, logs that are read and logs that are written."""
 from pipitlink.beats import secs, spawn
-from pipitlink.faults import Overdue, PipitFault
+from pipitlink.faults import PipitFault
 from pipitlink.wire.lots_pb2 import LogRecord, Result
 from pipitlink.wire.roster_pb2 import EngineNews
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
@@ -68,7 +68,7 @@
                 try:
                     h = await n.part.keep(log)
                     self._held += 1
-                except (PipitFault, Overdue) as e:
+                except PipitFault as e:
                     self._fail(e)
             k = 0
             while rate and not h.lost:
--- /dev/null
+++ b/rehearsal/inner.py
@@ -0,0 +1,123 @@
+"""Single steps of a guide's own code at full size, in one process and with nobody on the wire: ms each, three times."""
+import statistics
+import time
+from random import Random
+
+from twisted.internet.task import Clock
+
+from pipitlink.beats import Beats, spawn
+from pipitlink.cache.ring import Ring
+from pipitlink.context import Context
+from pipitlink.journal import Journal
+from pipitlink.props import Props
+from pipitlink.setup import Sheet
+from pipitlink.wire.desk import Desk
+from pipitlink.wire.roster_pb2 import EngineNews, Gossip, Member
+from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
+
+from .disks import LosingDisk
+from .hollow import TOLD_AT_ONCE, open_parts
+from .slopes import fit
+
+__all__ = ["inner", "STEPS"]
+
+GUIDES = (100, 300, 1000, 3000)
+ENGINES_A_GUIDE = 10 / 3
+TIMES = 3
+LEAST_SPAN = 0.05
+
+
+class _Quiet:
+    def log(self, *words):
+        pass
+
+
+def _guide(guides: int):
+    """A hollow guide that knows so many colleagues and their engines, on a clock that stands still."""
+    clock = Clock()
+    beats = Beats(clock, seconds=clock.seconds)
+    desk = Desk(None, beats, Journal(_Quiet()), "pipit", "g0")
+    ctx = Context("guide", "g0", Props(), clock, beats, Journal(_Quiet()), desk, Random(1))
+    everyone = [Member(node=f"g{i}", incarnation=1, role="guide", zone=f"zone-{i % 25}", host="127.0.0.1", port=1000 + i,
+                       standing="alive")
+                for i in range(guides)]
+    desk.call = _unheard
+    part = open_parts(ctx, "hollow", everyone[0], LosingDisk(Random(1)))
+    for at in range(0, guides, TOLD_AT_ONCE):
+        told = Gossip(sender="g1", members=everyone[at:at + TOLD_AT_ONCE])
+        spawn(desk.attend(desk.hello(), "roster.tell", told.SerializeToString()))
+    for i in range(int(guides * ENGINES_A_GUIDE)):
+        part.engines._merge(EngineNews(engine=f"engine{i}", incarnation=1, address="127.0.0.1:1", pool="models",
+                                       models=["m"], capacity=8, zone=f"zone-{i % 25}", state="ready"))
+    return ctx, part
+
+
+async def _unheard(*_):
+    return Gossip()
+
+
+def _step_ring(ctx, part):
+    Ring({m.node: m.zone for m in ctx.roster.members("guide")})
+
+
+def _step_members(ctx, part):
+    ctx.roster.members("guide", me=False)
+
+
+def _step_room(ctx, part):
+    part.engines.room(next(iter(part.engines._engines.values())))
+
+
+def _step_loads(ctx, part):
+    part.engines._tell_loads()
+
+
+STEPS = {"the ring of cache replicas, built anew when a guide comes or goes": _step_ring,
+         "the list of guides, by role": _step_members,
+         "one engine's room, for one pick": _step_room,
+         "telling all guides the loads, less the wire": _step_loads}
+
+
+def _time(do) -> list[float]:
+    """Milliseconds of processor time for one step, each time over a span that the clock can tell."""
+    out = []
+    for _ in range(TIMES):
+        n, began = 0, time.process_time()
+        while (span := time.process_time() - began) < LEAST_SPAN:
+            do()
+            n += 1
+        out.append(1000 * span / n)
+    return sorted(out)
+
+
+def _rows() -> list[tuple]:
+    """A sheet with a row for each tenant and model, whole and by one change."""
+    out = []
+    for rows in (1000, 4000, 23180):
+        sheet = Sheet()
+        puts = [Row(name=f"row{i}", model=f"model{i % 38}", pool=f"tenant{i}", weight=1) for i in range(rows)]
+        sheet.apply(1, Command(edit="all", table=TableEdit(whole=True, puts=puts)))
+        one = Command(edit="one", table=TableEdit(base=1, puts=puts[:1]))
+
+        def change(sheet=sheet, one=one):
+            one.table.base, one.edit = sheet.table, f"e{sheet.sequence}"
+            sheet.apply(sheet.sequence + 1, one)
+            sheet.row("model1", "tenant1")
+
+        out.append((rows, _time(lambda: Sheet(sheet.data())), _time(change), sheet.data().ByteSize(), one.ByteSize()))
+    return out
+
+
+def inner() -> int:
+    print("| step, ms | " + " | ".join(f"{g} guides" for g in GUIDES) + " | fit |\n|" + "---|" * (len(GUIDES) + 2))
+    staged = [_guide(g) for g in GUIDES]
+    for name, step in STEPS.items():
+        times = [_time(lambda: step(ctx, part)) for ctx, part in staged]
+        f = fit(list(GUIDES), [statistics.median(t) for t in times])
+        print(f"| {name} | " + " | ".join(f"{t[1]:.3g} ({t[0]:.3g} to {t[-1]:.3g})" for t in times) + f" | {f}, r² {f.r2:.3f} |")
+    print("\n| configuration rows | whole sheet copied, ms | one change and the next look-up, ms | whole, bytes | change, bytes |"
+          "\n|---|---|---|---|---|")
+    for rows, whole, change, size, delta in _rows():
+        print(f"| {rows} | {whole[1]:.3g} ({whole[0]:.3g} to {whole[-1]:.3g}) | "
+              f"{change[1]:.3g} ({change[0]:.3g} to {change[-1]:.3g}) | {size} | {delta} |")
+    return 0
