--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -1,9 +1,5 @@
 from collections import deque
 
-import treq
-from cloudevents.core.bindings.http import to_structured
-from cloudevents.core.formats.json import JSONFormat
-from cloudevents.core.v1.event import CloudEvent
 from twisted.internet import defer
 
 from .beats import secs
@@ -34,6 +30,8 @@
             self._ctx.spawned(self._tell(), "tell_changes")
 
     def _noted(self, event: str, pairs: dict):
+        from cloudevents.core.v1.event import CloudEvent
+
         if event not in CHANGES:
             return
         if len(self._inbox) >= MOST:
@@ -47,6 +45,9 @@
             self._waiter.callback(None)
 
     async def _tell(self):
+        from cloudevents.core.bindings.http import to_structured
+        from cloudevents.core.formats.json import JSONFormat
+
         while not self._ctx.beats.ended:
             if not self._inbox:
                 self._waiter = defer.Deferred(lambda _: None)
@@ -61,6 +62,8 @@
                 self._ctx.journal.trace("change_untold", text=e)
 
     async def _post(self, message):
+        import treq
+
         r = await treq.post(f"http://{self._ctx.props.changes_to}", data=message.body, headers=message.headers,
                             reactor=self._ctx.reactor, persistent=False, allow_redirects=False)
         await treq.content(r)
--- a/pipitlink/guide/engines.py
+++ b/pipitlink/guide/engines.py
@@ -13,11 +13,13 @@
 FORGET_SPAN = secs(60)
 LOADS_BEAT = ms(200)
 LOADS_SPAN = secs(2)
+STIR_SPAN = secs(6)
 RAMP_SPAN = secs(8)
 BACK_OFF = secs(1)
 TURN_MS = 100
 SOON = ms(5)
 SLEPT_SPAN = secs(1.5)
+HELD_SPAN = ms(500)
 
 
 @attrs.define(eq=False)
@@ -49,6 +51,7 @@
         self._told: dict[str, int] = {}
         self._carriers: list = []
         self._telling = False
+        self._stirred_at = ctx.beats.now()
         self._looked_at = ctx.beats.now()
         self._woke_at = ZERO
 
@@ -76,8 +79,9 @@
             spawn(self._ctx.desk.call(place, "engines.tell", what, Nothing, ms(500))).addErrback(lambda f: None)
 
     async def _told_engines(self, node, what: EngineList):
-        for n in what.engines:
-            self._merge(n)
+        if not self._just_woke():
+            for n in what.engines:
+                self._merge(n)
 
     def _fill(self, g: Gossip):
         now = self._ctx.beats.now()
@@ -87,8 +91,14 @@
             n.age_ms = to_ms(now - e.renewed)
 
     def _take(self, g: Gossip):
-        for n in g.engines[:1024]:
-            self._merge(n)
+        if not self._just_woke():
+            for n in g.engines[:1024]:
+                self._merge(n)
+
+    def _just_woke(self) -> bool:
+        """What arrives now may have waited while this guide slept, and tells ages as of then."""
+        now = self._look()
+        return self._woke_at > ZERO and now - self._woke_at < HELD_SPAN
 
     def _merge(self, n: EngineNews):
         now = self._ctx.beats.now()
@@ -217,10 +227,20 @@
         what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r) for n, r in mine.items()])
         for fill, _ in self._carriers:
             fill(what)
+        if what.permits or what.lots or any(mine.values()):
+            self._stirred_at = now
+        if now - self._stirred_at < STIR_SPAN:
+            self._tell(what)
+        self.roomier()
+
+    def stir(self):
+        """Something may be out in this guide's name: the others are told what it holds until that must be known."""
+        self._stirred_at = self._ctx.beats.now()
+
+    def _tell(self, what: Loads):
         for m in self._ctx.roster.members("guide", me=False):
             place = (m.host, m.port)
             spawn(self._ctx.desk.call(place, "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
-        self.roomier()
 
     async def _told_loads(self, node, what: Loads):
         for _, take in self._carriers:
--- a/pipitlink/guide/limits.py
+++ b/pipitlink/guide/limits.py
@@ -9,7 +9,7 @@
 from ..context import fresh_id
 from ..faults import Crowded, Refused, WireFault
 from ..wire.roster_pb2 import Loads, Permit, PermitAsk, PermitReceipt
-from .picking import rank
+from ..rendezvous import rank
 
 __all__ = ["Limits", "ComeBack"]
 
@@ -167,6 +167,7 @@
         until = min(ask.limit, self._ctx.beats.now() + LONGEST_WAIT)
         permit = fresh_id()
         while True:
+            self.engines.stir()
             r = await self._ask_steward(PermitAsk(row=row.name, id=permit))
             if r.granted:
                 break
--- a/pipitlink/office/voting.py
+++ b/pipitlink/office/voting.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, spawn
+from ..beats import ZERO, ms, spawn
 from ..faults import WireFault
 from ..wire.office_pb2 import FoundReceipt, Snapshot, VoteAsk, VoteReceipt
 from ..wire.frame_pb2 import Nothing
@@ -11,7 +11,9 @@
 __all__ = ["Voting", "Founding", "STICKY_SPAN"]
 
 STICKY_SPAN = ms(600)
+FRESH_STEP = ms(60)
 LONGEST = ms(1200)
+LOOK_SPAN = ms(200)
 ASK_LIMIT = ms(400)
 
 
@@ -56,6 +58,9 @@
     def _open_voting(self):
         now = self._ctx.beats.now()
         self._heard_at = self._led_at = now
+        self._started_at = now
+        self._fresh_spent = False
+        self._fresh_at: timedelta | None = None
         self._patience = self._new_patience()
         self._ctx.desk.answer("office.vote", VoteAsk, self._vote)
 
@@ -71,36 +76,67 @@
             return
         if self.state != "follower" or self._ctx.node not in self.voters():
             return
+        if self._just_started() and now >= self._fresh_turn(now):
+            self._fresh_at = now + FRESH_STEP * len(self.voters())
+            self.put("stand")
+            return spawn(self._stand(fresh=True)).addErrback(self._stood_badly)
         if now - self._heard_at > self._patience:
             self.put("stand")
             self._patience = self._new_patience()
             self._heard_at = now
             return spawn(self._stand()).addErrback(self._stood_badly)
 
+    def _election_due(self) -> timedelta:
+        """How long no election can be due. A leader looks often: the voters, and so who was heard, may change."""
+        now = self._ctx.beats.now()
+        if self.state == "follower" and not self._just_started():
+            return self._heard_at + self._patience - now
+        if self.state == "leader":
+            return min(LOOK_SPAN, max(self.heard_majority_at(), self._elected_at) + LONGEST - now)
+        return ZERO
+
     def _stood_badly(self, f):
         self._ctx.journal.fault("election_failed", f.value)
         self.put("yield")
 
-    async def _stand(self):
-        if not await self._poll(self.term + 1, pre=True):
+    def _just_started(self) -> bool:
+        """Started a short while ago, and since then neither heard a leader nor voted."""
+        return not self._fresh_spent and self._led_at == self._started_at \
+            and self._ctx.beats.now() - self._started_at < STICKY_SPAN
+
+    def _fresh_turn(self, now: timedelta) -> timedelta:
+        """Voters that start together stand one after another, so that none takes the vote of the one before."""
+        if self._fresh_at is None:
+            self._fresh_at = self._started_at + FRESH_STEP * (1 + self.voters().index(self._ctx.node))
+        return self._fresh_at
+
+    async def _stand(self, fresh: bool = False):
+        if not await self._poll(self.term + 1, pre=True, fresh=fresh):
             self.put("yield")
             return
+        self._fresh_spent = True
         term = self.term + 1
         await self.archive.put_ballot(term, self._ctx.node)
         if self.term != term or self.state != "candidate":
             return
         self.leader = ""
-        if await self._poll(term, pre=False) and self.term == term and self.state == "candidate":
+        if await self._poll(term, pre=False, fresh=fresh) and self.term == term and self.state == "candidate":
             self.put("won")
         elif self.state == "candidate":
             self.put("yield")
 
-    async def _poll(self, term: int, pre: bool) -> bool:
+    async def _poll(self, term: int, pre: bool, fresh: bool = False) -> bool:
+        """Whether a majority would vote, or votes, for this office.
+
+        Where all voters just started, none of them leads and whoever led has ended, so nobody's leader has to be waited
+        out. That is asked first, of every single voter, and each must know the same voters.
+        """
         voters = self.voters()
         last = self.archive.last_index()
         ask = VoteAsk(term=term, candidate=self._ctx.node, last_index=last, last_term=self.archive.term_at(last),
-                      pre=pre)
+                      pre=pre, fresh=fresh, voters=voters if fresh else ())
         granted = {self._ctx.node}
+        started = {self._ctx.node}
         done = defer.Deferred()
         left = len(voters) - 1
 
@@ -108,6 +144,8 @@
             nonlocal left
             try:
                 r = await self.ask_office(node, "office.vote", ask, VoteReceipt, ASK_LIMIT)
+                if r.fresh:
+                    started.add(node)
                 if r.granted:
                     granted.add(node)
                 elif r.term > self.term and not pre:
@@ -115,7 +153,7 @@
             except WireFault:
                 pass
             left -= 1
-            if not done.called and (left == 0 or self.is_majority(granted)):
+            if not done.called and (left == 0 or self.is_majority(granted) and not (fresh and pre)):
                 done.callback(None)
 
         for n in voters:
@@ -123,6 +161,8 @@
                 self._ctx.spawned(one(n), "poll")
         if left:
             await done
+        if fresh and pre and not started.issuperset(voters):
+            return False
         return self.is_majority(granted)
 
     async def _vote(self, node, ask: VoteAsk) -> VoteReceipt:
@@ -130,12 +170,14 @@
             return VoteReceipt(term=self.term)
         now = self._ctx.beats.now()
         last = self.archive.last_index()
-        fresh = (ask.last_term, ask.last_index) >= (self.archive.term_at(last), last)
-        content = self.state == "leader" or now - self._led_at < STICKY_SPAN
-        if ask.term < self.term or content or not fresh:
-            return VoteReceipt(term=self.term)
+        whole = (ask.last_term, ask.last_index) >= (self.archive.term_at(last), last)
+        fresh = ask.fresh and self._just_started() and tuple(ask.voters) == self.voters()
+        content = self.state == "leader" or now - self._led_at < STICKY_SPAN and not fresh
+        if ask.term < self.term or content or not whole:
+            return VoteReceipt(term=self.term, fresh=fresh)
         if ask.pre:
-            return VoteReceipt(term=self.term, granted=ask.term > self.term)
+            return VoteReceipt(term=self.term, granted=ask.term > self.term, fresh=fresh)
+        self._fresh_spent = True
         if ask.term > self.term:
             self.step_down()
         elif self.archive.ballot.vote not in ("", ask.candidate):
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -1,49 +1,55 @@
+import gc
 import signal
 import sys
 from pathlib import Path
 from random import Random
 
+import attrs
 from twisted.internet import reactor
 
-from .beats import Beats, secs, spawn
+from .beats import Beats, ms, secs, spawn
 from .cache import Cache
 from .changes import Changes
 from .context import Context, fresh_id
 from .depot import DepotNode, node_id
+from .dialect import Dialect
 from .disk import set_aside
 from .faults import Damaged, PropsFault
-from .guide import GuideNode
 from .journal import open_journal
 from .ledger import Ledger
 from .operator import OperatorFace
 from .plugs import Gate
 from .props import Props
 from .roster import Roster
-from .office import OfficeNode
+from .office import ControlFace, OfficeNode
 from .setup import Setup
 from .wire.desk import Desk
 from .wire.roster_pb2 import Member
 
 __all__ = ["run"]
 
-DRAIN = secs(8)
+ENDING = secs(2)
+REREAD_BEAT = secs(2)
 
 
 class Process:
     """One guide, depot or office, from its props to its end."""
 
-    def __init__(self, role: str, props: Props):
+    def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None):
         node = fresh_id() if role == "guide" else node_id(Path(props.data), props.fleet)
         journal = open_journal(props.log_level, role=role, node=node)
         beats = Beats(reactor)
         desk = Desk(reactor, beats, journal, props.fleet, node)
-        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random())
+        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random(),
+                           dialect=dialect or Dialect())
         if props.plug:
             desk.gate = Gate(props.plug, self.ctx)
+        self._reread = reread
+        self._early = early
         self.exit = 0
         self._ending = False
         self.node = None
-        self._face = None
+        self._face = self._control = None
 
     async def open(self):
         ctx, p = self.ctx, self.ctx.props
@@ -55,16 +61,22 @@
         self._open_kept()
         _, port = await ctx.desk.listen(p.bind, p.port)
         ctx.desk.place = (p.host, port)
-        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port)
+        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port,
+                    name=p.name)
         if ctx.role == "guide":
             ctx.cache = Cache(ctx)
-            self.node = GuideNode(ctx)
+            self.node = self._guide_kind()(ctx)
             self.node.open()
+            if self._early is not None:
+                self.node.early = self._early
             me.http_port = await self.node.listen(p.bind, p.http_port)
             ctx.ledger.open()
             ctx.cache.open()
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
+        if ctx.role == "office" and p.control_port:
+            self._control = ControlFace(ctx, self.node)
+            await self._control.listen(p.bind, p.control_port)
         ctx.changes = Changes(ctx)
         ctx.changes.open()
         ctx.roster.open(me)
@@ -72,6 +84,15 @@
             ctx.setup.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
+    def _guide_kind(self):
+        if self.ctx.props.interface == "routes":
+            from .router import RouterNode
+
+            return RouterNode
+        from .guide import GuideNode
+
+        return GuideNode
+
     def _open_kept(self):
         """Opens what is on disk. Damage that replicas can mend is set aside, and the node begins anew and empty."""
         ctx, kinds = self.ctx, {"depot": DepotNode, "office": OfficeNode}
@@ -96,7 +117,7 @@
         self._ending = True
         self.ctx.journal.note("ending")
         try:
-            await self.ctx.beats.within(DRAIN, self._close())
+            await self.ctx.beats.within(ms(self.ctx.props.drain_ms) + ENDING, self._close())
         except Exception as e:
             self.ctx.journal.fault("ended_roughly", e)
         reactor.stop()
@@ -105,9 +126,22 @@
         if hasattr(self.node, "end"):
             await self.node.end()
         await self._face.end()
+        if self._control is not None:
+            await self._control.end()
         self.ctx.beats.end()
         await self.ctx.desk.end()
 
+    def reread(self):
+        """Takes new seeds from the settings, where they moved; all else is as it was at the start."""
+        try:
+            props = self._reread()
+        except PropsFault as e:
+            self.ctx.journal.fault("settings_unread", e)
+            return
+        if props.seeds != self.ctx.props.seeds:
+            self.ctx.props = attrs.evolve(self.ctx.props, seeds=props.seeds)
+            self.ctx.journal.note("settings", seeds=",".join(props.seeds))
+
     def fail(self, f):
         self.exit = 1
         if f.check(PropsFault):
@@ -119,10 +153,21 @@
         reactor.callWhenRunning(reactor.stop)
 
 
-def run(role: str, props: Props) -> int:
-    process = Process(role, props)
+def run(role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None) -> int:
+    """Runs one node until it is told to end.
+
+    `reread`, if given, reads its settings again: on SIGHUP and now and then. `early` is the callers' socket, if it listens
+    already.
+    """
+    process = Process(role, props, dialect, reread, early)
 
     def begin():
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 20)
+        if reread is not None:
+            signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(process.reread))
+            process.ctx.beats.every(REREAD_BEAT, process.reread, process.ctx.report("reread"))
         for s in (signal.SIGTERM, signal.SIGINT):
             signal.signal(s, lambda *_: reactor.callFromThread(lambda: spawn(process.end())))
         spawn(process.open()).addErrback(process.fail)
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -63,7 +63,7 @@
         o = self.batches.get(batch.id)
         if o is None or o.holder.lost:
             try:
-                if self._closing_batches or not self._ctx.setup.ready():
+                if self._closing_batches or not self._ctx.setup.usable():
                     raise Crowded("this guide takes no batches now", code="not_current")
                 await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
             except GuideFault as e:
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -7,7 +7,7 @@
 from ..beats import ms, secs
 from ..disk import frames
 from ..faults import PipitFault
-from ..guide.picking import rank
+from ..rendezvous import rank
 from ..wire.lots_pb2 import Batch, LogRecord, Output
 
 __all__ = ["Batches", "Listing", "OpenBatch", "batch_log", "good_id"]
@@ -209,7 +209,7 @@
         owned = set(self.batches) | self._taking_up_batches
         free = {log.removeprefix(PREFIX) for log, s in found.items() if s.holder in ("", me)} - owned
         self._orphan_batches = {b: self._orphan_batches.get(b, now) for b in free}
-        if self._closing_batches or not self._ctx.setup.ready():
+        if self._closing_batches or not self._ctx.setup.usable():
             return
         guides = [m.node for m in self._ctx.roster.members("guide", standing=("alive",))]
         for b in sorted(free):
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -61,13 +61,23 @@
         if self.sequence == 0 or not self.sheet.shelves:
             return False
         if self._leased_at is not None and now - self._leased_at < OWN_SPAN:
-            self.put("leased")
+            state, what = "led", "leased"
         elif self._proved_at is not None and now - self._proved_at < WITNESS_SPAN:
-            self.put("proved")
+            state, what = "witnessed", "proved"
         else:
-            self.put("lapse")
+            state, what = "lapsed", "lapse"
+        if self.state != state:
+            self.put(what)
         return self.state in ("led", "witnessed")
 
+    def usable(self) -> bool:
+        """Whether requests may be served: proved, or without proof for as long as the props allow that."""
+        if self.ready():
+            return True
+        span = self._ctx.props.unproved_s
+        proofs = [at for at in (self._leased_at, self._proved_at) if at is not None]
+        return bool(span and proofs and self.sequence) and self._ctx.beats.now() - max(proofs) < secs(span)
+
     def _say(self):
         self._ctx.journal.note("currency", state=self.state, sequence=self.sequence)
 
@@ -163,6 +173,7 @@
 
     async def _ask_witnesses(self):
         """Proof without an office: an edit is only acknowledged when a majority of the depots has it."""
+        self.ready()
         witnesses = self.sheet.witnesses()
         now = self._ctx.beats.now()
         if not witnesses or (self._leased_at is not None and now - self._leased_at < OWN_SPAN / 2):
