--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -11,6 +11,7 @@
 LOOK_AGAIN = ms(40)
 QUOTA_WAIT = secs(1.5)
 COMPARE_SPAN = ms(400)
+COME_BACK = 0.2
 
 
 def refusal(e: GuideFault, dialect) -> tuple[int, dict, bytes]:
@@ -43,7 +44,7 @@
             batch = Batch(id=lot_id, host=host, path=path, route=route.name, taken_ms=taken, items=items.items)
             left = deadline - MARGIN - self._ctx.beats.now()
             if left <= ZERO:
-                raise Crowded("the deadline has passed", code="deadline_passed")
+                raise Crowded("the deadline has passed", code="deadline_passed", retry_after=COME_BACK)
             same = await self._ctx.beats.within(left, self._batches_taking.run(
                 lot_id, lambda: self._take_once(batch, route, deadline - MARGIN)))
             if not self._same_batch(same, batch):
@@ -63,8 +64,8 @@
         o = self.batches.get(batch.id)
         if o is None or o.holder.lost:
             try:
-                if self._closing_batches or not self._ctx.setup.usable():
-                    raise Crowded("this guide takes no batches now", code="not_current")
+                if not self._ctx.setup.usable():
+                    raise Crowded("this guide takes no batches now", code="not_current", retry_after=COME_BACK)
                 await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
             except GuideFault as e:
                 return await self._batch_taken_already(batch.id, e)
@@ -72,6 +73,9 @@
             return await self._in_batch_turn(batch.id, lambda: self._write_batch(batch, until))
         finally:
             self._drop_grant(batch.id)
+            o = self.batches.get(batch.id)
+            if self._closing_batches and o is not None and o.idle():
+                self._ctx.spawned(self._ctx.ledger.release([o.holder]), "hand_over")
 
     async def _batch_taken_already(self, batch_id: str, refused: GuideFault) -> Batch | None:
         """What an earlier try has taken is not refused."""
@@ -87,7 +91,7 @@
         """None where nothing is durable of it; False where it is but cannot be read at once."""
         state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
         if state is None:
-            raise Crowded("the store cannot be read now", code="no_majority")
+            raise Crowded("the store cannot be read now", code="no_majority", retry_after=COME_BACK)
         if not state.committed and not state.final:
             return None
         try:
@@ -123,7 +127,7 @@
             except Crowded as e:
                 fault = e
             if not isinstance(fault, NotHeld) or self._ctx.beats.now() + 2 * LOOK_AGAIN >= until:
-                raise Crowded(f"the batch cannot be taken here now: {fault}", code="store")
+                raise Crowded(f"the batch cannot be taken here now: {fault}", code="store", retry_after=COME_BACK)
             await self._ctx.beats.pause(LOOK_AGAIN)
 
     async def _append_batch(self, o: OpenBatch, batch: Batch):
@@ -141,7 +145,7 @@
                 raise _unknown(f"the batch may yet be taken: {e}", 500) from e
             self._lose_batch(o)
             await self._ctx.ledger.release([h])
-            raise Crowded(f"the store takes no batches now: {e}", code="store") from e
+            raise Crowded(f"the store takes no batches now: {e}", code="store", retry_after=COME_BACK) from e
 
     async def _batch_durable(self, o: OpenBatch):
         try:
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -47,7 +47,7 @@
                 self.engines.wait_room(d)
                 await self._ctx.beats.await_or_lapse(d, FEED_BEAT)
             else:
-                await self._ctx.beats.await_or_lapse(d, secs(1))
+                await self._ctx.beats.await_or_lapse(d, secs(1) if self.batches else secs(60))
 
     def _feed_once(self) -> bool:
         """Starts items while there is room: what is due first goes first, by turns among batches due alike."""
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -4,7 +4,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..beats import ZERO, ms, secs
 from ..disk import frames
 from ..faults import PipitFault
 from ..rendezvous import rank
@@ -14,6 +14,8 @@
 
 PREFIX = "batch/"
 LIST_BEAT = secs(1)
+LIST_SELDOM = secs(4)
+RESTLESS = secs(10)
 NEXT_OWNER = secs(1.5)
 RELEASE_AFTER = secs(1)
 DRAIN = secs(3)
@@ -118,7 +120,7 @@
         self._open_batch_intake()
         self._open_batch_run()
         self._open_batch_reads()
-        self._ctx.beats.every(LIST_BEAT, self._list_batches, self._ctx.report("list_batches"))
+        self._ctx.beats.every(LIST_BEAT, self._list_batches, self._ctx.report("list_batches"), due=self._list_due)
 
     async def _end_batches(self):
         """Takes nothing new, lets what runs end for a short while, and hands the leases over."""
@@ -200,6 +202,12 @@
         await self._ctx.beats.pause(RELEASE_AFTER)
         await self._ctx.ledger.release([o.holder])
 
+    def _list_due(self) -> timedelta:
+        """Seldom where no guide tells of open batches and none has come or gone of late."""
+        quiet = not (self.batches or self._quota_told or self._quota_unknown or self._orphan_batches)
+        settled = self._ctx.beats.now() - self._quota_moved_at > RESTLESS
+        return LIST_SELDOM if quiet and settled else ZERO
+
     async def _list_batches(self):
         started = self._ctx.beats.now()
         found, sure = await self._ctx.ledger.list_open(PREFIX)
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -18,6 +18,7 @@
 KNOWN_SPAN = secs(60)
 ASK_LIMIT = ms(400)
 WAIT_STEP = ms(50)
+COME_BACK = 0.2
 
 
 @attrs.define
@@ -51,6 +52,7 @@
         self._quota_unknown: dict[str, timedelta] = {}
         self._quota_counting: set[str] = set()
         self._quota_guides: frozenset = frozenset()
+        self._quota_last: tuple = (frozenset(), {})
         self._quota_moved_at = self._quota_looked_at = self._ctx.beats.now()
         self._lots_listed_at: timedelta | None = None
         self._listing_lots = Joined()
@@ -73,9 +75,14 @@
     def _told_done(self, batch_id: str, route: str):
         self._quota_done[batch_id] = route, self._ctx.beats.now() + DONE_TOLD_SPAN
 
-    def _fill_lots(self, what: Loads):
+    def _fill_lots(self, what: Loads) -> bool:
+        """Says whether anything of it is news: also to guides that were not there when it was told last."""
         self._look_at_guides()
-        what.lots.extend(self._quota_own())
+        own = self._quota_own()
+        what.lots.extend(own)
+        news = self._quota_guides, {w.lot: w.tokens for w in own}
+        before, self._quota_last = self._quota_last, news
+        return bool(own or before[1]) and news != before
 
     def _take_lots_told(self, what: Loads):
         self._quota_learn(what.guide, what.lots)
@@ -201,7 +208,7 @@
                 raise GuideFault(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
                                  status=429, outcome="not_run", retry_after=1)
             if self._ctx.beats.now() + WAIT_STEP > until:
-                raise Crowded("the tokens that wait cannot be counted now", code="not_counted")
+                raise Crowded("the tokens that wait cannot be counted now", code="not_counted", retry_after=COME_BACK)
             await self._ctx.beats.pause(WAIT_STEP)
 
     def _drop_grant(self, batch_id: str):
--- a/tests/batch_parts.py
+++ b/tests/batch_parts.py
@@ -7,11 +7,11 @@
 from pipitlink.beats import ms, secs
 from pipitlink.dialect import Dialect
 from pipitlink.faults import PipitFault
-from pipitlink.guide.engines import Engines
 from pipitlink.router.batch_intake import BatchIntake
 from pipitlink.router.batch_read import BatchRead
 from pipitlink.router.batch_run import BatchRun
 from pipitlink.router.batches import Batches
+from pipitlink.router.engines import Engines
 from pipitlink.router.items import ItemAnswer
 from pipitlink.router.quota import Quota
 from pipitlink.wire.setup_pb2 import Route
