--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -136,15 +136,17 @@
         guide = stage.role("guide")[0]
         name = c.lot(3)
         shelf = guide.ctx.ledger.shelf(f"batch/{name}")
-        lost = [a for a in stage.role("depot") if a.node in shelf.everyone[1:]]
+        depots = [a for a in stage.role("depot") if a.node in shelf.everyone]
 
         def trip(sender, verb):
             if verb == "ledger.write" and sender is guide:
-                stage.cut([guide.name], [a.name for a in lost])
+                stage.cut([guide.name], [a.name for a in depots])
 
         stage.watch_calls = trip
         status = stage.do(c.hand_in(name, guide, 1.0), 10)
         self.assertIn(status, (500, 504))
+        lengths = [k.length for a in depots if (k := a.part.shed.logs.get(f"batch/{name}"))]
+        self.assertEqual(sum(n > 0 for n in lengths), 1)
         guide.kill()
         stage.watch_calls = None
         stage.heal()
