--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -16,6 +16,7 @@
 LOADS_AT_LEAST = secs(1)
 LOADS_SPAN = secs(3)
 SLEPT_SPAN = secs(1.5)
+WOKE_SPAN = ms(500)
 SUSPECT_SPAN = ms(700)
 LONGEST_SUSPECT = secs(6)
 
@@ -147,15 +148,15 @@
         if n.state == "gone":
             self._forget(e)
             return
-        if n.sequence < e.news.sequence:
+        if n.state == "leaving" and e.news.state != "leaving":
+            e.news.state = "leaving"
+            self._ctx.journal.note("engine", engine=n.engine, state="leaving")
+        if n.sequence < e.news.sequence or self._woke_at and now - self._woke_at < WOKE_SPAN:
             return
         e.heard = max(e.heard, heard)
         if n.sequence > e.news.sequence:
             e.cold_until = heard + ms(n.cold_ms)
             e.news.sequence = n.sequence
-        if n.state == "leaving" and e.news.state != "leaving":
-            e.news.state = "leaving"
-            self._ctx.journal.note("engine", engine=n.engine, state="leaving")
 
     def _forget(self, e: Engine):
         if self._engines.pop(e.name, None) is not None:
