--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -13,9 +13,16 @@
 MAX_TRIES = 6
 FRESH_LINK = ms(1000)
 RETRY_PAUSE = ms(15)
+AIM_STEP_MS = 250
+BATCH_URGENCY = 7
 PROMISES = (408, 429, 503)
 
 
+def live_urgency(route) -> int:
+    """0 to 5, 0 first: the shorter a route's aim, the sooner its requests are let in."""
+    return max(0, min(5, route.aim_ms // AIM_STEP_MS + route.priority))
+
+
 class _Flow(protocol.Protocol):
     """The body of one engine's answer on its way to the call's sink, as it comes."""
 
@@ -206,7 +213,7 @@
         left = max(1, int((call.limit - self._ctx.beats.now()) / ms(1)))
         out.append((words.deadline_ms, b"%d" % left))
         out.append((words.target, e.name.encode()))
-        out.append((words.urgency, b"%d" % (7 if call.batch else min(5, 2 + max(0, call.route.priority)))))
+        out.append((words.urgency, b"%d" % (BATCH_URGENCY if call.batch else live_urgency(call.route))))
         if call.last_event:
             out.append((words.event_id, b"%d" % call.last_event))
         return out
