--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -18,6 +18,12 @@
 SHORT_WAIT = ms(60)
 WAIT_SHARE = 0.2
 STICKY_TOKENS = 256
+LONG_PROMPT = 3000
+LONG_SHARE = 0.5
+LONG_AWAY_MS = 60.0
+NEAR_LONG_MS = 20.0
+ITEM_AWAY_MS = 8.0
+LONG_SPAN = secs(10)
 MAX_WAITING = 256
 
 
@@ -26,6 +32,7 @@
 
     def _open_choosing(self):
         self._waiting = 0
+        self._long_at: dict[str, timedelta] = {}
 
     def _share_pool(self, call) -> str:
         """One pool of the route's shares, by chance, kept for the call."""
@@ -62,9 +69,12 @@
         best, least = None, 0.0
         shared = call.shared
         home = ""
+        long = self._long_set(call, usable)
+        is_long = self._is_long(call)
         if sum(n for _, n in shared) >= STICKY_TOKENS and len(usable) > 1:
             key = "/".join(name for name, _ in shared)
-            home = max(usable, key=lambda e: rank(key, e.name)).name
+            homes = [e for e in usable if e.name in long] if is_long and long else usable
+            home = max(homes, key=lambda e: rank(key, e.name)).name
         for e in usable:
             load, batch = self.engines.load(e), self.engines.batch_load(e)
             if not call.batch:
@@ -81,10 +91,35 @@
                 cost += CROWDED_COST_MS
             if e.news.zone != self._ctx.props.zone:
                 cost += FAR_COST_MS
+            if long:
+                cost += self._apart(call, is_long, e.name in long)
             if best is None or cost < least:
                 best, least = e, cost
         return best
 
+    def _is_long(self, call) -> bool:
+        return sum(n for _, n in call.parts) >= LONG_PROMPT
+
+    def _long_set(self, call, usable) -> set[str]:
+        """The engines that long prompts keep to, the same at every guide; none where the pool is small or has none.
+
+        A long prompt holds up the tokens of all that runs beside it, so short requests with a pace to keep stay apart.
+        """
+        if self._is_long(call):
+            self._long_at[call.pool] = self._ctx.beats.now()
+        at = self._long_at.get(call.pool)
+        if at is None or self._ctx.beats.now() - at > LONG_SPAN or len(usable) < 4:
+            return set()
+        ranked = sorted(usable, key=lambda e: rank(f"long/{call.pool}", e.name))
+        return {e.name for e in ranked[:round(LONG_SHARE * len(ranked))]}
+
+    def _apart(self, call, is_long: bool, in_long: bool) -> float:
+        if is_long:
+            return 0.0 if in_long else LONG_AWAY_MS
+        if call.batch:
+            return 0.0 if in_long else ITEM_AWAY_MS
+        return NEAR_LONG_MS if in_long else 0.0
+
     def _reachable(self, e) -> bool:
         return self.links.idle(e.address) > 0 or self.links.count(e.address) < self.most_links(e)
 
