--- a/pipitlink/router/links.py
+++ b/pipitlink/router/links.py
@@ -154,16 +154,6 @@
     def lost(self, link: Link):
         if link.address is None:
             return
-        import collections, sys
-        if not hasattr(Links, "why"):
-            Links.why = collections.Counter(); Links.at = 0
-        now = self._ctx.beats.now()
-        c = sys._getframe(1).f_code.co_name
-        idle_for = round((now - link.idle_since).total_seconds(), 1) if link.idle_since else -1
-        Links.why[(c, min(5, idle_for // 0.5 / 2) if c == "connectionLost" and link.state == "QUIESCENT" else link.state, str(link.keep))] += 1
-        if now.total_seconds() - Links.at > 10:
-            Links.at = now.total_seconds()
-            self._ctx.journal.note("linkstat", t=str(Links.why.most_common(8)))
         address, link_was = link.address, link
         left = self._open.get(address, 0) - 1
         if left > 0:
