Take a batch up at once where nobody holds it, and keep idle connections for longer

Cause: after all machines lost power the restarted depots grant nothing that was granted before for 3 s, and a killed owner's lease ran out first; connections to engines were closed by us after 3.6 s idle, none by an engine (trial: all 132 ends at one guide were ours). Ruled out: correctness of the log by epochs does not need the wait.

--- a/pipitlink/depot/grants.py
+++ b/pipitlink/depot/grants.py
@@ -43,13 +43,15 @@
         return s
 
     async def _lease(self, node, ask: LeaseAsk):
+        """Grants a lease that nobody else has. Epochs alone keep a log whole; waiting for a lease only spares duels, so one
+        whose holder is gone may be asked for by its name, and one that nobody is known to hold without a wait (usurp)."""
         self._check_shelf(ask.log, ask.shelf_sequence)
         now = self._ctx.beats.now()
         g = self._live_grant(ask.log)
         state = self._state(ask.log)
-        if g is not None and g.holder != ask.holder:
+        if g is not None and g.holder not in (ask.holder, ask.gone):
             return LeaseReceipt(why="held", state=state)
-        if g is None and now < self._quiet_until and state.epoch > 0:
+        if g is None and now < self._quiet_until and state.epoch > 0 and not ask.usurp:
             state.lease_ms = int((self._quiet_until - now).total_seconds() * 1000)
             return LeaseReceipt(why="just_started", state=state)
         if ask.epoch <= state.epoch:
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -86,11 +86,12 @@
     def watch(self, do):
         self._watchers.append(do)
 
-    async def take(self):
+    async def take(self, gone: str | None = None):
         epoch = 1
         for _ in range(4):
             asked = self._ctx.beats.now()
-            ask = LeaseAsk(log=self.log, holder=self._ctx.node, epoch=epoch, shelf_sequence=self.shelf.sequence)
+            ask = LeaseAsk(log=self.log, holder=self._ctx.node, epoch=epoch, shelf_sequence=self.shelf.sequence,
+                           usurp=gone is not None, gone=gone or "")
             got = await self._ledger.ask_each(self.shelf.everyone, "ledger.lease", ask, LeaseReceipt,
                                               enough=lambda g: self.shelf.agree([n for n, r in g.items() if r.granted]))
             granted = [n for n, r in got.items() if r.granted]
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/ledger/ledger.py
@@ -63,11 +63,15 @@
             await done
         return dict(got)
 
-    async def hold(self, log: str) -> Holder:
-        """Takes the lease of a log, settles its tail and returns the holder, ready to write."""
+    async def hold(self, log: str, gone: str | None = None) -> Holder:
+        """Takes the lease of a log, settles its tail and returns the holder, ready to write.
+
+        `gone` names a holder that is known to be gone, or is empty where nobody is known to hold the log: then nothing is
+        waited for. Only for logs whose work may be done twice.
+        """
         h = Holder(self._ctx, self, log)
         try:
-            await h.take()
+            await h.take(gone)
         except BaseException:
             h.lost = "not taken"
             self._ctx.spawned(self._give_back(h), "give_back")
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -151,12 +151,12 @@
             if not lock.locked and not lock.waiting and self._batch_turns.get(batch_id) is lock:
                 del self._batch_turns[batch_id]
 
-    async def _hold_batch(self, batch_id: str) -> OpenBatch:
+    async def _hold_batch(self, batch_id: str, gone: str | None = None) -> OpenBatch:
         """The batch with its lease held here: as it was, or taken anew; without a `batch` where its log is empty."""
         o = self.batches.get(batch_id)
         if o is not None and not o.holder.lost:
             return o
-        h = await self._ctx.ledger.hold(batch_log(batch_id))
+        h = await self._ctx.ledger.hold(batch_log(batch_id), gone)
         o = OpenBatch(batch_id, h)
         o.learn()
         o.batch = o.listing.batch
@@ -215,7 +215,8 @@
         now = self._ctx.beats.now()
         me = self._ctx.node
         owned = set(self.batches) | self._taking_up_batches
-        free = {log.removeprefix(PREFIX) for log, s in found.items() if s.holder in ("", me)} - owned
+        free = {log.removeprefix(PREFIX) for log, s in found.items()
+                if s.holder in ("", me) or self._ctx.roster.standing(s.holder) == "gone"} - owned
         self._orphan_batches = {b: self._orphan_batches.get(b, now) for b in free}
         if self._closing_batches or not self._ctx.setup.usable():
             return
@@ -235,8 +236,15 @@
             self._taking_up_batches.discard(batch_id)
 
     async def _take_up_batch_now(self, batch_id: str):
+        log = batch_log(batch_id)
+        state = (await self._ctx.ledger.states([log])).get(log)
+        if state is not None and state.final:
+            return
+        if state is not None and state.holder not in ("", self._ctx.node) \
+                and self._ctx.roster.standing(state.holder) != "gone":
+            return
         try:
-            o = await self._hold_batch(batch_id)
+            o = await self._hold_batch(batch_id, state.holder if state is not None else None)
         except PipitFault as e:
             self._ctx.journal.trace("batch_not_taken_up", batch=batch_id, text=e)
             return
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -10,7 +10,8 @@
 
 READ_PER_MS = 150
 RUN_COST_MS = 1.5
-FAR_COST_MS = 3.0
+FAR_COST_MS = 5.0
+OPEN_COST_MS = 5.0
 FULL_COST_MS = 20.0
 CROWDED_COST_MS = 6.0
 LIVE_FILL = 1.5
@@ -91,6 +92,8 @@
                 cost += CROWDED_COST_MS
             if e.news.zone != self._ctx.props.zone:
                 cost += FAR_COST_MS
+            if not self.links.idle(e.address):
+                cost += OPEN_COST_MS
             if long:
                 cost += self._apart(call, is_long, e.name in long)
             if best is None or cost < least:
--- a/pipitlink/router/links.py
+++ b/pipitlink/router/links.py
@@ -93,7 +93,7 @@
 class Links:
     """Connections to engines, kept by address. The newest idle one is used first, so that the rest run out."""
 
-    keep_default = secs(4)
+    keep_default = secs(15)
 
     def __init__(self, ctx, connect=None):
         self._ctx = ctx
@@ -120,9 +120,11 @@
         idle = self._idle.get(address)
         now = self._ctx.beats.now()
         while idle:
+            rest = now - idle[-1].idle_since
+            if fresh is not None and rest >= fresh:
+                return None
             link = idle.pop()
-            rest = now - link.idle_since
-            if link.state == "QUIESCENT" and rest < link.keep - KEEP_MARGIN and (fresh is None or rest < fresh):
+            if link.state == "QUIESCENT" and rest < link.keep - KEEP_MARGIN:
                 return link
             self._close(link)
         return None
