--- a/pipitlink/office/voting.py
+++ b/pipitlink/office/voting.py
@@ -62,7 +62,7 @@
         self._fresh_spent = False
         self._fresh_at: timedelta | None = None
         self._patience = self._new_patience()
-        self._ctx.desk.answer("office.vote", VoteAsk, self._vote)
+        self._ctx.desk.answer("office.vote", VoteAsk, self._vote_by_name)
 
     def _new_patience(self) -> timedelta:
         return STICKY_SPAN + (LONGEST - STICKY_SPAN) * self._ctx.chance.random()
@@ -128,8 +128,9 @@
     async def _poll(self, term: int, pre: bool, fresh: bool = False) -> bool:
         """Whether a majority would vote, or votes, for this office.
 
-        Where all voters just started, none of them leads and whoever led has ended, so nobody's leader has to be waited
-        out. That is asked first, of every single voter, and each must know the same voters.
+        Where all voters just started, or another node answers at their place, none of them leads and whoever led has ended,
+        so nobody's leader has to be waited out. That is asked first, of every single voter, and each must know the same
+        voters.
         """
         voters = self.voters()
         last = self.archive.last_index()
@@ -144,9 +145,9 @@
             nonlocal left
             try:
                 r = await self.ask_office(node, "office.vote", ask, VoteReceipt, ASK_LIMIT)
-                if r.fresh:
+                if r.fresh or r.node != node:
                     started.add(node)
-                if r.granted:
+                if r.granted and r.node == node:
                     granted.add(node)
                 elif r.term > self.term and not pre:
                     await self.meet_term(r.term)
@@ -165,6 +166,11 @@
             return False
         return self.is_majority(granted)
 
+    async def _vote_by_name(self, node, ask: VoteAsk) -> VoteReceipt:
+        r = await self._vote(node, ask)
+        r.node = self._ctx.node
+        return r
+
     async def _vote(self, node, ask: VoteAsk) -> VoteReceipt:
         if self.state == "newcomer":
             return VoteReceipt(term=self.term)
--- a/tests/test_stage_restart.py
+++ b/tests/test_stage_restart.py
@@ -30,6 +30,19 @@
                 self._restart(stage, stage.role("office"))
                 stage.until(stage.leader, 0.55, "a leader after a restart of all offices")
 
+    def test_a_voter_that_came_back_empty_need_not_be_waited_out(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                stage = self._fleet(seed)
+                voters = [a for a in stage.role("office") if a.node in stage.leader().part.voters()]
+                for a in stage.role("office"):
+                    a.kill(power=True)
+                stage.run(1.5)
+                voters[seed % len(voters)].wipe()
+                for a in stage.role("office"):
+                    a.start()
+                stage.until(stage.leader, 0.55, "a leader after a restart with one disk lost")
+
     def test_an_office_that_starts_alone_does_not_put_the_leader_aside(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
