Slow the connects of hollow nodes with their clock, and take no noise for a curve

Cause: the limit of a connect ran on the machine's clock while all else of a hollow fleet was slowed, so that large fleets on a busy machine could not form; a fit through noise was shown as a parabola. What: one slowed reactor for a hollow node's beats and its connects; a parabola only where it leaves a tenth at most.

--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -92,14 +92,20 @@
 
 
 class _Slowed:
-    """The reactor's calls, `pace` times later."""
+    """The reactor, with its calls and the limits of its connects `pace` times later."""
 
     def __init__(self, pace: float):
         self._pace = pace
 
+    def __getattr__(self, name):
+        return getattr(reactor, name)
+
     def callLater(self, span, do, *words, **named):
         return reactor.callLater(span * self._pace, do, *words, **named)
 
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        return reactor.connectTCP(host, port, factory, timeout * self._pace, bindAddress)
+
 
 def open_parts(ctx, kind: str, me: Member, disk: Disk):
     """The parts of one hollow node, opened as its process would, but for its HTTP sides; returns the role's own."""
@@ -137,9 +143,10 @@
                       founders=spec["founders"] if role == "office" else (), seeds=spec["seeds"], budget_mb=256)
         Path(props.data).mkdir(parents=True, exist_ok=True)
         journal = Journal(host.sink, node=node)
-        beats = Beats(_Slowed(host.pace), seconds=lambda: host.boot() / host.pace)
-        self.desk = CountedDesk(reactor, beats, journal, props.fleet, node)
-        self.ctx = Context(role, node, props, reactor, beats, journal, self.desk, Random())
+        slowed = _Slowed(host.pace)
+        beats = Beats(slowed, seconds=lambda: host.boot() / host.pace)
+        self.desk = CountedDesk(slowed, beats, journal, props.fleet, node)
+        self.ctx = Context(role, node, props, slowed, beats, journal, self.desk, Random())
         self._port = spec["ports"][n] if spec["ports"] else 0
         self.part = None
 
--- a/rehearsal/slopes.py
+++ b/rehearsal/slopes.py
@@ -9,6 +9,7 @@
 METRICS = ("cpu_percent", "memory_mb", "base_mb", "msgs_in", "msgs_out", "kb_in", "kb_out", "disk_syncs", "disk_bytes")
 VERBS_SHOWN = 4
 CURVED = 0.2
+CLEAR = 0.9
 
 
 @attrs.frozen
@@ -49,7 +50,7 @@
 
 
 def fit(xs: list[float], ys: list[float]) -> Fit:
-    """A line, or a parabola where its bend makes a fifth or more of the growth and halves what the line leaves."""
+    """A line; or a parabola, where that leaves a tenth at most, half of the line's, and bends a fifth of the growth."""
     top = max(xs)
     scaled = [x / top for x in xs]
     a, b = _poly(scaled, ys, 1)
@@ -64,7 +65,8 @@
         a2, b2, c2 = _poly(scaled, ys, 2)
         rest2 = sum((y - a2 - b2 * x - c2 * x * x) ** 2 for x, y in zip(scaled, ys))
         grows = abs(b2) + abs(c2)
-        curved = bool(grows) and abs(c2) > CURVED * grows and r2 < 0.995 and rest2 < rest / 2
+        clear = rest2 < total * (1 - CLEAR) and max(ys) - min(ys) > CURVED * abs(mean)
+        curved = bool(grows) and clear and abs(c2) > CURVED * grows and r2 < 0.995 and rest2 < rest / 2
         if curved:
             a, b, bend = a2, b2, c2
     return Fit(a, b / top, bend / top ** 2, r2, off, curved)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -172,6 +172,10 @@
         self.assertTrue(f.curved)
         self.assertAlmostEqual(f.bend, 0.03, delta=0.001)
 
+    def test_noise_is_not_taken_for_a_curve(self):
+        for ys in ((8.3, 6.9, 7.5, 8.9), (0.12, 0.16, 0.15, 0.1), (85, 86, 82, 85)):
+            self.assertFalse(fit([0, 1, 4, 16], list(ys)).curved, ys)
+
     def test_each_series_grows(self):
         for name, s in SERIES.items():
             self.assertEqual(sorted(s.xs), list(s.xs), name)
