--- a/rehearsal/slopes.py
+++ b/rehearsal/slopes.py
@@ -139,7 +139,7 @@
     for line, name in zip(axes, names):
         mine = [p for p in points if p["series"] == name]
         for ax, (metric, unit) in zip(line, shown.items()):
-            for role, colour in zip(series[name].roles, ("tab:blue", "tab:orange", "tab:green")):
+            for role, colour in zip(series[name].roles, ("tab:blue", "tab:orange", "tab:green", "tab:red")):
                 xs = [p["x"] for p in mine]
                 lows, mids, highs = zip(*(spread_of(p["windows"], role, metric) for p in mine))
                 ax.errorbar(xs, mids, yerr=[[m - n for m, n in zip(mids, lows)], [h - m for h, m in zip(highs, mids)]],
