--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -60,7 +60,7 @@
         n.ctx.beats.later(RENEW, self._announce, n, name, times + 1)
 
     async def _write(self, n, log: str, rate: float):
-        """Holds a log, shadowed into the caches, and lists results in it; a log that could not be had is asked for again."""
+        """Holds a log, shadowed into the caches, and lists results in it; what could not be had is asked for again."""
         try:
             h = None
             while h is None:
@@ -99,7 +99,8 @@
             if n.part.state != "leader" or not n.part.sheet.shelves:
                 continue
             if done < rows:
-                puts = [Row(name=f"row{i}", model=f"model{i}", weight=1) for i in range(done, min(rows, done + ROWS_AT_ONCE))]
+                end = min(rows, done + ROWS_AT_ONCE)
+                puts = [Row(name=f"row{i}", model=f"model{i}", weight=1) for i in range(done, end)]
                 if await self._edit(n, puts):
                     done += len(puts)
                 continue
