--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -2,19 +2,21 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn, wall_ms
+from ..beats import ZERO, ms, secs, spawn, wall_ms
 from ..depot.grants import HOLD_SPAN
 from ..disk import frame
 from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
 from ..wire.frame_pb2 import Nothing
 from ..wire.ledger_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, States, StatesAsk, WriteAsk,
                                WriteReceipt)
+from .shelf import Shelf
 
 __all__ = ["Holder"]
 
 WRITE_LIMIT = secs(2)
 RETRY_BEAT = ms(150)
 IDLE_BEAT = secs(1)
+MOVED_SPAN = secs(1.5)
 MAX_WRITE = 4 * 1024 * 1024
 
 
@@ -41,25 +43,31 @@
         self._waiters: list[tuple[int, defer.Deferred]] = []
         self._reserved = False
         self._best = (0, 0)
+        self._moved: Shelf | None = None
+        self._moved_at = ZERO
         self._watchers: list = []
 
     def held(self) -> bool:
         """By the own clock, and earlier than the depots' view ends."""
-        if self.lost:
-            return False
+        return not self.lost and self._renewed_by_majority()
+
+    def _renewed_by_majority(self) -> bool:
+        """Or by one of the shelf as it was until a short while ago: a depot that joins it is only asked to renew since."""
         now = self._ctx.beats.now()
-        return self.shelf.agree([d for d, at in self._renewals.items() if now - at < HOLD_SPAN])
+        kept = [d for d, at in self._renewals.items() if now - at < HOLD_SPAN]
+        return self.shelf.agree(kept) or \
+            self._moved is not None and now - self._moved_at < MOVED_SPAN and self._moved.agree(kept)
 
     def renewing(self):
         self.look_again()
-        now = self._ctx.beats.now()
-        if not self.lost and not self.shelf.agree([d for d, at in self._renewals.items() if now - at < HOLD_SPAN]):
+        if not self.lost and not self._renewed_by_majority():
             self.lapse("lease ran out")
 
     def look_again(self):
         """Follows its shelf where the setup has moved it."""
         shelf = self._ledger.shelf(self.log)
         if shelf.sequence > self.shelf.sequence:
+            self._moved, self._moved_at = self.shelf, self._ctx.beats.now()
             self.shelf = shelf
             for n in [n for n in self._states if n not in shelf.everyone]:
                 del self._states[n]
--- a/pipitlink/office/shelving.py
+++ b/pipitlink/office/shelving.py
@@ -91,14 +91,19 @@
 
     def _lost(self, depot: str) -> bool:
         standing = self._ctx.roster.standing(depot)
-        if standing == "unknown":
-            return self._ctx.beats.now() - self._elected_at > 2 * REPAIR_AFTER
-        return standing == "gone" and (self._ctx.roster.since(depot) > REPAIR_AFTER or self._replaced(depot))
+        if standing not in ("unknown", "gone"):
+            return False
+        away = self._ctx.beats.now() - self._elected_at - REPAIR_AFTER if standing == "unknown" \
+            else self._ctx.roster.since(depot)
+        return away > REPAIR_AFTER or self._replaced(depot)
 
     def _replaced(self, depot: str) -> bool:
-        """Another depot answers at its place: it lost its disk and cannot come back, so nothing is waited for."""
-        m = self._ctx.roster.find(depot)
-        return any(o.node != depot and (o.host, o.port) == (m.host, m.port)
+        """Another depot answers at its place or by its name: it lost its disk and cannot come back, so nothing is waited for.
+
+        Its name is in the setup, so that it is known also where no office has met it since all of them started.
+        """
+        m, name = self._ctx.roster.find(depot), self.sheet.depot_names.get(depot)
+        return any(o.node != depot and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
                    for o in self._ctx.roster.members("depot", standing=("alive",)))
 
     def _serving(self) -> list[str]:
@@ -159,8 +164,12 @@
         return ShelfRow(number=s.number, sequence=s.sequence + 1, depots=s.depots, joining=joining, leaving=leaving)
 
     def _evening_out(self, held: Counter, serving: list[str]) -> list[ShelfRow]:
-        """A new depot takes a fair share, one shelf at a time, where zones stay as distinct as they were."""
-        if len(serving) <= COPIES:
+        """A new depot takes a fair share, one shelf at a time, where zones stay as distinct as they were.
+
+        Not while a shelf lacks one of its depots: a move needs a majority of both its sets.
+        """
+        away = any(self._ctx.roster.standing(d) != "alive" for s in self.sheet.shelves.values() for d in s.depots)
+        if len(serving) <= COPIES or away:
             return []
         low = min(serving, key=lambda d: (held[d], d))
         for high in sorted(serving, key=lambda d: -held[d]):
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -118,7 +118,7 @@
             ctx.ledger.open()
             ctx.cache.open()
         ctx.roster.open(Member(node=self.node, incarnation=1, role=self.role, zone=self.zone, host=self.place[0],
-                               port=self.place[1]))
+                               port=self.place[1], name=self.name if stage.named else ""))
         if self.role != "office":
             ctx.setup.open()
 
@@ -233,7 +233,7 @@
 
 
 class Stage:
-    def __init__(self, seed: int, offices=4, depots=4, guides=3, shelves=4, props=None):
+    def __init__(self, seed: int, offices=4, depots=4, guides=3, shelves=4, props=None, named=False):
         self.seed = seed
         self.chance = Random(seed)
         self.clock = _Clock()
@@ -241,6 +241,7 @@
         self.sink = _Sink()
         self.shelves = shelves
         self.props = props or {}
+        self.named = named
         self.cuts: set[tuple[str, str]] = set()
         self.engines = self.guide_kind = None
         self.notes: list[dict] = []
