--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..beats import ms, secs, spawn
-from ..disk import frames
+from ..disk import HEAD, frames
 from ..faults import Damaged, WireFault
 from .chunks import CHUNK, chunk_key
 
@@ -56,12 +56,42 @@
             return self.seen.durable
         return self.position
 
-    async def more(self) -> list[tuple[int, bytes]]:
+    def lack(self) -> int:
+        """How many bytes the next record lacks, or its frame's header and its payload's first byte."""
+        if len(self._bytes) <= HEAD:
+            return HEAD + 1 - len(self._bytes)
+        return max(1, HEAD + int.from_bytes(self._bytes[:4], "big") - len(self._bytes))
+
+    def between(self) -> bool:
+        """All that is durable was read, and ends with a whole record."""
+        return not self._bytes and self.position >= self.seen.durable
+
+    def skip(self, first: bytes) -> tuple[int, int] | None:
+        """Passes over the rest of the next record where its payload begins so and all of it is durable; its span."""
+        if len(self._bytes) < HEAD + len(first) or not self._bytes.startswith(first, HEAD):
+            return None
+        start = self.position - len(self._bytes)
+        end = start + HEAD + int.from_bytes(self._bytes[:4], "big")
+        if not self.position < end <= self.seen.durable:
+            return None
+        self._bytes.clear()
+        self.position = end
+        return start, end
+
+    async def record(self, start: int, end: int) -> bytes:
+        """The payload of a record that was passed over."""
+        await self._keep_rate(end - start)
+        for _, body, at in frames(await self.read(start, end)):
+            if at == end - start:
+                return body
+        raise Damaged(f"{self.path}: no record stands at {start}")
+
+    async def more(self, most: int = BULK * CHUNK) -> list[tuple[int, bytes]]:
         """The next whole records as (position, payload); empty when there is nothing new yet."""
         goal = self.goal()
         if goal <= self.position:
             return []
-        goal = min(goal, self.position + BULK * CHUNK)
+        goal = min(goal, self.position + min(most, BULK * CHUNK))
         await self._keep_rate(goal - self.position)
         data = await self.read(self.position, goal)
         self._bytes += data
