Read a batch's outputs without its bodies

Cause: a guide that does not own a batch read its whole first record just to know the items' ids and number. A body, the comparison of a batch handed in twice and taking up still read the batch.

--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -3,7 +3,7 @@
 from ..beats import Joined, ZERO, ms, secs, wall_ms
 from ..faults import BadAsk, Crowded, GuideFault, LedgerFault, NotHeld, PipitFault, WireFault
 from ..wire.lots_pb2 import Batch, LogRecord
-from .batches import OpenBatch, batch_log, good_id
+from .batches import HEAD_ALONE, OpenBatch, batch_log, good_id, head_of
 
 __all__ = ["BatchIntake", "refusal"]
 
@@ -88,17 +88,16 @@
         return known or None
 
     async def _known_batch(self, batch_id: str) -> Batch | bool | None:
-        """None where nothing is durable of it; False where it is but cannot be read at once."""
+        """None where nothing is durable of it but a head; False where it is but cannot be read at once."""
         state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
         if state is None:
             raise Crowded("the store cannot be read now", code="no_majority", retry_after=COME_BACK)
         if not state.committed and not state.final:
             return None
         try:
-            listing = await self._ctx.beats.within(COMPARE_SPAN, self._listing_of(batch_id))
-            return listing.batch or False
-        except PipitFault:
-            return False
+            return await self._ctx.beats.within(COMPARE_SPAN, self._batch_of(batch_id))
+        except PipitFault as e:
+            return None if isinstance(e, GuideFault) and e.code == HEAD_ALONE else False
 
     async def _write_batch(self, batch: Batch, until: timedelta) -> Batch | None:
         o = await self._hold_for_intake(batch.id, until)
@@ -132,13 +131,15 @@
 
     async def _append_batch(self, o: OpenBatch, batch: Batch):
         h = o.holder
+        before = len(h.data)
         o.batch = batch
         o.prepare()
         self._adopt_batch(o)
         try:
-            await h.append([LogRecord(batch=batch).SerializeToString()])
+            await h.append([LogRecord(head=head_of(batch)).SerializeToString(),
+                            LogRecord(batch=batch).SerializeToString()])
         except PipitFault as e:
-            if h.data:
+            if len(h.data) > before:
                 if not h.lost:
                     await self._batch_durable(o)
                     return
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -5,10 +5,11 @@
 from twisted.internet import defer
 
 from ..beats import ZERO, ms, secs
+from ..cache.chunks import CHUNK
 from ..faults import Crowded, GuideFault, NotFound, PipitFault, Refused, WireFault
-from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, LogRecord
+from ..wire.lots_pb2 import Batch, EndAsk, Ended, EndReceipt, LogRecord
 from .batch_intake import refusal
-from .batches import Listing, batch_log, good_id
+from .batches import HEAD_ALONE, Listing, batch_log, good_id
 
 __all__ = ["BatchRead"]
 
@@ -17,6 +18,7 @@
 PROVED_SPAN = secs(1)
 READ_LIMIT = ms(1200)
 LONGEST_WAIT = secs(20)
+BATCH_TAG = LogRecord(batch=Batch()).SerializeToString()[:1]
 END_LIMIT = secs(8)
 END_BEAT = ms(150)
 ASK_LIMIT = secs(3)
@@ -29,6 +31,7 @@
     tail: object
     used: timedelta
     listing: Listing = attrs.field(factory=Listing)
+    batch_span: tuple[int, int] | None = None
     turn: defer.DeferredLock = attrs.field(factory=defer.DeferredLock)
     users: int = 0
     closed: bool = False
@@ -51,7 +54,7 @@
                 self.tail.rest()
 
     def over(self) -> bool:
-        return bool(self.listing.ended) and self.listing.batch is not None
+        return bool(self.listing.ended) and self.listing.head is not None
 
 
 class BatchRead:
@@ -79,11 +82,32 @@
 
     async def _listing_of(self, batch_id: str) -> Listing:
         """The batch as it surely is by now; a fault where it is not known, or nothing is sure."""
-        if not good_id(batch_id):
-            raise NotFound("there is no such batch", code="no_such_batch", field="id")
+        o = self._owned_listing(batch_id)
+        return o.listing if o is not None else (await self._read_on(batch_id)).listing
+
+    async def _batch_of(self, batch_id: str) -> Batch:
+        """The whole batch, with its items' bodies."""
         o = self._owned_listing(batch_id)
         if o is not None:
-            return o.listing
+            return o.listing.batch
+        r = await self._read_on(batch_id)
+        if r.listing.batch is None:
+            try:
+                await self._ctx.beats.within(READ_LIMIT, self._read_bodies(r))
+            except PipitFault:
+                if r.over():
+                    self._drop_batch_reader(batch_id, r)
+                raise
+        return r.listing.batch
+
+    async def _read_bodies(self, r: _Reader):
+        async with r.turn:
+            if r.listing.batch is None:
+                r.listing.batch = LogRecord.FromString(await r.tail.record(*r.batch_span)).batch
+
+    async def _read_on(self, batch_id: str) -> _Reader:
+        if not good_id(batch_id):
+            raise NotFound("there is no such batch", code="no_such_batch", field="id")
         r = self._batch_readers.get(batch_id)
         if r is None:
             r = self._batch_readers[batch_id] = _Reader(self._ctx.cache.tail(batch_log(batch_id), secs(1)),
@@ -94,10 +118,10 @@
                 with r.in_use():
                     await self._ctx.beats.within(READ_LIMIT, self._read_batch_on(batch_id, r))
             except GuideFault:
-                if r.listing.batch is None:
+                if r.listing.head is None:
                     self._drop_batch_reader(batch_id, r)
                 raise
-        return r.listing
+        return r
 
     async def _read_batch_on(self, batch_id: str, r: _Reader):
         seen = r.tail.seen
@@ -110,8 +134,9 @@
             await self._say_batch_absent(batch_id, seen)
         async with r.turn:
             await self._catch_up_reader(r, seen.durable)
-        if r.listing.batch is None:
-            raise Crowded("the batch cannot be read now", code="unread", outcome="unknown")
+        if r.listing.head is None:
+            alone = r.listing.announced is not None and r.tail.between()
+            raise Crowded("the batch cannot be read now", code=HEAD_ALONE if alone else "unread", outcome="unknown")
         if r.over():
             r.close()
 
@@ -128,11 +153,26 @@
         seen = r.tail.seen
         while not r.closed and (r.tail.position < goal or seen.cached > r.tail.position):
             before = r.tail.position
-            for _, body in await r.tail.more():
-                r.listing.learn(LogRecord.FromString(body))
+            if r.listing.head is None:
+                await self._read_head(r)
+            else:
+                self._learn_records(r, await r.tail.more())
             if r.tail.position == before:
                 await r.tail.wait()
 
+    def _learn_records(self, r: _Reader, records):
+        for _, body in records:
+            r.listing.learn(LogRecord.FromString(body))
+
+    async def _read_head(self, r: _Reader):
+        """Reads as little as it takes to know the batch's items, and passes over their bodies."""
+        most = r.tail.lack() if r.listing.announced is not None else max(CHUNK, r.tail.lack())
+        self._learn_records(r, await r.tail.more(most))
+        if r.listing.head is None and r.listing.announced is not None:
+            r.batch_span = r.tail.skip(BATCH_TAG)
+            if r.batch_span is not None:
+                r.listing.pass_over()
+
     async def read_batch(self, lot_id: str, start: int, wait: timedelta):
         """Outputs from a position on; held until there is one, the batch is whole, or `wait` has passed."""
         try:
@@ -149,7 +189,7 @@
                 if len(listing.outputs) > start or listing.whole() or left <= ZERO or self._closing_batches:
                     break
                 await self._listing_moves(lot_id, left)
-            body = self.dialect.show_outputs(listing.batch, listing.outputs, start)
+            body = self.dialect.show_outputs(listing.head, listing.outputs, start)
             return 200, {"Content-Type": "application/json"}, body
         except GuideFault as e:
             return refusal(e, self.dialect)
@@ -177,8 +217,8 @@
 
     async def read_item(self, lot_id: str, item_id: str):
         try:
-            listing = await self._listing_of(lot_id)
-            item = next((i for i in listing.batch.items if i.id == item_id), None)
+            batch = await self._batch_of(lot_id)
+            item = next((i for i in batch.items if i.id == item_id), None)
             if item is None:
                 raise NotFound("there is no such item", code="no_such_item", field="id")
             return 200, {"Content-Type": "application/octet-stream"}, item.body
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -8,11 +8,12 @@
 from ..disk import frames
 from ..faults import PipitFault
 from ..rendezvous import rank
-from ..wire.lots_pb2 import Batch, LogRecord, Output
+from ..wire.lots_pb2 import Batch, BatchHead, BatchItem, LogRecord, Output
 
-__all__ = ["Batches", "Listing", "OpenBatch", "batch_log", "good_id"]
+__all__ = ["Batches", "HEAD_ALONE", "Listing", "OpenBatch", "batch_log", "good_id", "head_of"]
 
 PREFIX = "batch/"
+HEAD_ALONE = "head_alone"
 LIST_BEAT = secs(1)
 LIST_SELDOM = secs(4)
 RESTLESS = secs(10)
@@ -31,27 +32,48 @@
     return bool(_ID.match(batch_id))
 
 
+def head_of(batch: Batch) -> BatchHead:
+    return BatchHead(id=batch.id, host=batch.host, path=batch.path, route=batch.route, taken_ms=batch.taken_ms,
+                     items=[i.id for i in batch.items], tokens=[i.tokens for i in batch.items])
+
+
+def _without_bodies(head: BatchHead) -> Batch:
+    return Batch(id=head.id, host=head.host, path=head.path, route=head.route, taken_ms=head.taken_ms,
+                 items=[BatchItem(id=i, tokens=n) for i, n in zip(head.items, head.tokens, strict=True)])
+
+
 class Listing:
-    """A batch as its log tells it: the whole of it first, then outputs in the order of their positions."""
+    """A batch as its log tells it: its head, the whole of it, then outputs in the order of their positions.
+
+    `head` is set once the batch is durable, and knows at least the ids and tokens of its items; `batch` knows all.
+    """
 
     def __init__(self):
+        self.head: Batch | None = None
         self.batch: Batch | None = None
+        self.announced: Batch | None = None
         self.outputs: list[Output] = []
         self.listed: set[int] = set()
         self.ended = ""
 
     def learn(self, record: LogRecord):
         what = record.WhichOneof("of")
-        if what == "batch" and self.batch is None:
-            self.batch = record.batch
+        if what == "head" and self.head is None:
+            self.announced = _without_bodies(record.head)
+        elif what == "batch" and self.head is None:
+            self.head, self.batch, self.announced = record.batch, record.batch, None
         elif what == "output" and not self.ended and record.output.item not in self.listed:
             self.listed.add(record.output.item)
             self.outputs.append(record.output)
         elif what == "ended":
             self.ended = self.ended or record.ended.why
 
+    def pass_over(self):
+        """The batch stands in its log right after what was announced of it, and is not read."""
+        self.head, self.announced = self.announced, None
+
     def whole(self) -> bool:
-        return bool(self.ended) or self.batch is not None and len(self.outputs) == len(self.batch.items)
+        return bool(self.ended) or self.head is not None and len(self.outputs) == len(self.head.items)
 
 
 @attrs.define(eq=False)
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -155,9 +155,9 @@
         finally:
             self._quota_counting.discard(batch_id)
         if batch_id in self._quota_unknown:
-            left = 0 if listing.ended else sum(x.tokens for i, x in enumerate(listing.batch.items)
+            left = 0 if listing.ended else sum(x.tokens for i, x in enumerate(listing.head.items)
                                                if i not in listing.listed)
-            self._quota_told[batch_id] = _Told(listing.batch.route, left, "", self._ctx.beats.now())
+            self._quota_told[batch_id] = _Told(listing.head.route, left, "", self._ctx.beats.now())
             del self._quota_unknown[batch_id]
 
     async def _quota_for(self, node, ask: QuotaAsk) -> QuotaReceipt:
--- /dev/null
+++ b/tests/test_batches_head.py
@@ -0,0 +1,342 @@
+"""Readers of outputs pass over the bodies of a batch's items: how few bytes they read, and that nothing is lost."""
+import base64
+import unittest
+from random import Random
+from types import SimpleNamespace
+from unittest import mock
+
+from twisted.internet.task import Clock
+
+from pipitlink.beats import Beats, ms, spawn
+from pipitlink.cache.chunks import CHUNK
+from pipitlink.cache.poller import Seen
+from pipitlink.cache.tail import Tail
+from pipitlink.disk import frame
+from pipitlink.faults import NoRoom
+from pipitlink.router.batch_read import BatchRead, _Reader
+from pipitlink.router.batches import batch_log, head_of
+from pipitlink.wire.lots_pb2 import Batch, BatchItem, Ended, LogRecord, Output
+
+from .batch_parts import Callers, route, staged
+
+BODY = 5000
+
+
+class HeadsOnAStage(unittest.TestCase):
+    def stage(self, seed=1, **words):
+        stage = staged(seed, **words)
+        stage.breaks = 0
+        self.addCleanup(stage.end)
+        self.watch_reads()
+        return stage, Callers(stage)
+
+    def watch_reads(self):
+        """No read of a tail may pass the length that is recorded for its store."""
+        read, self.reads = Tail.read, []
+
+        async def watched(tail, start, end):
+            self.reads.append((tail.path, start, end, tail.seen.durable))
+            return await read(tail, start, end)
+
+        patch = mock.patch.object(Tail, "read", watched)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.addCleanup(lambda: self.assertEqual([r for r in self.reads if not 0 <= r[1] < r[2] <= r[3]], []))
+
+    def large(self, c, items=40, name=None, size=BODY, pad=0):
+        name = c.lot(items, name=name)
+        for i in c.items[name]:
+            i["id"] += "x" * pad
+            i["body"] = base64.b64encode(c.stage.chance.randbytes(size)).decode()
+        return name
+
+    def batch(self, c, name):
+        items = [BatchItem(id=i["id"], path=i["path"], body=base64.b64decode(i["body"]), tokens=i["tokens"])
+                 for i in c.items[name]]
+        return Batch(id=name, host="h", path="/bulk/", route="bulk", taken_ms=1, items=items)
+
+    def count(self, guide):
+        """Bytes of chunks and of spans that this guide is given from now on."""
+        got = []
+        call = guide.ctx.desk.call
+
+        async def counted(place, verb, ask, kind, limit):
+            r = await call(place, verb, ask, kind, limit)
+            if verb in ("cache.get", "ledger.read"):
+                got.append(len(r.SerializeToString()))
+            return r
+
+        guide.ctx.desk.call = counted
+        return got
+
+    def owner(self, stage, name):
+        return next(a for a in stage.role("guide") if name in a.part.batches)
+
+    def held(self, stage, name, *groups):
+        """A log that the first guide holds and does nothing with."""
+        guide = stage.role("guide")[0]
+        for a in stage.role("guide"):
+            a.part._taking_up_batches.add(name)
+        h = stage.do(guide.ctx.ledger.hold(batch_log(name)))
+        for records in groups:
+            stage.do(h.append([r.SerializeToString() for r in records]))
+        return h
+
+    def test_outputs_are_read_with_less_than_a_tenth_of_the_bytes(self):
+        for seed, pad, size in ((1, 0, BODY), (2, 30, BODY), (3, 110, 4 * BODY)):
+            with self.subTest(seed=seed, pad=pad):
+                stage, c = self.stage(seed)
+                name = self.large(c, pad=pad, size=size)
+                self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
+                stage.until(lambda: c.whole(name), 30, "all is listed")
+                for a in stage.role("guide")[1:]:
+                    for b, r in list(a.part._batch_readers.items()):
+                        a.part._drop_batch_reader(b, r)
+                    got = self.count(a)
+                    status, doc = stage.do(c.read(name, guide=a))
+                    self.assertEqual((status, len(doc["outputs"])), (200, 40))
+                    self.assertTrue(got)
+                    self.assertLess(sum(got) * 10, 40 * size)
+                self.assertEqual(c.wrong, [])
+
+    def test_outputs_are_read_as_cheaply_where_the_caches_know_nothing(self):
+        stage, c = self.stage(4)
+        name = self.large(c)
+        self.assertEqual(stage.do(c.hand_in(name)), 202)
+        stage.until(lambda: c.whole(name), 30, "all is listed")
+        stage.until(lambda: not any(a.part.batches for a in stage.role("guide")), 5, "its lease is given back")
+        for a in stage.role("guide"):
+            a.kill()
+        for a in stage.role("guide"):
+            a.start()
+        stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("guide")), 10, "ready")
+        a = stage.role("guide")[1]
+        got = self.count(a)
+        status, doc = stage.until(lambda: (r := stage.do(c.read(name, guide=a)))[0] == 200 and r, 10, "it is read")
+        self.assertEqual(len(doc["outputs"]), 40)
+        self.assertLess(sum(got) * 10, 40 * BODY)
+        self.assertEqual(stage.do(c.body(name, 7, a)), 200)
+        self.assertGreater(sum(got), 40 * BODY)
+        self.assertEqual(c.wrong, [])
+
+    def test_bodies_still_come_back_right_while_it_runs_and_after(self):
+        stage, c = self.stage(5)
+        stage.step = ms(150)
+        name = self.large(c)
+        self.assertEqual(stage.do(c.hand_in(name)), 202)
+        others = [a for a in stage.role("guide") if a is not self.owner(stage, name)]
+        self.assertEqual(stage.do(c.body(name, 3, others[0])), 200)
+        self.assertEqual(stage.do(c.read(name, guide=others[1]))[0], 200)
+        got = self.count(others[1])
+        some = []
+        for n in (0, 5, 39):
+            spawn(c.body(name, n, others[1])).addBoth(some.append)
+        stage.until(lambda: len(some) == 3, 5, "all are answered")
+        self.assertEqual(some, [200] * 3)
+        self.assertLess(sum(got), 3 * 40 * BODY)
+        stage.until(lambda: c.whole(name), 60, "all is listed")
+        for a in stage.role("guide"):
+            self.assertEqual([stage.do(c.body(name, n, a)) for n in (0, 20, 39)], [200] * 3)
+            status, _, _ = stage.do(c.ask(lambda p: p.read_item(name, "nothing"), a))
+            self.assertEqual(status, 404)
+        self.assertEqual(c.wrong, [])
+
+    def test_a_batch_handed_in_twice_is_compared_by_its_bodies(self):
+        stage, c = self.stage(6)
+        name = self.large(c)
+        self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
+        for a in stage.role("guide"):
+            self.assertEqual(stage.do(c.read(name, guide=a))[0], 200)
+            self.assertEqual(stage.do(c.hand_in(name, a)), 202)
+        kept = c.items[name][39]["body"]
+        c.items[name][39]["body"] = base64.b64encode(b"\0" * BODY).decode()
+        for a in stage.role("guide"):
+            self.assertEqual(stage.do(c.hand_in(name, a)), 409)
+        c.items[name][39]["body"] = kept
+        stage.until(lambda: c.whole(name), 30, "all is listed")
+        self.assertEqual([stage.do(c.hand_in(name, a)) for a in stage.role("guide")], [202] * 3)
+
+    def test_a_reader_that_started_before_it_was_durable_reads_it_all(self):
+        for seed in (7, 8):
+            stage, c = self.stage(seed)
+            name, said, stop = self.large(c), [], []
+
+            async def read_on(a):
+                while not stop:
+                    said.append((await c.read(name, 0, 200, a))[0])
+                    await stage.beats().pause(ms(3))
+
+            for a in stage.role("guide")[1:]:
+                spawn(read_on(a))
+            stage.run(0.1)
+            self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
+            stage.until(lambda: c.whole(name), 30, "all is listed")
+            stop.append(1)
+            self.assertLessEqual({404, 200}, set(said))
+            self.assertLessEqual(set(said), {404, 503, 200})
+            first = said.index(200)
+            self.assertNotIn(404, said[first:])
+            self.assertEqual(c.wrong, [])
+
+    def test_a_head_alone_is_not_taken_and_its_reader_goes_on_once_it_is(self):
+        stage, c = self.stage(9)
+        name = self.large(c)
+        batch = self.batch(c, name)
+        h = self.held(stage, name, [LogRecord(head=head_of(batch))])
+        for a in stage.role("guide"):
+            self.assertEqual(stage.do(c.read(name, guide=a))[0], 503)
+            self.assertEqual(stage.do(c.body(name, 0, a)), 503)
+        stage.do(h.append([LogRecord(batch=batch).SerializeToString()]))
+        for a in stage.role("guide"):
+            self.assertEqual(stage.do(c.read(name, guide=a))[0], 200)
+            self.assertEqual(stage.do(c.body(name, 39, a)), 200)
+        stage.do(h.append([LogRecord(output=Output(item=2, state="abandoned")).SerializeToString()]))
+        for a in stage.role("guide"):
+            doc = stage.do(c.read(name, guide=a))[1]
+            self.assertEqual((doc["total"], [o["id"] for o in doc["outputs"]]), (40, [c.items[name][2]["id"]]))
+
+    def test_a_head_that_was_left_alone_gives_way_to_the_batch_that_is_taken(self):
+        for items in (2, 40):
+            with self.subTest(items=items):
+                stage, c = self.stage(10)
+                name = self.large(c, 3)
+                h = self.held(stage, name, [LogRecord(head=head_of(self.batch(c, name)))])
+                stage.do(stage.role("guide")[0].ctx.ledger.release([h]))
+                self.large(c, items, name=name, pad=5, size=BODY if items > 2 else 10)
+                for a in stage.role("guide"):
+                    a.part._taking_up_batches.discard(name)
+                stage.until(lambda: stage.do(c.hand_in(name)) == 202, 20, "it is taken")
+                stage.until(lambda: c.whole(name), 30, "all is listed")
+                stage.run(0.5)
+                for a in stage.role("guide"):
+                    self.assertEqual(len(stage.do(c.read(name, guide=a))[1]["outputs"]), items)
+                    self.assertEqual(stage.do(c.body(name, 1, a)), 200)
+                self.assertEqual(c.wrong, [])
+
+    def test_a_head_that_was_left_alone_is_no_sign_that_a_refused_append_left(self):
+        stage, c = self.stage(13)
+        name = self.large(c, 3)
+        h = self.held(stage, name, [LogRecord(head=head_of(self.batch(c, name)))])
+        stage.do(stage.role("guide")[0].ctx.ledger.release([h]))
+        with mock.patch.object(type(h), "append", side_effect=NoRoom("full")) as append:
+            said = [stage.do(c.hand_in(name, a)) for a in stage.role("guide") * 3]
+            self.assertTrue(append.called)
+            self.assertEqual(set(said), {503})
+        stage.until(lambda: stage.do(c.hand_in(name)) == 202, 20, "it is taken")
+        stage.until(lambda: c.whole(name), 30, "all is listed")
+        self.assertEqual(c.wrong, [])
+
+    def test_a_log_without_a_head_is_read_as_before(self):
+        stage, c = self.stage(11)
+        name = self.large(c)
+        self.held(stage, name, [LogRecord(batch=self.batch(c, name))],
+                  [LogRecord(output=Output(item=4, state="abandoned")), LogRecord(ended=Ended(why="ended"))])
+        c.ended[name] = 0
+        for a in stage.role("guide"):
+            status, doc = stage.do(c.read(name, guide=a))
+            self.assertEqual((status, [o["id"] for o in doc["outputs"]]), (200, [c.items[name][4]["id"]]))
+            self.assertEqual(stage.do(c.body(name, 0, a)), 200)
+        self.assertEqual(c.wrong, [])
+
+    def test_a_batch_that_nobody_told_of_is_counted_without_its_bodies(self):
+        stage, c = self.stage(12, routes=[route(max_waiting_tokens=1000)])
+        for a in stage.role("guide"):
+            a.part.places = 0
+        name = self.large(c)
+        self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
+        a = stage.role("guide")[1]
+        got = self.count(a)
+        a.part._quota_told.pop(name, None)
+        a.part._quota_unknown[name] = a.ctx.beats.now()
+        stage.do(a.part._count_lot(name))
+        self.assertEqual((a.part._quota_told[name].route, a.part._quota_told[name].tokens), ("bulk", 400))
+        self.assertLess(sum(got) * 10, 40 * BODY)
+
+
+class _Growing:
+    """A log whose lengths grow by steps each time that its reader waits."""
+
+    def __init__(self, data: bytes, step: int, behind: int):
+        self.data, self._step, self._behind = data, step, behind
+        self.seen = Seen("log")
+
+    def join(self, path):
+        return self.seen
+
+    def leave(self, path):
+        pass
+
+    def grow(self):
+        s = self.seen
+        s.durable = min(len(self.data), s.durable + self._step)
+        s.cached = max(s.cached, s.durable - self._behind if s.durable < len(self.data) else s.durable)
+
+    async def moved(self, limit):
+        self.grow()
+
+
+class HeadsAtAllEdges(unittest.TestCase):
+    def read(self, data: bytes, step: int, behind: int = 0):
+        log = _Growing(data, step, behind)
+        clock = Clock()
+        ctx = SimpleNamespace(beats=Beats(clock, seconds=clock.seconds), chance=Random(1),
+                              props=SimpleNamespace(reader_kb_s=10 ** 9, postpone_ms=0, poll_ms=1, durable_poll_ms=1))
+        tail = Tail(ctx, SimpleNamespace(poller=log), "log", None)
+        self.got = 0
+
+        async def read(start, end):
+            self.assertTrue(0 <= start < end <= log.seen.durable, (start, end, log.seen.durable))
+            self.got += end - start
+            return data[start:end]
+
+        tail.read = read
+        r = _Reader(tail, ctx.beats.now())
+        part = BatchRead.__new__(BatchRead)
+        while log.seen.durable < len(data):
+            log.grow()
+            box = []
+            spawn(part._catch_up_reader(r, log.seen.durable)).addBoth(box.append)
+            self.assertEqual(box, [None])
+            self.assertTrue(r.listing.head is not None or log.seen.durable < self.batch_end)
+        self.assertEqual(tail.position, len(data))
+        return r, part
+
+    def log(self, pad: int, body: int, with_head=True):
+        batch = Batch(id="b", items=[BatchItem(id="i" * pad, body=b"b" * body, tokens=3), BatchItem(id="j", tokens=4)])
+        records = [LogRecord(head=head_of(batch))] * with_head + [LogRecord(batch=batch)]
+        self.batch_end = sum(len(frame(r.SerializeToString())) for r in records)
+        records += [LogRecord(output=Output(item=i, state="done", text=b"t" * 700)) for i in (1, 0)]
+        records.append(LogRecord(ended=Ended(why="done")))
+        return batch, b"".join(frame(r.SerializeToString()) for r in records)
+
+    def check(self, pad, body, step, behind=0, with_head=True):
+        batch, data = self.log(pad, body, with_head)
+        r, part = self.read(data, step, behind)
+        self.assertEqual([(i.id, i.tokens) for i in r.listing.head.items], [("i" * pad, 3), ("j", 4)])
+        self.assertEqual([o.item for o in r.listing.outputs], [1, 0])
+        self.assertTrue(r.over())
+        if r.listing.batch is None:
+            self.assertLess(self.got, len(data) - body + 2 * CHUNK)
+            box = []
+            spawn(part._read_bodies(r)).addBoth(box.append)
+            self.assertEqual(box, [None])
+        self.assertEqual(r.listing.batch, batch)
+        return r
+
+    def test_the_head_may_end_anywhere_in_a_chunk(self):
+        for pad in range(CHUNK - 60, CHUNK + 12):
+            for body in (0, 30, 3 * CHUNK):
+                self.check(pad, body, 10 ** 6)
+        for pad in (10, 3 * CHUNK, 100 * CHUNK):
+            self.check(pad, 50 * CHUNK, 10 ** 6)
+
+    def test_lengths_may_grow_by_any_steps(self):
+        for step in (1, 7, 900, CHUNK, 5001, 30_000):
+            for behind in (0, 2500):
+                for pad in (10, CHUNK - 30):
+                    self.check(pad, 2 * CHUNK, step, behind)
+                    self.check(pad, 2 * CHUNK, step, behind, with_head=False)
+
+
+if __name__ == "__main__":
+    unittest.main()
