--- /dev/null
+++ b/tests/test_platform_serve.py
@@ -0,0 +1,159 @@
+"""The platform's settings file as props, its headers on the live path, and its programs started as the deploy file says."""
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import tomllib
+import unittest
+from importlib.util import module_from_spec, spec_from_file_location
+from pathlib import Path
+
+from pipitlink.dialect import Dialect
+
+from .router_parts import Rig, route
+
+ROOT = Path(__file__).resolve().parent.parent
+EDGE = """
+node_name = "edge-north-a-1"
+role = "guide"
+machine_class = "edge"
+serves_roles = ["edge"]
+ip = "127.0.0.1"
+zone = "north-a"
+region = "north"
+internal_ports = [{inner},{last}]
+seed_nodes = ["127.0.0.3:8146","127.0.0.4:8146"]
+bootstrap = true
+voting = false
+heartbeat_ms = 1200
+a_field_not_known = [1]
+[zones]
+north-a = "north"
+[listen_addrs]
+public = "127.0.0.1:{public}"
+readiness = "127.0.0.1:{ready}"
+[limits]
+ram_mb = 300
+disk_mb = 0
+[bounds]
+grace_s = 8
+status_poll_s = 120
+"""
+
+
+def _load(name):
+    folder = str(ROOT / "platform")
+    sys.path.insert(0, folder)
+    try:
+        spec = spec_from_file_location(f"platform_{name}", ROOT / "platform" / f"{name}.py")
+        module = module_from_spec(spec)
+        spec.loader.exec_module(module)
+        return module
+    finally:
+        sys.path.remove(folder)
+        for other in ("batches", "control", "headers"):
+            sys.modules.pop(other, None)
+
+
+def _free_ports(n):
+    import socket
+
+    held = [socket.socket() for _ in range(n)]
+    for s in held:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
+class Settings(unittest.TestCase):
+    def setUp(self):
+        self.serve = _load("serve")
+        self.raw = tomllib.loads(EDGE.format(inner=7660, last=7675, public=8144, ready=8140))
+
+    def test_a_guide_takes_its_ports_and_reaches_seeds_at_the_peer_port(self):
+        p = self.serve.props_from(self.raw)
+        self.assertEqual((p.name, p.zone, p.bind, p.port, p.operator_port, p.http_port, p.ready_port, p.control_port),
+                         ("edge-north-a-1", "north-a", "127.0.0.1", 7660, 7661, 8144, 8140, 0))
+        self.assertEqual(p.seeds, ("127.0.0.3:7660", "127.0.0.4:7660"))
+        self.assertEqual(p.founders, ())
+        self.assertEqual(p.interface, "routes")
+        self.assertLess(p.drain_ms, 8000)
+
+    def test_an_office_founds_only_where_the_whole_starts_for_the_first_time(self):
+        self.raw.update(serves_roles=["control_plane"], state_dir="/data/x", listen_addrs={"control_addr": "127.0.0.1:8146"})
+        self.raw["limits"]["disk_mb"] = 128
+        p = self.serve.props_from(self.raw)
+        self.assertEqual((p.control_port, p.founders, p.data), (8146, p.seeds, "/data/x"))
+        self.assertLess(p.budget_mb, 128)
+        self.assertEqual(self.serve.props_from({**self.raw, "bootstrap": False}).founders, ())
+
+    def test_what_is_missing_is_told_and_not_guessed(self):
+        del self.raw["ip"]
+        with self.assertRaises(KeyError):
+            self.serve.props_from(self.raw)
+
+
+class Headers(unittest.TestCase):
+    def test_a_request_in_the_platforms_words_goes_its_way(self):
+        words = _load("headers").PlatformHeaders
+        rig = Rig([route("f", "/f/", kind="idempotent")])
+        rig.ctx.dialect = type("Words", (words, Dialect), {})()
+        rig.engine("e1")
+        c = rig.caller()
+        c.dataReceived(b"POST /f/1 HTTP/1.1\r\nHost: h.example\r\nPipitlink-Request-Id: ab\r\n"
+                       b"Pipitlink-Deadline-Ms: 700\r\nPipitlink-Model: m\r\nContent-Length: 2\r\n\r\nhi")
+        _, link, data = rig.one()
+        low = data.lower()
+        for line in (b"pipitlink-request-id: ab", b"pipitlink-deadline-ms: 700", b"pipitlink-model: m",
+                     b"pipitlink-target-instance: e1"):
+            self.assertEqual(low.count(line), 1, line)
+        link.dataReceived(b"HTTP/1.1 200 OK\r\nPipitlink-Request-Id: ab\r\nPipitlink-Server-Seal: 1\r\n"
+                          b"Content-Length: 2\r\n\r\nok")
+        self.assertTrue(rig.seen(c).endswith(b"\r\n\r\nok"))
+        self.assertIn(b"pipitlink-server-seal: 1", rig.seen(c).lower())
+
+    def test_the_product_knows_no_name_of_the_platforms(self):
+        named = [str(p.relative_to(ROOT)) for p in (ROOT / "pipitlink").rglob("*.py")
+                 if any(w in p.read_text().lower() for w in ("pipitlink-request", "weighted_backends", "evacuation",
+                                                             "last_seen\"", "queue_cap_tokens", "call_seq"))]
+        self.assertEqual(named, [])
+
+    def test_the_translation_stays_small(self):
+        def lines(folder):
+            return sum(len(p.read_text().splitlines()) for p in (ROOT / folder).rglob("*.py") if "_pb2" not in p.name)
+
+        self.assertLess(10 * lines("platform"), lines("pipitlink"))
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+
+
+class Programs(unittest.TestCase):
+    def test_a_guide_starts_listens_and_ends_as_the_deploy_file_says(self):
+        run = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["guide"]["run"].split()
+        inner, last, public, ready = _free_ports(4)
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as f:
+            f.write(EDGE.format(inner=inner, last=last, public=public, ready=ready).replace("grace_s = 8", "grace_s = 3"))
+            f.flush()
+            p = subprocess.Popen([sys.executable, *run[1:]], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                                 env={**os.environ, "PIPITLINK_NODE_FILE": f.name})
+            try:
+                seen = ""
+                for line in p.stderr:
+                    seen += line
+                    if "event=started" in line:
+                        break
+                self.assertIn(f"http={public}", seen)
+                p.send_signal(signal.SIGHUP)
+                p.send_signal(signal.SIGTERM)
+                seen += p.stderr.read()
+                self.assertEqual(p.wait(20), 0, seen)
+            finally:
+                p.kill()
+                p.wait()
+                p.stderr.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
