Count what waits sooner after guides change, and ask callers of a starting guide back after 0.6 s

Cause: after a closing fault a batch's 202 comes late until the steward is sure, 0.6 s after the last guide was met; loads are told each 0.2 s, so 0.35 s is enough.

--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -15,7 +15,7 @@
 
 IDLE_TIMEOUT = secs(15)
 MAX_BODY = 4 * 1024 * 1024
-START_SPAN = ms(250)
+START_SPAN = ms(600)
 
 
 class _Pace:
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -9,7 +9,7 @@
 
 __all__ = ["Quota"]
 
-SETTLE_SPAN = ms(600)
+SETTLE_SPAN = ms(350)
 SLEPT_SPAN = secs(1.5)
 GRANT_SPAN = secs(5)
 LISTED_LATE = secs(1)
