--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -125,15 +125,6 @@
         except PipitFault as e:
             self._ctx.journal.trace("item_fault", batch=o.id, item=call.id, text=e)
             answer = ItemAnswer()
-        import collections
-        if not hasattr(self, "_tally"):
-            self._tally, self._tally_at = collections.Counter(), self._ctx.beats.now()
-        self._tally[(answer.status, answer.complete, answer.not_run, round(answer.wait.total_seconds(), 1))] += 1
-        if self._ctx.beats.now() - self._tally_at > secs(0.5):
-            self._tally_at = self._ctx.beats.now()
-            r = call.route
-            eng = " ".join(f"{self.engines.load(e)}/{e.running}b{e.batch}" for e in self.engines.pool(r.shares[0].pool))
-            self._ctx.journal.note("btally", t=str(dict(self._tally)), w=sum(len(x.waiting) for x in self.batches.values()), run=sum(len(x.running) for x in self.batches.values()), room=self.batch_room(r), eng=eng)
         if i in o.done or not o.current():
             return
         if answer.complete:
