--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -16,6 +16,8 @@
 CROWDED_COST_MS = 6.0
 LIVE_FILL = 1.5
 BATCH_FILL = 1.0
+BATCH_MOST_FILL = 1.3
+MOST_AHEAD = 8
 SHORT_WAIT = ms(60)
 WAIT_SHARE = 0.2
 STICKY_TOKENS = 256
@@ -61,7 +63,7 @@
         return [e for e in ready if e.name not in call.avoid] or ([] if call.ran else ready)
 
     def _fill(self, call) -> float:
-        return BATCH_FILL if call.batch else LIVE_FILL
+        return BATCH_MOST_FILL if call.batch else LIVE_FILL
 
     def _choose(self, call):
         """The engine with the least expected wait among those with room, or none."""
@@ -159,13 +161,22 @@
         return round(0.05 + 0.15 * self._ctx.chance.random(), 3)
 
     def batch_room(self, route) -> int:
-        """How many items of batches on this route may be started now from here."""
-        room = 0
+        """How many items of batches on this route may be started now from here.
+
+        What is free, or what this guide's share of the room still lacks: shares go by the tokens that wait at each guide, so
+        that in a crowd of batches none waits behind the room that others hold.
+        """
+        free = places = running = 0
         for s in route.shares:
             if s.share > 0:
                 for e in self.ready_engines(s.pool):
                     if not self.engines.cold(e):
-                        room += max(0, int(BATCH_FILL * e.places) - self.engines.load(e))
+                        load, batch = self.engines.load(e), self.engines.batch_load(e)
+                        free += max(0, int(BATCH_FILL * e.places) - load)
+                        places += max(0, int(BATCH_FILL * e.places) - (load - batch))
+                        running += e.batch
                     elif self.engines.admit(e):
-                        room += 1
-        return room
+                        free += 1
+        mine, total = self.waiting_tokens(route.name)
+        share = int(places * mine / total) if total else 0
+        return max(free, min(share - running, MOST_AHEAD))
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -211,6 +211,12 @@
                 raise Crowded("the tokens that wait cannot be counted now", code="not_counted", retry_after=COME_BACK)
             await self._ctx.beats.pause(WAIT_STEP)
 
+    def waiting_tokens(self, route: str) -> tuple[int, int]:
+        """Tokens of items on a route that are not finished: of this guide's batches, and of all that is told of."""
+        mine = sum(o.tokens_left for o in self.batches.values() if not o.holder.lost and o.batch.route == route)
+        theirs = sum(t.tokens for b, t in self._quota_told.items() if t.route == route and b not in self.batches)
+        return mine, mine + theirs
+
     def _drop_grant(self, batch_id: str):
         """A grant is told as this guide's own until its batch is, and given back where it came to nothing."""
         granted = self._quota_mine.pop(batch_id, None)
