--- a/pipitlink/dialect/headers.py
+++ b/pipitlink/dialect/headers.py
@@ -6,13 +6,10 @@
 
     request_id = b"x-request-id"
     deadline_ms = b"x-deadline-ms"
-    model = b"x-model"
     token_counts = b"x-token-counts"
     prompt_parts = b"x-prompt-parts"
     target = b"x-target-instance"
-    instance = b"x-instance-id"
     urgency = b"x-urgency"
     not_executed = b"x-not-executed"
     seal = b"x-engine-seal"
-    cold_ms = b"x-cold-ms"
     event_id = b"last-event-id"
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -1,6 +1,6 @@
 from klein import Klein
 
-from ..beats import ms, secs
+from ..beats import ms
 from ..web import Site, listen, send_json
 from .batch_intake import BatchIntake
 from .batch_read import BatchRead
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..beats import Joined, ZERO, ms, secs
+from ..beats import Joined, ms, secs
 from ..faults import Crowded, GuideFault, PipitFault, Refused, WireFault
 from ..rendezvous import rank
 from ..wire.roster_pb2 import Loads, QuotaAsk, QuotaReceipt, WaitingLot
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -1,7 +1,7 @@
 from twisted.internet import defer, protocol
 from twisted.web.client import ResponseDone
 
-from ..beats import ms, spawn
+from ..beats import ms
 from ..faults import BackEndFault, Crowded, GuideFault
 from .call import HOP_HEADERS
 from .events import EventStream
@@ -311,9 +311,6 @@
                 if name.lower() == b"timeout" and n.strip().isdigit():
                     link.keep = ms(1000 * int(n))
 
-    def spawned_relay(self, call):
-        return spawn(self.relay(call))
-
 
 def passed_headers(response):
     """The engine's headers that a caller is shown: all but those that concern one connection."""
