--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -42,7 +42,6 @@
             items = self.dialect.read_lot(raw)
             taken = wall_ms(self._ctx.beats.wall())
             batch = Batch(id=lot_id, host=host, path=path, route=route.name, taken_ms=taken, items=items.items)
-            t0 = self._ctx.beats.now()
             left = deadline - MARGIN - self._ctx.beats.now()
             if left <= ZERO:
                 raise Crowded("the deadline has passed", code="deadline_passed", retry_after=COME_BACK)
@@ -51,10 +50,8 @@
             if not self._same_batch(same, batch):
                 raise GuideFault("this id was used for another batch", code="id_in_use", field="id", status=409,
                                  outcome="not_run")
-            self._ctx.journal.note("taken", batch=lot_id, ms=int((self._ctx.beats.now() - t0) / ms(1)), n=len(batch.items), q=getattr(self, "_qms", 0))
             return 202, {"Content-Type": "application/json"}, self.dialect.show_taken(lot_id, len(batch.items))
         except GuideFault as e:
-            self._ctx.journal.note("refused", batch=lot_id, code=e.code, status=e.status, text=e)
             return refusal(e, self.dialect)
         except (PipitFault, TimeoutError) as e:
             return refusal(_unknown(f"the batch may yet be taken: {e}"), self.dialect)
@@ -69,9 +66,7 @@
             try:
                 if not self._ctx.setup.usable():
                     raise Crowded("this guide takes no batches now", code="not_current", retry_after=COME_BACK)
-                q0 = self._ctx.beats.now()
                 await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
-                self._qms = int((self._ctx.beats.now() - q0) / ms(1))
             except GuideFault as e:
                 return await self._batch_taken_already(batch.id, e)
         try:
