--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -42,7 +42,6 @@
             items = self.dialect.read_lot(raw)
             taken = wall_ms(self._ctx.beats.wall())
             batch = Batch(id=lot_id, host=host, path=path, route=route.name, taken_ms=taken, items=items.items)
-            t0 = self._ctx.beats.now()
             left = deadline - MARGIN - self._ctx.beats.now()
             if left <= ZERO:
                 raise Crowded("the deadline has passed", code="deadline_passed", retry_after=COME_BACK)
@@ -51,10 +50,8 @@
             if not self._same_batch(same, batch):
                 raise GuideFault("this id was used for another batch", code="id_in_use", field="id", status=409,
                                  outcome="not_run")
-            self._ctx.journal.note("taken", batch=lot_id, ms=int((self._ctx.beats.now() - t0) / ms(1)), n=len(batch.items), tok=sum(i.tokens for i in batch.items))
             return 202, {"Content-Type": "application/json"}, self.dialect.show_taken(lot_id, len(batch.items))
         except GuideFault as e:
-            self._ctx.journal.note("refused", batch=lot_id, code=e.code, status=e.status, text=e)
             return refusal(e, self.dialect)
         except (PipitFault, TimeoutError) as e:
             return refusal(_unknown(f"the batch may yet be taken: {e}"), self.dialect)
