--- /dev/null
+++ b/pipitlink/controller/__init__.py
@@ -0,0 +1,4 @@
+from .control import ControlFace
+from .node import ControllerNode
+
+__all__ = ["ControlFace", "ControllerNode"]
--- a/pipitlink/office/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -127,7 +127,7 @@
     async def _confirmed(self, have: _Announced):
         """Waits until all live guides have confirmed the change, for a short while; one guide must have.
 
-        An office that reaches none may be cut off from those who still send, so the engine has to ask another.
+        A controller that reaches none may be cut off from those who still send, so the engine has to ask another.
         """
         if have.telling is None or not have.telling.running and not have.telling.confirmed:
             self._tell(have)
--- a/pipitlink/office/archive.py
+++ b/pipitlink/controller/archive.py
@@ -10,7 +10,7 @@
 from ..faults import Damaged
 from ..segments import Segments
 from ..syncing import Syncer
-from ..wire.office_pb2 import Ballot, OfficeEntry, OfficeRecord, Snapshot
+from ..wire.controller_pb2 import Ballot, ControllerEntry, ControllerRecord, Snapshot
 from ..wire.setup_pb2 import Row, SheetData
 
 __all__ = ["Archive", "told_by_the_last"]
@@ -27,7 +27,7 @@
 
 
 class Archive:
-    """What an office keeps on disk: its ballot, the agreed log, and a snapshot that is swapped in whole."""
+    """What a controller keeps on disk: its ballot, the agreed log, and a snapshot that is swapped in whole."""
 
     def __init__(self, ctx, folder: Path, disk: Disk):
         self._folder = folder
@@ -36,7 +36,7 @@
         self._syncer = Syncer(ctx, self._segments, self._replayed)
         self.ballot = Ballot()
         self.snapshot = Snapshot()
-        self.entries: list[OfficeEntry] = []
+        self.entries: list[ControllerEntry] = []
         self._entry_bytes = 0
         self._votes: list[tuple[int, tuple[str, ...]]] = []
 
@@ -44,13 +44,13 @@
         self.snapshot = self._load_snapshot()
         kept = self.snapshot.sheet.voters and any((self._folder / "agreed").glob("seg-*.log"))
         if (self._folder / "founded").exists() and not kept:
-            raise Damaged("this office took part in the agreement and its files are gone")
+            raise Damaged("this controller took part in the agreement and its files are gone")
         self._replayed()
 
     def _replayed(self):
         self.entries, self._votes, self._entry_bytes = [], [], 0
         for _, body in self._segments.recover():
-            r = OfficeRecord.FromString(body)
+            r = ControllerRecord.FromString(body)
             what = r.WhichOneof("of")
             if what == "ballot":
                 self.ballot = r.ballot
@@ -61,7 +61,7 @@
                 if r.snapshot.index > self.snapshot.index:
                     raise Damaged(f"the snapshot at {r.snapshot.index} is missing")
 
-    def _place(self, e: OfficeEntry):
+    def _place(self, e: ControllerEntry):
         if e.index <= self.snapshot.index:
             return
         start = max(0, e.index - self.snapshot.index - 1)
@@ -70,8 +70,8 @@
         self.entries.append(e)
         while self._votes and self._votes[-1][0] >= e.index:
             self._votes.pop()
-        if e.command.WhichOneof("of") == "offices":
-            self._votes.append((e.index, tuple(e.command.offices.voters)))
+        if e.command.WhichOneof("of") == "controllers":
+            self._votes.append((e.index, tuple(e.command.controllers.voters)))
 
     def voters(self) -> tuple[str, ...]:
         """The newest voters in the log count, agreed or not yet."""
@@ -93,11 +93,11 @@
             return self.entries[index - self.snapshot.index - 1].term
         return None
 
-    def after(self, index: int, most: int = 256) -> list[OfficeEntry]:
+    def after(self, index: int, most: int = 256) -> list[ControllerEntry]:
         start = index - self.snapshot.index
         return self._bounded(self.entries[max(0, start):start + most], SEND_BYTES)
 
-    def _bounded(self, entries: list[OfficeEntry], most: int) -> list[OfficeEntry]:
+    def _bounded(self, entries: list[ControllerEntry], most: int) -> list[ControllerEntry]:
         """The first of these that have so many bytes together; one at least."""
         size = 0
         for n, e in enumerate(entries):
@@ -116,19 +116,19 @@
 
     def put_ballot(self, term: int, vote: str):
         self.ballot = Ballot(term=term, vote=vote)
-        return self._put(OfficeRecord(ballot=self.ballot))
+        return self._put(ControllerRecord(ballot=self.ballot))
 
-    def put_entry(self, e: OfficeEntry):
+    def put_entry(self, e: ControllerEntry):
         self._place(e)
-        return self._put(OfficeRecord(entry=e))
+        return self._put(ControllerRecord(entry=e))
 
-    def _put(self, r: OfficeRecord):
+    def _put(self, r: ControllerRecord):
         body = r.SerializeToString()
         return self._syncer.put(lambda ticket: self._segments.put(body, ticket))
 
     def all_synced(self):
         """Fires once all that was queued before is on disk."""
-        return self._put(OfficeRecord()) if self._syncer.busy else defer.succeed(None)
+        return self._put(ControllerRecord()) if self._syncer.busy else defer.succeed(None)
 
     def keep_snapshot(self, s: Snapshot):
         """Blocking: writes the snapshot aside, syncs it and swaps it in."""
@@ -194,9 +194,9 @@
             self._place(e)
         self._segments.roll()
         mark = Snapshot(index=s.index, term=s.term, sheet=SheetData())
-        for r in (OfficeRecord(snapshot=mark), *(OfficeRecord(entry=e) for e in rest)):
+        for r in (ControllerRecord(snapshot=mark), *(ControllerRecord(entry=e) for e in rest)):
             self._put(r).addErrback(told_by_the_last)
-        done = self._put(OfficeRecord(ballot=self.ballot))
+        done = self._put(ControllerRecord(ballot=self.ballot))
         done.addCallback(lambda _: [self._segments.drop(n) for n in old if n != self._segments.newest()])
         return done
 
--- a/pipitlink/office/control.py
+++ b/pipitlink/controller/control.py
@@ -22,17 +22,17 @@
 
 
 def _digest(request, base: int, body: bytes) -> str:
-    """An edit that is sent again unchanged, to any office, is the same edit."""
+    """An edit that is sent again unchanged, to any controller, is the same edit."""
     words = b"%b %d " % (request.method, base)
     return "config-" + blake2b(words + body, digest_size=16).hexdigest()
 
 
 class Control:
-    """Configurations, zones, retirements and announcements of engines, at one office in one set of words."""
+    """Configurations, zones, retirements and announcements of engines, at one controller in one set of words."""
 
-    def __init__(self, ctx, office, words):
+    def __init__(self, ctx, controller, words):
         self._ctx = ctx
-        self._office = office
+        self._controller = controller
         self._words = words
 
     def routes(self, add):
@@ -41,7 +41,7 @@
 
     @answered
     async def show_config(self, request):
-        table = (await self._office.newest()).routes
+        table = (await self._controller.newest()).routes
         return _send(request, self._words.config_body(table.config()), {b"ETag": b'"%d"' % table.version})
 
     @answered
@@ -61,7 +61,7 @@
             if faults:
                 raise BadAsk("; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid")
         c = Command(edit=edit_id(request, _digest(request, base, body)), config=edit)
-        out = await self._office.decide(c)
+        out = await self._controller.decide(c)
         if out.code == "wrong_base":
             raise GuideFault(f"the configuration is at version {out.sequence}", code=out.code, status=412,
                              outcome="not_run")
@@ -79,38 +79,38 @@
 
     async def _edit_zone(self, request, zone: str, empty: bool):
         c = Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty))
-        out = await self._office.decide(c)
+        out = await self._controller.decide(c)
         if out.code != "done":
             raise GuideFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
         return send_json(request, {"sequence": out.sequence, "edit": c.edit})
 
     @answered
     async def put_engine(self, request, engine: str):
-        await self._office.announce(self._words.engine_news(engine, request.content.read()))
+        await self._controller.announce(self._words.engine_news(engine, request.content.read()))
         return _send(request, self._words.engine_answer())
 
     @answered
     async def drop_engine(self, request, engine: str):
-        await self._office.announce(EngineNews(engine=engine, incarnation=1, state="gone"))
+        await self._controller.announce(EngineNews(engine=engine, incarnation=1, state="gone"))
         return _send(request, self._words.engine_answer())
 
     @answered
     async def retire(self, request, depot: str):
         edit = edit_id(request)
-        sequence = await self._office.retire(depot, edit)
+        sequence = await self._controller.retire(depot, edit)
         return send_json(request, {"sequence": sequence, "edit": edit}, 200, {"ETag": f'"{sequence}"'})
 
     @answered
     async def show_retirement(self, request, depot: str):
-        return _send(request, self._words.retirement_answer(await self._office.retirement(depot)))
+        return _send(request, self._words.retirement_answer(await self._controller.retirement(depot)))
 
 
 class ControlFace:
-    """The office's address for operators and engines, in the words of the dialect."""
+    """The controller's address for operators and engines, in the words of the dialect."""
 
-    def __init__(self, ctx, office):
+    def __init__(self, ctx, controller):
         self._ctx = ctx
-        self._control = Control(ctx, office, ctx.dialect)
+        self._control = Control(ctx, controller, ctx.dialect)
         self._port = None
 
     async def listen(self, host: str, port: int) -> int:
--- a/pipitlink/office/edits.py
+++ b/pipitlink/controller/edits.py
@@ -8,7 +8,7 @@
                       WrongBase)
 from ..setup import Sheet
 from ..web import answered, send_json
-from ..wire.office_pb2 import EditAsk, EditReceipt, ReadTableAsk
+from ..wire.controller_pb2 import EditAsk, EditReceipt, ReadTableAsk
 from ..wire.setup_pb2 import Command, Outcome, SheetData, TableEdit, ZoneEdit
 from .rows import row_dict, row_from, rows_from
 
@@ -51,11 +51,11 @@
 
 
 class Edits:
-    """Mixin: the operators' interface to the setup, the same at every office."""
+    """Mixin: the operators' interface to the setup, the same at every controller."""
 
     def _open_edits(self):
-        self._ctx.desk.answer("office.edit", EditAsk, self._edit_for)
-        self._ctx.desk.answer("office.read", ReadTableAsk, self._read_for)
+        self._ctx.desk.answer("controller.edit", EditAsk, self._edit_for)
+        self._ctx.desk.answer("controller.read", ReadTableAsk, self._read_for)
 
     async def _edit_for(self, node, ask: EditAsk) -> EditReceipt:
         return EditReceipt(outcome=await self.edit(ask.command))
@@ -70,7 +70,7 @@
             await self.sure_leader()
             return self.sheet
         try:
-            return Sheet(await self._ask_leader("office.read", ReadTableAsk(), SheetData))
+            return Sheet(await self._ask_leader("controller.read", ReadTableAsk(), SheetData))
         except (WireFault, NotLeading, Unproven) as e:
             raise GuideFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
                              outcome="failed", retry_after=1) from e
@@ -83,7 +83,7 @@
         leader = self.leader
         if not leader or leader == self._ctx.node or self._leader_silent():
             raise NotLeading("no leader is known")
-        d = spawn(self.ask_office(leader, verb, what, kind, FORWARD_LIMIT))
+        d = spawn(self.ask_controller(leader, verb, what, kind, FORWARD_LIMIT))
 
         def look():
             if not d.called:
@@ -102,14 +102,14 @@
         try:
             if self.state == "leader":
                 return await self.edit(c)
-            return (await self._ask_leader("office.edit", EditAsk(command=c), EditReceipt)).outcome
+            return (await self._ask_leader("controller.edit", EditAsk(command=c), EditReceipt)).outcome
         except (Overdue, Unproven, CutOff, Refused, NotLeading) as e:
             sent = not (isinstance(e, NotLeading) or isinstance(e, CutOff) and not e.sent
                         or isinstance(e, Refused) and e.fault in ("not_leading", "no_room"))
             if isinstance(e, Refused) and e.fault == "no_room":
                 raise NoRoom(e.note, sent=False) from e
             raise GuideFault(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
-                             f"no office leads now: {e}", code="unproven" if sent else "no_leader", status=503,
+                             f"no controller leads now: {e}", code="unproven" if sent else "no_leader", status=503,
                              outcome="unknown" if sent else "not_run", retry_after=1) from e
 
     async def _do_edit(self, request, c: Command):
@@ -195,5 +195,5 @@
 
     def metrics(self) -> dict:
         return {"term": ("The agreement's term", self.term),
-                "leading": ("1 where this office leads", int(self.state == "leader")),
+                "leading": ("1 where this controller leads", int(self.state == "leader")),
                 "agreed": ("The agreed log's index", self.commit)}
--- a/pipitlink/office/guides.py
+++ b/pipitlink/controller/guides.py
@@ -37,7 +37,7 @@
         self.followers: dict[str, _Follower] = {}
         self._news: dict[defer.Deferred, None] = {}
         self._confirmations: dict[defer.Deferred, None] = {}
-        self._ctx.desk.answer("office.follow", FollowAsk, self._follow)
+        self._ctx.desk.answer("controller.follow", FollowAsk, self._follow)
 
     def _fresh(self) -> bool:
         return self.state == "leader" and self._ctx.beats.now() - self.heard_majority_at() < FRESH_SPAN
@@ -51,7 +51,7 @@
             await self._wait(self._news, HOLD_FOLLOW, lambda: self.sheet.sequence > ask.sequence)
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
-        out = FollowReceipt(sequence=self.sheet.sequence, leased=True, office=self._ctx.node)
+        out = FollowReceipt(sequence=self.sheet.sequence, leased=True, controller=self._ctx.node)
         if ask.sequence < self.sheet.sequence:
             entries = [e for e in self.archive.after(ask.sequence, 4096) if e.index <= self.sheet.sequence]
             if entries and entries[0].index == ask.sequence + 1 and ask.sequence:
@@ -105,7 +105,7 @@
         """Proposes an edit and returns once it is agreed and in effect everywhere."""
         end = self._ctx.beats.now() + limit
         if self.archive.used() + 3 * c.ByteSize() > self._ctx.props.budget_mb * 1024 * 1024 * ROOM_SHARE:
-            raise NoRoom("the office's data folder has no room for this edit", sent=False)
+            raise NoRoom("the controller's data folder has no room for this edit", sent=False)
         out = self.sheet.outcomes.get(c.edit) if c.edit else None
         known = out is not None
         if not known:
@@ -117,7 +117,7 @@
         sequence = self.sheet.sequence
         while not self._in_effect(sequence):
             if self.state != "leader":
-                raise Unproven("the edit is agreed, but this office no longer leads to see it in effect")
+                raise Unproven("the edit is agreed, but this controller no longer leads to see it in effect")
             if self._ctx.beats.now() >= end:
                 raise Overdue("the edit is agreed but not yet shown to be in effect everywhere")
             await self._wait(self._confirmations, ms(50), lambda: self._in_effect(sequence))
--- a/pipitlink/office/leading.py
+++ b/pipitlink/controller/leading.py
@@ -4,7 +4,7 @@
 
 from ..beats import ZERO, ms, secs
 from ..faults import NoRoom, NotLeading, Unproven, WireFault
-from ..wire.office_pb2 import AppendAsk, AppendReceipt, OfficeEntry
+from ..wire.controller_pb2 import AppendAsk, AppendReceipt, ControllerEntry
 from ..wire.setup_pb2 import Command, Outcome
 from .archive import told_by_the_last
 
@@ -16,7 +16,7 @@
 
 
 class Leading:
-    """Mixin: the leader's side of the agreement, one task for each other office."""
+    """Mixin: the leader's side of the agreement, one task for each other controller."""
 
     def _open_leading(self):
         self._match: dict[str, int] = {}
@@ -26,7 +26,7 @@
         self._proposed: dict[int, tuple[int, defer.Deferred]] = {}
         self._synced = 0
         self._elected_at = timedelta(0)
-        self._ctx.desk.answer("office.append", AppendAsk, self._append)
+        self._ctx.desk.answer("controller.append", AppendAsk, self._append)
 
     def _lead(self):
         self.leader = self._ctx.node
@@ -53,7 +53,7 @@
         return at[len(at) // 2] if at else ZERO
 
     def _send_to_all(self):
-        for m in self._ctx.roster.members("office", me=False):
+        for m in self._ctx.roster.members("controller", me=False):
             if m.node not in self._senders:
                 self._senders.add(m.node)
                 self._ctx.spawned(self._send(m.node, self.term), "send_entries")
@@ -66,7 +66,7 @@
                 ask = self._entries_for(node, after)
                 limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
                 try:
-                    r = await self.ask_office(node, "office.append", ask, AppendReceipt, limit)
+                    r = await self.ask_controller(node, "controller.append", ask, AppendReceipt, limit)
                 except WireFault:
                     await self._ctx.beats.pause(HEART_BEAT)
                     continue
@@ -114,7 +114,7 @@
         index = self.archive.last_index() + 1
         d = defer.Deferred()
         self._proposed[index] = (term, d)
-        synced = self.archive.put_entry(OfficeEntry(index=index, term=term, command=c))
+        synced = self.archive.put_entry(ControllerEntry(index=index, term=term, command=c))
         self._wake_all()
         try:
             await synced
@@ -161,7 +161,7 @@
             if self.heard_majority_at() >= asked and self.archive.term_at(self.commit) == term:
                 return
             if self._ctx.beats.now() > until:
-                raise Unproven("a majority of the offices was not heard")
+                raise Unproven("a majority of the controllers was not heard")
             self._wake_all()
             await self._ctx.beats.pause(ms(10))
 
--- a/pipitlink/office/node.py
+++ b/pipitlink/controller/node.py
@@ -7,7 +7,7 @@
 from ..faults import WireFault
 from ..setup import Sheet
 from ..wire.frame_pb2 import Nothing
-from ..wire.office_pb2 import Snapshot
+from ..wire.controller_pb2 import Snapshot
 from .announcing import Announcing
 from .archive import Archive
 from .control import Control
@@ -19,12 +19,12 @@
 from .voters import Voters
 from .voting import Founding, Voting
 
-__all__ = ["OfficeNode"]
+__all__ = ["ControllerNode"]
 
 BEAT = ms(50)
 
 
-class OfficeNode(Founding, Voting, Leading, Guides, Edits, Retiring, Announcing, Shelving, Voters, Charted):
+class ControllerNode(Founding, Voting, Leading, Guides, Edits, Retiring, Announcing, Shelving, Voters, Charted):
     chart = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
@@ -49,7 +49,7 @@
         self._open_edits()
         self._open_shelving()
         self._open_announcing()
-        self._ctx.desk.answer("office.empty", Nothing, self._empty)
+        self._ctx.desk.answer("controller.empty", Nothing, self._empty)
         if self.archive.snapshot.sheet.voters:
             self.put("founded")
         b, report = self._ctx.beats, self._ctx.report
@@ -61,7 +61,7 @@
                                            due=lambda: ZERO if self.state == "leader" else None))
 
     def _say(self):
-        self._ctx.journal.note("office_founded", term=self.term, last=self.archive.last_index())
+        self._ctx.journal.note("controller_founded", term=self.term, last=self.archive.last_index())
 
     def routes(self, add):
         super().routes(add)
@@ -76,10 +76,10 @@
     def voters(self) -> tuple[str, ...]:
         return self.archive.voters()
 
-    async def ask_office(self, node: str, verb: str, what, kind, limit):
+    async def ask_controller(self, node: str, verb: str, what, kind, limit):
         m = self._ctx.roster.find(node)
         if m is None:
-            raise WireFault(f"office {node} is not on the roster")
+            raise WireFault(f"controller {node} is not on the roster")
         return await self._ctx.desk.call((m.host, m.port), verb, what, kind, limit)
 
     def apply(self):
--- a/pipitlink/office/shelving.py
+++ b/pipitlink/controller/shelving.py
@@ -19,7 +19,7 @@
 
     def _open_shelving(self):
         self._caught_up_shelves: set[tuple[int, int, str]] = set()
-        self._ctx.desk.answer("office.caught_up", CaughtUp, self._told_caught_up)
+        self._ctx.desk.answer("controller.caught_up", CaughtUp, self._told_caught_up)
 
     async def _told_caught_up(self, node, told: CaughtUp):
         self._caught_up_shelves.add((told.shelf, told.sequence, told.depot))
@@ -100,7 +100,7 @@
     def _replaced(self, depot: str) -> bool:
         """Another depot answers at its place or by its name: it lost its disk and cannot come back, so nothing is waited for.
 
-        Its name is in the setup, so that it is known also where no office has met it since all of them started.
+        Its name is in the setup, so that it is known also where no controller has met it since all of them started.
         """
         m, name = self._ctx.roster.find(depot), self.sheet.depot_names.get(depot)
         return any(o.node != depot and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
--- a/pipitlink/office/voters.py
+++ b/pipitlink/controller/voters.py
@@ -1,5 +1,5 @@
 from ..beats import secs
-from ..wire.setup_pb2 import Command, Offices
+from ..wire.setup_pb2 import Command, Controllers
 
 __all__ = ["Voters"]
 
@@ -28,7 +28,7 @@
         change = self._next_voters(voters)
         if change is not None:
             self._ctx.journal.note("voters", was=",".join(voters), next=",".join(change))
-            await self._propose(Command(offices=Offices(voters=change)))
+            await self._propose(Command(controllers=Controllers(voters=change)))
 
     def _next_voters(self, voters: tuple[str, ...]) -> tuple[str, ...] | None:
         lost = [v for v in voters if self._lost_voter(v)]
@@ -38,7 +38,7 @@
             rest = tuple(v for v in voters if v != extra)
             return rest if 2 * len([v for v in rest if v in live]) > len(rest) else None
         if lost or len(voters) < VOTERS:
-            standbys = [m for m in self._ctx.roster.members("office", standing=("alive",), me=False)
+            standbys = [m for m in self._ctx.roster.members("controller", standing=("alive",), me=False)
                         if m.node not in voters and self._caught_up(m.node)]
             zones = {m.zone for v in live if (m := self._ctx.roster.find(v))}
             standbys.sort(key=lambda m: (m.zone in zones, m.node))
--- a/pipitlink/office/voting.py
+++ b/pipitlink/controller/voting.py
@@ -4,7 +4,7 @@
 
 from ..beats import ZERO, ms, spawn
 from ..faults import WireFault
-from ..wire.office_pb2 import FoundReceipt, Snapshot, VoteAsk, VoteReceipt
+from ..wire.controller_pb2 import FoundReceipt, Snapshot, VoteAsk, VoteReceipt
 from ..wire.frame_pb2 import Nothing
 from ..wire.setup_pb2 import SheetData
 
@@ -27,7 +27,7 @@
         for founder in self._ctx.props.founders:
             host, _, port = founder.rpartition(":")
             try:
-                got.append(await self._ctx.desk.call((host, int(port)), "office.empty", Nothing(), FoundReceipt,
+                got.append(await self._ctx.desk.call((host, int(port)), "controller.empty", Nothing(), FoundReceipt,
                                                      ASK_LIMIT))
             except WireFault:
                 got.append(None)
@@ -62,7 +62,7 @@
         self._fresh_spent = False
         self._fresh_at: timedelta | None = None
         self._patience = self._new_patience()
-        self._ctx.desk.answer("office.vote", VoteAsk, self._vote_by_name)
+        self._ctx.desk.answer("controller.vote", VoteAsk, self._vote_by_name)
 
     def _new_patience(self) -> timedelta:
         return STICKY_SPAN + (LONGEST - STICKY_SPAN) * self._ctx.chance.random()
@@ -126,7 +126,7 @@
             self.put("yield")
 
     async def _poll(self, term: int, pre: bool, fresh: bool = False) -> bool:
-        """Whether a majority would vote, or votes, for this office.
+        """Whether a majority would vote, or votes, for this controller.
 
         Where all voters just started, or another node answers at their place, none of them leads and whoever led has ended,
         so nobody's leader has to be waited out. That is asked first, of every single voter, and each must know the same
@@ -144,7 +144,7 @@
         async def one(node):
             nonlocal left
             try:
-                r = await self.ask_office(node, "office.vote", ask, VoteReceipt, ASK_LIMIT)
+                r = await self.ask_controller(node, "controller.vote", ask, VoteReceipt, ASK_LIMIT)
                 if r.fresh or r.node != node:
                     started.add(node)
                 if r.granted and r.node == node:
@@ -195,7 +195,7 @@
         return VoteReceipt(term=self.term, granted=kept)
 
     async def meet_term(self, term: int):
-        """A higher term was seen: this office follows from now on, and keeps the term first."""
+        """A higher term was seen: this controller follows from now on, and keeps the term first."""
         if term > self.term:
             self.step_down()
             await self.archive.put_ballot(term, "")
--- a/pipitlink/depot/copying.py
+++ b/pipitlink/depot/copying.py
@@ -97,5 +97,5 @@
 
     async def _tell_caught_up(self, shelf: Shelf):
         told = CaughtUp(depot=self._ctx.node, shelf=shelf.number, sequence=shelf.sequence)
-        offices = [m.node for m in self._ctx.roster.members("office", me=False)]
-        await self._ctx.ledger.ask_each(offices, "office.caught_up", told, Nothing, ms(500))
+        controllers = [m.node for m in self._ctx.roster.members("controller", me=False)]
+        await self._ctx.ledger.ask_each(controllers, "controller.caught_up", told, Nothing, ms(500))
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -2,7 +2,7 @@
     "PipitFault", "PropsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
     "LedgerFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldShelf", "Damaged",
     "GuideFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
-    "OfficeFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
+    "ControllerFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
 ]
 
 
@@ -129,11 +129,11 @@
     outcome = "unknown"
 
 
-class OfficeFault(PipitFault):
-    code = "office"
+class ControllerFault(PipitFault):
+    code = "controller"
 
 
-class NotLeading(OfficeFault):
+class NotLeading(ControllerFault):
     code = "not_leading"
 
     def __init__(self, text: str, leader: str = ""):
@@ -141,11 +141,11 @@
         self.leader = leader
 
 
-class Unproven(OfficeFault):
+class Unproven(ControllerFault):
     code = "unproven"
 
 
-class WrongBase(OfficeFault):
+class WrongBase(ControllerFault):
     code = "wrong_base"
 
     def __init__(self, sequence: int):
@@ -153,7 +153,7 @@
         self.sequence = sequence
 
 
-class BadRows(OfficeFault):
+class BadRows(ControllerFault):
     code = "bad_rows"
 
     def __init__(self, faults: list[dict]):
--- a/pipitlink/office/__init__.py
+++ /dev/null
@@ -1,4 +0,0 @@
-from .control import ControlFace
-from .node import OfficeNode
-
-__all__ = ["ControlFace", "OfficeNode"]
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -21,7 +21,7 @@
 from .plugs import Gate
 from .props import Props
 from .roster import Roster
-from .office import ControlFace, OfficeNode
+from .controller import ControlFace, ControllerNode
 from .setup import Setup
 from .wire.desk import Desk
 from .wire.roster_pb2 import Member
@@ -33,7 +33,7 @@
 
 
 class Process:
-    """One guide, depot or office, from its props to its end."""
+    """One guide, depot or controller, from its props to its end."""
 
     def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None):
         node = fresh_id() if role == "guide" else node_id(Path(props.data), props.fleet)
@@ -74,13 +74,13 @@
             ctx.cache.open()
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
-        if ctx.role == "office" and p.control_port:
+        if ctx.role == "controller" and p.control_port:
             self._control = ControlFace(ctx, self.node)
             await self._control.listen(p.bind, p.control_port)
         ctx.changes = Changes(ctx)
         ctx.changes.open()
         ctx.roster.open(me)
-        if ctx.role != "office":
+        if ctx.role != "controller":
             ctx.setup.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
@@ -95,7 +95,7 @@
 
     def _open_kept(self):
         """Opens what is on disk. Damage that replicas can mend is set aside, and the node begins anew and empty."""
-        ctx, kinds = self.ctx, {"depot": DepotNode, "office": OfficeNode}
+        ctx, kinds = self.ctx, {"depot": DepotNode, "controller": ControllerNode}
         if ctx.role not in kinds:
             return
         disk = ctx.desk.gate.disk() if ctx.desk.gate is not None else None
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -22,7 +22,7 @@
 
 
 class Setup(Charted):
-    """The setup as a node outside the offices follows it: higher sequences only, and a proof that it is the newest."""
+    """The setup as a node outside the controllers follows it: higher sequences only, and a proof that it is the newest."""
 
     chart = "currency"
 
@@ -32,7 +32,7 @@
         self.shelves = ctx.props.shelves
         self._leased_at: timedelta | None = None
         self._proved_at: timedelta | None = None
-        self._office = ""
+        self._controller = ""
         self._followed = False
         self._watchers: list = []
         self._nudged: defer.Deferred | None = None
@@ -112,7 +112,7 @@
         return self.sequence >= r.sequence
 
     async def _follow(self):
-        """One task that follows the setup from an office, or through a colleague where no office is heard."""
+        """One task that follows the setup from a controller, or through a colleague where no controller is heard."""
         failures = 0
         while not self._ctx.beats.ended:
             try:
@@ -121,11 +121,11 @@
             except (WireFault, Refused) as e:
                 failures += 1
                 leader = e.note if isinstance(e, Refused) and e.fault == "not_leading" else ""
-                if leader and leader != self._office:
-                    self._office, failures = leader, 0
+                if leader and leader != self._controller:
+                    self._controller, failures = leader, 0
                     continue
-                self._office = ""
-                self._ctx.journal.trace("no_office", text=e)
+                self._controller = ""
+                self._ctx.journal.trace("no_controller", text=e)
                 self._nudged = defer.Deferred()
                 await self._ctx.beats.within(PAUSE, self._nudged).addErrback(lambda f: None)
 
@@ -135,8 +135,8 @@
         ask = FollowAsk(node=self._ctx.node, role=self._ctx.role, sequence=self.sequence,
                         at_once=self._leased_at is None)
         r = await self._ctx.desk.call(place, verb, ask, FollowReceipt, FOLLOW_LIMIT)
-        if r.office and verb == "office.follow":
-            self._office = r.office
+        if r.controller and verb == "controller.follow":
+            self._controller = r.controller
         if not self._absorb(r):
             return
         if r.leased:
@@ -145,25 +145,25 @@
             self.ready()
 
     def _whom(self, failures: int):
-        offices = self._ctx.roster.members("office", me=False)
-        known = [m for m in offices if m.node == self._office]
+        controllers = self._ctx.roster.members("controller", me=False)
+        known = [m for m in controllers if m.node == self._controller]
         if known and not failures:
-            return (known[0].host, known[0].port), "office.follow"
+            return (known[0].host, known[0].port), "controller.follow"
         colleagues = self._ctx.roster.members("guide", standing=("alive",), me=False)
-        if offices and (failures % 3 or not colleagues):
-            m = self._ctx.chance.choice(offices)
-            return (m.host, m.port), "office.follow"
+        if controllers and (failures % 3 or not colleagues):
+            m = self._ctx.chance.choice(controllers)
+            return (m.host, m.port), "controller.follow"
         if not colleagues:
-            raise WireFault("neither an office nor a colleague is known")
+            raise WireFault("neither a controller nor a colleague is known")
         m = self._ctx.chance.choice(colleagues)
         return (m.host, m.port), "setup.pass_on"
 
     async def _pass_on(self, node, ask: FollowAsk) -> FollowReceipt:
-        """A colleague that hears no office follows through this node."""
-        m = self._ctx.roster.find(self._office) if self._office else None
+        """A colleague that hears no controller follows through this node."""
+        m = self._ctx.roster.find(self._controller) if self._controller else None
         if m is None:
-            raise WireFault("no office is heard here either")
-        return await self._ctx.desk.call((m.host, m.port), "office.follow", ask, FollowReceipt, FOLLOW_LIMIT)
+            raise WireFault("no controller is heard here either")
+        return await self._ctx.desk.call((m.host, m.port), "controller.follow", ask, FollowReceipt, FOLLOW_LIMIT)
 
     async def _witness(self, node, _) -> WitnessReceipt:
         return WitnessReceipt(current=self._followed, sequence=self.sequence)
@@ -172,7 +172,7 @@
         return FollowReceipt(sequence=self.sequence, sheet=self.sheet.data())
 
     async def _ask_witnesses(self):
-        """Proof without an office: an edit is only acknowledged when a majority of the depots has it."""
+        """Proof without a controller: an edit is only acknowledged when a majority of the depots has it."""
         self.ready()
         witnesses = self.sheet.witnesses()
         now = self._ctx.beats.now()
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -111,7 +111,7 @@
             self.shelves[s.number] = s
         return "done"
 
-    def _apply_offices(self, e, sequence) -> str:
+    def _apply_controllers(self, e, sequence) -> str:
         self.voters = tuple(e.voters)
         return "done"
 
--- a/rehearsal/bench.py
+++ b/rehearsal/bench.py
@@ -20,7 +20,7 @@
         self.p = PROFILES[profile]
         self.rounds, self.window = rounds, window
         p = self.p
-        self.fleet = Fleet(guides=p["guides"], depots=p["depots"], offices=p["offices"], engines=p["engines"],
+        self.fleet = Fleet(guides=p["guides"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
                            cards=p["cards"], capacity=8, step=0.02)
         self.calls = Callers(self.fleet, Random(seed))
         self._n = 0
@@ -84,10 +84,10 @@
 
     def _edit(self, n) -> dict:
         """From the request to its receipt, and to the moment when every guide is seen to have it."""
-        office = self.fleet.nodes("office")[n % len(self.fleet.nodes("office"))]
-        base = self.fleet.call(office, "GET", "/v1/table")[1]["sequence"]
+        controller = self.fleet.nodes("controller")[n % len(self.fleet.nodes("controller"))]
+        base = self.fleet.call(controller, "GET", "/v1/table")[1]["sequence"]
         began = time.monotonic()
-        status, said, _ = self.fleet.call(office, "PUT", "/v1/table/rows/bench", {**ROW, "weight": n + 1},
+        status, said, _ = self.fleet.call(controller, "PUT", "/v1/table/rows/bench", {**ROW, "weight": n + 1},
                                           {"If-Match": str(base)})
         acked = time.monotonic()
         assert status == 200, said
--- a/rehearsal/breaks.py
+++ b/rehearsal/breaks.py
@@ -38,9 +38,9 @@
         for n in names:
             if n.startswith("guide"):
                 wait_for(lambda: self.fleet.call(n, "GET", "/v1/ready")[0] == 200, 30, f"{n} is ready again")
-            elif n.startswith(("depot", "office")):
+            elif n.startswith(("depot", "controller")):
                 wait_for(lambda: self.fleet.call(n, "GET", "/v1/live")[0] == 200, 30, f"{n} lives again")
-        if any(n.startswith(("depot", "office")) for n in names):
+        if any(n.startswith(("depot", "controller")) for n in names):
             time.sleep(REPAIRED)
 
     def _any(self, chance, role):
@@ -52,13 +52,13 @@
     def plan_kill_depot(self, c):
         return self._down("kill", [self._any(c, "depot")], 3 * c.random())
 
-    def plan_kill_office(self, c):
-        return self._down("kill", [self._any(c, "office")], 2 * c.random())
+    def plan_kill_controller(self, c):
+        return self._down("kill", [self._any(c, "controller")], 2 * c.random())
 
     def plan_kill_leader(self, c):
         return self._down("kill", [self.leader()], 2 * c.random())
 
-    def plan_power_office(self, c):
+    def plan_power_controller(self, c):
         return self._down("power", [self.leader()], 2 * c.random(), power=c)
 
     def plan_power_depot(self, c):
@@ -110,8 +110,8 @@
     def plan_depot_roll(self, c):
         return self._roll(self.fleet.nodes("depot"))
 
-    def plan_office_roll(self, c):
-        return self._roll(self.fleet.nodes("office"))
+    def plan_controller_roll(self, c):
+        return self._roll(self.fleet.nodes("controller"))
 
     def _roll(self, names):
         names = sorted(set(names))
@@ -140,12 +140,12 @@
 
     def plan_replace_seeds(self, c):
         """The three machines of the seeds are swapped for empty ones at new addresses; the others keep old seeds."""
-        olds = [next(n for n in self.fleet.nodes(r)) for r in ("office", "depot", "guide")]
+        olds = [next(n for n in self.fleet.nodes(r)) for r in ("controller", "depot", "guide")]
 
         def do():
             self.say(f"{','.join(olds)} are replaced by empty machines at new addresses")
             lost = self.depot_id(olds[1])
-            seeds = [self.fleet.place(self.fleet.nodes(r)[1]) for r in ("office", "depot", "guide")]
+            seeds = [self.fleet.place(self.fleet.nodes(r)[1]) for r in ("controller", "depot", "guide")]
             with self.calls.hurting("replaced", olds, settle=4):
                 self.calls.down.add(olds[2])
                 news = []
@@ -209,15 +209,15 @@
 
         return ["core", "net"], do
 
-    def plan_split_offices(self, c):
-        offices = self.fleet.nodes("office")
-        c.shuffle(offices)
+    def plan_split_controllers(self, c):
+        controllers = self.fleet.nodes("controller")
+        c.shuffle(controllers)
         k = c.choice((1, 2))
-        return self._cut("offices split", offices[:k], offices[k:], 2 + 4 * c.random())
+        return self._cut("controllers split", controllers[:k], controllers[k:], 2 + 4 * c.random())
 
-    def plan_offices_away(self, c):
-        return self._cut("offices away", self.fleet.nodes("office"),
-                         [n for n in self.nodes() if "office" not in n], 2 + 5 * c.random())
+    def plan_controllers_away(self, c):
+        return self._cut("controllers away", self.fleet.nodes("controller"),
+                         [n for n in self.nodes() if "controller" not in n], 2 + 5 * c.random())
 
     def plan_zone_cut(self, c):
         """A zone's machines hear no other zone; the platform moves its clients."""
--- a/rehearsal/capacity.py
+++ b/rehearsal/capacity.py
@@ -26,7 +26,7 @@
     sets: object
     kind: str = "hollow"
     span: float = 6.0
-    roles: tuple = ("guide", "depot", "office", "leader")
+    roles: tuple = ("guide", "depot", "controller", "leader")
 
 
 SERIES = {
--- a/rehearsal/closing.py
+++ b/rehearsal/closing.py
@@ -35,7 +35,7 @@
         lots = {e["lot"] for e in self.calls.taken() if e["event"] == "lot" and e["lot"]}
         self.calls.over.clear()
         wait_for(lambda: all(self._done(lot) for lot in lots), 240, "every lot is done or ended")
-        for n in self.fleet.nodes("office"):
+        for n in self.fleet.nodes("controller"):
             self.calls.read_table(n)
 
     def _all_known(self):
@@ -53,7 +53,7 @@
         for n in names:
             if kind == "freeze":
                 self.fleet.programs[n].freeze()
-            elif kind == "power" and n.startswith(("depot", "office")):
+            elif kind == "power" and n.startswith(("depot", "controller")):
                 self.fleet.power(n, c)
             else:
                 self.fleet.programs[n].kill()
@@ -69,8 +69,8 @@
     def _wait_served(self, names, began) -> float:
         """Until each kind of service works at every node that is left."""
         guides = [g for g in self.fleet.nodes("guide") if g not in names]
-        offices = [o for o in self.fleet.nodes("office") if o not in names]
-        checks = [lambda g=g: self._streams(g) for g in guides] + [lambda: self._edits(offices),
+        controllers = [o for o in self.fleet.nodes("controller") if o not in names]
+        checks = [lambda g=g: self._streams(g) for g in guides] + [lambda: self._edits(controllers),
                                                                  lambda: self._lots_again(guides), self._cards]
         back: list[float] = []
 
@@ -107,13 +107,13 @@
             time.sleep(0.1)
         return False
 
-    def _edits(self, offices) -> bool:
-        """An edit is acknowledged, and every office that is left reads it back."""
+    def _edits(self, controllers) -> bool:
+        """An edit is acknowledged, and every controller that is left reads it back."""
         row = {"model": f"closing-{time.monotonic()}"}
-        e = self.calls.edit("closing", row, row["model"], offices[0])
+        e = self.calls.edit("closing", row, row["model"], controllers[0])
         if e.get("status") != 200:
             return False
-        for n in offices:
+        for n in controllers:
             status, said, _ = self.fleet.call(n, "GET", "/v1/table/rows/closing", limit=3)
             if status != 200 or said["sequence"] < e["sequence"]:
                 return False
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -81,7 +81,7 @@
 
 
 class Fleet:
-    def __init__(self, guides=3, depots=4, offices=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
+    def __init__(self, guides=3, depots=4, controllers=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
                  props=None, models="pipit-small"):
         self.folder = Path(keep or tempfile.mkdtemp(prefix="rehearsal-"))
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -94,11 +94,11 @@
         self._told: dict = {}
         self.capacity, self.step = capacity, step
         self.zones: dict[str, str] = {}
-        counts = {"guide": guides, "depot": depots, "office": offices}
+        counts = {"guide": guides, "depot": depots, "controller": controllers}
         self._ports = {f"{role}{i}": tuple(free_ports(3)) for role, n in counts.items() for i in range(n)}
-        firsts = [self._ports[f"{r}0"][0] for r in ("office", "depot", "guide") if counts[r]]
+        firsts = [self._ports[f"{r}0"][0] for r in ("controller", "depot", "guide") if counts[r]]
         self.seeds = [f"127.0.0.1:{p}" for p in firsts]
-        self.founders = [f"127.0.0.1:{self._ports[f'office{i}'][0]}" for i in range(min(3, offices))]
+        self.founders = [f"127.0.0.1:{self._ports[f'controller{i}'][0]}" for i in range(min(3, controllers))]
         for name in self._ports:
             role = name.rstrip("0123456789")
             self.add_node(role, name, ZONES[int(name[len(role):]) % 4])
@@ -119,7 +119,7 @@
             sets["http_port"] = ports[1]
         else:
             sets["data"] = self.folder / name
-        if role == "office" and self.founders and not seeds:
+        if role == "controller" and self.founders and not seeds:
             sets["founders"] = ",".join(self.founders)
         words = ["pipitlink", role]
         for k, v in sets.items():
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -16,7 +16,7 @@
 from pipitlink.guide import GuideNode
 from pipitlink.journal import Journal
 from pipitlink.ledger import Ledger
-from pipitlink.office import OfficeNode
+from pipitlink.controller import ControllerNode
 from pipitlink.process import Process
 from pipitlink.props import Props
 from pipitlink.roster import Roster
@@ -114,7 +114,7 @@
         ctx.cache = Cache(ctx)
         part = (_Member if kind == "member" else HollowGuide)(ctx)
     else:
-        part = {"depot": DepotNode, "office": OfficeNode}[ctx.role](ctx, disk)
+        part = {"depot": DepotNode, "controller": ControllerNode}[ctx.role](ctx, disk)
     part.open()
     if ctx.role == "guide":
         ctx.ledger.open()
@@ -140,7 +140,7 @@
         self.role, self.kind = role, spec["kind"]
         node = fresh_id()
         props = Props(zone=f"zone-{n % spec['zones']}", data=str(Path(spec["folder"]) / f"{role}{n}"),
-                      founders=spec["founders"] if role == "office" else (), seeds=spec["seeds"], budget_mb=256)
+                      founders=spec["founders"] if role == "controller" else (), seeds=spec["seeds"], budget_mb=256)
         Path(props.data).mkdir(parents=True, exist_ok=True)
         journal = Journal(host.sink, node=node)
         slowed = _Slowed(host)
@@ -161,11 +161,11 @@
         self.part = open_parts(self.ctx, self.kind, self.me, _CountedDisk(self.desk.counts))
 
     def follow(self):
-        if self.role != "office":
+        if self.role != "controller":
             self.ctx.setup.open()
 
     def ready(self) -> bool:
-        return self.part.readiness()[0] if self.role == "office" else self.ctx.setup.ready()
+        return self.part.readiness()[0] if self.role == "controller" else self.ctx.setup.ready()
 
 
 class _Whole:
@@ -254,12 +254,12 @@
 
     async def do_look(self):
         return {"ready": all(n.ready() for n in self.nodes),
-                "rows": min(len((n.part if n.role == "office" else n.ctx.setup).sheet.rows) for n in self.nodes),
+                "rows": min(len((n.part if n.role == "controller" else n.ctx.setup).sheet.rows) for n in self.nodes),
                 "known": min(len(n.ctx.roster.members()) for n in self.nodes)}
 
     async def do_count(self):
         counts = sum((n.desk.counts for n in self.nodes), Counter())
-        leads = any(n.role == "office" and n.part is not None and n.part.state == "leader" for n in self.nodes)
+        leads = any(n.role == "controller" and n.part is not None and n.part.state == "leader" for n in self.nodes)
         return {"at": self.now(), "counts": counts, "warned": self.sink.counts, "leads": leads,
                 "ticks": self._ticks * TICK,
                 **self.work.told()}
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -49,7 +49,7 @@
             self._bursting = 1
             spawn(self._burst(guides[0], burst))
         for n in self._host.nodes:
-            if n.role == "office" and (rows or changes):
+            if n.role == "controller" and (rows or changes):
                 spawn(self._edit_on(n, rows, changes))
 
     def _announce(self, n, name: str, times: int):
@@ -92,7 +92,7 @@
         self._failed += 1
 
     async def _edit_on(self, n, rows: int, changes: float):
-        """Where this office leads: first the rows, then edits of one row each, at a steady rate."""
+        """Where this controller leads: first the rows, then edits of one row each, at a steady rate."""
         beats, done, due = n.ctx.beats, 0, None
         while True:
             await beats.pause(secs(0.05))
--- a/rehearsal/hosts.py
+++ b/rehearsal/hosts.py
@@ -55,29 +55,29 @@
 
 
 class HollowFleet:
-    """Offices and depots each alone in a process; guides several to one, or whole ones each alone."""
+    """Controllers and depots each alone in a process; guides several to one, or whole ones each alone."""
 
-    def __init__(self, guides: int, kind: str, pace: float, offices=3, depots=3):
+    def __init__(self, guides: int, kind: str, pace: float, controllers=3, depots=3):
         self.guides, self.kind, self.pace = guides, kind, pace
         self.folder = Path(tempfile.mkdtemp(prefix="capacity-"))
         self.hosts: list[_HostProcess] = []
-        self._counts = {"office": offices, "depot": depots, "guide": guides}
+        self._counts = {"controller": controllers, "depot": depots, "guide": guides}
         self._threads = ThreadPoolExecutor(64)
 
     def start(self):
-        per = {"office": 1, "depot": 1, "guide": 1 if self.kind == "whole" else PER_HOST}
+        per = {"controller": 1, "depot": 1, "guide": 1 if self.kind == "whole" else PER_HOST}
         for role, n in self._counts.items():
             step = min(per[role], max(1, -(-n // 2))) if role == "guide" else 1
             for at in range(0, n, step):
                 self.hosts.append(_HostProcess(role, list(range(at, min(n, at + step))), self.folder / "hosts.log"))
-        ports = free_ports(self._counts["office"])
+        ports = free_ports(self._counts["controller"])
         seeds = [f"127.0.0.1:{p}" for p in ports]
         spec = {"zones": ZONES, "folder": str(self.folder), "founders": seeds[:3], "seeds": seeds}
-        kinds = {"office": "hollow", "depot": "hollow", "guide": self.kind}
+        kinds = {"controller": "hollow", "depot": "hollow", "guide": self.kind}
         self.base = {id(h): h.memory() for h in self.hosts if h.ask("count")}
         told = self._all(lambda h: h.ask("listen", spec={
             **spec, "role": h.role, "numbers": h.numbers, "kind": kinds[h.role],
-            "ports": ports if h.role == "office" else []}))
+            "ports": ports if h.role == "controller" else []}))
         control = [h for h in self.hosts if h.role != "guide"]
         self._found(control, [m for h, t in zip(self.hosts, told) if h.role != "guide" for m in t["members"]])
         members = [m for t in told for m in t["members"]]
@@ -86,7 +86,7 @@
         self._until(lambda: all(h.ask("look")["ready"] for h in self.hosts), READY_LIMIT + 5 * self.pace)
 
     def _found(self, control: list[_HostProcess], members: list[str]):
-        """Offices and depots found the fleet at full pace, before there are guides."""
+        """Controllers and depots found the fleet at full pace, before there are guides."""
         for h in control:
             h.ask("open", members=members)
         self._until(lambda: all(h.ask("look")["ready"] for h in control), READY_LIMIT)
@@ -124,7 +124,7 @@
                 share = len(logs[mine]) / held if held else 0
                 h.ask("load", engines=names[mine], tails=[f"results/tail{n}" for n in range(tails)], held=logs[mine],
                       items=more.get("items", 0) * share, burst=more.get("burst", 0))
-            elif h.role == "office":
+            elif h.role == "controller":
                 h.ask("load", rows=more.get("rows", 0), changes=more.get("changes", 0))
 
     def look(self) -> list[dict]:
--- a/rehearsal/operators.py
+++ b/rehearsal/operators.py
@@ -12,51 +12,51 @@
         self._unknown: list[tuple] = []
         self._unknown_lock = threading.Lock()
 
-    def edit(self, name: str, row: dict | None, edit_id: str, office: str, whole=None, limit=12):
+    def edit(self, name: str, row: dict | None, edit_id: str, controller: str, whole=None, limit=12):
         """One operator's edit on the table it reads first: a row put, a row dropped, or the whole sheet.
 
         `whole` makes the new rows from those that were read.
         """
-        base, rows = self.read_table(office)
+        base, rows = self.read_table(controller)
         if base is None:
-            return self.note("table_unread", office=office)
+            return self.note("table_unread", controller=controller)
         if whole is not None:
             whole = whole(rows)
             words = ("PUT", "/v1/table", {"rows": whole})
         else:
             words = ("PUT" if row is not None else "DELETE", f"/v1/table/rows/{name}", row)
-        told = self._send_edit(office, words, base, edit_id, name, row, whole, limit)
+        told = self._send_edit(controller, words, base, edit_id, name, row, whole, limit)
         if told["outcome"] == "unknown":
             with self._unknown_lock:
                 self._unknown.append((words, base, edit_id, name, row, whole))
         return told
 
-    def read_table(self, office: str) -> tuple[int | None, dict]:
+    def read_table(self, controller: str) -> tuple[int | None, dict]:
         asked = time.monotonic()
-        status, said, _ = self.fleet.call(office, "GET", "/v1/table", limit=8)
-        self.note("table_asked", office=office, status=status, asked=asked)
+        status, said, _ = self.fleet.call(controller, "GET", "/v1/table", limit=8)
+        self.note("table_asked", controller=controller, status=status, asked=asked)
         if status != 200:
             return None, {}
-        self.note("table_read", sequence=said["sequence"], rows=said["rows"], asked=asked, office=office)
+        self.note("table_read", sequence=said["sequence"], rows=said["rows"], asked=asked, controller=controller)
         return said["sequence"], said["rows"]
 
-    def _send_edit(self, office, words, base, edit_id, name, row, whole, limit):
+    def _send_edit(self, controller, words, base, edit_id, name, row, whole, limit):
         asked = time.monotonic()
-        status, said, heads = self.fleet.call(office, *words, {"If-Match": str(base), "Edit-Id": edit_id}, limit=limit)
+        status, said, heads = self.fleet.call(controller, *words, {"If-Match": str(base), "Edit-Id": edit_id}, limit=limit)
         bad = said.get("error") if isinstance(said, dict) else None
         outcome = None if status == 200 else bad["outcome"] if bad else "unknown"
         return self.note("edit", row=name, value=row, whole=whole, edit=edit_id, status=status, base=base, asked=asked,
-                         took=time.monotonic() - asked, office=office, outcome=outcome, retry=heads.get("Retry-After"),
+                         took=time.monotonic() - asked, controller=controller, outcome=outcome, retry=heads.get("Retry-After"),
                          sequence=said.get("sequence") if status == 200 else None,
                          code=bad["code"] if bad else None)
 
-    def settle_unknown(self, office: str):
+    def settle_unknown(self, controller: str):
         """Sends each edit of unknown outcome again with its id, until it is known; twice, since it must not change."""
         with self._unknown_lock:
             waiting, self._unknown = self._unknown, []
         for one in waiting:
             words, base, edit_id, name, row, whole = one
-            told = [self._send_edit(office, words, base, edit_id, name, row, whole, 12) for _ in range(2)]
+            told = [self._send_edit(controller, words, base, edit_id, name, row, whole, 12) for _ in range(2)]
             if any(t["outcome"] == "unknown" for t in told):
                 with self._unknown_lock:
                     self._unknown.append(one)
@@ -64,21 +64,21 @@
     def unsettled(self) -> int:
         return len(self._unknown)
 
-    def zone(self, zone: str, empty: bool, office: str) -> int:
+    def zone(self, zone: str, empty: bool, controller: str) -> int:
         """Empties or fills a zone and reads all zones back."""
         asked = time.monotonic()
         self.note("zone_asked", zone=zone, empty=empty)
-        status = self.fleet.call(office, "PUT", f"/v1/zones/{zone}", {"empty": empty}, limit=12)[0]
+        status = self.fleet.call(controller, "PUT", f"/v1/zones/{zone}", {"empty": empty}, limit=12)[0]
         self.note("zone_edit", zone=zone, empty=empty, status=status, asked=asked)
         asked = time.monotonic()
-        read, said, _ = self.fleet.call(office, "GET", "/v1/zones", limit=8)
+        read, said, _ = self.fleet.call(controller, "GET", "/v1/zones", limit=8)
         if read == 200:
             self.note("zones_read", zones={z: v["empty"] for z, v in said["zones"].items()}, asked=asked)
         return status
 
-    def gate(self, model: str, open_: bool, office: str):
+    def gate(self, model: str, open_: bool, controller: str):
         """Opens or closes a model by its row's weight: an edit that back ends and callers see the effect of."""
         asked = self.note("gate_asked", model=model, open=open_)["at"]
         told = self.edit(f"gate-{model}", {"model": model, "weight": int(open_)},
-                         f"gate-{model}-{open_}-{asked}", office)
+                         f"gate-{model}-{open_}-{asked}", controller)
         self.note("gate", model=model, open=open_, asked=asked, done=told.get("status") == 200)
--- a/rehearsal/promises.py
+++ b/rehearsal/promises.py
@@ -61,7 +61,7 @@
 
     def _measure_edit(self, n):
         """From the receipt to the moment when the last guide shows the edit."""
-        e = self.calls.edit(f"row-{n % 4}", {"model": f"m{n}"}, f"edit-{n}-{time.monotonic()}", self._any(self.c, "office"))
+        e = self.calls.edit(f"row-{n % 4}", {"model": f"m{n}"}, f"edit-{n}-{time.monotonic()}", self._any(self.c, "controller"))
         acked = time.monotonic()
         if e.get("status") != 200:
             return [99.0]
--- a/rehearsal/pushes.py
+++ b/rehearsal/pushes.py
@@ -160,11 +160,11 @@
     def plan_two_editors(self, c):
         def do():
             self.say("two operators edit at once, a row against the whole sheet")
-            offices = self.fleet.nodes("office")
+            controllers = self.fleet.nodes("controller")
             words = [(f"row-{c.randrange(4)}", {"model": f"m-{time.monotonic()}", "weight": 2}, None),
                      ("", None, lambda rows: {**rows, "both": {"model": f"both-{time.monotonic()}"}})]
             both = [threading.Thread(target=self.calls.edit, args=(name, row, f"both-{n}-{time.monotonic()}",
-                                                                   c.choice(offices), whole))
+                                                                   c.choice(controllers), whole))
                     for n, (name, row, whole) in enumerate(words)]
             for t in both:
                 t.start()
--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -25,7 +25,7 @@
         p = PROFILES[profile]
         self.quiet, self.floors = quiet, floors
         self.seed, self.minutes, self.faults, self.together = seed, minutes, faults, together
-        self.fleet = Fleet(guides=p["guides"], depots=p["depots"], offices=p["offices"], engines=p["engines"],
+        self.fleet = Fleet(guides=p["guides"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
                            cards=p["cards"], capacity=8, step=0.02, keep=keep, level=level,
                            models="pipit-small,gated,metered,narrow")
         self.calls = Callers(self.fleet, Random(seed + 1))
@@ -104,7 +104,7 @@
         have = [x for xs in self._claims.values() for x in xs]
         both = have + names
         kinds = {k: sum(x.startswith(k) for x in set(both)) for k in ("guide", "engine", "card")}
-        disks = [x for x in both if x.startswith(("depot", "office"))]
+        disks = [x for x in both if x.startswith(("depot", "controller"))]
         return not set(have) & set(names) and not (have and "core" in both and disks and
                                                    ("core" in have) != ("core" in names)) \
             and ("core" in both or len({self.fleet.zones[x] for x in disks}) <= 1) \
@@ -124,7 +124,7 @@
         c.start(Caller(c, "brief", 1.2, lambda c, n: self.lot(n, 5, 20_000, priority=5)))
         c.start(Caller(c, "reader", 0.5, lambda c, n: self._lots and c.read_lot(chance.choice(self._lots[-12:]))))
         c.start(Caller(c, "operator", 1.2, self._edit))
-        c.start(Caller(c, "gate", 6, lambda c, n: c.gate("gated", int(n[5:]) % 2 == 0, self._any(chance, "office"))))
+        c.start(Caller(c, "gate", 6, lambda c, n: c.gate("gated", int(n[5:]) % 2 == 0, self._any(chance, "controller"))))
         c.start(Caller(c, "gated", 0.3, lambda c, n: c.generate(n, model="gated")))
         c.start(Caller(c, "metered", 0.15, lambda c, n: c.generate(n, model="metered")))
         c.start(Caller(c, "narrow", 0.15, lambda c, n: c.generate(n, model="narrow")))
@@ -143,17 +143,17 @@
         self._lots.append(lot)
 
     def _edit(self, c, name):
-        office = c.chance.choice(self.fleet.nodes("office"))
-        c.settle_unknown(office)
+        controller = c.chance.choice(self.fleet.nodes("controller"))
+        c.settle_unknown(controller)
         row = None if int(name[9:]) % 9 == 0 else {"model": f"m-{name}", "weight": 1 + c.chance.randrange(5)}
-        c.edit(f"row-{c.chance.randrange(4)}", row, name, office)
+        c.edit(f"row-{c.chance.randrange(4)}", row, name, controller)
 
     def leader(self):
-        for n in self.fleet.nodes("office"):
+        for n in self.fleet.nodes("controller"):
             status, said, _ = self.fleet.call(n, "GET", "/v1/ready", limit=1)
             if status == 200 and said["state"] == "leader":
                 return n
-        return self.fleet.nodes("office")[0]
+        return self.fleet.nodes("controller")[0]
 
     def depots(self) -> dict:
         status, said, _ = self.fleet.call(self.leader(), "GET", "/v1/depots")
@@ -168,7 +168,7 @@
         return max(used, key=lambda n: used[n]["used"] if isinstance(used[n], dict) else 0)
 
     def nodes(self):
-        return [n for r in ("guide", "depot", "office") for n in self.fleet.nodes(r)]
+        return [n for r in ("guide", "depot", "controller") for n in self.fleet.nodes(r)]
 
     def inside(self, zone, back_ends):
         names = self.nodes() + (self.fleet.engines + self.fleet.cards if back_ends else [])
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -16,7 +16,7 @@
 from pipitlink.faults import CutOff, Overdue, PipitFault, Refused, Unmet
 from pipitlink.journal import Journal
 from pipitlink.ledger import Ledger
-from pipitlink.office import OfficeNode
+from pipitlink.controller import ControllerNode
 from pipitlink.props import Props
 from pipitlink.roster import Roster
 from pipitlink.setup import Setup
@@ -89,7 +89,7 @@
         if self.role == "guide" or not keep.exists():
             keep.write_text(f"{self.name}x{self.lives}x{stage.fresh()}")
         self.node = keep.read_text()
-        props = Props(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "office" else (),
+        props = Props(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "controller" else (),
                       data=str(self.folder), shelves=stage.shelves, **stage.props)
         self.clock = _Watch(stage.clock)
         beats = stage.beats(self.clock)
@@ -107,8 +107,8 @@
         if self.role == "depot":
             self.part = DepotNode(ctx, self.disk)
             self.part.open()
-        elif self.role == "office":
-            self.part = OfficeNode(ctx, self.disk)
+        elif self.role == "controller":
+            self.part = ControllerNode(ctx, self.disk)
             self.part.open()
         else:
             ctx.cache = Cache(ctx)
@@ -119,7 +119,7 @@
             ctx.cache.open()
         ctx.roster.open(Member(node=self.node, incarnation=1, role=self.role, zone=self.zone, host=self.place[0],
                                port=self.place[1], name=self.name if stage.named else ""))
-        if self.role != "office":
+        if self.role != "controller":
             ctx.setup.open()
 
     def _on_thread(self, do, *words):
@@ -233,7 +233,7 @@
 
 
 class Stage:
-    def __init__(self, seed: int, offices=4, depots=4, guides=3, shelves=4, props=None, named=False):
+    def __init__(self, seed: int, controllers=4, depots=4, guides=3, shelves=4, props=None, named=False):
         self.seed = seed
         self.chance = Random(seed)
         self.clock = _Clock()
@@ -253,13 +253,13 @@
         self.actors: dict[str, Actor] = {}
         self._beats: list[Beats] = []
         port = 1000
-        for role, n in (("office", offices), ("depot", depots), ("guide", guides)):
+        for role, n in (("controller", controllers), ("depot", depots), ("guide", guides)):
             for i in range(n):
                 self.add(role, f"{role}{i}", "zone-" + "abcd"[i % 4], port)
                 port += 1
-        firsts = [self.actors[f"{r}0"] for r, n in (("office", offices), ("depot", depots), ("guide", guides)) if n]
+        firsts = [self.actors[f"{r}0"] for r, n in (("controller", controllers), ("depot", depots), ("guide", guides)) if n]
         self.seeds = tuple(f"{a.place[0]}:{a.place[1]}" for a in firsts)
-        self.founders = tuple(f"{a.place[0]}:{a.place[1]}" for a in self.role("office")[:3])
+        self.founders = tuple(f"{a.place[0]}:{a.place[1]}" for a in self.role("controller")[:3])
 
     def add(self, role, name, zone, port) -> Actor:
         self.actors[name] = Actor(self, role, name, zone, port)
@@ -361,7 +361,7 @@
         return out
 
     def leader(self):
-        now = [a for a in self.role("office", alive=True) if a.part.state == "leader" and a.part._fresh()]
+        now = [a for a in self.role("controller", alive=True) if a.part.state == "leader" and a.part._fresh()]
         return now[0] if len(now) == 1 else None
 
     def ready(self, limit: float = 30):
--- a/tests/batch_parts.py
+++ b/tests/batch_parts.py
@@ -78,7 +78,7 @@
 
 
 def staged(seed, guides=3, routes=None, settle=2.0, **words):
-    stage = Stage(seed, offices=3, depots=4, guides=guides, shelves=2, **words)
+    stage = Stage(seed, controllers=3, depots=4, guides=guides, shelves=2, **words)
     stage.routes = {r.name: r for r in routes or [route()]}
     stage.runs, stage.finished, stage.step, stage.breaks = [], [], ms(40), 0.05
     stage.with_engines(BatchGuide, None, 0)
--- a/tests/control_calls.py
+++ b/tests/control_calls.py
@@ -1,4 +1,4 @@
-"""Calls to an office's control interface on the stage, without sockets."""
+"""Calls to a controller's control interface on the stage, without sockets."""
 import importlib.util
 import io
 import json
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from pipitlink.dialect.control import ControlWords
-from pipitlink.office.control import Control
+from pipitlink.controller.control import Control
 
 __all__ = ["Caller", "platform_words", "config_of", "route_of"]
 
@@ -54,19 +54,19 @@
 
 
 class Caller:
-    """Asks an office by the paths of its words, as its HTTP face would."""
+    """Asks a controller by the paths of its words, as its HTTP face would."""
 
     def __init__(self, stage, words=None):
         self.stage = stage
         self.words = words or ControlWords()
 
-    def begin(self, office, method: str, path: str, body=None, headers=None, words=None) -> list:
+    def begin(self, controller, method: str, path: str, body=None, headers=None, words=None) -> list:
         """Starts a call; the list holds (status, body) once it is answered."""
         raw = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
         request = _Request(method, raw, headers or {})
         action, named = self._find(method, path)
         box = []
-        d = getattr(Control(office.ctx, office.part, words or self.words), action)(request, **named)
+        d = getattr(Control(controller.ctx, controller.part, words or self.words), action)(request, **named)
         d.addCallback(lambda out: box.append((request.status, json.loads(out))))
         return box
 
@@ -77,19 +77,19 @@
                 return action, {p[1:-1]: g for p, g in zip(parts, given) if p[:1] == "<"}
         raise AssertionError(f"{method} {path} is not among the paths")
 
-    def ask(self, office, *words, limit: float = 8, **named):
-        box = self.begin(office, *words, **named)
+    def ask(self, controller, *words, limit: float = 8, **named):
+        box = self.begin(controller, *words, **named)
         self.stage.until(lambda: box, limit, "the call is answered")
         return box[0]
 
-    def put(self, office, config, base: int):
-        return self.ask(office, "PUT", self._config_path(), config, {"If-Match": str(base)})
+    def put(self, controller, config, base: int):
+        return self.ask(controller, "PUT", self._config_path(), config, {"If-Match": str(base)})
 
-    def patch(self, office, config, base: int):
-        return self.ask(office, "PATCH", self._config_path(), config, {"If-Match": str(base)})
+    def patch(self, controller, config, base: int):
+        return self.ask(controller, "PATCH", self._config_path(), config, {"If-Match": str(base)})
 
-    def get(self, office):
-        return self.ask(office, "GET", self._config_path())
+    def get(self, controller):
+        return self.ask(controller, "GET", self._config_path())
 
     def _config_path(self) -> str:
         return self.words.control_paths[0][1]
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -1,4 +1,4 @@
-"""Engines that announce themselves at offices, and what every guide is told of them."""
+"""Engines that announce themselves at controllers, and what every guide is told of them."""
 import unittest
 
 from pipitlink.wire.roster_pb2 import EngineList
@@ -35,23 +35,23 @@
         self.guides = [_Listener(a) for a in self.stage.role("guide")]
         self.stage.ready()
         self.caller = Caller(self.stage)
-        self.office, self.second = self.stage.role("office")[1:3]
+        self.controller, self.second = self.stage.role("controller")[1:3]
         self.stage.run(1)
 
-    def beat(self, sequence, state="ready", engine="e1", office=None, **more):
-        return self.caller.ask(office or self.office, "PUT", f"/v1/engines/{engine}", {
+    def beat(self, sequence, state="ready", engine="e1", controller=None, **more):
+        return self.caller.ask(controller or self.controller, "PUT", f"/v1/engines/{engine}", {
             "pool": "p", "address": "10.9.0.1:80", "zone": "zone-a", "capacity": 4, "state": state,
             "sequence": sequence, **more})
 
-    def drop(self, engine="e1", office=None):
-        return self.caller.ask(office or self.office, "DELETE", f"/v1/engines/{engine}")
+    def drop(self, engine="e1", controller=None):
+        return self.caller.ask(controller or self.controller, "DELETE", f"/v1/engines/{engine}")
 
     def now(self):
         return self.stage.clock.seconds()
 
     def test_a_new_engine_is_told_to_every_guide_at_once_without_a_leader(self):
-        for a in self.stage.role("office"):
-            if a is not self.office:
+        for a in self.stage.role("controller"):
+            if a is not self.controller:
                 a.kill()
         self.stage.run(3)
         self.assertEqual(self.beat(1), (200, {}))
@@ -119,7 +119,7 @@
         self.assertEqual({n.address for _, n in self.guides[0].told}, {"10.9.0.5:80"})
 
     def test_the_end_of_an_engine_that_is_not_known_here_is_told_too(self):
-        self.beat(1, office=self.second)
+        self.beat(1, controller=self.second)
         self.stage.run(0.2)
         self.assertEqual(self.drop()[0], 200)
         self.assertEqual([g.states("e1")[-1] for g in self.guides], ["gone"] * 3)
@@ -128,9 +128,9 @@
         self.beat(1)
         self.stage.run(0.2)
         slow = self.guides[1]
-        self.stage.cut([self.office.name], [slow.actor.name])
+        self.stage.cut([self.controller.name], [slow.actor.name])
         began = self.now()
-        box = self.caller.begin(self.office, "PUT", "/v1/engines/e1", {
+        box = self.caller.begin(self.controller, "PUT", "/v1/engines/e1", {
             "pool": "p", "address": "10.9.0.1:80", "state": "leaving", "sequence": 2})
         self.stage.run(0.45)
         self.assertEqual(box, [])
@@ -144,7 +144,7 @@
         self.beat(1)
         self.stage.run(0.2)
         slow = self.guides[1]
-        self.stage.cut([self.office.name], [slow.actor.name])
+        self.stage.cut([self.controller.name], [slow.actor.name])
         began = self.now()
         self.assertEqual(self.beat(2, "leaving")[0], 200)
         self.assertLess(self.now() - began, 0.75)
@@ -157,7 +157,7 @@
         self.beat(1)
         self.stage.run(0.2)
         guides = [g.actor.name for g in self.guides]
-        self.stage.cut([self.office.name], guides)
+        self.stage.cut([self.controller.name], guides)
         for ask in (lambda: self.beat(2, "leaving"), lambda: self.beat(2, "leaving"), self.drop, self.drop):
             told = ask()
             self.assertEqual((told[0], told[1]["error"]["code"]), (503, "untold"))
@@ -165,11 +165,11 @@
         self.stage.until(lambda: self.drop()[0] == 200, 3, "the guides are told")
         self.assertEqual([g.states("e1")[-1] for g in self.guides], ["gone"] * 3)
 
-    def test_an_office_that_holds_all_guides_for_gone_does_not_acknowledge_that_an_engine_leaves(self):
+    def test_an_controller_that_holds_all_guides_for_gone_does_not_acknowledge_that_an_engine_leaves(self):
         self.beat(1)
-        self.stage.cut([self.office.name], [a for a in self.stage.actors if a != self.office.name])
+        self.stage.cut([self.controller.name], [a for a in self.stage.actors if a != self.controller.name])
         self.stage.run(12)
-        self.assertEqual(self.office.ctx.roster.members("guide"), [])
+        self.assertEqual(self.controller.ctx.roster.members("guide"), [])
         self.assertEqual(self.beat(2)[0], 200)
         for ask in (lambda: self.beat(3, "leaving"), self.drop):
             self.assertEqual(ask()[0], 503)
@@ -191,14 +191,14 @@
         self.beat(1, engine="e1")
         self.drop("e2")
         self.stage.run(35)
-        self.assertEqual(set(self.office.part._announced), {"e2"})
+        self.assertEqual(set(self.controller.part._announced), {"e2"})
         self.stage.run(30)
-        self.assertEqual(set(self.office.part._announced), set())
+        self.assertEqual(set(self.controller.part._announced), set())
 
     def test_announcements_that_cannot_be_read_are_refused(self):
         good = {"pool": "p", "address": "a:1", "state": "ready", "sequence": 1}
         for bad in (b"", b"{", [], {**good, "state": "odd"}, {**good, "state": None}, {**good, "sequence": "1"},
                     {**good, "sequence": -1}, {**good, "models": "m"}, {**good, "capacity": True},
                     *({k: v for k, v in good.items() if k != f} for f in good)):
-            self.assertEqual(self.caller.ask(self.office, "PUT", "/v1/engines/e1", bad)[0], 400, bad)
-        self.assertEqual(self.office.part._announced, {})
+            self.assertEqual(self.caller.ask(self.controller, "PUT", "/v1/engines/e1", bad)[0], 400, bad)
+        self.assertEqual(self.controller.part._announced, {})
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -61,20 +61,20 @@
 
 class Hollow(unittest.TestCase):
     def run_real(self, guides, engines):
-        stage = Stage(3, offices=3, depots=3, guides=guides, shelves=2)
+        stage = Stage(3, controllers=3, depots=3, guides=guides, shelves=2)
         self.addCleanup(stage.end)
         stage.with_engines(StagedGuide, StagedEngine, engines)
         return counted(stage, engines)
 
     def run_hollow(self, guides, engines):
-        stage = HollowStage(3, offices=3, depots=3, guides=guides, shelves=2)
+        stage = HollowStage(3, controllers=3, depots=3, guides=guides, shelves=2)
         self.addCleanup(stage.end)
         host = type("Host", (), {"nodes": stage.role("guide")})
         return counted(stage, engines, Work(host))
 
     def test_a_hollow_guide_sends_what_a_real_one_does(self):
         real, hollow = self.run_real(6, 4), self.run_hollow(6, 4)
-        for role in ("guide", "depot", "office"):
+        for role in ("guide", "depot", "controller"):
             a, b = (sum(v for (r, _), v in c.items() if r == role) for c in (real, hollow))
             self.assertAlmostEqual(b / a, 1, delta=0.1, msg=role)
         for key, rate in real.items():
@@ -87,7 +87,7 @@
     """Calls that one node starts in a second, with no callers. All but loads and announcements are the same at any size."""
 
     def count(self, guides, engines=0):
-        stage = HollowStage(5, offices=3, depots=3, guides=guides, shelves=2)
+        stage = HollowStage(5, controllers=3, depots=3, guides=guides, shelves=2)
         self.addCleanup(stage.end)
         host = type("Host", (), {"nodes": stage.role("guide")})
         return counted(stage, engines, Work(host))
@@ -96,12 +96,12 @@
         for guides in (3, 6, 12, 20):
             with self.subTest(guides=guides):
                 c = self.count(guides)
-                bounds = {"roster.probe": 5.1, "office.follow": 4.1, "ledger.list": 3.1, "engines.loads": 5.1 * (guides - 1)}
+                bounds = {"roster.probe": 5.1, "controller.follow": 4.1, "ledger.list": 3.1, "engines.loads": 5.1 * (guides - 1)}
                 for verb, most in bounds.items():
                     self.assertLessEqual(c["guide", verb], most, verb)
                 rest = sum(v for (role, verb), v in c.items() if role == "guide" and verb not in bounds)
                 self.assertLessEqual(rest, 0.5, {k: v for k, v in c.items() if k[0] == "guide"})
-                for role, most in (("depot", 11), ("office", 12)):
+                for role, most in (("depot", 11), ("controller", 12)):
                     self.assertLessEqual(sum(v for (r, _), v in c.items() if r == role), most, role)
 
     def test_calls_for_each_announcement_go_to_each_guide_once(self):
@@ -109,13 +109,13 @@
         few, more = self.count(guides, 4), self.count(guides, 24)
         for c, engines in ((few, 4), (more, 24)):
             self.assertLessEqual(c["guide", "engines.tell"], 1.05 * engines * (guides - 1) / guides)
-        for verb in ("roster.probe", "office.follow", "engines.loads", "ledger.list"):
+        for verb in ("roster.probe", "controller.follow", "engines.loads", "ledger.list"):
             self.assertAlmostEqual(few["guide", verb], more["guide", verb], delta=0.1 * few["guide", verb], msg=verb)
 
     def test_a_held_follow_call_is_not_woken_by_the_others(self):
         """What a leader does for one follow call does not grow with the number of its followers."""
         for guides in (4, 12, 20):
-            stage = HollowStage(6, offices=3, depots=3, guides=guides, shelves=2)
+            stage = HollowStage(6, controllers=3, depots=3, guides=guides, shelves=2)
             self.addCleanup(stage.end)
             stage.start()
             stage.ready()
@@ -124,14 +124,14 @@
             waits, asked, beats = [], [], leader.ctx.beats
             hold = beats.await_or_lapse
             beats.await_or_lapse = lambda d, span: waits.append(span) or hold(d, span)
-            stage.watch_calls = lambda sender, verb: verb == "office.follow" and asked.append(verb)
+            stage.watch_calls = lambda sender, verb: verb == "controller.follow" and asked.append(verb)
             stage.run(SPAN)
             heartbeats = 2 * SPAN * 10
             self.assertLessEqual(len(waits), 1.05 * len(asked) + heartbeats, guides)
             self.assertLessEqual(len(leader.part._news), guides + 3, guides)
 
     def test_an_edit_is_still_seen_as_soon_as_the_last_guide_confirms(self):
-        stage = HollowStage(7, offices=3, depots=3, guides=12, shelves=2)
+        stage = HollowStage(7, controllers=3, depots=3, guides=12, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
--- a/tests/test_config_trouble.py
+++ b/tests/test_config_trouble.py
@@ -1,4 +1,4 @@
-"""Operators that change the configuration at any office, as callers with a second of patience, while nodes fail."""
+"""Operators that change the configuration at any controller, as callers with a second of patience, while nodes fail."""
 import unittest
 
 from pipitlink.beats import ms
@@ -26,11 +26,11 @@
         return max((v for _, v in self.acked), default=0)
 
     async def call(self, *words):
-        """One call to some office, as (status, body); None where it is silent for a second."""
-        office = self.stage.chance.choice(self.stage.role("office"))
-        if not office.alive or office.frozen:
+        """One call to some controller, as (status, body); None where it is silent for a second."""
+        controller = self.stage.chance.choice(self.stage.role("controller"))
+        if not controller.alive or controller.frozen:
             return None
-        box = self.caller.begin(office, *words)
+        box = self.caller.begin(controller, *words)
         for _ in range(100):
             if box:
                 return box[0] if box[0][0] < 500 else None
@@ -78,7 +78,7 @@
 
 class ConfigUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, offices=4, depots=4, guides=3, shelves=2)
+        stage = Stage(seed, controllers=4, depots=4, guides=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -111,8 +111,8 @@
         self.assertEqual({a.ctx.setup.sheet.routes.version for a in stage.role("guide")}, {last["version"]}, what)
         return len(ops.acked)
 
-    def test_configurations_hold_while_offices_fail(self):
-        self.assertGreater(sum(self.run_seed(s, ("office",)) for s in SEEDS), 5 * len(SEEDS))
+    def test_configurations_hold_while_controllers_fail(self):
+        self.assertGreater(sum(self.run_seed(s, ("controller",)) for s in SEEDS), 5 * len(SEEDS))
 
     def test_configurations_hold_while_everything_fails(self):
-        self.assertGreater(sum(self.run_seed(s, ("office", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
+        self.assertGreater(sum(self.run_seed(s, ("controller", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -7,10 +7,10 @@
 from pipitlink.beats import Beats, spawn
 from pipitlink.faults import NotLeading
 from pipitlink.journal import Journal
-from pipitlink.office.guides import Guides
+from pipitlink.controller.guides import Guides
 from pipitlink.setup.follower import Setup
 from pipitlink.setup.sheet import Sheet
-from pipitlink.wire.office_pb2 import OfficeEntry
+from pipitlink.wire.controller_pb2 import ControllerEntry
 from pipitlink.wire.setup_pb2 import Command, DepotEdit, FollowAsk, Row, SheetData, ShelfRow, TableEdit
 
 TICK = 0.5
@@ -24,7 +24,7 @@
         self.beats = Beats(None, seconds=lambda: self.now)
         self.journal = Journal(self)
         self.props = type("Props", (), {"shelves": 1})
-        self.node = "office"
+        self.node = "controller"
 
     def log(self, *words):
         pass
@@ -33,7 +33,7 @@
 class _Leader(Guides):
     def __init__(self, ctx, elected_at, fresh_until):
         self._ctx, self._elected_at, self._fresh_until = ctx, elected_at, fresh_until
-        self.state, self.leader = "leader", "office"
+        self.state, self.leader = "leader", "controller"
         self.sheet = Sheet(BASE)
         self.followers, self._news, self._confirmations = {}, {}, {}
         self.archive = self
@@ -43,7 +43,7 @@
         return now if now < self._fresh_until else now - timedelta(seconds=9)
 
     def after(self, index, most):
-        return [OfficeEntry(index=2, command=EDIT)] if index == 1 and self.sheet.sequence == 2 else []
+        return [ControllerEntry(index=2, command=EDIT)] if index == 1 and self.sheet.sequence == 2 else []
 
     def commit(self):
         if self.sheet.sequence == 1:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -37,7 +37,7 @@
         cls.addClassCleanup(listener.server_close)
         cls.addClassCleanup(listener.shutdown)
         place = f"127.0.0.1:{listener.server_address[1]}/changes"
-        cls.fleet = Fleet(guides=3, depots=3, offices=3, engines=2, cards=1, props={"changes_to": place})
+        cls.fleet = Fleet(guides=3, depots=3, controllers=3, engines=2, cards=1, props={"changes_to": place})
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         wait_for(lambda: cls.generate("warm")[0] == 200, 10, "an engine is known")
@@ -111,7 +111,7 @@
                                   timeout=30)
 
         wait_for(lambda: compare(at("guide0"), at("guide1")).returncode == 0, 15, "two guides believe alike")
-        wait_for(lambda: compare(at("depot0"), at("office0")).returncode == 0, 15, "a depot and an office do")
+        wait_for(lambda: compare(at("depot0"), at("controller0")).returncode == 0, 15, "a depot and a controller do")
         free, = free_ports(1)
         self.assertEqual(compare(at("guide0"), f"127.0.0.1:{free}").returncode, 2)
         wait_for(lambda: compare(at("depot0"), at("depot1")).returncode == 0, 15, "two depots do")
@@ -128,15 +128,15 @@
         self.assertEqual(len([n for n in self.fleet.notes() if n["event"] == "run" and n["prompt"] == "keyed"]), 1)
 
     def test_a_row_limits_the_rate_and_says_when_to_come_back(self):
-        base = self.fleet.call("office0", "GET", "/v1/table")[1]["sequence"]
+        base = self.fleet.call("controller0", "GET", "/v1/table")[1]["sequence"]
         row = {"model": "pipit-small", "pool": "models", "rate": 1.5}
-        self.assertEqual(self.fleet.call("office1", "PUT", "/v1/table/rows/slow", row, {"If-Match": str(base)})[0], 200)
+        self.assertEqual(self.fleet.call("controller1", "PUT", "/v1/table/rows/slow", row, {"If-Match": str(base)})[0], 200)
         try:
             told = [self.generate(f"rate {n}") for n in range(3)]
             limited = [(t[0], t[1]["error"]["code"], t[1]["error"]["outcome"], int(t[2]["Retry-After"]) >= 1)
                        for t in told if t[0] != 200]
             self.assertIn((429, "rate_limited", "not_run", True), limited)
         finally:
-            base = self.fleet.call("office0", "GET", "/v1/table")[1]["sequence"]
-            said = self.fleet.call("office2", "DELETE", "/v1/table/rows/slow", None, {"If-Match": str(base)})
+            base = self.fleet.call("controller0", "GET", "/v1/table")[1]["sequence"]
+            said = self.fleet.call("controller2", "DELETE", "/v1/table/rows/slow", None, {"If-Match": str(base)})
             self.assertEqual(said[0], 200)
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -6,7 +6,7 @@
 from rehearsal.fleet import Fleet
 from rehearsal.soak import Soak
 
-FAULTS = ("kill_leader", "kill_guide", "power_depot", "power_office", "freeze_guide", "offices_away", "zone_cut",
+FAULTS = ("kill_leader", "kill_guide", "power_depot", "power_controller", "freeze_guide", "controllers_away", "zone_cut",
           "engine_leaving", "engine_vanish", "engine_broken", "end_lot", "two_editors", "table_grows")
 
 
@@ -15,7 +15,7 @@
         self.assertEqual(Soak("small", 4, 0.5, faults=FAULTS, quiet=4, floors=False).run(), 0)
 
     def test_a_colleague_of_another_fleet_or_with_rubbish_is_refused(self):
-        fleet = Fleet(guides=1, depots=3, offices=3, engines=0, cards=0)
+        fleet = Fleet(guides=1, depots=3, controllers=3, engines=0, cards=0)
         self.addCleanup(fleet.stop)
         fleet.start()
         for hello in (Hello(fleet="other", wire=1, node="x").SerializeToString(),
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -10,7 +10,7 @@
 from pipitlink.guide.lots import OpenLot, result_log
 from pipitlink.guide.picking import Picking
 from pipitlink.guide.results import Results
-from pipitlink.office.leading import Leading
+from pipitlink.controller.leading import Leading
 from pipitlink.setup import Setup, Sheet
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit, ZoneEdit
 from rehearsal.checker import check
@@ -23,7 +23,7 @@
     """A small fleet on injected beats, its customers, and what the checker says of them."""
 
     def __init__(self, test, engines=2, step=0.04, capacity=4):
-        self.stage = Stage(7, offices=3, depots=4, guides=3, shelves=2)
+        self.stage = Stage(7, controllers=3, depots=4, guides=3, shelves=2)
         test.addCleanup(self.stage.end)
         self.stage.with_engines(StagedGuide, StagedEngine, engines)
         for e in self.stage.engines.values():
@@ -144,11 +144,11 @@
 def closing_power(s):
     lot = s.lot(4)
     s.close(lot)
-    for a in s.stage.role("depot") + s.stage.role("office"):
+    for a in s.stage.role("depot") + s.stage.role("controller"):
         a.disk._chance = type("Whole", (), {"randrange": lambda self, n: 0})()
         a.kill(power=True)
     s.stage.run(1)
-    for a in s.stage.role("depot") + s.stage.role("office"):
+    for a in s.stage.role("depot") + s.stage.role("controller"):
         a.start()
     s.stage.run(8)
     for a in s.stage.role("guide"):
@@ -189,7 +189,7 @@
 
     edit(old.part, "first", base)
     edit(old.part, "second", base)
-    rest = [a for a in s.stage.role("office") if a is not old]
+    rest = [a for a in s.stage.role("controller") if a is not old]
     s.stage.cut([old.name], [a for a in s.stage.actors if a != old.name])
     new = s.stage.until(lambda: next((a for a in rest if a.part.state == "leader"), None), 20, "another leads")
     s.stage.run(2)
--- a/tests/test_guide_parts.py
+++ b/tests/test_guide_parts.py
@@ -19,7 +19,7 @@
 from pipitlink.guide.limits import ComeBack
 from pipitlink.guide.lots import OpenLot
 from pipitlink.guide.picking import RetryBudget
-from pipitlink.office.rows import rows_from
+from pipitlink.controller.rows import rows_from
 from pipitlink.props import ROLES, Props, read_props
 from pipitlink.wire.lots_pb2 import Item, Lot
 from pipitlink.wire.setup_pb2 import Row
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -9,7 +9,7 @@
 from klein import Klein
 
 from pipitlink.faults import BadAsk
-from pipitlink.office.control import Control
+from pipitlink.controller.control import Control
 from pipitlink.setup.routes import RouteTable
 from rehearsal.stage import Stage
 
@@ -126,24 +126,24 @@
         self.stage.ready()
         self.stage.until(lambda: len(self.stage.leader().part.sheet.depots) == 4, 20, "all depots are admitted")
         self.caller = Caller(self.stage, platform_words())
-        self.office = self.stage.role("office")[1]
+        self.controller = self.stage.role("controller")[1]
 
     def test_the_operators_day(self):
-        ask, office = self.caller.ask, self.office
-        self.assertEqual(self.caller.get(office)[1], {"version": 0, "routes": [], "backends": [], "limits": {}})
-        self.assertEqual(self.caller.put(office, WHOLE, 5)[0], 412)
-        self.assertEqual(self.caller.put(office, WHOLE, 0)[0], 200)
-        self.assertEqual(self.caller.get(office), (200, WHOLE))
-        self.assertEqual(self.caller.put(office, {**WHOLE, "version": 7}, 7)[0], 400)
-        self.assertEqual(self.caller.patch(office, {"version": 9, "remove": {"routes": ["r-bulk"]}}, 7)[0], 200)
-        self.assertEqual(self.caller.get(office)[1], {**WHOLE, "version": 9, "routes": ROUTES[:1]})
+        ask, controller = self.caller.ask, self.controller
+        self.assertEqual(self.caller.get(controller)[1], {"version": 0, "routes": [], "backends": [], "limits": {}})
+        self.assertEqual(self.caller.put(controller, WHOLE, 5)[0], 412)
+        self.assertEqual(self.caller.put(controller, WHOLE, 0)[0], 200)
+        self.assertEqual(self.caller.get(controller), (200, WHOLE))
+        self.assertEqual(self.caller.put(controller, {**WHOLE, "version": 7}, 7)[0], 400)
+        self.assertEqual(self.caller.patch(controller, {"version": 9, "remove": {"routes": ["r-bulk"]}}, 7)[0], 200)
+        self.assertEqual(self.caller.get(controller)[1], {**WHOLE, "version": 9, "routes": ROUTES[:1]})
         for method, empty in (("POST", True), ("POST", True), ("DELETE", False)):
-            self.assertEqual(ask(office, method, "/evacuations/zone-a")[0], 200)
+            self.assertEqual(ask(controller, method, "/evacuations/zone-a")[0], 200)
             self.assertEqual({a.ctx.setup.zone_empty("zone-a") for a in self.stage.role("guide")}, {empty})
 
     def test_retirement(self):
-        ask, office, depot = self.caller.ask, self.office, self.stage.role("depot")[0].node
-        self.assertEqual(ask(office, "POST", "/retire/nowhere", {"within_s": 10})[0], 404)
-        self.assertEqual(ask(office, "GET", f"/retire/{depot}"), (200, {"state": "serving"}))
-        self.assertEqual(ask(office, "POST", f"/retire/{depot}", {"within_s": 10})[0], 200)
-        self.stage.until(lambda: ask(office, "GET", f"/retire/{depot}") == (200, {"state": "complete"}), 60, "emptied")
+        ask, controller, depot = self.caller.ask, self.controller, self.stage.role("depot")[0].node
+        self.assertEqual(ask(controller, "POST", "/retire/nowhere", {"within_s": 10})[0], 404)
+        self.assertEqual(ask(controller, "GET", f"/retire/{depot}"), (200, {"state": "serving"}))
+        self.assertEqual(ask(controller, "POST", f"/retire/{depot}", {"within_s": 10})[0], 200)
+        self.stage.until(lambda: ask(controller, "GET", f"/retire/{depot}") == (200, {"state": "complete"}), 60, "emptied")
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -131,7 +131,7 @@
 
     def test_a_stage_that_ends_amid_its_work_leaves_nothing_that_runs_on(self):
         for seed in range(3):
-            s = Stage(seed, offices=1, depots=3, guides=1)
+            s = Stage(seed, controllers=1, depots=3, guides=1)
             s.start()
             s.ready()
             s.run(4)
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -1,9 +1,9 @@
-"""The configuration of routes and pools, edited at any office while others edit it, fail and come back."""
+"""The configuration of routes and pools, edited at any controller while others edit it, fail and come back."""
 import json
 import unittest
 from unittest import mock
 
-from pipitlink.office import archive
+from pipitlink.controller import archive
 from pipitlink.wire.setup_pb2 import Command
 from rehearsal.stage import Stage
 
@@ -18,8 +18,8 @@
         self.stage.ready()
         self.stage.run(2)
         self.caller = Caller(self.stage)
-        self.offices = self.stage.role("office")
-        self.other = next(a for a in self.offices if a is not self.stage.leader())
+        self.controllers = self.stage.role("controller")
+        self.other = next(a for a in self.controllers if a is not self.stage.leader())
 
     def versions(self, role):
         return {a.ctx.setup.sheet.routes.version for a in self.stage.role(role, alive=True)}
@@ -32,10 +32,10 @@
         return old
 
     def test_an_edit_is_in_effect_at_every_guide_when_it_is_acknowledged_and_that_is_soon(self):
-        for version, office in ((3, self.stage.leader()), (4, self.other), (9, self.offices[3])):
+        for version, controller in ((3, self.stage.leader()), (4, self.other), (9, self.controllers[3])):
             base = max(self.versions("guide"))
             before = self.stage.clock.seconds()
-            self.assertEqual(self.caller.put(office, config_of(version), base)[0], 200)
+            self.assertEqual(self.caller.put(controller, config_of(version), base)[0], 200)
             self.assertLess(self.stage.clock.seconds() - before, 0.5)
             self.assertEqual(self.versions("guide"), {version})
         self.assertIsNotNone(self.stage.role("guide")[0].ctx.setup.sheet.routes.match("h.example", "/r/x"))
@@ -43,15 +43,15 @@
     def test_of_two_edits_on_the_same_base_one_wins(self):
         self.caller.put(self.other, config_of(1), 0)
         for n in range(1, 6):
-            first, second = self.stage.chance.sample(self.offices, 2)
-            boxes = [self.caller.begin(office, "PUT", "/v1/config", config_of(10 * n + i), {"If-Match": str(base)})
-                     for base in [max(self.versions("guide"))] for i, office in enumerate((first, second))]
+            first, second = self.stage.chance.sample(self.controllers, 2)
+            boxes = [self.caller.begin(controller, "PUT", "/v1/config", config_of(10 * n + i), {"If-Match": str(base)})
+                     for base in [max(self.versions("guide"))] for i, controller in enumerate((first, second))]
             self.stage.until(lambda: all(boxes), 8, "both are answered")
             told = sorted(b[0][0] for b in boxes)
             self.assertEqual(told, [200, 412])
             won = 10 * n + [b[0][0] for b in boxes].index(200)
             self.assertEqual(self.versions("guide"), {won})
-            self.assertEqual(self.caller.get(self.offices[n % 4])[1], config_of(won))
+            self.assertEqual(self.caller.get(self.controllers[n % 4])[1], config_of(won))
 
     def test_a_stale_base_and_an_old_version_are_refused(self):
         self.caller.put(self.other, config_of(5), 0)
@@ -61,7 +61,7 @@
             self.assertEqual((told[0], told[1]["error"]["code"]), (status, code))
             told = self.caller.patch(self.other, {"version": version}, base)
             self.assertEqual((told[0], told[1]["error"]["code"]), (status, code))
-        self.assertEqual(self.caller.get(self.offices[0])[1], config_of(5))
+        self.assertEqual(self.caller.get(self.controllers[0])[1], config_of(5))
 
     def test_an_edit_without_its_base_or_with_a_bad_one_is_refused(self):
         for headers, status in (({}, 428), ({"If-Match": "five"}, 400), ({"If-Match": "-1"}, 400),
@@ -106,7 +106,7 @@
             with self.subTest(what):
                 self.assertEqual(self.caller.put(self.other, body, 5)[0], 400)
         self.assertEqual(self.stage.leader().part.commit, agreed)
-        self.assertEqual(self.caller.get(self.offices[0])[1], config_of(5))
+        self.assertEqual(self.caller.get(self.controllers[0])[1], config_of(5))
 
     def test_a_patch_that_would_leave_an_invalid_whole_is_refused(self):
         self.caller.put(self.other, config_of(5, route_of("a"), route_of("b")), 0)
@@ -115,40 +115,40 @@
                                {"puts": {"routes": [{"name": "a"}]}}, {"drops": {"routes": "a"}},
                                {"puts": {"routes": [route_of("a"), route_of("a")]}})):
             self.assertEqual(self.caller.patch(self.other, {"version": 6 + n, **e}, 5)[0], 400, e)
-        self.assertEqual(self.caller.get(self.offices[0])[1], config_of(5, route_of("a"), route_of("b")))
+        self.assertEqual(self.caller.get(self.controllers[0])[1], config_of(5, route_of("a"), route_of("b")))
 
     def test_a_patch_merges_by_name_and_all_comes_back_as_it_was_sent(self):
         first = config_of(5, route_of("a", odd={"x": [1, 2.50, "\u00e9"]}), route_of("b"), pools=("p", "q"))
         self.caller.put(self.other, first, 0)
-        self.assertEqual(self.caller.get(self.offices[1])[1], first)
+        self.assertEqual(self.caller.get(self.controllers[1])[1], first)
         changed = route_of("a", "new", sticky=True, aim_ms=2.5)
         status, _ = self.caller.patch(self.other, {
             "version": 8, "puts": {"routes": [changed, route_of("c")], "pools": [{"name": "new", "cold_rate": 0.5}]},
             "drops": {"routes": ["b", "never"], "pools": ["q"]}}, 5)
         self.assertEqual(status, 200)
-        self.assertEqual(self.caller.get(self.offices[0])[1], {
+        self.assertEqual(self.caller.get(self.controllers[0])[1], {
             "version": 8, "routes": [changed, route_of("c")], "bounds": first["bounds"],
             "pools": [{"name": "p"}, {"name": "new", "cold_rate": 0.5}]})
         self.assertEqual(self.caller.patch(self.other, {"version": 9, "bounds": {"idle_timeout_ms": 5}}, 8)[0], 200)
-        self.assertEqual(self.caller.get(self.offices[0])[1]["bounds"], {"idle_timeout_ms": 5})
+        self.assertEqual(self.caller.get(self.controllers[0])[1]["bounds"], {"idle_timeout_ms": 5})
         table = self.stage.role("guide")[0].ctx.setup.sheet.routes
         self.assertEqual((table.routes["a"].aim_ms, table.bounds.idle_timeout_ms), (3, 5))
 
-    def test_the_same_edit_again_has_the_same_outcome_at_any_office_also_under_another_leader(self):
+    def test_the_same_edit_again_has_the_same_outcome_at_any_controller_also_under_another_leader(self):
         early = config_of(9, route_of("early"))
         self.assertEqual(self.caller.put(self.other, early, 5)[0], 412)
         self.assertEqual(self.caller.put(self.other, config_of(5), 0)[0], 200)
         self.assertEqual(self.caller.put(self.other, config_of(7, route_of("x")), 5)[0], 200)
         self.assertEqual(self.caller.put(self.other, config_of(8, route_of("x"), route_of("y")), 7)[0], 200)
         for _ in range(2):
-            for office in self.stage.role("office", alive=True):
-                self.assertEqual(self.caller.put(office, config_of(5), 0)[0], 200)
-                self.assertEqual(self.caller.put(office, config_of(7, route_of("x")), 5)[0], 200)
-                self.assertEqual(self.caller.put(office, early, 5)[0], 412)
-                self.assertEqual(self.caller.put(office, config_of(7, route_of("z")), 5)[0], 412)
+            for controller in self.stage.role("controller", alive=True):
+                self.assertEqual(self.caller.put(controller, config_of(5), 0)[0], 200)
+                self.assertEqual(self.caller.put(controller, config_of(7, route_of("x")), 5)[0], 200)
+                self.assertEqual(self.caller.put(controller, early, 5)[0], 412)
+                self.assertEqual(self.caller.put(controller, config_of(7, route_of("z")), 5)[0], 412)
             self.assertEqual(self.versions("guide"), {8})
             self.new_leader().start()
-            self.stage.until(lambda: {a.part.leader for a in self.offices} == {self.stage.leader().node}, 5, "all follow")
+            self.stage.until(lambda: {a.part.leader for a in self.controllers} == {self.stage.leader().node}, 5, "all follow")
 
     def test_a_call_that_was_cut_off_and_sent_again_elsewhere_is_taken_once(self):
         leader = self.stage.leader()
@@ -167,15 +167,15 @@
             self.assertEqual(self.caller.put(self.other, config_of(4), 0)[0], 200)
         self.assertEqual(self.stage.leader().part.commit, agreed)
 
-    def test_the_configuration_outlives_a_loss_of_power_at_every_office(self):
+    def test_the_configuration_outlives_a_loss_of_power_at_every_controller(self):
         self.caller.put(self.other, config_of(4), 0)
         self.caller.patch(self.other, {"version": 6, "puts": {"routes": [route_of("c")]}}, 4)
-        for a in self.offices:
+        for a in self.controllers:
             a.kill(power=True)
-        for a in self.offices:
+        for a in self.controllers:
             a.start()
         self.stage.ready()
-        for a in self.offices:
+        for a in self.controllers:
             self.assertEqual(self.caller.get(a)[1], config_of(6, route_of("r"), route_of("c")))
             self.assertEqual(self.caller.put(a, config_of(4), 0)[0], 200)
         self.stage.until(lambda: self.versions("guide") == {6}, 5, "the guides keep it")
@@ -190,10 +190,10 @@
 
         self.stage.do(many(), 600)
         self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
-        late = self.stage.add("office", "office9", "zone-a", 1900)
+        late = self.stage.add("controller", "controller9", "zone-a", 1900)
         late.start()
         self.stage.until(lambda: late.part.sheet.sequence == leader.part.sheet.sequence, 10, "the newcomer follows")
-        for a in self.stage.role("office"):
+        for a in self.stage.role("controller"):
             a.kill(power=True)
             a.start()
         self.stage.ready()
@@ -209,22 +209,22 @@
             for n in range(1, 31):
                 self.assertEqual(self.caller.put(self.other, config_of(n, *big), n - 1)[0], 200)
             self.stage.run(1)
-            for a in self.offices:
+            for a in self.controllers:
                 held = sum(e.ByteSize() for e in a.part.archive.entries)
                 self.assertLess(held, 400_000)
                 self.assertEqual(held, a.part.archive._entry_bytes)
-            late = self.stage.add("office", "office9", "zone-a", 1900)
+            late = self.stage.add("controller", "controller9", "zone-a", 1900)
             late.start()
             self.stage.until(lambda: late.part.sheet.sequence == self.stage.leader().part.sheet.sequence, 10,
                              "the newcomer follows")
-            for a in self.stage.role("office"):
+            for a in self.stage.role("controller"):
                 a.kill(power=True)
                 a.start()
             self.stage.ready()
             self.stage.until(lambda: late.part.leader, 2, "the newcomer hears who leads")
             self.assertEqual(self.caller.get(late)[1], config_of(30, *big))
 
-    def test_an_office_without_a_leader_says_so_at_once(self):
+    def test_an_controller_without_a_leader_says_so_at_once(self):
         rest = [a.name for a in self.stage.actors.values() if a is not self.other]
         self.stage.cut([self.other.name], rest)
         self.stage.run(2)
@@ -259,8 +259,8 @@
         self.depot.ctx.roster.me.name = "box-1"
         self.depot.ctx.roster.me.incarnation += 1
 
-    def ask(self, method, name, office=None):
-        return self.caller.ask(office or self.stage.role("office")[2], method, f"/v1/depots/{name}/retire")
+    def ask(self, method, name, controller=None):
+        return self.caller.ask(controller or self.stage.role("controller")[2], method, f"/v1/depots/{name}/retire")
 
     def test_a_depot_is_retired_by_its_name_and_stays_known_when_its_machine_is_gone(self):
         self.assertEqual(self.ask("GET", "box-1"), (200, {"state": "serving"}))
@@ -271,7 +271,7 @@
         self.assertFalse([s for s in shelves if self.depot.node in (*s.depots, s.joining)])
         self.depot.kill(power=True)
         self.depot.wipe()
-        for a in self.stage.role("office"):
+        for a in self.stage.role("controller"):
             a.kill(power=True)
             a.start()
         self.stage.ready()
--- a/tests/test_stage_offices.py
+++ b/tests/test_stage_controllers.py
@@ -6,7 +6,7 @@
 
 from pipitlink.beats import ms
 from pipitlink.faults import Damaged, NoRoom, NotLeading, PipitFault, Unproven, WireFault
-from pipitlink.wire.office_pb2 import EditAsk, EditReceipt
+from pipitlink.wire.controller_pb2 import EditAsk, EditReceipt
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
@@ -38,10 +38,10 @@
         chance, beats = self.stage.chance, self.beats
         while not self.over:
             await beats.pause(ms(100 + chance.randrange(500)))
-            office = chance.choice(self.stage.role("office"))
-            if not office.alive or office.frozen:
+            controller = chance.choice(self.stage.role("controller"))
+            if not controller.alive or controller.frozen:
                 continue
-            part = office.part
+            part = controller.part
             try:
                 floor = self.newest()
                 await part.sure_leader()
@@ -72,7 +72,7 @@
 
 class SetupUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, offices=4, depots=4, guides=3, shelves=2)
+        stage = Stage(seed, controllers=4, depots=4, guides=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -98,19 +98,19 @@
         for _, sequence, text in ops.acked:
             self.assertEqual(done.get(text), sequence, f"seed {seed}: {text} was acknowledged and is gone")
         self.assertFalse(ops.refused & set(done))
-        tables = {a.part.sheet.table for a in stage.role("office")} | {a.ctx.setup.sheet.table
+        tables = {a.part.sheet.table for a in stage.role("controller")} | {a.ctx.setup.sheet.table
                                                                       for a in stage.role("guide")}
         self.assertEqual(tables, {sheet.table}, f"seed {seed}")
         return len(ops.acked)
 
-    def test_edits_hold_while_offices_fail(self):
-        self.assertGreater(sum(self.run_seed(s, ("office",)) for s in SEEDS), 5 * len(SEEDS))
+    def test_edits_hold_while_controllers_fail(self):
+        self.assertGreater(sum(self.run_seed(s, ("controller",)) for s in SEEDS), 5 * len(SEEDS))
 
     def test_edits_hold_while_everything_fails(self):
-        self.assertGreater(sum(self.run_seed(s, ("office", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
+        self.assertGreater(sum(self.run_seed(s, ("controller", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
 
 
-class Offices(unittest.TestCase):
+class Controllers(unittest.TestCase):
     def setUp(self):
         self.stage = Stage(9, shelves=2)
         self.addCleanup(self.stage.end)
@@ -119,7 +119,7 @@
 
     def test_an_empty_disk_is_a_newcomer_and_the_standby_takes_the_lost_vote(self):
         voters = self.stage.leader().part.voters()
-        lost = next(a for a in self.stage.role("office") if a.node in voters and a is not self.stage.leader())
+        lost = next(a for a in self.stage.role("controller") if a.node in voters and a is not self.stage.leader())
         old = lost.node
         lost.kill(power=True)
         lost.wipe()
@@ -147,15 +147,15 @@
 
     def test_an_edit_passed_on_to_a_leader_that_was_cut_off_is_unknown_as_soon_as_that_is_known(self):
         leader = self.stage.leader()
-        other = next(a for a in self.stage.role("office") if a is not leader and a.part.leader == leader.node)
+        other = next(a for a in self.stage.role("controller") if a is not leader and a.part.leader == leader.node)
         self.stage.cut([leader.name], [a for a in self.stage.actors if a != leader.name])
         with self.assertRaises(Unproven):
-            self.stage.do(other.part._ask_leader("office.edit", EditAsk(command=edit_of("r", 0, "passed on")), EditReceipt), 3)
+            self.stage.do(other.part._ask_leader("controller.edit", EditAsk(command=edit_of("r", 0, "passed on")), EditReceipt), 3)
 
-    def test_service_goes_on_with_all_offices_cut_off_and_no_edit_is_acknowledged(self):
-        offices = [a.name for a in self.stage.role("office")]
-        others = [a.name for a in self.stage.actors.values() if a.role != "office"]
-        self.stage.cut(offices, others)
+    def test_service_goes_on_with_all_controllers_cut_off_and_no_edit_is_acknowledged(self):
+        controllers = [a.name for a in self.stage.role("controller")]
+        others = [a.name for a in self.stage.actors.values() if a.role != "controller"]
+        self.stage.cut(controllers, others)
         for _ in range(100):
             self.stage.run(0.1)
             if _ > 30:
@@ -173,8 +173,8 @@
         leader = self.stage.leader().part
         self.stage.do(leader.edit(edit_of("r", sheet.table, "two away")), 6)
         newest = leader.sheet.table
-        self.stage.cut([a.name for a in self.stage.role("office")],
-                       [a.name for a in self.stage.actors.values() if a.role != "office"])
+        self.stage.cut([a.name for a in self.stage.role("controller")],
+                       [a.name for a in self.stage.actors.values() if a.role != "controller"])
         for a in depots[:2]:
             a.start()
         for _ in range(100):
@@ -195,19 +195,19 @@
 
     def test_nodes_that_met_need_no_seed_again_and_a_wrong_suspicion_is_refuted(self):
         self.stage.seeds = ("10.0.0.1:9", "10.0.0.1:10", "10.0.0.1:11")
-        depot, office = self.stage.role("depot")[1], self.stage.role("office")[3]
-        for a in (depot, office):
+        depot, controller = self.stage.role("depot")[1], self.stage.role("controller")[3]
+        for a in (depot, controller):
             a.kill()
             a.start()
-        for a in (depot, office):
+        for a in (depot, controller):
             self.stage.until(lambda: len(a.ctx.roster.members(standing=("alive",))) == 11, 10, "all are met again")
         depot.freeze()
-        self.stage.until(lambda: office.ctx.roster.standing(depot.node) == "gone", 10, "it is held for gone")
+        self.stage.until(lambda: controller.ctx.roster.standing(depot.node) == "gone", 10, "it is held for gone")
         depot.thaw()
-        self.stage.until(lambda: office.ctx.roster.standing(depot.node) == "alive", 10, "it has refuted that")
+        self.stage.until(lambda: controller.ctx.roster.standing(depot.node) == "alive", 10, "it has refuted that")
         self.assertGreater(depot.ctx.roster.me.incarnation, 1)
 
-    def test_an_office_without_room_refuses_edits_up_front(self):
+    def test_an_controller_without_room_refuses_edits_up_front(self):
         part = self.stage.leader().part
         with unittest.mock.patch.object(part.archive, "used", lambda: 10 ** 12), self.assertRaises(NoRoom) as no:
             self.stage.do(part.edit(edit_of("r", 0, "no room")))
@@ -221,42 +221,42 @@
             self.stage.do(leader.part.edit(edit_of("r", 0, "refused by its disk")))
         leader.disk.full = False
         for n in range(3):
-            part = self.stage.until(self.stage.leader, 10, "an office leads").part
+            part = self.stage.until(self.stage.leader, 10, "a controller leads").part
             self.stage.do(part.sure_leader())
             out = self.stage.do(part.edit(edit_of("s", part.sheet.table, f"next{n}")))
             self.assertEqual(out.code, "done")
         self.stage.run(3)
         sheets = {(a.part.sheet.table, *sorted((r.name, r.model) for r in a.part.sheet.rows.values()))
-                  for a in self.stage.role("office")}
+                  for a in self.stage.role("controller")}
         self.assertEqual(len(sheets), 1, sheets)
         self.assertIsInstance(no.exception, Unproven)
 
     def test_a_leader_does_not_count_what_its_own_disk_has_not_synced_in_this_term(self):
         """Its mark from an earlier term may lie beyond a log that was cut back since."""
-        for a in self.stage.role("office"):
+        for a in self.stage.role("controller"):
             a.part._synced = 10 ** 6
         self.stage.leader().part.step_down()
-        leader = self.stage.until(self.stage.leader, 10, "an office leads")
+        leader = self.stage.until(self.stage.leader, 10, "a controller leads")
         self.stage.run(2)
-        others = [a for a in self.stage.role("office") if a is not leader and a.node in leader.part.voters()]
+        others = [a for a in self.stage.role("controller") if a is not leader and a.node in leader.part.voters()]
         others[0].kill()
         leader.ctx.on_thread = lambda do, *words: defer.Deferred()
         with self.assertRaises(PipitFault):
             self.stage.do(leader.part.edit(edit_of("r", 0, "not on two disks")), 12)
-        self.assertEqual([a.name for a in self.stage.role("office") if "r" in a.part.sheet.rows], [])
+        self.assertEqual([a.name for a in self.stage.role("controller") if "r" in a.part.sheet.rows], [])
 
     def test_an_agreed_edit_whose_leader_yields_is_unproven_and_not_refused(self):
         part = self.stage.leader().part
         self.stage.clock.callLater(1, part.step_down)
         with unittest.mock.patch.object(part, "_in_effect", lambda sequence: False), self.assertRaises(Unproven):
             self.stage.do(part.edit(edit_of("r", 0, "agreed")))
-        self.stage.until(lambda: self.stage.leader() is not None, 10, "an office leads")
+        self.stage.until(lambda: self.stage.leader() is not None, 10, "a controller leads")
         self.stage.run(2)
         again = self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "agreed")))
         self.assertEqual(again.code, "done")
 
-    def test_an_office_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself(self):
-        for name, pattern in (("office0", "agreed/seg-*.log"), ("office1", "setup-*/setup.dat")):
+    def test_an_controller_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself(self):
+        for name, pattern in (("controller0", "agreed/seg-*.log"), ("controller1", "setup-*/setup.dat")):
             a = self.stage.actors[name]
             a.kill()
             for path in a.folder.glob(pattern):
@@ -283,7 +283,7 @@
 
         self.stage.do(many(), 600)
         self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
-        late = self.stage.add("office", "office9", "zone-a", 1900)
+        late = self.stage.add("controller", "controller9", "zone-a", 1900)
         late.start()
         self.stage.until(lambda: late.part.sheet.sequence == leader.part.sheet.sequence, 10, "the newcomer follows")
         for a in (leader, late):
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -15,8 +15,8 @@
 class _Counted:
     """A fleet's messages and their bytes within a span at rest, receipts included, by node and by verb."""
 
-    def __init__(self, offices, depots, guides):
-        self.stage = s = Stage(1, offices=offices, depots=depots, guides=guides)
+    def __init__(self, controllers, depots, guides):
+        self.stage = s = Stage(1, controllers=controllers, depots=depots, guides=guides)
         s.with_engines(StagedGuide, StagedEngine, 0)
         self.messages, self.bytes, self.asks = Counter(), Counter(), Counter()
         self.verb_bytes: Counter = Counter()
@@ -63,7 +63,7 @@
                 self.assertLess(c.per_guide(c.bytes), GUIDE_BYTES)
 
     def test_nodes_that_believe_otherwise_are_told_the_whole_and_agree_again(self):
-        s = Stage(2, offices=3, depots=3, guides=6)
+        s = Stage(2, controllers=3, depots=3, guides=6)
         self.addCleanup(s.end)
         s.start()
         s.ready()
@@ -79,7 +79,7 @@
     def test_a_dead_node_is_gone_at_every_node_in_time(self):
         """As with whole gossip at each probe, which took 1.6 to 2.3 s over 24 seeds."""
         for seed in range(4):
-            s = Stage(seed, offices=3, depots=3, guides=4)
+            s = Stage(seed, controllers=3, depots=3, guides=4)
             self.addCleanup(s.end)
             s.start()
             s.ready()
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -13,7 +13,7 @@
         p = mock.patch.object(segments, "SEGMENT", 20_000)
         p.start()
         self.addCleanup(p.stop)
-        self.stage = Stage(3, offices=3, depots=3, guides=2, shelves=2, props={"retention_s": 60})
+        self.stage = Stage(3, controllers=3, depots=3, guides=2, shelves=2, props={"retention_s": 60})
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -8,13 +8,13 @@
 
 SEEDS = seeds(3)
 FEW = seeds(1)
-OWNED = ("ledger.lease", "ledger.write", "ledger.renew", "ledger.mark", "lots.end", "office.append", "office.vote",
-         "office.follow", "ledger.read", "office.caught_up")
-ROLES = ("guide", "guide", "depot", "office")
+OWNED = ("ledger.lease", "ledger.write", "ledger.renew", "ledger.mark", "lots.end", "controller.append", "controller.vote",
+         "controller.follow", "ledger.read", "controller.caught_up")
+ROLES = ("guide", "guide", "depot", "controller")
 
 
 def staged(seed, guides=4, engines=3):
-    stage = Stage(seed, offices=3, depots=4, guides=guides, shelves=2)
+    stage = Stage(seed, controllers=3, depots=4, guides=guides, shelves=2)
     stage.with_engines(StagedGuide, StagedEngine, engines)
     stage.start()
     stage.ready()
--- a/tests/test_stage_restart.py
+++ b/tests/test_stage_restart.py
@@ -1,4 +1,4 @@
-"""How soon the offices lead again after all of them ended, and that nobody else's leader is put aside by it."""
+"""How soon the controllers lead again after all of them ended, and that nobody else's leader is put aside by it."""
 import unittest
 
 from rehearsal.stage import Stage
@@ -9,47 +9,47 @@
 
 class Restart(unittest.TestCase):
     def _fleet(self, seed):
-        stage = Stage(seed, offices=4, depots=3, guides=1)
+        stage = Stage(seed, controllers=4, depots=3, guides=1)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
         stage.run(1)
         return stage
 
-    def _restart(self, stage, offices):
-        for a in offices:
+    def _restart(self, stage, controllers):
+        for a in controllers:
             a.kill(power=True)
         stage.run(1.5)
-        for a in offices:
+        for a in controllers:
             a.start()
 
-    def test_all_offices_that_started_together_lead_within_half_a_second(self):
+    def test_all_controllers_that_started_together_lead_within_half_a_second(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 stage = self._fleet(seed)
-                self._restart(stage, stage.role("office"))
-                stage.until(stage.leader, 0.55, "a leader after a restart of all offices")
+                self._restart(stage, stage.role("controller"))
+                stage.until(stage.leader, 0.55, "a leader after a restart of all controllers")
 
     def test_a_voter_that_came_back_empty_need_not_be_waited_out(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 stage = self._fleet(seed)
-                voters = [a for a in stage.role("office") if a.node in stage.leader().part.voters()]
-                for a in stage.role("office"):
+                voters = [a for a in stage.role("controller") if a.node in stage.leader().part.voters()]
+                for a in stage.role("controller"):
                     a.kill(power=True)
                 stage.run(1.5)
                 voters[seed % len(voters)].wipe()
-                for a in stage.role("office"):
+                for a in stage.role("controller"):
                     a.start()
                 stage.until(stage.leader, 0.55, "a leader after a restart with one disk lost")
 
-    def test_an_office_that_starts_alone_does_not_put_the_leader_aside(self):
+    def test_an_controller_that_starts_alone_does_not_put_the_leader_aside(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 stage = self._fleet(seed)
                 leader = stage.leader()
                 term = leader.part.term
-                others = [a for a in stage.role("office") if a is not leader and a.node in leader.part.voters()]
+                others = [a for a in stage.role("controller") if a is not leader and a.node in leader.part.voters()]
                 for a in others[:1]:
                     a.kill(power=True)
                     a.start()
@@ -62,7 +62,7 @@
             with self.subTest(seed=seed):
                 stage = self._fleet(seed)
                 leader = stage.leader()
-                others = [a for a in stage.role("office") if a is not leader]
+                others = [a for a in stage.role("controller") if a is not leader]
                 stage.cut([leader.name], [a.name for a in others])
                 for a in others:
                     a.kill(power=True)
--- a/tests/test_stage_shelves.py
+++ b/tests/test_stage_shelves.py
@@ -35,7 +35,7 @@
 
 class Shelves(unittest.TestCase):
     def stage(self, seed, **more):
-        stage = Stage(seed, offices=3, guides=3, shelves=4, **more)
+        stage = Stage(seed, controllers=3, guides=3, shelves=4, **more)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
