--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -19,7 +19,7 @@
 
 
 class Cache:
-    """The volatile shadow of the logs: a data cache and a metadata cache, three replicas each over the guides."""
+    """The volatile shadow of the logs: a data cache and a metadata cache, three replicas each over the gateways."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -48,7 +48,7 @@
         self.poller.open()
 
     def ring(self) -> Ring:
-        nodes = {m.node: m.zone for m in self._ctx.roster.members("guide", standing=("alive",))}
+        nodes = {m.node: m.zone for m in self._ctx.roster.members("gateway", standing=("alive",))}
         if nodes != self._ring.nodes:
             self._ring = Ring(nodes)
         return self._ring
@@ -62,7 +62,7 @@
     async def _ask(self, node: str, verb: str, what, kind):
         m = self._ctx.roster.find(node)
         if m is None:
-            raise WireFault(f"guide {node} is not on the roster")
+            raise WireFault(f"gateway {node} is not on the roster")
         return await self._ctx.desk.call((m.host, m.port), verb, what, kind, CACHE_LIMIT)
 
     async def _each(self, asks: dict[str, object], verb: str, kind, enough) -> dict[str, object]:
--- a/pipitlink/cache/ring.py
+++ b/pipitlink/cache/ring.py
@@ -13,7 +13,7 @@
 
 
 class Ring:
-    """Consistent hashing over guides; a key's replicas stand in different zones where there are enough."""
+    """Consistent hashing over gateways; a key's replicas stand in different zones where there are enough."""
 
     def __init__(self, nodes: dict[str, str]):
         self.nodes = dict(nodes)
--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -12,7 +12,7 @@
 _HELP = """pipitlink: live model requests, and lots on the same engines.
 
 Usage:
-  pipitlink (guide | depot | controller) [--props FILE] [options]
+  pipitlink (gateway | depot | controller) [--props FILE] [options]
   pipitlink compare A B [--json]
   pipitlink table show [--at PLACES]
   pipitlink table put FILE [--base N] [--edit ID] [--at PLACES]
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -21,12 +21,12 @@
 
 
 class _Telling:
-    """One change on its way to all guides, and which of them have confirmed it."""
+    """One change on its way to all gateways, and which of them have confirmed it."""
 
-    def __init__(self, guides):
-        self.guides = set(guides)
+    def __init__(self, gateways):
+        self.gateways = set(gateways)
         self.confirmed: set[str] = set()
-        self.running = len(self.guides)
+        self.running = len(self.gateways)
         self._waiting: list[defer.Deferred] = []
 
     def wait(self) -> defer.Deferred:
@@ -48,13 +48,13 @@
 
 
 class Announcing:
-    """Mixin: engines announce themselves here, and every guide is told; neither a leader nor a majority is needed."""
+    """Mixin: engines announce themselves here, and every gateway is told; neither a leader nor a majority is needed."""
 
     def _open_announcing(self):
         self._announced: dict[str, _Announced] = {}
         self._renewed: set[str] = set()
         self._owed: dict[str, set[str]] = {}
-        self._ctx.roster.watch(self._guide_changed)
+        self._ctx.roster.watch(self._gateway_changed)
         self._ctx.beats.every(BATCH_BEAT, self._tell_renewed, self._ctx.report("renewed_engines"))
 
     async def announce(self, n: EngineNews):
@@ -80,15 +80,15 @@
         if n.state in FINAL:
             await self._confirmed(have)
 
-    def _guides(self, standing=("alive", "suspect")):
-        return self._ctx.roster.members("guide", standing=standing, me=False)
+    def _gateways(self, standing=("alive", "suspect")):
+        return self._ctx.roster.members("gateway", standing=standing, me=False)
 
     def _tell(self, have: _Announced):
-        have.telling = t = _Telling(m.node for m in self._guides())
-        for node in t.guides:
-            self._ctx.spawned(self._tell_guide(node, [have.news.engine], t), "tell_engines")
+        have.telling = t = _Telling(m.node for m in self._gateways())
+        for node in t.gateways:
+            self._ctx.spawned(self._tell_gateway(node, [have.news.engine], t), "tell_engines")
 
-    async def _tell_guide(self, node: str, engines, t: _Telling):
+    async def _tell_gateway(self, node: str, engines, t: _Telling):
         until = self._ctx.beats.now() + PUSH_SPAN
         try:
             while self._ctx.roster.standing(node) in ("alive", "suspect"):
@@ -109,7 +109,7 @@
         try:
             await self._ctx.desk.call((m.host, m.port), "engines.tell", self._list(engines), Nothing, PUSH_LIMIT)
         except WireFault as e:
-            self._ctx.journal.trace("engines_untold", guide=node, text=e)
+            self._ctx.journal.trace("engines_untold", gateway=node, text=e)
             return False
         return True
 
@@ -125,7 +125,7 @@
         return out
 
     async def _confirmed(self, have: _Announced):
-        """Waits until all live guides have confirmed the change, for a short while; one guide must have.
+        """Waits until all live gateways have confirmed the change, for a short while; one gateway must have.
 
         A controller that reaches none may be cut off from those who still send, so the engine has to ask another.
         """
@@ -134,19 +134,19 @@
         t = have.telling
         end = self._ctx.beats.now() + CONFIRM_SPAN
         while True:
-            live = {m.node for m in self._guides(("alive",))}
+            live = {m.node for m in self._gateways(("alive",))}
             left = end - self._ctx.beats.now()
-            if (live & t.guides) <= t.confirmed or not t.running or left <= ms(0):
+            if (live & t.gateways) <= t.confirmed or not t.running or left <= ms(0):
                 break
             await self._ctx.beats.await_or_lapse(t.wait(), left)
         if not t.confirmed:
-            raise Crowded("no guide has confirmed that this engine leaves", code="untold")
+            raise Crowded("no gateway has confirmed that this engine leaves", code="untold")
 
     async def _tell_renewed(self):
         self._forget_engines()
         renewed, self._renewed = self._renewed, set()
         owed, self._owed = self._owed, {}
-        for m in self._guides():
+        for m in self._gateways():
             engines = renewed | owed.get(m.node, set())
             if engines:
                 self._ctx.spawned(self._tell_batch(m.node, engines), "tell_engines")
@@ -161,8 +161,8 @@
             if now - have.heard_at > (GONE_SPAN if have.news.state == "gone" else FORGET_SPAN):
                 del self._announced[name]
 
-    def _guide_changed(self, m):
-        """A guide that is met, or is back, is told all that is known here."""
-        if m.role == "guide" and self._announced and self._ctx.roster.standing(m.node) == "alive":
+    def _gateway_changed(self, m):
+        """A gateway that is met, or is back, is told all that is known here."""
+        if m.role == "gateway" and self._announced and self._ctx.roster.standing(m.node) == "alive":
             t = _Telling([m.node])
-            self._ctx.spawned(self._tell_guide(m.node, sorted(self._announced), t), "tell_engines")
+            self._ctx.spawned(self._tell_gateway(m.node, sorted(self._announced), t), "tell_engines")
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -2,7 +2,7 @@
 
 from klein import Klein
 
-from ..faults import BadAsk, GuideFault, NotFound
+from ..faults import BadAsk, GatewayFault, NotFound
 from ..setup.routes import RouteTable
 from ..web import Site, answered, listen, send_fault, send_json
 from ..wire.roster_pb2 import EngineNews
@@ -63,7 +63,7 @@
         c = Command(edit=edit_id(request, _digest(request, base, body)), config=edit)
         out = await self._controller.decide(c)
         if out.code == "wrong_base":
-            raise GuideFault(f"the configuration is at version {out.sequence}", code=out.code, status=412,
+            raise GatewayFault(f"the configuration is at version {out.sequence}", code=out.code, status=412,
                              outcome="not_run")
         if out.code != "done":
             raise BadAsk(f"the edit was refused: {out.code}", code=out.code)
@@ -81,7 +81,7 @@
         c = Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty))
         out = await self._controller.decide(c)
         if out.code != "done":
-            raise GuideFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
+            raise GatewayFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
         return send_json(request, {"sequence": out.sequence, "edit": c.edit})
 
     @answered
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -4,7 +4,7 @@
 
 from ..beats import ms, secs, spawn
 from ..context import fresh_id
-from ..faults import (BadAsk, CutOff, GuideFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
+from ..faults import (BadAsk, CutOff, GatewayFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
                       WrongBase)
 from ..setup import Sheet
 from ..web import answered, send_json
@@ -72,7 +72,7 @@
         try:
             return Sheet(await self._ask_leader("controller.read", ReadTableAsk(), SheetData))
         except (WireFault, NotLeading, Unproven) as e:
-            raise GuideFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
+            raise GatewayFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
                              outcome="failed", retry_after=1) from e
 
     def _leader_silent(self) -> bool:
@@ -108,7 +108,7 @@
                         or isinstance(e, Refused) and e.fault in ("not_leading", "no_room"))
             if isinstance(e, Refused) and e.fault == "no_room":
                 raise NoRoom(e.note, sent=False) from e
-            raise GuideFault(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
+            raise GatewayFault(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
                              f"no controller leads now: {e}", code="unproven" if sent else "no_leader", status=503,
                              outcome="unknown" if sent else "not_run", retry_after=1) from e
 
@@ -119,7 +119,7 @@
         if out.code == "no_such_row":
             raise NotFound("there is no such row", code=out.code, field="row")
         if out.code != "done":
-            raise GuideFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
+            raise GatewayFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
         return send_json(request, {"sequence": out.sequence, "edit": c.edit}, 200, {"ETag": f'"{out.sequence}"'})
 
     @answered
--- a/pipitlink/controller/guides.py
+++ b/pipitlink/controller/gateways.py
@@ -8,7 +8,7 @@
 from ..setup.follower import HOLD_FOLLOW, LEASE_SPAN
 from ..wire.setup_pb2 import Command, Delta, FollowAsk, FollowReceipt, Outcome
 
-__all__ = ["Guides"]
+__all__ = ["Gateways"]
 
 FRESH_SPAN = ms(500)
 EDIT_LIMIT = secs(5)
@@ -30,10 +30,10 @@
             d.callback(None)
 
 
-class Guides:
-    """Mixin: delivers the setup, leases it to guides, and knows when an edit is in effect everywhere."""
+class Gateways:
+    """Mixin: delivers the setup, leases it to gateways, and knows when an edit is in effect everywhere."""
 
-    def _open_guides(self):
+    def _open_gateways(self):
         self.followers: dict[str, _Follower] = {}
         self._news: dict[defer.Deferred, None] = {}
         self._confirmations: dict[defer.Deferred, None] = {}
@@ -82,15 +82,15 @@
         return True
 
     def _in_effect(self, sequence: int) -> bool:
-        """Every guide with a live lease has it, no lease of an earlier leader is left, and enough depots have it.
+        """Every gateway with a live lease has it, no lease of an earlier leader is left, and enough depots have it.
 
-        A guide proves its setup by more than half of the witnesses, so half of them are enough here, once the last change
+        A gateway proves its setup by more than half of the witnesses, so half of them are enough here, once the last change
         of the witnesses is known to be with more than half.
         """
         now = self._ctx.beats.now()
         if now < self._elected_at + LEASE_SPAN:
             return False
-        if any(f.role == "guide" and f.until > now and f.sequence < sequence for f in self.followers.values()):
+        if any(f.role == "gateway" and f.until > now and f.sequence < sequence for f in self.followers.values()):
             return False
         witnesses = self.sheet.witnesses()
         have = sum(self._shows(w, sequence) for w in witnesses)
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -12,7 +12,7 @@
 from .archive import Archive
 from .control import Control
 from .edits import Edits
-from .guides import Guides
+from .gateways import Gateways
 from .leading import Leading
 from .retiring import Retiring
 from .shelving import Shelving
@@ -24,7 +24,7 @@
 BEAT = ms(50)
 
 
-class ControllerNode(Founding, Voting, Leading, Guides, Edits, Retiring, Announcing, Shelving, Voters, Charted):
+class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Shelving, Voters, Charted):
     chart = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
@@ -45,7 +45,7 @@
         self._take_sheet(self.archive.snapshot)
         self._open_voting()
         self._open_leading()
-        self._open_guides()
+        self._open_gateways()
         self._open_edits()
         self._open_shelving()
         self._open_announcing()
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -1,4 +1,4 @@
-from ..faults import GuideFault, NotFound
+from ..faults import GatewayFault, NotFound
 from ..setup import Sheet
 from ..wire.setup_pb2 import Command, DepotEdit
 
@@ -15,7 +15,7 @@
         heard = {m.node for m in self._ctx.roster.everyone() if m.role == "depot" and m.name == name}
         found = sorted((named | heard) & set(sheet.depots))
         if not found and heard:
-            raise GuideFault(f"depot {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
+            raise GatewayFault(f"depot {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
                              retry_after=1)
         if not found:
             raise NotFound("there is no such depot", code="no_such_depot", field="depot")
--- a/pipitlink/controller/shelving.py
+++ b/pipitlink/controller/shelving.py
@@ -1,7 +1,7 @@
 from collections import Counter
 
 from ..beats import secs
-from ..faults import GuideFault
+from ..faults import GatewayFault
 from ..setup import Sheet
 from ..wire.ledger_pb2 import CaughtUp
 from ..wire.setup_pb2 import Command, DepotEdit, ShelfRow, Shelving as ShelvingRow
@@ -186,5 +186,5 @@
         rest = [d for d, s in sheet.depots.items()
                 if s == "serving" and d != depot and self._ctx.roster.standing(d) == "alive"]
         if len(rest) < COPIES:
-            raise GuideFault(f"{len(rest)} live depots would be left and each shelf needs {COPIES}",
+            raise GatewayFault(f"{len(rest)} live depots would be left and each shelf needs {COPIES}",
                              code="too_few_copies", status=409, outcome="not_run")
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -1,7 +1,7 @@
 __all__ = [
     "PipitFault", "PropsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
     "LedgerFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldShelf", "Damaged",
-    "GuideFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
+    "GatewayFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
     "ControllerFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
 ]
 
@@ -87,8 +87,8 @@
     code = "damaged"
 
 
-class GuideFault(PipitFault):
-    code = "guide"
+class GatewayFault(PipitFault):
+    code = "gateway"
     status = 500
     outcome = "failed"
 
@@ -102,19 +102,19 @@
         self.retry_after = retry_after
 
 
-class BadAsk(GuideFault):
+class BadAsk(GatewayFault):
     code = "bad_request"
     status = 400
     outcome = "not_run"
 
 
-class NotFound(GuideFault):
+class NotFound(GatewayFault):
     code = "not_found"
     status = 404
     outcome = "not_run"
 
 
-class Crowded(GuideFault):
+class Crowded(GatewayFault):
     code = "crowded"
     status = 503
     outcome = "not_run"
@@ -123,7 +123,7 @@
         super().__init__(text, retry_after=retry_after, **words)
 
 
-class BackEndFault(GuideFault):
+class BackEndFault(GatewayFault):
     code = "back_end"
     status = 502
     outcome = "unknown"
--- /dev/null
+++ b/pipitlink/gateway/__init__.py
@@ -0,0 +1,3 @@
+from .node import GatewayNode
+
+__all__ = ["GatewayNode"]
--- a/pipitlink/guide/asks.py
+++ b/pipitlink/gateway/asks.py
@@ -8,7 +8,7 @@
 
 from ..charts import Charted, chart_data
 from ..context import fresh_id
-from ..faults import BackEndFault, GuideFault, LedgerFault
+from ..faults import BackEndFault, GatewayFault, LedgerFault
 
 __all__ = ["Ask", "AskTable"]
 
@@ -36,8 +36,8 @@
     avoid: set = attrs.field(factory=set)
     pieces: list[str] = attrs.field(factory=list)
     size: int = 0
-    fault: GuideFault | None = None
-    refusal: GuideFault | None = None
+    fault: GatewayFault | None = None
+    refusal: GatewayFault | None = None
     reached: bool = False
     left_at: timedelta | None = None
     readers: int = 0
@@ -94,7 +94,7 @@
         self.move()
 
     def fail(self, fault: Exception):
-        if not isinstance(fault, GuideFault):
+        if not isinstance(fault, GatewayFault):
             fault = BackEndFault(str(fault) or type(fault).__name__, outcome=self.outcome)
         if self.reached and fault.outcome == "not_run":
             fault.outcome = "unknown"
@@ -159,9 +159,9 @@
                         break
         except defer.CancelledError:
             ask.put("lose")
-            ask.fail(GuideFault("the request was ended", code="ended", outcome=ask.outcome))
+            ask.fail(GatewayFault("the request was ended", code="ended", outcome=ask.outcome))
         except Exception as e:
-            if not isinstance(e, (GuideFault, LedgerFault)):
+            if not isinstance(e, (GatewayFault, LedgerFault)):
                 self._ctx.journal.fault("ask_failed", e, ask=ask.id)
             ask.put("lose")
             ask.fail(e)
--- a/pipitlink/guide/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -30,9 +30,9 @@
                                                          due=lambda: ZERO if self.open_lots else None))
 
     def _owner(self, lot_id: str) -> str:
-        guides = self._ctx.roster.members("guide", standing=("alive",))
-        guides = [m for m in guides if not self._ctx.setup.zone_empty(m.zone)] or guides
-        return max(guides, key=lambda m: rank(lot_id, m.node)).node
+        gateways = self._ctx.roster.members("gateway", standing=("alive",))
+        gateways = [m for m in gateways if not self._ctx.setup.zone_empty(m.zone)] or gateways
+        return max(gateways, key=lambda m: rank(lot_id, m.node)).node
 
     def _take_lots(self):
         if not self.current():
@@ -81,7 +81,7 @@
         await self._finish_if_done(o)
 
     def _hand_over(self):
-        """In an emptied zone a guide gives up its lots once nothing of theirs runs; others take them up."""
+        """In an emptied zone a gateway gives up its lots once nothing of theirs runs; others take them up."""
         for o in self.open_lots.values():
             if o.holder is not None and not o.running and not o.holder.lost:
                 self._ctx.spawned(self._ctx.ledger.release([o.holder]), "hand_over")
@@ -231,7 +231,7 @@
         return EndReceipt(state=await self.end_here(ask.lot))
 
     async def end_here(self, lot_id: str) -> str:
-        """Ends a lot that this guide owns: first for good in its log, then its running items."""
+        """Ends a lot that this gateway owns: first for good in its log, then its running items."""
         o = self.open_lots.get(lot_id)
         if o is None:
             return "closed" if lot_id in self._closed else "unknown"
--- a/pipitlink/guide/engines.py
+++ b/pipitlink/gateway/engines.py
@@ -42,7 +42,7 @@
 
 
 class Engines:
-    """The back ends as this guide believes them to be, kept alike among guides by pushes and gossip."""
+    """The back ends as this gateway believes them to be, kept alike among gateways by pushes and gossip."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -56,7 +56,7 @@
         self._woke_at = ZERO
 
     def carry(self, fill, take):
-        """More that goes to all guides with the loads."""
+        """More that goes to all gateways with the loads."""
         self._carriers.append((fill, take))
 
     def open(self):
@@ -74,7 +74,7 @@
         self._push(EngineList(engines=[self._engines[news.engine].news]))
 
     def _push(self, what: EngineList):
-        for m in self._ctx.roster.members("guide", me=False):
+        for m in self._ctx.roster.members("gateway", me=False):
             place = (m.host, m.port)
             spawn(self._ctx.desk.call(place, "engines.tell", what, Nothing, ms(500))).addErrback(lambda f: None)
 
@@ -96,7 +96,7 @@
                 self._merge(n)
 
     def _just_woke(self) -> bool:
-        """What arrives now may have waited while this guide slept, and tells ages as of then."""
+        """What arrives now may have waited while this gateway slept, and tells ages as of then."""
         now = self._look()
         return self._woke_at > ZERO and now - self._woke_at < HELD_SPAN
 
@@ -127,7 +127,7 @@
             self._ctx.journal.note("engine", engine=n.engine, state="leaving", incarnation=n.incarnation)
 
     def _look(self) -> timedelta:
-        """Notes where this guide slept: what engines said meanwhile is not known until they are heard again."""
+        """Notes where this gateway slept: what engines said meanwhile is not known until they are heard again."""
         now = self._ctx.beats.now()
         if now - self._looked_at > SLEPT_SPAN:
             self._woke_at = now
@@ -165,7 +165,7 @@
         return e.mine + sum(n for n, at in e.others.values() if now - at < LOADS_SPAN)
 
     def room(self, e: Engine, reserve: float = 0.0) -> int:
-        """This guide's sure share, or its part of what the shared counts leave between two tellings.
+        """This gateway's sure share, or its part of what the shared counts leave between two tellings.
 
         A cold engine has no sure shares: others may hold its few places, which go round by turns.
         """
@@ -178,16 +178,16 @@
         return max(0, min(free, max(sure, left)))
 
     def _parts(self, e: Engine):
-        """Tells this guide's part of n places. The parts of all guides add up to n; the odd ones go round by turns.
+        """Tells this gateway's part of n places. The parts of all gateways add up to n; the odd ones go round by turns.
 
-        While the engine is cold, guides that were heard a short while ago keep their parts: they may only be cut off.
+        While the engine is cold, gateways that were heard a short while ago keep their parts: they may only be cut off.
         """
         roster = self._ctx.roster
-        guides = {m.node for m in roster.members("guide", standing=("alive",))} | {self._ctx.node}
+        gateways = {m.node for m in roster.members("gateway", standing=("alive",))} | {self._ctx.node}
         if self._cold(e):
-            guides |= {m.node for m in roster.members("guide", standing=("suspect", "gone"))
+            gateways |= {m.node for m in roster.members("gateway", standing=("suspect", "gone"))
                        if roster.since(m.node) < RAMP_SPAN}
-        ranked = sorted(guides, key=lambda g: blake2b(f"{e.name}/{g}".encode(), digest_size=8).digest())
+        ranked = sorted(gateways, key=lambda g: blake2b(f"{e.name}/{g}".encode(), digest_size=8).digest())
         turn = (ranked.index(self._ctx.node) + wall_ms(self._ctx.beats.wall()) // TURN_MS) % len(ranked)
         return lambda n: n // len(ranked) + (turn < n % len(ranked))
 
@@ -224,7 +224,7 @@
                 del self._engines[name]
         mine = {e.name: e.mine for e in self._engines.values()}
         self._told = mine
-        what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r) for n, r in mine.items()])
+        what = Loads(gateway=self._ctx.node, loads=[Load(engine=n, running=r) for n, r in mine.items()])
         for fill, _ in self._carriers:
             fill(what)
         if what.permits or what.lots or any(mine.values()):
@@ -234,11 +234,11 @@
         self.roomier()
 
     def stir(self):
-        """Something may be out in this guide's name: the others are told what it holds until that must be known."""
+        """Something may be out in this gateway's name: the others are told what it holds until that must be known."""
         self._stirred_at = self._ctx.beats.now()
 
     def _tell(self, what: Loads):
-        for m in self._ctx.roster.members("guide", me=False):
+        for m in self._ctx.roster.members("gateway", me=False):
             place = (m.host, m.port)
             spawn(self._ctx.desk.call(place, "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
 
@@ -249,4 +249,4 @@
         for one in what.loads:
             e = self._engines.get(one.engine)
             if e is not None:
-                e.others[what.guide] = (one.running, now)
+                e.others[what.gateway] = (one.running, now)
--- a/pipitlink/guide/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -20,7 +20,7 @@
 
 
 class Intake:
-    """Mixin: takes lots in, each by one append to this guide's own lot log."""
+    """Mixin: takes lots in, each by one append to this gateway's own lot log."""
 
     def _open_intake(self):
         self._lot_log = None
@@ -29,7 +29,7 @@
         self._opening = Joined()
 
     async def _own_log(self):
-        """The guide's lot log for now; a new one where there is none, or when it has grown long."""
+        """The gateway's lot log for now; a new one where there is none, or when it has grown long."""
         log = self._lot_log
         if log is None or log.lost or len(log.data) >= ROTATE or \
                 self._ctx.beats.now() - self._lot_log_at > ROTATE_SPAN:
@@ -46,7 +46,7 @@
     async def take_lot(self, request):
         b = read_json(request, LotBody)
         if not self.current():
-            raise Crowded("this guide is not current", code="not_current")
+            raise Crowded("this gateway is not current", code="not_current")
         if len(b.items) > self._ctx.props.max_items:
             raise BadAsk(f"items: a lot may have {self._ctx.props.max_items} items", code="bad_field", field="items")
         taken = wall_ms(self._ctx.beats.wall())
--- a/pipitlink/guide/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -5,7 +5,7 @@
 
 from ..beats import secs, wall_ms
 from ..disk import frames
-from ..faults import CutOff, Crowded, GuideFault, NotHeld, PipitFault, Refused, WireFault
+from ..faults import CutOff, Crowded, GatewayFault, NotHeld, PipitFault, Refused, WireFault
 from ..wire.lots_pb2 import KeyedLot, KeyedReceipt, LogRecord, Lot
 
 __all__ = ["Keyed"]
@@ -63,7 +63,7 @@
                 raise Crowded(f"the owner of this key could not take it: {e}", code="no_owner",
                               outcome="not_run" if unsent else "unknown") from e
         if not r.same:
-            raise GuideFault("this key was used for another lot", code="key_in_use", field="idempotency_key",
+            raise GatewayFault("this key was used for another lot", code="key_in_use", field="idempotency_key",
                              status=409, outcome="not_run")
         return r.lot, r.again
 
--- a/pipitlink/guide/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -25,7 +25,7 @@
 
 @attrs.define(eq=False)
 class _Book:
-    """What a row's steward keeps of it: its turns, and the places that are out at each guide."""
+    """What a row's steward keeps of it: its turns, and the places that are out at each gateway."""
 
     left: float = 0.0
     at: timedelta = ZERO
@@ -46,13 +46,13 @@
         self.turn = max(first, min(self.turn, now + secs(MAX_BACK)) + timedelta(seconds=1 / rate))
         return self.turn - now
 
-    def take_place(self, row, permit: str, guide: str, now: timedelta) -> bool:
+    def take_place(self, row, permit: str, gateway: str, now: timedelta) -> bool:
         for p, (_, until, _) in list(self.permits.items()):
             if until <= now:
                 del self.permits[p]
         if len(self.permits) >= row.concurrency:
             return False
-        self.permits[permit] = (guide, now + PERMIT_SPAN, now)
+        self.permits[permit] = (gateway, now + PERMIT_SPAN, now)
         return True
 
 
@@ -82,15 +82,15 @@
 
 
 class Limits:
-    """Mixin: a row's rate and concurrency hold over the whole fleet: one guide, its steward, hands out all of it.
+    """Mixin: a row's rate and concurrency hold over the whole fleet: one gateway, its steward, hands out all of it.
 
-    Every guide hears which places the others hold with their loads, so that a new steward knows them at once.
+    Every gateway hears which places the others hold with their loads, so that a new steward knows them at once.
     """
 
     def _open_limits(self):
         self._books: dict[str, _Book] = {}
         self._held: dict[str, str] = {}
-        self._guides_then: frozenset = frozenset()
+        self._gateways_then: frozenset = frozenset()
         self._moved_at = self._looked_at = self._ctx.beats.now()
         self._ctx.desk.answer("limits.take", PermitAsk, self._permit_for)
         self.engines.carry(self._fill_permits, self._told_permits)
@@ -100,23 +100,23 @@
                      if (r := self._ctx.setup.row(ask.model, e.news.pool)) is not None), None)
 
     def _steward(self, row: str) -> str:
-        guides = {m.node for m in self._ctx.roster.members("guide", standing=("alive",))} | {self._ctx.node}
-        return max(guides, key=lambda g: rank(row, g))
+        gateways = {m.node for m in self._ctx.roster.members("gateway", standing=("alive",))} | {self._ctx.node}
+        return max(gateways, key=lambda g: rank(row, g))
 
     def _look(self):
-        """Notes when the guides changed, or this one slept: places may be out of which a new steward has not heard."""
+        """Notes when the gateways changed, or this one slept: places may be out of which a new steward has not heard."""
         now = self._ctx.beats.now()
-        guides = frozenset(m.node for m in self._ctx.roster.members("guide", standing=("alive",)))
-        if guides != self._guides_then or now - self._looked_at > secs(1):
-            self._guides_then, self._moved_at = guides, now
+        gateways = frozenset(m.node for m in self._ctx.roster.members("gateway", standing=("alive",)))
+        if gateways != self._gateways_then or now - self._looked_at > secs(1):
+            self._gateways_then, self._moved_at = gateways, now
         self._looked_at = now
 
     def _may_grant(self) -> bool:
-        """Not while guides change, nor on the smaller side of a cut, nor where the setup is not proved."""
+        """Not while gateways change, nor on the smaller side of a cut, nor where the setup is not proved."""
         self._look()
-        alive = self._ctx.roster.members("guide", standing=("alive",))
+        alive = self._ctx.roster.members("gateway", standing=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.roster.members("guide", standing=("suspect", "gone"), me=False)
+        away = [m for m in self._ctx.roster.members("gateway", standing=("suspect", "gone"), me=False)
                 if (m.host, m.port) not in places and self._ctx.roster.since(m.node) < KNOWN_SPAN]
         return self._ctx.setup.ready() and len(alive) >= len(away) \
             and self._ctx.beats.now() - self._moved_at >= SETTLE_SPAN
@@ -187,13 +187,13 @@
         what.permits.extend(Permit(row=row, id=p) for p, row in self._held.items())
 
     def _told_permits(self, what: Loads):
-        """What a guide says it holds is so; what it no longer names it has given back."""
+        """What a gateway says it holds is so; what it no longer names it has given back."""
         now = self._ctx.beats.now()
         named = {p.id for p in what.permits}
         for p in what.permits:
             book = self._books.setdefault(p.row, _Book())
-            book.permits[p.id] = (what.guide, now + PERMIT_SPAN, now)
+            book.permits[p.id] = (what.gateway, now + PERMIT_SPAN, now)
         for book in self._books.values():
-            for p, (guide, _, granted) in list(book.permits.items()):
-                if guide == what.guide and p not in named and now - granted > GIVEN_SPAN:
+            for p, (gateway, _, granted) in list(book.permits.items()):
+                if gateway == what.gateway and p not in named and now - granted > GIVEN_SPAN:
                     del book.permits[p]
--- a/pipitlink/guide/live.py
+++ b/pipitlink/gateway/live.py
@@ -82,7 +82,7 @@
                 raise BadAsk(e.note, code=e.fault, field="from", status=416) from e
             raise NotFound(e.note, code="run_not_held", outcome="unknown") from e
         except WireFault as e:
-            raise NotFound(f"the guide that holds the run is not heard: {e}", code="run_not_held",
+            raise NotFound(f"the gateway that holds the run is not heard: {e}", code="run_not_held",
                            outcome="unknown") from e
         self._ctx.spawned(self._follow_run(far, place, first), "follow_run")
         return await self._show(request, far, start)
@@ -150,10 +150,10 @@
         b = read_json(request, EngineBody)
         self.engines.announce(EngineNews(engine=b.engine, incarnation=b.incarnation, address=b.address, pool=b.pool,
                                          models=b.models, capacity=b.capacity, zone=b.zone, state=b.state))
-        return send_json(request, {"renew_ms": 1000, "guides": self.addresses()})
+        return send_json(request, {"renew_ms": 1000, "gateways": self.addresses()})
 
     def addresses(self) -> list[str]:
-        return [f"{m.host}:{m.http_port}" for m in self._ctx.roster.members("guide", standing=("alive",))]
+        return [f"{m.host}:{m.http_port}" for m in self._ctx.roster.members("gateway", standing=("alive",))]
 
 
 class _Pace:
--- a/pipitlink/guide/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -20,7 +20,7 @@
 
 @attrs.define(eq=False)
 class OpenLot:
-    """A lot as a guide knows it: its items and, where this guide owns it, what has become of each."""
+    """A lot as a gateway knows it: its items and, where this gateway owns it, what has become of each."""
 
     id: str
     lot: Lot
@@ -43,7 +43,7 @@
 
 
 class Lots:
-    """Mixin: every guide reads all lot logs, so that any of them can take a lot up."""
+    """Mixin: every gateway reads all lot logs, so that any of them can take a lot up."""
 
     def _open_lots(self):
         self.open_lots: dict[str, OpenLot] = {}
@@ -78,7 +78,7 @@
                 self._leave_log(log)
 
     async def _see_closed(self):
-        """Lots that another guide finished or ended are open here no longer."""
+        """Lots that another gateway finished or ended are open here no longer."""
         theirs = [o.id for o in self.open_lots.values() if o.holder is None and not o.taking]
         for i in range(0, len(theirs), MOST_ASKED):
             logs = [result_log(lot_id) for lot_id in theirs[i:i + MOST_ASKED]]
--- a/pipitlink/guide/node.py
+++ b/pipitlink/gateway/node.py
@@ -17,12 +17,12 @@
 from .results import Results
 from .runs import Runs
 
-__all__ = ["GuideNode"]
+__all__ = ["GatewayNode"]
 
 DRAIN = secs(6)
 
 
-class GuideNode(Admitting, Picking, Limits, Relaying, Live, Runs, Fetching, Intake, Keyed, Lots, Dispatch,
+class GatewayNode(Admitting, Picking, Limits, Relaying, Live, Runs, Fetching, Intake, Keyed, Lots, Dispatch,
                 Results, AskTable):
     def __init__(self, ctx):
         self._ctx = ctx
@@ -102,7 +102,7 @@
                for name in ("relaxed", "consistent", "durable", "durable_reads", "hedged", "unheard")}
         out["asks"] = ("Requests in the table", len(self.asks))
         out["open_lots"] = ("Lots known to be open", len(self.open_lots))
-        out["owned_lots"] = ("Lots this guide owns", sum(o.holder is not None for o in self.open_lots.values()))
+        out["owned_lots"] = ("Lots this gateway owns", sum(o.holder is not None for o in self.open_lots.values()))
         out["running"] = ("Requests on engines from here", sum(e.mine for e in self.engines.all()))
         out["cache_bytes"] = ("Bytes in the data cache here", self._ctx.cache.chunks.size)
         return out
--- a/pipitlink/guide/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..beats import ms, secs
-from ..faults import Crowded, GuideFault, NotFound
+from ..faults import Crowded, GatewayFault, NotFound
 from ..rendezvous import rank
 
 __all__ = ["Admitting", "Picking", "RetryBudget"]
@@ -27,7 +27,7 @@
         await self._await_current()
         now = self._ctx.beats.now()
         if ask.limit <= now:
-            raise GuideFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
+            raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if ask.tries:
             return False
         if not ask.lot and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.props.max_running:
@@ -40,7 +40,7 @@
         until = self._ctx.beats.now() + CURRENT_WAIT
         while not self.current():
             if self._ctx.beats.now() >= until:
-                raise Crowded("this guide cannot prove its setup now", code="not_current")
+                raise Crowded("this gateway cannot prove its setup now", code="not_current")
             await self._ctx.beats.pause(ms(20))
 
 
@@ -109,7 +109,7 @@
         return False
 
     def _may_yet_come(self, ask) -> bool:
-        """A guide that just started has not heard all back ends yet, and what the table names is only away."""
+        """A gateway that just started has not heard all back ends yet, and what the table names is only away."""
         young = self._ctx.beats.now() - self._opened_at < YOUNG_SPAN
         return young or self._ctx.setup.row(ask.model, ask.pool) is not None
 
--- a/pipitlink/guide/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from ..beats import secs, spawn
-from ..faults import BackEndFault, Crowded, GuideFault, LedgerFault
+from ..faults import BackEndFault, Crowded, GatewayFault, LedgerFault
 
 __all__ = ["Relaying"]
 
@@ -201,11 +201,11 @@
     def _check_still(self, ask, e):
         """What held when the request was admitted and its back end picked must hold as its first byte leaves."""
         if ask.settled or ask.engine is not e:
-            raise GuideFault("the request was ended", code="ended", outcome="not_run")
+            raise GatewayFault("the request was ended", code="ended", outcome="not_run")
         if ask.limit <= self._ctx.beats.now():
-            raise GuideFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
+            raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if not self._ctx.setup.ready():
-            raise Crowded("this guide cannot prove its setup now", code="not_current")
+            raise Crowded("this gateway cannot prove its setup now", code="not_current")
         if self.engines.standing(e) != "ready" or all(k is not e for k, _ in self.candidates(ask.model, ask.pool)):
             raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
         if ask.still is not None:
@@ -235,17 +235,17 @@
         raise fault
 
     def _unsent(self, ask, e, f) -> Exception:
-        """No byte left this guide."""
+        """No byte left this gateway."""
         ask.put("unreached")
         if isinstance(f, ConnectError):
             self.engines.failed(e)
             return Crowded(f"engine {e.name} could not be reached: {f}", code="unreached")
         if isinstance(f, Crowded) and f.code == "not_current":
             ask.avoid.discard(e.name)
-        if isinstance(f, LedgerFault) or isinstance(f, GuideFault) and f.outcome == "not_run":
+        if isinstance(f, LedgerFault) or isinstance(f, GatewayFault) and f.outcome == "not_run":
             return f
         if self._ctx.beats.now() >= ask.limit:
-            return GuideFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
+            return GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         return Crowded(f"engine {e.name} could not be asked: {f}", code="unreached")
 
     def _sent_badly(self, ask, e, f) -> Exception:
@@ -254,7 +254,7 @@
             self.engines.refused(e)
             return f
         ask.put("lose")
-        if isinstance(f, GuideFault):
+        if isinstance(f, GatewayFault):
             f.outcome = "failed" if f.code == "engine_refused" else ask.outcome
             return f
         late = self._ctx.beats.now() >= ask.limit
--- a/pipitlink/guide/results.py
+++ b/pipitlink/gateway/results.py
@@ -40,7 +40,7 @@
 
 
 class Results:
-    """Mixin: answers for any lot, whichever guide took it or owns it."""
+    """Mixin: answers for any lot, whichever gateway took it or owns it."""
 
     def _open_results(self):
         self._readers: dict[str, _Reader] = {}
@@ -151,7 +151,7 @@
         raise Crowded("the lot's owner could not be asked", code="no_owner", outcome="unknown")
 
     async def _ask_owner(self, lot: str) -> str:
-        """Asks the lease's holder; where there is none, this guide takes the lot up itself."""
+        """Asks the lease's holder; where there is none, this gateway takes the lot up itself."""
         log = result_log(lot)
         state = (await self._ctx.ledger.states([log])).get(log)
         if state is not None and state.final:
--- a/pipitlink/guide/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -2,7 +2,7 @@
 
 from ..beats import ms, secs
 from ..context import fresh_id
-from ..faults import GuideFault, NotFound, Refused, WireFault
+from ..faults import GatewayFault, NotFound, Refused, WireFault
 from ..wire.roster_pb2 import RunAsk, RunReceipt
 
 __all__ = ["Runs", "FarRun"]
@@ -13,14 +13,14 @@
 
 
 class FarRun:
-    """A run that another guide holds, as far as it has been read here; written out like a run of this guide's own."""
+    """A run that another gateway holds, as far as it has been read here; written out like a run of this gateway's own."""
 
     feed = None
 
     def __init__(self, run: str, start: int):
         self.id = run
         self.pieces: list = [""] * start
-        self.fault: GuideFault | None = None
+        self.fault: GatewayFault | None = None
         self.engine_name = ""
         self.settled = False
         self.readers = 1
@@ -33,10 +33,10 @@
     def take(self, r: RunReceipt):
         self.pieces += r.pieces
         if r.settled:
-            self.end(GuideFault(r.note, code=r.code, outcome=r.outcome) if r.code else None, r.engine)
+            self.end(GatewayFault(r.note, code=r.code, outcome=r.outcome) if r.code else None, r.engine)
         self._move()
 
-    def end(self, fault: GuideFault | None, engine: str = ""):
+    def end(self, fault: GatewayFault | None, engine: str = ""):
         self.fault, self.engine_name, self.settled = fault, engine, True
         self._move()
 
@@ -50,7 +50,7 @@
 
 
 class Runs:
-    """Mixin: a run's id names the guide that holds it, and any guide passes a resume on to that one."""
+    """Mixin: a run's id names the gateway that holds it, and any gateway passes a resume on to that one."""
 
     def _open_runs(self):
         self._ctx.desk.answer("runs.read", RunAsk, self._read_run)
@@ -66,7 +66,7 @@
         return ask
 
     def run_place(self, run: str) -> tuple[str, int] | None:
-        """Where a run that is not held here may be held; none where its guide is gone."""
+        """Where a run that is not held here may be held; none where its gateway is gone."""
         node = run.partition("-")[0]
         m = self._ctx.roster.find(node)
         gone = m is None or node == self._ctx.node or self._ctx.roster.standing(node) == "gone"
@@ -77,7 +77,7 @@
         held = self.held_run(ask.run)
         start = getattr(ask, "from")
         if start > len(held.pieces):
-            raise GuideFault(f"the run has {len(held.pieces)} pieces", code="bad_field", status=416, outcome="not_run")
+            raise GatewayFault(f"the run has {len(held.pieces)} pieces", code="bad_field", status=416, outcome="not_run")
         held.readers += 1
         held.left_at = None
         try:
@@ -102,7 +102,7 @@
             while not far.settled and far.readers:
                 far.take(await self._ask_run(far, place))
         except (WireFault, Refused) as e:
-            far.end(GuideFault(f"the guide that holds the run was lost: {e}", code="run_lost", outcome="unknown"))
+            far.end(GatewayFault(f"the gateway that holds the run was lost: {e}", code="run_lost", outcome="unknown"))
 
     async def _ask_run(self, far: FarRun, place) -> RunReceipt:
         ask = RunAsk(run=far.id, **{"from": len(far.pieces)})
--- a/pipitlink/guide/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from .node import GuideNode
-
-__all__ = ["GuideNode"]
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -33,10 +33,10 @@
 
 
 class Process:
-    """One guide, depot or controller, from its props to its end."""
+    """One gateway, depot or controller, from its props to its end."""
 
     def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None):
-        node = fresh_id() if role == "guide" else node_id(Path(props.data), props.fleet)
+        node = fresh_id() if role == "gateway" else node_id(Path(props.data), props.fleet)
         journal = open_journal(props.log_level, role=role, node=node)
         beats = Beats(reactor)
         desk = Desk(reactor, beats, journal, props.fleet, node)
@@ -54,7 +54,7 @@
     async def open(self):
         ctx, p = self.ctx, self.ctx.props
         ctx.roster = Roster(ctx)
-        if ctx.role != "guide":
+        if ctx.role != "gateway":
             ctx.roster.remember_in(Path(p.data))
         ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
@@ -63,9 +63,9 @@
         ctx.desk.place = (p.host, port)
         me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port,
                     name=p.name)
-        if ctx.role == "guide":
+        if ctx.role == "gateway":
             ctx.cache = Cache(ctx)
-            self.node = self._guide_kind()(ctx)
+            self.node = self._gateway_kind()(ctx)
             self.node.open()
             if self._early is not None:
                 self.node.early = self._early
@@ -84,14 +84,14 @@
             ctx.setup.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
-    def _guide_kind(self):
+    def _gateway_kind(self):
         if self.ctx.props.interface == "routes":
             from .router import RouterNode
 
             return RouterNode
-        from .guide import GuideNode
+        from .gateway import GatewayNode
 
-        return GuideNode
+        return GatewayNode
 
     def _open_kept(self):
         """Opens what is on disk. Damage that replicas can mend is set aside, and the node begins anew and empty."""
--- a/pipitlink/props.py
+++ b/pipitlink/props.py
@@ -10,7 +10,7 @@
 
 __all__ = ["Props", "read_props", "ROLES"]
 
-ROLES = ("guide", "depot", "controller")
+ROLES = ("gateway", "depot", "controller")
 _INTERFACES = ("models", "routes")
 _LEVELS = ("debug", "info", "warning", "error")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,62}$")
@@ -133,7 +133,7 @@
 
 def _check(role: str, p: Props) -> list[str]:
     lines = []
-    if role != "guide" and not p.data:
+    if role != "gateway" and not p.data:
         lines.append(f"data: a {role} needs a data folder")
     if p.bind in ("0.0.0.0", "::") and not p.advertise:
         lines.append("advertise: needed when bind is a wildcard")
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -1,7 +1,7 @@
 from datetime import timedelta
 
 from ..beats import Joined, ZERO, ms, secs, wall_ms
-from ..faults import BadAsk, Crowded, GuideFault, LedgerFault, NotHeld, PipitFault, WireFault
+from ..faults import BadAsk, Crowded, GatewayFault, LedgerFault, NotHeld, PipitFault, WireFault
 from ..wire.lots_pb2 import Batch, LogRecord
 from .batches import HEAD_ALONE, OpenBatch, batch_log, good_id, head_of
 
@@ -14,15 +14,15 @@
 COME_BACK = 0.2
 
 
-def refusal(e: GuideFault, dialect) -> tuple[int, dict, bytes]:
+def refusal(e: GatewayFault, dialect) -> tuple[int, dict, bytes]:
     headers = {"Content-Type": "application/json"}
     if e.retry_after:
         headers["Retry-After"] = str(e.retry_after)
     return e.status, headers, dialect.show_fault(e)
 
 
-def _unknown(text: str, status: int = 504) -> GuideFault:
-    return GuideFault(text, code="unknown_outcome", status=status, outcome="unknown")
+def _unknown(text: str, status: int = 504) -> GatewayFault:
+    return GatewayFault(text, code="unknown_outcome", status=status, outcome="unknown")
 
 
 class BatchIntake:
@@ -48,10 +48,10 @@
             same = await self._ctx.beats.within(left, self._batches_taking.run(
                 lot_id, lambda: self._take_once(batch, route, deadline - MARGIN)))
             if not self._same_batch(same, batch):
-                raise GuideFault("this id was used for another batch", code="id_in_use", field="id", status=409,
+                raise GatewayFault("this id was used for another batch", code="id_in_use", field="id", status=409,
                                  outcome="not_run")
             return 202, {"Content-Type": "application/json"}, self.dialect.show_taken(lot_id, len(batch.items))
-        except GuideFault as e:
+        except GatewayFault as e:
             return refusal(e, self.dialect)
         except (PipitFault, TimeoutError) as e:
             return refusal(_unknown(f"the batch may yet be taken: {e}"), self.dialect)
@@ -65,9 +65,9 @@
         if o is None or o.holder.lost:
             try:
                 if not self._ctx.setup.usable():
-                    raise Crowded("this guide takes no batches now", code="not_current", retry_after=COME_BACK)
+                    raise Crowded("this gateway takes no batches now", code="not_current", retry_after=COME_BACK)
                 await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
-            except GuideFault as e:
+            except GatewayFault as e:
                 return await self._batch_taken_already(batch.id, e)
         try:
             return await self._in_batch_turn(batch.id, lambda: self._write_batch(batch, until))
@@ -77,7 +77,7 @@
             if self._closing_batches and o is not None and o.idle():
                 self._ctx.spawned(self._ctx.ledger.release([o.holder]), "hand_over")
 
-    async def _batch_taken_already(self, batch_id: str, refused: GuideFault) -> Batch | None:
+    async def _batch_taken_already(self, batch_id: str, refused: GatewayFault) -> Batch | None:
         """What an earlier try has taken is not refused."""
         try:
             known = await self._known_batch(batch_id)
@@ -97,7 +97,7 @@
         try:
             return await self._ctx.beats.within(COMPARE_SPAN, self._batch_of(batch_id))
         except PipitFault as e:
-            return None if isinstance(e, GuideFault) and e.code == HEAD_ALONE else False
+            return None if isinstance(e, GatewayFault) and e.code == HEAD_ALONE else False
 
     async def _write_batch(self, batch: Batch, until: timedelta) -> Batch | None:
         o = await self._hold_for_intake(batch.id, until)
@@ -113,7 +113,7 @@
         return o.batch
 
     async def _hold_for_intake(self, batch_id: str, until: timedelta) -> OpenBatch | Batch | bool:
-        """The batch held here, or as another guide has taken it; waits while one may be about to."""
+        """The batch held here, or as another gateway has taken it; waits while one may be about to."""
         while True:
             try:
                 return await self._hold_batch(batch_id)
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -6,7 +6,7 @@
 
 from ..beats import ZERO, ms, secs
 from ..cache.chunks import CHUNK
-from ..faults import Crowded, GuideFault, NotFound, PipitFault, Refused, WireFault
+from ..faults import Crowded, GatewayFault, NotFound, PipitFault, Refused, WireFault
 from ..wire.lots_pb2 import Batch, EndAsk, Ended, EndReceipt, LogRecord
 from .batch_intake import refusal
 from .batches import HEAD_ALONE, Listing, batch_log, good_id
@@ -26,7 +26,7 @@
 
 @attrs.define(eq=False)
 class _Reader:
-    """A batch that another guide owns, or nobody any more, read in order and kept while callers ask for it."""
+    """A batch that another gateway owns, or nobody any more, read in order and kept while callers ask for it."""
 
     tail: object
     used: timedelta
@@ -58,7 +58,7 @@
 
 
 class BatchRead:
-    """Mixin: tells any batch's outputs and items at any guide, and ends batches through their owners."""
+    """Mixin: tells any batch's outputs and items at any gateway, and ends batches through their owners."""
 
     def _open_batch_reads(self):
         self._batch_readers: dict[str, _Reader] = {}
@@ -117,7 +117,7 @@
             try:
                 with r.in_use():
                     await self._ctx.beats.within(READ_LIMIT, self._read_batch_on(batch_id, r))
-            except GuideFault:
+            except GatewayFault:
                 if r.listing.head is None:
                     self._drop_batch_reader(batch_id, r)
                 raise
@@ -191,7 +191,7 @@
                 await self._listing_moves(lot_id, left)
             body = self.dialect.show_outputs(listing.head, listing.outputs, start)
             return 200, {"Content-Type": "application/json"}, body
-        except GuideFault as e:
+        except GatewayFault as e:
             return refusal(e, self.dialect)
         except PipitFault as e:
             return refusal(Crowded(f"the batch cannot be read now: {e}", code="unread"), self.dialect)
@@ -222,7 +222,7 @@
             if item is None:
                 raise NotFound("there is no such item", code="no_such_item", field="id")
             return 200, {"Content-Type": "application/octet-stream"}, item.body
-        except GuideFault as e:
+        except GatewayFault as e:
             return refusal(e, self.dialect)
         except PipitFault as e:
             return refusal(Crowded(f"the batch cannot be read now: {e}", code="unread"), self.dialect)
@@ -239,7 +239,7 @@
                 if self._ctx.beats.now() >= until:
                     raise Crowded("the batch's owner could not be asked", code="no_owner", outcome="unknown")
                 await self._ctx.beats.pause(END_BEAT)
-        except GuideFault as e:
+        except GatewayFault as e:
             return refusal(e, self.dialect)
 
     async def _end_batch_once(self, batch_id: str) -> str:
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -23,7 +23,7 @@
 
 
 class BatchRun:
-    """Mixin: runs the items of the batches that this guide owns, and lists what became of them."""
+    """Mixin: runs the items of the batches that this gateway owns, and lists what became of them."""
 
     def _open_batch_run(self):
         self._feed_wake: defer.Deferred | None = None
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -78,7 +78,7 @@
 
 @attrs.define(eq=False)
 class OpenBatch:
-    """A batch that this guide owns: what is durable of it, and what each item waits for."""
+    """A batch that this gateway owns: what is durable of it, and what each item waits for."""
 
     id: str
     holder: object
@@ -156,7 +156,7 @@
 
     def batch_metrics(self) -> dict:
         open_ = [o for o in self.batches.values() if not o.holder.final]
-        return {"batches_owned": ("Batches this guide owns", len(open_)),
+        return {"batches_owned": ("Batches this gateway owns", len(open_)),
                 "batch_items_waiting": ("Items that wait for an engine here", sum(len(o.waiting) for o in open_)),
                 "batch_items_running": ("Items on engines from here", sum(len(o.running) for o in open_))}
 
@@ -225,7 +225,7 @@
         await self._ctx.ledger.release([o.holder])
 
     def _list_due(self) -> timedelta:
-        """Seldom where no guide tells of open batches and none has come or gone of late."""
+        """Seldom where no gateway tells of open batches and none has come or gone of late."""
         quiet = not (self.batches or self._quota_told or self._quota_unknown or self._orphan_batches)
         settled = self._ctx.beats.now() - self._quota_moved_at > RESTLESS
         return LIST_SELDOM if quiet and settled else ZERO
@@ -242,9 +242,9 @@
         self._orphan_batches = {b: self._orphan_batches.get(b, now) for b in free}
         if self._closing_batches or not self._ctx.setup.usable():
             return
-        guides = [m.node for m in self._ctx.roster.members("guide", standing=("alive",))]
+        gateways = [m.node for m in self._ctx.roster.members("gateway", standing=("alive",))]
         for b in sorted(free):
-            place = sorted(guides, key=lambda g: rank(b, g), reverse=True).index(me)
+            place = sorted(gateways, key=lambda g: rank(b, g), reverse=True).index(me)
             if now - self._orphan_batches[b] >= place * NEXT_OWNER:
                 self._orphan_batches[b] = now
                 self._ctx.spawned(self._take_up_batch(b), "take_up")
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..charts import Charted, chart_data
-from ..faults import GuideFault
+from ..faults import GatewayFault
 from ..wire.setup_pb2 import Route
 
 __all__ = ["Call", "HOP_HEADERS", "prompt_parts"]
@@ -80,5 +80,5 @@
         if self.link is not None:
             self.link.discard()
 
-    def fault(self, text: str, **words) -> GuideFault:
-        return GuideFault(text, outcome=self.outcome, **words)
+    def fault(self, text: str, **words) -> GatewayFault:
+        return GatewayFault(text, outcome=self.outcome, **words)
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -106,7 +106,7 @@
         return sum(n for _, n in call.parts) >= LONG_PROMPT
 
     def _long_set(self, call, usable) -> set[str]:
-        """The engines that long prompts keep to, the same at every guide; none where the pool is small or has none.
+        """The engines that long prompts keep to, the same at every gateway; none where the pool is small or has none.
 
         A long prompt holds up the tokens of all that runs beside it, so short requests with a pace to keep stay apart.
         """
@@ -129,10 +129,10 @@
         return self.links.idle(e.address) > 0 or self.links.count(e.address) < self.most_links(e)
 
     def most_links(self, e) -> int:
-        """This guide's part of the engine's connection bound, with some left for guides that come."""
+        """This gateway's part of the engine's connection bound, with some left for gateways that come."""
         pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
         bound = pool.max_connections if pool is not None and pool.max_connections else 1000
-        return max(1, int(0.9 * bound / max(1, self.engines.guides())))
+        return max(1, int(0.9 * bound / max(1, self.engines.gateways())))
 
     async def choose(self, call):
         """Waits a short while for room; then the caller is told at once when to come back."""
@@ -163,7 +163,7 @@
     def batch_room(self, route) -> int:
         """How many items of batches on this route may be started now from here.
 
-        What is free, or what this guide's share of the room still lacks: shares go by the tokens that wait at each guide, so
+        What is free, or what this gateway's share of the room still lacks: shares go by the tokens that wait at each gateway, so
         that in a crowd of batches none waits behind the room that others hold.
         """
         free = places = running = 0
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -22,7 +22,7 @@
 
 
 class _KeptParts:
-    """Which prompt parts an engine has likely kept, as far as this guide's own requests tell: newest last, bounded."""
+    """Which prompt parts an engine has likely kept, as far as this gateway's own requests tell: newest last, bounded."""
 
     def __init__(self, most_tokens: int):
         self._most = most_tokens
@@ -53,7 +53,7 @@
 
 @attrs.define(eq=False)
 class Engine:
-    """One life of an engine as this guide knows it."""
+    """One life of an engine as this gateway knows it."""
 
     news: EngineNews
     heard: timedelta
@@ -83,7 +83,7 @@
 
 
 class Engines:
-    """The engines as the control plane tells of them, what this guide has running there and what its peers have."""
+    """The engines as the control plane tells of them, what this gateway has running there and what its peers have."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -107,7 +107,7 @@
         self._ctx.beats.every(LOADS_BEAT, self._tell_loads, self._ctx.report("loads"))
 
     def carry(self, fill, take):
-        """More that goes to all guides with the loads: fill(Loads) returns whether there is something new to tell."""
+        """More that goes to all gateways with the loads: fill(Loads) returns whether there is something new to tell."""
         self._carriers.append((fill, take))
 
     def watch_gone(self, do):
@@ -212,8 +212,8 @@
         now = self._ctx.beats.now()
         return e.batch + sum(b for _, b, at in e.peers.values() if now - at < LOADS_SPAN)
 
-    def guides(self) -> int:
-        return len(self._ctx.roster.members("guide"))
+    def gateways(self) -> int:
+        return len(self._ctx.roster.members("gateway"))
 
     def _zones_moved(self):
         now = self._ctx.beats.now()
@@ -231,12 +231,12 @@
         return at is not None and pool is not None and now - at < ms(pool.warmup_ms)
 
     def admit(self, e: Engine) -> bool:
-        """Whether a cold engine may be sent one more request now: its rate is shared out among the guides."""
+        """Whether a cold engine may be sent one more request now: its rate is shared out among the gateways."""
         pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
         if pool is None or not pool.cold_rate or not self.cold(e):
             return True
         now = self._ctx.beats.now()
-        rate = 0.9 * pool.cold_rate / max(1, self.guides())
+        rate = 0.9 * pool.cold_rate / max(1, self.gateways())
         e.allowance = min(1.0, e.allowance + rate * (now - e.allowed_at).total_seconds())
         e.allowed_at = now
         return e.allowance >= 1.0
@@ -280,12 +280,12 @@
             if now - at > ENDED_SPAN:
                 del self._ended[name]
         mine = {e.name: (e.running, e.batch) for e in self._engines.values() if e.running}
-        what = Loads(guide=self._ctx.node, loads=[Load(engine=n, running=r, batch=b) for n, (r, b) in mine.items()])
+        what = Loads(gateway=self._ctx.node, loads=[Load(engine=n, running=r, batch=b) for n, (r, b) in mine.items()])
         news = [fill(what) for fill, _ in self._carriers]
         if mine == self._told and not any(news) and now - self._told_at < LOADS_AT_LEAST:
             return
         self._told, self._told_at = mine, now
-        for m in self._ctx.roster.members("guide", me=False):
+        for m in self._ctx.roster.members("gateway", me=False):
             spawn(self._ctx.desk.call((m.host, m.port), "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
 
     async def _told_loads(self, node, what: Loads):
@@ -296,6 +296,6 @@
         for e in self._engines.values():
             one = running.get(e.name)
             if one is not None:
-                e.peers[what.guide] = (one.running, one.batch, now)
+                e.peers[what.gateway] = (one.running, one.batch, now)
             else:
-                e.peers.pop(what.guide, None)
+                e.peers.pop(what.gateway, None)
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -7,7 +7,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from ..beats import ms, secs
-from ..faults import BadAsk, Crowded, GuideFault, NotFound
+from ..faults import BadAsk, Crowded, GatewayFault, NotFound
 from .call import HOP_HEADERS, Call, prompt_parts
 from .relay import passed_headers
 
@@ -201,7 +201,7 @@
         return opened.getHost().port
 
     def _until_ready(self) -> float:
-        """Seconds until a new try is worth while: a guide that just started has its setup in about a second."""
+        """Seconds until a new try is worth while: a gateway that just started has its setup in about a second."""
         left = (START_SPAN - (self._ctx.beats.now() - self._opened_at)).total_seconds()
         return round(max(0.2, left) + 0.2 * self._ctx.chance.random(), 3)
 
@@ -211,13 +211,13 @@
             if request.too_long:
                 raise BadAsk("the body is too long", code="body_too_long", status=413)
             await self._serve(request)
-        except GuideFault as f:
+        except GatewayFault as f:
             self._answer_fault(request, f)
         except Exception as e:
             self._ctx.journal.fault("request_failed", e, path=request.path.decode("utf-8", "replace"))
             request.cut() if request.startedWriting else request.answer(500, {}, b"")
 
-    def _answer_fault(self, request, f: GuideFault):
+    def _answer_fault(self, request, f: GatewayFault):
         self.refused[f.code] = self.refused.get(f.code, 0) + 1
         if request.startedWriting:
             request.cut()
@@ -243,7 +243,7 @@
 
         meant = words.batch_call(request.method, path, query, header)
         if not self.current():
-            raise Crowded("this guide cannot prove its setup now", code="not_current", retry_after=self._until_ready())
+            raise Crowded("this gateway cannot prove its setup now", code="not_current", retry_after=self._until_ready())
         if meant is not None:
             name, kwargs = meant
             request.answer(*await getattr(self, name)(**kwargs))
--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..beats import ZERO, ms, secs
-from ..faults import GuideFault, LedgerFault
+from ..faults import GatewayFault, LedgerFault
 from .call import Call, prompt_parts
 from .events import event_data
 
@@ -80,7 +80,7 @@
             raise
         except LedgerFault:
             raise
-        except GuideFault as f:
+        except GatewayFault as f:
             wait = ms(1000 * f.retry_after) if f.retry_after else ms(50)
             return ItemAnswer(not_run=f.outcome == "not_run", wait=wait)
         finally:
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -18,7 +18,7 @@
 
 
 class RouterNode(Front, Choosing, Relay, Items, Batches, BatchIntake, BatchRun, BatchRead, Quota):
-    """A guide that serves by routes: opaque requests to engines of pools, and batches on the same engines."""
+    """A gateway that serves by routes: opaque requests to engines of pools, and batches on the same engines."""
 
     def __init__(self, ctx):
         self._ctx = ctx
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..beats import Joined, ms, secs
-from ..faults import Crowded, GuideFault, PipitFault, Refused, WireFault
+from ..faults import Crowded, GatewayFault, PipitFault, Refused, WireFault
 from ..rendezvous import rank
 from ..wire.roster_pb2 import Loads, QuotaAsk, QuotaReceipt, WaitingLot
 
@@ -23,11 +23,11 @@
 
 @attrs.define
 class _Told:
-    """The tokens of a batch that are not finished, as its owner last told; without a guide where nobody does now."""
+    """The tokens of a batch that are not finished, as its owner last told; without a gateway where nobody does now."""
 
     route: str
     tokens: int
-    guide: str
+    gateway: str
     at: timedelta
 
 
@@ -39,9 +39,9 @@
 
 
 class Quota:
-    """Mixin: the waiting tokens of a route are counted over all guides by one of them, its steward.
+    """Mixin: the waiting tokens of a route are counted over all gateways by one of them, its steward.
 
-    Owners tell what waits with their loads, so every guide has the count; grants not told yet are the steward's own.
+    Owners tell what waits with their loads, so every gateway has the count; grants not told yet are the steward's own.
     """
 
     def _open_quota(self):
@@ -51,7 +51,7 @@
         self._quota_done: dict[str, tuple[str, timedelta]] = {}
         self._quota_unknown: dict[str, timedelta] = {}
         self._quota_counting: set[str] = set()
-        self._quota_guides: frozenset = frozenset()
+        self._quota_gateways: frozenset = frozenset()
         self._quota_last: tuple = (frozenset(), {})
         self._quota_moved_at = self._quota_looked_at = self._ctx.beats.now()
         self._lots_listed_at: timedelta | None = None
@@ -76,28 +76,28 @@
         self._quota_done[batch_id] = route, self._ctx.beats.now() + DONE_TOLD_SPAN
 
     def _fill_lots(self, what: Loads) -> bool:
-        """Says whether anything of it is news: also to guides that were not there when it was told last."""
-        self._look_at_guides()
+        """Says whether anything of it is news: also to gateways that were not there when it was told last."""
+        self._look_at_gateways()
         own = self._quota_own()
         what.lots.extend(own)
-        news = self._quota_guides, {w.lot: w.tokens for w in own}
+        news = self._quota_gateways, {w.lot: w.tokens for w in own}
         before, self._quota_last = self._quota_last, news
         return bool(own or before[1]) and news != before
 
     def _take_lots_told(self, what: Loads):
-        self._quota_learn(what.guide, what.lots)
+        self._quota_learn(what.gateway, what.lots)
 
-    def _quota_learn(self, guide: str, lots):
+    def _quota_learn(self, gateway: str, lots):
         now = self._ctx.beats.now()
         named = set()
         for w in lots:
             named.add(w.lot)
-            self._quota_told[w.lot] = _Told(w.route, w.tokens, guide, now)
+            self._quota_told[w.lot] = _Told(w.route, w.tokens, gateway, now)
             self._quota_grants.pop(w.lot, None)
             self._quota_unknown.pop(w.lot, None)
         for b, t in self._quota_told.items():
-            if t.guide == guide and b not in named:
-                t.guide, t.at = "", now
+            if t.gateway == gateway and b not in named:
+                t.gateway, t.at = "", now
 
     def _listed_lots(self, names: set[str], started: timedelta, sure: bool):
         """What a list of the open logs says: of which batches nobody has told yet, and which are over."""
@@ -108,29 +108,29 @@
             return
         self._lots_listed_at = started
         for b, t in list(self._quota_told.items()):
-            if t.guide and t.guide != self._ctx.node and self._ctx.roster.standing(t.guide) in ("gone", "unknown"):
-                t.guide, t.at = "", now
-            if b not in names and (not t.guide or not t.tokens) and started - t.at >= LISTED_LATE:
+            if t.gateway and t.gateway != self._ctx.node and self._ctx.roster.standing(t.gateway) in ("gone", "unknown"):
+                t.gateway, t.at = "", now
+            if b not in names and (not t.gateway or not t.tokens) and started - t.at >= LISTED_LATE:
                 del self._quota_told[b]
 
-    def _look_at_guides(self):
+    def _look_at_gateways(self):
         now = self._ctx.beats.now()
-        guides = frozenset(m.node for m in self._ctx.roster.members("guide", standing=("alive",)))
-        if guides != self._quota_guides or now - self._quota_looked_at > SLEPT_SPAN:
-            self._quota_guides, self._quota_moved_at = guides, now
+        gateways = frozenset(m.node for m in self._ctx.roster.members("gateway", standing=("alive",)))
+        if gateways != self._quota_gateways or now - self._quota_looked_at > SLEPT_SPAN:
+            self._quota_gateways, self._quota_moved_at = gateways, now
         self._quota_looked_at = now
 
     def _quota_steward(self, route: str) -> str:
-        guides = {m.node for m in self._ctx.roster.members("guide", standing=("alive",))} | {self._ctx.node}
-        return max(guides, key=lambda g: rank(f"quota/{route}", g))
+        gateways = {m.node for m in self._ctx.roster.members("gateway", standing=("alive",))} | {self._ctx.node}
+        return max(gateways, key=lambda g: rank(f"quota/{route}", g))
 
     def _count_is_sure(self) -> bool:
-        """Not while guides change, nor on the smaller side of a cut, nor before all open batches are counted."""
-        self._look_at_guides()
+        """Not while gateways change, nor on the smaller side of a cut, nor before all open batches are counted."""
+        self._look_at_gateways()
         now = self._ctx.beats.now()
-        alive = self._ctx.roster.members("guide", standing=("alive",))
+        alive = self._ctx.roster.members("gateway", standing=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.roster.members("guide", standing=("suspect", "gone"), me=False)
+        away = [m for m in self._ctx.roster.members("gateway", standing=("suspect", "gone"), me=False)
                 if (m.host, m.port) not in places and self._ctx.roster.since(m.node) < KNOWN_SPAN]
         if not self._ctx.setup.usable() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
             return False
@@ -205,20 +205,20 @@
                 self._quota_mine[batch.id] = route.name, tokens
                 return
             if not r.unsure:
-                raise GuideFault(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
+                raise GatewayFault(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
                                  status=429, outcome="not_run", retry_after=1)
             if self._ctx.beats.now() + WAIT_STEP > until:
                 raise Crowded("the tokens that wait cannot be counted now", code="not_counted", retry_after=COME_BACK)
             await self._ctx.beats.pause(WAIT_STEP)
 
     def waiting_tokens(self, route: str) -> tuple[int, int]:
-        """Tokens of items on a route that are not finished: of this guide's batches, and of all that is told of."""
+        """Tokens of items on a route that are not finished: of this gateway's batches, and of all that is told of."""
         mine = sum(o.tokens_left for o in self.batches.values() if not o.holder.lost and o.batch.route == route)
         theirs = sum(t.tokens for b, t in self._quota_told.items() if t.route == route and b not in self.batches)
         return mine, mine + theirs
 
     def _drop_grant(self, batch_id: str):
-        """A grant is told as this guide's own until its batch is, and given back where it came to nothing."""
+        """A grant is told as this gateway's own until its batch is, and given back where it came to nothing."""
         granted = self._quota_mine.pop(batch_id, None)
         if granted is not None and batch_id not in self.batches:
             self._ctx.spawned(self._ask_quota(QuotaAsk(route=granted[0], lot=batch_id)), "give_quota")
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -2,7 +2,7 @@
 from twisted.web.client import ResponseDone
 
 from ..beats import ms
-from ..faults import BackEndFault, Crowded, GuideFault
+from ..faults import BackEndFault, Crowded, GatewayFault
 from .call import HOP_HEADERS
 from .events import EventStream
 
@@ -113,7 +113,7 @@
                     call.put("finish")
                     self._ctx.journal.trace("call", id=call.id.decode("latin-1"), route=call.route.name, tries=call.tries)
                     return
-                except GuideFault as f:
+                except GatewayFault as f:
                     if not self._may_go_on(call, f):
                         raise
                 if call.state == "lost":
@@ -124,7 +124,7 @@
         except defer.CancelledError:
             call.put("lose")
             raise
-        except GuideFault as f:
+        except GatewayFault as f:
             if call.reached and f.outcome == "not_run":
                 f.outcome = "unknown"
             raise
@@ -173,13 +173,13 @@
         try:
             try:
                 link = await self._link(call, e)
-            except GuideFault as f:
+            except GatewayFault as f:
                 if f.code == "unreached":
                     self.engines.unreached(e)
                 raise
             try:
                 self._check_still(call, e)
-            except GuideFault:
+            except GatewayFault:
                 self._release(link)
                 raise
             call.link = link
@@ -188,7 +188,7 @@
             e.kept.add(call.parts)
             await self._exchange(call, e, link, read)
             self.engines.served(e)
-        except GuideFault as f:
+        except GatewayFault as f:
             if call.state == "picked":
                 call.put("unreached")
                 f.outcome = call.outcome
@@ -275,7 +275,7 @@
         response.deliverBody(flow)
         try:
             await flow.over
-        except GuideFault:
+        except GatewayFault:
             self._lost_with(call, e)
             raise
 
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -45,7 +45,7 @@
         d.answer("setup.sheet", Nothing, self._whole)
         self._ctx.roster.carry(self._fill, self._take)
         self._ctx.spawned(self._follow(), "follow_setup")
-        if self._ctx.role == "guide":
+        if self._ctx.role == "gateway":
             self._ctx.beats.every(WITNESS_BEAT, self._ask_witnesses, self._ctx.report("witness"))
 
     @property
@@ -149,7 +149,7 @@
         known = [m for m in controllers if m.node == self._controller]
         if known and not failures:
             return (known[0].host, known[0].port), "controller.follow"
-        colleagues = self._ctx.roster.members("guide", standing=("alive",), me=False)
+        colleagues = self._ctx.roster.members("gateway", standing=("alive",), me=False)
         if controllers and (failures % 3 or not colleagues):
             m = self._ctx.chance.choice(controllers)
             return (m.host, m.port), "controller.follow"
--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -1,7 +1,7 @@
 """rehearsal: stand-ins, whole fleets on loopback and the faults to try on them.
 
 Usage:
-  rehearsal backend --name NAME --guides LIST [--pool POOL] [--models LIST] [--zone ZONE] [--capacity N]
+  rehearsal backend --name NAME --gateways LIST [--pool POOL] [--models LIST] [--zone ZONE] [--capacity N]
                     [--port N] [--step S] [--notes FILE]
   rehearsal soak [--profile NAME] [--seed N] [--minutes M] [--keep PATH] [--faults LIST] [--level LEVEL]
                  [--together N]
@@ -15,7 +15,7 @@
 
 Options:
   --name NAME       The stand-in's name.
-  --guides LIST     Guides to announce to, IP:PORT, with commas.
+  --gateways LIST     Gateways to announce to, IP:PORT, with commas.
   --pool POOL       Its pool. [default: models]
   --models LIST     Models it serves. [default: ]
   --zone ZONE       Its zone. [default: zone-a]
@@ -35,7 +35,7 @@
   --within M        Minutes after which no new point is begun. [default: 20]
   --cores N         Cores that hollow fleets may keep busy. [default: 3]
   --series LIST     Series of points, with commas. [default: all]
-  --inner           Times single steps of a guide's own code at full size instead.
+  --inner           Times single steps of a gateway's own code at full size instead.
   --from LIST       Files of points that were kept, with commas: shows these and measures none.
   --picture FILE    Draws them there; needs the extra `capacity`.
   --level LEVEL     The fleet's log level. [default: info]
--- a/rehearsal/backend.py
+++ b/rehearsal/backend.py
@@ -32,9 +32,9 @@
 class Backend:
     app = Klein()
 
-    def __init__(self, name, pool, models, zone, capacity, guides, notes, step, port):
+    def __init__(self, name, pool, models, zone, capacity, gateways, notes, step, port):
         self.name, self.pool, self.models, self.zone = name, pool, models, zone
-        self.capacity, self.guides, self.step, self.port = capacity, list(guides), step, port
+        self.capacity, self.gateways, self.step, self.port = capacity, list(gateways), step, port
         self.state = "ready"
         self.mode = "well"
         self.running = 0
@@ -58,12 +58,12 @@
             return
         body = {"engine": self.name, "address": f"127.0.0.1:{self.port}", "pool": self.pool, "models": self.models,
                 "zone": self.zone, "capacity": self.capacity, "incarnation": self._incarnation, "state": self.state}
-        for guide in list(self.guides):
+        for gateway in list(self.gateways):
             try:
-                r = await treq.post(f"http://{guide}/v1/engines", json=body, timeout=1)
+                r = await treq.post(f"http://{gateway}/v1/engines", json=body, timeout=1)
                 told = await treq.json_content(r)
-                if r.code == 200 and told["guides"]:
-                    self.guides = sorted(told["guides"], key=lambda g: hashlib.sha256((g + self.name).encode()).digest())
+                if r.code == 200 and told["gateways"]:
+                    self.gateways = sorted(told["gateways"], key=lambda g: hashlib.sha256((g + self.name).encode()).digest())
                     return
             except Exception:
                 continue
@@ -138,7 +138,7 @@
 
 def run_backend(words: dict) -> int:
     b = Backend(words["--name"], words["--pool"], [m for m in words["--models"].split(",") if m], words["--zone"],
-                int(words["--capacity"]), words["--guides"].split(","), words["--notes"], float(words["--step"]),
+                int(words["--capacity"]), words["--gateways"].split(","), words["--notes"], float(words["--step"]),
                 int(words["--port"]))
     reactor.callWhenRunning(lambda: defer.ensureDeferred(b.open()))
     reactor.run()
--- a/rehearsal/bench.py
+++ b/rehearsal/bench.py
@@ -20,7 +20,7 @@
         self.p = PROFILES[profile]
         self.rounds, self.window = rounds, window
         p = self.p
-        self.fleet = Fleet(guides=p["guides"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
+        self.fleet = Fleet(gateways=p["gateways"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
                            cards=p["cards"], capacity=8, step=0.02)
         self.calls = Callers(self.fleet, Random(seed))
         self._n = 0
@@ -62,11 +62,11 @@
             threading.Thread(target=self._watch, args=(e["lot"],), daemon=True).start()
 
     def _watch(self, lot):
-        """Notes when each item is first visible at a guide that need not own the lot."""
-        start, guide = 0, self.calls.guide()
+        """Notes when each item is first visible at a gateway that need not own the lot."""
+        start, gateway = 0, self.calls.gateway()
         until = time.monotonic() + 60
         while time.monotonic() < until:
-            status, said, _ = self.fleet.call(guide, "GET", f"/v1/lots/{lot}/results?from={start}")
+            status, said, _ = self.fleet.call(gateway, "GET", f"/v1/lots/{lot}/results?from={start}")
             now = time.monotonic()
             if status == 200:
                 for r in said["results"]:
@@ -78,12 +78,12 @@
 
     def _drain(self):
         lots = [e["lot"] for e in self.calls.taken() if e["event"] == "lot" and e["lot"]]
-        guide = self.fleet.nodes("guide")[0]
+        gateway = self.fleet.nodes("gateway")[0]
         for lot in lots[-4:]:
-            wait_for(lambda: self.fleet.call(guide, "GET", f"/v1/lots/{lot}")[1].get("state") == "done", 60, "done")
+            wait_for(lambda: self.fleet.call(gateway, "GET", f"/v1/lots/{lot}")[1].get("state") == "done", 60, "done")
 
     def _edit(self, n) -> dict:
-        """From the request to its receipt, and to the moment when every guide is seen to have it."""
+        """From the request to its receipt, and to the moment when every gateway is seen to have it."""
         controller = self.fleet.nodes("controller")[n % len(self.fleet.nodes("controller"))]
         base = self.fleet.call(controller, "GET", "/v1/table")[1]["sequence"]
         began = time.monotonic()
@@ -94,23 +94,23 @@
 
         def everywhere():
             return all(self.fleet.call(g, "GET", "/v1/ready")[1]["setup"] >= said["sequence"]
-                       for g in self.fleet.nodes("guide"))
+                       for g in self.fleet.nodes("gateway"))
 
-        wait_for(everywhere, 5, "every guide has the edit")
+        wait_for(everywhere, 5, "every gateway has the edit")
         return {"acked": acked - began, "everywhere": time.monotonic() - began}
 
     def _counts(self, shape=r"^pipitlink_cache_(\w+) (\S+)$") -> dict:
         out: dict[str, float] = {}
-        for g in self.fleet.nodes("guide"):
+        for g in self.fleet.nodes("gateway"):
             status, text, _ = self._metrics(g)
             for name, value in re.findall(shape, text.decode(), re.M):
                 out[name] = out.get(name, 0) + float(value)
         return out
 
-    def _metrics(self, guide):
+    def _metrics(self, gateway):
         import http.client
 
-        c = http.client.HTTPConnection("127.0.0.1", self.fleet.programs[guide].ports[2], timeout=5)
+        c = http.client.HTTPConnection("127.0.0.1", self.fleet.programs[gateway].ports[2], timeout=5)
         c.request("GET", "/metrics")
         r = c.getresponse()
         return r.status, r.read(), r.headers
@@ -131,7 +131,7 @@
             inside = [[e for e in told if a <= e["asked"] < b] for a, b in spans]
             out[f"first_piece_{kind}"] = spread(e["first"] for es in inside for e in es)
             out[f"first_piece_{kind}_p50_by_window"] = [spread(sorted(e["first"] for e in es)).get("p50") for es in inside]
-            out[f"first_piece_{kind}_in_guides_share_within_s"] = {
+            out[f"first_piece_{kind}_in_gateways_share_within_s"] = {
                 le: round(n / max(1, self.inside[kind]["+Inf"]), 4) for le, n in self.inside[kind].items()}
         out["lot_accept"] = spread(e["took"] for e in lots.values())
         out["result_visible_after_engine"] = spread(visible)
--- a/rehearsal/breaks.py
+++ b/rehearsal/breaks.py
@@ -14,12 +14,12 @@
     def _down(self, what, names, span, power=None, wiped=False, settle=3.0):
         """Kills nodes together, by losing power where `power` is a chance, and starts them again."""
         def do():
-            guides = {n for n in names if n.startswith("guide")}
+            gateways = {n for n in names if n.startswith("gateway")}
             self.say(f"{what} {','.join(names)} for {span:.1f} s")
             with self.calls.hurting(what, names, settle=settle):
-                self.calls.down |= guides
+                self.calls.down |= gateways
                 for n in names:
-                    if power is not None and self.fleet.zones[n] and not n.startswith(("guide", "engine", "card")):
+                    if power is not None and self.fleet.zones[n] and not n.startswith(("gateway", "engine", "card")):
                         lost = self.fleet.power(n, power)
                         self.say(f"{n} lost {lost} bytes that were not synced")
                     else:
@@ -30,13 +30,13 @@
                 for n in names:
                     self.fleet.programs[n].start()
                 self._wait_up(names)
-                self.calls.down -= guides
+                self.calls.down -= gateways
 
         return names, do
 
     def _wait_up(self, names):
         for n in names:
-            if n.startswith("guide"):
+            if n.startswith("gateway"):
                 wait_for(lambda: self.fleet.call(n, "GET", "/v1/ready")[0] == 200, 30, f"{n} is ready again")
             elif n.startswith(("depot", "controller")):
                 wait_for(lambda: self.fleet.call(n, "GET", "/v1/live")[0] == 200, 30, f"{n} lives again")
@@ -46,8 +46,8 @@
     def _any(self, chance, role):
         return chance.choice(self.fleet.nodes(role))
 
-    def plan_kill_guide(self, c):
-        return self._down("kill", [self._any(c, "guide")], 2 * c.random())
+    def plan_kill_gateway(self, c):
+        return self._down("kill", [self._any(c, "gateway")], 2 * c.random())
 
     def plan_kill_depot(self, c):
         return self._down("kill", [self._any(c, "depot")], 3 * c.random())
@@ -70,7 +70,7 @@
             do()
             if e["lot"]:
                 self.remember(e["lot"])
-                for g in self.fleet.nodes("guide")[:2]:
+                for g in self.fleet.nodes("gateway")[:2]:
                     self.calls.read_lot(e["lot"], g)
 
         return names, at_once
@@ -95,8 +95,8 @@
 
         return names, do
 
-    def plan_freeze_guide(self, c):
-        return self._freeze([self._any(c, "guide")], 1 + 5 * c.random())
+    def plan_freeze_gateway(self, c):
+        return self._freeze([self._any(c, "gateway")], 1 + 5 * c.random())
 
     def plan_freeze_depot(self, c):
         return self._freeze([self._any(c, "depot")], 1 + 5 * c.random())
@@ -104,8 +104,8 @@
     def plan_freeze_leader(self, c):
         return self._freeze([self.leader()], 1 + 5 * c.random())
 
-    def plan_guide_roll(self, c):
-        return self._roll([self._any(c, "guide"), self._any(c, "guide")])
+    def plan_gateway_roll(self, c):
+        return self._roll([self._any(c, "gateway"), self._any(c, "gateway")])
 
     def plan_depot_roll(self, c):
         return self._roll(self.fleet.nodes("depot"))
@@ -126,7 +126,7 @@
                     self._wait_up([name])
                     self.calls.down.discard(name)
 
-        return names if names[0].startswith("guide") else ["core"], do
+        return names if names[0].startswith("gateway") else ["core"], do
 
     def plan_depot_empty(self, c):
         name = self._any(c, "depot")
@@ -140,12 +140,12 @@
 
     def plan_replace_seeds(self, c):
         """The three machines of the seeds are swapped for empty ones at new addresses; the others keep old seeds."""
-        olds = [next(n for n in self.fleet.nodes(r)) for r in ("controller", "depot", "guide")]
+        olds = [next(n for n in self.fleet.nodes(r)) for r in ("controller", "depot", "gateway")]
 
         def do():
             self.say(f"{','.join(olds)} are replaced by empty machines at new addresses")
             lost = self.depot_id(olds[1])
-            seeds = [self.fleet.place(self.fleet.nodes(r)[1]) for r in ("controller", "depot", "guide")]
+            seeds = [self.fleet.place(self.fleet.nodes(r)[1]) for r in ("controller", "depot", "gateway")]
             with self.calls.hurting("replaced", olds, settle=4):
                 self.calls.down.add(olds[2])
                 news = []
@@ -223,13 +223,13 @@
         """A zone's machines hear no other zone; the platform moves its clients."""
         inside = self.inside(c.choice(ZONES), False)
         names, cut = self._cut("zone cut", inside, [n for n in self.nodes() if n not in inside], 2 + 4 * c.random())
-        guides = {n for n in inside if n.startswith("guide")}
+        gateways = {n for n in inside if n.startswith("gateway")}
 
         def do():
-            self.calls.down |= guides
+            self.calls.down |= gateways
             cut()
             time.sleep(2)
-            self.calls.down -= guides
+            self.calls.down -= gateways
 
         return names, do
 
--- a/rehearsal/callers.py
+++ b/rehearsal/callers.py
@@ -83,38 +83,38 @@
         for t in self._threads:
             t.join(5)
 
-    def guide(self, but: str = "") -> str:
-        """A guide that the platform would send a caller to: it moves clients off guides that it took down."""
-        up = [g for g in self.fleet.nodes("guide") if g not in self.down and g != but]
+    def gateway(self, but: str = "") -> str:
+        """A gateway that the platform would send a caller to: it moves clients off gateways that it took down."""
+        up = [g for g in self.fleet.nodes("gateway") if g not in self.down and g != but]
         with self._lock:
-            return self.chance.choice(up or self.fleet.nodes("guide"))
+            return self.chance.choice(up or self.fleet.nodes("gateway"))
 
-    def _connect(self, guide, limit):
-        return http.client.HTTPConnection("127.0.0.1", self.fleet.programs[guide].ports[1], timeout=limit)
+    def _connect(self, gateway, limit):
+        return http.client.HTTPConnection("127.0.0.1", self.fleet.programs[gateway].ports[1], timeout=limit)
 
-    def generate(self, prompt: str, repeatable=False, model="pipit-small", limit=20, guide=None, prefix="",
+    def generate(self, prompt: str, repeatable=False, model="pipit-small", limit=20, gateway=None, prefix="",
                  leave_at=0, then=None, slow=0.0):
         """Asks for a stream and notes each piece in order, and whether the end record came.
 
-        With `leave_at` the caller leaves after so many pieces and goes on at the guide `then`.
+        With `leave_at` the caller leaves after so many pieces and goes on at the gateway `then`.
         """
-        guide = guide or self.guide()
-        asked = self.note("ask", kind="live", prompt=prompt, guide=guide, repeatable=repeatable)
+        gateway = gateway or self.gateway()
+        asked = self.note("ask", kind="live", prompt=prompt, gateway=gateway, repeatable=repeatable)
         t = {"pieces": [], "first": None, "end": False, "fault": None, "run": "", "retry": None, "status": 0, "gap": 0.0}
         body = {"model": model, "prompt": prompt, "repeatable": repeatable, "limit_ms": int(limit * 900),
                 "prefix_key": prefix}
-        left = self._stream(t, guide, limit, "POST", "/v1/generate", json.dumps(body), leave_at, slow)
+        left = self._stream(t, gateway, limit, "POST", "/v1/generate", json.dumps(body), leave_at, slow)
         if left:
-            t["resumed"] = then = then or guide
+            t["resumed"] = then = then or gateway
             path = f"/v1/generate/{t['run']}?from={len(t['pieces'])}"
             self._stream(t, then, limit, "GET", path, None, 0, slow)
-        return self.note("told", kind="live", prompt=prompt, guide=guide, repeatable=repeatable, asked=asked["at"],
+        return self.note("told", kind="live", prompt=prompt, gateway=gateway, repeatable=repeatable, asked=asked["at"],
                          model=model, limit=limit * 0.9, slow=slow,
                          **{**t, "first": t["first"] - asked["at"] if t["first"] else None})
 
-    def _stream(self, t, guide, limit, method, path, body, leave_at, slow) -> bool:
+    def _stream(self, t, gateway, limit, method, path, body, leave_at, slow) -> bool:
         """True where the caller left in the middle."""
-        c = self._connect(guide, limit)
+        c = self._connect(gateway, limit)
         try:
             c.request(method, path, body, {"Content-Type": "application/json"})
             r = c.getresponse()
@@ -155,9 +155,9 @@
             elif line.startswith("data: "):
                 yield name, json.loads(line[6:])
 
-    def stuck(self, prompt: str, span: float, guide=None):
+    def stuck(self, prompt: str, span: float, gateway=None):
         """A caller that asks and then reads nothing for a while, and goes away."""
-        c = self._connect(guide or self.guide(), span + 5)
+        c = self._connect(gateway or self.gateway(), span + 5)
         try:
             body = {"model": "pipit-small", "prompt": prompt, "limit_ms": int(span * 1000)}
             c.request("POST", "/v1/generate", json.dumps(body), {"Content-Type": "application/json"})
@@ -168,21 +168,21 @@
             c.close()
 
     def fetch(self, path: str, limit=15):
-        asked, guide = time.monotonic(), self.guide()
-        status, body, heads = self.fleet.call(guide, "GET", f"/v1/fetch/cards/cards/{path}", limit=limit)
+        asked, gateway = time.monotonic(), self.gateway()
+        status, body, heads = self.fleet.call(gateway, "GET", f"/v1/fetch/cards/cards/{path}", limit=limit)
         return self.note("fetched", path=path, status=status, size=len(body) if isinstance(body, bytes) else 0,
                          body=body if isinstance(body, bytes) else None, took=time.monotonic() - asked, asked=asked,
-                         guide=guide, fault=_error(body), retry=heads.get("Retry-After"))
+                         gateway=gateway, fault=_error(body), retry=heads.get("Retry-After"))
 
-    def lot(self, name: str, items: int, limit_ms=600_000, repeatable=False, priority=0, watch=True, guide=None):
+    def lot(self, name: str, items: int, limit_ms=600_000, repeatable=False, priority=0, watch=True, gateway=None):
         prompts = [f"{name}/{i}" for i in range(items)]
         body = {"items": [{"model": "pipit-small", "prompt": p, "repeatable": repeatable} for p in prompts],
                 "limit_ms": limit_ms, "priority": priority, "customer": name.partition("-")[0]}
-        guide = guide or self.guide()
+        gateway = gateway or self.gateway()
         asked = time.monotonic()
-        status, said, heads = self.fleet.call(guide, "POST", "/v1/lots", body, limit=15)
+        status, said, heads = self.fleet.call(gateway, "POST", "/v1/lots", body, limit=15)
         lot = said["lot"] if status == 201 else ""
-        told = self.note("lot", name=name, lot=lot, status=status, prompts=prompts, guide=guide, asked=asked,
+        told = self.note("lot", name=name, lot=lot, status=status, prompts=prompts, gateway=gateway, asked=asked,
                          repeatable=repeatable, took=time.monotonic() - asked, retry=heads.get("Retry-After"),
                          fault=_error(said) if status != 201 else None)
         if lot and watch:
@@ -190,15 +190,15 @@
             self.read_lot(lot)
         return told
 
-    def read_lot(self, lot: str, guide=None, start=0):
-        guide = guide or self.guide()
+    def read_lot(self, lot: str, gateway=None, start=0):
+        gateway = gateway or self.gateway()
         asked = time.monotonic()
-        status, said, _ = self.fleet.call(guide, "GET", f"/v1/lots/{lot}/results?from={start}", limit=15)
-        return self.note("results", lot=lot, status=status, guide=guide, asked=asked, start=start,
+        status, said, _ = self.fleet.call(gateway, "GET", f"/v1/lots/{lot}/results?from={start}", limit=15)
+        return self.note("results", lot=lot, status=status, gateway=gateway, asked=asked, start=start,
                          state=said.get("state") if status == 200 else None, took=time.monotonic() - asked,
                          results=said.get("results") if status == 200 else None,
                          fault=_error(said) if status != 200 else None)
 
     def end_lot(self, lot: str):
-        status, said, _ = self.fleet.call(self.guide(), "DELETE", f"/v1/lots/{lot}", limit=15)
+        status, said, _ = self.fleet.call(self.gateway(), "DELETE", f"/v1/lots/{lot}", limit=15)
         return self.note("lot_ended", lot=lot, status=status, said=said)
--- a/rehearsal/capacity.py
+++ b/rehearsal/capacity.py
@@ -26,28 +26,28 @@
     sets: object
     kind: str = "hollow"
     span: float = 6.0
-    roles: tuple = ("guide", "depot", "controller", "leader")
+    roles: tuple = ("gateway", "depot", "controller", "leader")
 
 
 SERIES = {
     "members": Series("nodes (roster and setup alone)", (32, 64, 128, 256, 384), lambda x: max(1, x * x // 3000),
-                      lambda x: {"guides": x}, kind="member"),
-    "guides": Series("guides (hollow)", (8, 16, 24, 48, 96), lambda x: max(1, x * x // 500), lambda x: {"guides": x}),
-    "whole": Series("guides (real processes)", (8, 16, 24), lambda x: 1, lambda x: {"guides": x}, kind="whole"),
-    "engines": Series("engines before 8 guides", (0, 500, 1000, 2000, 4000), lambda x: max(1, x // 250),
-                      lambda x: {"guides": 8, "engines": x}),
-    "rows": Series("configuration rows at 8 guides", (0, 2000, 8000, 32000), lambda x: 1,
-                   lambda x: {"guides": 8, "rows": x}),
-    "changes": Series("changes a second at 24 guides", (0, 1, 4, 16), lambda x: 2,
-                      lambda x: {"guides": 24, "changes": x}),
-    "tails": Series("open logs read by each of 8 guides", (0, 100, 400, 1400), lambda x: 1 + x // 200,
-                    lambda x: {"guides": 8, "tails": x}),
-    "held": Series("open logs held by 8 guides together", (0, 80, 320, 1400), lambda x: 1,
-                   lambda x: {"guides": 8, "held": x}),
-    "items": Series("results a second in 16 logs at 8 guides", (0, 50, 100, 200, 400), lambda x: max(1, x // 40),
-                    lambda x: {"guides": 8, "held": 16, "items": x}),
-    "lot": Series("results in one lot's log at one guide", (0, 4000, 16000, 48000), lambda x: 1,
-                  lambda x: {"guides": 1, "burst": x}, span=1.0),
+                      lambda x: {"gateways": x}, kind="member"),
+    "gateways": Series("gateways (hollow)", (8, 16, 24, 48, 96), lambda x: max(1, x * x // 500), lambda x: {"gateways": x}),
+    "whole": Series("gateways (real processes)", (8, 16, 24), lambda x: 1, lambda x: {"gateways": x}, kind="whole"),
+    "engines": Series("engines before 8 gateways", (0, 500, 1000, 2000, 4000), lambda x: max(1, x // 250),
+                      lambda x: {"gateways": 8, "engines": x}),
+    "rows": Series("configuration rows at 8 gateways", (0, 2000, 8000, 32000), lambda x: 1,
+                   lambda x: {"gateways": 8, "rows": x}),
+    "changes": Series("changes a second at 24 gateways", (0, 1, 4, 16), lambda x: 2,
+                      lambda x: {"gateways": 24, "changes": x}),
+    "tails": Series("open logs read by each of 8 gateways", (0, 100, 400, 1400), lambda x: 1 + x // 200,
+                    lambda x: {"gateways": 8, "tails": x}),
+    "held": Series("open logs held by 8 gateways together", (0, 80, 320, 1400), lambda x: 1,
+                   lambda x: {"gateways": 8, "held": x}),
+    "items": Series("results a second in 16 logs at 8 gateways", (0, 50, 100, 200, 400), lambda x: max(1, x // 40),
+                    lambda x: {"gateways": 8, "held": 16, "items": x}),
+    "lot": Series("results in one lot's log at one gateway", (0, 4000, 16000, 48000), lambda x: 1,
+                  lambda x: {"gateways": 1, "burst": x}, span=1.0),
 }
 
 
@@ -87,9 +87,9 @@
                 continue
             self.points.append(point)
             g = point["windows"]
-            print(f"{name} {x}: pace {pace}, cores {point['cores']:.2f}, beats kept {point['kept']:.2f}, guide cpu % "
-                  + " ".join(f"{w['guide']['cpu_percent']:.2f}" for w in g) + ", msgs in "
-                  + " ".join(f"{w['guide']['msgs_in']:.1f}" for w in g), flush=True)
+            print(f"{name} {x}: pace {pace}, cores {point['cores']:.2f}, beats kept {point['kept']:.2f}, gateway cpu % "
+                  + " ".join(f"{w['gateway']['cpu_percent']:.2f}" for w in g) + ", msgs in "
+                  + " ".join(f"{w['gateway']['msgs_in']:.1f}" for w in g), flush=True)
             if self._keep:
                 Path(self._keep).write_text(json.dumps(self.points))
             return
@@ -97,7 +97,7 @@
     def _point(self, name: str, x: int, pace: float) -> dict:
         series = SERIES[name]
         sets = dict(series.sets(x))
-        fleet = HollowFleet(sets.pop("guides"), series.kind, pace)
+        fleet = HollowFleet(sets.pop("gateways"), series.kind, pace)
         span = min(series.span, LONGEST_POINT / self._windows / pace)
         try:
             fleet.start()
--- a/rehearsal/checker.py
+++ b/rehearsal/checker.py
@@ -52,10 +52,10 @@
             out.append(f"{prompt}: ended as whole after {len(e['pieces'])} of {len(right)} pieces")
         if e["end"] and e["fault"]:
             out.append(f"{prompt}: both an end and a fault")
-        if not e["end"] and not e["fault"] and not spans.hurt(e["asked"], e["at"], e.get("resumed") or e["guide"]):
+        if not e["end"] and not e["fault"] and not spans.hurt(e["asked"], e["at"], e.get("resumed") or e["gateway"]):
             out.append(f"{prompt}: neither an end nor a fault")
         late = e["at"] - e["asked"] - e.get("limit", 18)
-        if late > 1.5 and not e.get("slow") and not spans.hurt(e["asked"], e["at"], e.get("guide")):
+        if late > 1.5 and not e.get("slow") and not spans.hurt(e["asked"], e["at"], e.get("gateway")):
             out.append(f"{prompt}: its final answer came {late:.1f} s after its limit")
 
 
@@ -78,7 +78,7 @@
             out.append(f"{name}: shed ({fault.get('code')}) without saying when to come back")
         took = e["at"] - e["asked"]
         if took > SHED_SPAN and e["event"] in ("told", "fetched") \
-                and not spans.hurt(e["asked"], e["at"], e.get("guide")):
+                and not spans.hurt(e["asked"], e["at"], e.get("gateway")):
             out.append(f"{name}: the answer {fault.get('code')} was held back for {took:.1f} s")
 
 
@@ -131,14 +131,14 @@
 
 
 def _check_readable(lot, accepted, e, spans, out):
-    """Any guide that is not down, cut or frozen shows an accepted lot from a second after it was accepted."""
-    if e["asked"] < accepted["at"] + 1 or spans.hurt(e["asked"], e["at"], e.get("guide")):
+    """Any gateway that is not down, cut or frozen shows an accepted lot from a second after it was accepted."""
+    if e["asked"] < accepted["at"] + 1 or spans.hurt(e["asked"], e["at"], e.get("gateway")):
         return
     if spans.unbearable(e["asked"], e["at"]):
         return
     code = (e.get("fault") or {}).get("code", "")
     if e["status"] != 200:
-        out.append(f"lot {lot}: accepted and not readable ({e['status']} {code} at {e.get('guide')}, "
+        out.append(f"lot {lot}: accepted and not readable ({e['status']} {code} at {e.get('gateway')}, "
                    f"{e['asked'] - accepted['at']:.1f} s after)")
     elif e.get("took", 0) > READ_SPAN:
         out.append(f"lot {lot}: reading it took {e['took']:.1f} s")
--- a/rehearsal/closing.py
+++ b/rehearsal/closing.py
@@ -18,7 +18,7 @@
         c = Random(f"{self.seed}/closing")
         kind = c.choice(CLOSINGS)
         self.calls.settle_unknown(self.leader())
-        trio = [self._any(c, "guide"), self.busiest(), self.leader()]
+        trio = [self._any(c, "gateway"), self.busiest(), self.leader()]
         names = self.inside(c.choice(ZONES), True) if kind == "zone" else trio
         with self.calls.hurting(f"closing {kind}", names, bearable=False, settle=3):
             heal = self._closing_fault(kind, names, c)
@@ -45,7 +45,7 @@
     def _closing_fault(self, kind, names, c):
         """Returns what heals it."""
         self.say(f"closing fault: {kind} of {','.join(names)}")
-        self.calls.down |= {n for n in names if n.startswith("guide")}
+        self.calls.down |= {n for n in names if n.startswith("gateway")}
         if kind == "split":
             rest = [n for n in self.nodes() if n not in names]
             self.fleet.cut(names, rest)
@@ -68,10 +68,10 @@
 
     def _wait_served(self, names, began) -> float:
         """Until each kind of service works at every node that is left."""
-        guides = [g for g in self.fleet.nodes("guide") if g not in names]
+        gateways = [g for g in self.fleet.nodes("gateway") if g not in names]
         controllers = [o for o in self.fleet.nodes("controller") if o not in names]
-        checks = [lambda g=g: self._streams(g) for g in guides] + [lambda: self._edits(controllers),
-                                                                 lambda: self._lots_again(guides), self._cards]
+        checks = [lambda g=g: self._streams(g) for g in gateways] + [lambda: self._edits(controllers),
+                                                                 lambda: self._lots_again(gateways), self._cards]
         back: list[float] = []
 
         def until(check):
@@ -89,19 +89,19 @@
         return max(back) if len(back) == len(checks) else 99.0
 
     def _streams(self, g) -> bool:
-        return self.calls.generate(f"closing-{g}-{time.monotonic()}", guide=g, limit=5)["end"] is True
+        return self.calls.generate(f"closing-{g}-{time.monotonic()}", gateway=g, limit=5)["end"] is True
 
     def _cards(self) -> bool:
         return self.calls.fetch(f"closing-{time.monotonic()}", limit=5)["status"] == 200
 
-    def _lots_again(self, guides) -> bool:
-        e = self.calls.lot(f"closing-{time.monotonic()}", 3, watch=False, guide=guides[0])
+    def _lots_again(self, gateways) -> bool:
+        e = self.calls.lot(f"closing-{time.monotonic()}", 3, watch=False, gateway=gateways[0])
         if not e["lot"]:
             return False
         self.remember(e["lot"])
         until = time.monotonic() + 10
         while time.monotonic() < until:
-            r = self.calls.read_lot(e["lot"], guides[-1])
+            r = self.calls.read_lot(e["lot"], gateways[-1])
             if r["state"] == "done" and len(r["results"]) == 3:
                 return True
             time.sleep(0.1)
@@ -120,5 +120,5 @@
         return True
 
     def _done(self, lot):
-        status, said, _ = self.fleet.call(self.fleet.nodes("guide")[0], "GET", f"/v1/lots/{lot}")
+        status, said, _ = self.fleet.call(self.fleet.nodes("gateway")[0], "GET", f"/v1/lots/{lot}")
         return status == 200 and said["state"] in ("done", "ended")
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -81,7 +81,7 @@
 
 
 class Fleet:
-    def __init__(self, guides=3, depots=4, controllers=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
+    def __init__(self, gateways=3, depots=4, controllers=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
                  props=None, models="pipit-small"):
         self.folder = Path(keep or tempfile.mkdtemp(prefix="rehearsal-"))
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -94,9 +94,9 @@
         self._told: dict = {}
         self.capacity, self.step = capacity, step
         self.zones: dict[str, str] = {}
-        counts = {"guide": guides, "depot": depots, "controller": controllers}
+        counts = {"gateway": gateways, "depot": depots, "controller": controllers}
         self._ports = {f"{role}{i}": tuple(free_ports(3)) for role, n in counts.items() for i in range(n)}
-        firsts = [self._ports[f"{r}0"][0] for r in ("controller", "depot", "guide") if counts[r]]
+        firsts = [self._ports[f"{r}0"][0] for r in ("controller", "depot", "gateway") if counts[r]]
         self.seeds = [f"127.0.0.1:{p}" for p in firsts]
         self.founders = [f"127.0.0.1:{self._ports[f'controller{i}'][0]}" for i in range(min(3, controllers))]
         for name in self._ports:
@@ -115,7 +115,7 @@
         sets = {"zone": zone, "port": ports[0], "seeds": ",".join(seeds or self.seeds), "log_level": self.level,
                 "plug": f"rehearsal.plug:{self.folder}/cuts.json", **self.props, **more}
         sets["operator_port"] = ports[2]
-        if role == "guide":
+        if role == "gateway":
             sets["http_port"] = ports[1]
         else:
             sets["data"] = self.folder / name
@@ -132,7 +132,7 @@
         self.zones[name] = zone
         words = ["rehearsal", "backend", "--name", name, "--pool", pool, "--models", models, "--zone", zone,
                  "--capacity", str(self.capacity), "--port", str(port), "--step", str(self.step),
-                 "--guides", ",".join(f"127.0.0.1:{self._ports[n][1]}" for n in self.nodes("guide")),
+                 "--gateways", ",".join(f"127.0.0.1:{self._ports[n][1]}" for n in self.nodes("gateway")),
                  "--notes", str(self.folder / f"{name}.notes")]
         p = self.programs[name] = Program(name, words, self.folder / f"{name}.log", (port,))
         return p
@@ -171,7 +171,7 @@
         for p in self.programs.values():
             if p.process is None:
                 p.start()
-        for n in self.nodes("guide"):
+        for n in self.nodes("gateway"):
             wait_for(lambda: self.call(n, "GET", "/v1/ready")[0] == 200, limit, f"{n} is ready")
 
     def stop(self):
@@ -188,7 +188,7 @@
     def call(self, name: str, method: str, path: str, body=None, headers=None, limit: float = 10):
         """(status, JSON or bytes, headers); status 0 where nothing answered."""
         ports = self.programs[name].ports
-        port = ports[0] if len(ports) == 1 else ports[1] if name.startswith("guide") else ports[2]
+        port = ports[0] if len(ports) == 1 else ports[1] if name.startswith("gateway") else ports[2]
         c = http.client.HTTPConnection("127.0.0.1", port, timeout=limit)
         try:
             data = json.dumps(body) if body is not None and not isinstance(body, bytes) else body
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -13,7 +13,7 @@
 from pipitlink.context import Context, fresh_id
 from pipitlink.depot import DepotNode
 from pipitlink.disk import Disk
-from pipitlink.guide import GuideNode
+from pipitlink.gateway import GatewayNode
 from pipitlink.journal import Journal
 from pipitlink.ledger import Ledger
 from pipitlink.controller import ControllerNode
@@ -26,19 +26,19 @@
 
 from .hollow_work import Work
 
-__all__ = ["HollowGuide", "CountedDesk", "open_parts", "run_host"]
+__all__ = ["HollowGateway", "CountedDesk", "open_parts", "run_host"]
 
 TOLD_AT_ONCE = 100
 TICK = 0.1
 CALL_FRAME, RECEIPT_FRAME = 14, 11
 
 
-class HollowGuide(GuideNode):
-    """A whole guide but for its HTTP side: every beat, call and answer between colleagues is the guide's own."""
+class HollowGateway(GatewayNode):
+    """A whole gateway but for its HTTP side: every beat, call and answer between colleagues is the gateway's own."""
 
 
 class _Member:
-    """A node that is only a colleague: roster and setup, nothing of a guide's work."""
+    """A node that is only a colleague: roster and setup, nothing of a gateway's work."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -110,13 +110,13 @@
 def open_parts(ctx, kind: str, me: Member, disk: Disk):
     """The parts of one hollow node, opened as its process would, but for its HTTP sides; returns the role's own."""
     ctx.roster, ctx.setup, ctx.ledger = Roster(ctx), Setup(ctx), Ledger(ctx)
-    if ctx.role == "guide":
+    if ctx.role == "gateway":
         ctx.cache = Cache(ctx)
-        part = (_Member if kind == "member" else HollowGuide)(ctx)
+        part = (_Member if kind == "member" else HollowGateway)(ctx)
     else:
         part = {"depot": DepotNode, "controller": ControllerNode}[ctx.role](ctx, disk)
     part.open()
-    if ctx.role == "guide":
+    if ctx.role == "gateway":
         ctx.ledger.open()
         if kind != "member":
             ctx.cache.open()
@@ -169,7 +169,7 @@
 
 
 class _Whole:
-    """A real node in a process of its own: what `pipitlink guide` opens, with its calls counted."""
+    """A real node in a process of its own: what `pipitlink gateway` opens, with its calls counted."""
 
     def __init__(self, host, role: str, n: int, spec: dict):
         self.role = role
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -36,24 +36,24 @@
 
     async def begin(self, engines=(), rows: int = 0, changes: float = 0, tails=(), held=(), items: float = 0,
                     burst: int = 0):
-        guides = [n for n in self._host.nodes if n.role == "guide"]
+        gateways = [n for n in self._host.nodes if n.role == "gateway"]
         for i, name in enumerate(engines):
-            n = guides[i % len(guides)]
+            n = gateways[i % len(gateways)]
             n.ctx.beats.later(RENEW * n.ctx.chance.random(), self._announce, n, name, 0)
-        for n in guides:
+        for n in gateways:
             for log in tails:
                 n.ctx.cache.tail(log)
         for i, log in enumerate(held):
-            spawn(self._write(guides[i % len(guides)], log, items / len(held)))
-        if burst and guides:
+            spawn(self._write(gateways[i % len(gateways)], log, items / len(held)))
+        if burst and gateways:
             self._bursting = 1
-            spawn(self._burst(guides[0], burst))
+            spawn(self._burst(gateways[0], burst))
         for n in self._host.nodes:
             if n.role == "controller" and (rows or changes):
                 spawn(self._edit_on(n, rows, changes))
 
     def _announce(self, n, name: str, times: int):
-        """An engine renews its announcement each second, at any guide."""
+        """An engine renews its announcement each second, at any gateway."""
         n.part.engines.announce(EngineNews(
             engine=name, incarnation=1, address="127.0.0.1:65535", pool="models", models=["pipit-small"], capacity=8,
             zone=n.ctx.props.zone, state="ready"))
--- a/rehearsal/hosts.py
+++ b/rehearsal/hosts.py
@@ -55,38 +55,38 @@
 
 
 class HollowFleet:
-    """Controllers and depots each alone in a process; guides several to one, or whole ones each alone."""
+    """Controllers and depots each alone in a process; gateways several to one, or whole ones each alone."""
 
-    def __init__(self, guides: int, kind: str, pace: float, controllers=3, depots=3):
-        self.guides, self.kind, self.pace = guides, kind, pace
+    def __init__(self, gateways: int, kind: str, pace: float, controllers=3, depots=3):
+        self.gateways, self.kind, self.pace = gateways, kind, pace
         self.folder = Path(tempfile.mkdtemp(prefix="capacity-"))
         self.hosts: list[_HostProcess] = []
-        self._counts = {"controller": controllers, "depot": depots, "guide": guides}
+        self._counts = {"controller": controllers, "depot": depots, "gateway": gateways}
         self._threads = ThreadPoolExecutor(64)
 
     def start(self):
-        per = {"controller": 1, "depot": 1, "guide": 1 if self.kind == "whole" else PER_HOST}
+        per = {"controller": 1, "depot": 1, "gateway": 1 if self.kind == "whole" else PER_HOST}
         for role, n in self._counts.items():
-            step = min(per[role], max(1, -(-n // 2))) if role == "guide" else 1
+            step = min(per[role], max(1, -(-n // 2))) if role == "gateway" else 1
             for at in range(0, n, step):
                 self.hosts.append(_HostProcess(role, list(range(at, min(n, at + step))), self.folder / "hosts.log"))
         ports = free_ports(self._counts["controller"])
         seeds = [f"127.0.0.1:{p}" for p in ports]
         spec = {"zones": ZONES, "folder": str(self.folder), "founders": seeds[:3], "seeds": seeds}
-        kinds = {"controller": "hollow", "depot": "hollow", "guide": self.kind}
+        kinds = {"controller": "hollow", "depot": "hollow", "gateway": self.kind}
         self.base = {id(h): h.memory() for h in self.hosts if h.ask("count")}
         told = self._all(lambda h: h.ask("listen", spec={
             **spec, "role": h.role, "numbers": h.numbers, "kind": kinds[h.role],
             "ports": ports if h.role == "controller" else []}))
-        control = [h for h in self.hosts if h.role != "guide"]
-        self._found(control, [m for h, t in zip(self.hosts, told) if h.role != "guide" for m in t["members"]])
+        control = [h for h in self.hosts if h.role != "gateway"]
+        self._found(control, [m for h, t in zip(self.hosts, told) if h.role != "gateway" for m in t["members"]])
         members = [m for t in told for m in t["members"]]
         self._all(lambda h: h.ask("pace", pace=self.pace))
-        self._all(lambda h: h.ask("meet" if h.role != "guide" else "open", members=members))
+        self._all(lambda h: h.ask("meet" if h.role != "gateway" else "open", members=members))
         self._until(lambda: all(h.ask("look")["ready"] for h in self.hosts), READY_LIMIT + 5 * self.pace)
 
     def _found(self, control: list[_HostProcess], members: list[str]):
-        """Controllers and depots found the fleet at full pace, before there are guides."""
+        """Controllers and depots found the fleet at full pace, before there are gateways."""
         for h in control:
             h.ask("open", members=members)
         self._until(lambda: all(h.ask("look")["ready"] for h in control), READY_LIMIT)
@@ -114,13 +114,13 @@
         self._until(lambda: not any(h.ask("count")["bursting"] for h in self.hosts), 2 * READY_LIMIT)
 
     def load(self, engines: int = 0, tails: int = 0, held: int = 0, **more):
-        guides = [h for h in self.hosts if h.role == "guide"]
+        gateways = [h for h in self.hosts if h.role == "gateway"]
         names = [f"engine{i}" for i in range(engines)]
         logs = [f"results/held{i}" for i in range(held)]
         for h in self.hosts:
-            here = guides.index(h) if h.role == "guide" else 0
-            mine = slice(here, None, len(guides))
-            if h.role == "guide":
+            here = gateways.index(h) if h.role == "gateway" else 0
+            mine = slice(here, None, len(gateways))
+            if h.role == "gateway":
                 share = len(logs[mine]) / held if held else 0
                 h.ask("load", engines=names[mine], tails=[f"results/tail{n}" for n in range(tails)], held=logs[mine],
                       items=more.get("items", 0) * share, burst=more.get("burst", 0))
@@ -161,7 +161,7 @@
             span = b["at"] - a["at"]
             out["cpu_percent"] += 100 * (b["cpu"] - a["cpu"]) / span
             out["base_mb"] += b["base"] / 1e6 * a["nodes"]
-            out["memory_mb"] += (b["memory"] - (0 if self.kind == "whole" and a["role"] == "guide" else b["base"])) / 1e6
+            out["memory_mb"] += (b["memory"] - (0 if self.kind == "whole" and a["role"] == "gateway" else b["base"])) / 1e6
             for k, v in b["counts"].items():
                 out[k] += (v - a["counts"].get(k, 0)) / span
         out = {k: v / nodes for k, v in out.items()}
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -1,4 +1,4 @@
-"""Single steps of a guide's own code at full size, in one process and with nobody on the wire: ms each, three times."""
+"""Single steps of a gateway's own code at full size, in one process and with nobody on the wire: ms each, three times."""
 import statistics
 import time
 from random import Random
@@ -21,8 +21,8 @@
 
 __all__ = ["inner", "STEPS"]
 
-GUIDES = (100, 300, 1000, 3000)
-ENGINES_A_GUIDE = 10 / 3
+GATEWAYS = (100, 300, 1000, 3000)
+ENGINES_A_GATEWAY = 10 / 3
 TIMES = 3
 LEAST_SPAN = 0.05
 
@@ -32,21 +32,21 @@
         pass
 
 
-def _guide(guides: int):
-    """A hollow guide that knows so many colleagues and their engines, on a clock that stands still."""
+def _gateway(gateways: int):
+    """A hollow gateway that knows so many colleagues and their engines, on a clock that stands still."""
     clock = Clock()
     beats = Beats(clock, seconds=clock.seconds)
     desk = Desk(None, beats, Journal(_Quiet()), "pipit", "g0")
-    ctx = Context("guide", "g0", Props(), clock, beats, Journal(_Quiet()), desk, Random(1))
-    everyone = [Member(node=f"g{i}", incarnation=1, role="guide", zone=f"zone-{i % 25}", host="127.0.0.1", port=1000 + i,
+    ctx = Context("gateway", "g0", Props(), clock, beats, Journal(_Quiet()), desk, Random(1))
+    everyone = [Member(node=f"g{i}", incarnation=1, role="gateway", zone=f"zone-{i % 25}", host="127.0.0.1", port=1000 + i,
                        standing="alive")
-                for i in range(guides)]
+                for i in range(gateways)]
     desk.call = _unheard
     part = open_parts(ctx, "hollow", everyone[0], LosingDisk(Random(1)))
-    for at in range(0, guides, TOLD_AT_ONCE):
+    for at in range(0, gateways, TOLD_AT_ONCE):
         told = Gossip(sender="g1", members=everyone[at:at + TOLD_AT_ONCE])
         spawn(desk.attend(desk.hello(), "roster.tell", told.SerializeToString()))
-    for i in range(int(guides * ENGINES_A_GUIDE)):
+    for i in range(int(gateways * ENGINES_A_GATEWAY)):
         part.engines._merge(EngineNews(engine=f"engine{i}", incarnation=1, address="127.0.0.1:1", pool="models",
                                        models=["m"], capacity=8, zone=f"zone-{i % 25}", state="ready"))
     return ctx, part
@@ -57,11 +57,11 @@
 
 
 def _step_ring(ctx, part):
-    Ring({m.node: m.zone for m in ctx.roster.members("guide")})
+    Ring({m.node: m.zone for m in ctx.roster.members("gateway")})
 
 
 def _step_members(ctx, part):
-    ctx.roster.members("guide", me=False)
+    ctx.roster.members("gateway", me=False)
 
 
 def _step_room(ctx, part):
@@ -72,10 +72,10 @@
     part.engines._tell_loads()
 
 
-STEPS = {"the ring of cache replicas, built anew when a guide comes or goes": _step_ring,
-         "the list of guides, by role": _step_members,
+STEPS = {"the ring of cache replicas, built anew when a gateway comes or goes": _step_ring,
+         "the list of gateways, by role": _step_members,
          "one engine's room, for one pick": _step_room,
-         "telling all guides the loads, less the wire": _step_loads}
+         "telling all gateways the loads, less the wire": _step_loads}
 
 
 def _time(do) -> list[float]:
@@ -109,11 +109,11 @@
 
 
 def inner() -> int:
-    print("| step, ms | " + " | ".join(f"{g} guides" for g in GUIDES) + " | fit |\n|" + "---|" * (len(GUIDES) + 2))
-    staged = [_guide(g) for g in GUIDES]
+    print("| step, ms | " + " | ".join(f"{g} gateways" for g in GATEWAYS) + " | fit |\n|" + "---|" * (len(GATEWAYS) + 2))
+    staged = [_gateway(g) for g in GATEWAYS]
     for name, step in STEPS.items():
         times = [_time(lambda: step(ctx, part)) for ctx, part in staged]
-        f = fit(list(GUIDES), [statistics.median(t) for t in times])
+        f = fit(list(GATEWAYS), [statistics.median(t) for t in times])
         print(f"| {name} | " + " | ".join(f"{t[1]:.3g} ({t[0]:.3g} to {t[-1]:.3g})" for t in times) + f" | {f}, r² {f.r2:.3f} |")
     print("\n| configuration rows | whole sheet copied, ms | one change and the next look-up, ms | whole, bytes | change, bytes |"
           "\n|---|---|---|---|---|")
--- a/rehearsal/judges.py
+++ b/rehearsal/judges.py
@@ -206,7 +206,7 @@
                 for e in events:
                     if e["event"] == "told" and e.get("model") == model and since + 2 < e["asked"] and e["at"] < until \
                             and (e["fault"] or {}).get("code") in ("none_heard", "not_found") \
-                            and not spans.hurt(e["asked"], e["at"], e["guide"]):
+                            and not spans.hurt(e["asked"], e["at"], e["gateway"]):
                         out.append(f"{model}: refused {e['asked'] - since:.1f} s after it was opened")
                         break
 
--- a/rehearsal/promises.py
+++ b/rehearsal/promises.py
@@ -60,17 +60,17 @@
         return [self._last_run(told, [name], until)]
 
     def _measure_edit(self, n):
-        """From the receipt to the moment when the last guide shows the edit."""
+        """From the receipt to the moment when the last gateway shows the edit."""
         e = self.calls.edit(f"row-{n % 4}", {"model": f"m{n}"}, f"edit-{n}-{time.monotonic()}", self._any(self.c, "controller"))
         acked = time.monotonic()
         if e.get("status") != 200:
             return [99.0]
         wait_for(lambda: all(self.fleet.call(g, "GET", "/v1/ready")[1]["setup"] >= e["sequence"]
-                             for g in self.fleet.nodes("guide")), 10, "every guide has it")
+                             for g in self.fleet.nodes("gateway")), 10, "every gateway has it")
         return [time.monotonic() - acked]
 
     def _measure_reading(self, n):
-        """A depot is killed, or freezes, as a lot is accepted; until every guide, asked at once, has shown the lot."""
+        """A depot is killed, or freezes, as a lot is accepted; until every gateway, asked at once, has shown the lot."""
         p = self.fleet.programs[self.fleet.nodes("depot")[n % 4]]
         e = self.calls.lot(f"reading-{n}", 4, watch=False)
         acked, took = time.monotonic(), []
@@ -82,7 +82,7 @@
             wait_for(lambda: self.calls.read_lot(e["lot"], g)["status"] == 200, 20, f"{g} shows it")
             took.append(time.monotonic() - acked)
 
-        threads = [threading.Thread(target=read, args=(g,)) for g in self.fleet.nodes("guide")]
+        threads = [threading.Thread(target=read, args=(g,)) for g in self.fleet.nodes("gateway")]
         for t in threads:
             t.start()
         for t in threads:
@@ -92,10 +92,10 @@
         return [max(took) if len(took) == len(threads) else 99.0]
 
     def _measure_result(self, n):
-        """From the end of an item's run to its place in the list at another guide, with one guide killed meanwhile."""
-        down = self.fleet.nodes("guide")[n % len(self.fleet.nodes("guide"))]
-        g = self.calls.guide(but=down)
-        e = self.calls.lot(f"result-{n}", 6, watch=False, guide=g)
+        """From the end of an item's run to its place in the list at another gateway, with one gateway killed meanwhile."""
+        down = self.fleet.nodes("gateway")[n % len(self.fleet.nodes("gateway"))]
+        g = self.calls.gateway(but=down)
+        e = self.calls.lot(f"result-{n}", 6, watch=False, gateway=g)
         self.calls.down.add(down)
         self.fleet.programs[down].kill()
         seen: dict[int, float] = {}
@@ -154,7 +154,7 @@
         """Each kind of closing fault in turn; the repair is waited for in between."""
         kind = CLOSINGS[n % len(CLOSINGS)]
         names = self.inside(ZONES[n % 4], True) if kind == "zone" else [
-            self._any(self.c, "guide"), self.busiest(), self.leader()]
+            self._any(self.c, "gateway"), self.busiest(), self.leader()]
         heal = self._closing_fault(kind, names, self.c)
         took = self._wait_served(names, time.monotonic())
         self.say(f"service back after {took:.1f} s")
--- a/rehearsal/slopes.py
+++ b/rehearsal/slopes.py
@@ -85,12 +85,12 @@
 
 
 def _hollow_beside_whole(points: list[dict]):
-    """What a hollow guide sends and uses against a real one at the sizes where both were run."""
+    """What a hollow gateway sends and uses against a real one at the sizes where both were run."""
     for whole in [p for p in points if p["series"] == "whole"]:
-        for hollow in [p for p in points if p["series"] == "guides" and p["x"] == whole["x"]]:
+        for hollow in [p for p in points if p["series"] == "gateways" and p["x"] == whole["x"]]:
             for metric in ("msgs_in", "kb_in", "cpu_percent"):
-                a, b = (spread_of(p["windows"], "guide", metric)[1] for p in (hollow, whole))
-                print(f"hollow beside real, {whole['x']} guides, {metric}: {a:.3g} and {b:.3g}, ratio {a / b:.2f}")
+                a, b = (spread_of(p["windows"], "gateway", metric)[1] for p in (hollow, whole))
+                print(f"hollow beside real, {whole['x']} gateways, {metric}: {a:.3g} and {b:.3g}, ratio {a / b:.2f}")
 
 
 def report(points: list[dict], series: dict):
--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -25,7 +25,7 @@
         p = PROFILES[profile]
         self.quiet, self.floors = quiet, floors
         self.seed, self.minutes, self.faults, self.together = seed, minutes, faults, together
-        self.fleet = Fleet(guides=p["guides"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
+        self.fleet = Fleet(gateways=p["gateways"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
                            cards=p["cards"], capacity=8, step=0.02, keep=keep, level=level,
                            models="pipit-small,gated,metered,narrow")
         self.calls = Callers(self.fleet, Random(seed + 1))
@@ -100,15 +100,15 @@
         return False
 
     def _bearable(self, names) -> bool:
-        """Disk machines of one zone at a time, half of the guides and half of each kind of back end."""
+        """Disk machines of one zone at a time, half of the gateways and half of each kind of back end."""
         have = [x for xs in self._claims.values() for x in xs]
         both = have + names
-        kinds = {k: sum(x.startswith(k) for x in set(both)) for k in ("guide", "engine", "card")}
+        kinds = {k: sum(x.startswith(k) for x in set(both)) for k in ("gateway", "engine", "card")}
         disks = [x for x in both if x.startswith(("depot", "controller"))]
         return not set(have) & set(names) and not (have and "core" in both and disks and
                                                    ("core" in have) != ("core" in names)) \
             and ("core" in both or len({self.fleet.zones[x] for x in disks}) <= 1) \
-            and kinds["guide"] <= len(self.fleet.nodes("guide")) / 2 \
+            and kinds["gateway"] <= len(self.fleet.nodes("gateway")) / 2 \
             and kinds["engine"] <= len(self.fleet.engines) / 2 and kinds["card"] <= len(self.fleet.cards) / 2
 
     def _load(self):
@@ -130,8 +130,8 @@
         c.start(Caller(c, "narrow", 0.15, lambda c, n: c.generate(n, model="narrow")))
 
     def _leave_and_resume(self, c, name):
-        guide = c.guide()
-        c.generate(name, guide=guide, leave_at=2, then=guide if int(name[7:]) % 2 else c.guide(but=guide))
+        gateway = c.gateway()
+        c.generate(name, gateway=gateway, leave_at=2, then=gateway if int(name[7:]) % 2 else c.gateway(but=gateway))
 
     def lot(self, name, items, limit_ms, priority=0):
         self._n += 1
@@ -168,7 +168,7 @@
         return max(used, key=lambda n: used[n]["used"] if isinstance(used[n], dict) else 0)
 
     def nodes(self):
-        return [n for r in ("guide", "depot", "controller") for n in self.fleet.nodes(r)]
+        return [n for r in ("gateway", "depot", "controller") for n in self.fleet.nodes(r)]
 
     def inside(self, zone, back_ends):
         names = self.nodes() + (self.fleet.engines + self.fleet.cards if back_ends else [])
@@ -176,7 +176,7 @@
 
     def _report(self) -> int:
         for lot in {e["lot"] for e in self.calls.taken() if e["event"] == "lot" and e["lot"]}:
-            for g in self.fleet.nodes("guide")[:2]:
+            for g in self.fleet.nodes("gateway")[:2]:
                 self.calls.read_lot(lot, g)
         events, notes = self.calls.taken(), self.fleet.notes()
         bad = check(events, notes, self.fleet.zones, floors=self.floors, capacity=self.fleet.capacity, limits=LIMITS)
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -86,7 +86,7 @@
         self.alive = True
         self.folder.mkdir(exist_ok=True)
         keep = self.folder / "id"
-        if self.role == "guide" or not keep.exists():
+        if self.role == "gateway" or not keep.exists():
             keep.write_text(f"{self.name}x{self.lives}x{stage.fresh()}")
         self.node = keep.read_text()
         props = Props(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "controller" else (),
@@ -99,7 +99,7 @@
         ctx.desk = _Desk(stage, self)
         ctx.on_thread = self._on_thread
         ctx.roster = Roster(ctx)
-        if self.role != "guide":
+        if self.role != "gateway":
             ctx.roster.remember_in(self.folder)
         ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
@@ -113,7 +113,7 @@
         else:
             ctx.cache = Cache(ctx)
             if stage.engines is not None:
-                self.part = type("OnStage", (stage.guide_kind,), {"stage": stage})(ctx)
+                self.part = type("OnStage", (stage.gateway_kind,), {"stage": stage})(ctx)
                 self.part.open()
             ctx.ledger.open()
             ctx.cache.open()
@@ -141,7 +141,7 @@
         self.alive = self.frozen = False
         self.ctx.beats.ended = True
         self.clock.stop()
-        if self.part is not None and self.role != "guide":
+        if self.part is not None and self.role != "gateway":
             self.part.close()
         if power:
             self.disk.lose_power()
@@ -233,7 +233,7 @@
 
 
 class Stage:
-    def __init__(self, seed: int, controllers=4, depots=4, guides=3, shelves=4, props=None, named=False):
+    def __init__(self, seed: int, controllers=4, depots=4, gateways=3, shelves=4, props=None, named=False):
         self.seed = seed
         self.chance = Random(seed)
         self.clock = _Clock()
@@ -243,7 +243,7 @@
         self.props = props or {}
         self.named = named
         self.cuts: set[tuple[str, str]] = set()
-        self.engines = self.guide_kind = None
+        self.engines = self.gateway_kind = None
         self.notes: list[dict] = []
         self.watch_calls = None
         self._tokens = mock.patch("pipitlink.context.secrets.token_hex",
@@ -253,11 +253,11 @@
         self.actors: dict[str, Actor] = {}
         self._beats: list[Beats] = []
         port = 1000
-        for role, n in (("controller", controllers), ("depot", depots), ("guide", guides)):
+        for role, n in (("controller", controllers), ("depot", depots), ("gateway", gateways)):
             for i in range(n):
                 self.add(role, f"{role}{i}", "zone-" + "abcd"[i % 4], port)
                 port += 1
-        firsts = [self.actors[f"{r}0"] for r, n in (("controller", controllers), ("depot", depots), ("guide", guides)) if n]
+        firsts = [self.actors[f"{r}0"] for r, n in (("controller", controllers), ("depot", depots), ("gateway", gateways)) if n]
         self.seeds = tuple(f"{a.place[0]}:{a.place[1]}" for a in firsts)
         self.founders = tuple(f"{a.place[0]}:{a.place[1]}" for a in self.role("controller")[:3])
 
@@ -272,9 +272,9 @@
     def role(self, role: str, alive: bool = False) -> list[Actor]:
         return [a for a in self.actors.values() if a.role == role and (a.alive and not a.frozen or not alive)]
 
-    def with_engines(self, guide_kind, engine_kind, n=2):
-        """Whole guides instead of their logs and caches alone, and engines for them."""
-        self.guide_kind, self.engines = guide_kind, {}
+    def with_engines(self, gateway_kind, engine_kind, n=2):
+        """Whole gateways instead of their logs and caches alone, and engines for them."""
+        self.gateway_kind, self.engines = gateway_kind, {}
         for i in range(n):
             self.engines[f"engine{i}"] = engine_kind(self, f"engine{i}", "zone-" + "abcd"[i % 4])
 
@@ -366,7 +366,7 @@
 
     def ready(self, limit: float = 30):
         self.until(lambda: self.leader() is not None and all(
-            a.ctx.setup.ready() for a in self.role("guide", alive=True)), limit, "the fleet is ready")
+            a.ctx.setup.ready() for a in self.role("gateway", alive=True)), limit, "the fleet is ready")
 
     def wait(self, span: timedelta):
         self.run(span.total_seconds())
--- a/rehearsal/staged.py
+++ b/rehearsal/staged.py
@@ -1,22 +1,22 @@
-"""Whole guides on a stage, with staged engines: the guides' own code from a lot's intake to an item's first byte."""
+"""Whole gateways on a stage, with staged engines: the gateways' own code from a lot's intake to an item's first byte."""
 from twisted.internet import defer
 
 from pipitlink.beats import ms, secs, spawn, wall_ms
-from pipitlink.faults import BackEndFault, Crowded, GuideFault, PipitFault
-from pipitlink.guide import GuideNode
-from pipitlink.guide.asks import Ask
+from pipitlink.faults import BackEndFault, Crowded, GatewayFault, PipitFault
+from pipitlink.gateway import GatewayNode
+from pipitlink.gateway.asks import Ask
 from pipitlink.wire.lots_pb2 import Item, Lot
 from pipitlink.wire.roster_pb2 import EngineNews
 
 from .backend import answer_pieces
 
-__all__ = ["StagedGuide", "StagedEngine", "Customers"]
+__all__ = ["StagedGateway", "StagedEngine", "Customers"]
 
 STEP = 0.04
 
 
-class StagedGuide(GuideNode):
-    """A guide whose streams to back ends are staged: a connect takes a while, and then the engine runs by itself."""
+class StagedGateway(GatewayNode):
+    """A gateway whose streams to back ends are staged: a connect takes a while, and then the engine runs by itself."""
 
     stage = None
 
@@ -51,18 +51,18 @@
     def _announce(self, incarnation):
         if not self.alive or incarnation != self.incarnation:
             return
-        guides = self.stage.role("guide", alive=True)
-        if guides and not self.silent:
+        gateways = self.stage.role("gateway", alive=True)
+        if gateways and not self.silent:
             news = EngineNews(engine=self.name, incarnation=self.incarnation, address="10.0.0.9:1", pool="models",
                               models=["m"], capacity=self.capacity, zone=self.zone, state=self.state)
-            self.stage.chance.choice(guides).part.engines.announce(news)
+            self.stage.chance.choice(gateways).part.engines.announce(news)
         self.stage.clock.callLater(1.0, self._announce, incarnation)
 
     def leave(self):
         self.state = "leaving"
-        guides = self.stage.role("guide", alive=True)
-        if guides:
-            self.stage.chance.choice(guides).part.engines.announce(EngineNews(
+        gateways = self.stage.role("gateway", alive=True)
+        if gateways:
+            self.stage.chance.choice(gateways).part.engines.announce(EngineNews(
                 engine=self.name, incarnation=self.incarnation, address="10.0.0.9:1", pool="models", models=["m"],
                 capacity=self.capacity, zone=self.zone, state="leaving"))
             self.note("told", state="leaving")
@@ -79,10 +79,10 @@
             return
         d.clock_of.callLater(0, lambda: d.called or (d.errback(fault) if fault else d.callback(None)))
 
-    def serve(self, guide, ask) -> defer.Deferred:
-        """The request is on its way from now on, whatever becomes of the guide."""
+    def serve(self, gateway, ask) -> defer.Deferred:
+        """The request is on its way from now on, whatever becomes of the gateway."""
         d = defer.Deferred(lambda _: None)
-        d.clock_of = _Clocked(guide)
+        d.clock_of = _Clocked(gateway)
         run = f"{ask.id}.{ask.tries}"
         self.stage.clock.callLater(0.002, self._begin, run, ask, d, answer_pieces(ask.prompt, 256))
         return d
@@ -113,10 +113,10 @@
 
 
 class _Clocked:
-    """The clock of the guide's life that sent the request: held while it is frozen, over when it is killed."""
+    """The clock of the gateway's life that sent the request: held while it is frozen, over when it is killed."""
 
-    def __init__(self, guide):
-        self._watch = guide._ctx.reactor
+    def __init__(self, gateway):
+        self._watch = gateway._ctx.reactor
 
     @property
     def active(self) -> bool:
@@ -127,7 +127,7 @@
 
 
 class Customers:
-    """Lots, reads, ends and live requests at any guide, noted as the outside checker reads them."""
+    """Lots, reads, ends and live requests at any gateway, noted as the outside checker reads them."""
 
     def __init__(self, stage):
         self.stage, self.beats = stage, stage.beats()
@@ -141,21 +141,21 @@
         self.events.append(line)
         return line
 
-    def _guide(self):
-        up = self.stage.role("guide", alive=True)
+    def _gateway(self):
+        up = self.stage.role("gateway", alive=True)
         return self.stage.chance.choice(up) if up else None
 
-    async def _ask(self, do, limit=6.0, guide=None):
-        """(what came, None) or (None, fault); a guide that is killed or frozen answers nothing."""
-        g = guide or self._guide()
+    async def _ask(self, do, limit=6.0, gateway=None):
+        """(what came, None) or (None, fault); a gateway that is killed or frozen answers nothing."""
+        g = gateway or self._gateway()
         if g is None:
-            return None, GuideFault("nobody is there", code="dropped", outcome="unknown")
+            return None, GatewayFault("nobody is there", code="dropped", outcome="unknown")
         try:
             return await self.beats.within(secs(limit), do(g.part)), None
-        except GuideFault as f:
+        except GatewayFault as f:
             return None, f
         except (PipitFault, defer.CancelledError) as f:
-            return None, GuideFault(str(f), code=getattr(f, "code", "dropped"), outcome="unknown")
+            return None, GatewayFault(str(f), code=getattr(f, "code", "dropped"), outcome="unknown")
 
     async def hand_in(self):
         chance = self.stage.chance
@@ -185,7 +185,7 @@
             if self.lots:
                 await self.one_read(self.stage.chance.choice(list(self.lots)))
 
-    async def one_read(self, lot, guide=None):
+    async def one_read(self, lot, gateway=None):
         asked = self.stage.clock.seconds()
 
         async def do(part):
@@ -193,9 +193,9 @@
             r = await part._read_results(lot)
             return part.shown_results(lot, found, r, 0)
 
-        got, fault = await self._ask(do, guide=guide)
+        got, fault = await self._ask(do, gateway=gateway)
         return self.note("results", lot=lot, asked=asked, start=0, status=200 if got else fault.status,
-                         guide=guide.name if guide else "",
+                         gateway=gateway.name if gateway else "",
                          results=got["results"] if got else None, state=got["state"] if got else None,
                          took=self.stage.clock.seconds() - asked, fault=fault and {"code": fault.code})
 
@@ -228,7 +228,7 @@
             fault = {"code": "dropped", "outcome": "unknown"}
         else:
             fault = box[0].fault and {"code": box[0].fault.code, "outcome": box[0].outcome}
-        self.note("told", prompt=prompt, repeatable=repeatable, asked=asked, guide="", limit=4, slow=1, status=200,
+        self.note("told", prompt=prompt, repeatable=repeatable, asked=asked, gateway="", limit=4, slow=1, status=200,
                   pieces=list(enumerate(box[0].pieces)) if box else [], end=fault is None, fault=fault)
 
     async def engines(self):
--- a/tests/batch_parts.py
+++ b/tests/batch_parts.py
@@ -1,4 +1,4 @@
-"""Guides that keep batches, on a stage, with engines that are staged inside them, and callers who hand batches in."""
+"""Gateways that keep batches, on a stage, with engines that are staged inside them, and callers who hand batches in."""
 import base64
 import json
 
@@ -17,7 +17,7 @@
 from pipitlink.wire.setup_pb2 import Route
 from rehearsal.stage import Stage
 
-__all__ = ["BatchGuide", "Callers", "staged", "route", "text_of"]
+__all__ = ["BatchGateway", "Callers", "staged", "route", "text_of"]
 
 EVENTS = 6
 
@@ -31,8 +31,8 @@
     return "\n".join(f"{item} event {n}" for n in range(1, EVENTS + 1))
 
 
-class BatchGuide(Quota, BatchIntake, BatchRun, BatchRead, Batches):
-    """What a guide does for batches; an item's path says how engines answer it."""
+class BatchGateway(Quota, BatchIntake, BatchRun, BatchRead, Batches):
+    """What a gateway does for batches; an item's path says how engines answer it."""
 
     stage = None
 
@@ -60,7 +60,7 @@
             await self._ctx.beats.pause(ms(stage.chance.choice((1, 5, 40, 300))))
             call.still()
             stage.runs.append({"at": stage.clock.seconds(), "item": call.id, "after": call.last_event,
-                               "guide": self._ctx.node, "path": call.path, "headers": call.headers, "body": call.body})
+                               "gateway": self._ctx.node, "path": call.path, "headers": call.headers, "body": call.body})
             for word, status in (("/422", 422), ("/500", 500), ("/503", 503)):
                 if call.path.endswith(word):
                     await self._ctx.beats.pause(ms(20))
@@ -77,11 +77,11 @@
             self.busy -= 1
 
 
-def staged(seed, guides=3, routes=None, settle=2.0, **words):
-    stage = Stage(seed, controllers=3, depots=4, guides=guides, shelves=2, **words)
+def staged(seed, gateways=3, routes=None, settle=2.0, **words):
+    stage = Stage(seed, controllers=3, depots=4, gateways=gateways, shelves=2, **words)
     stage.routes = {r.name: r for r in routes or [route()]}
     stage.runs, stage.finished, stage.step, stage.breaks = [], [], ms(40), 0.05
-    stage.with_engines(BatchGuide, None, 0)
+    stage.with_engines(BatchGateway, None, 0)
     stage.start()
     stage.ready()
     stage.run(settle)
@@ -89,7 +89,7 @@
 
 
 class Callers:
-    """Hands batches in, reads and ends them at any guide; notes what was answered, and what of it was wrong."""
+    """Hands batches in, reads and ends them at any gateway; notes what was answered, and what of it was wrong."""
 
     def __init__(self, stage):
         self.stage, self.beats = stage, stage.beats()
@@ -109,13 +109,13 @@
                              "body": base64.b64encode(f"{name}/{i}".encode()).decode()} for i in range(items)]
         return name
 
-    def guide(self):
-        up = self.stage.role("guide", alive=True)
+    def gateway(self):
+        up = self.stage.role("gateway", alive=True)
         return self.stage.chance.choice(up) if up else None
 
-    async def ask(self, do, guide=None, limit=6.0):
+    async def ask(self, do, gateway=None, limit=6.0):
         """(status, headers, body), with status 0 where no answer came."""
-        g = guide or self.guide()
+        g = gateway or self.gateway()
         if g is None:
             return 0, {}, b""
         life = g.lives
@@ -128,18 +128,18 @@
                 raise
             return 0, {}, b""
 
-    async def hand_in(self, name, guide=None, limit=3.0, row="bulk"):
+    async def hand_in(self, name, gateway=None, limit=3.0, row="bulk"):
         raw = json.dumps({"items": self.items[name]}).encode()
         r = self.stage.routes[row]
         status, headers, _ = await self.ask(
-            lambda p: p.take_batch(r, "h", f"/{row}/", name, raw, p._ctx.beats.now() + secs(limit)), guide, limit + 1)
+            lambda p: p.take_batch(r, "h", f"/{row}/", name, raw, p._ctx.beats.now() + secs(limit)), gateway, limit + 1)
         if status == 202:
             self.taken.setdefault(name, self.stage.clock.seconds())
         return status
 
-    async def read(self, name, start=0, wait=0, guide=None):
+    async def read(self, name, start=0, wait=0, gateway=None):
         asked = self.stage.clock.seconds()
-        status, _, body = await self.ask(lambda p: p.read_batch(name, start, ms(wait)), guide, 6 + wait / 1000)
+        status, _, body = await self.ask(lambda p: p.read_batch(name, start, ms(wait)), gateway, 6 + wait / 1000)
         if status != 200:
             if status in (404, 410) and asked - self.taken.get(name, asked) > 0:
                 self.wrong.append(f"{asked:.3f} {name}: {status} though it was taken")
@@ -164,16 +164,16 @@
             if out["state"] == "abandoned" and path.endswith("x") and name not in self.ended:
                 self.wrong.append(f"{name}: {out['id']} was abandoned without a cause")
 
-    async def body(self, name, n, guide=None):
+    async def body(self, name, n, gateway=None):
         item = self.items[name][n]
-        status, _, body = await self.ask(lambda p: p.read_item(name, item["id"]), guide)
+        status, _, body = await self.ask(lambda p: p.read_item(name, item["id"]), gateway)
         if status == 200 and body != base64.b64decode(item["body"]):
             self.wrong.append(f"{name}: the body of {item['id']} came back wrong")
         return status
 
-    async def end(self, name, guide=None):
+    async def end(self, name, gateway=None):
         self.ended.setdefault(name, float("inf"))
-        status, _, _ = await self.ask(lambda p: p.end_batch(name), guide, 10)
+        status, _, _ = await self.ask(lambda p: p.end_batch(name), gateway, 10)
         if status == 200:
             self.ended[name] = min(self.ended[name], self.stage.clock.seconds())
         return status
@@ -183,7 +183,7 @@
         return status == 200 and len(doc["outputs"]) == len(self.items[name]) and doc
 
     async def hand_in_all(self):
-        """Each batch again at other guides, until it is taken or surely refused."""
+        """Each batch again at other gateways, until it is taken or surely refused."""
         chance = self.stage.chance
         while not self.over:
             await self.beats.pause(ms(300 + chance.randrange(900)))
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -1,4 +1,4 @@
-"""Parts of a guide on one clock, with calls between several of them carried at once."""
+"""Parts of a gateway on one clock, with calls between several of them carried at once."""
 from datetime import datetime, timezone
 from random import Random
 
@@ -6,19 +6,19 @@
 
 from pipitlink.beats import Beats, secs, spawn
 from pipitlink.faults import CutOff
-from pipitlink.guide.asks import Ask
-from pipitlink.guide.engines import Engines
-from pipitlink.guide.limits import ComeBack, Limits
-from pipitlink.guide.picking import Picking, RetryBudget
+from pipitlink.gateway.asks import Ask
+from pipitlink.gateway.engines import Engines
+from pipitlink.gateway.limits import ComeBack, Limits
+from pipitlink.gateway.picking import Picking, RetryBudget
 from pipitlink.journal import Journal
 from pipitlink.setup import Sheet
 from pipitlink.wire.roster_pb2 import EngineNews, Loads, Member
 
-__all__ = ["Guide"]
+__all__ = ["Gateway"]
 
 
 class _Desk:
-    """Calls between guides of one test, carried at once."""
+    """Calls between gateways of one test, carried at once."""
 
     def __init__(self, node, bus):
         self.node, self.verbs, self.bus, self.place = node, {}, bus, ("h", int(node[1:]))
@@ -34,11 +34,11 @@
 
 
 class _Roster:
-    def __init__(self, me, guides):
-        self.me, self.guides, self.away = me, guides, ()
+    def __init__(self, me, gateways):
+        self.me, self.gateways, self.away = me, gateways, ()
 
     def members(self, role=None, standing=("alive",), me=True):
-        names = [f"g{i}" for i in range(self.guides)]
+        names = [f"g{i}" for i in range(self.gateways)]
         return [Member(node=n, host="h", port=int(n[1:])) for n in names
                 if ("gone" if n in self.away else "alive") in standing and (me or n != self.me)]
 
@@ -64,8 +64,8 @@
         return zone in self.sheet.empty_zones
 
 
-class Guide(Picking, Limits):
-    def __init__(self, guides=1, n=0, clock=None, bus=None):
+class Gateway(Picking, Limits):
+    def __init__(self, gateways=1, n=0, clock=None, bus=None):
         self.clock = clock or Clock()
         self._ctx = self
         self.beats = Beats(self.clock, seconds=self.clock.seconds)
@@ -73,7 +73,7 @@
         self.journal = Journal(self)
         self.node, self.chance = f"g{n}", Random(1)
         self.desk = _Desk(self.node, {} if bus is None else bus)
-        self.roster, self.setup = _Roster(self.node, guides), _Setup()
+        self.roster, self.setup = _Roster(self.node, gateways), _Setup()
         self.props = type("Props", (), {"lot_reserve": 0.25})
         self.engines = Engines(self)
         self.desk.answer("engines.loads", Loads, self.engines._told_loads)
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -1,4 +1,4 @@
-"""A guide's live path by routes on one clock: real front, relay and links over transports in memory, with scripted engines."""
+"""A gateway's live path by routes on one clock: real front, relay and links over transports in memory, with scripted engines."""
 from datetime import datetime, timezone
 from random import Random
 from types import SimpleNamespace
@@ -97,7 +97,7 @@
 class Rig:
     """`ask` sends a caller's request; `at(engine)` gives the connections to an engine, oldest first."""
 
-    def __init__(self, routes, pools=None, seed=1, guides=1):
+    def __init__(self, routes, pools=None, seed=1, gateways=1):
         self.clock = Clock()
         self.clock.advance(1000)
         self.lines = []
@@ -108,7 +108,7 @@
             version=1, routes=routes, pools=pools, bounds=Bounds(max_body_bytes=100_000))))
         self.setup = SimpleNamespace(sheet=self.sheet, watch=lambda do: None, usable=lambda: True)
         roster = SimpleNamespace(members=lambda role=None, standing=(), me=True: [
-            Member(node=f"g{i}") for i in range(guides) if i or me])
+            Member(node=f"g{i}") for i in range(gateways) if i or me])
         desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
             node="g0", beats=beats, setup=self.setup, roster=roster, desk=desk, dialect=Dialect(), chance=Random(seed),
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -1,4 +1,4 @@
-"""Engines that announce themselves at controllers, and what every guide is told of them."""
+"""Engines that announce themselves at controllers, and what every gateway is told of them."""
 import unittest
 
 from pipitlink.wire.roster_pb2 import EngineList
@@ -8,7 +8,7 @@
 
 
 class _Listener:
-    """Stands in for a guide's list of engines: keeps all that it was told, and when."""
+    """Stands in for a gateway's list of engines: keeps all that it was told, and when."""
 
     def __init__(self, actor):
         self.actor = actor
@@ -32,7 +32,7 @@
         self.stage = Stage(5, shelves=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
-        self.guides = [_Listener(a) for a in self.stage.role("guide")]
+        self.gateways = [_Listener(a) for a in self.stage.role("gateway")]
         self.stage.ready()
         self.caller = Caller(self.stage)
         self.controller, self.second = self.stage.role("controller")[1:3]
@@ -49,14 +49,14 @@
     def now(self):
         return self.stage.clock.seconds()
 
-    def test_a_new_engine_is_told_to_every_guide_at_once_without_a_leader(self):
+    def test_a_new_engine_is_told_to_every_gateway_at_once_without_a_leader(self):
         for a in self.stage.role("controller"):
             if a is not self.controller:
                 a.kill()
         self.stage.run(3)
         self.assertEqual(self.beat(1), (200, {}))
         self.stage.run(0.05)
-        for g in self.guides:
+        for g in self.gateways:
             n = g.last("e1")
             self.assertEqual((n.pool, n.address, n.zone, n.capacity, n.state, n.sequence, n.incarnation),
                              ("p", "10.9.0.1:80", "zone-a", 4, "ready", 1, 1))
@@ -65,17 +65,17 @@
         for e in range(20):
             self.beat(1, engine=f"e{e}")
         self.stage.run(2)
-        before = self.guides[0].lists
+        before = self.gateways[0].lists
         for _ in range(3):
             for e in range(20):
                 self.assertEqual(self.beat(2 + _, engine=f"e{e}"), (200, {}))
         self.stage.run(2)
-        self.assertLessEqual(self.guides[0].lists - before, 3)
-        self.assertEqual({self.guides[0].last(f"e{e}").sequence for e in range(20)}, {4})
+        self.assertLessEqual(self.gateways[0].lists - before, 3)
+        self.assertEqual({self.gateways[0].last(f"e{e}").sequence for e in range(20)}, {4})
         for n, more in enumerate(({"cold_ms": 500}, {"address": "10.9.0.2:80"})):
             self.beat(9 + n, engine="e3", **more)
             self.stage.run(0.05)
-            self.assertEqual(self.guides[0].last("e3").sequence, 9 + n)
+            self.assertEqual(self.gateways[0].last("e3").sequence, 9 + n)
 
     def test_a_renewal_tells_how_old_it_is(self):
         self.beat(1)
@@ -83,19 +83,19 @@
         self.beat(2)
         asked = self.now()
         self.stage.run(1.5)
-        at, n = next((at, n) for at, n in self.guides[0].told if n.sequence == 2)
+        at, n = next((at, n) for at, n in self.gateways[0].told if n.sequence == 2)
         self.assertAlmostEqual(n.age_ms / 1000, at - asked, delta=0.05)
 
-    def test_leaving_is_acknowledged_when_all_live_guides_have_it_and_never_reverts(self):
+    def test_leaving_is_acknowledged_when_all_live_gateways_have_it_and_never_reverts(self):
         self.beat(1)
         self.stage.run(0.2)
         self.assertEqual(self.beat(2, "leaving")[0], 200)
-        self.assertEqual([g.states("e1")[-1] for g in self.guides], ["leaving"] * 3)
+        self.assertEqual([g.states("e1")[-1] for g in self.gateways], ["leaving"] * 3)
         self.beat(3, "ready")
         self.beat(4, "ready", cold_ms=100)
         self.beat(1, "ready")
         self.stage.run(2)
-        for g in self.guides:
+        for g in self.gateways:
             states = g.states("e1")
             self.assertEqual(set(states[states.index("leaving"):]), {"leaving"})
             self.assertEqual(g.last("e1").sequence, 4)
@@ -104,30 +104,30 @@
         self.beat(1)
         self.stage.run(0.2)
         self.assertEqual(self.drop()[0], 200)
-        self.assertEqual([g.states("e1")[-1] for g in self.guides], ["gone"] * 3)
+        self.assertEqual([g.states("e1")[-1] for g in self.gateways], ["gone"] * 3)
         for sequence in (2, 50):
             self.assertEqual(self.beat(sequence)[0], 200)
             self.assertEqual(self.beat(sequence + 1, "leaving")[0], 200)
             self.stage.run(20)
-        self.assertEqual([g.states("e1")[-1] for g in self.guides], ["gone"] * 3)
+        self.assertEqual([g.states("e1")[-1] for g in self.gateways], ["gone"] * 3)
         self.assertEqual(self.drop()[0], 200)
 
     def test_an_older_call_changes_nothing(self):
         self.beat(5, address="10.9.0.5:80")
         self.beat(4, address="10.9.0.4:80")
         self.stage.run(2)
-        self.assertEqual({n.address for _, n in self.guides[0].told}, {"10.9.0.5:80"})
+        self.assertEqual({n.address for _, n in self.gateways[0].told}, {"10.9.0.5:80"})
 
     def test_the_end_of_an_engine_that_is_not_known_here_is_told_too(self):
         self.beat(1, controller=self.second)
         self.stage.run(0.2)
         self.assertEqual(self.drop()[0], 200)
-        self.assertEqual([g.states("e1")[-1] for g in self.guides], ["gone"] * 3)
+        self.assertEqual([g.states("e1")[-1] for g in self.gateways], ["gone"] * 3)
 
-    def test_leaving_waits_for_a_slow_guide_and_the_push_is_repeated(self):
+    def test_leaving_waits_for_a_slow_gateway_and_the_push_is_repeated(self):
         self.beat(1)
         self.stage.run(0.2)
-        slow = self.guides[1]
+        slow = self.gateways[1]
         self.stage.cut([self.controller.name], [slow.actor.name])
         began = self.now()
         box = self.caller.begin(self.controller, "PUT", "/v1/engines/e1", {
@@ -138,12 +138,12 @@
         self.stage.until(lambda: box, 1, "it is acknowledged")
         self.assertEqual(box[0][0], 200)
         self.assertLess(self.now() - began, 0.75)
-        self.stage.until(lambda: slow.states("e1")[-1] == "leaving", 1, "the slow guide knows")
+        self.stage.until(lambda: slow.states("e1")[-1] == "leaving", 1, "the slow gateway knows")
 
-    def test_leaving_waits_no_longer_than_that_and_the_guide_learns_it_soon(self):
+    def test_leaving_waits_no_longer_than_that_and_the_gateway_learns_it_soon(self):
         self.beat(1)
         self.stage.run(0.2)
-        slow = self.guides[1]
+        slow = self.gateways[1]
         self.stage.cut([self.controller.name], [slow.actor.name])
         began = self.now()
         self.assertEqual(self.beat(2, "leaving")[0], 200)
@@ -153,35 +153,35 @@
         self.stage.run(0.7)
         self.assertEqual(slow.states("e1")[-1], "leaving")
 
-    def test_leaving_that_no_guide_has_confirmed_is_not_acknowledged(self):
+    def test_leaving_that_no_gateway_has_confirmed_is_not_acknowledged(self):
         self.beat(1)
         self.stage.run(0.2)
-        guides = [g.actor.name for g in self.guides]
-        self.stage.cut([self.controller.name], guides)
+        gateways = [g.actor.name for g in self.gateways]
+        self.stage.cut([self.controller.name], gateways)
         for ask in (lambda: self.beat(2, "leaving"), lambda: self.beat(2, "leaving"), self.drop, self.drop):
             told = ask()
             self.assertEqual((told[0], told[1]["error"]["code"]), (503, "untold"))
         self.stage.heal()
-        self.stage.until(lambda: self.drop()[0] == 200, 3, "the guides are told")
-        self.assertEqual([g.states("e1")[-1] for g in self.guides], ["gone"] * 3)
+        self.stage.until(lambda: self.drop()[0] == 200, 3, "the gateways are told")
+        self.assertEqual([g.states("e1")[-1] for g in self.gateways], ["gone"] * 3)
 
-    def test_an_controller_that_holds_all_guides_for_gone_does_not_acknowledge_that_an_engine_leaves(self):
+    def test_an_controller_that_holds_all_gateways_for_gone_does_not_acknowledge_that_an_engine_leaves(self):
         self.beat(1)
         self.stage.cut([self.controller.name], [a for a in self.stage.actors if a != self.controller.name])
         self.stage.run(12)
-        self.assertEqual(self.controller.ctx.roster.members("guide"), [])
+        self.assertEqual(self.controller.ctx.roster.members("gateway"), [])
         self.assertEqual(self.beat(2)[0], 200)
         for ask in (lambda: self.beat(3, "leaving"), self.drop):
             self.assertEqual(ask()[0], 503)
         self.stage.heal()
-        self.stage.until(lambda: self.drop()[0] == 200, 10, "the guides are told")
+        self.stage.until(lambda: self.drop()[0] == 200, 10, "the gateways are told")
 
-    def test_a_guide_that_is_met_later_is_told_all(self):
+    def test_a_gateway_that_is_met_later_is_told_all(self):
         self.beat(1, engine="e1")
         self.beat(1, engine="e2")
         self.beat(2, "leaving", engine="e2")
         self.drop("e3")
-        late = self.stage.add("guide", "guide9", "zone-b", 1900)
+        late = self.stage.add("gateway", "gateway9", "zone-b", 1900)
         late.start()
         listener = _Listener(late)
         self.stage.until(lambda: listener.last("e1"), 3, "it is told")
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -1,4 +1,4 @@
-"""Batches in guides on a stage: taken once, run, listed once in an order that stays, ended."""
+"""Batches in gateways on a stage: taken once, run, listed once in an order that stays, ended."""
 import unittest
 
 from pipitlink.beats import ms
@@ -13,7 +13,7 @@
         return stage, Callers(stage)
 
     def owner(self, stage, name):
-        return next((a for a in stage.role("guide", alive=True)
+        return next((a for a in stage.role("gateway", alive=True)
                      if (o := a.part.batches.get(name)) and o.holder.held()), None)
 
     def test_a_batch_is_taken_run_and_listed_whole(self):
@@ -23,22 +23,22 @@
         doc = stage.until(lambda: c.whole(name), 20, "all is listed")
         self.assertEqual({o["state"] for o in doc["outputs"]}, {"done"})
         stage.run(0.5)
-        for a in stage.role("guide"):
-            self.assertEqual(stage.do(c.read(name, 0, guide=a))[1]["outputs"], doc["outputs"])
-            self.assertEqual(stage.do(c.read(name, 5, guide=a))[1]["outputs"], doc["outputs"][5:])
-            self.assertEqual(stage.do(c.read(name, 8, guide=a))[1]["outputs"], [])
+        for a in stage.role("gateway"):
+            self.assertEqual(stage.do(c.read(name, 0, gateway=a))[1]["outputs"], doc["outputs"])
+            self.assertEqual(stage.do(c.read(name, 5, gateway=a))[1]["outputs"], doc["outputs"][5:])
+            self.assertEqual(stage.do(c.read(name, 8, gateway=a))[1]["outputs"], [])
         first = stage.runs[0]
         self.assertEqual((first["path"], first["headers"]), ("/bulk/x", [("A", "b")]))
-        stage.until(lambda: not any(a.part.batches for a in stage.role("guide")), 5, "its lease is given back")
+        stage.until(lambda: not any(a.part.batches for a in stage.role("gateway")), 5, "its lease is given back")
         self.assertEqual(c.wrong, [])
 
-    def test_the_same_batch_at_two_guides_at_once_is_taken_once(self):
+    def test_the_same_batch_at_two_gateways_at_once_is_taken_once(self):
         stage, c = self.stage()
         stage.breaks = 0
         for n in range(5):
             name = c.lot(4)
             some = [[], []]
-            for a, box in zip(stage.role("guide"), some):
+            for a, box in zip(stage.role("gateway"), some):
                 stage.beats().within(ms(5000), c.hand_in(name, a)).addBoth(box.append)
             stage.until(lambda: all(some), 10, "both answered")
             self.assertEqual(some, [[202], [202]])
@@ -51,22 +51,22 @@
         name = c.lot(3)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
         c.lot(4, name=name)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             self.assertEqual(stage.do(c.hand_in(name, a)), 409)
 
     def test_nothing_is_lost_where_all_depots_lose_power_right_after_the_answer(self):
         stage, c = self.stage(2)
         name = c.lot(6)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
-        for a in stage.role("depot") + stage.role("guide"):
+        for a in stage.role("depot") + stage.role("gateway"):
             a.kill(power=a.role == "depot")
-        for a in stage.role("depot") + stage.role("guide"):
+        for a in stage.role("depot") + stage.role("gateway"):
             a.start()
         stage.ready()
         stage.until(lambda: c.whole(name), 40, "all is listed")
         self.assertEqual(c.wrong, [])
 
-    def test_another_guide_goes_on_where_an_owner_was_killed(self):
+    def test_another_gateway_goes_on_where_an_owner_was_killed(self):
         stage, c = self.stage(3)
         name = c.lot(30)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
@@ -82,7 +82,7 @@
         name = c.lot(2)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
         asked = stage.clock.seconds()
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             status, doc = stage.do(c.read(name, 0, 5000, a))
             self.assertTrue(doc["outputs"])
         self.assertLess(stage.clock.seconds() - asked, 3)
@@ -95,16 +95,16 @@
         stage, c = self.stage(5)
         stage.step = ms(400)
         name = c.lot(40)
-        owner = stage.role("guide")[0]
+        owner = stage.role("gateway")[0]
         self.assertEqual(stage.do(c.hand_in(name, owner)), 202)
         stage.run(3.2)
-        for a in reversed(stage.role("guide")):
+        for a in reversed(stage.role("gateway")):
             self.assertEqual(stage.do(c.end(name, a)), 200)
         at = c.ended[name]
         stage.run(10)
         self.assertEqual([r for r in stage.runs if r["at"] > at + 0.1], [])
-        self.assertEqual(sum(a.part.busy for a in stage.role("guide")), 0)
-        docs = [stage.do(c.read(name, guide=a))[1] for a in stage.role("guide")]
+        self.assertEqual(sum(a.part.busy for a in stage.role("gateway")), 0)
+        docs = [stage.do(c.read(name, gateway=a))[1] for a in stage.role("gateway")]
         self.assertEqual(docs[0], docs[1])
         owner.kill()
         stage.run(8)
@@ -115,42 +115,42 @@
 
     def test_what_is_not_there_is_404_and_what_nobody_can_know_is_503(self):
         stage, c = self.stage(6)
-        guide = stage.role("guide")[1]
+        gateway = stage.role("gateway")[1]
         name = c.lot(3)
-        self.assertEqual(stage.do(c.read(name, guide=guide))[0], 404)
-        self.assertEqual(stage.do(c.end(name, guide)), 404)
-        self.assertEqual(stage.do(c.read("../x", guide=guide))[0], 404)
+        self.assertEqual(stage.do(c.read(name, gateway=gateway))[0], 404)
+        self.assertEqual(stage.do(c.end(name, gateway)), 404)
+        self.assertEqual(stage.do(c.read("../x", gateway=gateway))[0], 404)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
-        self.assertEqual(stage.do(c.body(name, 1, guide)), 200)
-        stage.cut([guide.name], [a.name for a in stage.role("depot")])
+        self.assertEqual(stage.do(c.body(name, 1, gateway)), 200)
+        stage.cut([gateway.name], [a.name for a in stage.role("depot")])
         other = c.lot(3)
-        self.assertEqual(stage.do(c.read(other, guide=guide))[0], 503)
-        self.assertEqual(stage.do(c.hand_in(other, guide)), 503)
+        self.assertEqual(stage.do(c.read(other, gateway=gateway))[0], 503)
+        self.assertEqual(stage.do(c.hand_in(other, gateway)), 503)
         stage.heal()
         stage.run(6)
         self.assertEqual([r for r in stage.runs if r["item"].startswith(other)], [])
-        self.assertEqual(stage.do(c.read(other, guide=guide))[0], 404)
+        self.assertEqual(stage.do(c.read(other, gateway=gateway))[0], 404)
 
     def test_bytes_that_one_depot_alone_has_are_not_told_as_nothing(self):
         stage, c = self.stage(7)
-        guide = stage.role("guide")[0]
+        gateway = stage.role("gateway")[0]
         name = c.lot(3)
-        shelf = guide.ctx.ledger.shelf(f"batch/{name}")
+        shelf = gateway.ctx.ledger.shelf(f"batch/{name}")
         depots = [a for a in stage.role("depot") if a.node in shelf.everyone]
 
         def trip(sender, verb):
-            if verb == "ledger.write" and sender is guide:
-                stage.cut([guide.name], [a.name for a in depots])
+            if verb == "ledger.write" and sender is gateway:
+                stage.cut([gateway.name], [a.name for a in depots])
 
         stage.watch_calls = trip
-        status = stage.do(c.hand_in(name, guide, 1.0), 10)
+        status = stage.do(c.hand_in(name, gateway, 1.0), 10)
         self.assertIn(status, (500, 504))
         lengths = [k.length for a in depots if (k := a.part.shed.logs.get(f"batch/{name}"))]
         self.assertEqual(sum(n > 0 for n in lengths), 1)
-        guide.kill()
+        gateway.kill()
         stage.watch_calls = None
         stage.heal()
-        told = [stage.do(c.read(name, guide=a))[0] for a in stage.role("guide", alive=True)]
+        told = [stage.do(c.read(name, gateway=a))[0] for a in stage.role("gateway", alive=True)]
         self.assertEqual(set(told), {503})
         stage.until(lambda: c.whole(name), 20, "it is taken up, and all is listed")
         self.assertEqual(c.wrong, [])
@@ -187,11 +187,11 @@
         self.assertTrue(any(r["after"] for r in stage.runs))
         self.assertEqual(c.wrong, [])
 
-    def test_a_guide_that_leaves_in_order_hands_its_batches_over_at_once(self):
+    def test_a_gateway_that_leaves_in_order_hands_its_batches_over_at_once(self):
         stage, c = self.stage(10)
         stage.step, stage.breaks = ms(150), 0
         name = c.lot(40)
-        owner = stage.role("guide")[2]
+        owner = stage.role("gateway")[2]
         self.assertEqual(stage.do(c.hand_in(name, owner)), 202)
         stage.run(2)
         other = c.lot(2)
@@ -210,11 +210,11 @@
         stage, c = self.stage(11)
         stage.step, stage.breaks = ms(600), 0
         name = c.lot(3)
-        owner, reader = stage.role("guide")[:2]
+        owner, reader = stage.role("gateway")[:2]
         self.assertEqual(stage.do(c.hand_in(name, owner)), 202)
         status, doc = stage.do(c.read(name, 0, 6000, reader))
         self.assertTrue(doc["outputs"])
         self.assertEqual(reader.ctx.cache.poller._seen, {})
-        stage.until(lambda: len(stage.do(c.read(name, guide=reader))[1]["outputs"]) == 3, 10, "all is listed")
+        stage.until(lambda: len(stage.do(c.read(name, gateway=reader))[1]["outputs"]) == 3, 10, "all is listed")
         self.assertEqual(reader.ctx.cache.poller._seen, {})
         self.assertEqual(c.wrong, [])
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -55,10 +55,10 @@
                  for i in c.items[name]]
         return Batch(id=name, host="h", path="/bulk/", route="bulk", taken_ms=1, items=items)
 
-    def count(self, guide):
-        """Bytes of chunks and of spans that this guide is given from now on."""
+    def count(self, gateway):
+        """Bytes of chunks and of spans that this gateway is given from now on."""
         got = []
-        call = guide.ctx.desk.call
+        call = gateway.ctx.desk.call
 
         async def counted(place, verb, ask, kind, limit):
             r = await call(place, verb, ask, kind, limit)
@@ -66,18 +66,18 @@
                 got.append(len(r.SerializeToString()))
             return r
 
-        guide.ctx.desk.call = counted
+        gateway.ctx.desk.call = counted
         return got
 
     def owner(self, stage, name):
-        return next(a for a in stage.role("guide") if name in a.part.batches)
+        return next(a for a in stage.role("gateway") if name in a.part.batches)
 
     def held(self, stage, name, *groups):
-        """A log that the first guide holds and does nothing with."""
-        guide = stage.role("guide")[0]
-        for a in stage.role("guide"):
+        """A log that the first gateway holds and does nothing with."""
+        gateway = stage.role("gateway")[0]
+        for a in stage.role("gateway"):
             a.part._taking_up_batches.add(name)
-        h = stage.do(guide.ctx.ledger.hold(batch_log(name)))
+        h = stage.do(gateway.ctx.ledger.hold(batch_log(name)))
         for records in groups:
             stage.do(h.append([r.SerializeToString() for r in records]))
         return h
@@ -87,13 +87,13 @@
             with self.subTest(seed=seed, pad=pad):
                 stage, c = self.stage(seed)
                 name = self.large(c, pad=pad, size=size)
-                self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
+                self.assertEqual(stage.do(c.hand_in(name, stage.role("gateway")[0])), 202)
                 stage.until(lambda: c.whole(name), 30, "all is listed")
-                for a in stage.role("guide")[1:]:
+                for a in stage.role("gateway")[1:]:
                     for b, r in list(a.part._batch_readers.items()):
                         a.part._drop_batch_reader(b, r)
                     got = self.count(a)
-                    status, doc = stage.do(c.read(name, guide=a))
+                    status, doc = stage.do(c.read(name, gateway=a))
                     self.assertEqual((status, len(doc["outputs"])), (200, 40))
                     self.assertTrue(got)
                     self.assertLess(sum(got) * 10, 40 * size)
@@ -104,15 +104,15 @@
         name = self.large(c)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
         stage.until(lambda: c.whole(name), 30, "all is listed")
-        stage.until(lambda: not any(a.part.batches for a in stage.role("guide")), 5, "its lease is given back")
-        for a in stage.role("guide"):
+        stage.until(lambda: not any(a.part.batches for a in stage.role("gateway")), 5, "its lease is given back")
+        for a in stage.role("gateway"):
             a.kill()
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.start()
-        stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("guide")), 10, "ready")
-        a = stage.role("guide")[1]
+        stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("gateway")), 10, "ready")
+        a = stage.role("gateway")[1]
         got = self.count(a)
-        status, doc = stage.until(lambda: (r := stage.do(c.read(name, guide=a)))[0] == 200 and r, 10, "it is read")
+        status, doc = stage.until(lambda: (r := stage.do(c.read(name, gateway=a)))[0] == 200 and r, 10, "it is read")
         self.assertEqual(len(doc["outputs"]), 40)
         self.assertLess(sum(got) * 10, 40 * BODY)
         self.assertEqual(stage.do(c.body(name, 7, a)), 200)
@@ -124,9 +124,9 @@
         stage.step = ms(150)
         name = self.large(c)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
-        others = [a for a in stage.role("guide") if a is not self.owner(stage, name)]
+        others = [a for a in stage.role("gateway") if a is not self.owner(stage, name)]
         self.assertEqual(stage.do(c.body(name, 3, others[0])), 200)
-        self.assertEqual(stage.do(c.read(name, guide=others[1]))[0], 200)
+        self.assertEqual(stage.do(c.read(name, gateway=others[1]))[0], 200)
         got = self.count(others[1])
         some = []
         for n in (0, 5, 39):
@@ -135,7 +135,7 @@
         self.assertEqual(some, [200] * 3)
         self.assertLess(sum(got), 3 * 40 * BODY)
         stage.until(lambda: c.whole(name), 60, "all is listed")
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             self.assertEqual([stage.do(c.body(name, n, a)) for n in (0, 20, 39)], [200] * 3)
             status, _, _ = stage.do(c.ask(lambda p: p.read_item(name, "nothing"), a))
             self.assertEqual(status, 404)
@@ -144,17 +144,17 @@
     def test_a_batch_handed_in_twice_is_compared_by_its_bodies(self):
         stage, c = self.stage(6)
         name = self.large(c)
-        self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
-        for a in stage.role("guide"):
-            self.assertEqual(stage.do(c.read(name, guide=a))[0], 200)
+        self.assertEqual(stage.do(c.hand_in(name, stage.role("gateway")[0])), 202)
+        for a in stage.role("gateway"):
+            self.assertEqual(stage.do(c.read(name, gateway=a))[0], 200)
             self.assertEqual(stage.do(c.hand_in(name, a)), 202)
         kept = c.items[name][39]["body"]
         c.items[name][39]["body"] = base64.b64encode(b"\0" * BODY).decode()
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             self.assertEqual(stage.do(c.hand_in(name, a)), 409)
         c.items[name][39]["body"] = kept
         stage.until(lambda: c.whole(name), 30, "all is listed")
-        self.assertEqual([stage.do(c.hand_in(name, a)) for a in stage.role("guide")], [202] * 3)
+        self.assertEqual([stage.do(c.hand_in(name, a)) for a in stage.role("gateway")], [202] * 3)
 
     def test_a_reader_that_started_before_it_was_durable_reads_it_all(self):
         for seed in (7, 8):
@@ -166,10 +166,10 @@
                     said.append((await c.read(name, 0, 200, a))[0])
                     await stage.beats().pause(ms(3))
 
-            for a in stage.role("guide")[1:]:
+            for a in stage.role("gateway")[1:]:
                 spawn(read_on(a))
             stage.run(0.1)
-            self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
+            self.assertEqual(stage.do(c.hand_in(name, stage.role("gateway")[0])), 202)
             stage.until(lambda: c.whole(name), 30, "all is listed")
             stop.append(1)
             self.assertLessEqual({404, 200}, set(said))
@@ -183,16 +183,16 @@
         name = self.large(c)
         batch = self.batch(c, name)
         h = self.held(stage, name, [LogRecord(head=head_of(batch))])
-        for a in stage.role("guide"):
-            self.assertEqual(stage.do(c.read(name, guide=a))[0], 503)
+        for a in stage.role("gateway"):
+            self.assertEqual(stage.do(c.read(name, gateway=a))[0], 503)
             self.assertEqual(stage.do(c.body(name, 0, a)), 503)
         stage.do(h.append([LogRecord(batch=batch).SerializeToString()]))
-        for a in stage.role("guide"):
-            self.assertEqual(stage.do(c.read(name, guide=a))[0], 200)
+        for a in stage.role("gateway"):
+            self.assertEqual(stage.do(c.read(name, gateway=a))[0], 200)
             self.assertEqual(stage.do(c.body(name, 39, a)), 200)
         stage.do(h.append([LogRecord(output=Output(item=2, state="abandoned")).SerializeToString()]))
-        for a in stage.role("guide"):
-            doc = stage.do(c.read(name, guide=a))[1]
+        for a in stage.role("gateway"):
+            doc = stage.do(c.read(name, gateway=a))[1]
             self.assertEqual((doc["total"], [o["id"] for o in doc["outputs"]]), (40, [c.items[name][2]["id"]]))
 
     def test_a_head_that_was_left_alone_gives_way_to_the_batch_that_is_taken(self):
@@ -201,15 +201,15 @@
                 stage, c = self.stage(10)
                 name = self.large(c, 3)
                 h = self.held(stage, name, [LogRecord(head=head_of(self.batch(c, name)))])
-                stage.do(stage.role("guide")[0].ctx.ledger.release([h]))
+                stage.do(stage.role("gateway")[0].ctx.ledger.release([h]))
                 self.large(c, items, name=name, pad=5, size=BODY if items > 2 else 10)
-                for a in stage.role("guide"):
+                for a in stage.role("gateway"):
                     a.part._taking_up_batches.discard(name)
                 stage.until(lambda: stage.do(c.hand_in(name)) == 202, 20, "it is taken")
                 stage.until(lambda: c.whole(name), 30, "all is listed")
                 stage.run(0.5)
-                for a in stage.role("guide"):
-                    self.assertEqual(len(stage.do(c.read(name, guide=a))[1]["outputs"]), items)
+                for a in stage.role("gateway"):
+                    self.assertEqual(len(stage.do(c.read(name, gateway=a))[1]["outputs"]), items)
                     self.assertEqual(stage.do(c.body(name, 1, a)), 200)
                 self.assertEqual(c.wrong, [])
 
@@ -217,9 +217,9 @@
         stage, c = self.stage(13)
         name = self.large(c, 3)
         h = self.held(stage, name, [LogRecord(head=head_of(self.batch(c, name)))])
-        stage.do(stage.role("guide")[0].ctx.ledger.release([h]))
+        stage.do(stage.role("gateway")[0].ctx.ledger.release([h]))
         with mock.patch.object(type(h), "append", side_effect=NoRoom("full")) as append:
-            said = [stage.do(c.hand_in(name, a)) for a in stage.role("guide") * 3]
+            said = [stage.do(c.hand_in(name, a)) for a in stage.role("gateway") * 3]
             self.assertTrue(append.called)
             self.assertEqual(set(said), {503})
         stage.until(lambda: stage.do(c.hand_in(name)) == 202, 20, "it is taken")
@@ -232,19 +232,19 @@
         self.held(stage, name, [LogRecord(batch=self.batch(c, name))],
                   [LogRecord(output=Output(item=4, state="abandoned")), LogRecord(ended=Ended(why="ended"))])
         c.ended[name] = 0
-        for a in stage.role("guide"):
-            status, doc = stage.do(c.read(name, guide=a))
+        for a in stage.role("gateway"):
+            status, doc = stage.do(c.read(name, gateway=a))
             self.assertEqual((status, [o["id"] for o in doc["outputs"]]), (200, [c.items[name][4]["id"]]))
             self.assertEqual(stage.do(c.body(name, 0, a)), 200)
         self.assertEqual(c.wrong, [])
 
     def test_a_batch_that_nobody_told_of_is_counted_without_its_bodies(self):
         stage, c = self.stage(12, routes=[route(max_waiting_tokens=1000)])
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.part.places = 0
         name = self.large(c)
-        self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[0])), 202)
-        a = stage.role("guide")[1]
+        self.assertEqual(stage.do(c.hand_in(name, stage.role("gateway")[0])), 202)
+        a = stage.role("gateway")[1]
         got = self.count(a)
         a.part._quota_told.pop(name, None)
         a.part._quota_unknown[name] = a.ctx.beats.now()
--- a/tests/test_batches_quota.py
+++ b/tests/test_batches_quota.py
@@ -1,4 +1,4 @@
-"""A route's waiting tokens over all guides: never above its cap, and no room left unused."""
+"""A route's waiting tokens over all gateways: never above its cap, and no room left unused."""
 import json
 import unittest
 
@@ -23,17 +23,17 @@
                    if i["id"] not in ended and name not in c.ended)
 
     def steward(self, stage):
-        part = stage.role("guide", alive=True)[0].part
+        part = stage.role("gateway", alive=True)[0].part
         node = part._quota_steward("bulk")
-        return next(a for a in stage.role("guide") if a.node == node)
+        return next(a for a in stage.role("gateway") if a.node == node)
 
-    def test_the_cap_holds_and_is_used_up_while_guides_race(self):
+    def test_the_cap_holds_and_is_used_up_while_gateways_race(self):
         stage, c = self.stage()
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.part.places = 0
         said = []
         for n in range(18):
-            spawn(c.hand_in(c.lot(5), stage.role("guide")[n % 3])).addBoth(said.append)
+            spawn(c.hand_in(c.lot(5), stage.role("gateway")[n % 3])).addBoth(said.append)
         stage.until(lambda: len(said) == 18, 15, "all are answered")
         self.assertEqual(sorted(said), [202] * 6 + [429] * 12)
         self.assertEqual(self.waiting(stage, c), CAP)
@@ -52,10 +52,10 @@
 
     def test_an_ended_batch_waits_no_more(self):
         stage, c = self.stage(3)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.part.places = 0
         name = c.lot(30)
-        self.assertEqual(stage.do(c.hand_in(name, stage.role("guide")[1])), 202)
+        self.assertEqual(stage.do(c.hand_in(name, stage.role("gateway")[1])), 202)
         self.assertEqual(stage.do(c.hand_in(c.lot(1))), 429)
         self.assertEqual(stage.do(c.end(name)), 200)
         stage.run(0.6)
@@ -65,29 +65,29 @@
         stage, c = self.stage(4)
         name = c.lot(31)
         raw = json.dumps({"items": c.items[name]}).encode()
-        part = stage.role("guide")[0].part
+        part = stage.role("gateway")[0].part
         status, headers, _ = stage.do(part.take_batch(stage.routes["bulk"], "h", "/bulk/", name, raw,
                                                       part._ctx.beats.now() + ms(3000)))
         self.assertEqual((status, headers["Retry-After"]), (429, "1"))
 
     def test_a_batch_taken_again_is_counted_once(self):
         stage, c = self.stage(5)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.part.places = 0
         name, other = c.lot(20), c.lot(10)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             self.assertEqual(stage.do(c.hand_in(name, a)), 202)
         self.assertEqual(stage.do(c.hand_in(other)), 202)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             self.assertEqual(stage.do(c.hand_in(name, a)), 202)
         self.assertEqual(stage.do(c.hand_in(c.lot(1))), 429)
 
     def test_a_new_steward_knows_what_waits_and_what_is_free(self):
         for seed in (6, 7):
             stage, c = self.stage(seed)
-            for a in stage.role("guide"):
+            for a in stage.role("gateway"):
                 a.part.places = 0
-            for a in stage.role("guide"):
+            for a in stage.role("gateway"):
                 self.assertEqual(stage.do(c.hand_in(c.lot(5), a)), 202)
             self.steward(stage).kill()
             self.assertEqual(self.until_sure(stage, c, 16), 429)
@@ -96,7 +96,7 @@
 
     def test_what_the_old_steward_granted_last_is_counted_by_the_new_one(self):
         stage, c = self.stage(8)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.part.places = 0
         steward = self.steward(stage)
         self.assertEqual(stage.do(c.hand_in(c.lot(25), steward)), 202)
@@ -104,14 +104,14 @@
         self.assertEqual(self.until_sure(stage, c, 6), 429)
         self.assertEqual(self.until_sure(stage, c, 5), 202)
 
-    def test_after_a_start_of_all_guides_what_is_open_is_counted_first(self):
+    def test_after_a_start_of_all_gateways_what_is_open_is_counted_first(self):
         stage, c = self.stage(9)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.part.places = 0
         self.assertEqual(stage.do(c.hand_in(c.lot(25))), 202)
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.kill()
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             a.start()
             a.part.places = 0
         stage.ready()
@@ -130,9 +130,9 @@
         stage.until(sure, 12, f"a sure answer: {said}")
         return said[-1]
 
-    def test_the_cap_holds_while_guides_are_killed_and_items_finish(self):
+    def test_the_cap_holds_while_gateways_are_killed_and_items_finish(self):
         for seed in (10, 11, 12):
-            stage, c = self.stage(seed, guides=4)
+            stage, c = self.stage(seed, gateways=4)
             stage.step = ms(60)
             taken, over = 0, []
 
@@ -150,7 +150,7 @@
                 spawn(callers())
             for _ in range(4):
                 stage.run(4)
-                a = stage.chance.choice(stage.role("guide", alive=True))
+                a = stage.chance.choice(stage.role("gateway", alive=True))
                 a.kill()
                 stage.run(3)
                 a.start()
@@ -162,16 +162,16 @@
                 stage.until(lambda: c.whole(name), 60, f"{name} is whole")
             self.assertEqual(c.wrong, [])
 
-    def test_a_depot_that_is_away_holds_up_no_count_after_guides_change(self):
+    def test_a_depot_that_is_away_holds_up_no_count_after_gateways_change(self):
         for seed in (20, 21, 22):
-            stage, c = self.stage(seed, guides=4)
+            stage, c = self.stage(seed, gateways=4)
             depot = stage.role("depot")[0]
-            stage.cut([depot.name], [a.name for a in stage.role("guide")])
+            stage.cut([depot.name], [a.name for a in stage.role("gateway")])
             stage.run(3)
-            gone = next(a for a in stage.role("guide") if a is not self.steward(stage))
+            gone = next(a for a in stage.role("gateway") if a is not self.steward(stage))
             gone.kill()
             steward = self.steward(stage)
-            stage.until(lambda: steward.ctx.roster.standing(gone.node) != "alive", 5, "the steward misses the guide")
+            stage.until(lambda: steward.ctx.roster.standing(gone.node) != "alive", 5, "the steward misses the gateway")
             at = stage.clock.seconds()
             self.assertEqual(stage.do(c.hand_in(c.lot(3), steward)), 202)
             self.assertLess(stage.clock.seconds() - at, 0.9, f"seed {seed}")
--- a/tests/test_batches_taken_up.py
+++ b/tests/test_batches_taken_up.py
@@ -1,4 +1,4 @@
-"""How soon a batch whose owner is gone is run on by another guide."""
+"""How soon a batch whose owner is gone is run on by another gateway."""
 import unittest
 
 from .batch_parts import Callers, staged
@@ -12,7 +12,7 @@
         return stage, Callers(stage)
 
     def owner(self, stage, name):
-        return next((a for a in stage.role("guide", alive=True)
+        return next((a for a in stage.role("gateway", alive=True)
                      if (o := a.part.batches.get(name)) and o.holder.held()), None)
 
     def test_a_killed_owner_is_followed_as_soon_as_the_roster_has_it_for_gone(self):
@@ -26,9 +26,9 @@
                 first = self.owner(stage, name)
                 first.kill()
                 at = stage.clock.seconds()
-                other = next(a for a in stage.role("guide", alive=True))
+                other = next(a for a in stage.role("gateway", alive=True))
                 stage.until(lambda: other.ctx.roster.standing(first.node) == "gone", 4, "the roster has it for gone")
-                stage.until(lambda: self.owner(stage, name), 1.7, "another guide owns it")
+                stage.until(lambda: self.owner(stage, name), 1.7, "another gateway owns it")
                 self.assertLess(stage.clock.seconds() - at, 4.2)
                 stage.until(lambda: c.whole(name), 30, "all is listed")
                 self.assertEqual(c.wrong, [])
@@ -46,8 +46,8 @@
                 stage.run(0.5)
                 for a in stage.actors.values():
                     a.start()
-                stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("guide", alive=True)), 10, "ready")
-                stage.until(lambda: self.owner(stage, name), 2.6, "a guide owns it")
+                stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("gateway", alive=True)), 10, "ready")
+                stage.until(lambda: self.owner(stage, name), 2.6, "a gateway owns it")
                 stage.until(lambda: c.whole(name), 30, "all is listed")
                 self.assertEqual(c.wrong, [])
 
--- a/tests/test_batches_trouble.py
+++ b/tests/test_batches_trouble.py
@@ -11,7 +11,7 @@
 
 class BatchesUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, **words):
-        stage = staged(seed, guides=4)
+        stage = staged(seed, gateways=4)
         self.addCleanup(stage.end)
         c = Callers(stage)
         trouble = Trouble(stage, **words)
@@ -26,9 +26,9 @@
                     raise AssertionError(f"{e}\n{self.known(stage, name)}") from None
         for name in c.ended:
             stage.until(lambda: stage.do(c.end(name), 12) in (200, 404), 30, f"{name} is ended")
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             for name in c.taken:
-                status, doc = stage.do(c.read(name, guide=a))
+                status, doc = stage.do(c.read(name, gateway=a))
                 self.assertEqual(status, 200, f"seed {seed} {name} at {a.name}")
                 missed = [n for n in c.seen[name] if n >= len(doc["outputs"])]
                 self.assertEqual(missed, [], f"seed {seed}: {name} at {a.name} no longer shows what was read")
@@ -44,7 +44,7 @@
     def known(self, stage, name):
         out = [(a.name, a.node, (o := a.part.batches.get(name)) and (
             o.holder.epoch, o.holder.lost, o.holder.final, o.holder.committed, len(o.holder.data), o.holder.held(),
-            sorted(o.done), o.waiting, list(o.running), o.flushing, len(o.queue))) for a in stage.role("guide")]
+            sorted(o.done), o.waiting, list(o.running), o.flushing, len(o.queue))) for a in stage.role("gateway")]
         return "\n".join(map(str, out)) + "\n" + "\n".join(x for x in stage.sink.lines if name in x)[-4000:]
 
     def test_batches_hold_under_trouble(self):
@@ -52,6 +52,6 @@
         self.assertGreater(sum(taken for taken, *_ in done), 5 * len(done))
         self.assertGreater(sum(whole for _, whole, *_ in done), 3 * len(done))
 
-    def test_batches_hold_while_guides_come_and_go(self):
+    def test_batches_hold_while_gateways_come_and_go(self):
         for s in SEEDS:
-            self.run_seed(100 + s, roles=("guide",))
+            self.run_seed(100 + s, roles=("gateway",))
