--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -17,30 +17,30 @@
 from rehearsal.hollow_work import Work
 from rehearsal.slopes import fit
 from rehearsal.stage import Actor, Stage, _Desk, _Watch
-from rehearsal.staged import StagedEngine, StagedGuide
+from rehearsal.staged import StagedEngine, StagedGateway
 
 SPAN = 12
 
 
 class HollowActor(Actor):
-    """A guide on the stage whose parts are wired by the capacity command."""
+    """A gateway on the stage whose parts are wired by the capacity command."""
 
     def start(self):
         stage = self.stage
         self.lives, self.alive, self.node = 1, True, f"{self.name}x{stage.fresh()}"
         self.clock = _Watch(stage.clock)
-        self.ctx = ctx = Context("guide", self.node, Props(zone=self.zone, seeds=stage.seeds, shelves=stage.shelves),
+        self.ctx = ctx = Context("gateway", self.node, Props(zone=self.zone, seeds=stage.seeds, shelves=stage.shelves),
                                  self.clock, stage.beats(self.clock), Journal(stage.sink, node=self.node), None,
                                  Random(stage.chance.random()))
         ctx.desk = _Desk(stage, self)
-        self.part = open_parts(ctx, "hollow", Member(node=self.node, incarnation=1, role="guide", zone=self.zone,
+        self.part = open_parts(ctx, "hollow", Member(node=self.node, incarnation=1, role="gateway", zone=self.zone,
                                                      host=self.place[0], port=self.place[1]), Disk())
         ctx.setup.open()
 
 
 class HollowStage(Stage):
     def add(self, role, name, zone, port):
-        kind = HollowActor if role == "guide" else Actor
+        kind = HollowActor if role == "gateway" else Actor
         self.actors[name] = kind(self, role, name, zone, port)
         return self.actors[name]
 
@@ -60,21 +60,21 @@
 
 
 class Hollow(unittest.TestCase):
-    def run_real(self, guides, engines):
-        stage = Stage(3, controllers=3, depots=3, guides=guides, shelves=2)
+    def run_real(self, gateways, engines):
+        stage = Stage(3, controllers=3, depots=3, gateways=gateways, shelves=2)
         self.addCleanup(stage.end)
-        stage.with_engines(StagedGuide, StagedEngine, engines)
+        stage.with_engines(StagedGateway, StagedEngine, engines)
         return counted(stage, engines)
 
-    def run_hollow(self, guides, engines):
-        stage = HollowStage(3, controllers=3, depots=3, guides=guides, shelves=2)
+    def run_hollow(self, gateways, engines):
+        stage = HollowStage(3, controllers=3, depots=3, gateways=gateways, shelves=2)
         self.addCleanup(stage.end)
-        host = type("Host", (), {"nodes": stage.role("guide")})
+        host = type("Host", (), {"nodes": stage.role("gateway")})
         return counted(stage, engines, Work(host))
 
-    def test_a_hollow_guide_sends_what_a_real_one_does(self):
+    def test_a_hollow_gateway_sends_what_a_real_one_does(self):
         real, hollow = self.run_real(6, 4), self.run_hollow(6, 4)
-        for role in ("guide", "depot", "controller"):
+        for role in ("gateway", "depot", "controller"):
             a, b = (sum(v for (r, _), v in c.items() if r == role) for c in (real, hollow))
             self.assertAlmostEqual(b / a, 1, delta=0.1, msg=role)
         for key, rate in real.items():
@@ -86,36 +86,36 @@
 class Bounds(unittest.TestCase):
     """Calls that one node starts in a second, with no callers. All but loads and announcements are the same at any size."""
 
-    def count(self, guides, engines=0):
-        stage = HollowStage(5, controllers=3, depots=3, guides=guides, shelves=2)
+    def count(self, gateways, engines=0):
+        stage = HollowStage(5, controllers=3, depots=3, gateways=gateways, shelves=2)
         self.addCleanup(stage.end)
-        host = type("Host", (), {"nodes": stage.role("guide")})
+        host = type("Host", (), {"nodes": stage.role("gateway")})
         return counted(stage, engines, Work(host))
 
     def test_calls_a_node_at_growing_sizes(self):
-        for guides in (3, 6, 12, 20):
-            with self.subTest(guides=guides):
-                c = self.count(guides)
-                bounds = {"roster.probe": 5.1, "controller.follow": 4.1, "ledger.list": 3.1, "engines.loads": 5.1 * (guides - 1)}
+        for gateways in (3, 6, 12, 20):
+            with self.subTest(gateways=gateways):
+                c = self.count(gateways)
+                bounds = {"roster.probe": 5.1, "controller.follow": 4.1, "ledger.list": 3.1, "engines.loads": 5.1 * (gateways - 1)}
                 for verb, most in bounds.items():
-                    self.assertLessEqual(c["guide", verb], most, verb)
-                rest = sum(v for (role, verb), v in c.items() if role == "guide" and verb not in bounds)
-                self.assertLessEqual(rest, 0.5, {k: v for k, v in c.items() if k[0] == "guide"})
+                    self.assertLessEqual(c["gateway", verb], most, verb)
+                rest = sum(v for (role, verb), v in c.items() if role == "gateway" and verb not in bounds)
+                self.assertLessEqual(rest, 0.5, {k: v for k, v in c.items() if k[0] == "gateway"})
                 for role, most in (("depot", 11), ("controller", 12)):
                     self.assertLessEqual(sum(v for (r, _), v in c.items() if r == role), most, role)
 
-    def test_calls_for_each_announcement_go_to_each_guide_once(self):
-        guides = 6
-        few, more = self.count(guides, 4), self.count(guides, 24)
+    def test_calls_for_each_announcement_go_to_each_gateway_once(self):
+        gateways = 6
+        few, more = self.count(gateways, 4), self.count(gateways, 24)
         for c, engines in ((few, 4), (more, 24)):
-            self.assertLessEqual(c["guide", "engines.tell"], 1.05 * engines * (guides - 1) / guides)
+            self.assertLessEqual(c["gateway", "engines.tell"], 1.05 * engines * (gateways - 1) / gateways)
         for verb in ("roster.probe", "controller.follow", "engines.loads", "ledger.list"):
-            self.assertAlmostEqual(few["guide", verb], more["guide", verb], delta=0.1 * few["guide", verb], msg=verb)
+            self.assertAlmostEqual(few["gateway", verb], more["gateway", verb], delta=0.1 * few["gateway", verb], msg=verb)
 
     def test_a_held_follow_call_is_not_woken_by_the_others(self):
         """What a leader does for one follow call does not grow with the number of its followers."""
-        for guides in (4, 12, 20):
-            stage = HollowStage(6, controllers=3, depots=3, guides=guides, shelves=2)
+        for gateways in (4, 12, 20):
+            stage = HollowStage(6, controllers=3, depots=3, gateways=gateways, shelves=2)
             self.addCleanup(stage.end)
             stage.start()
             stage.ready()
@@ -127,11 +127,11 @@
             stage.watch_calls = lambda sender, verb: verb == "controller.follow" and asked.append(verb)
             stage.run(SPAN)
             heartbeats = 2 * SPAN * 10
-            self.assertLessEqual(len(waits), 1.05 * len(asked) + heartbeats, guides)
-            self.assertLessEqual(len(leader.part._news), guides + 3, guides)
+            self.assertLessEqual(len(waits), 1.05 * len(asked) + heartbeats, gateways)
+            self.assertLessEqual(len(leader.part._news), gateways + 3, gateways)
 
-    def test_an_edit_is_still_seen_as_soon_as_the_last_guide_confirms(self):
-        stage = HollowStage(7, controllers=3, depots=3, guides=12, shelves=2)
+    def test_an_edit_is_still_seen_as_soon_as_the_last_gateway_confirms(self):
+        stage = HollowStage(7, controllers=3, depots=3, gateways=12, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -141,7 +141,7 @@
         edit = TableEdit(base=leader.sheet.table, puts=[Row(name="m", model="m", weight=1)])
         stage.do(leader.edit(Command(edit="e", table=edit)))
         self.assertLess(stage.clock.seconds() - began, 0.1)
-        self.assertEqual({a.ctx.setup.sequence for a in stage.role("guide")}, {leader.sheet.sequence})
+        self.assertEqual({a.ctx.setup.sequence for a in stage.role("gateway")}, {leader.sheet.sequence})
 
 
 class Counting(unittest.TestCase):
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -11,7 +11,7 @@
 
 def good():
     told = {"at": 12, "event": "told", "kind": "live", "prompt": PROMPT, "repeatable": False, "pieces": list(PIECES),
-            "end": True, "fault": None, "asked": 10.5, "status": 200, "guide": "g", "model": "pipit-small"}
+            "end": True, "fault": None, "asked": 10.5, "status": 200, "gateway": "g", "model": "pipit-small"}
     lot = {"at": 13, "event": "lot", "name": "l", "lot": "x.1.0", "prompts": ["l/0", "l/1"], "repeatable": False,
            "fault": None, "asked": 12.9, "status": 201}
     listed = [{"n": i, "item": i, "outcome": "done", "text": "".join(answer_pieces(f"l/{i}", 256))} for i in (0, 1)]
@@ -19,7 +19,7 @@
             "value": {"model": "m"}, "outcome": None, "asked": 21.9}
     events = [told, lot,
               {"at": 20, "event": "results", "lot": "x.1.0", "status": 200, "asked": 19.9, "start": 0, "results": listed,
-               "guide": "g", "took": 0.1},
+               "gateway": "g", "took": 0.1},
               {"at": 21, "event": "fetched", "path": "c", "status": 200, "size": 1, "body": card_bytes("c"),
                "asked": 20.9},
               edit, {**edit, "at": 23, "status": 412, "sequence": None, "edit": "b", "value": {"model": "other"},
@@ -47,10 +47,10 @@
         self.assertEqual(self.caught(lambda events, notes: None), [])
 
     def test_what_was_hurt_excuses_only_itself(self):
-        def unread(guide, bearable):
+        def unread(gateway, bearable):
             def plant(ev, no):
                 ev.append({**ev[2], "status": 503, "results": None, "at": 26, "asked": 25, "fault": {"code": "x"}})
-                ev.append({"at": 24.5, "event": "hurt", "id": 1, "nodes": [guide], "bearable": bearable})
+                ev.append({"at": 24.5, "event": "hurt", "id": 1, "nodes": [gateway], "bearable": bearable})
                 ev.append({"at": 25.5, "event": "healed", "id": 1, "settle": 1})
             return plant
 
--- a/tests/test_config_trouble.py
+++ b/tests/test_config_trouble.py
@@ -70,7 +70,7 @@
     def watch(self):
         now = self.stage.clock.seconds()
         old = max((v for at, v in self.acked if now - at > IN_EFFECT), default=0)
-        for a in self.stage.role("guide", alive=True):
+        for a in self.stage.role("gateway", alive=True):
             held = a.ctx.setup.sheet.routes.version
             if a.ctx.setup.ready() and held < old:
                 self.faults.append(f"{a.name} admits at version {held}, {old} is in effect")
@@ -78,7 +78,7 @@
 
 class ConfigUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, controllers=4, depots=4, guides=3, shelves=2)
+        stage = Stage(seed, controllers=4, depots=4, gateways=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -108,11 +108,11 @@
         done = {o.sequence for o in stage.leader().part.sheet.outcomes.values() if o.code == "done"}
         self.assertLessEqual({v for _, v in ops.acked}, done, what)
         self.assertFalse(ops.refused & done, what)
-        self.assertEqual({a.ctx.setup.sheet.routes.version for a in stage.role("guide")}, {last["version"]}, what)
+        self.assertEqual({a.ctx.setup.sheet.routes.version for a in stage.role("gateway")}, {last["version"]}, what)
         return len(ops.acked)
 
     def test_configurations_hold_while_controllers_fail(self):
         self.assertGreater(sum(self.run_seed(s, ("controller",)) for s in SEEDS), 5 * len(SEEDS))
 
     def test_configurations_hold_while_everything_fails(self):
-        self.assertGreater(sum(self.run_seed(s, ("controller", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
+        self.assertGreater(sum(self.run_seed(s, ("controller", "gateway", "depot", "gateway")) for s in SEEDS), 5 * len(SEEDS))
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -1,4 +1,4 @@
-"""Every order of a guide's questions, an edit, a change of leader and time itself, against the admission rule."""
+"""Every order of a gateway's questions, an edit, a change of leader and time itself, against the admission rule."""
 import itertools
 import unittest
 import unittest.mock
@@ -7,7 +7,7 @@
 from pipitlink.beats import Beats, spawn
 from pipitlink.faults import NotLeading
 from pipitlink.journal import Journal
-from pipitlink.controller.guides import Guides
+from pipitlink.controller.gateways import Gateways
 from pipitlink.setup.follower import Setup
 from pipitlink.setup.sheet import Sheet
 from pipitlink.wire.controller_pb2 import ControllerEntry
@@ -30,7 +30,7 @@
         pass
 
 
-class _Leader(Guides):
+class _Leader(Gateways):
     def __init__(self, ctx, elected_at, fresh_until):
         self._ctx, self._elected_at, self._fresh_until = ctx, elected_at, fresh_until
         self.state, self.leader = "leader", "controller"
@@ -51,7 +51,7 @@
 
 
 class _Play:
-    """One order of steps on the real admission and delivery code; `cut` takes the guide off the first leader's voters."""
+    """One order of steps on the real admission and delivery code; `cut` takes the gateway off the first leader's voters."""
 
     def __init__(self, change_leader: bool):
         self.ctx = _Ctx()
@@ -60,8 +60,8 @@
         self.first = _Leader(self.ctx, now - timedelta(seconds=9), now + timedelta(seconds=0.5)
                              if change_leader else forever)
         self.leaders = [self.first]
-        self.guide = Setup(self.ctx)
-        self.guide.sheet = Sheet(BASE)
+        self.gateway = Setup(self.ctx)
+        self.gateway.sheet = Sheet(BASE)
         self.change_leader = change_leader
         self.asked = self.ask = self.receipt = None
         self.acked = False
@@ -71,7 +71,7 @@
 
     def send(self):
         self.asked = self.ctx.beats.now()
-        self.ask = FollowAsk(node="g", role="guide", sequence=self.guide.sequence, at_once=True)
+        self.ask = FollowAsk(node="g", role="gateway", sequence=self.gateway.sequence, at_once=True)
 
     def answer(self):
         box = []
@@ -82,8 +82,8 @@
         self.receipt = box[0] if box else None
 
     def absorb(self):
-        if self.receipt is not None and self.guide._absorb(self.receipt) and self.receipt.leased:
-            self.guide._leased_at = self.asked
+        if self.receipt is not None and self.gateway._absorb(self.receipt) and self.receipt.leased:
+            self.gateway._leased_at = self.asked
 
     def elect(self):
         """Voters refuse another leader for 600 ms after they heard theirs."""
@@ -100,7 +100,7 @@
             self.acked = True
 
     def broken(self) -> bool:
-        return self.acked and self.guide.ready() and self.guide.sequence < 2
+        return self.acked and self.gateway.ready() and self.gateway.sequence < 2
 
 
 def orders(*lines):
@@ -124,18 +124,18 @@
                 getattr(p, step)()
                 self.assertFalse(p.broken(), order)
             acked += p.acked
-            admitted += p.guide.ready()
+            admitted += p.gateway.ready()
         return seen, acked, admitted
 
     def test_no_order_admits_work_without_an_acknowledged_edit(self):
-        guide = ("send", "answer", "absorb", "send", "answer", "absorb")
-        seen, acked, admitted = self.play(False, (guide, ("commit", "acknowledge"), ("tick",) * 3))
+        gateway = ("send", "answer", "absorb", "send", "answer", "absorb")
+        seen, acked, admitted = self.play(False, (gateway, ("commit", "acknowledge"), ("tick",) * 3))
         self.assertEqual(seen, 4620)
         self.assertGreater(min(acked, admitted), 500)
 
     def test_nor_with_a_change_of_leader_in_between(self):
-        guide = ("send", "answer", "absorb")
-        seen, acked, _ = self.play(True, (guide, ("elect", "commit", "acknowledge"), ("tick",) * 5))
+        gateway = ("send", "answer", "absorb")
+        seen, acked, _ = self.play(True, (gateway, ("elect", "commit", "acknowledge"), ("tick",) * 5))
         self.assertEqual(seen, 9240)
         self.assertGreater(acked, 20)
 
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -6,11 +6,11 @@
 
 from pipitlink.beats import secs, spawn
 from pipitlink.faults import NotHeld
-from pipitlink.guide.asks import AskTable
-from pipitlink.guide.picking import Admitting
-from pipitlink.guide.relaying import Relaying
+from pipitlink.gateway.asks import AskTable
+from pipitlink.gateway.picking import Admitting
+from pipitlink.gateway.relaying import Relaying
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
-from tests.parts import Guide
+from tests.parts import Gateway
 
 
 class _Wire(StringTransport):
@@ -18,7 +18,7 @@
         self.disconnected = True
 
 
-class _Relayer(Guide, Admitting, Relaying, AskTable):
+class _Relayer(Gateway, Admitting, Relaying, AskTable):
     def __init__(self):
         self.reactor = MemoryReactorClock()
         super().__init__(clock=self.reactor)
@@ -117,7 +117,7 @@
         self.assertEqual(ask.outcome, "unknown")
 
     def test_an_engine_that_falls_silent_is_given_up_and_may_have_run(self):
-        """Sooner where it does not announce itself either; a guide that slept reads first what came meanwhile."""
+        """Sooner where it does not announce itself either; a gateway that slept reads first what came meanwhile."""
         for heard, span in ((True, 30), (False, 5)):
             for answer in (b"", b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"):
                 g = _Relayer()
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -6,7 +6,7 @@
 from rehearsal.fleet import Fleet
 from rehearsal.soak import Soak
 
-FAULTS = ("kill_leader", "kill_guide", "power_depot", "power_controller", "freeze_guide", "controllers_away", "zone_cut",
+FAULTS = ("kill_leader", "kill_gateway", "power_depot", "power_controller", "freeze_gateway", "controllers_away", "zone_cut",
           "engine_leaving", "engine_vanish", "engine_broken", "end_lot", "two_editors", "table_grows")
 
 
@@ -15,7 +15,7 @@
         self.assertEqual(Soak("small", 4, 0.5, faults=FAULTS, quiet=4, floors=False).run(), 0)
 
     def test_a_colleague_of_another_fleet_or_with_rubbish_is_refused(self):
-        fleet = Fleet(guides=1, depots=3, controllers=3, engines=0, cards=0)
+        fleet = Fleet(gateways=1, depots=3, controllers=3, engines=0, cards=0)
         self.addCleanup(fleet.stop)
         fleet.start()
         for hello in (Hello(fleet="other", wire=1, node="x").SerializeToString(),
@@ -29,4 +29,4 @@
                 except ConnectionResetError:
                     pass
                 self.assertLess(len(data), 200)
-        self.assertEqual(fleet.call("guide0", "GET", "/v1/ready")[0], 200)
+        self.assertEqual(fleet.call("gateway0", "GET", "/v1/ready")[0], 200)
--- a/tests/test_guide_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,4 +1,4 @@
-"""Parts of a guide on injected beats: engines, picks, rates, props."""
+"""Parts of a gateway on injected beats: engines, picks, rates, props."""
 import contextlib
 import io
 import re
@@ -15,21 +15,21 @@
 from pipitlink.beats import Beats, secs, spawn, wall_ms
 from pipitlink.command import main
 from pipitlink.faults import BadRows, Crowded, PropsFault
-from pipitlink.guide.dispatch import Dispatch
-from pipitlink.guide.limits import ComeBack
-from pipitlink.guide.lots import OpenLot
-from pipitlink.guide.picking import RetryBudget
+from pipitlink.gateway.dispatch import Dispatch
+from pipitlink.gateway.limits import ComeBack
+from pipitlink.gateway.lots import OpenLot
+from pipitlink.gateway.picking import RetryBudget
 from pipitlink.controller.rows import rows_from
 from pipitlink.props import ROLES, Props, read_props
 from pipitlink.wire.lots_pb2 import Item, Lot
 from pipitlink.wire.setup_pb2 import Row
 
-from .parts import Guide
+from .parts import Gateway
 
 
 class Picks(unittest.TestCase):
     def test_a_cold_engine_is_filled_step_by_step_and_again_when_it_returns(self):
-        g = Guide()
+        g = Gateway()
         g.news("e")
         self.assertEqual(g.fill(g.ask()), 1)
         g.later(4, "e")
@@ -42,7 +42,7 @@
         self.assertEqual(g.fill(g.ask()), 1)
 
     def test_a_leaving_or_silent_engine_and_an_emptied_zone_get_nothing(self):
-        g = Guide()
+        g = Gateway()
         g.later(10, "e")
         g.news("e", state="leaving")
         g.news("e", state="ready")
@@ -56,34 +56,34 @@
         self.assertIsNone(g._pick(g.ask()))
 
     def test_lots_leave_the_reserve_and_a_rows_share_goes_before_it(self):
-        g = Guide()
+        g = Gateway()
         g.later(10, "e", capacity=20)
         self.assertEqual(g.fill(g.ask(kind="item")), 15)
         self.assertEqual(g.fill(g.ask()), 5)
-        g = Guide()
+        g = Gateway()
         g.later(10, "e", capacity=20)
         g.setup.sheet.rows["r"] = Row(name="r", model="m", weight=1, lot_share=0.5)
         self.assertEqual(g.fill(g.ask(kind="item")), 10)
 
-    def test_guides_with_late_news_together_fill_an_engine_and_do_not_pass_its_limit(self):
+    def test_gateways_with_late_news_together_fill_an_engine_and_do_not_pass_its_limit(self):
         for capacity in (3, 8, 10, 41):
-            guides = [Guide(guides=4) for _ in range(4)]
-            for i, g in enumerate(guides):
+            gateways = [Gateway(gateways=4) for _ in range(4)]
+            for i, g in enumerate(gateways):
                 g.node = f"g{i}"
                 g.later(10, "e", capacity=capacity)
-            self.assertEqual(sum(g.fill(g.ask()) for g in guides), capacity)
+            self.assertEqual(sum(g.fill(g.ask()) for g in gateways), capacity)
 
     def test_a_cut_does_not_double_what_a_cold_engine_gets(self):
-        guides = [Guide(guides=4) for _ in range(4)]
-        for i, g in enumerate(guides):
+        gateways = [Gateway(gateways=4) for _ in range(4)]
+        for i, g in enumerate(gateways):
             g.node = f"g{i}"
             g.roster.away = ("g2", "g3") if i < 2 else ("g0", "g1")
             g.news("e", capacity=40)
             g.later(4, "e", capacity=40)
-        self.assertLessEqual(sum(g.fill(g.ask()) for g in guides), 22)
+        self.assertLessEqual(sum(g.fill(g.ask()) for g in gateways), 22)
 
-    def test_an_odd_place_goes_round_so_that_every_guide_can_use_it(self):
-        g = Guide(guides=4)
+    def test_an_odd_place_goes_round_so_that_every_gateway_can_use_it(self):
+        g = Gateway(gateways=4)
         g.later(10, "e", capacity=1)
         turns = []
         for _ in range(8):
@@ -92,7 +92,7 @@
         self.assertEqual((sum(turns), turns[:4]), (2, turns[4:]))
 
     def test_what_others_leave_is_borrowed_by_parts(self):
-        g = Guide(guides=4)
+        g = Gateway(gateways=4)
         g.later(10, "e", capacity=40)
         self.assertEqual(g.fill(g.ask()), 10)
         told = []
@@ -103,7 +103,7 @@
         self.assertGreater(10 + sum(told), 34)
 
     def test_one_prefix_keeps_to_one_engine_until_that_is_loaded(self):
-        g = Guide()
+        g = Gateway()
         g.later(10, "a", "b", "c", capacity=8)
         first = g._pick(g.ask("tour")).name
         self.assertEqual({g._pick(g.ask("tour")).name for _ in range(20)}, {first})
@@ -116,7 +116,7 @@
         self.assertGreater(len(set(picked)), 1)
 
     def test_weights_from_the_table(self):
-        g = Guide()
+        g = Gateway()
         g.later(10, "a")
         g.setup.sheet.rows["r"] = Row(name="r", model="m", pool="models", weight=0)
         self.assertEqual(g.candidates("m"), [])
@@ -130,12 +130,12 @@
 
 
 class _Fleet:
-    """Several guides on one clock, each with engines that have room, and a row with limits."""
+    """Several gateways on one clock, each with engines that have room, and a row with limits."""
 
     def __init__(self, n, **row):
         self.clock, self.bus, self.chance = Clock(), {}, Random(3)
-        self.guides = [Guide(n, i, self.clock, self.bus) for i in range(n)]
-        for g in self.guides:
+        self.gateways = [Gateway(n, i, self.clock, self.bus) for i in range(n)]
+        for g in self.gateways:
             g.setup.sheet.rows["r"] = Row(name="r", model="m", weight=1, **row)
         self.run(12)
 
@@ -149,11 +149,11 @@
             each()
 
     def up(self):
-        return [g for g in self.guides if g.desk.place in self.bus]
+        return [g for g in self.gateways if g.desk.place in self.bus]
 
     def lose(self, g):
         del self.bus[g.desk.place]
-        for o in self.guides:
+        for o in self.gateways:
             o.roster.away = (*o.roster.away, g.node)
 
     def passed(self, g) -> bool:
@@ -163,14 +163,14 @@
 
 
 class LimitsOfRows(unittest.TestCase):
-    def test_a_rate_holds_over_the_fleet_and_is_usable_at_one_guide(self):
+    def test_a_rate_holds_over_the_fleet_and_is_usable_at_one_gateway(self):
         for callers in (lambda f: f.up(), lambda f: f.up()[:1]):
             f, passed = _Fleet(8, rate=4), []
             f.run(10, lambda: passed.extend(g for g in callers(f) if f.passed(g)))
             self.assertGreaterEqual(len(passed), 36)
             self.assertLessEqual(len(passed), 44)
 
-    def test_guides_by_turns_do_not_fill_a_cold_engine_beyond_its_ramp(self):
+    def test_gateways_by_turns_do_not_fill_a_cold_engine_beyond_its_ramp(self):
         f = _Fleet(8)
         came, over = f.clock.seconds(), []
 
@@ -187,16 +187,16 @@
         self.assertLessEqual(max(over), 1)
         self.assertGreaterEqual(min(over[30:]), -1)
 
-    def test_a_new_or_lost_guide_brings_no_burst(self):
+    def test_a_new_or_lost_gateway_brings_no_burst(self):
         f, passed = _Fleet(4, rate=2), []
-        steward = next(g for g in f.guides if g._steward("r") == g.node)
+        steward = next(g for g in f.gateways if g._steward("r") == g.node)
         f.run(3, lambda: passed.extend(g for g in f.up() if f.passed(g)))
         f.lose(steward)
         f.run(7, lambda: passed.extend(g for g in f.up() if f.passed(g)))
         self.assertGreaterEqual(len(passed), 15)
         self.assertLessEqual(len(passed), 22)
 
-    def test_a_concurrency_holds_over_the_fleet_while_guides_come_and_go(self):
+    def test_a_concurrency_holds_over_the_fleet_while_gateways_come_and_go(self):
         f = _Fleet(8, concurrency=3)
         out, most, began = [], [], []
 
@@ -214,17 +214,17 @@
 
         f.run(8, each)
         before = len(began)
-        f.lose(next(g for g in f.guides if g._steward("r") == g.node))
+        f.lose(next(g for g in f.gateways if g._steward("r") == g.node))
         f.run(10, each)
         self.assertEqual(max(most), 3)
         self.assertGreater(before, 12)
         self.assertGreater(len(began) - before, 6)
 
-    def test_the_smaller_side_of_a_cut_and_a_guide_that_slept_grant_nothing(self):
+    def test_the_smaller_side_of_a_cut_and_a_gateway_that_slept_grant_nothing(self):
         f = _Fleet(8, rate=100)
-        g = next(g for g in f.guides if g._steward("r") == g.node)
+        g = next(g for g in f.gateways if g._steward("r") == g.node)
         self.assertTrue(f.passed(g))
-        g.roster.away = tuple(o.node for o in f.guides if o is not g)[:6]
+        g.roster.away = tuple(o.node for o in f.gateways if o is not g)[:6]
         f.run(1)
         self.assertFalse(f.passed(g))
         g.roster.away = ()
@@ -256,7 +256,7 @@
         self.assertLess(tries(True), tries(False) / 3)
 
 
-class _Dispatcher(Guide, Dispatch):
+class _Dispatcher(Gateway, Dispatch):
     def __init__(self):
         super().__init__()
         self.props = type("Props", (), {"lot_reserve": 0.25, "zone": "z"})
@@ -335,10 +335,10 @@
             path = Path(d) / "p.toml"
             path.write_text('colour = 1\nport = 7\n')
             with self.assertRaises(PropsFault) as no:
-                read_props("guide", str(path), {})
+                read_props("gateway", str(path), {})
             self.assertEqual(no.exception.lines, ["colour: no such prop"])
             path.write_text('port = 7\nzone = "b"\n')
-            props = read_props("guide", str(path), {"port": "8"})
+            props = read_props("gateway", str(path), {"port": "8"})
             self.assertEqual((props.port, props.zone), (8, "b"))
 
     def test_every_documented_prop_exists_and_every_prop_is_documented(self):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,28 +4,28 @@
 
 from pipitlink.beats import spawn
 from pipitlink.faults import PipitFault
-from pipitlink.guide.asks import Ask
-from pipitlink.guide.dispatch import Dispatch
-from pipitlink.guide.engines import Engines
-from pipitlink.guide.lots import OpenLot, result_log
-from pipitlink.guide.picking import Picking
-from pipitlink.guide.results import Results
+from pipitlink.gateway.asks import Ask
+from pipitlink.gateway.dispatch import Dispatch
+from pipitlink.gateway.engines import Engines
+from pipitlink.gateway.lots import OpenLot, result_log
+from pipitlink.gateway.picking import Picking
+from pipitlink.gateway.results import Results
 from pipitlink.controller.leading import Leading
 from pipitlink.setup import Setup, Sheet
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit, ZoneEdit
 from rehearsal.checker import check
 from rehearsal.disks import LosingDisk
 from rehearsal.stage import Stage
-from rehearsal.staged import Customers, StagedEngine, StagedGuide
+from rehearsal.staged import Customers, StagedEngine, StagedGateway
 
 
 class Scene:
     """A small fleet on injected beats, its customers, and what the checker says of them."""
 
     def __init__(self, test, engines=2, step=0.04, capacity=4):
-        self.stage = Stage(7, controllers=3, depots=4, guides=3, shelves=2)
+        self.stage = Stage(7, controllers=3, depots=4, gateways=3, shelves=2)
         test.addCleanup(self.stage.end)
-        self.stage.with_engines(StagedGuide, StagedEngine, engines)
+        self.stage.with_engines(StagedGateway, StagedEngine, engines)
         for e in self.stage.engines.values():
             e.step, e.capacity = step, capacity
         self.stage.start()
@@ -41,7 +41,7 @@
         return [n for n in self.stage.notes if n["event"] == "run" and n["prompt"].startswith(prompt)]
 
     def owner(self, lot):
-        return next((a for a in self.stage.role("guide", alive=True)
+        return next((a for a in self.stage.role("gateway", alive=True)
                      if result_log(lot) in a.ctx.ledger.holders and a.part.open_lots.get(lot)), None)
 
     def close(self, lot):
@@ -132,8 +132,8 @@
 
 
 def weight_zero(s):
-    """An edit that only some guides could follow: those that cannot prove theirs admit nothing."""
-    s.stage.cut(["guide0"], [a for a in s.stage.actors if a != "guide0"])
+    """An edit that only some gateways could follow: those that cannot prove theirs admit nothing."""
+    s.stage.cut(["gateway0"], [a for a in s.stage.actors if a != "gateway0"])
     s.edit(Command(edit="w", table=TableEdit(base=s.stage.leader().part.sheet.table,
                                              puts=[Row(name="m", model="m", weight=0)])))
     s.c.note("gate", model="m", open=False, done=True)
@@ -151,7 +151,7 @@
     for a in s.stage.role("depot") + s.stage.role("controller"):
         a.start()
     s.stage.run(8)
-    for a in s.stage.role("guide"):
+    for a in s.stage.role("gateway"):
         a.kill()
         a.start()
     s.stage.run(6)
@@ -161,15 +161,15 @@
         s.stage.do(s.c.one_read(lot))
 
 
-def guide_cut_off(s):
-    """A guide is cut off from all others after it read a list; meanwhile the list grows for everybody else."""
-    lot, guides = s.lot(10), s.stage.role("guide")
-    s.stage.do(s.c.one_read(lot, guides[0]))
-    s.stage.cut(["guide0"], [a for a in s.stage.actors if a != "guide0"])
-    s.stage.until(lambda: len(s.stage.do(s.c.one_read(lot, guides[1]), 10)["results"] or ()) > 3, 60, "it grows")
+def gateway_cut_off(s):
+    """A gateway is cut off from all others after it read a list; meanwhile the list grows for everybody else."""
+    lot, gateways = s.lot(10), s.stage.role("gateway")
+    s.stage.do(s.c.one_read(lot, gateways[0]))
+    s.stage.cut(["gateway0"], [a for a in s.stage.actors if a != "gateway0"])
+    s.stage.until(lambda: len(s.stage.do(s.c.one_read(lot, gateways[1]), 10)["results"] or ()) > 3, 60, "it grows")
     s.stage.run(2)
-    s.stage.do(s.c.one_read(lot, guides[0]), 10)
-    s.c.note("hurt", id=1, nodes=["guide0"], bearable=True)
+    s.stage.do(s.c.one_read(lot, gateways[0]), 10)
+    s.c.note("hurt", id=1, nodes=["gateway0"], bearable=True)
     s.c.events[-1]["at"] = 0
     s.stage.heal()
     s.close(lot)
@@ -261,14 +261,14 @@
         lambda self, ask: ask.state == "lost" and (ask.put("again") or True), "not the engine's own"),
     "what was sent is unknown until the end": (
         cut_after_the_first_piece, {}, Ask, "outcome", property(lambda self: "not_run"), "told not_run"),
-    "a guide that cannot prove its setup admits nothing": (
+    "a gateway that cannot prove its setup admits nothing": (
         weight_zero, {}, Setup, "ready", lambda self: True, "after its weight was 0"),
     "nothing is acknowledged before it is synced": (
-        closing_power, {}, LosingDisk, "sync", lambda self, fd: None, "lot guide"),
+        closing_power, {}, LosingDisk, "sync", lambda self, fd: None, "lot gateway"),
     "a new owner learns what is in the log": (
         owner_killed, {}, OpenLot, "learn", lambda self, record: None, "may not be repeated"),
     "a reader asks the depots how far the list is": (
-        guide_cut_off, {"step": 0.1}, Results, "_read_results", _read_on, "results were shown"),
+        gateway_cut_off, {"step": 0.1}, Results, "_read_results", _read_on, "results were shown"),
     "an edit takes effect only on the base that it states": (
         operators_race, {}, Sheet, "_apply_table", _any_base, "edits took effect on base"),
     "a table is read only after a majority answered": (
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -139,7 +139,7 @@
         self.assertEqual(self.caller.get(controller)[1], {**WHOLE, "version": 9, "routes": ROUTES[:1]})
         for method, empty in (("POST", True), ("POST", True), ("DELETE", False)):
             self.assertEqual(ask(controller, method, "/evacuations/zone-a")[0], 200)
-            self.assertEqual({a.ctx.setup.zone_empty("zone-a") for a in self.stage.role("guide")}, {empty})
+            self.assertEqual({a.ctx.setup.zone_empty("zone-a") for a in self.stage.role("gateway")}, {empty})
 
     def test_retirement(self):
         ask, controller, depot = self.caller.ask, self.controller, self.stage.role("depot")[0].node
--- a/tests/test_platform_serve.py
+++ b/tests/test_platform_serve.py
@@ -16,7 +16,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 EDGE = """
 node_name = "edge-north-a-1"
-role = "guide"
+role = "gateway"
 machine_class = "edge"
 serves_roles = ["edge"]
 ip = "127.0.0.1"
@@ -73,7 +73,7 @@
         self.serve = _load("serve")
         self.raw = tomllib.loads(EDGE.format(inner=7660, last=7675, public=8144, ready=8140))
 
-    def test_a_guide_takes_its_ports_and_reaches_seeds_at_the_peer_port(self):
+    def test_a_gateway_takes_its_ports_and_reaches_seeds_at_the_peer_port(self):
         p = self.serve.props_from(self.raw)
         self.assertEqual((p.name, p.zone, p.bind, p.port, p.operator_port, p.http_port, p.ready_port, p.control_port),
                          ("edge-north-a-1", "north-a", "127.0.0.1", 7660, 7661, 8144, 8140, 0))
@@ -130,8 +130,8 @@
 
 
 class Programs(unittest.TestCase):
-    def test_a_guide_starts_listens_and_ends_as_the_deploy_file_says(self):
-        run = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["guide"]["run"].split()
+    def test_a_gateway_starts_listens_and_ends_as_the_deploy_file_says(self):
+        run = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]["run"].split()
         inner, last, public, ready = _free_ports(4)
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as f:
             f.write(EDGE.format(inner=inner, last=last, public=public, ready=ready).replace("grace_s = 8", "grace_s = 3"))
--- a/tests/test_router_live.py
+++ b/tests/test_router_live.py
@@ -219,8 +219,8 @@
 
 
 class Cold(unittest.TestCase):
-    def test_a_cold_engine_gets_this_guides_part_of_its_rate(self):
-        rig = Rig([FETCH], [Pool(name="models", max_connections=500, places=50, cold_rate=20)], guides=4)
+    def test_a_cold_engine_gets_this_gateways_part_of_its_rate(self):
+        rig = Rig([FETCH], [Pool(name="models", max_connections=500, places=50, cold_rate=20)], gateways=4)
         rig.engine("e1", capacity=50, cold_ms=3000)
         sent = 0
         for k in range(200):
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -138,11 +138,11 @@
 
 class Readers(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(4, controllers=3, depots=3, guides=5, shelves=2)
+        self.stage = Stage(4, controllers=3, depots=3, gateways=5, shelves=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
-        self.writer, *self.others = self.stage.role("guide")
+        self.writer, *self.others = self.stage.role("gateway")
 
     def write(self, records):
         ctx = self.writer.ctx
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -31,26 +31,26 @@
         self.stage.run(2)
         return old
 
-    def test_an_edit_is_in_effect_at_every_guide_when_it_is_acknowledged_and_that_is_soon(self):
+    def test_an_edit_is_in_effect_at_every_gateway_when_it_is_acknowledged_and_that_is_soon(self):
         for version, controller in ((3, self.stage.leader()), (4, self.other), (9, self.controllers[3])):
-            base = max(self.versions("guide"))
+            base = max(self.versions("gateway"))
             before = self.stage.clock.seconds()
             self.assertEqual(self.caller.put(controller, config_of(version), base)[0], 200)
             self.assertLess(self.stage.clock.seconds() - before, 0.5)
-            self.assertEqual(self.versions("guide"), {version})
-        self.assertIsNotNone(self.stage.role("guide")[0].ctx.setup.sheet.routes.match("h.example", "/r/x"))
+            self.assertEqual(self.versions("gateway"), {version})
+        self.assertIsNotNone(self.stage.role("gateway")[0].ctx.setup.sheet.routes.match("h.example", "/r/x"))
 
     def test_of_two_edits_on_the_same_base_one_wins(self):
         self.caller.put(self.other, config_of(1), 0)
         for n in range(1, 6):
             first, second = self.stage.chance.sample(self.controllers, 2)
             boxes = [self.caller.begin(controller, "PUT", "/v1/config", config_of(10 * n + i), {"If-Match": str(base)})
-                     for base in [max(self.versions("guide"))] for i, controller in enumerate((first, second))]
+                     for base in [max(self.versions("gateway"))] for i, controller in enumerate((first, second))]
             self.stage.until(lambda: all(boxes), 8, "both are answered")
             told = sorted(b[0][0] for b in boxes)
             self.assertEqual(told, [200, 412])
             won = 10 * n + [b[0][0] for b in boxes].index(200)
-            self.assertEqual(self.versions("guide"), {won})
+            self.assertEqual(self.versions("gateway"), {won})
             self.assertEqual(self.caller.get(self.controllers[n % 4])[1], config_of(won))
 
     def test_a_stale_base_and_an_old_version_are_refused(self):
@@ -131,7 +131,7 @@
             "pools": [{"name": "p"}, {"name": "new", "cold_rate": 0.5}]})
         self.assertEqual(self.caller.patch(self.other, {"version": 9, "bounds": {"idle_timeout_ms": 5}}, 8)[0], 200)
         self.assertEqual(self.caller.get(self.controllers[0])[1]["bounds"], {"idle_timeout_ms": 5})
-        table = self.stage.role("guide")[0].ctx.setup.sheet.routes
+        table = self.stage.role("gateway")[0].ctx.setup.sheet.routes
         self.assertEqual((table.routes["a"].aim_ms, table.bounds.idle_timeout_ms), (3, 5))
 
     def test_the_same_edit_again_has_the_same_outcome_at_any_controller_also_under_another_leader(self):
@@ -146,7 +146,7 @@
                 self.assertEqual(self.caller.put(controller, config_of(7, route_of("x")), 5)[0], 200)
                 self.assertEqual(self.caller.put(controller, early, 5)[0], 412)
                 self.assertEqual(self.caller.put(controller, config_of(7, route_of("z")), 5)[0], 412)
-            self.assertEqual(self.versions("guide"), {8})
+            self.assertEqual(self.versions("gateway"), {8})
             self.new_leader().start()
             self.stage.until(lambda: {a.part.leader for a in self.controllers} == {self.stage.leader().node}, 5, "all follow")
 
@@ -178,7 +178,7 @@
         for a in self.controllers:
             self.assertEqual(self.caller.get(a)[1], config_of(6, route_of("r"), route_of("c")))
             self.assertEqual(self.caller.put(a, config_of(4), 0)[0], 200)
-        self.stage.until(lambda: self.versions("guide") == {6}, 5, "the guides keep it")
+        self.stage.until(lambda: self.versions("gateway") == {6}, 5, "the gateways keep it")
 
     def test_the_configuration_outlives_snapshot_and_trim_and_reaches_a_newcomer(self):
         self.caller.put(self.other, config_of(4), 0)
@@ -236,11 +236,11 @@
         self.stage.run(3)
         self.assertEqual(self.caller.put(self.other, config_of(4), 0)[0], 200)
 
-    def test_zones_are_emptied_and_filled_in_effect_at_every_guide(self):
+    def test_zones_are_emptied_and_filled_in_effect_at_every_gateway(self):
         for n in range(2):
             for method, empty in (("PUT", True), ("PUT", True), ("DELETE", False), ("DELETE", False)):
                 self.assertEqual(self.caller.ask(self.other, method, "/v1/zones/zone-b/empty")[0], 200)
-                self.assertEqual({a.ctx.setup.zone_empty("zone-b") for a in self.stage.role("guide")}, {empty})
+                self.assertEqual({a.ctx.setup.zone_empty("zone-b") for a in self.stage.role("gateway")}, {empty})
 
 
 class Retire(unittest.TestCase):
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -61,10 +61,10 @@
                 pass
 
     def watch(self):
-        """Every guide that would admit work now has all that was acknowledged two seconds ago."""
+        """Every gateway that would admit work now has all that was acknowledged two seconds ago."""
         now = self.stage.clock.seconds()
         old = max((seq for at, seq, _ in self.acked if now - at > IN_EFFECT), default=0)
-        for a in self.stage.role("guide", alive=True):
+        for a in self.stage.role("gateway", alive=True):
             setup = a.ctx.setup
             if setup.ready() and setup.sheet.table < old:
                 self.faults.append(f"{a.name} admits at table {setup.sheet.table}, {old} is in effect, {now}")
@@ -72,7 +72,7 @@
 
 class SetupUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, controllers=4, depots=4, guides=3, shelves=2)
+        stage = Stage(seed, controllers=4, depots=4, gateways=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -99,7 +99,7 @@
             self.assertEqual(done.get(text), sequence, f"seed {seed}: {text} was acknowledged and is gone")
         self.assertFalse(ops.refused & set(done))
         tables = {a.part.sheet.table for a in stage.role("controller")} | {a.ctx.setup.sheet.table
-                                                                      for a in stage.role("guide")}
+                                                                      for a in stage.role("gateway")}
         self.assertEqual(tables, {sheet.table}, f"seed {seed}")
         return len(ops.acked)
 
@@ -107,7 +107,7 @@
         self.assertGreater(sum(self.run_seed(s, ("controller",)) for s in SEEDS), 5 * len(SEEDS))
 
     def test_edits_hold_while_everything_fails(self):
-        self.assertGreater(sum(self.run_seed(s, ("controller", "guide", "depot", "guide")) for s in SEEDS), 5 * len(SEEDS))
+        self.assertGreater(sum(self.run_seed(s, ("controller", "gateway", "depot", "gateway")) for s in SEEDS), 5 * len(SEEDS))
 
 
 class Controllers(unittest.TestCase):
@@ -159,12 +159,12 @@
         for _ in range(100):
             self.stage.run(0.1)
             if _ > 30:
-                self.assertEqual([a.ctx.setup.state for a in self.stage.role("guide") if a.ctx.setup.ready()],
+                self.assertEqual([a.ctx.setup.state for a in self.stage.role("gateway") if a.ctx.setup.ready()],
                                  ["witnessed"] * 3)
         with self.assertRaises(PipitFault):
             self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
 
-    def test_edits_go_on_with_two_of_four_depots_away_and_no_guide_misses_one(self):
+    def test_edits_go_on_with_two_of_four_depots_away_and_no_gateway_misses_one(self):
         sheet = self.stage.leader().part.sheet
         self.assertEqual(sheet.settled, sheet.witnesses_at)
         depots = self.stage.role("depot")
@@ -179,7 +179,7 @@
             a.start()
         for _ in range(100):
             self.stage.run(0.05)
-            for g in self.stage.role("guide"):
+            for g in self.stage.role("gateway"):
                 self.assertFalse(g.ctx.setup.ready() and g.ctx.setup.sheet.table < newest)
         self.stage.heal()
         self.stage.ready()
--- a/tests/test_stage_disk_lost.py
+++ b/tests/test_stage_disk_lost.py
@@ -25,7 +25,7 @@
                 stage.run(1)
                 for a in stage.actors.values():
                     a.start()
-                stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("guide", alive=True)), 10, "ready")
+                stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("gateway", alive=True)), 10, "ready")
                 names = [c.lot(8) for _ in range(6)]
                 for name in names:
                     self.assertEqual(stage.do(c.hand_in(name)), 202)
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -3,21 +3,21 @@
 from collections import Counter
 
 from rehearsal.stage import Stage
-from rehearsal.staged import StagedEngine, StagedGuide
+from rehearsal.staged import StagedEngine, StagedGateway
 
 SPAN = 5
 FLEETS = ((3, 3, 2), (3, 3, 10), (4, 4, 24))
 PROBE_BYTES = 400
-GUIDE_BYTES = 500
-GUIDE_MESSAGES = 19
+GATEWAY_BYTES = 500
+GATEWAY_MESSAGES = 19
 
 
 class _Counted:
     """A fleet's messages and their bytes within a span at rest, receipts included, by node and by verb."""
 
-    def __init__(self, controllers, depots, guides):
-        self.stage = s = Stage(1, controllers=controllers, depots=depots, guides=guides)
-        s.with_engines(StagedGuide, StagedEngine, 0)
+    def __init__(self, controllers, depots, gateways):
+        self.stage = s = Stage(1, controllers=controllers, depots=depots, gateways=gateways)
+        s.with_engines(StagedGateway, StagedEngine, 0)
         self.messages, self.bytes, self.asks = Counter(), Counter(), Counter()
         self.verb_bytes: Counter = Counter()
         self._at_rest = False
@@ -43,8 +43,8 @@
         self.bytes[actor.name] += len(body)
         self.verb_bytes[verb] += len(body)
 
-    def per_guide(self, counter) -> float:
-        names = [a.name for a in self.stage.role("guide")]
+    def per_gateway(self, counter) -> float:
+        names = [a.name for a in self.stage.role("gateway")]
         return max(counter[n] for n in names) / SPAN
 
 
@@ -59,17 +59,17 @@
                 self.assertAlmostEqual(c.asks["roster.probe"] / SPAN / n, 5, delta=0.2)
                 self.assertLess(c.verb_bytes["roster.probe"] / SPAN / n, PROBE_BYTES)
                 self.assertEqual(c.asks["roster.tell"], 0)
-                self.assertLess(c.per_guide(c.messages), GUIDE_MESSAGES + sizes[1])
-                self.assertLess(c.per_guide(c.bytes), GUIDE_BYTES)
+                self.assertLess(c.per_gateway(c.messages), GATEWAY_MESSAGES + sizes[1])
+                self.assertLess(c.per_gateway(c.bytes), GATEWAY_BYTES)
 
     def test_nodes_that_believe_otherwise_are_told_the_whole_and_agree_again(self):
-        s = Stage(2, controllers=3, depots=3, guides=6)
+        s = Stage(2, controllers=3, depots=3, gateways=6)
         self.addCleanup(s.end)
         s.start()
         s.ready()
         s.run(6)
-        one, others = s.actors["guide5"], [a.name for a in s.actors.values() if a.name != "guide5"]
-        s.cut(["guide5"], others)
+        one, others = s.actors["gateway5"], [a.name for a in s.actors.values() if a.name != "gateway5"]
+        s.cut(["gateway5"], others)
         s.until(lambda: all(s.actors[n].ctx.roster.standing(one.node) == "gone" for n in others), 10, "it is gone")
         s.run(5)
         s.heal()
@@ -79,7 +79,7 @@
     def test_a_dead_node_is_gone_at_every_node_in_time(self):
         """As with whole gossip at each probe, which took 1.6 to 2.3 s over 24 seeds."""
         for seed in range(4):
-            s = Stage(seed, controllers=3, depots=3, guides=4)
+            s = Stage(seed, controllers=3, depots=3, gateways=4)
             self.addCleanup(s.end)
             s.start()
             s.ready()
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -13,12 +13,12 @@
         p = mock.patch.object(segments, "SEGMENT", 20_000)
         p.start()
         self.addCleanup(p.stop)
-        self.stage = Stage(3, controllers=3, depots=3, guides=2, shelves=2, props={"retention_s": 60})
+        self.stage = Stage(3, controllers=3, depots=3, gateways=2, shelves=2, props={"retention_s": 60})
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
-        self.guide, self.other = (a.ctx for a in self.stage.role("guide"))
-        self.wall = self.guide.beats.wall()
+        self.gateway, self.other = (a.ctx for a in self.stage.role("gateway"))
+        self.wall = self.gateway.beats.wall()
         self.began = self.stage.clock.seconds()
         for a in self.stage.actors.values():
             a.ctx.beats.wall = self._wall
@@ -30,7 +30,7 @@
 
     def write(self, log, n, final):
         async def go():
-            h = await self.guide.ledger.hold(log)
+            h = await self.gateway.ledger.hold(log)
             for i in range(n):
                 await h.append([f"{log}/{i}".encode() * 100], final=final and i == n - 1)
             return h
@@ -43,7 +43,7 @@
     def test_old_logs_wither_their_room_comes_back_and_the_rest_stays(self):
         kept = self.write("lots/kept", 10, False)
         for n in range(12):
-            self.stage.do(self.guide.ledger.release([self.write(f"results/{n}", 10, True)]))
+            self.stage.do(self.gateway.ledger.release([self.write(f"results/{n}", 10, True)]))
         full = self.used()
         self.stage.run(200)
         self.assertTrue(all(now < was / 2 for now, was in zip(self.used(), full)), (self.used(), full))
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -12,7 +12,7 @@
 
 
 class _Writers:
-    """Guides that race for one log, and readers that note every byte they were shown."""
+    """Gateways that race for one log, and readers that note every byte they were shown."""
 
     def __init__(self, stage, log="results/x"):
         self.stage, self.log = stage, log
@@ -63,21 +63,21 @@
 
 class LogsUnderTrouble(unittest.TestCase):
     def run_seed(self, seed):
-        stage = Stage(seed, controllers=3, depots=3, guides=3, shelves=2)
+        stage = Stage(seed, controllers=3, depots=3, gateways=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
         w = _Writers(stage)
-        trouble = Trouble(stage, roles=("depot", "depot", "guide"))
-        work = [x for a in stage.role("guide") for x in (w.write(a), w.read(a))]
+        trouble = Trouble(stage, roles=("depot", "depot", "gateway"))
+        work = [x for a in stage.role("gateway") for x in (w.write(a), w.read(a))]
         trouble.during(work, faults=10)
         stage.run(8)
         w.over = True
         stage.run(3)
         stage.ready()
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             stage.do(a.ctx.ledger.release(list(a.ctx.ledger.holders.values())))
-        last = stage.role("guide")[0].ctx
+        last = stage.role("gateway")[0].ctx
 
         async def final():
             while True:
@@ -106,11 +106,11 @@
 
 class Leases(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(5, controllers=3, depots=3, guides=2, shelves=2)
+        self.stage = Stage(5, controllers=3, depots=3, gateways=2, shelves=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
-        self.one, self.two = self.stage.role("guide")
+        self.one, self.two = self.stage.role("gateway")
 
     def test_a_holder_that_slept_past_its_lease_is_fenced_and_stops_by_its_own_clock(self):
         h = self.stage.do(self.one.ctx.ledger.hold("results/a"))
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -1,21 +1,21 @@
-"""Whole guides with staged engines under trouble: lots, items, ends, engines and live requests, judged by the checker."""
+"""Whole gateways with staged engines under trouble: lots, items, ends, engines and live requests, judged by the checker."""
 import unittest
 
 from rehearsal.checker import check
 from rehearsal.stage import Stage
-from rehearsal.staged import Customers, StagedEngine, StagedGuide
+from rehearsal.staged import Customers, StagedEngine, StagedGateway
 from rehearsal.trouble import Trouble, seeds
 
 SEEDS = seeds(3)
 FEW = seeds(1)
 OWNED = ("ledger.lease", "ledger.write", "ledger.renew", "ledger.mark", "lots.end", "controller.append", "controller.vote",
          "controller.follow", "ledger.read", "controller.caught_up")
-ROLES = ("guide", "guide", "depot", "controller")
+ROLES = ("gateway", "gateway", "depot", "controller")
 
 
-def staged(seed, guides=4, engines=3):
-    stage = Stage(seed, controllers=3, depots=4, guides=guides, shelves=2)
-    stage.with_engines(StagedGuide, StagedEngine, engines)
+def staged(seed, gateways=4, engines=3):
+    stage = Stage(seed, controllers=3, depots=4, gateways=gateways, shelves=2)
+    stage.with_engines(StagedGateway, StagedEngine, engines)
     stage.start()
     stage.ready()
     return stage
@@ -45,9 +45,9 @@
         return len(c.lots), sum(n["event"] == "run" for n in stage.notes)
 
     def known(self, stage, lot):
-        """What each guide knows of a lot that does not get done."""
+        """What each gateway knows of a lot that does not get done."""
         out = []
-        for a in stage.role("guide"):
+        for a in stage.role("gateway"):
             o = a.part.open_lots.get(lot)
             h = o and o.holder
             out.append((a.name, a.node, "closed" if lot in a.part._closed else "", o and (
@@ -72,10 +72,10 @@
         stage.until(lambda: sum(n["event"] == "run" for n in stage.notes) >= 3, 30, "items run")
 
         def owner():
-            return next((a for a in stage.role("guide", alive=True) if (o := a.part.open_lots.get(lot)) and o.holder), None)
+            return next((a for a in stage.role("gateway", alive=True) if (o := a.part.open_lots.get(lot)) and o.holder), None)
 
         owner().kill()
-        stage.until(owner, 30, "another guide owns it")
+        stage.until(owner, 30, "another gateway owns it")
         for a in stage.role("depot"):
             a.slow = 5.0
         stage.run(6)
@@ -89,8 +89,8 @@
         self.addCleanup(stage.end)
         c = Customers(stage)
         lot = stage.until(lambda: stage.do(c.one_lot(12)), 20, "a lot is taken")
-        owner = stage.until(lambda: next((a for a in stage.role("guide") if (o := a.part.open_lots.get(lot)) and o.holder),
-                                         None), 30, "a guide owns it")
+        owner = stage.until(lambda: next((a for a in stage.role("gateway") if (o := a.part.open_lots.get(lot)) and o.holder),
+                                         None), 30, "a gateway owns it")
         depots = [a.name for a in stage.role("depot")]
         stage.cut([owner.name], depots)
         got, fault = stage.do(c._ask(lambda part: part.end_here(lot), 9.0, owner), 12)
@@ -101,19 +101,19 @@
         self.assertEqual(check([e for e in c.events if e["status"] in (200, 201, 503) and e["event"] != "results" or
                                 e.get("status") == 200], stage.notes, {}, capacity=4), [])
 
-    def test_news_of_engines_that_waited_for_a_sleeping_guide_is_not_fresh(self):
+    def test_news_of_engines_that_waited_for_a_sleeping_gateway_is_not_fresh(self):
         stage = staged(4, engines=1)
         self.addCleanup(stage.end)
         stage.run(3)
-        engine, guide = stage.engines["engine0"], stage.actors["guide2"]
-        guide.freeze()
+        engine, gateway = stage.engines["engine0"], stage.actors["gateway2"]
+        gateway.freeze()
         stage.run(0.9)
         engine.silent = True
         stage.run(4.1)
-        guide.thaw()
+        gateway.thaw()
         for _ in range(60):
             stage.run(0.05)
-            for a in stage.role("guide"):
+            for a in stage.role("gateway"):
                 engines = a.part.engines
                 self.assertNotIn("ready", [engines.standing(e) for e in engines.all()], a.name)
 
--- a/tests/test_stage_shelves.py
+++ b/tests/test_stage_shelves.py
@@ -3,7 +3,7 @@
 
 from pipitlink.beats import ms
 from pipitlink.disk import frames
-from pipitlink.faults import GuideFault, PipitFault
+from pipitlink.faults import GatewayFault, PipitFault
 from pipitlink.wire.setup_pb2 import Command, DepotEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import seeds
@@ -35,13 +35,13 @@
 
 class Shelves(unittest.TestCase):
     def stage(self, seed, **more):
-        stage = Stage(seed, controllers=3, guides=3, shelves=4, **more)
+        stage = Stage(seed, controllers=3, gateways=3, shelves=4, **more)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
         logs = [_Log(stage, f"results/{n}") for n in range(4)]
         for n, log in enumerate(logs):
-            stage.role("guide")[n % 3].ctx.spawned(log.write(stage.role("guide")[n % 3]), "write")
+            stage.role("gateway")[n % 3].ctx.spawned(log.write(stage.role("gateway")[n % 3]), "write")
         return stage, logs
 
     def check(self, stage, logs):
@@ -50,7 +50,7 @@
         stage.run(4)
         for log in logs:
             self.assertGreater(len(log.acked), 20)
-            h = stage.do(stage.role("guide")[0].ctx.ledger.hold(log.log), 30)
+            h = stage.do(stage.role("gateway")[0].ctx.ledger.hold(log.log), 30)
             found = {at: body for at, body, _ in frames(bytes(h.data))}
             for at, body in log.acked.items():
                 self.assertEqual(found.get(at), body, f"seed {stage.seed} {log.log}")
@@ -94,7 +94,7 @@
         stage.do(part.edit(Command(depot=DepotEdit(depot=gone.node, standing="retiring"))))
         stage.until(lambda: stage.leader() and stage.leader().part.sheet.depots.get(gone.node) == "retired", 60,
                     "it may be switched off")
-        with self.assertRaises(GuideFault) as no:
+        with self.assertRaises(GatewayFault) as no:
             stage.leader().part.check_retirement(stage.leader().part.sheet, stage.role("depot")[0].node)
         self.assertEqual(no.exception.code, "too_few_copies")
         gone.kill()
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -7,7 +7,7 @@
 from pipitlink.tools import differences
 
 
-def beliefs(node, role="guide", **topics):
+def beliefs(node, role="gateway", **topics):
     return {"node": node, "role": role, "shelves": {"3": "1:d1,d2,d3::"}, "leases": {}, "standing": {}, **topics}
 
 
