--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -31,7 +31,7 @@
 
 
 class Poller:
-    """Reads lengths for all readers of the process: often from the metadata cache, less often from the depots."""
+    """Reads lengths for all readers of the process: often from the metadata cache, less often from the storage nodes."""
 
     def __init__(self, ctx, cache):
         self._ctx = ctx
@@ -114,7 +114,7 @@
             await self.prove(list(self._seen))
 
     async def prove(self, paths: list[str]):
-        """Asks the depots themselves for the durable lengths."""
+        """Asks the storage nodes themselves for the durable lengths."""
         asked = self._ctx.beats.now()
         got = await self._ctx.ledger.states(paths)
         self._take((p, st.committed, 0, st.final) for p, st in got.items())
--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -12,7 +12,7 @@
 _HELP = """pipitlink: live model requests, and lots on the same engines.
 
 Usage:
-  pipitlink (gateway | depot | controller) [--props FILE] [options]
+  pipitlink (gateway | storage | controller) [--props FILE] [options]
   pipitlink compare A B [--json]
   pipitlink table show [--at PLACES]
   pipitlink table put FILE [--base N] [--edit ID] [--at PLACES]
@@ -21,7 +21,7 @@
   pipitlink config show [--at PLACES]
   pipitlink config put FILE [--base N] [--edit ID] [--at PLACES]
   pipitlink zone (show | (empty | fill) ZONE) [--at PLACES]
-  pipitlink depot (show | retire DEPOT) [--at PLACES]
+  pipitlink storage (show | retire STORAGE_NODE) [--at PLACES]
   pipitlink standing [--at PLACES]
   pipitlink lot (show | end) LOT [--at PLACES]
   pipitlink -h | --help
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -95,14 +95,14 @@
         return _send(request, self._words.engine_answer())
 
     @answered
-    async def retire(self, request, depot: str):
+    async def retire(self, request, storage_node: str):
         edit = edit_id(request)
-        sequence = await self._controller.retire(depot, edit)
+        sequence = await self._controller.retire(storage_node, edit)
         return send_json(request, {"sequence": sequence, "edit": edit}, 200, {"ETag": f'"{sequence}"'})
 
     @answered
-    async def show_retirement(self, request, depot: str):
-        return _send(request, self._words.retirement_answer(await self._controller.retirement(depot)))
+    async def show_retirement(self, request, storage_node: str):
+        return _send(request, self._words.retirement_answer(await self._controller.retirement(storage_node)))
 
 
 class ControlFace:
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -167,15 +167,15 @@
         return send_json(request, {"zones": {z: {"empty": z in s.empty_zones} for z in zones}})
 
     @answered
-    async def show_depots(self, request):
+    async def show_storage_nodes(self, request):
         s = await self.newest()
         out = {}
-        for d, standing in s.depots.items():
+        for d, standing in s.storage_nodes.items():
             m = self._ctx.roster.find(d)
-            shelves = sum(d in tuple(x.depots) + (x.joining,) for x in s.shelves.values())
-            out[d] = {"standing": standing, "name": s.depot_names.get(d, ""), "heard": self._ctx.roster.standing(d), "zone": m.zone if m else "",
+            shelves = sum(d in tuple(x.storage_nodes) + (x.joining,) for x in s.shelves.values())
+            out[d] = {"standing": standing, "name": s.storage_node_names.get(d, ""), "heard": self._ctx.roster.standing(d), "zone": m.zone if m else "",
                       "place": f"{m.host}:{m.port}" if m else "", "shelves": shelves}
-        return send_json(request, {"depots": out})
+        return send_json(request, {"storage_nodes": out})
 
     def routes(self, add):
         add("/v1/table", methods=["GET"])(self.show_table)
@@ -185,7 +185,7 @@
         add("/v1/table/rows/<name>", methods=["DELETE"])(self.drop_row)
         add("/v1/zones", methods=["GET"])(self.show_zones)
         add("/v1/zones/<zone>", methods=["PUT"])(self.put_zone)
-        add("/v1/depots", methods=["GET"])(self.show_depots)
+        add("/v1/storage_nodes", methods=["GET"])(self.show_storage_nodes)
 
     def readiness(self):
         return bool(self.leader), {"leader": self.leader, "state": self.state, "term": self.term}
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -82,7 +82,7 @@
         return True
 
     def _in_effect(self, sequence: int) -> bool:
-        """Every gateway with a live lease has it, no lease of an earlier leader is left, and enough depots have it.
+        """Every gateway with a live lease has it, no lease of an earlier leader is left, and enough storage nodes have it.
 
         A gateway proves its setup by more than half of the witnesses, so half of them are enough here, once the last change
         of the witnesses is known to be with more than half.
@@ -97,8 +97,8 @@
         return 2 * have > len(witnesses) or not witnesses \
             or 2 * have == len(witnesses) and self.sheet.settled == self.sheet.witnesses_at
 
-    def _shows(self, depot: str, sequence: int) -> bool:
-        f = self.followers.get(depot)
+    def _shows(self, storage_node: str, sequence: int) -> bool:
+        f = self.followers.get(storage_node)
         return f is not None and f.sequence >= sequence
 
     async def edit(self, c: Command, limit: timedelta = EDIT_LIMIT) -> Outcome:
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -1,39 +1,39 @@
 from ..faults import GatewayFault, NotFound
 from ..setup import Sheet
-from ..wire.setup_pb2 import Command, DepotEdit
+from ..wire.setup_pb2 import Command, StorageNodeEdit
 
 __all__ = ["Retiring"]
 
 
 class Retiring:
-    """Mixin: depots are retired by their id or by their name, which outlives their process."""
+    """Mixin: storage nodes are retired by their id or by their name, which outlives their process."""
 
-    def _depots_called(self, sheet: Sheet, name: str) -> list[str]:
-        if name in sheet.depots:
+    def _storage_nodes_called(self, sheet: Sheet, name: str) -> list[str]:
+        if name in sheet.storage_nodes:
             return [name]
-        named = {d for d, n in sheet.depot_names.items() if n == name}
-        heard = {m.node for m in self._ctx.roster.everyone() if m.role == "depot" and m.name == name}
-        found = sorted((named | heard) & set(sheet.depots))
+        named = {d for d, n in sheet.storage_node_names.items() if n == name}
+        heard = {m.node for m in self._ctx.roster.everyone() if m.role == "storage" and m.name == name}
+        found = sorted((named | heard) & set(sheet.storage_nodes))
         if not found and heard:
-            raise GatewayFault(f"depot {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
+            raise GatewayFault(f"storage node {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
                              retry_after=1)
         if not found:
-            raise NotFound("there is no such depot", code="no_such_depot", field="depot")
+            raise NotFound("there is no such storage node", code="no_such_storage_node", field="storage_node")
         return found
 
     async def retire(self, name: str, edit: str) -> int:
-        """Has the depot emptied; returns the sequence at which that is in effect. To ask again changes nothing."""
+        """Has the storage node emptied; returns the sequence at which that is in effect. To ask again changes nothing."""
         sheet = await self.newest()
-        serving = [d for d in self._depots_called(sheet, name) if sheet.depots[d] == "serving"]
+        serving = [d for d in self._storage_nodes_called(sheet, name) if sheet.storage_nodes[d] == "serving"]
         for d in serving:
             self.check_retirement(sheet, d)
         sequence = sheet.sequence
         for n, d in enumerate(serving):
-            c = Command(edit=f"{edit}/{n}" if n else edit, depot=DepotEdit(depot=d, standing="retiring"))
+            c = Command(edit=f"{edit}/{n}" if n else edit, storage_node=StorageNodeEdit(storage_node=d, standing="retiring"))
             sequence = (await self.decide(c)).sequence
         return sequence
 
     async def retirement(self, name: str) -> str:
         sheet = await self.newest()
-        done = all(sheet.depots[d] == "retired" for d in self._depots_called(sheet, name))
+        done = all(sheet.storage_nodes[d] == "retired" for d in self._storage_nodes_called(sheet, name))
         return "retired" if done else "serving"
--- a/pipitlink/controller/shelving.py
+++ b/pipitlink/controller/shelving.py
@@ -4,7 +4,7 @@
 from ..faults import GatewayFault
 from ..setup import Sheet
 from ..wire.ledger_pb2 import CaughtUp
-from ..wire.setup_pb2 import Command, DepotEdit, ShelfRow, Shelving as ShelvingRow
+from ..wire.setup_pb2 import Command, StorageNodeEdit, ShelfRow, Shelving as ShelvingRow
 
 __all__ = ["Shelving"]
 
@@ -15,14 +15,14 @@
 
 
 class Shelving:
-    """Mixin: the leader places shelves on depots, zones kept distinct where possible, and moves them off lost ones."""
+    """Mixin: the leader places shelves on storage nodes, zones kept distinct where possible, and moves them off lost ones."""
 
     def _open_shelving(self):
         self._caught_up_shelves: set[tuple[int, int, str]] = set()
         self._ctx.desk.answer("controller.caught_up", CaughtUp, self._told_caught_up)
 
     async def _told_caught_up(self, node, told: CaughtUp):
-        self._caught_up_shelves.add((told.shelf, told.sequence, told.depot))
+        self._caught_up_shelves.add((told.shelf, told.sequence, told.storage_node))
         if len(self._caught_up_shelves) > 10_000:
             self._caught_up_shelves.clear()
 
@@ -33,7 +33,7 @@
             return
         if await self._settle_witnesses():
             return
-        if self.sheet.settled == self.sheet.witnesses_at and (await self._admit_depot() or await self._let_depot_go()):
+        if self.sheet.settled == self.sheet.witnesses_at and (await self._admit_storage_node() or await self._let_storage_node_go()):
             return
         if not self.sheet.shelves:
             await self._first_shelves()
@@ -42,7 +42,7 @@
         if rows:
             await self._propose(Command(shelving=ShelvingRow(shelves=rows)))
             for r in rows:
-                self._ctx.journal.note("shelf", shelf=r.number, sequence=r.sequence, depots=",".join(r.depots),
+                self._ctx.journal.note("shelf", shelf=r.number, sequence=r.sequence, storage_nodes=",".join(r.storage_nodes),
                                        joining=r.joining, leaving=r.leaving)
 
     async def _proved(self, c: Command):
@@ -57,77 +57,77 @@
         await self._propose(Command(settled=at))
         return True
 
-    async def _admit_depot(self) -> bool:
-        for m in self._ctx.roster.members("depot", standing=("alive",)):
-            if m.node not in self.sheet.depots and m.node in self.followers and not self._name_retired(m.name):
-                await self._proved(Command(depot=DepotEdit(depot=m.node, standing="serving", name=m.name)))
-                self._ctx.journal.note("depot_admitted", depot=m.node, zone=m.zone)
+    async def _admit_storage_node(self) -> bool:
+        for m in self._ctx.roster.members("storage", standing=("alive",)):
+            if m.node not in self.sheet.storage_nodes and m.node in self.followers and not self._name_retired(m.name):
+                await self._proved(Command(storage_node=StorageNodeEdit(storage_node=m.node, standing="serving", name=m.name)))
+                self._ctx.journal.note("storage_node_admitted", storage_node=m.node, zone=m.zone)
                 return True
         return False
 
     def _name_retired(self, name: str) -> bool:
-        """Whether a depot of this name was retired: its machine is on its way out, also with an empty disk."""
-        return bool(name) and any(self.sheet.depots[d] != "serving"
-                                  for d, n in self.sheet.depot_names.items() if n == name)
-
-    async def _let_depot_go(self) -> bool:
-        """A depot that keeps no shelf any more: a retired one may be switched off, a lost one is taken off."""
-        for depot, standing in self.sheet.depots.items():
-            if not self.sheet.shelves or self._holds(self.sheet)[depot]:
+        """Whether a storage node of this name was retired: its machine is on its way out, also with an empty disk."""
+        return bool(name) and any(self.sheet.storage_nodes[d] != "serving"
+                                  for d, n in self.sheet.storage_node_names.items() if n == name)
+
+    async def _let_storage_node_go(self) -> bool:
+        """A storage node that keeps no shelf any more: a retired one may be switched off, a lost one is taken off."""
+        for storage_node, standing in self.sheet.storage_nodes.items():
+            if not self.sheet.shelves or self._holds(self.sheet)[storage_node]:
                 continue
-            if standing == "retiring" or (standing != "retired" and self._lost(depot)):
+            if standing == "retiring" or (standing != "retired" and self._lost(storage_node)):
                 goal = "retired" if standing == "retiring" else "removed"
-                await self._proved(Command(depot=DepotEdit(depot=depot, standing=goal)))
-                self._ctx.journal.note("depot_let_go", depot=depot, standing=goal)
+                await self._proved(Command(storage_node=StorageNodeEdit(storage_node=storage_node, standing=goal)))
+                self._ctx.journal.note("storage_node_let_go", storage_node=storage_node, standing=goal)
                 return True
         return False
 
     def _holds(self, sheet: Sheet) -> Counter:
-        return Counter(d for s in sheet.shelves.values() for d in (*s.depots, s.joining) if d)
+        return Counter(d for s in sheet.shelves.values() for d in (*s.storage_nodes, s.joining) if d)
 
-    def _zone(self, depot: str) -> str:
-        m = self._ctx.roster.find(depot)
+    def _zone(self, storage_node: str) -> str:
+        m = self._ctx.roster.find(storage_node)
         return m.zone if m is not None else ""
 
-    def _lost(self, depot: str) -> bool:
-        standing = self._ctx.roster.standing(depot)
+    def _lost(self, storage_node: str) -> bool:
+        standing = self._ctx.roster.standing(storage_node)
         if standing not in ("unknown", "gone"):
             return False
         away = self._ctx.beats.now() - self._elected_at - REPAIR_AFTER if standing == "unknown" \
-            else self._ctx.roster.since(depot)
-        return away > REPAIR_AFTER or self._replaced(depot)
+            else self._ctx.roster.since(storage_node)
+        return away > REPAIR_AFTER or self._replaced(storage_node)
 
-    def _replaced(self, depot: str) -> bool:
-        """Another depot answers at its place or by its name: it lost its disk and cannot come back, so nothing is waited for.
+    def _replaced(self, storage_node: str) -> bool:
+        """Another storage node answers at its place or by its name: it lost its disk and cannot come back, so nothing is waited for.
 
         Its name is in the setup, so that it is known also where no controller has met it since all of them started.
         """
-        m, name = self._ctx.roster.find(depot), self.sheet.depot_names.get(depot)
-        return any(o.node != depot and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
-                   for o in self._ctx.roster.members("depot", standing=("alive",)))
+        m, name = self._ctx.roster.find(storage_node), self.sheet.storage_node_names.get(storage_node)
+        return any(o.node != storage_node and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
+                   for o in self._ctx.roster.members("storage", standing=("alive",)))
 
     def _serving(self) -> list[str]:
-        return [d for d, s in self.sheet.depots.items()
+        return [d for d, s in self.sheet.storage_nodes.items()
                 if s == "serving" and self._ctx.roster.standing(d) == "alive"]
 
     async def _first_shelves(self):
-        depots = self._serving()
-        if len(depots) < COPIES:
+        storage_nodes = self._serving()
+        if len(storage_nodes) < COPIES:
             return
         held: Counter = Counter()
         rows = []
         for n in range(self._ctx.props.shelves):
             picked: list[str] = []
             while len(picked) < COPIES:
-                picked.append(self._pick_depot(depots, picked, held))
+                picked.append(self._pick_storage_node(storage_nodes, picked, held))
                 held[picked[-1]] += 1
-            rows.append(ShelfRow(number=n, sequence=1, depots=picked))
+            rows.append(ShelfRow(number=n, sequence=1, storage_nodes=picked))
         await self._propose(Command(shelving=ShelvingRow(shelves=rows)))
-        self._ctx.journal.note("shelved", shelves=len(rows), depots=len(depots))
+        self._ctx.journal.note("shelved", shelves=len(rows), storage_nodes=len(storage_nodes))
 
-    def _pick_depot(self, depots, beside, held) -> str:
+    def _pick_storage_node(self, storage_nodes, beside, held) -> str:
         zones = {self._zone(d) for d in beside}
-        free = [d for d in depots if d not in beside]
+        free = [d for d in storage_nodes if d not in beside]
         return min(free, key=lambda d: (self._zone(d) in zones, held[d], d), default="")
 
     def _next_moves(self) -> list[ShelfRow]:
@@ -138,10 +138,10 @@
                 continue
             moving += 1
             if (s.number, s.sequence, s.joining) in self._caught_up_shelves:
-                depots = [s.joining if d == s.leaving else d for d in s.depots]
-                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, depots=depots))
+                storage_nodes = [s.joining if d == s.leaving else d for d in s.storage_nodes]
+                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, storage_nodes=storage_nodes))
             elif self._lost(s.joining):
-                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, depots=s.depots))
+                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes))
         if ending:
             return ending
         starting = []
@@ -150,25 +150,25 @@
         for s in sorted(self.sheet.shelves.values(), key=lambda s: s.number):
             if s.joining or moving + len(starting) >= MAX_MOVES:
                 continue
-            leaving = next((d for d in s.depots if self._lost(d)), "") \
-                or next((d for d in s.depots if self.sheet.depots.get(d) == "retiring"), "")
+            leaving = next((d for d in s.storage_nodes if self._lost(d)), "") \
+                or next((d for d in s.storage_nodes if self.sheet.storage_nodes.get(d) == "retiring"), "")
             if leaving:
-                beside = [d for d in s.depots if d != leaving]
-                joining = self._pick_depot([d for d in serving if d not in s.depots], beside, held)
+                beside = [d for d in s.storage_nodes if d != leaving]
+                joining = self._pick_storage_node([d for d in serving if d not in s.storage_nodes], beside, held)
                 if joining:
                     held[joining] += 1
                     starting.append(self._move(s, leaving, joining))
         return starting or ([] if moving else self._evening_out(held, serving))
 
     def _move(self, s: ShelfRow, leaving: str, joining: str) -> ShelfRow:
-        return ShelfRow(number=s.number, sequence=s.sequence + 1, depots=s.depots, joining=joining, leaving=leaving)
+        return ShelfRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes, joining=joining, leaving=leaving)
 
     def _evening_out(self, held: Counter, serving: list[str]) -> list[ShelfRow]:
-        """A new depot takes a fair share, one shelf at a time, where zones stay as distinct as they were.
+        """A new storage node takes a fair share, one shelf at a time, where zones stay as distinct as they were.
 
-        Not while a shelf lacks one of its depots: a move needs a majority of both its sets.
+        Not while a shelf lacks one of its storage nodes: a move needs a majority of both its sets.
         """
-        away = any(self._ctx.roster.standing(d) != "alive" for s in self.sheet.shelves.values() for d in s.depots)
+        away = any(self._ctx.roster.standing(d) != "alive" for s in self.sheet.shelves.values() for d in s.storage_nodes)
         if len(serving) <= COPIES or away:
             return []
         low = min(serving, key=lambda d: (held[d], d))
@@ -176,15 +176,15 @@
             if held[high] - held[low] < 2:
                 return []
             for s in self.sheet.shelves.values():
-                rest = {self._zone(d) for d in s.depots if d != high}
-                if high in s.depots and low not in s.depots and (self._zone(low) not in rest
+                rest = {self._zone(d) for d in s.storage_nodes if d != high}
+                if high in s.storage_nodes and low not in s.storage_nodes and (self._zone(low) not in rest
                                                                  or self._zone(high) in rest):
                     return [self._move(s, high, low)]
         return []
 
-    def check_retirement(self, sheet: Sheet, depot: str):
-        rest = [d for d, s in sheet.depots.items()
-                if s == "serving" and d != depot and self._ctx.roster.standing(d) == "alive"]
+    def check_retirement(self, sheet: Sheet, storage_node: str):
+        rest = [d for d, s in sheet.storage_nodes.items()
+                if s == "serving" and d != storage_node and self._ctx.roster.standing(d) == "alive"]
         if len(rest) < COPIES:
-            raise GatewayFault(f"{len(rest)} live depots would be left and each shelf needs {COPIES}",
+            raise GatewayFault(f"{len(rest)} live storage nodes would be left and each shelf needs {COPIES}",
                              code="too_few_copies", status=409, outcome="not_run")
--- a/pipitlink/depot/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from .node import DepotNode, node_id
-
-__all__ = ["DepotNode", "node_id"]
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -19,8 +19,8 @@
         ("DELETE", "/v1/zones/<zone>/empty", "fill_zone"),
         ("PUT", "/v1/engines/<engine>", "put_engine"),
         ("DELETE", "/v1/engines/<engine>", "drop_engine"),
-        ("POST", "/v1/depots/<depot>/retire", "retire"),
-        ("GET", "/v1/depots/<depot>/retire", "show_retirement"),
+        ("POST", "/v1/storage_nodes/<storage_node>/retire", "retire"),
+        ("GET", "/v1/storage_nodes/<storage_node>/retire", "show_retirement"),
     )
     routes_word, pools_word, bounds_word = "routes", "pools", "bounds"
     puts_word, drops_word = "puts", "drops"
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/ledger/holder.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..beats import ZERO, ms, secs, spawn, wall_ms
-from ..depot.grants import HOLD_SPAN
+from ..storage.grants import HOLD_SPAN
 from ..disk import frame
 from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
 from ..wire.frame_pb2 import Nothing
@@ -48,11 +48,11 @@
         self._watchers: list = []
 
     def held(self) -> bool:
-        """By the own clock, and earlier than the depots' view ends."""
+        """By the own clock, and earlier than the storage nodes' view ends."""
         return not self.lost and self._renewed_by_majority()
 
     def _renewed_by_majority(self) -> bool:
-        """Or by one of the shelf as it was until a short while ago: a depot that joins it is only asked to renew since."""
+        """Or by one of the shelf as it was until a short while ago: a storage node that joins it is only asked to renew since."""
         now = self._ctx.beats.now()
         kept = [d for d, at in self._renewals.items() if now - at < HOLD_SPAN]
         return self.shelf.agree(kept) or \
@@ -75,9 +75,9 @@
                 for n in shelf.everyone:
                     self._send_to(n)
 
-    def renewed(self, depot: str, asked: timedelta, room: int):
-        self._room[depot] = room
-        self._renewals[depot] = max(asked, self._renewals.get(depot, asked))
+    def renewed(self, storage_node: str, asked: timedelta, room: int):
+        self._room[storage_node] = room
+        self._renewals[storage_node] = max(asked, self._renewals.get(storage_node, asked))
 
     def lapse(self, why: str):
         if self.lost:
@@ -110,7 +110,7 @@
                 if r.why in ("held", "just_started") and not r.granted:
                     raise NotHeld(f"{self.log} is held", r.state.holder)
             if not self.shelf.agree(got):
-                raise NoMajority(f"{self.log}: {len(got)} of {len(self.shelf.everyone)} depots answered")
+                raise NoMajority(f"{self.log}: {len(got)} of {len(self.shelf.everyone)} storage nodes answered")
             epoch = max(r.state.epoch for r in got.values()) + 1
         else:
             raise NotHeld(f"{self.log}: outbid")
@@ -143,7 +143,7 @@
             raise Fenced(f"{self.log} is final")
         size = sum(len(r) + 64 for r in records)
         if not reserved and not self.shelf.agree([n for n, room in self._room.items() if room > size]):
-            raise NoRoom(f"{self.log}: the depots are out of room", sent=False)
+            raise NoRoom(f"{self.log}: the storage nodes are out of room", sent=False)
         self._reserved = reserved
         self._no_room.clear()
         if final:
@@ -174,7 +174,7 @@
     def _sent(self, node, r):
         self._sending.discard(node)
         if isinstance(r, Exception) or hasattr(r, "value"):
-            self._ctx.journal.fault("send_failed", getattr(r, "value", r), log=self.log, depot=node)
+            self._ctx.journal.fault("send_failed", getattr(r, "value", r), log=self.log, storage_node=node)
 
     def _settled(self, state: LogState) -> bool:
         return state.tail_epoch == self.epoch and state.length == len(self.data) and state.final == self.final
@@ -203,7 +203,7 @@
                 await self._ctx.beats.pause(RETRY_BEAT)
             except WireFault as e:
                 self._states.pop(node, None)
-                self._ctx.journal.trace("replica_behind", log=self.log, depot=node, text=e)
+                self._ctx.journal.trace("replica_behind", log=self.log, storage_node=node, text=e)
                 await self._ctx.beats.pause(RETRY_BEAT if self._waiters else IDLE_BEAT)
             self._advance()
 
@@ -238,7 +238,7 @@
         if not self.shelf.agree(rest):
             waiters, self._waiters = self._waiters, []
             for _, d in waiters:
-                d.errback(NoRoom(f"{self.log}: the depots are out of room"))
+                d.errback(NoRoom(f"{self.log}: the storage nodes are out of room"))
             self.lapse("no room")
 
     def _advance(self):
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/ledger/ledger.py
@@ -18,7 +18,7 @@
 
 
 class Ledger:
-    """The durable logs as a node outside the depots sees them."""
+    """The durable logs as a node outside the storage nodes sees them."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -37,7 +37,7 @@
     async def ask(self, node: str, verb: str, what, kind, limit=ASK_LIMIT):
         place = self.place(node)
         if place is None:
-            raise WireFault(f"depot {node} is not on the roster")
+            raise WireFault(f"storage node {node} is not on the roster")
         return await self._ctx.desk.call(place, verb, what, kind, limit)
 
     async def ask_each(self, nodes, verb: str, what, kind, limit=ASK_LIMIT, enough=None) -> dict:
@@ -51,7 +51,7 @@
             try:
                 got[node] = await self.ask(node, verb, what, kind, limit)
             except WireFault as e:
-                self._ctx.journal.trace("depot_unheard", depot=node, verb=verb, text=e)
+                self._ctx.journal.trace("storage_node_unheard", storage_node=node, verb=verb, text=e)
             finally:
                 left -= 1
                 if not done.called and (left == 0 or (enough is not None and enough(got))):
@@ -80,71 +80,71 @@
         return h
 
     async def _give_back(self, h: Holder):
-        """What some depots granted of a lease that was not taken, so that another need not wait until it lapses."""
-        for depot, epoch in h.granted.items():
+        """What some storage nodes granted of a lease that was not taken, so that another need not wait until it lapses."""
+        for storage_node, epoch in h.granted.items():
             ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
-            self._ctx.spawned(self.ask_each([depot], "ledger.renew", ask, RenewReceipt, ms(400)), "give_back")
+            self._ctx.spawned(self.ask_each([storage_node], "ledger.renew", ask, RenewReceipt, ms(400)), "give_back")
 
     def drop(self, h: Holder):
         if self.holders.get(h.log) is h:
             del self.holders[h.log]
 
     async def _renew(self):
-        by_depot: dict[str, list[Holder]] = {}
+        by_storage_node: dict[str, list[Holder]] = {}
         for h in list(self.holders.values()):
             h.renewing()
             for d in h.shelf.everyone:
-                by_depot.setdefault(d, []).append(h)
-        for depot, holders in by_depot.items():
-            spawn(self._renew_at(depot, holders)).addErrback(lambda f: None)
+                by_storage_node.setdefault(d, []).append(h)
+        for storage_node, holders in by_storage_node.items():
+            spawn(self._renew_at(storage_node, holders)).addErrback(lambda f: None)
 
-    async def _renew_at(self, depot: str, holders: list[Holder]):
+    async def _renew_at(self, storage_node: str, holders: list[Holder]):
         asked = self._ctx.beats.now()
         ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in holders])
-        r = await self.ask(depot, "ledger.renew", ask, RenewReceipt)
+        r = await self.ask(storage_node, "ledger.renew", ask, RenewReceipt)
         kept = set(r.kept)
         for h in holders:
             if h.log in kept:
-                h.renewed(depot, asked, r.room)
+                h.renewed(storage_node, asked, r.room)
 
     async def release(self, holders: list[Holder]):
-        by_depot: dict[str, list[Held]] = {}
+        by_storage_node: dict[str, list[Held]] = {}
         for h in holders:
             h.lapse("released")
             for d in h.shelf.everyone:
-                by_depot.setdefault(d, []).append(Held(log=h.log, epoch=h.epoch))
-        for depot, held in by_depot.items():
+                by_storage_node.setdefault(d, []).append(Held(log=h.log, epoch=h.epoch))
+        for storage_node, held in by_storage_node.items():
             ask = RenewAsk(holder=self._ctx.node, held=held, release=True)
-            await self.ask_each([depot], "ledger.renew", ask, RenewReceipt, ms(400))
+            await self.ask_each([storage_node], "ledger.renew", ask, RenewReceipt, ms(400))
 
     async def states(self, logs: list[str]) -> dict[str, LogState]:
-        """What is surely durable of each log, by a majority of its depots; logs without one are left out."""
-        by_depot: dict[str, list[str]] = {}
+        """What is surely durable of each log, by a majority of its storage nodes; logs without one are left out."""
+        by_storage_node: dict[str, list[str]] = {}
         for log in logs:
             for d in self.shelf(log).everyone:
-                by_depot.setdefault(d, []).append(log)
+                by_storage_node.setdefault(d, []).append(log)
         heard: dict[str, dict[str, LogState]] = {log: {} for log in logs}
         done = defer.Deferred(lambda _: None)
-        left = len(by_depot)
+        left = len(by_storage_node)
 
         def finish():
             if not done.called:
                 done.callback(None)
 
-        async def one(depot, names):
+        async def one(storage_node, names):
             nonlocal left
-            r = (await self.ask_each([depot], "ledger.states", StatesAsk(logs=names), States)).get(depot)
+            r = (await self.ask_each([storage_node], "ledger.states", StatesAsk(logs=names), States)).get(storage_node)
             for s in r.states if r else ():
-                heard[s.log][depot] = s
+                heard[s.log][storage_node] = s
             left -= 1
             if not left:
                 finish()
             elif all(self.shelf(log).agree(states) for log, states in heard.items()):
                 self._ctx.beats.later(GRACE, finish)
 
-        for d, n in by_depot.items():
+        for d, n in by_storage_node.items():
             self._ctx.spawned(one(d, n), "states")
-        if by_depot:
+        if by_storage_node:
             await done
         out = {}
         for log, states in heard.items():
@@ -154,31 +154,31 @@
         return out
 
     async def list(self, prefix: str) -> dict[str, LogState]:
-        """Every log whose name starts so, as far as the depots that answer know them."""
+        """Every log whose name starts so, as far as the storage nodes that answer know them."""
         return (await self._list(ListAsk(prefix=prefix)))[0]
 
     async def list_open(self, prefix: str) -> tuple[dict[str, LogState], bool]:
-        """Those that some depot has as not final, and whether enough depots answered that none was missed.
+        """Those that some storage node has as not final, and whether enough storage nodes answered that none was missed.
 
-        Goes on once a majority of each shelf answered: what is durable is on one of them, so a depot that is away holds
+        Goes on once a majority of each shelf answered: what is durable is on one of them, so a storage node that is away holds
         nobody up.
         """
         return await self._list(ListAsk(prefix=prefix, open_only=True))
 
     async def _list(self, ask: ListAsk) -> tuple[dict[str, LogState], bool]:
         shelves = [self._ctx.setup.shelf(n) for n in range(self._ctx.setup.shelves)]
-        depots = sorted({d for s in shelves for d in s.everyone})
+        storage_nodes = sorted({d for s in shelves for d in s.everyone})
         enough = (lambda g: all(s.agree(g) for s in shelves)) if ask.open_only else None
-        got = await self.ask_each(depots, "ledger.list", ask, States, secs(1), enough=enough)
+        got = await self.ask_each(storage_nodes, "ledger.list", ask, States, secs(1), enough=enough)
         heard: dict[str, dict[str, LogState]] = {}
-        for depot, r in got.items():
+        for storage_node, r in got.items():
             for s in r.states:
-                heard.setdefault(s.log, {})[depot] = s
+                heard.setdefault(s.log, {})[storage_node] = s
         found = {log: agreed(self.shelf(log), states) for log, states in heard.items()}
         return found, all(s.agree(got) for s in shelves)
 
     async def read(self, log: str, position: int, length: int) -> bytes:
-        """Reads one span from the durable log, whole or not at all; where one depot is slow, from the next as well."""
+        """Reads one span from the durable log, whole or not at all; where one storage node is slow, from the next as well."""
         nodes = list(self.shelf(log).everyone)
         self._ctx.chance.shuffle(nodes)
         nodes.sort(key=lambda n: self._ctx.roster.standing(n) != "alive")
@@ -204,7 +204,7 @@
         raise NoMajority(f"{log}: bytes {position} to {position + length} could not be read")
 
     async def read_from(self, node: str, log: str, position: int, length: int) -> bytes:
-        """What one depot shows of a span: less than all of it where it has less or cannot be heard."""
+        """What one storage node shows of a span: less than all of it where it has less or cannot be heard."""
         out = b""
         while len(out) < length:
             ask = ReadAsk(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
--- a/pipitlink/ledger/shelf.py
+++ b/pipitlink/ledger/shelf.py
@@ -15,23 +15,23 @@
 
     number: int
     sequence: int
-    depots: tuple[str, ...]
+    storage_nodes: tuple[str, ...]
     joining: str = ""
     leaving: str = ""
 
     @property
     def sets(self) -> tuple[tuple[str, ...], ...]:
         if not self.joining:
-            return (self.depots,)
-        return self.depots, tuple(self.joining if d == self.leaving else d for d in self.depots)
+            return (self.storage_nodes,)
+        return self.storage_nodes, tuple(self.joining if d == self.leaving else d for d in self.storage_nodes)
 
     @property
     def everyone(self) -> tuple[str, ...]:
-        return self.depots + ((self.joining,) if self.joining else ())
+        return self.storage_nodes + ((self.joining,) if self.joining else ())
 
     def agree(self, nodes) -> bool:
         """Whether these nodes are a majority of each set."""
-        return bool(self.depots) and all(2 * sum(d in nodes for d in s) > len(s) for s in self.sets)
+        return bool(self.storage_nodes) and all(2 * sum(d in nodes for d in s) > len(s) for s in self.sets)
 
     def reached(self, marks: dict[str, int]) -> int:
         """The highest position that a majority of each set has reached."""
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -67,8 +67,8 @@
         out = {"node": me.node, "role": me.role, "zone": me.zone,
                "setup": {"sequence": sheet.sequence, "table": sheet.table, "voters": ",".join(sheet.voters),
                          "empty_zones": ",".join(sorted(sheet.empty_zones))},
-               "roster": {}, "standing": {}, "depots": dict(sheet.depots),
-               "shelves": {str(n): f"{s.sequence}:{','.join(s.depots)}:{s.joining}:{s.leaving}"
+               "roster": {}, "standing": {}, "storage_nodes": dict(sheet.storage_nodes),
+               "shelves": {str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
                            for n, s in sorted(sheet.shelves.items())}}
         for m in [*self._ctx.roster.everyone()]:
             out["roster"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -11,7 +11,7 @@
 from .cache import Cache
 from .changes import Changes
 from .context import Context, fresh_id
-from .depot import DepotNode, node_id
+from .storage import StorageNode, node_id
 from .dialect import Dialect
 from .disk import set_aside
 from .faults import Damaged, PropsFault
@@ -33,7 +33,7 @@
 
 
 class Process:
-    """One gateway, depot or controller, from its props to its end."""
+    """One gateway, storage node or controller, from its props to its end."""
 
     def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None):
         node = fresh_id() if role == "gateway" else node_id(Path(props.data), props.fleet)
@@ -95,7 +95,7 @@
 
     def _open_kept(self):
         """Opens what is on disk. Damage that replicas can mend is set aside, and the node begins anew and empty."""
-        ctx, kinds = self.ctx, {"depot": DepotNode, "controller": ControllerNode}
+        ctx, kinds = self.ctx, {"storage": StorageNode, "controller": ControllerNode}
         if ctx.role not in kinds:
             return
         disk = ctx.desk.gate.disk() if ctx.desk.gate is not None else None
--- a/pipitlink/props.py
+++ b/pipitlink/props.py
@@ -10,7 +10,7 @@
 
 __all__ = ["Props", "read_props", "ROLES"]
 
-ROLES = ("gateway", "depot", "controller")
+ROLES = ("gateway", "storage", "controller")
 _INTERFACES = ("models", "routes")
 _LEVELS = ("debug", "info", "warning", "error")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,62}$")
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -141,7 +141,7 @@
             r.close()
 
     async def _say_batch_absent(self, batch_id: str, seen):
-        """404 only where a majority of the depots shows not one byte of it, not even such as may yet be durable."""
+        """404 only where a majority of the storage nodes shows not one byte of it, not even such as may yet be durable."""
         if seen.final:
             raise NotFound("the batch was removed after its retention", code="batch_removed", status=410)
         state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -172,7 +172,7 @@
         return FollowReceipt(sequence=self.sequence, sheet=self.sheet.data())
 
     async def _ask_witnesses(self):
-        """Proof without a controller: an edit is only acknowledged when a majority of the depots has it."""
+        """Proof without a controller: an edit is only acknowledged when a majority of the storage nodes has it."""
         self.ready()
         witnesses = self.sheet.witnesses()
         now = self._ctx.beats.now()
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -1,7 +1,7 @@
 from collections import OrderedDict
 
 from ..ledger.shelf import Shelf
-from ..wire.setup_pb2 import Command, DepotEdit, Outcome, Row, SheetData, ShelfRow
+from ..wire.setup_pb2 import Command, StorageNodeEdit, Outcome, Row, SheetData, ShelfRow
 from .routes import RouteTable
 
 __all__ = ["Sheet", "MAX_ROWS"]
@@ -11,7 +11,7 @@
 
 
 class Sheet:
-    """The setup: the weight table, routes, zones, depots, shelves and voters, as the agreed commands make it."""
+    """The setup: the weight table, routes, zones, storage nodes, shelves and voters, as the agreed commands make it."""
 
     def __init__(self, data: SheetData | None = None):
         data = data or SheetData()
@@ -20,8 +20,8 @@
         self.rows: dict[str, Row] = {r.name: r for r in data.rows}
         self.routes = RouteTable(data.config)
         self.empty_zones: set[str] = set(data.empty_zones)
-        self.depots: dict[str, str] = {d.depot: d.standing for d in data.depots}
-        self.depot_names: dict[str, str] = {d.depot: d.name for d in data.depots if d.name}
+        self.storage_nodes: dict[str, str] = {d.storage_node: d.standing for d in data.storage_nodes}
+        self.storage_node_names: dict[str, str] = {d.storage_node: d.name for d in data.storage_nodes if d.name}
         self.shelves: dict[int, ShelfRow] = {s.number: s for s in data.shelves}
         self.voters: tuple[str, ...] = tuple(data.voters)
         self.witnesses_at = data.witnesses_at
@@ -33,8 +33,8 @@
         return SheetData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
                          empty_zones=sorted(self.empty_zones), shelves=self.shelves.values(), voters=self.voters,
                          witnesses_at=self.witnesses_at, settled=self.settled,
-                         depots=[DepotEdit(depot=d, standing=s, name=self.depot_names.get(d))
-                                 for d, s in self.depots.items()],
+                         storage_nodes=[StorageNodeEdit(storage_node=d, standing=s, name=self.storage_node_names.get(d))
+                                 for d, s in self.storage_nodes.items()],
                          outcomes=self.outcomes.values(), config=self.routes.config())
 
     def apply(self, sequence: int, c: Command) -> Outcome:
@@ -85,15 +85,15 @@
         (self.empty_zones.add if e.empty else self.empty_zones.discard)(e.zone)
         return "done"
 
-    def _apply_depot(self, e, sequence) -> str:
+    def _apply_storage_node(self, e, sequence) -> str:
         before = self.witnesses()
         if e.standing == "removed":
-            self.depots.pop(e.depot, None)
-            self.depot_names.pop(e.depot, None)
+            self.storage_nodes.pop(e.storage_node, None)
+            self.storage_node_names.pop(e.storage_node, None)
         else:
-            self.depots[e.depot] = e.standing
+            self.storage_nodes[e.storage_node] = e.standing
             if e.name:
-                self.depot_names[e.depot] = e.name
+                self.storage_node_names[e.storage_node] = e.name
         if self.witnesses() != before:
             self.witnesses_at = sequence
         return "done"
@@ -122,7 +122,7 @@
         s = self.shelves.get(n)
         if s is None:
             return Shelf(n, 0, ())
-        return Shelf(n, s.sequence, tuple(s.depots), s.joining, s.leaving)
+        return Shelf(n, s.sequence, tuple(s.storage_nodes), s.joining, s.leaving)
 
     def row(self, model: str, pool: str) -> Row | None:
         if self._by_target is None:
@@ -131,4 +131,4 @@
         return t.get((model, pool)) or t.get((model, "")) or t.get(("", pool))
 
     def witnesses(self) -> list[str]:
-        return sorted(d for d, s in self.depots.items() if s != "retired")
+        return sorted(d for d, s in self.storage_nodes.items() if s != "retired")
--- a/pipitlink/depot/copying.py
+++ b/pipitlink/storage/copying.py
@@ -22,7 +22,7 @@
 
 
 class Copying:
-    """Mixin: a depot brings its copies up to what a majority of the shelf holds, when it joins or has been away."""
+    """Mixin: a storage node brings its copies up to what a majority of the shelf holds, when it joins or has been away."""
 
     def _open_copying(self):
         self._mine: set[int] = set()
@@ -51,26 +51,26 @@
                 await self._copy_shelf(shelf, joining=False)
 
     async def _copy_shelf(self, shelf: Shelf, joining: bool) -> bool:
-        """True once this depot holds all that a majority of the others, all at this placement, are seen to hold."""
-        others = [d for d in shelf.depots if d != self._ctx.node]
+        """True once this storage node holds all that a majority of the others, all at this placement, are seen to hold."""
+        others = [d for d in shelf.storage_nodes if d != self._ctx.node]
         got = await self._ctx.ledger.ask_each(others, "ledger.list", ListAsk(shelf=shelf.number, one_shelf=True),
                                               States, ASK_LIMIT)
         at = {d: r for d, r in got.items() if r.shelf_sequence >= shelf.sequence}
-        if joining and not 2 * len(at) > len(shelf.depots):
+        if joining and not 2 * len(at) > len(shelf.storage_nodes):
             return False
         best: dict[str, tuple[LogState, str]] = {}
         promised: dict[str, int] = {}
-        for depot, r in at.items():
+        for storage_node, r in at.items():
             for s in r.states:
                 promised[s.log] = max(promised.get(s.log, 0), s.epoch)
                 if s.log not in best or _rank(s) > _rank(best[s.log][0]):
-                    best[s.log] = (s, depot)
+                    best[s.log] = (s, storage_node)
         whole = True
-        for log, (state, depot) in best.items():
+        for log, (state, storage_node) in best.items():
             try:
                 mine = self.shed.state(log)
                 if _rank(state) > _rank(mine) and not (_withered(mine) and mine.tail_epoch >= state.tail_epoch):
-                    await self._copy_log(log, state, depot)
+                    await self._copy_log(log, state, storage_node)
                 if joining and promised[log] > self.shed.state(log).epoch:
                     await self._syncer.put(lambda t, log=log: self.shed.promise(log, promised[log], t, granted=False))
             except (LedgerFault, WireFault) as e:
@@ -78,13 +78,13 @@
                 whole = False
         return whole
 
-    async def _copy_log(self, log: str, state: LogState, depot: str):
-        """Makes this copy the same as that depot's, unsure tail and all, in one entry."""
+    async def _copy_log(self, log: str, state: LogState, storage_node: str):
+        """Makes this copy the same as that storage node's, unsure tail and all, in one entry."""
         mine = self.shed.state(log)
         start = mine.length if mine.tail_epoch == state.tail_epoch else min(mine.committed, state.length)
-        data = await self._ctx.ledger.read_from(depot, log, start, state.length - start)
+        data = await self._ctx.ledger.read_from(storage_node, log, start, state.length - start)
         if len(data) != state.length - start:
-            raise NoMajority(f"{log}: {depot} did not show all of it")
+            raise NoMajority(f"{log}: {storage_node} did not show all of it")
         e = Entry(kind=Entry.WRITE, log=log, epoch=state.tail_epoch, position=start, data=data, final=state.final,
                   committed=min(state.committed, state.length), closed_ms=state.closed_ms)
         done = self._syncer.put(lambda t: self.shed.copy(e, mine.tail_epoch, mine.length, t))
@@ -92,10 +92,10 @@
             raise Fenced(f"{log} moved meanwhile")
         await done
         self.shed.settle(log, state.tail_epoch, state.length, state.final)
-        self._ctx.journal.note("copied", log=log, bytes=len(data), source=depot)
+        self._ctx.journal.note("copied", log=log, bytes=len(data), source=storage_node)
         await self._ctx.beats.pause(secs(len(data) / (COPY_KB_S * 1024)))
 
     async def _tell_caught_up(self, shelf: Shelf):
-        told = CaughtUp(depot=self._ctx.node, shelf=shelf.number, sequence=shelf.sequence)
+        told = CaughtUp(storage_node=self._ctx.node, shelf=shelf.number, sequence=shelf.sequence)
         controllers = [m.node for m in self._ctx.roster.members("controller", me=False)]
         await self._ctx.ledger.ask_each(controllers, "controller.caught_up", told, Nothing, ms(500))
--- a/pipitlink/depot/node.py
+++ b/pipitlink/storage/node.py
@@ -13,7 +13,7 @@
 from .keeping import Keeping
 from .shed import Shed
 
-__all__ = ["DepotNode", "node_id"]
+__all__ = ["StorageNode", "node_id"]
 
 MAX_READ = 8 * 1024 * 1024
 MAX_LOG = 64 * 1024 * 1024
@@ -34,7 +34,7 @@
     return node
 
 
-class DepotNode(Grants, Copying, Keeping):
+class StorageNode(Grants, Copying, Keeping):
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
         budget = ctx.props.budget_mb * 1024 * 1024
--- a/pipitlink/depot/shed.py
+++ b/pipitlink/storage/shed.py
@@ -13,7 +13,7 @@
 
 @attrs.define(eq=False)
 class Kept:
-    """One log as this depot keeps it. `epoch` is the highest promised, `tail_epoch` that of its last writer."""
+    """One log as this storage node keeps it. `epoch` is the highest promised, `tail_epoch` that of its last writer."""
 
     log: str
     epoch: int = 0
@@ -52,7 +52,7 @@
 
 
 class Shed:
-    """The logs of one depot: what each holds, and the rules an entry must meet."""
+    """The logs of one storage node: what each holds, and the rules an entry must meet."""
 
     def __init__(self, folder: Path, disk: Disk, budget: int, reserve: int):
         self.segments = Segments(folder, disk)
@@ -144,7 +144,7 @@
         return True
 
     def copy(self, e: Entry, expect_tail_epoch: int, expect_length: int, ticket) -> bool:
-        """A copy of another depot's state; never where a later holder has already counted on what is here."""
+        """A copy of another storage node's state; never where a later holder has already counted on what is here."""
         k = self.logs.get(e.log)
         if k is not None and k.granted > e.epoch:
             raise Fenced(f"{e.log}: epoch {k.granted} was granted here")
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -8,7 +8,7 @@
 __all__ = ["run_tool", "compare", "differences"]
 
 LIMIT = 10
-TOPICS = ("setup", "roster", "standing", "engines", "depots", "shelves", "leases", "logs")
+TOPICS = ("setup", "roster", "standing", "engines", "storage_nodes", "shelves", "leases", "logs")
 
 
 class _Unreached(Exception):
@@ -77,10 +77,10 @@
 
 
 def _both_keep(log: str, a: dict, b: dict) -> bool:
-    """Logs are told as SHELF/NAME; two depots need to agree on those of the shelves that both keep."""
+    """Logs are told as SHELF/NAME; two storage nodes need to agree on those of the shelves that both keep."""
     shelf = a["shelves"].get(log.partition("/")[0], "")
-    depots = shelf.split(":")[1].split(",") if shelf else []
-    return a["node"] in depots and b["node"] in depots
+    storage_nodes = shelf.split(":")[1].split(",") if shelf else []
+    return a["node"] in storage_nodes and b["node"] in storage_nodes
 
 
 def compare(first: str, second: str, as_json: bool) -> int:
@@ -174,10 +174,10 @@
             if words["show"]:
                 return _say(*_ask_any(places, "GET", "/v1/zones"))
             return _say(*_ask_any(places, "PUT", f"/v1/zones/{words['ZONE']}", {"empty": bool(words["empty"])}))
-        if words["depot"]:
+        if words["storage"]:
             if words["show"]:
-                return _say(*_ask_any(places, "GET", "/v1/depots"))
-            return _say(*_ask_any(places, "POST", f"/v1/depots/{words['DEPOT']}/retire", {}))
+                return _say(*_ask_any(places, "GET", "/v1/storage_nodes"))
+            return _say(*_ask_any(places, "POST", f"/v1/storage_nodes/{words['STORAGE_NODE']}/retire", {}))
         if words["lot"]:
             path = f"/v1/lots/{words['LOT']}"
             return _say(*_ask_any(places, "GET" if words["show"] else "DELETE", path))
--- a/rehearsal/bench.py
+++ b/rehearsal/bench.py
@@ -20,7 +20,7 @@
         self.p = PROFILES[profile]
         self.rounds, self.window = rounds, window
         p = self.p
-        self.fleet = Fleet(gateways=p["gateways"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
+        self.fleet = Fleet(gateways=p["gateways"], storage_nodes=p["storage_nodes"], controllers=p["controllers"], engines=p["engines"],
                            cards=p["cards"], capacity=8, step=0.02)
         self.calls = Callers(self.fleet, Random(seed))
         self._n = 0
--- a/rehearsal/breaks.py
+++ b/rehearsal/breaks.py
@@ -38,9 +38,9 @@
         for n in names:
             if n.startswith("gateway"):
                 wait_for(lambda: self.fleet.call(n, "GET", "/v1/ready")[0] == 200, 30, f"{n} is ready again")
-            elif n.startswith(("depot", "controller")):
+            elif n.startswith(("storage", "controller")):
                 wait_for(lambda: self.fleet.call(n, "GET", "/v1/live")[0] == 200, 30, f"{n} lives again")
-        if any(n.startswith(("depot", "controller")) for n in names):
+        if any(n.startswith(("storage", "controller")) for n in names):
             time.sleep(REPAIRED)
 
     def _any(self, chance, role):
@@ -49,8 +49,8 @@
     def plan_kill_gateway(self, c):
         return self._down("kill", [self._any(c, "gateway")], 2 * c.random())
 
-    def plan_kill_depot(self, c):
-        return self._down("kill", [self._any(c, "depot")], 3 * c.random())
+    def plan_kill_storage_node(self, c):
+        return self._down("kill", [self._any(c, "storage")], 3 * c.random())
 
     def plan_kill_controller(self, c):
         return self._down("kill", [self._any(c, "controller")], 2 * c.random())
@@ -61,8 +61,8 @@
     def plan_power_controller(self, c):
         return self._down("power", [self.leader()], 2 * c.random(), power=c)
 
-    def plan_power_depot(self, c):
-        """The busiest depot loses power right after an acknowledgement."""
+    def plan_power_storage_node(self, c):
+        """The busiest storage node loses power right after an acknowledgement."""
         names, do = self._down("power", [self.busiest()], 2 * c.random(), power=c)
 
         def at_once():
@@ -98,8 +98,8 @@
     def plan_freeze_gateway(self, c):
         return self._freeze([self._any(c, "gateway")], 1 + 5 * c.random())
 
-    def plan_freeze_depot(self, c):
-        return self._freeze([self._any(c, "depot")], 1 + 5 * c.random())
+    def plan_freeze_storage_node(self, c):
+        return self._freeze([self._any(c, "storage")], 1 + 5 * c.random())
 
     def plan_freeze_leader(self, c):
         return self._freeze([self.leader()], 1 + 5 * c.random())
@@ -107,8 +107,8 @@
     def plan_gateway_roll(self, c):
         return self._roll([self._any(c, "gateway"), self._any(c, "gateway")])
 
-    def plan_depot_roll(self, c):
-        return self._roll(self.fleet.nodes("depot"))
+    def plan_storage_node_roll(self, c):
+        return self._roll(self.fleet.nodes("storage"))
 
     def plan_controller_roll(self, c):
         return self._roll(self.fleet.nodes("controller"))
@@ -128,11 +128,11 @@
 
         return names if names[0].startswith("gateway") else ["core"], do
 
-    def plan_depot_empty(self, c):
-        name = self._any(c, "depot")
+    def plan_storage_node_empty(self, c):
+        name = self._any(c, "storage")
 
         def do():
-            lost = self.depot_id(name)
+            lost = self.storage_node_id(name)
             self._down("disk lost", [name], 0.1, wiped=True)[1]()
             self._wait_placed(lost)
 
@@ -140,12 +140,12 @@
 
     def plan_replace_seeds(self, c):
         """The three machines of the seeds are swapped for empty ones at new addresses; the others keep old seeds."""
-        olds = [next(n for n in self.fleet.nodes(r)) for r in ("controller", "depot", "gateway")]
+        olds = [next(n for n in self.fleet.nodes(r)) for r in ("controller", "storage", "gateway")]
 
         def do():
             self.say(f"{','.join(olds)} are replaced by empty machines at new addresses")
-            lost = self.depot_id(olds[1])
-            seeds = [self.fleet.place(self.fleet.nodes(r)[1]) for r in ("controller", "depot", "gateway")]
+            lost = self.storage_node_id(olds[1])
+            seeds = [self.fleet.place(self.fleet.nodes(r)[1]) for r in ("controller", "storage", "gateway")]
             with self.calls.hurting("replaced", olds, settle=4):
                 self.calls.down.add(olds[2])
                 news = []
@@ -162,21 +162,21 @@
 
         return [*olds, "core"], do
 
-    def plan_retire_depot(self, c):
-        """A depot is added and another retired; while its shelves move, a third one is killed for a while."""
-        old, other = c.sample(self.fleet.nodes("depot"), 2)
+    def plan_retire_storage_node(self, c):
+        """A storage node is added and another retired; while its shelves move, a third one is killed for a while."""
+        old, other = c.sample(self.fleet.nodes("storage"), 2)
 
         def do():
             self._fresh += 1
-            new = f"depot{100 + self._fresh}"
+            new = f"storage{100 + self._fresh}"
             self.say(f"{new} is added, {old} is retired and {other} is killed meanwhile")
-            self.fleet.add_node("depot", new, self.fleet.zones[old]).start()
-            wait_for(lambda: any(d["place"] == self.fleet.place(new) for d in self.depots().values()), 30, "it is admitted")
-            gone = self.depot_id(old)
-            wait_for(lambda: self.fleet.call(self.leader(), "POST", f"/v1/depots/{gone}/retire", {})[0] == 200, 30,
+            self.fleet.add_node("storage", new, self.fleet.zones[old]).start()
+            wait_for(lambda: any(d["place"] == self.fleet.place(new) for d in self.storage_nodes().values()), 30, "it is admitted")
+            gone = self.storage_node_id(old)
+            wait_for(lambda: self.fleet.call(self.leader(), "POST", f"/v1/storage_nodes/{gone}/retire", {})[0] == 200, 30,
                      "retirement is taken")
             self._down("kill", [other], 1 + 2 * c.random())[1]()
-            wait_for(lambda: self.depots().get(gone, {}).get("standing") == "retired", 120, f"{old} is retired")
+            wait_for(lambda: self.storage_nodes().get(gone, {}).get("standing") == "retired", 120, f"{old} is retired")
             self.say(f"{old} is retired")
             with self.calls.hurting("retired", [old]):
                 self.fleet.remove(old)
@@ -185,8 +185,8 @@
         return [old, other, "core"], do
 
     def plan_disk_full(self, c):
-        """One depot's disk refuses; then two depots' do, which may refuse lots but loses nothing."""
-        names = c.sample(self.fleet.nodes("depot"), 2)
+        """One storage node's disk refuses; then two storage nodes' do, which may refuse lots but loses nothing."""
+        names = c.sample(self.fleet.nodes("storage"), 2)
 
         def do():
             for full, bearable in ((names[:1], True), (names, False)):
@@ -253,9 +253,9 @@
 
     def _wait_placed(self, lost: str, retired=False):
         def placed():
-            depots = self.depots()
-            serving = {d: v for d, v in depots.items() if v["standing"] == "serving"}
-            return len(serving) >= 4 and (retired or lost not in depots) \
+            storage_nodes = self.storage_nodes()
+            serving = {d: v for d, v in storage_nodes.items() if v["standing"] == "serving"}
+            return len(serving) >= 4 and (retired or lost not in storage_nodes) \
                 and all(d["heard"] == "alive" for d in serving.values()) \
                 and sum(d["shelves"] for d in serving.values()) == 48
 
--- a/rehearsal/capacity.py
+++ b/rehearsal/capacity.py
@@ -26,7 +26,7 @@
     sets: object
     kind: str = "hollow"
     span: float = 6.0
-    roles: tuple = ("gateway", "depot", "controller", "leader")
+    roles: tuple = ("gateway", "storage", "controller", "leader")
 
 
 SERIES = {
--- a/rehearsal/closing.py
+++ b/rehearsal/closing.py
@@ -53,7 +53,7 @@
         for n in names:
             if kind == "freeze":
                 self.fleet.programs[n].freeze()
-            elif kind == "power" and n.startswith(("depot", "controller")):
+            elif kind == "power" and n.startswith(("storage", "controller")):
                 self.fleet.power(n, c)
             else:
                 self.fleet.programs[n].kill()
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -81,7 +81,7 @@
 
 
 class Fleet:
-    def __init__(self, gateways=3, depots=4, controllers=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
+    def __init__(self, gateways=3, storage_nodes=4, controllers=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
                  props=None, models="pipit-small"):
         self.folder = Path(keep or tempfile.mkdtemp(prefix="rehearsal-"))
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -94,9 +94,9 @@
         self._told: dict = {}
         self.capacity, self.step = capacity, step
         self.zones: dict[str, str] = {}
-        counts = {"gateway": gateways, "depot": depots, "controller": controllers}
+        counts = {"gateway": gateways, "storage": storage_nodes, "controller": controllers}
         self._ports = {f"{role}{i}": tuple(free_ports(3)) for role, n in counts.items() for i in range(n)}
-        firsts = [self._ports[f"{r}0"][0] for r in ("controller", "depot", "gateway") if counts[r]]
+        firsts = [self._ports[f"{r}0"][0] for r in ("controller", "storage", "gateway") if counts[r]]
         self.seeds = [f"127.0.0.1:{p}" for p in firsts]
         self.founders = [f"127.0.0.1:{self._ports[f'controller{i}'][0]}" for i in range(min(3, controllers))]
         for name in self._ports:
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -11,7 +11,7 @@
 from pipitlink.beats import Beats, secs, spawn
 from pipitlink.cache import Cache
 from pipitlink.context import Context, fresh_id
-from pipitlink.depot import DepotNode
+from pipitlink.storage import StorageNode
 from pipitlink.disk import Disk
 from pipitlink.gateway import GatewayNode
 from pipitlink.journal import Journal
@@ -114,7 +114,7 @@
         ctx.cache = Cache(ctx)
         part = (_Member if kind == "member" else HollowGateway)(ctx)
     else:
-        part = {"depot": DepotNode, "controller": ControllerNode}[ctx.role](ctx, disk)
+        part = {"storage": StorageNode, "controller": ControllerNode}[ctx.role](ctx, disk)
     part.open()
     if ctx.role == "gateway":
         ctx.ledger.open()
--- a/rehearsal/hosts.py
+++ b/rehearsal/hosts.py
@@ -55,17 +55,17 @@
 
 
 class HollowFleet:
-    """Controllers and depots each alone in a process; gateways several to one, or whole ones each alone."""
+    """Controllers and storage nodes each alone in a process; gateways several to one, or whole ones each alone."""
 
-    def __init__(self, gateways: int, kind: str, pace: float, controllers=3, depots=3):
+    def __init__(self, gateways: int, kind: str, pace: float, controllers=3, storage_nodes=3):
         self.gateways, self.kind, self.pace = gateways, kind, pace
         self.folder = Path(tempfile.mkdtemp(prefix="capacity-"))
         self.hosts: list[_HostProcess] = []
-        self._counts = {"controller": controllers, "depot": depots, "gateway": gateways}
+        self._counts = {"controller": controllers, "storage": storage_nodes, "gateway": gateways}
         self._threads = ThreadPoolExecutor(64)
 
     def start(self):
-        per = {"controller": 1, "depot": 1, "gateway": 1 if self.kind == "whole" else PER_HOST}
+        per = {"controller": 1, "storage": 1, "gateway": 1 if self.kind == "whole" else PER_HOST}
         for role, n in self._counts.items():
             step = min(per[role], max(1, -(-n // 2))) if role == "gateway" else 1
             for at in range(0, n, step):
@@ -73,7 +73,7 @@
         ports = free_ports(self._counts["controller"])
         seeds = [f"127.0.0.1:{p}" for p in ports]
         spec = {"zones": ZONES, "folder": str(self.folder), "founders": seeds[:3], "seeds": seeds}
-        kinds = {"controller": "hollow", "depot": "hollow", "gateway": self.kind}
+        kinds = {"controller": "hollow", "storage": "hollow", "gateway": self.kind}
         self.base = {id(h): h.memory() for h in self.hosts if h.ask("count")}
         told = self._all(lambda h: h.ask("listen", spec={
             **spec, "role": h.role, "numbers": h.numbers, "kind": kinds[h.role],
@@ -86,7 +86,7 @@
         self._until(lambda: all(h.ask("look")["ready"] for h in self.hosts), READY_LIMIT + 5 * self.pace)
 
     def _found(self, control: list[_HostProcess], members: list[str]):
-        """Controllers and depots found the fleet at full pace, before there are gateways."""
+        """Controllers and storage nodes found the fleet at full pace, before there are gateways."""
         for h in control:
             h.ask("open", members=members)
         self._until(lambda: all(h.ask("look")["ready"] for h in control), READY_LIMIT)
--- a/rehearsal/operators.py
+++ b/rehearsal/operators.py
@@ -1,4 +1,4 @@
-"""The operators' side of a rehearsal: edits of every kind on the table, zones and depots, and what was read back."""
+"""The operators' side of a rehearsal: edits of every kind on the table, zones and storage nodes, and what was read back."""
 import threading
 import time
 
--- a/rehearsal/profiles.py
+++ b/rehearsal/profiles.py
@@ -4,9 +4,9 @@
 __all__ = ["PROFILES", "spread"]
 
 PROFILES = {
-    "periplous": {"gateways": 8, "depots": 4, "controllers": 4, "engines": 6, "cards": 4, "live": 6, "fetch": 27},
-    "maizes": {"gateways": 7, "depots": 4, "controllers": 4, "engines": 9, "cards": 4, "live": 8, "fetch": 25},
-    "small": {"gateways": 4, "depots": 4, "controllers": 4, "engines": 4, "cards": 2, "live": 4, "fetch": 6},
+    "periplous": {"gateways": 8, "storage_nodes": 4, "controllers": 4, "engines": 6, "cards": 4, "live": 6, "fetch": 27},
+    "maizes": {"gateways": 7, "storage_nodes": 4, "controllers": 4, "engines": 9, "cards": 4, "live": 8, "fetch": 25},
+    "small": {"gateways": 4, "storage_nodes": 4, "controllers": 4, "engines": 4, "cards": 2, "live": 4, "fetch": 6},
 }
 
 
--- a/rehearsal/promises.py
+++ b/rehearsal/promises.py
@@ -70,8 +70,8 @@
         return [time.monotonic() - acked]
 
     def _measure_reading(self, n):
-        """A depot is killed, or freezes, as a lot is accepted; until every gateway, asked at once, has shown the lot."""
-        p = self.fleet.programs[self.fleet.nodes("depot")[n % 4]]
+        """A storage node is killed, or freezes, as a lot is accepted; until every gateway, asked at once, has shown the lot."""
+        p = self.fleet.programs[self.fleet.nodes("storage")[n % 4]]
         e = self.calls.lot(f"reading-{n}", 4, watch=False)
         acked, took = time.monotonic(), []
         if not e["lot"]:
@@ -138,9 +138,9 @@
         return [took]
 
     def _measure_repair(self, n):
-        """A depot comes back empty; until each of its shelves has three copies again."""
-        name = self.fleet.nodes("depot")[n % 4]
-        lost = self.depot_id(name)
+        """A storage node comes back empty; until each of its shelves has three copies again."""
+        name = self.fleet.nodes("storage")[n % 4]
+        lost = self.storage_node_id(name)
         self.fleet.programs[name].kill()
         self.fleet.wipe(name)
         began = time.monotonic()
@@ -161,6 +161,6 @@
         heal()
         self._wait_up([x for x in names if x in self.nodes()])
         self.calls.down.clear()
-        wait_for(lambda: sum(d["shelves"] for d in self.depots().values() if d["heard"] == "alive") == 48, 90, "placed")
+        wait_for(lambda: sum(d["shelves"] for d in self.storage_nodes().values() if d["heard"] == "alive") == 48, 90, "placed")
         time.sleep(3)
         return [took]
--- a/rehearsal/soak.py
+++ b/rehearsal/soak.py
@@ -25,7 +25,7 @@
         p = PROFILES[profile]
         self.quiet, self.floors = quiet, floors
         self.seed, self.minutes, self.faults, self.together = seed, minutes, faults, together
-        self.fleet = Fleet(gateways=p["gateways"], depots=p["depots"], controllers=p["controllers"], engines=p["engines"],
+        self.fleet = Fleet(gateways=p["gateways"], storage_nodes=p["storage_nodes"], controllers=p["controllers"], engines=p["engines"],
                            cards=p["cards"], capacity=8, step=0.02, keep=keep, level=level,
                            models="pipit-small,gated,metered,narrow")
         self.calls = Callers(self.fleet, Random(seed + 1))
@@ -104,7 +104,7 @@
         have = [x for xs in self._claims.values() for x in xs]
         both = have + names
         kinds = {k: sum(x.startswith(k) for x in set(both)) for k in ("gateway", "engine", "card")}
-        disks = [x for x in both if x.startswith(("depot", "controller"))]
+        disks = [x for x in both if x.startswith(("storage", "controller"))]
         return not set(have) & set(names) and not (have and "core" in both and disks and
                                                    ("core" in have) != ("core" in names)) \
             and ("core" in both or len({self.fleet.zones[x] for x in disks}) <= 1) \
@@ -155,20 +155,20 @@
                 return n
         return self.fleet.nodes("controller")[0]
 
-    def depots(self) -> dict:
-        status, said, _ = self.fleet.call(self.leader(), "GET", "/v1/depots")
-        return said["depots"] if status == 200 else {}
+    def storage_nodes(self) -> dict:
+        status, said, _ = self.fleet.call(self.leader(), "GET", "/v1/storage_nodes")
+        return said["storage_nodes"] if status == 200 else {}
 
-    def depot_id(self, name) -> str:
-        return wait_for(lambda: next((d for d, v in self.depots().items() if v["place"] == self.fleet.place(name)), ""),
+    def storage_node_id(self, name) -> str:
+        return wait_for(lambda: next((d for d, v in self.storage_nodes().items() if v["place"] == self.fleet.place(name)), ""),
                         20, f"{name} is known")
 
     def busiest(self) -> str:
-        used = {n: self.fleet.call(n, "GET", "/v1/ready")[1] for n in self.fleet.nodes("depot")}
+        used = {n: self.fleet.call(n, "GET", "/v1/ready")[1] for n in self.fleet.nodes("storage")}
         return max(used, key=lambda n: used[n]["used"] if isinstance(used[n], dict) else 0)
 
     def nodes(self):
-        return [n for r in ("gateway", "depot", "controller") for n in self.fleet.nodes(r)]
+        return [n for r in ("gateway", "storage", "controller") for n in self.fleet.nodes(r)]
 
     def inside(self, zone, back_ends):
         names = self.nodes() + (self.fleet.engines + self.fleet.cards if back_ends else [])
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -12,7 +12,7 @@
 from pipitlink.beats import Beats, spawn
 from pipitlink.cache import Cache
 from pipitlink.context import Context
-from pipitlink.depot import DepotNode
+from pipitlink.storage import StorageNode
 from pipitlink.faults import CutOff, Overdue, PipitFault, Refused, Unmet
 from pipitlink.journal import Journal
 from pipitlink.ledger import Ledger
@@ -104,8 +104,8 @@
         ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
         self.part = None
-        if self.role == "depot":
-            self.part = DepotNode(ctx, self.disk)
+        if self.role == "storage":
+            self.part = StorageNode(ctx, self.disk)
             self.part.open()
         elif self.role == "controller":
             self.part = ControllerNode(ctx, self.disk)
@@ -233,7 +233,7 @@
 
 
 class Stage:
-    def __init__(self, seed: int, controllers=4, depots=4, gateways=3, shelves=4, props=None, named=False):
+    def __init__(self, seed: int, controllers=4, storage_nodes=4, gateways=3, shelves=4, props=None, named=False):
         self.seed = seed
         self.chance = Random(seed)
         self.clock = _Clock()
@@ -253,11 +253,11 @@
         self.actors: dict[str, Actor] = {}
         self._beats: list[Beats] = []
         port = 1000
-        for role, n in (("controller", controllers), ("depot", depots), ("gateway", gateways)):
+        for role, n in (("controller", controllers), ("storage", storage_nodes), ("gateway", gateways)):
             for i in range(n):
                 self.add(role, f"{role}{i}", "zone-" + "abcd"[i % 4], port)
                 port += 1
-        firsts = [self.actors[f"{r}0"] for r, n in (("controller", controllers), ("depot", depots), ("gateway", gateways)) if n]
+        firsts = [self.actors[f"{r}0"] for r, n in (("controller", controllers), ("storage", storage_nodes), ("gateway", gateways)) if n]
         self.seeds = tuple(f"{a.place[0]}:{a.place[1]}" for a in firsts)
         self.founders = tuple(f"{a.place[0]}:{a.place[1]}" for a in self.role("controller")[:3])
 
--- a/rehearsal/trouble.py
+++ b/rehearsal/trouble.py
@@ -15,7 +15,7 @@
 class Trouble:
     """Brings faults about at random; never more lost at once than the fleet promises to bear, when `bearable`."""
 
-    def __init__(self, stage, roles=("controller", "depot", "gateway"), kinds=("kill", "power", "freeze", "cut", "one_way", "full", "slow")):
+    def __init__(self, stage, roles=("controller", "storage", "gateway"), kinds=("kill", "power", "freeze", "cut", "one_way", "full", "slow")):
         self._stage = stage
         self._roles = roles
         self._kinds = kinds
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -54,13 +54,13 @@
         for a in stage.role("gateway"):
             self.assertEqual(stage.do(c.hand_in(name, a)), 409)
 
-    def test_nothing_is_lost_where_all_depots_lose_power_right_after_the_answer(self):
+    def test_nothing_is_lost_where_all_storage_nodes_lose_power_right_after_the_answer(self):
         stage, c = self.stage(2)
         name = c.lot(6)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
-        for a in stage.role("depot") + stage.role("gateway"):
-            a.kill(power=a.role == "depot")
-        for a in stage.role("depot") + stage.role("gateway"):
+        for a in stage.role("storage") + stage.role("gateway"):
+            a.kill(power=a.role == "storage")
+        for a in stage.role("storage") + stage.role("gateway"):
             a.start()
         stage.ready()
         stage.until(lambda: c.whole(name), 40, "all is listed")
@@ -122,7 +122,7 @@
         self.assertEqual(stage.do(c.read("../x", gateway=gateway))[0], 404)
         self.assertEqual(stage.do(c.hand_in(name)), 202)
         self.assertEqual(stage.do(c.body(name, 1, gateway)), 200)
-        stage.cut([gateway.name], [a.name for a in stage.role("depot")])
+        stage.cut([gateway.name], [a.name for a in stage.role("storage")])
         other = c.lot(3)
         self.assertEqual(stage.do(c.read(other, gateway=gateway))[0], 503)
         self.assertEqual(stage.do(c.hand_in(other, gateway)), 503)
@@ -131,21 +131,21 @@
         self.assertEqual([r for r in stage.runs if r["item"].startswith(other)], [])
         self.assertEqual(stage.do(c.read(other, gateway=gateway))[0], 404)
 
-    def test_bytes_that_one_depot_alone_has_are_not_told_as_nothing(self):
+    def test_bytes_that_one_storage_node_alone_has_are_not_told_as_nothing(self):
         stage, c = self.stage(7)
         gateway = stage.role("gateway")[0]
         name = c.lot(3)
         shelf = gateway.ctx.ledger.shelf(f"batch/{name}")
-        depots = [a for a in stage.role("depot") if a.node in shelf.everyone]
+        storage_nodes = [a for a in stage.role("storage") if a.node in shelf.everyone]
 
         def trip(sender, verb):
             if verb == "ledger.write" and sender is gateway:
-                stage.cut([gateway.name], [a.name for a in depots])
+                stage.cut([gateway.name], [a.name for a in storage_nodes])
 
         stage.watch_calls = trip
         status = stage.do(c.hand_in(name, gateway, 1.0), 10)
         self.assertIn(status, (500, 504))
-        lengths = [k.length for a in depots if (k := a.part.shed.logs.get(f"batch/{name}"))]
+        lengths = [k.length for a in storage_nodes if (k := a.part.shed.logs.get(f"batch/{name}"))]
         self.assertEqual(sum(n > 0 for n in lengths), 1)
         gateway.kill()
         stage.watch_calls = None
--- a/tests/test_batches_quota.py
+++ b/tests/test_batches_quota.py
@@ -162,11 +162,11 @@
                 stage.until(lambda: c.whole(name), 60, f"{name} is whole")
             self.assertEqual(c.wrong, [])
 
-    def test_a_depot_that_is_away_holds_up_no_count_after_gateways_change(self):
+    def test_a_storage_node_that_is_away_holds_up_no_count_after_gateways_change(self):
         for seed in (20, 21, 22):
             stage, c = self.stage(seed, gateways=4)
-            depot = stage.role("depot")[0]
-            stage.cut([depot.name], [a.name for a in stage.role("gateway")])
+            storage_node = stage.role("storage")[0]
+            stage.cut([storage_node.name], [a.name for a in stage.role("gateway")])
             stage.run(3)
             gone = next(a for a in stage.role("gateway") if a is not self.steward(stage))
             gone.kill()
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -61,20 +61,20 @@
 
 class Hollow(unittest.TestCase):
     def run_real(self, gateways, engines):
-        stage = Stage(3, controllers=3, depots=3, gateways=gateways, shelves=2)
+        stage = Stage(3, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
         self.addCleanup(stage.end)
         stage.with_engines(StagedGateway, StagedEngine, engines)
         return counted(stage, engines)
 
     def run_hollow(self, gateways, engines):
-        stage = HollowStage(3, controllers=3, depots=3, gateways=gateways, shelves=2)
+        stage = HollowStage(3, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
         self.addCleanup(stage.end)
         host = type("Host", (), {"nodes": stage.role("gateway")})
         return counted(stage, engines, Work(host))
 
     def test_a_hollow_gateway_sends_what_a_real_one_does(self):
         real, hollow = self.run_real(6, 4), self.run_hollow(6, 4)
-        for role in ("gateway", "depot", "controller"):
+        for role in ("gateway", "storage", "controller"):
             a, b = (sum(v for (r, _), v in c.items() if r == role) for c in (real, hollow))
             self.assertAlmostEqual(b / a, 1, delta=0.1, msg=role)
         for key, rate in real.items():
@@ -87,7 +87,7 @@
     """Calls that one node starts in a second, with no callers. All but loads and announcements are the same at any size."""
 
     def count(self, gateways, engines=0):
-        stage = HollowStage(5, controllers=3, depots=3, gateways=gateways, shelves=2)
+        stage = HollowStage(5, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
         self.addCleanup(stage.end)
         host = type("Host", (), {"nodes": stage.role("gateway")})
         return counted(stage, engines, Work(host))
@@ -101,7 +101,7 @@
                     self.assertLessEqual(c["gateway", verb], most, verb)
                 rest = sum(v for (role, verb), v in c.items() if role == "gateway" and verb not in bounds)
                 self.assertLessEqual(rest, 0.5, {k: v for k, v in c.items() if k[0] == "gateway"})
-                for role, most in (("depot", 11), ("controller", 12)):
+                for role, most in (("storage", 11), ("controller", 12)):
                     self.assertLessEqual(sum(v for (r, _), v in c.items() if r == role), most, role)
 
     def test_calls_for_each_announcement_go_to_each_gateway_once(self):
@@ -115,7 +115,7 @@
     def test_a_held_follow_call_is_not_woken_by_the_others(self):
         """What a leader does for one follow call does not grow with the number of its followers."""
         for gateways in (4, 12, 20):
-            stage = HollowStage(6, controllers=3, depots=3, gateways=gateways, shelves=2)
+            stage = HollowStage(6, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
             self.addCleanup(stage.end)
             stage.start()
             stage.ready()
@@ -131,7 +131,7 @@
             self.assertLessEqual(len(leader.part._news), gateways + 3, gateways)
 
     def test_an_edit_is_still_seen_as_soon_as_the_last_gateway_confirms(self):
-        stage = HollowStage(7, controllers=3, depots=3, gateways=12, shelves=2)
+        stage = HollowStage(7, controllers=3, storage_nodes=3, gateways=12, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
--- a/tests/test_config_trouble.py
+++ b/tests/test_config_trouble.py
@@ -78,7 +78,7 @@
 
 class ConfigUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, controllers=4, depots=4, gateways=3, shelves=2)
+        stage = Stage(seed, controllers=4, storage_nodes=4, gateways=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -115,4 +115,4 @@
         self.assertGreater(sum(self.run_seed(s, ("controller",)) for s in SEEDS), 5 * len(SEEDS))
 
     def test_configurations_hold_while_everything_fails(self):
-        self.assertGreater(sum(self.run_seed(s, ("controller", "gateway", "depot", "gateway")) for s in SEEDS), 5 * len(SEEDS))
+        self.assertGreater(sum(self.run_seed(s, ("controller", "gateway", "storage", "gateway")) for s in SEEDS), 5 * len(SEEDS))
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -11,10 +11,10 @@
 from pipitlink.setup.follower import Setup
 from pipitlink.setup.sheet import Sheet
 from pipitlink.wire.controller_pb2 import ControllerEntry
-from pipitlink.wire.setup_pb2 import Command, DepotEdit, FollowAsk, Row, SheetData, ShelfRow, TableEdit
+from pipitlink.wire.setup_pb2 import Command, StorageNodeEdit, FollowAsk, Row, SheetData, ShelfRow, TableEdit
 
 TICK = 0.5
-BASE = SheetData(sequence=1, shelves=[ShelfRow(number=0, sequence=1, depots=["d"])])
+BASE = SheetData(sequence=1, shelves=[ShelfRow(number=0, sequence=1, storage_nodes=["d"])])
 EDIT = Command(table=TableEdit(base=0, puts=[Row(name="r", model="m")]))
 
 
@@ -145,13 +145,13 @@
                 self.play(False, (("send", "answer", "absorb"), ("commit", "acknowledge"), ("tick",) * 2))
 
     def test_witnesses_meet(self):
-        """A majority of depots meets any majority of the set before or after one change, whichever of them has the edit."""
-        depots = "abcd"
-        for change in (set(depots), set("abc"), set("abcde")):
-            for one in itertools.combinations(depots, 3):
+        """A majority of storage nodes meets any majority of the set before or after one change, whichever of them has the edit."""
+        storage_nodes = "abcd"
+        for change in (set(storage_nodes), set("abc"), set("abcde")):
+            for one in itertools.combinations(storage_nodes, 3):
                 for other in itertools.combinations(sorted(change), len(change) // 2 + 1):
                     self.assertTrue(set(one) & set(other), (one, other))
         sheet = Sheet(BASE)
-        sheet.apply(2, Command(depot=DepotEdit(depot="a", standing="serving")))
-        sheet.apply(3, Command(depot=DepotEdit(depot="b", standing="retired")))
+        sheet.apply(2, Command(storage_node=StorageNodeEdit(storage_node="a", standing="serving")))
+        sheet.apply(3, Command(storage_node=StorageNodeEdit(storage_node="b", standing="retired")))
         self.assertEqual(sheet.witnesses(), ["a"])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -37,7 +37,7 @@
         cls.addClassCleanup(listener.server_close)
         cls.addClassCleanup(listener.shutdown)
         place = f"127.0.0.1:{listener.server_address[1]}/changes"
-        cls.fleet = Fleet(gateways=3, depots=3, controllers=3, engines=2, cards=1, props={"changes_to": place})
+        cls.fleet = Fleet(gateways=3, storage_nodes=3, controllers=3, engines=2, cards=1, props={"changes_to": place})
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         wait_for(lambda: cls.generate("warm")[0] == 200, 10, "an engine is known")
@@ -111,10 +111,10 @@
                                   timeout=30)
 
         wait_for(lambda: compare(at("gateway0"), at("gateway1")).returncode == 0, 15, "two gateways believe alike")
-        wait_for(lambda: compare(at("depot0"), at("controller0")).returncode == 0, 15, "a depot and a controller do")
+        wait_for(lambda: compare(at("storage0"), at("controller0")).returncode == 0, 15, "a storage node and a controller do")
         free, = free_ports(1)
         self.assertEqual(compare(at("gateway0"), f"127.0.0.1:{free}").returncode, 2)
-        wait_for(lambda: compare(at("depot0"), at("depot1")).returncode == 0, 15, "two depots do")
+        wait_for(lambda: compare(at("storage0"), at("storage1")).returncode == 0, 15, "two storage nodes do")
 
     def test_a_lot_sent_twice_with_one_key_is_taken_once(self):
         body = {"items": [{"model": "pipit-small", "prompt": "keyed"}], "customer": "c", "idempotency_key": "k1"}
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -6,7 +6,7 @@
 from rehearsal.fleet import Fleet
 from rehearsal.soak import Soak
 
-FAULTS = ("kill_leader", "kill_gateway", "power_depot", "power_controller", "freeze_gateway", "controllers_away", "zone_cut",
+FAULTS = ("kill_leader", "kill_gateway", "power_storage_node", "power_controller", "freeze_gateway", "controllers_away", "zone_cut",
           "engine_leaving", "engine_vanish", "engine_broken", "end_lot", "two_editors", "table_grows")
 
 
@@ -15,12 +15,12 @@
         self.assertEqual(Soak("small", 4, 0.5, faults=FAULTS, quiet=4, floors=False).run(), 0)
 
     def test_a_colleague_of_another_fleet_or_with_rubbish_is_refused(self):
-        fleet = Fleet(gateways=1, depots=3, controllers=3, engines=0, cards=0)
+        fleet = Fleet(gateways=1, storage_nodes=3, controllers=3, engines=0, cards=0)
         self.addCleanup(fleet.stop)
         fleet.start()
         for hello in (Hello(fleet="other", wire=1, node="x").SerializeToString(),
                       Hello(fleet="pipit", wire=9, node="x").SerializeToString(), b"\xff" * 40):
-            with socket.create_connection(("127.0.0.1", fleet.programs["depot0"].ports[0]), timeout=5) as c:
+            with socket.create_connection(("127.0.0.1", fleet.programs["storage0"].ports[0]), timeout=5) as c:
                 c.sendall(len(hello).to_bytes(4, "big") + hello)
                 data = b""
                 try:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -329,7 +329,7 @@
             self.assertEqual(main(["nonsense"]), 2)
             err.truncate(0)
             err.seek(0)
-            self.assertEqual(main(["depot", "--port", "x", "--zone", "A B", "--seeds", "nowhere"]), 2)
+            self.assertEqual(main(["storage", "--port", "x", "--zone", "A B", "--seeds", "nowhere"]), 2)
         self.assertEqual([line.partition(":")[0] for line in err.getvalue().splitlines()], ["zone", "port", "seeds"])
         with tempfile.TemporaryDirectory() as d:
             path = Path(d) / "p.toml"
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -23,7 +23,7 @@
     """A small fleet on injected beats, its customers, and what the checker says of them."""
 
     def __init__(self, test, engines=2, step=0.04, capacity=4):
-        self.stage = Stage(7, controllers=3, depots=4, gateways=3, shelves=2)
+        self.stage = Stage(7, controllers=3, storage_nodes=4, gateways=3, shelves=2)
         test.addCleanup(self.stage.end)
         self.stage.with_engines(StagedGateway, StagedEngine, engines)
         for e in self.stage.engines.values():
@@ -144,11 +144,11 @@
 def closing_power(s):
     lot = s.lot(4)
     s.close(lot)
-    for a in s.stage.role("depot") + s.stage.role("controller"):
+    for a in s.stage.role("storage") + s.stage.role("controller"):
         a.disk._chance = type("Whole", (), {"randrange": lambda self, n: 0})()
         a.kill(power=True)
     s.stage.run(1)
-    for a in s.stage.role("depot") + s.stage.role("controller"):
+    for a in s.stage.role("storage") + s.stage.role("controller"):
         a.start()
     s.stage.run(8)
     for a in s.stage.role("gateway"):
@@ -214,7 +214,7 @@
 
 
 async def _read_on(self, lot_id):
-    """Reads what is here, and asks no depot first."""
+    """Reads what is here, and asks no storage node first."""
     r = self._readers.get(lot_id)
     if r is None:
         return await _read_results(self, lot_id)
@@ -267,7 +267,7 @@
         closing_power, {}, LosingDisk, "sync", lambda self, fd: None, "lot gateway"),
     "a new owner learns what is in the log": (
         owner_killed, {}, OpenLot, "learn", lambda self, record: None, "may not be repeated"),
-    "a reader asks the depots how far the list is": (
+    "a reader asks the storage nodes how far the list is": (
         gateway_cut_off, {"step": 0.1}, Results, "_read_results", _read_on, "results were shown"),
     "an edit takes effect only on the base that it states": (
         operators_race, {}, Sheet, "_apply_table", _any_base, "edits took effect on base"),
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -54,7 +54,7 @@
 class Outcomes(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.fleet = Fleet(gateways=1, depots=3, controllers=3, engines=0, cards=1)
+        cls.fleet = Fleet(gateways=1, storage_nodes=3, controllers=3, engines=0, cards=1)
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         cls.n = 0
@@ -210,7 +210,7 @@
 
 class Draining(unittest.TestCase):
     def test_a_gateway_told_to_end_finishes_its_streams_and_hands_its_lots_over(self):
-        fleet = Fleet(gateways=2, depots=3, controllers=3, engines=2, cards=0, step=0.15)
+        fleet = Fleet(gateways=2, storage_nodes=3, controllers=3, engines=2, cards=0, step=0.15)
         self.addCleanup(fleet.stop)
         fleet.start()
         calls = Callers(fleet, Random(1))
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -113,8 +113,8 @@
                 ("DELETE", "/evacuations/riga-a", "fill_zone", {"zone": "riga-a"}),
                 ("PUT", "/instances/i-1", "put_engine", {"engine": "i-1"}),
                 ("DELETE", "/instances/i-1", "drop_engine", {"engine": "i-1"}),
-                ("POST", "/retire/storage-1", "retire", {"depot": "storage-1"}),
-                ("GET", "/retire/storage-1", "show_retirement", {"depot": "storage-1"})):
+                ("POST", "/retire/storage-1", "retire", {"storage_node": "storage-1"}),
+                ("GET", "/retire/storage-1", "show_retirement", {"storage_node": "storage-1"})):
             self.assertEqual(at.match(path, method), (f"control_{action}", named))
 
 
@@ -124,7 +124,7 @@
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
-        self.stage.until(lambda: len(self.stage.leader().part.sheet.depots) == 4, 20, "all depots are admitted")
+        self.stage.until(lambda: len(self.stage.leader().part.sheet.storage_nodes) == 4, 20, "all storage nodes are admitted")
         self.caller = Caller(self.stage, platform_words())
         self.controller = self.stage.role("controller")[1]
 
@@ -142,8 +142,8 @@
             self.assertEqual({a.ctx.setup.zone_empty("zone-a") for a in self.stage.role("gateway")}, {empty})
 
     def test_retirement(self):
-        ask, controller, depot = self.caller.ask, self.controller, self.stage.role("depot")[0].node
+        ask, controller, storage_node = self.caller.ask, self.controller, self.stage.role("storage")[0].node
         self.assertEqual(ask(controller, "POST", "/retire/nowhere", {"within_s": 10})[0], 404)
-        self.assertEqual(ask(controller, "GET", f"/retire/{depot}"), (200, {"state": "serving"}))
-        self.assertEqual(ask(controller, "POST", f"/retire/{depot}", {"within_s": 10})[0], 200)
-        self.stage.until(lambda: ask(controller, "GET", f"/retire/{depot}") == (200, {"state": "complete"}), 60, "emptied")
+        self.assertEqual(ask(controller, "GET", f"/retire/{storage_node}"), (200, {"state": "serving"}))
+        self.assertEqual(ask(controller, "POST", f"/retire/{storage_node}", {"within_s": 10})[0], 200)
+        self.stage.until(lambda: ask(controller, "GET", f"/retire/{storage_node}") == (200, {"state": "complete"}), 60, "emptied")
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -131,13 +131,13 @@
 
     def test_a_stage_that_ends_amid_its_work_leaves_nothing_that_runs_on(self):
         for seed in range(3):
-            s = Stage(seed, controllers=1, depots=3, gateways=1)
+            s = Stage(seed, controllers=1, storage_nodes=3, gateways=1)
             s.start()
             s.ready()
             s.run(4)
-            s.cut(["depot0", "depot1"], ["depot2", "gateway0"])
+            s.cut(["storage0", "storage1"], ["storage2", "gateway0"])
             s.run(3.2)
-            s.actors["depot0"].kill()
+            s.actors["storage0"].kill()
             s.end()
         lines = s.sink.lines
         del s
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -245,32 +245,32 @@
 
 class Retire(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(23, depots=4, shelves=4)
+        self.stage = Stage(23, storage_nodes=4, shelves=4)
         self.addCleanup(self.stage.end)
         self.stage.start()
-        self.depot = self.stage.role("depot")[1]
-        self.name_depot()
+        self.storage_node = self.stage.role("storage")[1]
+        self.name_storage_node()
         self.stage.ready()
-        self.stage.until(lambda: len(self.stage.leader().part.sheet.depots) == 4, 20, "all depots are admitted")
+        self.stage.until(lambda: len(self.stage.leader().part.sheet.storage_nodes) == 4, 20, "all storage nodes are admitted")
         self.stage.run(3)
         self.caller = Caller(self.stage)
 
-    def name_depot(self):
-        self.depot.ctx.roster.me.name = "box-1"
-        self.depot.ctx.roster.me.incarnation += 1
+    def name_storage_node(self):
+        self.storage_node.ctx.roster.me.name = "box-1"
+        self.storage_node.ctx.roster.me.incarnation += 1
 
     def ask(self, method, name, controller=None):
-        return self.caller.ask(controller or self.stage.role("controller")[2], method, f"/v1/depots/{name}/retire")
+        return self.caller.ask(controller or self.stage.role("controller")[2], method, f"/v1/storage_nodes/{name}/retire")
 
-    def test_a_depot_is_retired_by_its_name_and_stays_known_when_its_machine_is_gone(self):
+    def test_a_storage_node_is_retired_by_its_name_and_stays_known_when_its_machine_is_gone(self):
         self.assertEqual(self.ask("GET", "box-1"), (200, {"state": "serving"}))
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
         self.stage.until(lambda: self.ask("GET", "box-1")[1] == {"state": "retired"}, 60, "it is emptied")
         shelves = self.stage.leader().part.sheet.shelves.values()
-        self.assertFalse([s for s in shelves if self.depot.node in (*s.depots, s.joining)])
-        self.depot.kill(power=True)
-        self.depot.wipe()
+        self.assertFalse([s for s in shelves if self.storage_node.node in (*s.storage_nodes, s.joining)])
+        self.storage_node.kill(power=True)
+        self.storage_node.wipe()
         for a in self.stage.role("controller"):
             a.kill(power=True)
             a.start()
@@ -281,22 +281,22 @@
 
     def test_an_emptied_machine_that_comes_back_with_another_disk_is_not_admitted(self):
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
-        old = self.depot.node
-        self.depot.kill(power=True)
-        self.depot.wipe()
-        self.depot.start()
-        self.name_depot()
-        self.assertNotEqual(self.depot.node, old)
+        old = self.storage_node.node
+        self.storage_node.kill(power=True)
+        self.storage_node.wipe()
+        self.storage_node.start()
+        self.name_storage_node()
+        self.assertNotEqual(self.storage_node.node, old)
         self.stage.run(8)
-        self.assertNotIn(self.depot.node, self.stage.leader().part.sheet.depots)
+        self.assertNotIn(self.storage_node.node, self.stage.leader().part.sheet.storage_nodes)
         self.stage.until(lambda: self.ask("GET", "box-1")[1] == {"state": "retired"}, 60, "it is emptied")
 
-    def test_unknown_names_and_too_few_depots_are_refused_and_a_repeat_is_not(self):
+    def test_unknown_names_and_too_few_storage_nodes_are_refused_and_a_repeat_is_not(self):
         for method in ("POST", "GET"):
             self.assertEqual(self.ask(method, "box-9")[0], 404)
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
-        rest = [a for a in self.stage.role("depot") if a is not self.depot]
+        rest = [a for a in self.stage.role("storage") if a is not self.storage_node]
         told = self.ask("POST", rest[0].node)
         self.assertEqual((told[0], told[1]["error"]["code"]), (409, "too_few_copies"))
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
-        self.assertEqual(self.ask("POST", self.depot.node)[0], 200)
+        self.assertEqual(self.ask("POST", self.storage_node.node)[0], 200)
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -72,7 +72,7 @@
 
 class SetupUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, controllers=4, depots=4, gateways=3, shelves=2)
+        stage = Stage(seed, controllers=4, storage_nodes=4, gateways=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -107,7 +107,7 @@
         self.assertGreater(sum(self.run_seed(s, ("controller",)) for s in SEEDS), 5 * len(SEEDS))
 
     def test_edits_hold_while_everything_fails(self):
-        self.assertGreater(sum(self.run_seed(s, ("controller", "gateway", "depot", "gateway")) for s in SEEDS), 5 * len(SEEDS))
+        self.assertGreater(sum(self.run_seed(s, ("controller", "gateway", "storage", "gateway")) for s in SEEDS), 5 * len(SEEDS))
 
 
 class Controllers(unittest.TestCase):
@@ -164,18 +164,18 @@
         with self.assertRaises(PipitFault):
             self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
 
-    def test_edits_go_on_with_two_of_four_depots_away_and_no_gateway_misses_one(self):
+    def test_edits_go_on_with_two_of_four_storage_nodes_away_and_no_gateway_misses_one(self):
         sheet = self.stage.leader().part.sheet
         self.assertEqual(sheet.settled, sheet.witnesses_at)
-        depots = self.stage.role("depot")
-        for a in depots[:2]:
+        storage_nodes = self.stage.role("storage")
+        for a in storage_nodes[:2]:
             a.kill()
         leader = self.stage.leader().part
         self.stage.do(leader.edit(edit_of("r", sheet.table, "two away")), 6)
         newest = leader.sheet.table
         self.stage.cut([a.name for a in self.stage.role("controller")],
                        [a.name for a in self.stage.actors.values() if a.role != "controller"])
-        for a in depots[:2]:
+        for a in storage_nodes[:2]:
             a.start()
         for _ in range(100):
             self.stage.run(0.05)
@@ -188,24 +188,24 @@
         leader, beats = self.stage.leader().part, self.stage.beats()
         leader.sheet.settled -= 1
         leader._settle_witnesses = lambda: beats.pause(ms(0))
-        for a in self.stage.role("depot")[:2]:
+        for a in self.stage.role("storage")[:2]:
             a.kill()
         with self.assertRaises(PipitFault):
             self.stage.do(leader.edit(edit_of("r", leader.sheet.table, "unsettled")), 6)
 
     def test_nodes_that_met_need_no_seed_again_and_a_wrong_suspicion_is_refuted(self):
         self.stage.seeds = ("10.0.0.1:9", "10.0.0.1:10", "10.0.0.1:11")
-        depot, controller = self.stage.role("depot")[1], self.stage.role("controller")[3]
-        for a in (depot, controller):
+        storage_node, controller = self.stage.role("storage")[1], self.stage.role("controller")[3]
+        for a in (storage_node, controller):
             a.kill()
             a.start()
-        for a in (depot, controller):
+        for a in (storage_node, controller):
             self.stage.until(lambda: len(a.ctx.roster.members(standing=("alive",))) == 11, 10, "all are met again")
-        depot.freeze()
-        self.stage.until(lambda: controller.ctx.roster.standing(depot.node) == "gone", 10, "it is held for gone")
-        depot.thaw()
-        self.stage.until(lambda: controller.ctx.roster.standing(depot.node) == "alive", 10, "it has refuted that")
-        self.assertGreater(depot.ctx.roster.me.incarnation, 1)
+        storage_node.freeze()
+        self.stage.until(lambda: controller.ctx.roster.standing(storage_node.node) == "gone", 10, "it is held for gone")
+        storage_node.thaw()
+        self.stage.until(lambda: controller.ctx.roster.standing(storage_node.node) == "alive", 10, "it has refuted that")
+        self.assertGreater(storage_node.ctx.roster.me.incarnation, 1)
 
     def test_an_controller_without_room_refuses_edits_up_front(self):
         part = self.stage.leader().part
--- a/tests/test_stage_disk_lost.py
+++ b/tests/test_stage_disk_lost.py
@@ -1,4 +1,4 @@
-"""A depot's disk is lost while all machines are down: its shelves are made whole first, and leases outlast that."""
+"""A storage node's disk is lost while all machines are down: its shelves are made whole first, and leases outlast that."""
 import unittest
 
 from rehearsal.trouble import seeds
@@ -9,17 +9,17 @@
 
 
 class DiskLost(unittest.TestCase):
-    def test_the_lost_depots_place_is_filled_first_and_no_lease_runs_out_over_it(self):
+    def test_the_lost_storage_nodes_place_is_filled_first_and_no_lease_runs_out_over_it(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 stage = staged(seed, named=True)
                 self.addCleanup(stage.end)
-                stage.until(lambda: len(self._leader(stage).sheet.depot_names) == 4, 20, "names are in the setup")
+                stage.until(lambda: len(self._leader(stage).sheet.storage_node_names) == 4, 20, "names are in the setup")
                 c = Callers(stage)
                 stage.breaks, stage.step = 0, stage.step * 5
                 for a in stage.actors.values():
                     a.kill(power=True)
-                lost = stage.role("depot")[seed % 3]
+                lost = stage.role("storage")[seed % 3]
                 was = lost.node
                 lost.wipe()
                 stage.run(1)
@@ -29,8 +29,8 @@
                 names = [c.lot(8) for _ in range(6)]
                 for name in names:
                     self.assertEqual(stage.do(c.hand_in(name)), 202)
-                stage.until(lambda: not any(was in s.depots for s in self._leader(stage).sheet.shelves.values()), 6,
-                            "no shelf counts on the lost depot")
+                stage.until(lambda: not any(was in s.storage_nodes for s in self._leader(stage).sheet.shelves.values()), 6,
+                            "no shelf counts on the lost storage node")
                 stage.until(lambda: all(c.whole(n) for n in names), 40, "all is listed")
                 ran_out = [x for x in stage.sink.lines if "lease_lost" in x and "ran out" in x]
                 self.assertEqual(ran_out, [])
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -15,8 +15,8 @@
 class _Counted:
     """A fleet's messages and their bytes within a span at rest, receipts included, by node and by verb."""
 
-    def __init__(self, controllers, depots, gateways):
-        self.stage = s = Stage(1, controllers=controllers, depots=depots, gateways=gateways)
+    def __init__(self, controllers, storage_nodes, gateways):
+        self.stage = s = Stage(1, controllers=controllers, storage_nodes=storage_nodes, gateways=gateways)
         s.with_engines(StagedGateway, StagedEngine, 0)
         self.messages, self.bytes, self.asks = Counter(), Counter(), Counter()
         self.verb_bytes: Counter = Counter()
@@ -63,7 +63,7 @@
                 self.assertLess(c.per_gateway(c.bytes), GATEWAY_BYTES)
 
     def test_nodes_that_believe_otherwise_are_told_the_whole_and_agree_again(self):
-        s = Stage(2, controllers=3, depots=3, gateways=6)
+        s = Stage(2, controllers=3, storage_nodes=3, gateways=6)
         self.addCleanup(s.end)
         s.start()
         s.ready()
@@ -79,12 +79,12 @@
     def test_a_dead_node_is_gone_at_every_node_in_time(self):
         """As with whole gossip at each probe, which took 1.6 to 2.3 s over 24 seeds."""
         for seed in range(4):
-            s = Stage(seed, controllers=3, depots=3, gateways=4)
+            s = Stage(seed, controllers=3, storage_nodes=3, gateways=4)
             self.addCleanup(s.end)
             s.start()
             s.ready()
             s.run(6)
-            dead = s.actors["depot1"]
+            dead = s.actors["storage1"]
             dead.kill()
             rest = [a for a in s.actors.values() if a.alive]
             s.until(lambda: all(a.ctx.roster.standing(dead.node) == "gone" for a in rest), 3, "it is gone")
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -13,7 +13,7 @@
         p = mock.patch.object(segments, "SEGMENT", 20_000)
         p.start()
         self.addCleanup(p.stop)
-        self.stage = Stage(3, controllers=3, depots=3, gateways=2, shelves=2, props={"retention_s": 60})
+        self.stage = Stage(3, controllers=3, storage_nodes=3, gateways=2, shelves=2, props={"retention_s": 60})
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
@@ -38,7 +38,7 @@
         return self.stage.do(go(), 60)
 
     def used(self):
-        return [a.part.shed.used() for a in self.stage.role("depot")]
+        return [a.part.shed.used() for a in self.stage.role("storage")]
 
     def test_old_logs_wither_their_room_comes_back_and_the_rest_stays(self):
         kept = self.write("lots/kept", 10, False)
@@ -47,7 +47,7 @@
         full = self.used()
         self.stage.run(200)
         self.assertTrue(all(now < was / 2 for now, was in zip(self.used(), full)), (self.used(), full))
-        for a in self.stage.role("depot"):
+        for a in self.stage.role("storage"):
             a.kill(power=True)
             a.start()
             a.ctx.beats.wall = self._wall
@@ -60,7 +60,7 @@
 
     def test_a_torn_end_is_cut_and_mended_from_the_others(self):
         h = self.write("lots/torn", 5, False)
-        a = self.stage.role("depot")[0]
+        a = self.stage.role("storage")[0]
         a.kill()
         path = max((a.folder / "logs").glob("seg-*.log"))
         data = path.read_bytes()
@@ -73,7 +73,7 @@
 
     def test_damage_inside_an_old_file_is_never_served(self):
         self.write("lots/hurt", 60, False)
-        a = self.stage.role("depot")[0]
+        a = self.stage.role("storage")[0]
         a.kill()
         first = min((a.folder / "logs").glob("seg-*.log"))
         data = bytearray(first.read_bytes())
@@ -84,11 +84,11 @@
 
     def test_a_real_full_disk_is_refused_and_recovers(self):
         h = self.write("lots/full", 3, False)
-        for a in self.stage.role("depot"):
+        for a in self.stage.role("storage"):
             a.disk.full = True
         with self.assertRaises(PipitFault):
             self.stage.do(h.append([b"no room"]), 30)
-        for a in self.stage.role("depot"):
+        for a in self.stage.role("storage"):
             a.disk.full = False
         self.stage.run(5)
         h = self.write("lots/full", 1, False)
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -63,12 +63,12 @@
 
 class LogsUnderTrouble(unittest.TestCase):
     def run_seed(self, seed):
-        stage = Stage(seed, controllers=3, depots=3, gateways=3, shelves=2)
+        stage = Stage(seed, controllers=3, storage_nodes=3, gateways=3, shelves=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
         w = _Writers(stage)
-        trouble = Trouble(stage, roles=("depot", "depot", "gateway"))
+        trouble = Trouble(stage, roles=("storage", "storage", "gateway"))
         work = [x for a in stage.role("gateway") for x in (w.write(a), w.read(a))]
         trouble.during(work, faults=10)
         stage.run(8)
@@ -106,7 +106,7 @@
 
 class Leases(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(5, controllers=3, depots=3, gateways=2, shelves=2)
+        self.stage = Stage(5, controllers=3, storage_nodes=3, gateways=2, shelves=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
@@ -131,11 +131,11 @@
         data = self.stage.do(self.two.ctx.ledger.read("results/a", 0, state.committed))
         self.assertEqual([b for _, b, _ in frames(data)], [b"one", b"two"])
 
-    def test_a_new_holder_keeps_a_tail_that_only_one_depot_was_sent(self):
+    def test_a_new_holder_keeps_a_tail_that_only_one_storage_node_was_sent(self):
         h = self.stage.do(self.one.ctx.ledger.hold("results/b"))
         self.stage.do(h.append([b"first"]))
-        depots = [a.name for a in self.stage.role("depot")]
-        self.stage.cut([self.one.name], depots[1:])
+        storage_nodes = [a.name for a in self.stage.role("storage")]
+        self.stage.cut([self.one.name], storage_nodes[1:])
         with self.assertRaises(PipitFault):
             self.stage.do(h.append([b"unsure"]))
         self.one.kill()
@@ -145,15 +145,15 @@
         bodies = [b for _, b, _ in frames(bytes(h2.data))]
         self.assertEqual(bodies[0], b"first")
         self.stage.do(h2.append([b"next"]))
-        states = [a.part.shed.state("results/b") for a in self.stage.role("depot")]
+        states = [a.part.shed.state("results/b") for a in self.stage.role("storage")]
         self.stage.run(2)
         self.assertEqual(len({(s.tail_epoch) for s in states if s.length == max(x.length for x in states)}), 1)
 
-    def test_an_append_whose_receipts_were_lost_is_known_to_be_durable_once_depots_are_heard(self):
+    def test_an_append_whose_receipts_were_lost_is_known_to_be_durable_once_storage_nodes_are_heard(self):
         h = self.stage.do(self.one.ctx.ledger.hold("results/d"))
         self.stage.do(h.append([b"first"]))
-        depots = [a.name for a in self.stage.role("depot")]
-        self.stage.clock.callLater(0.002, lambda: self.stage.cut(depots, [self.one.name], one_way=True))
+        storage_nodes = [a.name for a in self.stage.role("storage")]
+        self.stage.clock.callLater(0.002, lambda: self.stage.cut(storage_nodes, [self.one.name], one_way=True))
         self.stage.clock.callLater(1.2, self.stage.heal)
         with contextlib.suppress(PipitFault):
             self.stage.do(h.append([b"last"]), 10)
@@ -162,7 +162,7 @@
 
     def test_a_full_disk_refuses_lots_but_keeps_room_for_ends(self):
         h = self.stage.do(self.one.ctx.ledger.hold("results/c"))
-        for a in self.stage.role("depot"):
+        for a in self.stage.role("storage"):
             shed = a.part.shed
             shed.budget = shed.used() + shed.reserve + 2000
         self.stage.run(1.5)
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -10,11 +10,11 @@
 FEW = seeds(1)
 OWNED = ("ledger.lease", "ledger.write", "ledger.renew", "ledger.mark", "lots.end", "controller.append", "controller.vote",
          "controller.follow", "ledger.read", "controller.caught_up")
-ROLES = ("gateway", "gateway", "depot", "controller")
+ROLES = ("gateway", "gateway", "storage", "controller")
 
 
 def staged(seed, gateways=4, engines=3):
-    stage = Stage(seed, controllers=3, depots=4, gateways=gateways, shelves=2)
+    stage = Stage(seed, controllers=3, storage_nodes=4, gateways=gateways, shelves=2)
     stage.with_engines(StagedGateway, StagedEngine, engines)
     stage.start()
     stage.ready()
@@ -64,7 +64,7 @@
     def test_lots_hold_under_trouble(self):
         self.judge(lambda stage, trouble, work: trouble.during(work, 10))
 
-    def test_a_new_owner_whose_depots_are_slow_lists_what_was_started_and_runs_the_rest(self):
+    def test_a_new_owner_whose_storage_nodes_are_slow_lists_what_was_started_and_runs_the_rest(self):
         stage = staged(5)
         self.addCleanup(stage.end)
         c = Customers(stage)
@@ -76,10 +76,10 @@
 
         owner().kill()
         stage.until(owner, 30, "another gateway owns it")
-        for a in stage.role("depot"):
+        for a in stage.role("storage"):
             a.slow = 5.0
         stage.run(6)
-        for a in stage.role("depot"):
+        for a in stage.role("storage"):
             a.slow = 0.0
         stage.until(lambda: stage.do(c.one_read(lot), 10)["state"] == "done", 60, "it is done")
         self.assertEqual(check(c.events, stage.notes, {}, capacity=4), [])
@@ -91,8 +91,8 @@
         lot = stage.until(lambda: stage.do(c.one_lot(12)), 20, "a lot is taken")
         owner = stage.until(lambda: next((a for a in stage.role("gateway") if (o := a.part.open_lots.get(lot)) and o.holder),
                                          None), 30, "a gateway owns it")
-        depots = [a.name for a in stage.role("depot")]
-        stage.cut([owner.name], depots)
+        storage_nodes = [a.name for a in stage.role("storage")]
+        stage.cut([owner.name], storage_nodes)
         got, fault = stage.do(c._ask(lambda part: part.end_here(lot), 9.0, owner), 12)
         self.assertIsNone(got)
         stage.heal()
--- a/tests/test_stage_restart.py
+++ b/tests/test_stage_restart.py
@@ -9,7 +9,7 @@
 
 class Restart(unittest.TestCase):
     def _fleet(self, seed):
-        stage = Stage(seed, controllers=4, depots=3, gateways=1)
+        stage = Stage(seed, controllers=4, storage_nodes=3, gateways=1)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
--- a/tests/test_stage_shelves.py
+++ b/tests/test_stage_shelves.py
@@ -1,10 +1,10 @@
-"""Shelves move off lost and retired depots, and nothing acknowledged is lost on the way."""
+"""Shelves move off lost and retired storage nodes, and nothing acknowledged is lost on the way."""
 import unittest
 
 from pipitlink.beats import ms
 from pipitlink.disk import frames
 from pipitlink.faults import GatewayFault, PipitFault
-from pipitlink.wire.setup_pb2 import Command, DepotEdit
+from pipitlink.wire.setup_pb2 import Command, StorageNodeEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import seeds
 
@@ -60,13 +60,13 @@
         if leader is None:
             return False
         rows = leader.part.sheet.shelves.values()
-        return all(not s.joining and without not in s.depots and len(s.depots) == 3 for s in rows)
+        return all(not s.joining and without not in s.storage_nodes and len(s.storage_nodes) == 3 for s in rows)
 
     def test_two_losses_in_turn_with_repair_between_lose_nothing(self):
         for seed in seeds(3):
             with self.subTest(seed=seed):
-                stage, logs = self.stage(seed, depots=5)
-                for lost in stage.chance.sample(stage.role("depot"), 2):
+                stage, logs = self.stage(seed, storage_nodes=5)
+                for lost in stage.chance.sample(stage.role("storage"), 2):
                     stage.run(2)
                     node = lost.node
                     lost.kill(power=True)
@@ -74,36 +74,36 @@
                     stage.until(lambda: self.placed(stage, node), 40, "the shelves have moved")
                 self.check(stage, logs)
 
-    def test_an_empty_depot_in_place_of_a_lost_one_takes_its_shelves(self):
-        stage, logs = self.stage(7, depots=4)
+    def test_an_empty_storage_node_in_place_of_a_lost_one_takes_its_shelves(self):
+        stage, logs = self.stage(7, storage_nodes=4)
         stage.run(2)
-        lost = stage.role("depot")[1]
+        lost = stage.role("storage")[1]
         node = lost.node
         lost.kill(power=True)
         lost.wipe()
         lost.start()
         stage.until(lambda: self.placed(stage, node), 6, "the shelves have moved, and nothing was waited for")
-        stage.until(lambda: stage.leader() and node not in stage.leader().part.sheet.depots, 10, "it is off the sheet")
+        stage.until(lambda: stage.leader() and node not in stage.leader().part.sheet.storage_nodes, 10, "it is off the sheet")
         self.check(stage, logs)
 
-    def test_a_retired_depot_gives_up_its_shelves_and_then_may_be_switched_off(self):
-        stage, logs = self.stage(8, depots=4)
-        gone = stage.role("depot")[2]
+    def test_a_retired_storage_node_gives_up_its_shelves_and_then_may_be_switched_off(self):
+        stage, logs = self.stage(8, storage_nodes=4)
+        gone = stage.role("storage")[2]
         part = stage.leader().part
         part.check_retirement(part.sheet, gone.node)
-        stage.do(part.edit(Command(depot=DepotEdit(depot=gone.node, standing="retiring"))))
-        stage.until(lambda: stage.leader() and stage.leader().part.sheet.depots.get(gone.node) == "retired", 60,
+        stage.do(part.edit(Command(storage_node=StorageNodeEdit(storage_node=gone.node, standing="retiring"))))
+        stage.until(lambda: stage.leader() and stage.leader().part.sheet.storage_nodes.get(gone.node) == "retired", 60,
                     "it may be switched off")
         with self.assertRaises(GatewayFault) as no:
-            stage.leader().part.check_retirement(stage.leader().part.sheet, stage.role("depot")[0].node)
+            stage.leader().part.check_retirement(stage.leader().part.sheet, stage.role("storage")[0].node)
         self.assertEqual(no.exception.code, "too_few_copies")
         gone.kill()
         stage.run(3)
         self.check(stage, logs)
 
-    def test_a_new_depot_takes_a_fair_share(self):
-        stage, logs = self.stage(9, depots=3)
-        new = stage.add("depot", "depot7", "zone-d", 1700)
+    def test_a_new_storage_node_takes_a_fair_share(self):
+        stage, logs = self.stage(9, storage_nodes=3)
+        new = stage.add("storage", "storage7", "zone-d", 1700)
         new.start()
         stage.until(lambda: stage.leader() and stage.leader().part._holds(stage.leader().part.sheet)[new.node] >= 2, 60,
                     "it has shelves")
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -17,12 +17,12 @@
 
     def test_a_lease_counts_only_where_both_speak_of_it(self):
         a = beliefs("a", leases={"results/1": "a@4", "lots/a": "a@1"})
-        b = beliefs("d1", "depot", leases={"results/1": "z@5"})
+        b = beliefs("d1", "storage", leases={"results/1": "z@5"})
         self.assertEqual(differences(a, b), {"leases": {"results/1": ["a@4", "z@5"]}})
 
     def test_a_log_that_one_of_two_keepers_lacks_is_told(self):
-        a = beliefs("d1", "depot", logs={"3/results/1": "epoch=1 length=9 final=True", "5/lots/x": "epoch=1"})
-        b = beliefs("d2", "depot", logs={})
+        a = beliefs("d1", "storage", logs={"3/results/1": "epoch=1 length=9 final=True", "5/lots/x": "epoch=1"})
+        b = beliefs("d2", "storage", logs={})
         self.assertEqual(list(differences(a, b)["logs"]), ["3/results/1"])
 
     def test_setup_and_standing_differences_are_told(self):
