Rename colleague to peer

Mechanical, by a script over identifiers, strings, prose and wire; no logic changed. ruff's checks for undefined names pass; the suite is run on the last commit of the renames.

--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -23,7 +23,7 @@
 
 
 class CutOff(WireFault):
-    """The colleague could not be asked: nothing was sent, or no receipt will come."""
+    """The peer could not be asked: nothing was sent, or no receipt will come."""
 
     code = "cut_off"
 
@@ -37,7 +37,7 @@
 
 
 class Refused(WireFault):
-    """The colleague took the call and answered with a fault."""
+    """The peer took the call and answered with a fault."""
 
     code = "refused"
 
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -78,18 +78,18 @@
 
     def standing(self) -> dict:
         roster = self._ctx.roster
-        colleagues = [{"node": m.node, "role": m.role, "zone": m.zone, "place": f"{m.host}:{m.port}",
+        peers = [{"node": m.node, "role": m.role, "zone": m.zone, "place": f"{m.host}:{m.port}",
                        "http": m.http_port, "operator": m.operator_port, "standing": roster.standing(m.node)}
                       for m in sorted(roster.everyone(), key=lambda m: (m.role, m.zone, m.node))]
         ok, words = self._node.readiness()
-        return {"node": roster.me.node, "role": roster.me.role, "ready": ok, **words, "colleagues": colleagues,
+        return {"node": roster.me.node, "role": roster.me.role, "ready": ok, **words, "peers": peers,
                 "engines": self._node.beliefs().get("engines", {})}
 
     def collect(self):
         sheet = self._sheet()
         yield GaugeMetricFamily("pipitlink_setup_sequence", "The setup's sequence here", sheet.sequence)
         yield GaugeMetricFamily("pipitlink_table_sequence", "The weight table's sequence here", sheet.table)
-        seen = GaugeMetricFamily("pipitlink_colleagues", "Colleagues by role and standing",
+        seen = GaugeMetricFamily("pipitlink_peers", "Peers by role and standing",
                                  labels=["role", "standing"])
         counts: dict = {}
         for m in self._ctx.roster.everyone():
--- a/pipitlink/roster/entry.py
+++ b/pipitlink/roster/entry.py
@@ -40,5 +40,5 @@
         self._say("gone")
 
     def _say(self, standing):
-        self._journal.note("standing", colleague=self.member.node, role=self.member.role, standing=standing,
+        self._journal.note("standing", peer=self.member.node, role=self.member.role, standing=standing,
                            incarnation=self.member.incarnation)
--- a/pipitlink/roster/memory.py
+++ b/pipitlink/roster/memory.py
@@ -8,10 +8,10 @@
 
 
 class Memory:
-    """Mixin: colleagues remembered on disk, where the node has one, so that seeds are not needed again."""
+    """Mixin: peers remembered on disk, where the node has one, so that seeds are not needed again."""
 
     def remember_in(self, folder: Path):
-        self._file = folder / "colleagues.json"
+        self._file = folder / "peers.json"
 
     def _recall(self):
         if self._file is None or not self._file.exists():
@@ -19,7 +19,7 @@
         try:
             places = [(str(h), int(p)) for h, p in json.loads(self._file.read_text())]
         except (ValueError, TypeError, OSError) as e:
-            self._ctx.journal.fault("colleagues_forgotten", e)
+            self._ctx.journal.fault("peers_forgotten", e)
             return
         for place in places[:64]:
             spawn(self._probe(place))
@@ -31,4 +31,4 @@
         try:
             swap_in(self._file, json.dumps(places).encode())
         except OSError as e:
-            self._ctx.journal.fault("colleagues_not_kept", e)
+            self._ctx.journal.fault("peers_not_kept", e)
--- a/pipitlink/roster/roster.py
+++ b/pipitlink/roster/roster.py
@@ -22,7 +22,7 @@
 
 
 class Roster(Memory):
-    """Who is in the fleet: direct probes, probes through colleagues, suspicion that the accused can refute.
+    """Who is in the fleet: direct probes, probes through peers, suspicion that the accused can refute.
 
     Gossip carries the members that changed lately and a digest of all; the whole is sent where the digests differ.
     """
@@ -135,7 +135,7 @@
             kept = Member()
             kept.CopyFrom(m)
             e = self._entries[m.node] = Entry(kept, now, self._ctx.journal)
-            self._ctx.journal.note("met", colleague=m.node, role=m.role, zone=m.zone, place=f"{m.host}:{m.port}")
+            self._ctx.journal.note("met", peer=m.node, role=m.role, zone=m.zone, place=f"{m.host}:{m.port}")
             self._changed(e)
             return
         if m.incarnation < e.member.incarnation:
@@ -190,7 +190,7 @@
                 for m in self.members(me=False)]
 
     async def leave(self):
-        """Tells all colleagues that this node ends, so that nobody has to find out."""
+        """Tells all peers that this node ends, so that nobody has to find out."""
         self._change_me(standing="gone")
         await defer.DeferredList(self.tell())
 
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -112,7 +112,7 @@
         return self.sequence >= r.sequence
 
     async def _follow(self):
-        """One task that follows the setup from a controller, or through a colleague where no controller is heard."""
+        """One task that follows the setup from a controller, or through a peer where no controller is heard."""
         failures = 0
         while not self._ctx.beats.ended:
             try:
@@ -149,17 +149,17 @@
         known = [m for m in controllers if m.node == self._controller]
         if known and not failures:
             return (known[0].host, known[0].port), "controller.follow"
-        colleagues = self._ctx.roster.members("gateway", standing=("alive",), me=False)
-        if controllers and (failures % 3 or not colleagues):
+        peers = self._ctx.roster.members("gateway", standing=("alive",), me=False)
+        if controllers and (failures % 3 or not peers):
             m = self._ctx.chance.choice(controllers)
             return (m.host, m.port), "controller.follow"
-        if not colleagues:
-            raise WireFault("neither a controller nor a colleague is known")
-        m = self._ctx.chance.choice(colleagues)
+        if not peers:
+            raise WireFault("neither a controller nor a peer is known")
+        m = self._ctx.chance.choice(peers)
         return (m.host, m.port), "setup.pass_on"
 
     async def _pass_on(self, node, ask: FollowAsk) -> FollowReceipt:
-        """A colleague that hears no controller follows through this node."""
+        """A peer that hears no controller follows through this node."""
         m = self._ctx.roster.find(self._controller) if self._controller else None
         if m is None:
             raise WireFault("no controller is heard here either")
--- a/pipitlink/wire/desk.py
+++ b/pipitlink/wire/desk.py
@@ -16,7 +16,7 @@
 
 
 class Desk:
-    """Where calls from colleagues are answered and calls to them are made."""
+    """Where calls from peers are answered and calls to them are made."""
 
     def __init__(self, reactor, beats: Beats, journal, fleet: str, node: str):
         self._reactor = reactor
@@ -38,14 +38,14 @@
 
     def check(self, hello: Hello):
         if hello.fleet != self._fleet:
-            raise WireFault(f"colleague of fleet {hello.fleet!r}, this is {self._fleet!r}")
+            raise WireFault(f"peer of fleet {hello.fleet!r}, this is {self._fleet!r}")
         if hello.wire != WIRE:
-            raise WireFault(f"colleague speaks wire sequence {hello.wire}, this is {WIRE}")
+            raise WireFault(f"peer speaks wire sequence {hello.wire}, this is {WIRE}")
 
     def answer(self, verb: str, kind, do):
         self._verbs[verb] = (kind, do)
 
-    async def attend(self, colleague: Hello, verb: str, body: bytes):
+    async def attend(self, peer: Hello, verb: str, body: bytes):
         if verb not in self._verbs:
             raise Unmet(f"no such call here: {verb}")
         kind, do = self._verbs[verb]
@@ -53,7 +53,7 @@
             ask = kind.FromString(body)
         except DecodeError as e:
             raise WireFault(f"{verb}: {e}") from e
-        r = await do(colleague.node, ask)
+        r = await do(peer.node, ask)
         return Nothing() if r is None else r
 
     def met(self, s: Stream):
--- a/pipitlink/wire/stream.py
+++ b/pipitlink/wire/stream.py
@@ -14,7 +14,7 @@
 
 
 class Stream(Int32StringReceiver):
-    """A connection to one colleague, with one task that reads it from hello to end."""
+    """A connection to one peer, with one task that reads it from hello to end."""
 
     MAX_LENGTH = MAX_FRAME
 
@@ -26,7 +26,7 @@
         self._next = 0
         self._attended = 0
         self._held = False
-        self.colleague = Hello()
+        self.peer = Hello()
         self.ended = False
         self.ready: defer.Deferred = defer.Deferred(lambda d: None)
 
@@ -43,7 +43,7 @@
         self._wake()
 
     def lengthLimitExceeded(self, length):
-        self._desk.journal.warn("frame_too_long", length=length, colleague=self.colleague.node)
+        self._desk.journal.warn("frame_too_long", length=length, peer=self.peer.node)
         self.transport.abortConnection()
 
     def connectionLost(self, reason=protocol.connectionDone):
@@ -79,8 +79,8 @@
             first = await self._take()
             if first is None:
                 return
-            self.colleague.ParseFromString(first)
-            self._desk.check(self.colleague)
+            self.peer.ParseFromString(first)
+            self._desk.check(self.peer)
             self.ready.callback(self)
             while (data := await self._take()) is not None:
                 f = Frame.FromString(data)
@@ -91,7 +91,7 @@
                 else:
                     spawn(self._attend(f))
         except Exception as e:
-            self._desk.journal.fault("stream_refused", e, colleague=self.colleague.node)
+            self._desk.journal.fault("stream_refused", e, peer=self.peer.node)
             if not self.ready.called:
                 self.ready.errback(WireFault(str(e)))
             self.transport.abortConnection()
@@ -100,7 +100,7 @@
         self._attended += 1
         out = Frame(call=f.call, receipt=True)
         try:
-            out.body = (await self._desk.attend(self.colleague, f.verb, f.body)).SerializeToString()
+            out.body = (await self._desk.attend(self.peer, f.verb, f.body)).SerializeToString()
         except Exception as e:
             out.fault = getattr(e, "code", "fault")
             out.note = str(e)
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -34,11 +34,11 @@
 
 
 class HollowGateway(GatewayNode):
-    """A whole gateway but for its HTTP side: every beat, call and answer between colleagues is the gateway's own."""
+    """A whole gateway but for its HTTP side: every beat, call and answer between peers is the gateway's own."""
 
 
 class _Member:
-    """A node that is only a colleague: roster and setup, nothing of a gateway's work."""
+    """A node that is only a peer: roster and setup, nothing of a gateway's work."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -58,11 +58,11 @@
         self.counts[f"{way} {verb}"] += 1
         self.counts[f"{way}_bytes {verb}"] += size
 
-    async def attend(self, colleague, verb, body):
-        away = colleague.node != self.node
+    async def attend(self, peer, verb, body):
+        away = peer.node != self.node
         if away:
             self._note("in", verb, len(body) + len(verb) + CALL_FRAME)
-        r = await super().attend(colleague, verb, body)
+        r = await super().attend(peer, verb, body)
         if away:
             self._note("out", f"{verb}:receipt", r.ByteSize() + RECEIPT_FRAME)
         return r
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -33,7 +33,7 @@
 
 
 def _gateway(gateways: int):
-    """A hollow gateway that knows so many colleagues and their engines, on a clock that stands still."""
+    """A hollow gateway that knows so many peers and their engines, on a clock that stands still."""
     clock = Clock()
     beats = Beats(clock, seconds=clock.seconds)
     desk = Desk(None, beats, Journal(_Quiet()), "pipit", "g0")
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -310,7 +310,7 @@
 
         def arrive():
             if not goal.alive:
-                settle(CutOff("the colleague ended", sent=True))
+                settle(CutOff("the peer ended", sent=True))
                 return
             goal.clock.callLater(0, attend)
 
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -14,7 +14,7 @@
     def test_a_short_soak_has_no_violation(self):
         self.assertEqual(Soak("small", 4, 0.5, faults=FAULTS, quiet=4, floors=False).run(), 0)
 
-    def test_a_colleague_of_another_fleet_or_with_rubbish_is_refused(self):
+    def test_a_peer_of_another_fleet_or_with_rubbish_is_refused(self):
         fleet = Fleet(gateways=1, storage_nodes=3, controllers=3, engines=0, cards=0)
         self.addCleanup(fleet.stop)
         fleet.start()
