--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -48,7 +48,7 @@
         self.poller.open()
 
     def ring(self) -> Ring:
-        nodes = {m.node: m.zone for m in self._ctx.roster.members("gateway", standing=("alive",))}
+        nodes = {m.node: m.zone for m in self._ctx.membership.members("gateway", standing=("alive",))}
         if nodes != self._ring.nodes:
             self._ring = Ring(nodes)
         return self._ring
@@ -60,9 +60,9 @@
         return Tail(self._ctx, self, path, limit)
 
     async def _ask(self, node: str, verb: str, what, kind):
-        m = self._ctx.roster.find(node)
+        m = self._ctx.membership.find(node)
         if m is None:
-            raise WireFault(f"gateway {node} is not on the roster")
+            raise WireFault(f"gateway {node} is not on the membership")
         return await self._ctx.desk.call((m.host, m.port), verb, what, kind, CACHE_LIMIT)
 
     async def _each(self, asks: dict[str, object], verb: str, kind, enough) -> dict[str, object]:
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -29,7 +29,7 @@
     journal: Journal
     desk: Desk
     chance: Random
-    roster: object = None
+    membership: object = None
     setup: object = None
     ledger: object = None
     cache: object = None
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -6,7 +6,7 @@
 from ..beats import ms, secs, to_ms
 from ..faults import Crowded, WireFault
 from ..wire.frame_pb2 import Nothing
-from ..wire.roster_pb2 import EngineList, EngineNews
+from ..wire.membership_pb2 import EngineList, EngineNews
 
 __all__ = ["Announcing"]
 
@@ -54,7 +54,7 @@
         self._announced: dict[str, _Announced] = {}
         self._renewed: set[str] = set()
         self._owed: dict[str, set[str]] = {}
-        self._ctx.roster.watch(self._gateway_changed)
+        self._ctx.membership.watch(self._gateway_changed)
         self._ctx.beats.every(BATCH_BEAT, self._tell_renewed, self._ctx.report("renewed_engines"))
 
     async def announce(self, n: EngineNews):
@@ -81,7 +81,7 @@
             await self._confirmed(have)
 
     def _gateways(self, standing=("alive", "suspect")):
-        return self._ctx.roster.members("gateway", standing=standing, me=False)
+        return self._ctx.membership.members("gateway", standing=standing, me=False)
 
     def _tell(self, have: _Announced):
         have.telling = t = _Telling(m.node for m in self._gateways())
@@ -91,7 +91,7 @@
     async def _tell_gateway(self, node: str, engines, t: _Telling):
         until = self._ctx.beats.now() + PUSH_SPAN
         try:
-            while self._ctx.roster.standing(node) in ("alive", "suspect"):
+            while self._ctx.membership.standing(node) in ("alive", "suspect"):
                 if await self._push(node, engines):
                     t.confirmed.add(node)
                     return
@@ -103,7 +103,7 @@
             t.wake()
 
     async def _push(self, node: str, engines) -> bool:
-        m = self._ctx.roster.find(node)
+        m = self._ctx.membership.find(node)
         if m is None:
             return False
         try:
@@ -163,6 +163,6 @@
 
     def _gateway_changed(self, m):
         """A gateway that is met, or is back, is told all that is known here."""
-        if m.role == "gateway" and self._announced and self._ctx.roster.standing(m.node) == "alive":
+        if m.role == "gateway" and self._announced and self._ctx.membership.standing(m.node) == "alive":
             t = _Telling([m.node])
             self._ctx.spawned(self._tell_gateway(m.node, sorted(self._announced), t), "tell_engines")
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -5,7 +5,7 @@
 from ..faults import BadAsk, GatewayFault, NotFound
 from ..setup.routes import RouteTable
 from ..web import Site, answered, listen, send_fault, send_json
-from ..wire.roster_pb2 import EngineNews
+from ..wire.membership_pb2 import EngineNews
 from ..wire.setup_pb2 import Command, ZoneEdit
 from .edits import edit_base, edit_id
 
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -163,7 +163,7 @@
     @answered
     async def show_zones(self, request):
         s = await self.newest()
-        zones = sorted({m.zone for m in self._ctx.roster.everyone()} | s.empty_zones)
+        zones = sorted({m.zone for m in self._ctx.membership.everyone()} | s.empty_zones)
         return send_json(request, {"zones": {z: {"empty": z in s.empty_zones} for z in zones}})
 
     @answered
@@ -171,9 +171,9 @@
         s = await self.newest()
         out = {}
         for d, standing in s.storage_nodes.items():
-            m = self._ctx.roster.find(d)
+            m = self._ctx.membership.find(d)
             shelves = sum(d in tuple(x.storage_nodes) + (x.joining,) for x in s.shelves.values())
-            out[d] = {"standing": standing, "name": s.storage_node_names.get(d, ""), "heard": self._ctx.roster.standing(d), "zone": m.zone if m else "",
+            out[d] = {"standing": standing, "name": s.storage_node_names.get(d, ""), "heard": self._ctx.membership.standing(d), "zone": m.zone if m else "",
                       "place": f"{m.host}:{m.port}" if m else "", "shelves": shelves}
         return send_json(request, {"storage_nodes": out})
 
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -53,7 +53,7 @@
         return at[len(at) // 2] if at else ZERO
 
     def _send_to_all(self):
-        for m in self._ctx.roster.members("controller", me=False):
+        for m in self._ctx.membership.members("controller", me=False):
             if m.node not in self._senders:
                 self._senders.add(m.node)
                 self._ctx.spawned(self._send(m.node, self.term), "send_entries")
@@ -61,7 +61,7 @@
     async def _send(self, node: str, term: int):
         after = self.archive.last_index()
         try:
-            while self.state == "leader" and self.term == term and self._ctx.roster.standing(node) != "gone":
+            while self.state == "leader" and self.term == term and self._ctx.membership.standing(node) != "gone":
                 sent = self._ctx.beats.now()
                 ask = self._entries_for(node, after)
                 limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -77,9 +77,9 @@
         return self.archive.voters()
 
     async def ask_controller(self, node: str, verb: str, what, kind, limit):
-        m = self._ctx.roster.find(node)
+        m = self._ctx.membership.find(node)
         if m is None:
-            raise WireFault(f"controller {node} is not on the roster")
+            raise WireFault(f"controller {node} is not on the membership")
         return await self._ctx.desk.call((m.host, m.port), verb, what, kind, limit)
 
     def apply(self):
@@ -135,4 +135,4 @@
     async def end(self):
         if self.state == "leader":
             self.step_down()
-        await self._ctx.roster.leave()
+        await self._ctx.membership.leave()
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -12,7 +12,7 @@
         if name in sheet.storage_nodes:
             return [name]
         named = {d for d, n in sheet.storage_node_names.items() if n == name}
-        heard = {m.node for m in self._ctx.roster.everyone() if m.role == "storage" and m.name == name}
+        heard = {m.node for m in self._ctx.membership.everyone() if m.role == "storage" and m.name == name}
         found = sorted((named | heard) & set(sheet.storage_nodes))
         if not found and heard:
             raise GatewayFault(f"storage node {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
--- a/pipitlink/controller/shelving.py
+++ b/pipitlink/controller/shelving.py
@@ -58,7 +58,7 @@
         return True
 
     async def _admit_storage_node(self) -> bool:
-        for m in self._ctx.roster.members("storage", standing=("alive",)):
+        for m in self._ctx.membership.members("storage", standing=("alive",)):
             if m.node not in self.sheet.storage_nodes and m.node in self.followers and not self._name_retired(m.name):
                 await self._proved(Command(storage_node=StorageNodeEdit(storage_node=m.node, standing="serving", name=m.name)))
                 self._ctx.journal.note("storage_node_admitted", storage_node=m.node, zone=m.zone)
@@ -86,15 +86,15 @@
         return Counter(d for s in sheet.shelves.values() for d in (*s.storage_nodes, s.joining) if d)
 
     def _zone(self, storage_node: str) -> str:
-        m = self._ctx.roster.find(storage_node)
+        m = self._ctx.membership.find(storage_node)
         return m.zone if m is not None else ""
 
     def _lost(self, storage_node: str) -> bool:
-        standing = self._ctx.roster.standing(storage_node)
+        standing = self._ctx.membership.standing(storage_node)
         if standing not in ("unknown", "gone"):
             return False
         away = self._ctx.beats.now() - self._elected_at - REPAIR_AFTER if standing == "unknown" \
-            else self._ctx.roster.since(storage_node)
+            else self._ctx.membership.since(storage_node)
         return away > REPAIR_AFTER or self._replaced(storage_node)
 
     def _replaced(self, storage_node: str) -> bool:
@@ -102,13 +102,13 @@
 
         Its name is in the setup, so that it is known also where no controller has met it since all of them started.
         """
-        m, name = self._ctx.roster.find(storage_node), self.sheet.storage_node_names.get(storage_node)
+        m, name = self._ctx.membership.find(storage_node), self.sheet.storage_node_names.get(storage_node)
         return any(o.node != storage_node and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
-                   for o in self._ctx.roster.members("storage", standing=("alive",)))
+                   for o in self._ctx.membership.members("storage", standing=("alive",)))
 
     def _serving(self) -> list[str]:
         return [d for d, s in self.sheet.storage_nodes.items()
-                if s == "serving" and self._ctx.roster.standing(d) == "alive"]
+                if s == "serving" and self._ctx.membership.standing(d) == "alive"]
 
     async def _first_shelves(self):
         storage_nodes = self._serving()
@@ -168,7 +168,7 @@
 
         Not while a shelf lacks one of its storage nodes: a move needs a majority of both its sets.
         """
-        away = any(self._ctx.roster.standing(d) != "alive" for s in self.sheet.shelves.values() for d in s.storage_nodes)
+        away = any(self._ctx.membership.standing(d) != "alive" for s in self.sheet.shelves.values() for d in s.storage_nodes)
         if len(serving) <= COPIES or away:
             return []
         low = min(serving, key=lambda d: (held[d], d))
@@ -184,7 +184,7 @@
 
     def check_retirement(self, sheet: Sheet, storage_node: str):
         rest = [d for d, s in sheet.storage_nodes.items()
-                if s == "serving" and d != storage_node and self._ctx.roster.standing(d) == "alive"]
+                if s == "serving" and d != storage_node and self._ctx.membership.standing(d) == "alive"]
         if len(rest) < COPIES:
             raise GatewayFault(f"{len(rest)} live storage nodes would be left and each shelf needs {COPIES}",
                              code="too_few_copies", status=409, outcome="not_run")
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -30,7 +30,7 @@
                                                          due=lambda: ZERO if self.open_lots else None))
 
     def _owner(self, lot_id: str) -> str:
-        gateways = self._ctx.roster.members("gateway", standing=("alive",))
+        gateways = self._ctx.membership.members("gateway", standing=("alive",))
         gateways = [m for m in gateways if not self._ctx.setup.zone_empty(m.zone)] or gateways
         return max(gateways, key=lambda m: rank(lot_id, m.node)).node
 
--- a/pipitlink/gateway/engines.py
+++ b/pipitlink/gateway/engines.py
@@ -5,7 +5,7 @@
 
 from ..beats import ZERO, ms, secs, spawn, to_ms, wall_ms
 from ..wire.frame_pb2 import Nothing
-from ..wire.roster_pb2 import EngineList, EngineNews, Gossip, Load, Loads
+from ..wire.membership_pb2 import EngineList, EngineNews, Gossip, Load, Loads
 
 __all__ = ["Engines", "Engine"]
 
@@ -62,7 +62,7 @@
     def open(self):
         self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
         self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
-        self._ctx.roster.carry(self._fill, self._take)
+        self._ctx.membership.carry(self._fill, self._take)
         self._ctx.beats.every(LOADS_BEAT, self._tell_loads, self._ctx.report("loads"))
 
     def all(self) -> list[Engine]:
@@ -74,7 +74,7 @@
         self._push(EngineList(engines=[self._engines[news.engine].news]))
 
     def _push(self, what: EngineList):
-        for m in self._ctx.roster.members("gateway", me=False):
+        for m in self._ctx.membership.members("gateway", me=False):
             place = (m.host, m.port)
             spawn(self._ctx.desk.call(place, "engines.tell", what, Nothing, ms(500))).addErrback(lambda f: None)
 
@@ -182,11 +182,11 @@
 
         While the engine is cold, gateways that were heard a short while ago keep their parts: they may only be cut off.
         """
-        roster = self._ctx.roster
-        gateways = {m.node for m in roster.members("gateway", standing=("alive",))} | {self._ctx.node}
+        membership = self._ctx.membership
+        gateways = {m.node for m in membership.members("gateway", standing=("alive",))} | {self._ctx.node}
         if self._cold(e):
-            gateways |= {m.node for m in roster.members("gateway", standing=("suspect", "gone"))
-                       if roster.since(m.node) < RAMP_SPAN}
+            gateways |= {m.node for m in membership.members("gateway", standing=("suspect", "gone"))
+                       if membership.since(m.node) < RAMP_SPAN}
         ranked = sorted(gateways, key=lambda g: blake2b(f"{e.name}/{g}".encode(), digest_size=8).digest())
         turn = (ranked.index(self._ctx.node) + wall_ms(self._ctx.beats.wall()) // TURN_MS) % len(ranked)
         return lambda n: n // len(ranked) + (turn < n % len(ranked))
@@ -238,7 +238,7 @@
         self._stirred_at = self._ctx.beats.now()
 
     def _tell(self, what: Loads):
-        for m in self._ctx.roster.members("gateway", me=False):
+        for m in self._ctx.membership.members("gateway", me=False):
             place = (m.host, m.port)
             spawn(self._ctx.desk.call(place, "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
 
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -54,7 +54,7 @@
         if owner == self._ctx.node:
             r = await self._keyed_here(lot)
         else:
-            m = self._ctx.roster.find(owner)
+            m = self._ctx.membership.find(owner)
             try:
                 r = await self._ctx.desk.call((m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedReceipt,
                                               FORWARD_LIMIT)
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -8,7 +8,7 @@
 from ..beats import ZERO, ms, secs
 from ..context import fresh_id
 from ..faults import Crowded, Refused, WireFault
-from ..wire.roster_pb2 import Loads, Permit, PermitAsk, PermitReceipt
+from ..wire.membership_pb2 import Loads, Permit, PermitAsk, PermitReceipt
 from ..rendezvous import rank
 
 __all__ = ["Limits", "ComeBack"]
@@ -100,13 +100,13 @@
                      if (r := self._ctx.setup.row(ask.model, e.news.pool)) is not None), None)
 
     def _steward(self, row: str) -> str:
-        gateways = {m.node for m in self._ctx.roster.members("gateway", standing=("alive",))} | {self._ctx.node}
+        gateways = {m.node for m in self._ctx.membership.members("gateway", standing=("alive",))} | {self._ctx.node}
         return max(gateways, key=lambda g: rank(row, g))
 
     def _look(self):
         """Notes when the gateways changed, or this one slept: places may be out of which a new steward has not heard."""
         now = self._ctx.beats.now()
-        gateways = frozenset(m.node for m in self._ctx.roster.members("gateway", standing=("alive",)))
+        gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", standing=("alive",)))
         if gateways != self._gateways_then or now - self._looked_at > secs(1):
             self._gateways_then, self._moved_at = gateways, now
         self._looked_at = now
@@ -114,10 +114,10 @@
     def _may_grant(self) -> bool:
         """Not while gateways change, nor on the smaller side of a cut, nor where the setup is not proved."""
         self._look()
-        alive = self._ctx.roster.members("gateway", standing=("alive",))
+        alive = self._ctx.membership.members("gateway", standing=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.roster.members("gateway", standing=("suspect", "gone"), me=False)
-                if (m.host, m.port) not in places and self._ctx.roster.since(m.node) < KNOWN_SPAN]
+        away = [m for m in self._ctx.membership.members("gateway", standing=("suspect", "gone"), me=False)
+                if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
         return self._ctx.setup.ready() and len(alive) >= len(away) \
             and self._ctx.beats.now() - self._moved_at >= SETTLE_SPAN
 
@@ -144,7 +144,7 @@
         steward = self._steward(ask.row)
         if steward == self._ctx.node:
             return self._permit_here(steward, ask)
-        m = self._ctx.roster.find(steward)
+        m = self._ctx.membership.find(steward)
         try:
             return await self._ctx.desk.call((m.host, m.port), "limits.take", ask, PermitReceipt, ASK_LIMIT)
         except (WireFault, Refused):
--- a/pipitlink/gateway/live.py
+++ b/pipitlink/gateway/live.py
@@ -6,7 +6,7 @@
 from ..beats import ms, secs, spawn
 from ..faults import BadAsk, NotFound, Overdue, Refused, WireFault
 from ..web import answered, send_fault, send_json
-from ..wire.roster_pb2 import EngineNews
+from ..wire.membership_pb2 import EngineNews
 from .asks import Ask
 from .bodies import EngineBody, GenerateBody, read_json
 from .runs import FarRun
@@ -153,7 +153,7 @@
         return send_json(request, {"renew_ms": 1000, "gateways": self.addresses()})
 
     def addresses(self) -> list[str]:
-        return [f"{m.host}:{m.http_port}" for m in self._ctx.roster.members("gateway", standing=("alive",))]
+        return [f"{m.host}:{m.http_port}" for m in self._ctx.membership.members("gateway", standing=("alive",))]
 
 
 class _Pace:
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -121,4 +121,4 @@
         for o in self.open_lots.values():
             self._lose(o)
         await self._ctx.ledger.release(list(self._ctx.ledger.holders.values()))
-        await self._ctx.roster.leave()
+        await self._ctx.membership.leave()
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -157,7 +157,7 @@
         if state is not None and state.final:
             return "closed"
         holder = state.holder if state is not None else ""
-        m = self._ctx.roster.find(holder) if holder else None
+        m = self._ctx.membership.find(holder) if holder else None
         if not holder or holder == self._ctx.node:
             return await self.end_here(lot)
         if m is None:
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -3,7 +3,7 @@
 from ..beats import ms, secs
 from ..context import fresh_id
 from ..faults import GatewayFault, NotFound, Refused, WireFault
-from ..wire.roster_pb2 import RunAsk, RunReceipt
+from ..wire.membership_pb2 import RunAsk, RunReceipt
 
 __all__ = ["Runs", "FarRun"]
 
@@ -68,8 +68,8 @@
     def run_place(self, run: str) -> tuple[str, int] | None:
         """Where a run that is not held here may be held; none where its gateway is gone."""
         node = run.partition("-")[0]
-        m = self._ctx.roster.find(node)
-        gone = m is None or node == self._ctx.node or self._ctx.roster.standing(node) == "gone"
+        m = self._ctx.membership.find(node)
+        gone = m is None or node == self._ctx.node or self._ctx.membership.standing(node) == "gone"
         return None if gone else (m.host, m.port)
 
     async def _read_run(self, node, ask: RunAsk) -> RunReceipt:
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/ledger/ledger.py
@@ -31,13 +31,13 @@
         return self._ctx.setup.shelf(shelf_of(log, self._ctx.setup.shelves))
 
     def place(self, node: str):
-        m = self._ctx.roster.find(node)
+        m = self._ctx.membership.find(node)
         return (m.host, m.port) if m is not None else None
 
     async def ask(self, node: str, verb: str, what, kind, limit=ASK_LIMIT):
         place = self.place(node)
         if place is None:
-            raise WireFault(f"storage node {node} is not on the roster")
+            raise WireFault(f"storage node {node} is not on the membership")
         return await self._ctx.desk.call(place, verb, what, kind, limit)
 
     async def ask_each(self, nodes, verb: str, what, kind, limit=ASK_LIMIT, enough=None) -> dict:
@@ -181,7 +181,7 @@
         """Reads one span from the durable log, whole or not at all; where one storage node is slow, from the next as well."""
         nodes = list(self.shelf(log).everyone)
         self._ctx.chance.shuffle(nodes)
-        nodes.sort(key=lambda n: self._ctx.roster.standing(n) != "alive")
+        nodes.sort(key=lambda n: self._ctx.membership.standing(n) != "alive")
         got: list[bytes] = []
         waiting: list[defer.Deferred] = []
 
--- /dev/null
+++ b/pipitlink/membership/__init__.py
@@ -0,0 +1,3 @@
+from .membership import Membership
+
+__all__ = ["Membership"]
--- a/pipitlink/roster/entry.py
+++ b/pipitlink/membership/entry.py
@@ -1,7 +1,7 @@
 from datetime import timedelta
 
 from ..charts import Charted
-from ..wire.roster_pb2 import Member
+from ..wire.membership_pb2 import Member
 
 __all__ = ["Entry"]
 
--- a/pipitlink/roster/roster.py
+++ b/pipitlink/membership/membership.py
@@ -6,11 +6,11 @@
 from ..beats import ms, secs, spawn
 from ..faults import WireFault
 from ..wire.frame_pb2 import Nothing
-from ..wire.roster_pb2 import Gossip, Member, ProbeFor, ProbeReceipt
+from ..wire.membership_pb2 import Gossip, Member, ProbeFor, ProbeReceipt
 from .entry import Entry
 from .memory import Memory
 
-__all__ = ["Roster"]
+__all__ = ["Membership"]
 
 PROBE_BEAT = ms(200)
 PROBE_LIMIT = ms(400)
@@ -21,7 +21,7 @@
 _RANK = {"alive": 0, "suspect": 1, "gone": 2}
 
 
-class Roster(Memory):
+class Membership(Memory):
     """Who is in the fleet: direct probes, probes through peers, suspicion that the accused can refute.
 
     Gossip carries the members that changed lately and a digest of all; the whole is sent where the digests differ.
@@ -42,12 +42,12 @@
         self.me = me
         self._change_me(standing="alive")
         d = self._ctx.desk
-        d.answer("roster.probe", Gossip, self._probed)
-        d.answer("roster.probe_for", ProbeFor, self._probe_for)
-        d.answer("roster.tell", Gossip, self._told)
+        d.answer("membership.probe", Gossip, self._probed)
+        d.answer("membership.probe_for", ProbeFor, self._probe_for)
+        d.answer("membership.tell", Gossip, self._told)
         self._recall()
-        self._ctx.beats.every(PROBE_BEAT, self._beat, self._ctx.report("roster_beat"))
-        self._ctx.beats.every(secs(1), self._greet_seeds, self._ctx.report("roster_seeds"))
+        self._ctx.beats.every(PROBE_BEAT, self._beat, self._ctx.report("membership_beat"))
+        self._ctx.beats.every(secs(1), self._greet_seeds, self._ctx.report("membership_seeds"))
 
     def watch(self, do):
         self._watchers.append(do)
@@ -176,7 +176,7 @@
 
     async def _probe(self, place) -> str:
         try:
-            g = await self._ctx.desk.call(place, "roster.probe", self._gossip(), Gossip, PROBE_LIMIT)
+            g = await self._ctx.desk.call(place, "membership.probe", self._gossip(), Gossip, PROBE_LIMIT)
         except WireFault:
             return ""
         self._absorb(g)
@@ -195,7 +195,7 @@
         await defer.DeferredList(self.tell())
 
     async def _tell_one(self, place, g):
-        await self._ctx.desk.call(place, "roster.tell", g, Nothing, PROBE_LIMIT)
+        await self._ctx.desk.call(place, "membership.tell", g, Nothing, PROBE_LIMIT)
 
     async def _greet_seeds(self):
         known = {e.place for e in self._entries.values() if e.state == "alive"} | {self._ctx.desk.place}
@@ -243,7 +243,7 @@
         helpers = [m for m in self.members(me=False, standing=("alive",)) if m.node != e.member.node]
         for m in self._ctx.chance.sample(helpers, min(3, len(helpers))):
             try:
-                r = await self._ctx.desk.call((m.host, m.port), "roster.probe_for", ProbeFor(target=e.member.node),
+                r = await self._ctx.desk.call((m.host, m.port), "membership.probe_for", ProbeFor(target=e.member.node),
                                               ProbeReceipt, PROBE_LIMIT * 2)
             except WireFault:
                 continue
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -63,26 +63,26 @@
 
     def beliefs(self) -> dict:
         sheet = self._sheet()
-        me = self._ctx.roster.me
+        me = self._ctx.membership.me
         out = {"node": me.node, "role": me.role, "zone": me.zone,
                "setup": {"sequence": sheet.sequence, "table": sheet.table, "voters": ",".join(sheet.voters),
                          "empty_zones": ",".join(sorted(sheet.empty_zones))},
-               "roster": {}, "standing": {}, "storage_nodes": dict(sheet.storage_nodes),
+               "membership": {}, "standing": {}, "storage_nodes": dict(sheet.storage_nodes),
                "shelves": {str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
                            for n, s in sorted(sheet.shelves.items())}}
-        for m in [*self._ctx.roster.everyone()]:
-            out["roster"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
-            out["standing"][m.node] = self._ctx.roster.standing(m.node)
+        for m in [*self._ctx.membership.everyone()]:
+            out["membership"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
+            out["standing"][m.node] = self._ctx.membership.standing(m.node)
         out.update(self._node.beliefs())
         return out
 
     def standing(self) -> dict:
-        roster = self._ctx.roster
+        membership = self._ctx.membership
         peers = [{"node": m.node, "role": m.role, "zone": m.zone, "place": f"{m.host}:{m.port}",
-                       "http": m.http_port, "operator": m.operator_port, "standing": roster.standing(m.node)}
-                      for m in sorted(roster.everyone(), key=lambda m: (m.role, m.zone, m.node))]
+                       "http": m.http_port, "operator": m.operator_port, "standing": membership.standing(m.node)}
+                      for m in sorted(membership.everyone(), key=lambda m: (m.role, m.zone, m.node))]
         ok, words = self._node.readiness()
-        return {"node": roster.me.node, "role": roster.me.role, "ready": ok, **words, "peers": peers,
+        return {"node": membership.me.node, "role": membership.me.role, "ready": ok, **words, "peers": peers,
                 "engines": self._node.beliefs().get("engines", {})}
 
     def collect(self):
@@ -92,8 +92,8 @@
         seen = GaugeMetricFamily("pipitlink_peers", "Peers by role and standing",
                                  labels=["role", "standing"])
         counts: dict = {}
-        for m in self._ctx.roster.everyone():
-            key = (m.role, self._ctx.roster.standing(m.node))
+        for m in self._ctx.membership.everyone():
+            key = (m.role, self._ctx.membership.standing(m.node))
             counts[key] = counts.get(key, 0) + 1
         for key, n in sorted(counts.items()):
             seen.add_metric(key, n)
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -20,11 +20,11 @@
 from .operator import OperatorFace
 from .plugs import Gate
 from .props import Props
-from .roster import Roster
+from .membership import Membership
 from .controller import ControlFace, ControllerNode
 from .setup import Setup
 from .wire.desk import Desk
-from .wire.roster_pb2 import Member
+from .wire.membership_pb2 import Member
 
 __all__ = ["run"]
 
@@ -53,9 +53,9 @@
 
     async def open(self):
         ctx, p = self.ctx, self.ctx.props
-        ctx.roster = Roster(ctx)
+        ctx.membership = Membership(ctx)
         if ctx.role != "gateway":
-            ctx.roster.remember_in(Path(p.data))
+            ctx.membership.remember_in(Path(p.data))
         ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
         self._open_kept()
@@ -79,7 +79,7 @@
             await self._control.listen(p.bind, p.control_port)
         ctx.changes = Changes(ctx)
         ctx.changes.open()
-        ctx.roster.open(me)
+        ctx.membership.open(me)
         if ctx.role != "controller":
             ctx.setup.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
--- a/pipitlink/roster/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from .roster import Roster
-
-__all__ = ["Roster"]
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -255,7 +255,7 @@
             raise NotFound("there is no such batch", code="no_such_batch", field="id")
         if state.holder in ("", self._ctx.node):
             return await self._end_batch_here(batch_id)
-        m = self._ctx.roster.find(state.holder)
+        m = self._ctx.membership.find(state.holder)
         if m is None:
             return "unsure"
         try:
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -5,7 +5,7 @@
 
 from ..beats import ZERO, ms, secs, spawn
 from ..wire.frame_pb2 import Nothing
-from ..wire.roster_pb2 import EngineList, EngineNews, Load, Loads
+from ..wire.membership_pb2 import EngineList, EngineNews, Load, Loads
 
 __all__ = ["Engines", "Engine"]
 
@@ -213,7 +213,7 @@
         return e.batch + sum(b for _, b, at in e.peers.values() if now - at < LOADS_SPAN)
 
     def gateways(self) -> int:
-        return len(self._ctx.roster.members("gateway"))
+        return len(self._ctx.membership.members("gateway"))
 
     def _zones_moved(self):
         now = self._ctx.beats.now()
@@ -285,7 +285,7 @@
         if mine == self._told and not any(news) and now - self._told_at < LOADS_AT_LEAST:
             return
         self._told, self._told_at = mine, now
-        for m in self._ctx.roster.members("gateway", me=False):
+        for m in self._ctx.membership.members("gateway", me=False):
             spawn(self._ctx.desk.call((m.host, m.port), "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
 
     async def _told_loads(self, node, what: Loads):
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -85,4 +85,4 @@
         self.links.close()
         if self._ready_port is not None:
             await self._ready_port.stopListening()
-        await self._ctx.roster.leave()
+        await self._ctx.membership.leave()
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -5,7 +5,7 @@
 from ..beats import Joined, ms, secs
 from ..faults import Crowded, GatewayFault, PipitFault, Refused, WireFault
 from ..rendezvous import rank
-from ..wire.roster_pb2 import Loads, QuotaAsk, QuotaReceipt, WaitingLot
+from ..wire.membership_pb2 import Loads, QuotaAsk, QuotaReceipt, WaitingLot
 
 __all__ = ["Quota"]
 
@@ -108,30 +108,30 @@
             return
         self._lots_listed_at = started
         for b, t in list(self._quota_told.items()):
-            if t.gateway and t.gateway != self._ctx.node and self._ctx.roster.standing(t.gateway) in ("gone", "unknown"):
+            if t.gateway and t.gateway != self._ctx.node and self._ctx.membership.standing(t.gateway) in ("gone", "unknown"):
                 t.gateway, t.at = "", now
             if b not in names and (not t.gateway or not t.tokens) and started - t.at >= LISTED_LATE:
                 del self._quota_told[b]
 
     def _look_at_gateways(self):
         now = self._ctx.beats.now()
-        gateways = frozenset(m.node for m in self._ctx.roster.members("gateway", standing=("alive",)))
+        gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", standing=("alive",)))
         if gateways != self._quota_gateways or now - self._quota_looked_at > SLEPT_SPAN:
             self._quota_gateways, self._quota_moved_at = gateways, now
         self._quota_looked_at = now
 
     def _quota_steward(self, route: str) -> str:
-        gateways = {m.node for m in self._ctx.roster.members("gateway", standing=("alive",))} | {self._ctx.node}
+        gateways = {m.node for m in self._ctx.membership.members("gateway", standing=("alive",))} | {self._ctx.node}
         return max(gateways, key=lambda g: rank(f"quota/{route}", g))
 
     def _count_is_sure(self) -> bool:
         """Not while gateways change, nor on the smaller side of a cut, nor before all open batches are counted."""
         self._look_at_gateways()
         now = self._ctx.beats.now()
-        alive = self._ctx.roster.members("gateway", standing=("alive",))
+        alive = self._ctx.membership.members("gateway", standing=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.roster.members("gateway", standing=("suspect", "gone"), me=False)
-                if (m.host, m.port) not in places and self._ctx.roster.since(m.node) < KNOWN_SPAN]
+        away = [m for m in self._ctx.membership.members("gateway", standing=("suspect", "gone"), me=False)
+                if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
         if not self._ctx.setup.usable() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
             return False
         if self._lots_listed_at is None or self._lots_listed_at < self._quota_moved_at + SETTLE_SPAN / 2:
@@ -187,7 +187,7 @@
         steward = self._quota_steward(ask.route)
         if steward == self._ctx.node:
             return self._quota_here(ask)
-        m = self._ctx.roster.find(steward)
+        m = self._ctx.membership.find(steward)
         try:
             return await self._ctx.desk.call((m.host, m.port), "quota.take", ask, QuotaReceipt, ASK_LIMIT)
         except (WireFault, Refused):
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -43,7 +43,7 @@
         d.answer("setup.pass_on", FollowAsk, self._pass_on)
         d.answer("setup.witness", Nothing, self._witness)
         d.answer("setup.sheet", Nothing, self._whole)
-        self._ctx.roster.carry(self._fill, self._take)
+        self._ctx.membership.carry(self._fill, self._take)
         self._ctx.spawned(self._follow(), "follow_setup")
         if self._ctx.role == "gateway":
             self._ctx.beats.every(WITNESS_BEAT, self._ask_witnesses, self._ctx.report("witness"))
@@ -145,11 +145,11 @@
             self.ready()
 
     def _whom(self, failures: int):
-        controllers = self._ctx.roster.members("controller", me=False)
+        controllers = self._ctx.membership.members("controller", me=False)
         known = [m for m in controllers if m.node == self._controller]
         if known and not failures:
             return (known[0].host, known[0].port), "controller.follow"
-        peers = self._ctx.roster.members("gateway", standing=("alive",), me=False)
+        peers = self._ctx.membership.members("gateway", standing=("alive",), me=False)
         if controllers and (failures % 3 or not peers):
             m = self._ctx.chance.choice(controllers)
             return (m.host, m.port), "controller.follow"
@@ -160,7 +160,7 @@
 
     async def _pass_on(self, node, ask: FollowAsk) -> FollowReceipt:
         """A peer that hears no controller follows through this node."""
-        m = self._ctx.roster.find(self._controller) if self._controller else None
+        m = self._ctx.membership.find(self._controller) if self._controller else None
         if m is None:
             raise WireFault("no controller is heard here either")
         return await self._ctx.desk.call((m.host, m.port), "controller.follow", ask, FollowReceipt, FOLLOW_LIMIT)
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -97,5 +97,5 @@
 
     async def _tell_caught_up(self, shelf: Shelf):
         told = CaughtUp(storage_node=self._ctx.node, shelf=shelf.number, sequence=shelf.sequence)
-        controllers = [m.node for m in self._ctx.roster.members("controller", me=False)]
+        controllers = [m.node for m in self._ctx.membership.members("controller", me=False)]
         await self._ctx.ledger.ask_each(controllers, "controller.caught_up", told, Nothing, ms(500))
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -127,7 +127,7 @@
                 "logs": ("Logs kept", len(self.shed.logs))}
 
     async def end(self):
-        await self._ctx.roster.leave()
+        await self._ctx.membership.leave()
         self.close()
 
     def close(self):
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -8,7 +8,7 @@
 __all__ = ["run_tool", "compare", "differences"]
 
 LIMIT = 10
-TOPICS = ("setup", "roster", "standing", "engines", "storage_nodes", "shelves", "leases", "logs")
+TOPICS = ("setup", "membership", "standing", "engines", "storage_nodes", "shelves", "leases", "logs")
 
 
 class _Unreached(Exception):
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -19,10 +19,10 @@
 from pipitlink.controller import ControllerNode
 from pipitlink.process import Process
 from pipitlink.props import Props
-from pipitlink.roster import Roster
+from pipitlink.membership import Membership
 from pipitlink.setup import Setup
 from pipitlink.wire.desk import Desk
-from pipitlink.wire.roster_pb2 import Gossip, Member
+from pipitlink.wire.membership_pb2 import Gossip, Member
 
 from .hollow_work import Work
 
@@ -38,7 +38,7 @@
 
 
 class _Member:
-    """A node that is only a peer: roster and setup, nothing of a gateway's work."""
+    """A node that is only a peer: membership and setup, nothing of a gateway's work."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -109,7 +109,7 @@
 
 def open_parts(ctx, kind: str, me: Member, disk: Disk):
     """The parts of one hollow node, opened as its process would, but for its HTTP sides; returns the role's own."""
-    ctx.roster, ctx.setup, ctx.ledger = Roster(ctx), Setup(ctx), Ledger(ctx)
+    ctx.membership, ctx.setup, ctx.ledger = Membership(ctx), Setup(ctx), Ledger(ctx)
     if ctx.role == "gateway":
         ctx.cache = Cache(ctx)
         part = (_Member if kind == "member" else HollowGateway)(ctx)
@@ -120,7 +120,7 @@
         ctx.ledger.open()
         if kind != "member":
             ctx.cache.open()
-    ctx.roster.open(me)
+    ctx.membership.open(me)
     return part
 
 
@@ -182,7 +182,7 @@
     async def listen(self) -> Member:
         await self._process.open()
         self.part = self._process.node
-        return self.ctx.roster.me
+        return self.ctx.membership.me
 
     def open(self):
         pass
@@ -250,12 +250,12 @@
         for n in self.nodes:
             for at in range(0, len(everyone), TOLD_AT_ONCE):
                 told = Gossip(sender=everyone[0].node, members=everyone[at:at + TOLD_AT_ONCE])
-                await n.desk.attend(n.desk.hello(), "roster.tell", told.SerializeToString())
+                await n.desk.attend(n.desk.hello(), "membership.tell", told.SerializeToString())
 
     async def do_look(self):
         return {"ready": all(n.ready() for n in self.nodes),
                 "rows": min(len((n.part if n.role == "controller" else n.ctx.setup).sheet.rows) for n in self.nodes),
-                "known": min(len(n.ctx.roster.members()) for n in self.nodes)}
+                "known": min(len(n.ctx.membership.members()) for n in self.nodes)}
 
     async def do_count(self):
         counts = sum((n.desk.counts for n in self.nodes), Counter())
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -2,7 +2,7 @@
 from pipitlink.beats import secs, spawn
 from pipitlink.faults import PipitFault
 from pipitlink.wire.lots_pb2 import LogRecord, Result
-from pipitlink.wire.roster_pb2 import EngineNews
+from pipitlink.wire.membership_pb2 import EngineNews
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
 
 __all__ = ["Work"]
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -12,7 +12,7 @@
 from pipitlink.props import Props
 from pipitlink.setup import Sheet
 from pipitlink.wire.desk import Desk
-from pipitlink.wire.roster_pb2 import EngineNews, Gossip, Member
+from pipitlink.wire.membership_pb2 import EngineNews, Gossip, Member
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
 
 from .disks import LosingDisk
@@ -45,7 +45,7 @@
     part = open_parts(ctx, "hollow", everyone[0], LosingDisk(Random(1)))
     for at in range(0, gateways, TOLD_AT_ONCE):
         told = Gossip(sender="g1", members=everyone[at:at + TOLD_AT_ONCE])
-        spawn(desk.attend(desk.hello(), "roster.tell", told.SerializeToString()))
+        spawn(desk.attend(desk.hello(), "membership.tell", told.SerializeToString()))
     for i in range(int(gateways * ENGINES_A_GATEWAY)):
         part.engines._merge(EngineNews(engine=f"engine{i}", incarnation=1, address="127.0.0.1:1", pool="models",
                                        models=["m"], capacity=8, zone=f"zone-{i % 25}", state="ready"))
@@ -57,11 +57,11 @@
 
 
 def _step_ring(ctx, part):
-    Ring({m.node: m.zone for m in ctx.roster.members("gateway")})
+    Ring({m.node: m.zone for m in ctx.membership.members("gateway")})
 
 
 def _step_members(ctx, part):
-    ctx.roster.members("gateway", me=False)
+    ctx.membership.members("gateway", me=False)
 
 
 def _step_room(ctx, part):
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -18,10 +18,10 @@
 from pipitlink.ledger import Ledger
 from pipitlink.controller import ControllerNode
 from pipitlink.props import Props
-from pipitlink.roster import Roster
+from pipitlink.membership import Membership
 from pipitlink.setup import Setup
 from pipitlink.wire.frame_pb2 import Nothing
-from pipitlink.wire.roster_pb2 import Member
+from pipitlink.wire.membership_pb2 import Member
 
 from .disks import LosingDisk
 
@@ -98,9 +98,9 @@
         ctx = self.ctx
         ctx.desk = _Desk(stage, self)
         ctx.on_thread = self._on_thread
-        ctx.roster = Roster(ctx)
+        ctx.membership = Membership(ctx)
         if self.role != "gateway":
-            ctx.roster.remember_in(self.folder)
+            ctx.membership.remember_in(self.folder)
         ctx.setup = Setup(ctx)
         ctx.ledger = Ledger(ctx)
         self.part = None
@@ -117,7 +117,7 @@
                 self.part.open()
             ctx.ledger.open()
             ctx.cache.open()
-        ctx.roster.open(Member(node=self.node, incarnation=1, role=self.role, zone=self.zone, host=self.place[0],
+        ctx.membership.open(Member(node=self.node, incarnation=1, role=self.role, zone=self.zone, host=self.place[0],
                                port=self.place[1], name=self.name if stage.named else ""))
         if self.role != "controller":
             ctx.setup.open()
--- a/rehearsal/staged.py
+++ b/rehearsal/staged.py
@@ -6,7 +6,7 @@
 from pipitlink.gateway import GatewayNode
 from pipitlink.gateway.asks import Ask
 from pipitlink.wire.lots_pb2 import Item, Lot
-from pipitlink.wire.roster_pb2 import EngineNews
+from pipitlink.wire.membership_pb2 import EngineNews
 
 from .backend import answer_pieces
 
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -12,7 +12,7 @@
 from pipitlink.gateway.picking import Picking, RetryBudget
 from pipitlink.journal import Journal
 from pipitlink.setup import Sheet
-from pipitlink.wire.roster_pb2 import EngineNews, Loads, Member
+from pipitlink.wire.membership_pb2 import EngineNews, Loads, Member
 
 __all__ = ["Gateway"]
 
@@ -33,7 +33,7 @@
         return await self.bus[place].verbs[verb](self.node, ask)
 
 
-class _Roster:
+class _Membership:
     def __init__(self, me, gateways):
         self.me, self.gateways, self.away = me, gateways, ()
 
@@ -73,7 +73,7 @@
         self.journal = Journal(self)
         self.node, self.chance = f"g{n}", Random(1)
         self.desk = _Desk(self.node, {} if bus is None else bus)
-        self.roster, self.setup = _Roster(self.node, gateways), _Setup()
+        self.membership, self.setup = _Membership(self.node, gateways), _Setup()
         self.props = type("Props", (), {"lot_reserve": 0.25})
         self.engines = Engines(self)
         self.desk.answer("engines.loads", Loads, self.engines._told_loads)
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -18,7 +18,7 @@
 from pipitlink.router.links import Links
 from pipitlink.router.relay import Relay
 from pipitlink.setup.routes import RouteTable
-from pipitlink.wire.roster_pb2 import EngineNews, Member
+from pipitlink.wire.membership_pb2 import EngineNews, Member
 from pipitlink.wire.setup_pb2 import Bounds, Config, Pool, PoolShare, Route
 
 __all__ = ["Rig", "route", "head", "chunk", "END"]
@@ -107,11 +107,11 @@
         self.sheet = SimpleNamespace(empty_zones=set(), routes=RouteTable(Config(
             version=1, routes=routes, pools=pools, bounds=Bounds(max_body_bytes=100_000))))
         self.setup = SimpleNamespace(sheet=self.sheet, watch=lambda do: None, usable=lambda: True)
-        roster = SimpleNamespace(members=lambda role=None, standing=(), me=True: [
+        membership = SimpleNamespace(members=lambda role=None, standing=(), me=True: [
             Member(node=f"g{i}") for i in range(gateways) if i or me])
         desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
-            node="g0", beats=beats, setup=self.setup, roster=roster, desk=desk, dialect=Dialect(), chance=Random(seed),
+            node="g0", beats=beats, setup=self.setup, membership=membership, desk=desk, dialect=Dialect(), chance=Random(seed),
             reactor=self.clock, props=Props(zone="zone-a"), journal=Journal(SimpleNamespace(
                 log=lambda level, shape, line: self.lines.append(line))),
             report=lambda what: lambda e: self.lines.append(f"{what} {e!r}"), engines=None)
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -1,7 +1,7 @@
 """Engines that announce themselves at controllers, and what every gateway is told of them."""
 import unittest
 
-from pipitlink.wire.roster_pb2 import EngineList
+from pipitlink.wire.membership_pb2 import EngineList
 from rehearsal.stage import Stage
 
 from .control_calls import Caller
@@ -169,7 +169,7 @@
         self.beat(1)
         self.stage.cut([self.controller.name], [a for a in self.stage.actors if a != self.controller.name])
         self.stage.run(12)
-        self.assertEqual(self.controller.ctx.roster.members("gateway"), [])
+        self.assertEqual(self.controller.ctx.membership.members("gateway"), [])
         self.assertEqual(self.beat(2)[0], 200)
         for ask in (lambda: self.beat(3, "leaving"), self.drop):
             self.assertEqual(ask()[0], 503)
--- a/tests/test_batches_taken_up.py
+++ b/tests/test_batches_taken_up.py
@@ -15,7 +15,7 @@
         return next((a for a in stage.role("gateway", alive=True)
                      if (o := a.part.batches.get(name)) and o.holder.held()), None)
 
-    def test_a_killed_owner_is_followed_as_soon_as_the_roster_has_it_for_gone(self):
+    def test_a_killed_owner_is_followed_as_soon_as_the_membership_has_it_for_gone(self):
         for seed in (1, 2, 3, 4):
             with self.subTest(seed=seed):
                 stage, c = self.fleet(seed)
@@ -27,7 +27,7 @@
                 first.kill()
                 at = stage.clock.seconds()
                 other = next(a for a in stage.role("gateway", alive=True))
-                stage.until(lambda: other.ctx.roster.standing(first.node) == "gone", 4, "the roster has it for gone")
+                stage.until(lambda: other.ctx.membership.standing(first.node) == "gone", 4, "the membership has it for gone")
                 stage.until(lambda: self.owner(stage, name), 1.7, "another gateway owns it")
                 self.assertLess(stage.clock.seconds() - at, 4.2)
                 stage.until(lambda: c.whole(name), 30, "all is listed")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,7 +10,7 @@
 from pipitlink.props import Props
 from pipitlink.wire.desk import Desk
 from pipitlink.wire.frame_pb2 import Hello, Nothing
-from pipitlink.wire.roster_pb2 import Gossip, Member
+from pipitlink.wire.membership_pb2 import Gossip, Member
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
 from rehearsal.capacity import SERIES
 from rehearsal.hollow import CountedDesk, open_parts
@@ -96,7 +96,7 @@
         for gateways in (3, 6, 12, 20):
             with self.subTest(gateways=gateways):
                 c = self.count(gateways)
-                bounds = {"roster.probe": 5.1, "controller.follow": 4.1, "ledger.list": 3.1, "engines.loads": 5.1 * (gateways - 1)}
+                bounds = {"membership.probe": 5.1, "controller.follow": 4.1, "ledger.list": 3.1, "engines.loads": 5.1 * (gateways - 1)}
                 for verb, most in bounds.items():
                     self.assertLessEqual(c["gateway", verb], most, verb)
                 rest = sum(v for (role, verb), v in c.items() if role == "gateway" and verb not in bounds)
@@ -109,7 +109,7 @@
         few, more = self.count(gateways, 4), self.count(gateways, 24)
         for c, engines in ((few, 4), (more, 24)):
             self.assertLessEqual(c["gateway", "engines.tell"], 1.05 * engines * (gateways - 1) / gateways)
-        for verb in ("roster.probe", "controller.follow", "engines.loads", "ledger.list"):
+        for verb in ("membership.probe", "controller.follow", "engines.loads", "ledger.list"):
             self.assertAlmostEqual(few["gateway", verb], more["gateway", verb], delta=0.1 * few["gateway", verb], msg=verb)
 
     def test_a_held_follow_call_is_not_woken_by_the_others(self):
@@ -151,12 +151,12 @@
         async def told(node, g):
             return Nothing()
 
-        desk.answer("roster.tell", Gossip, told)
+        desk.answer("membership.tell", Gossip, told)
         body = Gossip(sender="other").SerializeToString()
         for node in ("other", "me"):
-            spawn(desk.attend(Hello(node=node), "roster.tell", body))
-        self.assertEqual((desk.counts["in roster.tell"], desk.counts["out roster.tell:receipt"]), (1, 1))
-        self.assertGreater(desk.counts["in_bytes roster.tell"], len(body))
+            spawn(desk.attend(Hello(node=node), "membership.tell", body))
+        self.assertEqual((desk.counts["in membership.tell"], desk.counts["out membership.tell:receipt"]), (1, 1))
+        self.assertGreater(desk.counts["in_bytes membership.tell"], len(body))
         self.assertIsInstance(desk, Desk)
 
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -77,7 +77,7 @@
         gateways = [Gateway(gateways=4) for _ in range(4)]
         for i, g in enumerate(gateways):
             g.node = f"g{i}"
-            g.roster.away = ("g2", "g3") if i < 2 else ("g0", "g1")
+            g.membership.away = ("g2", "g3") if i < 2 else ("g0", "g1")
             g.news("e", capacity=40)
             g.later(4, "e", capacity=40)
         self.assertLessEqual(sum(g.fill(g.ask()) for g in gateways), 22)
@@ -154,7 +154,7 @@
     def lose(self, g):
         del self.bus[g.desk.place]
         for o in self.gateways:
-            o.roster.away = (*o.roster.away, g.node)
+            o.membership.away = (*o.membership.away, g.node)
 
     def passed(self, g) -> bool:
         box = []
@@ -224,10 +224,10 @@
         f = _Fleet(8, rate=100)
         g = next(g for g in f.gateways if g._steward("r") == g.node)
         self.assertTrue(f.passed(g))
-        g.roster.away = tuple(o.node for o in f.gateways if o is not g)[:6]
+        g.membership.away = tuple(o.node for o in f.gateways if o is not g)[:6]
         f.run(1)
         self.assertFalse(f.passed(g))
-        g.roster.away = ()
+        g.membership.away = ()
         f.run(1)
         self.assertTrue(f.passed(g))
         f.clock.advance(5)
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -256,8 +256,8 @@
         self.caller = Caller(self.stage)
 
     def name_storage_node(self):
-        self.storage_node.ctx.roster.me.name = "box-1"
-        self.storage_node.ctx.roster.me.incarnation += 1
+        self.storage_node.ctx.membership.me.name = "box-1"
+        self.storage_node.ctx.membership.me.incarnation += 1
 
     def ask(self, method, name, controller=None):
         return self.caller.ask(controller or self.stage.role("controller")[2], method, f"/v1/storage_nodes/{name}/retire")
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -56,9 +56,9 @@
                 self.addCleanup(c.stage.end)
                 n = sum(sizes)
                 self.assertEqual(c.asks["engines.loads"], 0)
-                self.assertAlmostEqual(c.asks["roster.probe"] / SPAN / n, 5, delta=0.2)
-                self.assertLess(c.verb_bytes["roster.probe"] / SPAN / n, PROBE_BYTES)
-                self.assertEqual(c.asks["roster.tell"], 0)
+                self.assertAlmostEqual(c.asks["membership.probe"] / SPAN / n, 5, delta=0.2)
+                self.assertLess(c.verb_bytes["membership.probe"] / SPAN / n, PROBE_BYTES)
+                self.assertEqual(c.asks["membership.tell"], 0)
                 self.assertLess(c.per_gateway(c.messages), GATEWAY_MESSAGES + sizes[1])
                 self.assertLess(c.per_gateway(c.bytes), GATEWAY_BYTES)
 
@@ -70,11 +70,11 @@
         s.run(6)
         one, others = s.actors["gateway5"], [a.name for a in s.actors.values() if a.name != "gateway5"]
         s.cut(["gateway5"], others)
-        s.until(lambda: all(s.actors[n].ctx.roster.standing(one.node) == "gone" for n in others), 10, "it is gone")
+        s.until(lambda: all(s.actors[n].ctx.membership.standing(one.node) == "gone" for n in others), 10, "it is gone")
         s.run(5)
         s.heal()
-        s.until(lambda: len({a.ctx.roster.digest() for a in s.actors.values()}) == 1, 6, "all believe alike")
-        self.assertEqual({a.ctx.roster.standing(one.node) for a in s.actors.values()}, {"alive"})
+        s.until(lambda: len({a.ctx.membership.digest() for a in s.actors.values()}) == 1, 6, "all believe alike")
+        self.assertEqual({a.ctx.membership.standing(one.node) for a in s.actors.values()}, {"alive"})
 
     def test_a_dead_node_is_gone_at_every_node_in_time(self):
         """As with whole gossip at each probe, which took 1.6 to 2.3 s over 24 seeds."""
@@ -87,7 +87,7 @@
             dead = s.actors["storage1"]
             dead.kill()
             rest = [a for a in s.actors.values() if a.alive]
-            s.until(lambda: all(a.ctx.roster.standing(dead.node) == "gone" for a in rest), 3, "it is gone")
+            s.until(lambda: all(a.ctx.membership.standing(dead.node) == "gone" for a in rest), 3, "it is gone")
 
 
 if __name__ == "__main__":
