--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -48,7 +48,7 @@
         self.poller.open()
 
     def ring(self) -> Ring:
-        nodes = {m.node: m.zone for m in self._ctx.membership.members("gateway", standing=("alive",))}
+        nodes = {m.node: m.zone for m in self._ctx.membership.members("gateway", status=("alive",))}
         if nodes != self._ring.nodes:
             self._ring = Ring(nodes)
         return self._ring
--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -22,7 +22,7 @@
   pipitlink config put FILE [--base N] [--edit ID] [--at PLACES]
   pipitlink zone (show | (empty | fill) ZONE) [--at PLACES]
   pipitlink storage (show | retire STORAGE_NODE) [--at PLACES]
-  pipitlink standing [--at PLACES]
+  pipitlink status [--at PLACES]
   pipitlink lot (show | end) LOT [--at PLACES]
   pipitlink -h | --help
   pipitlink --version
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -80,8 +80,8 @@
         if n.state in FINAL:
             await self._confirmed(have)
 
-    def _gateways(self, standing=("alive", "suspect")):
-        return self._ctx.membership.members("gateway", standing=standing, me=False)
+    def _gateways(self, status=("alive", "suspect")):
+        return self._ctx.membership.members("gateway", status=status, me=False)
 
     def _tell(self, have: _Announced):
         have.telling = t = _Telling(m.node for m in self._gateways())
@@ -91,7 +91,7 @@
     async def _tell_gateway(self, node: str, engines, t: _Telling):
         until = self._ctx.beats.now() + PUSH_SPAN
         try:
-            while self._ctx.membership.standing(node) in ("alive", "suspect"):
+            while self._ctx.membership.status(node) in ("alive", "suspect"):
                 if await self._push(node, engines):
                     t.confirmed.add(node)
                     return
@@ -163,6 +163,6 @@
 
     def _gateway_changed(self, m):
         """A gateway that is met, or is back, is told all that is known here."""
-        if m.role == "gateway" and self._announced and self._ctx.membership.standing(m.node) == "alive":
+        if m.role == "gateway" and self._announced and self._ctx.membership.status(m.node) == "alive":
             t = _Telling([m.node])
             self._ctx.spawned(self._tell_gateway(m.node, sorted(self._announced), t), "tell_engines")
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -170,10 +170,10 @@
     async def show_storage_nodes(self, request):
         s = await self.newest()
         out = {}
-        for d, standing in s.storage_nodes.items():
+        for d, status in s.storage_nodes.items():
             m = self._ctx.membership.find(d)
             shelves = sum(d in tuple(x.storage_nodes) + (x.joining,) for x in s.shelves.values())
-            out[d] = {"standing": standing, "name": s.storage_node_names.get(d, ""), "heard": self._ctx.membership.standing(d), "zone": m.zone if m else "",
+            out[d] = {"status": status, "name": s.storage_node_names.get(d, ""), "heard": self._ctx.membership.status(d), "zone": m.zone if m else "",
                       "place": f"{m.host}:{m.port}" if m else "", "shelves": shelves}
         return send_json(request, {"storage_nodes": out})
 
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -61,7 +61,7 @@
     async def _send(self, node: str, term: int):
         after = self.archive.last_index()
         try:
-            while self.state == "leader" and self.term == term and self._ctx.membership.standing(node) != "gone":
+            while self.state == "leader" and self.term == term and self._ctx.membership.status(node) != "gone":
                 sent = self._ctx.beats.now()
                 ask = self._entries_for(node, after)
                 limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -29,7 +29,7 @@
             self.check_retirement(sheet, d)
         sequence = sheet.sequence
         for n, d in enumerate(serving):
-            c = Command(edit=f"{edit}/{n}" if n else edit, storage_node=StorageNodeEdit(storage_node=d, standing="retiring"))
+            c = Command(edit=f"{edit}/{n}" if n else edit, storage_node=StorageNodeEdit(storage_node=d, status="retiring"))
             sequence = (await self.decide(c)).sequence
         return sequence
 
--- a/pipitlink/controller/shelving.py
+++ b/pipitlink/controller/shelving.py
@@ -58,9 +58,9 @@
         return True
 
     async def _admit_storage_node(self) -> bool:
-        for m in self._ctx.membership.members("storage", standing=("alive",)):
+        for m in self._ctx.membership.members("storage", status=("alive",)):
             if m.node not in self.sheet.storage_nodes and m.node in self.followers and not self._name_retired(m.name):
-                await self._proved(Command(storage_node=StorageNodeEdit(storage_node=m.node, standing="serving", name=m.name)))
+                await self._proved(Command(storage_node=StorageNodeEdit(storage_node=m.node, status="serving", name=m.name)))
                 self._ctx.journal.note("storage_node_admitted", storage_node=m.node, zone=m.zone)
                 return True
         return False
@@ -72,13 +72,13 @@
 
     async def _let_storage_node_go(self) -> bool:
         """A storage node that keeps no shelf any more: a retired one may be switched off, a lost one is taken off."""
-        for storage_node, standing in self.sheet.storage_nodes.items():
+        for storage_node, status in self.sheet.storage_nodes.items():
             if not self.sheet.shelves or self._holds(self.sheet)[storage_node]:
                 continue
-            if standing == "retiring" or (standing != "retired" and self._lost(storage_node)):
-                goal = "retired" if standing == "retiring" else "removed"
-                await self._proved(Command(storage_node=StorageNodeEdit(storage_node=storage_node, standing=goal)))
-                self._ctx.journal.note("storage_node_let_go", storage_node=storage_node, standing=goal)
+            if status == "retiring" or (status != "retired" and self._lost(storage_node)):
+                goal = "retired" if status == "retiring" else "removed"
+                await self._proved(Command(storage_node=StorageNodeEdit(storage_node=storage_node, status=goal)))
+                self._ctx.journal.note("storage_node_let_go", storage_node=storage_node, status=goal)
                 return True
         return False
 
@@ -90,10 +90,10 @@
         return m.zone if m is not None else ""
 
     def _lost(self, storage_node: str) -> bool:
-        standing = self._ctx.membership.standing(storage_node)
-        if standing not in ("unknown", "gone"):
+        status = self._ctx.membership.status(storage_node)
+        if status not in ("unknown", "gone"):
             return False
-        away = self._ctx.beats.now() - self._elected_at - REPAIR_AFTER if standing == "unknown" \
+        away = self._ctx.beats.now() - self._elected_at - REPAIR_AFTER if status == "unknown" \
             else self._ctx.membership.since(storage_node)
         return away > REPAIR_AFTER or self._replaced(storage_node)
 
@@ -104,11 +104,11 @@
         """
         m, name = self._ctx.membership.find(storage_node), self.sheet.storage_node_names.get(storage_node)
         return any(o.node != storage_node and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
-                   for o in self._ctx.membership.members("storage", standing=("alive",)))
+                   for o in self._ctx.membership.members("storage", status=("alive",)))
 
     def _serving(self) -> list[str]:
         return [d for d, s in self.sheet.storage_nodes.items()
-                if s == "serving" and self._ctx.membership.standing(d) == "alive"]
+                if s == "serving" and self._ctx.membership.status(d) == "alive"]
 
     async def _first_shelves(self):
         storage_nodes = self._serving()
@@ -168,7 +168,7 @@
 
         Not while a shelf lacks one of its storage nodes: a move needs a majority of both its sets.
         """
-        away = any(self._ctx.membership.standing(d) != "alive" for s in self.sheet.shelves.values() for d in s.storage_nodes)
+        away = any(self._ctx.membership.status(d) != "alive" for s in self.sheet.shelves.values() for d in s.storage_nodes)
         if len(serving) <= COPIES or away:
             return []
         low = min(serving, key=lambda d: (held[d], d))
@@ -184,7 +184,7 @@
 
     def check_retirement(self, sheet: Sheet, storage_node: str):
         rest = [d for d, s in sheet.storage_nodes.items()
-                if s == "serving" and d != storage_node and self._ctx.membership.standing(d) == "alive"]
+                if s == "serving" and d != storage_node and self._ctx.membership.status(d) == "alive"]
         if len(rest) < COPIES:
             raise GatewayFault(f"{len(rest)} live storage nodes would be left and each shelf needs {COPIES}",
                              code="too_few_copies", status=409, outcome="not_run")
--- a/pipitlink/controller/voters.py
+++ b/pipitlink/controller/voters.py
@@ -17,7 +17,7 @@
     def _lost_voter(self, node: str) -> bool:
         now = self._ctx.beats.now()
         heard = max(self._acked_at.get(node, self._elected_at), self._elected_at)
-        return node != self._ctx.node and now - heard > GONE_SPAN and self._ctx.membership.standing(node) != "alive"
+        return node != self._ctx.node and now - heard > GONE_SPAN and self._ctx.membership.status(node) != "alive"
 
     async def _voters_beat(self):
         if self.state != "leader" or self.archive.term_at(self.commit) != self.term:
@@ -38,7 +38,7 @@
             rest = tuple(v for v in voters if v != extra)
             return rest if 2 * len([v for v in rest if v in live]) > len(rest) else None
         if lost or len(voters) < VOTERS:
-            standbys = [m for m in self._ctx.membership.members("controller", standing=("alive",), me=False)
+            standbys = [m for m in self._ctx.membership.members("controller", status=("alive",), me=False)
                         if m.node not in voters and self._caught_up(m.node)]
             zones = {m.zone for v in live if (m := self._ctx.membership.find(v))}
             standbys.sort(key=lambda m: (m.zone in zones, m.node))
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -30,7 +30,7 @@
                                                          due=lambda: ZERO if self.open_lots else None))
 
     def _owner(self, lot_id: str) -> str:
-        gateways = self._ctx.membership.members("gateway", standing=("alive",))
+        gateways = self._ctx.membership.members("gateway", status=("alive",))
         gateways = [m for m in gateways if not self._ctx.setup.zone_empty(m.zone)] or gateways
         return max(gateways, key=lambda m: rank(lot_id, m.node)).node
 
@@ -141,7 +141,7 @@
     def _room_for(self, model: str) -> int:
         """How many items may be started now, less those that have no back end yet."""
         free = sum(self.engines.room(e, self.lot_reserve(model, e)) for e, _ in self.candidates(model)
-                   if self.engines.standing(e) == "ready")
+                   if self.engines.status(e) == "ready")
         return free - sum(a.kind == "item" and a.model == model and a.engine is None for a in self.asks.values())
 
     def _ran(self, r, o: OpenLot, i: int):
--- a/pipitlink/gateway/engines.py
+++ b/pipitlink/gateway/engines.py
@@ -134,7 +134,7 @@
         self._looked_at = now
         return now
 
-    def standing(self, e: Engine) -> str:
+    def status(self, e: Engine) -> str:
         now = self._look()
         if e.news.state == "leaving":
             return "leaving"
@@ -183,9 +183,9 @@
         While the engine is cold, gateways that were heard a short while ago keep their parts: they may only be cut off.
         """
         membership = self._ctx.membership
-        gateways = {m.node for m in membership.members("gateway", standing=("alive",))} | {self._ctx.node}
+        gateways = {m.node for m in membership.members("gateway", status=("alive",))} | {self._ctx.node}
         if self._cold(e):
-            gateways |= {m.node for m in membership.members("gateway", standing=("suspect", "gone"))
+            gateways |= {m.node for m in membership.members("gateway", status=("suspect", "gone"))
                        if membership.since(m.node) < RAMP_SPAN}
         ranked = sorted(gateways, key=lambda g: blake2b(f"{e.name}/{g}".encode(), digest_size=8).digest())
         turn = (ranked.index(self._ctx.node) + wall_ms(self._ctx.beats.wall()) // TURN_MS) % len(ranked)
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -100,13 +100,13 @@
                      if (r := self._ctx.setup.row(ask.model, e.news.pool)) is not None), None)
 
     def _steward(self, row: str) -> str:
-        gateways = {m.node for m in self._ctx.membership.members("gateway", standing=("alive",))} | {self._ctx.node}
+        gateways = {m.node for m in self._ctx.membership.members("gateway", status=("alive",))} | {self._ctx.node}
         return max(gateways, key=lambda g: rank(row, g))
 
     def _look(self):
         """Notes when the gateways changed, or this one slept: places may be out of which a new steward has not heard."""
         now = self._ctx.beats.now()
-        gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", standing=("alive",)))
+        gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", status=("alive",)))
         if gateways != self._gateways_then or now - self._looked_at > secs(1):
             self._gateways_then, self._moved_at = gateways, now
         self._looked_at = now
@@ -114,9 +114,9 @@
     def _may_grant(self) -> bool:
         """Not while gateways change, nor on the smaller side of a cut, nor where the setup is not proved."""
         self._look()
-        alive = self._ctx.membership.members("gateway", standing=("alive",))
+        alive = self._ctx.membership.members("gateway", status=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.membership.members("gateway", standing=("suspect", "gone"), me=False)
+        away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
                 if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
         return self._ctx.setup.ready() and len(alive) >= len(away) \
             and self._ctx.beats.now() - self._moved_at >= SETTLE_SPAN
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -99,7 +99,7 @@
             elif writer == self._ctx.node:
                 idle = int(turn) < self._lot_turn
             else:
-                idle = self._ctx.membership.standing(writer) in ("gone", "unknown")
+                idle = self._ctx.membership.status(writer) in ("gone", "unknown")
             unread = tail.seen.proved is None or tail.position < tail.seen.durable
             if not idle or unread or self._lots_of.get(log, set()) - self._closed or self._owner(log) != self._ctx.node:
                 continue
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -91,7 +91,7 @@
         return self.current(), {"setup": setup.sequence, "currency": setup.state}
 
     def beliefs(self) -> dict:
-        engines = {e.name: f"{self.engines.standing(e)} {e.news.address} {e.news.incarnation}"
+        engines = {e.name: f"{self.engines.status(e)} {e.news.address} {e.news.incarnation}"
                    for e in self.engines.all()}
         leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.ledger.holders.items())}
         return {"engines": engines, "leases": leases}
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -45,7 +45,7 @@
 
 
 class Picking:
-    """Mixin: the pass that picks a back end: weights, standing, zone, warm prefix, bounded load."""
+    """Mixin: the pass that picks a back end: weights, status, zone, warm prefix, bounded load."""
 
     def candidates(self, model: str, pool: str = ""):
         out = []
@@ -68,7 +68,7 @@
 
     def _pick(self, ask):
         ready = [(e, w) for e, w in self.candidates(ask.model, ask.pool)
-                 if self.engines.standing(e) == "ready" and e.name not in ask.avoid]
+                 if self.engines.status(e) == "ready" and e.name not in ask.avoid]
         free = [(e, w) for e, w in ready if self._has_room(ask, e)]
         if not free:
             return None
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -206,7 +206,7 @@
             raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if not self._ctx.setup.ready():
             raise Crowded("this gateway cannot prove its setup now", code="not_current")
-        if self.engines.standing(e) != "ready" or all(k is not e for k, _ in self.candidates(ask.model, ask.pool)):
+        if self.engines.status(e) != "ready" or all(k is not e for k, _ in self.candidates(ask.model, ask.pool)):
             raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
         if ask.still is not None:
             ask.still()
@@ -265,7 +265,7 @@
 
     async def _relay(self, ask, e):
         """One exchange with an engine, given up where that falls silent, sooner where it is not heard from either."""
-        watch = _Silence(self._ctx, lambda: self.engines.standing(e) == "gone")
+        watch = _Silence(self._ctx, lambda: self.engines.status(e) == "gone")
         work = spawn(self._exchange(ask, e, watch))
         watch.open(work)
         try:
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -69,7 +69,7 @@
         """Where a run that is not held here may be held; none where its gateway is gone."""
         node = run.partition("-")[0]
         m = self._ctx.membership.find(node)
-        gone = m is None or node == self._ctx.node or self._ctx.membership.standing(node) == "gone"
+        gone = m is None or node == self._ctx.node or self._ctx.membership.status(node) == "gone"
         return None if gone else (m.host, m.port)
 
     async def _read_run(self, node, ask: RunAsk) -> RunReceipt:
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/ledger/ledger.py
@@ -181,7 +181,7 @@
         """Reads one span from the durable log, whole or not at all; where one storage node is slow, from the next as well."""
         nodes = list(self.shelf(log).everyone)
         self._ctx.chance.shuffle(nodes)
-        nodes.sort(key=lambda n: self._ctx.membership.standing(n) != "alive")
+        nodes.sort(key=lambda n: self._ctx.membership.status(n) != "alive")
         got: list[bytes] = []
         waiting: list[defer.Deferred] = []
 
--- a/pipitlink/membership/entry.py
+++ b/pipitlink/membership/entry.py
@@ -7,16 +7,16 @@
 
 
 class Entry(Charted):
-    chart = "standing"
+    chart = "status"
 
     def __init__(self, member: Member, now: timedelta, journal):
         self.member = member
         self.since = self.changed = now
         self._journal = journal
         self._open_chart()
-        if member.standing == "suspect":
+        if member.status == "suspect":
             self.put("missed")
-        elif member.standing == "gone":
+        elif member.status == "gone":
             self.put("lapsed")
 
     @property
@@ -26,7 +26,7 @@
     def turn(self, input_: str, now: timedelta):
         before = self.state
         self.put(input_)
-        self.member.standing = self.state
+        self.member.status = self.state
         if self.state != before:
             self.since = now
 
@@ -39,6 +39,6 @@
     def _lost(self):
         self._say("gone")
 
-    def _say(self, standing):
-        self._journal.note("standing", peer=self.member.node, role=self.member.role, standing=standing,
+    def _say(self, status):
+        self._journal.note("status", peer=self.member.node, role=self.member.role, status=status,
                            incarnation=self.member.incarnation)
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -40,7 +40,7 @@
 
     def open(self, me: Member):
         self.me = me
-        self._change_me(standing="alive")
+        self._change_me(status="alive")
         d = self._ctx.desk
         d.answer("membership.probe", Gossip, self._probed)
         d.answer("membership.probe_for", ProbeFor, self._probe_for)
@@ -55,8 +55,8 @@
     def carry(self, fill, take):
         self._carriers.append((fill, take))
 
-    def members(self, role: str | None = None, standing=("alive", "suspect"), me: bool = True) -> list[Member]:
-        out = [e.member for e in self._entries.values() if e.state in standing]
+    def members(self, role: str | None = None, status=("alive", "suspect"), me: bool = True) -> list[Member]:
+        out = [e.member for e in self._entries.values() if e.state in status]
         if me:
             out.append(self.me)
         return sorted((m for m in out if role is None or m.role == role), key=lambda m: m.node)
@@ -67,7 +67,7 @@
         e = self._entries.get(node)
         return e.member if e else None
 
-    def standing(self, node: str) -> str:
+    def status(self, node: str) -> str:
         if node == self.me.node:
             return "alive"
         e = self._entries.get(node)
@@ -78,7 +78,7 @@
         return self._ctx.beats.now() - e.since if e else timedelta(0)
 
     def everyone(self) -> list[Member]:
-        return self.members(standing=("alive", "suspect", "gone"))
+        return self.members(status=("alive", "suspect", "gone"))
 
     def _change_me(self, **fields):
         for name, value in fields.items():
@@ -89,7 +89,7 @@
     def digest(self) -> int:
         """Stands for all that is believed of the members that are not gone: alike where two nodes believe alike."""
         if self._digest is None:
-            lines = sorted(f"{m.node} {m.incarnation} {m.standing}\n" for m in self.members())
+            lines = sorted(f"{m.node} {m.incarnation} {m.status}\n" for m in self.members())
             self._digest = int.from_bytes(blake2b("".join(lines).encode(), digest_size=8).digest(), "big")
         return self._digest
 
@@ -119,18 +119,18 @@
             take(g)
 
     def _hear(self, m: Member):
-        if not m.node or m.standing not in _RANK:
+        if not m.node or m.status not in _RANK:
             return
         now = self._ctx.beats.now()
         if m.node == self.me.node:
-            if self.me.standing == "alive" and m.standing != "alive" and m.incarnation >= self.me.incarnation:
+            if self.me.status == "alive" and m.status != "alive" and m.incarnation >= self.me.incarnation:
                 self._change_me(incarnation=m.incarnation + 1)
                 self._ctx.journal.note("refuted", incarnation=self.me.incarnation)
                 self.tell()
             return
         e = self._entries.get(m.node)
         if e is None:
-            if m.standing == "gone":
+            if m.status == "gone":
                 return
             kept = Member()
             kept.CopyFrom(m)
@@ -140,17 +140,17 @@
             return
         if m.incarnation < e.member.incarnation:
             return
-        if m.incarnation == e.member.incarnation and _RANK[m.standing] <= _RANK[e.state]:
+        if m.incarnation == e.member.incarnation and _RANK[m.status] <= _RANK[e.state]:
             return
         before = e.state
         newer = m.incarnation > e.member.incarnation
         e.member.CopyFrom(m)
-        e.member.standing = e.state
+        e.member.status = e.state
         if newer:
             e.turn("refuted", now)
-        if m.standing == "suspect":
+        if m.status == "suspect":
             e.turn("missed", now)
-        elif m.standing == "gone":
+        elif m.status == "gone":
             e.turn("lapsed", now)
         if e.state != before or newer:
             self._changed(e)
@@ -191,7 +191,7 @@
 
     async def leave(self):
         """Tells all peers that this node ends, so that nobody has to find out."""
-        self._change_me(standing="gone")
+        self._change_me(status="gone")
         await defer.DeferredList(self.tell())
 
     async def _tell_one(self, place, g):
@@ -240,7 +240,7 @@
             e.turn("lapsed", self._ctx.beats.now())
             self._changed(e)
             return
-        helpers = [m for m in self.members(me=False, standing=("alive",)) if m.node != e.member.node]
+        helpers = [m for m in self.members(me=False, status=("alive",)) if m.node != e.member.node]
         for m in self._ctx.chance.sample(helpers, min(3, len(helpers))):
             try:
                 r = await self._ctx.desk.call((m.host, m.port), "membership.probe_for", ProbeFor(target=e.member.node),
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -22,7 +22,7 @@
         app = Klein()
         add = app.route
         add("/v1/beliefs", methods=["GET"])(self._show_beliefs)
-        add("/v1/standing", methods=["GET"])(self._show_standing)
+        add("/v1/status", methods=["GET"])(self._show_status)
         add("/v1/live", methods=["GET"])(self._live)
         add("/v1/ready", methods=["GET"])(self._ready)
         add("/metrics", methods=["GET"])(self._metrics)
@@ -44,8 +44,8 @@
     def _show_beliefs(self, request):
         return send_json(request, self.beliefs())
 
-    def _show_standing(self, request):
-        return send_json(request, self.standing())
+    def _show_status(self, request):
+        return send_json(request, self.status())
 
     def _live(self, request):
         return send_json(request, {"live": True})
@@ -67,19 +67,19 @@
         out = {"node": me.node, "role": me.role, "zone": me.zone,
                "setup": {"sequence": sheet.sequence, "table": sheet.table, "voters": ",".join(sheet.voters),
                          "empty_zones": ",".join(sorted(sheet.empty_zones))},
-               "membership": {}, "standing": {}, "storage_nodes": dict(sheet.storage_nodes),
+               "membership": {}, "status": {}, "storage_nodes": dict(sheet.storage_nodes),
                "shelves": {str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
                            for n, s in sorted(sheet.shelves.items())}}
         for m in [*self._ctx.membership.everyone()]:
             out["membership"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
-            out["standing"][m.node] = self._ctx.membership.standing(m.node)
+            out["status"][m.node] = self._ctx.membership.status(m.node)
         out.update(self._node.beliefs())
         return out
 
-    def standing(self) -> dict:
+    def status(self) -> dict:
         membership = self._ctx.membership
         peers = [{"node": m.node, "role": m.role, "zone": m.zone, "place": f"{m.host}:{m.port}",
-                       "http": m.http_port, "operator": m.operator_port, "standing": membership.standing(m.node)}
+                       "http": m.http_port, "operator": m.operator_port, "status": membership.status(m.node)}
                       for m in sorted(membership.everyone(), key=lambda m: (m.role, m.zone, m.node))]
         ok, words = self._node.readiness()
         return {"node": membership.me.node, "role": membership.me.role, "ready": ok, **words, "peers": peers,
@@ -89,11 +89,11 @@
         sheet = self._sheet()
         yield GaugeMetricFamily("pipitlink_setup_sequence", "The setup's sequence here", sheet.sequence)
         yield GaugeMetricFamily("pipitlink_table_sequence", "The weight table's sequence here", sheet.table)
-        seen = GaugeMetricFamily("pipitlink_peers", "Peers by role and standing",
-                                 labels=["role", "standing"])
+        seen = GaugeMetricFamily("pipitlink_peers", "Peers by role and status",
+                                 labels=["role", "status"])
         counts: dict = {}
         for m in self._ctx.membership.everyone():
-            key = (m.role, self._ctx.membership.standing(m.node))
+            key = (m.role, self._ctx.membership.status(m.node))
             counts[key] = counts.get(key, 0) + 1
         for key, n in sorted(counts.items()):
             seen.add_metric(key, n)
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -238,11 +238,11 @@
         me = self._ctx.node
         owned = set(self.batches) | self._taking_up_batches
         free = {log.removeprefix(PREFIX) for log, s in found.items()
-                if s.holder in ("", me) or self._ctx.membership.standing(s.holder) == "gone"} - owned
+                if s.holder in ("", me) or self._ctx.membership.status(s.holder) == "gone"} - owned
         self._orphan_batches = {b: self._orphan_batches.get(b, now) for b in free}
         if self._closing_batches or not self._ctx.setup.usable():
             return
-        gateways = [m.node for m in self._ctx.membership.members("gateway", standing=("alive",))]
+        gateways = [m.node for m in self._ctx.membership.members("gateway", status=("alive",))]
         for b in sorted(free):
             place = sorted(gateways, key=lambda g: rank(b, g), reverse=True).index(me)
             if now - self._orphan_batches[b] >= place * NEXT_OWNER:
@@ -263,7 +263,7 @@
         if state is not None and state.final:
             return
         if state is not None and state.holder not in ("", self._ctx.node) \
-                and self._ctx.membership.standing(state.holder) != "gone":
+                and self._ctx.membership.status(state.holder) != "gone":
             return
         try:
             o = await self._hold_batch(batch_id, state.holder if state is not None else None)
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -31,7 +31,7 @@
 
 
 class Choosing:
-    """Mixin: which engine a call goes to: by pool, standing, zone, kept prompt parts, what is read and what runs there."""
+    """Mixin: which engine a call goes to: by pool, status, zone, kept prompt parts, what is read and what runs there."""
 
     def _open_choosing(self):
         self._waiting = 0
@@ -52,14 +52,14 @@
     def ready_engines(self, pool: str) -> list:
         empty = self._ctx.setup.sheet.empty_zones
         return [e for e in self.engines.pool(pool)
-                if e.news.zone not in empty and self.engines.standing(e) == "ready"]
+                if e.news.zone not in empty and self.engines.status(e) == "ready"]
 
     def _usable(self, call) -> list:
         ready = self.ready_engines(call.pool)
         if not ready and not call.batch:
             empty = self._ctx.setup.sheet.empty_zones
             ready = [e for e in self.engines.pool(call.pool)
-                     if e.news.zone not in empty and self.engines.standing(e) in ("suspect",)]
+                     if e.news.zone not in empty and self.engines.status(e) in ("suspect",)]
         return [e for e in ready if e.name not in call.avoid] or ([] if call.ran else ready)
 
     def _fill(self, call) -> float:
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -178,7 +178,7 @@
         self._looked_at = now
         return now
 
-    def standing(self, e: Engine) -> str:
+    def status(self, e: Engine) -> str:
         now = self._look()
         if e.news.state != "ready":
             return e.news.state
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -60,7 +60,7 @@
         return ok, {"setup": setup.sequence, "currency": setup.state}
 
     def beliefs(self) -> dict:
-        engines = {e.name: f"{self.engines.standing(e)} {e.address}" for e in self.engines.all()}
+        engines = {e.name: f"{self.engines.status(e)} {e.address}" for e in self.engines.all()}
         leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.ledger.holders.items())}
         return {"engines": engines, "leases": leases}
 
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -108,29 +108,29 @@
             return
         self._lots_listed_at = started
         for b, t in list(self._quota_told.items()):
-            if t.gateway and t.gateway != self._ctx.node and self._ctx.membership.standing(t.gateway) in ("gone", "unknown"):
+            if t.gateway and t.gateway != self._ctx.node and self._ctx.membership.status(t.gateway) in ("gone", "unknown"):
                 t.gateway, t.at = "", now
             if b not in names and (not t.gateway or not t.tokens) and started - t.at >= LISTED_LATE:
                 del self._quota_told[b]
 
     def _look_at_gateways(self):
         now = self._ctx.beats.now()
-        gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", standing=("alive",)))
+        gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", status=("alive",)))
         if gateways != self._quota_gateways or now - self._quota_looked_at > SLEPT_SPAN:
             self._quota_gateways, self._quota_moved_at = gateways, now
         self._quota_looked_at = now
 
     def _quota_steward(self, route: str) -> str:
-        gateways = {m.node for m in self._ctx.membership.members("gateway", standing=("alive",))} | {self._ctx.node}
+        gateways = {m.node for m in self._ctx.membership.members("gateway", status=("alive",))} | {self._ctx.node}
         return max(gateways, key=lambda g: rank(f"quota/{route}", g))
 
     def _count_is_sure(self) -> bool:
         """Not while gateways change, nor on the smaller side of a cut, nor before all open batches are counted."""
         self._look_at_gateways()
         now = self._ctx.beats.now()
-        alive = self._ctx.membership.members("gateway", standing=("alive",))
+        alive = self._ctx.membership.members("gateway", status=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.membership.members("gateway", standing=("suspect", "gone"), me=False)
+        away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
                 if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
         if not self._ctx.setup.usable() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
             return False
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -91,9 +91,9 @@
             e = call.engine
             if e is None or call.sent_at is None or not (call.repeatable or call.resumable):
                 continue
-            standing = self.engines.standing(e)
+            status = self.engines.status(e)
             mute = e.bytes_at < call.sent_at and now - call.sent_at > MUTE_SPAN
-            if standing == "silent" or standing == "gone" and now - e.bytes_at > MUTE_SPAN or mute:
+            if status == "silent" or status == "gone" and now - e.bytes_at > MUTE_SPAN or mute:
                 if mute:
                     self.engines.unreached(e)
                 call.link and call.link.discard()
@@ -151,7 +151,7 @@
             raise call.fault("the request was ended", code="ended")
         if call.limit <= self._ctx.beats.now():
             raise call.fault("the deadline has passed", code="limit_passed", status=504)
-        if self.engines.standing(e) not in ("ready", "suspect") or e.news.zone in self._ctx.setup.sheet.empty_zones:
+        if self.engines.status(e) not in ("ready", "suspect") or e.news.zone in self._ctx.setup.sheet.empty_zones:
             raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
         route = self._ctx.setup.sheet.routes.routes.get(call.route.name)
         if route is not call.route:
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -149,7 +149,7 @@
         known = [m for m in controllers if m.node == self._controller]
         if known and not failures:
             return (known[0].host, known[0].port), "controller.follow"
-        peers = self._ctx.membership.members("gateway", standing=("alive",), me=False)
+        peers = self._ctx.membership.members("gateway", status=("alive",), me=False)
         if controllers and (failures % 3 or not peers):
             m = self._ctx.chance.choice(controllers)
             return (m.host, m.port), "controller.follow"
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -20,7 +20,7 @@
         self.rows: dict[str, Row] = {r.name: r for r in data.rows}
         self.routes = RouteTable(data.config)
         self.empty_zones: set[str] = set(data.empty_zones)
-        self.storage_nodes: dict[str, str] = {d.storage_node: d.standing for d in data.storage_nodes}
+        self.storage_nodes: dict[str, str] = {d.storage_node: d.status for d in data.storage_nodes}
         self.storage_node_names: dict[str, str] = {d.storage_node: d.name for d in data.storage_nodes if d.name}
         self.shelves: dict[int, ShelfRow] = {s.number: s for s in data.shelves}
         self.voters: tuple[str, ...] = tuple(data.voters)
@@ -33,7 +33,7 @@
         return SheetData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
                          empty_zones=sorted(self.empty_zones), shelves=self.shelves.values(), voters=self.voters,
                          witnesses_at=self.witnesses_at, settled=self.settled,
-                         storage_nodes=[StorageNodeEdit(storage_node=d, standing=s, name=self.storage_node_names.get(d))
+                         storage_nodes=[StorageNodeEdit(storage_node=d, status=s, name=self.storage_node_names.get(d))
                                  for d, s in self.storage_nodes.items()],
                          outcomes=self.outcomes.values(), config=self.routes.config())
 
@@ -87,11 +87,11 @@
 
     def _apply_storage_node(self, e, sequence) -> str:
         before = self.witnesses()
-        if e.standing == "removed":
+        if e.status == "removed":
             self.storage_nodes.pop(e.storage_node, None)
             self.storage_node_names.pop(e.storage_node, None)
         else:
-            self.storage_nodes[e.storage_node] = e.standing
+            self.storage_nodes[e.storage_node] = e.status
             if e.name:
                 self.storage_node_names[e.storage_node] = e.name
         if self.witnesses() != before:
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -8,7 +8,7 @@
 __all__ = ["run_tool", "compare", "differences"]
 
 LIMIT = 10
-TOPICS = ("setup", "membership", "standing", "engines", "storage_nodes", "shelves", "leases", "logs")
+TOPICS = ("setup", "membership", "status", "engines", "storage_nodes", "shelves", "leases", "logs")
 
 
 class _Unreached(Exception):
@@ -68,7 +68,7 @@
             keys = set(mine) & set(theirs)
         if topic == "logs":
             keys = {k for k in keys if _both_keep(k, a, b)}
-        if topic == "standing":
+        if topic == "status":
             keys -= {a["node"], b["node"]}
         diff = {k: [mine.get(k), theirs.get(k)] for k in sorted(keys) if mine.get(k) != theirs.get(k)}
         if diff:
@@ -181,7 +181,7 @@
         if words["lot"]:
             path = f"/v1/lots/{words['LOT']}"
             return _say(*_ask_any(places, "GET" if words["show"] else "DELETE", path))
-        return _say(*_ask_any(places, "GET", "/v1/standing"))
+        return _say(*_ask_any(places, "GET", "/v1/status"))
     except _Unreached as e:
         print(e, file=sys.stderr)
         return 2
--- a/rehearsal/breaks.py
+++ b/rehearsal/breaks.py
@@ -176,7 +176,7 @@
             wait_for(lambda: self.fleet.call(self.leader(), "POST", f"/v1/storage_nodes/{gone}/retire", {})[0] == 200, 30,
                      "retirement is taken")
             self._down("kill", [other], 1 + 2 * c.random())[1]()
-            wait_for(lambda: self.storage_nodes().get(gone, {}).get("standing") == "retired", 120, f"{old} is retired")
+            wait_for(lambda: self.storage_nodes().get(gone, {}).get("status") == "retired", 120, f"{old} is retired")
             self.say(f"{old} is retired")
             with self.calls.hurting("retired", [old]):
                 self.fleet.remove(old)
@@ -254,7 +254,7 @@
     def _wait_placed(self, lost: str, retired=False):
         def placed():
             storage_nodes = self.storage_nodes()
-            serving = {d: v for d, v in storage_nodes.items() if v["standing"] == "serving"}
+            serving = {d: v for d, v in storage_nodes.items() if v["status"] == "serving"}
             return len(serving) >= 4 and (retired or lost not in storage_nodes) \
                 and all(d["heard"] == "alive" for d in serving.values()) \
                 and sum(d["shelves"] for d in serving.values()) == 48
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -154,7 +154,7 @@
         ctx = self.ctx
         ctx.desk.place = await self.desk.listen("127.0.0.1", self._port)
         self.me = Member(node=ctx.node, incarnation=1, role=self.role, zone=ctx.props.zone, host="127.0.0.1",
-                         port=ctx.desk.place[1], http_port=1, operator_port=1, standing="alive")
+                         port=ctx.desk.place[1], http_port=1, operator_port=1, status="alive")
         return self.me
 
     def open(self):
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -39,7 +39,7 @@
     desk = Desk(None, beats, Journal(_Quiet()), "pipit", "g0")
     ctx = Context("gateway", "g0", Props(), clock, beats, Journal(_Quiet()), desk, Random(1))
     everyone = [Member(node=f"g{i}", incarnation=1, role="gateway", zone=f"zone-{i % 25}", host="127.0.0.1", port=1000 + i,
-                       standing="alive")
+                       status="alive")
                 for i in range(gateways)]
     desk.call = _unheard
     part = open_parts(ctx, "hollow", everyone[0], LosingDisk(Random(1)))
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -37,10 +37,10 @@
     def __init__(self, me, gateways):
         self.me, self.gateways, self.away = me, gateways, ()
 
-    def members(self, role=None, standing=("alive",), me=True):
+    def members(self, role=None, status=("alive",), me=True):
         names = [f"g{i}" for i in range(self.gateways)]
         return [Member(node=n, host="h", port=int(n[1:])) for n in names
-                if ("gone" if n in self.away else "alive") in standing and (me or n != self.me)]
+                if ("gone" if n in self.away else "alive") in status and (me or n != self.me)]
 
     def find(self, node):
         return Member(node=node, host="h", port=int(node[1:]))
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -107,7 +107,7 @@
         self.sheet = SimpleNamespace(empty_zones=set(), routes=RouteTable(Config(
             version=1, routes=routes, pools=pools, bounds=Bounds(max_body_bytes=100_000))))
         self.setup = SimpleNamespace(sheet=self.sheet, watch=lambda do: None, usable=lambda: True)
-        membership = SimpleNamespace(members=lambda role=None, standing=(), me=True: [
+        membership = SimpleNamespace(members=lambda role=None, status=(), me=True: [
             Member(node=f"g{i}") for i in range(gateways) if i or me])
         desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
--- a/tests/test_batches_quota.py
+++ b/tests/test_batches_quota.py
@@ -171,7 +171,7 @@
             gone = next(a for a in stage.role("gateway") if a is not self.steward(stage))
             gone.kill()
             steward = self.steward(stage)
-            stage.until(lambda: steward.ctx.membership.standing(gone.node) != "alive", 5, "the steward misses the gateway")
+            stage.until(lambda: steward.ctx.membership.status(gone.node) != "alive", 5, "the steward misses the gateway")
             at = stage.clock.seconds()
             self.assertEqual(stage.do(c.hand_in(c.lot(3), steward)), 202)
             self.assertLess(stage.clock.seconds() - at, 0.9, f"seed {seed}")
--- a/tests/test_batches_taken_up.py
+++ b/tests/test_batches_taken_up.py
@@ -27,7 +27,7 @@
                 first.kill()
                 at = stage.clock.seconds()
                 other = next(a for a in stage.role("gateway", alive=True))
-                stage.until(lambda: other.ctx.membership.standing(first.node) == "gone", 4, "the membership has it for gone")
+                stage.until(lambda: other.ctx.membership.status(first.node) == "gone", 4, "the membership has it for gone")
                 stage.until(lambda: self.owner(stage, name), 1.7, "another gateway owns it")
                 self.assertLess(stage.clock.seconds() - at, 4.2)
                 stage.until(lambda: c.whole(name), 30, "all is listed")
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -152,6 +152,6 @@
                 for other in itertools.combinations(sorted(change), len(change) // 2 + 1):
                     self.assertTrue(set(one) & set(other), (one, other))
         sheet = Sheet(BASE)
-        sheet.apply(2, Command(storage_node=StorageNodeEdit(storage_node="a", standing="serving")))
-        sheet.apply(3, Command(storage_node=StorageNodeEdit(storage_node="b", standing="retired")))
+        sheet.apply(2, Command(storage_node=StorageNodeEdit(storage_node="a", status="serving")))
+        sheet.apply(3, Command(storage_node=StorageNodeEdit(storage_node="b", status="retired")))
         self.assertEqual(sheet.witnesses(), ["a"])
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -251,7 +251,7 @@
     "an ended lot's running items are stopped": (
         lot_ended, {"step": 2.0}, Dispatch, "end_here", _end_and_run_on, "an item ran on"),
     "a leaving engine is not picked": (
-        engine_leaves, {}, Engines, "standing", lambda self, e: "ready", "after it said it leaves"),
+        engine_leaves, {}, Engines, "status", lambda self, e: "ready", "after it said it leaves"),
     "an emptied zone's engines are no candidates": (
         zone_emptied, {}, Setup, "zone_empty", lambda self, zone: False, "was emptied"),
     "a cold engine is filled step by step": (
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -200,11 +200,11 @@
             a.kill()
             a.start()
         for a in (storage_node, controller):
-            self.stage.until(lambda: len(a.ctx.membership.members(standing=("alive",))) == 11, 10, "all are met again")
+            self.stage.until(lambda: len(a.ctx.membership.members(status=("alive",))) == 11, 10, "all are met again")
         storage_node.freeze()
-        self.stage.until(lambda: controller.ctx.membership.standing(storage_node.node) == "gone", 10, "it is held for gone")
+        self.stage.until(lambda: controller.ctx.membership.status(storage_node.node) == "gone", 10, "it is held for gone")
         storage_node.thaw()
-        self.stage.until(lambda: controller.ctx.membership.standing(storage_node.node) == "alive", 10, "it has refuted that")
+        self.stage.until(lambda: controller.ctx.membership.status(storage_node.node) == "alive", 10, "it has refuted that")
         self.assertGreater(storage_node.ctx.membership.me.incarnation, 1)
 
     def test_an_controller_without_room_refuses_edits_up_front(self):
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -70,11 +70,11 @@
         s.run(6)
         one, others = s.actors["gateway5"], [a.name for a in s.actors.values() if a.name != "gateway5"]
         s.cut(["gateway5"], others)
-        s.until(lambda: all(s.actors[n].ctx.membership.standing(one.node) == "gone" for n in others), 10, "it is gone")
+        s.until(lambda: all(s.actors[n].ctx.membership.status(one.node) == "gone" for n in others), 10, "it is gone")
         s.run(5)
         s.heal()
         s.until(lambda: len({a.ctx.membership.digest() for a in s.actors.values()}) == 1, 6, "all believe alike")
-        self.assertEqual({a.ctx.membership.standing(one.node) for a in s.actors.values()}, {"alive"})
+        self.assertEqual({a.ctx.membership.status(one.node) for a in s.actors.values()}, {"alive"})
 
     def test_a_dead_node_is_gone_at_every_node_in_time(self):
         """As with whole gossip at each probe, which took 1.6 to 2.3 s over 24 seeds."""
@@ -87,7 +87,7 @@
             dead = s.actors["storage1"]
             dead.kill()
             rest = [a for a in s.actors.values() if a.alive]
-            s.until(lambda: all(a.ctx.membership.standing(dead.node) == "gone" for a in rest), 3, "it is gone")
+            s.until(lambda: all(a.ctx.membership.status(dead.node) == "gone" for a in rest), 3, "it is gone")
 
 
 if __name__ == "__main__":
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -115,7 +115,7 @@
             stage.run(0.05)
             for a in stage.role("gateway"):
                 engines = a.part.engines
-                self.assertNotIn("ready", [engines.standing(e) for e in engines.all()], a.name)
+                self.assertNotIn("ready", [engines.status(e) for e in engines.all()], a.name)
 
     def test_a_node_that_freezes_in_the_midst_of_each_step_that_has_an_owner(self):
         """Its call has just left; it wakes after its lease, its setup and its leadership have ended."""
--- a/tests/test_stage_shelves.py
+++ b/tests/test_stage_shelves.py
@@ -91,7 +91,7 @@
         gone = stage.role("storage")[2]
         part = stage.leader().part
         part.check_retirement(part.sheet, gone.node)
-        stage.do(part.edit(Command(storage_node=StorageNodeEdit(storage_node=gone.node, standing="retiring"))))
+        stage.do(part.edit(Command(storage_node=StorageNodeEdit(storage_node=gone.node, status="retiring"))))
         stage.until(lambda: stage.leader() and stage.leader().part.sheet.storage_nodes.get(gone.node) == "retired", 60,
                     "it may be switched off")
         with self.assertRaises(GatewayFault) as no:
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -8,7 +8,7 @@
 
 
 def beliefs(node, role="gateway", **topics):
-    return {"node": node, "role": role, "shelves": {"3": "1:d1,d2,d3::"}, "leases": {}, "standing": {}, **topics}
+    return {"node": node, "role": role, "shelves": {"3": "1:d1,d2,d3::"}, "leases": {}, "status": {}, **topics}
 
 
 class Differences(unittest.TestCase):
@@ -25,10 +25,10 @@
         b = beliefs("d2", "storage", logs={})
         self.assertEqual(list(differences(a, b)["logs"]), ["3/results/1"])
 
-    def test_setup_and_standing_differences_are_told(self):
-        a = beliefs("a", setup={"sequence": 4}, standing={"a": "alive", "c": "alive"})
-        b = beliefs("b", setup={"sequence": 5}, standing={"b": "alive", "c": "gone"})
-        self.assertEqual(differences(a, b), {"setup": {"sequence": [4, 5]}, "standing": {"c": ["alive", "gone"]}})
+    def test_setup_and_status_differences_are_told(self):
+        a = beliefs("a", setup={"sequence": 4}, status={"a": "alive", "c": "alive"})
+        b = beliefs("b", setup={"sequence": 5}, status={"b": "alive", "c": "gone"})
+        self.assertEqual(differences(a, b), {"setup": {"sequence": [4, 5]}, "status": {"c": ["alive", "gone"]}})
 
     def test_the_exit_code_and_the_lines_say_where(self):
         told = {"a": beliefs("a", setup={"sequence": 4}), "b": beliefs("b", setup={"sequence": 5})}
