--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -35,7 +35,7 @@
         """One span of the durable log; readers that want the same one meanwhile share the read."""
         def read():
             self.counts["durable_reads"] += 1
-            return self._ctx.ledger.read(path, start, length)
+            return self._ctx.replicated_log.read(path, start, length)
 
         return await self._spans.run((path, start, length), read)
 
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -116,7 +116,7 @@
     async def prove(self, paths: list[str]):
         """Asks the storage nodes themselves for the durable lengths."""
         asked = self._ctx.beats.now()
-        got = await self._ctx.ledger.states(paths)
+        got = await self._ctx.replicated_log.states(paths)
         self._take((p, st.committed, 0, st.final) for p, st in got.items())
         for p in got:
             if p in self._seen:
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -31,7 +31,7 @@
     chance: Random
     membership: object = None
     setup: object = None
-    ledger: object = None
+    replicated_log: object = None
     cache: object = None
     engines: object = None
     changes: object = None
--- a/pipitlink/controller/shelving.py
+++ b/pipitlink/controller/shelving.py
@@ -3,7 +3,7 @@
 from ..beats import secs
 from ..faults import GatewayFault
 from ..setup import Sheet
-from ..wire.ledger_pb2 import CaughtUp
+from ..wire.replicated_log_pb2 import CaughtUp
 from ..wire.setup_pb2 import Command, StorageNodeEdit, ShelfRow, Shelving as ShelvingRow
 
 __all__ = ["Shelving"]
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -1,6 +1,6 @@
 __all__ = [
     "PipitFault", "PropsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
-    "LedgerFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldShelf", "Damaged",
+    "ReplicatedLogFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldShelf", "Damaged",
     "GatewayFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
     "ControllerFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
 ]
@@ -51,19 +51,19 @@
     code = "unmet"
 
 
-class LedgerFault(PipitFault):
-    code = "ledger"
+class ReplicatedLogFault(PipitFault):
+    code = "replicated_log"
 
 
-class Fenced(LedgerFault):
+class Fenced(ReplicatedLogFault):
     code = "fenced"
 
 
-class NoMajority(LedgerFault):
+class NoMajority(ReplicatedLogFault):
     code = "no_majority"
 
 
-class NoRoom(LedgerFault):
+class NoRoom(ReplicatedLogFault):
     code = "no_room"
 
     def __init__(self, text: str, sent: bool = True):
@@ -71,11 +71,11 @@
         self.sent = sent
 
 
-class OldShelf(LedgerFault):
+class OldShelf(ReplicatedLogFault):
     code = "old_shelf"
 
 
-class NotHeld(LedgerFault):
+class NotHeld(ReplicatedLogFault):
     code = "not_held"
 
     def __init__(self, text: str, holder: str = ""):
@@ -83,7 +83,7 @@
         self.holder = holder
 
 
-class Damaged(LedgerFault):
+class Damaged(ReplicatedLogFault):
     code = "damaged"
 
 
--- a/pipitlink/gateway/asks.py
+++ b/pipitlink/gateway/asks.py
@@ -8,7 +8,7 @@
 
 from ..charts import Charted, chart_data
 from ..context import fresh_id
-from ..faults import BackEndFault, GatewayFault, LedgerFault
+from ..faults import BackEndFault, GatewayFault, ReplicatedLogFault
 
 __all__ = ["Ask", "AskTable"]
 
@@ -161,7 +161,7 @@
             ask.put("lose")
             ask.fail(GatewayFault("the request was ended", code="ended", outcome=ask.outcome))
         except Exception as e:
-            if not isinstance(e, (GatewayFault, LedgerFault)):
+            if not isinstance(e, (GatewayFault, ReplicatedLogFault)):
                 self._ctx.journal.fault("ask_failed", e, ask=ask.id)
             ask.put("lose")
             ask.fail(e)
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -4,7 +4,7 @@
 
 from ..beats import ZERO, ms, secs, spawn, wall_ms
 from ..disk import frames
-from ..faults import LedgerFault, NotHeld, Overdue, PipitFault
+from ..faults import ReplicatedLogFault, NotHeld, Overdue, PipitFault
 from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, Item, LogRecord, Result, Started
 from .asks import Ask
 from .lots import OpenLot, result_log
@@ -68,7 +68,7 @@
         for _, body, _ in frames(bytes(h.data)):
             o.learn(LogRecord.FromString(body))
         if h.final:
-            self._ctx.spawned(self._ctx.ledger.release([h]), "release")
+            self._ctx.spawned(self._ctx.replicated_log.release([h]), "release")
             self._close(o.id)
             return
         o.holder = h
@@ -84,7 +84,7 @@
         """In an emptied zone a gateway gives up its lots once nothing of theirs runs; others take them up."""
         for o in self.open_lots.values():
             if o.holder is not None and not o.running and not o.holder.lost:
-                self._ctx.spawned(self._ctx.ledger.release([o.holder]), "hand_over")
+                self._ctx.spawned(self._ctx.replicated_log.release([o.holder]), "hand_over")
                 self._lose(o)
 
     def _lose(self, o: OpenLot):
@@ -146,7 +146,7 @@
 
     def _ran(self, r, o: OpenLot, i: int):
         o.running.pop(i, None)
-        if isinstance(getattr(r, "value", None), Exception) and not r.check(defer.CancelledError, LedgerFault):
+        if isinstance(getattr(r, "value", None), Exception) and not r.check(defer.CancelledError, ReplicatedLogFault):
             self._ctx.journal.fault("item_failed", r.value, lot=o.id, item=i)
         if o.holder is not None and not o.holder.lost and not o.holder.final and i not in o.results \
                 and i not in o.waiting:
@@ -225,7 +225,7 @@
         if h is not None:
             self._close(o.id)
             await self._ctx.beats.pause(secs(1))
-            await self._ctx.ledger.release([h])
+            await self._ctx.replicated_log.release([h])
 
     async def _end_for(self, node, ask: EndAsk):
         return EndReceipt(state=await self.end_here(ask.lot))
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -68,7 +68,7 @@
         if not self._ctx.setup.ready():
             return
         await self._see_closed()
-        for log, state in (await self._ctx.ledger.list("lots/")).items():
+        for log, state in (await self._ctx.replicated_log.list("lots/")).items():
             tail = self._tails.get(log)
             if tail is None and not state.final:
                 self._tails[log] = self._ctx.cache.tail(log)
@@ -82,7 +82,7 @@
         theirs = [o.id for o in self.open_lots.values() if o.holder is None and not o.taking]
         for i in range(0, len(theirs), MOST_ASKED):
             logs = [result_log(lot_id) for lot_id in theirs[i:i + MOST_ASKED]]
-            for log, state in (await self._ctx.ledger.states(logs)).items():
+            for log, state in (await self._ctx.replicated_log.states(logs)).items():
                 if state.final:
                     self._close(log.removeprefix("results/"))
 
@@ -104,10 +104,10 @@
             if not idle or unread or self._lots_of.get(log, set()) - self._closed or self._owner(log) != self._ctx.node:
                 continue
             try:
-                h = self._ctx.ledger.holders.get(log) or await self._ctx.ledger.hold(log)
+                h = self._ctx.replicated_log.holders.get(log) or await self._ctx.replicated_log.hold(log)
                 if not h.final:
                     await h.append([LogRecord(ended=Ended(why="done")).SerializeToString()], final=True, reserved=True)
-                await self._ctx.ledger.release([h])
+                await self._ctx.replicated_log.release([h])
                 self._ctx.journal.note("lot_log_ended", log=log, lots=len(self._lots_of.get(log, ())))
                 self._leave_log(log)
             except PipitFault as e:
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -57,7 +57,7 @@
 
     async def keep(self, log: str):
         """Holds a log and shadows it into the caches."""
-        h = await self._ctx.ledger.hold(log)
+        h = await self._ctx.replicated_log.hold(log)
         self._ctx.cache.shadow(log, h)
         return h
 
@@ -93,7 +93,7 @@
     def beliefs(self) -> dict:
         engines = {e.name: f"{self.engines.status(e)} {e.news.address} {e.news.incarnation}"
                    for e in self.engines.all()}
-        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.ledger.holders.items())}
+        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.holders.items())}
         return {"engines": engines, "leases": leases}
 
     def metrics(self) -> dict:
@@ -120,5 +120,5 @@
             await self._ctx.beats.pause(ms(50))
         for o in self.open_lots.values():
             self._lose(o)
-        await self._ctx.ledger.release(list(self._ctx.ledger.holders.values()))
+        await self._ctx.replicated_log.release(list(self._ctx.replicated_log.holders.values()))
         await self._ctx.membership.leave()
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from ..beats import secs, spawn
-from ..faults import BackEndFault, Crowded, GatewayFault, LedgerFault
+from ..faults import BackEndFault, Crowded, GatewayFault, ReplicatedLogFault
 
 __all__ = ["Relaying"]
 
@@ -242,7 +242,7 @@
             return Crowded(f"engine {e.name} could not be reached: {f}", code="unreached")
         if isinstance(f, Crowded) and f.code == "not_current":
             ask.avoid.discard(e.name)
-        if isinstance(f, LedgerFault) or isinstance(f, GatewayFault) and f.outcome == "not_run":
+        if isinstance(f, ReplicatedLogFault) or isinstance(f, GatewayFault) and f.outcome == "not_run":
             return f
         if self._ctx.beats.now() >= ask.limit:
             return GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -153,7 +153,7 @@
     async def _ask_owner(self, lot: str) -> str:
         """Asks the lease's holder; where there is none, this gateway takes the lot up itself."""
         log = result_log(lot)
-        state = (await self._ctx.ledger.states([log])).get(log)
+        state = (await self._ctx.replicated_log.states([log])).get(log)
         if state is not None and state.final:
             return "closed"
         holder = state.holder if state is not None else ""
--- a/pipitlink/ledger/__init__.py
+++ /dev/null
@@ -1,4 +0,0 @@
-from .holder import Holder
-from .ledger import Ledger
-
-__all__ = ["Holder", "Ledger"]
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -16,7 +16,7 @@
 from .disk import set_aside
 from .faults import Damaged, PropsFault
 from .journal import open_journal
-from .ledger import Ledger
+from .replicated_log import ReplicatedLog
 from .operator import OperatorFace
 from .plugs import Gate
 from .props import Props
@@ -57,7 +57,7 @@
         if ctx.role != "gateway":
             ctx.membership.remember_in(Path(p.data))
         ctx.setup = Setup(ctx)
-        ctx.ledger = Ledger(ctx)
+        ctx.replicated_log = ReplicatedLog(ctx)
         self._open_kept()
         _, port = await ctx.desk.listen(p.bind, p.port)
         ctx.desk.place = (p.host, port)
@@ -70,7 +70,7 @@
             if self._early is not None:
                 self.node.early = self._early
             me.http_port = await self.node.listen(p.bind, p.http_port)
-            ctx.ledger.open()
+            ctx.replicated_log.open()
             ctx.cache.open()
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
--- a/pipitlink/ledger/holder.py
+++ b/pipitlink/replicated_log/holder.py
@@ -7,7 +7,7 @@
 from ..disk import frame
 from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
 from ..wire.frame_pb2 import Nothing
-from ..wire.ledger_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, States, StatesAsk, WriteAsk,
+from ..wire.replicated_log_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, States, StatesAsk, WriteAsk,
                                WriteReceipt)
 from .shelf import Shelf
 
@@ -23,12 +23,12 @@
 class Holder:
     """The one owner of a log while its lease lasts: settles the tail it found, then appends to all replicas."""
 
-    def __init__(self, ctx, ledger, log: str):
+    def __init__(self, ctx, replicated_log, log: str):
         self._ctx = ctx
-        self._ledger = ledger
+        self._replicated_log = replicated_log
         self.log = log
         self.epoch = 0
-        self.shelf = ledger.shelf(log)
+        self.shelf = replicated_log.shelf(log)
         self.data = bytearray()
         self.committed = 0
         self.final = False
@@ -65,7 +65,7 @@
 
     def look_again(self):
         """Follows its shelf where the setup has moved it."""
-        shelf = self._ledger.shelf(self.log)
+        shelf = self._replicated_log.shelf(self.log)
         if shelf.sequence > self.shelf.sequence:
             self._moved, self._moved_at = self.shelf, self._ctx.beats.now()
             self.shelf = shelf
@@ -83,7 +83,7 @@
         if self.lost:
             return
         self.lost = why
-        self._ledger.drop(self)
+        self._replicated_log.drop(self)
         self._ctx.journal.note("lease_lost", log=self.log, epoch=self.epoch, why=why)
         waiters, self._waiters = self._waiters, []
         for _, d in waiters:
@@ -100,7 +100,7 @@
             asked = self._ctx.beats.now()
             ask = LeaseAsk(log=self.log, holder=self._ctx.node, epoch=epoch, shelf_sequence=self.shelf.sequence,
                            usurp=gone is not None, gone=gone or "")
-            got = await self._ledger.ask_each(self.shelf.everyone, "ledger.lease", ask, LeaseReceipt,
+            got = await self._replicated_log.ask_each(self.shelf.everyone, "replicated_log.lease", ask, LeaseReceipt,
                                               enough=lambda g: self.shelf.agree([n for n, r in g.items() if r.granted]))
             granted = [n for n, r in got.items() if r.granted]
             self.granted.update((n, epoch) for n in granted)
@@ -125,7 +125,7 @@
         best = max(granted, key=lambda n: (self._states[n].tail_epoch, self._states[n].length))
         state = self._states[best]
         if state.length:
-            self.data = bytearray(await self._ledger.read_from(best, self.log, 0, state.length))
+            self.data = bytearray(await self._replicated_log.read_from(best, self.log, 0, state.length))
             if len(self.data) != state.length:
                 raise NoMajority(f"{self.log}: {best} could not show its tail")
         self.final, self.closed_ms = state.final, state.closed_ms
@@ -208,7 +208,7 @@
             self._advance()
 
     async def _ask_state(self, node: str) -> LogState:
-        r = await self._ledger.ask(node, "ledger.states", StatesAsk(logs=[self.log]), States)
+        r = await self._replicated_log.ask(node, "replicated_log.states", StatesAsk(logs=[self.log]), States)
         return r.states[0]
 
     async def _write_to(self, node: str, state: LogState) -> LogState:
@@ -226,10 +226,10 @@
         while len(data) - ask.staged_bytes > MAX_WRITE:
             at = ask.staged_bytes
             part = WriteAsk(log=self.log, epoch=self.epoch, staged=True, position=at, data=data[at:at + MAX_WRITE])
-            await self._ledger.ask(node, "ledger.write", part, WriteReceipt, WRITE_LIMIT)
+            await self._replicated_log.ask(node, "replicated_log.write", part, WriteReceipt, WRITE_LIMIT)
             ask.staged_bytes += len(part.data)
         ask.data = data[ask.staged_bytes:]
-        r = await self._ledger.ask(node, "ledger.write", ask, WriteReceipt, WRITE_LIMIT)
+        r = await self._replicated_log.ask(node, "replicated_log.write", ask, WriteReceipt, WRITE_LIMIT)
         return r.state
 
     def _full(self, node):
@@ -259,4 +259,4 @@
 
     async def _mark(self):
         ask = MarkAsk(log=self.log, epoch=self.epoch, committed=self.committed)
-        await self._ledger.ask_each(self.shelf.everyone, "ledger.mark", ask, Nothing)
+        await self._replicated_log.ask_each(self.shelf.everyone, "replicated_log.mark", ask, Nothing)
--- a/pipitlink/ledger/ledger.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -2,12 +2,12 @@
 
 from ..beats import ms, secs, spawn
 from ..faults import NoMajority, WireFault
-from ..wire.ledger_pb2 import (Held, ListAsk, LogState, ReadAsk, ReadReceipt, RenewAsk, RenewReceipt, States,
+from ..wire.replicated_log_pb2 import (Held, ListAsk, LogState, ReadAsk, ReadReceipt, RenewAsk, RenewReceipt, States,
                                StatesAsk)
 from .holder import Holder
 from .shelf import Shelf, shelf_of
 
-__all__ = ["Ledger"]
+__all__ = ["ReplicatedLog"]
 
 RENEW_BEAT = ms(600)
 ASK_LIMIT = ms(800)
@@ -17,7 +17,7 @@
 MAX_SPAN = 4 * 1024 * 1024
 
 
-class Ledger:
+class ReplicatedLog:
     """The durable logs as a node outside the storage nodes sees them."""
 
     def __init__(self, ctx):
@@ -83,7 +83,7 @@
         """What some storage nodes granted of a lease that was not taken, so that another need not wait until it lapses."""
         for storage_node, epoch in h.granted.items():
             ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
-            self._ctx.spawned(self.ask_each([storage_node], "ledger.renew", ask, RenewReceipt, ms(400)), "give_back")
+            self._ctx.spawned(self.ask_each([storage_node], "replicated_log.renew", ask, RenewReceipt, ms(400)), "give_back")
 
     def drop(self, h: Holder):
         if self.holders.get(h.log) is h:
@@ -101,7 +101,7 @@
     async def _renew_at(self, storage_node: str, holders: list[Holder]):
         asked = self._ctx.beats.now()
         ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in holders])
-        r = await self.ask(storage_node, "ledger.renew", ask, RenewReceipt)
+        r = await self.ask(storage_node, "replicated_log.renew", ask, RenewReceipt)
         kept = set(r.kept)
         for h in holders:
             if h.log in kept:
@@ -115,7 +115,7 @@
                 by_storage_node.setdefault(d, []).append(Held(log=h.log, epoch=h.epoch))
         for storage_node, held in by_storage_node.items():
             ask = RenewAsk(holder=self._ctx.node, held=held, release=True)
-            await self.ask_each([storage_node], "ledger.renew", ask, RenewReceipt, ms(400))
+            await self.ask_each([storage_node], "replicated_log.renew", ask, RenewReceipt, ms(400))
 
     async def states(self, logs: list[str]) -> dict[str, LogState]:
         """What is surely durable of each log, by a majority of its storage nodes; logs without one are left out."""
@@ -133,7 +133,7 @@
 
         async def one(storage_node, names):
             nonlocal left
-            r = (await self.ask_each([storage_node], "ledger.states", StatesAsk(logs=names), States)).get(storage_node)
+            r = (await self.ask_each([storage_node], "replicated_log.states", StatesAsk(logs=names), States)).get(storage_node)
             for s in r.states if r else ():
                 heard[s.log][storage_node] = s
             left -= 1
@@ -169,7 +169,7 @@
         shelves = [self._ctx.setup.shelf(n) for n in range(self._ctx.setup.shelves)]
         storage_nodes = sorted({d for s in shelves for d in s.everyone})
         enough = (lambda g: all(s.agree(g) for s in shelves)) if ask.open_only else None
-        got = await self.ask_each(storage_nodes, "ledger.list", ask, States, secs(1), enough=enough)
+        got = await self.ask_each(storage_nodes, "replicated_log.list", ask, States, secs(1), enough=enough)
         heard: dict[str, dict[str, LogState]] = {}
         for storage_node, r in got.items():
             for s in r.states:
@@ -209,7 +209,7 @@
         while len(out) < length:
             ask = ReadAsk(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
             try:
-                data = (await self.ask(node, "ledger.read", ask, ReadReceipt, READ_LIMIT)).data
+                data = (await self.ask(node, "replicated_log.read", ask, ReadReceipt, READ_LIMIT)).data
             except WireFault:
                 break
             if not data:
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -1,7 +1,7 @@
 from datetime import timedelta
 
 from ..beats import Joined, ZERO, ms, secs, wall_ms
-from ..faults import BadAsk, Crowded, GatewayFault, LedgerFault, NotHeld, PipitFault, WireFault
+from ..faults import BadAsk, Crowded, GatewayFault, ReplicatedLogFault, NotHeld, PipitFault, WireFault
 from ..wire.lots_pb2 import Batch, LogRecord
 from .batches import HEAD_ALONE, OpenBatch, batch_log, good_id, head_of
 
@@ -75,7 +75,7 @@
             self._drop_grant(batch.id)
             o = self.batches.get(batch.id)
             if self._closing_batches and o is not None and o.idle():
-                self._ctx.spawned(self._ctx.ledger.release([o.holder]), "hand_over")
+                self._ctx.spawned(self._ctx.replicated_log.release([o.holder]), "hand_over")
 
     async def _batch_taken_already(self, batch_id: str, refused: GatewayFault) -> Batch | None:
         """What an earlier try has taken is not refused."""
@@ -89,7 +89,7 @@
 
     async def _known_batch(self, batch_id: str) -> Batch | bool | None:
         """None where nothing is durable of it but a head; False where it is but cannot be read at once."""
-        state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
+        state = (await self._ctx.replicated_log.states([batch_log(batch_id)])).get(batch_log(batch_id))
         if state is None:
             raise Crowded("the store cannot be read now", code="no_majority", retry_after=COME_BACK)
         if not state.committed and not state.final:
@@ -105,7 +105,7 @@
             return o or None
         if o.batch is None:
             if o.holder.final:
-                await self._ctx.ledger.release([o.holder])
+                await self._ctx.replicated_log.release([o.holder])
                 return None
             await self._append_batch(o, batch)
         elif not o.taken():
@@ -117,7 +117,7 @@
         while True:
             try:
                 return await self._hold_batch(batch_id)
-            except (LedgerFault, WireFault) as e:
+            except (ReplicatedLogFault, WireFault) as e:
                 fault = e
             try:
                 known = await self._known_batch(batch_id)
@@ -145,7 +145,7 @@
                     return
                 raise _unknown(f"the batch may yet be taken: {e}", 500) from e
             self._lose_batch(o)
-            await self._ctx.ledger.release([h])
+            await self._ctx.replicated_log.release([h])
             raise Crowded(f"the store takes no batches now: {e}", code="store", retry_after=COME_BACK) from e
 
     async def _batch_durable(self, o: OpenBatch):
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -144,7 +144,7 @@
         """404 only where a majority of the storage nodes shows not one byte of it, not even such as may yet be durable."""
         if seen.final:
             raise NotFound("the batch was removed after its retention", code="batch_removed", status=410)
-        state = (await self._ctx.ledger.states([batch_log(batch_id)])).get(batch_log(batch_id))
+        state = (await self._ctx.replicated_log.states([batch_log(batch_id)])).get(batch_log(batch_id))
         if state is None or state.tail_epoch:
             raise Crowded("the store is not sure of this batch now", code="not_sure", outcome="unknown")
         raise NotFound("there is no such batch", code="no_such_batch", field="id")
@@ -246,7 +246,7 @@
         if self._owned_listing(batch_id) is not None:
             return await self._end_batch_here(batch_id)
         log = batch_log(batch_id)
-        state = (await self._ctx.ledger.states([log])).get(log)
+        state = (await self._ctx.replicated_log.states([log])).get(log)
         if state is None:
             return "unsure"
         if state.final:
@@ -280,7 +280,7 @@
         o = await self._hold_batch(batch_id)
         if o.batch is None:
             final = o.holder.final
-            await self._ctx.ledger.release([o.holder])
+            await self._ctx.replicated_log.release([o.holder])
             return "closed" if final else "unsure"
         if not o.taken():
             return "unsure"
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..beats import ms, secs, spawn, wall_ms
-from ..faults import Fenced, LedgerFault, NotHeld, Overdue, PipitFault
+from ..faults import Fenced, ReplicatedLogFault, NotHeld, Overdue, PipitFault
 from ..wire.lots_pb2 import Ended, LogRecord, Output
 from .batches import OpenBatch
 from .items import ItemAnswer, ItemCall
@@ -198,7 +198,7 @@
                     await o.holder.append(records, final=final, reserved=True)
                 except Overdue:
                     await self._await_batch_durable(o)
-        except LedgerFault as e:
+        except ReplicatedLogFault as e:
             if not isinstance(e, (Fenced, NotHeld)):
                 self._ctx.journal.fault("outputs_unlisted", e, batch=o.id)
             if not o.holder.lost and not o.holder.final:
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -150,9 +150,9 @@
         until = self._ctx.beats.now() + DRAIN
         while self.batches and self._ctx.beats.now() < until:
             idle = [o.holder for o in self.batches.values() if o.idle()]
-            self._ctx.spawned(self._ctx.ledger.release(idle), "hand_over")
+            self._ctx.spawned(self._ctx.replicated_log.release(idle), "hand_over")
             await self._ctx.beats.pause(ms(25))
-        await self._ctx.ledger.release([o.holder for o in list(self.batches.values())])
+        await self._ctx.replicated_log.release([o.holder for o in list(self.batches.values())])
 
     def batch_metrics(self) -> dict:
         open_ = [o for o in self.batches.values() if not o.holder.final]
@@ -178,7 +178,7 @@
         o = self.batches.get(batch_id)
         if o is not None and not o.holder.lost:
             return o
-        h = await self._ctx.ledger.hold(batch_log(batch_id), gone)
+        h = await self._ctx.replicated_log.hold(batch_log(batch_id), gone)
         o = OpenBatch(batch_id, h)
         o.learn()
         o.batch = o.listing.batch
@@ -222,7 +222,7 @@
         self._told_done(o.id, o.batch.route)
         self._ctx.journal.note("batch_closed", batch=o.id, why=o.listing.ended, listed=len(o.listing.outputs))
         await self._ctx.beats.pause(RELEASE_AFTER)
-        await self._ctx.ledger.release([o.holder])
+        await self._ctx.replicated_log.release([o.holder])
 
     def _list_due(self) -> timedelta:
         """Seldom where no gateway tells of open batches and none has come or gone of late."""
@@ -232,7 +232,7 @@
 
     async def _list_batches(self):
         started = self._ctx.beats.now()
-        found, sure = await self._ctx.ledger.list_open(PREFIX)
+        found, sure = await self._ctx.replicated_log.list_open(PREFIX)
         self._listed_lots({log.removeprefix(PREFIX) for log in found}, started, sure)
         now = self._ctx.beats.now()
         me = self._ctx.node
@@ -259,7 +259,7 @@
 
     async def _take_up_batch_now(self, batch_id: str):
         log = batch_log(batch_id)
-        state = (await self._ctx.ledger.states([log])).get(log)
+        state = (await self._ctx.replicated_log.states([log])).get(log)
         if state is not None and state.final:
             return
         if state is not None and state.holder not in ("", self._ctx.node) \
@@ -271,4 +271,4 @@
             self._ctx.journal.trace("batch_not_taken_up", batch=batch_id, text=e)
             return
         if o.batch is None:
-            await self._ctx.ledger.release([o.holder])
+            await self._ctx.replicated_log.release([o.holder])
--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..beats import ZERO, ms, secs
-from ..faults import GatewayFault, LedgerFault
+from ..faults import GatewayFault, ReplicatedLogFault
 from .call import Call, prompt_parts
 from .events import event_data
 
@@ -78,7 +78,7 @@
         except defer.CancelledError:
             call.stop("cancelled")
             raise
-        except LedgerFault:
+        except ReplicatedLogFault:
             raise
         except GatewayFault as f:
             wait = ms(1000 * f.retry_after) if f.retry_after else ms(50)
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -5,7 +5,7 @@
 from ..beats import ms, secs
 from ..charts import Charted
 from ..faults import Refused, WireFault
-from ..ledger.shelf import Shelf
+from ..replicated_log.shelf import Shelf
 from ..wire.frame_pb2 import Nothing
 from ..wire.setup_pb2 import FollowAsk, FollowReceipt, WitnessReceipt
 from .sheet import Sheet
@@ -178,11 +178,11 @@
         now = self._ctx.beats.now()
         if not witnesses or (self._leased_at is not None and now - self._leased_at < OWN_SPAN / 2):
             return
-        got = await self._ctx.ledger.ask_each(witnesses, "setup.witness", Nothing(), WitnessReceipt, ms(500))
+        got = await self._ctx.replicated_log.ask_each(witnesses, "setup.witness", Nothing(), WitnessReceipt, ms(500))
         sure = {n: r.sequence for n, r in got.items() if r.current}
         newest = max(sure, key=sure.get, default="")
         if newest and sure[newest] > self.sequence:
-            self._absorb(await self._ctx.ledger.ask(newest, "setup.sheet", Nothing(), FollowReceipt))
+            self._absorb(await self._ctx.replicated_log.ask(newest, "setup.sheet", Nothing(), FollowReceipt))
         if 2 * len(sure) > len(witnesses) and self.sequence >= max(sure.values()) \
                 and witnesses == self.sheet.witnesses():
             self._proved_at = now
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -1,6 +1,6 @@
 from collections import OrderedDict
 
-from ..ledger.shelf import Shelf
+from ..replicated_log.shelf import Shelf
 from ..wire.setup_pb2 import Command, StorageNodeEdit, Outcome, Row, SheetData, ShelfRow
 from .routes import RouteTable
 
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -1,8 +1,8 @@
 from ..beats import ms, secs
-from ..faults import Fenced, LedgerFault, NoMajority, WireFault
-from ..ledger.shelf import Shelf
+from ..faults import Fenced, ReplicatedLogFault, NoMajority, WireFault
+from ..replicated_log.shelf import Shelf
 from ..wire.frame_pb2 import Nothing
-from ..wire.ledger_pb2 import CaughtUp, Entry, ListAsk, LogState, States
+from ..wire.replicated_log_pb2 import CaughtUp, Entry, ListAsk, LogState, States
 from .grants import LEASE_SPAN
 
 __all__ = ["Copying"]
@@ -53,7 +53,7 @@
     async def _copy_shelf(self, shelf: Shelf, joining: bool) -> bool:
         """True once this storage node holds all that a majority of the others, all at this placement, are seen to hold."""
         others = [d for d in shelf.storage_nodes if d != self._ctx.node]
-        got = await self._ctx.ledger.ask_each(others, "ledger.list", ListAsk(shelf=shelf.number, one_shelf=True),
+        got = await self._ctx.replicated_log.ask_each(others, "replicated_log.list", ListAsk(shelf=shelf.number, one_shelf=True),
                                               States, ASK_LIMIT)
         at = {d: r for d, r in got.items() if r.shelf_sequence >= shelf.sequence}
         if joining and not 2 * len(at) > len(shelf.storage_nodes):
@@ -73,7 +73,7 @@
                     await self._copy_log(log, state, storage_node)
                 if joining and promised[log] > self.shed.state(log).epoch:
                     await self._syncer.put(lambda t, log=log: self.shed.promise(log, promised[log], t, granted=False))
-            except (LedgerFault, WireFault) as e:
+            except (ReplicatedLogFault, WireFault) as e:
                 self._ctx.journal.trace("copy_put_off", log=log, text=e)
                 whole = False
         return whole
@@ -82,7 +82,7 @@
         """Makes this copy the same as that storage node's, unsure tail and all, in one entry."""
         mine = self.shed.state(log)
         start = mine.length if mine.tail_epoch == state.tail_epoch else min(mine.committed, state.length)
-        data = await self._ctx.ledger.read_from(storage_node, log, start, state.length - start)
+        data = await self._ctx.replicated_log.read_from(storage_node, log, start, state.length - start)
         if len(data) != state.length - start:
             raise NoMajority(f"{log}: {storage_node} did not show all of it")
         e = Entry(kind=Entry.WRITE, log=log, epoch=state.tail_epoch, position=start, data=data, final=state.final,
@@ -98,4 +98,4 @@
     async def _tell_caught_up(self, shelf: Shelf):
         told = CaughtUp(storage_node=self._ctx.node, shelf=shelf.number, sequence=shelf.sequence)
         controllers = [m.node for m in self._ctx.membership.members("controller", me=False)]
-        await self._ctx.ledger.ask_each(controllers, "controller.caught_up", told, Nothing, ms(500))
+        await self._ctx.replicated_log.ask_each(controllers, "controller.caught_up", told, Nothing, ms(500))
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..beats import secs
-from ..wire.ledger_pb2 import LeaseAsk, LeaseReceipt, RenewAsk, RenewReceipt
+from ..wire.replicated_log_pb2 import LeaseAsk, LeaseReceipt, RenewAsk, RenewReceipt
 
 __all__ = ["Grants", "LEASE_SPAN", "HOLD_SPAN"]
 
@@ -25,8 +25,8 @@
         self._grants: dict[str, _Grant] = {}
         self._quiet_until = self._ctx.beats.now() + LEASE_SPAN
         d = self._ctx.desk
-        d.answer("ledger.lease", LeaseAsk, self._lease)
-        d.answer("ledger.renew", RenewAsk, self._renew)
+        d.answer("replicated_log.lease", LeaseAsk, self._lease)
+        d.answer("replicated_log.renew", RenewAsk, self._renew)
 
     def _live_grant(self, log: str) -> _Grant | None:
         g = self._grants.get(log)
--- a/pipitlink/storage/keeping.py
+++ b/pipitlink/storage/keeping.py
@@ -1,7 +1,7 @@
 from collections import Counter
 
 from ..beats import secs, wall_ms
-from ..wire.ledger_pb2 import Entry
+from ..wire.replicated_log_pb2 import Entry
 
 __all__ = ["Keeping"]
 
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -4,9 +4,9 @@
 from ..context import fresh_id
 from ..disk import Disk, swap_in
 from ..faults import NoRoom, OldShelf, PropsFault
-from ..ledger.shelf import shelf_of
+from ..replicated_log.shelf import shelf_of
 from ..syncing import Syncer
-from ..wire.ledger_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
+from ..wire.replicated_log_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
                                WriteReceipt)
 from .copying import Copying
 from .grants import Grants
@@ -49,11 +49,11 @@
         self._open_copying()
         self._open_keeping()
         d = self._ctx.desk
-        d.answer("ledger.write", WriteAsk, self._write)
-        d.answer("ledger.mark", MarkAsk, self._mark)
-        d.answer("ledger.read", ReadAsk, self._read)
-        d.answer("ledger.states", StatesAsk, self._states)
-        d.answer("ledger.list", ListAsk, self._list)
+        d.answer("replicated_log.write", WriteAsk, self._write)
+        d.answer("replicated_log.mark", MarkAsk, self._mark)
+        d.answer("replicated_log.read", ReadAsk, self._read)
+        d.answer("replicated_log.states", StatesAsk, self._states)
+        d.answer("replicated_log.list", ListAsk, self._list)
 
     async def _write(self, node, ask: WriteAsk):
         self._check_shelf(ask.log, ask.shelf_sequence)
--- a/pipitlink/storage/shed.py
+++ b/pipitlink/storage/shed.py
@@ -5,7 +5,7 @@
 
 from ..disk import Disk
 from ..faults import Fenced, NoRoom
-from ..wire.ledger_pb2 import Entry, LogState
+from ..wire.replicated_log_pb2 import Entry, LogState
 from ..segments import Segments, Spot
 
 __all__ = ["Shed", "Kept"]
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -15,7 +15,7 @@
 from pipitlink.disk import Disk
 from pipitlink.gateway import GatewayNode
 from pipitlink.journal import Journal
-from pipitlink.ledger import Ledger
+from pipitlink.replicated_log import ReplicatedLog
 from pipitlink.controller import ControllerNode
 from pipitlink.process import Process
 from pipitlink.props import Props
@@ -109,7 +109,7 @@
 
 def open_parts(ctx, kind: str, me: Member, disk: Disk):
     """The parts of one hollow node, opened as its process would, but for its HTTP sides; returns the role's own."""
-    ctx.membership, ctx.setup, ctx.ledger = Membership(ctx), Setup(ctx), Ledger(ctx)
+    ctx.membership, ctx.setup, ctx.replicated_log = Membership(ctx), Setup(ctx), ReplicatedLog(ctx)
     if ctx.role == "gateway":
         ctx.cache = Cache(ctx)
         part = (_Member if kind == "member" else HollowGateway)(ctx)
@@ -117,7 +117,7 @@
         part = {"storage": StorageNode, "controller": ControllerNode}[ctx.role](ctx, disk)
     part.open()
     if ctx.role == "gateway":
-        ctx.ledger.open()
+        ctx.replicated_log.open()
         if kind != "member":
             ctx.cache.open()
     ctx.membership.open(me)
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -15,7 +15,7 @@
 from pipitlink.storage import StorageNode
 from pipitlink.faults import CutOff, Overdue, PipitFault, Refused, Unmet
 from pipitlink.journal import Journal
-from pipitlink.ledger import Ledger
+from pipitlink.replicated_log import ReplicatedLog
 from pipitlink.controller import ControllerNode
 from pipitlink.props import Props
 from pipitlink.membership import Membership
@@ -102,7 +102,7 @@
         if self.role != "gateway":
             ctx.membership.remember_in(self.folder)
         ctx.setup = Setup(ctx)
-        ctx.ledger = Ledger(ctx)
+        ctx.replicated_log = ReplicatedLog(ctx)
         self.part = None
         if self.role == "storage":
             self.part = StorageNode(ctx, self.disk)
@@ -115,7 +115,7 @@
             if stage.engines is not None:
                 self.part = type("OnStage", (stage.gateway_kind,), {"stage": stage})(ctx)
                 self.part.open()
-            ctx.ledger.open()
+            ctx.replicated_log.open()
             ctx.cache.open()
         ctx.membership.open(Member(node=self.node, incarnation=1, role=self.role, zone=self.zone, host=self.place[0],
                                port=self.place[1], name=self.name if stage.named else ""))
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -135,11 +135,11 @@
         stage, c = self.stage(7)
         gateway = stage.role("gateway")[0]
         name = c.lot(3)
-        shelf = gateway.ctx.ledger.shelf(f"batch/{name}")
+        shelf = gateway.ctx.replicated_log.shelf(f"batch/{name}")
         storage_nodes = [a for a in stage.role("storage") if a.node in shelf.everyone]
 
         def trip(sender, verb):
-            if verb == "ledger.write" and sender is gateway:
+            if verb == "replicated_log.write" and sender is gateway:
                 stage.cut([gateway.name], [a.name for a in storage_nodes])
 
         stage.watch_calls = trip
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -62,7 +62,7 @@
 
         async def counted(place, verb, ask, kind, limit):
             r = await call(place, verb, ask, kind, limit)
-            if verb in ("cache.get", "ledger.read"):
+            if verb in ("cache.get", "replicated_log.read"):
                 got.append(len(r.SerializeToString()))
             return r
 
@@ -77,7 +77,7 @@
         gateway = stage.role("gateway")[0]
         for a in stage.role("gateway"):
             a.part._taking_up_batches.add(name)
-        h = stage.do(gateway.ctx.ledger.hold(batch_log(name)))
+        h = stage.do(gateway.ctx.replicated_log.hold(batch_log(name)))
         for records in groups:
             stage.do(h.append([r.SerializeToString() for r in records]))
         return h
@@ -201,7 +201,7 @@
                 stage, c = self.stage(10)
                 name = self.large(c, 3)
                 h = self.held(stage, name, [LogRecord(head=head_of(self.batch(c, name)))])
-                stage.do(stage.role("gateway")[0].ctx.ledger.release([h]))
+                stage.do(stage.role("gateway")[0].ctx.replicated_log.release([h]))
                 self.large(c, items, name=name, pad=5, size=BODY if items > 2 else 10)
                 for a in stage.role("gateway"):
                     a.part._taking_up_batches.discard(name)
@@ -217,7 +217,7 @@
         stage, c = self.stage(13)
         name = self.large(c, 3)
         h = self.held(stage, name, [LogRecord(head=head_of(self.batch(c, name)))])
-        stage.do(stage.role("gateway")[0].ctx.ledger.release([h]))
+        stage.do(stage.role("gateway")[0].ctx.replicated_log.release([h]))
         with mock.patch.object(type(h), "append", side_effect=NoRoom("full")) as append:
             said = [stage.do(c.hand_in(name, a)) for a in stage.role("gateway") * 3]
             self.assertTrue(append.called)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -96,7 +96,7 @@
         for gateways in (3, 6, 12, 20):
             with self.subTest(gateways=gateways):
                 c = self.count(gateways)
-                bounds = {"membership.probe": 5.1, "controller.follow": 4.1, "ledger.list": 3.1, "engines.loads": 5.1 * (gateways - 1)}
+                bounds = {"membership.probe": 5.1, "controller.follow": 4.1, "replicated_log.list": 3.1, "engines.loads": 5.1 * (gateways - 1)}
                 for verb, most in bounds.items():
                     self.assertLessEqual(c["gateway", verb], most, verb)
                 rest = sum(v for (role, verb), v in c.items() if role == "gateway" and verb not in bounds)
@@ -109,7 +109,7 @@
         few, more = self.count(gateways, 4), self.count(gateways, 24)
         for c, engines in ((few, 4), (more, 24)):
             self.assertLessEqual(c["gateway", "engines.tell"], 1.05 * engines * (gateways - 1) / gateways)
-        for verb in ("membership.probe", "controller.follow", "engines.loads", "ledger.list"):
+        for verb in ("membership.probe", "controller.follow", "engines.loads", "replicated_log.list"):
             self.assertAlmostEqual(few["gateway", verb], more["gateway", verb], delta=0.1 * few["gateway", verb], msg=verb)
 
     def test_a_held_follow_call_is_not_woken_by_the_others(self):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -42,7 +42,7 @@
 
     def owner(self, lot):
         return next((a for a in self.stage.role("gateway", alive=True)
-                     if result_log(lot) in a.ctx.ledger.holders and a.part.open_lots.get(lot)), None)
+                     if result_log(lot) in a.ctx.replicated_log.holders and a.part.open_lots.get(lot)), None)
 
     def close(self, lot):
         self.stage.until(lambda: self.stage.do(self.c.one_read(lot), 10)["state"] in ("done", "ended"), 60, "it is done")
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -148,9 +148,9 @@
         ctx = self.writer.ctx
 
         async def go():
-            h = ctx.ledger.holders.get("results/r")
+            h = ctx.replicated_log.holders.get("results/r")
             if h is None:
-                h = await ctx.ledger.hold("results/r")
+                h = await ctx.replicated_log.hold("results/r")
                 ctx.cache.shadow("results/r", h)
             for r in records:
                 await h.append([r])
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -30,7 +30,7 @@
 
     def write(self, log, n, final):
         async def go():
-            h = await self.gateway.ledger.hold(log)
+            h = await self.gateway.replicated_log.hold(log)
             for i in range(n):
                 await h.append([f"{log}/{i}".encode() * 100], final=final and i == n - 1)
             return h
@@ -43,7 +43,7 @@
     def test_old_logs_wither_their_room_comes_back_and_the_rest_stays(self):
         kept = self.write("lots/kept", 10, False)
         for n in range(12):
-            self.stage.do(self.gateway.ledger.release([self.write(f"results/{n}", 10, True)]))
+            self.stage.do(self.gateway.replicated_log.release([self.write(f"results/{n}", 10, True)]))
         full = self.used()
         self.stage.run(200)
         self.assertTrue(all(now < was / 2 for now, was in zip(self.used(), full)), (self.used(), full))
@@ -52,10 +52,10 @@
             a.start()
             a.ctx.beats.wall = self._wall
         self.stage.run(5)
-        states = self.stage.do(self.other.ledger.list("results/"))
+        states = self.stage.do(self.other.replicated_log.list("results/"))
         self.assertEqual([(s.final, s.length) for s in states.values()], [(True, 0)] * 12)
-        state = self.stage.do(self.other.ledger.states(["lots/kept"]))["lots/kept"]
-        data = self.stage.do(self.other.ledger.read("lots/kept", 0, state.committed))
+        state = self.stage.do(self.other.replicated_log.states(["lots/kept"]))["lots/kept"]
+        data = self.stage.do(self.other.replicated_log.read("lots/kept", 0, state.committed))
         self.assertEqual(data, bytes(kept.data))
 
     def test_a_torn_end_is_cut_and_mended_from_the_others(self):
@@ -68,7 +68,7 @@
         a.start()
         self.assertLess(a.part.shed.state("lots/torn").length, len(h.data))
         self.stage.until(lambda: a.part.shed.state("lots/torn").length == len(h.data), 20, "mended")
-        got = self.stage.do(self.other.ledger.read_from(a.node, "lots/torn", 0, len(h.data)))
+        got = self.stage.do(self.other.replicated_log.read_from(a.node, "lots/torn", 0, len(h.data)))
         self.assertEqual(got, bytes(h.data))
 
     def test_damage_inside_an_old_file_is_never_served(self):
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -29,7 +29,7 @@
                 return
             ctx = actor.ctx
             try:
-                h = await ctx.ledger.hold(self.log)
+                h = await ctx.replicated_log.hold(self.log)
                 self.holds += 1
                 for _ in range(ctx.chance.randrange(1, 12)):
                     n += 1
@@ -38,7 +38,7 @@
                     self.acked[at] = body
                     await ctx.beats.pause(ms(ctx.chance.randrange(60)))
                 if ctx.chance.random() < 0.5:
-                    await ctx.ledger.release([h])
+                    await ctx.replicated_log.release([h])
             except PipitFault:
                 pass
             await ctx.beats.pause(ms(200 + ctx.chance.randrange(800)))
@@ -47,9 +47,9 @@
         while not self.over and actor.alive:
             ctx = actor.ctx
             try:
-                state = (await ctx.ledger.states([self.log])).get(self.log)
+                state = (await ctx.replicated_log.states([self.log])).get(self.log)
                 if state is not None and state.committed:
-                    self.check(await ctx.ledger.read(self.log, 0, state.committed))
+                    self.check(await ctx.replicated_log.read(self.log, 0, state.committed))
             except PipitFault:
                 pass
             await ctx.beats.pause(ms(150))
@@ -76,13 +76,13 @@
         stage.run(3)
         stage.ready()
         for a in stage.role("gateway"):
-            stage.do(a.ctx.ledger.release(list(a.ctx.ledger.holders.values())))
+            stage.do(a.ctx.replicated_log.release(list(a.ctx.replicated_log.holders.values())))
         last = stage.role("gateway")[0].ctx
 
         async def final():
             while True:
                 try:
-                    return await last.ledger.hold(w.log)
+                    return await last.replicated_log.hold(w.log)
                 except NotHeld:
                     await last.beats.pause(ms(500))
 
@@ -113,13 +113,13 @@
         self.one, self.two = self.stage.role("gateway")
 
     def test_a_holder_that_slept_past_its_lease_is_fenced_and_stops_by_its_own_clock(self):
-        h = self.stage.do(self.one.ctx.ledger.hold("results/a"))
+        h = self.stage.do(self.one.ctx.replicated_log.hold("results/a"))
         self.stage.do(h.append([b"one"]))
         with self.assertRaises(NotHeld):
-            self.stage.do(self.two.ctx.ledger.hold("results/a"))
+            self.stage.do(self.two.ctx.replicated_log.hold("results/a"))
         self.one.freeze()
         self.stage.run(4)
-        h2 = self.stage.do(self.two.ctx.ledger.hold("results/a"))
+        h2 = self.stage.do(self.two.ctx.replicated_log.hold("results/a"))
         self.assertGreater(h2.epoch, h.epoch)
         self.stage.do(h2.append([b"two"]))
         self.one.thaw()
@@ -127,12 +127,12 @@
         with self.assertRaises((NotHeld, Fenced)):
             self.stage.do(h.append([b"late"]))
         self.stage.run(3)
-        state = self.stage.do(self.two.ctx.ledger.states(["results/a"]))["results/a"]
-        data = self.stage.do(self.two.ctx.ledger.read("results/a", 0, state.committed))
+        state = self.stage.do(self.two.ctx.replicated_log.states(["results/a"]))["results/a"]
+        data = self.stage.do(self.two.ctx.replicated_log.read("results/a", 0, state.committed))
         self.assertEqual([b for _, b, _ in frames(data)], [b"one", b"two"])
 
     def test_a_new_holder_keeps_a_tail_that_only_one_storage_node_was_sent(self):
-        h = self.stage.do(self.one.ctx.ledger.hold("results/b"))
+        h = self.stage.do(self.one.ctx.replicated_log.hold("results/b"))
         self.stage.do(h.append([b"first"]))
         storage_nodes = [a.name for a in self.stage.role("storage")]
         self.stage.cut([self.one.name], storage_nodes[1:])
@@ -141,7 +141,7 @@
         self.one.kill()
         self.stage.heal()
         self.stage.run(4)
-        h2 = self.stage.do(self.two.ctx.ledger.hold("results/b"))
+        h2 = self.stage.do(self.two.ctx.replicated_log.hold("results/b"))
         bodies = [b for _, b, _ in frames(bytes(h2.data))]
         self.assertEqual(bodies[0], b"first")
         self.stage.do(h2.append([b"next"]))
@@ -150,7 +150,7 @@
         self.assertEqual(len({(s.tail_epoch) for s in states if s.length == max(x.length for x in states)}), 1)
 
     def test_an_append_whose_receipts_were_lost_is_known_to_be_durable_once_storage_nodes_are_heard(self):
-        h = self.stage.do(self.one.ctx.ledger.hold("results/d"))
+        h = self.stage.do(self.one.ctx.replicated_log.hold("results/d"))
         self.stage.do(h.append([b"first"]))
         storage_nodes = [a.name for a in self.stage.role("storage")]
         self.stage.clock.callLater(0.002, lambda: self.stage.cut(storage_nodes, [self.one.name], one_way=True))
@@ -161,7 +161,7 @@
         self.assertTrue(h.held())
 
     def test_a_full_disk_refuses_lots_but_keeps_room_for_ends(self):
-        h = self.stage.do(self.one.ctx.ledger.hold("results/c"))
+        h = self.stage.do(self.one.ctx.replicated_log.hold("results/c"))
         for a in self.stage.role("storage"):
             shed = a.part.shed
             shed.budget = shed.used() + shed.reserve + 2000
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -8,8 +8,8 @@
 
 SEEDS = seeds(3)
 FEW = seeds(1)
-OWNED = ("ledger.lease", "ledger.write", "ledger.renew", "ledger.mark", "lots.end", "controller.append", "controller.vote",
-         "controller.follow", "ledger.read", "controller.caught_up")
+OWNED = ("replicated_log.lease", "replicated_log.write", "replicated_log.renew", "replicated_log.mark", "lots.end", "controller.append", "controller.vote",
+         "controller.follow", "replicated_log.read", "controller.caught_up")
 ROLES = ("gateway", "gateway", "storage", "controller")
 
 
--- a/tests/test_stage_shelves.py
+++ b/tests/test_stage_shelves.py
@@ -20,7 +20,7 @@
         ctx = actor.ctx
         while not self.over:
             try:
-                h = await ctx.ledger.hold(self.log)
+                h = await ctx.replicated_log.hold(self.log)
                 while not self.over:
                     n += 1
                     body = f"{self.log}/{n}".encode()
@@ -28,9 +28,9 @@
                     await ctx.beats.pause(ms(40))
             except PipitFault:
                 await ctx.beats.pause(ms(300))
-        for h in list(ctx.ledger.holders.values()):
+        for h in list(ctx.replicated_log.holders.values()):
             if h.log == self.log:
-                await ctx.ledger.release([h])
+                await ctx.replicated_log.release([h])
 
 
 class Shelves(unittest.TestCase):
@@ -50,7 +50,7 @@
         stage.run(4)
         for log in logs:
             self.assertGreater(len(log.acked), 20)
-            h = stage.do(stage.role("gateway")[0].ctx.ledger.hold(log.log), 30)
+            h = stage.do(stage.role("gateway")[0].ctx.replicated_log.hold(log.log), 30)
             found = {at: body for at, body, _ in frames(bytes(h.data))}
             for at, body in log.acked.items():
                 self.assertEqual(found.get(at), body, f"seed {stage.seed} {log.log}")
