--- a/pipitlink/dialect/reading.py
+++ b/pipitlink/dialect/reading.py
@@ -119,13 +119,13 @@
 def read_fields(raw: dict, fields, goal, where: str):
     """Fills the message from a JSON object; what no field names is left aside."""
     for f in fields:
-        holder, name = raw, f.word
-        while "." in name and isinstance(holder, dict):
+        leaseholder, name = raw, f.word
+        while "." in name and isinstance(leaseholder, dict):
             first, _, name = name.partition(".")
-            holder = holder.get(first) or {}
-        if not isinstance(holder, dict):
+            leaseholder = leaseholder.get(first) or {}
+        if not isinstance(leaseholder, dict):
             raise _wrong(f"{where}.{f.word}", "must be within an object")
-        value = holder.get(name)
+        value = leaseholder.get(name)
         if value is None:
             if f.needed:
                 raise _wrong(f"{where}.{f.word}", "is missing")
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -78,9 +78,9 @@
 class NotHeld(ReplicatedLogFault):
     code = "not_held"
 
-    def __init__(self, text: str, holder: str = ""):
+    def __init__(self, text: str, leaseholder: str = ""):
         super().__init__(text)
-        self.holder = holder
+        self.leaseholder = leaseholder
 
 
 class Damaged(ReplicatedLogFault):
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -42,11 +42,11 @@
         now = self._ctx.beats.now()
         taking = sum(o.taking for o in self.open_lots.values())
         for o in sorted(self.open_lots.values(), key=lambda o: o.lot.limit_ms):
-            if o.holder is not None and o.holder.lost:
+            if o.leaseholder is not None and o.leaseholder.lost:
                 self._lose(o)
-            elif o.holder is not None and (o.holder.final or len(o.results) == len(o.lot.items) and not o.running):
+            elif o.leaseholder is not None and (o.leaseholder.final or len(o.results) == len(o.lot.items) and not o.running):
                 self._ctx.spawned(self._finish_if_done(o), "finish")
-            if o.holder or o.taking or o.try_at > now or taking >= MAX_TAKING:
+            if o.leaseholder or o.taking or o.try_at > now or taking >= MAX_TAKING:
                 continue
             if self._owner(o.id) == self._ctx.node:
                 o.taking = True
@@ -71,7 +71,7 @@
             self._ctx.spawned(self._ctx.replicated_log.release([h]), "release")
             self._close(o.id)
             return
-        o.holder = h
+        o.leaseholder = h
         doubtful = [i for i in o.started if i not in o.results and not o.lot.items[i].repeatable]
         self._ctx.journal.note("lot_owned", lot=o.id, epoch=h.epoch, items=len(o.lot.items), done=len(o.results),
                                doubtful=len(doubtful))
@@ -83,14 +83,14 @@
     def _hand_over(self):
         """In an emptied zone a gateway gives up its lots once nothing of theirs runs; others take them up."""
         for o in self.open_lots.values():
-            if o.holder is not None and not o.running and not o.holder.lost:
-                self._ctx.spawned(self._ctx.replicated_log.release([o.holder]), "hand_over")
+            if o.leaseholder is not None and not o.running and not o.leaseholder.lost:
+                self._ctx.spawned(self._ctx.replicated_log.release([o.leaseholder]), "hand_over")
                 self._lose(o)
 
     def _lose(self, o: OpenLot):
         for work in o.running.values():
             work.cancel()
-        o.holder, o.waiting, o.running = None, [], {}
+        o.leaseholder, o.waiting, o.running = None, [], {}
         o.try_at = self._ctx.beats.now() + TAKE_AGAIN
 
     def _feed(self):
@@ -99,7 +99,7 @@
             return
         now = self._ctx.beats.now()
         wall = wall_ms(self._ctx.beats.wall())
-        owned = [o for o in self.open_lots.values() if o.holder is not None and o.waiting and not o.holder.final]
+        owned = [o for o in self.open_lots.values() if o.leaseholder is not None and o.waiting and not o.leaseholder.final]
         busy: dict[str, int] = {}
         for o in self.open_lots.values():
             busy[o.lot.customer] = busy.get(o.lot.customer, 0) + len(o.running)
@@ -109,7 +109,7 @@
             o = min(owned, key=lambda o: (self._urgency(o, wall), -self._priority(o), busy[o.lot.customer],
                                           o.lot.limit_ms))
             i = next((i for i in o.waiting if o.again_at.get(i, now) <= now and o.lot.items[i].model not in full), None)
-            if i is None or not o.holder.held():
+            if i is None or not o.leaseholder.held():
                 owned.remove(o)
                 continue
             item = o.lot.items[i]
@@ -148,7 +148,7 @@
         o.running.pop(i, None)
         if isinstance(getattr(r, "value", None), Exception) and not r.check(defer.CancelledError, ReplicatedLogFault):
             self._ctx.journal.fault("item_failed", r.value, lot=o.id, item=i)
-        if o.holder is not None and not o.holder.lost and not o.holder.final and i not in o.results \
+        if o.leaseholder is not None and not o.leaseholder.lost and not o.leaseholder.final and i not in o.results \
                 and i not in o.waiting:
             o.waiting.append(i)
             o.again_at[i] = self._ctx.beats.now() + TAKE_AGAIN
@@ -184,28 +184,28 @@
 
     def _proved(self, o: OpenLot, i: int, outcome: str) -> str:
         """`not_run` only where no try of this owner, nor one that an earlier owner need not have noted, may have run."""
-        touched = o.tries.get(i, 0) or (o.lot.items[i].repeatable and o.holder.epoch > 1)
+        touched = o.tries.get(i, 0) or (o.lot.items[i].repeatable and o.leaseholder.epoch > 1)
         return "unknown" if outcome == "not_run" and touched else outcome
 
     async def _mark_started(self, o: OpenLot, i: int, item: Item):
         """An item that may not be repeated is durably started before its call; then the lease must still hold."""
         if not item.repeatable and i not in o.started:
-            await o.holder.append([LogRecord(started=Started(item=i)).SerializeToString()], reserved=True)
+            await o.leaseholder.append([LogRecord(started=Started(item=i)).SerializeToString()], reserved=True)
             o.started.add(i)
         self._check_owned(o)
 
     def _check_owned(self, o: OpenLot):
-        if o.holder is None or not o.holder.held() or o.holder.final:
+        if o.leaseholder is None or not o.leaseholder.held() or o.leaseholder.final:
             raise NotHeld(f"{o.id}: the lease ended before the item was sent")
 
     async def _list(self, o: OpenLot, r: Result):
-        if r.item in o.results or o.holder is None or o.holder.final:
+        if r.item in o.results or o.leaseholder is None or o.leaseholder.final:
             return
         o.results[r.item] = r
-        await o.holder.append([LogRecord(result=r).SerializeToString()], reserved=True)
+        await o.leaseholder.append([LogRecord(result=r).SerializeToString()], reserved=True)
 
     async def _finish_if_done(self, o: OpenLot):
-        h = o.holder
+        h = o.leaseholder
         if h is None or h.lost or not h.final and (
                 len(o.results) < len(o.lot.items) or o.running.keys() - o.results or h.committed < len(h.data)):
             return
@@ -214,14 +214,14 @@
         await self._let_go(o)
 
     async def _end_log(self, h, why: str):
-        """The end is a mark of the lease's holder: if it does not get durable, the lot is open for the next one."""
+        """The end is a mark of the lease's leaseholder: if it does not get durable, the lot is open for the next one."""
         if h.final:
             await h.all_durable()
         else:
             await h.append([LogRecord(ended=Ended(why=why)).SerializeToString()], final=True, reserved=True)
 
     async def _let_go(self, o: OpenLot):
-        h, o.holder = o.holder, None
+        h, o.leaseholder = o.leaseholder, None
         if h is not None:
             self._close(o.id)
             await self._ctx.beats.pause(secs(1))
@@ -235,11 +235,11 @@
         o = self.open_lots.get(lot_id)
         if o is None:
             return "closed" if lot_id in self._closed else "unknown"
-        if o.holder is None:
+        if o.leaseholder is None:
             await self._own(o)
-        if o.holder is None:
+        if o.leaseholder is None:
             return "closed" if lot_id in self._closed else "not_owned"
-        h = o.holder
+        h = o.leaseholder
         try:
             await self._end_log(h, "ended")
         finally:
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -24,17 +24,17 @@
 class _Shard:
     """One shard's log of a day, and which lot each key in it stands for."""
 
-    holder: object
+    leaseholder: object
     parsed: int = 0
     keys: dict[str, tuple[str, bytes]] = attrs.field(factory=dict)
 
     def learn(self):
-        data = bytes(self.holder.data[self.parsed:])
+        data = bytes(self.leaseholder.data[self.parsed:])
         for at, body, end in frames(data):
             lot = LogRecord.FromString(body).lot
-            lot_id = f"{self.holder.log.removeprefix('lots/')}.{self.parsed + at}"
+            lot_id = f"{self.leaseholder.log.removeprefix('lots/')}.{self.parsed + at}"
             self.keys.setdefault(f"{lot.customer}\0{lot.key}", (lot_id, _digest(lot)))
-        self.parsed = len(self.holder.data)
+        self.parsed = len(self.leaseholder.data)
 
 
 class Keyed:
@@ -80,10 +80,10 @@
                 s.learn()
                 if key in s.keys:
                     lot_id, other = s.keys[key]
-                    await s.holder.all_durable()
+                    await s.leaseholder.all_durable()
                     return KeyedReceipt(lot=lot_id, again=True, same=other == digest)
-            h = shards[0].holder
-            if not all(s.holder.held() for s in shards):
+            h = shards[0].leaseholder
+            if not all(s.leaseholder.held() for s in shards):
                 raise NotHeld("the lease of this key's log is not current")
             start = await h.append([LogRecord(lot=lot).SerializeToString()])
             lot_id = f"{h.log.removeprefix('lots/')}.{start}"
@@ -92,7 +92,7 @@
 
     async def _shard(self, log: str) -> _Shard:
         s = self._shards.get(log)
-        if s is None or s.holder.lost:
+        if s is None or s.leaseholder.lost:
             self._shards.pop(log, None)
             try:
                 s = self._shards[log] = _Shard(await self.keep(log))
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -24,7 +24,7 @@
 
     id: str
     lot: Lot
-    holder: object = None
+    leaseholder: object = None
     taking: bool = False
     try_at: timedelta = timedelta(0)
     waiting: list[int] = attrs.field(factory=list)
@@ -79,7 +79,7 @@
 
     async def _see_closed(self):
         """Lots that another gateway finished or ended are open here no longer."""
-        theirs = [o.id for o in self.open_lots.values() if o.holder is None and not o.taking]
+        theirs = [o.id for o in self.open_lots.values() if o.leaseholder is None and not o.taking]
         for i in range(0, len(theirs), MOST_ASKED):
             logs = [result_log(lot_id) for lot_id in theirs[i:i + MOST_ASKED]]
             for log, state in (await self._ctx.replicated_log.states(logs)).items():
@@ -104,7 +104,7 @@
             if not idle or unread or self._lots_of.get(log, set()) - self._closed or self._owner(log) != self._ctx.node:
                 continue
             try:
-                h = self._ctx.replicated_log.holders.get(log) or await self._ctx.replicated_log.hold(log)
+                h = self._ctx.replicated_log.leaseholders.get(log) or await self._ctx.replicated_log.hold(log)
                 if not h.final:
                     await h.append([LogRecord(ended=Ended(why="done")).SerializeToString()], final=True, reserved=True)
                 await self._ctx.replicated_log.release([h])
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -93,7 +93,7 @@
     def beliefs(self) -> dict:
         engines = {e.name: f"{self.engines.status(e)} {e.news.address} {e.news.incarnation}"
                    for e in self.engines.all()}
-        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.holders.items())}
+        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.leaseholders.items())}
         return {"engines": engines, "leases": leases}
 
     def metrics(self) -> dict:
@@ -102,7 +102,7 @@
                for name in ("relaxed", "consistent", "durable", "durable_reads", "hedged", "unheard")}
         out["asks"] = ("Requests in the table", len(self.asks))
         out["open_lots"] = ("Lots known to be open", len(self.open_lots))
-        out["owned_lots"] = ("Lots this gateway owns", sum(o.holder is not None for o in self.open_lots.values()))
+        out["owned_lots"] = ("Lots this gateway owns", sum(o.leaseholder is not None for o in self.open_lots.values()))
         out["running"] = ("Requests on engines from here", sum(e.mine for e in self.engines.all()))
         out["cache_bytes"] = ("Bytes in the data cache here", self._ctx.cache.chunks.size)
         return out
@@ -120,5 +120,5 @@
             await self._ctx.beats.pause(ms(50))
         for o in self.open_lots.values():
             self._lose(o)
-        await self._ctx.replicated_log.release(list(self._ctx.replicated_log.holders.values()))
+        await self._ctx.replicated_log.release(list(self._ctx.replicated_log.leaseholders.values()))
         await self._ctx.membership.leave()
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -151,14 +151,14 @@
         raise Crowded("the lot's owner could not be asked", code="no_owner", outcome="unknown")
 
     async def _ask_owner(self, lot: str) -> str:
-        """Asks the lease's holder; where there is none, this gateway takes the lot up itself."""
+        """Asks the lease's leaseholder; where there is none, this gateway takes the lot up itself."""
         log = result_log(lot)
         state = (await self._ctx.replicated_log.states([log])).get(log)
         if state is not None and state.final:
             return "closed"
-        holder = state.holder if state is not None else ""
-        m = self._ctx.membership.find(holder) if holder else None
-        if not holder or holder == self._ctx.node:
+        leaseholder = state.leaseholder if state is not None else ""
+        m = self._ctx.membership.find(leaseholder) if leaseholder else None
+        if not leaseholder or leaseholder == self._ctx.node:
             return await self.end_here(lot)
         if m is None:
             return "lost"
--- a/pipitlink/replicated_log/__init__.py
+++ b/pipitlink/replicated_log/__init__.py
@@ -1,4 +1,4 @@
-from .holder import Holder
+from .leaseholder import Leaseholder
 from .replicated_log import ReplicatedLog
 
-__all__ = ["Holder", "ReplicatedLog"]
+__all__ = ["Leaseholder", "ReplicatedLog"]
--- a/pipitlink/replicated_log/holder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -11,7 +11,7 @@
                                WriteReceipt)
 from .shelf import Shelf
 
-__all__ = ["Holder"]
+__all__ = ["Leaseholder"]
 
 WRITE_LIMIT = secs(2)
 RETRY_BEAT = ms(150)
@@ -20,7 +20,7 @@
 MAX_WRITE = 4 * 1024 * 1024
 
 
-class Holder:
+class Leaseholder:
     """The one owner of a log while its lease lasts: settles the tail it found, then appends to all replicas."""
 
     def __init__(self, ctx, replicated_log, log: str):
@@ -98,7 +98,7 @@
         epoch = 1
         for _ in range(4):
             asked = self._ctx.beats.now()
-            ask = LeaseAsk(log=self.log, holder=self._ctx.node, epoch=epoch, shelf_sequence=self.shelf.sequence,
+            ask = LeaseAsk(log=self.log, leaseholder=self._ctx.node, epoch=epoch, shelf_sequence=self.shelf.sequence,
                            usurp=gone is not None, gone=gone or "")
             got = await self._replicated_log.ask_each(self.shelf.everyone, "replicated_log.lease", ask, LeaseReceipt,
                                               enough=lambda g: self.shelf.agree([n for n, r in g.items() if r.granted]))
@@ -108,7 +108,7 @@
                 break
             for r in got.values():
                 if r.why in ("held", "just_started") and not r.granted:
-                    raise NotHeld(f"{self.log} is held", r.state.holder)
+                    raise NotHeld(f"{self.log} is held", r.state.leaseholder)
             if not self.shelf.agree(got):
                 raise NoMajority(f"{self.log}: {len(got)} of {len(self.shelf.everyone)} storage nodes answered")
             epoch = max(r.state.epoch for r in got.values()) + 1
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -4,7 +4,7 @@
 from ..faults import NoMajority, WireFault
 from ..wire.replicated_log_pb2 import (Held, ListAsk, LogState, ReadAsk, ReadReceipt, RenewAsk, RenewReceipt, States,
                                StatesAsk)
-from .holder import Holder
+from .leaseholder import Leaseholder
 from .shelf import Shelf, shelf_of
 
 __all__ = ["ReplicatedLog"]
@@ -22,7 +22,7 @@
 
     def __init__(self, ctx):
         self._ctx = ctx
-        self.holders: dict[str, Holder] = {}
+        self.leaseholders: dict[str, Leaseholder] = {}
 
     def open(self):
         self._ctx.beats.every(RENEW_BEAT, self._renew, self._ctx.report("renew"))
@@ -63,58 +63,58 @@
             await done
         return dict(got)
 
-    async def hold(self, log: str, gone: str | None = None) -> Holder:
-        """Takes the lease of a log, settles its tail and returns the holder, ready to write.
+    async def hold(self, log: str, gone: str | None = None) -> Leaseholder:
+        """Takes the lease of a log, settles its tail and returns the leaseholder, ready to write.
 
-        `gone` names a holder that is known to be gone, or is empty where nobody is known to hold the log: then nothing is
+        `gone` names a leaseholder that is known to be gone, or is empty where nobody is known to hold the log: then nothing is
         waited for. Only for logs whose work may be done twice.
         """
-        h = Holder(self._ctx, self, log)
+        h = Leaseholder(self._ctx, self, log)
         try:
             await h.take(gone)
         except BaseException:
             h.lost = "not taken"
             self._ctx.spawned(self._give_back(h), "give_back")
             raise
-        self.holders[log] = h
+        self.leaseholders[log] = h
         return h
 
-    async def _give_back(self, h: Holder):
+    async def _give_back(self, h: Leaseholder):
         """What some storage nodes granted of a lease that was not taken, so that another need not wait until it lapses."""
         for storage_node, epoch in h.granted.items():
-            ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
+            ask = RenewAsk(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
             self._ctx.spawned(self.ask_each([storage_node], "replicated_log.renew", ask, RenewReceipt, ms(400)), "give_back")
 
-    def drop(self, h: Holder):
-        if self.holders.get(h.log) is h:
-            del self.holders[h.log]
+    def drop(self, h: Leaseholder):
+        if self.leaseholders.get(h.log) is h:
+            del self.leaseholders[h.log]
 
     async def _renew(self):
-        by_storage_node: dict[str, list[Holder]] = {}
-        for h in list(self.holders.values()):
+        by_storage_node: dict[str, list[Leaseholder]] = {}
+        for h in list(self.leaseholders.values()):
             h.renewing()
             for d in h.shelf.everyone:
                 by_storage_node.setdefault(d, []).append(h)
-        for storage_node, holders in by_storage_node.items():
-            spawn(self._renew_at(storage_node, holders)).addErrback(lambda f: None)
+        for storage_node, leaseholders in by_storage_node.items():
+            spawn(self._renew_at(storage_node, leaseholders)).addErrback(lambda f: None)
 
-    async def _renew_at(self, storage_node: str, holders: list[Holder]):
+    async def _renew_at(self, storage_node: str, leaseholders: list[Leaseholder]):
         asked = self._ctx.beats.now()
-        ask = RenewAsk(holder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in holders])
+        ask = RenewAsk(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in leaseholders])
         r = await self.ask(storage_node, "replicated_log.renew", ask, RenewReceipt)
         kept = set(r.kept)
-        for h in holders:
+        for h in leaseholders:
             if h.log in kept:
                 h.renewed(storage_node, asked, r.room)
 
-    async def release(self, holders: list[Holder]):
+    async def release(self, leaseholders: list[Leaseholder]):
         by_storage_node: dict[str, list[Held]] = {}
-        for h in holders:
+        for h in leaseholders:
             h.lapse("released")
             for d in h.shelf.everyone:
                 by_storage_node.setdefault(d, []).append(Held(log=h.log, epoch=h.epoch))
         for storage_node, held in by_storage_node.items():
-            ask = RenewAsk(holder=self._ctx.node, held=held, release=True)
+            ask = RenewAsk(leaseholder=self._ctx.node, held=held, release=True)
             await self.ask_each([storage_node], "replicated_log.renew", ask, RenewReceipt, ms(400))
 
     async def states(self, logs: list[str]) -> dict[str, LogState]:
@@ -231,6 +231,6 @@
     best.length = best.committed
     best.final = any(s.final and s.length <= best.committed for s in states.values())
     for s in states.values():
-        if s.holder and s.lease_ms >= best.lease_ms:
-            best.holder, best.lease_ms = s.holder, s.lease_ms
+        if s.leaseholder and s.lease_ms >= best.lease_ms:
+            best.leaseholder, best.lease_ms = s.leaseholder, s.lease_ms
     return best
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -62,7 +62,7 @@
     async def _take_once(self, batch: Batch, route, until: timedelta) -> Batch | None:
         """The batch as it is durable now; None where it surely is but could not be read again."""
         o = self.batches.get(batch.id)
-        if o is None or o.holder.lost:
+        if o is None or o.leaseholder.lost:
             try:
                 if not self._ctx.setup.usable():
                     raise Crowded("this gateway takes no batches now", code="not_current", retry_after=COME_BACK)
@@ -75,7 +75,7 @@
             self._drop_grant(batch.id)
             o = self.batches.get(batch.id)
             if self._closing_batches and o is not None and o.idle():
-                self._ctx.spawned(self._ctx.replicated_log.release([o.holder]), "hand_over")
+                self._ctx.spawned(self._ctx.replicated_log.release([o.leaseholder]), "hand_over")
 
     async def _batch_taken_already(self, batch_id: str, refused: GatewayFault) -> Batch | None:
         """What an earlier try has taken is not refused."""
@@ -104,8 +104,8 @@
         if not isinstance(o, OpenBatch):
             return o or None
         if o.batch is None:
-            if o.holder.final:
-                await self._ctx.replicated_log.release([o.holder])
+            if o.leaseholder.final:
+                await self._ctx.replicated_log.release([o.leaseholder])
                 return None
             await self._append_batch(o, batch)
         elif not o.taken():
@@ -130,7 +130,7 @@
             await self._ctx.beats.pause(LOOK_AGAIN)
 
     async def _append_batch(self, o: OpenBatch, batch: Batch):
-        h = o.holder
+        h = o.leaseholder
         before = len(h.data)
         o.batch = batch
         o.prepare()
@@ -153,5 +153,5 @@
             await self._await_batch_durable(o)
         except PipitFault as e:
             raise _unknown(f"the batch may yet be taken: {e}", 500) from e
-        if o.holder.lost:
+        if o.leaseholder.lost:
             raise _unknown("the lease ended before the batch was durable", 500)
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -78,7 +78,7 @@
 
     def _owned_listing(self, batch_id: str):
         o = self.batches.get(batch_id)
-        return o if o is not None and o.taken() and o.holder.held() else None
+        return o if o is not None and o.taken() and o.leaseholder.held() else None
 
     async def _listing_of(self, batch_id: str) -> Listing:
         """The batch as it surely is by now; a fault where it is not known, or nothing is sure."""
@@ -251,11 +251,11 @@
             return "unsure"
         if state.final:
             return "closed"
-        if not state.tail_epoch and not state.holder:
+        if not state.tail_epoch and not state.leaseholder:
             raise NotFound("there is no such batch", code="no_such_batch", field="id")
-        if state.holder in ("", self._ctx.node):
+        if state.leaseholder in ("", self._ctx.node):
             return await self._end_batch_here(batch_id)
-        m = self._ctx.membership.find(state.holder)
+        m = self._ctx.membership.find(state.leaseholder)
         if m is None:
             return "unsure"
         try:
@@ -279,19 +279,19 @@
         """Ended for good in its log first; only then, or where that is under way, is it told."""
         o = await self._hold_batch(batch_id)
         if o.batch is None:
-            final = o.holder.final
-            await self._ctx.replicated_log.release([o.holder])
+            final = o.leaseholder.final
+            await self._ctx.replicated_log.release([o.leaseholder])
             return "closed" if final else "unsure"
         if not o.taken():
             return "unsure"
-        if o.holder.final:
-            await o.holder.all_durable()
+        if o.leaseholder.final:
+            await o.leaseholder.all_durable()
             return "closed"
-        work = o.holder.append([LogRecord(ended=Ended(why="ended")).SerializeToString()], final=True, reserved=True)
+        work = o.leaseholder.append([LogRecord(ended=Ended(why="ended")).SerializeToString()], final=True, reserved=True)
         try:
             await work
         finally:
-            if o.holder.final:
+            if o.leaseholder.final:
                 for run in list(o.running.values()):
                     run.cancel()
         self._ctx.journal.note("batch_ended", batch=batch_id)
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -185,8 +185,8 @@
         try:
             if self._may_linger(o):
                 await self._ctx.beats.pause(LINGER)
-            while not o.holder.lost and not o.holder.final and (o.queue or len(o.done) == len(o.batch.items)):
-                if not o.holder.held():
+            while not o.leaseholder.lost and not o.leaseholder.final and (o.queue or len(o.done) == len(o.batch.items)):
+                if not o.leaseholder.held():
                     await self._ctx.beats.pause(HELD_BEAT)
                     continue
                 group, o.queue = o.queue, []
@@ -195,20 +195,20 @@
                 if final:
                     records.append(LogRecord(ended=Ended(why="done")).SerializeToString())
                 try:
-                    await o.holder.append(records, final=final, reserved=True)
+                    await o.leaseholder.append(records, final=final, reserved=True)
                 except Overdue:
                     await self._await_batch_durable(o)
         except ReplicatedLogFault as e:
             if not isinstance(e, (Fenced, NotHeld)):
                 self._ctx.journal.fault("outputs_unlisted", e, batch=o.id)
-            if not o.holder.lost and not o.holder.final:
-                o.holder.lapse("outputs could not be listed")
+            if not o.leaseholder.lost and not o.leaseholder.final:
+                o.leaseholder.lapse("outputs could not be listed")
         finally:
             o.flushing = False
 
     async def _await_batch_durable(self, o: OpenBatch):
-        while not o.holder.lost:
+        while not o.leaseholder.lost:
             try:
-                return await o.holder.all_durable()
+                return await o.leaseholder.all_durable()
             except Overdue:
                 continue
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -81,7 +81,7 @@
     """A batch that this gateway owns: what is durable of it, and what each item waits for."""
 
     id: str
-    holder: object
+    leaseholder: object
     batch: Batch | None = None
     listing: Listing = attrs.field(factory=Listing)
     position: int = 0
@@ -102,13 +102,13 @@
 
     def learn(self):
         """Takes in what has become durable."""
-        data = bytes(self.holder.data[self.position:self.holder.committed])
+        data = bytes(self.leaseholder.data[self.position:self.leaseholder.committed])
         at = 0
         for _, body, end in frames(data):
             self.listing.learn(LogRecord.FromString(body))
             at = end
         self.position += at
-        if at or self.holder.lost:
+        if at or self.leaseholder.lost:
             waiters, self.waiters = self.waiters, []
             for d in waiters:
                 d.called or d.callback(None)
@@ -117,7 +117,7 @@
         return self.listing.batch is not None
 
     def current(self) -> bool:
-        return self.holder.held() and not self.holder.final
+        return self.leaseholder.held() and not self.leaseholder.final
 
     def idle(self) -> bool:
         return self.taken() and not (self.running or self.queue or self.flushing)
@@ -129,7 +129,7 @@
 
 
 class Batches:
-    """Mixin: one log for each batch, whose lease's holder owns it; what nobody owns is taken up again."""
+    """Mixin: one log for each batch, whose lease's leaseholder owns it; what nobody owns is taken up again."""
 
     def _open_batches(self):
         self.batches: dict[str, OpenBatch] = {}
@@ -149,13 +149,13 @@
         self._closing_batches = True
         until = self._ctx.beats.now() + DRAIN
         while self.batches and self._ctx.beats.now() < until:
-            idle = [o.holder for o in self.batches.values() if o.idle()]
+            idle = [o.leaseholder for o in self.batches.values() if o.idle()]
             self._ctx.spawned(self._ctx.replicated_log.release(idle), "hand_over")
             await self._ctx.beats.pause(ms(25))
-        await self._ctx.replicated_log.release([o.holder for o in list(self.batches.values())])
+        await self._ctx.replicated_log.release([o.leaseholder for o in list(self.batches.values())])
 
     def batch_metrics(self) -> dict:
-        open_ = [o for o in self.batches.values() if not o.holder.final]
+        open_ = [o for o in self.batches.values() if not o.leaseholder.final]
         return {"batches_owned": ("Batches this gateway owns", len(open_)),
                 "batch_items_waiting": ("Items that wait for an engine here", sum(len(o.waiting) for o in open_)),
                 "batch_items_running": ("Items on engines from here", sum(len(o.running) for o in open_))}
@@ -176,7 +176,7 @@
     async def _hold_batch(self, batch_id: str, gone: str | None = None) -> OpenBatch:
         """The batch with its lease held here: as it was, or taken anew; without a `batch` where its log is empty."""
         o = self.batches.get(batch_id)
-        if o is not None and not o.holder.lost:
+        if o is not None and not o.leaseholder.lost:
             return o
         h = await self._ctx.replicated_log.hold(batch_log(batch_id), gone)
         o = OpenBatch(batch_id, h)
@@ -195,16 +195,16 @@
 
     def _adopt_batch(self, o: OpenBatch):
         self.batches[o.id] = o
-        self._ctx.cache.shadow(o.holder.log, o.holder)
-        o.holder.watch(lambda h: self._batch_moved(o))
+        self._ctx.cache.shadow(o.leaseholder.log, o.leaseholder)
+        o.leaseholder.watch(lambda h: self._batch_moved(o))
         self._wake_feed()
 
     def _batch_moved(self, o: OpenBatch):
         before = o.taken()
         o.learn()
-        if o.holder.lost:
+        if o.leaseholder.lost:
             self._lose_batch(o)
-        elif o.holder.final and o.listing.ended and not o.closing:
+        elif o.leaseholder.final and o.listing.ended and not o.closing:
             o.closing = True
             self._ctx.spawned(self._close_batch(o), "close_batch")
         elif not before:
@@ -222,7 +222,7 @@
         self._told_done(o.id, o.batch.route)
         self._ctx.journal.note("batch_closed", batch=o.id, why=o.listing.ended, listed=len(o.listing.outputs))
         await self._ctx.beats.pause(RELEASE_AFTER)
-        await self._ctx.replicated_log.release([o.holder])
+        await self._ctx.replicated_log.release([o.leaseholder])
 
     def _list_due(self) -> timedelta:
         """Seldom where no gateway tells of open batches and none has come or gone of late."""
@@ -238,7 +238,7 @@
         me = self._ctx.node
         owned = set(self.batches) | self._taking_up_batches
         free = {log.removeprefix(PREFIX) for log, s in found.items()
-                if s.holder in ("", me) or self._ctx.membership.status(s.holder) == "gone"} - owned
+                if s.leaseholder in ("", me) or self._ctx.membership.status(s.leaseholder) == "gone"} - owned
         self._orphan_batches = {b: self._orphan_batches.get(b, now) for b in free}
         if self._closing_batches or not self._ctx.setup.usable():
             return
@@ -262,13 +262,13 @@
         state = (await self._ctx.replicated_log.states([log])).get(log)
         if state is not None and state.final:
             return
-        if state is not None and state.holder not in ("", self._ctx.node) \
-                and self._ctx.membership.status(state.holder) != "gone":
+        if state is not None and state.leaseholder not in ("", self._ctx.node) \
+                and self._ctx.membership.status(state.leaseholder) != "gone":
             return
         try:
-            o = await self._hold_batch(batch_id, state.holder if state is not None else None)
+            o = await self._hold_batch(batch_id, state.leaseholder if state is not None else None)
         except PipitFault as e:
             self._ctx.journal.trace("batch_not_taken_up", batch=batch_id, text=e)
             return
         if o.batch is None:
-            await self._ctx.replicated_log.release([o.holder])
+            await self._ctx.replicated_log.release([o.leaseholder])
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -61,7 +61,7 @@
 
     def beliefs(self) -> dict:
         engines = {e.name: f"{self.engines.status(e)} {e.address}" for e in self.engines.all()}
-        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.holders.items())}
+        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.leaseholders.items())}
         return {"engines": engines, "leases": leases}
 
     def metrics(self) -> dict:
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -68,8 +68,8 @@
             else:
                 out[b] = WaitingLot(lot=b, route=route)
         for b, o in self.batches.items():
-            if not o.holder.lost:
-                out[b] = WaitingLot(lot=b, route=o.batch.route, tokens=0 if o.holder.final else o.tokens_left)
+            if not o.leaseholder.lost:
+                out[b] = WaitingLot(lot=b, route=o.batch.route, tokens=0 if o.leaseholder.final else o.tokens_left)
         return list(out.values())
 
     def _told_done(self, batch_id: str, route: str):
@@ -213,7 +213,7 @@
 
     def waiting_tokens(self, route: str) -> tuple[int, int]:
         """Tokens of items on a route that are not finished: of this gateway's batches, and of all that is told of."""
-        mine = sum(o.tokens_left for o in self.batches.values() if not o.holder.lost and o.batch.route == route)
+        mine = sum(o.tokens_left for o in self.batches.values() if not o.leaseholder.lost and o.batch.route == route)
         theirs = sum(t.tokens for b, t in self._quota_told.items() if t.route == route and b not in self.batches)
         return mine, mine + theirs
 
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -13,7 +13,7 @@
 
 @attrs.define
 class _Grant:
-    holder: str
+    leaseholder: str
     epoch: int
     until: timedelta
 
@@ -38,25 +38,25 @@
         s = self.shed.state(log)
         g = self._live_grant(log)
         if g is not None:
-            s.holder = g.holder
+            s.leaseholder = g.leaseholder
             s.lease_ms = int((g.until - self._ctx.beats.now()).total_seconds() * 1000)
         return s
 
     async def _lease(self, node, ask: LeaseAsk):
         """Grants a lease that nobody else has. Epochs alone keep a log whole; waiting for a lease only spares duels, so one
-        whose holder is gone may be asked for by its name, and one that nobody is known to hold without a wait (usurp)."""
+        whose leaseholder is gone may be asked for by its name, and one that nobody is known to hold without a wait (usurp)."""
         self._check_shelf(ask.log, ask.shelf_sequence)
         now = self._ctx.beats.now()
         g = self._live_grant(ask.log)
         state = self._state(ask.log)
-        if g is not None and g.holder not in (ask.holder, ask.gone):
+        if g is not None and g.leaseholder not in (ask.leaseholder, ask.gone):
             return LeaseReceipt(why="held", state=state)
         if g is None and now < self._quiet_until and state.epoch > 0 and not ask.usurp:
             state.lease_ms = int((self._quiet_until - now).total_seconds() * 1000)
             return LeaseReceipt(why="just_started", state=state)
         if ask.epoch <= state.epoch:
             return LeaseReceipt(why="epoch", state=state)
-        self._grants[ask.log] = _Grant(ask.holder, ask.epoch, now + LEASE_SPAN)
+        self._grants[ask.log] = _Grant(ask.leaseholder, ask.epoch, now + LEASE_SPAN)
         await self._syncer.put(lambda t: self.shed.promise(ask.log, ask.epoch, t))
         return LeaseReceipt(granted=True, state=self._state(ask.log), room=self.shed.room())
 
@@ -72,6 +72,6 @@
                 if g is not None and g.epoch == h.epoch:
                     del self._grants[h.log]
             else:
-                self._grants[h.log] = _Grant(ask.holder, h.epoch, until)
+                self._grants[h.log] = _Grant(ask.leaseholder, h.epoch, until)
                 out.kept.append(h.log)
         return out
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -119,7 +119,7 @@
         states = [self._state(n) for n in sorted(self.shed.logs)]
         shelves = self._ctx.setup.shelves
         return {"logs": {f"{shelf_of(s.log, shelves)}/{s.log}": f"epoch={s.tail_epoch} length={s.length} final={s.final}" for s in states},
-                "leases": {s.log: f"{s.holder}@{s.epoch}" for s in states if s.holder}}
+                "leases": {s.log: f"{s.leaseholder}@{s.epoch}" for s in states if s.leaseholder}}
 
     def metrics(self) -> dict:
         return {"disk_used_bytes": ("Bytes of the data folder in use", self.shed.used()),
--- a/pipitlink/storage/shed.py
+++ b/pipitlink/storage/shed.py
@@ -144,7 +144,7 @@
         return True
 
     def copy(self, e: Entry, expect_tail_epoch: int, expect_length: int, ticket) -> bool:
-        """A copy of another storage node's state; never where a later holder has already counted on what is here."""
+        """A copy of another storage node's state; never where a later leaseholder has already counted on what is here."""
         k = self.logs.get(e.log)
         if k is not None and k.granted > e.epoch:
             raise Fenced(f"{e.log}: epoch {k.granted} was granted here")
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -14,7 +14,7 @@
 
     def owner(self, stage, name):
         return next((a for a in stage.role("gateway", alive=True)
-                     if (o := a.part.batches.get(name)) and o.holder.held()), None)
+                     if (o := a.part.batches.get(name)) and o.leaseholder.held()), None)
 
     def test_a_batch_is_taken_run_and_listed_whole(self):
         stage, c = self.stage()
--- a/tests/test_batches_taken_up.py
+++ b/tests/test_batches_taken_up.py
@@ -13,7 +13,7 @@
 
     def owner(self, stage, name):
         return next((a for a in stage.role("gateway", alive=True)
-                     if (o := a.part.batches.get(name)) and o.holder.held()), None)
+                     if (o := a.part.batches.get(name)) and o.leaseholder.held()), None)
 
     def test_a_killed_owner_is_followed_as_soon_as_the_membership_has_it_for_gone(self):
         for seed in (1, 2, 3, 4):
--- a/tests/test_batches_trouble.py
+++ b/tests/test_batches_trouble.py
@@ -43,7 +43,7 @@
 
     def known(self, stage, name):
         out = [(a.name, a.node, (o := a.part.batches.get(name)) and (
-            o.holder.epoch, o.holder.lost, o.holder.final, o.holder.committed, len(o.holder.data), o.holder.held(),
+            o.leaseholder.epoch, o.leaseholder.lost, o.leaseholder.final, o.leaseholder.committed, len(o.leaseholder.data), o.leaseholder.held(),
             sorted(o.done), o.waiting, list(o.running), o.flushing, len(o.queue))) for a in stage.role("gateway")]
         return "\n".join(map(str, out)) + "\n" + "\n".join(x for x in stage.sink.lines if name in x)[-4000:]
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -269,7 +269,7 @@
         wall = wall_ms(self.beats.wall())
         o = OpenLot(name, Lot(customer=customer, priority=priority, limit_ms=wall + due_s * 1000,
                               items=[Item(model="m")] * items))
-        o.holder = type("Holder", (), {"held": lambda self: True, "lost": "", "epoch": 1, "final": False})()
+        o.leaseholder = type("Leaseholder", (), {"held": lambda self: True, "lost": "", "epoch": 1, "final": False})()
         o.waiting = list(range(items))
         self.open_lots[name] = o
         return o
@@ -311,7 +311,7 @@
         def listed(repeatable, tries, epoch, outcome="not_run"):
             o = OpenLot("x", Lot(items=[Item(model="m", repeatable=repeatable)]))
             o.tries[0] = tries
-            o.holder = type("Holder", (), {"epoch": epoch})
+            o.leaseholder = type("Leaseholder", (), {"epoch": epoch})
             return Dispatch()._proved(o, 0, outcome)
 
         self.assertEqual(listed(False, 0, 1), "not_run")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -42,7 +42,7 @@
 
     def owner(self, lot):
         return next((a for a in self.stage.role("gateway", alive=True)
-                     if result_log(lot) in a.ctx.replicated_log.holders and a.part.open_lots.get(lot)), None)
+                     if result_log(lot) in a.ctx.replicated_log.leaseholders and a.part.open_lots.get(lot)), None)
 
     def close(self, lot):
         self.stage.until(lambda: self.stage.do(self.c.one_read(lot), 10)["state"] in ("done", "ended"), 60, "it is done")
@@ -235,9 +235,9 @@
 
 async def _end_and_run_on(self, lot_id):
     o = self.open_lots.get(lot_id)
-    if o is None or o.holder is None:
+    if o is None or o.leaseholder is None:
         return "closed" if lot_id in self._closed else "not_owned"
-    h = o.holder
+    h = o.leaseholder
     await self._end_log(h, "ended")
     o.waiting, self.kept = [], o
     return "ended"
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -148,7 +148,7 @@
         ctx = self.writer.ctx
 
         async def go():
-            h = ctx.replicated_log.holders.get("results/r")
+            h = ctx.replicated_log.leaseholders.get("results/r")
             if h is None:
                 h = await ctx.replicated_log.hold("results/r")
                 ctx.cache.shadow("results/r", h)
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -76,7 +76,7 @@
         stage.run(3)
         stage.ready()
         for a in stage.role("gateway"):
-            stage.do(a.ctx.replicated_log.release(list(a.ctx.replicated_log.holders.values())))
+            stage.do(a.ctx.replicated_log.release(list(a.ctx.replicated_log.leaseholders.values())))
         last = stage.role("gateway")[0].ctx
 
         async def final():
@@ -112,7 +112,7 @@
         self.stage.ready()
         self.one, self.two = self.stage.role("gateway")
 
-    def test_a_holder_that_slept_past_its_lease_is_fenced_and_stops_by_its_own_clock(self):
+    def test_a_leaseholder_that_slept_past_its_lease_is_fenced_and_stops_by_its_own_clock(self):
         h = self.stage.do(self.one.ctx.replicated_log.hold("results/a"))
         self.stage.do(h.append([b"one"]))
         with self.assertRaises(NotHeld):
@@ -131,7 +131,7 @@
         data = self.stage.do(self.two.ctx.replicated_log.read("results/a", 0, state.committed))
         self.assertEqual([b for _, b, _ in frames(data)], [b"one", b"two"])
 
-    def test_a_new_holder_keeps_a_tail_that_only_one_storage_node_was_sent(self):
+    def test_a_new_leaseholder_keeps_a_tail_that_only_one_storage_node_was_sent(self):
         h = self.stage.do(self.one.ctx.replicated_log.hold("results/b"))
         self.stage.do(h.append([b"first"]))
         storage_nodes = [a.name for a in self.stage.role("storage")]
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -49,7 +49,7 @@
         out = []
         for a in stage.role("gateway"):
             o = a.part.open_lots.get(lot)
-            h = o and o.holder
+            h = o and o.leaseholder
             out.append((a.name, a.node, "closed" if lot in a.part._closed else "", o and (
                 a.part._owner(lot), sorted(o.results), sorted(o.started), o.waiting, list(o.running), o.again_at, o.taking,
                 o.try_at, h and (h.epoch, h.lost, h.final, h.committed, len(h.data), h.held()))))
@@ -72,7 +72,7 @@
         stage.until(lambda: sum(n["event"] == "run" for n in stage.notes) >= 3, 30, "items run")
 
         def owner():
-            return next((a for a in stage.role("gateway", alive=True) if (o := a.part.open_lots.get(lot)) and o.holder), None)
+            return next((a for a in stage.role("gateway", alive=True) if (o := a.part.open_lots.get(lot)) and o.leaseholder), None)
 
         owner().kill()
         stage.until(owner, 30, "another gateway owns it")
@@ -89,7 +89,7 @@
         self.addCleanup(stage.end)
         c = Customers(stage)
         lot = stage.until(lambda: stage.do(c.one_lot(12)), 20, "a lot is taken")
-        owner = stage.until(lambda: next((a for a in stage.role("gateway") if (o := a.part.open_lots.get(lot)) and o.holder),
+        owner = stage.until(lambda: next((a for a in stage.role("gateway") if (o := a.part.open_lots.get(lot)) and o.leaseholder),
                                          None), 30, "a gateway owns it")
         storage_nodes = [a.name for a in stage.role("storage")]
         stage.cut([owner.name], storage_nodes)
--- a/tests/test_stage_shelves.py
+++ b/tests/test_stage_shelves.py
@@ -28,7 +28,7 @@
                     await ctx.beats.pause(ms(40))
             except PipitFault:
                 await ctx.beats.pause(ms(300))
-        for h in list(ctx.replicated_log.holders.values()):
+        for h in list(ctx.replicated_log.leaseholders.values()):
             if h.log == self.log:
                 await ctx.replicated_log.release([h])
 
