--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -68,11 +68,11 @@
         whole = True
         for log, (state, storage_node) in best.items():
             try:
-                mine = self.shed.state(log)
+                mine = self.log_store.state(log)
                 if _rank(state) > _rank(mine) and not (_withered(mine) and mine.tail_epoch >= state.tail_epoch):
                     await self._copy_log(log, state, storage_node)
-                if joining and promised[log] > self.shed.state(log).epoch:
-                    await self._syncer.put(lambda t, log=log: self.shed.promise(log, promised[log], t, granted=False))
+                if joining and promised[log] > self.log_store.state(log).epoch:
+                    await self._syncer.put(lambda t, log=log: self.log_store.promise(log, promised[log], t, granted=False))
             except (ReplicatedLogFault, WireFault) as e:
                 self._ctx.journal.trace("copy_put_off", log=log, text=e)
                 whole = False
@@ -80,18 +80,18 @@
 
     async def _copy_log(self, log: str, state: LogState, storage_node: str):
         """Makes this copy the same as that storage node's, unsure tail and all, in one entry."""
-        mine = self.shed.state(log)
+        mine = self.log_store.state(log)
         start = mine.length if mine.tail_epoch == state.tail_epoch else min(mine.committed, state.length)
         data = await self._ctx.replicated_log.read_from(storage_node, log, start, state.length - start)
         if len(data) != state.length - start:
             raise NoMajority(f"{log}: {storage_node} did not show all of it")
         e = Entry(kind=Entry.WRITE, log=log, epoch=state.tail_epoch, position=start, data=data, final=state.final,
                   committed=min(state.committed, state.length), closed_ms=state.closed_ms)
-        done = self._syncer.put(lambda t: self.shed.copy(e, mine.tail_epoch, mine.length, t))
+        done = self._syncer.put(lambda t: self.log_store.copy(e, mine.tail_epoch, mine.length, t))
         if done is None:
             raise Fenced(f"{log} moved meanwhile")
         await done
-        self.shed.settle(log, state.tail_epoch, state.length, state.final)
+        self.log_store.settle(log, state.tail_epoch, state.length, state.final)
         self._ctx.journal.note("copied", log=log, bytes=len(data), source=storage_node)
         await self._ctx.beats.pause(secs(len(data) / (COPY_KB_S * 1024)))
 
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -35,7 +35,7 @@
         return None
 
     def _state(self, log: str):
-        s = self.shed.state(log)
+        s = self.log_store.state(log)
         g = self._live_grant(log)
         if g is not None:
             s.leaseholder = g.leaseholder
@@ -57,15 +57,15 @@
         if ask.epoch <= state.epoch:
             return LeaseReceipt(why="epoch", state=state)
         self._grants[ask.log] = _Grant(ask.leaseholder, ask.epoch, now + LEASE_SPAN)
-        await self._syncer.put(lambda t: self.shed.promise(ask.log, ask.epoch, t))
-        return LeaseReceipt(granted=True, state=self._state(ask.log), room=self.shed.room())
+        await self._syncer.put(lambda t: self.log_store.promise(ask.log, ask.epoch, t))
+        return LeaseReceipt(granted=True, state=self._state(ask.log), room=self.log_store.room())
 
     async def _renew(self, node, ask: RenewAsk):
         until = self._ctx.beats.now() + LEASE_SPAN
-        out = RenewReceipt(room=self.shed.room())
+        out = RenewReceipt(room=self.log_store.room())
         for h in ask.held:
             g = self._grants.get(h.log)
-            promised = self.shed.state(h.log).epoch
+            promised = self.log_store.state(h.log).epoch
             if promised != h.epoch:
                 continue
             if ask.release:
--- a/pipitlink/storage/keeping.py
+++ b/pipitlink/storage/keeping.py
@@ -19,26 +19,26 @@
     async def _keep(self):
         now = wall_ms(self._ctx.beats.wall())
         span = self._ctx.props.retention_s * 1000
-        for k in list(self.shed.logs.values()):
+        for k in list(self.log_store.logs.values()):
             if not (k.final and k.closed_ms):
                 continue
             if now - k.closed_ms > span + STONE_MS:
-                await self._syncer.put(lambda t, k=k: self.shed.forget(k.log, t))
+                await self._syncer.put(lambda t, k=k: self.log_store.forget(k.log, t))
             elif k.length and now - k.closed_ms > span:
-                await self._syncer.put(lambda t, k=k: self.shed.wither(k.log, t))
+                await self._syncer.put(lambda t, k=k: self.log_store.wither(k.log, t))
                 self._ctx.journal.note("log_withered", log=k.log)
         await self._give_back()
 
     def _emptiest(self) -> int | None:
         """The older file with the smallest share that counts, if that is small enough."""
         live: Counter = Counter()
-        for k in self.shed.logs.values():
+        for k in self.log_store.logs.values():
             for _, length, spot in k.extents:
                 live[spot[0]] += length
-        segments = self.shed.segments
+        segments = self.log_store.segments
         numbers = segments.numbers()[:-1]
         shares = {n: live[n] / max(1, segments.size(n)) for n in numbers
-                  if n == numbers[0] or n not in self.shed.forgets}
+                  if n == numbers[0] or n not in self.log_store.forgets}
         n = min(shares, key=shares.get, default=None)
         return n if n is not None and shares[n] <= FULL_SHARE else None
 
@@ -47,14 +47,14 @@
         n = self._emptiest()
         if n is None:
             return
-        for k in [k for k in self.shed.logs.values() if k.stands_in(n)]:
+        for k in [k for k in self.log_store.logs.values() if k.stands_in(n)]:
             before = (k.epoch, k.tail_epoch, k.length, k.final)
-            data = await self._ctx.on_thread(self._gather, self.shed.spans(k.log, 0, k.length))
+            data = await self._ctx.on_thread(self._gather, self.log_store.spans(k.log, 0, k.length))
             if before != (k.epoch, k.tail_epoch, k.length, k.final) or len(data) != k.length \
                     or k.synced != (k.tail_epoch, k.length, k.final):
                 return
-            await self._syncer.put(lambda t, k=k, data=data: self.shed.rewrite(k, data, t))
-        if not any(k.stands_in(n) for k in self.shed.logs.values()):
-            await self._syncer.put(lambda t: self.shed.segments.put(Entry(kind=Entry.NOTHING).SerializeToString(), t))
-            self.shed.segments.drop(n)
-            self._ctx.journal.note("room_given_back", file=n, used=self.shed.used())
+            await self._syncer.put(lambda t, k=k, data=data: self.log_store.rewrite(k, data, t))
+        if not any(k.stands_in(n) for k in self.log_store.logs.values()):
+            await self._syncer.put(lambda t: self.log_store.segments.put(Entry(kind=Entry.NOTHING).SerializeToString(), t))
+            self.log_store.segments.drop(n)
+            self._ctx.journal.note("room_given_back", file=n, used=self.log_store.used())
--- a/pipitlink/storage/shed.py
+++ b/pipitlink/storage/log_store.py
@@ -8,7 +8,7 @@
 from ..wire.replicated_log_pb2 import Entry, LogState
 from ..segments import Segments, Spot
 
-__all__ = ["Shed", "Kept"]
+__all__ = ["LogStore", "Kept"]
 
 
 @attrs.define(eq=False)
@@ -51,7 +51,7 @@
             self.length += length
 
 
-class Shed:
+class LogStore:
     """The logs of one storage node: what each holds, and the rules an entry must meet."""
 
     def __init__(self, folder: Path, disk: Disk, budget: int, reserve: int):
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -11,7 +11,7 @@
 from .copying import Copying
 from .grants import Grants
 from .keeping import Keeping
-from .shed import Shed
+from .log_store import LogStore
 
 __all__ = ["StorageNode", "node_id"]
 
@@ -38,13 +38,13 @@
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
         budget = ctx.props.budget_mb * 1024 * 1024
-        self.shed = Shed(Path(ctx.props.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024))
-        self._syncer = Syncer(ctx, self.shed.segments, self.shed.recover)
+        self.log_store = LogStore(Path(ctx.props.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024))
+        self._syncer = Syncer(ctx, self.log_store.segments, self.log_store.recover)
         self._staged: dict[tuple[str, int], bytes] = {}
 
     def open(self):
-        self.shed.recover()
-        self._ctx.journal.note("recovered", logs=len(self.shed.logs), used=self.shed.used())
+        self.log_store.recover()
+        self._ctx.journal.note("recovered", logs=len(self.log_store.logs), used=self.log_store.used())
         self._open_grants()
         self._open_copying()
         self._open_keeping()
@@ -66,12 +66,12 @@
         e = Entry(kind=Entry.WRITE, log=ask.log, epoch=ask.epoch, position=ask.position, data=data,
                   final=ask.final, committed=ask.committed, closed_ms=ask.closed_ms)
         ticket = self._syncer.put(
-            lambda t: self.shed.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t))
+            lambda t: self.log_store.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t))
         if ticket is None:
             return WriteReceipt(why="elsewhere", state=self._state(ask.log))
         end = ask.position + len(data)
         await ticket
-        self.shed.settle(ask.log, ask.epoch, end, ask.final)
+        self.log_store.settle(ask.log, ask.epoch, end, ask.final)
         return WriteReceipt(done=True, state=self._state(ask.log))
 
     def _stage(self, key, ask: WriteAsk) -> WriteReceipt:
@@ -83,22 +83,22 @@
         return WriteReceipt(done=True)
 
     async def _mark(self, node, ask: MarkAsk):
-        k = self.shed.logs.get(ask.log)
+        k = self.log_store.logs.get(ask.log)
         if k is not None and k.tail_epoch == ask.epoch:
             k.committed = max(k.committed, min(ask.committed, k.length))
 
     async def _read(self, node, ask: ReadAsk):
-        spans = self.shed.spans(ask.log, ask.position, min(ask.length, MAX_READ))
+        spans = self.log_store.spans(ask.log, ask.position, min(ask.length, MAX_READ))
         return ReadReceipt(data=await self._ctx.on_thread(self._gather, spans))
 
     def _gather(self, spans) -> bytes:
-        return b"".join(self.shed.segments.read_bytes(spot, n) for spot, n in spans)
+        return b"".join(self.log_store.segments.read_bytes(spot, n) for spot, n in spans)
 
     async def _states(self, node, ask: StatesAsk):
         return States(states=[self._state(log) for log in ask.logs[:4096]])
 
     async def _list(self, node, ask: ListAsk):
-        kept = ((n, k) for n, k in self.shed.logs.items() if n.startswith(ask.prefix))
+        kept = ((n, k) for n, k in self.log_store.logs.items() if n.startswith(ask.prefix))
         names = sorted(n for n, k in kept if not ask.open_only or k.length and not k.synced[2])
         if ask.one_shelf:
             names = (n for n in names if shelf_of(n, self._ctx.setup.shelves) == ask.shelf)
@@ -112,23 +112,23 @@
             raise OldShelf(f"shelf {shelf.number} is at sequence {shelf.sequence}, not {sequence}")
 
     def readiness(self):
-        used, room = self.shed.used(), self.shed.room()
-        return True, {"used": used, "room": room, "budget": self.shed.budget, "logs": len(self.shed.logs)}
+        used, room = self.log_store.used(), self.log_store.room()
+        return True, {"used": used, "room": room, "budget": self.log_store.budget, "logs": len(self.log_store.logs)}
 
     def beliefs(self) -> dict:
-        states = [self._state(n) for n in sorted(self.shed.logs)]
+        states = [self._state(n) for n in sorted(self.log_store.logs)]
         shelves = self._ctx.setup.shelves
         return {"logs": {f"{shelf_of(s.log, shelves)}/{s.log}": f"epoch={s.tail_epoch} length={s.length} final={s.final}" for s in states},
                 "leases": {s.log: f"{s.leaseholder}@{s.epoch}" for s in states if s.leaseholder}}
 
     def metrics(self) -> dict:
-        return {"disk_used_bytes": ("Bytes of the data folder in use", self.shed.used()),
-                "disk_room_bytes": ("Bytes before the reserve is touched", self.shed.room()),
-                "logs": ("Logs kept", len(self.shed.logs))}
+        return {"disk_used_bytes": ("Bytes of the data folder in use", self.log_store.used()),
+                "disk_room_bytes": ("Bytes before the reserve is touched", self.log_store.room()),
+                "logs": ("Logs kept", len(self.log_store.logs))}
 
     async def end(self):
         await self._ctx.membership.leave()
         self.close()
 
     def close(self):
-        self.shed.close()
+        self.log_store.close()
--- a/rehearsal/checker.py
+++ b/rehearsal/checker.py
@@ -8,7 +8,7 @@
 __all__ = ["check"]
 
 READ_SPAN = 4.0
-SHED_SPAN = 3.0
+LOG_STORE_SPAN = 3.0
 
 
 def check(events: list[dict], notes: list[dict], zones: dict[str, str], finished: bool = True,
@@ -75,9 +75,9 @@
         if fault.get("outcome") != "not_run" or e.get("status") not in (429, 503, 507):
             continue
         if not str(e.get("retry") or "").isdigit() or int(e["retry"]) < 1:
-            out.append(f"{name}: shed ({fault.get('code')}) without saying when to come back")
+            out.append(f"{name}: log store ({fault.get('code')}) without saying when to come back")
         took = e["at"] - e["asked"]
-        if took > SHED_SPAN and e["event"] in ("told", "fetched") \
+        if took > LOG_STORE_SPAN and e["event"] in ("told", "fetched") \
                 and not spans.hurt(e["asked"], e["at"], e.get("gateway")):
             out.append(f"{name}: the answer {fault.get('code')} was held back for {took:.1f} s")
 
--- a/rehearsal/pushes.py
+++ b/rehearsal/pushes.py
@@ -123,10 +123,10 @@
                 for t in crowd:
                     t.join(30)
             told = [e for e in self.calls.taken() if e["event"] == "told" and e["prompt"].startswith(mark)]
-            shed = sorted(e["at"] - e["asked"] for e in told if e["fault"])
+            log_store = sorted(e["at"] - e["asked"] for e in told if e["fault"])
             backs = sorted({int(e["retry"]) for e in told if str(e["retry"] or "").isdigit()})
-            self.say(f"the crowd: {sum(bool(e['end']) for e in told)} whole, {len(shed)} shed, the last after "
-                     f"{shed[-1] if shed else 0:.2f} s, told to come back after {backs} s, "
+            self.say(f"the crowd: {sum(bool(e['end']) for e in told)} whole, {len(log_store)} log store, the last after "
+                     f"{log_store[-1] if log_store else 0:.2f} s, told to come back after {backs} s, "
                      f"all told after {time.monotonic() - began:.2f} s")
 
         return ["crowd"], do
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -145,7 +145,7 @@
         stage.watch_calls = trip
         status = stage.do(c.hand_in(name, gateway, 1.0), 10)
         self.assertIn(status, (500, 504))
-        lengths = [k.length for a in storage_nodes if (k := a.part.shed.logs.get(f"batch/{name}"))]
+        lengths = [k.length for a in storage_nodes if (k := a.part.log_store.logs.get(f"batch/{name}"))]
         self.assertEqual(sum(n > 0 for n in lengths), 1)
         gateway.kill()
         stage.watch_calls = None
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -38,7 +38,7 @@
         return self.stage.do(go(), 60)
 
     def used(self):
-        return [a.part.shed.used() for a in self.stage.role("storage")]
+        return [a.part.log_store.used() for a in self.stage.role("storage")]
 
     def test_old_logs_wither_their_room_comes_back_and_the_rest_stays(self):
         kept = self.write("lots/kept", 10, False)
@@ -66,8 +66,8 @@
         data = path.read_bytes()
         path.write_bytes(data[:-7])
         a.start()
-        self.assertLess(a.part.shed.state("lots/torn").length, len(h.data))
-        self.stage.until(lambda: a.part.shed.state("lots/torn").length == len(h.data), 20, "mended")
+        self.assertLess(a.part.log_store.state("lots/torn").length, len(h.data))
+        self.stage.until(lambda: a.part.log_store.state("lots/torn").length == len(h.data), 20, "mended")
         got = self.stage.do(self.other.replicated_log.read_from(a.node, "lots/torn", 0, len(h.data)))
         self.assertEqual(got, bytes(h.data))
 
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -145,7 +145,7 @@
         bodies = [b for _, b, _ in frames(bytes(h2.data))]
         self.assertEqual(bodies[0], b"first")
         self.stage.do(h2.append([b"next"]))
-        states = [a.part.shed.state("results/b") for a in self.stage.role("storage")]
+        states = [a.part.log_store.state("results/b") for a in self.stage.role("storage")]
         self.stage.run(2)
         self.assertEqual(len({(s.tail_epoch) for s in states if s.length == max(x.length for x in states)}), 1)
 
@@ -163,8 +163,8 @@
     def test_a_full_disk_refuses_lots_but_keeps_room_for_ends(self):
         h = self.stage.do(self.one.ctx.replicated_log.hold("results/c"))
         for a in self.stage.role("storage"):
-            shed = a.part.shed
-            shed.budget = shed.used() + shed.reserve + 2000
+            log_store = a.part.log_store
+            log_store.budget = log_store.used() + log_store.reserve + 2000
         self.stage.run(1.5)
         with self.assertRaises(PipitFault) as no:
             self.stage.do(h.append([b"x" * 8000]))
