--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -172,9 +172,9 @@
         out = {}
         for d, status in s.storage_nodes.items():
             m = self._ctx.membership.find(d)
-            shelves = sum(d in tuple(x.storage_nodes) + (x.joining,) for x in s.shelves.values())
+            placement_groups = sum(d in tuple(x.storage_nodes) + (x.joining,) for x in s.placement_groups.values())
             out[d] = {"status": status, "name": s.storage_node_names.get(d, ""), "heard": self._ctx.membership.status(d), "zone": m.zone if m else "",
-                      "place": f"{m.host}:{m.port}" if m else "", "shelves": shelves}
+                      "place": f"{m.host}:{m.port}" if m else "", "placement_groups": placement_groups}
         return send_json(request, {"storage_nodes": out})
 
     def routes(self, add):
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -15,7 +15,7 @@
 from .gateways import Gateways
 from .leading import Leading
 from .retiring import Retiring
-from .shelving import Shelving
+from .placement import Placement
 from .voters import Voters
 from .voting import Founding, Voting
 
@@ -24,7 +24,7 @@
 BEAT = ms(50)
 
 
-class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Shelving, Voters, Charted):
+class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, Charted):
     chart = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
@@ -47,7 +47,7 @@
         self._open_leading()
         self._open_gateways()
         self._open_edits()
-        self._open_shelving()
+        self._open_placement()
         self._open_announcing()
         self._ctx.desk.answer("controller.empty", Nothing, self._empty)
         if self.archive.snapshot.sheet.voters:
@@ -55,7 +55,7 @@
         b, report = self._ctx.beats, self._ctx.report
         self._elections = b.every(BEAT, self._election_beat, report("election"), due=self._election_due)
         b.every(ms(300), self._found_beat, report("founding"), due=lambda: ZERO if self.state == "newcomer" else None)
-        for span, do, what in ((ms(100), self._lead_beat, "leading"), (ms(300), self._shelve_beat, "shelving"),
+        for span, do, what in ((ms(100), self._lead_beat, "leading"), (ms(300), self._shelve_beat, "placement"),
                                (ms(500), self._voters_beat, "voters")):
             self.lead_beats.append(b.every(span, do, report(what),
                                            due=lambda: ZERO if self.state == "leader" else None))
--- a/pipitlink/controller/shelving.py
+++ b/pipitlink/controller/placement.py
@@ -4,9 +4,9 @@
 from ..faults import GatewayFault
 from ..setup import Sheet
 from ..wire.replicated_log_pb2 import CaughtUp
-from ..wire.setup_pb2 import Command, StorageNodeEdit, ShelfRow, Shelving as ShelvingRow
+from ..wire.setup_pb2 import Command, StorageNodeEdit, PlacementGroupRow, Placement as PlacementRow
 
-__all__ = ["Shelving"]
+__all__ = ["Placement"]
 
 COPIES = 3
 SETTLE = secs(1)
@@ -14,17 +14,17 @@
 MAX_MOVES = 4
 
 
-class Shelving:
-    """Mixin: the leader places shelves on storage nodes, zones kept distinct where possible, and moves them off lost ones."""
+class Placement:
+    """Mixin: the leader places placement groups on storage nodes, zones kept distinct where possible, and moves them off lost ones."""
 
-    def _open_shelving(self):
-        self._caught_up_shelves: set[tuple[int, int, str]] = set()
+    def _open_placement(self):
+        self._caught_up_placement_groups: set[tuple[int, int, str]] = set()
         self._ctx.desk.answer("controller.caught_up", CaughtUp, self._told_caught_up)
 
     async def _told_caught_up(self, node, told: CaughtUp):
-        self._caught_up_shelves.add((told.shelf, told.sequence, told.storage_node))
-        if len(self._caught_up_shelves) > 10_000:
-            self._caught_up_shelves.clear()
+        self._caught_up_placement_groups.add((told.placement_group, told.sequence, told.storage_node))
+        if len(self._caught_up_placement_groups) > 10_000:
+            self._caught_up_placement_groups.clear()
 
     async def _shelve_beat(self):
         if self.state != "leader" or self.archive.term_at(self.commit) != self.term:
@@ -35,14 +35,14 @@
             return
         if self.sheet.settled == self.sheet.witnesses_at and (await self._admit_storage_node() or await self._let_storage_node_go()):
             return
-        if not self.sheet.shelves:
-            await self._first_shelves()
+        if not self.sheet.placement_groups:
+            await self._first_placement_groups()
             return
         rows = self._next_moves()
         if rows:
-            await self._propose(Command(shelving=ShelvingRow(shelves=rows)))
+            await self._propose(Command(placement=PlacementRow(placement_groups=rows)))
             for r in rows:
-                self._ctx.journal.note("shelf", shelf=r.number, sequence=r.sequence, storage_nodes=",".join(r.storage_nodes),
+                self._ctx.journal.note("placement_group", placement_group=r.number, sequence=r.sequence, storage_nodes=",".join(r.storage_nodes),
                                        joining=r.joining, leaving=r.leaving)
 
     async def _proved(self, c: Command):
@@ -71,9 +71,9 @@
                                   for d, n in self.sheet.storage_node_names.items() if n == name)
 
     async def _let_storage_node_go(self) -> bool:
-        """A storage node that keeps no shelf any more: a retired one may be switched off, a lost one is taken off."""
+        """A storage node that keeps no placement group any more: a retired one may be switched off, a lost one is taken off."""
         for storage_node, status in self.sheet.storage_nodes.items():
-            if not self.sheet.shelves or self._holds(self.sheet)[storage_node]:
+            if not self.sheet.placement_groups or self._holds(self.sheet)[storage_node]:
                 continue
             if status == "retiring" or (status != "retired" and self._lost(storage_node)):
                 goal = "retired" if status == "retiring" else "removed"
@@ -83,7 +83,7 @@
         return False
 
     def _holds(self, sheet: Sheet) -> Counter:
-        return Counter(d for s in sheet.shelves.values() for d in (*s.storage_nodes, s.joining) if d)
+        return Counter(d for s in sheet.placement_groups.values() for d in (*s.storage_nodes, s.joining) if d)
 
     def _zone(self, storage_node: str) -> str:
         m = self._ctx.membership.find(storage_node)
@@ -110,44 +110,44 @@
         return [d for d, s in self.sheet.storage_nodes.items()
                 if s == "serving" and self._ctx.membership.status(d) == "alive"]
 
-    async def _first_shelves(self):
+    async def _first_placement_groups(self):
         storage_nodes = self._serving()
         if len(storage_nodes) < COPIES:
             return
         held: Counter = Counter()
         rows = []
-        for n in range(self._ctx.props.shelves):
+        for n in range(self._ctx.props.placement_groups):
             picked: list[str] = []
             while len(picked) < COPIES:
                 picked.append(self._pick_storage_node(storage_nodes, picked, held))
                 held[picked[-1]] += 1
-            rows.append(ShelfRow(number=n, sequence=1, storage_nodes=picked))
-        await self._propose(Command(shelving=ShelvingRow(shelves=rows)))
-        self._ctx.journal.note("shelved", shelves=len(rows), storage_nodes=len(storage_nodes))
+            rows.append(PlacementGroupRow(number=n, sequence=1, storage_nodes=picked))
+        await self._propose(Command(placement=PlacementRow(placement_groups=rows)))
+        self._ctx.journal.note("shelved", placement_groups=len(rows), storage_nodes=len(storage_nodes))
 
     def _pick_storage_node(self, storage_nodes, beside, held) -> str:
         zones = {self._zone(d) for d in beside}
         free = [d for d in storage_nodes if d not in beside]
         return min(free, key=lambda d: (self._zone(d) in zones, held[d], d), default="")
 
-    def _next_moves(self) -> list[ShelfRow]:
-        """Moves that can end now, else a few that can begin; one replica of a shelf at a time."""
+    def _next_moves(self) -> list[PlacementGroupRow]:
+        """Moves that can end now, else a few that can begin; one replica of a placement group at a time."""
         ending, moving = [], 0
-        for s in self.sheet.shelves.values():
+        for s in self.sheet.placement_groups.values():
             if not s.joining:
                 continue
             moving += 1
-            if (s.number, s.sequence, s.joining) in self._caught_up_shelves:
+            if (s.number, s.sequence, s.joining) in self._caught_up_placement_groups:
                 storage_nodes = [s.joining if d == s.leaving else d for d in s.storage_nodes]
-                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, storage_nodes=storage_nodes))
+                ending.append(PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=storage_nodes))
             elif self._lost(s.joining):
-                ending.append(ShelfRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes))
+                ending.append(PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes))
         if ending:
             return ending
         starting = []
         held = self._holds(self.sheet)
         serving = self._serving()
-        for s in sorted(self.sheet.shelves.values(), key=lambda s: s.number):
+        for s in sorted(self.sheet.placement_groups.values(), key=lambda s: s.number):
             if s.joining or moving + len(starting) >= MAX_MOVES:
                 continue
             leaving = next((d for d in s.storage_nodes if self._lost(d)), "") \
@@ -160,22 +160,22 @@
                     starting.append(self._move(s, leaving, joining))
         return starting or ([] if moving else self._evening_out(held, serving))
 
-    def _move(self, s: ShelfRow, leaving: str, joining: str) -> ShelfRow:
-        return ShelfRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes, joining=joining, leaving=leaving)
+    def _move(self, s: PlacementGroupRow, leaving: str, joining: str) -> PlacementGroupRow:
+        return PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes, joining=joining, leaving=leaving)
 
-    def _evening_out(self, held: Counter, serving: list[str]) -> list[ShelfRow]:
-        """A new storage node takes a fair share, one shelf at a time, where zones stay as distinct as they were.
+    def _evening_out(self, held: Counter, serving: list[str]) -> list[PlacementGroupRow]:
+        """A new storage node takes a fair share, one placement group at a time, where zones stay as distinct as they were.
 
-        Not while a shelf lacks one of its storage nodes: a move needs a majority of both its sets.
+        Not while a placement group lacks one of its storage nodes: a move needs a majority of both its sets.
         """
-        away = any(self._ctx.membership.status(d) != "alive" for s in self.sheet.shelves.values() for d in s.storage_nodes)
+        away = any(self._ctx.membership.status(d) != "alive" for s in self.sheet.placement_groups.values() for d in s.storage_nodes)
         if len(serving) <= COPIES or away:
             return []
         low = min(serving, key=lambda d: (held[d], d))
         for high in sorted(serving, key=lambda d: -held[d]):
             if held[high] - held[low] < 2:
                 return []
-            for s in self.sheet.shelves.values():
+            for s in self.sheet.placement_groups.values():
                 rest = {self._zone(d) for d in s.storage_nodes if d != high}
                 if high in s.storage_nodes and low not in s.storage_nodes and (self._zone(low) not in rest
                                                                  or self._zone(high) in rest):
@@ -186,5 +186,5 @@
         rest = [d for d, s in sheet.storage_nodes.items()
                 if s == "serving" and d != storage_node and self._ctx.membership.status(d) == "alive"]
         if len(rest) < COPIES:
-            raise GatewayFault(f"{len(rest)} live storage nodes would be left and each shelf needs {COPIES}",
+            raise GatewayFault(f"{len(rest)} live storage nodes would be left and each placement group needs {COPIES}",
                              code="too_few_copies", status=409, outcome="not_run")
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -1,6 +1,6 @@
 __all__ = [
     "PipitFault", "PropsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
-    "ReplicatedLogFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldShelf", "Damaged",
+    "ReplicatedLogFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldPlacementGroup", "Damaged",
     "GatewayFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
     "ControllerFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
 ]
@@ -71,8 +71,8 @@
         self.sent = sent
 
 
-class OldShelf(ReplicatedLogFault):
-    code = "old_shelf"
+class OldPlacementGroup(ReplicatedLogFault):
+    code = "old_placement_group"
 
 
 class NotHeld(ReplicatedLogFault):
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -68,8 +68,8 @@
                "setup": {"sequence": sheet.sequence, "table": sheet.table, "voters": ",".join(sheet.voters),
                          "empty_zones": ",".join(sorted(sheet.empty_zones))},
                "membership": {}, "status": {}, "storage_nodes": dict(sheet.storage_nodes),
-               "shelves": {str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
-                           for n, s in sorted(sheet.shelves.items())}}
+               "placement_groups": {str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
+                           for n, s in sorted(sheet.placement_groups.items())}}
         for m in [*self._ctx.membership.everyone()]:
             out["membership"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
             out["status"][m.node] = self._ctx.membership.status(m.node)
--- a/pipitlink/props.py
+++ b/pipitlink/props.py
@@ -86,7 +86,7 @@
     data: str = ""
     budget_mb: int = attrs.field(default=1024, validator=_positive)
     log_level: str = attrs.field(default="info", validator=_level)
-    shelves: int = attrs.field(default=16, validator=_positive)
+    placement_groups: int = attrs.field(default=16, validator=_positive)
     max_body_kb: int = attrs.field(default=1024, validator=_positive)
     max_items: int = attrs.field(default=1000, validator=_positive)
     max_running: int = attrs.field(default=512, validator=_positive)
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -9,7 +9,7 @@
 from ..wire.frame_pb2 import Nothing
 from ..wire.replicated_log_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, States, StatesAsk, WriteAsk,
                                WriteReceipt)
-from .shelf import Shelf
+from .placement_group import PlacementGroup
 
 __all__ = ["Leaseholder"]
 
@@ -28,7 +28,7 @@
         self._replicated_log = replicated_log
         self.log = log
         self.epoch = 0
-        self.shelf = replicated_log.shelf(log)
+        self.placement_group = replicated_log.placement_group(log)
         self.data = bytearray()
         self.committed = 0
         self.final = False
@@ -43,7 +43,7 @@
         self._waiters: list[tuple[int, defer.Deferred]] = []
         self._reserved = False
         self._best = (0, 0)
-        self._moved: Shelf | None = None
+        self._moved: PlacementGroup | None = None
         self._moved_at = ZERO
         self._watchers: list = []
 
@@ -52,10 +52,10 @@
         return not self.lost and self._renewed_by_majority()
 
     def _renewed_by_majority(self) -> bool:
-        """Or by one of the shelf as it was until a short while ago: a storage node that joins it is only asked to renew since."""
+        """Or by one of the placement group as it was until a short while ago: a storage node that joins it is only asked to renew since."""
         now = self._ctx.beats.now()
         kept = [d for d, at in self._renewals.items() if now - at < HOLD_SPAN]
-        return self.shelf.agree(kept) or \
+        return self.placement_group.agree(kept) or \
             self._moved is not None and now - self._moved_at < MOVED_SPAN and self._moved.agree(kept)
 
     def renewing(self):
@@ -64,15 +64,15 @@
             self.lapse("lease ran out")
 
     def look_again(self):
-        """Follows its shelf where the setup has moved it."""
-        shelf = self._replicated_log.shelf(self.log)
-        if shelf.sequence > self.shelf.sequence:
-            self._moved, self._moved_at = self.shelf, self._ctx.beats.now()
-            self.shelf = shelf
-            for n in [n for n in self._states if n not in shelf.everyone]:
+        """Follows its placement group where the setup has moved it."""
+        placement_group = self._replicated_log.placement_group(self.log)
+        if placement_group.sequence > self.placement_group.sequence:
+            self._moved, self._moved_at = self.placement_group, self._ctx.beats.now()
+            self.placement_group = placement_group
+            for n in [n for n in self._states if n not in placement_group.everyone]:
                 del self._states[n]
             if self.data and not self.lost:
-                for n in shelf.everyone:
+                for n in placement_group.everyone:
                     self._send_to(n)
 
     def renewed(self, storage_node: str, asked: timedelta, room: int):
@@ -98,19 +98,19 @@
         epoch = 1
         for _ in range(4):
             asked = self._ctx.beats.now()
-            ask = LeaseAsk(log=self.log, leaseholder=self._ctx.node, epoch=epoch, shelf_sequence=self.shelf.sequence,
+            ask = LeaseAsk(log=self.log, leaseholder=self._ctx.node, epoch=epoch, placement_group_sequence=self.placement_group.sequence,
                            usurp=gone is not None, gone=gone or "")
-            got = await self._replicated_log.ask_each(self.shelf.everyone, "replicated_log.lease", ask, LeaseReceipt,
-                                              enough=lambda g: self.shelf.agree([n for n, r in g.items() if r.granted]))
+            got = await self._replicated_log.ask_each(self.placement_group.everyone, "replicated_log.lease", ask, LeaseReceipt,
+                                              enough=lambda g: self.placement_group.agree([n for n, r in g.items() if r.granted]))
             granted = [n for n, r in got.items() if r.granted]
             self.granted.update((n, epoch) for n in granted)
-            if self.shelf.agree(granted):
+            if self.placement_group.agree(granted):
                 break
             for r in got.values():
                 if r.why in ("held", "just_started") and not r.granted:
                     raise NotHeld(f"{self.log} is held", r.state.leaseholder)
-            if not self.shelf.agree(got):
-                raise NoMajority(f"{self.log}: {len(got)} of {len(self.shelf.everyone)} storage nodes answered")
+            if not self.placement_group.agree(got):
+                raise NoMajority(f"{self.log}: {len(got)} of {len(self.placement_group.everyone)} storage nodes answered")
             epoch = max(r.state.epoch for r in got.values()) + 1
         else:
             raise NotHeld(f"{self.log}: outbid")
@@ -142,7 +142,7 @@
         if self.final:
             raise Fenced(f"{self.log} is final")
         size = sum(len(r) + 64 for r in records)
-        if not reserved and not self.shelf.agree([n for n, room in self._room.items() if room > size]):
+        if not reserved and not self.placement_group.agree([n for n, room in self._room.items() if room > size]):
             raise NoRoom(f"{self.log}: the storage nodes are out of room", sent=False)
         self._reserved = reserved
         self._no_room.clear()
@@ -162,7 +162,7 @@
         if not restamp and self.committed >= end:
             return
         self._waiters.append((end, d))
-        for n in self.shelf.everyone:
+        for n in self.placement_group.everyone:
             self._send_to(n)
         await self._ctx.beats.within(WRITE_LIMIT * 2, d)
 
@@ -181,7 +181,7 @@
 
     async def _send(self, node: str):
         """One task for each replica, while it lacks anything."""
-        while not self.lost and node in self.shelf.everyone:
+        while not self.lost and node in self.placement_group.everyone:
             state = self._states.get(node)
             try:
                 if state is None:
@@ -197,7 +197,7 @@
                 if e.fault == "no_room":
                     self._full(node)
                     return
-                if e.fault == "old_shelf":
+                if e.fault == "old_placement_group":
                     self.look_again()
                 self._states.pop(node, None)
                 await self._ctx.beats.pause(RETRY_BEAT)
@@ -220,7 +220,7 @@
             start = min(state.committed, state.length)
         data = bytes(self.data[start:])
         final = self.final
-        ask = WriteAsk(log=self.log, epoch=self.epoch, shelf_sequence=self.shelf.sequence, position=start,
+        ask = WriteAsk(log=self.log, epoch=self.epoch, placement_group_sequence=self.placement_group.sequence, position=start,
                        expect_tail_epoch=state.tail_epoch, expect_length=state.length,
                        committed=self.committed, final=final, reserved=self._reserved, closed_ms=self.closed_ms)
         while len(data) - ask.staged_bytes > MAX_WRITE:
@@ -234,8 +234,8 @@
 
     def _full(self, node):
         self._no_room.add(node)
-        rest = [n for n in self.shelf.everyone if n not in self._no_room]
-        if not self.shelf.agree(rest):
+        rest = [n for n in self.placement_group.everyone if n not in self._no_room]
+        if not self.placement_group.agree(rest):
             waiters, self._waiters = self._waiters, []
             for _, d in waiters:
                 d.errback(NoRoom(f"{self.log}: the storage nodes are out of room"))
@@ -243,9 +243,9 @@
 
     def _advance(self):
         marks = {n: s.length for n, s in self._states.items() if s.tail_epoch == self.epoch}
-        if not self.shelf.agree(marks):
+        if not self.placement_group.agree(marks):
             return
-        reached = self.shelf.reached(marks)
+        reached = self.placement_group.reached(marks)
         ready = [w for w in self._waiters if w[0] <= reached]
         self._waiters = [w for w in self._waiters if w[0] > reached]
         if reached > self.committed or ready:
@@ -259,4 +259,4 @@
 
     async def _mark(self):
         ask = MarkAsk(log=self.log, epoch=self.epoch, committed=self.committed)
-        await self._replicated_log.ask_each(self.shelf.everyone, "replicated_log.mark", ask, Nothing)
+        await self._replicated_log.ask_each(self.placement_group.everyone, "replicated_log.mark", ask, Nothing)
--- a/pipitlink/replicated_log/shelf.py
+++ b/pipitlink/replicated_log/placement_group.py
@@ -2,16 +2,16 @@
 
 import attrs
 
-__all__ = ["Shelf", "shelf_of"]
+__all__ = ["PlacementGroup", "placement_group_of"]
 
 
-def shelf_of(log: str, shelves: int) -> int:
-    return int.from_bytes(blake2b(log.encode(), digest_size=4).digest(), "big") % shelves
+def placement_group_of(log: str, placement_groups: int) -> int:
+    return int.from_bytes(blake2b(log.encode(), digest_size=4).digest(), "big") % placement_groups
 
 
 @attrs.frozen
-class Shelf:
-    """Where a shelf's logs are kept. While `joining` is to take the place of `leaving`, both sets must agree."""
+class PlacementGroup:
+    """Where a placement group's logs are kept. While `joining` is to take the place of `leaving`, both sets must agree."""
 
     number: int
     sequence: int
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -5,7 +5,7 @@
 from ..wire.replicated_log_pb2 import (Held, ListAsk, LogState, ReadAsk, ReadReceipt, RenewAsk, RenewReceipt, States,
                                StatesAsk)
 from .leaseholder import Leaseholder
-from .shelf import Shelf, shelf_of
+from .placement_group import PlacementGroup, placement_group_of
 
 __all__ = ["ReplicatedLog"]
 
@@ -27,8 +27,8 @@
     def open(self):
         self._ctx.beats.every(RENEW_BEAT, self._renew, self._ctx.report("renew"))
 
-    def shelf(self, log: str) -> Shelf:
-        return self._ctx.setup.shelf(shelf_of(log, self._ctx.setup.shelves))
+    def placement_group(self, log: str) -> PlacementGroup:
+        return self._ctx.setup.placement_group(placement_group_of(log, self._ctx.setup.placement_groups))
 
     def place(self, node: str):
         m = self._ctx.membership.find(node)
@@ -93,7 +93,7 @@
         by_storage_node: dict[str, list[Leaseholder]] = {}
         for h in list(self.leaseholders.values()):
             h.renewing()
-            for d in h.shelf.everyone:
+            for d in h.placement_group.everyone:
                 by_storage_node.setdefault(d, []).append(h)
         for storage_node, leaseholders in by_storage_node.items():
             spawn(self._renew_at(storage_node, leaseholders)).addErrback(lambda f: None)
@@ -111,7 +111,7 @@
         by_storage_node: dict[str, list[Held]] = {}
         for h in leaseholders:
             h.lapse("released")
-            for d in h.shelf.everyone:
+            for d in h.placement_group.everyone:
                 by_storage_node.setdefault(d, []).append(Held(log=h.log, epoch=h.epoch))
         for storage_node, held in by_storage_node.items():
             ask = RenewAsk(leaseholder=self._ctx.node, held=held, release=True)
@@ -121,7 +121,7 @@
         """What is surely durable of each log, by a majority of its storage nodes; logs without one are left out."""
         by_storage_node: dict[str, list[str]] = {}
         for log in logs:
-            for d in self.shelf(log).everyone:
+            for d in self.placement_group(log).everyone:
                 by_storage_node.setdefault(d, []).append(log)
         heard: dict[str, dict[str, LogState]] = {log: {} for log in logs}
         done = defer.Deferred(lambda _: None)
@@ -139,7 +139,7 @@
             left -= 1
             if not left:
                 finish()
-            elif all(self.shelf(log).agree(states) for log, states in heard.items()):
+            elif all(self.placement_group(log).agree(states) for log, states in heard.items()):
                 self._ctx.beats.later(GRACE, finish)
 
         for d, n in by_storage_node.items():
@@ -148,9 +148,9 @@
             await done
         out = {}
         for log, states in heard.items():
-            shelf = self.shelf(log)
-            if shelf.agree(states):
-                out[log] = agreed(shelf, states)
+            placement_group = self.placement_group(log)
+            if placement_group.agree(states):
+                out[log] = agreed(placement_group, states)
         return out
 
     async def list(self, prefix: str) -> dict[str, LogState]:
@@ -160,26 +160,26 @@
     async def list_open(self, prefix: str) -> tuple[dict[str, LogState], bool]:
         """Those that some storage node has as not final, and whether enough storage nodes answered that none was missed.
 
-        Goes on once a majority of each shelf answered: what is durable is on one of them, so a storage node that is away holds
+        Goes on once a majority of each placement group answered: what is durable is on one of them, so a storage node that is away holds
         nobody up.
         """
         return await self._list(ListAsk(prefix=prefix, open_only=True))
 
     async def _list(self, ask: ListAsk) -> tuple[dict[str, LogState], bool]:
-        shelves = [self._ctx.setup.shelf(n) for n in range(self._ctx.setup.shelves)]
-        storage_nodes = sorted({d for s in shelves for d in s.everyone})
-        enough = (lambda g: all(s.agree(g) for s in shelves)) if ask.open_only else None
+        placement_groups = [self._ctx.setup.placement_group(n) for n in range(self._ctx.setup.placement_groups)]
+        storage_nodes = sorted({d for s in placement_groups for d in s.everyone})
+        enough = (lambda g: all(s.agree(g) for s in placement_groups)) if ask.open_only else None
         got = await self.ask_each(storage_nodes, "replicated_log.list", ask, States, secs(1), enough=enough)
         heard: dict[str, dict[str, LogState]] = {}
         for storage_node, r in got.items():
             for s in r.states:
                 heard.setdefault(s.log, {})[storage_node] = s
-        found = {log: agreed(self.shelf(log), states) for log, states in heard.items()}
-        return found, all(s.agree(got) for s in shelves)
+        found = {log: agreed(self.placement_group(log), states) for log, states in heard.items()}
+        return found, all(s.agree(got) for s in placement_groups)
 
     async def read(self, log: str, position: int, length: int) -> bytes:
         """Reads one span from the durable log, whole or not at all; where one storage node is slow, from the next as well."""
-        nodes = list(self.shelf(log).everyone)
+        nodes = list(self.placement_group(log).everyone)
         self._ctx.chance.shuffle(nodes)
         nodes.sort(key=lambda n: self._ctx.membership.status(n) != "alive")
         got: list[bytes] = []
@@ -218,14 +218,14 @@
         return out
 
 
-def agreed(shelf: Shelf, states: dict[str, LogState]) -> LogState:
+def agreed(placement_group: PlacementGroup, states: dict[str, LogState]) -> LogState:
     """The longest length that is surely committed: told as such, or held by majorities under one tail epoch."""
     best = LogState(log=next(iter(states.values())).log)
     best.committed = max(s.committed for s in states.values())
     for epoch in {s.tail_epoch for s in states.values()}:
         held = {d: s.length for d, s in states.items() if s.tail_epoch == epoch}
-        if shelf.agree(held):
-            best.committed = max(best.committed, shelf.reached(held))
+        if placement_group.agree(held):
+            best.committed = max(best.committed, placement_group.reached(held))
     best.epoch = max(s.epoch for s in states.values())
     best.tail_epoch = max(s.tail_epoch for s in states.values())
     best.length = best.committed
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -5,7 +5,7 @@
 from ..beats import ms, secs
 from ..charts import Charted
 from ..faults import Refused, WireFault
-from ..replicated_log.shelf import Shelf
+from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
 from ..wire.setup_pb2 import FollowAsk, FollowReceipt, WitnessReceipt
 from .sheet import Sheet
@@ -29,7 +29,7 @@
     def __init__(self, ctx):
         self._ctx = ctx
         self.sheet = Sheet()
-        self.shelves = ctx.props.shelves
+        self.placement_groups = ctx.props.placement_groups
         self._leased_at: timedelta | None = None
         self._proved_at: timedelta | None = None
         self._controller = ""
@@ -58,7 +58,7 @@
     def ready(self) -> bool:
         """Whether new work may be admitted: checked at the moment of use, so a node that woke asks afresh."""
         now = self._ctx.beats.now()
-        if self.sequence == 0 or not self.sheet.shelves:
+        if self.sequence == 0 or not self.sheet.placement_groups:
             return False
         if self._leased_at is not None and now - self._leased_at < OWN_SPAN:
             state, what = "led", "leased"
@@ -81,8 +81,8 @@
     def _say(self):
         self._ctx.journal.note("currency", state=self.state, sequence=self.sequence)
 
-    def shelf(self, n: int) -> Shelf:
-        return self.sheet.shelf(n)
+    def placement_group(self, n: int) -> PlacementGroup:
+        return self.sheet.placement_group(n)
 
     def row(self, model: str, pool: str):
         return self.sheet.row(model, pool)
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/setup/sheet.py
@@ -1,7 +1,7 @@
 from collections import OrderedDict
 
-from ..replicated_log.shelf import Shelf
-from ..wire.setup_pb2 import Command, StorageNodeEdit, Outcome, Row, SheetData, ShelfRow
+from ..replicated_log.placement_group import PlacementGroup
+from ..wire.setup_pb2 import Command, StorageNodeEdit, Outcome, Row, SheetData, PlacementGroupRow
 from .routes import RouteTable
 
 __all__ = ["Sheet", "MAX_ROWS"]
@@ -11,7 +11,7 @@
 
 
 class Sheet:
-    """The setup: the weight table, routes, zones, storage nodes, shelves and voters, as the agreed commands make it."""
+    """The setup: the weight table, routes, zones, storage nodes, placement groups and voters, as the agreed commands make it."""
 
     def __init__(self, data: SheetData | None = None):
         data = data or SheetData()
@@ -22,7 +22,7 @@
         self.empty_zones: set[str] = set(data.empty_zones)
         self.storage_nodes: dict[str, str] = {d.storage_node: d.status for d in data.storage_nodes}
         self.storage_node_names: dict[str, str] = {d.storage_node: d.name for d in data.storage_nodes if d.name}
-        self.shelves: dict[int, ShelfRow] = {s.number: s for s in data.shelves}
+        self.placement_groups: dict[int, PlacementGroupRow] = {s.number: s for s in data.placement_groups}
         self.voters: tuple[str, ...] = tuple(data.voters)
         self.witnesses_at = data.witnesses_at
         self.settled = data.settled
@@ -31,7 +31,7 @@
 
     def data(self) -> SheetData:
         return SheetData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
-                         empty_zones=sorted(self.empty_zones), shelves=self.shelves.values(), voters=self.voters,
+                         empty_zones=sorted(self.empty_zones), placement_groups=self.placement_groups.values(), voters=self.voters,
                          witnesses_at=self.witnesses_at, settled=self.settled,
                          storage_nodes=[StorageNodeEdit(storage_node=d, status=s, name=self.storage_node_names.get(d))
                                  for d, s in self.storage_nodes.items()],
@@ -102,13 +102,13 @@
         self.settled = at
         return "done"
 
-    def _apply_shelving(self, e, sequence) -> str:
-        for s in e.shelves:
-            have = self.shelves.get(s.number)
+    def _apply_placement(self, e, sequence) -> str:
+        for s in e.placement_groups:
+            have = self.placement_groups.get(s.number)
             if have is not None and s.sequence != have.sequence + 1:
                 return "wrong_base"
-        for s in e.shelves:
-            self.shelves[s.number] = s
+        for s in e.placement_groups:
+            self.placement_groups[s.number] = s
         return "done"
 
     def _apply_controllers(self, e, sequence) -> str:
@@ -118,11 +118,11 @@
     def _apply_nothing(self, e, sequence) -> str:
         return "done"
 
-    def shelf(self, n: int) -> Shelf:
-        s = self.shelves.get(n)
+    def placement_group(self, n: int) -> PlacementGroup:
+        s = self.placement_groups.get(n)
         if s is None:
-            return Shelf(n, 0, ())
-        return Shelf(n, s.sequence, tuple(s.storage_nodes), s.joining, s.leaving)
+            return PlacementGroup(n, 0, ())
+        return PlacementGroup(n, s.sequence, tuple(s.storage_nodes), s.joining, s.leaving)
 
     def row(self, model: str, pool: str) -> Row | None:
         if self._by_target is None:
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -1,6 +1,6 @@
 from ..beats import ms, secs
 from ..faults import Fenced, ReplicatedLogFault, NoMajority, WireFault
-from ..replicated_log.shelf import Shelf
+from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
 from ..wire.replicated_log_pb2 import CaughtUp, Entry, ListAsk, LogState, States
 from .grants import LEASE_SPAN
@@ -22,41 +22,41 @@
 
 
 class Copying:
-    """Mixin: a storage node brings its copies up to what a majority of the shelf holds, when it joins or has been away."""
+    """Mixin: a storage node brings its copies up to what a majority of the placement group holds, when it joins or has been away."""
 
     def _open_copying(self):
         self._mine: set[int] = set()
-        self._ctx.setup.watch(self._shelves_moved)
-        self._ctx.beats.every(JOIN_BEAT, self._join_shelves, self._ctx.report("join"))
-        self._ctx.beats.every(MEND_BEAT, self._mend_shelves, self._ctx.report("mend"))
+        self._ctx.setup.watch(self._placement_groups_moved)
+        self._ctx.beats.every(JOIN_BEAT, self._join_placement_groups, self._ctx.report("join"))
+        self._ctx.beats.every(MEND_BEAT, self._mend_placement_groups, self._ctx.report("mend"))
 
-    def _shelves(self) -> list[Shelf]:
+    def _placement_groups(self) -> list[PlacementGroup]:
         setup = self._ctx.setup
-        return [s for n in sorted(setup.sheet.shelves) if self._ctx.node in (s := setup.shelf(n)).everyone]
+        return [s for n in sorted(setup.sheet.placement_groups) if self._ctx.node in (s := setup.placement_group(n)).everyone]
 
-    def _shelves_moved(self):
-        mine = {s.number for s in self._shelves()}
+    def _placement_groups_moved(self):
+        mine = {s.number for s in self._placement_groups()}
         if mine - self._mine:
             self._quiet_until = self._ctx.beats.now() + LEASE_SPAN
         self._mine = mine
 
-    async def _join_shelves(self):
-        for shelf in self._shelves():
-            if shelf.joining == self._ctx.node and await self._copy_shelf(shelf, joining=True):
-                await self._tell_caught_up(shelf)
+    async def _join_placement_groups(self):
+        for placement_group in self._placement_groups():
+            if placement_group.joining == self._ctx.node and await self._copy_placement_group(placement_group, joining=True):
+                await self._tell_caught_up(placement_group)
 
-    async def _mend_shelves(self):
-        for shelf in self._shelves():
-            if shelf.joining != self._ctx.node:
-                await self._copy_shelf(shelf, joining=False)
+    async def _mend_placement_groups(self):
+        for placement_group in self._placement_groups():
+            if placement_group.joining != self._ctx.node:
+                await self._copy_placement_group(placement_group, joining=False)
 
-    async def _copy_shelf(self, shelf: Shelf, joining: bool) -> bool:
+    async def _copy_placement_group(self, placement_group: PlacementGroup, joining: bool) -> bool:
         """True once this storage node holds all that a majority of the others, all at this placement, are seen to hold."""
-        others = [d for d in shelf.storage_nodes if d != self._ctx.node]
-        got = await self._ctx.replicated_log.ask_each(others, "replicated_log.list", ListAsk(shelf=shelf.number, one_shelf=True),
+        others = [d for d in placement_group.storage_nodes if d != self._ctx.node]
+        got = await self._ctx.replicated_log.ask_each(others, "replicated_log.list", ListAsk(placement_group=placement_group.number, one_placement_group=True),
                                               States, ASK_LIMIT)
-        at = {d: r for d, r in got.items() if r.shelf_sequence >= shelf.sequence}
-        if joining and not 2 * len(at) > len(shelf.storage_nodes):
+        at = {d: r for d, r in got.items() if r.placement_group_sequence >= placement_group.sequence}
+        if joining and not 2 * len(at) > len(placement_group.storage_nodes):
             return False
         best: dict[str, tuple[LogState, str]] = {}
         promised: dict[str, int] = {}
@@ -95,7 +95,7 @@
         self._ctx.journal.note("copied", log=log, bytes=len(data), source=storage_node)
         await self._ctx.beats.pause(secs(len(data) / (COPY_KB_S * 1024)))
 
-    async def _tell_caught_up(self, shelf: Shelf):
-        told = CaughtUp(storage_node=self._ctx.node, shelf=shelf.number, sequence=shelf.sequence)
+    async def _tell_caught_up(self, placement_group: PlacementGroup):
+        told = CaughtUp(storage_node=self._ctx.node, placement_group=placement_group.number, sequence=placement_group.sequence)
         controllers = [m.node for m in self._ctx.membership.members("controller", me=False)]
         await self._ctx.replicated_log.ask_each(controllers, "controller.caught_up", told, Nothing, ms(500))
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -45,7 +45,7 @@
     async def _lease(self, node, ask: LeaseAsk):
         """Grants a lease that nobody else has. Epochs alone keep a log whole; waiting for a lease only spares duels, so one
         whose leaseholder is gone may be asked for by its name, and one that nobody is known to hold without a wait (usurp)."""
-        self._check_shelf(ask.log, ask.shelf_sequence)
+        self._check_placement_group(ask.log, ask.placement_group_sequence)
         now = self._ctx.beats.now()
         g = self._live_grant(ask.log)
         state = self._state(ask.log)
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -3,8 +3,8 @@
 
 from ..context import fresh_id
 from ..disk import Disk, swap_in
-from ..faults import NoRoom, OldShelf, PropsFault
-from ..replicated_log.shelf import shelf_of
+from ..faults import NoRoom, OldPlacementGroup, PropsFault
+from ..replicated_log.placement_group import placement_group_of
 from ..syncing import Syncer
 from ..wire.replicated_log_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
                                WriteReceipt)
@@ -56,7 +56,7 @@
         d.answer("replicated_log.list", ListAsk, self._list)
 
     async def _write(self, node, ask: WriteAsk):
-        self._check_shelf(ask.log, ask.shelf_sequence)
+        self._check_placement_group(ask.log, ask.placement_group_sequence)
         key = (ask.log, ask.epoch)
         if ask.staged:
             return self._stage(key, ask)
@@ -100,16 +100,16 @@
     async def _list(self, node, ask: ListAsk):
         kept = ((n, k) for n, k in self.log_store.logs.items() if n.startswith(ask.prefix))
         names = sorted(n for n, k in kept if not ask.open_only or k.length and not k.synced[2])
-        if ask.one_shelf:
-            names = (n for n in names if shelf_of(n, self._ctx.setup.shelves) == ask.shelf)
+        if ask.one_placement_group:
+            names = (n for n in names if placement_group_of(n, self._ctx.setup.placement_groups) == ask.placement_group)
         return States(states=[self._state(n) for n in names],
-                      shelf_sequence=self._ctx.setup.shelf(ask.shelf).sequence if ask.one_shelf else 0)
+                      placement_group_sequence=self._ctx.setup.placement_group(ask.placement_group).sequence if ask.one_placement_group else 0)
 
-    def _check_shelf(self, log: str, sequence: int):
+    def _check_placement_group(self, log: str, sequence: int):
         """A writer that counts on an older placement must look again before it goes on."""
-        shelf = self._ctx.setup.shelf(shelf_of(log, self._ctx.setup.shelves))
-        if sequence < shelf.sequence:
-            raise OldShelf(f"shelf {shelf.number} is at sequence {shelf.sequence}, not {sequence}")
+        placement_group = self._ctx.setup.placement_group(placement_group_of(log, self._ctx.setup.placement_groups))
+        if sequence < placement_group.sequence:
+            raise OldPlacementGroup(f"placement group {placement_group.number} is at sequence {placement_group.sequence}, not {sequence}")
 
     def readiness(self):
         used, room = self.log_store.used(), self.log_store.room()
@@ -117,8 +117,8 @@
 
     def beliefs(self) -> dict:
         states = [self._state(n) for n in sorted(self.log_store.logs)]
-        shelves = self._ctx.setup.shelves
-        return {"logs": {f"{shelf_of(s.log, shelves)}/{s.log}": f"epoch={s.tail_epoch} length={s.length} final={s.final}" for s in states},
+        placement_groups = self._ctx.setup.placement_groups
+        return {"logs": {f"{placement_group_of(s.log, placement_groups)}/{s.log}": f"epoch={s.tail_epoch} length={s.length} final={s.final}" for s in states},
                 "leases": {s.log: f"{s.leaseholder}@{s.epoch}" for s in states if s.leaseholder}}
 
     def metrics(self) -> dict:
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -8,7 +8,7 @@
 __all__ = ["run_tool", "compare", "differences"]
 
 LIMIT = 10
-TOPICS = ("setup", "membership", "status", "engines", "storage_nodes", "shelves", "leases", "logs")
+TOPICS = ("setup", "membership", "status", "engines", "storage_nodes", "placement_groups", "leases", "logs")
 
 
 class _Unreached(Exception):
@@ -77,9 +77,9 @@
 
 
 def _both_keep(log: str, a: dict, b: dict) -> bool:
-    """Logs are told as SHELF/NAME; two storage nodes need to agree on those of the shelves that both keep."""
-    shelf = a["shelves"].get(log.partition("/")[0], "")
-    storage_nodes = shelf.split(":")[1].split(",") if shelf else []
+    """Logs are told as PLACEMENT_GROUP/NAME; two storage nodes need to agree on those of the placement groups that both keep."""
+    placement_group = a["placement_groups"].get(log.partition("/")[0], "")
+    storage_nodes = placement_group.split(":")[1].split(",") if placement_group else []
     return a["node"] in storage_nodes and b["node"] in storage_nodes
 
 
--- a/rehearsal/breaks.py
+++ b/rehearsal/breaks.py
@@ -163,7 +163,7 @@
         return [*olds, "core"], do
 
     def plan_retire_storage_node(self, c):
-        """A storage node is added and another retired; while its shelves move, a third one is killed for a while."""
+        """A storage node is added and another retired; while its placement groups move, a third one is killed for a while."""
         old, other = c.sample(self.fleet.nodes("storage"), 2)
 
         def do():
@@ -257,8 +257,8 @@
             serving = {d: v for d, v in storage_nodes.items() if v["status"] == "serving"}
             return len(serving) >= 4 and (retired or lost not in storage_nodes) \
                 and all(d["heard"] == "alive" for d in serving.values()) \
-                and sum(d["shelves"] for d in serving.values()) == 48
+                and sum(d["placement_groups"] for d in serving.values()) == 48
 
         began = time.monotonic()
-        wait_for(placed, 120, "the shelves are placed again")
-        self.say(f"shelves placed again after {time.monotonic() - began:.1f} s")
+        wait_for(placed, 120, "the placement groups are placed again")
+        self.say(f"placement groups placed again after {time.monotonic() - began:.1f} s")
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -96,7 +96,7 @@
         beats, done, due = n.ctx.beats, 0, None
         while True:
             await beats.pause(secs(0.05))
-            if n.part.state != "leader" or not n.part.sheet.shelves:
+            if n.part.state != "leader" or not n.part.sheet.placement_groups:
                 continue
             if done < rows:
                 end = min(rows, done + ROWS_AT_ONCE)
--- a/rehearsal/promises.py
+++ b/rehearsal/promises.py
@@ -138,7 +138,7 @@
         return [took]
 
     def _measure_repair(self, n):
-        """A storage node comes back empty; until each of its shelves has three copies again."""
+        """A storage node comes back empty; until each of its placement groups has three copies again."""
         name = self.fleet.nodes("storage")[n % 4]
         lost = self.storage_node_id(name)
         self.fleet.programs[name].kill()
@@ -161,6 +161,6 @@
         heal()
         self._wait_up([x for x in names if x in self.nodes()])
         self.calls.down.clear()
-        wait_for(lambda: sum(d["shelves"] for d in self.storage_nodes().values() if d["heard"] == "alive") == 48, 90, "placed")
+        wait_for(lambda: sum(d["placement_groups"] for d in self.storage_nodes().values() if d["heard"] == "alive") == 48, 90, "placed")
         time.sleep(3)
         return [took]
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -90,7 +90,7 @@
             keep.write_text(f"{self.name}x{self.lives}x{stage.fresh()}")
         self.node = keep.read_text()
         props = Props(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "controller" else (),
-                      data=str(self.folder), shelves=stage.shelves, **stage.props)
+                      data=str(self.folder), placement_groups=stage.placement_groups, **stage.props)
         self.clock = _Watch(stage.clock)
         beats = stage.beats(self.clock)
         self.ctx = Context(self.role, self.node, props, self.clock, beats, Journal(stage.sink, node=self.node), None,
@@ -233,13 +233,13 @@
 
 
 class Stage:
-    def __init__(self, seed: int, controllers=4, storage_nodes=4, gateways=3, shelves=4, props=None, named=False):
+    def __init__(self, seed: int, controllers=4, storage_nodes=4, gateways=3, placement_groups=4, props=None, named=False):
         self.seed = seed
         self.chance = Random(seed)
         self.clock = _Clock()
         self.folder = Path(tempfile.mkdtemp(prefix="stage-"))
         self.sink = _Sink()
-        self.shelves = shelves
+        self.placement_groups = placement_groups
         self.props = props or {}
         self.named = named
         self.cuts: set[tuple[str, str]] = set()
--- a/tests/batch_parts.py
+++ b/tests/batch_parts.py
@@ -78,7 +78,7 @@
 
 
 def staged(seed, gateways=3, routes=None, settle=2.0, **words):
-    stage = Stage(seed, controllers=3, storage_nodes=4, gateways=gateways, shelves=2, **words)
+    stage = Stage(seed, controllers=3, storage_nodes=4, gateways=gateways, placement_groups=2, **words)
     stage.routes = {r.name: r for r in routes or [route()]}
     stage.runs, stage.finished, stage.step, stage.breaks = [], [], ms(40), 0.05
     stage.with_engines(BatchGateway, None, 0)
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -29,7 +29,7 @@
 
 class Announcing(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(5, shelves=2)
+        self.stage = Stage(5, placement_groups=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.gateways = [_Listener(a) for a in self.stage.role("gateway")]
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -135,8 +135,8 @@
         stage, c = self.stage(7)
         gateway = stage.role("gateway")[0]
         name = c.lot(3)
-        shelf = gateway.ctx.replicated_log.shelf(f"batch/{name}")
-        storage_nodes = [a for a in stage.role("storage") if a.node in shelf.everyone]
+        placement_group = gateway.ctx.replicated_log.placement_group(f"batch/{name}")
+        storage_nodes = [a for a in stage.role("storage") if a.node in placement_group.everyone]
 
         def trip(sender, verb):
             if verb == "replicated_log.write" and sender is gateway:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -29,7 +29,7 @@
         stage = self.stage
         self.lives, self.alive, self.node = 1, True, f"{self.name}x{stage.fresh()}"
         self.clock = _Watch(stage.clock)
-        self.ctx = ctx = Context("gateway", self.node, Props(zone=self.zone, seeds=stage.seeds, shelves=stage.shelves),
+        self.ctx = ctx = Context("gateway", self.node, Props(zone=self.zone, seeds=stage.seeds, placement_groups=stage.placement_groups),
                                  self.clock, stage.beats(self.clock), Journal(stage.sink, node=self.node), None,
                                  Random(stage.chance.random()))
         ctx.desk = _Desk(stage, self)
@@ -61,13 +61,13 @@
 
 class Hollow(unittest.TestCase):
     def run_real(self, gateways, engines):
-        stage = Stage(3, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
+        stage = Stage(3, controllers=3, storage_nodes=3, gateways=gateways, placement_groups=2)
         self.addCleanup(stage.end)
         stage.with_engines(StagedGateway, StagedEngine, engines)
         return counted(stage, engines)
 
     def run_hollow(self, gateways, engines):
-        stage = HollowStage(3, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
+        stage = HollowStage(3, controllers=3, storage_nodes=3, gateways=gateways, placement_groups=2)
         self.addCleanup(stage.end)
         host = type("Host", (), {"nodes": stage.role("gateway")})
         return counted(stage, engines, Work(host))
@@ -87,7 +87,7 @@
     """Calls that one node starts in a second, with no callers. All but loads and announcements are the same at any size."""
 
     def count(self, gateways, engines=0):
-        stage = HollowStage(5, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
+        stage = HollowStage(5, controllers=3, storage_nodes=3, gateways=gateways, placement_groups=2)
         self.addCleanup(stage.end)
         host = type("Host", (), {"nodes": stage.role("gateway")})
         return counted(stage, engines, Work(host))
@@ -115,7 +115,7 @@
     def test_a_held_follow_call_is_not_woken_by_the_others(self):
         """What a leader does for one follow call does not grow with the number of its followers."""
         for gateways in (4, 12, 20):
-            stage = HollowStage(6, controllers=3, storage_nodes=3, gateways=gateways, shelves=2)
+            stage = HollowStage(6, controllers=3, storage_nodes=3, gateways=gateways, placement_groups=2)
             self.addCleanup(stage.end)
             stage.start()
             stage.ready()
@@ -131,7 +131,7 @@
             self.assertLessEqual(len(leader.part._news), gateways + 3, gateways)
 
     def test_an_edit_is_still_seen_as_soon_as_the_last_gateway_confirms(self):
-        stage = HollowStage(7, controllers=3, storage_nodes=3, gateways=12, shelves=2)
+        stage = HollowStage(7, controllers=3, storage_nodes=3, gateways=12, placement_groups=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
--- a/tests/test_config_trouble.py
+++ b/tests/test_config_trouble.py
@@ -78,7 +78,7 @@
 
 class ConfigUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, controllers=4, storage_nodes=4, gateways=3, shelves=2)
+        stage = Stage(seed, controllers=4, storage_nodes=4, gateways=3, placement_groups=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -11,10 +11,10 @@
 from pipitlink.setup.follower import Setup
 from pipitlink.setup.sheet import Sheet
 from pipitlink.wire.controller_pb2 import ControllerEntry
-from pipitlink.wire.setup_pb2 import Command, StorageNodeEdit, FollowAsk, Row, SheetData, ShelfRow, TableEdit
+from pipitlink.wire.setup_pb2 import Command, StorageNodeEdit, FollowAsk, Row, SheetData, PlacementGroupRow, TableEdit
 
 TICK = 0.5
-BASE = SheetData(sequence=1, shelves=[ShelfRow(number=0, sequence=1, storage_nodes=["d"])])
+BASE = SheetData(sequence=1, placement_groups=[PlacementGroupRow(number=0, sequence=1, storage_nodes=["d"])])
 EDIT = Command(table=TableEdit(base=0, puts=[Row(name="r", model="m")]))
 
 
@@ -23,7 +23,7 @@
         self.now = 1000.0
         self.beats = Beats(None, seconds=lambda: self.now)
         self.journal = Journal(self)
-        self.props = type("Props", (), {"shelves": 1})
+        self.props = type("Props", (), {"placement_groups": 1})
         self.node = "controller"
 
     def log(self, *words):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -23,7 +23,7 @@
     """A small fleet on injected beats, its customers, and what the checker says of them."""
 
     def __init__(self, test, engines=2, step=0.04, capacity=4):
-        self.stage = Stage(7, controllers=3, storage_nodes=4, gateways=3, shelves=2)
+        self.stage = Stage(7, controllers=3, storage_nodes=4, gateways=3, placement_groups=2)
         test.addCleanup(self.stage.end)
         self.stage.with_engines(StagedGateway, StagedEngine, engines)
         for e in self.stage.engines.values():
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -120,7 +120,7 @@
 
 class Calls(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(31, shelves=2)
+        self.stage = Stage(31, placement_groups=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -138,7 +138,7 @@
 
 class Readers(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(4, controllers=3, storage_nodes=3, gateways=5, shelves=2)
+        self.stage = Stage(4, controllers=3, storage_nodes=3, gateways=5, placement_groups=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -12,7 +12,7 @@
 
 class Config(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(17, shelves=2)
+        self.stage = Stage(17, placement_groups=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
@@ -245,7 +245,7 @@
 
 class Retire(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(23, storage_nodes=4, shelves=4)
+        self.stage = Stage(23, storage_nodes=4, placement_groups=4)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.storage_node = self.stage.role("storage")[1]
@@ -267,8 +267,8 @@
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
         self.stage.until(lambda: self.ask("GET", "box-1")[1] == {"state": "retired"}, 60, "it is emptied")
-        shelves = self.stage.leader().part.sheet.shelves.values()
-        self.assertFalse([s for s in shelves if self.storage_node.node in (*s.storage_nodes, s.joining)])
+        placement_groups = self.stage.leader().part.sheet.placement_groups.values()
+        self.assertFalse([s for s in placement_groups if self.storage_node.node in (*s.storage_nodes, s.joining)])
         self.storage_node.kill(power=True)
         self.storage_node.wipe()
         for a in self.stage.role("controller"):
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -72,7 +72,7 @@
 
 class SetupUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
-        stage = Stage(seed, controllers=4, storage_nodes=4, gateways=3, shelves=2)
+        stage = Stage(seed, controllers=4, storage_nodes=4, gateways=3, placement_groups=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -112,7 +112,7 @@
 
 class Controllers(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(9, shelves=2)
+        self.stage = Stage(9, placement_groups=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
--- a/tests/test_stage_disk_lost.py
+++ b/tests/test_stage_disk_lost.py
@@ -1,4 +1,4 @@
-"""A storage node's disk is lost while all machines are down: its shelves are made whole first, and leases outlast that."""
+"""A storage node's disk is lost while all machines are down: its placement groups are made whole first, and leases outlast that."""
 import unittest
 
 from rehearsal.trouble import seeds
@@ -29,8 +29,8 @@
                 names = [c.lot(8) for _ in range(6)]
                 for name in names:
                     self.assertEqual(stage.do(c.hand_in(name)), 202)
-                stage.until(lambda: not any(was in s.storage_nodes for s in self._leader(stage).sheet.shelves.values()), 6,
-                            "no shelf counts on the lost storage node")
+                stage.until(lambda: not any(was in s.storage_nodes for s in self._leader(stage).sheet.placement_groups.values()), 6,
+                            "no placement group counts on the lost storage node")
                 stage.until(lambda: all(c.whole(n) for n in names), 40, "all is listed")
                 ran_out = [x for x in stage.sink.lines if "lease_lost" in x and "ran out" in x]
                 self.assertEqual(ran_out, [])
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -63,7 +63,7 @@
 
 class LogsUnderTrouble(unittest.TestCase):
     def run_seed(self, seed):
-        stage = Stage(seed, controllers=3, storage_nodes=3, gateways=3, shelves=2)
+        stage = Stage(seed, controllers=3, storage_nodes=3, gateways=3, placement_groups=2)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -106,7 +106,7 @@
 
 class Leases(unittest.TestCase):
     def setUp(self):
-        self.stage = Stage(5, controllers=3, storage_nodes=3, gateways=2, shelves=2)
+        self.stage = Stage(5, controllers=3, storage_nodes=3, gateways=2, placement_groups=2)
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -14,7 +14,7 @@
 
 
 def staged(seed, gateways=4, engines=3):
-    stage = Stage(seed, controllers=3, storage_nodes=4, gateways=gateways, shelves=2)
+    stage = Stage(seed, controllers=3, storage_nodes=4, gateways=gateways, placement_groups=2)
     stage.with_engines(StagedGateway, StagedEngine, engines)
     stage.start()
     stage.ready()
--- a/tests/test_stage_shelves.py
+++ b/tests/test_stage_placement.py
@@ -1,4 +1,4 @@
-"""Shelves move off lost and retired storage nodes, and nothing acknowledged is lost on the way."""
+"""Placement groups move off lost and retired storage nodes, and nothing acknowledged is lost on the way."""
 import unittest
 
 from pipitlink.beats import ms
@@ -33,9 +33,9 @@
                 await ctx.replicated_log.release([h])
 
 
-class Shelves(unittest.TestCase):
+class PlacementGroups(unittest.TestCase):
     def stage(self, seed, **more):
-        stage = Stage(seed, controllers=3, gateways=3, shelves=4, **more)
+        stage = Stage(seed, controllers=3, gateways=3, placement_groups=4, **more)
         self.addCleanup(stage.end)
         stage.start()
         stage.ready()
@@ -59,7 +59,7 @@
         leader = stage.leader()
         if leader is None:
             return False
-        rows = leader.part.sheet.shelves.values()
+        rows = leader.part.sheet.placement_groups.values()
         return all(not s.joining and without not in s.storage_nodes and len(s.storage_nodes) == 3 for s in rows)
 
     def test_two_losses_in_turn_with_repair_between_lose_nothing(self):
@@ -71,10 +71,10 @@
                     node = lost.node
                     lost.kill(power=True)
                     lost.wipe()
-                    stage.until(lambda: self.placed(stage, node), 40, "the shelves have moved")
+                    stage.until(lambda: self.placed(stage, node), 40, "the placement groups have moved")
                 self.check(stage, logs)
 
-    def test_an_empty_storage_node_in_place_of_a_lost_one_takes_its_shelves(self):
+    def test_an_empty_storage_node_in_place_of_a_lost_one_takes_its_placement_groups(self):
         stage, logs = self.stage(7, storage_nodes=4)
         stage.run(2)
         lost = stage.role("storage")[1]
@@ -82,11 +82,11 @@
         lost.kill(power=True)
         lost.wipe()
         lost.start()
-        stage.until(lambda: self.placed(stage, node), 6, "the shelves have moved, and nothing was waited for")
+        stage.until(lambda: self.placed(stage, node), 6, "the placement groups have moved, and nothing was waited for")
         stage.until(lambda: stage.leader() and node not in stage.leader().part.sheet.storage_nodes, 10, "it is off the sheet")
         self.check(stage, logs)
 
-    def test_a_retired_storage_node_gives_up_its_shelves_and_then_may_be_switched_off(self):
+    def test_a_retired_storage_node_gives_up_its_placement_groups_and_then_may_be_switched_off(self):
         stage, logs = self.stage(8, storage_nodes=4)
         gone = stage.role("storage")[2]
         part = stage.leader().part
@@ -106,6 +106,6 @@
         new = stage.add("storage", "storage7", "zone-d", 1700)
         new.start()
         stage.until(lambda: stage.leader() and stage.leader().part._holds(stage.leader().part.sheet)[new.node] >= 2, 60,
-                    "it has shelves")
+                    "it has placement groups")
         stage.run(5)
         self.check(stage, logs)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -8,7 +8,7 @@
 
 
 def beliefs(node, role="gateway", **topics):
-    return {"node": node, "role": role, "shelves": {"3": "1:d1,d2,d3::"}, "leases": {}, "status": {}, **topics}
+    return {"node": node, "role": role, "placement_groups": {"3": "1:d1,d2,d3::"}, "leases": {}, "status": {}, **topics}
 
 
 class Differences(unittest.TestCase):
