--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -23,7 +23,7 @@
 
     def __init__(self, ctx):
         self._ctx = ctx
-        p = ctx.props
+        p = ctx.settings
         self.chunks = DataStore(ctx.beats, secs(p.chunk_ttl_s), p.cache_mb * 1024 * 1024)
         self.lengths = LengthStore(ctx.beats, secs(p.chunk_ttl_s))
         self.poller = Poller(ctx, self)
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -43,7 +43,7 @@
 
     def open(self):
         """Polls while anything is watched; the hot poll only while a reader waits for a length that is near."""
-        p, every, report = self._ctx.props, self._ctx.beats.every, self._ctx.report
+        p, every, report = self._ctx.settings, self._ctx.beats.every, self._ctx.report
         for span, do, what, watched in ((p.poll_ms, self._poll, "poll", lambda: self._seen),
                                         (p.hot_poll_ms, self._poll_hot, "hot_poll", lambda: self._hot),
                                         (p.durable_poll_ms, self._poll_durable, "durable_poll", lambda: self._seen)):
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -23,7 +23,7 @@
         self.seen = cache.poller.join(path)
         self.position = 0
         self._bytes = bytearray()
-        self._rate = ctx.props.reader_kb_s * 1024
+        self._rate = ctx.settings.reader_kb_s * 1024
         self._free_at = ctx.beats.now()
         self._resting = False
 
@@ -47,7 +47,7 @@
         now, s = self._ctx.beats.now(), self.seen
         since = s.ahead_since(now)
         still = now - max(since, s.cached_at)
-        return still < min(ms(self._ctx.props.postpone_ms), self._limit / 5) and now - since < self._limit / 2
+        return still < min(ms(self._ctx.settings.postpone_ms), self._limit / 5) and now - since < self._limit / 2
 
     def goal(self) -> int:
         if self.seen.cached > self.position:
@@ -110,9 +110,9 @@
         """Until there may be more to read."""
         if self.seen.durable > self.position and self.seen.cached <= self.position:
             with self._cache.poller.hot(self.seen):
-                await self._cache.poller.moved(ms(self._ctx.props.poll_ms))
+                await self._cache.poller.moved(ms(self._ctx.settings.poll_ms))
         else:
-            await self._cache.poller.moved(ms(self._ctx.props.durable_poll_ms))
+            await self._cache.poller.moved(ms(self._ctx.settings.durable_poll_ms))
 
     async def _keep_rate(self, size: int):
         now = self._ctx.beats.now()
@@ -185,7 +185,7 @@
 
         if not first:
             return have
-        beat = self._ctx.beats.later(ms(self._ctx.props.hedge_ms), hedge)
+        beat = self._ctx.beats.later(ms(self._ctx.settings.hedge_ms), hedge)
         for n, ks in first.items():
             spawn(one(n, ks))
         await done
--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -25,7 +25,7 @@
         self.told = self.dropped = 0
 
     def open(self):
-        if self._ctx.props.changes_to:
+        if self._ctx.settings.changes_to:
             self._ctx.journal.watch(self._noted)
             self._ctx.spawned(self._tell(), "tell_changes")
 
@@ -38,7 +38,7 @@
             self._inbox.popleft()
             self.dropped += 1
         words = {k: v if isinstance(v, (int, float, bool)) else str(v) for k, v in pairs.items()}
-        p = self._ctx.props
+        p = self._ctx.settings
         self._inbox.append(CloudEvent({"type": f"pipitlink.{event}", "source": f"/{p.fleet}/{p.zone}/{self._ctx.node}",
                                        "time": self._ctx.beats.wall(), "datacontenttype": "application/json"}, words))
         if self._waiter is not None and not self._waiter.called:
@@ -64,7 +64,7 @@
     async def _post(self, message):
         import treq
 
-        r = await treq.post(f"http://{self._ctx.props.changes_to}", data=message.body, headers=message.headers,
+        r = await treq.post(f"http://{self._ctx.settings.changes_to}", data=message.body, headers=message.headers,
                             reactor=self._ctx.reactor, persistent=False, allow_redirects=False)
         await treq.content(r)
         if r.code >= 400:
--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -4,15 +4,15 @@
 from docopt import DocoptExit, docopt
 
 from . import __version__
-from .faults import PropsFault
-from .props import ROLES, Props, read_props
+from .faults import SettingsFault
+from .settings import ROLES, Settings, read_settings
 
 __all__ = ["main"]
 
 _HELP = """pipitlink: live model requests, and lots on the same engines.
 
 Usage:
-  pipitlink (gateway | storage | controller) [--props FILE] [options]
+  pipitlink (gateway | storage | controller) [--settings FILE] [options]
   pipitlink compare A B [--json]
   pipitlink table show [--at PLACES]
   pipitlink table put FILE [--base N] [--edit ID] [--at PLACES]
@@ -40,13 +40,13 @@
   -h --help             Show this.
   --version             Show the version.
 
-Props, each also a line of the props file:
-  --props FILE          The node's props, a TOML file.
+Settings, each also a line of the settings file:
+  --settings FILE          The node's settings, a TOML file.
 """
 
 
 def _help() -> str:
-    lines = [f"  --{a.name.replace('_', '-')} VALUE" for a in attrs.fields(Props)]
+    lines = [f"  --{a.name.replace('_', '-')} VALUE" for a in attrs.fields(Settings)]
     return _HELP + "\n".join(lines) + "\n"
 
 
@@ -62,12 +62,12 @@
 
         return run_tool(words)
     try:
-        flags = {a.name: words["--" + a.name.replace("_", "-")] for a in attrs.fields(Props)}
-        props = read_props(role, words["--props"], flags)
+        flags = {a.name: words["--" + a.name.replace("_", "-")] for a in attrs.fields(Settings)}
+        settings = read_settings(role, words["--settings"], flags)
         from .process import run
 
-        return run(role, props)
-    except PropsFault as e:
+        return run(role, settings)
+    except SettingsFault as e:
         for line in e.lines:
             print(line, file=sys.stderr)
         return 2
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -7,7 +7,7 @@
 from .beats import Beats, spawn
 from .dialect import Dialect
 from .journal import Journal
-from .props import Props
+from .settings import Settings
 from .wire.desk import Desk
 
 __all__ = ["Context", "fresh_id"]
@@ -23,7 +23,7 @@
 
     role: str
     node: str
-    props: Props
+    settings: Settings
     reactor: object
     beats: Beats
     journal: Journal
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -104,7 +104,7 @@
     async def edit(self, c: Command, limit: timedelta = EDIT_LIMIT) -> Outcome:
         """Proposes an edit and returns once it is agreed and in effect everywhere."""
         end = self._ctx.beats.now() + limit
-        if self.archive.used() + 3 * c.ByteSize() > self._ctx.props.budget_mb * 1024 * 1024 * ROOM_SHARE:
+        if self.archive.used() + 3 * c.ByteSize() > self._ctx.settings.budget_mb * 1024 * 1024 * ROOM_SHARE:
             raise NoRoom("the controller's data folder has no room for this edit", sent=False)
         out = self.sheet.outcomes.get(c.edit) if c.edit else None
         known = out is not None
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -29,7 +29,7 @@
 
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
-        self.archive = Archive(ctx, Path(ctx.props.data), disk or Disk())
+        self.archive = Archive(ctx, Path(ctx.settings.data), disk or Disk())
         self.sheet = Sheet()
         self.commit = 0
         self.leader = ""
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -116,7 +116,7 @@
             return
         held: Counter = Counter()
         rows = []
-        for n in range(self._ctx.props.placement_groups):
+        for n in range(self._ctx.settings.placement_groups):
             picked: list[str] = []
             while len(picked) < COPIES:
                 picked.append(self._pick_storage_node(storage_nodes, picked, held))
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -21,10 +21,10 @@
     """Mixin: the first voters, from an explicit list that is used only if every one of them is empty."""
 
     async def _found_beat(self):
-        if self.state != "newcomer" or not self._ctx.props.founders:
+        if self.state != "newcomer" or not self._ctx.settings.founders:
             return
         got = []
-        for founder in self._ctx.props.founders:
+        for founder in self._ctx.settings.founders:
             host, _, port = founder.rpartition(":")
             try:
                 got.append(await self._ctx.desk.call((host, int(port)), "controller.empty", Nothing(), FoundReceipt,
@@ -35,7 +35,7 @@
             if r is not None and self._ctx.node in r.voters:
                 await self._found(tuple(r.voters))
                 return
-        first_host, _, first_port = self._ctx.props.founders[0].rpartition(":")
+        first_host, _, first_port = self._ctx.settings.founders[0].rpartition(":")
         first = (first_host, int(first_port)) == self._ctx.desk.place
         if first and all(r is not None and not r.founded for r in got):
             await self._found(tuple(sorted(r.node for r in got)))
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -1,5 +1,5 @@
 __all__ = [
-    "PipitFault", "PropsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
+    "PipitFault", "SettingsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
     "ReplicatedLogFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldPlacementGroup", "Damaged",
     "GatewayFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
     "ControllerFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
@@ -10,8 +10,8 @@
     code = "fault"
 
 
-class PropsFault(PipitFault):
-    code = "bad_props"
+class SettingsFault(PipitFault):
+    code = "bad_settings"
 
     def __init__(self, lines: list[str]):
         super().__init__("; ".join(lines))
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -37,7 +37,7 @@
     def _take_lots(self):
         if not self.current():
             return
-        if self._ctx.setup.zone_empty(self._ctx.props.zone):
+        if self._ctx.setup.zone_empty(self._ctx.settings.zone):
             self._hand_over()
         now = self._ctx.beats.now()
         taking = sum(o.taking for o in self.open_lots.values())
@@ -95,7 +95,7 @@
 
     def _feed(self):
         """Starts items while there is room: by limit, then priority, and by turns among customers."""
-        if not self.current() or self._ctx.setup.zone_empty(self._ctx.props.zone):
+        if not self.current() or self._ctx.setup.zone_empty(self._ctx.settings.zone):
             return
         now = self._ctx.beats.now()
         wall = wall_ms(self._ctx.beats.wall())
--- a/pipitlink/gateway/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -47,8 +47,8 @@
         b = read_json(request, LotBody)
         if not self.current():
             raise Crowded("this gateway is not current", code="not_current")
-        if len(b.items) > self._ctx.props.max_items:
-            raise BadAsk(f"items: a lot may have {self._ctx.props.max_items} items", code="bad_field", field="items")
+        if len(b.items) > self._ctx.settings.max_items:
+            raise BadAsk(f"items: a lot may have {self._ctx.settings.max_items} items", code="bad_field", field="items")
         taken = wall_ms(self._ctx.beats.wall())
         lot = Lot(customer=b.customer, priority=b.priority, taken_ms=taken, limit_ms=taken + b.limit_ms,
                   key=b.idempotency_key,
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -29,7 +29,7 @@
         self.engines = ctx.engines = Engines(ctx)
         self._retry_budget = RetryBudget()
         self.come_back = ComeBack(ctx.beats)
-        self._hold = secs(ctx.props.resume_hold_s)
+        self._hold = secs(ctx.settings.resume_hold_s)
         self._waiting = 0
         self._port = None
         self._draining = False
@@ -48,7 +48,7 @@
         self._open_dispatch()
 
     async def listen(self, host: str, port: int) -> int:
-        site = Site(self._routes().resource(), self._ctx.props.max_body_kb * 1024)
+        site = Site(self._routes().resource(), self._ctx.settings.max_body_kb * 1024)
         self._port, port = await listen(self._ctx.reactor, site, host, port)
         return port
 
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -30,7 +30,7 @@
             raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if ask.tries:
             return False
-        if not ask.lot and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.props.max_running:
+        if not ask.lot and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.settings.max_running:
             raise Crowded("too many requests are running here", retry_after=self.come_back.seconds())
         await self._keep_rate(ask)
         return False
@@ -64,7 +64,7 @@
     def lot_reserve(self, model: str, e) -> float:
         """The share of a back end that lots leave to live requests."""
         row = self._ctx.setup.row(model, e.news.pool)
-        return 1 - row.lot_share if row is not None and row.lot_share > 0 else self._ctx.props.lot_reserve
+        return 1 - row.lot_share if row is not None and row.lot_share > 0 else self._ctx.settings.lot_reserve
 
     def _pick(self, ask):
         ready = [(e, w) for e, w in self.candidates(ask.model, ask.pool)
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -169,7 +169,7 @@
 
     def _look(self):
         quiet = self._ctx.beats.now() - self._heard_at
-        silent = quiet > secs(self._ctx.props.engine_silence_s) or quiet > GONE_SPAN and self._gone()
+        silent = quiet > secs(self._ctx.settings.engine_silence_s) or quiet > GONE_SPAN and self._gone()
         self._looks = self._looks + 1 if silent else 0
         if self._looks > 1:
             self.fell = True
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -201,7 +201,7 @@
         known = {e.place for e in self._entries.values() if e.state == "alive"} | {self._ctx.desk.place}
         if len(known) > 3 and self._ctx.chance.random() > 0.1:
             return
-        for seed in self._ctx.props.seeds:
+        for seed in self._ctx.settings.seeds:
             host, _, port = seed.rpartition(":")
             if (host, int(port)) not in known:
                 spawn(self._probe((host, int(port))))
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -14,12 +14,12 @@
 from .storage import StorageNode, node_id
 from .dialect import Dialect
 from .disk import set_aside
-from .faults import Damaged, PropsFault
+from .faults import Damaged, SettingsFault
 from .journal import open_journal
 from .replicated_log import ReplicatedLog
 from .operator import OperatorFace
 from .plugs import Gate
-from .props import Props
+from .settings import Settings
 from .membership import Membership
 from .controller import ControlFace, ControllerNode
 from .setup import Setup
@@ -33,17 +33,17 @@
 
 
 class Process:
-    """One gateway, storage node or controller, from its props to its end."""
+    """One gateway, storage node or controller, from its settings to its end."""
 
-    def __init__(self, role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None):
-        node = fresh_id() if role == "gateway" else node_id(Path(props.data), props.fleet)
-        journal = open_journal(props.log_level, role=role, node=node)
+    def __init__(self, role: str, settings: Settings, dialect: Dialect | None = None, reread=None, early=None):
+        node = fresh_id() if role == "gateway" else node_id(Path(settings.data), settings.fleet)
+        journal = open_journal(settings.log_level, role=role, node=node)
         beats = Beats(reactor)
-        desk = Desk(reactor, beats, journal, props.fleet, node)
-        self.ctx = Context(role, node, props, reactor, beats, journal, desk, Random(),
+        desk = Desk(reactor, beats, journal, settings.fleet, node)
+        self.ctx = Context(role, node, settings, reactor, beats, journal, desk, Random(),
                            dialect=dialect or Dialect())
-        if props.plug:
-            desk.gate = Gate(props.plug, self.ctx)
+        if settings.plug:
+            desk.gate = Gate(settings.plug, self.ctx)
         self._reread = reread
         self._early = early
         self.exit = 0
@@ -52,7 +52,7 @@
         self._face = self._control = None
 
     async def open(self):
-        ctx, p = self.ctx, self.ctx.props
+        ctx, p = self.ctx, self.ctx.settings
         ctx.membership = Membership(ctx)
         if ctx.role != "gateway":
             ctx.membership.remember_in(Path(p.data))
@@ -85,7 +85,7 @@
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
     def _gateway_kind(self):
-        if self.ctx.props.interface == "routes":
+        if self.ctx.settings.interface == "routes":
             from .router import RouterNode
 
             return RouterNode
@@ -104,9 +104,9 @@
             self.node.open()
         except Damaged as e:
             ctx.journal.fault("set_aside", e)
-            folder = Path(ctx.props.data)
+            folder = Path(ctx.settings.data)
             set_aside(folder)
-            ctx.node = ctx.desk.node = node_id(folder, ctx.props.fleet)
+            ctx.node = ctx.desk.node = node_id(folder, ctx.settings.fleet)
             ctx.journal = ctx.desk.journal = ctx.journal.bind(node=ctx.node)
             self.node = kinds[ctx.role](ctx, disk)
             self.node.open()
@@ -117,7 +117,7 @@
         self._ending = True
         self.ctx.journal.note("ending")
         try:
-            await self.ctx.beats.within(ms(self.ctx.props.drain_ms) + ENDING, self._close())
+            await self.ctx.beats.within(ms(self.ctx.settings.drain_ms) + ENDING, self._close())
         except Exception as e:
             self.ctx.journal.fault("ended_roughly", e)
         reactor.stop()
@@ -134,17 +134,17 @@
     def reread(self):
         """Takes new seeds from the settings, where they moved; all else is as it was at the start."""
         try:
-            props = self._reread()
-        except PropsFault as e:
+            settings = self._reread()
+        except SettingsFault as e:
             self.ctx.journal.fault("settings_unread", e)
             return
-        if props.seeds != self.ctx.props.seeds:
-            self.ctx.props = attrs.evolve(self.ctx.props, seeds=props.seeds)
-            self.ctx.journal.note("settings", seeds=",".join(props.seeds))
+        if settings.seeds != self.ctx.settings.seeds:
+            self.ctx.settings = attrs.evolve(self.ctx.settings, seeds=settings.seeds)
+            self.ctx.journal.note("settings", seeds=",".join(settings.seeds))
 
     def fail(self, f):
         self.exit = 1
-        if f.check(PropsFault):
+        if f.check(SettingsFault):
             for line in f.value.lines:
                 print(line, file=sys.stderr)
             self.exit = 2
@@ -153,13 +153,13 @@
         reactor.callWhenRunning(reactor.stop)
 
 
-def run(role: str, props: Props, dialect: Dialect | None = None, reread=None, early=None) -> int:
+def run(role: str, settings: Settings, dialect: Dialect | None = None, reread=None, early=None) -> int:
     """Runs one node until it is told to end.
 
     `reread`, if given, reads its settings again: on SIGHUP and now and then. `early` is the callers' socket, if it listens
     already.
     """
-    process = Process(role, props, dialect, reread, early)
+    process = Process(role, settings, dialect, reread, early)
 
     def begin():
         gc.collect()
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -92,7 +92,7 @@
                 cost += FULL_COST_MS * (1 + load - e.places)
             elif not call.batch and load + batch >= e.places:
                 cost += CROWDED_COST_MS
-            if e.news.zone != self._ctx.props.zone:
+            if e.news.zone != self._ctx.settings.zone:
                 cost += FAR_COST_MS
             if not self.links.idle(e.address):
                 cost += OPEN_COST_MS
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -35,12 +35,12 @@
         self._open_batches()
 
     async def listen(self, host: str, port: int) -> int:
-        if self._ctx.props.ready_port:
+        if self._ctx.settings.ready_port:
             app = Klein()
             app.route("/", defaults={"path": ""})(self._show_ready)
             app.route("/<path:path>")(self._show_ready)
             self._ready_port, _ = await listen(self._ctx.reactor, Site(app.resource(), 1024), host,
-                                               self._ctx.props.ready_port)
+                                               self._ctx.settings.ready_port)
         return await self.listen_callers(host, port)
 
     @property
@@ -75,7 +75,7 @@
     async def end(self):
         """Drains: not ready at once, new requests are served a while, what runs may end, leases are handed over."""
         self._draining = True
-        p = self._ctx.props
+        p = self._ctx.settings
         until = self._ctx.beats.now() + ms(p.drain_ms)
         batches = self._ctx.spawned(self._end_batches(), "end_batches")
         await self.end_front(ms(p.accept_ms), until)
--- a/pipitlink/props.py
+++ b/pipitlink/settings.py
@@ -6,9 +6,9 @@
 import attrs
 import cattrs
 
-from .faults import PropsFault
+from .faults import SettingsFault
 
-__all__ = ["Props", "read_props", "ROLES"]
+__all__ = ["Settings", "read_settings", "ROLES"]
 
 ROLES = ("gateway", "storage", "controller")
 _INTERFACES = ("models", "routes")
@@ -66,7 +66,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Props:
+class Settings:
     fleet: str = attrs.field(default="pipit", validator=_name)
     name: str = attrs.field(default="", validator=_name_or_none)
     zone: str = attrs.field(default="zone-a", validator=_name)
@@ -131,7 +131,7 @@
         return self.advertise or self.bind
 
 
-def _check(role: str, p: Props) -> list[str]:
+def _check(role: str, p: Settings) -> list[str]:
     lines = []
     if role != "gateway" and not p.data:
         lines.append(f"data: a {role} needs a data folder")
@@ -140,18 +140,18 @@
     return lines
 
 
-def read_props(role: str, path: str | None, flags: dict) -> Props:
+def read_settings(role: str, path: str | None, flags: dict) -> Settings:
     lines: list[str] = []
     raw: dict = {}
     if path:
         try:
             raw = tomllib.loads(Path(path).read_text())
         except OSError as e:
-            raise PropsFault([f"props: {path}: {e.strerror}"]) from e
+            raise SettingsFault([f"settings: {path}: {e.strerror}"]) from e
         except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-            raise PropsFault([f"props: {path}: {e}"]) from e
+            raise SettingsFault([f"settings: {path}: {e}"]) from e
     raw.update({k: v for k, v in flags.items() if v is not None})
-    fields = {a.name: a for a in attrs.fields(Props)}
+    fields = {a.name: a for a in attrs.fields(Settings)}
     words = {}
     for name, value in raw.items():
         name = name.replace("-", "_")
@@ -165,12 +165,12 @@
             if a.type == tuple[str, ...] and isinstance(value, str):
                 value = [v for v in value.split(",") if v]
             words[name] = cattrs.structure(value, a.type)
-            Props(**{name: words[name]})
+            Settings(**{name: words[name]})
         except Exception as e:
             lines.append(f"{name}: {e}")
     if not lines:
-        p = Props(**words)
+        p = Settings(**words)
         lines = _check(role, p)
         if not lines:
             return p
-    raise PropsFault(lines)
+    raise SettingsFault(lines)
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -29,7 +29,7 @@
     def __init__(self, ctx):
         self._ctx = ctx
         self.sheet = Sheet()
-        self.placement_groups = ctx.props.placement_groups
+        self.placement_groups = ctx.settings.placement_groups
         self._leased_at: timedelta | None = None
         self._proved_at: timedelta | None = None
         self._controller = ""
@@ -71,10 +71,10 @@
         return self.state in ("led", "witnessed")
 
     def usable(self) -> bool:
-        """Whether requests may be served: proved, or without proof for as long as the props allow that."""
+        """Whether requests may be served: proved, or without proof for as long as the settings allow that."""
         if self.ready():
             return True
-        span = self._ctx.props.unproved_s
+        span = self._ctx.settings.unproved_s
         proofs = [at for at in (self._leased_at, self._proved_at) if at is not None]
         return bool(span and proofs and self.sequence) and self._ctx.beats.now() - max(proofs) < secs(span)
 
--- a/pipitlink/storage/keeping.py
+++ b/pipitlink/storage/keeping.py
@@ -18,7 +18,7 @@
 
     async def _keep(self):
         now = wall_ms(self._ctx.beats.wall())
-        span = self._ctx.props.retention_s * 1000
+        span = self._ctx.settings.retention_s * 1000
         for k in list(self.log_store.logs.values()):
             if not (k.final and k.closed_ms):
                 continue
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -3,7 +3,7 @@
 
 from ..context import fresh_id
 from ..disk import Disk, swap_in
-from ..faults import NoRoom, OldPlacementGroup, PropsFault
+from ..faults import NoRoom, OldPlacementGroup, SettingsFault
 from ..replicated_log.placement_group import placement_group_of
 from ..syncing import Syncer
 from ..wire.replicated_log_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
@@ -27,7 +27,7 @@
     if path.exists():
         kept = json.loads(path.read_text())
         if kept["fleet"] != fleet:
-            raise PropsFault([f"data: {folder} belongs to fleet {kept['fleet']!r}, not {fleet!r}"])
+            raise SettingsFault([f"data: {folder} belongs to fleet {kept['fleet']!r}, not {fleet!r}"])
         return kept["node"]
     node = fresh_id()
     swap_in(path, json.dumps({"fleet": fleet, "node": node}).encode())
@@ -37,8 +37,8 @@
 class StorageNode(Grants, Copying, Keeping):
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
-        budget = ctx.props.budget_mb * 1024 * 1024
-        self.log_store = LogStore(Path(ctx.props.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024))
+        budget = ctx.settings.budget_mb * 1024 * 1024
+        self.log_store = LogStore(Path(ctx.settings.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024))
         self._syncer = Syncer(ctx, self.log_store.segments, self.log_store.recover)
         self._staged: dict[tuple[str, int], bytes] = {}
 
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -82,13 +82,13 @@
 
 class Fleet:
     def __init__(self, gateways=3, storage_nodes=4, controllers=4, engines=2, cards=1, capacity=8, step=0.01, keep=None, level="info",
-                 props=None, models="pipit-small"):
+                 settings=None, models="pipit-small"):
         self.folder = Path(keep or tempfile.mkdtemp(prefix="rehearsal-"))
         self.folder.mkdir(parents=True, exist_ok=True)
         self._keep = keep
         self.programs: dict[str, Program] = {}
         self.level = level
-        self.props = props or {}
+        self.settings = settings or {}
         self._wiped = 0
         self._lock = threading.Lock()
         self._told: dict = {}
@@ -113,7 +113,7 @@
         ports = self._ports.setdefault(name, tuple(free_ports(3)))
         self.zones[name] = zone
         sets = {"zone": zone, "port": ports[0], "seeds": ",".join(seeds or self.seeds), "log_level": self.level,
-                "plug": f"rehearsal.plug:{self.folder}/cuts.json", **self.props, **more}
+                "plug": f"rehearsal.plug:{self.folder}/cuts.json", **self.settings, **more}
         sets["operator_port"] = ports[2]
         if role == "gateway":
             sets["http_port"] = ports[1]
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -18,7 +18,7 @@
 from pipitlink.replicated_log import ReplicatedLog
 from pipitlink.controller import ControllerNode
 from pipitlink.process import Process
-from pipitlink.props import Props
+from pipitlink.settings import Settings
 from pipitlink.membership import Membership
 from pipitlink.setup import Setup
 from pipitlink.wire.desk import Desk
@@ -139,21 +139,21 @@
     def __init__(self, host, role: str, n: int, spec: dict):
         self.role, self.kind = role, spec["kind"]
         node = fresh_id()
-        props = Props(zone=f"zone-{n % spec['zones']}", data=str(Path(spec["folder"]) / f"{role}{n}"),
+        settings = Settings(zone=f"zone-{n % spec['zones']}", data=str(Path(spec["folder"]) / f"{role}{n}"),
                       founders=spec["founders"] if role == "controller" else (), seeds=spec["seeds"], budget_mb=256)
-        Path(props.data).mkdir(parents=True, exist_ok=True)
+        Path(settings.data).mkdir(parents=True, exist_ok=True)
         journal = Journal(host.sink, node=node)
         slowed = _Slowed(host)
         beats = Beats(slowed, seconds=host.now)
-        self.desk = CountedDesk(slowed, beats, journal, props.fleet, node)
-        self.ctx = Context(role, node, props, slowed, beats, journal, self.desk, Random())
+        self.desk = CountedDesk(slowed, beats, journal, settings.fleet, node)
+        self.ctx = Context(role, node, settings, slowed, beats, journal, self.desk, Random())
         self._port = spec["ports"][n] if spec["ports"] else 0
         self.part = None
 
     async def listen(self) -> Member:
         ctx = self.ctx
         ctx.desk.place = await self.desk.listen("127.0.0.1", self._port)
-        self.me = Member(node=ctx.node, incarnation=1, role=self.role, zone=ctx.props.zone, host="127.0.0.1",
+        self.me = Member(node=ctx.node, incarnation=1, role=self.role, zone=ctx.settings.zone, host="127.0.0.1",
                          port=ctx.desk.place[1], http_port=1, operator_port=1, status="alive")
         return self.me
 
@@ -173,10 +173,10 @@
 
     def __init__(self, host, role: str, n: int, spec: dict):
         self.role = role
-        props = Props(zone=f"zone-{n % spec['zones']}", seeds=spec["seeds"])
+        settings = Settings(zone=f"zone-{n % spec['zones']}", seeds=spec["seeds"])
         with mock.patch("pipitlink.process.Desk", CountedDesk), \
                 mock.patch("pipitlink.process.open_journal", lambda level, **always: Journal(host.sink, **always)):
-            self._process = Process(role, props)
+            self._process = Process(role, settings)
         self.ctx, self.desk = self._process.ctx, self._process.ctx.desk
 
     async def listen(self) -> Member:
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -56,7 +56,7 @@
         """An engine renews its announcement each second, at any gateway."""
         n.part.engines.announce(EngineNews(
             engine=name, incarnation=1, address="127.0.0.1:65535", pool="models", models=["pipit-small"], capacity=8,
-            zone=n.ctx.props.zone, state="ready"))
+            zone=n.ctx.settings.zone, state="ready"))
         n.ctx.beats.later(RENEW, self._announce, n, name, times + 1)
 
     async def _write(self, n, log: str, rate: float):
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -9,7 +9,7 @@
 from pipitlink.cache.ring import Ring
 from pipitlink.context import Context
 from pipitlink.journal import Journal
-from pipitlink.props import Props
+from pipitlink.settings import Settings
 from pipitlink.setup import Sheet
 from pipitlink.wire.desk import Desk
 from pipitlink.wire.membership_pb2 import EngineNews, Gossip, Member
@@ -37,7 +37,7 @@
     clock = Clock()
     beats = Beats(clock, seconds=clock.seconds)
     desk = Desk(None, beats, Journal(_Quiet()), "pipit", "g0")
-    ctx = Context("gateway", "g0", Props(), clock, beats, Journal(_Quiet()), desk, Random(1))
+    ctx = Context("gateway", "g0", Settings(), clock, beats, Journal(_Quiet()), desk, Random(1))
     everyone = [Member(node=f"g{i}", incarnation=1, role="gateway", zone=f"zone-{i % 25}", host="127.0.0.1", port=1000 + i,
                        status="alive")
                 for i in range(gateways)]
--- a/rehearsal/plug.py
+++ b/rehearsal/plug.py
@@ -50,7 +50,7 @@
 
     @hookimpl
     def disk(self):
-        return TellingDisk(self, self._ctx.props.data) if self._ctx.props.data else None
+        return TellingDisk(self, self._ctx.settings.data) if self._ctx.settings.data else None
 
 
 def make_plug(words, ctx):
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -17,7 +17,7 @@
 from pipitlink.journal import Journal
 from pipitlink.replicated_log import ReplicatedLog
 from pipitlink.controller import ControllerNode
-from pipitlink.props import Props
+from pipitlink.settings import Settings
 from pipitlink.membership import Membership
 from pipitlink.setup import Setup
 from pipitlink.wire.frame_pb2 import Nothing
@@ -89,11 +89,11 @@
         if self.role == "gateway" or not keep.exists():
             keep.write_text(f"{self.name}x{self.lives}x{stage.fresh()}")
         self.node = keep.read_text()
-        props = Props(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "controller" else (),
-                      data=str(self.folder), placement_groups=stage.placement_groups, **stage.props)
+        settings = Settings(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "controller" else (),
+                      data=str(self.folder), placement_groups=stage.placement_groups, **stage.settings)
         self.clock = _Watch(stage.clock)
         beats = stage.beats(self.clock)
-        self.ctx = Context(self.role, self.node, props, self.clock, beats, Journal(stage.sink, node=self.node), None,
+        self.ctx = Context(self.role, self.node, settings, self.clock, beats, Journal(stage.sink, node=self.node), None,
                            Random(stage.chance.random()))
         ctx = self.ctx
         ctx.desk = _Desk(stage, self)
@@ -233,14 +233,14 @@
 
 
 class Stage:
-    def __init__(self, seed: int, controllers=4, storage_nodes=4, gateways=3, placement_groups=4, props=None, named=False):
+    def __init__(self, seed: int, controllers=4, storage_nodes=4, gateways=3, placement_groups=4, settings=None, named=False):
         self.seed = seed
         self.chance = Random(seed)
         self.clock = _Clock()
         self.folder = Path(tempfile.mkdtemp(prefix="stage-"))
         self.sink = _Sink()
         self.placement_groups = placement_groups
-        self.props = props or {}
+        self.settings = settings or {}
         self.named = named
         self.cuts: set[tuple[str, str]] = set()
         self.engines = self.gateway_kind = None
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -74,7 +74,7 @@
         self.node, self.chance = f"g{n}", Random(1)
         self.desk = _Desk(self.node, {} if bus is None else bus)
         self.membership, self.setup = _Membership(self.node, gateways), _Setup()
-        self.props = type("Props", (), {"lot_reserve": 0.25})
+        self.settings = type("Settings", (), {"lot_reserve": 0.25})
         self.engines = Engines(self)
         self.desk.answer("engines.loads", Loads, self.engines._told_loads)
         self._retry_budget = RetryBudget()
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -10,7 +10,7 @@
 from pipitlink.beats import Beats, ms
 from pipitlink.dialect import Dialect
 from pipitlink.journal import Journal
-from pipitlink.props import Props
+from pipitlink.settings import Settings
 from pipitlink.router.choosing import Choosing
 from pipitlink.router.engines import Engines
 from pipitlink.router.front import Front, _Factory
@@ -112,7 +112,7 @@
         desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
             node="g0", beats=beats, setup=self.setup, membership=membership, desk=desk, dialect=Dialect(), chance=Random(seed),
-            reactor=self.clock, props=Props(zone="zone-a"), journal=Journal(SimpleNamespace(
+            reactor=self.clock, settings=Settings(zone="zone-a"), journal=Journal(SimpleNamespace(
                 log=lambda level, shape, line: self.lines.append(line))),
             report=lambda what: lambda e: self.lines.append(f"{what} {e!r}"), engines=None)
 
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -280,7 +280,7 @@
         log = _Growing(data, step, behind)
         clock = Clock()
         ctx = SimpleNamespace(beats=Beats(clock, seconds=clock.seconds), chance=Random(1),
-                              props=SimpleNamespace(reader_kb_s=10 ** 9, postpone_ms=0, poll_ms=1, durable_poll_ms=1))
+                              settings=SimpleNamespace(reader_kb_s=10 ** 9, postpone_ms=0, poll_ms=1, durable_poll_ms=1))
         tail = Tail(ctx, SimpleNamespace(poller=log), "log", None)
         self.got = 0
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,7 +7,7 @@
 from pipitlink.context import Context
 from pipitlink.disk import Disk
 from pipitlink.journal import Journal
-from pipitlink.props import Props
+from pipitlink.settings import Settings
 from pipitlink.wire.desk import Desk
 from pipitlink.wire.frame_pb2 import Hello, Nothing
 from pipitlink.wire.membership_pb2 import Gossip, Member
@@ -29,7 +29,7 @@
         stage = self.stage
         self.lives, self.alive, self.node = 1, True, f"{self.name}x{stage.fresh()}"
         self.clock = _Watch(stage.clock)
-        self.ctx = ctx = Context("gateway", self.node, Props(zone=self.zone, seeds=stage.seeds, placement_groups=stage.placement_groups),
+        self.ctx = ctx = Context("gateway", self.node, Settings(zone=self.zone, seeds=stage.seeds, placement_groups=stage.placement_groups),
                                  self.clock, stage.beats(self.clock), Journal(stage.sink, node=self.node), None,
                                  Random(stage.chance.random()))
         ctx.desk = _Desk(stage, self)
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -23,7 +23,7 @@
         self.now = 1000.0
         self.beats = Beats(None, seconds=lambda: self.now)
         self.journal = Journal(self)
-        self.props = type("Props", (), {"placement_groups": 1})
+        self.settings = type("Settings", (), {"placement_groups": 1})
         self.node = "controller"
 
     def log(self, *words):
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -25,7 +25,7 @@
         self._opened_at = self.beats.now()
         self._hold = secs(5)
         self.asks = {}
-        self.props.max_running, self.props.engine_silence_s = 10, 30
+        self.settings.max_running, self.settings.engine_silence_s = 10, 30
         self._open_table()
         self._open_relaying()
         self.held = True
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -37,7 +37,7 @@
         cls.addClassCleanup(listener.server_close)
         cls.addClassCleanup(listener.shutdown)
         place = f"127.0.0.1:{listener.server_address[1]}/changes"
-        cls.fleet = Fleet(gateways=3, storage_nodes=3, controllers=3, engines=2, cards=1, props={"changes_to": place})
+        cls.fleet = Fleet(gateways=3, storage_nodes=3, controllers=3, engines=2, cards=1, settings={"changes_to": place})
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start()
         wait_for(lambda: cls.generate("warm")[0] == 200, 10, "an engine is known")
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,4 +1,4 @@
-"""Parts of a gateway on injected beats: engines, picks, rates, props."""
+"""Parts of a gateway on injected beats: engines, picks, rates, settings."""
 import contextlib
 import io
 import re
@@ -14,13 +14,13 @@
 
 from pipitlink.beats import Beats, secs, spawn, wall_ms
 from pipitlink.command import main
-from pipitlink.faults import BadRows, Crowded, PropsFault
+from pipitlink.faults import BadRows, Crowded, SettingsFault
 from pipitlink.gateway.dispatch import Dispatch
 from pipitlink.gateway.limits import ComeBack
 from pipitlink.gateway.lots import OpenLot
 from pipitlink.gateway.picking import RetryBudget
 from pipitlink.controller.rows import rows_from
-from pipitlink.props import ROLES, Props, read_props
+from pipitlink.settings import ROLES, Settings, read_settings
 from pipitlink.wire.lots_pb2 import Item, Lot
 from pipitlink.wire.setup_pb2 import Row
 
@@ -259,7 +259,7 @@
 class _Dispatcher(Gateway, Dispatch):
     def __init__(self):
         super().__init__()
-        self.props = type("Props", (), {"lot_reserve": 0.25, "zone": "z"})
+        self.settings = type("Settings", (), {"lot_reserve": 0.25, "zone": "z"})
         self.open_lots, self.began = {}, []
 
     def current(self):
@@ -334,23 +334,23 @@
         with tempfile.TemporaryDirectory() as d:
             path = Path(d) / "p.toml"
             path.write_text('colour = 1\nport = 7\n')
-            with self.assertRaises(PropsFault) as no:
-                read_props("gateway", str(path), {})
+            with self.assertRaises(SettingsFault) as no:
+                read_settings("gateway", str(path), {})
             self.assertEqual(no.exception.lines, ["colour: no such prop"])
             path.write_text('port = 7\nzone = "b"\n')
-            props = read_props("gateway", str(path), {"port": "8"})
-            self.assertEqual((props.port, props.zone), (8, "b"))
+            settings = read_settings("gateway", str(path), {"port": "8"})
+            self.assertEqual((settings.port, settings.zone), (8, "b"))
 
     def test_every_documented_prop_exists_and_every_prop_is_documented(self):
-        docs, told = Path(__file__).parent.parent / "docs" / "props", set()
+        docs, told = Path(__file__).parent.parent / "docs" / "settings", set()
         for role in ROLES:
             text = (docs / f"{role}.toml").read_text()
-            self.assertEqual(read_props(role, str(docs / f"{role}.toml"), {}).fleet, "tours")
+            self.assertEqual(read_settings(role, str(docs / f"{role}.toml"), {}).fleet, "tours")
             lines = re.findall(r"^(?:# )?([a-z_]+) = (.+?)(?:\s+#.*)?$", text, re.M)
             for name, value in lines:
-                read_props(role, None, {"data": "x", name: tomllib.loads(f"v = {value}")["v"]})
+                read_settings(role, None, {"data": "x", name: tomllib.loads(f"v = {value}")["v"]})
             told |= {name for name, _ in lines}
-        self.assertEqual({a.name for a in attrs.fields(Props)} - told, {"plug"})
+        self.assertEqual({a.name for a in attrs.fields(Settings)} - told, {"plug"})
 
     def test_a_bad_sheet_names_each_row_and_field(self):
         with self.assertRaises(BadRows) as no:
--- a/tests/test_platform_serve.py
+++ b/tests/test_platform_serve.py
@@ -1,4 +1,4 @@
-"""The platform's settings file as props, its headers on the live path, and its programs started as the deploy file says."""
+"""The platform's settings file as settings, its headers on the live path, and its programs started as the deploy file says."""
 import os
 import signal
 import subprocess
@@ -74,7 +74,7 @@
         self.raw = tomllib.loads(EDGE.format(inner=7660, last=7675, public=8144, ready=8140))
 
     def test_a_gateway_takes_its_ports_and_reaches_seeds_at_the_peer_port(self):
-        p = self.serve.props_from(self.raw)
+        p = self.serve.settings_from(self.raw)
         self.assertEqual((p.name, p.zone, p.bind, p.port, p.operator_port, p.http_port, p.ready_port, p.control_port),
                          ("edge-north-a-1", "north-a", "127.0.0.1", 7660, 7661, 8144, 8140, 0))
         self.assertEqual(p.seeds, ("127.0.0.3:7660", "127.0.0.4:7660"))
@@ -85,15 +85,15 @@
     def test_an_controller_founds_only_where_the_whole_starts_for_the_first_time(self):
         self.raw.update(serves_roles=["control_plane"], state_dir="/data/x", listen_addrs={"control_addr": "127.0.0.1:8146"})
         self.raw["limits"]["disk_mb"] = 128
-        p = self.serve.props_from(self.raw)
+        p = self.serve.settings_from(self.raw)
         self.assertEqual((p.control_port, p.founders, p.data), (8146, p.seeds, "/data/x"))
         self.assertLess(p.budget_mb, 128)
-        self.assertEqual(self.serve.props_from({**self.raw, "bootstrap": False}).founders, ())
+        self.assertEqual(self.serve.settings_from({**self.raw, "bootstrap": False}).founders, ())
 
     def test_what_is_missing_is_told_and_not_guessed(self):
         del self.raw["ip"]
         with self.assertRaises(KeyError):
-            self.serve.props_from(self.raw)
+            self.serve.settings_from(self.raw)
 
 
 class Headers(unittest.TestCase):
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -230,4 +230,4 @@
 
         self.stage.do(go(), 3)
         self.assertLess(self.stage.clock.seconds() - began, 0.9)
-        self.assertLess(ms(ctx.props.postpone_ms), secs(1) / 2)
+        self.assertLess(ms(ctx.settings.postpone_ms), secs(1) / 2)
