--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -3,7 +3,7 @@
 
 from twisted.internet import defer
 
-from ..beats import Joined, ms, secs
+from ..timers import Joined, ms, secs
 from ..faults import WireFault
 from ..wire.cache_pb2 import Chunk, ChunkKeys, Chunks, Lengths, LengthsList, Paths
 from ..wire.frame_pb2 import Nothing
@@ -24,8 +24,8 @@
     def __init__(self, ctx):
         self._ctx = ctx
         p = ctx.settings
-        self.chunks = DataStore(ctx.beats, secs(p.chunk_ttl_s), p.cache_mb * 1024 * 1024)
-        self.lengths = LengthStore(ctx.beats, secs(p.chunk_ttl_s))
+        self.chunks = DataStore(ctx.timers, secs(p.chunk_ttl_s), p.cache_mb * 1024 * 1024)
+        self.lengths = LengthStore(ctx.timers, secs(p.chunk_ttl_s))
         self.poller = Poller(ctx, self)
         self.counts: Counter = Counter()
         self._ring = Ring({})
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -5,7 +5,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ZERO, Repeat, ms
+from ..timers import ZERO, Repeat, ms
 
 __all__ = ["Poller", "Seen"]
 
@@ -39,18 +39,18 @@
         self._seen: dict[str, Seen] = {}
         self._waiters: list[defer.Deferred] = []
         self._hot = 0
-        self._beats: list[Repeat] = []
+        self._timers: list[Repeat] = []
 
     def open(self):
         """Polls while anything is watched; the hot poll only while a reader waits for a length that is near."""
-        p, every, report = self._ctx.settings, self._ctx.beats.every, self._ctx.report
+        p, every, report = self._ctx.settings, self._ctx.timers.every, self._ctx.report
         for span, do, what, watched in ((p.poll_ms, self._poll, "poll", lambda: self._seen),
                                         (p.hot_poll_ms, self._poll_hot, "hot_poll", lambda: self._hot),
                                         (p.durable_poll_ms, self._poll_durable, "durable_poll", lambda: self._seen)):
-            self._beats.append(every(ms(span), do, report(what), due=lambda w=watched: ZERO if w() else None))
+            self._timers.append(every(ms(span), do, report(what), due=lambda w=watched: ZERO if w() else None))
 
     def _wake(self):
-        for b in self._beats:
+        for b in self._timers:
             b.wake()
 
     def join(self, path: str) -> Seen:
@@ -88,11 +88,11 @@
         if durable > s.durable:
             s.durable = durable
             if len(s.ahead) < MOST_AHEAD:
-                s.ahead.append((durable, self._ctx.beats.now()))
+                s.ahead.append((durable, self._ctx.timers.now()))
             else:
                 s.ahead[-1] = (durable, s.ahead[-1][1])
         if min(cached, s.durable) > s.cached:
-            s.cached, s.cached_at = min(cached, s.durable), self._ctx.beats.now()
+            s.cached, s.cached_at = min(cached, s.durable), self._ctx.timers.now()
         while s.ahead and s.ahead[0][0] <= s.cached:
             s.ahead.popleft()
         s.final = s.final or final
@@ -115,7 +115,7 @@
 
     async def prove(self, paths: list[str]):
         """Asks the storage nodes themselves for the durable lengths."""
-        asked = self._ctx.beats.now()
+        asked = self._ctx.timers.now()
         got = await self._ctx.replicated_log.states(paths)
         self._take((p, st.committed, 0, st.final) for p, st in got.items())
         for p in got:
@@ -137,7 +137,7 @@
         d = defer.Deferred()
         self._waiters.append(d)
         try:
-            await self._ctx.beats.await_or_lapse(d, limit)
+            await self._ctx.timers.await_or_lapse(d, limit)
         finally:
             if d in self._waiters:
                 self._waiters.remove(d)
--- a/pipitlink/cache/shadow.py
+++ b/pipitlink/cache/shadow.py
@@ -1,6 +1,6 @@
 from twisted.internet import defer
 
-from ..beats import ms, spawn
+from ..timers import ms, spawn
 from ..wire.cache_pb2 import Lengths
 from .chunks import CHUNK, chunk_key
 
@@ -66,7 +66,7 @@
             if key in await self._cache.put_chunks({key: data}):
                 self._written[n] = max(self._written.get(n, 0), len(data))
                 return
-            await self._ctx.beats.pause(RETRY)
+            await self._ctx.timers.pause(RETRY)
 
     async def _raise(self):
         """Raises the cached length to where every chunk below it is written."""
--- a/pipitlink/cache/stores.py
+++ b/pipitlink/cache/stores.py
@@ -9,8 +9,8 @@
 class DataStore:
     """One replica of the data cache: chunks by key, dropped by age or when full."""
 
-    def __init__(self, beats, ttl: timedelta, capacity: int):
-        self._beats = beats
+    def __init__(self, timers, ttl: timedelta, capacity: int):
+        self._timers = timers
         self._ttl = ttl
         self._capacity = capacity
         self._chunks: OrderedDict[bytes, tuple[bytes, timedelta]] = OrderedDict()
@@ -23,7 +23,7 @@
         have, _ = self._chunks.pop(key, (b"", None))
         self.size -= len(have)
         data = max(have, data, key=len)
-        self._chunks[key] = (data, self._beats.now() + self._ttl)
+        self._chunks[key] = (data, self._timers.now() + self._ttl)
         self.size += len(data)
         while self._chunks and self.size > self._capacity:
             self._drop(next(iter(self._chunks)))
@@ -34,7 +34,7 @@
 
     def get(self, key: bytes) -> bytes:
         data, until = self._chunks.get(key, (b"", None))
-        if until is not None and until < self._beats.now():
+        if until is not None and until < self._timers.now():
             self._drop(key)
             return b""
         return data
@@ -51,8 +51,8 @@
 class LengthStore:
     """One replica of the metadata cache: durable and cached lengths that only grow, and a best-effort writer."""
 
-    def __init__(self, beats, ttl: timedelta, capacity: int = 65536):
-        self._beats = beats
+    def __init__(self, timers, ttl: timedelta, capacity: int = 65536):
+        self._timers = timers
         self._ttl = ttl
         self._capacity = capacity
         self._files: OrderedDict[str, tuple[Lengths, timedelta]] = OrderedDict()
@@ -66,13 +66,13 @@
         have.cached = max(have.cached, new.cached)
         if new.writer:
             have.writer = new.writer
-        self._files[new.path] = (have, self._beats.now() + self._ttl)
+        self._files[new.path] = (have, self._timers.now() + self._ttl)
         while len(self._files) > self._capacity:
             self._files.popitem(last=False)
 
     def get(self, path: str) -> Lengths:
         have, until = self._files.get(path, (Lengths(path=path), None))
-        if until is not None and until < self._beats.now():
+        if until is not None and until < self._timers.now():
             del self._files[path]
             return Lengths(path=path)
         return have
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn
+from ..timers import ms, secs, spawn
 from ..disk import HEAD, frames
 from ..faults import Damaged, WireFault
 from .chunks import CHUNK, chunk_key
@@ -24,7 +24,7 @@
         self.position = 0
         self._bytes = bytearray()
         self._rate = ctx.settings.reader_kb_s * 1024
-        self._free_at = ctx.beats.now()
+        self._free_at = ctx.timers.now()
         self._resting = False
 
     def close(self):
@@ -44,7 +44,7 @@
 
     def _postponed(self) -> bool:
         """A durable read waits while the cache follows, for a small share of the time that the reader has."""
-        now, s = self._ctx.beats.now(), self.seen
+        now, s = self._ctx.timers.now(), self.seen
         since = s.ahead_since(now)
         still = now - max(since, s.cached_at)
         return still < min(ms(self._ctx.settings.postpone_ms), self._limit / 5) and now - since < self._limit / 2
@@ -115,9 +115,9 @@
             await self._cache.poller.moved(ms(self._ctx.settings.durable_poll_ms))
 
     async def _keep_rate(self, size: int):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if self._free_at > now:
-            await self._ctx.beats.pause(self._free_at - now)
+            await self._ctx.timers.pause(self._free_at - now)
         self._free_at = max(self._free_at, now) + timedelta(seconds=size / self._rate)
 
     async def read(self, start: int, end: int) -> bytes:
@@ -185,7 +185,7 @@
 
         if not first:
             return have
-        beat = self._ctx.beats.later(ms(self._ctx.settings.hedge_ms), hedge)
+        beat = self._ctx.timers.later(ms(self._ctx.settings.hedge_ms), hedge)
         for n, ks in first.items():
             spawn(one(n, ks))
         await done
--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from .beats import secs
+from .timers import secs
 
 __all__ = ["Changes"]
 
@@ -40,7 +40,7 @@
         words = {k: v if isinstance(v, (int, float, bool)) else str(v) for k, v in pairs.items()}
         p = self._ctx.settings
         self._inbox.append(CloudEvent({"type": f"pipitlink.{event}", "source": f"/{p.fleet}/{p.zone}/{self._ctx.node}",
-                                       "time": self._ctx.beats.wall(), "datacontenttype": "application/json"}, words))
+                                       "time": self._ctx.timers.wall(), "datacontenttype": "application/json"}, words))
         if self._waiter is not None and not self._waiter.called:
             self._waiter.callback(None)
 
@@ -48,14 +48,14 @@
         from cloudevents.core.bindings.http import to_structured
         from cloudevents.core.formats.json import JSONFormat
 
-        while not self._ctx.beats.ended:
+        while not self._ctx.timers.ended:
             if not self._inbox:
                 self._waiter = defer.Deferred(lambda _: None)
                 await self._waiter
                 continue
             message = to_structured(self._inbox.popleft(), JSONFormat())
             try:
-                await self._ctx.beats.within(LIMIT, self._post(message))
+                await self._ctx.timers.within(LIMIT, self._post(message))
                 self.told += 1
             except Exception as e:
                 self.dropped += 1
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -4,7 +4,7 @@
 import attrs
 from twisted.internet.threads import deferToThread
 
-from .beats import Beats, spawn
+from .timers import Timers, spawn
 from .dialect import Dialect
 from .journal import Journal
 from .settings import Settings
@@ -25,7 +25,7 @@
     node: str
     settings: Settings
     reactor: object
-    beats: Beats
+    timers: Timers
     journal: Journal
     desk: Desk
     chance: Random
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -3,14 +3,14 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ms, secs, to_ms
+from ..timers import ms, secs, to_ms
 from ..faults import Crowded, WireFault
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import EngineList, EngineNews
 
 __all__ = ["Announcing"]
 
-BATCH_BEAT = ms(800)
+BATCH_INTERVAL = ms(800)
 PUSH_LIMIT = ms(400)
 PUSH_PAUSE = ms(200)
 PUSH_SPAN = secs(3)
@@ -55,7 +55,7 @@
         self._renewed: set[str] = set()
         self._owed: dict[str, set[str]] = {}
         self._ctx.membership.watch(self._gateway_changed)
-        self._ctx.beats.every(BATCH_BEAT, self._tell_renewed, self._ctx.report("renewed_engines"))
+        self._ctx.timers.every(BATCH_INTERVAL, self._tell_renewed, self._ctx.report("renewed_engines"))
 
     async def announce(self, n: EngineNews):
         """Takes an engine's news; returns once it may be acknowledged. The newest sequence wins, leaving is for good."""
@@ -66,9 +66,9 @@
                 await self._confirmed(have)
             return
         if have is None:
-            have = self._announced[n.engine] = _Announced(EngineNews(), self._ctx.beats.now())
+            have = self._announced[n.engine] = _Announced(EngineNews(), self._ctx.timers.now())
         before, have.news = have.news, n
-        have.heard_at = self._ctx.beats.now()
+        have.heard_at = self._ctx.timers.now()
         if before.state == "leaving" and n.state != "gone":
             n.state = "leaving"
         if (n.state, n.address) != (before.state, before.address) or n.cold_ms and not before.cold_ms:
@@ -89,15 +89,15 @@
             self._ctx.spawned(self._tell_gateway(node, [have.news.engine], t), "tell_engines")
 
     async def _tell_gateway(self, node: str, engines, t: _Telling):
-        until = self._ctx.beats.now() + PUSH_SPAN
+        until = self._ctx.timers.now() + PUSH_SPAN
         try:
             while self._ctx.membership.status(node) in ("alive", "suspect"):
                 if await self._push(node, engines):
                     t.confirmed.add(node)
                     return
-                if self._ctx.beats.now() + PUSH_PAUSE > until:
+                if self._ctx.timers.now() + PUSH_PAUSE > until:
                     return
-                await self._ctx.beats.pause(PUSH_PAUSE)
+                await self._ctx.timers.pause(PUSH_PAUSE)
         finally:
             t.running -= 1
             t.wake()
@@ -114,7 +114,7 @@
         return True
 
     def _list(self, engines) -> EngineList:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         out = EngineList()
         for name in engines:
             have = self._announced.get(name)
@@ -132,13 +132,13 @@
         if have.telling is None or not have.telling.running and not have.telling.confirmed:
             self._tell(have)
         t = have.telling
-        end = self._ctx.beats.now() + CONFIRM_SPAN
+        end = self._ctx.timers.now() + CONFIRM_SPAN
         while True:
             live = {m.node for m in self._gateways(("alive",))}
-            left = end - self._ctx.beats.now()
+            left = end - self._ctx.timers.now()
             if (live & t.gateways) <= t.confirmed or not t.running or left <= ms(0):
                 break
-            await self._ctx.beats.await_or_lapse(t.wait(), left)
+            await self._ctx.timers.await_or_lapse(t.wait(), left)
         if not t.confirmed:
             raise Crowded("no gateway has confirmed that this engine leaves", code="untold")
 
@@ -156,7 +156,7 @@
             self._owed.setdefault(node, set()).update(engines)
 
     def _forget_engines(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for name, have in list(self._announced.items()):
             if now - have.heard_at > (GONE_SPAN if have.news.state == "gone" else FORGET_SPAN):
                 del self._announced[name]
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn
+from ..timers import ms, secs, spawn
 from ..context import fresh_id
 from ..faults import (BadAsk, CutOff, GatewayFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
                       WrongBase)
@@ -15,7 +15,7 @@
 __all__ = ["Edits", "edit_base", "edit_id"]
 
 FORWARD_LIMIT = secs(7)
-LOOK_BEAT = ms(50)
+LOOK_INTERVAL = ms(50)
 LEADER_SPAN = secs(1.5)
 
 
@@ -76,7 +76,7 @@
                              outcome="failed", retry_after=1) from e
 
     def _leader_silent(self) -> bool:
-        return self._ctx.beats.now() - self._led_at > LEADER_SPAN
+        return self._ctx.timers.now() - self._led_at > LEADER_SPAN
 
     async def _ask_leader(self, verb, what, kind):
         """Passes a call on to the leader, and waits for it no longer than that one is held for the leader."""
@@ -89,7 +89,7 @@
             if not d.called:
                 if self.leader != leader or self._leader_silent():
                     d.cancel()
-                self._ctx.beats.later(LOOK_BEAT, look)
+                self._ctx.timers.later(LOOK_INTERVAL, look)
 
         look()
         try:
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -3,7 +3,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import NoRoom, NotLeading, Overdue, Unproven
 from ..setup.follower import HOLD_FOLLOW, LEASE_SPAN
 from ..wire.setup_pb2 import Command, Delta, FollowAsk, FollowReceipt, Outcome
@@ -40,12 +40,12 @@
         self._ctx.desk.answer("controller.follow", FollowAsk, self._follow)
 
     def _fresh(self) -> bool:
-        return self.state == "leader" and self._ctx.beats.now() - self.heard_majority_at() < FRESH_SPAN
+        return self.state == "leader" and self._ctx.timers.now() - self.heard_majority_at() < FRESH_SPAN
 
     async def _follow(self, node, ask: FollowAsk) -> FollowReceipt:
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
-        self.followers[ask.node] = _Follower(ask.role, ask.sequence, self._ctx.beats.now() + LEASE_SPAN)
+        self.followers[ask.node] = _Follower(ask.role, ask.sequence, self._ctx.timers.now() + LEASE_SPAN)
         _wake(self._confirmations)
         if ask.sequence >= self.sheet.sequence and not ask.at_once:
             await self._wait(self._news, HOLD_FOLLOW, lambda: self.sheet.sequence > ask.sequence)
@@ -68,15 +68,15 @@
         _wake(self._confirmations)
 
     async def _wait(self, waiting: dict, limit: timedelta, until):
-        end = self._ctx.beats.now() + limit
+        end = self._ctx.timers.now() + limit
         while not until():
-            left = end - self._ctx.beats.now()
+            left = end - self._ctx.timers.now()
             if left <= ms(0):
                 return False
             d = defer.Deferred()
             waiting[d] = None
             try:
-                await self._ctx.beats.await_or_lapse(d, left)
+                await self._ctx.timers.await_or_lapse(d, left)
             finally:
                 waiting.pop(d, None)
         return True
@@ -87,7 +87,7 @@
         A gateway proves its setup by more than half of the witnesses, so half of them are enough here, once the last change
         of the witnesses is known to be with more than half.
         """
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if now < self._elected_at + LEASE_SPAN:
             return False
         if any(f.role == "gateway" and f.until > now and f.sequence < sequence for f in self.followers.values()):
@@ -103,13 +103,13 @@
 
     async def edit(self, c: Command, limit: timedelta = EDIT_LIMIT) -> Outcome:
         """Proposes an edit and returns once it is agreed and in effect everywhere."""
-        end = self._ctx.beats.now() + limit
+        end = self._ctx.timers.now() + limit
         if self.archive.used() + 3 * c.ByteSize() > self._ctx.settings.budget_mb * 1024 * 1024 * ROOM_SHARE:
             raise NoRoom("the controller's data folder has no room for this edit", sent=False)
         out = self.sheet.outcomes.get(c.edit) if c.edit else None
         known = out is not None
         if not known:
-            out = await self._ctx.beats.within(limit, self._propose(c))
+            out = await self._ctx.timers.within(limit, self._propose(c))
         if known or out.code != "done":
             await self.sure_leader()
         if out.code != "done":
@@ -118,13 +118,13 @@
         while not self._in_effect(sequence):
             if self.state != "leader":
                 raise Unproven("the edit is agreed, but this controller no longer leads to see it in effect")
-            if self._ctx.beats.now() >= end:
+            if self._ctx.timers.now() >= end:
                 raise Overdue("the edit is agreed but not yet shown to be in effect everywhere")
             await self._wait(self._confirmations, ms(50), lambda: self._in_effect(sequence))
         return out
 
     def _forget_followers(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for node, f in list(self.followers.items()):
             if f.until + secs(60) < now:
                 del self.followers[node]
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ZERO, ms, secs
+from ..timers import ZERO, ms, secs
 from ..faults import NoRoom, NotLeading, Unproven, WireFault
 from ..wire.controller_pb2 import AppendAsk, AppendReceipt, ControllerEntry
 from ..wire.setup_pb2 import Command, Outcome
@@ -10,7 +10,7 @@
 
 __all__ = ["Leading"]
 
-HEART_BEAT = ms(100)
+HEART_INTERVAL = ms(100)
 APPEND_LIMIT = ms(500)
 SNAPSHOT_LIMIT = secs(5)
 
@@ -30,11 +30,11 @@
 
     def _lead(self):
         self.leader = self._ctx.node
-        self._elected_at = self._ctx.beats.now()
+        self._elected_at = self._ctx.timers.now()
         self._match, self._acked_at, self._synced = {}, {}, 0
         self._ctx.journal.note("leading", term=self.term, voters=",".join(self.voters()))
         self._ctx.spawned(self._propose(Command(nothing=True)), "first_entry")
-        for b in self.lead_beats:
+        for b in self.lead_timers:
             b.wake()
 
     def _yielded(self):
@@ -48,7 +48,7 @@
 
     def heard_majority_at(self) -> timedelta:
         """The latest time for which a majority of the voters is known to have followed this leader."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         at = sorted((now if v == self._ctx.node else self._acked_at.get(v, ZERO) for v in self.voters()), reverse=True)
         return at[len(at) // 2] if at else ZERO
 
@@ -62,13 +62,13 @@
         after = self.archive.last_index()
         try:
             while self.state == "leader" and self.term == term and self._ctx.membership.status(node) != "gone":
-                sent = self._ctx.beats.now()
+                sent = self._ctx.timers.now()
                 ask = self._entries_for(node, after)
                 limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
                 try:
                     r = await self.ask_controller(node, "controller.append", ask, AppendReceipt, limit)
                 except WireFault:
-                    await self._ctx.beats.pause(HEART_BEAT)
+                    await self._ctx.timers.pause(HEART_INTERVAL)
                     continue
                 if r.term > self.term:
                     await self.meet_term(r.term)
@@ -98,7 +98,7 @@
 
     async def _wait_wake(self, node: str):
         d = self._wakes[node] = defer.Deferred()
-        await self._ctx.beats.await_or_lapse(d, HEART_BEAT)
+        await self._ctx.timers.await_or_lapse(d, HEART_INTERVAL)
 
     def _wake_all(self):
         wakes, self._wakes = self._wakes, {}
@@ -152,7 +152,7 @@
         """Returns once a majority has answered this leader after the call began, and its term has an agreed entry."""
         if self.state != "leader":
             raise NotLeading(self.leader, self.leader)
-        asked = self._ctx.beats.now()
+        asked = self._ctx.timers.now()
         term = self.term
         until = asked + secs(2)
         while True:
@@ -160,10 +160,10 @@
                 raise NotLeading(self.leader, self.leader)
             if self.heard_majority_at() >= asked and self.archive.term_at(self.commit) == term:
                 return
-            if self._ctx.beats.now() > until:
+            if self._ctx.timers.now() > until:
                 raise Unproven("a majority of the controllers was not heard")
             self._wake_all()
-            await self._ctx.beats.pause(ms(10))
+            await self._ctx.timers.pause(ms(10))
 
     async def _append(self, node, ask: AppendAsk) -> AppendReceipt:
         if ask.term < self.term:
@@ -173,7 +173,7 @@
             self.put("yield")
         if self.term != ask.term or self.state == "leader":
             return AppendReceipt(term=self.term)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         self._heard_at = self._led_at = now
         self.leader = ask.leader
         if ask.HasField("snapshot") and (self.state == "newcomer" or ask.snapshot.index > self.archive.last_index()):
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -1,6 +1,6 @@
 from pathlib import Path
 
-from ..beats import ZERO, Repeat, ms
+from ..timers import ZERO, Repeat, ms
 from ..charts import Charted
 from ..dialect.control import ControlWords
 from ..disk import Disk
@@ -21,7 +21,7 @@
 
 __all__ = ["ControllerNode"]
 
-BEAT = ms(50)
+ELECTION_INTERVAL = ms(50)
 
 
 class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, Charted):
@@ -36,7 +36,7 @@
         self.founders: tuple[str, ...] = ()
         self._adopting = False
         self._trimming = False
-        self.lead_beats: list[Repeat] = []
+        self.lead_timers: list[Repeat] = []
         self._elections: Repeat | None = None
         self._open_chart()
 
@@ -52,12 +52,12 @@
         self._ctx.desk.answer("controller.empty", Nothing, self._empty)
         if self.archive.snapshot.sheet.voters:
             self.put("founded")
-        b, report = self._ctx.beats, self._ctx.report
-        self._elections = b.every(BEAT, self._election_beat, report("election"), due=self._election_due)
+        b, report = self._ctx.timers, self._ctx.report
+        self._elections = b.every(ELECTION_INTERVAL, self._election_beat, report("election"), due=self._election_due)
         b.every(ms(300), self._found_beat, report("founding"), due=lambda: ZERO if self.state == "newcomer" else None)
         for span, do, what in ((ms(100), self._lead_beat, "leading"), (ms(300), self._shelve_beat, "placement"),
                                (ms(500), self._voters_beat, "voters")):
-            self.lead_beats.append(b.every(span, do, report(what),
+            self.lead_timers.append(b.every(span, do, report(what),
                                            due=lambda: ZERO if self.state == "leader" else None))
 
     def _say(self):
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -1,6 +1,6 @@
 from collections import Counter
 
-from ..beats import secs
+from ..timers import secs
 from ..faults import GatewayFault
 from ..setup import Sheet
 from ..wire.replicated_log_pb2 import CaughtUp
@@ -29,7 +29,7 @@
     async def _shelve_beat(self):
         if self.state != "leader" or self.archive.term_at(self.commit) != self.term:
             return
-        if self._ctx.beats.now() - self._elected_at < SETTLE:
+        if self._ctx.timers.now() - self._elected_at < SETTLE:
             return
         if await self._settle_witnesses():
             return
@@ -93,7 +93,7 @@
         status = self._ctx.membership.status(storage_node)
         if status not in ("unknown", "gone"):
             return False
-        away = self._ctx.beats.now() - self._elected_at - REPAIR_AFTER if status == "unknown" \
+        away = self._ctx.timers.now() - self._elected_at - REPAIR_AFTER if status == "unknown" \
             else self._ctx.membership.since(storage_node)
         return away > REPAIR_AFTER or self._replaced(storage_node)
 
--- a/pipitlink/controller/voters.py
+++ b/pipitlink/controller/voters.py
@@ -1,4 +1,4 @@
-from ..beats import secs
+from ..timers import secs
 from ..wire.setup_pb2 import Command, Controllers
 
 __all__ = ["Voters"]
@@ -11,11 +11,11 @@
     """Mixin: a lost voter's place goes to a standby, one membership change at a time."""
 
     def _caught_up(self, node: str) -> bool:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         return self._match.get(node, -1) >= self.commit - 50 and now - self._acked_at.get(node, -GONE_SPAN) < secs(1)
 
     def _lost_voter(self, node: str) -> bool:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         heard = max(self._acked_at.get(node, self._elected_at), self._elected_at)
         return node != self._ctx.node and now - heard > GONE_SPAN and self._ctx.membership.status(node) != "alive"
 
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ZERO, ms, spawn
+from ..timers import ZERO, ms, spawn
 from ..faults import WireFault
 from ..wire.controller_pb2 import FoundReceipt, Snapshot, VoteAsk, VoteReceipt
 from ..wire.frame_pb2 import Nothing
@@ -56,7 +56,7 @@
     """Mixin: elections with a pre-vote. Ballots are synced before they are answered."""
 
     def _open_voting(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         self._heard_at = self._led_at = now
         self._started_at = now
         self._fresh_spent = False
@@ -68,7 +68,7 @@
         return STICKY_SPAN + (LONGEST - STICKY_SPAN) * self._ctx.chance.random()
 
     def _election_beat(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if self.state == "leader":
             if now - max(self.heard_majority_at(), self._elected_at) > LONGEST:
                 self._ctx.journal.note("majority_unheard", term=self.term)
@@ -88,7 +88,7 @@
 
     def _election_due(self) -> timedelta:
         """How long no election can be due. A leader looks often: the voters, and so who was heard, may change."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if self.state == "follower" and not self._just_started():
             return self._heard_at + self._patience - now
         if self.state == "leader":
@@ -102,7 +102,7 @@
     def _just_started(self) -> bool:
         """Started a short while ago, and since then neither heard a leader nor voted."""
         return not self._fresh_spent and self._led_at == self._started_at \
-            and self._ctx.beats.now() - self._started_at < STICKY_SPAN
+            and self._ctx.timers.now() - self._started_at < STICKY_SPAN
 
     def _fresh_turn(self, now: timedelta) -> timedelta:
         """Voters that start together stand one after another, so that none takes the vote of the one before."""
@@ -174,7 +174,7 @@
     async def _vote(self, node, ask: VoteAsk) -> VoteReceipt:
         if self.state == "newcomer":
             return VoteReceipt(term=self.term)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         last = self.archive.last_index()
         whole = (ask.last_term, ask.last_index) >= (self.archive.term_at(last), last)
         fresh = ask.fresh and self._just_started() and tuple(ask.voters) == self.voters()
@@ -191,7 +191,7 @@
         await self.archive.put_ballot(ask.term, ask.candidate)
         kept = (self.term, self.archive.ballot.vote) == (ask.term, ask.candidate)
         if kept:
-            self._heard_at = self._ctx.beats.now()
+            self._heard_at = self._ctx.timers.now()
         return VoteReceipt(term=self.term, granted=kept)
 
     async def meet_term(self, term: int):
--- a/pipitlink/gateway/asks.py
+++ b/pipitlink/gateway/asks.py
@@ -149,8 +149,8 @@
         """Runs the passes over one record until it is settled. Faults end up on the record."""
         self.asks[ask.id] = ask
         if ask.kind == "live":
-            began = self._ctx.beats.now()
-            ask.on_first = lambda: self.first_pieces.add(self._ctx.beats.now() - began)
+            began = self._ctx.timers.now()
+            ask.on_first = lambda: self.first_pieces.add(self._ctx.timers.now() - began)
         try:
             while not ask.settled:
                 for name in self.passes[ask.kind]:
@@ -183,4 +183,4 @@
         if ask.kind != "live":
             self.asks.pop(ask.id, None)
         else:
-            self._ctx.beats.later(self._hold, self.asks.pop, ask.id, None)
+            self._ctx.timers.later(self._hold, self.asks.pop, ask.id, None)
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ZERO, ms, secs, spawn, wall_ms
+from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..disk import frames
 from ..faults import ReplicatedLogFault, NotHeld, Overdue, PipitFault
 from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, Item, LogRecord, Result, Started
@@ -12,8 +12,8 @@
 
 __all__ = ["Dispatch"]
 
-TAKE_BEAT = ms(200)
-FEED_BEAT = ms(50)
+TAKE_INTERVAL = ms(200)
+FEED_INTERVAL = ms(50)
 TAKE_AGAIN = ms(700)
 ITEM_LIMIT = secs(120)
 MAX_TRIES = 8
@@ -25,8 +25,8 @@
 
     def _open_dispatch(self):
         self._ctx.desk.answer("lots.end", EndAsk, self._end_for)
-        for span, do, what in ((TAKE_BEAT, self._take_lots, "take_lots"), (FEED_BEAT, self._feed, "feed")):
-            self._lot_beats.append(self._ctx.beats.every(span, do, self._ctx.report(what),
+        for span, do, what in ((TAKE_INTERVAL, self._take_lots, "take_lots"), (FEED_INTERVAL, self._feed, "feed")):
+            self._lot_timers.append(self._ctx.timers.every(span, do, self._ctx.report(what),
                                                          due=lambda: ZERO if self.open_lots else None))
 
     def _owner(self, lot_id: str) -> str:
@@ -39,7 +39,7 @@
             return
         if self._ctx.setup.zone_empty(self._ctx.settings.zone):
             self._hand_over()
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         taking = sum(o.taking for o in self.open_lots.values())
         for o in sorted(self.open_lots.values(), key=lambda o: o.lot.limit_ms):
             if o.leaseholder is not None and o.leaseholder.lost:
@@ -58,7 +58,7 @@
         try:
             h = await self.keep(result_log(o.id))
         except (PipitFault, Overdue) as e:
-            o.try_at = self._ctx.beats.now() + TAKE_AGAIN
+            o.try_at = self._ctx.timers.now() + TAKE_AGAIN
             self._ctx.journal.trace("lot_not_taken", lot=o.id, text=e)
             return
         finally:
@@ -91,14 +91,14 @@
         for work in o.running.values():
             work.cancel()
         o.leaseholder, o.waiting, o.running = None, [], {}
-        o.try_at = self._ctx.beats.now() + TAKE_AGAIN
+        o.try_at = self._ctx.timers.now() + TAKE_AGAIN
 
     def _feed(self):
         """Starts items while there is room: by limit, then priority, and by turns among customers."""
         if not self.current() or self._ctx.setup.zone_empty(self._ctx.settings.zone):
             return
-        now = self._ctx.beats.now()
-        wall = wall_ms(self._ctx.beats.wall())
+        now = self._ctx.timers.now()
+        wall = wall_ms(self._ctx.timers.wall())
         owned = [o for o in self.open_lots.values() if o.leaseholder is not None and o.waiting and not o.leaseholder.final]
         busy: dict[str, int] = {}
         for o in self.open_lots.values():
@@ -151,14 +151,14 @@
         if o.leaseholder is not None and not o.leaseholder.lost and not o.leaseholder.final and i not in o.results \
                 and i not in o.waiting:
             o.waiting.append(i)
-            o.again_at[i] = self._ctx.beats.now() + TAKE_AGAIN
+            o.again_at[i] = self._ctx.timers.now() + TAKE_AGAIN
 
     async def _run_item(self, o: OpenLot, i: int, item: Item, late: bool):
         if late:
             await self._list(o, Result(item=i, outcome=self._proved(o, i, "not_run"), code="limit_passed"))
             return await self._finish_if_done(o)
-        now = self._ctx.beats.now()
-        left = timedelta(milliseconds=o.lot.limit_ms) - timedelta(milliseconds=wall_ms(self._ctx.beats.wall()))
+        now = self._ctx.timers.now()
+        left = timedelta(milliseconds=o.lot.limit_ms) - timedelta(milliseconds=wall_ms(self._ctx.timers.wall()))
         ask = Ask(kind="item", model=item.model, prompt=item.prompt, prefix=item.prefix, repeatable=item.repeatable,
                   max_tokens=item.max_tokens or 256, limit=now + min(ITEM_LIMIT, left), customer=o.lot.customer,
                   mark=lambda: self._mark_started(o, i, item), still=lambda: self._check_owned(o))
@@ -174,7 +174,7 @@
             o.tries[i] = o.tries.get(i, 0) + (ask.outcome != "not_run")
             again = ask.outcome == "not_run" or (item.repeatable and ask.outcome == "unknown")
             if again and o.tries[i] < MAX_TRIES and ask.fault.code != "limit_passed":
-                o.again_at[i] = self._ctx.beats.now() + max(ms(100), secs(ask.fault.retry_after) / 4)
+                o.again_at[i] = self._ctx.timers.now() + max(ms(100), secs(ask.fault.retry_after) / 4)
                 o.waiting.append(i)
                 return
             outcome = "failed" if ask.fault.outcome == "failed" else ask.outcome
@@ -224,7 +224,7 @@
         h, o.leaseholder = o.leaseholder, None
         if h is not None:
             self._close(o.id)
-            await self._ctx.beats.pause(secs(1))
+            await self._ctx.timers.pause(secs(1))
             await self._ctx.replicated_log.release([h])
 
     async def _end_for(self, node, ask: EndAsk):
--- a/pipitlink/gateway/engines.py
+++ b/pipitlink/gateway/engines.py
@@ -3,7 +3,7 @@
 
 import attrs
 
-from ..beats import ZERO, ms, secs, spawn, to_ms, wall_ms
+from ..timers import ZERO, ms, secs, spawn, to_ms, wall_ms
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import EngineList, EngineNews, Gossip, Load, Loads
 
@@ -11,7 +11,7 @@
 
 SILENT_SPAN = secs(3)
 FORGET_SPAN = secs(60)
-LOADS_BEAT = ms(200)
+LOADS_INTERVAL = ms(200)
 LOADS_SPAN = secs(2)
 STIR_SPAN = secs(6)
 RAMP_SPAN = secs(8)
@@ -51,8 +51,8 @@
         self._told: dict[str, int] = {}
         self._carriers: list = []
         self._telling = False
-        self._stirred_at = ctx.beats.now()
-        self._looked_at = ctx.beats.now()
+        self._stirred_at = ctx.timers.now()
+        self._looked_at = ctx.timers.now()
         self._woke_at = ZERO
 
     def carry(self, fill, take):
@@ -63,7 +63,7 @@
         self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
         self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
         self._ctx.membership.carry(self._fill, self._take)
-        self._ctx.beats.every(LOADS_BEAT, self._tell_loads, self._ctx.report("loads"))
+        self._ctx.timers.every(LOADS_INTERVAL, self._tell_loads, self._ctx.report("loads"))
 
     def all(self) -> list[Engine]:
         return sorted(self._engines.values(), key=lambda e: e.name)
@@ -84,7 +84,7 @@
                 self._merge(n)
 
     def _fill(self, g: Gossip):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for e in self._engines.values():
             n = g.engines.add()
             n.CopyFrom(e.news)
@@ -101,7 +101,7 @@
         return self._woke_at > ZERO and now - self._woke_at < HELD_SPAN
 
     def _merge(self, n: EngineNews):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         renewed = now - ms(n.age_ms)
         if now - renewed > FORGET_SPAN or not n.engine:
             return
@@ -128,7 +128,7 @@
 
     def _look(self) -> timedelta:
         """Notes where this gateway slept: what engines said meanwhile is not known until they are heard again."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if now - self._looked_at > SLEPT_SPAN:
             self._woke_at = now
         self._looked_at = now
@@ -145,23 +145,23 @@
         return "ready"
 
     def failed(self, e: Engine):
-        e.failed_at = self._ctx.beats.now()
+        e.failed_at = self._ctx.timers.now()
 
     def refused(self, e: Engine):
         """It refuses though it has room by all that is known: it is in trouble, and is filled anew step by step."""
         if 2 * (self.running(e) - 1) < self.capacity(e):
-            e.failed_at = e.ready_since = self._ctx.beats.now()
+            e.failed_at = e.ready_since = self._ctx.timers.now()
 
     def capacity(self, e: Engine) -> int:
         """What may run on it now: a cold engine is filled step by step."""
-        age = (self._ctx.beats.now() - e.ready_since) / RAMP_SPAN
+        age = (self._ctx.timers.now() - e.ready_since) / RAMP_SPAN
         return max(1, int(e.news.capacity * min(1.0, 0.1 + 0.9 * age)))
 
     def _cold(self, e: Engine) -> bool:
-        return self._ctx.beats.now() - e.ready_since < RAMP_SPAN
+        return self._ctx.timers.now() - e.ready_since < RAMP_SPAN
 
     def running(self, e: Engine) -> int:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         return e.mine + sum(n for n, at in e.others.values() if now - at < LOADS_SPAN)
 
     def room(self, e: Engine, reserve: float = 0.0) -> int:
@@ -188,7 +188,7 @@
             gateways |= {m.node for m in membership.members("gateway", status=("suspect", "gone"))
                        if membership.since(m.node) < RAMP_SPAN}
         ranked = sorted(gateways, key=lambda g: blake2b(f"{e.name}/{g}".encode(), digest_size=8).digest())
-        turn = (ranked.index(self._ctx.node) + wall_ms(self._ctx.beats.wall()) // TURN_MS) % len(ranked)
+        turn = (ranked.index(self._ctx.node) + wall_ms(self._ctx.timers.wall()) // TURN_MS) % len(ranked)
         return lambda n: n // len(ranked) + (turn < n % len(ranked))
 
     def take(self, e: Engine, lot: bool):
@@ -197,7 +197,7 @@
         setattr(e, kind, getattr(e, kind) + 1)
         if self._cold(e) and not self._telling:
             self._telling = True
-            self._ctx.beats.later(SOON, self._tell_loads)
+            self._ctx.timers.later(SOON, self._tell_loads)
         return lambda: self._give(e.name, kind)
 
     def _give(self, name: str, kind: str):
@@ -235,7 +235,7 @@
 
     def stir(self):
         """Something may be out in this gateway's name: the others are told what it holds until that must be known."""
-        self._stirred_at = self._ctx.beats.now()
+        self._stirred_at = self._ctx.timers.now()
 
     def _tell(self, what: Loads):
         for m in self._ctx.membership.members("gateway", me=False):
@@ -245,7 +245,7 @@
     async def _told_loads(self, node, what: Loads):
         for _, take in self._carriers:
             take(what)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for one in what.loads:
             e = self._engines.get(one.engine)
             if e is not None:
--- a/pipitlink/gateway/fetching.py
+++ b/pipitlink/gateway/fetching.py
@@ -2,7 +2,7 @@
 from twisted.web.client import ResponseDone
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-from ..beats import ms, spawn
+from ..timers import ms, spawn
 from ..faults import BackEndFault, BadAsk, Crowded
 from ..web import answered, send_fault
 from .asks import Ask
@@ -48,7 +48,7 @@
             raise BadAsk("the path may not climb", code="bad_path", field="path")
         query = request.uri.partition(b"?")[2].decode("ascii", "replace")
         ask = Ask(kind="fetch", model=path + ("?" + query if query else ""), prompt="", pool=pool, repeatable=True,
-                  limit=self._ctx.beats.now() + FETCH_LIMIT)
+                  limit=self._ctx.timers.now() + FETCH_LIMIT)
         ask.feed = request
         ask.work = spawn(self.run(ask))
         try:
--- a/pipitlink/gateway/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -1,4 +1,4 @@
-from ..beats import Joined, ms, secs, wall_ms
+from ..timers import Joined, ms, secs, wall_ms
 from ..faults import BadAsk, Crowded
 from ..wire.lots_pb2 import Item, LogRecord, Lot
 from ..web import answered, send_json
@@ -25,20 +25,20 @@
     def _open_intake(self):
         self._lot_log = None
         self._lot_turn = 0
-        self._lot_log_at = self._ctx.beats.now()
+        self._lot_log_at = self._ctx.timers.now()
         self._opening = Joined()
 
     async def _own_log(self):
         """The gateway's lot log for now; a new one where there is none, or when it has grown long."""
         log = self._lot_log
         if log is None or log.lost or len(log.data) >= ROTATE or \
-                self._ctx.beats.now() - self._lot_log_at > ROTATE_SPAN:
+                self._ctx.timers.now() - self._lot_log_at > ROTATE_SPAN:
             log = await self._opening.run("lots", self._open_log)
         return log
 
     async def _open_log(self):
         self._lot_turn += 1
-        self._lot_log_at = self._ctx.beats.now()
+        self._lot_log_at = self._ctx.timers.now()
         self._lot_log = await self.keep(f"lots/{self._ctx.node}.{self._lot_turn}")
         return self._lot_log
 
@@ -49,7 +49,7 @@
             raise Crowded("this gateway is not current", code="not_current")
         if len(b.items) > self._ctx.settings.max_items:
             raise BadAsk(f"items: a lot may have {self._ctx.settings.max_items} items", code="bad_field", field="items")
-        taken = wall_ms(self._ctx.beats.wall())
+        taken = wall_ms(self._ctx.timers.wall())
         lot = Lot(customer=b.customer, priority=b.priority, taken_ms=taken, limit_ms=taken + b.limit_ms,
                   key=b.idempotency_key,
                   items=[Item(model=i.model, prompt=i.prompt, prefix=i.prefix_key, repeatable=i.repeatable,
@@ -60,7 +60,7 @@
 
     async def _store_lot(self, lot: Lot) -> str:
         try:
-            log = await self._ctx.beats.within(ms(2500), self._own_log())
+            log = await self._ctx.timers.within(ms(2500), self._own_log())
         except Exception as e:
             raise Crowded(f"the store cannot take lots now: {e}", code=getattr(e, "code", "store")) from e
         if not log.held():
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -3,7 +3,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import secs, wall_ms
+from ..timers import secs, wall_ms
 from ..disk import frames
 from ..faults import CutOff, Crowded, GatewayFault, NotHeld, PipitFault, Refused, WireFault
 from ..wire.lots_pb2 import KeyedLot, KeyedReceipt, LogRecord, Lot
@@ -74,7 +74,7 @@
         n = self._shard_of(lot)
         key, digest = f"{lot.customer}\0{lot.key}", _digest(lot)
         async with self._turns[n]:
-            day = wall_ms(self._ctx.beats.wall()) // DAY_MS
+            day = wall_ms(self._ctx.timers.wall()) // DAY_MS
             shards = [await self._shard(f"lots/keyed{n}.{d}") for d in (day, day - 1)]
             for s in shards:
                 s.learn()
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..beats import ZERO, ms, secs
+from ..timers import ZERO, ms, secs
 from ..context import fresh_id
 from ..faults import Crowded, Refused, WireFault
 from ..wire.membership_pb2 import Loads, Permit, PermitAsk, PermitReceipt
@@ -59,16 +59,16 @@
 class ComeBack:
     """When to come back: each request that found no room gets the next place that is expected to fall free."""
 
-    def __init__(self, beats, most: int = 64):
-        self._beats = beats
+    def __init__(self, timers, most: int = 64):
+        self._timers = timers
         self._freed: deque[timedelta] = deque(maxlen=most)
         self._next = ZERO
 
     def freed(self):
-        self._freed.append(self._beats.now())
+        self._freed.append(self._timers.now())
 
     def seconds(self) -> int:
-        now = self._beats.now()
+        now = self._timers.now()
         recent = [at for at in self._freed if now - at < secs(10)]
         span = (now - recent[0]) / secs(1) if recent else 1.0
         rate = max(0.5, len(recent) / max(0.5, span))
@@ -91,7 +91,7 @@
         self._books: dict[str, _Book] = {}
         self._held: dict[str, str] = {}
         self._gateways_then: frozenset = frozenset()
-        self._moved_at = self._looked_at = self._ctx.beats.now()
+        self._moved_at = self._looked_at = self._ctx.timers.now()
         self._ctx.desk.answer("limits.take", PermitAsk, self._permit_for)
         self.engines.carry(self._fill_permits, self._told_permits)
 
@@ -105,7 +105,7 @@
 
     def _look(self):
         """Notes when the gateways changed, or this one slept: places may be out of which a new steward has not heard."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", status=("alive",)))
         if gateways != self._gateways_then or now - self._looked_at > secs(1):
             self._gateways_then, self._moved_at = gateways, now
@@ -119,7 +119,7 @@
         away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
                 if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
         return self._ctx.setup.ready() and len(alive) >= len(away) \
-            and self._ctx.beats.now() - self._moved_at >= SETTLE_SPAN
+            and self._ctx.timers.now() - self._moved_at >= SETTLE_SPAN
 
     async def _permit_for(self, node, ask: PermitAsk) -> PermitReceipt:
         return self._permit_here(node, ask)
@@ -132,7 +132,7 @@
         row = self._ctx.setup.sheet.rows.get(ask.row)
         if row is None:
             return PermitReceipt(granted=True)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if not self._may_grant():
             return PermitReceipt(wait_ms=1000)
         if ask.id:
@@ -164,17 +164,17 @@
         row = self._row_of(ask)
         if row is None or not row.concurrency or ask.permit:
             return
-        until = min(ask.limit, self._ctx.beats.now() + LONGEST_WAIT)
+        until = min(ask.limit, self._ctx.timers.now() + LONGEST_WAIT)
         permit = fresh_id()
         while True:
             self.engines.stir()
             r = await self._ask_steward(PermitAsk(row=row.name, id=permit))
             if r.granted:
                 break
-            if self._ctx.beats.now() + WAIT_STEP >= until:
+            if self._ctx.timers.now() + WAIT_STEP >= until:
                 raise Crowded(f"row {row.name} allows {row.concurrency} at once", code="concurrency_limited",
                               status=429, retry_after=self.come_back.seconds())
-            await self._ctx.beats.pause(WAIT_STEP)
+            await self._ctx.timers.pause(WAIT_STEP)
         self._held[permit] = row.name
         ask.permit = lambda: self._give_permit(permit)
 
@@ -188,7 +188,7 @@
 
     def _told_permits(self, what: Loads):
         """What a gateway says it holds is so; what it no longer names it has given back."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         named = {p.id for p in what.permits}
         for p in what.permits:
             book = self._books.setdefault(p.row, _Book())
--- a/pipitlink/gateway/live.py
+++ b/pipitlink/gateway/live.py
@@ -3,7 +3,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn
+from ..timers import ms, secs, spawn
 from ..faults import BadAsk, NotFound, Overdue, Refused, WireFault
 from ..web import answered, send_fault, send_json
 from ..wire.membership_pb2 import EngineNews
@@ -39,7 +39,7 @@
     async def generate(self, request):
         b = read_json(request, GenerateBody)
         ask = Ask(id=self.new_run(), model=b.model, prompt=b.prompt, prefix=b.prefix_key, repeatable=b.repeatable,
-                  max_tokens=b.max_tokens, limit=self._ctx.beats.now() + ms(b.limit_ms))
+                  max_tokens=b.max_tokens, limit=self._ctx.timers.now() + ms(b.limit_ms))
         ask.readers += 1
         ask.work = spawn(self.run(ask))
         if b.stream:
@@ -106,7 +106,7 @@
                 while at < len(ask.pieces):
                     if wait.full:
                         self.hold_back(ask, True)
-                        await self._ctx.beats.within(STUCK_SPAN, wait.free())
+                        await self._ctx.timers.within(STUCK_SPAN, wait.free())
                     request.write(_event("piece", at, {"n": at, "text": ask.pieces[at]}))
                     at += 1
                 self.hold_back(ask, False)
@@ -138,8 +138,8 @@
         """The caller went away: the run ends unless one comes back for it in a short while."""
         if ask.settled or ask.readers or ask.id not in self.asks:
             return
-        ask.left_at = self._ctx.beats.now()
-        self._ctx.beats.later(self._hold, self._end_if_left, ask, ask.left_at)
+        ask.left_at = self._ctx.timers.now()
+        self._ctx.timers.later(self._hold, self._end_if_left, ask, ask.left_at)
 
     def _end_if_left(self, ask, left_at: timedelta):
         if ask.left_at == left_at and not ask.readers and not ask.settled:
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from ..beats import Repeat, secs, wall_ms
+from ..timers import Repeat, secs, wall_ms
 from ..faults import PipitFault
 from ..wire.lots_pb2 import Ended, LogRecord, Lot, Result
 
 __all__ = ["OpenLot", "Lots", "result_log"]
 
-LIST_BEAT = secs(1)
-CLOSE_BEAT = secs(10)
+LIST_INTERVAL = secs(1)
+CLOSE_INTERVAL = secs(10)
 DAY_MS = 86_400_000
 MOST_ASKED = 2000
 
@@ -47,17 +47,17 @@
 
     def _open_lots(self):
         self.open_lots: dict[str, OpenLot] = {}
-        self._lot_beats: list[Repeat] = []
+        self._lot_timers: list[Repeat] = []
         self._closed: set[str] = set()
         self._tails: dict[str, object] = {}
         self._lots_of: dict[str, set[str]] = {}
-        self._ctx.beats.every(LIST_BEAT, self._list_logs, self._ctx.report("list_logs"))
-        self._ctx.beats.every(CLOSE_BEAT, self._close_logs, self._ctx.report("close_logs"))
+        self._ctx.timers.every(LIST_INTERVAL, self._list_logs, self._ctx.report("list_logs"))
+        self._ctx.timers.every(CLOSE_INTERVAL, self._close_logs, self._ctx.report("close_logs"))
 
     def _known(self, lot_id: str, lot: Lot):
         if lot_id not in self._closed and lot_id not in self.open_lots:
             self.open_lots[lot_id] = OpenLot(lot_id, lot)
-            for b in self._lot_beats:
+            for b in self._lot_timers:
                 b.wake()
 
     def _close(self, lot_id: str):
@@ -95,7 +95,7 @@
         for log, tail in list(self._tails.items()):
             writer, _, turn = log.removeprefix("lots/").partition(".")
             if writer.startswith("keyed"):
-                idle = int(turn) < wall_ms(self._ctx.beats.wall()) // DAY_MS - 1
+                idle = int(turn) < wall_ms(self._ctx.timers.wall()) // DAY_MS - 1
             elif writer == self._ctx.node:
                 idle = int(turn) < self._lot_turn
             else:
@@ -116,7 +116,7 @@
     async def _follow(self, log: str):
         """One task for each lot log, reading it in order."""
         tail = self._tails[log]
-        while not self._ctx.beats.ended and self._tails.get(log) is tail:
+        while not self._ctx.timers.ended and self._tails.get(log) is tail:
             try:
                 for at, body in await tail.more():
                     record = LogRecord.FromString(body)
@@ -126,5 +126,5 @@
                         self._known(lot_id, record.lot)
             except PipitFault as e:
                 self._ctx.journal.fault("log_unread", e, log=log)
-                await self._ctx.beats.pause(secs(1))
+                await self._ctx.timers.pause(secs(1))
             await tail.wait()
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -1,6 +1,6 @@
 from klein import Klein
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import NotFound
 from ..web import Site, listen, send_fault, send_json
 from .asks import AskTable
@@ -28,12 +28,12 @@
         self._ctx = ctx
         self.engines = ctx.engines = Engines(ctx)
         self._retry_budget = RetryBudget()
-        self.come_back = ComeBack(ctx.beats)
+        self.come_back = ComeBack(ctx.timers)
         self._hold = secs(ctx.settings.resume_hold_s)
         self._waiting = 0
         self._port = None
         self._draining = False
-        self._opened_at = ctx.beats.now()
+        self._opened_at = ctx.timers.now()
 
     def open(self):
         self._open_table()
@@ -115,9 +115,9 @@
         self._draining = True
         if self._port is not None:
             await self._port.stopListening()
-        until = self._ctx.beats.now() + DRAIN
-        while any(not a.settled for a in self.asks.values()) and self._ctx.beats.now() < until:
-            await self._ctx.beats.pause(ms(50))
+        until = self._ctx.timers.now() + DRAIN
+        while any(not a.settled for a in self.asks.values()) and self._ctx.timers.now() < until:
+            await self._ctx.timers.pause(ms(50))
         for o in self.open_lots.values():
             self._lose(o)
         await self._ctx.replicated_log.release(list(self._ctx.replicated_log.leaseholders.values()))
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import Crowded, GatewayFault, NotFound
 from ..rendezvous import rank
 
@@ -25,7 +25,7 @@
 
     async def _pass_admit(self, ask):
         await self._await_current()
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if ask.limit <= now:
             raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if ask.tries:
@@ -37,11 +37,11 @@
 
     async def _await_current(self):
         """A node that just woke gets a short while to prove its setup again."""
-        until = self._ctx.beats.now() + CURRENT_WAIT
+        until = self._ctx.timers.now() + CURRENT_WAIT
         while not self.current():
-            if self._ctx.beats.now() >= until:
+            if self._ctx.timers.now() >= until:
                 raise Crowded("this gateway cannot prove its setup now", code="not_current")
-            await self._ctx.beats.pause(ms(20))
+            await self._ctx.timers.pause(ms(20))
 
 
 class Picking:
@@ -84,7 +84,7 @@
 
     async def _pass_pick(self, ask):
         await self._keep_concurrency(ask)
-        until = min(ask.limit, self._ctx.beats.now() + PICK_WAIT)
+        until = min(ask.limit, self._ctx.timers.now() + PICK_WAIT)
         while True:
             e = self._pick(ask)
             if e is not None:
@@ -97,7 +97,7 @@
                 raise NotFound(f"nothing serves {ask.pool or ask.model!r}", field="pool" if ask.pool else "model")
             if all(k.name in ask.avoid for k, _ in known):
                 raise ask.refusal or Crowded("no other back end is left to try")
-            left = until - self._ctx.beats.now()
+            left = until - self._ctx.timers.now()
             if left <= ms(0) or self._waiting >= MAX_WAITING:
                 raise Crowded("no back end has room", retry_after=self.come_back.seconds())
             await self._wait_room(left)
@@ -110,7 +110,7 @@
 
     def _may_yet_come(self, ask) -> bool:
         """A gateway that just started has not heard all back ends yet, and what the table names is only away."""
-        young = self._ctx.beats.now() - self._opened_at < YOUNG_SPAN
+        young = self._ctx.timers.now() - self._opened_at < YOUNG_SPAN
         return young or self._ctx.setup.row(ask.model, ask.pool) is not None
 
     async def _wait_room(self, left):
@@ -118,13 +118,13 @@
         self.engines.wait_room(d)
         self._waiting += 1
         try:
-            await self._ctx.beats.await_or_lapse(d, min(left, ms(100)))
+            await self._ctx.timers.await_or_lapse(d, min(left, ms(100)))
         finally:
             self._waiting -= 1
 
     def _may_go_again(self, ask) -> bool:
         """A second back end is allowed after a sure `not_run`, or for a repeatable request with nothing shown."""
-        if ask.tries >= MAX_TRIES or ask.pieces or ask.size or self._ctx.beats.now() >= ask.limit:
+        if ask.tries >= MAX_TRIES or ask.pieces or ask.size or self._ctx.timers.now() >= ask.limit:
             return False
         if not self._retry_budget.take():
             return False
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -9,13 +9,13 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from ..beats import secs, spawn
+from ..timers import secs, spawn
 from ..faults import BackEndFault, Crowded, GatewayFault, ReplicatedLogFault
 
 __all__ = ["Relaying"]
 
 CONNECT = secs(1)
-LOOK_BEAT = secs(1)
+LOOK_INTERVAL = secs(1)
 GONE_SPAN = secs(3)
 MAX_TEXT = 256 * 1024
 
@@ -155,27 +155,27 @@
 
     def __init__(self, ctx, gone):
         self._ctx, self._gone = ctx, gone
-        self._heard_at = ctx.beats.now()
+        self._heard_at = ctx.timers.now()
         self._beat = self._work = None
         self._looks = 0
         self.fell = False
 
     def open(self, work):
         self._work = work
-        self._beat = self._ctx.beats.later(LOOK_BEAT, self._look)
+        self._beat = self._ctx.timers.later(LOOK_INTERVAL, self._look)
 
     def heard(self):
-        self._heard_at = self._ctx.beats.now()
+        self._heard_at = self._ctx.timers.now()
 
     def _look(self):
-        quiet = self._ctx.beats.now() - self._heard_at
+        quiet = self._ctx.timers.now() - self._heard_at
         silent = quiet > secs(self._ctx.settings.engine_silence_s) or quiet > GONE_SPAN and self._gone()
         self._looks = self._looks + 1 if silent else 0
         if self._looks > 1:
             self.fell = True
             self._work.cancel()
         else:
-            self._beat = self._ctx.beats.later(LOOK_BEAT, self._look)
+            self._beat = self._ctx.timers.later(LOOK_INTERVAL, self._look)
 
     def close(self):
         if self._beat is not None and self._beat.active():
@@ -202,7 +202,7 @@
         """What held when the request was admitted and its back end picked must hold as its first byte leaves."""
         if ask.settled or ask.engine is not e:
             raise GatewayFault("the request was ended", code="ended", outcome="not_run")
-        if ask.limit <= self._ctx.beats.now():
+        if ask.limit <= self._ctx.timers.now():
             raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if not self._ctx.setup.ready():
             raise Crowded("this gateway cannot prove its setup now", code="not_current")
@@ -218,8 +218,8 @@
         e = ask.engine
         self._retry_budget.earn()
         try:
-            left = ask.limit - self._ctx.beats.now()
-            await self._ctx.beats.within(left, do(ask, e))
+            left = ask.limit - self._ctx.timers.now()
+            await self._ctx.timers.within(left, do(ask, e))
             ask.put("finish")
             ask.move()
             return False
@@ -244,7 +244,7 @@
             ask.avoid.discard(e.name)
         if isinstance(f, ReplicatedLogFault) or isinstance(f, GatewayFault) and f.outcome == "not_run":
             return f
-        if self._ctx.beats.now() >= ask.limit:
+        if self._ctx.timers.now() >= ask.limit:
             return GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         return Crowded(f"engine {e.name} could not be asked: {f}", code="unreached")
 
@@ -257,7 +257,7 @@
         if isinstance(f, GatewayFault):
             f.outcome = "failed" if f.code == "engine_refused" else ask.outcome
             return f
-        late = self._ctx.beats.now() >= ask.limit
+        late = self._ctx.timers.now() >= ask.limit
         if not late:
             self.engines.failed(e)
         return BackEndFault(str(f) or type(f).__name__, code="limit_passed" if late else "lost",
@@ -298,7 +298,7 @@
 
     async def _discard(self, r) -> str:
         try:
-            return (await self._ctx.beats.within(secs(1), treq.content(r)))[:4096].decode("utf-8", "replace")
+            return (await self._ctx.timers.within(secs(1), treq.content(r)))[:4096].decode("utf-8", "replace")
         except Exception:
             return ""
 
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -3,7 +3,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import Crowded, NotFound, Refused, WireFault
 from ..wire.lots_pb2 import EndAsk, EndReceipt, LogRecord, Lot
 from ..web import answered, send_json
@@ -45,10 +45,10 @@
     def _open_results(self):
         self._readers: dict[str, _Reader] = {}
         self._lot_cache: dict[str, Lot] = {}
-        self._ctx.beats.every(secs(5), self._drop_readers, self._ctx.report("readers"))
+        self._ctx.timers.every(secs(5), self._drop_readers, self._ctx.report("readers"))
 
     def _drop_readers(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for lot_id, r in list(self._readers.items()):
             if now - r.used > KEEP_SPAN:
                 r.tail.close()
@@ -87,7 +87,7 @@
 
     async def _read_results(self, lot_id: str) -> _Reader:
         """Reads on at least to where the log surely was when the caller asked."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         r = self._readers.get(lot_id)
         if r is None:
             r = self._readers[lot_id] = _Reader(self._ctx.cache.tail(result_log(lot_id), secs(1)), now)
@@ -95,7 +95,7 @@
         seen = r.tail.seen
         if seen.proved is None or now - seen.proved > FRESH:
             await self._ctx.cache.poller.prove([r.tail.path])
-        if seen.proved is None or self._ctx.beats.now() - seen.proved > secs(1):
+        if seen.proved is None or self._ctx.timers.now() - seen.proved > secs(1):
             raise Crowded("the store cannot be read now", code="no_majority", outcome="unknown")
         if seen.final and not seen.durable:
             raise NotFound("the lot's results were removed after their retention", code="results_removed", status=410)
@@ -120,14 +120,14 @@
     @answered
     async def show_lot(self, request, lot: str):
         found = await self._find_lot(lot)
-        r = await self._ctx.beats.within(READ_LIMIT, self._read_results(lot))
+        r = await self._ctx.timers.within(READ_LIMIT, self._read_results(lot))
         return send_json(request, self._shown(lot, found, r))
 
     @answered
     async def show_results(self, request, lot: str):
         start = whole_number(request, "from")
         found = await self._find_lot(lot)
-        r = await self._ctx.beats.within(READ_LIMIT, self._read_results(lot))
+        r = await self._ctx.timers.within(READ_LIMIT, self._read_results(lot))
         return send_json(request, self.shown_results(lot, found, r, start))
 
     def shown_results(self, lot: str, found: Lot, r: _Reader, start: int) -> dict:
@@ -142,12 +142,12 @@
 
     async def end_anywhere(self, lot: str) -> str:
         self._known(lot, await self._find_lot(lot))
-        until = self._ctx.beats.now() + secs(8)
-        while self._ctx.beats.now() < until:
+        until = self._ctx.timers.now() + secs(8)
+        while self._ctx.timers.now() < until:
             state = await self._ask_owner(lot)
             if state in ("ended", "closed"):
                 return state
-            await self._ctx.beats.pause(ms(300))
+            await self._ctx.timers.pause(ms(300))
         raise Crowded("the lot's owner could not be asked", code="no_owner", outcome="unknown")
 
     async def _ask_owner(self, lot: str) -> str:
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -1,6 +1,6 @@
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..context import fresh_id
 from ..faults import GatewayFault, NotFound, Refused, WireFault
 from ..wire.membership_pb2 import RunAsk, RunReceipt
@@ -82,7 +82,7 @@
         held.left_at = None
         try:
             if not held.settled and len(held.pieces) <= start:
-                await self._ctx.beats.await_or_lapse(held.moved(), HOLD)
+                await self._ctx.timers.await_or_lapse(held.moved(), HOLD)
         finally:
             held.readers -= 1
             self._leave(held)
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -3,7 +3,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn
+from ..timers import ms, secs, spawn
 from ..faults import WireFault
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import Gossip, Member, ProbeFor, ProbeReceipt
@@ -12,7 +12,7 @@
 
 __all__ = ["Membership"]
 
-PROBE_BEAT = ms(200)
+PROBE_INTERVAL = ms(200)
 PROBE_LIMIT = ms(400)
 SUSPECT_SPAN = secs(1.5)
 FORGET_SPAN = secs(600)
@@ -36,7 +36,7 @@
         self.me = Member()
         self._file = None
         self._digest: int | None = None
-        self._changed_at = self._me_changed_at = ctx.beats.now()
+        self._changed_at = self._me_changed_at = ctx.timers.now()
 
     def open(self, me: Member):
         self.me = me
@@ -46,8 +46,8 @@
         d.answer("membership.probe_for", ProbeFor, self._probe_for)
         d.answer("membership.tell", Gossip, self._told)
         self._recall()
-        self._ctx.beats.every(PROBE_BEAT, self._beat, self._ctx.report("membership_beat"))
-        self._ctx.beats.every(secs(1), self._greet_seeds, self._ctx.report("membership_seeds"))
+        self._ctx.timers.every(PROBE_INTERVAL, self._beat, self._ctx.report("membership_beat"))
+        self._ctx.timers.every(secs(1), self._greet_seeds, self._ctx.report("membership_seeds"))
 
     def watch(self, do):
         self._watchers.append(do)
@@ -75,7 +75,7 @@
 
     def since(self, node: str) -> timedelta:
         e = self._entries.get(node)
-        return self._ctx.beats.now() - e.since if e else timedelta(0)
+        return self._ctx.timers.now() - e.since if e else timedelta(0)
 
     def everyone(self) -> list[Member]:
         return self.members(status=("alive", "suspect", "gone"))
@@ -83,7 +83,7 @@
     def _change_me(self, **fields):
         for name, value in fields.items():
             setattr(self.me, name, value)
-        self._me_changed_at = self._ctx.beats.now()
+        self._me_changed_at = self._ctx.timers.now()
         self._digest = None
 
     def digest(self) -> int:
@@ -94,7 +94,7 @@
         return self._digest
 
     def _recent(self) -> list[Entry]:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if now - self._changed_at >= RECENT_SPAN:
             return []
         return [e for e in self._entries.values() if now - e.changed < RECENT_SPAN]
@@ -105,7 +105,7 @@
         if len(told) > MAX_TOLD:
             fresh = sorted(told, key=lambda e: -e.changed)[: MAX_TOLD // 2]
             told = fresh + self._ctx.chance.sample(told, MAX_TOLD // 2)
-        if whole or self._ctx.beats.now() - self._me_changed_at < RECENT_SPAN:
+        if whole or self._ctx.timers.now() - self._me_changed_at < RECENT_SPAN:
             g.members.append(self.me)
         g.members.extend(e.member for e in told)
         for fill, _ in self._carriers:
@@ -121,7 +121,7 @@
     def _hear(self, m: Member):
         if not m.node or m.status not in _RANK:
             return
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if m.node == self.me.node:
             if self.me.status == "alive" and m.status != "alive" and m.incarnation >= self.me.incarnation:
                 self._change_me(incarnation=m.incarnation + 1)
@@ -156,7 +156,7 @@
             self._changed(e)
 
     def _changed(self, e: Entry):
-        e.changed = self._changed_at = self._ctx.beats.now()
+        e.changed = self._changed_at = self._ctx.timers.now()
         self._digest = None
         self._keep()
         for do in self._watchers:
@@ -207,7 +207,7 @@
                 spawn(self._probe((host, int(port))))
 
     def _beat(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for e in list(self._entries.values()):
             if e.state == "suspect" and now - e.since > SUSPECT_SPAN:
                 e.turn("lapsed", now)
@@ -237,7 +237,7 @@
         if sender == e.member.node:
             return
         if sender:
-            e.turn("lapsed", self._ctx.beats.now())
+            e.turn("lapsed", self._ctx.timers.now())
             self._changed(e)
             return
         helpers = [m for m in self.members(me=False, status=("alive",)) if m.node != e.member.node]
@@ -250,6 +250,6 @@
             if r.alive:
                 return
         if e.state == "alive" and e.member.incarnation == asked_at:
-            e.turn("missed", self._ctx.beats.now())
+            e.turn("missed", self._ctx.timers.now())
             self._changed(e)
             self.tell()
--- a/pipitlink/membership/memory.py
+++ b/pipitlink/membership/memory.py
@@ -2,7 +2,7 @@
 from pathlib import Path
 
 from ..disk import swap_in
-from ..beats import spawn
+from ..timers import spawn
 
 __all__ = ["Memory"]
 
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -7,7 +7,7 @@
 import attrs
 from twisted.internet import reactor
 
-from .beats import Beats, ms, secs, spawn
+from .timers import Timers, ms, secs, spawn
 from .cache import Cache
 from .changes import Changes
 from .context import Context, fresh_id
@@ -29,7 +29,7 @@
 __all__ = ["run"]
 
 ENDING = secs(2)
-REREAD_BEAT = secs(2)
+REREAD_INTERVAL = secs(2)
 
 
 class Process:
@@ -38,9 +38,9 @@
     def __init__(self, role: str, settings: Settings, dialect: Dialect | None = None, reread=None, early=None):
         node = fresh_id() if role == "gateway" else node_id(Path(settings.data), settings.fleet)
         journal = open_journal(settings.log_level, role=role, node=node)
-        beats = Beats(reactor)
-        desk = Desk(reactor, beats, journal, settings.fleet, node)
-        self.ctx = Context(role, node, settings, reactor, beats, journal, desk, Random(),
+        timers = Timers(reactor)
+        desk = Desk(reactor, timers, journal, settings.fleet, node)
+        self.ctx = Context(role, node, settings, reactor, timers, journal, desk, Random(),
                            dialect=dialect or Dialect())
         if settings.plug:
             desk.gate = Gate(settings.plug, self.ctx)
@@ -117,7 +117,7 @@
         self._ending = True
         self.ctx.journal.note("ending")
         try:
-            await self.ctx.beats.within(ms(self.ctx.settings.drain_ms) + ENDING, self._close())
+            await self.ctx.timers.within(ms(self.ctx.settings.drain_ms) + ENDING, self._close())
         except Exception as e:
             self.ctx.journal.fault("ended_roughly", e)
         reactor.stop()
@@ -128,7 +128,7 @@
         await self._face.end()
         if self._control is not None:
             await self._control.end()
-        self.ctx.beats.end()
+        self.ctx.timers.end()
         await self.ctx.desk.end()
 
     def reread(self):
@@ -167,7 +167,7 @@
         gc.set_threshold(20_000, 20, 20)
         if reread is not None:
             signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(process.reread))
-            process.ctx.beats.every(REREAD_BEAT, process.reread, process.ctx.report("reread"))
+            process.ctx.timers.every(REREAD_INTERVAL, process.reread, process.ctx.report("reread"))
         for s in (signal.SIGTERM, signal.SIGINT):
             signal.signal(s, lambda *_: reactor.callFromThread(lambda: spawn(process.end())))
         spawn(process.open()).addErrback(process.fail)
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ZERO, ms, secs, spawn, wall_ms
+from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..storage.grants import HOLD_SPAN
 from ..disk import frame
 from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
@@ -14,8 +14,8 @@
 __all__ = ["Leaseholder"]
 
 WRITE_LIMIT = secs(2)
-RETRY_BEAT = ms(150)
-IDLE_BEAT = secs(1)
+RETRY_INTERVAL = ms(150)
+IDLE_INTERVAL = secs(1)
 MOVED_SPAN = secs(1.5)
 MAX_WRITE = 4 * 1024 * 1024
 
@@ -53,7 +53,7 @@
 
     def _renewed_by_majority(self) -> bool:
         """Or by one of the placement group as it was until a short while ago: a storage node that joins it is only asked to renew since."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         kept = [d for d, at in self._renewals.items() if now - at < HOLD_SPAN]
         return self.placement_group.agree(kept) or \
             self._moved is not None and now - self._moved_at < MOVED_SPAN and self._moved.agree(kept)
@@ -67,7 +67,7 @@
         """Follows its placement group where the setup has moved it."""
         placement_group = self._replicated_log.placement_group(self.log)
         if placement_group.sequence > self.placement_group.sequence:
-            self._moved, self._moved_at = self.placement_group, self._ctx.beats.now()
+            self._moved, self._moved_at = self.placement_group, self._ctx.timers.now()
             self.placement_group = placement_group
             for n in [n for n in self._states if n not in placement_group.everyone]:
                 del self._states[n]
@@ -97,7 +97,7 @@
     async def take(self, gone: str | None = None):
         epoch = 1
         for _ in range(4):
-            asked = self._ctx.beats.now()
+            asked = self._ctx.timers.now()
             ask = LeaseAsk(log=self.log, leaseholder=self._ctx.node, epoch=epoch, placement_group_sequence=self.placement_group.sequence,
                            usurp=gone is not None, gone=gone or "")
             got = await self._replicated_log.ask_each(self.placement_group.everyone, "replicated_log.lease", ask, LeaseReceipt,
@@ -147,7 +147,7 @@
         self._reserved = reserved
         self._no_room.clear()
         if final:
-            self.final, self.closed_ms = True, wall_ms(self._ctx.beats.wall())
+            self.final, self.closed_ms = True, wall_ms(self._ctx.timers.wall())
         start = len(self.data)
         self.data += b"".join(frame(r) for r in records)
         await self._reach(len(self.data))
@@ -164,7 +164,7 @@
         self._waiters.append((end, d))
         for n in self.placement_group.everyone:
             self._send_to(n)
-        await self._ctx.beats.within(WRITE_LIMIT * 2, d)
+        await self._ctx.timers.within(WRITE_LIMIT * 2, d)
 
     def _send_to(self, node: str):
         if node not in self._sending and not self.lost:
@@ -200,11 +200,11 @@
                 if e.fault == "old_placement_group":
                     self.look_again()
                 self._states.pop(node, None)
-                await self._ctx.beats.pause(RETRY_BEAT)
+                await self._ctx.timers.pause(RETRY_INTERVAL)
             except WireFault as e:
                 self._states.pop(node, None)
                 self._ctx.journal.trace("replica_behind", log=self.log, storage_node=node, text=e)
-                await self._ctx.beats.pause(RETRY_BEAT if self._waiters else IDLE_BEAT)
+                await self._ctx.timers.pause(RETRY_INTERVAL if self._waiters else IDLE_INTERVAL)
             self._advance()
 
     async def _ask_state(self, node: str) -> LogState:
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -1,6 +1,6 @@
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn
+from ..timers import ms, secs, spawn
 from ..faults import NoMajority, WireFault
 from ..wire.replicated_log_pb2 import (Held, ListAsk, LogState, ReadAsk, ReadReceipt, RenewAsk, RenewReceipt, States,
                                StatesAsk)
@@ -9,7 +9,7 @@
 
 __all__ = ["ReplicatedLog"]
 
-RENEW_BEAT = ms(600)
+RENEW_INTERVAL = ms(600)
 ASK_LIMIT = ms(800)
 READ_LIMIT = secs(2)
 HEDGE = ms(100)
@@ -25,7 +25,7 @@
         self.leaseholders: dict[str, Leaseholder] = {}
 
     def open(self):
-        self._ctx.beats.every(RENEW_BEAT, self._renew, self._ctx.report("renew"))
+        self._ctx.timers.every(RENEW_INTERVAL, self._renew, self._ctx.report("renew"))
 
     def placement_group(self, log: str) -> PlacementGroup:
         return self._ctx.setup.placement_group(placement_group_of(log, self._ctx.setup.placement_groups))
@@ -99,7 +99,7 @@
             spawn(self._renew_at(storage_node, leaseholders)).addErrback(lambda f: None)
 
     async def _renew_at(self, storage_node: str, leaseholders: list[Leaseholder]):
-        asked = self._ctx.beats.now()
+        asked = self._ctx.timers.now()
         ask = RenewAsk(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in leaseholders])
         r = await self.ask(storage_node, "replicated_log.renew", ask, RenewReceipt)
         kept = set(r.kept)
@@ -140,7 +140,7 @@
             if not left:
                 finish()
             elif all(self.placement_group(log).agree(states) for log, states in heard.items()):
-                self._ctx.beats.later(GRACE, finish)
+                self._ctx.timers.later(GRACE, finish)
 
         for d, n in by_storage_node.items():
             self._ctx.spawned(one(d, n), "states")
@@ -195,10 +195,10 @@
 
         for n, node in enumerate(nodes, 1):
             self._ctx.spawned(one(node), "read")
-            until = self._ctx.beats.now() + (HEDGE if n < len(nodes) else READ_LIMIT)
-            while whole() is None and len(got) < n and self._ctx.beats.now() < until:
+            until = self._ctx.timers.now() + (HEDGE if n < len(nodes) else READ_LIMIT)
+            while whole() is None and len(got) < n and self._ctx.timers.now() < until:
                 waiting[:] = [defer.Deferred(lambda _: None)]
-                await self._ctx.beats.await_or_lapse(waiting[0], until - self._ctx.beats.now())
+                await self._ctx.timers.await_or_lapse(waiting[0], until - self._ctx.timers.now())
             if whole() is not None:
                 return whole()
         raise NoMajority(f"{log}: bytes {position} to {position + length} could not be read")
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -1,6 +1,6 @@
 from datetime import timedelta
 
-from ..beats import Joined, ZERO, ms, secs, wall_ms
+from ..timers import Joined, ZERO, ms, secs, wall_ms
 from ..faults import BadAsk, Crowded, GatewayFault, ReplicatedLogFault, NotHeld, PipitFault, WireFault
 from ..wire.lots_pb2 import Batch, LogRecord
 from .batches import HEAD_ALONE, OpenBatch, batch_log, good_id, head_of
@@ -35,17 +35,17 @@
         self._batches_taking = Joined()
 
     async def take_batch(self, route, host: str, path: str, lot_id: str, raw: bytes, deadline: timedelta):
-        """`deadline` is a point on the beats' time."""
+        """`deadline` is a point on the timers' time."""
         try:
             if not good_id(lot_id):
                 raise BadAsk("the batch needs an id of 1 to 64 letters, digits, - and _", code="bad_id", field="id")
             items = self.dialect.read_lot(raw)
-            taken = wall_ms(self._ctx.beats.wall())
+            taken = wall_ms(self._ctx.timers.wall())
             batch = Batch(id=lot_id, host=host, path=path, route=route.name, taken_ms=taken, items=items.items)
-            left = deadline - MARGIN - self._ctx.beats.now()
+            left = deadline - MARGIN - self._ctx.timers.now()
             if left <= ZERO:
                 raise Crowded("the deadline has passed", code="deadline_passed", retry_after=COME_BACK)
-            same = await self._ctx.beats.within(left, self._batches_taking.run(
+            same = await self._ctx.timers.within(left, self._batches_taking.run(
                 lot_id, lambda: self._take_once(batch, route, deadline - MARGIN)))
             if not self._same_batch(same, batch):
                 raise GatewayFault("this id was used for another batch", code="id_in_use", field="id", status=409,
@@ -66,7 +66,7 @@
             try:
                 if not self._ctx.setup.usable():
                     raise Crowded("this gateway takes no batches now", code="not_current", retry_after=COME_BACK)
-                await self._await_quota(route, batch, min(until, self._ctx.beats.now() + QUOTA_WAIT))
+                await self._await_quota(route, batch, min(until, self._ctx.timers.now() + QUOTA_WAIT))
             except GatewayFault as e:
                 return await self._batch_taken_already(batch.id, e)
         try:
@@ -95,7 +95,7 @@
         if not state.committed and not state.final:
             return None
         try:
-            return await self._ctx.beats.within(COMPARE_SPAN, self._batch_of(batch_id))
+            return await self._ctx.timers.within(COMPARE_SPAN, self._batch_of(batch_id))
         except PipitFault as e:
             return None if isinstance(e, GatewayFault) and e.code == HEAD_ALONE else False
 
@@ -125,9 +125,9 @@
                     return known
             except Crowded as e:
                 fault = e
-            if not isinstance(fault, NotHeld) or self._ctx.beats.now() + 2 * LOOK_AGAIN >= until:
+            if not isinstance(fault, NotHeld) or self._ctx.timers.now() + 2 * LOOK_AGAIN >= until:
                 raise Crowded(f"the batch cannot be taken here now: {fault}", code="store", retry_after=COME_BACK)
-            await self._ctx.beats.pause(LOOK_AGAIN)
+            await self._ctx.timers.pause(LOOK_AGAIN)
 
     async def _append_batch(self, o: OpenBatch, batch: Batch):
         h = o.leaseholder
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -4,7 +4,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ZERO, ms, secs
+from ..timers import ZERO, ms, secs
 from ..cache.chunks import CHUNK
 from ..faults import Crowded, GatewayFault, NotFound, PipitFault, Refused, WireFault
 from ..wire.lots_pb2 import Batch, EndAsk, Ended, EndReceipt, LogRecord
@@ -20,7 +20,7 @@
 LONGEST_WAIT = secs(20)
 BATCH_TAG = LogRecord(batch=Batch()).SerializeToString()[:1]
 END_LIMIT = secs(8)
-END_BEAT = ms(150)
+END_INTERVAL = ms(150)
 ASK_LIMIT = secs(3)
 
 
@@ -63,10 +63,10 @@
     def _open_batch_reads(self):
         self._batch_readers: dict[str, _Reader] = {}
         self._ctx.desk.answer("batches.end", EndAsk, self._end_batch_for)
-        self._ctx.beats.every(secs(5), self._drop_batch_readers, self._ctx.report("batch_readers"))
+        self._ctx.timers.every(secs(5), self._drop_batch_readers, self._ctx.report("batch_readers"))
 
     def _drop_batch_readers(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for b, r in list(self._batch_readers.items()):
             if now - r.used > KEEP_SPAN:
                 self._drop_batch_reader(b, r)
@@ -93,7 +93,7 @@
         r = await self._read_on(batch_id)
         if r.listing.batch is None:
             try:
-                await self._ctx.beats.within(READ_LIMIT, self._read_bodies(r))
+                await self._ctx.timers.within(READ_LIMIT, self._read_bodies(r))
             except PipitFault:
                 if r.over():
                     self._drop_batch_reader(batch_id, r)
@@ -111,12 +111,12 @@
         r = self._batch_readers.get(batch_id)
         if r is None:
             r = self._batch_readers[batch_id] = _Reader(self._ctx.cache.tail(batch_log(batch_id), secs(1)),
-                                                        self._ctx.beats.now())
-        r.used = self._ctx.beats.now()
+                                                        self._ctx.timers.now())
+        r.used = self._ctx.timers.now()
         if not r.over():
             try:
                 with r.in_use():
-                    await self._ctx.beats.within(READ_LIMIT, self._read_batch_on(batch_id, r))
+                    await self._ctx.timers.within(READ_LIMIT, self._read_batch_on(batch_id, r))
             except GatewayFault:
                 if r.listing.head is None:
                     self._drop_batch_reader(batch_id, r)
@@ -125,10 +125,10 @@
 
     async def _read_batch_on(self, batch_id: str, r: _Reader):
         seen = r.tail.seen
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if seen.proved is None or now - seen.proved > FRESH:
             await self._ctx.cache.poller.prove([r.tail.path])
-        if seen.proved is None or self._ctx.beats.now() - seen.proved > PROVED_SPAN:
+        if seen.proved is None or self._ctx.timers.now() - seen.proved > PROVED_SPAN:
             raise Crowded("the store cannot be read now", code="no_majority", outcome="unknown")
         if not seen.durable:
             await self._say_batch_absent(batch_id, seen)
@@ -176,7 +176,7 @@
     async def read_batch(self, lot_id: str, start: int, wait: timedelta):
         """Outputs from a position on; held until there is one, the batch is whole, or `wait` has passed."""
         try:
-            until = self._ctx.beats.now() + min(max(wait, ZERO), LONGEST_WAIT)
+            until = self._ctx.timers.now() + min(max(wait, ZERO), LONGEST_WAIT)
             listing = None
             while True:
                 try:
@@ -185,7 +185,7 @@
                     if listing is None:
                         raise
                     break
-                left = until - self._ctx.beats.now()
+                left = until - self._ctx.timers.now()
                 if len(listing.outputs) > start or listing.whole() or left <= ZERO or self._closing_batches:
                     break
                 await self._listing_moves(lot_id, left)
@@ -202,7 +202,7 @@
             d = defer.Deferred()
             o.waiters.append(d)
             try:
-                await self._ctx.beats.await_or_lapse(d, min(left, secs(1)))
+                await self._ctx.timers.await_or_lapse(d, min(left, secs(1)))
             finally:
                 if d in o.waiters:
                     o.waiters.remove(d)
@@ -210,10 +210,10 @@
         r = self._batch_readers.get(batch_id)
         if r is None or r.closed:
             return
-        until = self._ctx.beats.now() + left
+        until = self._ctx.timers.now() + left
         with r.in_use():
-            while r.tail.goal() <= r.tail.position and self._ctx.beats.now() < until and not r.closed:
-                await self._ctx.cache.poller.moved(min(until - self._ctx.beats.now(), FRESH))
+            while r.tail.goal() <= r.tail.position and self._ctx.timers.now() < until and not r.closed:
+                await self._ctx.cache.poller.moved(min(until - self._ctx.timers.now(), FRESH))
 
     async def read_item(self, lot_id: str, item_id: str):
         try:
@@ -231,14 +231,14 @@
         try:
             if not good_id(lot_id):
                 raise NotFound("there is no such batch", code="no_such_batch", field="id")
-            until = self._ctx.beats.now() + END_LIMIT
+            until = self._ctx.timers.now() + END_LIMIT
             while True:
                 state = await self._end_batch_once(lot_id)
                 if state in ("ended", "closed"):
                     return 200, {"Content-Type": "application/json"}, self.dialect.show_ended(lot_id)
-                if self._ctx.beats.now() >= until:
+                if self._ctx.timers.now() >= until:
                     raise Crowded("the batch's owner could not be asked", code="no_owner", outcome="unknown")
-                await self._ctx.beats.pause(END_BEAT)
+                await self._ctx.timers.pause(END_INTERVAL)
         except GatewayFault as e:
             return refusal(e, self.dialect)
 
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs, spawn, wall_ms
+from ..timers import ms, secs, spawn, wall_ms
 from ..faults import Fenced, ReplicatedLogFault, NotHeld, Overdue, PipitFault
 from ..wire.lots_pb2 import Ended, LogRecord, Output
 from .batches import OpenBatch
@@ -10,14 +10,14 @@
 
 __all__ = ["BatchRun"]
 
-FEED_BEAT = ms(25)
+FEED_INTERVAL = ms(25)
 FIRST_PAUSE = ms(50)
 LONGEST_PAUSE = secs(1)
 DUE_CLASS_MS = 2000
 SKEW = ms(1500)
 LINGER = ms(100)
 LINGER_DUE_MS = 2000
-HELD_BEAT = ms(100)
+HELD_INTERVAL = ms(100)
 GONE_SPAN = secs(3)
 DONE, ABANDONED = "done", "abandoned"
 
@@ -36,7 +36,7 @@
             d.callback(None)
 
     async def _feed_batches(self):
-        while not self._ctx.beats.ended:
+        while not self._ctx.timers.ended:
             try:
                 waits = self._feed_once()
             except Exception as e:
@@ -45,16 +45,16 @@
             d = self._feed_wake = defer.Deferred()
             if waits:
                 self.engines.wait_room(d)
-                await self._ctx.beats.await_or_lapse(d, FEED_BEAT)
+                await self._ctx.timers.await_or_lapse(d, FEED_INTERVAL)
             else:
-                await self._ctx.beats.await_or_lapse(d, secs(1) if self.batches else secs(60))
+                await self._ctx.timers.await_or_lapse(d, secs(1) if self.batches else secs(60))
 
     def _feed_once(self) -> bool:
         """Starts items while there is room: what is due first goes first, by turns among batches due alike."""
         if self._closing_batches or not self._ctx.setup.usable():
             return bool(self.batches)
-        now = self._ctx.beats.now()
-        wall = wall_ms(self._ctx.beats.wall())
+        now = self._ctx.timers.now()
+        wall = wall_ms(self._ctx.timers.wall())
         routes = self._batch_routes()
         room: dict[str, int] = {}
         ready, waits = [], False
@@ -140,14 +140,14 @@
                 return
         pause = o.pauses.get(i, FIRST_PAUSE) if call.last_event == before else FIRST_PAUSE
         o.pauses[i] = min(LONGEST_PAUSE, pause * 2)
-        o.again_at[i] = self._ctx.beats.now() + max(pause, min(answer.wait, LONGEST_PAUSE))
+        o.again_at[i] = self._ctx.timers.now() + max(pause, min(answer.wait, LONGEST_PAUSE))
 
     def _batch_item_ended(self, r, o: OpenBatch, i: int, work):
         if o.running.get(i) is work:
             del o.running[i]
         if hasattr(r, "value") and not r.check(defer.CancelledError):
             self._ctx.journal.fault("item_failed", r.value, batch=o.id, item=i)
-            o.again_at[i] = self._ctx.beats.now() + LONGEST_PAUSE
+            o.again_at[i] = self._ctx.timers.now() + LONGEST_PAUSE
         if i not in o.done and i not in o.waiting and i not in o.running and self.batches.get(o.id) is o:
             o.waiting.append(i)
         self._wake_feed()
@@ -178,16 +178,16 @@
     def _may_linger(self, o: OpenBatch) -> bool:
         """Outputs wait a little for others to share their write, unless nothing more comes soon or time is short."""
         route = self._batch_routes().get(o.batch.route)
-        left = o.batch.taken_ms + route.due_ms - wall_ms(self._ctx.beats.wall()) if route is not None else 0
+        left = o.batch.taken_ms + route.due_ms - wall_ms(self._ctx.timers.wall()) if route is not None else 0
         return bool(o.running) and left > LINGER_DUE_MS and not self._closing_batches
 
     async def _flush_queue(self, o: OpenBatch):
         try:
             if self._may_linger(o):
-                await self._ctx.beats.pause(LINGER)
+                await self._ctx.timers.pause(LINGER)
             while not o.leaseholder.lost and not o.leaseholder.final and (o.queue or len(o.done) == len(o.batch.items)):
                 if not o.leaseholder.held():
-                    await self._ctx.beats.pause(HELD_BEAT)
+                    await self._ctx.timers.pause(HELD_INTERVAL)
                     continue
                 group, o.queue = o.queue, []
                 records = [LogRecord(output=x).SerializeToString() for x in group]
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -4,7 +4,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ZERO, ms, secs
+from ..timers import ZERO, ms, secs
 from ..disk import frames
 from ..faults import PipitFault
 from ..rendezvous import rank
@@ -14,7 +14,7 @@
 
 PREFIX = "batch/"
 HEAD_ALONE = "head_alone"
-LIST_BEAT = secs(1)
+LIST_INTERVAL = secs(1)
 LIST_SELDOM = secs(4)
 RESTLESS = secs(10)
 NEXT_OWNER = secs(1.5)
@@ -142,16 +142,16 @@
         self._open_batch_intake()
         self._open_batch_run()
         self._open_batch_reads()
-        self._ctx.beats.every(LIST_BEAT, self._list_batches, self._ctx.report("list_batches"), due=self._list_due)
+        self._ctx.timers.every(LIST_INTERVAL, self._list_batches, self._ctx.report("list_batches"), due=self._list_due)
 
     async def _end_batches(self):
         """Takes nothing new, lets what runs end for a short while, and hands the leases over."""
         self._closing_batches = True
-        until = self._ctx.beats.now() + DRAIN
-        while self.batches and self._ctx.beats.now() < until:
+        until = self._ctx.timers.now() + DRAIN
+        while self.batches and self._ctx.timers.now() < until:
             idle = [o.leaseholder for o in self.batches.values() if o.idle()]
             self._ctx.spawned(self._ctx.replicated_log.release(idle), "hand_over")
-            await self._ctx.beats.pause(ms(25))
+            await self._ctx.timers.pause(ms(25))
         await self._ctx.replicated_log.release([o.leaseholder for o in list(self.batches.values())])
 
     def batch_metrics(self) -> dict:
@@ -221,20 +221,20 @@
         """The third replica gets a short while to follow before the lease is given back."""
         self._told_done(o.id, o.batch.route)
         self._ctx.journal.note("batch_closed", batch=o.id, why=o.listing.ended, listed=len(o.listing.outputs))
-        await self._ctx.beats.pause(RELEASE_AFTER)
+        await self._ctx.timers.pause(RELEASE_AFTER)
         await self._ctx.replicated_log.release([o.leaseholder])
 
     def _list_due(self) -> timedelta:
         """Seldom where no gateway tells of open batches and none has come or gone of late."""
         quiet = not (self.batches or self._quota_told or self._quota_unknown or self._orphan_batches)
-        settled = self._ctx.beats.now() - self._quota_moved_at > RESTLESS
+        settled = self._ctx.timers.now() - self._quota_moved_at > RESTLESS
         return LIST_SELDOM if quiet and settled else ZERO
 
     async def _list_batches(self):
-        started = self._ctx.beats.now()
+        started = self._ctx.timers.now()
         found, sure = await self._ctx.replicated_log.list_open(PREFIX)
         self._listed_lots({log.removeprefix(PREFIX) for log in found}, started, sure)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         me = self._ctx.node
         owned = set(self.batches) | self._taking_up_batches
         free = {log.removeprefix(PREFIX) for log, s in found.items()
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import Crowded
 from ..rendezvous import rank
 
@@ -111,9 +111,9 @@
         A long prompt holds up the tokens of all that runs beside it, so short requests with a pace to keep stay apart.
         """
         if self._is_long(call):
-            self._long_at[call.pool] = self._ctx.beats.now()
+            self._long_at[call.pool] = self._ctx.timers.now()
         at = self._long_at.get(call.pool)
-        if at is None or self._ctx.beats.now() - at > LONG_SPAN or len(usable) < 4:
+        if at is None or self._ctx.timers.now() - at > LONG_SPAN or len(usable) < 4:
             return set()
         ranked = sorted(usable, key=lambda e: rank(f"long/{call.pool}", e.name))
         return {e.name for e in ranked[:round(LONG_SHARE * len(ranked))]}
@@ -138,21 +138,21 @@
         """Waits a short while for room; then the caller is told at once when to come back."""
         if not call.pool:
             call.pool = self._share_pool(call)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         wait = min(SHORT_WAIT, timedelta(milliseconds=call.route.aim_ms * WAIT_SHARE)) if not call.batch else ms(0)
         until = min(call.limit, now + wait)
         while True:
             e = self._choose(call)
             if e is not None:
                 return e
-            left = until - self._ctx.beats.now()
+            left = until - self._ctx.timers.now()
             if left <= ms(0) or self._waiting >= MAX_WAITING:
                 raise Crowded("no engine has room", code="no_room", retry_after=self._come_back())
             d = defer.Deferred()
             self.engines.wait_room(d)
             self._waiting += 1
             try:
-                await self._ctx.beats.await_or_lapse(d, min(left, ms(15)))
+                await self._ctx.timers.await_or_lapse(d, min(left, ms(15)))
             finally:
                 self._waiting -= 1
 
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -3,7 +3,7 @@
 
 import attrs
 
-from ..beats import ZERO, ms, secs, spawn
+from ..timers import ZERO, ms, secs, spawn
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import EngineList, EngineNews, Load, Loads
 
@@ -12,7 +12,7 @@
 SILENT_SPAN = secs(3.6)
 FORGET_SPAN = secs(30)
 ENDED_SPAN = secs(60)
-LOADS_BEAT = ms(200)
+LOADS_INTERVAL = ms(200)
 LOADS_AT_LEAST = secs(1)
 LOADS_SPAN = secs(3)
 SLEPT_SPAN = secs(1.5)
@@ -93,7 +93,7 @@
         self._carriers: list = []
         self._told: dict[str, tuple[int, int]] = {}
         self._told_at = ZERO
-        self._looked_at = ctx.beats.now()
+        self._looked_at = ctx.timers.now()
         self._woke_at = ZERO
         self._gone_watchers: list = []
         self._ended: dict[str, timedelta] = {}
@@ -104,7 +104,7 @@
         self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
         self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
         self._ctx.setup.watch(self._zones_moved)
-        self._ctx.beats.every(LOADS_BEAT, self._tell_loads, self._ctx.report("loads"))
+        self._ctx.timers.every(LOADS_INTERVAL, self._tell_loads, self._ctx.report("loads"))
 
     def carry(self, fill, take):
         """More that goes to all gateways with the loads: fill(Loads) returns whether there is something new to tell."""
@@ -163,7 +163,7 @@
             self._pools[e.news.pool].remove(e)
             self._ctx.journal.note("engine", engine=e.name, state="gone")
             e.news.state = "gone"
-            self._ended[e.name] = self._ctx.beats.now()
+            self._ended[e.name] = self._ctx.timers.now()
             for do in self._gone_watchers:
                 do(e)
 
@@ -172,7 +172,7 @@
         self._forget(e)
 
     def _look(self) -> timedelta:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if now - self._looked_at > SLEPT_SPAN:
             self._woke_at = now
         self._looked_at = now
@@ -193,37 +193,37 @@
         e.failures = min(e.failures + 1, 6)
         if e.failures > 1:
             span = min(SUSPECT_SPAN * 2 ** (e.failures - 2), LONGEST_SUSPECT)
-            e.suspect_until = self._ctx.beats.now() + span
+            e.suspect_until = self._ctx.timers.now() + span
 
     def unreached(self, e: Engine):
         e.failures = min(max(2, e.failures + 1), 6)
-        e.suspect_until = self._ctx.beats.now() + min(SUSPECT_SPAN * 2 ** (e.failures - 2), LONGEST_SUSPECT)
+        e.suspect_until = self._ctx.timers.now() + min(SUSPECT_SPAN * 2 ** (e.failures - 2), LONGEST_SUSPECT)
 
     def served(self, e: Engine):
         e.failures = 0
 
     def load(self, e: Engine) -> int:
         """Requests on it, from here and, as last told, from the peers."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         return e.running + sum(n for n, _, at in e.peers.values() if now - at < LOADS_SPAN)
 
     def batch_load(self, e: Engine) -> int:
         """How many of them are items of batches."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         return e.batch + sum(b for _, b, at in e.peers.values() if now - at < LOADS_SPAN)
 
     def gateways(self) -> int:
         return len(self._ctx.membership.members("gateway"))
 
     def _zones_moved(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         emptied = frozenset(self._ctx.setup.sheet.empty_zones)
         for zone in self._emptied - emptied:
             self._reopened[zone] = now
         self._emptied = emptied
 
     def cold(self, e: Engine) -> bool:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if e.cold_until > now:
             return True
         at = self._reopened.get(e.news.zone)
@@ -235,7 +235,7 @@
         pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
         if pool is None or not pool.cold_rate or not self.cold(e):
             return True
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         rate = 0.9 * pool.cold_rate / max(1, self.gateways())
         e.allowance = min(1.0, e.allowance + rate * (now - e.allowed_at).total_seconds())
         e.allowed_at = now
@@ -291,7 +291,7 @@
     async def _told_loads(self, node, what: Loads):
         for _, take in self._carriers:
             take(what)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         running = {one.engine: one for one in what.loads}
         for e in self._engines.values():
             one = running.get(e.name)
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -6,7 +6,7 @@
 from twisted.web import http
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import BadAsk, Crowded, GatewayFault, NotFound
 from .call import HOP_HEADERS, Call, prompt_parts
 from .relay import passed_headers
@@ -176,7 +176,7 @@
 
     def _open_front(self):
         self.channels: set = set()
-        self._opened_at = self._ctx.beats.now()
+        self._opened_at = self._ctx.timers.now()
         self.ending = False
         self._ports: list = []
         self.refused = {}
@@ -202,7 +202,7 @@
 
     def _until_ready(self) -> float:
         """Seconds until a new try is worth while: a gateway that just started has its setup in about a second."""
-        left = (START_SPAN - (self._ctx.beats.now() - self._opened_at)).total_seconds()
+        left = (START_SPAN - (self._ctx.timers.now() - self._opened_at)).total_seconds()
         return round(max(0.2, left) + 0.2 * self._ctx.chance.random(), 3)
 
     async def serve(self, request: Inbound):
@@ -233,7 +233,7 @@
 
     async def _serve(self, request):
         ctx, words = self._ctx, self._ctx.dialect
-        began = ctx.beats.now()
+        began = ctx.timers.now()
         path = request.path.decode("latin-1")
         query = dict(parse_qsl(request.query.decode("latin-1")))
 
@@ -285,11 +285,11 @@
     async def end_front(self, accept_for, until):
         """Says no at readiness, goes on serving for a while, then lets what is under way end."""
         self.ending = True
-        await self._ctx.beats.pause(accept_for)
+        await self._ctx.timers.pause(accept_for)
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
         for channel in list(self.channels):
             if channel.idle():
                 channel.loseConnection()
-        while any(not c.idle() for c in self.channels) and self._ctx.beats.now() < until:
-            await self._ctx.beats.pause(ms(50))
+        while any(not c.idle() for c in self.channels) and self._ctx.timers.now() < until:
+            await self._ctx.timers.pause(ms(50))
--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -3,7 +3,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..beats import ZERO, ms, secs
+from ..timers import ZERO, ms, secs
 from ..faults import GatewayFault, ReplicatedLogFault
 from .call import Call, prompt_parts
 from .events import event_data
@@ -57,7 +57,7 @@
 
     def _item_call(self, item: ItemCall) -> Call:
         words = self._ctx.dialect
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         heads = [(n.lower().encode(), v.encode("utf-8")) for n, v in item.headers]
         known = {n for n, _ in heads}
         heads = [(n, v) for n, v in heads if n not in (b"host", b"content-length", words.request_id)]
--- a/pipitlink/router/links.py
+++ b/pipitlink/router/links.py
@@ -8,7 +8,7 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import BackEndFault, Crowded
 
 __all__ = ["Link", "Links"]
@@ -118,7 +118,7 @@
     def take(self, address: str, fresh: timedelta | None = None) -> Link | None:
         """An idle connection that will hardly be closed right now; with `fresh`, one that was used a shorter time ago."""
         idle = self._idle.get(address)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         while idle:
             rest = now - idle[-1].idle_since
             if fresh is not None and rest >= fresh:
@@ -147,7 +147,7 @@
         return link
 
     def give_back(self, link: Link):
-        link.idle_since = self._ctx.beats.now()
+        link.idle_since = self._ctx.timers.now()
         idle = self._idle.setdefault(link.address, deque())
         idle.append(link)
         if len(idle) > MOST_IDLE:
@@ -173,7 +173,7 @@
 
     def sweep(self):
         """Closes idle connections before their engines do."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for address, idle in list(self._idle.items()):
             while idle and now - idle[0].idle_since >= idle[0].keep - KEEP_MARGIN:
                 self._close(idle.popleft())
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -1,6 +1,6 @@
 from klein import Klein
 
-from ..beats import ms
+from ..timers import ms
 from ..web import Site, listen, send_json
 from .batch_intake import BatchIntake
 from .batch_read import BatchRead
@@ -76,7 +76,7 @@
         """Drains: not ready at once, new requests are served a while, what runs may end, leases are handed over."""
         self._draining = True
         p = self._ctx.settings
-        until = self._ctx.beats.now() + ms(p.drain_ms)
+        until = self._ctx.timers.now() + ms(p.drain_ms)
         batches = self._ctx.spawned(self._end_batches(), "end_batches")
         await self.end_front(ms(p.accept_ms), until)
         await batches
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..beats import Joined, ms, secs
+from ..timers import Joined, ms, secs
 from ..faults import Crowded, GatewayFault, PipitFault, Refused, WireFault
 from ..rendezvous import rank
 from ..wire.membership_pb2 import Loads, QuotaAsk, QuotaReceipt, WaitingLot
@@ -53,14 +53,14 @@
         self._quota_counting: set[str] = set()
         self._quota_gateways: frozenset = frozenset()
         self._quota_last: tuple = (frozenset(), {})
-        self._quota_moved_at = self._quota_looked_at = self._ctx.beats.now()
+        self._quota_moved_at = self._quota_looked_at = self._ctx.timers.now()
         self._lots_listed_at: timedelta | None = None
         self._listing_lots = Joined()
         self._ctx.desk.answer("quota.take", QuotaAsk, self._quota_for)
         self.engines.carry(self._fill_lots, self._take_lots_told)
 
     def _quota_own(self) -> list[WaitingLot]:
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         out = {b: WaitingLot(lot=b, route=route, tokens=n) for b, (route, n) in self._quota_mine.items()}
         for b, (route, until) in list(self._quota_done.items()):
             if until <= now:
@@ -73,7 +73,7 @@
         return list(out.values())
 
     def _told_done(self, batch_id: str, route: str):
-        self._quota_done[batch_id] = route, self._ctx.beats.now() + DONE_TOLD_SPAN
+        self._quota_done[batch_id] = route, self._ctx.timers.now() + DONE_TOLD_SPAN
 
     def _fill_lots(self, what: Loads) -> bool:
         """Says whether anything of it is news: also to gateways that were not there when it was told last."""
@@ -88,7 +88,7 @@
         self._quota_learn(what.gateway, what.lots)
 
     def _quota_learn(self, gateway: str, lots):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         named = set()
         for w in lots:
             named.add(w.lot)
@@ -101,7 +101,7 @@
 
     def _listed_lots(self, names: set[str], started: timedelta, sure: bool):
         """What a list of the open logs says: of which batches nobody has told yet, and which are over."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         self._quota_unknown = {b: self._quota_unknown.get(b, now) for b in names
                               if b not in self._quota_told and b not in self.batches}
         if not sure:
@@ -114,7 +114,7 @@
                 del self._quota_told[b]
 
     def _look_at_gateways(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", status=("alive",)))
         if gateways != self._quota_gateways or now - self._quota_looked_at > SLEPT_SPAN:
             self._quota_gateways, self._quota_moved_at = gateways, now
@@ -127,7 +127,7 @@
     def _count_is_sure(self) -> bool:
         """Not while gateways change, nor on the smaller side of a cut, nor before all open batches are counted."""
         self._look_at_gateways()
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         alive = self._ctx.membership.members("gateway", status=("alive",))
         places = {(m.host, m.port) for m in alive}
         away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
@@ -150,14 +150,14 @@
             listing = await self._listing_of(batch_id)
         except PipitFault as e:
             self._ctx.journal.trace("batch_not_counted", batch=batch_id, text=e)
-            await self._ctx.beats.pause(ms(200))
+            await self._ctx.timers.pause(ms(200))
             return
         finally:
             self._quota_counting.discard(batch_id)
         if batch_id in self._quota_unknown:
             left = 0 if listing.ended else sum(x.tokens for i, x in enumerate(listing.head.items)
                                                if i not in listing.listed)
-            self._quota_told[batch_id] = _Told(listing.head.route, left, "", self._ctx.beats.now())
+            self._quota_told[batch_id] = _Told(listing.head.route, left, "", self._ctx.timers.now())
             del self._quota_unknown[batch_id]
 
     async def _quota_for(self, node, ask: QuotaAsk) -> QuotaReceipt:
@@ -172,7 +172,7 @@
             return QuotaReceipt(unsure=True)
         if not route.max_waiting_tokens:
             return QuotaReceipt(granted=True)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         self._quota_learn(self._ctx.node, self._quota_own())
         for b in [b for b, g in self._quota_grants.items() if g.until <= now]:
             del self._quota_grants[b]
@@ -207,9 +207,9 @@
             if not r.unsure:
                 raise GatewayFault(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
                                  status=429, outcome="not_run", retry_after=1)
-            if self._ctx.beats.now() + WAIT_STEP > until:
+            if self._ctx.timers.now() + WAIT_STEP > until:
                 raise Crowded("the tokens that wait cannot be counted now", code="not_counted", retry_after=COME_BACK)
-            await self._ctx.beats.pause(WAIT_STEP)
+            await self._ctx.timers.pause(WAIT_STEP)
 
     def waiting_tokens(self, route: str) -> tuple[int, int]:
         """Tokens of items on a route that are not finished: of this gateway's batches, and of all that is told of."""
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -1,14 +1,14 @@
 from twisted.internet import defer, protocol
 from twisted.web.client import ResponseDone
 
-from ..beats import ms
+from ..timers import ms
 from ..faults import BackEndFault, Crowded, GatewayFault
 from .call import HOP_HEADERS
 from .events import EventStream
 
 __all__ = ["Relay"]
 
-WATCH_BEAT = ms(200)
+WATCH_INTERVAL = ms(200)
 MUTE_SPAN = ms(900)
 MAX_TRIES = 6
 FRESH_LINK = ms(3000)
@@ -81,12 +81,12 @@
         self.calls: set = set()
         self.counts = {"tries": 0, "resumed": 0, "spoilt": 0, "refused": 0}
         self.engines.watch_gone(lambda e: self.links.drop(e.address))
-        self._ctx.beats.every(WATCH_BEAT, self._watch_calls, self._ctx.report("watch_calls"))
+        self._ctx.timers.every(WATCH_INTERVAL, self._watch_calls, self._ctx.report("watch_calls"))
 
     def _watch_calls(self):
         """Ends exchanges with engines that are gone or mute, where the call can go on or begin again elsewhere."""
         self.links.sweep()
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         for call in list(self.calls):
             e = call.engine
             if e is None or call.sent_at is None or not (call.repeatable or call.resumable):
@@ -120,7 +120,7 @@
                     call.reached = True
                     call.put("again")
                 if call.tries > 2:
-                    await self._ctx.beats.pause(RETRY_PAUSE * call.tries)
+                    await self._ctx.timers.pause(RETRY_PAUSE * call.tries)
         except defer.CancelledError:
             call.put("lose")
             raise
@@ -133,7 +133,7 @@
 
     def _may_go_on(self, call, fault) -> bool:
         """Another try is allowed where nothing ran, or where running again, or from the last event on, is no harm."""
-        if call.ended or call.tries >= MAX_TRIES or self._ctx.beats.now() >= call.limit:
+        if call.ended or call.tries >= MAX_TRIES or self._ctx.timers.now() >= call.limit:
             return False
         if call.batch:
             return False
@@ -149,7 +149,7 @@
         """What held when the engine was chosen must hold as the first byte leaves."""
         if call.ended:
             raise call.fault("the request was ended", code="ended")
-        if call.limit <= self._ctx.beats.now():
+        if call.limit <= self._ctx.timers.now():
             raise call.fault("the deadline has passed", code="limit_passed", status=504)
         if self.engines.status(e) not in ("ready", "suspect") or e.news.zone in self._ctx.setup.sheet.empty_zones:
             raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
@@ -184,7 +184,7 @@
                 raise
             call.link = link
             call.put("send")
-            call.sent_at = self._ctx.beats.now()
+            call.sent_at = self._ctx.timers.now()
             e.kept.add(call.parts)
             await self._exchange(call, e, link, read)
             self.engines.served(e)
@@ -210,7 +210,7 @@
         if call.last_event:
             ours.add(words.event_id)
         out = [(n, v) for n, v in call.headers if n not in ours]
-        left = max(1, int((call.limit - self._ctx.beats.now()) / ms(1)))
+        left = max(1, int((call.limit - self._ctx.timers.now()) / ms(1)))
         out.append((words.deadline_ms, b"%d" % left))
         out.append((words.target, e.name.encode()))
         out.append((words.urgency, b"%d" % (BATCH_URGENCY if call.batch else live_urgency(call.route))))
@@ -220,7 +220,7 @@
 
     async def _exchange(self, call, e, link, read):
         def heard():
-            e.bytes_at = self._ctx.beats.now()
+            e.bytes_at = self._ctx.timers.now()
 
         link.on_bytes = heard
         try:
@@ -241,7 +241,7 @@
             raise
 
     def _lost_with(self, call, e):
-        if not call.ended and self._ctx.beats.now() < call.limit:
+        if not call.ended and self._ctx.timers.now() < call.limit:
             self.engines.failed(e)
 
     async def _take_answer(self, call, e, link, response, read):
@@ -300,7 +300,7 @@
                 done.called or done.callback(None)
 
         response.deliverBody(_Drop())
-        await self._ctx.beats.await_or_lapse(done, ms(100))
+        await self._ctx.timers.await_or_lapse(done, ms(100))
         if not link.spoilt and link.state not in ("QUIESCENT", "CONNECTION_LOST"):
             link.discard()
 
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/setup/follower.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..charts import Charted
 from ..faults import Refused, WireFault
 from ..replicated_log.placement_group import PlacementGroup
@@ -16,7 +16,7 @@
 OWN_SPAN = secs(1.2)
 HOLD_FOLLOW = ms(250)
 FOLLOW_LIMIT = ms(700)
-WITNESS_BEAT = ms(300)
+WITNESS_INTERVAL = ms(300)
 WITNESS_SPAN = secs(1)
 PAUSE = ms(100)
 
@@ -46,7 +46,7 @@
         self._ctx.membership.carry(self._fill, self._take)
         self._ctx.spawned(self._follow(), "follow_setup")
         if self._ctx.role == "gateway":
-            self._ctx.beats.every(WITNESS_BEAT, self._ask_witnesses, self._ctx.report("witness"))
+            self._ctx.timers.every(WITNESS_INTERVAL, self._ask_witnesses, self._ctx.report("witness"))
 
     @property
     def sequence(self) -> int:
@@ -57,7 +57,7 @@
 
     def ready(self) -> bool:
         """Whether new work may be admitted: checked at the moment of use, so a node that woke asks afresh."""
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if self.sequence == 0 or not self.sheet.placement_groups:
             return False
         if self._leased_at is not None and now - self._leased_at < OWN_SPAN:
@@ -76,7 +76,7 @@
             return True
         span = self._ctx.settings.unproved_s
         proofs = [at for at in (self._leased_at, self._proved_at) if at is not None]
-        return bool(span and proofs and self.sequence) and self._ctx.beats.now() - max(proofs) < secs(span)
+        return bool(span and proofs and self.sequence) and self._ctx.timers.now() - max(proofs) < secs(span)
 
     def _say(self):
         self._ctx.journal.note("currency", state=self.state, sequence=self.sequence)
@@ -114,7 +114,7 @@
     async def _follow(self):
         """One task that follows the setup from a controller, or through a peer where no controller is heard."""
         failures = 0
-        while not self._ctx.beats.ended:
+        while not self._ctx.timers.ended:
             try:
                 await self._follow_once(failures)
                 failures = 0
@@ -127,11 +127,11 @@
                 self._controller = ""
                 self._ctx.journal.trace("no_controller", text=e)
                 self._nudged = defer.Deferred()
-                await self._ctx.beats.within(PAUSE, self._nudged).addErrback(lambda f: None)
+                await self._ctx.timers.within(PAUSE, self._nudged).addErrback(lambda f: None)
 
     async def _follow_once(self, failures: int):
         place, verb = self._whom(failures)
-        asked = self._ctx.beats.now()
+        asked = self._ctx.timers.now()
         ask = FollowAsk(node=self._ctx.node, role=self._ctx.role, sequence=self.sequence,
                         at_once=self._leased_at is None)
         r = await self._ctx.desk.call(place, verb, ask, FollowReceipt, FOLLOW_LIMIT)
@@ -175,7 +175,7 @@
         """Proof without a controller: an edit is only acknowledged when a majority of the storage nodes has it."""
         self.ready()
         witnesses = self.sheet.witnesses()
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         if not witnesses or (self._leased_at is not None and now - self._leased_at < OWN_SPAN / 2):
             return
         got = await self._ctx.replicated_log.ask_each(witnesses, "setup.witness", Nothing(), WitnessReceipt, ms(500))
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -1,4 +1,4 @@
-from ..beats import ms, secs
+from ..timers import ms, secs
 from ..faults import Fenced, ReplicatedLogFault, NoMajority, WireFault
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
@@ -7,8 +7,8 @@
 
 __all__ = ["Copying"]
 
-JOIN_BEAT = ms(500)
-MEND_BEAT = secs(3)
+JOIN_INTERVAL = ms(500)
+MEND_INTERVAL = secs(3)
 ASK_LIMIT = secs(1)
 COPY_KB_S = 16 * 1024
 
@@ -27,8 +27,8 @@
     def _open_copying(self):
         self._mine: set[int] = set()
         self._ctx.setup.watch(self._placement_groups_moved)
-        self._ctx.beats.every(JOIN_BEAT, self._join_placement_groups, self._ctx.report("join"))
-        self._ctx.beats.every(MEND_BEAT, self._mend_placement_groups, self._ctx.report("mend"))
+        self._ctx.timers.every(JOIN_INTERVAL, self._join_placement_groups, self._ctx.report("join"))
+        self._ctx.timers.every(MEND_INTERVAL, self._mend_placement_groups, self._ctx.report("mend"))
 
     def _placement_groups(self) -> list[PlacementGroup]:
         setup = self._ctx.setup
@@ -37,7 +37,7 @@
     def _placement_groups_moved(self):
         mine = {s.number for s in self._placement_groups()}
         if mine - self._mine:
-            self._quiet_until = self._ctx.beats.now() + LEASE_SPAN
+            self._quiet_until = self._ctx.timers.now() + LEASE_SPAN
         self._mine = mine
 
     async def _join_placement_groups(self):
@@ -93,7 +93,7 @@
         await done
         self.log_store.settle(log, state.tail_epoch, state.length, state.final)
         self._ctx.journal.note("copied", log=log, bytes=len(data), source=storage_node)
-        await self._ctx.beats.pause(secs(len(data) / (COPY_KB_S * 1024)))
+        await self._ctx.timers.pause(secs(len(data) / (COPY_KB_S * 1024)))
 
     async def _tell_caught_up(self, placement_group: PlacementGroup):
         told = CaughtUp(storage_node=self._ctx.node, placement_group=placement_group.number, sequence=placement_group.sequence)
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..beats import secs
+from ..timers import secs
 from ..wire.replicated_log_pb2 import LeaseAsk, LeaseReceipt, RenewAsk, RenewReceipt
 
 __all__ = ["Grants", "LEASE_SPAN", "HOLD_SPAN"]
@@ -23,14 +23,14 @@
 
     def _open_grants(self):
         self._grants: dict[str, _Grant] = {}
-        self._quiet_until = self._ctx.beats.now() + LEASE_SPAN
+        self._quiet_until = self._ctx.timers.now() + LEASE_SPAN
         d = self._ctx.desk
         d.answer("replicated_log.lease", LeaseAsk, self._lease)
         d.answer("replicated_log.renew", RenewAsk, self._renew)
 
     def _live_grant(self, log: str) -> _Grant | None:
         g = self._grants.get(log)
-        if g is not None and g.until > self._ctx.beats.now():
+        if g is not None and g.until > self._ctx.timers.now():
             return g
         return None
 
@@ -39,14 +39,14 @@
         g = self._live_grant(log)
         if g is not None:
             s.leaseholder = g.leaseholder
-            s.lease_ms = int((g.until - self._ctx.beats.now()).total_seconds() * 1000)
+            s.lease_ms = int((g.until - self._ctx.timers.now()).total_seconds() * 1000)
         return s
 
     async def _lease(self, node, ask: LeaseAsk):
         """Grants a lease that nobody else has. Epochs alone keep a log whole; waiting for a lease only spares duels, so one
         whose leaseholder is gone may be asked for by its name, and one that nobody is known to hold without a wait (usurp)."""
         self._check_placement_group(ask.log, ask.placement_group_sequence)
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         g = self._live_grant(ask.log)
         state = self._state(ask.log)
         if g is not None and g.leaseholder not in (ask.leaseholder, ask.gone):
@@ -61,7 +61,7 @@
         return LeaseReceipt(granted=True, state=self._state(ask.log), room=self.log_store.room())
 
     async def _renew(self, node, ask: RenewAsk):
-        until = self._ctx.beats.now() + LEASE_SPAN
+        until = self._ctx.timers.now() + LEASE_SPAN
         out = RenewReceipt(room=self.log_store.room())
         for h in ask.held:
             g = self._grants.get(h.log)
--- a/pipitlink/storage/keeping.py
+++ b/pipitlink/storage/keeping.py
@@ -1,11 +1,11 @@
 from collections import Counter
 
-from ..beats import secs, wall_ms
+from ..timers import secs, wall_ms
 from ..wire.replicated_log_pb2 import Entry
 
 __all__ = ["Keeping"]
 
-BEAT = secs(5)
+ELECTION_INTERVAL = secs(5)
 FULL_SHARE = 0.5
 STONE_MS = 40 * 86_400_000
 
@@ -14,10 +14,10 @@
     """Mixin: drops the bytes of logs that ended long ago, and gives back the room of old files."""
 
     def _open_keeping(self):
-        self._ctx.beats.every(BEAT, self._keep, self._ctx.report("keeping"))
+        self._ctx.timers.every(ELECTION_INTERVAL, self._keep, self._ctx.report("keeping"))
 
     async def _keep(self):
-        now = wall_ms(self._ctx.beats.wall())
+        now = wall_ms(self._ctx.timers.wall())
         span = self._ctx.settings.retention_s * 1000
         for k in list(self.log_store.logs.values()):
             if not (k.final and k.closed_ms):
--- a/pipitlink/syncing.py
+++ b/pipitlink/syncing.py
@@ -1,6 +1,6 @@
 from twisted.internet import defer
 
-from .beats import spawn
+from .timers import spawn
 from .faults import Damaged, NoRoom
 
 __all__ = ["Syncer"]
--- a/pipitlink/beats.py
+++ b/pipitlink/timers.py
@@ -6,7 +6,7 @@
 
 from .faults import Overdue
 
-__all__ = ["Beats", "Repeat", "ms", "secs", "to_ms", "wall_ms", "ZERO", "spawn", "Joined"]
+__all__ = ["Timers", "Repeat", "ms", "secs", "to_ms", "wall_ms", "ZERO", "spawn", "Joined"]
 
 ZERO = timedelta(0)
 
@@ -57,8 +57,8 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Beats:
-    """Monotonic time that also counts while the machine sleeps, and the beats hung on it."""
+class Timers:
+    """Monotonic time that also counts while the machine sleeps, and the timers hung on it."""
 
     def __init__(self, reactor, seconds=_boot_time):
         self._reactor = reactor
@@ -123,17 +123,17 @@
 
 
 class Repeat:
-    """Work repeated on a beat. Beats on which nothing is due are left out; the others keep their phase."""
+    """Work repeated on a beat. Timers on which nothing is due are left out; the others keep their phase."""
 
-    def __init__(self, beats: Beats, span: timedelta, do, report, due=None):
-        self._beats, self._span, self._do, self._report, self._due = beats, span, do, report, due
+    def __init__(self, timers: Timers, span: timedelta, do, report, due=None):
+        self._timers, self._span, self._do, self._report, self._due = timers, span, do, report, due
         self._ended = False
         self._call = self._work = self._next_at = None
         self._at = ZERO
 
     def begin(self):
         self._call = self._next_at = None
-        if self._beats.ended or self._ended:
+        if self._timers.ended or self._ended:
             return
         try:
             r = self._do()
@@ -156,7 +156,7 @@
             self._rest()
 
     def _rest(self):
-        now = self._beats.now()
+        now = self._timers.now()
         self._next_at = now + self._span
         if self._due is None:
             self._hang(self._next_at, now)
@@ -167,13 +167,13 @@
 
     def _hang(self, at: timedelta, now: timedelta):
         self._at = at
-        self._call = self._beats.later(at - now, self.begin)
+        self._call = self._timers.later(at - now, self.begin)
 
     def wake(self):
         """Something is due: it runs on the next beat."""
         if self._ended or self._next_at is None:
             return
-        now = self._beats.now()
+        now = self._timers.now()
         at = self._next_at + self._span * max(0, -((self._next_at - now) // self._span))
         if self._call is not None:
             if self._at <= at:
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 from twisted.web import server
 
-from .beats import spawn
+from .timers import spawn
 from .faults import (BadRows, CutOff, Fenced, GatewayFault, NoMajority, NoRoom, NotHeld, NotLeading, Overdue, Refused,
                      Unproven, WireFault, WrongBase)
 
--- a/pipitlink/wire/desk.py
+++ b/pipitlink/wire/desk.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint, TCP6ClientEndpoint, connectProtocol
 
-from ..beats import Beats, Joined, ms
+from ..timers import Timers, Joined, ms
 from ..faults import CutOff, Overdue, PipitFault, Refused, Unmet, WireFault
 from .frame_pb2 import Hello, Nothing
 from .stream import WIRE, Stream, StreamFactory
@@ -18,9 +18,9 @@
 class Desk:
     """Where calls from peers are answered and calls to them are made."""
 
-    def __init__(self, reactor, beats: Beats, journal, fleet: str, node: str):
+    def __init__(self, reactor, timers: Timers, journal, fleet: str, node: str):
         self._reactor = reactor
-        self._beats = beats
+        self._timers = timers
         self.journal = journal
         self._fleet = fleet
         self.node = node
@@ -81,7 +81,7 @@
             kind = TCP6ClientEndpoint if ":" in place[0] else TCP4ClientEndpoint
             point = kind(self._reactor, place[0], place[1], _CONNECT.total_seconds())
             await connectProtocol(point, s)
-            await self._beats.within(_CONNECT, s.ready)
+            await self._timers.within(_CONNECT, s.ready)
         except (WireFault, defer.CancelledError):
             s.transport and s.transport.abortConnection()
             raise
@@ -97,7 +97,7 @@
 
     async def call(self, place: Place, verb: str, ask, kind, limit: timedelta):
         try:
-            return await self._beats.within(limit, self._call(place, verb, ask, kind))
+            return await self._timers.within(limit, self._call(place, verb, ask, kind))
         except Overdue as e:
             raise Overdue(f"{verb} to {place[0]}:{place[1]}: {e}") from e
 
--- a/pipitlink/wire/stream.py
+++ b/pipitlink/wire/stream.py
@@ -1,7 +1,7 @@
 from twisted.internet import defer, protocol
 from twisted.protocols.basic import Int32StringReceiver
 
-from ..beats import spawn
+from ..timers import spawn
 from ..faults import CutOff, WireFault
 from .frame_pb2 import Frame, Hello
 
--- a/rehearsal/capacity.py
+++ b/rehearsal/capacity.py
@@ -87,7 +87,7 @@
                 continue
             self.points.append(point)
             g = point["windows"]
-            print(f"{name} {x}: pace {pace}, cores {point['cores']:.2f}, beats kept {point['kept']:.2f}, gateway cpu % "
+            print(f"{name} {x}: pace {pace}, cores {point['cores']:.2f}, timers kept {point['kept']:.2f}, gateway cpu % "
                   + " ".join(f"{w['gateway']['cpu_percent']:.2f}" for w in g) + ", msgs in "
                   + " ".join(f"{w['gateway']['msgs_in']:.1f}" for w in g), flush=True)
             if self._keep:
@@ -111,7 +111,7 @@
             time.sleep(3 * min(pace, 10))
             cores, kept = fleet.busy(3.0 / max(1.0, pace / 4))
             if cores > self._cores or kept < LEAST_KEPT and series.kind != "whole":
-                raise TooBusy(f"{cores:.1f} cores busy, {kept:.2f} of the beats came in time")
+                raise TooBusy(f"{cores:.1f} cores busy, {kept:.2f} of the timers came in time")
             windows = [fleet.window(span) for _ in range(self._windows)]
         finally:
             fleet.end()
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor, stdio
 from twisted.protocols.basic import LineOnlyReceiver
 
-from pipitlink.beats import Beats, secs, spawn
+from pipitlink.timers import Timers, secs, spawn
 from pipitlink.cache import Cache
 from pipitlink.context import Context, fresh_id
 from pipitlink.storage import StorageNode
@@ -144,9 +144,9 @@
         Path(settings.data).mkdir(parents=True, exist_ok=True)
         journal = Journal(host.sink, node=node)
         slowed = _Slowed(host)
-        beats = Beats(slowed, seconds=host.now)
-        self.desk = CountedDesk(slowed, beats, journal, settings.fleet, node)
-        self.ctx = Context(role, node, settings, slowed, beats, journal, self.desk, Random())
+        timers = Timers(slowed, seconds=host.now)
+        self.desk = CountedDesk(slowed, timers, journal, settings.fleet, node)
+        self.ctx = Context(role, node, settings, slowed, timers, journal, self.desk, Random())
         self._port = spec["ports"][n] if spec["ports"] else 0
         self.part = None
 
@@ -203,7 +203,7 @@
     def __init__(self):
         self.nodes: list = []
         self.pace = 1.0
-        self._boot = Beats(reactor)._seconds
+        self._boot = Timers(reactor)._seconds
         self._paced_at = (self._boot(), self._boot())
         self.sink = _Sink()
         self.work = Work(self)
@@ -214,7 +214,7 @@
         return nodes + (self._boot() - real) / self.pace
 
     def _tick(self):
-        """Beats that came: where fewer do than should, the machine holds this host up and its rates are too low."""
+        """Timers that came: where fewer do than should, the machine holds this host up and its rates are too low."""
         self._ticks += 1
 
     def lineReceived(self, line):
@@ -230,7 +230,7 @@
     async def do_listen(self, spec: dict):
         kind = _Whole if spec["kind"] == "whole" else _Hollow
         self.nodes = [kind(self, spec["role"], n, spec) for n in spec["numbers"]]
-        Beats(_Slowed(self)).every(secs(TICK), self._tick, self.sink.log)
+        Timers(_Slowed(self)).every(secs(TICK), self._tick, self.sink.log)
         return {"members": [(await n.listen()).SerializeToString().hex() for n in self.nodes]}
 
     async def do_pace(self, pace: float):
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -1,5 +1,5 @@
 """What hollow nodes are given to do: engines that announce, edits, logs that are read and logs that are written."""
-from pipitlink.beats import secs, spawn
+from pipitlink.timers import secs, spawn
 from pipitlink.faults import PipitFault
 from pipitlink.wire.lots_pb2 import LogRecord, Result
 from pipitlink.wire.membership_pb2 import EngineNews
@@ -39,7 +39,7 @@
         gateways = [n for n in self._host.nodes if n.role == "gateway"]
         for i, name in enumerate(engines):
             n = gateways[i % len(gateways)]
-            n.ctx.beats.later(RENEW * n.ctx.chance.random(), self._announce, n, name, 0)
+            n.ctx.timers.later(RENEW * n.ctx.chance.random(), self._announce, n, name, 0)
         for n in gateways:
             for log in tails:
                 n.ctx.cache.tail(log)
@@ -57,14 +57,14 @@
         n.part.engines.announce(EngineNews(
             engine=name, incarnation=1, address="127.0.0.1:65535", pool="models", models=["pipit-small"], capacity=8,
             zone=n.ctx.settings.zone, state="ready"))
-        n.ctx.beats.later(RENEW, self._announce, n, name, times + 1)
+        n.ctx.timers.later(RENEW, self._announce, n, name, times + 1)
 
     async def _write(self, n, log: str, rate: float):
         """Holds a log, shadowed into the caches, and lists results in it; what could not be had is asked for again."""
         try:
             h = None
             while h is None:
-                await n.ctx.beats.pause(HOLD_SPREAD * n.ctx.chance.random())
+                await n.ctx.timers.pause(HOLD_SPREAD * n.ctx.chance.random())
                 try:
                     h = await n.part.keep(log)
                     self._held += 1
@@ -74,7 +74,7 @@
             while rate and not h.lost:
                 spawn(h.append([_result(k)])).addErrback(self._fail)
                 k += 1
-                await n.ctx.beats.pause(secs(1 / rate))
+                await n.ctx.timers.pause(secs(1 / rate))
         except PipitFault as e:
             self._fail(e)
 
@@ -93,9 +93,9 @@
 
     async def _edit_on(self, n, rows: int, changes: float):
         """Where this controller leads: first the rows, then edits of one row each, at a steady rate."""
-        beats, done, due = n.ctx.beats, 0, None
+        timers, done, due = n.ctx.timers, 0, None
         while True:
-            await beats.pause(secs(0.05))
+            await timers.pause(secs(0.05))
             if n.part.state != "leader" or not n.part.sheet.placement_groups:
                 continue
             if done < rows:
@@ -106,18 +106,18 @@
                 continue
             if not changes:
                 return
-            due = due or beats.now()
-            while changes and beats.now() >= due:
+            due = due or timers.now()
+            while changes and timers.now() >= due:
                 due += secs(1 / changes)
                 self._n += 1
-                began = beats.now()
+                began = timers.now()
                 if await self._edit(n, [Row(name="edited", model="edited", weight=self._n % 100 + 1)]):
-                    self._edits = self._edits[-LAST_KEPT:] + [(beats.now() - began).total_seconds()]
+                    self._edits = self._edits[-LAST_KEPT:] + [(timers.now() - began).total_seconds()]
 
     async def _edit(self, n, puts) -> bool:
         try:
             e = TableEdit(base=n.part.sheet.table, puts=puts)
-            out = await n.part.edit(Command(edit=f"{n.ctx.node}{n.ctx.beats.now()}", table=e))
+            out = await n.part.edit(Command(edit=f"{n.ctx.node}{n.ctx.timers.now()}", table=e))
         except PipitFault as e:
             self._fail(e)
             return False
--- a/rehearsal/hosts.py
+++ b/rehearsal/hosts.py
@@ -133,7 +133,7 @@
                                     "base": self.base[id(h)], "real": time.monotonic(), **h.ask("count")})
 
     def busy(self, model_seconds: float) -> tuple[float, float]:
-        """Cores in use by all hosts together, and the share of their beats that came in time at the worst of them."""
+        """Cores in use by all hosts together, and the share of their timers that came in time at the worst of them."""
         w = self.window(model_seconds)
         return w["cores"], w["kept"]
 
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats, spawn
+from pipitlink.timers import Timers, spawn
 from pipitlink.cache.ring import Ring
 from pipitlink.context import Context
 from pipitlink.journal import Journal
@@ -35,9 +35,9 @@
 def _gateway(gateways: int):
     """A hollow gateway that knows so many peers and their engines, on a clock that stands still."""
     clock = Clock()
-    beats = Beats(clock, seconds=clock.seconds)
-    desk = Desk(None, beats, Journal(_Quiet()), "pipit", "g0")
-    ctx = Context("gateway", "g0", Settings(), clock, beats, Journal(_Quiet()), desk, Random(1))
+    timers = Timers(clock, seconds=clock.seconds)
+    desk = Desk(None, timers, Journal(_Quiet()), "pipit", "g0")
+    ctx = Context("gateway", "g0", Settings(), clock, timers, Journal(_Quiet()), desk, Random(1))
     everyone = [Member(node=f"g{i}", incarnation=1, role="gateway", zone=f"zone-{i % 25}", host="127.0.0.1", port=1000 + i,
                        status="alive")
                 for i in range(gateways)]
--- a/rehearsal/plug.py
+++ b/rehearsal/plug.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer
 
-from pipitlink.beats import secs
+from pipitlink.timers import secs
 from pipitlink.plugs import hookimpl
 
 from .disks import TellingDisk
@@ -46,7 +46,7 @@
         if [mine, theirs] in told.get("cuts", ()):
             return defer.Deferred()
         delay = told.get("delays", {}).get(theirs) or told.get("delays", {}).get(mine)
-        return self._ctx.beats.pause(secs(delay)) if delay else None
+        return self._ctx.timers.pause(secs(delay)) if delay else None
 
     @hookimpl
     def disk(self):
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -1,4 +1,4 @@
-"""The real node code on injected beats: a staged network that cuts and delays, disks that lose what is unsynced."""
+"""The real node code on injected timers: a staged network that cuts and delays, disks that lose what is unsynced."""
 import heapq
 import shutil
 import tempfile
@@ -9,7 +9,7 @@
 
 from twisted.internet import defer
 
-from pipitlink.beats import Beats, spawn
+from pipitlink.timers import Timers, spawn
 from pipitlink.cache import Cache
 from pipitlink.context import Context
 from pipitlink.storage import StorageNode
@@ -60,7 +60,7 @@
     async def call(self, place, verb, ask, kind, limit):
         body = ask.SerializeToString()
         try:
-            return kind.FromString(await self._actor.ctx.beats.within(
+            return kind.FromString(await self._actor.ctx.timers.within(
                 limit, self._stage.carry(self._actor, place, verb, body)))
         except Overdue as e:
             raise Overdue(f"{verb} to {place}: {e}") from e
@@ -92,8 +92,8 @@
         settings = Settings(zone=self.zone, seeds=stage.seeds, founders=stage.founders if self.role == "controller" else (),
                       data=str(self.folder), placement_groups=stage.placement_groups, **stage.settings)
         self.clock = _Watch(stage.clock)
-        beats = stage.beats(self.clock)
-        self.ctx = Context(self.role, self.node, settings, self.clock, beats, Journal(stage.sink, node=self.node), None,
+        timers = stage.timers(self.clock)
+        self.ctx = Context(self.role, self.node, settings, self.clock, timers, Journal(stage.sink, node=self.node), None,
                            Random(stage.chance.random()))
         ctx = self.ctx
         ctx.desk = _Desk(stage, self)
@@ -139,7 +139,7 @@
 
     def kill(self, power: bool = False):
         self.alive = self.frozen = False
-        self.ctx.beats.ended = True
+        self.ctx.timers.ended = True
         self.clock.stop()
         if self.part is not None and self.role != "gateway":
             self.part.close()
@@ -251,7 +251,7 @@
         self._tokens.start()
         self._fresh = 0
         self.actors: dict[str, Actor] = {}
-        self._beats: list[Beats] = []
+        self._timers: list[Timers] = []
         port = 1000
         for role, n in (("controller", controllers), ("storage", storage_nodes), ("gateway", gateways)):
             for i in range(n):
@@ -353,10 +353,10 @@
             box[0].raiseException()
         return box[0]
 
-    def beats(self, clock=None) -> Beats:
-        """Beats on the stage's time, for a node's life or for whoever stands outside the nodes."""
-        out = Beats(clock or self.clock, seconds=self.clock.seconds)
-        self._beats.append(out)
+    def timers(self, clock=None) -> Timers:
+        """Timers on the stage's time, for a node's life or for whoever stands outside the nodes."""
+        out = Timers(clock or self.clock, seconds=self.clock.seconds)
+        self._timers.append(out)
         out.wall = lambda: datetime.fromtimestamp(1_700_000_000 + self.clock.seconds(), timezone.utc)
         return out
 
@@ -375,7 +375,7 @@
         for a in self.actors.values():
             if a.alive:
                 a.kill()
-        for beats in self._beats:
-            beats.end()
+        for timers in self._timers:
+            timers.end()
         self._tokens.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
--- a/rehearsal/staged.py
+++ b/rehearsal/staged.py
@@ -1,7 +1,7 @@
 """Whole gateways on a stage, with staged engines: the gateways' own code from a lot's intake to an item's first byte."""
 from twisted.internet import defer
 
-from pipitlink.beats import ms, secs, spawn, wall_ms
+from pipitlink.timers import ms, secs, spawn, wall_ms
 from pipitlink.faults import BackEndFault, Crowded, GatewayFault, PipitFault
 from pipitlink.gateway import GatewayNode
 from pipitlink.gateway.asks import Ask
@@ -22,7 +22,7 @@
 
     async def _relay(self, ask, e):
         engine = self.stage.engines[e.name]
-        await self._ctx.beats.pause(secs(self.stage.chance.choice((0.001, 0.001, 0.02, 0.6))))
+        await self._ctx.timers.pause(secs(self.stage.chance.choice((0.001, 0.001, 0.02, 0.6))))
         if not engine.alive:
             raise Crowded(f"{e.name} could not be reached", code="unreached")
         self._check_still(ask, e)
@@ -130,7 +130,7 @@
     """Lots, reads, ends and live requests at any gateway, noted as the outside checker reads them."""
 
     def __init__(self, stage):
-        self.stage, self.beats = stage, stage.beats()
+        self.stage, self.timers = stage, stage.timers()
         self.events: list[dict] = []
         self.over = False
         self.lots: dict[str, dict] = {}
@@ -151,7 +151,7 @@
         if g is None:
             return None, GatewayFault("nobody is there", code="dropped", outcome="unknown")
         try:
-            return await self.beats.within(secs(limit), do(g.part)), None
+            return await self.timers.within(secs(limit), do(g.part)), None
         except GatewayFault as f:
             return None, f
         except (PipitFault, defer.CancelledError) as f:
@@ -160,13 +160,13 @@
     async def hand_in(self):
         chance = self.stage.chance
         while not self.over:
-            await self.beats.pause(ms(300 + chance.randrange(1200)))
+            await self.timers.pause(ms(300 + chance.randrange(1200)))
             await self.one_lot(2 + chance.randrange(8), chance.random() < 0.3)
 
     async def one_lot(self, items, repeatable=False):
         self._n += 1
         name = f"lot{self._n}"
-        now = wall_ms(self.beats.wall())
+        now = wall_ms(self.timers.wall())
         prompts = [f"{name}/{i}" for i in range(items)]
         lot = Lot(customer=name, taken_ms=now, limit_ms=now + 3_600_000,
                   items=[Item(model="m", prompt=p, repeatable=repeatable) for p in prompts])
@@ -181,7 +181,7 @@
 
     async def read(self):
         while not self.over:
-            await self.beats.pause(ms(100 + self.stage.chance.randrange(300)))
+            await self.timers.pause(ms(100 + self.stage.chance.randrange(300)))
             if self.lots:
                 await self.one_read(self.stage.chance.choice(list(self.lots)))
 
@@ -201,7 +201,7 @@
 
     async def end_some(self):
         while not self.over:
-            await self.beats.pause(ms(2000 + self.stage.chance.randrange(4000)))
+            await self.timers.pause(ms(2000 + self.stage.chance.randrange(4000)))
             if self.lots:
                 lot = self.stage.chance.choice(list(self.lots))
                 got, fault = await self._ask(lambda part: part.end_anywhere(lot), 9.0)
@@ -209,7 +209,7 @@
 
     async def live(self):
         while not self.over:
-            await self.beats.pause(ms(150 + self.stage.chance.randrange(400)))
+            await self.timers.pause(ms(150 + self.stage.chance.randrange(400)))
             self._n += 1
             spawn(self._one_live(f"live{self._n}", self.stage.chance.random() < 0.4))
 
@@ -218,7 +218,7 @@
 
         async def do(part):
             a = Ask(id=part.new_run(), model="m", prompt=prompt, repeatable=repeatable,
-                    limit=part._ctx.beats.now() + secs(4))
+                    limit=part._ctx.timers.now() + secs(4))
             a.readers = 1
             box.append(a)
             await part.run(a)
@@ -234,18 +234,18 @@
     async def engines(self):
         chance = self.stage.chance
         while not self.over:
-            await self.beats.pause(ms(1500 + chance.randrange(3000)))
+            await self.timers.pause(ms(1500 + chance.randrange(3000)))
             e = chance.choice(list(self.stage.engines.values()))
             what = chance.choice(("crash", "leave", "silent"))
             if what == "silent":
                 e.silent = True
-                await self.beats.pause(secs(5))
+                await self.timers.pause(secs(5))
                 e.silent = False
                 e.note("heard")
                 continue
             if what == "leave":
                 e.leave()
-                await self.beats.pause(secs(3))
+                await self.timers.pause(secs(3))
             e.crash()
-            await self.beats.pause(secs(1))
+            await self.timers.pause(secs(1))
             e.open()
--- a/rehearsal/trouble.py
+++ b/rehearsal/trouble.py
@@ -1,7 +1,7 @@
 """Seeded trouble on a stage: kills, power losses, freezes, cuts, and their healing."""
 import os
 
-from pipitlink.beats import spawn
+from pipitlink.timers import spawn
 
 __all__ = ["Trouble", "seeds"]
 
--- a/tests/batch_parts.py
+++ b/tests/batch_parts.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from pipitlink.beats import ms, secs
+from pipitlink.timers import ms, secs
 from pipitlink.dialect import Dialect
 from pipitlink.faults import PipitFault
 from pipitlink.router.batch_intake import BatchIntake
@@ -57,16 +57,16 @@
         self.busy += 1
         stage = self.stage
         try:
-            await self._ctx.beats.pause(ms(stage.chance.choice((1, 5, 40, 300))))
+            await self._ctx.timers.pause(ms(stage.chance.choice((1, 5, 40, 300))))
             call.still()
             stage.runs.append({"at": stage.clock.seconds(), "item": call.id, "after": call.last_event,
                                "gateway": self._ctx.node, "path": call.path, "headers": call.headers, "body": call.body})
             for word, status in (("/422", 422), ("/500", 500), ("/503", 503)):
                 if call.path.endswith(word):
-                    await self._ctx.beats.pause(ms(20))
+                    await self._ctx.timers.pause(ms(20))
                     return ItemAnswer(status=status, not_run=status == 503)
             for n in range(call.last_event + 1, EVENTS + 1):
-                await self._ctx.beats.pause(stage.step)
+                await self._ctx.timers.pause(stage.step)
                 if stage.chance.random() < stage.breaks:
                     return ItemAnswer(status=200)
                 call.texts.append(f"{call.id} event {n}".encode())
@@ -92,7 +92,7 @@
     """Hands batches in, reads and ends them at any gateway; notes what was answered, and what of it was wrong."""
 
     def __init__(self, stage):
-        self.stage, self.beats = stage, stage.beats()
+        self.stage, self.timers = stage, stage.timers()
         self.over = False
         self.items: dict[str, list[dict]] = {}
         self.taken: dict[str, float] = {}
@@ -120,7 +120,7 @@
             return 0, {}, b""
         life = g.lives
         try:
-            return await self.beats.within(secs(limit), do(g.part))
+            return await self.timers.within(secs(limit), do(g.part))
         except (PipitFault, defer.CancelledError):
             return 0, {}, b""
         except RuntimeError:
@@ -132,7 +132,7 @@
         raw = json.dumps({"items": self.items[name]}).encode()
         r = self.stage.routes[row]
         status, headers, _ = await self.ask(
-            lambda p: p.take_batch(r, "h", f"/{row}/", name, raw, p._ctx.beats.now() + secs(limit)), gateway, limit + 1)
+            lambda p: p.take_batch(r, "h", f"/{row}/", name, raw, p._ctx.timers.now() + secs(limit)), gateway, limit + 1)
         if status == 202:
             self.taken.setdefault(name, self.stage.clock.seconds())
         return status
@@ -186,7 +186,7 @@
         """Each batch again at other gateways, until it is taken or surely refused."""
         chance = self.stage.chance
         while not self.over:
-            await self.beats.pause(ms(300 + chance.randrange(900)))
+            await self.timers.pause(ms(300 + chance.randrange(900)))
             name, said = self.lot(2 + chance.randrange(8)), []
             for _ in range(4):
                 said.append(await self.hand_in(name))
@@ -197,7 +197,7 @@
 
     async def read_some(self):
         while not self.over:
-            await self.beats.pause(ms(100 + self.stage.chance.randrange(300)))
+            await self.timers.pause(ms(100 + self.stage.chance.randrange(300)))
             if self.taken:
                 name = self.stage.chance.choice(list(self.taken))
                 start = self.stage.chance.choice((0, len(self.seen.get(name, ()))))
@@ -205,6 +205,6 @@
 
     async def end_some(self):
         while not self.over:
-            await self.beats.pause(ms(2500 + self.stage.chance.randrange(4000)))
+            await self.timers.pause(ms(2500 + self.stage.chance.randrange(4000)))
             if self.taken:
                 await self.end(self.stage.chance.choice(list(self.taken)))
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats, secs, spawn
+from pipitlink.timers import Timers, secs, spawn
 from pipitlink.faults import CutOff
 from pipitlink.gateway.asks import Ask
 from pipitlink.gateway.engines import Engines
@@ -68,8 +68,8 @@
     def __init__(self, gateways=1, n=0, clock=None, bus=None):
         self.clock = clock or Clock()
         self._ctx = self
-        self.beats = Beats(self.clock, seconds=self.clock.seconds)
-        self.beats.wall = lambda: datetime.fromtimestamp(self.clock.seconds(), timezone.utc)
+        self.timers = Timers(self.clock, seconds=self.clock.seconds)
+        self.timers.wall = lambda: datetime.fromtimestamp(self.clock.seconds(), timezone.utc)
         self.journal = Journal(self)
         self.node, self.chance = f"g{n}", Random(1)
         self.desk = _Desk(self.node, {} if bus is None else bus)
@@ -78,7 +78,7 @@
         self.engines = Engines(self)
         self.desk.answer("engines.loads", Loads, self.engines._told_loads)
         self._retry_budget = RetryBudget()
-        self.come_back = ComeBack(self.beats)
+        self.come_back = ComeBack(self.timers)
         self.asks = {}
         self._open_limits()
 
@@ -93,7 +93,7 @@
                                        models=["m"], capacity=capacity, zone=zone, state=state, age_ms=age_ms))
 
     def ask(self, prefix="", kind="live"):
-        return Ask(model="m", prompt="", prefix=prefix, kind=kind, limit=self.beats.now())
+        return Ask(model="m", prompt="", prefix=prefix, kind=kind, limit=self.timers.now())
 
     def later(self, seconds, *names, **more):
         for _ in range(seconds):
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from pipitlink.beats import Beats, ms
+from pipitlink.timers import Timers, ms
 from pipitlink.dialect import Dialect
 from pipitlink.journal import Journal
 from pipitlink.settings import Settings
@@ -101,8 +101,8 @@
         self.clock = Clock()
         self.clock.advance(1000)
         self.lines = []
-        beats = Beats(self.clock, seconds=self.clock.seconds)
-        beats.wall = lambda: datetime.fromtimestamp(1_700_000_000 + self.clock.seconds(), timezone.utc)
+        timers = Timers(self.clock, seconds=self.clock.seconds)
+        timers.wall = lambda: datetime.fromtimestamp(1_700_000_000 + self.clock.seconds(), timezone.utc)
         pools = pools or [Pool(name="models", max_connections=100, places=4, cache_tokens=100_000)]
         self.sheet = SimpleNamespace(empty_zones=set(), routes=RouteTable(Config(
             version=1, routes=routes, pools=pools, bounds=Bounds(max_body_bytes=100_000))))
@@ -111,7 +111,7 @@
             Member(node=f"g{i}") for i in range(gateways) if i or me])
         desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
-            node="g0", beats=beats, setup=self.setup, membership=membership, desk=desk, dialect=Dialect(), chance=Random(seed),
+            node="g0", timers=timers, setup=self.setup, membership=membership, desk=desk, dialect=Dialect(), chance=Random(seed),
             reactor=self.clock, settings=Settings(zone="zone-a"), journal=Journal(SimpleNamespace(
                 log=lambda level, shape, line: self.lines.append(line))),
             report=lambda what: lambda e: self.lines.append(f"{what} {e!r}"), engines=None)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -1,7 +1,7 @@
 """Batches in gateways on a stage: taken once, run, listed once in an order that stays, ended."""
 import unittest
 
-from pipitlink.beats import ms
+from pipitlink.timers import ms
 
 from .batch_parts import Callers, route, staged, text_of
 
@@ -39,7 +39,7 @@
             name = c.lot(4)
             some = [[], []]
             for a, box in zip(stage.role("gateway"), some):
-                stage.beats().within(ms(5000), c.hand_in(name, a)).addBoth(box.append)
+                stage.timers().within(ms(5000), c.hand_in(name, a)).addBoth(box.append)
             stage.until(lambda: all(some), 10, "both answered")
             self.assertEqual(some, [[202], [202]])
             stage.until(lambda: c.whole(name), 20, "all is listed")
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats, ms, spawn
+from pipitlink.timers import Timers, ms, spawn
 from pipitlink.cache.chunks import CHUNK
 from pipitlink.cache.poller import Seen
 from pipitlink.cache.tail import Tail
@@ -164,7 +164,7 @@
             async def read_on(a):
                 while not stop:
                     said.append((await c.read(name, 0, 200, a))[0])
-                    await stage.beats().pause(ms(3))
+                    await stage.timers().pause(ms(3))
 
             for a in stage.role("gateway")[1:]:
                 spawn(read_on(a))
@@ -247,7 +247,7 @@
         a = stage.role("gateway")[1]
         got = self.count(a)
         a.part._quota_told.pop(name, None)
-        a.part._quota_unknown[name] = a.ctx.beats.now()
+        a.part._quota_unknown[name] = a.ctx.timers.now()
         stage.do(a.part._count_lot(name))
         self.assertEqual((a.part._quota_told[name].route, a.part._quota_told[name].tokens), ("bulk", 400))
         self.assertLess(sum(got) * 10, 40 * BODY)
@@ -279,7 +279,7 @@
     def read(self, data: bytes, step: int, behind: int = 0):
         log = _Growing(data, step, behind)
         clock = Clock()
-        ctx = SimpleNamespace(beats=Beats(clock, seconds=clock.seconds), chance=Random(1),
+        ctx = SimpleNamespace(timers=Timers(clock, seconds=clock.seconds), chance=Random(1),
                               settings=SimpleNamespace(reader_kb_s=10 ** 9, postpone_ms=0, poll_ms=1, durable_poll_ms=1))
         tail = Tail(ctx, SimpleNamespace(poller=log), "log", None)
         self.got = 0
@@ -290,7 +290,7 @@
             return data[start:end]
 
         tail.read = read
-        r = _Reader(tail, ctx.beats.now())
+        r = _Reader(tail, ctx.timers.now())
         part = BatchRead.__new__(BatchRead)
         while log.seen.durable < len(data):
             log.grow()
--- a/tests/test_batches_quota.py
+++ b/tests/test_batches_quota.py
@@ -2,7 +2,7 @@
 import json
 import unittest
 
-from pipitlink.beats import ms, spawn
+from pipitlink.timers import ms, spawn
 
 from .batch_parts import Callers, route, staged
 
@@ -67,7 +67,7 @@
         raw = json.dumps({"items": c.items[name]}).encode()
         part = stage.role("gateway")[0].part
         status, headers, _ = stage.do(part.take_batch(stage.routes["bulk"], "h", "/bulk/", name, raw,
-                                                      part._ctx.beats.now() + ms(3000)))
+                                                      part._ctx.timers.now() + ms(3000)))
         self.assertEqual((status, headers["Retry-After"]), (429, "1"))
 
     def test_a_batch_taken_again_is_counted_once(self):
@@ -142,7 +142,7 @@
                     before = len(c.taken)
                     await c.hand_in(name)
                     if len(c.taken) == before:
-                        await c.beats.pause(ms(30))
+                        await c.timers.pause(ms(30))
                     elif self.waiting(stage, c) > CAP:
                         over.append((stage.clock.seconds(), name, self.waiting(stage, c)))
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from random import Random
 
-from pipitlink.beats import spawn
+from pipitlink.timers import spawn
 from pipitlink.context import Context
 from pipitlink.disk import Disk
 from pipitlink.journal import Journal
@@ -30,7 +30,7 @@
         self.lives, self.alive, self.node = 1, True, f"{self.name}x{stage.fresh()}"
         self.clock = _Watch(stage.clock)
         self.ctx = ctx = Context("gateway", self.node, Settings(zone=self.zone, seeds=stage.seeds, placement_groups=stage.placement_groups),
-                                 self.clock, stage.beats(self.clock), Journal(stage.sink, node=self.node), None,
+                                 self.clock, stage.timers(self.clock), Journal(stage.sink, node=self.node), None,
                                  Random(stage.chance.random()))
         ctx.desk = _Desk(stage, self)
         self.part = open_parts(ctx, "hollow", Member(node=self.node, incarnation=1, role="gateway", zone=self.zone,
@@ -121,9 +121,9 @@
             stage.ready()
             stage.run(3)
             leader = stage.leader()
-            waits, asked, beats = [], [], leader.ctx.beats
-            hold = beats.await_or_lapse
-            beats.await_or_lapse = lambda d, span: waits.append(span) or hold(d, span)
+            waits, asked, timers = [], [], leader.ctx.timers
+            hold = timers.await_or_lapse
+            timers.await_or_lapse = lambda d, span: waits.append(span) or hold(d, span)
             stage.watch_calls = lambda sender, verb: verb == "controller.follow" and asked.append(verb)
             stage.run(SPAN)
             heartbeats = 2 * SPAN * 10
--- a/tests/test_config_trouble.py
+++ b/tests/test_config_trouble.py
@@ -1,7 +1,7 @@
 """Operators that change the configuration at any controller, as callers with a second of patience, while nodes fail."""
 import unittest
 
-from pipitlink.beats import ms
+from pipitlink.timers import ms
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
 
@@ -13,7 +13,7 @@
 
 class _Operators:
     def __init__(self, stage):
-        self.stage, self.caller, self.beats = stage, Caller(stage), stage.beats()
+        self.stage, self.caller, self.timers = stage, Caller(stage), stage.timers()
         self.over = False
         self.sent: dict[int, dict] = {}
         self.bases: dict[int, list[int]] = {}
@@ -34,12 +34,12 @@
         for _ in range(100):
             if box:
                 return box[0] if box[0][0] < 500 else None
-            await self.beats.pause(ms(10))
+            await self.timers.pause(ms(10))
         return None
 
     async def operate(self, who: int):
         while not self.over:
-            await self.beats.pause(ms(100 + self.stage.chance.randrange(500)))
+            await self.timers.pause(ms(100 + self.stage.chance.randrange(500)))
             floor = self.newest()
             got = await self.call("GET", "/v1/config")
             if got is None:
@@ -56,7 +56,7 @@
                 told = await self.call("PUT", "/v1/config", config, {"If-Match": str(base)})
                 if told is not None:
                     break
-                await self.beats.pause(ms(100))
+                await self.timers.pause(ms(100))
             if told is None:
                 continue
             if told[0] == 200:
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -4,7 +4,7 @@
 import unittest.mock
 from datetime import timedelta
 
-from pipitlink.beats import Beats, spawn
+from pipitlink.timers import Timers, spawn
 from pipitlink.faults import NotLeading
 from pipitlink.journal import Journal
 from pipitlink.controller.gateways import Gateways
@@ -21,7 +21,7 @@
 class _Ctx:
     def __init__(self):
         self.now = 1000.0
-        self.beats = Beats(None, seconds=lambda: self.now)
+        self.timers = Timers(None, seconds=lambda: self.now)
         self.journal = Journal(self)
         self.settings = type("Settings", (), {"placement_groups": 1})
         self.node = "controller"
@@ -39,7 +39,7 @@
         self.archive = self
 
     def heard_majority_at(self):
-        now = self._ctx.beats.now()
+        now = self._ctx.timers.now()
         return now if now < self._fresh_until else now - timedelta(seconds=9)
 
     def after(self, index, most):
@@ -55,7 +55,7 @@
 
     def __init__(self, change_leader: bool):
         self.ctx = _Ctx()
-        now = self.ctx.beats.now()
+        now = self.ctx.timers.now()
         forever = now + timedelta(days=1)
         self.first = _Leader(self.ctx, now - timedelta(seconds=9), now + timedelta(seconds=0.5)
                              if change_leader else forever)
@@ -70,7 +70,7 @@
         self.ctx.now += TICK
 
     def send(self):
-        self.asked = self.ctx.beats.now()
+        self.asked = self.ctx.timers.now()
         self.ask = FollowAsk(node="g", role="gateway", sequence=self.gateway.sequence, at_once=True)
 
     def answer(self):
@@ -88,7 +88,7 @@
     def elect(self):
         """Voters refuse another leader for 600 ms after they heard theirs."""
         if self.change_leader and self.ctx.now >= 1000.6:
-            now = self.ctx.beats.now()
+            now = self.ctx.timers.now()
             self.leaders.append(_Leader(self.ctx, now, now + timedelta(days=1)))
 
     def commit(self):
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from pipitlink.beats import secs, spawn
+from pipitlink.timers import secs, spawn
 from pipitlink.faults import NotHeld
 from pipitlink.gateway.asks import AskTable
 from pipitlink.gateway.picking import Admitting
@@ -22,7 +22,7 @@
     def __init__(self):
         self.reactor = MemoryReactorClock()
         super().__init__(clock=self.reactor)
-        self._opened_at = self.beats.now()
+        self._opened_at = self.timers.now()
         self._hold = secs(5)
         self.asks = {}
         self.settings.max_running, self.settings.engine_silence_s = 10, 30
@@ -36,7 +36,7 @@
 
     def begin(self, kind="live", limit=20):
         ask = self.ask(kind=kind)
-        ask.limit = self.beats.now() + secs(limit)
+        ask.limit = self.timers.now() + secs(limit)
         ask.still = self.still if kind == "item" else None
         ask.work = spawn(self.run(ask))
         return ask
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,4 +1,4 @@
-"""Parts of a gateway on injected beats: engines, picks, rates, settings."""
+"""Parts of a gateway on injected timers: engines, picks, rates, settings."""
 import contextlib
 import io
 import re
@@ -12,7 +12,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats, secs, spawn, wall_ms
+from pipitlink.timers import Timers, secs, spawn, wall_ms
 from pipitlink.command import main
 from pipitlink.faults import BadRows, Crowded, SettingsFault
 from pipitlink.gateway.dispatch import Dispatch
@@ -204,7 +204,7 @@
             for g in f.up():
                 if f.chance.random() < 0.1:
                     a = g.ask()
-                    a.limit = g.beats.now() + secs(5)
+                    a.limit = g.timers.now() + secs(5)
                     spawn(g._keep_concurrency(a)).addCallbacks(lambda _, a=a: (out.append(a), began.append(a)),
                                                                lambda f: f.trap(Crowded) and None)
             for a in [a for a in out if f.chance.random() < 0.05]:
@@ -237,7 +237,7 @@
         """600 callers, 20 places a second: how many of their tries are in vain, with and without the derived delay."""
         def tries(derived):
             clock = Clock()
-            back = ComeBack(Beats(clock, seconds=clock.seconds))
+            back = ComeBack(Timers(clock, seconds=clock.seconds))
             due, vain, served = {0.0: 600}, 0, 0
             while served < 600:
                 now = round(clock.seconds(), 3)
@@ -266,7 +266,7 @@
         return True
 
     def lot(self, name, customer, items, due_s, priority=0):
-        wall = wall_ms(self.beats.wall())
+        wall = wall_ms(self.timers.wall())
         o = OpenLot(name, Lot(customer=customer, priority=priority, limit_ms=wall + due_s * 1000,
                               items=[Item(model="m")] * items))
         o.leaseholder = type("Leaseholder", (), {"held": lambda self: True, "lost": "", "epoch": 1, "final": False})()
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -2,7 +2,7 @@
 import unittest
 import unittest.mock
 
-from pipitlink.beats import spawn
+from pipitlink.timers import spawn
 from pipitlink.faults import PipitFault
 from pipitlink.gateway.asks import Ask
 from pipitlink.gateway.dispatch import Dispatch
@@ -20,7 +20,7 @@
 
 
 class Scene:
-    """A small fleet on injected beats, its customers, and what the checker says of them."""
+    """A small fleet on injected timers, its customers, and what the checker says of them."""
 
     def __init__(self, test, engines=2, step=0.04, capacity=4):
         self.stage = Stage(7, controllers=3, storage_nodes=4, gateways=3, placement_groups=2)
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats, ms
+from pipitlink.timers import Timers, ms
 from rehearsal.stage import Stage
 
 _CASES = """
@@ -78,7 +78,7 @@
 class Repeats(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
-        self.beats = Beats(self.clock, seconds=self.clock.seconds)
+        self.timers = Timers(self.clock, seconds=self.clock.seconds)
         self.ran: list[int] = []
         self.faults: list[Exception] = []
 
@@ -90,10 +90,10 @@
 
     def test_a_repeat_ends_in_its_pause_and_in_its_work(self):
         hung = defer.Deferred()
-        self.beats.every(ms(10), self.ran_now, self.faults.append)
-        self.beats.every(ms(10), lambda: hung, self.faults.append)
+        self.timers.every(ms(10), self.ran_now, self.faults.append)
+        self.timers.every(ms(10), lambda: hung, self.faults.append)
         self.advance(25)
-        self.beats.end()
+        self.timers.end()
         self.advance(100)
         self.assertEqual((self.ran, self.faults), ([0, 10, 20], []))
         self.assertTrue(hung.called)
@@ -107,14 +107,14 @@
             if len(self.ran) == 2:
                 raise defer.CancelledError()
 
-        self.beats.every(ms(10), work, self.faults.append)
+        self.timers.every(ms(10), work, self.faults.append)
         self.advance(35)
         self.assertEqual(self.ran, [0, 10, 20, 30])
         self.assertEqual([type(e) for e in self.faults], [ValueError, defer.CancelledError])
 
-    def test_beats_without_work_are_left_out_and_the_phase_is_kept(self):
+    def test_timers_without_work_are_left_out_and_the_phase_is_kept(self):
         due = [None]
-        r = self.beats.every(ms(10), self.ran_now, self.faults.append, due=lambda: due[0])
+        r = self.timers.every(ms(10), self.ran_now, self.faults.append, due=lambda: due[0])
         self.advance(33)
         self.assertEqual((self.ran, self.clock.getDelayedCalls()), ([0], []))
         r.wake()
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from pipitlink.beats import Beats, ms, secs, spawn
+from pipitlink.timers import Timers, ms, secs, spawn
 from pipitlink.cache.chunks import CHUNK, chunk_key
 from pipitlink.cache.shadow import Shadow
 from pipitlink.cache.stores import DataStore, LengthStore
@@ -54,7 +54,7 @@
 class _Ctx:
     def __init__(self):
         self.clock = Clock()
-        self.beats = Beats(self.clock, seconds=self.clock.seconds)
+        self.timers = Timers(self.clock, seconds=self.clock.seconds)
         self.node = "me"
         self.journal = Journal(self)
 
@@ -117,10 +117,10 @@
 class Stores(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
-        self.beats = Beats(self.clock, seconds=self.clock.seconds)
+        self.timers = Timers(self.clock, seconds=self.clock.seconds)
 
     def test_chunks_only_grow_and_go_by_age_or_room(self):
-        s = DataStore(self.beats, secs(10), 30)
+        s = DataStore(self.timers, secs(10), 30)
         s.put(b"a", b"12345")
         s.put(b"a", b"123")
         self.assertEqual(s.get(b"a"), b"12345")
@@ -130,7 +130,7 @@
         self.assertEqual((s.get(b"b"), s.size), (b"", 0))
 
     def test_lengths_only_grow(self):
-        s = LengthStore(self.beats, secs(10))
+        s = LengthStore(self.timers, secs(10))
         s.merge(Lengths(path="p", durable=9, cached=5))
         s.merge(Lengths(path="p", durable=7, cached=6))
         self.assertEqual((s.get("p").durable, s.get("p").cached), (9, 6))
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from pipitlink.beats import ms
+from pipitlink.timers import ms
 from pipitlink.faults import Damaged, NoRoom, NotLeading, PipitFault, Unproven, WireFault
 from pipitlink.wire.controller_pb2 import EditAsk, EditReceipt
 from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
@@ -35,9 +35,9 @@
         return self.acked[-1][1] if self.acked else 0
 
     async def operate(self, who: int):
-        chance, beats = self.stage.chance, self.beats
+        chance, timers = self.stage.chance, self.timers
         while not self.over:
-            await beats.pause(ms(100 + chance.randrange(500)))
+            await timers.pause(ms(100 + chance.randrange(500)))
             controller = chance.choice(self.stage.role("controller"))
             if not controller.alive or controller.frozen:
                 continue
@@ -77,7 +77,7 @@
         stage.start()
         stage.ready()
         ops = _Operators(stage)
-        ops.beats = stage.beats()
+        ops.timers = stage.timers()
         plain_run = stage.run
 
         def run(seconds, step=0.005):
@@ -185,9 +185,9 @@
         self.stage.ready()
 
     def test_half_of_the_witnesses_are_not_enough_while_their_set_changes(self):
-        leader, beats = self.stage.leader().part, self.stage.beats()
+        leader, timers = self.stage.leader().part, self.stage.timers()
         leader.sheet.settled -= 1
-        leader._settle_witnesses = lambda: beats.pause(ms(0))
+        leader._settle_witnesses = lambda: timers.pause(ms(0))
         for a in self.stage.role("storage")[:2]:
             a.kill()
         with self.assertRaises(PipitFault):
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -18,10 +18,10 @@
         self.stage.start()
         self.stage.ready()
         self.gateway, self.other = (a.ctx for a in self.stage.role("gateway"))
-        self.wall = self.gateway.beats.wall()
+        self.wall = self.gateway.timers.wall()
         self.began = self.stage.clock.seconds()
         for a in self.stage.actors.values():
-            a.ctx.beats.wall = self._wall
+            a.ctx.timers.wall = self._wall
 
     def _wall(self):
         from datetime import timedelta
@@ -50,7 +50,7 @@
         for a in self.stage.role("storage"):
             a.kill(power=True)
             a.start()
-            a.ctx.beats.wall = self._wall
+            a.ctx.timers.wall = self._wall
         self.stage.run(5)
         states = self.stage.do(self.other.replicated_log.list("results/"))
         self.assertEqual([(s.final, s.length) for s in states.values()], [(True, 0)] * 12)
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -2,7 +2,7 @@
 import contextlib
 import unittest
 
-from pipitlink.beats import ms
+from pipitlink.timers import ms
 from pipitlink.disk import frames
 from pipitlink.faults import Fenced, NotHeld, PipitFault
 from rehearsal.stage import Stage
@@ -36,12 +36,12 @@
                     body = f"{ctx.node}/{n}".encode() + b"." * ctx.chance.randrange(3000)
                     at = await h.append([body])
                     self.acked[at] = body
-                    await ctx.beats.pause(ms(ctx.chance.randrange(60)))
+                    await ctx.timers.pause(ms(ctx.chance.randrange(60)))
                 if ctx.chance.random() < 0.5:
                     await ctx.replicated_log.release([h])
             except PipitFault:
                 pass
-            await ctx.beats.pause(ms(200 + ctx.chance.randrange(800)))
+            await ctx.timers.pause(ms(200 + ctx.chance.randrange(800)))
 
     async def read(self, actor):
         while not self.over and actor.alive:
@@ -52,7 +52,7 @@
                     self.check(await ctx.replicated_log.read(self.log, 0, state.committed))
             except PipitFault:
                 pass
-            await ctx.beats.pause(ms(150))
+            await ctx.timers.pause(ms(150))
 
     def check(self, data: bytes):
         a, b = sorted((data, self.shown), key=len)
@@ -84,7 +84,7 @@
                 try:
                     return await last.replicated_log.hold(w.log)
                 except NotHeld:
-                    await last.beats.pause(ms(500))
+                    await last.timers.pause(ms(500))
 
         data = bytes(stage.do(final(), 30).data)
         w.check(data)
--- a/tests/test_stage_placement.py
+++ b/tests/test_stage_placement.py
@@ -1,7 +1,7 @@
 """Placement groups move off lost and retired storage nodes, and nothing acknowledged is lost on the way."""
 import unittest
 
-from pipitlink.beats import ms
+from pipitlink.timers import ms
 from pipitlink.disk import frames
 from pipitlink.faults import GatewayFault, PipitFault
 from pipitlink.wire.setup_pb2 import Command, StorageNodeEdit
@@ -25,9 +25,9 @@
                     n += 1
                     body = f"{self.log}/{n}".encode()
                     self.acked[await h.append([body])] = body
-                    await ctx.beats.pause(ms(40))
+                    await ctx.timers.pause(ms(40))
             except PipitFault:
-                await ctx.beats.pause(ms(300))
+                await ctx.timers.pause(ms(300))
         for h in list(ctx.replicated_log.leaseholders.values()):
             if h.log == self.log:
                 await ctx.replicated_log.release([h])
