--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -8,7 +8,7 @@
 
 MOST = 256
 LIMIT = secs(2)
-CHANGES = {"setup", "status", "met", "engine", "lot_owned", "lot_done", "lot_ended", "leading", "currency",
+CHANGES = {"cluster", "status", "met", "engine", "lot_owned", "lot_done", "lot_ended", "leading", "currency",
            "storage_node_admitted", "storage_node_let_go", "placement_group", "voters"}
 
 
--- a/pipitlink/setup/sheet.py
+++ b/pipitlink/cluster/cluster_state.py
@@ -1,20 +1,20 @@
 from collections import OrderedDict
 
 from ..replicated_log.placement_group import PlacementGroup
-from ..wire.setup_pb2 import Command, StorageNodeEdit, Outcome, Row, SheetData, PlacementGroupRow
+from ..wire.cluster_pb2 import Command, StorageNodeEdit, Outcome, Row, ClusterStateData, PlacementGroupRow
 from .routes import RouteTable
 
-__all__ = ["Sheet", "MAX_ROWS"]
+__all__ = ["ClusterState", "MAX_ROWS"]
 
 MAX_OUTCOMES = 2000
 MAX_ROWS = 100_000
 
 
-class Sheet:
-    """The setup: the weight table, routes, zones, storage nodes, placement groups and voters, as the agreed commands make it."""
+class ClusterState:
+    """The cluster state: the weight table, routes, zones, storage nodes, placement groups and voters, as the agreed commands make it."""
 
-    def __init__(self, data: SheetData | None = None):
-        data = data or SheetData()
+    def __init__(self, data: ClusterStateData | None = None):
+        data = data or ClusterStateData()
         self.sequence = data.sequence
         self.table = data.table
         self.rows: dict[str, Row] = {r.name: r for r in data.rows}
@@ -29,8 +29,8 @@
         self.outcomes: OrderedDict[str, Outcome] = OrderedDict((o.edit, o) for o in data.outcomes)
         self._by_target: dict[tuple[str, str], Row] | None = None
 
-    def data(self) -> SheetData:
-        return SheetData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
+    def data(self) -> ClusterStateData:
+        return ClusterStateData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
                          empty_zones=sorted(self.empty_zones), placement_groups=self.placement_groups.values(), voters=self.voters,
                          witnesses_at=self.witnesses_at, settled=self.settled,
                          storage_nodes=[StorageNodeEdit(storage_node=d, status=s, name=self.storage_node_names.get(d))
--- a/pipitlink/setup/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -7,10 +7,10 @@
 from ..faults import Refused, WireFault
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
-from ..wire.setup_pb2 import FollowAsk, FollowReceipt, WitnessReceipt
-from .sheet import Sheet
+from ..wire.cluster_pb2 import FollowAsk, FollowReceipt, WitnessReceipt
+from .cluster_state import ClusterState
 
-__all__ = ["Setup", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
+__all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
 
 LEASE_SPAN = secs(1.5)
 OWN_SPAN = secs(1.2)
@@ -21,14 +21,14 @@
 PAUSE = ms(100)
 
 
-class Setup(Charted):
-    """The setup as a node outside the controllers follows it: higher sequences only, and a proof that it is the newest."""
+class Cluster(Charted):
+    """The cluster state as a node outside the controllers follows it: higher sequences only, and a proof that it is the newest."""
 
     chart = "currency"
 
     def __init__(self, ctx):
         self._ctx = ctx
-        self.sheet = Sheet()
+        self.cluster_state = ClusterState()
         self.placement_groups = ctx.settings.placement_groups
         self._leased_at: timedelta | None = None
         self._proved_at: timedelta | None = None
@@ -40,17 +40,17 @@
 
     def open(self):
         d = self._ctx.desk
-        d.answer("setup.pass_on", FollowAsk, self._pass_on)
-        d.answer("setup.witness", Nothing, self._witness)
-        d.answer("setup.sheet", Nothing, self._whole)
+        d.answer("cluster.pass_on", FollowAsk, self._pass_on)
+        d.answer("cluster.witness", Nothing, self._witness)
+        d.answer("cluster.cluster_state", Nothing, self._whole)
         self._ctx.membership.carry(self._fill, self._take)
-        self._ctx.spawned(self._follow(), "follow_setup")
+        self._ctx.spawned(self._follow(), "follow_cluster")
         if self._ctx.role == "gateway":
             self._ctx.timers.every(WITNESS_INTERVAL, self._ask_witnesses, self._ctx.report("witness"))
 
     @property
     def sequence(self) -> int:
-        return self.sheet.sequence
+        return self.cluster_state.sequence
 
     def watch(self, do):
         self._watchers.append(do)
@@ -58,7 +58,7 @@
     def ready(self) -> bool:
         """Whether new work may be admitted: checked at the moment of use, so a node that woke asks afresh."""
         now = self._ctx.timers.now()
-        if self.sequence == 0 or not self.sheet.placement_groups:
+        if self.sequence == 0 or not self.cluster_state.placement_groups:
             return False
         if self._leased_at is not None and now - self._leased_at < OWN_SPAN:
             state, what = "led", "leased"
@@ -82,37 +82,37 @@
         self._ctx.journal.note("currency", state=self.state, sequence=self.sequence)
 
     def placement_group(self, n: int) -> PlacementGroup:
-        return self.sheet.placement_group(n)
+        return self.cluster_state.placement_group(n)
 
     def row(self, model: str, pool: str):
-        return self.sheet.row(model, pool)
+        return self.cluster_state.row(model, pool)
 
     def zone_empty(self, zone: str) -> bool:
-        return zone in self.sheet.empty_zones
+        return zone in self.cluster_state.empty_zones
 
     def _fill(self, g):
-        g.setup_sequence = self.sequence
+        g.cluster_sequence = self.sequence
 
     def _take(self, g):
-        if g.setup_sequence > self.sequence and self._nudged is not None:
+        if g.cluster_sequence > self.sequence and self._nudged is not None:
             d, self._nudged = self._nudged, None
             d.callback(None)
 
     def _absorb(self, r: FollowReceipt) -> bool:
         before = self.sequence
-        if r.HasField("sheet") and r.sheet.sequence > self.sequence:
-            self.sheet = Sheet(r.sheet)
+        if r.HasField("cluster_state") and r.cluster_state.sequence > self.sequence:
+            self.cluster_state = ClusterState(r.cluster_state)
         for delta in r.deltas:
             if delta.sequence == self.sequence + 1:
-                self.sheet.apply(delta.sequence, delta.command)
+                self.cluster_state.apply(delta.sequence, delta.command)
         if self.sequence != before:
-            self._ctx.journal.note("setup", sequence=self.sequence, table=self.sheet.table)
+            self._ctx.journal.note("cluster", sequence=self.sequence, table=self.cluster_state.table)
             for do in self._watchers:
                 do()
         return self.sequence >= r.sequence
 
     async def _follow(self):
-        """One task that follows the setup from a controller, or through a peer where no controller is heard."""
+        """One task that follows the cluster state from a controller, or through a peer where no controller is heard."""
         failures = 0
         while not self._ctx.timers.ended:
             try:
@@ -156,7 +156,7 @@
         if not peers:
             raise WireFault("neither a controller nor a peer is known")
         m = self._ctx.chance.choice(peers)
-        return (m.host, m.port), "setup.pass_on"
+        return (m.host, m.port), "cluster.pass_on"
 
     async def _pass_on(self, node, ask: FollowAsk) -> FollowReceipt:
         """A peer that hears no controller follows through this node."""
@@ -169,21 +169,21 @@
         return WitnessReceipt(current=self._followed, sequence=self.sequence)
 
     async def _whole(self, node, _) -> FollowReceipt:
-        return FollowReceipt(sequence=self.sequence, sheet=self.sheet.data())
+        return FollowReceipt(sequence=self.sequence, cluster_state=self.cluster_state.data())
 
     async def _ask_witnesses(self):
         """Proof without a controller: an edit is only acknowledged when a majority of the storage nodes has it."""
         self.ready()
-        witnesses = self.sheet.witnesses()
+        witnesses = self.cluster_state.witnesses()
         now = self._ctx.timers.now()
         if not witnesses or (self._leased_at is not None and now - self._leased_at < OWN_SPAN / 2):
             return
-        got = await self._ctx.replicated_log.ask_each(witnesses, "setup.witness", Nothing(), WitnessReceipt, ms(500))
+        got = await self._ctx.replicated_log.ask_each(witnesses, "cluster.witness", Nothing(), WitnessReceipt, ms(500))
         sure = {n: r.sequence for n, r in got.items() if r.current}
         newest = max(sure, key=sure.get, default="")
         if newest and sure[newest] > self.sequence:
-            self._absorb(await self._ctx.replicated_log.ask(newest, "setup.sheet", Nothing(), FollowReceipt))
+            self._absorb(await self._ctx.replicated_log.ask(newest, "cluster.cluster_state", Nothing(), FollowReceipt))
         if 2 * len(sure) > len(witnesses) and self.sequence >= max(sure.values()) \
-                and witnesses == self.sheet.witnesses():
+                and witnesses == self.cluster_state.witnesses():
             self._proved_at = now
             self.ready()
--- a/pipitlink/setup/routes.py
+++ b/pipitlink/cluster/routes.py
@@ -1,4 +1,4 @@
-from ..wire.setup_pb2 import Config, Pool, Route
+from ..wire.cluster_pb2 import Config, Pool, Route
 
 __all__ = ["RouteTable", "KINDS"]
 
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -30,7 +30,7 @@
     desk: Desk
     chance: Random
     membership: object = None
-    setup: object = None
+    cluster: object = None
     replicated_log: object = None
     cache: object = None
     engines: object = None
--- a/pipitlink/controller/archive.py
+++ b/pipitlink/controller/archive.py
@@ -11,7 +11,7 @@
 from ..segments import Segments
 from ..syncing import Syncer
 from ..wire.controller_pb2 import Ballot, ControllerEntry, ControllerRecord, Snapshot
-from ..wire.setup_pb2 import Row, SheetData
+from ..wire.cluster_pb2 import Row, ClusterStateData
 
 __all__ = ["Archive", "told_by_the_last"]
 
@@ -42,7 +42,7 @@
 
     def recover(self):
         self.snapshot = self._load_snapshot()
-        kept = self.snapshot.sheet.voters and any((self._folder / "agreed").glob("seg-*.log"))
+        kept = self.snapshot.cluster_state.voters and any((self._folder / "agreed").glob("seg-*.log"))
         if (self._folder / "founded").exists() and not kept:
             raise Damaged("this controller took part in the agreement and its files are gone")
         self._replayed()
@@ -77,7 +77,7 @@
         """The newest voters in the log count, agreed or not yet."""
         if self._votes and self._votes[-1][0] > self.snapshot.index:
             return self._votes[-1][1]
-        return tuple(self.snapshot.sheet.voters)
+        return tuple(self.snapshot.cluster_state.voters)
 
     def used(self) -> int:
         """Bytes on disk: the log, and the snapshot twice, as it is while one is swapped in."""
@@ -136,7 +136,7 @@
         new = self._folder / "setup.new"
         shutil.rmtree(new, ignore_errors=True)
         new.mkdir(parents=True)
-        rows = sorted(s.sheet.rows, key=lambda r: r.name)
+        rows = sorted(s.cluster_state.rows, key=lambda r: r.name)
         crc = 0
         with dbm.dumb.open(str(new / "setup"), "n") as db:
             for r in rows:
@@ -145,7 +145,7 @@
                 db[b"row/" + r.name.encode()] = body
             head = Snapshot()
             head.CopyFrom(s)
-            del head.sheet.rows[:]
+            del head.cluster_state.rows[:]
             body = head.SerializeToString()
             db[b"head"] = zlib.crc32(body, crc).to_bytes(4, "big") + body
         for p in new.iterdir():
@@ -181,7 +181,7 @@
         if zlib.crc32(head[4:], crc) != int.from_bytes(head[:4], "big"):
             raise Damaged(f"the snapshot {found[0].name} is damaged")
         s = Snapshot.FromString(head[4:])
-        s.sheet.rows.extend(rows)
+        s.cluster_state.rows.extend(rows)
         return s
 
     def use_snapshot(self, s: Snapshot):
@@ -193,7 +193,7 @@
         for e in rest:
             self._place(e)
         self._segments.roll()
-        mark = Snapshot(index=s.index, term=s.term, sheet=SheetData())
+        mark = Snapshot(index=s.index, term=s.term, cluster_state=ClusterStateData())
         for r in (ControllerRecord(snapshot=mark), *(ControllerRecord(entry=e) for e in rest)):
             self._put(r).addErrback(told_by_the_last)
         done = self._put(ControllerRecord(ballot=self.ballot))
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -3,10 +3,10 @@
 from klein import Klein
 
 from ..faults import BadAsk, GatewayFault, NotFound
-from ..setup.routes import RouteTable
+from ..cluster.routes import RouteTable
 from ..web import Site, answered, listen, send_fault, send_json
 from ..wire.membership_pb2 import EngineNews
-from ..wire.setup_pb2 import Command, ZoneEdit
+from ..wire.cluster_pb2 import Command, ZoneEdit
 from .edits import edit_base, edit_id
 
 __all__ = ["Control", "ControlFace"]
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -6,10 +6,10 @@
 from ..context import fresh_id
 from ..faults import (BadAsk, CutOff, GatewayFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
                       WrongBase)
-from ..setup import Sheet
+from ..cluster import ClusterState
 from ..web import answered, send_json
 from ..wire.controller_pb2 import EditAsk, EditReceipt, ReadTableAsk
-from ..wire.setup_pb2 import Command, Outcome, SheetData, TableEdit, ZoneEdit
+from ..wire.cluster_pb2 import Command, Outcome, ClusterStateData, TableEdit, ZoneEdit
 from .rows import row_dict, row_from, rows_from
 
 __all__ = ["Edits", "edit_base", "edit_id"]
@@ -51,7 +51,7 @@
 
 
 class Edits:
-    """Mixin: the operators' interface to the setup, the same at every controller."""
+    """Mixin: the operators' interface to the cluster state, the same at every controller."""
 
     def _open_edits(self):
         self._ctx.desk.answer("controller.edit", EditAsk, self._edit_for)
@@ -60,17 +60,17 @@
     async def _edit_for(self, node, ask: EditAsk) -> EditReceipt:
         return EditReceipt(outcome=await self.edit(ask.command))
 
-    async def _read_for(self, node, _) -> SheetData:
+    async def _read_for(self, node, _) -> ClusterStateData:
         await self.sure_leader()
-        return self.sheet.data()
+        return self.cluster_state.data()
 
-    async def newest(self) -> Sheet:
-        """The newest agreed setup, proved by the leader, or a fault; never an older one."""
+    async def newest(self) -> ClusterState:
+        """The newest agreed cluster state, proved by the leader, or a fault; never an older one."""
         if self.state == "leader":
             await self.sure_leader()
-            return self.sheet
+            return self.cluster_state
         try:
-            return Sheet(await self._ask_leader("controller.read", ReadTableAsk(), SheetData))
+            return ClusterState(await self._ask_leader("controller.read", ReadTableAsk(), ClusterStateData))
         except (WireFault, NotLeading, Unproven) as e:
             raise GatewayFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
                              outcome="failed", retry_after=1) from e
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -5,8 +5,8 @@
 
 from ..timers import ms, secs
 from ..faults import NoRoom, NotLeading, Overdue, Unproven
-from ..setup.follower import HOLD_FOLLOW, LEASE_SPAN
-from ..wire.setup_pb2 import Command, Delta, FollowAsk, FollowReceipt, Outcome
+from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
+from ..wire.cluster_pb2 import Command, Delta, FollowAsk, FollowReceipt, Outcome
 
 __all__ = ["Gateways"]
 
@@ -31,7 +31,7 @@
 
 
 class Gateways:
-    """Mixin: delivers the setup, leases it to gateways, and knows when an edit is in effect everywhere."""
+    """Mixin: delivers the cluster state, leases it to gateways, and knows when an edit is in effect everywhere."""
 
     def _open_gateways(self):
         self.followers: dict[str, _Follower] = {}
@@ -47,23 +47,23 @@
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
         self.followers[ask.node] = _Follower(ask.role, ask.sequence, self._ctx.timers.now() + LEASE_SPAN)
         _wake(self._confirmations)
-        if ask.sequence >= self.sheet.sequence and not ask.at_once:
-            await self._wait(self._news, HOLD_FOLLOW, lambda: self.sheet.sequence > ask.sequence)
+        if ask.sequence >= self.cluster_state.sequence and not ask.at_once:
+            await self._wait(self._news, HOLD_FOLLOW, lambda: self.cluster_state.sequence > ask.sequence)
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
-        out = FollowReceipt(sequence=self.sheet.sequence, leased=True, controller=self._ctx.node)
-        if ask.sequence < self.sheet.sequence:
-            entries = [e for e in self.archive.after(ask.sequence, 4096) if e.index <= self.sheet.sequence]
+        out = FollowReceipt(sequence=self.cluster_state.sequence, leased=True, controller=self._ctx.node)
+        if ask.sequence < self.cluster_state.sequence:
+            entries = [e for e in self.archive.after(ask.sequence, 4096) if e.index <= self.cluster_state.sequence]
             if entries and entries[0].index == ask.sequence + 1 and ask.sequence:
                 out.deltas.extend(Delta(sequence=e.index, command=e.command) for e in entries)
                 out.sequence = entries[-1].index
-                out.leased = out.sequence == self.sheet.sequence
+                out.leased = out.sequence == self.cluster_state.sequence
             else:
-                out.sheet.CopyFrom(self.sheet.data())
+                out.cluster_state.CopyFrom(self.cluster_state.data())
         return out
 
     def wake_news(self):
-        """The setup has moved: those that follow it hear of it, and those that wait for its effect look again."""
+        """The cluster state has moved: those that follow it hear of it, and those that wait for its effect look again."""
         _wake(self._news)
         _wake(self._confirmations)
 
@@ -84,7 +84,7 @@
     def _in_effect(self, sequence: int) -> bool:
         """Every gateway with a live lease has it, no lease of an earlier leader is left, and enough storage nodes have it.
 
-        A gateway proves its setup by more than half of the witnesses, so half of them are enough here, once the last change
+        A gateway proves its cluster state by more than half of the witnesses, so half of them are enough here, once the last change
         of the witnesses is known to be with more than half.
         """
         now = self._ctx.timers.now()
@@ -92,10 +92,10 @@
             return False
         if any(f.role == "gateway" and f.until > now and f.sequence < sequence for f in self.followers.values()):
             return False
-        witnesses = self.sheet.witnesses()
+        witnesses = self.cluster_state.witnesses()
         have = sum(self._shows(w, sequence) for w in witnesses)
         return 2 * have > len(witnesses) or not witnesses \
-            or 2 * have == len(witnesses) and self.sheet.settled == self.sheet.witnesses_at
+            or 2 * have == len(witnesses) and self.cluster_state.settled == self.cluster_state.witnesses_at
 
     def _shows(self, storage_node: str, sequence: int) -> bool:
         f = self.followers.get(storage_node)
@@ -106,7 +106,7 @@
         end = self._ctx.timers.now() + limit
         if self.archive.used() + 3 * c.ByteSize() > self._ctx.settings.budget_mb * 1024 * 1024 * ROOM_SHARE:
             raise NoRoom("the controller's data folder has no room for this edit", sent=False)
-        out = self.sheet.outcomes.get(c.edit) if c.edit else None
+        out = self.cluster_state.outcomes.get(c.edit) if c.edit else None
         known = out is not None
         if not known:
             out = await self._ctx.timers.within(limit, self._propose(c))
@@ -114,7 +114,7 @@
             await self.sure_leader()
         if out.code != "done":
             return out
-        sequence = self.sheet.sequence
+        sequence = self.cluster_state.sequence
         while not self._in_effect(sequence):
             if self.state != "leader":
                 raise Unproven("the edit is agreed, but this controller no longer leads to see it in effect")
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -5,7 +5,7 @@
 from ..timers import ZERO, ms, secs
 from ..faults import NoRoom, NotLeading, Unproven, WireFault
 from ..wire.controller_pb2 import AppendAsk, AppendReceipt, ControllerEntry
-from ..wire.setup_pb2 import Command, Outcome
+from ..wire.cluster_pb2 import Command, Outcome
 from .archive import told_by_the_last
 
 __all__ = ["Leading"]
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -5,7 +5,7 @@
 from ..dialect.control import ControlWords
 from ..disk import Disk
 from ..faults import WireFault
-from ..setup import Sheet
+from ..cluster import ClusterState
 from ..wire.frame_pb2 import Nothing
 from ..wire.controller_pb2 import Snapshot
 from .announcing import Announcing
@@ -30,7 +30,7 @@
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
         self.archive = Archive(ctx, Path(ctx.settings.data), disk or Disk())
-        self.sheet = Sheet()
+        self.cluster_state = ClusterState()
         self.commit = 0
         self.leader = ""
         self.founders: tuple[str, ...] = ()
@@ -42,7 +42,7 @@
 
     def open(self):
         self.archive.recover()
-        self._take_sheet(self.archive.snapshot)
+        self._take_cluster_state(self.archive.snapshot)
         self._open_voting()
         self._open_leading()
         self._open_gateways()
@@ -50,7 +50,7 @@
         self._open_placement()
         self._open_announcing()
         self._ctx.desk.answer("controller.empty", Nothing, self._empty)
-        if self.archive.snapshot.sheet.voters:
+        if self.archive.snapshot.cluster_state.voters:
             self.put("founded")
         b, report = self._ctx.timers, self._ctx.report
         self._elections = b.every(ELECTION_INTERVAL, self._election_beat, report("election"), due=self._election_due)
@@ -67,11 +67,11 @@
         super().routes(add)
         Control(self._ctx, self, ControlWords()).routes(add)
 
-    def _take_sheet(self, s: Snapshot):
-        self.sheet = Sheet(s.sheet)
-        self.sheet.sequence = s.index
+    def _take_cluster_state(self, s: Snapshot):
+        self.cluster_state = ClusterState(s.cluster_state)
+        self.cluster_state.sequence = s.index
         self.commit = max(self.commit, s.index)
-        self.founders = self.founders or tuple(s.sheet.voters)
+        self.founders = self.founders or tuple(s.cluster_state.voters)
 
     def voters(self) -> tuple[str, ...]:
         return self.archive.voters()
@@ -83,9 +83,9 @@
         return await self._ctx.desk.call((m.host, m.port), verb, what, kind, limit)
 
     def apply(self):
-        while self.sheet.sequence < self.commit:
-            e = self.archive.entries[self.sheet.sequence - self.archive.snapshot.index]
-            outcome = self.sheet.apply(e.index, e.command)
+        while self.cluster_state.sequence < self.commit:
+            e = self.archive.entries[self.cluster_state.sequence - self.archive.snapshot.index]
+            outcome = self.cluster_state.apply(e.index, e.command)
             self.settle(e.index, e.term, outcome)
         self.wake_news()
         if self.archive.long() and not self._trimming:
@@ -99,10 +99,10 @@
             index = self.archive.trim_at(self.commit)
             if index <= base.index:
                 return
-            sheet = Sheet(base.sheet)
+            cluster_state = ClusterState(base.cluster_state)
             for e in self.archive.entries[:index - base.index]:
-                sheet.apply(e.index, e.command)
-            s = Snapshot(index=index, term=self.archive.term_at(index), sheet=sheet.data())
+                cluster_state.apply(e.index, e.command)
+            s = Snapshot(index=index, term=self.archive.term_at(index), cluster_state=cluster_state.data())
             await self._ctx.on_thread(self.archive.keep_snapshot, s)
             if self.archive.snapshot is base:
                 await self.archive.use_snapshot(s)
@@ -118,7 +118,7 @@
         try:
             await self._ctx.on_thread(self.archive.keep_snapshot, s)
             await self.archive.use_snapshot(s)
-            self._take_sheet(s)
+            self._take_cluster_state(s)
             if self.state == "newcomer":
                 self.put("founded")
         finally:
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -2,9 +2,9 @@
 
 from ..timers import secs
 from ..faults import GatewayFault
-from ..setup import Sheet
+from ..cluster import ClusterState
 from ..wire.replicated_log_pb2 import CaughtUp
-from ..wire.setup_pb2 import Command, StorageNodeEdit, PlacementGroupRow, Placement as PlacementRow
+from ..wire.cluster_pb2 import Command, StorageNodeEdit, PlacementGroupRow, Placement as PlacementRow
 
 __all__ = ["Placement"]
 
@@ -33,9 +33,9 @@
             return
         if await self._settle_witnesses():
             return
-        if self.sheet.settled == self.sheet.witnesses_at and (await self._admit_storage_node() or await self._let_storage_node_go()):
+        if self.cluster_state.settled == self.cluster_state.witnesses_at and (await self._admit_storage_node() or await self._let_storage_node_go()):
             return
-        if not self.sheet.placement_groups:
+        if not self.cluster_state.placement_groups:
             await self._first_placement_groups()
             return
         rows = self._next_moves()
@@ -50,16 +50,16 @@
         await self.edit(c, secs(3))
 
     async def _settle_witnesses(self) -> bool:
-        """Says in the setup that the last change of the witnesses is in effect; only then is half of them enough."""
-        at = self.sheet.witnesses_at
-        if at == self.sheet.settled or not self._in_effect(at):
+        """Says in the cluster state that the last change of the witnesses is in effect; only then is half of them enough."""
+        at = self.cluster_state.witnesses_at
+        if at == self.cluster_state.settled or not self._in_effect(at):
             return False
         await self._propose(Command(settled=at))
         return True
 
     async def _admit_storage_node(self) -> bool:
         for m in self._ctx.membership.members("storage", status=("alive",)):
-            if m.node not in self.sheet.storage_nodes and m.node in self.followers and not self._name_retired(m.name):
+            if m.node not in self.cluster_state.storage_nodes and m.node in self.followers and not self._name_retired(m.name):
                 await self._proved(Command(storage_node=StorageNodeEdit(storage_node=m.node, status="serving", name=m.name)))
                 self._ctx.journal.note("storage_node_admitted", storage_node=m.node, zone=m.zone)
                 return True
@@ -67,13 +67,13 @@
 
     def _name_retired(self, name: str) -> bool:
         """Whether a storage node of this name was retired: its machine is on its way out, also with an empty disk."""
-        return bool(name) and any(self.sheet.storage_nodes[d] != "serving"
-                                  for d, n in self.sheet.storage_node_names.items() if n == name)
+        return bool(name) and any(self.cluster_state.storage_nodes[d] != "serving"
+                                  for d, n in self.cluster_state.storage_node_names.items() if n == name)
 
     async def _let_storage_node_go(self) -> bool:
         """A storage node that keeps no placement group any more: a retired one may be switched off, a lost one is taken off."""
-        for storage_node, status in self.sheet.storage_nodes.items():
-            if not self.sheet.placement_groups or self._holds(self.sheet)[storage_node]:
+        for storage_node, status in self.cluster_state.storage_nodes.items():
+            if not self.cluster_state.placement_groups or self._holds(self.cluster_state)[storage_node]:
                 continue
             if status == "retiring" or (status != "retired" and self._lost(storage_node)):
                 goal = "retired" if status == "retiring" else "removed"
@@ -82,8 +82,8 @@
                 return True
         return False
 
-    def _holds(self, sheet: Sheet) -> Counter:
-        return Counter(d for s in sheet.placement_groups.values() for d in (*s.storage_nodes, s.joining) if d)
+    def _holds(self, cluster_state: ClusterState) -> Counter:
+        return Counter(d for s in cluster_state.placement_groups.values() for d in (*s.storage_nodes, s.joining) if d)
 
     def _zone(self, storage_node: str) -> str:
         m = self._ctx.membership.find(storage_node)
@@ -100,14 +100,14 @@
     def _replaced(self, storage_node: str) -> bool:
         """Another storage node answers at its place or by its name: it lost its disk and cannot come back, so nothing is waited for.
 
-        Its name is in the setup, so that it is known also where no controller has met it since all of them started.
+        Its name is in the cluster state, so that it is known also where no controller has met it since all of them started.
         """
-        m, name = self._ctx.membership.find(storage_node), self.sheet.storage_node_names.get(storage_node)
+        m, name = self._ctx.membership.find(storage_node), self.cluster_state.storage_node_names.get(storage_node)
         return any(o.node != storage_node and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
                    for o in self._ctx.membership.members("storage", status=("alive",)))
 
     def _serving(self) -> list[str]:
-        return [d for d, s in self.sheet.storage_nodes.items()
+        return [d for d, s in self.cluster_state.storage_nodes.items()
                 if s == "serving" and self._ctx.membership.status(d) == "alive"]
 
     async def _first_placement_groups(self):
@@ -133,7 +133,7 @@
     def _next_moves(self) -> list[PlacementGroupRow]:
         """Moves that can end now, else a few that can begin; one replica of a placement group at a time."""
         ending, moving = [], 0
-        for s in self.sheet.placement_groups.values():
+        for s in self.cluster_state.placement_groups.values():
             if not s.joining:
                 continue
             moving += 1
@@ -145,13 +145,13 @@
         if ending:
             return ending
         starting = []
-        held = self._holds(self.sheet)
+        held = self._holds(self.cluster_state)
         serving = self._serving()
-        for s in sorted(self.sheet.placement_groups.values(), key=lambda s: s.number):
+        for s in sorted(self.cluster_state.placement_groups.values(), key=lambda s: s.number):
             if s.joining or moving + len(starting) >= MAX_MOVES:
                 continue
             leaving = next((d for d in s.storage_nodes if self._lost(d)), "") \
-                or next((d for d in s.storage_nodes if self.sheet.storage_nodes.get(d) == "retiring"), "")
+                or next((d for d in s.storage_nodes if self.cluster_state.storage_nodes.get(d) == "retiring"), "")
             if leaving:
                 beside = [d for d in s.storage_nodes if d != leaving]
                 joining = self._pick_storage_node([d for d in serving if d not in s.storage_nodes], beside, held)
@@ -168,22 +168,22 @@
 
         Not while a placement group lacks one of its storage nodes: a move needs a majority of both its sets.
         """
-        away = any(self._ctx.membership.status(d) != "alive" for s in self.sheet.placement_groups.values() for d in s.storage_nodes)
+        away = any(self._ctx.membership.status(d) != "alive" for s in self.cluster_state.placement_groups.values() for d in s.storage_nodes)
         if len(serving) <= COPIES or away:
             return []
         low = min(serving, key=lambda d: (held[d], d))
         for high in sorted(serving, key=lambda d: -held[d]):
             if held[high] - held[low] < 2:
                 return []
-            for s in self.sheet.placement_groups.values():
+            for s in self.cluster_state.placement_groups.values():
                 rest = {self._zone(d) for d in s.storage_nodes if d != high}
                 if high in s.storage_nodes and low not in s.storage_nodes and (self._zone(low) not in rest
                                                                  or self._zone(high) in rest):
                     return [self._move(s, high, low)]
         return []
 
-    def check_retirement(self, sheet: Sheet, storage_node: str):
-        rest = [d for d, s in sheet.storage_nodes.items()
+    def check_retirement(self, cluster_state: ClusterState, storage_node: str):
+        rest = [d for d, s in cluster_state.storage_nodes.items()
                 if s == "serving" and d != storage_node and self._ctx.membership.status(d) == "alive"]
         if len(rest) < COPIES:
             raise GatewayFault(f"{len(rest)} live storage nodes would be left and each placement group needs {COPIES}",
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -1,6 +1,6 @@
 from ..faults import GatewayFault, NotFound
-from ..setup import Sheet
-from ..wire.setup_pb2 import Command, StorageNodeEdit
+from ..cluster import ClusterState
+from ..wire.cluster_pb2 import Command, StorageNodeEdit
 
 __all__ = ["Retiring"]
 
@@ -8,12 +8,12 @@
 class Retiring:
     """Mixin: storage nodes are retired by their id or by their name, which outlives their process."""
 
-    def _storage_nodes_called(self, sheet: Sheet, name: str) -> list[str]:
-        if name in sheet.storage_nodes:
+    def _storage_nodes_called(self, cluster_state: ClusterState, name: str) -> list[str]:
+        if name in cluster_state.storage_nodes:
             return [name]
-        named = {d for d, n in sheet.storage_node_names.items() if n == name}
+        named = {d for d, n in cluster_state.storage_node_names.items() if n == name}
         heard = {m.node for m in self._ctx.membership.everyone() if m.role == "storage" and m.name == name}
-        found = sorted((named | heard) & set(sheet.storage_nodes))
+        found = sorted((named | heard) & set(cluster_state.storage_nodes))
         if not found and heard:
             raise GatewayFault(f"storage node {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
                              retry_after=1)
@@ -23,17 +23,17 @@
 
     async def retire(self, name: str, edit: str) -> int:
         """Has the storage node emptied; returns the sequence at which that is in effect. To ask again changes nothing."""
-        sheet = await self.newest()
-        serving = [d for d in self._storage_nodes_called(sheet, name) if sheet.storage_nodes[d] == "serving"]
+        cluster_state = await self.newest()
+        serving = [d for d in self._storage_nodes_called(cluster_state, name) if cluster_state.storage_nodes[d] == "serving"]
         for d in serving:
-            self.check_retirement(sheet, d)
-        sequence = sheet.sequence
+            self.check_retirement(cluster_state, d)
+        sequence = cluster_state.sequence
         for n, d in enumerate(serving):
             c = Command(edit=f"{edit}/{n}" if n else edit, storage_node=StorageNodeEdit(storage_node=d, status="retiring"))
             sequence = (await self.decide(c)).sequence
         return sequence
 
     async def retirement(self, name: str) -> str:
-        sheet = await self.newest()
-        done = all(sheet.storage_nodes[d] == "retired" for d in self._storage_nodes_called(sheet, name))
+        cluster_state = await self.newest()
+        done = all(cluster_state.storage_nodes[d] == "retired" for d in self._storage_nodes_called(cluster_state, name))
         return "retired" if done else "serving"
--- a/pipitlink/controller/rows.py
+++ b/pipitlink/controller/rows.py
@@ -2,7 +2,7 @@
 import re
 
 from ..faults import BadRows
-from ..wire.setup_pb2 import Row
+from ..wire.cluster_pb2 import Row
 
 __all__ = ["row_from", "rows_from", "row_dict", "FIELDS"]
 
@@ -55,7 +55,7 @@
 
 
 def rows_from(raw: dict) -> list[Row]:
-    """The whole sheet, or every fault in it."""
+    """The whole cluster state, or every fault in it."""
     rows, faults = [], []
     targets: dict[tuple[str, str], str] = {}
     for name, one in raw.items():
--- a/pipitlink/controller/voters.py
+++ b/pipitlink/controller/voters.py
@@ -1,5 +1,5 @@
 from ..timers import secs
-from ..wire.setup_pb2 import Command, Controllers
+from ..wire.cluster_pb2 import Command, Controllers
 
 __all__ = ["Voters"]
 
@@ -23,7 +23,7 @@
         if self.state != "leader" or self.archive.term_at(self.commit) != self.term:
             return
         voters = self.voters()
-        if voters != self.sheet.voters:
+        if voters != self.cluster_state.voters:
             return
         change = self._next_voters(voters)
         if change is not None:
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -6,7 +6,7 @@
 from ..faults import WireFault
 from ..wire.controller_pb2 import FoundReceipt, Snapshot, VoteAsk, VoteReceipt
 from ..wire.frame_pb2 import Nothing
-from ..wire.setup_pb2 import SheetData
+from ..wire.cluster_pb2 import ClusterStateData
 
 __all__ = ["Voting", "Founding", "STICKY_SPAN"]
 
@@ -47,7 +47,7 @@
     async def _found(self, voters: tuple[str, ...]):
         if self.state != "newcomer" or self._ctx.node not in voters:
             return
-        s = Snapshot(index=0, term=0, sheet=SheetData(voters=voters))
+        s = Snapshot(index=0, term=0, cluster_state=ClusterStateData(voters=voters))
         await self.adopt(s)
         self._ctx.journal.note("founded", voters=",".join(voters))
 
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -2,7 +2,7 @@
 
 from ..faults import BadAsk
 from ..wire.membership_pb2 import EngineNews
-from ..wire.setup_pb2 import Bounds, Config, ConfigEdit, Pool, PoolShare, Route
+from ..wire.cluster_pb2 import Bounds, Config, ConfigEdit, Pool, PoolShare, Route
 from .reading import Field, count_of, items_of, names_of, read_fields, read_json, source_of, text_of
 
 __all__ = ["ControlWords"]
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -31,13 +31,13 @@
 
     def _owner(self, lot_id: str) -> str:
         gateways = self._ctx.membership.members("gateway", status=("alive",))
-        gateways = [m for m in gateways if not self._ctx.setup.zone_empty(m.zone)] or gateways
+        gateways = [m for m in gateways if not self._ctx.cluster.zone_empty(m.zone)] or gateways
         return max(gateways, key=lambda m: rank(lot_id, m.node)).node
 
     def _take_lots(self):
         if not self.current():
             return
-        if self._ctx.setup.zone_empty(self._ctx.settings.zone):
+        if self._ctx.cluster.zone_empty(self._ctx.settings.zone):
             self._hand_over()
         now = self._ctx.timers.now()
         taking = sum(o.taking for o in self.open_lots.values())
@@ -95,7 +95,7 @@
 
     def _feed(self):
         """Starts items while there is room: by limit, then priority, and by turns among customers."""
-        if not self.current() or self._ctx.setup.zone_empty(self._ctx.settings.zone):
+        if not self.current() or self._ctx.cluster.zone_empty(self._ctx.settings.zone):
             return
         now = self._ctx.timers.now()
         wall = wall_ms(self._ctx.timers.wall())
@@ -135,7 +135,7 @@
 
     def _priority(self, o: OpenLot) -> int:
         """The lot's own priority, and what the table adds for the model that it waits for first."""
-        row = self._ctx.setup.row(o.lot.items[o.waiting[0]].model, "") if o.waiting else None
+        row = self._ctx.cluster.row(o.lot.items[o.waiting[0]].model, "") if o.waiting else None
         return o.lot.priority + (row.priority if row is not None else 0)
 
     def _room_for(self, model: str) -> int:
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -97,7 +97,7 @@
 
     def _row_of(self, ask):
         return next((r for e, _ in self.candidates(ask.model, ask.pool)
-                     if (r := self._ctx.setup.row(ask.model, e.news.pool)) is not None), None)
+                     if (r := self._ctx.cluster.row(ask.model, e.news.pool)) is not None), None)
 
     def _steward(self, row: str) -> str:
         gateways = {m.node for m in self._ctx.membership.members("gateway", status=("alive",))} | {self._ctx.node}
@@ -112,13 +112,13 @@
         self._looked_at = now
 
     def _may_grant(self) -> bool:
-        """Not while gateways change, nor on the smaller side of a cut, nor where the setup is not proved."""
+        """Not while gateways change, nor on the smaller side of a cut, nor where the cluster state is not proved."""
         self._look()
         alive = self._ctx.membership.members("gateway", status=("alive",))
         places = {(m.host, m.port) for m in alive}
         away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
                 if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
-        return self._ctx.setup.ready() and len(alive) >= len(away) \
+        return self._ctx.cluster.ready() and len(alive) >= len(away) \
             and self._ctx.timers.now() - self._moved_at >= SETTLE_SPAN
 
     async def _permit_for(self, node, ask: PermitAsk) -> PermitReceipt:
@@ -129,7 +129,7 @@
         if ask.give:
             book.permits.pop(ask.id, None)
             return PermitReceipt()
-        row = self._ctx.setup.sheet.rows.get(ask.row)
+        row = self._ctx.cluster.cluster_state.rows.get(ask.row)
         if row is None:
             return PermitReceipt(granted=True)
         now = self._ctx.timers.now()
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -65,7 +65,7 @@
         self.open_lots.pop(lot_id, None)
 
     async def _list_logs(self):
-        if not self._ctx.setup.ready():
+        if not self._ctx.cluster.ready():
             return
         await self._see_closed()
         for log, state in (await self._ctx.replicated_log.list("lots/")).items():
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -53,7 +53,7 @@
         return port
 
     def current(self) -> bool:
-        return not self._draining and self._ctx.setup.ready()
+        return not self._draining and self._ctx.cluster.ready()
 
     async def keep(self, log: str):
         """Holds a log and shadows it into the caches."""
@@ -81,14 +81,14 @@
 
     def ready(self, request):
         ok = self.current()
-        return send_json(request, {"ready": ok, "setup": self._ctx.setup.sequence}, 200 if ok else 503)
+        return send_json(request, {"ready": ok, "cluster": self._ctx.cluster.sequence}, 200 if ok else 503)
 
     def _nowhere(self, request, path):
         return send_fault(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
 
     def readiness(self):
-        setup = self._ctx.setup
-        return self.current(), {"setup": setup.sequence, "currency": setup.state}
+        cluster = self._ctx.cluster
+        return self.current(), {"cluster": cluster.sequence, "currency": cluster.state}
 
     def beliefs(self) -> dict:
         engines = {e.name: f"{self.engines.status(e)} {e.news.address} {e.news.incarnation}"
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -36,11 +36,11 @@
         return False
 
     async def _await_current(self):
-        """A node that just woke gets a short while to prove its setup again."""
+        """A node that just woke gets a short while to prove its cluster state again."""
         until = self._ctx.timers.now() + CURRENT_WAIT
         while not self.current():
             if self._ctx.timers.now() >= until:
-                raise Crowded("this gateway cannot prove its setup now", code="not_current")
+                raise Crowded("this gateway cannot prove its cluster state now", code="not_current")
             await self._ctx.timers.pause(ms(20))
 
 
@@ -51,9 +51,9 @@
         out = []
         for e in self.engines.all():
             if (model in e.news.models if not pool else e.news.pool == pool):
-                row = self._ctx.setup.row(model, e.news.pool)
+                row = self._ctx.cluster.row(model, e.news.pool)
                 weight = row.weight if row is not None else 1.0
-                if weight > 0 and not self._ctx.setup.zone_empty(e.news.zone):
+                if weight > 0 and not self._ctx.cluster.zone_empty(e.news.zone):
                     out.append((e, weight))
         return out
 
@@ -63,7 +63,7 @@
 
     def lot_reserve(self, model: str, e) -> float:
         """The share of a back end that lots leave to live requests."""
-        row = self._ctx.setup.row(model, e.news.pool)
+        row = self._ctx.cluster.row(model, e.news.pool)
         return 1 - row.lot_share if row is not None and row.lot_share > 0 else self._ctx.settings.lot_reserve
 
     def _pick(self, ask):
@@ -111,7 +111,7 @@
     def _may_yet_come(self, ask) -> bool:
         """A gateway that just started has not heard all back ends yet, and what the table names is only away."""
         young = self._ctx.timers.now() - self._opened_at < YOUNG_SPAN
-        return young or self._ctx.setup.row(ask.model, ask.pool) is not None
+        return young or self._ctx.cluster.row(ask.model, ask.pool) is not None
 
     async def _wait_room(self, left):
         d = defer.Deferred()
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -204,8 +204,8 @@
             raise GatewayFault("the request was ended", code="ended", outcome="not_run")
         if ask.limit <= self._ctx.timers.now():
             raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
-        if not self._ctx.setup.ready():
-            raise Crowded("this gateway cannot prove its setup now", code="not_current")
+        if not self._ctx.cluster.ready():
+            raise Crowded("this gateway cannot prove its cluster state now", code="not_current")
         if self.engines.status(e) != "ready" or all(k is not e for k, _ in self.candidates(ask.model, ask.pool)):
             raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
         if ask.still is not None:
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -58,18 +58,18 @@
         request.setHeader(b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
         return generate_latest(self._registry)
 
-    def _sheet(self):
-        return getattr(self._node, "sheet", None) or self._ctx.setup.sheet
+    def _cluster_state(self):
+        return getattr(self._node, "cluster_state", None) or self._ctx.cluster.cluster_state
 
     def beliefs(self) -> dict:
-        sheet = self._sheet()
+        cluster_state = self._cluster_state()
         me = self._ctx.membership.me
         out = {"node": me.node, "role": me.role, "zone": me.zone,
-               "setup": {"sequence": sheet.sequence, "table": sheet.table, "voters": ",".join(sheet.voters),
-                         "empty_zones": ",".join(sorted(sheet.empty_zones))},
-               "membership": {}, "status": {}, "storage_nodes": dict(sheet.storage_nodes),
+               "cluster": {"sequence": cluster_state.sequence, "table": cluster_state.table, "voters": ",".join(cluster_state.voters),
+                         "empty_zones": ",".join(sorted(cluster_state.empty_zones))},
+               "membership": {}, "status": {}, "storage_nodes": dict(cluster_state.storage_nodes),
                "placement_groups": {str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
-                           for n, s in sorted(sheet.placement_groups.items())}}
+                           for n, s in sorted(cluster_state.placement_groups.items())}}
         for m in [*self._ctx.membership.everyone()]:
             out["membership"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
             out["status"][m.node] = self._ctx.membership.status(m.node)
@@ -86,9 +86,9 @@
                 "engines": self._node.beliefs().get("engines", {})}
 
     def collect(self):
-        sheet = self._sheet()
-        yield GaugeMetricFamily("pipitlink_setup_sequence", "The setup's sequence here", sheet.sequence)
-        yield GaugeMetricFamily("pipitlink_table_sequence", "The weight table's sequence here", sheet.table)
+        cluster_state = self._cluster_state()
+        yield GaugeMetricFamily("pipitlink_cluster_sequence", "The cluster state's sequence here", cluster_state.sequence)
+        yield GaugeMetricFamily("pipitlink_table_sequence", "The weight table's sequence here", cluster_state.table)
         seen = GaugeMetricFamily("pipitlink_peers", "Peers by role and status",
                                  labels=["role", "status"])
         counts: dict = {}
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -22,7 +22,7 @@
 from .settings import Settings
 from .membership import Membership
 from .controller import ControlFace, ControllerNode
-from .setup import Setup
+from .cluster import Cluster
 from .wire.desk import Desk
 from .wire.membership_pb2 import Member
 
@@ -56,7 +56,7 @@
         ctx.membership = Membership(ctx)
         if ctx.role != "gateway":
             ctx.membership.remember_in(Path(p.data))
-        ctx.setup = Setup(ctx)
+        ctx.cluster = Cluster(ctx)
         ctx.replicated_log = ReplicatedLog(ctx)
         self._open_kept()
         _, port = await ctx.desk.listen(p.bind, p.port)
@@ -81,7 +81,7 @@
         ctx.changes.open()
         ctx.membership.open(me)
         if ctx.role != "controller":
-            ctx.setup.open()
+            ctx.cluster.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
     def _gateway_kind(self):
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -64,7 +64,7 @@
             self.lapse("lease ran out")
 
     def look_again(self):
-        """Follows its placement group where the setup has moved it."""
+        """Follows its placement group where the cluster state has moved it."""
         placement_group = self._replicated_log.placement_group(self.log)
         if placement_group.sequence > self.placement_group.sequence:
             self._moved, self._moved_at = self.placement_group, self._ctx.timers.now()
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -28,7 +28,7 @@
         self._ctx.timers.every(RENEW_INTERVAL, self._renew, self._ctx.report("renew"))
 
     def placement_group(self, log: str) -> PlacementGroup:
-        return self._ctx.setup.placement_group(placement_group_of(log, self._ctx.setup.placement_groups))
+        return self._ctx.cluster.placement_group(placement_group_of(log, self._ctx.cluster.placement_groups))
 
     def place(self, node: str):
         m = self._ctx.membership.find(node)
@@ -166,7 +166,7 @@
         return await self._list(ListAsk(prefix=prefix, open_only=True))
 
     async def _list(self, ask: ListAsk) -> tuple[dict[str, LogState], bool]:
-        placement_groups = [self._ctx.setup.placement_group(n) for n in range(self._ctx.setup.placement_groups)]
+        placement_groups = [self._ctx.cluster.placement_group(n) for n in range(self._ctx.cluster.placement_groups)]
         storage_nodes = sorted({d for s in placement_groups for d in s.everyone})
         enough = (lambda g: all(s.agree(g) for s in placement_groups)) if ask.open_only else None
         got = await self.ask_each(storage_nodes, "replicated_log.list", ask, States, secs(1), enough=enough)
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -64,7 +64,7 @@
         o = self.batches.get(batch.id)
         if o is None or o.leaseholder.lost:
             try:
-                if not self._ctx.setup.usable():
+                if not self._ctx.cluster.usable():
                     raise Crowded("this gateway takes no batches now", code="not_current", retry_after=COME_BACK)
                 await self._await_quota(route, batch, min(until, self._ctx.timers.now() + QUOTA_WAIT))
             except GatewayFault as e:
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -51,7 +51,7 @@
 
     def _feed_once(self) -> bool:
         """Starts items while there is room: what is due first goes first, by turns among batches due alike."""
-        if self._closing_batches or not self._ctx.setup.usable():
+        if self._closing_batches or not self._ctx.cluster.usable():
             return bool(self.batches)
         now = self._ctx.timers.now()
         wall = wall_ms(self._ctx.timers.wall())
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -161,7 +161,7 @@
                 "batch_items_running": ("Items on engines from here", sum(len(o.running) for o in open_))}
 
     def _batch_routes(self) -> dict:
-        return self._ctx.setup.sheet.routes.routes
+        return self._ctx.cluster.cluster_state.routes.routes
 
     async def _in_batch_turn(self, batch_id: str, do):
         """Work on one batch's lease, one after another."""
@@ -240,7 +240,7 @@
         free = {log.removeprefix(PREFIX) for log, s in found.items()
                 if s.leaseholder in ("", me) or self._ctx.membership.status(s.leaseholder) == "gone"} - owned
         self._orphan_batches = {b: self._orphan_batches.get(b, now) for b in free}
-        if self._closing_batches or not self._ctx.setup.usable():
+        if self._closing_batches or not self._ctx.cluster.usable():
             return
         gateways = [m.node for m in self._ctx.membership.members("gateway", status=("alive",))]
         for b in sorted(free):
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -4,7 +4,7 @@
 
 from ..charts import Charted, chart_data
 from ..faults import GatewayFault
-from ..wire.setup_pb2 import Route
+from ..wire.cluster_pb2 import Route
 
 __all__ = ["Call", "HOP_HEADERS", "prompt_parts"]
 
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -50,14 +50,14 @@
         return shares[-1].pool
 
     def ready_engines(self, pool: str) -> list:
-        empty = self._ctx.setup.sheet.empty_zones
+        empty = self._ctx.cluster.cluster_state.empty_zones
         return [e for e in self.engines.pool(pool)
                 if e.news.zone not in empty and self.engines.status(e) == "ready"]
 
     def _usable(self, call) -> list:
         ready = self.ready_engines(call.pool)
         if not ready and not call.batch:
-            empty = self._ctx.setup.sheet.empty_zones
+            empty = self._ctx.cluster.cluster_state.empty_zones
             ready = [e for e in self.engines.pool(call.pool)
                      if e.news.zone not in empty and self.engines.status(e) in ("suspect",)]
         return [e for e in ready if e.name not in call.avoid] or ([] if call.ran else ready)
@@ -130,7 +130,7 @@
 
     def most_links(self, e) -> int:
         """This gateway's part of the engine's connection bound, with some left for gateways that come."""
-        pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
+        pool = self._ctx.cluster.cluster_state.routes.pools.get(e.news.pool)
         bound = pool.max_connections if pool is not None and pool.max_connections else 1000
         return max(1, int(0.9 * bound / max(1, self.engines.gateways())))
 
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -103,7 +103,7 @@
     def open(self):
         self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
         self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
-        self._ctx.setup.watch(self._zones_moved)
+        self._ctx.cluster.watch(self._zones_moved)
         self._ctx.timers.every(LOADS_INTERVAL, self._tell_loads, self._ctx.report("loads"))
 
     def carry(self, fill, take):
@@ -134,7 +134,7 @@
                 return
             kept = EngineNews()
             kept.CopyFrom(n)
-            pool = self._ctx.setup.sheet.routes.pools.get(n.pool)
+            pool = self._ctx.cluster.cluster_state.routes.pools.get(n.pool)
             room = int(0.8 * pool.cache_tokens) if pool is not None else 0
             e = self._engines[n.engine] = Engine(kept, heard, heard + ms(n.cold_ms), _KeptParts(room))
             e.bytes_at = now
@@ -217,7 +217,7 @@
 
     def _zones_moved(self):
         now = self._ctx.timers.now()
-        emptied = frozenset(self._ctx.setup.sheet.empty_zones)
+        emptied = frozenset(self._ctx.cluster.cluster_state.empty_zones)
         for zone in self._emptied - emptied:
             self._reopened[zone] = now
         self._emptied = emptied
@@ -227,12 +227,12 @@
         if e.cold_until > now:
             return True
         at = self._reopened.get(e.news.zone)
-        pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
+        pool = self._ctx.cluster.cluster_state.routes.pools.get(e.news.pool)
         return at is not None and pool is not None and now - at < ms(pool.warmup_ms)
 
     def admit(self, e: Engine) -> bool:
         """Whether a cold engine may be sent one more request now: its rate is shared out among the gateways."""
-        pool = self._ctx.setup.sheet.routes.pools.get(e.news.pool)
+        pool = self._ctx.cluster.cluster_state.routes.pools.get(e.news.pool)
         if pool is None or not pool.cold_rate or not self.cold(e):
             return True
         now = self._ctx.timers.now()
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -186,7 +186,7 @@
         return self._ctx
 
     def max_body(self) -> int:
-        return self._ctx.setup.sheet.routes.bounds.max_body_bytes or MAX_BODY
+        return self._ctx.cluster.cluster_state.routes.bounds.max_body_bytes or MAX_BODY
 
     async def listen_callers(self, host: str, port: int) -> int:
         if self.early is not None:
@@ -201,7 +201,7 @@
         return opened.getHost().port
 
     def _until_ready(self) -> float:
-        """Seconds until a new try is worth while: a gateway that just started has its setup in about a second."""
+        """Seconds until a new try is worth while: a gateway that just started has its cluster state in about a second."""
         left = (START_SPAN - (self._ctx.timers.now() - self._opened_at)).total_seconds()
         return round(max(0.2, left) + 0.2 * self._ctx.chance.random(), 3)
 
@@ -243,13 +243,13 @@
 
         meant = words.batch_call(request.method, path, query, header)
         if not self.current():
-            raise Crowded("this gateway cannot prove its setup now", code="not_current", retry_after=self._until_ready())
+            raise Crowded("this gateway cannot prove its cluster state now", code="not_current", retry_after=self._until_ready())
         if meant is not None:
             name, kwargs = meant
             request.answer(*await getattr(self, name)(**kwargs))
             return
         host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0]
-        table = ctx.setup.sheet.routes
+        table = ctx.cluster.cluster_state.routes
         route = table.match(host, path)
         if route is None:
             if not table.version:
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -48,16 +48,16 @@
         return self._ctx.dialect
 
     def current(self) -> bool:
-        return self._ctx.setup.usable()
+        return self._ctx.cluster.usable()
 
     def _show_ready(self, request, path):
         ok, words = self.readiness()
         return send_json(request, {"ready": ok, **words}, 200 if ok else 503)
 
     def readiness(self):
-        setup = self._ctx.setup
-        ok = not self._draining and self.current() and setup.sheet.routes.version > 0 and bool(self.engines.all())
-        return ok, {"setup": setup.sequence, "currency": setup.state}
+        cluster = self._ctx.cluster
+        ok = not self._draining and self.current() and cluster.cluster_state.routes.version > 0 and bool(self.engines.all())
+        return ok, {"cluster": cluster.sequence, "currency": cluster.state}
 
     def beliefs(self) -> dict:
         engines = {e.name: f"{self.engines.status(e)} {e.address}" for e in self.engines.all()}
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -132,7 +132,7 @@
         places = {(m.host, m.port) for m in alive}
         away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
                 if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
-        if not self._ctx.setup.usable() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
+        if not self._ctx.cluster.usable() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
             return False
         if self._lots_listed_at is None or self._lots_listed_at < self._quota_moved_at + SETTLE_SPAN / 2:
             self._ctx.spawned(self._listing_lots.run("list", self._list_batches), "list_batches")
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -151,9 +151,9 @@
             raise call.fault("the request was ended", code="ended")
         if call.limit <= self._ctx.timers.now():
             raise call.fault("the deadline has passed", code="limit_passed", status=504)
-        if self.engines.status(e) not in ("ready", "suspect") or e.news.zone in self._ctx.setup.sheet.empty_zones:
+        if self.engines.status(e) not in ("ready", "suspect") or e.news.zone in self._ctx.cluster.cluster_state.empty_zones:
             raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
-        route = self._ctx.setup.sheet.routes.routes.get(call.route.name)
+        route = self._ctx.cluster.cluster_state.routes.routes.get(call.route.name)
         if route is not call.route:
             if route is None or all(s.pool != call.pool or not s.share > 0 for s in route.shares):
                 call.pool = ""
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -26,13 +26,13 @@
 
     def _open_copying(self):
         self._mine: set[int] = set()
-        self._ctx.setup.watch(self._placement_groups_moved)
+        self._ctx.cluster.watch(self._placement_groups_moved)
         self._ctx.timers.every(JOIN_INTERVAL, self._join_placement_groups, self._ctx.report("join"))
         self._ctx.timers.every(MEND_INTERVAL, self._mend_placement_groups, self._ctx.report("mend"))
 
     def _placement_groups(self) -> list[PlacementGroup]:
-        setup = self._ctx.setup
-        return [s for n in sorted(setup.sheet.placement_groups) if self._ctx.node in (s := setup.placement_group(n)).everyone]
+        cluster = self._ctx.cluster
+        return [s for n in sorted(cluster.cluster_state.placement_groups) if self._ctx.node in (s := cluster.placement_group(n)).everyone]
 
     def _placement_groups_moved(self):
         mine = {s.number for s in self._placement_groups()}
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -101,13 +101,13 @@
         kept = ((n, k) for n, k in self.log_store.logs.items() if n.startswith(ask.prefix))
         names = sorted(n for n, k in kept if not ask.open_only or k.length and not k.synced[2])
         if ask.one_placement_group:
-            names = (n for n in names if placement_group_of(n, self._ctx.setup.placement_groups) == ask.placement_group)
+            names = (n for n in names if placement_group_of(n, self._ctx.cluster.placement_groups) == ask.placement_group)
         return States(states=[self._state(n) for n in names],
-                      placement_group_sequence=self._ctx.setup.placement_group(ask.placement_group).sequence if ask.one_placement_group else 0)
+                      placement_group_sequence=self._ctx.cluster.placement_group(ask.placement_group).sequence if ask.one_placement_group else 0)
 
     def _check_placement_group(self, log: str, sequence: int):
         """A writer that counts on an older placement must look again before it goes on."""
-        placement_group = self._ctx.setup.placement_group(placement_group_of(log, self._ctx.setup.placement_groups))
+        placement_group = self._ctx.cluster.placement_group(placement_group_of(log, self._ctx.cluster.placement_groups))
         if sequence < placement_group.sequence:
             raise OldPlacementGroup(f"placement group {placement_group.number} is at sequence {placement_group.sequence}, not {sequence}")
 
@@ -117,7 +117,7 @@
 
     def beliefs(self) -> dict:
         states = [self._state(n) for n in sorted(self.log_store.logs)]
-        placement_groups = self._ctx.setup.placement_groups
+        placement_groups = self._ctx.cluster.placement_groups
         return {"logs": {f"{placement_group_of(s.log, placement_groups)}/{s.log}": f"epoch={s.tail_epoch} length={s.length} final={s.final}" for s in states},
                 "leases": {s.log: f"{s.leaseholder}@{s.epoch}" for s in states if s.leaseholder}}
 
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -8,7 +8,7 @@
 __all__ = ["run_tool", "compare", "differences"]
 
 LIMIT = 10
-TOPICS = ("setup", "membership", "status", "engines", "storage_nodes", "placement_groups", "leases", "logs")
+TOPICS = ("cluster", "membership", "status", "engines", "storage_nodes", "placement_groups", "leases", "logs")
 
 
 class _Unreached(Exception):
@@ -146,10 +146,10 @@
         base = body["sequence"]
     heads = {"If-Match": str(base), **({"Edit-Id": words["--edit"]} if words["--edit"] else {})}
     if words["put"]:
-        sheet = _read_file(words["FILE"])
-        if sheet is None:
+        cluster_state = _read_file(words["FILE"])
+        if cluster_state is None:
             return 2
-        return _say(*_ask_any(places, "PUT", "/v1/table", {"rows": sheet.get("rows", sheet)}, heads))
+        return _say(*_ask_any(places, "PUT", "/v1/table", {"rows": cluster_state.get("rows", cluster_state)}, heads))
     path = f"/v1/table/rows/{words['ROW']}"
     if words["drop"]:
         return _say(*_ask_any(places, "DELETE", path, None, heads))
--- a/rehearsal/bench.py
+++ b/rehearsal/bench.py
@@ -93,7 +93,7 @@
         assert status == 200, said
 
         def everywhere():
-            return all(self.fleet.call(g, "GET", "/v1/ready")[1]["setup"] >= said["sequence"]
+            return all(self.fleet.call(g, "GET", "/v1/ready")[1]["cluster"] >= said["sequence"]
                        for g in self.fleet.nodes("gateway"))
 
         wait_for(everywhere, 5, "every gateway has the edit")
--- a/rehearsal/capacity.py
+++ b/rehearsal/capacity.py
@@ -30,7 +30,7 @@
 
 
 SERIES = {
-    "members": Series("nodes (membership and setup alone)", (32, 64, 128, 256, 384), lambda x: max(1, x * x // 3000),
+    "members": Series("nodes (membership and cluster state alone)", (32, 64, 128, 256, 384), lambda x: max(1, x * x // 3000),
                       lambda x: {"gateways": x}, kind="member"),
     "gateways": Series("gateways (hollow)", (8, 16, 24, 48, 96), lambda x: max(1, x * x // 500), lambda x: {"gateways": x}),
     "whole": Series("gateways (real processes)", (8, 16, 24), lambda x: 1, lambda x: {"gateways": x}, kind="whole"),
--- a/rehearsal/checker.py
+++ b/rehearsal/checker.py
@@ -2,7 +2,7 @@
 from collections import Counter, defaultdict
 
 from .backend import answer_pieces, card_bytes
-from .judges import check_engines, check_floors, check_setup
+from .judges import check_engines, check_floors, check_cluster
 from .spans import SLACK, Spans
 
 __all__ = ["check"]
@@ -27,7 +27,7 @@
     _check_receipts(events, spans, out)
     _check_lots(events, notes, runs, spans, out, finished)
     check_engines(events, notes, zones, capacity, limits or {}, spans, out)
-    check_setup(events, notes, spans, out)
+    check_cluster(events, notes, spans, out)
     if floors:
         check_floors(events, spans, out)
     return out
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -20,7 +20,7 @@
 from pipitlink.process import Process
 from pipitlink.settings import Settings
 from pipitlink.membership import Membership
-from pipitlink.setup import Setup
+from pipitlink.cluster import Cluster
 from pipitlink.wire.desk import Desk
 from pipitlink.wire.membership_pb2 import Gossip, Member
 
@@ -38,7 +38,7 @@
 
 
 class _Member:
-    """A node that is only a peer: membership and setup, nothing of a gateway's work."""
+    """A node that is only a peer: membership and cluster state, nothing of a gateway's work."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -109,7 +109,7 @@
 
 def open_parts(ctx, kind: str, me: Member, disk: Disk):
     """The parts of one hollow node, opened as its process would, but for its HTTP sides; returns the role's own."""
-    ctx.membership, ctx.setup, ctx.replicated_log = Membership(ctx), Setup(ctx), ReplicatedLog(ctx)
+    ctx.membership, ctx.cluster, ctx.replicated_log = Membership(ctx), Cluster(ctx), ReplicatedLog(ctx)
     if ctx.role == "gateway":
         ctx.cache = Cache(ctx)
         part = (_Member if kind == "member" else HollowGateway)(ctx)
@@ -162,10 +162,10 @@
 
     def follow(self):
         if self.role != "controller":
-            self.ctx.setup.open()
+            self.ctx.cluster.open()
 
     def ready(self) -> bool:
-        return self.part.readiness()[0] if self.role == "controller" else self.ctx.setup.ready()
+        return self.part.readiness()[0] if self.role == "controller" else self.ctx.cluster.ready()
 
 
 class _Whole:
@@ -191,7 +191,7 @@
         pass
 
     def ready(self) -> bool:
-        return self.ctx.setup.ready()
+        return self.ctx.cluster.ready()
 
 
 class _Host(LineOnlyReceiver):
@@ -254,7 +254,7 @@
 
     async def do_look(self):
         return {"ready": all(n.ready() for n in self.nodes),
-                "rows": min(len((n.part if n.role == "controller" else n.ctx.setup).sheet.rows) for n in self.nodes),
+                "rows": min(len((n.part if n.role == "controller" else n.ctx.cluster).cluster_state.rows) for n in self.nodes),
                 "known": min(len(n.ctx.membership.members()) for n in self.nodes)}
 
     async def do_count(self):
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -3,7 +3,7 @@
 from pipitlink.faults import PipitFault
 from pipitlink.wire.lots_pb2 import LogRecord, Result
 from pipitlink.wire.membership_pb2 import EngineNews
-from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 
 __all__ = ["Work"]
 
@@ -96,7 +96,7 @@
         timers, done, due = n.ctx.timers, 0, None
         while True:
             await timers.pause(secs(0.05))
-            if n.part.state != "leader" or not n.part.sheet.placement_groups:
+            if n.part.state != "leader" or not n.part.cluster_state.placement_groups:
                 continue
             if done < rows:
                 end = min(rows, done + ROWS_AT_ONCE)
@@ -116,7 +116,7 @@
 
     async def _edit(self, n, puts) -> bool:
         try:
-            e = TableEdit(base=n.part.sheet.table, puts=puts)
+            e = TableEdit(base=n.part.cluster_state.table, puts=puts)
             out = await n.part.edit(Command(edit=f"{n.ctx.node}{n.ctx.timers.now()}", table=e))
         except PipitFault as e:
             self._fail(e)
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -10,10 +10,10 @@
 from pipitlink.context import Context
 from pipitlink.journal import Journal
 from pipitlink.settings import Settings
-from pipitlink.setup import Sheet
+from pipitlink.cluster import ClusterState
 from pipitlink.wire.desk import Desk
 from pipitlink.wire.membership_pb2 import EngineNews, Gossip, Member
-from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 
 from .disks import LosingDisk
 from .hollow import TOLD_AT_ONCE, open_parts
@@ -91,20 +91,20 @@
 
 
 def _rows() -> list[tuple]:
-    """A sheet with a row for each tenant and model, whole and by one change."""
+    """A cluster state with a row for each tenant and model, whole and by one change."""
     out = []
     for rows in (1000, 4000, 23180):
-        sheet = Sheet()
+        cluster_state = ClusterState()
         puts = [Row(name=f"row{i}", model=f"model{i % 38}", pool=f"tenant{i}", weight=1) for i in range(rows)]
-        sheet.apply(1, Command(edit="all", table=TableEdit(whole=True, puts=puts)))
+        cluster_state.apply(1, Command(edit="all", table=TableEdit(whole=True, puts=puts)))
         one = Command(edit="one", table=TableEdit(base=1, puts=puts[:1]))
 
-        def change(sheet=sheet, one=one):
-            one.table.base, one.edit = sheet.table, f"e{sheet.sequence}"
-            sheet.apply(sheet.sequence + 1, one)
-            sheet.row("model1", "tenant1")
+        def change(cluster_state=cluster_state, one=one):
+            one.table.base, one.edit = cluster_state.table, f"e{cluster_state.sequence}"
+            cluster_state.apply(cluster_state.sequence + 1, one)
+            cluster_state.row("model1", "tenant1")
 
-        out.append((rows, _time(lambda: Sheet(sheet.data())), _time(change), sheet.data().ByteSize(), one.ByteSize()))
+        out.append((rows, _time(lambda: ClusterState(cluster_state.data())), _time(change), cluster_state.data().ByteSize(), one.ByteSize()))
     return out
 
 
@@ -115,7 +115,7 @@
         times = [_time(lambda: step(ctx, part)) for ctx, part in staged]
         f = fit(list(GATEWAYS), [statistics.median(t) for t in times])
         print(f"| {name} | " + " | ".join(f"{t[1]:.3g} ({t[0]:.3g} to {t[-1]:.3g})" for t in times) + f" | {f}, r² {f.r2:.3f} |")
-    print("\n| configuration rows | whole sheet copied, ms | one change and the next look-up, ms | whole, bytes | change, bytes |"
+    print("\n| configuration rows | whole cluster state copied, ms | one change and the next look-up, ms | whole, bytes | change, bytes |"
           "\n|---|---|---|---|---|")
     for rows, whole, change, size, delta in _rows():
         print(f"| {rows} | {whole[1]:.3g} ({whole[0]:.3g} to {whole[-1]:.3g}) | "
--- a/rehearsal/judges.py
+++ b/rehearsal/judges.py
@@ -1,9 +1,9 @@
-"""Judges of engines, of the setup and its effect, and of whether the fleet serves at all."""
+"""Judges of engines, of the cluster state and its effect, and of whether the fleet serves at all."""
 from collections import defaultdict
 
 from .spans import SLACK
 
-__all__ = ["check_engines", "check_setup", "check_floors", "FLOORS"]
+__all__ = ["check_engines", "check_cluster", "check_floors", "FLOORS"]
 
 RAMP_SPAN = 8.0
 RAMP_EXTRA = 2
@@ -106,7 +106,7 @@
             running = {r: e for r, e in running.items() if e != n["engine"]}
 
 
-def check_setup(events, notes, spans, out):
+def check_cluster(events, notes, spans, out):
     _check_table(events, out)
     _check_read_back(events, out)
     _check_gates(events, notes, spans, out)
@@ -134,20 +134,20 @@
         if len(ids) > 1:
             out.append(f"{len(ids)} edits took effect on base {base}")
     doubtful = {e["base"] for e in edits if e["outcome"] == "unknown" and e["edit"] not in by_id}
-    sheets: dict[int, dict | None] = {}
+    cluster_states: dict[int, dict | None] = {}
     for e in sorted(by_id.values(), key=lambda e: e["sequence"]):
-        before = sheets.get(e["base"], {} if not sheets and not e["base"] else None)
-        sheets[e["sequence"]] = _after(e, before)
+        before = cluster_states.get(e["base"], {} if not cluster_states and not e["base"] else None)
+        cluster_states[e["sequence"]] = _after(e, before)
     acked = sorted((e["at"], e["sequence"]) for e in by_id.values())
     for r in (e for e in events if e["event"] == "table_read"):
         newest = max((s for at, s in acked if at < r["asked"]), default=0)
         if r["sequence"] < newest:
             out.append(f"the table read as {r['sequence']} after {newest} was acknowledged")
-        if r["sequence"] in sheets:
-            if sheets[r["sequence"]] is not None and not _same(sheets[r["sequence"]], r["rows"]):
-                out.append(f"the table at {r['sequence']} is not what its edits made: {_differ(sheets[r['sequence']], r)}")
-            sheets[r["sequence"]] = r["rows"]
-        elif r["sequence"] and not doubtful and sheets:
+        if r["sequence"] in cluster_states:
+            if cluster_states[r["sequence"]] is not None and not _same(cluster_states[r["sequence"]], r["rows"]):
+                out.append(f"the table at {r['sequence']} is not what its edits made: {_differ(cluster_states[r['sequence']], r)}")
+            cluster_states[r["sequence"]] = r["rows"]
+        elif r["sequence"] and not doubtful and cluster_states:
             out.append(f"the table is at {r['sequence']}, which no edit made")
 
 
--- a/rehearsal/operators.py
+++ b/rehearsal/operators.py
@@ -13,7 +13,7 @@
         self._unknown_lock = threading.Lock()
 
     def edit(self, name: str, row: dict | None, edit_id: str, controller: str, whole=None, limit=12):
-        """One operator's edit on the table it reads first: a row put, a row dropped, or the whole sheet.
+        """One operator's edit on the table it reads first: a row put, a row dropped, or the whole cluster state.
 
         `whole` makes the new rows from those that were read.
         """
--- a/rehearsal/promises.py
+++ b/rehearsal/promises.py
@@ -65,7 +65,7 @@
         acked = time.monotonic()
         if e.get("status") != 200:
             return [99.0]
-        wait_for(lambda: all(self.fleet.call(g, "GET", "/v1/ready")[1]["setup"] >= e["sequence"]
+        wait_for(lambda: all(self.fleet.call(g, "GET", "/v1/ready")[1]["cluster"] >= e["sequence"]
                              for g in self.fleet.nodes("gateway")), 10, "every gateway has it")
         return [time.monotonic() - acked]
 
--- a/rehearsal/pushes.py
+++ b/rehearsal/pushes.py
@@ -159,7 +159,7 @@
 
     def plan_two_editors(self, c):
         def do():
-            self.say("two operators edit at once, a row against the whole sheet")
+            self.say("two operators edit at once, a row against the whole cluster state")
             controllers = self.fleet.nodes("controller")
             words = [(f"row-{c.randrange(4)}", {"model": f"m-{time.monotonic()}", "weight": 2}, None),
                      ("", None, lambda rows: {**rows, "both": {"model": f"both-{time.monotonic()}"}})]
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -19,7 +19,7 @@
 from pipitlink.controller import ControllerNode
 from pipitlink.settings import Settings
 from pipitlink.membership import Membership
-from pipitlink.setup import Setup
+from pipitlink.cluster import Cluster
 from pipitlink.wire.frame_pb2 import Nothing
 from pipitlink.wire.membership_pb2 import Member
 
@@ -101,7 +101,7 @@
         ctx.membership = Membership(ctx)
         if self.role != "gateway":
             ctx.membership.remember_in(self.folder)
-        ctx.setup = Setup(ctx)
+        ctx.cluster = Cluster(ctx)
         ctx.replicated_log = ReplicatedLog(ctx)
         self.part = None
         if self.role == "storage":
@@ -120,7 +120,7 @@
         ctx.membership.open(Member(node=self.node, incarnation=1, role=self.role, zone=self.zone, host=self.place[0],
                                port=self.place[1], name=self.name if stage.named else ""))
         if self.role != "controller":
-            ctx.setup.open()
+            ctx.cluster.open()
 
     def _on_thread(self, do, *words):
         d = defer.Deferred()
@@ -366,7 +366,7 @@
 
     def ready(self, limit: float = 30):
         self.until(lambda: self.leader() is not None and all(
-            a.ctx.setup.ready() for a in self.role("gateway", alive=True)), limit, "the fleet is ready")
+            a.ctx.cluster.ready() for a in self.role("gateway", alive=True)), limit, "the fleet is ready")
 
     def wait(self, span: timedelta):
         self.run(span.total_seconds())
--- a/tests/batch_parts.py
+++ b/tests/batch_parts.py
@@ -14,7 +14,7 @@
 from pipitlink.router.engines import Engines
 from pipitlink.router.items import ItemAnswer
 from pipitlink.router.quota import Quota
-from pipitlink.wire.setup_pb2 import Route
+from pipitlink.wire.cluster_pb2 import Route
 from rehearsal.stage import Stage
 
 __all__ = ["BatchGateway", "Callers", "staged", "route", "text_of"]
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -11,7 +11,7 @@
 from pipitlink.gateway.limits import ComeBack, Limits
 from pipitlink.gateway.picking import Picking, RetryBudget
 from pipitlink.journal import Journal
-from pipitlink.setup import Sheet
+from pipitlink.cluster import ClusterState
 from pipitlink.wire.membership_pb2 import EngineNews, Loads, Member
 
 __all__ = ["Gateway"]
@@ -49,19 +49,19 @@
         return secs(1)
 
 
-class _Setup:
+class _Cluster:
     def __init__(self):
-        self.sheet = Sheet()
+        self.cluster_state = ClusterState()
         self.proved = True
 
     def ready(self):
         return self.proved
 
     def row(self, model, pool):
-        return self.sheet.row(model, pool)
+        return self.cluster_state.row(model, pool)
 
     def zone_empty(self, zone):
-        return zone in self.sheet.empty_zones
+        return zone in self.cluster_state.empty_zones
 
 
 class Gateway(Picking, Limits):
@@ -73,7 +73,7 @@
         self.journal = Journal(self)
         self.node, self.chance = f"g{n}", Random(1)
         self.desk = _Desk(self.node, {} if bus is None else bus)
-        self.membership, self.setup = _Membership(self.node, gateways), _Setup()
+        self.membership, self.cluster = _Membership(self.node, gateways), _Cluster()
         self.settings = type("Settings", (), {"lot_reserve": 0.25})
         self.engines = Engines(self)
         self.desk.answer("engines.loads", Loads, self.engines._told_loads)
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -17,9 +17,9 @@
 from pipitlink.router.items import Items
 from pipitlink.router.links import Links
 from pipitlink.router.relay import Relay
-from pipitlink.setup.routes import RouteTable
+from pipitlink.cluster.routes import RouteTable
 from pipitlink.wire.membership_pb2 import EngineNews, Member
-from pipitlink.wire.setup_pb2 import Bounds, Config, Pool, PoolShare, Route
+from pipitlink.wire.cluster_pb2 import Bounds, Config, Pool, PoolShare, Route
 
 __all__ = ["Rig", "route", "head", "chunk", "END"]
 
@@ -104,14 +104,14 @@
         timers = Timers(self.clock, seconds=self.clock.seconds)
         timers.wall = lambda: datetime.fromtimestamp(1_700_000_000 + self.clock.seconds(), timezone.utc)
         pools = pools or [Pool(name="models", max_connections=100, places=4, cache_tokens=100_000)]
-        self.sheet = SimpleNamespace(empty_zones=set(), routes=RouteTable(Config(
+        self.cluster_state = SimpleNamespace(empty_zones=set(), routes=RouteTable(Config(
             version=1, routes=routes, pools=pools, bounds=Bounds(max_body_bytes=100_000))))
-        self.setup = SimpleNamespace(sheet=self.sheet, watch=lambda do: None, usable=lambda: True)
+        self.cluster = SimpleNamespace(cluster_state=self.cluster_state, watch=lambda do: None, usable=lambda: True)
         membership = SimpleNamespace(members=lambda role=None, status=(), me=True: [
             Member(node=f"g{i}") for i in range(gateways) if i or me])
         desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
-            node="g0", timers=timers, setup=self.setup, membership=membership, desk=desk, dialect=Dialect(), chance=Random(seed),
+            node="g0", timers=timers, cluster=self.cluster, membership=membership, desk=desk, dialect=Dialect(), chance=Random(seed),
             reactor=self.clock, settings=Settings(zone="zone-a"), journal=Journal(SimpleNamespace(
                 log=lambda level, shape, line: self.lines.append(line))),
             report=lambda what: lambda e: self.lines.append(f"{what} {e!r}"), engines=None)
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -109,7 +109,7 @@
             a.kill()
         for a in stage.role("gateway"):
             a.start()
-        stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("gateway")), 10, "ready")
+        stage.until(lambda: all(a.ctx.cluster.ready() for a in stage.role("gateway")), 10, "ready")
         a = stage.role("gateway")[1]
         got = self.count(a)
         status, doc = stage.until(lambda: (r := stage.do(c.read(name, gateway=a)))[0] == 200 and r, 10, "it is read")
--- a/tests/test_batches_taken_up.py
+++ b/tests/test_batches_taken_up.py
@@ -46,7 +46,7 @@
                 stage.run(0.5)
                 for a in stage.actors.values():
                     a.start()
-                stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("gateway", alive=True)), 10, "ready")
+                stage.until(lambda: all(a.ctx.cluster.ready() for a in stage.role("gateway", alive=True)), 10, "ready")
                 stage.until(lambda: self.owner(stage, name), 2.6, "a gateway owns it")
                 stage.until(lambda: c.whole(name), 30, "all is listed")
                 self.assertEqual(c.wrong, [])
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,7 +11,7 @@
 from pipitlink.wire.desk import Desk
 from pipitlink.wire.frame_pb2 import Hello, Nothing
 from pipitlink.wire.membership_pb2 import Gossip, Member
-from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 from rehearsal.capacity import SERIES
 from rehearsal.hollow import CountedDesk, open_parts
 from rehearsal.hollow_work import Work
@@ -35,7 +35,7 @@
         ctx.desk = _Desk(stage, self)
         self.part = open_parts(ctx, "hollow", Member(node=self.node, incarnation=1, role="gateway", zone=self.zone,
                                                      host=self.place[0], port=self.place[1]), Disk())
-        ctx.setup.open()
+        ctx.cluster.open()
 
 
 class HollowStage(Stage):
@@ -138,10 +138,10 @@
         stage.run(3)
         leader = stage.leader().part
         began = stage.clock.seconds()
-        edit = TableEdit(base=leader.sheet.table, puts=[Row(name="m", model="m", weight=1)])
+        edit = TableEdit(base=leader.cluster_state.table, puts=[Row(name="m", model="m", weight=1)])
         stage.do(leader.edit(Command(edit="e", table=edit)))
         self.assertLess(stage.clock.seconds() - began, 0.1)
-        self.assertEqual({a.ctx.setup.sequence for a in stage.role("gateway")}, {leader.sheet.sequence})
+        self.assertEqual({a.ctx.cluster.sequence for a in stage.role("gateway")}, {leader.cluster_state.sequence})
 
 
 class Counting(unittest.TestCase):
--- a/tests/test_config_trouble.py
+++ b/tests/test_config_trouble.py
@@ -71,8 +71,8 @@
         now = self.stage.clock.seconds()
         old = max((v for at, v in self.acked if now - at > IN_EFFECT), default=0)
         for a in self.stage.role("gateway", alive=True):
-            held = a.ctx.setup.sheet.routes.version
-            if a.ctx.setup.ready() and held < old:
+            held = a.ctx.cluster.cluster_state.routes.version
+            if a.ctx.cluster.ready() and held < old:
                 self.faults.append(f"{a.name} admits at version {held}, {old} is in effect")
 
 
@@ -105,10 +105,10 @@
         self.assertEqual(last, ops.sent[last["version"]], what)
         self.assertGreaterEqual(last["version"], ops.newest(), what)
         self.assertNotIn(last["version"], ops.refused, what)
-        done = {o.sequence for o in stage.leader().part.sheet.outcomes.values() if o.code == "done"}
+        done = {o.sequence for o in stage.leader().part.cluster_state.outcomes.values() if o.code == "done"}
         self.assertLessEqual({v for _, v in ops.acked}, done, what)
         self.assertFalse(ops.refused & done, what)
-        self.assertEqual({a.ctx.setup.sheet.routes.version for a in stage.role("gateway")}, {last["version"]}, what)
+        self.assertEqual({a.ctx.cluster.cluster_state.routes.version for a in stage.role("gateway")}, {last["version"]}, what)
         return len(ops.acked)
 
     def test_configurations_hold_while_controllers_fail(self):
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -8,13 +8,13 @@
 from pipitlink.faults import NotLeading
 from pipitlink.journal import Journal
 from pipitlink.controller.gateways import Gateways
-from pipitlink.setup.follower import Setup
-from pipitlink.setup.sheet import Sheet
+from pipitlink.cluster.follower import Cluster
+from pipitlink.cluster.cluster_state import ClusterState
 from pipitlink.wire.controller_pb2 import ControllerEntry
-from pipitlink.wire.setup_pb2 import Command, StorageNodeEdit, FollowAsk, Row, SheetData, PlacementGroupRow, TableEdit
+from pipitlink.wire.cluster_pb2 import Command, StorageNodeEdit, FollowAsk, Row, ClusterStateData, PlacementGroupRow, TableEdit
 
 TICK = 0.5
-BASE = SheetData(sequence=1, placement_groups=[PlacementGroupRow(number=0, sequence=1, storage_nodes=["d"])])
+BASE = ClusterStateData(sequence=1, placement_groups=[PlacementGroupRow(number=0, sequence=1, storage_nodes=["d"])])
 EDIT = Command(table=TableEdit(base=0, puts=[Row(name="r", model="m")]))
 
 
@@ -34,7 +34,7 @@
     def __init__(self, ctx, elected_at, fresh_until):
         self._ctx, self._elected_at, self._fresh_until = ctx, elected_at, fresh_until
         self.state, self.leader = "leader", "controller"
-        self.sheet = Sheet(BASE)
+        self.cluster_state = ClusterState(BASE)
         self.followers, self._news, self._confirmations = {}, {}, {}
         self.archive = self
 
@@ -43,11 +43,11 @@
         return now if now < self._fresh_until else now - timedelta(seconds=9)
 
     def after(self, index, most):
-        return [ControllerEntry(index=2, command=EDIT)] if index == 1 and self.sheet.sequence == 2 else []
+        return [ControllerEntry(index=2, command=EDIT)] if index == 1 and self.cluster_state.sequence == 2 else []
 
     def commit(self):
-        if self.sheet.sequence == 1:
-            self.sheet.apply(2, EDIT)
+        if self.cluster_state.sequence == 1:
+            self.cluster_state.apply(2, EDIT)
 
 
 class _Play:
@@ -60,8 +60,8 @@
         self.first = _Leader(self.ctx, now - timedelta(seconds=9), now + timedelta(seconds=0.5)
                              if change_leader else forever)
         self.leaders = [self.first]
-        self.gateway = Setup(self.ctx)
-        self.gateway.sheet = Sheet(BASE)
+        self.gateway = Cluster(self.ctx)
+        self.gateway.cluster_state = ClusterState(BASE)
         self.change_leader = change_leader
         self.asked = self.ask = self.receipt = None
         self.acked = False
@@ -96,7 +96,7 @@
 
     def acknowledge(self):
         leader = self.leaders[-1]
-        if leader.sheet.sequence == 2 and leader._in_effect(2) and leader._fresh():
+        if leader.cluster_state.sequence == 2 and leader._in_effect(2) and leader._fresh():
             self.acked = True
 
     def broken(self) -> bool:
@@ -151,7 +151,7 @@
             for one in itertools.combinations(storage_nodes, 3):
                 for other in itertools.combinations(sorted(change), len(change) // 2 + 1):
                     self.assertTrue(set(one) & set(other), (one, other))
-        sheet = Sheet(BASE)
-        sheet.apply(2, Command(storage_node=StorageNodeEdit(storage_node="a", status="serving")))
-        sheet.apply(3, Command(storage_node=StorageNodeEdit(storage_node="b", status="retired")))
-        self.assertEqual(sheet.witnesses(), ["a"])
+        cluster_state = ClusterState(BASE)
+        cluster_state.apply(2, Command(storage_node=StorageNodeEdit(storage_node="a", status="serving")))
+        cluster_state.apply(3, Command(storage_node=StorageNodeEdit(storage_node="b", status="retired")))
+        self.assertEqual(cluster_state.witnesses(), ["a"])
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -9,7 +9,7 @@
 from pipitlink.gateway.asks import AskTable
 from pipitlink.gateway.picking import Admitting
 from pipitlink.gateway.relaying import Relaying
-from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 from tests.parts import Gateway
 
 
@@ -32,7 +32,7 @@
         self.later(10, "e")
 
     def current(self):
-        return self.setup.ready()
+        return self.cluster.ready()
 
     def begin(self, kind="live", limit=20):
         ask = self.ask(kind=kind)
@@ -42,7 +42,7 @@
         return ask
 
     def edit(self, row):
-        self.setup.sheet.apply(1, Command(table=TableEdit(puts=[row])))
+        self.cluster.cluster_state.apply(1, Command(table=TableEdit(puts=[row])))
 
     def still(self):
         if not self.held:
@@ -60,9 +60,9 @@
 CHANGES = {
     "the engine is leaving": lambda g: g.news("e", state="leaving"),
     "the engine came back at another address": lambda g: g.news("e", incarnation=2),
-    "its zone is emptied": lambda g: g.setup.sheet.empty_zones.add("z"),
+    "its zone is emptied": lambda g: g.cluster.cluster_state.empty_zones.add("z"),
     "its weight is 0": lambda g: g.edit(Row(name="r", model="m", weight=0)),
-    "the setup is not proved": lambda g: setattr(g.setup, "proved", False),
+    "the cluster state is not proved": lambda g: setattr(g.cluster, "proved", False),
     "it slept, and the engine is silent since": lambda g: g.reactor.advance(3.5),
     "it slept for less than that, and the engine may have said anything": lambda g: g.reactor.advance(2),
     "the lease is lost, or the lot ended": lambda g: setattr(g, "held", False),
@@ -106,10 +106,10 @@
         ask = g.begin()
         first = ask.engine.name
         g.news(first, state="leaving")
-        g.setup.proved = False
+        g.cluster.proved = False
         g.connect()
         self.assertEqual(len(g.reactor.tcpClients), 1)
-        g.setup.proved = True
+        g.cluster.proved = True
         g.reactor.advance(0.1)
         self.assertEqual(len(g.reactor.tcpClients), 2)
         self.assertNotEqual(ask.engine.name, first)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -95,7 +95,7 @@
         done = wait_for(lambda: [e for e in told("lot_done") if e.get_data()["lot"] == lot], 20, "the lot's end is told")
         self.assertEqual(len(done), 1)
         self.assertTrue(done[0].get_source().startswith("/pipit/zone-"))
-        self.assertTrue(told("engine") and told("setup") and told("leading"))
+        self.assertTrue(told("engine") and told("cluster") and told("leading"))
 
     def test_bad_asks_name_the_field(self):
         for body, field in (({"model": "m"}, "prompt"), ({"model": 3, "prompt": ""}, "model"),
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -22,7 +22,7 @@
 from pipitlink.controller.rows import rows_from
 from pipitlink.settings import ROLES, Settings, read_settings
 from pipitlink.wire.lots_pb2 import Item, Lot
-from pipitlink.wire.setup_pb2 import Row
+from pipitlink.wire.cluster_pb2 import Row
 
 from .parts import Gateway
 
@@ -52,7 +52,7 @@
         g.clock.advance(3.5)
         self.assertIsNone(g._pick(g.ask()))
         g.news("f")
-        g.setup.sheet.empty_zones.add("z")
+        g.cluster.cluster_state.empty_zones.add("z")
         self.assertIsNone(g._pick(g.ask()))
 
     def test_lots_leave_the_reserve_and_a_rows_share_goes_before_it(self):
@@ -62,7 +62,7 @@
         self.assertEqual(g.fill(g.ask()), 5)
         g = Gateway()
         g.later(10, "e", capacity=20)
-        g.setup.sheet.rows["r"] = Row(name="r", model="m", weight=1, lot_share=0.5)
+        g.cluster.cluster_state.rows["r"] = Row(name="r", model="m", weight=1, lot_share=0.5)
         self.assertEqual(g.fill(g.ask(kind="item")), 10)
 
     def test_gateways_with_late_news_together_fill_an_engine_and_do_not_pass_its_limit(self):
@@ -118,7 +118,7 @@
     def test_weights_from_the_table(self):
         g = Gateway()
         g.later(10, "a")
-        g.setup.sheet.rows["r"] = Row(name="r", model="m", pool="models", weight=0)
+        g.cluster.cluster_state.rows["r"] = Row(name="r", model="m", pool="models", weight=0)
         self.assertEqual(g.candidates("m"), [])
 
     def test_second_tries_have_a_budget(self):
@@ -136,7 +136,7 @@
         self.clock, self.bus, self.chance = Clock(), {}, Random(3)
         self.gateways = [Gateway(n, i, self.clock, self.bus) for i in range(n)]
         for g in self.gateways:
-            g.setup.sheet.rows["r"] = Row(name="r", model="m", weight=1, **row)
+            g.cluster.cluster_state.rows["r"] = Row(name="r", model="m", weight=1, **row)
         self.run(12)
 
     def run(self, seconds, each=lambda: None):
@@ -352,7 +352,7 @@
             told |= {name for name, _ in lines}
         self.assertEqual({a.name for a in attrs.fields(Settings)} - told, {"plug"})
 
-    def test_a_bad_sheet_names_each_row_and_field(self):
+    def test_a_bad_cluster_state_names_each_row_and_field(self):
         with self.assertRaises(BadRows) as no:
             rows_from({"a": {"model": "m", "weight": -1}, "b": {}, "c": {"model": "m2", "rate": "fast"},
                        "d": {"model": "x", "pool": "y"}, "e": {"model": "x", "pool": "y"}})
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -11,8 +11,8 @@
 from pipitlink.gateway.picking import Picking
 from pipitlink.gateway.results import Results
 from pipitlink.controller.leading import Leading
-from pipitlink.setup import Setup, Sheet
-from pipitlink.wire.setup_pb2 import Command, Row, TableEdit, ZoneEdit
+from pipitlink.cluster import Cluster, ClusterState
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit, ZoneEdit
 from rehearsal.checker import check
 from rehearsal.disks import LosingDisk
 from rehearsal.stage import Stage
@@ -134,7 +134,7 @@
 def weight_zero(s):
     """An edit that only some gateways could follow: those that cannot prove theirs admit nothing."""
     s.stage.cut(["gateway0"], [a for a in s.stage.actors if a != "gateway0"])
-    s.edit(Command(edit="w", table=TableEdit(base=s.stage.leader().part.sheet.table,
+    s.edit(Command(edit="w", table=TableEdit(base=s.stage.leader().part.cluster_state.table,
                                              puts=[Row(name="m", model="m", weight=0)])))
     s.c.note("gate", model="m", open=False, done=True)
     s.stage.run(2.4)
@@ -178,7 +178,7 @@
 def operators_race(s):
     """Two edits build on one sequence; then the leader is cut off, another takes an edit, and the old one is read."""
     old = s.stage.leader()
-    base = old.part.sheet.table
+    base = old.part.cluster_state.table
 
     def edit(part, name, base):
         asked = s.stage.clock.seconds()
@@ -193,7 +193,7 @@
     s.stage.cut([old.name], [a for a in s.stage.actors if a != old.name])
     new = s.stage.until(lambda: next((a for a in rest if a.part.state == "leader"), None), 20, "another leads")
     s.stage.run(2)
-    edit(new.part, "third", new.part.sheet.table)
+    edit(new.part, "third", new.part.cluster_state.table)
     s.stage.run(0.1)
     for a in (new, old):
         asked = s.stage.clock.seconds()
@@ -201,8 +201,8 @@
             s.stage.do(a.part.sure_leader(), 10)
         except PipitFault:
             continue
-        s.c.note("table_read", sequence=a.part.sheet.table, asked=asked,
-                 rows={r.name: {"model": r.model} for r in a.part.sheet.rows.values()})
+        s.c.note("table_read", sequence=a.part.cluster_state.table, asked=asked,
+                 rows={r.name: {"model": r.model} for r in a.part.cluster_state.rows.values()})
 
 
 async def _nothing(*_):
@@ -230,7 +230,7 @@
     return _apply_table(self, e, sequence)
 
 
-_apply_table = Sheet._apply_table
+_apply_table = ClusterState._apply_table
 
 
 async def _end_and_run_on(self, lot_id):
@@ -253,7 +253,7 @@
     "a leaving engine is not picked": (
         engine_leaves, {}, Engines, "status", lambda self, e: "ready", "after it said it leaves"),
     "an emptied zone's engines are no candidates": (
-        zone_emptied, {}, Setup, "zone_empty", lambda self, zone: False, "was emptied"),
+        zone_emptied, {}, Cluster, "zone_empty", lambda self, zone: False, "was emptied"),
     "a cold engine is filled step by step": (
         cold_engine, {"capacity": 16}, Engines, "capacity", lambda self, e: e.news.capacity, "was cold and flooded"),
     "no second try once a piece was shown": (
@@ -261,8 +261,8 @@
         lambda self, ask: ask.state == "lost" and (ask.put("again") or True), "not the engine's own"),
     "what was sent is unknown until the end": (
         cut_after_the_first_piece, {}, Ask, "outcome", property(lambda self: "not_run"), "told not_run"),
-    "a gateway that cannot prove its setup admits nothing": (
-        weight_zero, {}, Setup, "ready", lambda self: True, "after its weight was 0"),
+    "a gateway that cannot prove its cluster state admits nothing": (
+        weight_zero, {}, Cluster, "ready", lambda self: True, "after its weight was 0"),
     "nothing is acknowledged before it is synced": (
         closing_power, {}, LosingDisk, "sync", lambda self, fd: None, "lot gateway"),
     "a new owner learns what is in the log": (
@@ -270,7 +270,7 @@
     "a reader asks the storage nodes how far the list is": (
         gateway_cut_off, {"step": 0.1}, Results, "_read_results", _read_on, "results were shown"),
     "an edit takes effect only on the base that it states": (
-        operators_race, {}, Sheet, "_apply_table", _any_base, "edits took effect on base"),
+        operators_race, {}, ClusterState, "_apply_table", _any_base, "edits took effect on base"),
     "a table is read only after a majority answered": (
         operators_race, {}, Leading, "sure_leader", _nothing, "was acknowledged"),
 }
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -10,7 +10,7 @@
 
 from pipitlink.faults import BadAsk
 from pipitlink.controller.control import Control
-from pipitlink.setup.routes import RouteTable
+from pipitlink.cluster.routes import RouteTable
 from rehearsal.stage import Stage
 
 from .control_calls import Caller, platform_words
@@ -124,7 +124,7 @@
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
-        self.stage.until(lambda: len(self.stage.leader().part.sheet.storage_nodes) == 4, 20, "all storage nodes are admitted")
+        self.stage.until(lambda: len(self.stage.leader().part.cluster_state.storage_nodes) == 4, 20, "all storage nodes are admitted")
         self.caller = Caller(self.stage, platform_words())
         self.controller = self.stage.role("controller")[1]
 
@@ -139,7 +139,7 @@
         self.assertEqual(self.caller.get(controller)[1], {**WHOLE, "version": 9, "routes": ROUTES[:1]})
         for method, empty in (("POST", True), ("POST", True), ("DELETE", False)):
             self.assertEqual(ask(controller, method, "/evacuations/zone-a")[0], 200)
-            self.assertEqual({a.ctx.setup.zone_empty("zone-a") for a in self.stage.role("gateway")}, {empty})
+            self.assertEqual({a.ctx.cluster.zone_empty("zone-a") for a in self.stage.role("gateway")}, {empty})
 
     def test_retirement(self):
         ask, controller, storage_node = self.caller.ask, self.controller, self.stage.role("storage")[0].node
--- a/tests/test_router_live.py
+++ b/tests/test_router_live.py
@@ -1,6 +1,6 @@
 import unittest
 
-from pipitlink.wire.setup_pb2 import Pool
+from pipitlink.wire.cluster_pb2 import Pool
 
 from .router_parts import END, Rig, chunk, event, head, route
 
@@ -158,7 +158,7 @@
     def test_leaving_and_emptied_engines_get_nothing(self):
         self.rig.engine("e1", state="leaving")
         self.rig.engine("e4", zone="zone-b")
-        self.rig.sheet.empty_zones.add("zone-b")
+        self.rig.cluster_state.empty_zones.add("zone-b")
         for k in range(40):
             self.rig.ask("/f/x", call_id=f"c{k}")
         self.assertFalse({name for name, _, _ in self.rig.asked()} & {"e1", "e4"})
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from pipitlink.controller import archive
-from pipitlink.wire.setup_pb2 import Command
+from pipitlink.wire.cluster_pb2 import Command
 from rehearsal.stage import Stage
 
 from .control_calls import Caller, config_of, route_of
@@ -22,7 +22,7 @@
         self.other = next(a for a in self.controllers if a is not self.stage.leader())
 
     def versions(self, role):
-        return {a.ctx.setup.sheet.routes.version for a in self.stage.role(role, alive=True)}
+        return {a.ctx.cluster.cluster_state.routes.version for a in self.stage.role(role, alive=True)}
 
     def new_leader(self):
         old = self.stage.leader()
@@ -38,7 +38,7 @@
             self.assertEqual(self.caller.put(controller, config_of(version), base)[0], 200)
             self.assertLess(self.stage.clock.seconds() - before, 0.5)
             self.assertEqual(self.versions("gateway"), {version})
-        self.assertIsNotNone(self.stage.role("gateway")[0].ctx.setup.sheet.routes.match("h.example", "/r/x"))
+        self.assertIsNotNone(self.stage.role("gateway")[0].ctx.cluster.cluster_state.routes.match("h.example", "/r/x"))
 
     def test_of_two_edits_on_the_same_base_one_wins(self):
         self.caller.put(self.other, config_of(1), 0)
@@ -131,7 +131,7 @@
             "pools": [{"name": "p"}, {"name": "new", "cold_rate": 0.5}]})
         self.assertEqual(self.caller.patch(self.other, {"version": 9, "bounds": {"idle_timeout_ms": 5}}, 8)[0], 200)
         self.assertEqual(self.caller.get(self.controllers[0])[1]["bounds"], {"idle_timeout_ms": 5})
-        table = self.stage.role("gateway")[0].ctx.setup.sheet.routes
+        table = self.stage.role("gateway")[0].ctx.cluster.cluster_state.routes
         self.assertEqual((table.routes["a"].aim_ms, table.bounds.idle_timeout_ms), (3, 5))
 
     def test_the_same_edit_again_has_the_same_outcome_at_any_controller_also_under_another_leader(self):
@@ -153,7 +153,7 @@
     def test_a_call_that_was_cut_off_and_sent_again_elsewhere_is_taken_once(self):
         leader = self.stage.leader()
         lost = self.caller.begin(leader, "PUT", "/v1/config", config_of(4), {"If-Match": "0"})
-        self.stage.until(lambda: leader.part.sheet.routes.version == 4, 5, "it is agreed")
+        self.stage.until(lambda: leader.part.cluster_state.routes.version == 4, 5, "it is agreed")
         leader.kill()
         self.assertEqual(lost, [])
         self.stage.until(lambda: self.stage.leader(), 15, "another leads")
@@ -192,7 +192,7 @@
         self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
         late = self.stage.add("controller", "controller9", "zone-a", 1900)
         late.start()
-        self.stage.until(lambda: late.part.sheet.sequence == leader.part.sheet.sequence, 10, "the newcomer follows")
+        self.stage.until(lambda: late.part.cluster_state.sequence == leader.part.cluster_state.sequence, 10, "the newcomer follows")
         for a in self.stage.role("controller"):
             a.kill(power=True)
             a.start()
@@ -215,7 +215,7 @@
                 self.assertEqual(held, a.part.archive._entry_bytes)
             late = self.stage.add("controller", "controller9", "zone-a", 1900)
             late.start()
-            self.stage.until(lambda: late.part.sheet.sequence == self.stage.leader().part.sheet.sequence, 10,
+            self.stage.until(lambda: late.part.cluster_state.sequence == self.stage.leader().part.cluster_state.sequence, 10,
                              "the newcomer follows")
             for a in self.stage.role("controller"):
                 a.kill(power=True)
@@ -240,7 +240,7 @@
         for n in range(2):
             for method, empty in (("PUT", True), ("PUT", True), ("DELETE", False), ("DELETE", False)):
                 self.assertEqual(self.caller.ask(self.other, method, "/v1/zones/zone-b/empty")[0], 200)
-                self.assertEqual({a.ctx.setup.zone_empty("zone-b") for a in self.stage.role("gateway")}, {empty})
+                self.assertEqual({a.ctx.cluster.zone_empty("zone-b") for a in self.stage.role("gateway")}, {empty})
 
 
 class Retire(unittest.TestCase):
@@ -251,7 +251,7 @@
         self.storage_node = self.stage.role("storage")[1]
         self.name_storage_node()
         self.stage.ready()
-        self.stage.until(lambda: len(self.stage.leader().part.sheet.storage_nodes) == 4, 20, "all storage nodes are admitted")
+        self.stage.until(lambda: len(self.stage.leader().part.cluster_state.storage_nodes) == 4, 20, "all storage nodes are admitted")
         self.stage.run(3)
         self.caller = Caller(self.stage)
 
@@ -267,7 +267,7 @@
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
         self.assertEqual(self.ask("POST", "box-1")[0], 200)
         self.stage.until(lambda: self.ask("GET", "box-1")[1] == {"state": "retired"}, 60, "it is emptied")
-        placement_groups = self.stage.leader().part.sheet.placement_groups.values()
+        placement_groups = self.stage.leader().part.cluster_state.placement_groups.values()
         self.assertFalse([s for s in placement_groups if self.storage_node.node in (*s.storage_nodes, s.joining)])
         self.storage_node.kill(power=True)
         self.storage_node.wipe()
@@ -288,7 +288,7 @@
         self.name_storage_node()
         self.assertNotEqual(self.storage_node.node, old)
         self.stage.run(8)
-        self.assertNotIn(self.storage_node.node, self.stage.leader().part.sheet.storage_nodes)
+        self.assertNotIn(self.storage_node.node, self.stage.leader().part.cluster_state.storage_nodes)
         self.stage.until(lambda: self.ask("GET", "box-1")[1] == {"state": "retired"}, 60, "it is emptied")
 
     def test_unknown_names_and_too_few_storage_nodes_are_refused_and_a_repeat_is_not(self):
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -1,4 +1,4 @@
-"""The agreed setup under trouble: edits, reads, delivery and votes, over many seeds."""
+"""The agreed cluster state under trouble: edits, reads, delivery and votes, over many seeds."""
 import unittest
 import unittest.mock
 
@@ -7,7 +7,7 @@
 from pipitlink.timers import ms
 from pipitlink.faults import Damaged, NoRoom, NotLeading, PipitFault, Unproven, WireFault
 from pipitlink.wire.controller_pb2 import EditAsk, EditReceipt
-from pipitlink.wire.setup_pb2 import Command, Row, TableEdit
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
 
@@ -45,7 +45,7 @@
             try:
                 floor = self.newest()
                 await part.sure_leader()
-                table = part.sheet.table
+                table = part.cluster_state.table
                 self.reads += 1
                 if table < floor:
                     self.faults.append(f"read {table} after {floor} was acknowledged")
@@ -65,12 +65,12 @@
         now = self.stage.clock.seconds()
         old = max((seq for at, seq, _ in self.acked if now - at > IN_EFFECT), default=0)
         for a in self.stage.role("gateway", alive=True):
-            setup = a.ctx.setup
-            if setup.ready() and setup.sheet.table < old:
-                self.faults.append(f"{a.name} admits at table {setup.sheet.table}, {old} is in effect, {now}")
+            cluster = a.ctx.cluster
+            if cluster.ready() and cluster.cluster_state.table < old:
+                self.faults.append(f"{a.name} admits at table {cluster.cluster_state.table}, {old} is in effect, {now}")
 
 
-class SetupUnderTrouble(unittest.TestCase):
+class ClusterUnderTrouble(unittest.TestCase):
     def run_seed(self, seed, roles):
         stage = Stage(seed, controllers=4, storage_nodes=4, gateways=3, placement_groups=2)
         self.addCleanup(stage.end)
@@ -93,14 +93,14 @@
         stage.run(8)
         stage.ready()
         self.assertEqual(ops.faults, [], f"seed {seed}: {trouble.told}")
-        sheet = stage.leader().part.sheet
-        done = {o.edit: o.sequence for o in sheet.outcomes.values() if o.code == "done"}
+        cluster_state = stage.leader().part.cluster_state
+        done = {o.edit: o.sequence for o in cluster_state.outcomes.values() if o.code == "done"}
         for _, sequence, text in ops.acked:
             self.assertEqual(done.get(text), sequence, f"seed {seed}: {text} was acknowledged and is gone")
         self.assertFalse(ops.refused & set(done))
-        tables = {a.part.sheet.table for a in stage.role("controller")} | {a.ctx.setup.sheet.table
+        tables = {a.part.cluster_state.table for a in stage.role("controller")} | {a.ctx.cluster.cluster_state.table
                                                                       for a in stage.role("gateway")}
-        self.assertEqual(tables, {sheet.table}, f"seed {seed}")
+        self.assertEqual(tables, {cluster_state.table}, f"seed {seed}")
         return len(ops.acked)
 
     def test_edits_hold_while_controllers_fail(self):
@@ -126,9 +126,9 @@
         lost.start()
         self.assertNotEqual(lost.node, old)
         self.assertEqual(lost.part.state, "newcomer")
-        self.stage.until(lambda: self.stage.leader() and old not in self.stage.leader().part.sheet.voters
-                         and len(self.stage.leader().part.sheet.voters) == 3, 12, "the standby votes")
-        self.stage.until(lambda: lost.part.sheet.sequence == self.stage.leader().part.sheet.sequence, 5, "it follows")
+        self.stage.until(lambda: self.stage.leader() and old not in self.stage.leader().part.cluster_state.voters
+                         and len(self.stage.leader().part.cluster_state.voters) == 3, 12, "the standby votes")
+        self.stage.until(lambda: lost.part.cluster_state.sequence == self.stage.leader().part.cluster_state.sequence, 5, "it follows")
 
     def test_a_lone_side_refuses_edits_and_reads(self):
         leader = self.stage.leader()
@@ -143,7 +143,7 @@
         self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "theirs")), 10)
         self.stage.heal()
         self.stage.run(3)
-        self.assertEqual(leader.part.sheet.rows["r"].model, "theirs")
+        self.assertEqual(leader.part.cluster_state.rows["r"].model, "theirs")
 
     def test_an_edit_passed_on_to_a_leader_that_was_cut_off_is_unknown_as_soon_as_that_is_known(self):
         leader = self.stage.leader()
@@ -159,20 +159,20 @@
         for _ in range(100):
             self.stage.run(0.1)
             if _ > 30:
-                self.assertEqual([a.ctx.setup.state for a in self.stage.role("gateway") if a.ctx.setup.ready()],
+                self.assertEqual([a.ctx.cluster.state for a in self.stage.role("gateway") if a.ctx.cluster.ready()],
                                  ["witnessed"] * 3)
         with self.assertRaises(PipitFault):
             self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
 
     def test_edits_go_on_with_two_of_four_storage_nodes_away_and_no_gateway_misses_one(self):
-        sheet = self.stage.leader().part.sheet
-        self.assertEqual(sheet.settled, sheet.witnesses_at)
+        cluster_state = self.stage.leader().part.cluster_state
+        self.assertEqual(cluster_state.settled, cluster_state.witnesses_at)
         storage_nodes = self.stage.role("storage")
         for a in storage_nodes[:2]:
             a.kill()
         leader = self.stage.leader().part
-        self.stage.do(leader.edit(edit_of("r", sheet.table, "two away")), 6)
-        newest = leader.sheet.table
+        self.stage.do(leader.edit(edit_of("r", cluster_state.table, "two away")), 6)
+        newest = leader.cluster_state.table
         self.stage.cut([a.name for a in self.stage.role("controller")],
                        [a.name for a in self.stage.actors.values() if a.role != "controller"])
         for a in storage_nodes[:2]:
@@ -180,18 +180,18 @@
         for _ in range(100):
             self.stage.run(0.05)
             for g in self.stage.role("gateway"):
-                self.assertFalse(g.ctx.setup.ready() and g.ctx.setup.sheet.table < newest)
+                self.assertFalse(g.ctx.cluster.ready() and g.ctx.cluster.cluster_state.table < newest)
         self.stage.heal()
         self.stage.ready()
 
     def test_half_of_the_witnesses_are_not_enough_while_their_set_changes(self):
         leader, timers = self.stage.leader().part, self.stage.timers()
-        leader.sheet.settled -= 1
+        leader.cluster_state.settled -= 1
         leader._settle_witnesses = lambda: timers.pause(ms(0))
         for a in self.stage.role("storage")[:2]:
             a.kill()
         with self.assertRaises(PipitFault):
-            self.stage.do(leader.edit(edit_of("r", leader.sheet.table, "unsettled")), 6)
+            self.stage.do(leader.edit(edit_of("r", leader.cluster_state.table, "unsettled")), 6)
 
     def test_nodes_that_met_need_no_seed_again_and_a_wrong_suspicion_is_refuted(self):
         self.stage.seeds = ("10.0.0.1:9", "10.0.0.1:10", "10.0.0.1:11")
@@ -223,12 +223,12 @@
         for n in range(3):
             part = self.stage.until(self.stage.leader, 10, "a controller leads").part
             self.stage.do(part.sure_leader())
-            out = self.stage.do(part.edit(edit_of("s", part.sheet.table, f"next{n}")))
+            out = self.stage.do(part.edit(edit_of("s", part.cluster_state.table, f"next{n}")))
             self.assertEqual(out.code, "done")
         self.stage.run(3)
-        sheets = {(a.part.sheet.table, *sorted((r.name, r.model) for r in a.part.sheet.rows.values()))
+        cluster_states = {(a.part.cluster_state.table, *sorted((r.name, r.model) for r in a.part.cluster_state.rows.values()))
                   for a in self.stage.role("controller")}
-        self.assertEqual(len(sheets), 1, sheets)
+        self.assertEqual(len(cluster_states), 1, cluster_states)
         self.assertIsInstance(no.exception, Unproven)
 
     def test_a_leader_does_not_count_what_its_own_disk_has_not_synced_in_this_term(self):
@@ -243,7 +243,7 @@
         leader.ctx.on_thread = lambda do, *words: defer.Deferred()
         with self.assertRaises(PipitFault):
             self.stage.do(leader.part.edit(edit_of("r", 0, "not on two disks")), 12)
-        self.assertEqual([a.name for a in self.stage.role("controller") if "r" in a.part.sheet.rows], [])
+        self.assertEqual([a.name for a in self.stage.role("controller") if "r" in a.part.cluster_state.rows], [])
 
     def test_an_agreed_edit_whose_leader_yields_is_unproven_and_not_refused(self):
         part = self.stage.leader().part
@@ -256,7 +256,7 @@
         self.assertEqual(again.code, "done")
 
     def test_an_controller_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself(self):
-        for name, pattern in (("controller0", "agreed/seg-*.log"), ("controller1", "setup-*/setup.dat")):
+        for name, pattern in (("controller0", "agreed/seg-*.log"), ("controller1", "cluster-*/cluster.dat")):
             a = self.stage.actors[name]
             a.kill()
             for path in a.folder.glob(pattern):
@@ -272,7 +272,7 @@
         self.assertEqual((first.code, first.sequence), (again.code, again.sequence))
         lost = self.stage.do(part.edit(edit_of("r", 0, "second")))
         self.assertEqual(lost.code, "wrong_base")
-        self.assertEqual(part.sheet.rows["r"].model, "once")
+        self.assertEqual(part.cluster_state.rows["r"].model, "once")
 
     def test_a_long_log_is_trimmed_and_a_newcomer_takes_the_snapshot(self):
         leader = self.stage.leader()
@@ -285,7 +285,7 @@
         self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
         late = self.stage.add("controller", "controller9", "zone-a", 1900)
         late.start()
-        self.stage.until(lambda: late.part.sheet.sequence == leader.part.sheet.sequence, 10, "the newcomer follows")
+        self.stage.until(lambda: late.part.cluster_state.sequence == leader.part.cluster_state.sequence, 10, "the newcomer follows")
         for a in (leader, late):
             a.kill(power=True)
             a.start()
--- a/tests/test_stage_disk_lost.py
+++ b/tests/test_stage_disk_lost.py
@@ -14,7 +14,7 @@
             with self.subTest(seed=seed):
                 stage = staged(seed, named=True)
                 self.addCleanup(stage.end)
-                stage.until(lambda: len(self._leader(stage).sheet.storage_node_names) == 4, 20, "names are in the setup")
+                stage.until(lambda: len(self._leader(stage).cluster_state.storage_node_names) == 4, 20, "names are in the cluster state")
                 c = Callers(stage)
                 stage.breaks, stage.step = 0, stage.step * 5
                 for a in stage.actors.values():
@@ -25,11 +25,11 @@
                 stage.run(1)
                 for a in stage.actors.values():
                     a.start()
-                stage.until(lambda: all(a.ctx.setup.ready() for a in stage.role("gateway", alive=True)), 10, "ready")
+                stage.until(lambda: all(a.ctx.cluster.ready() for a in stage.role("gateway", alive=True)), 10, "ready")
                 names = [c.lot(8) for _ in range(6)]
                 for name in names:
                     self.assertEqual(stage.do(c.hand_in(name)), 202)
-                stage.until(lambda: not any(was in s.storage_nodes for s in self._leader(stage).sheet.placement_groups.values()), 6,
+                stage.until(lambda: not any(was in s.storage_nodes for s in self._leader(stage).cluster_state.placement_groups.values()), 6,
                             "no placement group counts on the lost storage node")
                 stage.until(lambda: all(c.whole(n) for n in names), 40, "all is listed")
                 ran_out = [x for x in stage.sink.lines if "lease_lost" in x and "ran out" in x]
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -118,7 +118,7 @@
                 self.assertNotIn("ready", [engines.status(e) for e in engines.all()], a.name)
 
     def test_a_node_that_freezes_in_the_midst_of_each_step_that_has_an_owner(self):
-        """Its call has just left; it wakes after its lease, its setup and its leadership have ended."""
+        """Its call has just left; it wakes after its lease, its cluster state and its leadership have ended."""
         def bring(stage, trouble, work):
             steps = list(OWNED)
             stage.chance.shuffle(steps)
--- a/tests/test_stage_placement.py
+++ b/tests/test_stage_placement.py
@@ -4,7 +4,7 @@
 from pipitlink.timers import ms
 from pipitlink.disk import frames
 from pipitlink.faults import GatewayFault, PipitFault
-from pipitlink.wire.setup_pb2 import Command, StorageNodeEdit
+from pipitlink.wire.cluster_pb2 import Command, StorageNodeEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import seeds
 
@@ -59,7 +59,7 @@
         leader = stage.leader()
         if leader is None:
             return False
-        rows = leader.part.sheet.placement_groups.values()
+        rows = leader.part.cluster_state.placement_groups.values()
         return all(not s.joining and without not in s.storage_nodes and len(s.storage_nodes) == 3 for s in rows)
 
     def test_two_losses_in_turn_with_repair_between_lose_nothing(self):
@@ -83,19 +83,19 @@
         lost.wipe()
         lost.start()
         stage.until(lambda: self.placed(stage, node), 6, "the placement groups have moved, and nothing was waited for")
-        stage.until(lambda: stage.leader() and node not in stage.leader().part.sheet.storage_nodes, 10, "it is off the sheet")
+        stage.until(lambda: stage.leader() and node not in stage.leader().part.cluster_state.storage_nodes, 10, "it is off the cluster state")
         self.check(stage, logs)
 
     def test_a_retired_storage_node_gives_up_its_placement_groups_and_then_may_be_switched_off(self):
         stage, logs = self.stage(8, storage_nodes=4)
         gone = stage.role("storage")[2]
         part = stage.leader().part
-        part.check_retirement(part.sheet, gone.node)
+        part.check_retirement(part.cluster_state, gone.node)
         stage.do(part.edit(Command(storage_node=StorageNodeEdit(storage_node=gone.node, status="retiring"))))
-        stage.until(lambda: stage.leader() and stage.leader().part.sheet.storage_nodes.get(gone.node) == "retired", 60,
+        stage.until(lambda: stage.leader() and stage.leader().part.cluster_state.storage_nodes.get(gone.node) == "retired", 60,
                     "it may be switched off")
         with self.assertRaises(GatewayFault) as no:
-            stage.leader().part.check_retirement(stage.leader().part.sheet, stage.role("storage")[0].node)
+            stage.leader().part.check_retirement(stage.leader().part.cluster_state, stage.role("storage")[0].node)
         self.assertEqual(no.exception.code, "too_few_copies")
         gone.kill()
         stage.run(3)
@@ -105,7 +105,7 @@
         stage, logs = self.stage(9, storage_nodes=3)
         new = stage.add("storage", "storage7", "zone-d", 1700)
         new.start()
-        stage.until(lambda: stage.leader() and stage.leader().part._holds(stage.leader().part.sheet)[new.node] >= 2, 60,
+        stage.until(lambda: stage.leader() and stage.leader().part._holds(stage.leader().part.cluster_state)[new.node] >= 2, 60,
                     "it has placement groups")
         stage.run(5)
         self.check(stage, logs)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -25,15 +25,15 @@
         b = beliefs("d2", "storage", logs={})
         self.assertEqual(list(differences(a, b)["logs"]), ["3/results/1"])
 
-    def test_setup_and_status_differences_are_told(self):
-        a = beliefs("a", setup={"sequence": 4}, status={"a": "alive", "c": "alive"})
-        b = beliefs("b", setup={"sequence": 5}, status={"b": "alive", "c": "gone"})
-        self.assertEqual(differences(a, b), {"setup": {"sequence": [4, 5]}, "status": {"c": ["alive", "gone"]}})
+    def test_cluster_and_status_differences_are_told(self):
+        a = beliefs("a", cluster={"sequence": 4}, status={"a": "alive", "c": "alive"})
+        b = beliefs("b", cluster={"sequence": 5}, status={"b": "alive", "c": "gone"})
+        self.assertEqual(differences(a, b), {"cluster": {"sequence": [4, 5]}, "status": {"c": ["alive", "gone"]}})
 
     def test_the_exit_code_and_the_lines_say_where(self):
-        told = {"a": beliefs("a", setup={"sequence": 4}), "b": beliefs("b", setup={"sequence": 5})}
+        told = {"a": beliefs("a", cluster={"sequence": 4}), "b": beliefs("b", cluster={"sequence": 5})}
         out = io.StringIO()
         with mock.patch.object(tools, "_ask", lambda place, *_: (200, told[place])), contextlib.redirect_stdout(out):
             self.assertEqual(tools.compare("a", "b", False), 1)
             self.assertEqual(tools.compare("a", "a", False), 0)
-        self.assertIn("setup sequence: A=4 B=5", out.getvalue())
+        self.assertIn("cluster sequence: A=4 B=5", out.getvalue())
