--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs
-from ..charts import Charted
+from ..state_machines import StateMachineed
 from ..faults import Refused, WireFault
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
@@ -21,10 +21,10 @@
 PAUSE = ms(100)
 
 
-class Cluster(Charted):
+class Cluster(StateMachineed):
     """The cluster state as a node outside the controllers follows it: higher sequences only, and a proof that it is the newest."""
 
-    chart = "currency"
+    state_machine = "currency"
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -36,7 +36,7 @@
         self._followed = False
         self._watchers: list = []
         self._nudged: defer.Deferred | None = None
-        self._open_chart()
+        self._open_state_machine()
 
     def open(self):
         d = self._ctx.desk
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -1,7 +1,7 @@
 from pathlib import Path
 
 from ..timers import ZERO, Repeat, ms
-from ..charts import Charted
+from ..state_machines import StateMachineed
 from ..dialect.control import ControlWords
 from ..disk import Disk
 from ..faults import WireFault
@@ -24,8 +24,8 @@
 ELECTION_INTERVAL = ms(50)
 
 
-class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, Charted):
-    chart = "voter"
+class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, StateMachineed):
+    state_machine = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
@@ -38,7 +38,7 @@
         self._trimming = False
         self.lead_timers: list[Repeat] = []
         self._elections: Repeat | None = None
-        self._open_chart()
+        self._open_state_machine()
 
     def open(self):
         self.archive.recover()
--- a/pipitlink/gateway/asks.py
+++ b/pipitlink/gateway/asks.py
@@ -6,20 +6,20 @@
 from prometheus_client.core import HistogramMetricFamily
 from twisted.internet import defer
 
-from ..charts import Charted, chart_data
+from ..state_machines import StateMachineed, state_machine_data
 from ..context import fresh_id
 from ..faults import BackEndFault, GatewayFault, ReplicatedLogFault
 
 __all__ = ["Ask", "AskTable"]
 
-_OUTCOMES = chart_data("ask")["outcome"]
+_OUTCOMES = state_machine_data("ask")["outcome"]
 
 
 @attrs.define(eq=False, slots=False)
-class Ask(Charted):
+class Ask(StateMachineed):
     """The record of one request in this process."""
 
-    chart = "ask"
+    state_machine = "ask"
 
     model: str
     prompt: str
@@ -51,7 +51,7 @@
     _moved: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
-        self._open_chart()
+        self._open_state_machine()
 
     def give(self):
         """Gives the back end's place back, and the row's, once."""
--- a/pipitlink/membership/entry.py
+++ b/pipitlink/membership/entry.py
@@ -1,19 +1,19 @@
 from datetime import timedelta
 
-from ..charts import Charted
+from ..state_machines import StateMachineed
 from ..wire.membership_pb2 import Member
 
 __all__ = ["Entry"]
 
 
-class Entry(Charted):
-    chart = "status"
+class Entry(StateMachineed):
+    state_machine = "status"
 
     def __init__(self, member: Member, now: timedelta, journal):
         self.member = member
         self.since = self.changed = now
         self._journal = journal
-        self._open_chart()
+        self._open_state_machine()
         if member.status == "suspect":
             self.put("missed")
         elif member.status == "gone":
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from ..charts import Charted, chart_data
+from ..state_machines import StateMachineed, state_machine_data
 from ..faults import GatewayFault
 from ..wire.cluster_pb2 import Route
 
 __all__ = ["Call", "HOP_HEADERS", "prompt_parts"]
 
-_OUTCOMES = chart_data("ask")["outcome"]
+_OUTCOMES = state_machine_data("ask")["outcome"]
 HOP_HEADERS = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
                          b"upgrade", b"content-length", b"expect", b"proxy-authenticate", b"proxy-authorization"))
 
@@ -24,10 +24,10 @@
 
 
 @attrs.define(eq=False, slots=False)
-class Call(Charted):
+class Call(StateMachineed):
     """The record of one request by route on its way to an engine. Head and body are opaque; what is known stands here."""
 
-    chart = "ask"
+    state_machine = "ask"
 
     id: bytes
     method: bytes
@@ -57,7 +57,7 @@
     ended: str = ""
 
     def __attrs_post_init__(self):
-        self._open_chart()
+        self._open_state_machine()
 
     def _unpick(self):
         if self.engine is not None:
--- a/pipitlink/charts/__init__.py
+++ b/pipitlink/state_machines/__init__.py
@@ -6,11 +6,11 @@
 
 from automat import TypeMachineBuilder
 
-__all__ = ["Charted", "chart_data"]
+__all__ = ["StateMachineed", "state_machine_data"]
 
 
 @cache
-def chart_data(name: str) -> dict:
+def state_machine_data(name: str) -> dict:
     return tomllib.loads(resources.files(__name__).joinpath(f"{name}.toml").read_text())
 
 
@@ -39,7 +39,7 @@
 
 @cache
 def _machine(name: str):
-    data = chart_data(name)
+    data = state_machine_data(name)
     names = sorted({m["on"] for m in data["move"]} | {i for v in data.get("ignore", {}).values() for i in v})
     inputs = types.new_class("Inputs", (Protocol,), {}, lambda ns: ns.update({n: _input(n) for n in names}))
     builder = TypeMachineBuilder(inputs, _Core)
@@ -54,13 +54,13 @@
     return data["start"], builder.build()
 
 
-class Charted:
-    """Mixin: a state chart from a data file, with `put` for its inputs and `state` for where it is."""
+class StateMachineed:
+    """Mixin: a state state machine from a data file, with `put` for its inputs and `state` for where it is."""
 
-    chart = ""
+    state_machine = ""
 
-    def _open_chart(self):
-        start, machine = _machine(self.chart)
+    def _open_state_machine(self):
+        start, machine = _machine(self.state_machine)
         self._core = _Core(self, start)
         self._inputs = machine(self._core)
 
--- a/rehearsal/slopes.py
+++ b/rehearsal/slopes.py
@@ -124,7 +124,7 @@
 
 
 def picture(points: list[dict], series: dict, path: Path):
-    """One small chart for each series and figure: points with their spread, and the fit."""
+    """One small state machine for each series and figure: points with their spread, and the fit."""
     try:
         import matplotlib
     except ImportError:
