--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -40,7 +40,7 @@
         return await self._spans.run((path, start, length), read)
 
     def open(self):
-        d = self._ctx.desk
+        d = self._ctx.rpc
         d.answer("cache.put", Chunks, self.chunks.put_all)
         d.answer("cache.get", ChunkKeys, self.chunks.get_all)
         d.answer("cache.lengths_put", LengthsList, self.lengths.put_all)
@@ -63,7 +63,7 @@
         m = self._ctx.membership.find(node)
         if m is None:
             raise WireFault(f"gateway {node} is not on the membership")
-        return await self._ctx.desk.call((m.host, m.port), verb, what, kind, CACHE_LIMIT)
+        return await self._ctx.rpc.call((m.host, m.port), verb, what, kind, CACHE_LIMIT)
 
     async def _each(self, asks: dict[str, object], verb: str, kind, enough) -> dict[str, object]:
         """Asks all at once and goes on as soon as the receipts that are in are enough; the rest may still come."""
--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -39,7 +39,7 @@
         self._open_state_machine()
 
     def open(self):
-        d = self._ctx.desk
+        d = self._ctx.rpc
         d.answer("cluster.pass_on", FollowAsk, self._pass_on)
         d.answer("cluster.witness", Nothing, self._witness)
         d.answer("cluster.cluster_state", Nothing, self._whole)
@@ -134,7 +134,7 @@
         asked = self._ctx.timers.now()
         ask = FollowAsk(node=self._ctx.node, role=self._ctx.role, sequence=self.sequence,
                         at_once=self._leased_at is None)
-        r = await self._ctx.desk.call(place, verb, ask, FollowReceipt, FOLLOW_LIMIT)
+        r = await self._ctx.rpc.call(place, verb, ask, FollowReceipt, FOLLOW_LIMIT)
         if r.controller and verb == "controller.follow":
             self._controller = r.controller
         if not self._absorb(r):
@@ -163,7 +163,7 @@
         m = self._ctx.membership.find(self._controller) if self._controller else None
         if m is None:
             raise WireFault("no controller is heard here either")
-        return await self._ctx.desk.call((m.host, m.port), "controller.follow", ask, FollowReceipt, FOLLOW_LIMIT)
+        return await self._ctx.rpc.call((m.host, m.port), "controller.follow", ask, FollowReceipt, FOLLOW_LIMIT)
 
     async def _witness(self, node, _) -> WitnessReceipt:
         return WitnessReceipt(current=self._followed, sequence=self.sequence)
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -8,7 +8,7 @@
 from .dialect import Dialect
 from .journal import Journal
 from .settings import Settings
-from .wire.desk import Desk
+from .wire.rpc import RpcEndpoint
 
 __all__ = ["Context", "fresh_id"]
 
@@ -27,7 +27,7 @@
     reactor: object
     timers: Timers
     journal: Journal
-    desk: Desk
+    rpc: RpcEndpoint
     chance: Random
     membership: object = None
     cluster: object = None
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -54,8 +54,8 @@
     """Mixin: the operators' interface to the cluster state, the same at every controller."""
 
     def _open_edits(self):
-        self._ctx.desk.answer("controller.edit", EditAsk, self._edit_for)
-        self._ctx.desk.answer("controller.read", ReadTableAsk, self._read_for)
+        self._ctx.rpc.answer("controller.edit", EditAsk, self._edit_for)
+        self._ctx.rpc.answer("controller.read", ReadTableAsk, self._read_for)
 
     async def _edit_for(self, node, ask: EditAsk) -> EditReceipt:
         return EditReceipt(outcome=await self.edit(ask.command))
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -37,7 +37,7 @@
         self.followers: dict[str, _Follower] = {}
         self._news: dict[defer.Deferred, None] = {}
         self._confirmations: dict[defer.Deferred, None] = {}
-        self._ctx.desk.answer("controller.follow", FollowAsk, self._follow)
+        self._ctx.rpc.answer("controller.follow", FollowAsk, self._follow)
 
     def _fresh(self) -> bool:
         return self.state == "leader" and self._ctx.timers.now() - self.heard_majority_at() < FRESH_SPAN
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -26,7 +26,7 @@
         self._proposed: dict[int, tuple[int, defer.Deferred]] = {}
         self._synced = 0
         self._elected_at = timedelta(0)
-        self._ctx.desk.answer("controller.append", AppendAsk, self._append)
+        self._ctx.rpc.answer("controller.append", AppendAsk, self._append)
 
     def _lead(self):
         self.leader = self._ctx.node
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -49,7 +49,7 @@
         self._open_edits()
         self._open_placement()
         self._open_announcing()
-        self._ctx.desk.answer("controller.empty", Nothing, self._empty)
+        self._ctx.rpc.answer("controller.empty", Nothing, self._empty)
         if self.archive.snapshot.cluster_state.voters:
             self.put("founded")
         b, report = self._ctx.timers, self._ctx.report
@@ -80,7 +80,7 @@
         m = self._ctx.membership.find(node)
         if m is None:
             raise WireFault(f"controller {node} is not on the membership")
-        return await self._ctx.desk.call((m.host, m.port), verb, what, kind, limit)
+        return await self._ctx.rpc.call((m.host, m.port), verb, what, kind, limit)
 
     def apply(self):
         while self.cluster_state.sequence < self.commit:
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -19,7 +19,7 @@
 
     def _open_placement(self):
         self._caught_up_placement_groups: set[tuple[int, int, str]] = set()
-        self._ctx.desk.answer("controller.caught_up", CaughtUp, self._told_caught_up)
+        self._ctx.rpc.answer("controller.caught_up", CaughtUp, self._told_caught_up)
 
     async def _told_caught_up(self, node, told: CaughtUp):
         self._caught_up_placement_groups.add((told.placement_group, told.sequence, told.storage_node))
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -27,7 +27,7 @@
         for founder in self._ctx.settings.founders:
             host, _, port = founder.rpartition(":")
             try:
-                got.append(await self._ctx.desk.call((host, int(port)), "controller.empty", Nothing(), FoundReceipt,
+                got.append(await self._ctx.rpc.call((host, int(port)), "controller.empty", Nothing(), FoundReceipt,
                                                      ASK_LIMIT))
             except WireFault:
                 got.append(None)
@@ -36,7 +36,7 @@
                 await self._found(tuple(r.voters))
                 return
         first_host, _, first_port = self._ctx.settings.founders[0].rpartition(":")
-        first = (first_host, int(first_port)) == self._ctx.desk.place
+        first = (first_host, int(first_port)) == self._ctx.rpc.place
         if first and all(r is not None and not r.founded for r in got):
             await self._found(tuple(sorted(r.node for r in got)))
 
@@ -62,7 +62,7 @@
         self._fresh_spent = False
         self._fresh_at: timedelta | None = None
         self._patience = self._new_patience()
-        self._ctx.desk.answer("controller.vote", VoteAsk, self._vote_by_name)
+        self._ctx.rpc.answer("controller.vote", VoteAsk, self._vote_by_name)
 
     def _new_patience(self) -> timedelta:
         return STICKY_SPAN + (LONGEST - STICKY_SPAN) * self._ctx.chance.random()
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -24,7 +24,7 @@
     """Mixin: owns lots by the lease of their result logs and runs their items in the room that is left."""
 
     def _open_dispatch(self):
-        self._ctx.desk.answer("lots.end", EndAsk, self._end_for)
+        self._ctx.rpc.answer("lots.end", EndAsk, self._end_for)
         for span, do, what in ((TAKE_INTERVAL, self._take_lots, "take_lots"), (FEED_INTERVAL, self._feed, "feed")):
             self._lot_timers.append(self._ctx.timers.every(span, do, self._ctx.report(what),
                                                          due=lambda: ZERO if self.open_lots else None))
--- a/pipitlink/gateway/engines.py
+++ b/pipitlink/gateway/engines.py
@@ -60,8 +60,8 @@
         self._carriers.append((fill, take))
 
     def open(self):
-        self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
-        self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
+        self._ctx.rpc.answer("engines.tell", EngineList, self._told_engines)
+        self._ctx.rpc.answer("engines.loads", Loads, self._told_loads)
         self._ctx.membership.carry(self._fill, self._take)
         self._ctx.timers.every(LOADS_INTERVAL, self._tell_loads, self._ctx.report("loads"))
 
@@ -76,7 +76,7 @@
     def _push(self, what: EngineList):
         for m in self._ctx.membership.members("gateway", me=False):
             place = (m.host, m.port)
-            spawn(self._ctx.desk.call(place, "engines.tell", what, Nothing, ms(500))).addErrback(lambda f: None)
+            spawn(self._ctx.rpc.call(place, "engines.tell", what, Nothing, ms(500))).addErrback(lambda f: None)
 
     async def _told_engines(self, node, what: EngineList):
         if not self._just_woke():
@@ -240,7 +240,7 @@
     def _tell(self, what: Loads):
         for m in self._ctx.membership.members("gateway", me=False):
             place = (m.host, m.port)
-            spawn(self._ctx.desk.call(place, "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
+            spawn(self._ctx.rpc.call(place, "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
 
     async def _told_loads(self, node, what: Loads):
         for _, take in self._carriers:
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -43,7 +43,7 @@
     def _open_keyed(self):
         self._shards: dict[str, _Shard] = {}
         self._turns = [defer.DeferredLock() for _ in range(SHARDS)]
-        self._ctx.desk.answer("lots.keyed", KeyedLot, self._keyed_for)
+        self._ctx.rpc.answer("lots.keyed", KeyedLot, self._keyed_for)
 
     async def _keyed_for(self, node, ask: KeyedLot) -> KeyedReceipt:
         return await self._keyed_here(ask.lot)
@@ -56,7 +56,7 @@
         else:
             m = self._ctx.membership.find(owner)
             try:
-                r = await self._ctx.desk.call((m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedReceipt,
+                r = await self._ctx.rpc.call((m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedReceipt,
                                               FORWARD_LIMIT)
             except (WireFault, Refused) as e:
                 unsent = isinstance(e, CutOff) and not e.sent or isinstance(e, Refused) and e.fault == "not_held"
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -92,7 +92,7 @@
         self._held: dict[str, str] = {}
         self._gateways_then: frozenset = frozenset()
         self._moved_at = self._looked_at = self._ctx.timers.now()
-        self._ctx.desk.answer("limits.take", PermitAsk, self._permit_for)
+        self._ctx.rpc.answer("limits.take", PermitAsk, self._permit_for)
         self.engines.carry(self._fill_permits, self._told_permits)
 
     def _row_of(self, ask):
@@ -146,7 +146,7 @@
             return self._permit_here(steward, ask)
         m = self._ctx.membership.find(steward)
         try:
-            return await self._ctx.desk.call((m.host, m.port), "limits.take", ask, PermitReceipt, ASK_LIMIT)
+            return await self._ctx.rpc.call((m.host, m.port), "limits.take", ask, PermitReceipt, ASK_LIMIT)
         except (WireFault, Refused):
             return PermitReceipt(wait_ms=1000)
 
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -163,7 +163,7 @@
         if m is None:
             return "lost"
         try:
-            r = await self._ctx.desk.call((m.host, m.port), "lots.end", EndAsk(lot=lot), EndReceipt, secs(3))
+            r = await self._ctx.rpc.call((m.host, m.port), "lots.end", EndAsk(lot=lot), EndReceipt, secs(3))
             return r.state
         except (WireFault, Refused) as e:
             self._ctx.journal.trace("owner_unheard", lot=lot, text=e)
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -53,7 +53,7 @@
     """Mixin: a run's id names the gateway that holds it, and any gateway passes a resume on to that one."""
 
     def _open_runs(self):
-        self._ctx.desk.answer("runs.read", RunAsk, self._read_run)
+        self._ctx.rpc.answer("runs.read", RunAsk, self._read_run)
 
     def new_run(self) -> str:
         return f"{self._ctx.node}-{fresh_id()}"
@@ -106,4 +106,4 @@
 
     async def _ask_run(self, far: FarRun, place) -> RunReceipt:
         ask = RunAsk(run=far.id, **{"from": len(far.pieces)})
-        return await self._ctx.desk.call(place, "runs.read", ask, RunReceipt, ASK_LIMIT)
+        return await self._ctx.rpc.call(place, "runs.read", ask, RunReceipt, ASK_LIMIT)
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -41,7 +41,7 @@
     def open(self, me: Member):
         self.me = me
         self._change_me(status="alive")
-        d = self._ctx.desk
+        d = self._ctx.rpc
         d.answer("membership.probe", Gossip, self._probed)
         d.answer("membership.probe_for", ProbeFor, self._probe_for)
         d.answer("membership.tell", Gossip, self._told)
@@ -176,7 +176,7 @@
 
     async def _probe(self, place) -> str:
         try:
-            g = await self._ctx.desk.call(place, "membership.probe", self._gossip(), Gossip, PROBE_LIMIT)
+            g = await self._ctx.rpc.call(place, "membership.probe", self._gossip(), Gossip, PROBE_LIMIT)
         except WireFault:
             return ""
         self._absorb(g)
@@ -195,10 +195,10 @@
         await defer.DeferredList(self.tell())
 
     async def _tell_one(self, place, g):
-        await self._ctx.desk.call(place, "membership.tell", g, Nothing, PROBE_LIMIT)
+        await self._ctx.rpc.call(place, "membership.tell", g, Nothing, PROBE_LIMIT)
 
     async def _greet_seeds(self):
-        known = {e.place for e in self._entries.values() if e.state == "alive"} | {self._ctx.desk.place}
+        known = {e.place for e in self._entries.values() if e.state == "alive"} | {self._ctx.rpc.place}
         if len(known) > 3 and self._ctx.chance.random() > 0.1:
             return
         for seed in self._ctx.settings.seeds:
@@ -243,7 +243,7 @@
         helpers = [m for m in self.members(me=False, status=("alive",)) if m.node != e.member.node]
         for m in self._ctx.chance.sample(helpers, min(3, len(helpers))):
             try:
-                r = await self._ctx.desk.call((m.host, m.port), "membership.probe_for", ProbeFor(target=e.member.node),
+                r = await self._ctx.rpc.call((m.host, m.port), "membership.probe_for", ProbeFor(target=e.member.node),
                                               ProbeReceipt, PROBE_LIMIT * 2)
             except WireFault:
                 continue
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -23,7 +23,7 @@
 from .membership import Membership
 from .controller import ControlFace, ControllerNode
 from .cluster import Cluster
-from .wire.desk import Desk
+from .wire.rpc import RpcEndpoint
 from .wire.membership_pb2 import Member
 
 __all__ = ["run"]
@@ -39,11 +39,11 @@
         node = fresh_id() if role == "gateway" else node_id(Path(settings.data), settings.fleet)
         journal = open_journal(settings.log_level, role=role, node=node)
         timers = Timers(reactor)
-        desk = Desk(reactor, timers, journal, settings.fleet, node)
-        self.ctx = Context(role, node, settings, reactor, timers, journal, desk, Random(),
+        rpc = RpcEndpoint(reactor, timers, journal, settings.fleet, node)
+        self.ctx = Context(role, node, settings, reactor, timers, journal, rpc, Random(),
                            dialect=dialect or Dialect())
         if settings.plug:
-            desk.gate = Gate(settings.plug, self.ctx)
+            rpc.gate = Gate(settings.plug, self.ctx)
         self._reread = reread
         self._early = early
         self.exit = 0
@@ -59,8 +59,8 @@
         ctx.cluster = Cluster(ctx)
         ctx.replicated_log = ReplicatedLog(ctx)
         self._open_kept()
-        _, port = await ctx.desk.listen(p.bind, p.port)
-        ctx.desk.place = (p.host, port)
+        _, port = await ctx.rpc.listen(p.bind, p.port)
+        ctx.rpc.place = (p.host, port)
         me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port,
                     name=p.name)
         if ctx.role == "gateway":
@@ -98,7 +98,7 @@
         ctx, kinds = self.ctx, {"storage": StorageNode, "controller": ControllerNode}
         if ctx.role not in kinds:
             return
-        disk = ctx.desk.gate.disk() if ctx.desk.gate is not None else None
+        disk = ctx.rpc.gate.disk() if ctx.rpc.gate is not None else None
         self.node = kinds[ctx.role](ctx, disk)
         try:
             self.node.open()
@@ -106,8 +106,8 @@
             ctx.journal.fault("set_aside", e)
             folder = Path(ctx.settings.data)
             set_aside(folder)
-            ctx.node = ctx.desk.node = node_id(folder, ctx.settings.fleet)
-            ctx.journal = ctx.desk.journal = ctx.journal.bind(node=ctx.node)
+            ctx.node = ctx.rpc.node = node_id(folder, ctx.settings.fleet)
+            ctx.journal = ctx.rpc.journal = ctx.journal.bind(node=ctx.node)
             self.node = kinds[ctx.role](ctx, disk)
             self.node.open()
 
@@ -129,7 +129,7 @@
         if self._control is not None:
             await self._control.end()
         self.ctx.timers.end()
-        await self.ctx.desk.end()
+        await self.ctx.rpc.end()
 
     def reread(self):
         """Takes new seeds from the settings, where they moved; all else is as it was at the start."""
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -62,7 +62,7 @@
 
     def _open_batch_reads(self):
         self._batch_readers: dict[str, _Reader] = {}
-        self._ctx.desk.answer("batches.end", EndAsk, self._end_batch_for)
+        self._ctx.rpc.answer("batches.end", EndAsk, self._end_batch_for)
         self._ctx.timers.every(secs(5), self._drop_batch_readers, self._ctx.report("batch_readers"))
 
     def _drop_batch_readers(self):
@@ -259,7 +259,7 @@
         if m is None:
             return "unsure"
         try:
-            r = await self._ctx.desk.call((m.host, m.port), "batches.end", EndAsk(lot=batch_id), EndReceipt, ASK_LIMIT)
+            r = await self._ctx.rpc.call((m.host, m.port), "batches.end", EndAsk(lot=batch_id), EndReceipt, ASK_LIMIT)
             return r.state
         except (WireFault, Refused) as e:
             self._ctx.journal.trace("owner_unheard", batch=batch_id, text=e)
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -101,8 +101,8 @@
         self._emptied: frozenset = frozenset()
 
     def open(self):
-        self._ctx.desk.answer("engines.tell", EngineList, self._told_engines)
-        self._ctx.desk.answer("engines.loads", Loads, self._told_loads)
+        self._ctx.rpc.answer("engines.tell", EngineList, self._told_engines)
+        self._ctx.rpc.answer("engines.loads", Loads, self._told_loads)
         self._ctx.cluster.watch(self._zones_moved)
         self._ctx.timers.every(LOADS_INTERVAL, self._tell_loads, self._ctx.report("loads"))
 
@@ -286,7 +286,7 @@
             return
         self._told, self._told_at = mine, now
         for m in self._ctx.membership.members("gateway", me=False):
-            spawn(self._ctx.desk.call((m.host, m.port), "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
+            spawn(self._ctx.rpc.call((m.host, m.port), "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
 
     async def _told_loads(self, node, what: Loads):
         for _, take in self._carriers:
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -56,7 +56,7 @@
         self._quota_moved_at = self._quota_looked_at = self._ctx.timers.now()
         self._lots_listed_at: timedelta | None = None
         self._listing_lots = Joined()
-        self._ctx.desk.answer("quota.take", QuotaAsk, self._quota_for)
+        self._ctx.rpc.answer("quota.take", QuotaAsk, self._quota_for)
         self.engines.carry(self._fill_lots, self._take_lots_told)
 
     def _quota_own(self) -> list[WaitingLot]:
@@ -189,7 +189,7 @@
             return self._quota_here(ask)
         m = self._ctx.membership.find(steward)
         try:
-            return await self._ctx.desk.call((m.host, m.port), "quota.take", ask, QuotaReceipt, ASK_LIMIT)
+            return await self._ctx.rpc.call((m.host, m.port), "quota.take", ask, QuotaReceipt, ASK_LIMIT)
         except (WireFault, Refused):
             return QuotaReceipt(unsure=True)
 
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -24,7 +24,7 @@
     def _open_grants(self):
         self._grants: dict[str, _Grant] = {}
         self._quiet_until = self._ctx.timers.now() + LEASE_SPAN
-        d = self._ctx.desk
+        d = self._ctx.rpc
         d.answer("replicated_log.lease", LeaseAsk, self._lease)
         d.answer("replicated_log.renew", RenewAsk, self._renew)
 
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -48,7 +48,7 @@
         self._open_grants()
         self._open_copying()
         self._open_keeping()
-        d = self._ctx.desk
+        d = self._ctx.rpc
         d.answer("replicated_log.write", WriteAsk, self._write)
         d.answer("replicated_log.mark", MarkAsk, self._mark)
         d.answer("replicated_log.read", ReadAsk, self._read)
--- a/pipitlink/wire/stream.py
+++ b/pipitlink/wire/connection.py
@@ -5,7 +5,7 @@
 from ..faults import CutOff, WireFault
 from .frame_pb2 import Frame, Hello
 
-__all__ = ["Stream", "StreamFactory", "MAX_FRAME", "WIRE"]
+__all__ = ["RpcConnection", "RpcConnectionFactory", "MAX_FRAME", "WIRE"]
 
 MAX_FRAME = 96 * 1024 * 1024
 MAX_INBOX = 512
@@ -13,13 +13,13 @@
 WIRE = 1
 
 
-class Stream(Int32StringReceiver):
+class RpcConnection(Int32StringReceiver):
     """A connection to one peer, with one task that reads it from hello to end."""
 
     MAX_LENGTH = MAX_FRAME
 
-    def __init__(self, desk):
-        self._desk = desk
+    def __init__(self, rpc):
+        self._rpc = rpc
         self._inbox: list[bytes] = []
         self._waiter: defer.Deferred | None = None
         self._calls: dict[int, defer.Deferred] = {}
@@ -32,7 +32,7 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
-        self.sendString(self._desk.hello().SerializeToString())
+        self.sendString(self._rpc.hello().SerializeToString())
         self._task = spawn(self._serve())
 
     def stringReceived(self, data):
@@ -43,7 +43,7 @@
         self._wake()
 
     def lengthLimitExceeded(self, length):
-        self._desk.journal.warn("frame_too_long", length=length, peer=self.peer.node)
+        self._rpc.journal.warn("frame_too_long", length=length, peer=self.peer.node)
         self.transport.abortConnection()
 
     def connectionLost(self, reason=protocol.connectionDone):
@@ -55,7 +55,7 @@
                 d.errback(CutOff("the stream ended before the receipt"))
         if not self.ready.called:
             self.ready.errback(CutOff("the stream ended before the hello", sent=False))
-        self._desk.gone(self)
+        self._rpc.gone(self)
 
     def _wake(self):
         if self._waiter is not None:
@@ -80,7 +80,7 @@
             if first is None:
                 return
             self.peer.ParseFromString(first)
-            self._desk.check(self.peer)
+            self._rpc.check(self.peer)
             self.ready.callback(self)
             while (data := await self._take()) is not None:
                 f = Frame.FromString(data)
@@ -91,7 +91,7 @@
                 else:
                     spawn(self._attend(f))
         except Exception as e:
-            self._desk.journal.fault("stream_refused", e, peer=self.peer.node)
+            self._rpc.journal.fault("stream_refused", e, peer=self.peer.node)
             if not self.ready.called:
                 self.ready.errback(WireFault(str(e)))
             self.transport.abortConnection()
@@ -100,12 +100,12 @@
         self._attended += 1
         out = Frame(call=f.call, receipt=True)
         try:
-            out.body = (await self._desk.attend(self.peer, f.verb, f.body)).SerializeToString()
+            out.body = (await self._rpc.attend(self.peer, f.verb, f.body)).SerializeToString()
         except Exception as e:
             out.fault = getattr(e, "code", "fault")
             out.note = str(e)
             if out.fault == "fault":
-                self._desk.journal.fault("call_failed", e, verb=f.verb)
+                self._rpc.journal.fault("call_failed", e, verb=f.verb)
         finally:
             self._attended -= 1
         self._send(out)
@@ -130,14 +130,14 @@
         return d
 
 
-class StreamFactory(protocol.Factory):
+class RpcConnectionFactory(protocol.Factory):
     noisy = False
 
-    def __init__(self, desk):
-        self._desk = desk
+    def __init__(self, rpc):
+        self._rpc = rpc
 
     def buildProtocol(self, addr):
-        s = Stream(self._desk)
+        s = RpcConnection(self._rpc)
         s.ready.addErrback(lambda f: None)
-        self._desk.met(s)
+        self._rpc.met(s)
         return s
--- a/pipitlink/wire/desk.py
+++ b/pipitlink/wire/rpc.py
@@ -7,15 +7,15 @@
 from ..timers import Timers, Joined, ms
 from ..faults import CutOff, Overdue, PipitFault, Refused, Unmet, WireFault
 from .frame_pb2 import Hello, Nothing
-from .stream import WIRE, Stream, StreamFactory
+from .connection import WIRE, RpcConnection, RpcConnectionFactory
 
-__all__ = ["Desk", "Place"]
+__all__ = ["RpcEndpoint", "Place"]
 
 Place = tuple[str, int]
 _CONNECT = ms(600)
 
 
-class Desk:
+class RpcEndpoint:
     """Where calls from peers are answered and calls to them are made."""
 
     def __init__(self, reactor, timers: Timers, journal, fleet: str, node: str):
@@ -26,9 +26,9 @@
         self.node = node
         self.incarnation = 1
         self._verbs: dict = {}
-        self._streams: dict[Place, Stream] = {}
+        self._streams: dict[Place, RpcConnection] = {}
         self._opening = Joined()
-        self._met: set[Stream] = set()
+        self._met: set[RpcConnection] = set()
         self._port = None
         self.gate = None
         self.place: Place = ("", 0)
@@ -56,17 +56,17 @@
         r = await do(peer.node, ask)
         return Nothing() if r is None else r
 
-    def met(self, s: Stream):
+    def met(self, s: RpcConnection):
         self._met.add(s)
 
-    def gone(self, s: Stream):
+    def gone(self, s: RpcConnection):
         self._met.discard(s)
         for place, held in list(self._streams.items()):
             if held is s:
                 del self._streams[place]
 
     async def listen(self, host: str, port: int) -> Place:
-        self._port = await TCP4ServerEndpoint(self._reactor, port, interface=host).listen(StreamFactory(self))
+        self._port = await TCP4ServerEndpoint(self._reactor, port, interface=host).listen(RpcConnectionFactory(self))
         return host, self._port.getHost().port
 
     async def end(self):
@@ -75,8 +75,8 @@
         for s in [*self._met, *self._streams.values()]:
             s.transport.loseConnection()
 
-    async def _open(self, place: Place) -> Stream:
-        s = Stream(self)
+    async def _open(self, place: Place) -> RpcConnection:
+        s = RpcConnection(self)
         try:
             kind = TCP6ClientEndpoint if ":" in place[0] else TCP4ClientEndpoint
             point = kind(self._reactor, place[0], place[1], _CONNECT.total_seconds())
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -21,12 +21,12 @@
 from pipitlink.settings import Settings
 from pipitlink.membership import Membership
 from pipitlink.cluster import Cluster
-from pipitlink.wire.desk import Desk
+from pipitlink.wire.rpc import RpcEndpoint
 from pipitlink.wire.membership_pb2 import Gossip, Member
 
 from .hollow_work import Work
 
-__all__ = ["HollowGateway", "CountedDesk", "open_parts", "run_host"]
+__all__ = ["HollowGateway", "CountedRpcEndpoint", "open_parts", "run_host"]
 
 TOLD_AT_ONCE = 100
 TICK = 0.1
@@ -47,7 +47,7 @@
         pass
 
 
-class CountedDesk(Desk):
+class CountedRpcEndpoint(RpcEndpoint):
     """Counts calls and receipts by verb, with the bytes of their frames."""
 
     def __init__(self, *words):
@@ -145,20 +145,20 @@
         journal = Journal(host.sink, node=node)
         slowed = _Slowed(host)
         timers = Timers(slowed, seconds=host.now)
-        self.desk = CountedDesk(slowed, timers, journal, settings.fleet, node)
-        self.ctx = Context(role, node, settings, slowed, timers, journal, self.desk, Random())
+        self.rpc = CountedRpcEndpoint(slowed, timers, journal, settings.fleet, node)
+        self.ctx = Context(role, node, settings, slowed, timers, journal, self.rpc, Random())
         self._port = spec["ports"][n] if spec["ports"] else 0
         self.part = None
 
     async def listen(self) -> Member:
         ctx = self.ctx
-        ctx.desk.place = await self.desk.listen("127.0.0.1", self._port)
+        ctx.rpc.place = await self.rpc.listen("127.0.0.1", self._port)
         self.me = Member(node=ctx.node, incarnation=1, role=self.role, zone=ctx.settings.zone, host="127.0.0.1",
-                         port=ctx.desk.place[1], http_port=1, operator_port=1, status="alive")
+                         port=ctx.rpc.place[1], http_port=1, operator_port=1, status="alive")
         return self.me
 
     def open(self):
-        self.part = open_parts(self.ctx, self.kind, self.me, _CountedDisk(self.desk.counts))
+        self.part = open_parts(self.ctx, self.kind, self.me, _CountedDisk(self.rpc.counts))
 
     def follow(self):
         if self.role != "controller":
@@ -174,10 +174,10 @@
     def __init__(self, host, role: str, n: int, spec: dict):
         self.role = role
         settings = Settings(zone=f"zone-{n % spec['zones']}", seeds=spec["seeds"])
-        with mock.patch("pipitlink.process.Desk", CountedDesk), \
+        with mock.patch("pipitlink.process.RpcEndpoint", CountedRpcEndpoint), \
                 mock.patch("pipitlink.process.open_journal", lambda level, **always: Journal(host.sink, **always)):
             self._process = Process(role, settings)
-        self.ctx, self.desk = self._process.ctx, self._process.ctx.desk
+        self.ctx, self.rpc = self._process.ctx, self._process.ctx.rpc
 
     async def listen(self) -> Member:
         await self._process.open()
@@ -250,7 +250,7 @@
         for n in self.nodes:
             for at in range(0, len(everyone), TOLD_AT_ONCE):
                 told = Gossip(sender=everyone[0].node, members=everyone[at:at + TOLD_AT_ONCE])
-                await n.desk.attend(n.desk.hello(), "membership.tell", told.SerializeToString())
+                await n.rpc.attend(n.rpc.hello(), "membership.tell", told.SerializeToString())
 
     async def do_look(self):
         return {"ready": all(n.ready() for n in self.nodes),
@@ -258,7 +258,7 @@
                 "known": min(len(n.ctx.membership.members()) for n in self.nodes)}
 
     async def do_count(self):
-        counts = sum((n.desk.counts for n in self.nodes), Counter())
+        counts = sum((n.rpc.counts for n in self.nodes), Counter())
         leads = any(n.role == "controller" and n.part is not None and n.part.state == "leader" for n in self.nodes)
         return {"at": self.now(), "counts": counts, "warned": self.sink.counts, "leads": leads,
                 "ticks": self._ticks * TICK,
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -11,7 +11,7 @@
 from pipitlink.journal import Journal
 from pipitlink.settings import Settings
 from pipitlink.cluster import ClusterState
-from pipitlink.wire.desk import Desk
+from pipitlink.wire.rpc import RpcEndpoint
 from pipitlink.wire.membership_pb2 import EngineNews, Gossip, Member
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 
@@ -36,16 +36,16 @@
     """A hollow gateway that knows so many peers and their engines, on a clock that stands still."""
     clock = Clock()
     timers = Timers(clock, seconds=clock.seconds)
-    desk = Desk(None, timers, Journal(_Quiet()), "pipit", "g0")
-    ctx = Context("gateway", "g0", Settings(), clock, timers, Journal(_Quiet()), desk, Random(1))
+    rpc = RpcEndpoint(None, timers, Journal(_Quiet()), "pipit", "g0")
+    ctx = Context("gateway", "g0", Settings(), clock, timers, Journal(_Quiet()), rpc, Random(1))
     everyone = [Member(node=f"g{i}", incarnation=1, role="gateway", zone=f"zone-{i % 25}", host="127.0.0.1", port=1000 + i,
                        status="alive")
                 for i in range(gateways)]
-    desk.call = _unheard
+    rpc.call = _unheard
     part = open_parts(ctx, "hollow", everyone[0], LosingDisk(Random(1)))
     for at in range(0, gateways, TOLD_AT_ONCE):
         told = Gossip(sender="g1", members=everyone[at:at + TOLD_AT_ONCE])
-        spawn(desk.attend(desk.hello(), "membership.tell", told.SerializeToString()))
+        spawn(rpc.attend(rpc.hello(), "membership.tell", told.SerializeToString()))
     for i in range(int(gateways * ENGINES_A_GATEWAY)):
         part.engines._merge(EngineNews(engine=f"engine{i}", incarnation=1, address="127.0.0.1:1", pool="models",
                                        models=["m"], capacity=8, zone=f"zone-{i % 25}", state="ready"))
--- a/rehearsal/plug.py
+++ b/rehearsal/plug.py
@@ -34,7 +34,7 @@
         return self._told
 
     def _mine(self) -> str:
-        return "{}:{}".format(*self._ctx.desk.place)
+        return "{}:{}".format(*self._ctx.rpc.place)
 
     def is_full(self) -> bool:
         return self._mine() in self._now().get("full", ())
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -36,8 +36,8 @@
         self.lines.append(f"{level} {line}")
 
 
-class _Desk:
-    """The staged side of `Desk`: the same calls, carried by the stage."""
+class _Rpc:
+    """The staged side of `RPC endpoint`: the same calls, carried by the stage."""
 
     def __init__(self, stage, actor):
         self._stage = stage
@@ -96,7 +96,7 @@
         self.ctx = Context(self.role, self.node, settings, self.clock, timers, Journal(stage.sink, node=self.node), None,
                            Random(stage.chance.random()))
         ctx = self.ctx
-        ctx.desk = _Desk(stage, self)
+        ctx.rpc = _Rpc(stage, self)
         ctx.on_thread = self._on_thread
         ctx.membership = Membership(ctx)
         if self.role != "gateway":
@@ -319,7 +319,7 @@
                 e = f.value
                 back(Refused(e.code, str(e)) if isinstance(e, PipitFault) else Refused("fault", repr(e)))
 
-            spawn(goal.ctx.desk.attend(sender.node, verb, body)).addCallbacks(back, turned)
+            spawn(goal.ctx.rpc.attend(sender.node, verb, body)).addCallbacks(back, turned)
 
         if goal is None:
             self.clock.callLater(self._delay(), settle, CutOff("nobody is there", sent=False))
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -17,7 +17,7 @@
 __all__ = ["Gateway"]
 
 
-class _Desk:
+class _Rpc:
     """Calls between gateways of one test, carried at once."""
 
     def __init__(self, node, bus):
@@ -72,11 +72,11 @@
         self.timers.wall = lambda: datetime.fromtimestamp(self.clock.seconds(), timezone.utc)
         self.journal = Journal(self)
         self.node, self.chance = f"g{n}", Random(1)
-        self.desk = _Desk(self.node, {} if bus is None else bus)
+        self.rpc = _Rpc(self.node, {} if bus is None else bus)
         self.membership, self.cluster = _Membership(self.node, gateways), _Cluster()
         self.settings = type("Settings", (), {"lot_reserve": 0.25})
         self.engines = Engines(self)
-        self.desk.answer("engines.loads", Loads, self.engines._told_loads)
+        self.rpc.answer("engines.loads", Loads, self.engines._told_loads)
         self._retry_budget = RetryBudget()
         self.come_back = ComeBack(self.timers)
         self.asks = {}
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -109,9 +109,9 @@
         self.cluster = SimpleNamespace(cluster_state=self.cluster_state, watch=lambda do: None, usable=lambda: True)
         membership = SimpleNamespace(members=lambda role=None, status=(), me=True: [
             Member(node=f"g{i}") for i in range(gateways) if i or me])
-        desk = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
+        rpc = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
-            node="g0", timers=timers, cluster=self.cluster, membership=membership, desk=desk, dialect=Dialect(), chance=Random(seed),
+            node="g0", timers=timers, cluster=self.cluster, membership=membership, rpc=rpc, dialect=Dialect(), chance=Random(seed),
             reactor=self.clock, settings=Settings(zone="zone-a"), journal=Journal(SimpleNamespace(
                 log=lambda level, shape, line: self.lines.append(line))),
             report=lambda what: lambda e: self.lines.append(f"{what} {e!r}"), engines=None)
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -58,7 +58,7 @@
     def count(self, gateway):
         """Bytes of chunks and of spans that this gateway is given from now on."""
         got = []
-        call = gateway.ctx.desk.call
+        call = gateway.ctx.rpc.call
 
         async def counted(place, verb, ask, kind, limit):
             r = await call(place, verb, ask, kind, limit)
@@ -66,7 +66,7 @@
                 got.append(len(r.SerializeToString()))
             return r
 
-        gateway.ctx.desk.call = counted
+        gateway.ctx.rpc.call = counted
         return got
 
     def owner(self, stage, name):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,15 +8,15 @@
 from pipitlink.disk import Disk
 from pipitlink.journal import Journal
 from pipitlink.settings import Settings
-from pipitlink.wire.desk import Desk
+from pipitlink.wire.rpc import RpcEndpoint
 from pipitlink.wire.frame_pb2 import Hello, Nothing
 from pipitlink.wire.membership_pb2 import Gossip, Member
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 from rehearsal.capacity import SERIES
-from rehearsal.hollow import CountedDesk, open_parts
+from rehearsal.hollow import CountedRpcEndpoint, open_parts
 from rehearsal.hollow_work import Work
 from rehearsal.slopes import fit
-from rehearsal.stage import Actor, Stage, _Desk, _Watch
+from rehearsal.stage import Actor, Stage, _Rpc, _Watch
 from rehearsal.staged import StagedEngine, StagedGateway
 
 SPAN = 12
@@ -32,7 +32,7 @@
         self.ctx = ctx = Context("gateway", self.node, Settings(zone=self.zone, seeds=stage.seeds, placement_groups=stage.placement_groups),
                                  self.clock, stage.timers(self.clock), Journal(stage.sink, node=self.node), None,
                                  Random(stage.chance.random()))
-        ctx.desk = _Desk(stage, self)
+        ctx.rpc = _Rpc(stage, self)
         self.part = open_parts(ctx, "hollow", Member(node=self.node, incarnation=1, role="gateway", zone=self.zone,
                                                      host=self.place[0], port=self.place[1]), Disk())
         ctx.cluster.open()
@@ -146,18 +146,18 @@
 
 class Counting(unittest.TestCase):
     def test_calls_from_elsewhere_count_with_their_bytes_and_own_calls_do_not(self):
-        desk = CountedDesk(None, None, None, "pipit", "me")
+        rpc = CountedRpcEndpoint(None, None, None, "pipit", "me")
 
         async def told(node, g):
             return Nothing()
 
-        desk.answer("membership.tell", Gossip, told)
+        rpc.answer("membership.tell", Gossip, told)
         body = Gossip(sender="other").SerializeToString()
         for node in ("other", "me"):
-            spawn(desk.attend(Hello(node=node), "membership.tell", body))
-        self.assertEqual((desk.counts["in membership.tell"], desk.counts["out membership.tell:receipt"]), (1, 1))
-        self.assertGreater(desk.counts["in_bytes membership.tell"], len(body))
-        self.assertIsInstance(desk, Desk)
+            spawn(rpc.attend(Hello(node=node), "membership.tell", body))
+        self.assertEqual((rpc.counts["in membership.tell"], rpc.counts["out membership.tell:receipt"]), (1, 1))
+        self.assertGreater(rpc.counts["in_bytes membership.tell"], len(body))
+        self.assertIsInstance(rpc, RpcEndpoint)
 
 
 class Fits(unittest.TestCase):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -149,10 +149,10 @@
             each()
 
     def up(self):
-        return [g for g in self.gateways if g.desk.place in self.bus]
+        return [g for g in self.gateways if g.rpc.place in self.bus]
 
     def lose(self, g):
-        del self.bus[g.desk.place]
+        del self.bus[g.rpc.place]
         for o in self.gateways:
             o.membership.away = (*o.membership.away, g.node)
 
