--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -66,7 +66,7 @@
         return await self._ctx.rpc.call((m.host, m.port), verb, what, kind, CACHE_LIMIT)
 
     async def _each(self, asks: dict[str, object], verb: str, kind, enough) -> dict[str, object]:
-        """Asks all at once and goes on as soon as the receipts that are in are enough; the rest may still come."""
+        """Asks all at once and goes on as soon as the responses that are in are enough; the rest may still come."""
         got: dict[str, object] = {}
         done = defer.Deferred()
         left = len(asks)
--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -3,11 +3,11 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs
-from ..state_machines import StateMachineed
+from ..state_machines import HasStateMachine
 from ..faults import Refused, WireFault
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
-from ..wire.cluster_pb2 import FollowAsk, FollowReceipt, WitnessReceipt
+from ..wire.cluster_pb2 import FollowRequest, FollowResponse, WitnessResponse
 from .cluster_state import ClusterState
 
 __all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
@@ -21,7 +21,7 @@
 PAUSE = ms(100)
 
 
-class Cluster(StateMachineed):
+class Cluster(HasStateMachine):
     """The cluster state as a node outside the controllers follows it: higher sequences only, and a proof that it is the newest."""
 
     state_machine = "currency"
@@ -40,7 +40,7 @@
 
     def open(self):
         d = self._ctx.rpc
-        d.answer("cluster.pass_on", FollowAsk, self._pass_on)
+        d.answer("cluster.pass_on", FollowRequest, self._pass_on)
         d.answer("cluster.witness", Nothing, self._witness)
         d.answer("cluster.cluster_state", Nothing, self._whole)
         self._ctx.membership.carry(self._fill, self._take)
@@ -98,7 +98,7 @@
             d, self._nudged = self._nudged, None
             d.callback(None)
 
-    def _absorb(self, r: FollowReceipt) -> bool:
+    def _absorb(self, r: FollowResponse) -> bool:
         before = self.sequence
         if r.HasField("cluster_state") and r.cluster_state.sequence > self.sequence:
             self.cluster_state = ClusterState(r.cluster_state)
@@ -132,9 +132,9 @@
     async def _follow_once(self, failures: int):
         place, verb = self._whom(failures)
         asked = self._ctx.timers.now()
-        ask = FollowAsk(node=self._ctx.node, role=self._ctx.role, sequence=self.sequence,
+        ask = FollowRequest(node=self._ctx.node, role=self._ctx.role, sequence=self.sequence,
                         at_once=self._leased_at is None)
-        r = await self._ctx.rpc.call(place, verb, ask, FollowReceipt, FOLLOW_LIMIT)
+        r = await self._ctx.rpc.call(place, verb, ask, FollowResponse, FOLLOW_LIMIT)
         if r.controller and verb == "controller.follow":
             self._controller = r.controller
         if not self._absorb(r):
@@ -158,18 +158,18 @@
         m = self._ctx.chance.choice(peers)
         return (m.host, m.port), "cluster.pass_on"
 
-    async def _pass_on(self, node, ask: FollowAsk) -> FollowReceipt:
+    async def _pass_on(self, node, ask: FollowRequest) -> FollowResponse:
         """A peer that hears no controller follows through this node."""
         m = self._ctx.membership.find(self._controller) if self._controller else None
         if m is None:
             raise WireFault("no controller is heard here either")
-        return await self._ctx.rpc.call((m.host, m.port), "controller.follow", ask, FollowReceipt, FOLLOW_LIMIT)
+        return await self._ctx.rpc.call((m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT)
 
-    async def _witness(self, node, _) -> WitnessReceipt:
-        return WitnessReceipt(current=self._followed, sequence=self.sequence)
+    async def _witness(self, node, _) -> WitnessResponse:
+        return WitnessResponse(current=self._followed, sequence=self.sequence)
 
-    async def _whole(self, node, _) -> FollowReceipt:
-        return FollowReceipt(sequence=self.sequence, cluster_state=self.cluster_state.data())
+    async def _whole(self, node, _) -> FollowResponse:
+        return FollowResponse(sequence=self.sequence, cluster_state=self.cluster_state.data())
 
     async def _ask_witnesses(self):
         """Proof without a controller: an edit is only acknowledged when a majority of the storage nodes has it."""
@@ -178,11 +178,11 @@
         now = self._ctx.timers.now()
         if not witnesses or (self._leased_at is not None and now - self._leased_at < OWN_SPAN / 2):
             return
-        got = await self._ctx.replicated_log.ask_each(witnesses, "cluster.witness", Nothing(), WitnessReceipt, ms(500))
+        got = await self._ctx.replicated_log.ask_each(witnesses, "cluster.witness", Nothing(), WitnessResponse, ms(500))
         sure = {n: r.sequence for n, r in got.items() if r.current}
         newest = max(sure, key=sure.get, default="")
         if newest and sure[newest] > self.sequence:
-            self._absorb(await self._ctx.replicated_log.ask(newest, "cluster.cluster_state", Nothing(), FollowReceipt))
+            self._absorb(await self._ctx.replicated_log.ask(newest, "cluster.cluster_state", Nothing(), FollowResponse))
         if 2 * len(sure) > len(witnesses) and self.sequence >= max(sure.values()) \
                 and witnesses == self.cluster_state.witnesses():
             self._proved_at = now
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -2,7 +2,7 @@
 
 from klein import Klein
 
-from ..faults import BadAsk, GatewayFault, NotFound
+from ..faults import BadRequest, GatewayFault, NotFound
 from ..cluster.routes import RouteTable
 from ..web import Site, answered, listen, send_fault, send_json
 from ..wire.membership_pb2 import EngineNews
@@ -59,14 +59,14 @@
         if whole:
             faults = RouteTable().edited(edit).faults()
             if faults:
-                raise BadAsk("; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid")
+                raise BadRequest("; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid")
         c = Command(edit=edit_id(request, _digest(request, base, body)), config=edit)
         out = await self._controller.decide(c)
         if out.code == "wrong_base":
             raise GatewayFault(f"the configuration is at version {out.sequence}", code=out.code, status=412,
                              outcome="not_run")
         if out.code != "done":
-            raise BadAsk(f"the edit was refused: {out.code}", code=out.code)
+            raise BadRequest(f"the edit was refused: {out.code}", code=out.code)
         return send_json(request, {"version": out.sequence, "edit": c.edit}, 200, {"ETag": f'"{out.sequence}"'})
 
     @answered
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -4,11 +4,11 @@
 
 from ..timers import ms, secs, spawn
 from ..context import fresh_id
-from ..faults import (BadAsk, CutOff, GatewayFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
+from ..faults import (BadRequest, CutOff, GatewayFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
                       WrongBase)
 from ..cluster import ClusterState
 from ..web import answered, send_json
-from ..wire.controller_pb2 import EditAsk, EditReceipt, ReadTableAsk
+from ..wire.controller_pb2 import EditRequest, EditResponse, ReadTableRequest
 from ..wire.cluster_pb2 import Command, Outcome, ClusterStateData, TableEdit, ZoneEdit
 from .rows import row_dict, row_from, rows_from
 
@@ -22,21 +22,21 @@
 def edit_base(request) -> int:
     raw = request.getHeader("If-Match")
     if raw is None:
-        raise BadAsk("an edit states the sequence it builds on, in If-Match", code="no_base", field="If-Match",
+        raise BadRequest("an edit states the sequence it builds on, in If-Match", code="no_base", field="If-Match",
                      status=428)
     try:
         base = int(raw.strip().strip('"'))
     except ValueError:
         base = -1
     if not 0 <= base < 2 ** 63:
-        raise BadAsk("If-Match must be the sequence it builds on", code="bad_field", field="If-Match")
+        raise BadRequest("If-Match must be the sequence it builds on", code="bad_field", field="If-Match")
     return base
 
 
 def edit_id(request, otherwise: str = "") -> str:
     edit = request.getHeader("Edit-Id") or otherwise or fresh_id()
     if not 1 <= len(edit) <= 100:
-        raise BadAsk("Edit-Id must have 1 to 100 characters", code="bad_field", field="Edit-Id")
+        raise BadRequest("Edit-Id must have 1 to 100 characters", code="bad_field", field="Edit-Id")
     return edit
 
 
@@ -44,9 +44,9 @@
     try:
         raw = json.loads(request.content.read())
     except (ValueError, RecursionError) as e:
-        raise BadAsk(f"the body is not JSON: {e}", code="bad_json") from e
+        raise BadRequest(f"the body is not JSON: {e}", code="bad_json") from e
     if not isinstance(raw, dict):
-        raise BadAsk("the body must be a JSON object", code="bad_body")
+        raise BadRequest("the body must be a JSON object", code="bad_body")
     return raw
 
 
@@ -54,11 +54,11 @@
     """Mixin: the operators' interface to the cluster state, the same at every controller."""
 
     def _open_edits(self):
-        self._ctx.rpc.answer("controller.edit", EditAsk, self._edit_for)
-        self._ctx.rpc.answer("controller.read", ReadTableAsk, self._read_for)
+        self._ctx.rpc.answer("controller.edit", EditRequest, self._edit_for)
+        self._ctx.rpc.answer("controller.read", ReadTableRequest, self._read_for)
 
-    async def _edit_for(self, node, ask: EditAsk) -> EditReceipt:
-        return EditReceipt(outcome=await self.edit(ask.command))
+    async def _edit_for(self, node, ask: EditRequest) -> EditResponse:
+        return EditResponse(outcome=await self.edit(ask.command))
 
     async def _read_for(self, node, _) -> ClusterStateData:
         await self.sure_leader()
@@ -70,7 +70,7 @@
             await self.sure_leader()
             return self.cluster_state
         try:
-            return ClusterState(await self._ask_leader("controller.read", ReadTableAsk(), ClusterStateData))
+            return ClusterState(await self._ask_leader("controller.read", ReadTableRequest(), ClusterStateData))
         except (WireFault, NotLeading, Unproven) as e:
             raise GatewayFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
                              outcome="failed", retry_after=1) from e
@@ -102,7 +102,7 @@
         try:
             if self.state == "leader":
                 return await self.edit(c)
-            return (await self._ask_leader("controller.edit", EditAsk(command=c), EditReceipt)).outcome
+            return (await self._ask_leader("controller.edit", EditRequest(command=c), EditResponse)).outcome
         except (Overdue, Unproven, CutOff, Refused, NotLeading) as e:
             sent = not (isinstance(e, NotLeading) or isinstance(e, CutOff) and not e.sent
                         or isinstance(e, Refused) and e.fault in ("not_leading", "no_room"))
@@ -132,7 +132,7 @@
     async def put_table(self, request):
         raw = _body(request)
         if set(raw) - {"rows", "sequence"} or not isinstance(raw.get("rows"), dict):
-            raise BadAsk("the body must be {\"rows\": {name: row}}", code="bad_field", field="rows")
+            raise BadRequest("the body must be {\"rows\": {name: row}}", code="bad_field", field="rows")
         edit = TableEdit(base=edit_base(request), whole=True, puts=rows_from(raw["rows"]))
         return await self._do_edit(request, Command(edit=edit_id(request), table=edit))
 
@@ -157,7 +157,7 @@
     async def put_zone(self, request, zone: str):
         empty = _body(request).get("empty")
         if not isinstance(empty, bool):
-            raise BadAsk("empty must be true or false", code="bad_field", field="empty")
+            raise BadRequest("empty must be true or false", code="bad_field", field="empty")
         return await self._do_edit(request, Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty)))
 
     @answered
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -6,7 +6,7 @@
 from ..timers import ms, secs
 from ..faults import NoRoom, NotLeading, Overdue, Unproven
 from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
-from ..wire.cluster_pb2 import Command, Delta, FollowAsk, FollowReceipt, Outcome
+from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome
 
 __all__ = ["Gateways"]
 
@@ -37,12 +37,12 @@
         self.followers: dict[str, _Follower] = {}
         self._news: dict[defer.Deferred, None] = {}
         self._confirmations: dict[defer.Deferred, None] = {}
-        self._ctx.rpc.answer("controller.follow", FollowAsk, self._follow)
+        self._ctx.rpc.answer("controller.follow", FollowRequest, self._follow)
 
     def _fresh(self) -> bool:
         return self.state == "leader" and self._ctx.timers.now() - self.heard_majority_at() < FRESH_SPAN
 
-    async def _follow(self, node, ask: FollowAsk) -> FollowReceipt:
+    async def _follow(self, node, ask: FollowRequest) -> FollowResponse:
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
         self.followers[ask.node] = _Follower(ask.role, ask.sequence, self._ctx.timers.now() + LEASE_SPAN)
@@ -51,7 +51,7 @@
             await self._wait(self._news, HOLD_FOLLOW, lambda: self.cluster_state.sequence > ask.sequence)
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
-        out = FollowReceipt(sequence=self.cluster_state.sequence, leased=True, controller=self._ctx.node)
+        out = FollowResponse(sequence=self.cluster_state.sequence, leased=True, controller=self._ctx.node)
         if ask.sequence < self.cluster_state.sequence:
             entries = [e for e in self.archive.after(ask.sequence, 4096) if e.index <= self.cluster_state.sequence]
             if entries and entries[0].index == ask.sequence + 1 and ask.sequence:
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -4,7 +4,7 @@
 
 from ..timers import ZERO, ms, secs
 from ..faults import NoRoom, NotLeading, Unproven, WireFault
-from ..wire.controller_pb2 import AppendAsk, AppendReceipt, ControllerEntry
+from ..wire.controller_pb2 import AppendRequest, AppendResponse, ControllerEntry
 from ..wire.cluster_pb2 import Command, Outcome
 from .archive import told_by_the_last
 
@@ -26,7 +26,7 @@
         self._proposed: dict[int, tuple[int, defer.Deferred]] = {}
         self._synced = 0
         self._elected_at = timedelta(0)
-        self._ctx.rpc.answer("controller.append", AppendAsk, self._append)
+        self._ctx.rpc.answer("controller.append", AppendRequest, self._append)
 
     def _lead(self):
         self.leader = self._ctx.node
@@ -66,7 +66,7 @@
                 ask = self._entries_for(node, after)
                 limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
                 try:
-                    r = await self.ask_controller(node, "controller.append", ask, AppendReceipt, limit)
+                    r = await self.ask_controller(node, "controller.append", ask, AppendResponse, limit)
                 except WireFault:
                     await self._ctx.timers.pause(HEART_INTERVAL)
                     continue
@@ -86,8 +86,8 @@
         finally:
             self._senders.discard(node)
 
-    def _entries_for(self, node: str, after: int) -> AppendAsk:
-        ask = AppendAsk(term=self.term, leader=self._ctx.node, commit=self.commit)
+    def _entries_for(self, node: str, after: int) -> AppendRequest:
+        ask = AppendRequest(term=self.term, leader=self._ctx.node, commit=self.commit)
         prev = self.archive.term_at(after)
         if prev is None or (after == 0 and self.archive.snapshot.index == 0 and not self._match.get(node)):
             ask.snapshot.CopyFrom(self.archive.snapshot)
@@ -165,29 +165,29 @@
             self._wake_all()
             await self._ctx.timers.pause(ms(10))
 
-    async def _append(self, node, ask: AppendAsk) -> AppendReceipt:
+    async def _append(self, node, ask: AppendRequest) -> AppendResponse:
         if ask.term < self.term:
-            return AppendReceipt(term=self.term)
+            return AppendResponse(term=self.term)
         await self.meet_term(ask.term)
         if self.state == "candidate":
             self.put("yield")
         if self.term != ask.term or self.state == "leader":
-            return AppendReceipt(term=self.term)
+            return AppendResponse(term=self.term)
         now = self._ctx.timers.now()
         self._heard_at = self._led_at = now
         self.leader = ask.leader
         if ask.HasField("snapshot") and (self.state == "newcomer" or ask.snapshot.index > self.archive.last_index()):
             await self.adopt(ask.snapshot)
         if self.state == "newcomer" or self.archive.term_at(ask.prev_index) != ask.prev_term:
-            return AppendReceipt(term=self.term, last=min(self.archive.last_index(), max(0, ask.prev_index - 1)))
+            return AppendResponse(term=self.term, last=min(self.archive.last_index(), max(0, ask.prev_index - 1)))
         for e in ask.entries:
             if self.archive.term_at(e.index) != e.term and e.index > self.archive.snapshot.index:
                 self.archive.put_entry(e).addErrback(told_by_the_last)
         await self.archive.all_synced()
         if self.term != ask.term:
-            return AppendReceipt(term=self.term)
+            return AppendResponse(term=self.term)
         last = ask.prev_index + len(ask.entries)
         if min(ask.commit, last) > self.commit:
             self.commit = min(ask.commit, last)
             self.apply()
-        return AppendReceipt(term=self.term, done=True, last=last)
+        return AppendResponse(term=self.term, done=True, last=last)
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -1,7 +1,7 @@
 from pathlib import Path
 
 from ..timers import ZERO, Repeat, ms
-from ..state_machines import StateMachineed
+from ..state_machines import HasStateMachine
 from ..dialect.control import ControlWords
 from ..disk import Disk
 from ..faults import WireFault
@@ -24,7 +24,7 @@
 ELECTION_INTERVAL = ms(50)
 
 
-class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, StateMachineed):
+class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, HasStateMachine):
     state_machine = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -4,7 +4,7 @@
 
 from ..timers import ZERO, ms, spawn
 from ..faults import WireFault
-from ..wire.controller_pb2 import FoundReceipt, Snapshot, VoteAsk, VoteReceipt
+from ..wire.controller_pb2 import FoundResponse, Snapshot, VoteRequest, VoteResponse
 from ..wire.frame_pb2 import Nothing
 from ..wire.cluster_pb2 import ClusterStateData
 
@@ -27,7 +27,7 @@
         for founder in self._ctx.settings.founders:
             host, _, port = founder.rpartition(":")
             try:
-                got.append(await self._ctx.rpc.call((host, int(port)), "controller.empty", Nothing(), FoundReceipt,
+                got.append(await self._ctx.rpc.call((host, int(port)), "controller.empty", Nothing(), FoundResponse,
                                                      ASK_LIMIT))
             except WireFault:
                 got.append(None)
@@ -40,9 +40,9 @@
         if first and all(r is not None and not r.founded for r in got):
             await self._found(tuple(sorted(r.node for r in got)))
 
-    async def _empty(self, node, _) -> FoundReceipt:
+    async def _empty(self, node, _) -> FoundResponse:
         founded = self.state != "newcomer"
-        return FoundReceipt(node=self._ctx.node, founded=founded, voters=self.founders if founded else ())
+        return FoundResponse(node=self._ctx.node, founded=founded, voters=self.founders if founded else ())
 
     async def _found(self, voters: tuple[str, ...]):
         if self.state != "newcomer" or self._ctx.node not in voters:
@@ -62,7 +62,7 @@
         self._fresh_spent = False
         self._fresh_at: timedelta | None = None
         self._patience = self._new_patience()
-        self._ctx.rpc.answer("controller.vote", VoteAsk, self._vote_by_name)
+        self._ctx.rpc.answer("controller.vote", VoteRequest, self._vote_by_name)
 
     def _new_patience(self) -> timedelta:
         return STICKY_SPAN + (LONGEST - STICKY_SPAN) * self._ctx.chance.random()
@@ -134,7 +134,7 @@
         """
         voters = self.voters()
         last = self.archive.last_index()
-        ask = VoteAsk(term=term, candidate=self._ctx.node, last_index=last, last_term=self.archive.term_at(last),
+        ask = VoteRequest(term=term, candidate=self._ctx.node, last_index=last, last_term=self.archive.term_at(last),
                       pre=pre, fresh=fresh, voters=voters if fresh else ())
         granted = {self._ctx.node}
         started = {self._ctx.node}
@@ -144,7 +144,7 @@
         async def one(node):
             nonlocal left
             try:
-                r = await self.ask_controller(node, "controller.vote", ask, VoteReceipt, ASK_LIMIT)
+                r = await self.ask_controller(node, "controller.vote", ask, VoteResponse, ASK_LIMIT)
                 if r.fresh or r.node != node:
                     started.add(node)
                 if r.granted and r.node == node:
@@ -166,33 +166,33 @@
             return False
         return self.is_majority(granted)
 
-    async def _vote_by_name(self, node, ask: VoteAsk) -> VoteReceipt:
+    async def _vote_by_name(self, node, ask: VoteRequest) -> VoteResponse:
         r = await self._vote(node, ask)
         r.node = self._ctx.node
         return r
 
-    async def _vote(self, node, ask: VoteAsk) -> VoteReceipt:
+    async def _vote(self, node, ask: VoteRequest) -> VoteResponse:
         if self.state == "newcomer":
-            return VoteReceipt(term=self.term)
+            return VoteResponse(term=self.term)
         now = self._ctx.timers.now()
         last = self.archive.last_index()
         whole = (ask.last_term, ask.last_index) >= (self.archive.term_at(last), last)
         fresh = ask.fresh and self._just_started() and tuple(ask.voters) == self.voters()
         content = self.state == "leader" or now - self._led_at < STICKY_SPAN and not fresh
         if ask.term < self.term or content or not whole:
-            return VoteReceipt(term=self.term, fresh=fresh)
+            return VoteResponse(term=self.term, fresh=fresh)
         if ask.pre:
-            return VoteReceipt(term=self.term, granted=ask.term > self.term, fresh=fresh)
+            return VoteResponse(term=self.term, granted=ask.term > self.term, fresh=fresh)
         self._fresh_spent = True
         if ask.term > self.term:
             self.step_down()
         elif self.archive.ballot.vote not in ("", ask.candidate):
-            return VoteReceipt(term=self.term)
+            return VoteResponse(term=self.term)
         await self.archive.put_ballot(ask.term, ask.candidate)
         kept = (self.term, self.archive.ballot.vote) == (ask.term, ask.candidate)
         if kept:
             self._heard_at = self._ctx.timers.now()
-        return VoteReceipt(term=self.term, granted=kept)
+        return VoteResponse(term=self.term, granted=kept)
 
     async def meet_term(self, term: int):
         """A higher term was seen: this controller follows from now on, and keeps the term first."""
--- a/pipitlink/dialect/batches.py
+++ b/pipitlink/dialect/batches.py
@@ -4,7 +4,7 @@
 import re
 from datetime import timedelta
 
-from ..faults import BadAsk
+from ..faults import BadRequest
 from ..wire.lots_pb2 import Batch, BatchItem, Header
 
 __all__ = ["BatchWords"]
@@ -19,8 +19,8 @@
 _ITEM_ID = re.compile(r"[\x21-\x7e]{1,128}\Z")
 
 
-def _wrong(field: str, text: str) -> BadAsk:
-    return BadAsk(f"{field}: {text}", code="bad_field", field=field)
+def _wrong(field: str, text: str) -> BadRequest:
+    return BadRequest(f"{field}: {text}", code="bad_field", field=field)
 
 
 class BatchWords:
@@ -66,7 +66,7 @@
         try:
             doc = json.loads(raw)
         except (ValueError, RecursionError):
-            raise BadAsk("the body must be JSON", code="bad_json") from None
+            raise BadRequest("the body must be JSON", code="bad_json") from None
         items = doc.get(self.batch_items) if isinstance(doc, dict) else None
         if not isinstance(items, list) or not 0 < len(items) <= MAX_ITEMS:
             raise _wrong(self.batch_items, f"must be a list of 1 to {MAX_ITEMS}")
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -1,6 +1,6 @@
 import json
 
-from ..faults import BadAsk
+from ..faults import BadRequest
 from ..wire.membership_pb2 import EngineNews
 from ..wire.cluster_pb2 import Bounds, Config, ConfigEdit, Pool, PoolShare, Route
 from .reading import Field, count_of, items_of, names_of, read_fields, read_json, source_of, text_of
@@ -58,7 +58,7 @@
         if not whole:
             puts, drops = raw.get(self.puts_word, {}), raw.get(self.drops_word, {})
             if not isinstance(puts, dict) or not isinstance(drops, dict):
-                raise BadAsk(f"{self.puts_word} and {self.drops_word} must be objects", code="bad_field")
+                raise BadRequest(f"{self.puts_word} and {self.drops_word} must be objects", code="bad_field")
         out.routes.extend(self._route(r) for r in items_of(puts, self.routes_word, whole))
         out.pools.extend(self._pool(p) for p in items_of(puts, self.pools_word, whole))
         out.drop_routes.extend(names_of(drops, self.routes_word))
@@ -72,13 +72,13 @@
         r = read_fields(raw, self.route_fields, Route(source=source_of(raw)), where)
         shares, single = raw.get(self.shares_word), raw.get(self.single_word)
         if (shares is None) == (single is None):
-            raise BadAsk(f"{where} needs one of {self.shares_word} and {self.single_word}", code="bad_field",
+            raise BadRequest(f"{where} needs one of {self.shares_word} and {self.single_word}", code="bad_field",
                          field=self.shares_word)
         if single is not None:
             r.shares.append(PoolShare(pool=text_of(raw, self.single_word, where + "."), share=1))
             return r
         if not isinstance(shares, list) or not all(isinstance(s, dict) for s in shares):
-            raise BadAsk(f"{where}.{self.shares_word} must be a list of objects", code="bad_field",
+            raise BadRequest(f"{where}.{self.shares_word} must be a list of objects", code="bad_field",
                          field=self.shares_word)
         fields = (Field(self.share_pool_word, "pool", "text", needed=True),
                   Field(self.share_word, "share", "amount", needed=True))
@@ -90,7 +90,7 @@
 
     def _bounds(self, raw) -> Bounds:
         if not isinstance(raw, dict):
-            raise BadAsk(f"{self.bounds_word} must be an object", code="bad_field", field=self.bounds_word)
+            raise BadRequest(f"{self.bounds_word} must be an object", code="bad_field", field=self.bounds_word)
         return read_fields(raw, self.bounds_fields, Bounds(source=source_of(raw)), self.bounds_word)
 
     def config_body(self, c: Config) -> bytes:
@@ -105,14 +105,14 @@
         n = read_fields(raw, self.engine_fields, EngineNews(engine=engine, incarnation=1), "engine")
         state = raw.get("state")
         if not isinstance(state, str) or state not in self.engine_states:
-            raise BadAsk(f"state must be one of {', '.join(self.engine_states)}", code="bad_field", field="state")
+            raise BadRequest(f"state must be one of {', '.join(self.engine_states)}", code="bad_field", field="state")
         n.state = self.engine_states[state]
         n.models.extend(self.engine_models(raw.get(self.models_word) or []))
         return n
 
     def engine_models(self, raw) -> list[str]:
         if not isinstance(raw, list) or not all(isinstance(m, str) for m in raw):
-            raise BadAsk(f"{self.models_word} must be a list of names", code="bad_field", field=self.models_word)
+            raise BadRequest(f"{self.models_word} must be a list of names", code="bad_field", field=self.models_word)
         return raw
 
     def engine_answer(self) -> bytes:
--- a/pipitlink/dialect/reading.py
+++ b/pipitlink/dialect/reading.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..faults import BadAsk
+from ..faults import BadRequest
 
 __all__ = ["Field", "read_json", "read_fields", "items_of", "names_of", "count_of", "text_of", "source_of"]
 
@@ -42,14 +42,14 @@
     try:
         raw = json.loads(body.decode("utf-8"), object_pairs_hook=_pairs, parse_constant=_no_number, parse_float=_float)
     except (ValueError, RecursionError) as e:
-        raise BadAsk(f"the body is not JSON: {e}", code="bad_json") from e
+        raise BadRequest(f"the body is not JSON: {e}", code="bad_json") from e
     if not isinstance(raw, dict):
-        raise BadAsk("the body must be a JSON object", code="bad_body")
+        raise BadRequest("the body must be a JSON object", code="bad_body")
     return raw
 
 
 def _wrong(field: str, text: str):
-    return BadAsk(f"{field} {text}", code="bad_field", field=field[:100])
+    return BadRequest(f"{field} {text}", code="bad_field", field=field[:100])
 
 
 def source_of(item) -> bytes:
--- a/pipitlink/faults.py
+++ b/pipitlink/faults.py
@@ -1,7 +1,7 @@
 __all__ = [
     "PipitFault", "SettingsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
     "ReplicatedLogFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldPlacementGroup", "Damaged",
-    "GatewayFault", "BadAsk", "Crowded", "NotFound", "BackEndFault",
+    "GatewayFault", "BadRequest", "Crowded", "NotFound", "BackEndFault",
     "ControllerFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
 ]
 
@@ -23,7 +23,7 @@
 
 
 class CutOff(WireFault):
-    """The peer could not be asked: nothing was sent, or no receipt will come."""
+    """The peer could not be asked: nothing was sent, or no response will come."""
 
     code = "cut_off"
 
@@ -102,7 +102,7 @@
         self.retry_after = retry_after
 
 
-class BadAsk(GatewayFault):
+class BadRequest(GatewayFault):
     code = "bad_request"
     status = 400
     outcome = "not_run"
--- a/pipitlink/gateway/bodies.py
+++ b/pipitlink/gateway/bodies.py
@@ -4,7 +4,7 @@
 import cattrs
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError, IterableValidationError
 
-from ..faults import BadAsk
+from ..faults import BadRequest
 
 __all__ = ["read_json", "GenerateBody", "LotBody", "ItemBody", "EngineBody", "structure"]
 
@@ -115,9 +115,9 @@
         return _converter.structure(raw, kind)
     except (ClassValidationError, IterableValidationError) as e:
         field, why = _first(e)
-        raise BadAsk(f"{field}: {why}", code="bad_field", field=field) from e
+        raise BadRequest(f"{field}: {why}", code="bad_field", field=field) from e
     except (TypeError, ValueError, AttributeError) as e:
-        raise BadAsk(f"the body must be an object: {e}", code="bad_body") from e
+        raise BadRequest(f"the body must be an object: {e}", code="bad_body") from e
 
 
 def read_json(request, kind):
@@ -125,7 +125,7 @@
     try:
         raw = json.loads(data)
     except (ValueError, RecursionError) as e:
-        raise BadAsk(f"the body is not JSON: {e}", code="bad_json") from e
+        raise BadRequest(f"the body is not JSON: {e}", code="bad_json") from e
     if not isinstance(raw, dict):
-        raise BadAsk("the body must be a JSON object", code="bad_body")
+        raise BadRequest("the body must be a JSON object", code="bad_body")
     return structure(raw, kind)
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -5,8 +5,8 @@
 from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..disk import frames
 from ..faults import ReplicatedLogFault, NotHeld, Overdue, PipitFault
-from ..wire.lots_pb2 import EndAsk, Ended, EndReceipt, Item, LogRecord, Result, Started
-from .asks import Ask
+from ..wire.lots_pb2 import EndRequest, Ended, EndResponse, Item, LogRecord, Result, Started
+from .requests import RequestRecord
 from .lots import OpenLot, result_log
 from ..rendezvous import rank
 
@@ -24,7 +24,7 @@
     """Mixin: owns lots by the lease of their result logs and runs their items in the room that is left."""
 
     def _open_dispatch(self):
-        self._ctx.rpc.answer("lots.end", EndAsk, self._end_for)
+        self._ctx.rpc.answer("lots.end", EndRequest, self._end_for)
         for span, do, what in ((TAKE_INTERVAL, self._take_lots, "take_lots"), (FEED_INTERVAL, self._feed, "feed")):
             self._lot_timers.append(self._ctx.timers.every(span, do, self._ctx.report(what),
                                                          due=lambda: ZERO if self.open_lots else None))
@@ -159,7 +159,7 @@
             return await self._finish_if_done(o)
         now = self._ctx.timers.now()
         left = timedelta(milliseconds=o.lot.limit_ms) - timedelta(milliseconds=wall_ms(self._ctx.timers.wall()))
-        ask = Ask(kind="item", model=item.model, prompt=item.prompt, prefix=item.prefix, repeatable=item.repeatable,
+        ask = RequestRecord(kind="item", model=item.model, prompt=item.prompt, prefix=item.prefix, repeatable=item.repeatable,
                   max_tokens=item.max_tokens or 256, limit=now + min(ITEM_LIMIT, left), customer=o.lot.customer,
                   mark=lambda: self._mark_started(o, i, item), still=lambda: self._check_owned(o))
         work = spawn(self.run(ask))
@@ -227,8 +227,8 @@
             await self._ctx.timers.pause(secs(1))
             await self._ctx.replicated_log.release([h])
 
-    async def _end_for(self, node, ask: EndAsk):
-        return EndReceipt(state=await self.end_here(ask.lot))
+    async def _end_for(self, node, ask: EndRequest):
+        return EndResponse(state=await self.end_here(ask.lot))
 
     async def end_here(self, lot_id: str) -> str:
         """Ends a lot that this gateway owns: first for good in its log, then its running items."""
--- a/pipitlink/gateway/fetching.py
+++ b/pipitlink/gateway/fetching.py
@@ -3,9 +3,9 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from ..timers import ms, spawn
-from ..faults import BackEndFault, BadAsk, Crowded
+from ..faults import BackEndFault, BadRequest, Crowded
 from ..web import answered, send_fault
-from .asks import Ask
+from .requests import RequestRecord
 
 __all__ = ["Fetching"]
 
@@ -45,9 +45,9 @@
     @answered
     async def fetch(self, request, pool: str, path: str = ""):
         if ".." in path.split("/"):
-            raise BadAsk("the path may not climb", code="bad_path", field="path")
+            raise BadRequest("the path may not climb", code="bad_path", field="path")
         query = request.uri.partition(b"?")[2].decode("ascii", "replace")
-        ask = Ask(kind="fetch", model=path + ("?" + query if query else ""), prompt="", pool=pool, repeatable=True,
+        ask = RequestRecord(kind="fetch", model=path + ("?" + query if query else ""), prompt="", pool=pool, repeatable=True,
                   limit=self._ctx.timers.now() + FETCH_LIMIT)
         ask.feed = request
         ask.work = spawn(self.run(ask))
--- a/pipitlink/gateway/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -1,5 +1,5 @@
 from ..timers import Joined, ms, secs, wall_ms
-from ..faults import BadAsk, Crowded
+from ..faults import BadRequest, Crowded
 from ..wire.lots_pb2 import Item, LogRecord, Lot
 from ..web import answered, send_json
 from .bodies import LotBody, read_json
@@ -15,7 +15,7 @@
     node, _, rest = lot.partition(".")
     turn, _, place = rest.partition(".")
     if not (node.isalnum() and turn.isdigit() and place.isdigit() and len(lot) < 80):
-        raise BadAsk(f"{lot[:80]!r} is not the id of a lot", code="bad_id", field="lot")
+        raise BadRequest(f"{lot[:80]!r} is not the id of a lot", code="bad_id", field="lot")
     return f"lots/{node}.{turn}", int(place)
 
 
@@ -48,7 +48,7 @@
         if not self.current():
             raise Crowded("this gateway is not current", code="not_current")
         if len(b.items) > self._ctx.settings.max_items:
-            raise BadAsk(f"items: a lot may have {self._ctx.settings.max_items} items", code="bad_field", field="items")
+            raise BadRequest(f"items: a lot may have {self._ctx.settings.max_items} items", code="bad_field", field="items")
         taken = wall_ms(self._ctx.timers.wall())
         lot = Lot(customer=b.customer, priority=b.priority, taken_ms=taken, limit_ms=taken + b.limit_ms,
                   key=b.idempotency_key,
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -6,7 +6,7 @@
 from ..timers import secs, wall_ms
 from ..disk import frames
 from ..faults import CutOff, Crowded, GatewayFault, NotHeld, PipitFault, Refused, WireFault
-from ..wire.lots_pb2 import KeyedLot, KeyedReceipt, LogRecord, Lot
+from ..wire.lots_pb2 import KeyedLot, KeyedResponse, LogRecord, Lot
 
 __all__ = ["Keyed"]
 
@@ -45,7 +45,7 @@
         self._turns = [defer.DeferredLock() for _ in range(SHARDS)]
         self._ctx.rpc.answer("lots.keyed", KeyedLot, self._keyed_for)
 
-    async def _keyed_for(self, node, ask: KeyedLot) -> KeyedReceipt:
+    async def _keyed_for(self, node, ask: KeyedLot) -> KeyedResponse:
         return await self._keyed_here(ask.lot)
 
     async def _store_keyed(self, lot: Lot) -> tuple[str, bool]:
@@ -56,7 +56,7 @@
         else:
             m = self._ctx.membership.find(owner)
             try:
-                r = await self._ctx.rpc.call((m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedReceipt,
+                r = await self._ctx.rpc.call((m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedResponse,
                                               FORWARD_LIMIT)
             except (WireFault, Refused) as e:
                 unsent = isinstance(e, CutOff) and not e.sent or isinstance(e, Refused) and e.fault == "not_held"
@@ -70,7 +70,7 @@
     def _shard_of(self, lot: Lot) -> int:
         return blake2b(f"{lot.customer}\0{lot.key}".encode(), digest_size=1).digest()[0] % SHARDS
 
-    async def _keyed_here(self, lot: Lot) -> KeyedReceipt:
+    async def _keyed_here(self, lot: Lot) -> KeyedResponse:
         n = self._shard_of(lot)
         key, digest = f"{lot.customer}\0{lot.key}", _digest(lot)
         async with self._turns[n]:
@@ -81,14 +81,14 @@
                 if key in s.keys:
                     lot_id, other = s.keys[key]
                     await s.leaseholder.all_durable()
-                    return KeyedReceipt(lot=lot_id, again=True, same=other == digest)
+                    return KeyedResponse(lot=lot_id, again=True, same=other == digest)
             h = shards[0].leaseholder
             if not all(s.leaseholder.held() for s in shards):
                 raise NotHeld("the lease of this key's log is not current")
             start = await h.append([LogRecord(lot=lot).SerializeToString()])
             lot_id = f"{h.log.removeprefix('lots/')}.{start}"
             self._known(lot_id, lot)
-            return KeyedReceipt(lot=lot_id, same=True)
+            return KeyedResponse(lot=lot_id, same=True)
 
     async def _shard(self, log: str) -> _Shard:
         s = self._shards.get(log)
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -8,7 +8,7 @@
 from ..timers import ZERO, ms, secs
 from ..context import fresh_id
 from ..faults import Crowded, Refused, WireFault
-from ..wire.membership_pb2 import Loads, Permit, PermitAsk, PermitReceipt
+from ..wire.membership_pb2 import Loads, Permit, PermitRequest, PermitResponse
 from ..rendezvous import rank
 
 __all__ = ["Limits", "ComeBack"]
@@ -92,7 +92,7 @@
         self._held: dict[str, str] = {}
         self._gateways_then: frozenset = frozenset()
         self._moved_at = self._looked_at = self._ctx.timers.now()
-        self._ctx.rpc.answer("limits.take", PermitAsk, self._permit_for)
+        self._ctx.rpc.answer("limits.take", PermitRequest, self._permit_for)
         self.engines.carry(self._fill_permits, self._told_permits)
 
     def _row_of(self, ask):
@@ -121,40 +121,40 @@
         return self._ctx.cluster.ready() and len(alive) >= len(away) \
             and self._ctx.timers.now() - self._moved_at >= SETTLE_SPAN
 
-    async def _permit_for(self, node, ask: PermitAsk) -> PermitReceipt:
+    async def _permit_for(self, node, ask: PermitRequest) -> PermitResponse:
         return self._permit_here(node, ask)
 
-    def _permit_here(self, node: str, ask: PermitAsk) -> PermitReceipt:
+    def _permit_here(self, node: str, ask: PermitRequest) -> PermitResponse:
         book = self._books.setdefault(ask.row, _Book())
         if ask.give:
             book.permits.pop(ask.id, None)
-            return PermitReceipt()
+            return PermitResponse()
         row = self._ctx.cluster.cluster_state.rows.get(ask.row)
         if row is None:
-            return PermitReceipt(granted=True)
+            return PermitResponse(granted=True)
         now = self._ctx.timers.now()
         if not self._may_grant():
-            return PermitReceipt(wait_ms=1000)
+            return PermitResponse(wait_ms=1000)
         if ask.id:
-            return PermitReceipt(granted=not row.concurrency or book.take_place(row, ask.id, node, now), wait_ms=1000)
+            return PermitResponse(granted=not row.concurrency or book.take_place(row, ask.id, node, now), wait_ms=1000)
         wait = book.take_turn(row.rate, now, self._moved_at) if row.rate else ZERO
-        return PermitReceipt(granted=not wait, wait_ms=math.ceil(wait / ms(1)))
+        return PermitResponse(granted=not wait, wait_ms=math.ceil(wait / ms(1)))
 
-    async def _ask_steward(self, ask: PermitAsk) -> PermitReceipt:
+    async def _ask_steward(self, ask: PermitRequest) -> PermitResponse:
         steward = self._steward(ask.row)
         if steward == self._ctx.node:
             return self._permit_here(steward, ask)
         m = self._ctx.membership.find(steward)
         try:
-            return await self._ctx.rpc.call((m.host, m.port), "limits.take", ask, PermitReceipt, ASK_LIMIT)
+            return await self._ctx.rpc.call((m.host, m.port), "limits.take", ask, PermitResponse, ASK_LIMIT)
         except (WireFault, Refused):
-            return PermitReceipt(wait_ms=1000)
+            return PermitResponse(wait_ms=1000)
 
     async def _keep_rate(self, ask):
         row = self._row_of(ask)
         if row is None or not row.rate:
             return
-        r = await self._ask_steward(PermitAsk(row=row.name))
+        r = await self._ask_steward(PermitRequest(row=row.name))
         if not r.granted:
             raise Crowded(f"row {row.name} allows {row.rate:g} a second", code="rate_limited", status=429,
                           retry_after=max(1, math.ceil(r.wait_ms / 1000)))
@@ -168,7 +168,7 @@
         permit = fresh_id()
         while True:
             self.engines.stir()
-            r = await self._ask_steward(PermitAsk(row=row.name, id=permit))
+            r = await self._ask_steward(PermitRequest(row=row.name, id=permit))
             if r.granted:
                 break
             if self._ctx.timers.now() + WAIT_STEP >= until:
@@ -180,7 +180,7 @@
 
     def _give_permit(self, permit: str):
         row = self._held.pop(permit)
-        self._ctx.spawned(self._ask_steward(PermitAsk(row=row, id=permit, give=True)), "give_permit")
+        self._ctx.spawned(self._ask_steward(PermitRequest(row=row, id=permit, give=True)), "give_permit")
 
     def _fill_permits(self, what: Loads):
         self._look()
--- a/pipitlink/gateway/live.py
+++ b/pipitlink/gateway/live.py
@@ -4,10 +4,10 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs, spawn
-from ..faults import BadAsk, NotFound, Overdue, Refused, WireFault
+from ..faults import BadRequest, NotFound, Overdue, Refused, WireFault
 from ..web import answered, send_fault, send_json
 from ..wire.membership_pb2 import EngineNews
-from .asks import Ask
+from .requests import RequestRecord
 from .bodies import EngineBody, GenerateBody, read_json
 from .runs import FarRun
 
@@ -29,7 +29,7 @@
             raise ValueError
         return n
     except ValueError:
-        raise BadAsk(f"{name} must be a whole number from 0 up", code="bad_field", field=name) from None
+        raise BadRequest(f"{name} must be a whole number from 0 up", code="bad_field", field=name) from None
 
 
 class Live:
@@ -38,7 +38,7 @@
     @answered
     async def generate(self, request):
         b = read_json(request, GenerateBody)
-        ask = Ask(id=self.new_run(), model=b.model, prompt=b.prompt, prefix=b.prefix_key, repeatable=b.repeatable,
+        ask = RequestRecord(id=self.new_run(), model=b.model, prompt=b.prompt, prefix=b.prefix_key, repeatable=b.repeatable,
                   max_tokens=b.max_tokens, limit=self._ctx.timers.now() + ms(b.limit_ms))
         ask.readers += 1
         ask.work = spawn(self.run(ask))
@@ -68,7 +68,7 @@
             return await self._resume_far(request, run, start, place)
         ask = self.held_run(run)
         if start > len(ask.pieces):
-            raise BadAsk(f"the run has {len(ask.pieces)} pieces", code="bad_field", field="from", status=416)
+            raise BadRequest(f"the run has {len(ask.pieces)} pieces", code="bad_field", field="from", status=416)
         ask.readers += 1
         ask.left_at = None
         return await self._show(request, ask, start)
@@ -79,7 +79,7 @@
             first = await self._ask_run(far, place)
         except Refused as e:
             if e.fault == "bad_field":
-                raise BadAsk(e.note, code=e.fault, field="from", status=416) from e
+                raise BadRequest(e.note, code=e.fault, field="from", status=416) from e
             raise NotFound(e.note, code="run_not_held", outcome="unknown") from e
         except WireFault as e:
             raise NotFound(f"the gateway that holds the run is not heard: {e}", code="run_not_held",
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -3,7 +3,7 @@
 from ..timers import ms, secs
 from ..faults import NotFound
 from ..web import Site, listen, send_fault, send_json
-from .asks import AskTable
+from .requests import RequestTable
 from .dispatch import Dispatch
 from .engines import Engines
 from .fetching import Fetching
@@ -23,7 +23,7 @@
 
 
 class GatewayNode(Admitting, Picking, Limits, Relaying, Live, Runs, Fetching, Intake, Keyed, Lots, Dispatch,
-                Results, AskTable):
+                Results, RequestTable):
     def __init__(self, ctx):
         self._ctx = ctx
         self.engines = ctx.engines = Engines(ctx)
--- a/pipitlink/gateway/asks.py
+++ b/pipitlink/gateway/requests.py
@@ -6,17 +6,17 @@
 from prometheus_client.core import HistogramMetricFamily
 from twisted.internet import defer
 
-from ..state_machines import StateMachineed, state_machine_data
+from ..state_machines import HasStateMachine, state_machine_data
 from ..context import fresh_id
 from ..faults import BackEndFault, GatewayFault, ReplicatedLogFault
 
-__all__ = ["Ask", "AskTable"]
+__all__ = ["RequestRecord", "RequestTable"]
 
 _OUTCOMES = state_machine_data("ask")["outcome"]
 
 
 @attrs.define(eq=False, slots=False)
-class Ask(StateMachineed):
+class RequestRecord(HasStateMachine):
     """The record of one request in this process."""
 
     state_machine = "ask"
@@ -132,7 +132,7 @@
         return HistogramMetricFamily(name, text, list(zip(names, accumulate(self._counts))), self._sum)
 
 
-class AskTable:
+class RequestTable:
     """Requests are records in this table; named passes are run over each, in order."""
 
     passes = {
@@ -142,10 +142,10 @@
     }
 
     def _open_table(self):
-        self.asks: dict[str, Ask] = {}
+        self.asks: dict[str, RequestRecord] = {}
         self.first_pieces = Spread()
 
-    async def run(self, ask: Ask):
+    async def run(self, ask: RequestRecord):
         """Runs the passes over one record until it is settled. Faults end up on the record."""
         self.asks[ask.id] = ask
         if ask.kind == "live":
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -5,7 +5,7 @@
 
 from ..timers import ms, secs
 from ..faults import Crowded, NotFound, Refused, WireFault
-from ..wire.lots_pb2 import EndAsk, EndReceipt, LogRecord, Lot
+from ..wire.lots_pb2 import EndRequest, EndResponse, LogRecord, Lot
 from ..web import answered, send_json
 from .intake import lot_parts
 from .live import whole_number
@@ -163,7 +163,7 @@
         if m is None:
             return "lost"
         try:
-            r = await self._ctx.rpc.call((m.host, m.port), "lots.end", EndAsk(lot=lot), EndReceipt, secs(3))
+            r = await self._ctx.rpc.call((m.host, m.port), "lots.end", EndRequest(lot=lot), EndResponse, secs(3))
             return r.state
         except (WireFault, Refused) as e:
             self._ctx.journal.trace("owner_unheard", lot=lot, text=e)
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -3,7 +3,7 @@
 from ..timers import ms, secs
 from ..context import fresh_id
 from ..faults import GatewayFault, NotFound, Refused, WireFault
-from ..wire.membership_pb2 import RunAsk, RunReceipt
+from ..wire.membership_pb2 import RunRequest, RunResponse
 
 __all__ = ["Runs", "FarRun"]
 
@@ -30,7 +30,7 @@
     def outcome(self) -> str:
         return self.fault.outcome if self.fault is not None else "failed"
 
-    def take(self, r: RunReceipt):
+    def take(self, r: RunResponse):
         self.pieces += r.pieces
         if r.settled:
             self.end(GatewayFault(r.note, code=r.code, outcome=r.outcome) if r.code else None, r.engine)
@@ -53,7 +53,7 @@
     """Mixin: a run's id names the gateway that holds it, and any gateway passes a resume on to that one."""
 
     def _open_runs(self):
-        self._ctx.rpc.answer("runs.read", RunAsk, self._read_run)
+        self._ctx.rpc.answer("runs.read", RunRequest, self._read_run)
 
     def new_run(self) -> str:
         return f"{self._ctx.node}-{fresh_id()}"
@@ -72,7 +72,7 @@
         gone = m is None or node == self._ctx.node or self._ctx.membership.status(node) == "gone"
         return None if gone else (m.host, m.port)
 
-    async def _read_run(self, node, ask: RunAsk) -> RunReceipt:
+    async def _read_run(self, node, ask: RunRequest) -> RunResponse:
         """What there is from a place on, or soon will be. A reader holds the run as a caller here does."""
         held = self.held_run(ask.run)
         start = getattr(ask, "from")
@@ -86,7 +86,7 @@
         finally:
             held.readers -= 1
             self._leave(held)
-        out = RunReceipt(pieces=held.pieces[start:start + MOST])
+        out = RunResponse(pieces=held.pieces[start:start + MOST])
         if held.settled and start + len(out.pieces) == len(held.pieces):
             out.settled = True
             if held.fault is not None:
@@ -95,7 +95,7 @@
                 out.engine = held.engine_name
         return out
 
-    async def _follow_run(self, far: FarRun, place, first: RunReceipt):
+    async def _follow_run(self, far: FarRun, place, first: RunResponse):
         """One task that reads a far run on while somebody here reads it."""
         far.take(first)
         try:
@@ -104,6 +104,6 @@
         except (WireFault, Refused) as e:
             far.end(GatewayFault(f"the gateway that holds the run was lost: {e}", code="run_lost", outcome="unknown"))
 
-    async def _ask_run(self, far: FarRun, place) -> RunReceipt:
-        ask = RunAsk(run=far.id, **{"from": len(far.pieces)})
-        return await self._ctx.rpc.call(place, "runs.read", ask, RunReceipt, ASK_LIMIT)
+    async def _ask_run(self, far: FarRun, place) -> RunResponse:
+        ask = RunRequest(run=far.id, **{"from": len(far.pieces)})
+        return await self._ctx.rpc.call(place, "runs.read", ask, RunResponse, ASK_LIMIT)
--- a/pipitlink/membership/entry.py
+++ b/pipitlink/membership/entry.py
@@ -1,12 +1,12 @@
 from datetime import timedelta
 
-from ..state_machines import StateMachineed
+from ..state_machines import HasStateMachine
 from ..wire.membership_pb2 import Member
 
 __all__ = ["Entry"]
 
 
-class Entry(StateMachineed):
+class Entry(HasStateMachine):
     state_machine = "status"
 
     def __init__(self, member: Member, now: timedelta, journal):
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -6,7 +6,7 @@
 from ..timers import ms, secs, spawn
 from ..faults import WireFault
 from ..wire.frame_pb2 import Nothing
-from ..wire.membership_pb2 import Gossip, Member, ProbeFor, ProbeReceipt
+from ..wire.membership_pb2 import Gossip, Member, ProbeFor, ProbeResponse
 from .entry import Entry
 from .memory import Memory
 
@@ -172,7 +172,7 @@
 
     async def _probe_for(self, node, ask: ProbeFor):
         e = self._entries.get(ask.target)
-        return ProbeReceipt(alive=e is not None and await self._probe(e.place) == ask.target)
+        return ProbeResponse(alive=e is not None and await self._probe(e.place) == ask.target)
 
     async def _probe(self, place) -> str:
         try:
@@ -244,7 +244,7 @@
         for m in self._ctx.chance.sample(helpers, min(3, len(helpers))):
             try:
                 r = await self._ctx.rpc.call((m.host, m.port), "membership.probe_for", ProbeFor(target=e.member.node),
-                                              ProbeReceipt, PROBE_LIMIT * 2)
+                                              ProbeResponse, PROBE_LIMIT * 2)
             except WireFault:
                 continue
             if r.alive:
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -7,8 +7,8 @@
 from ..disk import frame
 from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
 from ..wire.frame_pb2 import Nothing
-from ..wire.replicated_log_pb2 import (LeaseAsk, LeaseReceipt, LogState, MarkAsk, States, StatesAsk, WriteAsk,
-                               WriteReceipt)
+from ..wire.replicated_log_pb2 import (LeaseRequest, LeaseResponse, LogState, MarkRequest, States, StatesRequest, WriteRequest,
+                               WriteResponse)
 from .placement_group import PlacementGroup
 
 __all__ = ["Leaseholder"]
@@ -98,9 +98,9 @@
         epoch = 1
         for _ in range(4):
             asked = self._ctx.timers.now()
-            ask = LeaseAsk(log=self.log, leaseholder=self._ctx.node, epoch=epoch, placement_group_sequence=self.placement_group.sequence,
+            ask = LeaseRequest(log=self.log, leaseholder=self._ctx.node, epoch=epoch, placement_group_sequence=self.placement_group.sequence,
                            usurp=gone is not None, gone=gone or "")
-            got = await self._replicated_log.ask_each(self.placement_group.everyone, "replicated_log.lease", ask, LeaseReceipt,
+            got = await self._replicated_log.ask_each(self.placement_group.everyone, "replicated_log.lease", ask, LeaseResponse,
                                               enough=lambda g: self.placement_group.agree([n for n, r in g.items() if r.granted]))
             granted = [n for n, r in got.items() if r.granted]
             self.granted.update((n, epoch) for n in granted)
@@ -208,7 +208,7 @@
             self._advance()
 
     async def _ask_state(self, node: str) -> LogState:
-        r = await self._replicated_log.ask(node, "replicated_log.states", StatesAsk(logs=[self.log]), States)
+        r = await self._replicated_log.ask(node, "replicated_log.states", StatesRequest(logs=[self.log]), States)
         return r.states[0]
 
     async def _write_to(self, node: str, state: LogState) -> LogState:
@@ -220,16 +220,16 @@
             start = min(state.committed, state.length)
         data = bytes(self.data[start:])
         final = self.final
-        ask = WriteAsk(log=self.log, epoch=self.epoch, placement_group_sequence=self.placement_group.sequence, position=start,
+        ask = WriteRequest(log=self.log, epoch=self.epoch, placement_group_sequence=self.placement_group.sequence, position=start,
                        expect_tail_epoch=state.tail_epoch, expect_length=state.length,
                        committed=self.committed, final=final, reserved=self._reserved, closed_ms=self.closed_ms)
         while len(data) - ask.staged_bytes > MAX_WRITE:
             at = ask.staged_bytes
-            part = WriteAsk(log=self.log, epoch=self.epoch, staged=True, position=at, data=data[at:at + MAX_WRITE])
-            await self._replicated_log.ask(node, "replicated_log.write", part, WriteReceipt, WRITE_LIMIT)
+            part = WriteRequest(log=self.log, epoch=self.epoch, staged=True, position=at, data=data[at:at + MAX_WRITE])
+            await self._replicated_log.ask(node, "replicated_log.write", part, WriteResponse, WRITE_LIMIT)
             ask.staged_bytes += len(part.data)
         ask.data = data[ask.staged_bytes:]
-        r = await self._replicated_log.ask(node, "replicated_log.write", ask, WriteReceipt, WRITE_LIMIT)
+        r = await self._replicated_log.ask(node, "replicated_log.write", ask, WriteResponse, WRITE_LIMIT)
         return r.state
 
     def _full(self, node):
@@ -258,5 +258,5 @@
                 d.callback(None)
 
     async def _mark(self):
-        ask = MarkAsk(log=self.log, epoch=self.epoch, committed=self.committed)
+        ask = MarkRequest(log=self.log, epoch=self.epoch, committed=self.committed)
         await self._replicated_log.ask_each(self.placement_group.everyone, "replicated_log.mark", ask, Nothing)
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -2,8 +2,8 @@
 
 from ..timers import ms, secs, spawn
 from ..faults import NoMajority, WireFault
-from ..wire.replicated_log_pb2 import (Held, ListAsk, LogState, ReadAsk, ReadReceipt, RenewAsk, RenewReceipt, States,
-                               StatesAsk)
+from ..wire.replicated_log_pb2 import (Held, ListRequest, LogState, ReadRequest, ReadResponse, RenewRequest, RenewResponse, States,
+                               StatesRequest)
 from .leaseholder import Leaseholder
 from .placement_group import PlacementGroup, placement_group_of
 
@@ -41,7 +41,7 @@
         return await self._ctx.rpc.call(place, verb, what, kind, limit)
 
     async def ask_each(self, nodes, verb: str, what, kind, limit=ASK_LIMIT, enough=None) -> dict:
-        """Asks all at once; returns the receipts that came, early once `enough` of them are in."""
+        """Asks all at once; returns the responses that came, early once `enough` of them are in."""
         got: dict[str, object] = {}
         done = defer.Deferred()
         left = len(nodes)
@@ -82,8 +82,8 @@
     async def _give_back(self, h: Leaseholder):
         """What some storage nodes granted of a lease that was not taken, so that another need not wait until it lapses."""
         for storage_node, epoch in h.granted.items():
-            ask = RenewAsk(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
-            self._ctx.spawned(self.ask_each([storage_node], "replicated_log.renew", ask, RenewReceipt, ms(400)), "give_back")
+            ask = RenewRequest(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
+            self._ctx.spawned(self.ask_each([storage_node], "replicated_log.renew", ask, RenewResponse, ms(400)), "give_back")
 
     def drop(self, h: Leaseholder):
         if self.leaseholders.get(h.log) is h:
@@ -100,8 +100,8 @@
 
     async def _renew_at(self, storage_node: str, leaseholders: list[Leaseholder]):
         asked = self._ctx.timers.now()
-        ask = RenewAsk(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in leaseholders])
-        r = await self.ask(storage_node, "replicated_log.renew", ask, RenewReceipt)
+        ask = RenewRequest(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=h.epoch) for h in leaseholders])
+        r = await self.ask(storage_node, "replicated_log.renew", ask, RenewResponse)
         kept = set(r.kept)
         for h in leaseholders:
             if h.log in kept:
@@ -114,8 +114,8 @@
             for d in h.placement_group.everyone:
                 by_storage_node.setdefault(d, []).append(Held(log=h.log, epoch=h.epoch))
         for storage_node, held in by_storage_node.items():
-            ask = RenewAsk(leaseholder=self._ctx.node, held=held, release=True)
-            await self.ask_each([storage_node], "replicated_log.renew", ask, RenewReceipt, ms(400))
+            ask = RenewRequest(leaseholder=self._ctx.node, held=held, release=True)
+            await self.ask_each([storage_node], "replicated_log.renew", ask, RenewResponse, ms(400))
 
     async def states(self, logs: list[str]) -> dict[str, LogState]:
         """What is surely durable of each log, by a majority of its storage nodes; logs without one are left out."""
@@ -133,7 +133,7 @@
 
         async def one(storage_node, names):
             nonlocal left
-            r = (await self.ask_each([storage_node], "replicated_log.states", StatesAsk(logs=names), States)).get(storage_node)
+            r = (await self.ask_each([storage_node], "replicated_log.states", StatesRequest(logs=names), States)).get(storage_node)
             for s in r.states if r else ():
                 heard[s.log][storage_node] = s
             left -= 1
@@ -155,7 +155,7 @@
 
     async def list(self, prefix: str) -> dict[str, LogState]:
         """Every log whose name starts so, as far as the storage nodes that answer know them."""
-        return (await self._list(ListAsk(prefix=prefix)))[0]
+        return (await self._list(ListRequest(prefix=prefix)))[0]
 
     async def list_open(self, prefix: str) -> tuple[dict[str, LogState], bool]:
         """Those that some storage node has as not final, and whether enough storage nodes answered that none was missed.
@@ -163,9 +163,9 @@
         Goes on once a majority of each placement group answered: what is durable is on one of them, so a storage node that is away holds
         nobody up.
         """
-        return await self._list(ListAsk(prefix=prefix, open_only=True))
+        return await self._list(ListRequest(prefix=prefix, open_only=True))
 
-    async def _list(self, ask: ListAsk) -> tuple[dict[str, LogState], bool]:
+    async def _list(self, ask: ListRequest) -> tuple[dict[str, LogState], bool]:
         placement_groups = [self._ctx.cluster.placement_group(n) for n in range(self._ctx.cluster.placement_groups)]
         storage_nodes = sorted({d for s in placement_groups for d in s.everyone})
         enough = (lambda g: all(s.agree(g) for s in placement_groups)) if ask.open_only else None
@@ -207,9 +207,9 @@
         """What one storage node shows of a span: less than all of it where it has less or cannot be heard."""
         out = b""
         while len(out) < length:
-            ask = ReadAsk(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
+            ask = ReadRequest(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
             try:
-                data = (await self.ask(node, "replicated_log.read", ask, ReadReceipt, READ_LIMIT)).data
+                data = (await self.ask(node, "replicated_log.read", ask, ReadResponse, READ_LIMIT)).data
             except WireFault:
                 break
             if not data:
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -1,7 +1,7 @@
 from datetime import timedelta
 
 from ..timers import Joined, ZERO, ms, secs, wall_ms
-from ..faults import BadAsk, Crowded, GatewayFault, ReplicatedLogFault, NotHeld, PipitFault, WireFault
+from ..faults import BadRequest, Crowded, GatewayFault, ReplicatedLogFault, NotHeld, PipitFault, WireFault
 from ..wire.lots_pb2 import Batch, LogRecord
 from .batches import HEAD_ALONE, OpenBatch, batch_log, good_id, head_of
 
@@ -38,7 +38,7 @@
         """`deadline` is a point on the timers' time."""
         try:
             if not good_id(lot_id):
-                raise BadAsk("the batch needs an id of 1 to 64 letters, digits, - and _", code="bad_id", field="id")
+                raise BadRequest("the batch needs an id of 1 to 64 letters, digits, - and _", code="bad_id", field="id")
             items = self.dialect.read_lot(raw)
             taken = wall_ms(self._ctx.timers.wall())
             batch = Batch(id=lot_id, host=host, path=path, route=route.name, taken_ms=taken, items=items.items)
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -7,7 +7,7 @@
 from ..timers import ZERO, ms, secs
 from ..cache.chunks import CHUNK
 from ..faults import Crowded, GatewayFault, NotFound, PipitFault, Refused, WireFault
-from ..wire.lots_pb2 import Batch, EndAsk, Ended, EndReceipt, LogRecord
+from ..wire.lots_pb2 import Batch, EndRequest, Ended, EndResponse, LogRecord
 from .batch_intake import refusal
 from .batches import HEAD_ALONE, Listing, batch_log, good_id
 
@@ -62,7 +62,7 @@
 
     def _open_batch_reads(self):
         self._batch_readers: dict[str, _Reader] = {}
-        self._ctx.rpc.answer("batches.end", EndAsk, self._end_batch_for)
+        self._ctx.rpc.answer("batches.end", EndRequest, self._end_batch_for)
         self._ctx.timers.every(secs(5), self._drop_batch_readers, self._ctx.report("batch_readers"))
 
     def _drop_batch_readers(self):
@@ -259,14 +259,14 @@
         if m is None:
             return "unsure"
         try:
-            r = await self._ctx.rpc.call((m.host, m.port), "batches.end", EndAsk(lot=batch_id), EndReceipt, ASK_LIMIT)
+            r = await self._ctx.rpc.call((m.host, m.port), "batches.end", EndRequest(lot=batch_id), EndResponse, ASK_LIMIT)
             return r.state
         except (WireFault, Refused) as e:
             self._ctx.journal.trace("owner_unheard", batch=batch_id, text=e)
             return "unsure"
 
-    async def _end_batch_for(self, node, ask: EndAsk) -> EndReceipt:
-        return EndReceipt(state=await self._end_batch_here(ask.lot) if good_id(ask.lot) else "unknown")
+    async def _end_batch_for(self, node, ask: EndRequest) -> EndResponse:
+        return EndResponse(state=await self._end_batch_here(ask.lot) if good_id(ask.lot) else "unknown")
 
     async def _end_batch_here(self, batch_id: str) -> str:
         try:
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..state_machines import StateMachineed, state_machine_data
+from ..state_machines import HasStateMachine, state_machine_data
 from ..faults import GatewayFault
 from ..wire.cluster_pb2 import Route
 
@@ -24,7 +24,7 @@
 
 
 @attrs.define(eq=False, slots=False)
-class Call(StateMachineed):
+class Call(HasStateMachine):
     """The record of one request by route on its way to an engine. Head and body are opaque; what is known stands here."""
 
     state_machine = "ask"
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -7,7 +7,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from ..timers import ms, secs
-from ..faults import BadAsk, Crowded, GatewayFault, NotFound
+from ..faults import BadRequest, Crowded, GatewayFault, NotFound
 from .call import HOP_HEADERS, Call, prompt_parts
 from .relay import passed_headers
 
@@ -209,7 +209,7 @@
         """One request, from its last byte read to the last byte of its answer."""
         try:
             if request.too_long:
-                raise BadAsk("the body is too long", code="body_too_long", status=413)
+                raise BadRequest("the body is too long", code="body_too_long", status=413)
             await self._serve(request)
         except GatewayFault as f:
             self._answer_fault(request, f)
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -5,7 +5,7 @@
 from ..timers import Joined, ms, secs
 from ..faults import Crowded, GatewayFault, PipitFault, Refused, WireFault
 from ..rendezvous import rank
-from ..wire.membership_pb2 import Loads, QuotaAsk, QuotaReceipt, WaitingLot
+from ..wire.membership_pb2 import Loads, QuotaRequest, QuotaResponse, WaitingLot
 
 __all__ = ["Quota"]
 
@@ -56,7 +56,7 @@
         self._quota_moved_at = self._quota_looked_at = self._ctx.timers.now()
         self._lots_listed_at: timedelta | None = None
         self._listing_lots = Joined()
-        self._ctx.rpc.answer("quota.take", QuotaAsk, self._quota_for)
+        self._ctx.rpc.answer("quota.take", QuotaRequest, self._quota_for)
         self.engines.carry(self._fill_lots, self._take_lots_told)
 
     def _quota_own(self) -> list[WaitingLot]:
@@ -160,18 +160,18 @@
             self._quota_told[batch_id] = _Told(listing.head.route, left, "", self._ctx.timers.now())
             del self._quota_unknown[batch_id]
 
-    async def _quota_for(self, node, ask: QuotaAsk) -> QuotaReceipt:
+    async def _quota_for(self, node, ask: QuotaRequest) -> QuotaResponse:
         return self._quota_here(ask)
 
-    def _quota_here(self, ask: QuotaAsk) -> QuotaReceipt:
+    def _quota_here(self, ask: QuotaRequest) -> QuotaResponse:
         if not ask.tokens:
             self._quota_grants.pop(ask.lot, None)
-            return QuotaReceipt()
+            return QuotaResponse()
         route = self._batch_routes().get(ask.route)
         if self._quota_steward(ask.route) != self._ctx.node or route is None or not self._count_is_sure():
-            return QuotaReceipt(unsure=True)
+            return QuotaResponse(unsure=True)
         if not route.max_waiting_tokens:
-            return QuotaReceipt(granted=True)
+            return QuotaResponse(granted=True)
         now = self._ctx.timers.now()
         self._quota_learn(self._ctx.node, self._quota_own())
         for b in [b for b, g in self._quota_grants.items() if g.until <= now]:
@@ -179,28 +179,28 @@
         told = sum(t.tokens for b, t in self._quota_told.items() if t.route == ask.route and b != ask.lot)
         granted = sum(g.tokens for b, g in self._quota_grants.items() if g.route == ask.route and b != ask.lot)
         if told + granted + ask.tokens > route.max_waiting_tokens:
-            return QuotaReceipt(wait_ms=1000)
+            return QuotaResponse(wait_ms=1000)
         self._quota_grants[ask.lot] = _Grant(ask.route, ask.tokens, now + GRANT_SPAN)
-        return QuotaReceipt(granted=True)
+        return QuotaResponse(granted=True)
 
-    async def _ask_quota(self, ask: QuotaAsk) -> QuotaReceipt:
+    async def _ask_quota(self, ask: QuotaRequest) -> QuotaResponse:
         steward = self._quota_steward(ask.route)
         if steward == self._ctx.node:
             return self._quota_here(ask)
         m = self._ctx.membership.find(steward)
         try:
-            return await self._ctx.rpc.call((m.host, m.port), "quota.take", ask, QuotaReceipt, ASK_LIMIT)
+            return await self._ctx.rpc.call((m.host, m.port), "quota.take", ask, QuotaResponse, ASK_LIMIT)
         except (WireFault, Refused):
-            return QuotaReceipt(unsure=True)
+            return QuotaResponse(unsure=True)
 
     async def _await_quota(self, route, batch, until: timedelta):
         """Room for the whole batch, or a refusal: 429 where it surely does not fit, 503 where nobody can tell."""
         tokens = sum(i.tokens for i in batch.items)
         if not route.max_waiting_tokens or not tokens:
             return
-        ask = QuotaAsk(route=route.name, lot=batch.id, tokens=tokens)
+        ask = QuotaRequest(route=route.name, lot=batch.id, tokens=tokens)
         while True:
-            r = QuotaReceipt() if tokens > route.max_waiting_tokens else await self._ask_quota(ask)
+            r = QuotaResponse() if tokens > route.max_waiting_tokens else await self._ask_quota(ask)
             if r.granted:
                 self._quota_mine[batch.id] = route.name, tokens
                 return
@@ -221,4 +221,4 @@
         """A grant is told as this gateway's own until its batch is, and given back where it came to nothing."""
         granted = self._quota_mine.pop(batch_id, None)
         if granted is not None and batch_id not in self.batches:
-            self._ctx.spawned(self._ask_quota(QuotaAsk(route=granted[0], lot=batch_id)), "give_quota")
+            self._ctx.spawned(self._ask_quota(QuotaRequest(route=granted[0], lot=batch_id)), "give_quota")
--- a/pipitlink/state_machines/__init__.py
+++ b/pipitlink/state_machines/__init__.py
@@ -6,7 +6,7 @@
 
 from automat import TypeMachineBuilder
 
-__all__ = ["StateMachineed", "state_machine_data"]
+__all__ = ["HasStateMachine", "state_machine_data"]
 
 
 @cache
@@ -54,7 +54,7 @@
     return data["start"], builder.build()
 
 
-class StateMachineed:
+class HasStateMachine:
     """Mixin: a state state machine from a data file, with `put` for its inputs and `state` for where it is."""
 
     state_machine = ""
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -2,7 +2,7 @@
 from ..faults import Fenced, ReplicatedLogFault, NoMajority, WireFault
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
-from ..wire.replicated_log_pb2 import CaughtUp, Entry, ListAsk, LogState, States
+from ..wire.replicated_log_pb2 import CaughtUp, Entry, ListRequest, LogState, States
 from .grants import LEASE_SPAN
 
 __all__ = ["Copying"]
@@ -53,7 +53,7 @@
     async def _copy_placement_group(self, placement_group: PlacementGroup, joining: bool) -> bool:
         """True once this storage node holds all that a majority of the others, all at this placement, are seen to hold."""
         others = [d for d in placement_group.storage_nodes if d != self._ctx.node]
-        got = await self._ctx.replicated_log.ask_each(others, "replicated_log.list", ListAsk(placement_group=placement_group.number, one_placement_group=True),
+        got = await self._ctx.replicated_log.ask_each(others, "replicated_log.list", ListRequest(placement_group=placement_group.number, one_placement_group=True),
                                               States, ASK_LIMIT)
         at = {d: r for d, r in got.items() if r.placement_group_sequence >= placement_group.sequence}
         if joining and not 2 * len(at) > len(placement_group.storage_nodes):
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..timers import secs
-from ..wire.replicated_log_pb2 import LeaseAsk, LeaseReceipt, RenewAsk, RenewReceipt
+from ..wire.replicated_log_pb2 import LeaseRequest, LeaseResponse, RenewRequest, RenewResponse
 
 __all__ = ["Grants", "LEASE_SPAN", "HOLD_SPAN"]
 
@@ -25,8 +25,8 @@
         self._grants: dict[str, _Grant] = {}
         self._quiet_until = self._ctx.timers.now() + LEASE_SPAN
         d = self._ctx.rpc
-        d.answer("replicated_log.lease", LeaseAsk, self._lease)
-        d.answer("replicated_log.renew", RenewAsk, self._renew)
+        d.answer("replicated_log.lease", LeaseRequest, self._lease)
+        d.answer("replicated_log.renew", RenewRequest, self._renew)
 
     def _live_grant(self, log: str) -> _Grant | None:
         g = self._grants.get(log)
@@ -42,7 +42,7 @@
             s.lease_ms = int((g.until - self._ctx.timers.now()).total_seconds() * 1000)
         return s
 
-    async def _lease(self, node, ask: LeaseAsk):
+    async def _lease(self, node, ask: LeaseRequest):
         """Grants a lease that nobody else has. Epochs alone keep a log whole; waiting for a lease only spares duels, so one
         whose leaseholder is gone may be asked for by its name, and one that nobody is known to hold without a wait (usurp)."""
         self._check_placement_group(ask.log, ask.placement_group_sequence)
@@ -50,19 +50,19 @@
         g = self._live_grant(ask.log)
         state = self._state(ask.log)
         if g is not None and g.leaseholder not in (ask.leaseholder, ask.gone):
-            return LeaseReceipt(why="held", state=state)
+            return LeaseResponse(why="held", state=state)
         if g is None and now < self._quiet_until and state.epoch > 0 and not ask.usurp:
             state.lease_ms = int((self._quiet_until - now).total_seconds() * 1000)
-            return LeaseReceipt(why="just_started", state=state)
+            return LeaseResponse(why="just_started", state=state)
         if ask.epoch <= state.epoch:
-            return LeaseReceipt(why="epoch", state=state)
+            return LeaseResponse(why="epoch", state=state)
         self._grants[ask.log] = _Grant(ask.leaseholder, ask.epoch, now + LEASE_SPAN)
         await self._syncer.put(lambda t: self.log_store.promise(ask.log, ask.epoch, t))
-        return LeaseReceipt(granted=True, state=self._state(ask.log), room=self.log_store.room())
+        return LeaseResponse(granted=True, state=self._state(ask.log), room=self.log_store.room())
 
-    async def _renew(self, node, ask: RenewAsk):
+    async def _renew(self, node, ask: RenewRequest):
         until = self._ctx.timers.now() + LEASE_SPAN
-        out = RenewReceipt(room=self.log_store.room())
+        out = RenewResponse(room=self.log_store.room())
         for h in ask.held:
             g = self._grants.get(h.log)
             promised = self.log_store.state(h.log).epoch
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -6,8 +6,8 @@
 from ..faults import NoRoom, OldPlacementGroup, SettingsFault
 from ..replicated_log.placement_group import placement_group_of
 from ..syncing import Syncer
-from ..wire.replicated_log_pb2 import (Entry, ListAsk, MarkAsk, ReadAsk, ReadReceipt, States, StatesAsk, WriteAsk,
-                               WriteReceipt)
+from ..wire.replicated_log_pb2 import (Entry, ListRequest, MarkRequest, ReadRequest, ReadResponse, States, StatesRequest, WriteRequest,
+                               WriteResponse)
 from .copying import Copying
 from .grants import Grants
 from .keeping import Keeping
@@ -49,55 +49,55 @@
         self._open_copying()
         self._open_keeping()
         d = self._ctx.rpc
-        d.answer("replicated_log.write", WriteAsk, self._write)
-        d.answer("replicated_log.mark", MarkAsk, self._mark)
-        d.answer("replicated_log.read", ReadAsk, self._read)
-        d.answer("replicated_log.states", StatesAsk, self._states)
-        d.answer("replicated_log.list", ListAsk, self._list)
+        d.answer("replicated_log.write", WriteRequest, self._write)
+        d.answer("replicated_log.mark", MarkRequest, self._mark)
+        d.answer("replicated_log.read", ReadRequest, self._read)
+        d.answer("replicated_log.states", StatesRequest, self._states)
+        d.answer("replicated_log.list", ListRequest, self._list)
 
-    async def _write(self, node, ask: WriteAsk):
+    async def _write(self, node, ask: WriteRequest):
         self._check_placement_group(ask.log, ask.placement_group_sequence)
         key = (ask.log, ask.epoch)
         if ask.staged:
             return self._stage(key, ask)
         data = self._staged.pop(key, b"")[:ask.staged_bytes] + ask.data
         if len(data) != ask.staged_bytes + len(ask.data):
-            return WriteReceipt(why="elsewhere", state=self._state(ask.log))
+            return WriteResponse(why="elsewhere", state=self._state(ask.log))
         e = Entry(kind=Entry.WRITE, log=ask.log, epoch=ask.epoch, position=ask.position, data=data,
                   final=ask.final, committed=ask.committed, closed_ms=ask.closed_ms)
         ticket = self._syncer.put(
             lambda t: self.log_store.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t))
         if ticket is None:
-            return WriteReceipt(why="elsewhere", state=self._state(ask.log))
+            return WriteResponse(why="elsewhere", state=self._state(ask.log))
         end = ask.position + len(data)
         await ticket
         self.log_store.settle(ask.log, ask.epoch, end, ask.final)
-        return WriteReceipt(done=True, state=self._state(ask.log))
+        return WriteResponse(done=True, state=self._state(ask.log))
 
-    def _stage(self, key, ask: WriteAsk) -> WriteReceipt:
+    def _stage(self, key, ask: WriteRequest) -> WriteResponse:
         """Keeps a part of a long mend until its last part makes it one entry."""
         have = b"" if ask.position == 0 else self._staged.get(key, b"")
         if len(have) != ask.position or len(self._staged) > MAX_STAGED or len(have) > MAX_LOG:
             raise NoRoom(f"{ask.log}: this part does not follow on what is staged")
         self._staged[key] = have + ask.data
-        return WriteReceipt(done=True)
+        return WriteResponse(done=True)
 
-    async def _mark(self, node, ask: MarkAsk):
+    async def _mark(self, node, ask: MarkRequest):
         k = self.log_store.logs.get(ask.log)
         if k is not None and k.tail_epoch == ask.epoch:
             k.committed = max(k.committed, min(ask.committed, k.length))
 
-    async def _read(self, node, ask: ReadAsk):
+    async def _read(self, node, ask: ReadRequest):
         spans = self.log_store.spans(ask.log, ask.position, min(ask.length, MAX_READ))
-        return ReadReceipt(data=await self._ctx.on_thread(self._gather, spans))
+        return ReadResponse(data=await self._ctx.on_thread(self._gather, spans))
 
     def _gather(self, spans) -> bytes:
         return b"".join(self.log_store.segments.read_bytes(spot, n) for spot, n in spans)
 
-    async def _states(self, node, ask: StatesAsk):
+    async def _states(self, node, ask: StatesRequest):
         return States(states=[self._state(log) for log in ask.logs[:4096]])
 
-    async def _list(self, node, ask: ListAsk):
+    async def _list(self, node, ask: ListRequest):
         kept = ((n, k) for n, k in self.log_store.logs.items() if n.startswith(ask.prefix))
         names = sorted(n for n, k in kept if not ask.open_only or k.length and not k.synced[2])
         if ask.one_placement_group:
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -95,7 +95,7 @@
 
         def lapse():
             beat[0] = None
-            out.errback(Overdue(f"no receipt within {span.total_seconds():g} s"))
+            out.errback(Overdue(f"no response within {span.total_seconds():g} s"))
             d.cancel()
 
         def settle(result):
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -52,7 +52,7 @@
         calls, self._calls = self._calls, {}
         for d in calls.values():
             if not d.called:
-                d.errback(CutOff("the stream ended before the receipt"))
+                d.errback(CutOff("the stream ended before the response"))
         if not self.ready.called:
             self.ready.errback(CutOff("the stream ended before the hello", sent=False))
         self._rpc.gone(self)
@@ -84,10 +84,10 @@
             self.ready.callback(self)
             while (data := await self._take()) is not None:
                 f = Frame.FromString(data)
-                if f.receipt:
+                if f.response:
                     self._settle(f)
                 elif self._attended >= MAX_ATTENDED:
-                    self._send(Frame(call=f.call, receipt=True, fault="crowded", note="too many calls at once"))
+                    self._send(Frame(call=f.call, response=True, fault="crowded", note="too many calls at once"))
                 else:
                     spawn(self._attend(f))
         except Exception as e:
@@ -98,7 +98,7 @@
 
     async def _attend(self, f: Frame):
         self._attended += 1
-        out = Frame(call=f.call, receipt=True)
+        out = Frame(call=f.call, response=True)
         try:
             out.body = (await self._rpc.attend(self.peer, f.verb, f.body)).SerializeToString()
         except Exception as e:
--- a/rehearsal/bench.py
+++ b/rehearsal/bench.py
@@ -83,7 +83,7 @@
             wait_for(lambda: self.fleet.call(gateway, "GET", f"/v1/lots/{lot}")[1].get("state") == "done", 60, "done")
 
     def _edit(self, n) -> dict:
-        """From the request to its receipt, and to the moment when every gateway is seen to have it."""
+        """From the request to its response, and to the moment when every gateway is seen to have it."""
         controller = self.fleet.nodes("controller")[n % len(self.fleet.nodes("controller"))]
         base = self.fleet.call(controller, "GET", "/v1/table")[1]["sequence"]
         began = time.monotonic()
--- a/rehearsal/checker.py
+++ b/rehearsal/checker.py
@@ -24,7 +24,7 @@
             runs[n["prompt"]].append(n)
     _check_live(events, runs, spans, out)
     _check_cards(events, out)
-    _check_receipts(events, spans, out)
+    _check_responses(events, spans, out)
     _check_lots(events, notes, runs, spans, out, finished)
     check_engines(events, notes, zones, capacity, limits or {}, spans, out)
     check_cluster(events, notes, spans, out)
@@ -65,7 +65,7 @@
             out.append(f"card {e['path']}: {e['size']} bytes that are not the back end's own")
 
 
-def _check_receipts(events, spans, out):
+def _check_responses(events, spans, out):
     """A `not_run` says when to come back, where coming back can help, and is told as soon as it is known."""
     for e in events:
         if e["event"] not in ("told", "fetched", "lot", "edit") or e.get("resumed"):
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -30,7 +30,7 @@
 
 TOLD_AT_ONCE = 100
 TICK = 0.1
-CALL_FRAME, RECEIPT_FRAME = 14, 11
+CALL_FRAME, RESPONSE_FRAME = 14, 11
 
 
 class HollowGateway(GatewayNode):
@@ -48,7 +48,7 @@
 
 
 class CountedRpcEndpoint(RpcEndpoint):
-    """Counts calls and receipts by verb, with the bytes of their frames."""
+    """Counts calls and responses by verb, with the bytes of their frames."""
 
     def __init__(self, *words):
         super().__init__(*words)
@@ -64,7 +64,7 @@
             self._note("in", verb, len(body) + len(verb) + CALL_FRAME)
         r = await super().attend(peer, verb, body)
         if away:
-            self._note("out", f"{verb}:receipt", r.ByteSize() + RECEIPT_FRAME)
+            self._note("out", f"{verb}:response", r.ByteSize() + RESPONSE_FRAME)
         return r
 
     async def _call(self, place, verb, ask, kind):
@@ -73,7 +73,7 @@
             self._note("out", verb, ask.ByteSize() + len(verb) + CALL_FRAME)
         r = await super()._call(place, verb, ask, kind)
         if away:
-            self._note("in", f"{verb}:receipt", r.ByteSize() + RECEIPT_FRAME)
+            self._note("in", f"{verb}:response", r.ByteSize() + RESPONSE_FRAME)
         return r
 
 
--- a/rehearsal/promises.py
+++ b/rehearsal/promises.py
@@ -60,7 +60,7 @@
         return [self._last_run(told, [name], until)]
 
     def _measure_edit(self, n):
-        """From the receipt to the moment when the last gateway shows the edit."""
+        """From the response to the moment when the last gateway shows the edit."""
         e = self.calls.edit(f"row-{n % 4}", {"model": f"m{n}"}, f"edit-{n}-{time.monotonic()}", self._any(self.c, "controller"))
         acked = time.monotonic()
         if e.get("status") != 200:
--- a/rehearsal/staged.py
+++ b/rehearsal/staged.py
@@ -4,7 +4,7 @@
 from pipitlink.timers import ms, secs, spawn, wall_ms
 from pipitlink.faults import BackEndFault, Crowded, GatewayFault, PipitFault
 from pipitlink.gateway import GatewayNode
-from pipitlink.gateway.asks import Ask
+from pipitlink.gateway.requests import RequestRecord
 from pipitlink.wire.lots_pb2 import Item, Lot
 from pipitlink.wire.membership_pb2 import EngineNews
 
@@ -217,7 +217,7 @@
         asked, box = self.stage.clock.seconds(), []
 
         async def do(part):
-            a = Ask(id=part.new_run(), model="m", prompt=prompt, repeatable=repeatable,
+            a = RequestRecord(id=part.new_run(), model="m", prompt=prompt, repeatable=repeatable,
                     limit=part._ctx.timers.now() + secs(4))
             a.readers = 1
             box.append(a)
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -6,7 +6,7 @@
 
 from pipitlink.timers import Timers, secs, spawn
 from pipitlink.faults import CutOff
-from pipitlink.gateway.asks import Ask
+from pipitlink.gateway.requests import RequestRecord
 from pipitlink.gateway.engines import Engines
 from pipitlink.gateway.limits import ComeBack, Limits
 from pipitlink.gateway.picking import Picking, RetryBudget
@@ -93,7 +93,7 @@
                                        models=["m"], capacity=capacity, zone=zone, state=state, age_ms=age_ms))
 
     def ask(self, prefix="", kind="live"):
-        return Ask(model="m", prompt="", prefix=prefix, kind=kind, limit=self.timers.now())
+        return RequestRecord(model="m", prompt="", prefix=prefix, kind=kind, limit=self.timers.now())
 
     def later(self, seconds, *names, **more):
         for _ in range(seconds):
--- a/tests/test_batches_words.py
+++ b/tests/test_batches_words.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from pipitlink.dialect import Dialect
-from pipitlink.faults import BadAsk
+from pipitlink.faults import BadRequest
 from pipitlink.wire.lots_pb2 import Output
 
 PLATFORM = Path(__file__).resolve().parent.parent / "platform" / "batches.py"
@@ -43,7 +43,7 @@
     def test_a_lot_that_is_not_as_it_must_be_is_refused(self):
         for raw in (b"", b"[]", b"{}", b"\xff", b"[" * 100_000, json.dumps({self.items: {}}).encode(),
                     json.dumps({self.items: []}).encode()):
-            with self.assertRaises(BadAsk, msg=raw[:40]):
+            with self.assertRaises(BadRequest, msg=raw[:40]):
                 self.words.read_lot(raw)
         for changes in ({"id": ...}, {"id": ""}, {"id": 3}, {"id": "a b"}, {"path": ...}, {"path": "p"},
                         {"path": "/a b"}, {"path": "/a\r\nB: c"}, {"headers": []}, {"headers": {"A": 1}},
@@ -51,13 +51,13 @@
                         {"body": "q83vEjRWeJA"}, {"body": "q83v EjRWeJA="}, {"body": 7}, {"body": None},
                         {self.tokens: ...}, {self.tokens: -1}, {self.tokens: 1.5}, {self.tokens: "940"},
                         {self.tokens: True}, {self.tokens: 2 ** 60}):
-            with self.assertRaises(BadAsk, msg=changes):
+            with self.assertRaises(BadRequest, msg=changes):
                 self.read(self.item(id="b1"), self.item(**changes))
-        with self.assertRaises(BadAsk):
+        with self.assertRaises(BadRequest):
             self.read(self.item(), self.item())
-        with self.assertRaises(BadAsk):
+        with self.assertRaises(BadRequest):
             self.read(*(self.item(id=f"i{n}") for n in range(201)))
-        with self.assertRaises(BadAsk):
+        with self.assertRaises(BadRequest):
             self.read("x")
 
     def test_an_answer_holds_at_least_one_output_and_a_megabyte_at_most(self):
@@ -115,9 +115,9 @@
                              (b"DELETE", "/items/7c41"), (b"GET", "/x/7c41"), (b"GET", "x/lots/a")):
             self.assertIsNone(self.call(method, path), path)
         for bad in ("-1", "x", "1.5", "9" * 20):
-            with self.assertRaises(BadAsk):
+            with self.assertRaises(BadRequest):
                 self.call(b"GET", "/lots/7c41", last_seen=bad)
-            with self.assertRaises(BadAsk):
+            with self.assertRaises(BadRequest):
                 self.call(b"GET", "/lots/7c41", {"pipitlink-poll-wait-ms": bad})
 
     def test_an_output(self):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -155,7 +155,7 @@
         body = Gossip(sender="other").SerializeToString()
         for node in ("other", "me"):
             spawn(rpc.attend(Hello(node=node), "membership.tell", body))
-        self.assertEqual((rpc.counts["in membership.tell"], rpc.counts["out membership.tell:receipt"]), (1, 1))
+        self.assertEqual((rpc.counts["in membership.tell"], rpc.counts["out membership.tell:response"]), (1, 1))
         self.assertGreater(rpc.counts["in_bytes membership.tell"], len(body))
         self.assertIsInstance(rpc, RpcEndpoint)
 
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -11,7 +11,7 @@
 from pipitlink.cluster.follower import Cluster
 from pipitlink.cluster.cluster_state import ClusterState
 from pipitlink.wire.controller_pb2 import ControllerEntry
-from pipitlink.wire.cluster_pb2 import Command, StorageNodeEdit, FollowAsk, Row, ClusterStateData, PlacementGroupRow, TableEdit
+from pipitlink.wire.cluster_pb2 import Command, StorageNodeEdit, FollowRequest, Row, ClusterStateData, PlacementGroupRow, TableEdit
 
 TICK = 0.5
 BASE = ClusterStateData(sequence=1, placement_groups=[PlacementGroupRow(number=0, sequence=1, storage_nodes=["d"])])
@@ -63,7 +63,7 @@
         self.gateway = Cluster(self.ctx)
         self.gateway.cluster_state = ClusterState(BASE)
         self.change_leader = change_leader
-        self.asked = self.ask = self.receipt = None
+        self.asked = self.ask = self.response = None
         self.acked = False
 
     def tick(self):
@@ -71,7 +71,7 @@
 
     def send(self):
         self.asked = self.ctx.timers.now()
-        self.ask = FollowAsk(node="g", role="gateway", sequence=self.gateway.sequence, at_once=True)
+        self.ask = FollowRequest(node="g", role="gateway", sequence=self.gateway.sequence, at_once=True)
 
     def answer(self):
         box = []
@@ -79,10 +79,10 @@
             spawn(leader._follow("g", self.ask)).addCallbacks(box.append, lambda f: f.trap(NotLeading) and None)
             if box:
                 break
-        self.receipt = box[0] if box else None
+        self.response = box[0] if box else None
 
     def absorb(self):
-        if self.receipt is not None and self.gateway._absorb(self.receipt) and self.receipt.leased:
+        if self.response is not None and self.gateway._absorb(self.response) and self.response.leased:
             self.gateway._leased_at = self.asked
 
     def elect(self):
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -6,7 +6,7 @@
 
 from pipitlink.timers import secs, spawn
 from pipitlink.faults import NotHeld
-from pipitlink.gateway.asks import AskTable
+from pipitlink.gateway.requests import RequestTable
 from pipitlink.gateway.picking import Admitting
 from pipitlink.gateway.relaying import Relaying
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
@@ -18,7 +18,7 @@
         self.disconnected = True
 
 
-class _Relayer(Gateway, Admitting, Relaying, AskTable):
+class _Relayer(Gateway, Admitting, Relaying, RequestTable):
     def __init__(self):
         self.reactor = MemoryReactorClock()
         super().__init__(clock=self.reactor)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,7 +4,7 @@
 
 from pipitlink.timers import spawn
 from pipitlink.faults import PipitFault
-from pipitlink.gateway.asks import Ask
+from pipitlink.gateway.requests import RequestRecord
 from pipitlink.gateway.dispatch import Dispatch
 from pipitlink.gateway.engines import Engines
 from pipitlink.gateway.lots import OpenLot, result_log
@@ -260,7 +260,7 @@
         cut_after_the_first_piece, {}, Picking, "_may_go_again",
         lambda self, ask: ask.state == "lost" and (ask.put("again") or True), "not the engine's own"),
     "what was sent is unknown until the end": (
-        cut_after_the_first_piece, {}, Ask, "outcome", property(lambda self: "not_run"), "told not_run"),
+        cut_after_the_first_piece, {}, RequestRecord, "outcome", property(lambda self: "not_run"), "told not_run"),
     "a gateway that cannot prove its cluster state admits nothing": (
         weight_zero, {}, Cluster, "ready", lambda self: True, "after its weight was 0"),
     "nothing is acknowledged before it is synced": (
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -8,7 +8,7 @@
 
 from klein import Klein
 
-from pipitlink.faults import BadAsk
+from pipitlink.faults import BadRequest
 from pipitlink.controller.control import Control
 from pipitlink.cluster.routes import RouteTable
 from rehearsal.stage import Stage
@@ -79,7 +79,7 @@
                      {**WHOLE, "routes": ROUTES + ROUTES[:1]}, {**WHOLE, "backends": BACKENDS * 2},
                      {k: v for k, v in WHOLE.items() if k != "limits"}, route(weighted_backends=[]),
                      route(backend=""), route(deadline_ms="1"), route(path_prefix=None)):
-            with self.assertRaises(BadAsk, msg=str(body)[:200]):
+            with self.assertRaises(BadRequest, msg=str(body)[:200]):
                 self.read(body)
         for body in (route(backend="gone"), route(deadline_ms=0), route(route_kind="odd"),
                      {**WHOLE, "routes": [ROUTES[0], {**ROUTES[1], "path_prefix": "/lohu930/"}]},
@@ -95,7 +95,7 @@
                           n.cold_ms, n.sequence, list(n.models)),
                          ("i-7f3a91c2", 1, "huvo11a", "10.128.0.9:8080", "riga-a", "v1", 24, "leaving", 70, 4, ["m"]))
         for bad in ({**raw, "state": "leaving"}, {**raw, "model_list": ["m"]}, {**raw, "call_seq": None}):
-            with self.assertRaises(BadAsk):
+            with self.assertRaises(BadRequest):
                 self.words.engine_news("i", json.dumps(bad).encode())
 
     def test_the_folder_leaves_the_standard_librarys_module_in_its_place(self):
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -6,7 +6,7 @@
 
 from pipitlink.timers import ms
 from pipitlink.faults import Damaged, NoRoom, NotLeading, PipitFault, Unproven, WireFault
-from pipitlink.wire.controller_pb2 import EditAsk, EditReceipt
+from pipitlink.wire.controller_pb2 import EditRequest, EditResponse
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
@@ -150,7 +150,7 @@
         other = next(a for a in self.stage.role("controller") if a is not leader and a.part.leader == leader.node)
         self.stage.cut([leader.name], [a for a in self.stage.actors if a != leader.name])
         with self.assertRaises(Unproven):
-            self.stage.do(other.part._ask_leader("controller.edit", EditAsk(command=edit_of("r", 0, "passed on")), EditReceipt), 3)
+            self.stage.do(other.part._ask_leader("controller.edit", EditRequest(command=edit_of("r", 0, "passed on")), EditResponse), 3)
 
     def test_service_goes_on_with_all_controllers_cut_off_and_no_edit_is_acknowledged(self):
         controllers = [a.name for a in self.stage.role("controller")]
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -13,7 +13,7 @@
 
 
 class _Counted:
-    """A fleet's messages and their bytes within a span at rest, receipts included, by node and by verb."""
+    """A fleet's messages and their bytes within a span at rest, responses included, by node and by verb."""
 
     def __init__(self, controllers, storage_nodes, gateways):
         self.stage = s = Stage(1, controllers=controllers, storage_nodes=storage_nodes, gateways=gateways)
@@ -35,7 +35,7 @@
             goal = next(a for a in self.stage.actors.values() if a.place == place)
             self.asks[verb] += 1
             self._add(sender, verb, body)
-            d.addCallback(lambda receipt: self._add(goal, verb, receipt) or receipt)
+            d.addCallback(lambda response: self._add(goal, verb, response) or response)
         return d
 
     def _add(self, actor, verb, body):
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -149,7 +149,7 @@
         self.stage.run(2)
         self.assertEqual(len({(s.tail_epoch) for s in states if s.length == max(x.length for x in states)}), 1)
 
-    def test_an_append_whose_receipts_were_lost_is_known_to_be_durable_once_storage_nodes_are_heard(self):
+    def test_an_append_whose_responses_were_lost_is_known_to_be_durable_once_storage_nodes_are_heard(self):
         h = self.stage.do(self.one.ctx.replicated_log.hold("results/d"))
         self.stage.do(h.append([b"first"]))
         storage_nodes = [a.name for a in self.stage.role("storage")]
