--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..timers import Joined, ms, secs
-from ..faults import WireFault
+from ..errors import WireError
 from ..wire.cache_pb2 import Chunk, ChunkKeys, Chunks, Lengths, LengthsList, Paths
 from ..wire.frame_pb2 import Nothing
 from .poller import Poller
@@ -62,7 +62,7 @@
     async def _ask(self, node: str, verb: str, what, kind):
         m = self._ctx.membership.find(node)
         if m is None:
-            raise WireFault(f"gateway {node} is not on the membership")
+            raise WireError(f"gateway {node} is not on the membership")
         return await self._ctx.rpc.call((m.host, m.port), verb, what, kind, CACHE_LIMIT)
 
     async def _each(self, asks: dict[str, object], verb: str, kind, enough) -> dict[str, object]:
@@ -75,7 +75,7 @@
             nonlocal left
             try:
                 got[node] = await self._ask(node, verb, what, kind)
-            except WireFault:
+            except WireError:
                 self.counts["unheard"] += 1
             left -= 1
             if not done.called and (left == 0 or enough(got)):
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -4,7 +4,7 @@
 
 from ..timers import ms, secs, spawn
 from ..disk import HEAD, frames
-from ..faults import Damaged, WireFault
+from ..errors import Damaged, WireError
 from .chunks import CHUNK, chunk_key
 
 __all__ = ["Tail"]
@@ -168,7 +168,7 @@
             try:
                 for k, d in (await self._cache.get_chunks(node, keys)).items():
                     have[k] = max(have.get(k, b""), d, key=len)
-            except WireFault:
+            except WireError:
                 pass
             waiting -= 1
             if not done.called and (waiting == 0 or all(len(have.get(k, b"")) >= w for k, w in needs.items())):
--- a/pipitlink/cluster/cluster_state.py
+++ b/pipitlink/cluster/cluster_state.py
@@ -76,7 +76,7 @@
         if e.version <= self.routes.version:
             return "old_version"
         edited = self.routes.edited(e)
-        if edited.faults():
+        if edited.problems():
             return "invalid"
         self.routes = edited
         return "done"
--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -4,7 +4,7 @@
 
 from ..timers import ms, secs
 from ..state_machines import HasStateMachine
-from ..faults import Refused, WireFault
+from ..errors import Refused, WireError
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
 from ..wire.cluster_pb2 import FollowRequest, FollowResponse, WitnessResponse
@@ -118,7 +118,7 @@
             try:
                 await self._follow_once(failures)
                 failures = 0
-            except (WireFault, Refused) as e:
+            except (WireError, Refused) as e:
                 failures += 1
                 leader = e.note if isinstance(e, Refused) and e.fault == "not_leading" else ""
                 if leader and leader != self._controller:
@@ -154,7 +154,7 @@
             m = self._ctx.chance.choice(controllers)
             return (m.host, m.port), "controller.follow"
         if not peers:
-            raise WireFault("neither a controller nor a peer is known")
+            raise WireError("neither a controller nor a peer is known")
         m = self._ctx.chance.choice(peers)
         return (m.host, m.port), "cluster.pass_on"
 
@@ -162,7 +162,7 @@
         """A peer that hears no controller follows through this node."""
         m = self._ctx.membership.find(self._controller) if self._controller else None
         if m is None:
-            raise WireFault("no controller is heard here either")
+            raise WireError("no controller is heard here either")
         return await self._ctx.rpc.call((m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT)
 
     async def _witness(self, node, _) -> WitnessResponse:
--- a/pipitlink/cluster/routes.py
+++ b/pipitlink/cluster/routes.py
@@ -37,7 +37,7 @@
             goal.extend(rest.values())
         return RouteTable(out)
 
-    def faults(self) -> list[dict]:
+    def problems(self) -> list[dict]:
         """What is wrong with this table, a line for each: nothing where it may be put in force."""
         out = []
 
--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -4,7 +4,7 @@
 from docopt import DocoptExit, docopt
 
 from . import __version__
-from .faults import SettingsFault
+from .errors import SettingsError
 from .settings import ROLES, Settings, read_settings
 
 __all__ = ["main"]
@@ -67,7 +67,7 @@
         from .process import run
 
         return run(role, settings)
-    except SettingsFault as e:
+    except SettingsError as e:
         for line in e.lines:
             print(line, file=sys.stderr)
         return 2
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs, to_ms
-from ..faults import Crowded, WireFault
+from ..errors import Crowded, WireError
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import EngineList, EngineNews
 
@@ -108,7 +108,7 @@
             return False
         try:
             await self._ctx.rpc.call((m.host, m.port), "engines.tell", self._list(engines), Nothing, PUSH_LIMIT)
-        except WireFault as e:
+        except WireError as e:
             self._ctx.journal.trace("engines_untold", gateway=node, text=e)
             return False
         return True
--- a/pipitlink/controller/archive.py
+++ b/pipitlink/controller/archive.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from ..disk import Disk, swap_in
-from ..faults import Damaged
+from ..errors import Damaged
 from ..segments import Segments
 from ..syncing import Syncer
 from ..wire.controller_pb2 import Ballot, ControllerEntry, ControllerRecord, Snapshot
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -2,7 +2,7 @@
 
 from klein import Klein
 
-from ..faults import BadRequest, GatewayFault, NotFound
+from ..errors import BadRequest, GatewayError, NotFound
 from ..cluster.routes import RouteTable
 from ..web import Site, answered, listen, send_fault, send_json
 from ..wire.membership_pb2 import EngineNews
@@ -57,13 +57,13 @@
         body = request.content.read()
         edit = self._words.config_edit(body, base, whole)
         if whole:
-            faults = RouteTable().edited(edit).faults()
+            faults = RouteTable().edited(edit).problems()
             if faults:
                 raise BadRequest("; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid")
         c = Command(edit=edit_id(request, _digest(request, base, body)), config=edit)
         out = await self._controller.decide(c)
         if out.code == "wrong_base":
-            raise GatewayFault(f"the configuration is at version {out.sequence}", code=out.code, status=412,
+            raise GatewayError(f"the configuration is at version {out.sequence}", code=out.code, status=412,
                              outcome="not_run")
         if out.code != "done":
             raise BadRequest(f"the edit was refused: {out.code}", code=out.code)
@@ -81,7 +81,7 @@
         c = Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty))
         out = await self._controller.decide(c)
         if out.code != "done":
-            raise GatewayFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
+            raise GatewayError(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
         return send_json(request, {"sequence": out.sequence, "edit": c.edit})
 
     @answered
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -4,7 +4,7 @@
 
 from ..timers import ms, secs, spawn
 from ..context import fresh_id
-from ..faults import (BadRequest, CutOff, GatewayFault, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireFault,
+from ..errors import (BadRequest, CutOff, GatewayError, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireError,
                       WrongBase)
 from ..cluster import ClusterState
 from ..web import answered, send_json
@@ -71,8 +71,8 @@
             return self.cluster_state
         try:
             return ClusterState(await self._ask_leader("controller.read", ReadTableRequest(), ClusterStateData))
-        except (WireFault, NotLeading, Unproven) as e:
-            raise GatewayFault(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
+        except (WireError, NotLeading, Unproven) as e:
+            raise GatewayError(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
                              outcome="failed", retry_after=1) from e
 
     def _leader_silent(self) -> bool:
@@ -108,7 +108,7 @@
                         or isinstance(e, Refused) and e.fault in ("not_leading", "no_room"))
             if isinstance(e, Refused) and e.fault == "no_room":
                 raise NoRoom(e.note, sent=False) from e
-            raise GatewayFault(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
+            raise GatewayError(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
                              f"no controller leads now: {e}", code="unproven" if sent else "no_leader", status=503,
                              outcome="unknown" if sent else "not_run", retry_after=1) from e
 
@@ -119,7 +119,7 @@
         if out.code == "no_such_row":
             raise NotFound("there is no such row", code=out.code, field="row")
         if out.code != "done":
-            raise GatewayFault(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
+            raise GatewayError(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
         return send_json(request, {"sequence": out.sequence, "edit": c.edit}, 200, {"ETag": f'"{out.sequence}"'})
 
     @answered
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs
-from ..faults import NoRoom, NotLeading, Overdue, Unproven
+from ..errors import NoRoom, NotLeading, Overdue, Unproven
 from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
 from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome
 
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..timers import ZERO, ms, secs
-from ..faults import NoRoom, NotLeading, Unproven, WireFault
+from ..errors import NoRoom, NotLeading, Unproven, WireError
 from ..wire.controller_pb2 import AppendRequest, AppendResponse, ControllerEntry
 from ..wire.cluster_pb2 import Command, Outcome
 from .archive import told_by_the_last
@@ -67,7 +67,7 @@
                 limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
                 try:
                     r = await self.ask_controller(node, "controller.append", ask, AppendResponse, limit)
-                except WireFault:
+                except WireError:
                     await self._ctx.timers.pause(HEART_INTERVAL)
                     continue
                 if r.term > self.term:
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -4,7 +4,7 @@
 from ..state_machines import HasStateMachine
 from ..dialect.control import ControlWords
 from ..disk import Disk
-from ..faults import WireFault
+from ..errors import WireError
 from ..cluster import ClusterState
 from ..wire.frame_pb2 import Nothing
 from ..wire.controller_pb2 import Snapshot
@@ -79,7 +79,7 @@
     async def ask_controller(self, node: str, verb: str, what, kind, limit):
         m = self._ctx.membership.find(node)
         if m is None:
-            raise WireFault(f"controller {node} is not on the membership")
+            raise WireError(f"controller {node} is not on the membership")
         return await self._ctx.rpc.call((m.host, m.port), verb, what, kind, limit)
 
     def apply(self):
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -1,7 +1,7 @@
 from collections import Counter
 
 from ..timers import secs
-from ..faults import GatewayFault
+from ..errors import GatewayError
 from ..cluster import ClusterState
 from ..wire.replicated_log_pb2 import CaughtUp
 from ..wire.cluster_pb2 import Command, StorageNodeEdit, PlacementGroupRow, Placement as PlacementRow
@@ -186,5 +186,5 @@
         rest = [d for d, s in cluster_state.storage_nodes.items()
                 if s == "serving" and d != storage_node and self._ctx.membership.status(d) == "alive"]
         if len(rest) < COPIES:
-            raise GatewayFault(f"{len(rest)} live storage nodes would be left and each placement group needs {COPIES}",
+            raise GatewayError(f"{len(rest)} live storage nodes would be left and each placement group needs {COPIES}",
                              code="too_few_copies", status=409, outcome="not_run")
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -1,4 +1,4 @@
-from ..faults import GatewayFault, NotFound
+from ..errors import GatewayError, NotFound
 from ..cluster import ClusterState
 from ..wire.cluster_pb2 import Command, StorageNodeEdit
 
@@ -15,7 +15,7 @@
         heard = {m.node for m in self._ctx.membership.everyone() if m.role == "storage" and m.name == name}
         found = sorted((named | heard) & set(cluster_state.storage_nodes))
         if not found and heard:
-            raise GatewayFault(f"storage node {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
+            raise GatewayError(f"storage node {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
                              retry_after=1)
         if not found:
             raise NotFound("there is no such storage node", code="no_such_storage_node", field="storage_node")
--- a/pipitlink/controller/rows.py
+++ b/pipitlink/controller/rows.py
@@ -1,7 +1,7 @@
 import math
 import re
 
-from ..faults import BadRows
+from ..errors import BadRows
 from ..wire.cluster_pb2 import Row
 
 __all__ = ["row_from", "rows_from", "row_dict", "FIELDS"]
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..timers import ZERO, ms, spawn
-from ..faults import WireFault
+from ..errors import WireError
 from ..wire.controller_pb2 import FoundResponse, Snapshot, VoteRequest, VoteResponse
 from ..wire.frame_pb2 import Nothing
 from ..wire.cluster_pb2 import ClusterStateData
@@ -29,7 +29,7 @@
             try:
                 got.append(await self._ctx.rpc.call((host, int(port)), "controller.empty", Nothing(), FoundResponse,
                                                      ASK_LIMIT))
-            except WireFault:
+            except WireError:
                 got.append(None)
         for r in got:
             if r is not None and self._ctx.node in r.voters:
@@ -151,7 +151,7 @@
                     granted.add(node)
                 elif r.term > self.term and not pre:
                     await self.meet_term(r.term)
-            except WireFault:
+            except WireError:
                 pass
             left -= 1
             if not done.called and (left == 0 or self.is_majority(granted) and not (fresh and pre)):
--- a/pipitlink/dialect/batches.py
+++ b/pipitlink/dialect/batches.py
@@ -4,7 +4,7 @@
 import re
 from datetime import timedelta
 
-from ..faults import BadRequest
+from ..errors import BadRequest
 from ..wire.lots_pb2 import Batch, BatchItem, Header
 
 __all__ = ["BatchWords"]
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -1,6 +1,6 @@
 import json
 
-from ..faults import BadRequest
+from ..errors import BadRequest
 from ..wire.membership_pb2 import EngineNews
 from ..wire.cluster_pb2 import Bounds, Config, ConfigEdit, Pool, PoolShare, Route
 from .reading import Field, count_of, items_of, names_of, read_fields, read_json, source_of, text_of
--- a/pipitlink/dialect/reading.py
+++ b/pipitlink/dialect/reading.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..faults import BadRequest
+from ..errors import BadRequest
 
 __all__ = ["Field", "read_json", "read_fields", "items_of", "names_of", "count_of", "text_of", "source_of"]
 
--- a/pipitlink/faults.py
+++ b/pipitlink/errors.py
@@ -1,16 +1,16 @@
 __all__ = [
-    "PipitFault", "SettingsFault", "WireFault", "CutOff", "Overdue", "Refused", "Unmet",
-    "ReplicatedLogFault", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldPlacementGroup", "Damaged",
-    "GatewayFault", "BadRequest", "Crowded", "NotFound", "BackEndFault",
-    "ControllerFault", "WrongBase", "BadRows", "NotLeading", "Unproven",
+    "PipitlinkError", "SettingsError", "WireError", "CutOff", "Overdue", "Refused", "Unmet",
+    "ReplicatedLogError", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldPlacementGroup", "Damaged",
+    "GatewayError", "BadRequest", "Crowded", "NotFound", "BackEndError",
+    "ControllerError", "WrongBase", "BadRows", "NotLeading", "Unproven",
 ]
 
 
-class PipitFault(Exception):
+class PipitlinkError(Exception):
     code = "fault"
 
 
-class SettingsFault(PipitFault):
+class SettingsError(PipitlinkError):
     code = "bad_settings"
 
     def __init__(self, lines: list[str]):
@@ -18,11 +18,11 @@
         self.lines = lines
 
 
-class WireFault(PipitFault):
+class WireError(PipitlinkError):
     code = "wire"
 
 
-class CutOff(WireFault):
+class CutOff(WireError):
     """The peer could not be asked: nothing was sent, or no response will come."""
 
     code = "cut_off"
@@ -32,11 +32,11 @@
         self.sent = sent
 
 
-class Overdue(WireFault):
+class Overdue(WireError):
     code = "overdue"
 
 
-class Refused(WireFault):
+class Refused(WireError):
     """The peer took the call and answered with a fault."""
 
     code = "refused"
@@ -47,23 +47,23 @@
         self.note = note
 
 
-class Unmet(WireFault):
+class Unmet(WireError):
     code = "unmet"
 
 
-class ReplicatedLogFault(PipitFault):
+class ReplicatedLogError(PipitlinkError):
     code = "replicated_log"
 
 
-class Fenced(ReplicatedLogFault):
+class Fenced(ReplicatedLogError):
     code = "fenced"
 
 
-class NoMajority(ReplicatedLogFault):
+class NoMajority(ReplicatedLogError):
     code = "no_majority"
 
 
-class NoRoom(ReplicatedLogFault):
+class NoRoom(ReplicatedLogError):
     code = "no_room"
 
     def __init__(self, text: str, sent: bool = True):
@@ -71,11 +71,11 @@
         self.sent = sent
 
 
-class OldPlacementGroup(ReplicatedLogFault):
+class OldPlacementGroup(ReplicatedLogError):
     code = "old_placement_group"
 
 
-class NotHeld(ReplicatedLogFault):
+class NotHeld(ReplicatedLogError):
     code = "not_held"
 
     def __init__(self, text: str, leaseholder: str = ""):
@@ -83,11 +83,11 @@
         self.leaseholder = leaseholder
 
 
-class Damaged(ReplicatedLogFault):
+class Damaged(ReplicatedLogError):
     code = "damaged"
 
 
-class GatewayFault(PipitFault):
+class GatewayError(PipitlinkError):
     code = "gateway"
     status = 500
     outcome = "failed"
@@ -102,19 +102,19 @@
         self.retry_after = retry_after
 
 
-class BadRequest(GatewayFault):
+class BadRequest(GatewayError):
     code = "bad_request"
     status = 400
     outcome = "not_run"
 
 
-class NotFound(GatewayFault):
+class NotFound(GatewayError):
     code = "not_found"
     status = 404
     outcome = "not_run"
 
 
-class Crowded(GatewayFault):
+class Crowded(GatewayError):
     code = "crowded"
     status = 503
     outcome = "not_run"
@@ -123,17 +123,17 @@
         super().__init__(text, retry_after=retry_after, **words)
 
 
-class BackEndFault(GatewayFault):
+class BackEndError(GatewayError):
     code = "back_end"
     status = 502
     outcome = "unknown"
 
 
-class ControllerFault(PipitFault):
+class ControllerError(PipitlinkError):
     code = "controller"
 
 
-class NotLeading(ControllerFault):
+class NotLeading(ControllerError):
     code = "not_leading"
 
     def __init__(self, text: str, leader: str = ""):
@@ -141,11 +141,11 @@
         self.leader = leader
 
 
-class Unproven(ControllerFault):
+class Unproven(ControllerError):
     code = "unproven"
 
 
-class WrongBase(ControllerFault):
+class WrongBase(ControllerError):
     code = "wrong_base"
 
     def __init__(self, sequence: int):
@@ -153,7 +153,7 @@
         self.sequence = sequence
 
 
-class BadRows(ControllerFault):
+class BadRows(ControllerError):
     code = "bad_rows"
 
     def __init__(self, faults: list[dict]):
--- a/pipitlink/gateway/bodies.py
+++ b/pipitlink/gateway/bodies.py
@@ -4,7 +4,7 @@
 import cattrs
 from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError, IterableValidationError
 
-from ..faults import BadRequest
+from ..errors import BadRequest
 
 __all__ = ["read_json", "GenerateBody", "LotBody", "ItemBody", "EngineBody", "structure"]
 
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -4,7 +4,7 @@
 
 from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..disk import frames
-from ..faults import ReplicatedLogFault, NotHeld, Overdue, PipitFault
+from ..errors import ReplicatedLogError, NotHeld, Overdue, PipitlinkError
 from ..wire.lots_pb2 import EndRequest, Ended, EndResponse, Item, LogRecord, Result, Started
 from .requests import RequestRecord
 from .lots import OpenLot, result_log
@@ -57,7 +57,7 @@
         """Takes the lease, reads what is there, and lists as unknown what another owner had started."""
         try:
             h = await self.keep(result_log(o.id))
-        except (PipitFault, Overdue) as e:
+        except (PipitlinkError, Overdue) as e:
             o.try_at = self._ctx.timers.now() + TAKE_AGAIN
             self._ctx.journal.trace("lot_not_taken", lot=o.id, text=e)
             return
@@ -146,7 +146,7 @@
 
     def _ran(self, r, o: OpenLot, i: int):
         o.running.pop(i, None)
-        if isinstance(getattr(r, "value", None), Exception) and not r.check(defer.CancelledError, ReplicatedLogFault):
+        if isinstance(getattr(r, "value", None), Exception) and not r.check(defer.CancelledError, ReplicatedLogError):
             self._ctx.journal.fault("item_failed", r.value, lot=o.id, item=i)
         if o.leaseholder is not None and not o.leaseholder.lost and not o.leaseholder.final and i not in o.results \
                 and i not in o.waiting:
--- a/pipitlink/gateway/fetching.py
+++ b/pipitlink/gateway/fetching.py
@@ -3,7 +3,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from ..timers import ms, spawn
-from ..faults import BackEndFault, BadRequest, Crowded
+from ..errors import BackEndError, BadRequest, Crowded
 from ..web import answered, send_fault
 from .requests import RequestRecord
 
@@ -36,7 +36,7 @@
         if reason.check(ResponseDone):
             self.over.callback(None)
         else:
-            self.over.errback(BackEndFault("the back end's body was cut short", code="cut_short"))
+            self.over.errback(BackEndError("the back end's body was cut short", code="cut_short"))
 
 
 class Fetching:
@@ -85,4 +85,4 @@
         r.deliverBody(through)
         await through.over
         if r.length is not UNKNOWN_LENGTH and ask.size != r.length:
-            raise BackEndFault(f"{ask.size} of {r.length} bytes came", code="cut_short")
+            raise BackEndError(f"{ask.size} of {r.length} bytes came", code="cut_short")
--- a/pipitlink/gateway/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -1,5 +1,5 @@
 from ..timers import Joined, ms, secs, wall_ms
-from ..faults import BadRequest, Crowded
+from ..errors import BadRequest, Crowded
 from ..wire.lots_pb2 import Item, LogRecord, Lot
 from ..web import answered, send_json
 from .bodies import LotBody, read_json
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -5,7 +5,7 @@
 
 from ..timers import secs, wall_ms
 from ..disk import frames
-from ..faults import CutOff, Crowded, GatewayFault, NotHeld, PipitFault, Refused, WireFault
+from ..errors import CutOff, Crowded, GatewayError, NotHeld, PipitlinkError, Refused, WireError
 from ..wire.lots_pb2 import KeyedLot, KeyedResponse, LogRecord, Lot
 
 __all__ = ["Keyed"]
@@ -58,12 +58,12 @@
             try:
                 r = await self._ctx.rpc.call((m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedResponse,
                                               FORWARD_LIMIT)
-            except (WireFault, Refused) as e:
+            except (WireError, Refused) as e:
                 unsent = isinstance(e, CutOff) and not e.sent or isinstance(e, Refused) and e.fault == "not_held"
                 raise Crowded(f"the owner of this key could not take it: {e}", code="no_owner",
                               outcome="not_run" if unsent else "unknown") from e
         if not r.same:
-            raise GatewayFault("this key was used for another lot", code="key_in_use", field="idempotency_key",
+            raise GatewayError("this key was used for another lot", code="key_in_use", field="idempotency_key",
                              status=409, outcome="not_run")
         return r.lot, r.again
 
@@ -96,6 +96,6 @@
             self._shards.pop(log, None)
             try:
                 s = self._shards[log] = _Shard(await self.keep(log))
-            except PipitFault as e:
+            except PipitlinkError as e:
                 raise NotHeld(f"{log} could not be taken: {e}") from e
         return s
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -7,7 +7,7 @@
 
 from ..timers import ZERO, ms, secs
 from ..context import fresh_id
-from ..faults import Crowded, Refused, WireFault
+from ..errors import Crowded, Refused, WireError
 from ..wire.membership_pb2 import Loads, Permit, PermitRequest, PermitResponse
 from ..rendezvous import rank
 
@@ -147,7 +147,7 @@
         m = self._ctx.membership.find(steward)
         try:
             return await self._ctx.rpc.call((m.host, m.port), "limits.take", ask, PermitResponse, ASK_LIMIT)
-        except (WireFault, Refused):
+        except (WireError, Refused):
             return PermitResponse(wait_ms=1000)
 
     async def _keep_rate(self, ask):
--- a/pipitlink/gateway/live.py
+++ b/pipitlink/gateway/live.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs, spawn
-from ..faults import BadRequest, NotFound, Overdue, Refused, WireFault
+from ..errors import BadRequest, NotFound, Overdue, Refused, WireError
 from ..web import answered, send_fault, send_json
 from ..wire.membership_pb2 import EngineNews
 from .requests import RequestRecord
@@ -81,7 +81,7 @@
             if e.fault == "bad_field":
                 raise BadRequest(e.note, code=e.fault, field="from", status=416) from e
             raise NotFound(e.note, code="run_not_held", outcome="unknown") from e
-        except WireFault as e:
+        except WireError as e:
             raise NotFound(f"the gateway that holds the run is not heard: {e}", code="run_not_held",
                            outcome="unknown") from e
         self._ctx.spawned(self._follow_run(far, place, first), "follow_run")
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..timers import Repeat, secs, wall_ms
-from ..faults import PipitFault
+from ..errors import PipitlinkError
 from ..wire.lots_pb2 import Ended, LogRecord, Lot, Result
 
 __all__ = ["OpenLot", "Lots", "result_log"]
@@ -110,7 +110,7 @@
                 await self._ctx.replicated_log.release([h])
                 self._ctx.journal.note("lot_log_ended", log=log, lots=len(self._lots_of.get(log, ())))
                 self._leave_log(log)
-            except PipitFault as e:
+            except PipitlinkError as e:
                 self._ctx.journal.trace("lot_log_kept", log=log, text=e)
 
     async def _follow(self, log: str):
@@ -124,7 +124,7 @@
                         lot_id = f"{log.removeprefix('lots/')}.{at}"
                         self._lots_of.setdefault(log, set()).add(lot_id)
                         self._known(lot_id, record.lot)
-            except PipitFault as e:
+            except PipitlinkError as e:
                 self._ctx.journal.fault("log_unread", e, log=log)
                 await self._ctx.timers.pause(secs(1))
             await tail.wait()
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -1,7 +1,7 @@
 from klein import Klein
 
 from ..timers import ms, secs
-from ..faults import NotFound
+from ..errors import NotFound
 from ..web import Site, listen, send_fault, send_json
 from .requests import RequestTable
 from .dispatch import Dispatch
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs
-from ..faults import Crowded, GatewayFault, NotFound
+from ..errors import Crowded, GatewayError, NotFound
 from ..rendezvous import rank
 
 __all__ = ["Admitting", "Picking", "RetryBudget"]
@@ -27,7 +27,7 @@
         await self._await_current()
         now = self._ctx.timers.now()
         if ask.limit <= now:
-            raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
+            raise GatewayError("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if ask.tries:
             return False
         if not ask.lot and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.settings.max_running:
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from ..timers import secs, spawn
-from ..faults import BackEndFault, Crowded, GatewayFault, ReplicatedLogFault
+from ..errors import BackEndError, Crowded, GatewayError, ReplicatedLogError
 
 __all__ = ["Relaying"]
 
@@ -138,7 +138,7 @@
     def _break(self, why: str):
         self._abort()
         if not self.over.called:
-            self.over.errback(BackEndFault(why, code="bad_answer"))
+            self.over.errback(BackEndError(why, code="bad_answer"))
 
     def connectionLost(self, reason=protocol.connectionDone):
         self._ask.feed = None
@@ -147,7 +147,7 @@
         if self._done and reason.check(ResponseDone):
             self.over.callback(None)
         else:
-            self.over.errback(BackEndFault("the engine's token stream was cut short", code="cut_short"))
+            self.over.errback(BackEndError("the engine's token stream was cut short", code="cut_short"))
 
 
 class _Silence:
@@ -201,9 +201,9 @@
     def _check_still(self, ask, e):
         """What held when the request was admitted and its back end picked must hold as its first byte leaves."""
         if ask.settled or ask.engine is not e:
-            raise GatewayFault("the request was ended", code="ended", outcome="not_run")
+            raise GatewayError("the request was ended", code="ended", outcome="not_run")
         if ask.limit <= self._ctx.timers.now():
-            raise GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
+            raise GatewayError("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if not self._ctx.cluster.ready():
             raise Crowded("this gateway cannot prove its cluster state now", code="not_current")
         if self.engines.status(e) != "ready" or all(k is not e for k, _ in self.candidates(ask.model, ask.pool)):
@@ -242,10 +242,10 @@
             return Crowded(f"engine {e.name} could not be reached: {f}", code="unreached")
         if isinstance(f, Crowded) and f.code == "not_current":
             ask.avoid.discard(e.name)
-        if isinstance(f, ReplicatedLogFault) or isinstance(f, GatewayFault) and f.outcome == "not_run":
+        if isinstance(f, ReplicatedLogError) or isinstance(f, GatewayError) and f.outcome == "not_run":
             return f
         if self._ctx.timers.now() >= ask.limit:
-            return GatewayFault("the limit has passed", code="limit_passed", status=504, outcome="not_run")
+            return GatewayError("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         return Crowded(f"engine {e.name} could not be asked: {f}", code="unreached")
 
     def _sent_badly(self, ask, e, f) -> Exception:
@@ -254,13 +254,13 @@
             self.engines.refused(e)
             return f
         ask.put("lose")
-        if isinstance(f, GatewayFault):
+        if isinstance(f, GatewayError):
             f.outcome = "failed" if f.code == "engine_refused" else ask.outcome
             return f
         late = self._ctx.timers.now() >= ask.limit
         if not late:
             self.engines.failed(e)
-        return BackEndFault(str(f) or type(f).__name__, code="limit_passed" if late else "lost",
+        return BackEndError(str(f) or type(f).__name__, code="limit_passed" if late else "lost",
                             status=504 if late else 502, outcome=ask.outcome)
 
     async def _relay(self, ask, e):
@@ -273,7 +273,7 @@
         except Exception:
             work.cancel()
             if watch.fell:
-                raise BackEndFault(f"engine {e.name} fell silent", code="silent") from None
+                raise BackEndError(f"engine {e.name} fell silent", code="silent") from None
             raise
         finally:
             watch.close()
@@ -290,7 +290,7 @@
             raise Crowded(f"engine {e.name} refused with {r.code}", code="engine_crowded")
         if r.code != 200:
             text = await self._discard(r)
-            raise BackEndFault(f"engine {e.name} answered {r.code}: {text[:200]}", code="engine_refused",
+            raise BackEndError(f"engine {e.name} answered {r.code}: {text[:200]}", code="engine_refused",
                                outcome="failed")
         pieces = _Pieces(ask, point.abort, watch.heard)
         r.deliverBody(pieces)
--- a/pipitlink/gateway/requests.py
+++ b/pipitlink/gateway/requests.py
@@ -8,18 +8,18 @@
 
 from ..state_machines import HasStateMachine, state_machine_data
 from ..context import fresh_id
-from ..faults import BackEndFault, GatewayFault, ReplicatedLogFault
+from ..errors import BackEndError, GatewayError, ReplicatedLogError
 
 __all__ = ["RequestRecord", "RequestTable"]
 
-_OUTCOMES = state_machine_data("ask")["outcome"]
+_OUTCOMES = state_machine_data("request")["outcome"]
 
 
 @attrs.define(eq=False, slots=False)
 class RequestRecord(HasStateMachine):
     """The record of one request in this process."""
 
-    state_machine = "ask"
+    state_machine = "request"
 
     model: str
     prompt: str
@@ -36,8 +36,8 @@
     avoid: set = attrs.field(factory=set)
     pieces: list[str] = attrs.field(factory=list)
     size: int = 0
-    fault: GatewayFault | None = None
-    refusal: GatewayFault | None = None
+    fault: GatewayError | None = None
+    refusal: GatewayError | None = None
     reached: bool = False
     left_at: timedelta | None = None
     readers: int = 0
@@ -94,8 +94,8 @@
         self.move()
 
     def fail(self, fault: Exception):
-        if not isinstance(fault, GatewayFault):
-            fault = BackEndFault(str(fault) or type(fault).__name__, outcome=self.outcome)
+        if not isinstance(fault, GatewayError):
+            fault = BackEndError(str(fault) or type(fault).__name__, outcome=self.outcome)
         if self.reached and fault.outcome == "not_run":
             fault.outcome = "unknown"
         self.fault = fault
@@ -159,9 +159,9 @@
                         break
         except defer.CancelledError:
             ask.put("lose")
-            ask.fail(GatewayFault("the request was ended", code="ended", outcome=ask.outcome))
+            ask.fail(GatewayError("the request was ended", code="ended", outcome=ask.outcome))
         except Exception as e:
-            if not isinstance(e, (GatewayFault, ReplicatedLogFault)):
+            if not isinstance(e, (GatewayError, ReplicatedLogError)):
                 self._ctx.journal.fault("ask_failed", e, ask=ask.id)
             ask.put("lose")
             ask.fail(e)
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs
-from ..faults import Crowded, NotFound, Refused, WireFault
+from ..errors import Crowded, NotFound, Refused, WireError
 from ..wire.lots_pb2 import EndRequest, EndResponse, LogRecord, Lot
 from ..web import answered, send_json
 from .intake import lot_parts
@@ -165,6 +165,6 @@
         try:
             r = await self._ctx.rpc.call((m.host, m.port), "lots.end", EndRequest(lot=lot), EndResponse, secs(3))
             return r.state
-        except (WireFault, Refused) as e:
+        except (WireError, Refused) as e:
             self._ctx.journal.trace("owner_unheard", lot=lot, text=e)
             return "lost"
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs, spawn
-from ..faults import WireFault
+from ..errors import WireError
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import Gossip, Member, ProbeFor, ProbeResponse
 from .entry import Entry
@@ -177,7 +177,7 @@
     async def _probe(self, place) -> str:
         try:
             g = await self._ctx.rpc.call(place, "membership.probe", self._gossip(), Gossip, PROBE_LIMIT)
-        except WireFault:
+        except WireError:
             return ""
         self._absorb(g)
         if g.digest != self.digest():
@@ -245,7 +245,7 @@
             try:
                 r = await self._ctx.rpc.call((m.host, m.port), "membership.probe_for", ProbeFor(target=e.member.node),
                                               ProbeResponse, PROBE_LIMIT * 2)
-            except WireFault:
+            except WireError:
                 continue
             if r.alive:
                 return
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -2,7 +2,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import GaugeMetricFamily
 
-from .faults import NotFound
+from .errors import NotFound
 from .web import Site, listen, send_fault, send_json
 
 __all__ = ["OperatorFace"]
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -14,7 +14,7 @@
 from .storage import StorageNode, node_id
 from .dialect import Dialect
 from .disk import set_aside
-from .faults import Damaged, SettingsFault
+from .errors import Damaged, SettingsError
 from .journal import open_journal
 from .replicated_log import ReplicatedLog
 from .operator import OperatorFace
@@ -135,7 +135,7 @@
         """Takes new seeds from the settings, where they moved; all else is as it was at the start."""
         try:
             settings = self._reread()
-        except SettingsFault as e:
+        except SettingsError as e:
             self.ctx.journal.fault("settings_unread", e)
             return
         if settings.seeds != self.ctx.settings.seeds:
@@ -144,7 +144,7 @@
 
     def fail(self, f):
         self.exit = 1
-        if f.check(SettingsFault):
+        if f.check(SettingsError):
             for line in f.value.lines:
                 print(line, file=sys.stderr)
             self.exit = 2
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -5,7 +5,7 @@
 from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..storage.grants import HOLD_SPAN
 from ..disk import frame
-from ..faults import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireFault
+from ..errors import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireError
 from ..wire.frame_pb2 import Nothing
 from ..wire.replicated_log_pb2 import (LeaseRequest, LeaseResponse, LogState, MarkRequest, States, StatesRequest, WriteRequest,
                                WriteResponse)
@@ -201,7 +201,7 @@
                     self.look_again()
                 self._states.pop(node, None)
                 await self._ctx.timers.pause(RETRY_INTERVAL)
-            except WireFault as e:
+            except WireError as e:
                 self._states.pop(node, None)
                 self._ctx.journal.trace("replica_behind", log=self.log, storage_node=node, text=e)
                 await self._ctx.timers.pause(RETRY_INTERVAL if self._waiters else IDLE_INTERVAL)
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -1,7 +1,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs, spawn
-from ..faults import NoMajority, WireFault
+from ..errors import NoMajority, WireError
 from ..wire.replicated_log_pb2 import (Held, ListRequest, LogState, ReadRequest, ReadResponse, RenewRequest, RenewResponse, States,
                                StatesRequest)
 from .leaseholder import Leaseholder
@@ -37,7 +37,7 @@
     async def ask(self, node: str, verb: str, what, kind, limit=ASK_LIMIT):
         place = self.place(node)
         if place is None:
-            raise WireFault(f"storage node {node} is not on the membership")
+            raise WireError(f"storage node {node} is not on the membership")
         return await self._ctx.rpc.call(place, verb, what, kind, limit)
 
     async def ask_each(self, nodes, verb: str, what, kind, limit=ASK_LIMIT, enough=None) -> dict:
@@ -50,7 +50,7 @@
             nonlocal left
             try:
                 got[node] = await self.ask(node, verb, what, kind, limit)
-            except WireFault as e:
+            except WireError as e:
                 self._ctx.journal.trace("storage_node_unheard", storage_node=node, verb=verb, text=e)
             finally:
                 left -= 1
@@ -210,7 +210,7 @@
             ask = ReadRequest(log=log, position=position + len(out), length=min(MAX_SPAN, length - len(out)))
             try:
                 data = (await self.ask(node, "replicated_log.read", ask, ReadResponse, READ_LIMIT)).data
-            except WireFault:
+            except WireError:
                 break
             if not data:
                 break
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -1,7 +1,7 @@
 from datetime import timedelta
 
 from ..timers import Joined, ZERO, ms, secs, wall_ms
-from ..faults import BadRequest, Crowded, GatewayFault, ReplicatedLogFault, NotHeld, PipitFault, WireFault
+from ..errors import BadRequest, Crowded, GatewayError, ReplicatedLogError, NotHeld, PipitlinkError, WireError
 from ..wire.lots_pb2 import Batch, LogRecord
 from .batches import HEAD_ALONE, OpenBatch, batch_log, good_id, head_of
 
@@ -14,15 +14,15 @@
 COME_BACK = 0.2
 
 
-def refusal(e: GatewayFault, dialect) -> tuple[int, dict, bytes]:
+def refusal(e: GatewayError, dialect) -> tuple[int, dict, bytes]:
     headers = {"Content-Type": "application/json"}
     if e.retry_after:
         headers["Retry-After"] = str(e.retry_after)
     return e.status, headers, dialect.show_fault(e)
 
 
-def _unknown(text: str, status: int = 504) -> GatewayFault:
-    return GatewayFault(text, code="unknown_outcome", status=status, outcome="unknown")
+def _unknown(text: str, status: int = 504) -> GatewayError:
+    return GatewayError(text, code="unknown_outcome", status=status, outcome="unknown")
 
 
 class BatchIntake:
@@ -48,12 +48,12 @@
             same = await self._ctx.timers.within(left, self._batches_taking.run(
                 lot_id, lambda: self._take_once(batch, route, deadline - MARGIN)))
             if not self._same_batch(same, batch):
-                raise GatewayFault("this id was used for another batch", code="id_in_use", field="id", status=409,
+                raise GatewayError("this id was used for another batch", code="id_in_use", field="id", status=409,
                                  outcome="not_run")
             return 202, {"Content-Type": "application/json"}, self.dialect.show_taken(lot_id, len(batch.items))
-        except GatewayFault as e:
+        except GatewayError as e:
             return refusal(e, self.dialect)
-        except (PipitFault, TimeoutError) as e:
+        except (PipitlinkError, TimeoutError) as e:
             return refusal(_unknown(f"the batch may yet be taken: {e}"), self.dialect)
 
     def _same_batch(self, one: Batch | None, other: Batch) -> bool:
@@ -67,7 +67,7 @@
                 if not self._ctx.cluster.usable():
                     raise Crowded("this gateway takes no batches now", code="not_current", retry_after=COME_BACK)
                 await self._await_quota(route, batch, min(until, self._ctx.timers.now() + QUOTA_WAIT))
-            except GatewayFault as e:
+            except GatewayError as e:
                 return await self._batch_taken_already(batch.id, e)
         try:
             return await self._in_batch_turn(batch.id, lambda: self._write_batch(batch, until))
@@ -77,7 +77,7 @@
             if self._closing_batches and o is not None and o.idle():
                 self._ctx.spawned(self._ctx.replicated_log.release([o.leaseholder]), "hand_over")
 
-    async def _batch_taken_already(self, batch_id: str, refused: GatewayFault) -> Batch | None:
+    async def _batch_taken_already(self, batch_id: str, refused: GatewayError) -> Batch | None:
         """What an earlier try has taken is not refused."""
         try:
             known = await self._known_batch(batch_id)
@@ -96,8 +96,8 @@
             return None
         try:
             return await self._ctx.timers.within(COMPARE_SPAN, self._batch_of(batch_id))
-        except PipitFault as e:
-            return None if isinstance(e, GatewayFault) and e.code == HEAD_ALONE else False
+        except PipitlinkError as e:
+            return None if isinstance(e, GatewayError) and e.code == HEAD_ALONE else False
 
     async def _write_batch(self, batch: Batch, until: timedelta) -> Batch | None:
         o = await self._hold_for_intake(batch.id, until)
@@ -117,7 +117,7 @@
         while True:
             try:
                 return await self._hold_batch(batch_id)
-            except (ReplicatedLogFault, WireFault) as e:
+            except (ReplicatedLogError, WireError) as e:
                 fault = e
             try:
                 known = await self._known_batch(batch_id)
@@ -138,7 +138,7 @@
         try:
             await h.append([LogRecord(head=head_of(batch)).SerializeToString(),
                             LogRecord(batch=batch).SerializeToString()])
-        except PipitFault as e:
+        except PipitlinkError as e:
             if len(h.data) > before:
                 if not h.lost:
                     await self._batch_durable(o)
@@ -151,7 +151,7 @@
     async def _batch_durable(self, o: OpenBatch):
         try:
             await self._await_batch_durable(o)
-        except PipitFault as e:
+        except PipitlinkError as e:
             raise _unknown(f"the batch may yet be taken: {e}", 500) from e
         if o.leaseholder.lost:
             raise _unknown("the lease ended before the batch was durable", 500)
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -6,7 +6,7 @@
 
 from ..timers import ZERO, ms, secs
 from ..cache.chunks import CHUNK
-from ..faults import Crowded, GatewayFault, NotFound, PipitFault, Refused, WireFault
+from ..errors import Crowded, GatewayError, NotFound, PipitlinkError, Refused, WireError
 from ..wire.lots_pb2 import Batch, EndRequest, Ended, EndResponse, LogRecord
 from .batch_intake import refusal
 from .batches import HEAD_ALONE, Listing, batch_log, good_id
@@ -94,7 +94,7 @@
         if r.listing.batch is None:
             try:
                 await self._ctx.timers.within(READ_LIMIT, self._read_bodies(r))
-            except PipitFault:
+            except PipitlinkError:
                 if r.over():
                     self._drop_batch_reader(batch_id, r)
                 raise
@@ -117,7 +117,7 @@
             try:
                 with r.in_use():
                     await self._ctx.timers.within(READ_LIMIT, self._read_batch_on(batch_id, r))
-            except GatewayFault:
+            except GatewayError:
                 if r.listing.head is None:
                     self._drop_batch_reader(batch_id, r)
                 raise
@@ -181,7 +181,7 @@
             while True:
                 try:
                     listing = await self._listing_of(lot_id)
-                except PipitFault:
+                except PipitlinkError:
                     if listing is None:
                         raise
                     break
@@ -191,9 +191,9 @@
                 await self._listing_moves(lot_id, left)
             body = self.dialect.show_outputs(listing.head, listing.outputs, start)
             return 200, {"Content-Type": "application/json"}, body
-        except GatewayFault as e:
+        except GatewayError as e:
             return refusal(e, self.dialect)
-        except PipitFault as e:
+        except PipitlinkError as e:
             return refusal(Crowded(f"the batch cannot be read now: {e}", code="unread"), self.dialect)
 
     async def _listing_moves(self, batch_id: str, left: timedelta):
@@ -222,9 +222,9 @@
             if item is None:
                 raise NotFound("there is no such item", code="no_such_item", field="id")
             return 200, {"Content-Type": "application/octet-stream"}, item.body
-        except GatewayFault as e:
+        except GatewayError as e:
             return refusal(e, self.dialect)
-        except PipitFault as e:
+        except PipitlinkError as e:
             return refusal(Crowded(f"the batch cannot be read now: {e}", code="unread"), self.dialect)
 
     async def end_batch(self, lot_id: str):
@@ -239,7 +239,7 @@
                 if self._ctx.timers.now() >= until:
                     raise Crowded("the batch's owner could not be asked", code="no_owner", outcome="unknown")
                 await self._ctx.timers.pause(END_INTERVAL)
-        except GatewayFault as e:
+        except GatewayError as e:
             return refusal(e, self.dialect)
 
     async def _end_batch_once(self, batch_id: str) -> str:
@@ -261,7 +261,7 @@
         try:
             r = await self._ctx.rpc.call((m.host, m.port), "batches.end", EndRequest(lot=batch_id), EndResponse, ASK_LIMIT)
             return r.state
-        except (WireFault, Refused) as e:
+        except (WireError, Refused) as e:
             self._ctx.journal.trace("owner_unheard", batch=batch_id, text=e)
             return "unsure"
 
@@ -271,7 +271,7 @@
     async def _end_batch_here(self, batch_id: str) -> str:
         try:
             return await self._in_batch_turn(batch_id, lambda: self._end_batch_held(batch_id))
-        except PipitFault as e:
+        except PipitlinkError as e:
             self._ctx.journal.trace("batch_not_ended", batch=batch_id, text=e)
             return "unsure"
 
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs, spawn, wall_ms
-from ..faults import Fenced, ReplicatedLogFault, NotHeld, Overdue, PipitFault
+from ..errors import Fenced, ReplicatedLogError, NotHeld, Overdue, PipitlinkError
 from ..wire.lots_pb2 import Ended, LogRecord, Output
 from .batches import OpenBatch
 from .items import ItemAnswer, ItemCall
@@ -122,7 +122,7 @@
         before = call.last_event
         try:
             answer = await self.run_item(call)
-        except PipitFault as e:
+        except PipitlinkError as e:
             self._ctx.journal.trace("item_fault", batch=o.id, item=call.id, text=e)
             answer = ItemAnswer()
         if i in o.done or not o.current():
@@ -198,7 +198,7 @@
                     await o.leaseholder.append(records, final=final, reserved=True)
                 except Overdue:
                     await self._await_batch_durable(o)
-        except ReplicatedLogFault as e:
+        except ReplicatedLogError as e:
             if not isinstance(e, (Fenced, NotHeld)):
                 self._ctx.journal.fault("outputs_unlisted", e, batch=o.id)
             if not o.leaseholder.lost and not o.leaseholder.final:
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -6,7 +6,7 @@
 
 from ..timers import ZERO, ms, secs
 from ..disk import frames
-from ..faults import PipitFault
+from ..errors import PipitlinkError
 from ..rendezvous import rank
 from ..wire.lots_pb2 import Batch, BatchHead, BatchItem, LogRecord, Output
 
@@ -267,7 +267,7 @@
             return
         try:
             o = await self._hold_batch(batch_id, state.leaseholder if state is not None else None)
-        except PipitFault as e:
+        except PipitlinkError as e:
             self._ctx.journal.trace("batch_not_taken_up", batch=batch_id, text=e)
             return
         if o.batch is None:
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -3,12 +3,12 @@
 import attrs
 
 from ..state_machines import HasStateMachine, state_machine_data
-from ..faults import GatewayFault
+from ..errors import GatewayError
 from ..wire.cluster_pb2 import Route
 
 __all__ = ["Call", "HOP_HEADERS", "prompt_parts"]
 
-_OUTCOMES = state_machine_data("ask")["outcome"]
+_OUTCOMES = state_machine_data("request")["outcome"]
 HOP_HEADERS = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
                          b"upgrade", b"content-length", b"expect", b"proxy-authenticate", b"proxy-authorization"))
 
@@ -27,7 +27,7 @@
 class Call(HasStateMachine):
     """The record of one request by route on its way to an engine. Head and body are opaque; what is known stands here."""
 
-    state_machine = "ask"
+    state_machine = "request"
 
     id: bytes
     method: bytes
@@ -80,5 +80,5 @@
         if self.link is not None:
             self.link.discard()
 
-    def fault(self, text: str, **words) -> GatewayFault:
-        return GatewayFault(text, outcome=self.outcome, **words)
+    def fault(self, text: str, **words) -> GatewayError:
+        return GatewayError(text, outcome=self.outcome, **words)
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from ..timers import ms, secs
-from ..faults import Crowded
+from ..errors import Crowded
 from ..rendezvous import rank
 
 __all__ = ["Choosing"]
--- a/pipitlink/router/events.py
+++ b/pipitlink/router/events.py
@@ -1,4 +1,4 @@
-from ..faults import BackEndFault
+from ..errors import BackEndError
 
 __all__ = ["EventStream", "MAX_EVENT"]
 
@@ -24,11 +24,11 @@
             n = event_id(event)
             if n is not None:
                 if n != self.last + 1:
-                    raise BackEndFault(f"event {n} came after event {self.last}", code="bad_answer")
+                    raise BackEndError(f"event {n} came after event {self.last}", code="bad_answer")
                 self.last = n
             out.append(event)
         if len(self._rest) > MAX_EVENT:
-            raise BackEndFault("an event is too long", code="bad_answer")
+            raise BackEndError("an event is too long", code="bad_answer")
         return out
 
     @property
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -7,7 +7,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from ..timers import ms, secs
-from ..faults import BadRequest, Crowded, GatewayFault, NotFound
+from ..errors import BadRequest, Crowded, GatewayError, NotFound
 from .call import HOP_HEADERS, Call, prompt_parts
 from .relay import passed_headers
 
@@ -211,13 +211,13 @@
             if request.too_long:
                 raise BadRequest("the body is too long", code="body_too_long", status=413)
             await self._serve(request)
-        except GatewayFault as f:
+        except GatewayError as f:
             self._answer_fault(request, f)
         except Exception as e:
             self._ctx.journal.fault("request_failed", e, path=request.path.decode("utf-8", "replace"))
             request.cut() if request.startedWriting else request.answer(500, {}, b"")
 
-    def _answer_fault(self, request, f: GatewayFault):
+    def _answer_fault(self, request, f: GatewayError):
         self.refused[f.code] = self.refused.get(f.code, 0) + 1
         if request.startedWriting:
             request.cut()
--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer
 
 from ..timers import ZERO, ms, secs
-from ..faults import GatewayFault, ReplicatedLogFault
+from ..errors import GatewayError, ReplicatedLogError
 from .call import Call, prompt_parts
 from .events import event_data
 
@@ -78,9 +78,9 @@
         except defer.CancelledError:
             call.stop("cancelled")
             raise
-        except ReplicatedLogFault:
+        except ReplicatedLogError:
             raise
-        except GatewayFault as f:
+        except GatewayError as f:
             wait = ms(1000 * f.retry_after) if f.retry_after else ms(50)
             return ItemAnswer(not_run=f.outcome == "not_run", wait=wait)
         finally:
--- a/pipitlink/router/links.py
+++ b/pipitlink/router/links.py
@@ -9,7 +9,7 @@
 from zope.interface import implementer
 
 from ..timers import ms, secs
-from ..faults import BackEndFault, Crowded
+from ..errors import BackEndError, Crowded
 
 __all__ = ["Link", "Links"]
 
@@ -143,7 +143,7 @@
             raise
         except Exception as e:
             self.lost(link)
-            raise BackEndFault(f"{address} could not be reached: {e}", code="unreached", outcome="not_run") from e
+            raise BackEndError(f"{address} could not be reached: {e}", code="unreached", outcome="not_run") from e
         return link
 
     def give_back(self, link: Link):
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..timers import Joined, ms, secs
-from ..faults import Crowded, GatewayFault, PipitFault, Refused, WireFault
+from ..errors import Crowded, GatewayError, PipitlinkError, Refused, WireError
 from ..rendezvous import rank
 from ..wire.membership_pb2 import Loads, QuotaRequest, QuotaResponse, WaitingLot
 
@@ -148,7 +148,7 @@
         """Counts a batch from its log, since nobody has told of it."""
         try:
             listing = await self._listing_of(batch_id)
-        except PipitFault as e:
+        except PipitlinkError as e:
             self._ctx.journal.trace("batch_not_counted", batch=batch_id, text=e)
             await self._ctx.timers.pause(ms(200))
             return
@@ -190,7 +190,7 @@
         m = self._ctx.membership.find(steward)
         try:
             return await self._ctx.rpc.call((m.host, m.port), "quota.take", ask, QuotaResponse, ASK_LIMIT)
-        except (WireFault, Refused):
+        except (WireError, Refused):
             return QuotaResponse(unsure=True)
 
     async def _await_quota(self, route, batch, until: timedelta):
@@ -205,7 +205,7 @@
                 self._quota_mine[batch.id] = route.name, tokens
                 return
             if not r.unsure:
-                raise GatewayFault(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
+                raise GatewayError(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
                                  status=429, outcome="not_run", retry_after=1)
             if self._ctx.timers.now() + WAIT_STEP > until:
                 raise Crowded("the tokens that wait cannot be counted now", code="not_counted", retry_after=COME_BACK)
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -2,7 +2,7 @@
 from twisted.web.client import ResponseDone
 
 from ..timers import ms
-from ..faults import BackEndFault, Crowded, GatewayFault
+from ..errors import BackEndError, Crowded, GatewayError
 from .call import HOP_HEADERS
 from .events import EventStream
 
@@ -64,9 +64,9 @@
         if self.over.called:
             return
         if not reason.check(ResponseDone):
-            self.over.errback(BackEndFault("the engine's answer was cut short", code="cut_short"))
+            self.over.errback(BackEndError("the engine's answer was cut short", code="cut_short"))
         elif self._events is not None and not self._events.whole:
-            self.over.errback(BackEndFault("the engine's answer ended inside an event", code="cut_short"))
+            self.over.errback(BackEndError("the engine's answer ended inside an event", code="cut_short"))
         else:
             if not self._call.headed:
                 self._call.headed = True
@@ -113,7 +113,7 @@
                     call.put("finish")
                     self._ctx.journal.trace("call", id=call.id.decode("latin-1"), route=call.route.name, tries=call.tries)
                     return
-                except GatewayFault as f:
+                except GatewayError as f:
                     if not self._may_go_on(call, f):
                         raise
                 if call.state == "lost":
@@ -124,7 +124,7 @@
         except defer.CancelledError:
             call.put("lose")
             raise
-        except GatewayFault as f:
+        except GatewayError as f:
             if call.reached and f.outcome == "not_run":
                 f.outcome = "unknown"
             raise
@@ -173,13 +173,13 @@
         try:
             try:
                 link = await self._link(call, e)
-            except GatewayFault as f:
+            except GatewayError as f:
                 if f.code == "unreached":
                     self.engines.unreached(e)
                 raise
             try:
                 self._check_still(call, e)
-            except GatewayFault:
+            except GatewayError:
                 self._release(link)
                 raise
             call.link = link
@@ -188,7 +188,7 @@
             e.kept.add(call.parts)
             await self._exchange(call, e, link, read)
             self.engines.served(e)
-        except GatewayFault as f:
+        except GatewayError as f:
             if call.state == "picked":
                 call.put("unreached")
                 f.outcome = call.outcome
@@ -232,7 +232,7 @@
             link.discard()
             call.ran += 1
             self._lost_with(call, e)
-            raise BackEndFault(f"{e.name} did not answer: {f}", code="lost", outcome="unknown") from f
+            raise BackEndError(f"{e.name} did not answer: {f}", code="lost", outcome="unknown") from f
         try:
             await self._take_answer(call, e, link, response, read)
         except BaseException:
@@ -253,29 +253,29 @@
             self.counts["spoilt"] += 1
             call.ran += 1
             link.discard()
-            raise BackEndFault(f"{e.name} sent another request's answer", code="spoilt", outcome="unknown")
+            raise BackEndError(f"{e.name} sent another request's answer", code="spoilt", outcome="unknown")
         if code == 421 or heads.hasHeader(words.not_executed):
             await self._refused(call, e, link, response)
         call.ran += 1
         if code in PROMISES:
             await self._drain(link, response)
-            raise BackEndFault(f"{e.name} answered {code} without saying that nothing ran", code="engine_failed",
+            raise BackEndError(f"{e.name} answered {code} without saying that nothing ran", code="engine_failed",
                                outcome="unknown")
         if 200 <= code < 300 and not heads.hasHeader(words.seal):
             link.discard()
-            raise BackEndFault(f"{e.name} answered without its seal", code="spoilt", outcome="unknown")
+            raise BackEndError(f"{e.name} answered without its seal", code="spoilt", outcome="unknown")
         if code >= 500 and not call.headed and not call.batch and (call.repeatable or call.resumable) \
                 and call.ran < max(2, call.route.max_tries):
             await self._drain(link, response)
-            raise BackEndFault(f"{e.name} answered {code}", code="engine_failed", outcome="unknown")
+            raise BackEndError(f"{e.name} answered {code}", code="engine_failed", outcome="unknown")
         if call.headed and code != 200:
             await self._drain(link, response)
-            raise BackEndFault(f"{e.name} answered {code} to a resumed stream", code="engine_failed", outcome="unknown")
+            raise BackEndError(f"{e.name} answered {code} to a resumed stream", code="engine_failed", outcome="unknown")
         flow = _Flow(self, call, e, response, read)
         response.deliverBody(flow)
         try:
             await flow.over
-        except GatewayFault:
+        except GatewayError:
             self._lost_with(call, e)
             raise
 
--- a/pipitlink/segments.py
+++ b/pipitlink/segments.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from .disk import HEAD, Disk, frame, frames
-from .faults import Damaged
+from .errors import Damaged
 
 __all__ = ["Segments", "Spot"]
 
--- a/pipitlink/settings.py
+++ b/pipitlink/settings.py
@@ -6,7 +6,7 @@
 import attrs
 import cattrs
 
-from .faults import SettingsFault
+from .errors import SettingsError
 
 __all__ = ["Settings", "read_settings", "ROLES"]
 
@@ -147,9 +147,9 @@
         try:
             raw = tomllib.loads(Path(path).read_text())
         except OSError as e:
-            raise SettingsFault([f"settings: {path}: {e.strerror}"]) from e
+            raise SettingsError([f"settings: {path}: {e.strerror}"]) from e
         except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-            raise SettingsFault([f"settings: {path}: {e}"]) from e
+            raise SettingsError([f"settings: {path}: {e}"]) from e
     raw.update({k: v for k, v in flags.items() if v is not None})
     fields = {a.name: a for a in attrs.fields(Settings)}
     words = {}
@@ -173,4 +173,4 @@
         lines = _check(role, p)
         if not lines:
             return p
-    raise SettingsFault(lines)
+    raise SettingsError(lines)
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -1,5 +1,5 @@
 from ..timers import ms, secs
-from ..faults import Fenced, ReplicatedLogFault, NoMajority, WireFault
+from ..errors import Fenced, ReplicatedLogError, NoMajority, WireError
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.frame_pb2 import Nothing
 from ..wire.replicated_log_pb2 import CaughtUp, Entry, ListRequest, LogState, States
@@ -73,7 +73,7 @@
                     await self._copy_log(log, state, storage_node)
                 if joining and promised[log] > self.log_store.state(log).epoch:
                     await self._syncer.put(lambda t, log=log: self.log_store.promise(log, promised[log], t, granted=False))
-            except (ReplicatedLogFault, WireFault) as e:
+            except (ReplicatedLogError, WireError) as e:
                 self._ctx.journal.trace("copy_put_off", log=log, text=e)
                 whole = False
         return whole
--- a/pipitlink/storage/log_store.py
+++ b/pipitlink/storage/log_store.py
@@ -4,7 +4,7 @@
 import attrs
 
 from ..disk import Disk
-from ..faults import Fenced, NoRoom
+from ..errors import Fenced, NoRoom
 from ..wire.replicated_log_pb2 import Entry, LogState
 from ..segments import Segments, Spot
 
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -3,7 +3,7 @@
 
 from ..context import fresh_id
 from ..disk import Disk, swap_in
-from ..faults import NoRoom, OldPlacementGroup, SettingsFault
+from ..errors import NoRoom, OldPlacementGroup, SettingsError
 from ..replicated_log.placement_group import placement_group_of
 from ..syncing import Syncer
 from ..wire.replicated_log_pb2 import (Entry, ListRequest, MarkRequest, ReadRequest, ReadResponse, States, StatesRequest, WriteRequest,
@@ -27,7 +27,7 @@
     if path.exists():
         kept = json.loads(path.read_text())
         if kept["fleet"] != fleet:
-            raise SettingsFault([f"data: {folder} belongs to fleet {kept['fleet']!r}, not {fleet!r}"])
+            raise SettingsError([f"data: {folder} belongs to fleet {kept['fleet']!r}, not {fleet!r}"])
         return kept["node"]
     node = fresh_id()
     swap_in(path, json.dumps({"fleet": fleet, "node": node}).encode())
--- a/pipitlink/syncing.py
+++ b/pipitlink/syncing.py
@@ -1,7 +1,7 @@
 from twisted.internet import defer
 
 from .timers import spawn
-from .faults import Damaged, NoRoom
+from .errors import Damaged, NoRoom
 
 __all__ = ["Syncer"]
 
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from .faults import Overdue
+from .errors import Overdue
 
 __all__ = ["Timers", "Repeat", "ms", "secs", "to_ms", "wall_ms", "ZERO", "spawn", "Joined"]
 
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -4,8 +4,8 @@
 from twisted.web import server
 
 from .timers import spawn
-from .faults import (BadRows, CutOff, Fenced, GatewayFault, NoMajority, NoRoom, NotHeld, NotLeading, Overdue, Refused,
-                     Unproven, WireFault, WrongBase)
+from .errors import (BadRows, CutOff, Fenced, GatewayError, NoMajority, NoRoom, NotHeld, NotLeading, Overdue, Refused,
+                     Unproven, WireError, WrongBase)
 
 __all__ = ["Site", "answered", "send_json", "send_fault", "listen"]
 
@@ -67,21 +67,21 @@
     return json.dumps(body).encode()
 
 
-def _plain(e: Exception) -> GatewayFault:
+def _plain(e: Exception) -> GatewayError:
     """Turns a fault from a layer below into what a caller is told."""
-    if isinstance(e, GatewayFault):
+    if isinstance(e, GatewayError):
         return e
     if isinstance(e, WrongBase):
-        return GatewayFault(str(e), code=e.code, status=412, outcome="not_run")
+        return GatewayError(str(e), code=e.code, status=412, outcome="not_run")
     if isinstance(e, BadRows):
-        return GatewayFault(str(e), code=e.code, status=422, outcome="not_run")
+        return GatewayError(str(e), code=e.code, status=422, outcome="not_run")
     if isinstance(e, NoRoom):
-        return GatewayFault(str(e), code=e.code, status=507, outcome="unknown" if e.sent else "not_run", retry_after=30)
+        return GatewayError(str(e), code=e.code, status=507, outcome="unknown" if e.sent else "not_run", retry_after=30)
     if isinstance(e, NotLeading):
-        return GatewayFault(str(e), code=e.code, status=503, outcome="not_run", retry_after=1)
-    if isinstance(e, (NoMajority, NotHeld, Overdue, CutOff, Unproven, Fenced, Refused, WireFault)):
-        return GatewayFault(str(e), code=e.code, status=503, outcome="unknown", retry_after=1)
-    return GatewayFault("the module failed on this request", code="internal", status=500, outcome="unknown")
+        return GatewayError(str(e), code=e.code, status=503, outcome="not_run", retry_after=1)
+    if isinstance(e, (NoMajority, NotHeld, Overdue, CutOff, Unproven, Fenced, Refused, WireError)):
+        return GatewayError(str(e), code=e.code, status=503, outcome="unknown", retry_after=1)
+    return GatewayError("the module failed on this request", code="internal", status=500, outcome="unknown")
 
 
 def send_fault(request, e: Exception):
@@ -108,7 +108,7 @@
         def fault(f):
             if f.check(defer.CancelledError):
                 return b""
-            if not isinstance(f.value, (GatewayFault, WireFault)) and not hasattr(f.value, "code"):
+            if not isinstance(f.value, (GatewayError, WireError)) and not hasattr(f.value, "code"):
                 self._ctx.journal.fault("request_failed", f.value, path=request.path.decode("utf-8", "replace"))
             if request.startedWriting:
                 request.transport.abortConnection()
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -2,7 +2,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from ..timers import spawn
-from ..faults import CutOff, WireFault
+from ..errors import CutOff, WireError
 from .frame_pb2 import Frame, Hello
 
 __all__ = ["RpcConnection", "RpcConnectionFactory", "MAX_FRAME", "WIRE"]
@@ -93,7 +93,7 @@
         except Exception as e:
             self._rpc.journal.fault("stream_refused", e, peer=self.peer.node)
             if not self.ready.called:
-                self.ready.errback(WireFault(str(e)))
+                self.ready.errback(WireError(str(e)))
             self.transport.abortConnection()
 
     async def _attend(self, f: Frame):
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -5,7 +5,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint, TCP6ClientEndpoint, connectProtocol
 
 from ..timers import Timers, Joined, ms
-from ..faults import CutOff, Overdue, PipitFault, Refused, Unmet, WireFault
+from ..errors import CutOff, Overdue, PipitlinkError, Refused, Unmet, WireError
 from .frame_pb2 import Hello, Nothing
 from .connection import WIRE, RpcConnection, RpcConnectionFactory
 
@@ -38,9 +38,9 @@
 
     def check(self, hello: Hello):
         if hello.fleet != self._fleet:
-            raise WireFault(f"peer of fleet {hello.fleet!r}, this is {self._fleet!r}")
+            raise WireError(f"peer of fleet {hello.fleet!r}, this is {self._fleet!r}")
         if hello.wire != WIRE:
-            raise WireFault(f"peer speaks wire sequence {hello.wire}, this is {WIRE}")
+            raise WireError(f"peer speaks wire sequence {hello.wire}, this is {WIRE}")
 
     def answer(self, verb: str, kind, do):
         self._verbs[verb] = (kind, do)
@@ -52,7 +52,7 @@
         try:
             ask = kind.FromString(body)
         except DecodeError as e:
-            raise WireFault(f"{verb}: {e}") from e
+            raise WireError(f"{verb}: {e}") from e
         r = await do(peer.node, ask)
         return Nothing() if r is None else r
 
@@ -82,7 +82,7 @@
             point = kind(self._reactor, place[0], place[1], _CONNECT.total_seconds())
             await connectProtocol(point, s)
             await self._timers.within(_CONNECT, s.ready)
-        except (WireFault, defer.CancelledError):
+        except (WireError, defer.CancelledError):
             s.transport and s.transport.abortConnection()
             raise
         except Exception as e:
@@ -105,7 +105,7 @@
         if place == self.place:
             try:
                 return await self.attend(self.hello(), verb, ask.SerializeToString())
-            except PipitFault as e:
+            except PipitlinkError as e:
                 raise Refused(e.code, str(e)) from e
         if self.gate is not None:
             await self.gate.outbound(place, verb)
--- a/rehearsal/hollow_work.py
+++ b/rehearsal/hollow_work.py
@@ -1,6 +1,6 @@
 """What hollow nodes are given to do: engines that announce, edits, logs that are read and logs that are written."""
 from pipitlink.timers import secs, spawn
-from pipitlink.faults import PipitFault
+from pipitlink.errors import PipitlinkError
 from pipitlink.wire.lots_pb2 import LogRecord, Result
 from pipitlink.wire.membership_pb2 import EngineNews
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
@@ -68,14 +68,14 @@
                 try:
                     h = await n.part.keep(log)
                     self._held += 1
-                except PipitFault as e:
+                except PipitlinkError as e:
                     self._fail(e)
             k = 0
             while rate and not h.lost:
                 spawn(h.append([_result(k)])).addErrback(self._fail)
                 k += 1
                 await n.ctx.timers.pause(secs(1 / rate))
-        except PipitFault as e:
+        except PipitlinkError as e:
             self._fail(e)
 
     async def _burst(self, n, size: int):
@@ -84,7 +84,7 @@
             h = await n.part.keep("results/lot")
             for at in range(0, size, BURST_STEP):
                 await h.append([_result(k) for k in range(at, min(size, at + BURST_STEP))])
-        except PipitFault as e:
+        except PipitlinkError as e:
             self._fail(e)
         self._bursting = 0
 
@@ -118,7 +118,7 @@
         try:
             e = TableEdit(base=n.part.cluster_state.table, puts=puts)
             out = await n.part.edit(Command(edit=f"{n.ctx.node}{n.ctx.timers.now()}", table=e))
-        except PipitFault as e:
+        except PipitlinkError as e:
             self._fail(e)
             return False
         return out.code == "done"
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -13,7 +13,7 @@
 from pipitlink.cache import Cache
 from pipitlink.context import Context
 from pipitlink.storage import StorageNode
-from pipitlink.faults import CutOff, Overdue, PipitFault, Refused, Unmet
+from pipitlink.errors import CutOff, Overdue, PipitlinkError, Refused, Unmet
 from pipitlink.journal import Journal
 from pipitlink.replicated_log import ReplicatedLog
 from pipitlink.controller import ControllerNode
@@ -317,7 +317,7 @@
         def attend():
             def turned(f):
                 e = f.value
-                back(Refused(e.code, str(e)) if isinstance(e, PipitFault) else Refused("fault", repr(e)))
+                back(Refused(e.code, str(e)) if isinstance(e, PipitlinkError) else Refused("fault", repr(e)))
 
             spawn(goal.ctx.rpc.attend(sender.node, verb, body)).addCallbacks(back, turned)
 
--- a/rehearsal/staged.py
+++ b/rehearsal/staged.py
@@ -2,7 +2,7 @@
 from twisted.internet import defer
 
 from pipitlink.timers import ms, secs, spawn, wall_ms
-from pipitlink.faults import BackEndFault, Crowded, GatewayFault, PipitFault
+from pipitlink.errors import BackEndError, Crowded, GatewayError, PipitlinkError
 from pipitlink.gateway import GatewayNode
 from pipitlink.gateway.requests import RequestRecord
 from pipitlink.wire.lots_pb2 import Item, Lot
@@ -70,7 +70,7 @@
     def crash(self):
         self.alive = False
         for run, d in list(self.running.items()):
-            self._end(run, "cut", d, BackEndFault("the engine's token stream was cut short", code="cut_short"))
+            self._end(run, "cut", d, BackEndError("the engine's token stream was cut short", code="cut_short"))
 
     def _end(self, run, how, d, fault=None):
         self.running.pop(run, None)
@@ -89,7 +89,7 @@
 
     def _begin(self, run, ask, d, pieces):
         if not self.alive:
-            return self._end(run, "lost", d, BackEndFault("no answer came", code="lost"))
+            return self._end(run, "lost", d, BackEndError("no answer came", code="lost"))
         if d.called:
             return None
         if len(self.running) >= self.capacity:
@@ -149,13 +149,13 @@
         """(what came, None) or (None, fault); a gateway that is killed or frozen answers nothing."""
         g = gateway or self._gateway()
         if g is None:
-            return None, GatewayFault("nobody is there", code="dropped", outcome="unknown")
+            return None, GatewayError("nobody is there", code="dropped", outcome="unknown")
         try:
             return await self.timers.within(secs(limit), do(g.part)), None
-        except GatewayFault as f:
+        except GatewayError as f:
             return None, f
-        except (PipitFault, defer.CancelledError) as f:
-            return None, GatewayFault(str(f), code=getattr(f, "code", "dropped"), outcome="unknown")
+        except (PipitlinkError, defer.CancelledError) as f:
+            return None, GatewayError(str(f), code=getattr(f, "code", "dropped"), outcome="unknown")
 
     async def hand_in(self):
         chance = self.stage.chance
--- a/tests/batch_parts.py
+++ b/tests/batch_parts.py
@@ -6,7 +6,7 @@
 
 from pipitlink.timers import ms, secs
 from pipitlink.dialect import Dialect
-from pipitlink.faults import PipitFault
+from pipitlink.errors import PipitlinkError
 from pipitlink.router.batch_intake import BatchIntake
 from pipitlink.router.batch_read import BatchRead
 from pipitlink.router.batch_run import BatchRun
@@ -121,7 +121,7 @@
         life = g.lives
         try:
             return await self.timers.within(secs(limit), do(g.part))
-        except (PipitFault, defer.CancelledError):
+        except (PipitlinkError, defer.CancelledError):
             return 0, {}, b""
         except RuntimeError:
             if g.alive and g.lives == life:
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -5,7 +5,7 @@
 from twisted.internet.task import Clock
 
 from pipitlink.timers import Timers, secs, spawn
-from pipitlink.faults import CutOff
+from pipitlink.errors import CutOff
 from pipitlink.gateway.requests import RequestRecord
 from pipitlink.gateway.engines import Engines
 from pipitlink.gateway.limits import ComeBack, Limits
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -12,7 +12,7 @@
 from pipitlink.cache.poller import Seen
 from pipitlink.cache.tail import Tail
 from pipitlink.disk import frame
-from pipitlink.faults import NoRoom
+from pipitlink.errors import NoRoom
 from pipitlink.router.batch_read import BatchRead, _Reader
 from pipitlink.router.batches import batch_log, head_of
 from pipitlink.wire.lots_pb2 import Batch, BatchItem, Ended, LogRecord, Output
--- a/tests/test_batches_words.py
+++ b/tests/test_batches_words.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from pipitlink.dialect import Dialect
-from pipitlink.faults import BadRequest
+from pipitlink.errors import BadRequest
 from pipitlink.wire.lots_pb2 import Output
 
 PLATFORM = Path(__file__).resolve().parent.parent / "platform" / "batches.py"
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from pipitlink.timers import Timers, spawn
-from pipitlink.faults import NotLeading
+from pipitlink.errors import NotLeading
 from pipitlink.journal import Journal
 from pipitlink.controller.gateways import Gateways
 from pipitlink.cluster.follower import Cluster
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -5,7 +5,7 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from pipitlink.timers import secs, spawn
-from pipitlink.faults import NotHeld
+from pipitlink.errors import NotHeld
 from pipitlink.gateway.requests import RequestTable
 from pipitlink.gateway.picking import Admitting
 from pipitlink.gateway.relaying import Relaying
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -14,7 +14,7 @@
 
 from pipitlink.timers import Timers, secs, spawn, wall_ms
 from pipitlink.command import main
-from pipitlink.faults import BadRows, Crowded, SettingsFault
+from pipitlink.errors import BadRows, Crowded, SettingsError
 from pipitlink.gateway.dispatch import Dispatch
 from pipitlink.gateway.limits import ComeBack
 from pipitlink.gateway.lots import OpenLot
@@ -334,7 +334,7 @@
         with tempfile.TemporaryDirectory() as d:
             path = Path(d) / "p.toml"
             path.write_text('colour = 1\nport = 7\n')
-            with self.assertRaises(SettingsFault) as no:
+            with self.assertRaises(SettingsError) as no:
                 read_settings("gateway", str(path), {})
             self.assertEqual(no.exception.lines, ["colour: no such prop"])
             path.write_text('port = 7\nzone = "b"\n')
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -3,7 +3,7 @@
 import unittest.mock
 
 from pipitlink.timers import spawn
-from pipitlink.faults import PipitFault
+from pipitlink.errors import PipitlinkError
 from pipitlink.gateway.requests import RequestRecord
 from pipitlink.gateway.dispatch import Dispatch
 from pipitlink.gateway.engines import Engines
@@ -199,7 +199,7 @@
         asked = s.stage.clock.seconds()
         try:
             s.stage.do(a.part.sure_leader(), 10)
-        except PipitFault:
+        except PipitlinkError:
             continue
         s.c.note("table_read", sequence=a.part.cluster_state.table, asked=asked,
                  rows={r.name: {"model": r.model} for r in a.part.cluster_state.rows.values()})
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -8,7 +8,7 @@
 
 from klein import Klein
 
-from pipitlink.faults import BadRequest
+from pipitlink.errors import BadRequest
 from pipitlink.controller.control import Control
 from pipitlink.cluster.routes import RouteTable
 from rehearsal.stage import Stage
@@ -57,7 +57,7 @@
                           p.cache_tokens), ("huvo11a", "/health", 210, 3000, 20, 24, 379754))
         self.assertEqual((q.warmup_ms, q.cold_rate, q.places), (0, 0, 0))
         self.assertEqual({f: getattr(e.bounds, f) for f in LIMITS}, LIMITS)
-        self.assertEqual(RouteTable().edited(e).faults(), [])
+        self.assertEqual(RouteTable().edited(e).problems(), [])
 
     def test_it_comes_back_as_it_was_sent_also_after_a_patch(self):
         table = RouteTable().edited(self.read(WHOLE))
@@ -84,7 +84,7 @@
         for body in (route(backend="gone"), route(deadline_ms=0), route(route_kind="odd"),
                      {**WHOLE, "routes": [ROUTES[0], {**ROUTES[1], "path_prefix": "/lohu930/"}]},
                      {**WHOLE, "routes": [{**ROUTES[0], "weighted_backends": [{"backend": "huvo11a", "share": 0}]}]}):
-            self.assertNotEqual(RouteTable().edited(self.read(body)).faults(), [], body)
+            self.assertNotEqual(RouteTable().edited(self.read(body)).problems(), [], body)
 
     def test_an_engines_announcement(self):
         raw = {"backend": "huvo11a", "address": "10.128.0.9:8080", "zone": "riga-a", "version": "v1", "slots": 24,
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 
 from pipitlink.timers import ms
-from pipitlink.faults import Damaged, NoRoom, NotLeading, PipitFault, Unproven, WireFault
+from pipitlink.errors import Damaged, NoRoom, NotLeading, PipitlinkError, Unproven, WireError
 from pipitlink.wire.controller_pb2 import EditRequest, EditResponse
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 from rehearsal.stage import Stage
@@ -57,7 +57,7 @@
                     self.acked.sort(key=lambda a: a[1])
                 else:
                     self.refused.add(text)
-            except (NotLeading, Unproven, WireFault, PipitFault):
+            except (NotLeading, Unproven, WireError, PipitlinkError):
                 pass
 
     def watch(self):
@@ -134,9 +134,9 @@
         leader = self.stage.leader()
         rest = [a.name for a in self.stage.actors.values() if a is not leader]
         self.stage.cut([leader.name], rest)
-        with self.assertRaises(PipitFault):
+        with self.assertRaises(PipitlinkError):
             self.stage.do(leader.part.edit(edit_of("r", 0, "lone")), 10)
-        with self.assertRaises(PipitFault):
+        with self.assertRaises(PipitlinkError):
             self.stage.do(leader.part.sure_leader(), 10)
         self.stage.until(lambda: self.stage.leader() is not None, 10, "the others lead")
         self.assertIsNot(self.stage.leader(), leader)
@@ -161,7 +161,7 @@
             if _ > 30:
                 self.assertEqual([a.ctx.cluster.state for a in self.stage.role("gateway") if a.ctx.cluster.ready()],
                                  ["witnessed"] * 3)
-        with self.assertRaises(PipitFault):
+        with self.assertRaises(PipitlinkError):
             self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
 
     def test_edits_go_on_with_two_of_four_storage_nodes_away_and_no_gateway_misses_one(self):
@@ -190,7 +190,7 @@
         leader._settle_witnesses = lambda: timers.pause(ms(0))
         for a in self.stage.role("storage")[:2]:
             a.kill()
-        with self.assertRaises(PipitFault):
+        with self.assertRaises(PipitlinkError):
             self.stage.do(leader.edit(edit_of("r", leader.cluster_state.table, "unsettled")), 6)
 
     def test_nodes_that_met_need_no_seed_again_and_a_wrong_suspicion_is_refuted(self):
@@ -217,7 +217,7 @@
     def test_a_leader_whose_disk_refuses_an_entry_yields_and_never_puts_another_in_its_place(self):
         leader = self.stage.leader()
         leader.disk.full = True
-        with self.assertRaises(PipitFault) as no:
+        with self.assertRaises(PipitlinkError) as no:
             self.stage.do(leader.part.edit(edit_of("r", 0, "refused by its disk")))
         leader.disk.full = False
         for n in range(3):
@@ -241,7 +241,7 @@
         others = [a for a in self.stage.role("controller") if a is not leader and a.node in leader.part.voters()]
         others[0].kill()
         leader.ctx.on_thread = lambda do, *words: defer.Deferred()
-        with self.assertRaises(PipitFault):
+        with self.assertRaises(PipitlinkError):
             self.stage.do(leader.part.edit(edit_of("r", 0, "not on two disks")), 12)
         self.assertEqual([a.name for a in self.stage.role("controller") if "r" in a.part.cluster_state.rows], [])
 
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -4,7 +4,7 @@
 
 from pipitlink import segments
 from pipitlink.disk import frames
-from pipitlink.faults import Damaged, PipitFault
+from pipitlink.errors import Damaged, PipitlinkError
 from rehearsal.stage import Stage
 
 
@@ -86,7 +86,7 @@
         h = self.write("lots/full", 3, False)
         for a in self.stage.role("storage"):
             a.disk.full = True
-        with self.assertRaises(PipitFault):
+        with self.assertRaises(PipitlinkError):
             self.stage.do(h.append([b"no room"]), 30)
         for a in self.stage.role("storage"):
             a.disk.full = False
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -4,7 +4,7 @@
 
 from pipitlink.timers import ms
 from pipitlink.disk import frames
-from pipitlink.faults import Fenced, NotHeld, PipitFault
+from pipitlink.errors import Fenced, NotHeld, PipitlinkError
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
 
@@ -39,7 +39,7 @@
                     await ctx.timers.pause(ms(ctx.chance.randrange(60)))
                 if ctx.chance.random() < 0.5:
                     await ctx.replicated_log.release([h])
-            except PipitFault:
+            except PipitlinkError:
                 pass
             await ctx.timers.pause(ms(200 + ctx.chance.randrange(800)))
 
@@ -50,7 +50,7 @@
                 state = (await ctx.replicated_log.states([self.log])).get(self.log)
                 if state is not None and state.committed:
                     self.check(await ctx.replicated_log.read(self.log, 0, state.committed))
-            except PipitFault:
+            except PipitlinkError:
                 pass
             await ctx.timers.pause(ms(150))
 
@@ -136,7 +136,7 @@
         self.stage.do(h.append([b"first"]))
         storage_nodes = [a.name for a in self.stage.role("storage")]
         self.stage.cut([self.one.name], storage_nodes[1:])
-        with self.assertRaises(PipitFault):
+        with self.assertRaises(PipitlinkError):
             self.stage.do(h.append([b"unsure"]))
         self.one.kill()
         self.stage.heal()
@@ -155,7 +155,7 @@
         storage_nodes = [a.name for a in self.stage.role("storage")]
         self.stage.clock.callLater(0.002, lambda: self.stage.cut(storage_nodes, [self.one.name], one_way=True))
         self.stage.clock.callLater(1.2, self.stage.heal)
-        with contextlib.suppress(PipitFault):
+        with contextlib.suppress(PipitlinkError):
             self.stage.do(h.append([b"last"]), 10)
         self.stage.until(lambda: h.committed == len(h.data), 5, "the append is known to be durable")
         self.assertTrue(h.held())
@@ -166,7 +166,7 @@
             log_store = a.part.log_store
             log_store.budget = log_store.used() + log_store.reserve + 2000
         self.stage.run(1.5)
-        with self.assertRaises(PipitFault) as no:
+        with self.assertRaises(PipitlinkError) as no:
             self.stage.do(h.append([b"x" * 8000]))
         self.assertEqual(no.exception.code, "no_room")
         self.stage.do(h.append([b"end"], reserved=True))
--- a/tests/test_stage_placement.py
+++ b/tests/test_stage_placement.py
@@ -3,7 +3,7 @@
 
 from pipitlink.timers import ms
 from pipitlink.disk import frames
-from pipitlink.faults import GatewayFault, PipitFault
+from pipitlink.errors import GatewayError, PipitlinkError
 from pipitlink.wire.cluster_pb2 import Command, StorageNodeEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import seeds
@@ -26,7 +26,7 @@
                     body = f"{self.log}/{n}".encode()
                     self.acked[await h.append([body])] = body
                     await ctx.timers.pause(ms(40))
-            except PipitFault:
+            except PipitlinkError:
                 await ctx.timers.pause(ms(300))
         for h in list(ctx.replicated_log.leaseholders.values()):
             if h.log == self.log:
@@ -94,7 +94,7 @@
         stage.do(part.edit(Command(storage_node=StorageNodeEdit(storage_node=gone.node, status="retiring"))))
         stage.until(lambda: stage.leader() and stage.leader().part.cluster_state.storage_nodes.get(gone.node) == "retired", 60,
                     "it may be switched off")
-        with self.assertRaises(GatewayFault) as no:
+        with self.assertRaises(GatewayError) as no:
             stage.leader().part.check_retirement(stage.leader().part.cluster_state, stage.role("storage")[0].node)
         self.assertEqual(no.exception.code, "too_few_copies")
         gone.kill()
