--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -3,8 +3,8 @@
 
 from twisted.internet import defer
 
-from ..timers import Joined, ms, secs
 from ..errors import WireError
+from ..timers import Joined, ms, secs
 from ..wire.cache_pb2 import Chunk, ChunkKeys, Chunks, Lengths, LengthsList, Paths
 from ..wire.frame_pb2 import Nothing
 from .poller import Poller
@@ -33,6 +33,7 @@
 
     async def read_durable(self, path: str, start: int, length: int) -> bytes:
         """One span of the durable log; readers that want the same one meanwhile share the read."""
+
         def read():
             self.counts["durable_reads"] += 1
             return self._ctx.replicated_log.read(path, start, length)
@@ -122,8 +123,12 @@
     async def get_lengths(self, paths: list[str]) -> dict[str, Lengths]:
         """Consistent bulk read: only lengths that at least a majority of the replicas were asked for."""
         by_node = self._spread(paths, str.encode)
-        got = await self._each({n: Paths(paths=ps) for n, ps in by_node.items()}, "cache.lengths", LengthsList,
-                               self._all_by_majority(paths, str.encode))
+        got = await self._each(
+            {n: Paths(paths=ps) for n, ps in by_node.items()},
+            "cache.lengths",
+            LengthsList,
+            self._all_by_majority(paths, str.encode),
+        )
         heard = self._by_majority(paths, str.encode, got)
         out = {p: Lengths(path=p) for p in heard}
         for r in got.values():
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -31,7 +31,9 @@
 
 
 class Poller:
-    """Reads lengths for all readers of the process: often from the metadata cache, less often from the storage nodes."""
+    """Reads lengths for all readers of the process: often from the metadata cache, less often from the storage
+    nodes.
+    """
 
     def __init__(self, ctx, cache):
         self._ctx = ctx
@@ -44,9 +46,11 @@
     def open(self):
         """Polls while anything is watched; the hot poll only while a reader waits for a length that is near."""
         p, every, report = self._ctx.settings, self._ctx.timers.every, self._ctx.report
-        for span, do, what, watched in ((p.poll_ms, self._poll, "poll", lambda: self._seen),
-                                        (p.hot_poll_ms, self._poll_hot, "hot_poll", lambda: self._hot),
-                                        (p.durable_poll_ms, self._poll_durable, "durable_poll", lambda: self._seen)):
+        for span, do, what, watched in (
+            (p.poll_ms, self._poll, "poll", lambda: self._seen),
+            (p.hot_poll_ms, self._poll_hot, "hot_poll", lambda: self._hot),
+            (p.durable_poll_ms, self._poll_durable, "durable_poll", lambda: self._seen),
+        ):
             self._timers.append(every(ms(span), do, report(what), due=lambda w=watched: ZERO if w() else None))
 
     def _wake(self):
--- a/pipitlink/cache/shadow.py
+++ b/pipitlink/cache/shadow.py
@@ -59,7 +59,7 @@
 
     async def _write(self, n: int):
         while not self._held.lost:
-            data = bytes(self._held.data[n * CHUNK:min((n + 1) * CHUNK, self._held.committed)])
+            data = bytes(self._held.data[n * CHUNK : min((n + 1) * CHUNK, self._held.committed)])
             if self._written.get(n, 0) >= len(data):
                 return
             key = chunk_key(self._path, n)
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -2,9 +2,9 @@
 
 from twisted.internet import defer
 
-from ..timers import ms, secs, spawn
 from ..disk import HEAD, frames
 from ..errors import Damaged, WireError
+from ..timers import ms, secs, spawn
 from .chunks import CHUNK, chunk_key
 
 __all__ = ["Tail"]
@@ -143,9 +143,9 @@
         out = bytearray()
         for n in numbers:
             at = n * CHUNK
-            data = span[at - span_start:at - span_start + need[n]] if n in missing else have[keys[n]][:need[n]]
+            data = span[at - span_start : at - span_start + need[n]] if n in missing else have[keys[n]][: need[n]]
             out += data
-        return bytes(out[start - numbers[0] * CHUNK:])
+        return bytes(out[start - numbers[0] * CHUNK :])
 
     async def _relaxed(self, needs: dict[bytes, int]) -> dict[bytes, bytes]:
         """Each chunk from one random replica, hedged with another after a short delay."""
--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -8,14 +8,28 @@
 
 MOST = 256
 LIMIT = secs(2)
-CHANGES = {"cluster", "status", "met", "engine", "lot_owned", "lot_done", "lot_ended", "leading", "currency",
-           "storage_node_admitted", "storage_node_let_go", "placement_group", "voters"}
+CHANGES = {
+    "cluster",
+    "status",
+    "met",
+    "engine",
+    "lot_owned",
+    "lot_done",
+    "lot_ended",
+    "leading",
+    "currency",
+    "storage_node_admitted",
+    "storage_node_let_go",
+    "placement_group",
+    "voters",
+}
 
 
 class Changes:
     """Tells each change that the journal notes as a CloudEvent, where a prop names a listener.
 
-    It is off the path: the inbox is bounded, one task empties it, and what cannot be told in time is dropped and counted.
+    It is off the path: the inbox is bounded, one task empties it, and what cannot be told in time is dropped and
+    counted.
     """
 
     def __init__(self, ctx):
@@ -39,8 +53,17 @@
             self.dropped += 1
         words = {k: v if isinstance(v, (int, float, bool)) else str(v) for k, v in pairs.items()}
         p = self._ctx.settings
-        self._inbox.append(CloudEvent({"type": f"pipitlink.{event}", "source": f"/{p.fleet}/{p.zone}/{self._ctx.node}",
-                                       "time": self._ctx.timers.wall(), "datacontenttype": "application/json"}, words))
+        self._inbox.append(
+            CloudEvent(
+                {
+                    "type": f"pipitlink.{event}",
+                    "source": f"/{p.fleet}/{p.zone}/{self._ctx.node}",
+                    "time": self._ctx.timers.wall(),
+                    "datacontenttype": "application/json",
+                },
+                words,
+            )
+        )
         if self._waiter is not None and not self._waiter.called:
             self._waiter.callback(None)
 
@@ -64,8 +87,14 @@
     async def _post(self, message):
         import treq
 
-        r = await treq.post(f"http://{self._ctx.settings.changes_to}", data=message.body, headers=message.headers,
-                            reactor=self._ctx.reactor, persistent=False, allow_redirects=False)
+        r = await treq.post(
+            f"http://{self._ctx.settings.changes_to}",
+            data=message.body,
+            headers=message.headers,
+            reactor=self._ctx.reactor,
+            persistent=False,
+            allow_redirects=False,
+        )
         await treq.content(r)
         if r.code >= 400:
             raise ValueError(f"the listener answered {r.code}")
--- a/pipitlink/cluster/__init__.py
+++ b/pipitlink/cluster/__init__.py
@@ -1,4 +1,4 @@
-from .follower import Cluster
 from .cluster_state import ClusterState
+from .follower import Cluster
 
 __all__ = ["Cluster", "ClusterState"]
--- a/pipitlink/cluster/cluster_state.py
+++ b/pipitlink/cluster/cluster_state.py
@@ -1,7 +1,7 @@
 from collections import OrderedDict
 
 from ..replicated_log.placement_group import PlacementGroup
-from ..wire.cluster_pb2 import Command, StorageNodeEdit, Outcome, Row, ClusterStateData, PlacementGroupRow
+from ..wire.cluster_pb2 import ClusterStateData, Command, Outcome, PlacementGroupRow, Row, StorageNodeEdit
 from .routes import RouteTable
 
 __all__ = ["ClusterState", "MAX_ROWS"]
@@ -11,7 +11,9 @@
 
 
 class ClusterState:
-    """The cluster state: the weight table, routes, zones, storage nodes, placement groups and voters, as the agreed commands make it."""
+    """The cluster state: the weight table, routes, zones, storage nodes, placement groups and voters, as the agreed
+    commands make it.
+    """
 
     def __init__(self, data: ClusterStateData | None = None):
         data = data or ClusterStateData()
@@ -30,12 +32,22 @@
         self._by_target: dict[tuple[str, str], Row] | None = None
 
     def data(self) -> ClusterStateData:
-        return ClusterStateData(sequence=self.sequence, table=self.table, rows=self.rows.values(),
-                         empty_zones=sorted(self.empty_zones), placement_groups=self.placement_groups.values(), voters=self.voters,
-                         witnesses_at=self.witnesses_at, settled=self.settled,
-                         storage_nodes=[StorageNodeEdit(storage_node=d, status=s, name=self.storage_node_names.get(d))
-                                 for d, s in self.storage_nodes.items()],
-                         outcomes=self.outcomes.values(), config=self.routes.config())
+        return ClusterStateData(
+            sequence=self.sequence,
+            table=self.table,
+            rows=self.rows.values(),
+            empty_zones=sorted(self.empty_zones),
+            placement_groups=self.placement_groups.values(),
+            voters=self.voters,
+            witnesses_at=self.witnesses_at,
+            settled=self.settled,
+            storage_nodes=[
+                StorageNodeEdit(storage_node=d, status=s, name=self.storage_node_names.get(d))
+                for d, s in self.storage_nodes.items()
+            ],
+            outcomes=self.outcomes.values(),
+            config=self.routes.config(),
+        )
 
     def apply(self, sequence: int, c: Command) -> Outcome:
         """Applies one agreed command. The same edit id never takes effect twice."""
--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -2,12 +2,12 @@
 
 from twisted.internet import defer
 
-from ..timers import ms, secs
-from ..state_machines import HasStateMachine
 from ..errors import Refused, WireError
 from ..replicated_log.placement_group import PlacementGroup
-from ..wire.frame_pb2 import Nothing
+from ..state_machines import HasStateMachine
+from ..timers import ms, secs
 from ..wire.cluster_pb2 import FollowRequest, FollowResponse, WitnessResponse
+from ..wire.frame_pb2 import Nothing
 from .cluster_state import ClusterState
 
 __all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
@@ -22,7 +22,9 @@
 
 
 class Cluster(HasStateMachine):
-    """The cluster state as a node outside the controllers follows it: higher sequences only, and a proof that it is the newest."""
+    """The cluster state as a node outside the controllers follows it: higher sequences only, and a proof that it is
+    the newest.
+    """
 
     state_machine = "currency"
 
@@ -132,8 +134,9 @@
     async def _follow_once(self, failures: int):
         place, verb = self._whom(failures)
         asked = self._ctx.timers.now()
-        ask = FollowRequest(node=self._ctx.node, role=self._ctx.role, sequence=self.sequence,
-                        at_once=self._leased_at is None)
+        ask = FollowRequest(
+            node=self._ctx.node, role=self._ctx.role, sequence=self.sequence, at_once=self._leased_at is None
+        )
         r = await self._ctx.rpc.call(place, verb, ask, FollowResponse, FOLLOW_LIMIT)
         if r.controller and verb == "controller.follow":
             self._controller = r.controller
@@ -183,7 +186,10 @@
         newest = max(sure, key=sure.get, default="")
         if newest and sure[newest] > self.sequence:
             self._absorb(await self._ctx.replicated_log.ask(newest, "cluster.cluster_state", Nothing(), FollowResponse))
-        if 2 * len(sure) > len(witnesses) and self.sequence >= max(sure.values()) \
-                and witnesses == self.cluster_state.witnesses():
+        if (
+            2 * len(sure) > len(witnesses)
+            and self.sequence >= max(sure.values())
+            and witnesses == self.cluster_state.witnesses()
+        ):
             self._proved_at = now
             self.ready()
--- a/pipitlink/cluster/routes.py
+++ b/pipitlink/cluster/routes.py
@@ -19,8 +19,7 @@
             self._hosts.setdefault(r.host, []).append(r)
 
     def config(self) -> Config:
-        return Config(version=self.version, routes=self.routes.values(), pools=self.pools.values(),
-                      bounds=self.bounds)
+        return Config(version=self.version, routes=self.routes.values(), pools=self.pools.values(), bounds=self.bounds)
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of this host whose prefix is the longest that begins the path; None where there is none."""
@@ -30,8 +29,10 @@
         """The table after one edit, which must have been checked against this one."""
         out = Config(version=e.version)
         out.bounds.CopyFrom(e.bounds if e.HasField("bounds") else self.bounds)
-        for kept, puts, drops, goal in ((self.routes, e.routes, e.drop_routes, out.routes),
-                                        (self.pools, e.pools, e.drop_pools, out.pools)):
+        for kept, puts, drops, goal in (
+            (self.routes, e.routes, e.drop_routes, out.routes),
+            (self.pools, e.pools, e.drop_pools, out.pools),
+        ):
             rest = {} if e.whole else {n: r for n, r in kept.items() if n not in drops}
             rest.update((r.name, r) for r in puts)
             goal.extend(rest.values())
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -4,10 +4,10 @@
 import attrs
 from twisted.internet.threads import deferToThread
 
-from .timers import Timers, spawn
 from .dialect import Dialect
 from .journal import Journal
 from .settings import Settings
+from .timers import Timers, spawn
 from .wire.rpc import RpcEndpoint
 
 __all__ = ["Context", "fresh_id"]
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -3,8 +3,8 @@
 import attrs
 from twisted.internet import defer
 
-from ..timers import ms, secs, to_ms
 from ..errors import Crowded, WireError
+from ..timers import ms, secs, to_ms
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import EngineList, EngineNews
 
@@ -58,7 +58,9 @@
         self._ctx.timers.every(BATCH_INTERVAL, self._tell_renewed, self._ctx.report("renewed_engines"))
 
     async def announce(self, n: EngineNews):
-        """Takes an engine's news; returns once it may be acknowledged. The newest sequence wins, leaving is for good."""
+        """Takes an engine's news; returns once it may be acknowledged. The newest sequence wins, leaving is for
+        good.
+        """
         have = self._announced.get(n.engine)
         late = have is not None and n.state != "gone" and n.sequence <= have.news.sequence
         if have is not None and have.news.state == "gone" or late:
--- a/pipitlink/controller/archive.py
+++ b/pipitlink/controller/archive.py
@@ -10,8 +10,8 @@
 from ..errors import Damaged
 from ..segments import Segments
 from ..syncing import Syncer
+from ..wire.cluster_pb2 import ClusterStateData, Row
 from ..wire.controller_pb2 import Ballot, ControllerEntry, ControllerRecord, Snapshot
-from ..wire.cluster_pb2 import Row, ClusterStateData
 
 __all__ = ["Archive", "told_by_the_last"]
 
@@ -95,7 +95,7 @@
 
     def after(self, index: int, most: int = 256) -> list[ControllerEntry]:
         start = index - self.snapshot.index
-        return self._bounded(self.entries[max(0, start):start + most], SEND_BYTES)
+        return self._bounded(self.entries[max(0, start) : start + most], SEND_BYTES)
 
     def _bounded(self, entries: list[ControllerEntry], most: int) -> list[ControllerEntry]:
         """The first of these that have so many bytes together; one at least."""
@@ -111,7 +111,7 @@
 
     def trim_at(self, commit: int) -> int:
         """Up to where the log may go into a snapshot: the newest entries stay, as far as they are not too large."""
-        newest = self.entries[:max(0, commit - self.snapshot.index)][-KEEP_ENTRIES:]
+        newest = self.entries[: max(0, commit - self.snapshot.index)][-KEEP_ENTRIES:]
         return commit - len(self._bounded(newest[::-1], KEEP_BYTES))
 
     def put_ballot(self, term: int, vote: str):
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -2,11 +2,11 @@
 
 from klein import Klein
 
-from ..errors import BadRequest, GatewayError, NotFound
 from ..cluster.routes import RouteTable
+from ..errors import BadRequest, GatewayError, NotFound
 from ..web import Site, answered, listen, send_fault, send_json
-from ..wire.membership_pb2 import EngineNews
 from ..wire.cluster_pb2 import Command, ZoneEdit
+from ..wire.membership_pb2 import EngineNews
 from .edits import edit_base, edit_id
 
 __all__ = ["Control", "ControlFace"]
@@ -59,12 +59,15 @@
         if whole:
             faults = RouteTable().edited(edit).problems()
             if faults:
-                raise BadRequest("; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid")
+                raise BadRequest(
+                    "; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid"
+                )
         c = Command(edit=edit_id(request, _digest(request, base, body)), config=edit)
         out = await self._controller.decide(c)
         if out.code == "wrong_base":
-            raise GatewayError(f"the configuration is at version {out.sequence}", code=out.code, status=412,
-                             outcome="not_run")
+            raise GatewayError(
+                f"the configuration is at version {out.sequence}", code=out.code, status=412, outcome="not_run"
+            )
         if out.code != "done":
             raise BadRequest(f"the edit was refused: {out.code}", code=out.code)
         return send_json(request, {"version": out.sequence, "edit": c.edit}, 200, {"ETag": f'"{out.sequence}"'})
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -2,14 +2,25 @@
 
 from twisted.internet import defer
 
-from ..timers import ms, secs, spawn
-from ..context import fresh_id
-from ..errors import (BadRequest, CutOff, GatewayError, NoRoom, NotFound, NotLeading, Overdue, Refused, Unproven, WireError,
-                      WrongBase)
 from ..cluster import ClusterState
+from ..context import fresh_id
+from ..errors import (
+    BadRequest,
+    CutOff,
+    GatewayError,
+    NoRoom,
+    NotFound,
+    NotLeading,
+    Overdue,
+    Refused,
+    Unproven,
+    WireError,
+    WrongBase,
+)
+from ..timers import ms, secs, spawn
 from ..web import answered, send_json
+from ..wire.cluster_pb2 import ClusterStateData, Command, Outcome, TableEdit, ZoneEdit
 from ..wire.controller_pb2 import EditRequest, EditResponse, ReadTableRequest
-from ..wire.cluster_pb2 import Command, Outcome, ClusterStateData, TableEdit, ZoneEdit
 from .rows import row_dict, row_from, rows_from
 
 __all__ = ["Edits", "edit_base", "edit_id"]
@@ -22,13 +33,14 @@
 def edit_base(request) -> int:
     raw = request.getHeader("If-Match")
     if raw is None:
-        raise BadRequest("an edit states the sequence it builds on, in If-Match", code="no_base", field="If-Match",
-                     status=428)
+        raise BadRequest(
+            "an edit states the sequence it builds on, in If-Match", code="no_base", field="If-Match", status=428
+        )
     try:
         base = int(raw.strip().strip('"'))
     except ValueError:
         base = -1
-    if not 0 <= base < 2 ** 63:
+    if not 0 <= base < 2**63:
         raise BadRequest("If-Match must be the sequence it builds on", code="bad_field", field="If-Match")
     return base
 
@@ -72,8 +84,13 @@
         try:
             return ClusterState(await self._ask_leader("controller.read", ReadTableRequest(), ClusterStateData))
         except (WireError, NotLeading, Unproven) as e:
-            raise GatewayError(f"the newest table cannot be proved now: {e}", code="no_leader", status=503,
-                             outcome="failed", retry_after=1) from e
+            raise GatewayError(
+                f"the newest table cannot be proved now: {e}",
+                code="no_leader",
+                status=503,
+                outcome="failed",
+                retry_after=1,
+            ) from e
 
     def _leader_silent(self) -> bool:
         return self._ctx.timers.now() - self._led_at > LEADER_SPAN
@@ -104,13 +121,24 @@
                 return await self.edit(c)
             return (await self._ask_leader("controller.edit", EditRequest(command=c), EditResponse)).outcome
         except (Overdue, Unproven, CutOff, Refused, NotLeading) as e:
-            sent = not (isinstance(e, NotLeading) or isinstance(e, CutOff) and not e.sent
-                        or isinstance(e, Refused) and e.fault in ("not_leading", "no_room"))
+            sent = not (
+                isinstance(e, NotLeading)
+                or isinstance(e, CutOff)
+                and not e.sent
+                or isinstance(e, Refused)
+                and e.fault in ("not_leading", "no_room")
+            )
             if isinstance(e, Refused) and e.fault == "no_room":
                 raise NoRoom(e.note, sent=False) from e
-            raise GatewayError(f"{e}; send it again with Edit-Id {c.edit} to learn its outcome" if sent else
-                             f"no controller leads now: {e}", code="unproven" if sent else "no_leader", status=503,
-                             outcome="unknown" if sent else "not_run", retry_after=1) from e
+            raise GatewayError(
+                f"{e}; send it again with Edit-Id {c.edit} to learn its outcome"
+                if sent
+                else f"no controller leads now: {e}",
+                code="unproven" if sent else "no_leader",
+                status=503,
+                outcome="unknown" if sent else "not_run",
+                retry_after=1,
+            ) from e
 
     async def _do_edit(self, request, c: Command):
         out = await self.decide(c)
@@ -132,7 +160,7 @@
     async def put_table(self, request):
         raw = _body(request)
         if set(raw) - {"rows", "sequence"} or not isinstance(raw.get("rows"), dict):
-            raise BadRequest("the body must be {\"rows\": {name: row}}", code="bad_field", field="rows")
+            raise BadRequest('the body must be {"rows": {name: row}}', code="bad_field", field="rows")
         edit = TableEdit(base=edit_base(request), whole=True, puts=rows_from(raw["rows"]))
         return await self._do_edit(request, Command(edit=edit_id(request), table=edit))
 
@@ -173,8 +201,14 @@
         for d, status in s.storage_nodes.items():
             m = self._ctx.membership.find(d)
             placement_groups = sum(d in tuple(x.storage_nodes) + (x.joining,) for x in s.placement_groups.values())
-            out[d] = {"status": status, "name": s.storage_node_names.get(d, ""), "heard": self._ctx.membership.status(d), "zone": m.zone if m else "",
-                      "place": f"{m.host}:{m.port}" if m else "", "placement_groups": placement_groups}
+            out[d] = {
+                "status": status,
+                "name": s.storage_node_names.get(d, ""),
+                "heard": self._ctx.membership.status(d),
+                "zone": m.zone if m else "",
+                "place": f"{m.host}:{m.port}" if m else "",
+                "placement_groups": placement_groups,
+            }
         return send_json(request, {"storage_nodes": out})
 
     def routes(self, add):
@@ -194,6 +228,8 @@
         return {}
 
     def metrics(self) -> dict:
-        return {"term": ("The agreement's term", self.term),
-                "leading": ("1 where this controller leads", int(self.state == "leader")),
-                "agreed": ("The agreed log's index", self.commit)}
+        return {
+            "term": ("The agreement's term", self.term),
+            "leading": ("1 where this controller leads", int(self.state == "leader")),
+            "agreed": ("The agreed log's index", self.commit),
+        }
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -3,9 +3,9 @@
 import attrs
 from twisted.internet import defer
 
-from ..timers import ms, secs
-from ..errors import NoRoom, NotLeading, Overdue, Unproven
 from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
+from ..errors import NoRoom, NotLeading, Overdue, Unproven
+from ..timers import ms, secs
 from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome
 
 __all__ = ["Gateways"]
@@ -63,7 +63,9 @@
         return out
 
     def wake_news(self):
-        """The cluster state has moved: those that follow it hear of it, and those that wait for its effect look again."""
+        """The cluster state has moved: those that follow it hear of it, and those that wait for its effect look
+        again.
+        """
         _wake(self._news)
         _wake(self._confirmations)
 
@@ -82,9 +84,11 @@
         return True
 
     def _in_effect(self, sequence: int) -> bool:
-        """Every gateway with a live lease has it, no lease of an earlier leader is left, and enough storage nodes have it.
+        """Every gateway with a live lease has it, no lease of an earlier leader is left, and enough storage nodes have
+        it.
 
-        A gateway proves its cluster state by more than half of the witnesses, so half of them are enough here, once the last change
+        A gateway proves its cluster state by more than half of the witnesses, so half of them are enough here, once
+        the last change
         of the witnesses is known to be with more than half.
         """
         now = self._ctx.timers.now()
@@ -94,8 +98,12 @@
             return False
         witnesses = self.cluster_state.witnesses()
         have = sum(self._shows(w, sequence) for w in witnesses)
-        return 2 * have > len(witnesses) or not witnesses \
-            or 2 * have == len(witnesses) and self.cluster_state.settled == self.cluster_state.witnesses_at
+        return (
+            2 * have > len(witnesses)
+            or not witnesses
+            or 2 * have == len(witnesses)
+            and self.cluster_state.settled == self.cluster_state.witnesses_at
+        )
 
     def _shows(self, storage_node: str, sequence: int) -> bool:
         f = self.followers.get(storage_node)
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -2,10 +2,10 @@
 
 from twisted.internet import defer
 
-from ..timers import ZERO, ms, secs
 from ..errors import NoRoom, NotLeading, Unproven, WireError
-from ..wire.controller_pb2 import AppendRequest, AppendResponse, ControllerEntry
+from ..timers import ZERO, ms, secs
 from ..wire.cluster_pb2 import Command, Outcome
+from ..wire.controller_pb2 import AppendRequest, AppendResponse, ControllerEntry
 from .archive import told_by_the_last
 
 __all__ = ["Leading"]
@@ -130,8 +130,9 @@
     def _advance(self):
         if self.state != "leader":
             return
-        marks = sorted((self._synced if v == self._ctx.node else self._match.get(v, 0) for v in self.voters()),
-                       reverse=True)
+        marks = sorted(
+            (self._synced if v == self._ctx.node else self._match.get(v, 0) for v in self.voters()), reverse=True
+        )
         if not marks:
             return
         reached = marks[len(marks) // 2]
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -1,21 +1,21 @@
 from pathlib import Path
 
-from ..timers import ZERO, Repeat, ms
-from ..state_machines import HasStateMachine
+from ..cluster import ClusterState
 from ..dialect.control import ControlWords
 from ..disk import Disk
 from ..errors import WireError
-from ..cluster import ClusterState
-from ..wire.frame_pb2 import Nothing
+from ..state_machines import HasStateMachine
+from ..timers import ZERO, Repeat, ms
 from ..wire.controller_pb2 import Snapshot
+from ..wire.frame_pb2 import Nothing
 from .announcing import Announcing
 from .archive import Archive
 from .control import Control
 from .edits import Edits
 from .gateways import Gateways
 from .leading import Leading
-from .retiring import Retiring
 from .placement import Placement
+from .retiring import Retiring
 from .voters import Voters
 from .voting import Founding, Voting
 
@@ -24,7 +24,9 @@
 ELECTION_INTERVAL = ms(50)
 
 
-class ControllerNode(Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, HasStateMachine):
+class ControllerNode(
+    Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, HasStateMachine
+):
     state_machine = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
@@ -55,10 +57,14 @@
         b, report = self._ctx.timers, self._ctx.report
         self._elections = b.every(ELECTION_INTERVAL, self._election_beat, report("election"), due=self._election_due)
         b.every(ms(300), self._found_beat, report("founding"), due=lambda: ZERO if self.state == "newcomer" else None)
-        for span, do, what in ((ms(100), self._lead_beat, "leading"), (ms(300), self._shelve_beat, "placement"),
-                               (ms(500), self._voters_beat, "voters")):
-            self.lead_timers.append(b.every(span, do, report(what),
-                                           due=lambda: ZERO if self.state == "leader" else None))
+        for span, do, what in (
+            (ms(100), self._lead_beat, "leading"),
+            (ms(300), self._shelve_beat, "placement"),
+            (ms(500), self._voters_beat, "voters"),
+        ):
+            self.lead_timers.append(
+                b.every(span, do, report(what), due=lambda: ZERO if self.state == "leader" else None)
+            )
 
     def _say(self):
         self._ctx.journal.note("controller_founded", term=self.term, last=self.archive.last_index())
@@ -100,7 +106,7 @@
             if index <= base.index:
                 return
             cluster_state = ClusterState(base.cluster_state)
-            for e in self.archive.entries[:index - base.index]:
+            for e in self.archive.entries[: index - base.index]:
                 cluster_state.apply(e.index, e.command)
             s = Snapshot(index=index, term=self.archive.term_at(index), cluster_state=cluster_state.data())
             await self._ctx.on_thread(self.archive.keep_snapshot, s)
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -1,10 +1,11 @@
 from collections import Counter
 
-from ..timers import secs
-from ..errors import GatewayError
 from ..cluster import ClusterState
+from ..errors import GatewayError
+from ..timers import secs
+from ..wire.cluster_pb2 import Command, PlacementGroupRow, StorageNodeEdit
+from ..wire.cluster_pb2 import Placement as PlacementRow
 from ..wire.replicated_log_pb2 import CaughtUp
-from ..wire.cluster_pb2 import Command, StorageNodeEdit, PlacementGroupRow, Placement as PlacementRow
 
 __all__ = ["Placement"]
 
@@ -15,7 +16,9 @@
 
 
 class Placement:
-    """Mixin: the leader places placement groups on storage nodes, zones kept distinct where possible, and moves them off lost ones."""
+    """Mixin: the leader places placement groups on storage nodes, zones kept distinct where possible, and moves them
+    off lost ones.
+    """
 
     def _open_placement(self):
         self._caught_up_placement_groups: set[tuple[int, int, str]] = set()
@@ -33,7 +36,9 @@
             return
         if await self._settle_witnesses():
             return
-        if self.cluster_state.settled == self.cluster_state.witnesses_at and (await self._admit_storage_node() or await self._let_storage_node_go()):
+        if self.cluster_state.settled == self.cluster_state.witnesses_at and (
+            await self._admit_storage_node() or await self._let_storage_node_go()
+        ):
             return
         if not self.cluster_state.placement_groups:
             await self._first_placement_groups()
@@ -42,15 +47,23 @@
         if rows:
             await self._propose(Command(placement=PlacementRow(placement_groups=rows)))
             for r in rows:
-                self._ctx.journal.note("placement_group", placement_group=r.number, sequence=r.sequence, storage_nodes=",".join(r.storage_nodes),
-                                       joining=r.joining, leaving=r.leaving)
+                self._ctx.journal.note(
+                    "placement_group",
+                    placement_group=r.number,
+                    sequence=r.sequence,
+                    storage_nodes=",".join(r.storage_nodes),
+                    joining=r.joining,
+                    leaving=r.leaving,
+                )
 
     async def _proved(self, c: Command):
         """One change of the witnesses at a time, each in effect before the next, by more than half of them."""
         await self.edit(c, secs(3))
 
     async def _settle_witnesses(self) -> bool:
-        """Says in the cluster state that the last change of the witnesses is in effect; only then is half of them enough."""
+        """Says in the cluster state that the last change of the witnesses is in effect; only then is half of them
+        enough.
+        """
         at = self.cluster_state.witnesses_at
         if at == self.cluster_state.settled or not self._in_effect(at):
             return False
@@ -59,19 +72,30 @@
 
     async def _admit_storage_node(self) -> bool:
         for m in self._ctx.membership.members("storage", status=("alive",)):
-            if m.node not in self.cluster_state.storage_nodes and m.node in self.followers and not self._name_retired(m.name):
-                await self._proved(Command(storage_node=StorageNodeEdit(storage_node=m.node, status="serving", name=m.name)))
+            if (
+                m.node not in self.cluster_state.storage_nodes
+                and m.node in self.followers
+                and not self._name_retired(m.name)
+            ):
+                await self._proved(
+                    Command(storage_node=StorageNodeEdit(storage_node=m.node, status="serving", name=m.name))
+                )
                 self._ctx.journal.note("storage_node_admitted", storage_node=m.node, zone=m.zone)
                 return True
         return False
 
     def _name_retired(self, name: str) -> bool:
         """Whether a storage node of this name was retired: its machine is on its way out, also with an empty disk."""
-        return bool(name) and any(self.cluster_state.storage_nodes[d] != "serving"
-                                  for d, n in self.cluster_state.storage_node_names.items() if n == name)
+        return bool(name) and any(
+            self.cluster_state.storage_nodes[d] != "serving"
+            for d, n in self.cluster_state.storage_node_names.items()
+            if n == name
+        )
 
     async def _let_storage_node_go(self) -> bool:
-        """A storage node that keeps no placement group any more: a retired one may be switched off, a lost one is taken off."""
+        """A storage node that keeps no placement group any more: a retired one may be switched off, a lost one is
+        taken off.
+        """
         for storage_node, status in self.cluster_state.storage_nodes.items():
             if not self.cluster_state.placement_groups or self._holds(self.cluster_state)[storage_node]:
                 continue
@@ -93,22 +117,33 @@
         status = self._ctx.membership.status(storage_node)
         if status not in ("unknown", "gone"):
             return False
-        away = self._ctx.timers.now() - self._elected_at - REPAIR_AFTER if status == "unknown" \
+        away = (
+            self._ctx.timers.now() - self._elected_at - REPAIR_AFTER
+            if status == "unknown"
             else self._ctx.membership.since(storage_node)
+        )
         return away > REPAIR_AFTER or self._replaced(storage_node)
 
     def _replaced(self, storage_node: str) -> bool:
-        """Another storage node answers at its place or by its name: it lost its disk and cannot come back, so nothing is waited for.
+        """Another storage node answers at its place or by its name: it lost its disk and cannot come back, so nothing
+        is waited for.
 
-        Its name is in the cluster state, so that it is known also where no controller has met it since all of them started.
+        Its name is in the cluster state, so that it is known also where no controller has met it since all of them
+        started.
         """
         m, name = self._ctx.membership.find(storage_node), self.cluster_state.storage_node_names.get(storage_node)
-        return any(o.node != storage_node and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
-                   for o in self._ctx.membership.members("storage", status=("alive",)))
+        return any(
+            o.node != storage_node
+            and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
+            for o in self._ctx.membership.members("storage", status=("alive",))
+        )
 
     def _serving(self) -> list[str]:
-        return [d for d, s in self.cluster_state.storage_nodes.items()
-                if s == "serving" and self._ctx.membership.status(d) == "alive"]
+        return [
+            d
+            for d, s in self.cluster_state.storage_nodes.items()
+            if s == "serving" and self._ctx.membership.status(d) == "alive"
+        ]
 
     async def _first_placement_groups(self):
         storage_nodes = self._serving()
@@ -141,7 +176,9 @@
                 storage_nodes = [s.joining if d == s.leaving else d for d in s.storage_nodes]
                 ending.append(PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=storage_nodes))
             elif self._lost(s.joining):
-                ending.append(PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes))
+                ending.append(
+                    PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes)
+                )
         if ending:
             return ending
         starting = []
@@ -150,8 +187,9 @@
         for s in sorted(self.cluster_state.placement_groups.values(), key=lambda s: s.number):
             if s.joining or moving + len(starting) >= MAX_MOVES:
                 continue
-            leaving = next((d for d in s.storage_nodes if self._lost(d)), "") \
-                or next((d for d in s.storage_nodes if self.cluster_state.storage_nodes.get(d) == "retiring"), "")
+            leaving = next((d for d in s.storage_nodes if self._lost(d)), "") or next(
+                (d for d in s.storage_nodes if self.cluster_state.storage_nodes.get(d) == "retiring"), ""
+            )
             if leaving:
                 beside = [d for d in s.storage_nodes if d != leaving]
                 joining = self._pick_storage_node([d for d in serving if d not in s.storage_nodes], beside, held)
@@ -161,14 +199,21 @@
         return starting or ([] if moving else self._evening_out(held, serving))
 
     def _move(self, s: PlacementGroupRow, leaving: str, joining: str) -> PlacementGroupRow:
-        return PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes, joining=joining, leaving=leaving)
+        return PlacementGroupRow(
+            number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes, joining=joining, leaving=leaving
+        )
 
     def _evening_out(self, held: Counter, serving: list[str]) -> list[PlacementGroupRow]:
-        """A new storage node takes a fair share, one placement group at a time, where zones stay as distinct as they were.
+        """A new storage node takes a fair share, one placement group at a time, where zones stay as distinct as they
+        were.
 
         Not while a placement group lacks one of its storage nodes: a move needs a majority of both its sets.
         """
-        away = any(self._ctx.membership.status(d) != "alive" for s in self.cluster_state.placement_groups.values() for d in s.storage_nodes)
+        away = any(
+            self._ctx.membership.status(d) != "alive"
+            for s in self.cluster_state.placement_groups.values()
+            for d in s.storage_nodes
+        )
         if len(serving) <= COPIES or away:
             return []
         low = min(serving, key=lambda d: (held[d], d))
@@ -177,14 +222,24 @@
                 return []
             for s in self.cluster_state.placement_groups.values():
                 rest = {self._zone(d) for d in s.storage_nodes if d != high}
-                if high in s.storage_nodes and low not in s.storage_nodes and (self._zone(low) not in rest
-                                                                 or self._zone(high) in rest):
+                if (
+                    high in s.storage_nodes
+                    and low not in s.storage_nodes
+                    and (self._zone(low) not in rest or self._zone(high) in rest)
+                ):
                     return [self._move(s, high, low)]
         return []
 
     def check_retirement(self, cluster_state: ClusterState, storage_node: str):
-        rest = [d for d, s in cluster_state.storage_nodes.items()
-                if s == "serving" and d != storage_node and self._ctx.membership.status(d) == "alive"]
+        rest = [
+            d
+            for d, s in cluster_state.storage_nodes.items()
+            if s == "serving" and d != storage_node and self._ctx.membership.status(d) == "alive"
+        ]
         if len(rest) < COPIES:
-            raise GatewayError(f"{len(rest)} live storage nodes would be left and each placement group needs {COPIES}",
-                             code="too_few_copies", status=409, outcome="not_run")
+            raise GatewayError(
+                f"{len(rest)} live storage nodes would be left and each placement group needs {COPIES}",
+                code="too_few_copies",
+                status=409,
+                outcome="not_run",
+            )
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -1,5 +1,5 @@
-from ..errors import GatewayError, NotFound
 from ..cluster import ClusterState
+from ..errors import GatewayError, NotFound
 from ..wire.cluster_pb2 import Command, StorageNodeEdit
 
 __all__ = ["Retiring"]
@@ -15,21 +15,32 @@
         heard = {m.node for m in self._ctx.membership.everyone() if m.role == "storage" and m.name == name}
         found = sorted((named | heard) & set(cluster_state.storage_nodes))
         if not found and heard:
-            raise GatewayError(f"storage node {name} is not admitted yet", code="not_admitted", status=503, outcome="not_run",
-                             retry_after=1)
+            raise GatewayError(
+                f"storage node {name} is not admitted yet",
+                code="not_admitted",
+                status=503,
+                outcome="not_run",
+                retry_after=1,
+            )
         if not found:
             raise NotFound("there is no such storage node", code="no_such_storage_node", field="storage_node")
         return found
 
     async def retire(self, name: str, edit: str) -> int:
-        """Has the storage node emptied; returns the sequence at which that is in effect. To ask again changes nothing."""
+        """Has the storage node emptied; returns the sequence at which that is in effect. To ask again changes
+        nothing.
+        """
         cluster_state = await self.newest()
-        serving = [d for d in self._storage_nodes_called(cluster_state, name) if cluster_state.storage_nodes[d] == "serving"]
+        serving = [
+            d for d in self._storage_nodes_called(cluster_state, name) if cluster_state.storage_nodes[d] == "serving"
+        ]
         for d in serving:
             self.check_retirement(cluster_state, d)
         sequence = cluster_state.sequence
         for n, d in enumerate(serving):
-            c = Command(edit=f"{edit}/{n}" if n else edit, storage_node=StorageNodeEdit(storage_node=d, status="retiring"))
+            c = Command(
+                edit=f"{edit}/{n}" if n else edit, storage_node=StorageNodeEdit(storage_node=d, status="retiring")
+            )
             sequence = (await self.decide(c)).sequence
         return sequence
 
--- a/pipitlink/controller/rows.py
+++ b/pipitlink/controller/rows.py
@@ -8,8 +8,13 @@
 
 _NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.:-]{0,99}$")
 FIELDS = {"model": "", "pool": "", "weight": 1.0, "rate": 0.0, "concurrency": 0, "lot_share": 0.0, "priority": 0}
-_BOUNDS = {"weight": (0, 1_000_000), "rate": (0, 1_000_000), "concurrency": (0, 1_000_000), "lot_share": (0, 1),
-           "priority": (-100, 100)}
+_BOUNDS = {
+    "weight": (0, 1_000_000),
+    "rate": (0, 1_000_000),
+    "concurrency": (0, 1_000_000),
+    "lot_share": (0, 1),
+    "priority": (-100, 100),
+}
 
 
 def _fault(row, field, message):
@@ -34,8 +39,11 @@
         if isinstance(like, str):
             good = isinstance(value, str) and len(value) <= 200
         else:
-            good = not isinstance(value, bool) and isinstance(value, int if whole else (int, float)) \
+            good = (
+                not isinstance(value, bool)
+                and isinstance(value, int if whole else (int, float))
                 and math.isfinite(value)
+            )
         if not good:
             faults.append(_fault(name, field, f"must be a {'text' if isinstance(like, str) else 'number'}"))
         elif field in _BOUNDS and not _BOUNDS[field][0] <= value <= _BOUNDS[field][1]:
--- a/pipitlink/controller/voters.py
+++ b/pipitlink/controller/voters.py
@@ -38,8 +38,11 @@
             rest = tuple(v for v in voters if v != extra)
             return rest if 2 * len([v for v in rest if v in live]) > len(rest) else None
         if lost or len(voters) < VOTERS:
-            standbys = [m for m in self._ctx.membership.members("controller", status=("alive",), me=False)
-                        if m.node not in voters and self._caught_up(m.node)]
+            standbys = [
+                m
+                for m in self._ctx.membership.members("controller", status=("alive",), me=False)
+                if m.node not in voters and self._caught_up(m.node)
+            ]
             zones = {m.zone for v in live if (m := self._ctx.membership.find(v))}
             standbys.sort(key=lambda m: (m.zone in zones, m.node))
             if standbys and 2 * (len(live) + 1) > len(voters) + 1:
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -2,11 +2,11 @@
 
 from twisted.internet import defer
 
-from ..timers import ZERO, ms, spawn
 from ..errors import WireError
+from ..timers import ZERO, ms, spawn
+from ..wire.cluster_pb2 import ClusterStateData
 from ..wire.controller_pb2 import FoundResponse, Snapshot, VoteRequest, VoteResponse
 from ..wire.frame_pb2 import Nothing
-from ..wire.cluster_pb2 import ClusterStateData
 
 __all__ = ["Voting", "Founding", "STICKY_SPAN"]
 
@@ -27,8 +27,9 @@
         for founder in self._ctx.settings.founders:
             host, _, port = founder.rpartition(":")
             try:
-                got.append(await self._ctx.rpc.call((host, int(port)), "controller.empty", Nothing(), FoundResponse,
-                                                     ASK_LIMIT))
+                got.append(
+                    await self._ctx.rpc.call((host, int(port)), "controller.empty", Nothing(), FoundResponse, ASK_LIMIT)
+                )
             except WireError:
                 got.append(None)
         for r in got:
@@ -101,8 +102,11 @@
 
     def _just_started(self) -> bool:
         """Started a short while ago, and since then neither heard a leader nor voted."""
-        return not self._fresh_spent and self._led_at == self._started_at \
+        return (
+            not self._fresh_spent
+            and self._led_at == self._started_at
             and self._ctx.timers.now() - self._started_at < STICKY_SPAN
+        )
 
     def _fresh_turn(self, now: timedelta) -> timedelta:
         """Voters that start together stand one after another, so that none takes the vote of the one before."""
@@ -128,14 +132,22 @@
     async def _poll(self, term: int, pre: bool, fresh: bool = False) -> bool:
         """Whether a majority would vote, or votes, for this controller.
 
-        Where all voters just started, or another node answers at their place, none of them leads and whoever led has ended,
+        Where all voters just started, or another node answers at their place, none of them leads and whoever led has
+        ended,
         so nobody's leader has to be waited out. That is asked first, of every single voter, and each must know the same
         voters.
         """
         voters = self.voters()
         last = self.archive.last_index()
-        ask = VoteRequest(term=term, candidate=self._ctx.node, last_index=last, last_term=self.archive.term_at(last),
-                      pre=pre, fresh=fresh, voters=voters if fresh else ())
+        ask = VoteRequest(
+            term=term,
+            candidate=self._ctx.node,
+            last_index=last,
+            last_term=self.archive.term_at(last),
+            pre=pre,
+            fresh=fresh,
+            voters=voters if fresh else (),
+        )
         granted = {self._ctx.node}
         started = {self._ctx.node}
         done = defer.Deferred()
@@ -210,5 +222,3 @@
     def is_majority(self, nodes) -> bool:
         voters = self.voters()
         return 2 * sum(v in nodes for v in voters) > len(voters)
-
-
--- a/pipitlink/dialect/__init__.py
+++ b/pipitlink/dialect/__init__.py
@@ -6,4 +6,6 @@
 
 
 class Dialect(HeaderWords, BatchWords, ControlWords):
-    """How callers, engines and operators of routes are spoken to; the product's own words, which a platform may replace."""
+    """How callers, engines and operators of routes are spoken to; the product's own words, which a platform may
+    replace.
+    """
--- a/pipitlink/dialect/batches.py
+++ b/pipitlink/dialect/batches.py
@@ -12,7 +12,7 @@
 MAX_ITEMS = 200
 MAX_ANSWER = 1_000_000
 MOST_WAIT_MS = 60_000
-MAX_TOKENS = 2 ** 53
+MAX_TOKENS = 2**53
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}\Z")
 _VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]{0,16384}\Z")
 _PATH = re.compile(r"/[\x21-\x7e]{0,8191}\Z")
@@ -52,8 +52,7 @@
     def _read_call(self, lot_id: str, query: dict[str, str], headers):
         start = self._number(self.batch_start, query.get(self.batch_start, "0"))
         wait = self._number("wait", headers(self.poll_wait.decode()) or "0")
-        return "read_batch", {"lot_id": lot_id, "start": start,
-                              "wait": timedelta(milliseconds=min(wait, MOST_WAIT_MS))}
+        return "read_batch", {"lot_id": lot_id, "start": start, "wait": timedelta(milliseconds=min(wait, MOST_WAIT_MS))}
 
     def _number(self, field: str, text: str) -> int:
         text = text.strip()
@@ -87,7 +86,8 @@
 
         headers = item.get("headers", {})
         if not isinstance(headers, dict) or not all(
-                _NAME.match(k) and isinstance(v, str) and _VALUE.match(v) for k, v in headers.items()):
+            _NAME.match(k) and isinstance(v, str) and _VALUE.match(v) for k, v in headers.items()
+        ):
             raise _wrong(f"{at}.headers", "must be names and values")
         tokens = item.get(self.item_tokens)
         if type(tokens) is not int or not 0 <= tokens < MAX_TOKENS:
@@ -97,8 +97,13 @@
             body = base64.b64decode(body, validate=True)
         except (binascii.Error, ValueError, TypeError):
             raise _wrong(f"{at}.body", "must be base64") from None
-        return BatchItem(id=text("id", _ITEM_ID), path=text("path", _PATH), body=body, tokens=tokens,
-                         headers=[Header(name=k, value=v) for k, v in headers.items()])
+        return BatchItem(
+            id=text("id", _ITEM_ID),
+            path=text("path", _PATH),
+            body=body,
+            tokens=tokens,
+            headers=[Header(name=k, value=v) for k, v in headers.items()],
+        )
 
     def show_taken(self, lot_id: str, items: int) -> bytes:
         return json.dumps({"id": lot_id, self.batch_total: items}).encode()
@@ -110,15 +115,27 @@
         """Outputs from a position on: at least one if there is one, and no more than an answer may hold."""
         shown, size = [], 200
         for x in outputs[start:]:
-            text = json.dumps({"id": batch.items[x.item].id, "state": self.output_states[x.state],
-                               self.output_text: x.text.decode("utf-8", "replace")}, ensure_ascii=False).encode()
+            text = json.dumps(
+                {
+                    "id": batch.items[x.item].id,
+                    "state": self.output_states[x.state],
+                    self.output_text: x.text.decode("utf-8", "replace"),
+                },
+                ensure_ascii=False,
+            ).encode()
             size += len(text) + 1
             if shown and size > MAX_ANSWER:
                 break
             shown.append(text)
         return b'{"%b":%d,"%b":%d,"outputs":[%b]}' % (
-            self.batch_total.encode(), len(batch.items), self.batch_next.encode(), start + len(shown), b",".join(shown))
+            self.batch_total.encode(),
+            len(batch.items),
+            self.batch_next.encode(),
+            start + len(shown),
+            b",".join(shown),
+        )
 
     def show_fault(self, e) -> bytes:
-        return json.dumps({"error": {"code": e.code, "message": str(e), "field": e.field,
-                                     "outcome": e.outcome}}).encode()
+        return json.dumps(
+            {"error": {"code": e.code, "message": str(e), "field": e.field, "outcome": e.outcome}}
+        ).encode()
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -1,8 +1,8 @@
 import json
 
 from ..errors import BadRequest
-from ..wire.membership_pb2 import EngineNews
 from ..wire.cluster_pb2 import Bounds, Config, ConfigEdit, Pool, PoolShare, Route
+from ..wire.membership_pb2 import EngineNews
 from .reading import Field, count_of, items_of, names_of, read_fields, read_json, source_of, text_of
 
 __all__ = ["ControlWords"]
@@ -25,27 +25,42 @@
     routes_word, pools_word, bounds_word = "routes", "pools", "bounds"
     puts_word, drops_word = "puts", "drops"
     route_fields = (
-        Field("name", "name", "text", needed=True), Field("host", "host", "text", needed=True),
-        Field("prefix", "prefix", "text", needed=True), Field("kind", "kind", "text", needed=True),
-        Field("deadline_ms", "deadline_ms", needed=True), Field("aim_ms", "aim_ms"),
-        Field("priority", "priority", "rank"), Field("max_tries", "max_tries"), Field("sticky", "sticky", "flag"),
-        Field("resumable", "resumable", "flag"), Field("gap_ms", "gap_ms"),
-        Field("max_waiting_tokens", "max_waiting_tokens", "long"), Field("due_ms", "due_ms"),
+        Field("name", "name", "text", needed=True),
+        Field("host", "host", "text", needed=True),
+        Field("prefix", "prefix", "text", needed=True),
+        Field("kind", "kind", "text", needed=True),
+        Field("deadline_ms", "deadline_ms", needed=True),
+        Field("aim_ms", "aim_ms"),
+        Field("priority", "priority", "rank"),
+        Field("max_tries", "max_tries"),
+        Field("sticky", "sticky", "flag"),
+        Field("resumable", "resumable", "flag"),
+        Field("gap_ms", "gap_ms"),
+        Field("max_waiting_tokens", "max_waiting_tokens", "long"),
+        Field("due_ms", "due_ms"),
         Field("retain_ms", "retain_ms"),
     )
     pool_fields = (
-        Field("name", "name", "text", needed=True), Field("health_path", "health_path", "text"),
-        Field("max_connections", "max_connections"), Field("warmup_ms", "warmup_ms"),
-        Field("cold_rate", "cold_rate", "amount"), Field("places", "places"),
+        Field("name", "name", "text", needed=True),
+        Field("health_path", "health_path", "text"),
+        Field("max_connections", "max_connections"),
+        Field("warmup_ms", "warmup_ms"),
+        Field("cold_rate", "cold_rate", "amount"),
+        Field("places", "places"),
         Field("cache_tokens", "cache_tokens", "long"),
     )
-    bounds_fields = tuple(Field(f, f) for f in ("max_header_bytes", "max_body_bytes", "header_timeout_ms",
-                                                "idle_timeout_ms"))
+    bounds_fields = tuple(
+        Field(f, f) for f in ("max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms")
+    )
     shares_word, single_word, share_pool_word, share_word = "shares", "pool", "pool", "share"
     engine_fields = (
-        Field("pool", "pool", "text", needed=True), Field("address", "address", "text", needed=True),
-        Field("zone", "zone", "text"), Field("version", "version", "text"), Field("capacity", "capacity"),
-        Field("cold_ms", "cold_ms", "long"), Field("sequence", "sequence", "long", needed=True),
+        Field("pool", "pool", "text", needed=True),
+        Field("address", "address", "text", needed=True),
+        Field("zone", "zone", "text"),
+        Field("version", "version", "text"),
+        Field("capacity", "capacity"),
+        Field("cold_ms", "cold_ms", "long"),
+        Field("sequence", "sequence", "long", needed=True),
     )
     engine_states = {"ready": "ready", "leaving": "leaving"}
     models_word = "models"
@@ -72,16 +87,22 @@
         r = read_fields(raw, self.route_fields, Route(source=source_of(raw)), where)
         shares, single = raw.get(self.shares_word), raw.get(self.single_word)
         if (shares is None) == (single is None):
-            raise BadRequest(f"{where} needs one of {self.shares_word} and {self.single_word}", code="bad_field",
-                         field=self.shares_word)
+            raise BadRequest(
+                f"{where} needs one of {self.shares_word} and {self.single_word}",
+                code="bad_field",
+                field=self.shares_word,
+            )
         if single is not None:
             r.shares.append(PoolShare(pool=text_of(raw, self.single_word, where + "."), share=1))
             return r
         if not isinstance(shares, list) or not all(isinstance(s, dict) for s in shares):
-            raise BadRequest(f"{where}.{self.shares_word} must be a list of objects", code="bad_field",
-                         field=self.shares_word)
-        fields = (Field(self.share_pool_word, "pool", "text", needed=True),
-                  Field(self.share_word, "share", "amount", needed=True))
+            raise BadRequest(
+                f"{where}.{self.shares_word} must be a list of objects", code="bad_field", field=self.shares_word
+            )
+        fields = (
+            Field(self.share_pool_word, "pool", "text", needed=True),
+            Field(self.share_word, "share", "amount", needed=True),
+        )
         r.shares.extend(read_fields(s, fields, PoolShare(), f"{where}.{self.shares_word}") for s in shares)
         return r
 
@@ -95,9 +116,11 @@
 
     def config_body(self, c: Config) -> bytes:
         """The whole configuration, each item as it was sent."""
-        parts = [(self.routes_word, b"[%b]" % b",".join(r.source for r in c.routes)),
-                 (self.pools_word, b"[%b]" % b",".join(p.source for p in c.pools)),
-                 (self.bounds_word, c.bounds.source or b"{}")]
+        parts = [
+            (self.routes_word, b"[%b]" % b",".join(r.source for r in c.routes)),
+            (self.pools_word, b"[%b]" % b",".join(p.source for p in c.pools)),
+            (self.bounds_word, c.bounds.source or b"{}"),
+        ]
         return b'{"version":%d,%b}' % (c.version, b",".join(b'"%b":%b' % (w.encode(), s) for w, s in parts))
 
     def engine_news(self, engine: str, body: bytes) -> EngineNews:
--- a/pipitlink/dialect/reading.py
+++ b/pipitlink/dialect/reading.py
@@ -1,4 +1,5 @@
 """JSON read strictly into messages, field by field."""
+
 import json
 import math
 
@@ -8,7 +9,7 @@
 
 __all__ = ["Field", "read_json", "read_fields", "items_of", "names_of", "count_of", "text_of", "source_of"]
 
-_MOST = 2 ** 32 - 1
+_MOST = 2**32 - 1
 
 
 @attrs.frozen
@@ -69,7 +70,7 @@
 
 def count_of(raw: dict, field: str, least: int = 0) -> int:
     value = raw.get(field)
-    if isinstance(value, bool) or not isinstance(value, int) or not least <= value < 2 ** 63:
+    if isinstance(value, bool) or not isinstance(value, int) or not least <= value < 2**63:
         raise _wrong(field, f"must be a whole number of {least} or more")
     return value
 
@@ -106,14 +107,14 @@
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise _wrong(where, "must be a number")
     if f.kind == "rank":
-        if not isinstance(value, int) or not -2 ** 31 <= value < 2 ** 31:
+        if not isinstance(value, int) or not -(2**31) <= value < 2**31:
             raise _wrong(where, "must be a whole number")
         return value
     if value < 0:
         raise _wrong(where, "must not be below 0")
     if f.kind == "amount":
         return float(min(value, 1e300)) * f.scale
-    return min(math.ceil(value * f.scale), _MOST if f.kind == "count" else 2 ** 63)
+    return min(math.ceil(value * f.scale), _MOST if f.kind == "count" else 2**63)
 
 
 def read_fields(raw: dict, fields, goal, where: str):
--- a/pipitlink/disk.py
+++ b/pipitlink/disk.py
@@ -13,7 +13,7 @@
 
     def append(self, fd: int, data: bytes):
         while data:
-            data = data[os.write(fd, data):]
+            data = data[os.write(fd, data) :]
 
     def sync(self, fd: int):
         os.fdatasync(fd)
@@ -61,12 +61,12 @@
     """Yields (position, payload, end) for each whole good frame, and stops at the first that is not."""
     at = start
     while at + HEAD <= len(data):
-        size = int.from_bytes(data[at:at + 4], "big")
+        size = int.from_bytes(data[at : at + 4], "big")
         end = at + HEAD + size
         if end > len(data):
             return
-        body = data[at + HEAD:end]
-        if zlib.crc32(body, zlib.crc32(data[at:at + 4])) != int.from_bytes(data[at + 4:at + 8], "big"):
+        body = data[at + HEAD : end]
+        if zlib.crc32(body, zlib.crc32(data[at : at + 4])) != int.from_bytes(data[at + 4 : at + 8], "big"):
             return
         yield at, bytes(body), end
         at = end
--- a/pipitlink/early.py
+++ b/pipitlink/early.py
@@ -1,4 +1,5 @@
 """A listening socket before the rest of the program is loaded, so that callers wait a moment instead of being reset."""
+
 import socket
 
 __all__ = ["listen_early"]
--- a/pipitlink/errors.py
+++ b/pipitlink/errors.py
@@ -1,8 +1,28 @@
 __all__ = [
-    "PipitlinkError", "SettingsError", "WireError", "CutOff", "Overdue", "Refused", "Unmet",
-    "ReplicatedLogError", "Fenced", "NoMajority", "NoRoom", "NotHeld", "OldPlacementGroup", "Damaged",
-    "GatewayError", "BadRequest", "Crowded", "NotFound", "BackEndError",
-    "ControllerError", "WrongBase", "BadRows", "NotLeading", "Unproven",
+    "PipitlinkError",
+    "SettingsError",
+    "WireError",
+    "CutOff",
+    "Overdue",
+    "Refused",
+    "Unmet",
+    "ReplicatedLogError",
+    "Fenced",
+    "NoMajority",
+    "NoRoom",
+    "NotHeld",
+    "OldPlacementGroup",
+    "Damaged",
+    "GatewayError",
+    "BadRequest",
+    "Crowded",
+    "NotFound",
+    "BackEndError",
+    "ControllerError",
+    "WrongBase",
+    "BadRows",
+    "NotLeading",
+    "Unproven",
 ]
 
 
@@ -92,8 +112,9 @@
     status = 500
     outcome = "failed"
 
-    def __init__(self, text: str, *, code: str = "", field: str = "", status: int = 0,
-                 outcome: str = "", retry_after: int = 0):
+    def __init__(
+        self, text: str, *, code: str = "", field: str = "", status: int = 0, outcome: str = "", retry_after: int = 0
+    ):
         super().__init__(text)
         self.code = code or type(self).code
         self.field = field
--- a/pipitlink/gateway/bodies.py
+++ b/pipitlink/gateway/bodies.py
@@ -34,8 +34,11 @@
 def _sized(most, least=0):
     def check(_, a, value):
         if not least <= len(value) <= most:
-            raise ValueError(f"must have {least} to {most} characters" if isinstance(value, str)
-                             else f"must have {least} to {most} entries")
+            raise ValueError(
+                f"must have {least} to {most} characters"
+                if isinstance(value, str)
+                else f"must have {least} to {most} entries"
+            )
 
     return check
 
@@ -88,7 +91,7 @@
     zone: str = attrs.field(validator=_sized(64, 1))
     models: list[str] = attrs.field(factory=list, validator=_sized(256))
     capacity: int = attrs.field(default=1, validator=_between(1, 10_000))
-    incarnation: int = attrs.field(default=1, validator=_between(0, 2 ** 63))
+    incarnation: int = attrs.field(default=1, validator=_between(0, 2**63))
     state: str = attrs.field(default="ready", validator=_state)
 
 
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -2,13 +2,13 @@
 
 from twisted.internet import defer
 
-from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..disk import frames
-from ..errors import ReplicatedLogError, NotHeld, Overdue, PipitlinkError
-from ..wire.lots_pb2 import EndRequest, Ended, EndResponse, Item, LogRecord, Result, Started
-from .requests import RequestRecord
-from .lots import OpenLot, result_log
+from ..errors import NotHeld, Overdue, PipitlinkError, ReplicatedLogError
 from ..rendezvous import rank
+from ..timers import ZERO, ms, secs, spawn, wall_ms
+from ..wire.lots_pb2 import Ended, EndRequest, EndResponse, Item, LogRecord, Result, Started
+from .lots import OpenLot, result_log
+from .requests import RequestRecord
 
 __all__ = ["Dispatch"]
 
@@ -26,8 +26,9 @@
     def _open_dispatch(self):
         self._ctx.rpc.answer("lots.end", EndRequest, self._end_for)
         for span, do, what in ((TAKE_INTERVAL, self._take_lots, "take_lots"), (FEED_INTERVAL, self._feed, "feed")):
-            self._lot_timers.append(self._ctx.timers.every(span, do, self._ctx.report(what),
-                                                         due=lambda: ZERO if self.open_lots else None))
+            self._lot_timers.append(
+                self._ctx.timers.every(span, do, self._ctx.report(what), due=lambda: ZERO if self.open_lots else None)
+            )
 
     def _owner(self, lot_id: str) -> str:
         gateways = self._ctx.membership.members("gateway", status=("alive",))
@@ -44,7 +45,9 @@
         for o in sorted(self.open_lots.values(), key=lambda o: o.lot.limit_ms):
             if o.leaseholder is not None and o.leaseholder.lost:
                 self._lose(o)
-            elif o.leaseholder is not None and (o.leaseholder.final or len(o.results) == len(o.lot.items) and not o.running):
+            elif o.leaseholder is not None and (
+                o.leaseholder.final or len(o.results) == len(o.lot.items) and not o.running
+            ):
                 self._ctx.spawned(self._finish_if_done(o), "finish")
             if o.leaseholder or o.taking or o.try_at > now or taking >= MAX_TAKING:
                 continue
@@ -73,8 +76,9 @@
             return
         o.leaseholder = h
         doubtful = [i for i in o.started if i not in o.results and not o.lot.items[i].repeatable]
-        self._ctx.journal.note("lot_owned", lot=o.id, epoch=h.epoch, items=len(o.lot.items), done=len(o.results),
-                               doubtful=len(doubtful))
+        self._ctx.journal.note(
+            "lot_owned", lot=o.id, epoch=h.epoch, items=len(o.lot.items), done=len(o.results), doubtful=len(doubtful)
+        )
         o.waiting = [i for i in range(len(o.lot.items)) if i not in o.results and i not in doubtful]
         for i in doubtful:
             self._ctx.spawned(self._list(o, Result(item=i, outcome="unknown", code="owner_lost")), "list_doubtful")
@@ -99,15 +103,18 @@
             return
         now = self._ctx.timers.now()
         wall = wall_ms(self._ctx.timers.wall())
-        owned = [o for o in self.open_lots.values() if o.leaseholder is not None and o.waiting and not o.leaseholder.final]
+        owned = [
+            o for o in self.open_lots.values() if o.leaseholder is not None and o.waiting and not o.leaseholder.final
+        ]
         busy: dict[str, int] = {}
         for o in self.open_lots.values():
             busy[o.lot.customer] = busy.get(o.lot.customer, 0) + len(o.running)
         full: set[str] = set()
         room: dict[str, int] = {}
         while owned:
-            o = min(owned, key=lambda o: (self._urgency(o, wall), -self._priority(o), busy[o.lot.customer],
-                                          o.lot.limit_ms))
+            o = min(
+                owned, key=lambda o: (self._urgency(o, wall), -self._priority(o), busy[o.lot.customer], o.lot.limit_ms)
+            )
             i = next((i for i in o.waiting if o.again_at.get(i, now) <= now and o.lot.items[i].model not in full), None)
             if i is None or not o.leaseholder.held():
                 owned.remove(o)
@@ -140,16 +147,24 @@
 
     def _room_for(self, model: str) -> int:
         """How many items may be started now, less those that have no back end yet."""
-        free = sum(self.engines.room(e, self.lot_reserve(model, e)) for e, _ in self.candidates(model)
-                   if self.engines.status(e) == "ready")
+        free = sum(
+            self.engines.room(e, self.lot_reserve(model, e))
+            for e, _ in self.candidates(model)
+            if self.engines.status(e) == "ready"
+        )
         return free - sum(a.kind == "item" and a.model == model and a.engine is None for a in self.asks.values())
 
     def _ran(self, r, o: OpenLot, i: int):
         o.running.pop(i, None)
         if isinstance(getattr(r, "value", None), Exception) and not r.check(defer.CancelledError, ReplicatedLogError):
             self._ctx.journal.fault("item_failed", r.value, lot=o.id, item=i)
-        if o.leaseholder is not None and not o.leaseholder.lost and not o.leaseholder.final and i not in o.results \
-                and i not in o.waiting:
+        if (
+            o.leaseholder is not None
+            and not o.leaseholder.lost
+            and not o.leaseholder.final
+            and i not in o.results
+            and i not in o.waiting
+        ):
             o.waiting.append(i)
             o.again_at[i] = self._ctx.timers.now() + TAKE_AGAIN
 
@@ -159,9 +174,18 @@
             return await self._finish_if_done(o)
         now = self._ctx.timers.now()
         left = timedelta(milliseconds=o.lot.limit_ms) - timedelta(milliseconds=wall_ms(self._ctx.timers.wall()))
-        ask = RequestRecord(kind="item", model=item.model, prompt=item.prompt, prefix=item.prefix, repeatable=item.repeatable,
-                  max_tokens=item.max_tokens or 256, limit=now + min(ITEM_LIMIT, left), customer=o.lot.customer,
-                  mark=lambda: self._mark_started(o, i, item), still=lambda: self._check_owned(o))
+        ask = RequestRecord(
+            kind="item",
+            model=item.model,
+            prompt=item.prompt,
+            prefix=item.prefix,
+            repeatable=item.repeatable,
+            max_tokens=item.max_tokens or 256,
+            limit=now + min(ITEM_LIMIT, left),
+            customer=o.lot.customer,
+            mark=lambda: self._mark_started(o, i, item),
+            still=lambda: self._check_owned(o),
+        )
         work = spawn(self.run(ask))
         try:
             await work
@@ -183,7 +207,9 @@
         await self._finish_if_done(o)
 
     def _proved(self, o: OpenLot, i: int, outcome: str) -> str:
-        """`not_run` only where no try of this owner, nor one that an earlier owner need not have noted, may have run."""
+        """`not_run` only where no try of this owner, nor one that an earlier owner need not have noted, may have
+        run.
+        """
         touched = o.tries.get(i, 0) or (o.lot.items[i].repeatable and o.leaseholder.epoch > 1)
         return "unknown" if outcome == "not_run" and touched else outcome
 
@@ -206,15 +232,21 @@
 
     async def _finish_if_done(self, o: OpenLot):
         h = o.leaseholder
-        if h is None or h.lost or not h.final and (
-                len(o.results) < len(o.lot.items) or o.running.keys() - o.results or h.committed < len(h.data)):
+        if (
+            h is None
+            or h.lost
+            or not h.final
+            and (len(o.results) < len(o.lot.items) or o.running.keys() - o.results or h.committed < len(h.data))
+        ):
             return
         await self._end_log(h, "done")
         self._ctx.journal.note("lot_done", lot=o.id)
         await self._let_go(o)
 
     async def _end_log(self, h, why: str):
-        """The end is a mark of the lease's leaseholder: if it does not get durable, the lot is open for the next one."""
+        """The end is a mark of the lease's leaseholder: if it does not get durable, the lot is open for the next
+        one.
+        """
         if h.final:
             await h.all_durable()
         else:
--- a/pipitlink/gateway/engines.py
+++ b/pipitlink/gateway/engines.py
@@ -113,8 +113,9 @@
             if e is not None:
                 back.live, back.lots, back.others = e.live, e.lots, e.others
             self._engines[n.engine] = back
-            self._ctx.journal.note("engine", engine=n.engine, state=n.state, incarnation=n.incarnation,
-                                   address=n.address)
+            self._ctx.journal.note(
+                "engine", engine=n.engine, state=n.state, incarnation=n.incarnation, address=n.address
+            )
             self.roomier()
             return
         if n.incarnation < e.news.incarnation:
@@ -185,8 +186,11 @@
         membership = self._ctx.membership
         gateways = {m.node for m in membership.members("gateway", status=("alive",))} | {self._ctx.node}
         if self._cold(e):
-            gateways |= {m.node for m in membership.members("gateway", status=("suspect", "gone"))
-                       if membership.since(m.node) < RAMP_SPAN}
+            gateways |= {
+                m.node
+                for m in membership.members("gateway", status=("suspect", "gone"))
+                if membership.since(m.node) < RAMP_SPAN
+            }
         ranked = sorted(gateways, key=lambda g: blake2b(f"{e.name}/{g}".encode(), digest_size=8).digest())
         turn = (ranked.index(self._ctx.node) + wall_ms(self._ctx.timers.wall()) // TURN_MS) % len(ranked)
         return lambda n: n // len(ranked) + (turn < n % len(ranked))
--- a/pipitlink/gateway/fetching.py
+++ b/pipitlink/gateway/fetching.py
@@ -2,8 +2,8 @@
 from twisted.web.client import ResponseDone
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-from ..timers import ms, spawn
 from ..errors import BackEndError, BadRequest, Crowded
+from ..timers import ms, spawn
 from ..web import answered, send_fault
 from .requests import RequestRecord
 
@@ -47,8 +47,14 @@
         if ".." in path.split("/"):
             raise BadRequest("the path may not climb", code="bad_path", field="path")
         query = request.uri.partition(b"?")[2].decode("ascii", "replace")
-        ask = RequestRecord(kind="fetch", model=path + ("?" + query if query else ""), prompt="", pool=pool, repeatable=True,
-                  limit=self._ctx.timers.now() + FETCH_LIMIT)
+        ask = RequestRecord(
+            kind="fetch",
+            model=path + ("?" + query if query else ""),
+            prompt="",
+            pool=pool,
+            repeatable=True,
+            limit=self._ctx.timers.now() + FETCH_LIMIT,
+        )
         ask.feed = request
         ask.work = spawn(self.run(ask))
         try:
@@ -70,8 +76,12 @@
     async def _fetch(self, ask, e):
         request = ask.feed
         client, point = self._client(ask, e, self._pool)
-        r = await client.get(f"http://{e.news.address}/{ask.model}", unbuffered=True, headers={"X-Request-Id": ask.id},
-                             allow_redirects=False)
+        r = await client.get(
+            f"http://{e.news.address}/{ask.model}",
+            unbuffered=True,
+            headers={"X-Request-Id": ask.id},
+            allow_redirects=False,
+        )
         if r.code in (429, 503):
             await self._discard(r)
             raise Crowded(f"{e.name} refused with {r.code}", code="engine_crowded")
--- a/pipitlink/gateway/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -1,7 +1,7 @@
-from ..timers import Joined, ms, secs, wall_ms
 from ..errors import BadRequest, Crowded
-from ..wire.lots_pb2 import Item, LogRecord, Lot
+from ..timers import Joined, ms, secs, wall_ms
 from ..web import answered, send_json
+from ..wire.lots_pb2 import Item, LogRecord, Lot
 from .bodies import LotBody, read_json
 
 __all__ = ["Intake", "lot_parts"]
@@ -31,8 +31,12 @@
     async def _own_log(self):
         """The gateway's lot log for now; a new one where there is none, or when it has grown long."""
         log = self._lot_log
-        if log is None or log.lost or len(log.data) >= ROTATE or \
-                self._ctx.timers.now() - self._lot_log_at > ROTATE_SPAN:
+        if (
+            log is None
+            or log.lost
+            or len(log.data) >= ROTATE
+            or self._ctx.timers.now() - self._lot_log_at > ROTATE_SPAN
+        ):
             log = await self._opening.run("lots", self._open_log)
         return log
 
@@ -48,15 +52,34 @@
         if not self.current():
             raise Crowded("this gateway is not current", code="not_current")
         if len(b.items) > self._ctx.settings.max_items:
-            raise BadRequest(f"items: a lot may have {self._ctx.settings.max_items} items", code="bad_field", field="items")
+            raise BadRequest(
+                f"items: a lot may have {self._ctx.settings.max_items} items", code="bad_field", field="items"
+            )
         taken = wall_ms(self._ctx.timers.wall())
-        lot = Lot(customer=b.customer, priority=b.priority, taken_ms=taken, limit_ms=taken + b.limit_ms,
-                  key=b.idempotency_key,
-                  items=[Item(model=i.model, prompt=i.prompt, prefix=i.prefix_key, repeatable=i.repeatable,
-                              max_tokens=i.max_tokens) for i in b.items])
+        lot = Lot(
+            customer=b.customer,
+            priority=b.priority,
+            taken_ms=taken,
+            limit_ms=taken + b.limit_ms,
+            key=b.idempotency_key,
+            items=[
+                Item(
+                    model=i.model,
+                    prompt=i.prompt,
+                    prefix=i.prefix_key,
+                    repeatable=i.repeatable,
+                    max_tokens=i.max_tokens,
+                )
+                for i in b.items
+            ],
+        )
         lot_id, again = await self._store_keyed(lot) if lot.key else (await self._store_lot(lot), False)
-        return send_json(request, {"lot": lot_id, "items": len(b.items), "again": again}, 200 if again else 201,
-                         {"Location": f"/v1/lots/{lot_id}"})
+        return send_json(
+            request,
+            {"lot": lot_id, "items": len(b.items), "again": again},
+            200 if again else 201,
+            {"Location": f"/v1/lots/{lot_id}"},
+        )
 
     async def _store_lot(self, lot: Lot) -> str:
         try:
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -3,9 +3,9 @@
 import attrs
 from twisted.internet import defer
 
-from ..timers import secs, wall_ms
 from ..disk import frames
-from ..errors import CutOff, Crowded, GatewayError, NotHeld, PipitlinkError, Refused, WireError
+from ..errors import Crowded, CutOff, GatewayError, NotHeld, PipitlinkError, Refused, WireError
+from ..timers import secs, wall_ms
 from ..wire.lots_pb2 import KeyedLot, KeyedResponse, LogRecord, Lot
 
 __all__ = ["Keyed"]
@@ -29,7 +29,7 @@
     keys: dict[str, tuple[str, bytes]] = attrs.field(factory=dict)
 
     def learn(self):
-        data = bytes(self.leaseholder.data[self.parsed:])
+        data = bytes(self.leaseholder.data[self.parsed :])
         for at, body, end in frames(data):
             lot = LogRecord.FromString(body).lot
             lot_id = f"{self.leaseholder.log.removeprefix('lots/')}.{self.parsed + at}"
@@ -56,15 +56,24 @@
         else:
             m = self._ctx.membership.find(owner)
             try:
-                r = await self._ctx.rpc.call((m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedResponse,
-                                              FORWARD_LIMIT)
+                r = await self._ctx.rpc.call(
+                    (m.host, m.port), "lots.keyed", KeyedLot(lot=lot), KeyedResponse, FORWARD_LIMIT
+                )
             except (WireError, Refused) as e:
                 unsent = isinstance(e, CutOff) and not e.sent or isinstance(e, Refused) and e.fault == "not_held"
-                raise Crowded(f"the owner of this key could not take it: {e}", code="no_owner",
-                              outcome="not_run" if unsent else "unknown") from e
+                raise Crowded(
+                    f"the owner of this key could not take it: {e}",
+                    code="no_owner",
+                    outcome="not_run" if unsent else "unknown",
+                ) from e
         if not r.same:
-            raise GatewayError("this key was used for another lot", code="key_in_use", field="idempotency_key",
-                             status=409, outcome="not_run")
+            raise GatewayError(
+                "this key was used for another lot",
+                code="key_in_use",
+                field="idempotency_key",
+                status=409,
+                outcome="not_run",
+            )
         return r.lot, r.again
 
     def _shard_of(self, lot: Lot) -> int:
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from ..timers import ZERO, ms, secs
 from ..context import fresh_id
 from ..errors import Crowded, Refused, WireError
-from ..wire.membership_pb2 import Loads, Permit, PermitRequest, PermitResponse
 from ..rendezvous import rank
+from ..timers import ZERO, ms, secs
+from ..wire.membership_pb2 import Loads, Permit, PermitRequest, PermitResponse
 
 __all__ = ["Limits", "ComeBack"]
 
@@ -96,15 +96,23 @@
         self.engines.carry(self._fill_permits, self._told_permits)
 
     def _row_of(self, ask):
-        return next((r for e, _ in self.candidates(ask.model, ask.pool)
-                     if (r := self._ctx.cluster.row(ask.model, e.news.pool)) is not None), None)
+        return next(
+            (
+                r
+                for e, _ in self.candidates(ask.model, ask.pool)
+                if (r := self._ctx.cluster.row(ask.model, e.news.pool)) is not None
+            ),
+            None,
+        )
 
     def _steward(self, row: str) -> str:
         gateways = {m.node for m in self._ctx.membership.members("gateway", status=("alive",))} | {self._ctx.node}
         return max(gateways, key=lambda g: rank(row, g))
 
     def _look(self):
-        """Notes when the gateways changed, or this one slept: places may be out of which a new steward has not heard."""
+        """Notes when the gateways changed, or this one slept: places may be out of which a new steward has not
+        heard.
+        """
         now = self._ctx.timers.now()
         gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", status=("alive",)))
         if gateways != self._gateways_then or now - self._looked_at > secs(1):
@@ -116,10 +124,16 @@
         self._look()
         alive = self._ctx.membership.members("gateway", status=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
-                if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
-        return self._ctx.cluster.ready() and len(alive) >= len(away) \
+        away = [
+            m
+            for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
+            if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN
+        ]
+        return (
+            self._ctx.cluster.ready()
+            and len(alive) >= len(away)
             and self._ctx.timers.now() - self._moved_at >= SETTLE_SPAN
+        )
 
     async def _permit_for(self, node, ask: PermitRequest) -> PermitResponse:
         return self._permit_here(node, ask)
@@ -156,8 +170,12 @@
             return
         r = await self._ask_steward(PermitRequest(row=row.name))
         if not r.granted:
-            raise Crowded(f"row {row.name} allows {row.rate:g} a second", code="rate_limited", status=429,
-                          retry_after=max(1, math.ceil(r.wait_ms / 1000)))
+            raise Crowded(
+                f"row {row.name} allows {row.rate:g} a second",
+                code="rate_limited",
+                status=429,
+                retry_after=max(1, math.ceil(r.wait_ms / 1000)),
+            )
 
     async def _keep_concurrency(self, ask):
         """A request of a row with a limit holds one of the row's places from before its pick to its end."""
@@ -172,8 +190,12 @@
             if r.granted:
                 break
             if self._ctx.timers.now() + WAIT_STEP >= until:
-                raise Crowded(f"row {row.name} allows {row.concurrency} at once", code="concurrency_limited",
-                              status=429, retry_after=self.come_back.seconds())
+                raise Crowded(
+                    f"row {row.name} allows {row.concurrency} at once",
+                    code="concurrency_limited",
+                    status=429,
+                    retry_after=self.come_back.seconds(),
+                )
             await self._ctx.timers.pause(WAIT_STEP)
         self._held[permit] = row.name
         ask.permit = lambda: self._give_permit(permit)
--- a/pipitlink/gateway/live.py
+++ b/pipitlink/gateway/live.py
@@ -3,12 +3,12 @@
 
 from twisted.internet import defer
 
-from ..timers import ms, secs, spawn
 from ..errors import BadRequest, NotFound, Overdue, Refused, WireError
+from ..timers import ms, secs, spawn
 from ..web import answered, send_fault, send_json
 from ..wire.membership_pb2 import EngineNews
-from .requests import RequestRecord
 from .bodies import EngineBody, GenerateBody, read_json
+from .requests import RequestRecord
 from .runs import FarRun
 
 __all__ = ["Live", "whole_number"]
@@ -38,8 +38,15 @@
     @answered
     async def generate(self, request):
         b = read_json(request, GenerateBody)
-        ask = RequestRecord(id=self.new_run(), model=b.model, prompt=b.prompt, prefix=b.prefix_key, repeatable=b.repeatable,
-                  max_tokens=b.max_tokens, limit=self._ctx.timers.now() + ms(b.limit_ms))
+        ask = RequestRecord(
+            id=self.new_run(),
+            model=b.model,
+            prompt=b.prompt,
+            prefix=b.prefix_key,
+            repeatable=b.repeatable,
+            max_tokens=b.max_tokens,
+            limit=self._ctx.timers.now() + ms(b.limit_ms),
+        )
         ask.readers += 1
         ask.work = spawn(self.run(ask))
         if b.stream:
@@ -57,8 +64,9 @@
         self._retire(ask)
         if ask.fault is not None:
             raise ask.fault
-        return send_json(request, {"id": ask.id, "text": "".join(ask.pieces), "pieces": len(ask.pieces),
-                                   "engine": ask.engine_name})
+        return send_json(
+            request, {"id": ask.id, "text": "".join(ask.pieces), "pieces": len(ask.pieces), "engine": ask.engine_name}
+        )
 
     @answered
     async def resume(self, request, run: str):
@@ -82,8 +90,9 @@
                 raise BadRequest(e.note, code=e.fault, field="from", status=416) from e
             raise NotFound(e.note, code="run_not_held", outcome="unknown") from e
         except WireError as e:
-            raise NotFound(f"the gateway that holds the run is not heard: {e}", code="run_not_held",
-                           outcome="unknown") from e
+            raise NotFound(
+                f"the gateway that holds the run is not heard: {e}", code="run_not_held", outcome="unknown"
+            ) from e
         self._ctx.spawned(self._follow_run(far, place, first), "follow_run")
         return await self._show(request, far, start)
 
@@ -116,8 +125,18 @@
             self._retire(ask)
             wait.stop()
             if ask.fault is not None:
-                request.write(_event("fault", None, {"code": ask.fault.code, "message": str(ask.fault),
-                                                     "outcome": ask.outcome, "pieces": len(ask.pieces)}))
+                request.write(
+                    _event(
+                        "fault",
+                        None,
+                        {
+                            "code": ask.fault.code,
+                            "message": str(ask.fault),
+                            "outcome": ask.outcome,
+                            "pieces": len(ask.pieces),
+                        },
+                    )
+                )
                 request.transport.loseConnection()
                 return await defer.Deferred(lambda _: None)
             request.write(_event("end", None, {"pieces": len(ask.pieces), "engine": ask.engine_name}))
@@ -148,8 +167,18 @@
     @answered
     async def announce(self, request):
         b = read_json(request, EngineBody)
-        self.engines.announce(EngineNews(engine=b.engine, incarnation=b.incarnation, address=b.address, pool=b.pool,
-                                         models=b.models, capacity=b.capacity, zone=b.zone, state=b.state))
+        self.engines.announce(
+            EngineNews(
+                engine=b.engine,
+                incarnation=b.incarnation,
+                address=b.address,
+                pool=b.pool,
+                models=b.models,
+                capacity=b.capacity,
+                zone=b.zone,
+                state=b.state,
+            )
+        )
         return send_json(request, {"renew_ms": 1000, "gateways": self.addresses()})
 
     def addresses(self) -> list[str]:
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from ..timers import Repeat, secs, wall_ms
 from ..errors import PipitlinkError
+from ..timers import Repeat, secs, wall_ms
 from ..wire.lots_pb2 import Ended, LogRecord, Lot, Result
 
 __all__ = ["OpenLot", "Lots", "result_log"]
@@ -81,7 +81,7 @@
         """Lots that another gateway finished or ended are open here no longer."""
         theirs = [o.id for o in self.open_lots.values() if o.leaseholder is None and not o.taking]
         for i in range(0, len(theirs), MOST_ASKED):
-            logs = [result_log(lot_id) for lot_id in theirs[i:i + MOST_ASKED]]
+            logs = [result_log(lot_id) for lot_id in theirs[i : i + MOST_ASKED]]
             for log, state in (await self._ctx.replicated_log.states(logs)).items():
                 if state.final:
                     self._close(log.removeprefix("results/"))
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -1,9 +1,8 @@
 from klein import Klein
 
-from ..timers import ms, secs
 from ..errors import NotFound
+from ..timers import ms, secs
 from ..web import Site, listen, send_fault, send_json
-from .requests import RequestTable
 from .dispatch import Dispatch
 from .engines import Engines
 from .fetching import Fetching
@@ -14,6 +13,7 @@
 from .lots import Lots
 from .picking import Admitting, Picking, RetryBudget
 from .relaying import Relaying
+from .requests import RequestTable
 from .results import Results
 from .runs import Runs
 
@@ -22,8 +22,9 @@
 DRAIN = secs(6)
 
 
-class GatewayNode(Admitting, Picking, Limits, Relaying, Live, Runs, Fetching, Intake, Keyed, Lots, Dispatch,
-                Results, RequestTable):
+class GatewayNode(
+    Admitting, Picking, Limits, Relaying, Live, Runs, Fetching, Intake, Keyed, Lots, Dispatch, Results, RequestTable
+):
     def __init__(self, ctx):
         self._ctx = ctx
         self.engines = ctx.engines = Engines(ctx)
@@ -91,15 +92,20 @@
         return self.current(), {"cluster": cluster.sequence, "currency": cluster.state}
 
     def beliefs(self) -> dict:
-        engines = {e.name: f"{self.engines.status(e)} {e.news.address} {e.news.incarnation}"
-                   for e in self.engines.all()}
-        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.leaseholders.items())}
+        engines = {
+            e.name: f"{self.engines.status(e)} {e.news.address} {e.news.incarnation}" for e in self.engines.all()
+        }
+        leases = {
+            log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.leaseholders.items())
+        }
         return {"engines": engines, "leases": leases}
 
     def metrics(self) -> dict:
         counts = self._ctx.cache.counts
-        out = {f"cache_{name}": (f"Chunks or reads: {name}", counts[name])
-               for name in ("relaxed", "consistent", "durable", "durable_reads", "hedged", "unheard")}
+        out = {
+            f"cache_{name}": (f"Chunks or reads: {name}", counts[name])
+            for name in ("relaxed", "consistent", "durable", "durable_reads", "hedged", "unheard")
+        }
         out["asks"] = ("Requests in the table", len(self.asks))
         out["open_lots"] = ("Lots known to be open", len(self.open_lots))
         out["owned_lots"] = ("Lots this gateway owns", sum(o.leaseholder is not None for o in self.open_lots.values()))
@@ -108,7 +114,11 @@
         return out
 
     def families(self):
-        return [self.first_pieces.family("pipitlink_first_piece_seconds", "From a live request's arrival to its first piece")]
+        return [
+            self.first_pieces.family(
+                "pipitlink_first_piece_seconds", "From a live request's arrival to its first piece"
+            )
+        ]
 
     async def end(self):
         """Drains: nothing new is admitted, what runs may end, and the leases are handed over."""
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -2,9 +2,9 @@
 
 from twisted.internet import defer
 
-from ..timers import ms, secs
 from ..errors import Crowded, GatewayError, NotFound
 from ..rendezvous import rank
+from ..timers import ms, secs
 
 __all__ = ["Admitting", "Picking", "RetryBudget"]
 
@@ -17,7 +17,7 @@
 
 def _score(key: str, name: str, weight: float) -> float:
     h = int.from_bytes(rank(key, name), "big")
-    return -weight / math.log((h + 1) / (2 ** 64 + 1))
+    return -weight / math.log((h + 1) / (2**64 + 1))
 
 
 class Admitting:
@@ -30,7 +30,10 @@
             raise GatewayError("the limit has passed", code="limit_passed", status=504, outcome="not_run")
         if ask.tries:
             return False
-        if not ask.lot and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.settings.max_running:
+        if (
+            not ask.lot
+            and sum(not a.settled and not a.lot for a in self.asks.values()) > self._ctx.settings.max_running
+        ):
             raise Crowded("too many requests are running here", retry_after=self.come_back.seconds())
         await self._keep_rate(ask)
         return False
@@ -50,7 +53,7 @@
     def candidates(self, model: str, pool: str = ""):
         out = []
         for e in self.engines.all():
-            if (model in e.news.models if not pool else e.news.pool == pool):
+            if model in e.news.models if not pool else e.news.pool == pool:
                 row = self._ctx.cluster.row(model, e.news.pool)
                 weight = row.weight if row is not None else 1.0
                 if weight > 0 and not self._ctx.cluster.zone_empty(e.news.zone):
@@ -67,8 +70,11 @@
         return 1 - row.lot_share if row is not None and row.lot_share > 0 else self._ctx.settings.lot_reserve
 
     def _pick(self, ask):
-        ready = [(e, w) for e, w in self.candidates(ask.model, ask.pool)
-                 if self.engines.status(e) == "ready" and e.name not in ask.avoid]
+        ready = [
+            (e, w)
+            for e, w in self.candidates(ask.model, ask.pool)
+            if self.engines.status(e) == "ready" and e.name not in ask.avoid
+        ]
         free = [(e, w) for e, w in ready if self._has_room(ask, e)]
         if not free:
             return None
@@ -91,8 +97,9 @@
                 break
             known = self.candidates(ask.model, ask.pool)
             if not known and self._may_yet_come(ask):
-                raise Crowded(f"nothing that serves {ask.pool or ask.model!r} is heard now", code="none_heard",
-                              retry_after=2)
+                raise Crowded(
+                    f"nothing that serves {ask.pool or ask.model!r} is heard now", code="none_heard", retry_after=2
+                )
             if not known:
                 raise NotFound(f"nothing serves {ask.pool or ask.model!r}", field="pool" if ask.pool else "model")
             if all(k.name in ask.avoid for k, _ in known):
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -9,8 +9,8 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from ..timers import secs, spawn
 from ..errors import BackEndError, Crowded, GatewayError, ReplicatedLogError
+from ..timers import secs, spawn
 
 __all__ = ["Relaying"]
 
@@ -151,7 +151,9 @@
 
 
 class _Silence:
-    """Ends an exchange in which nothing is heard for too long, seen at two looks, so that a node that slept reads first."""
+    """Ends an exchange in which nothing is heard for too long, seen at two looks, so that a node that slept reads
+    first.
+    """
 
     def __init__(self, ctx, gone):
         self._ctx, self._gone = ctx, gone
@@ -190,7 +192,10 @@
         self._pool = _Pool(self._ctx.reactor)
 
     def _client(self, ask, e, pool):
-        """A client for one request, which is marked as sent in the step that writes it or is not sent; and its point."""
+        """A client for one request, which is marked as sent in the step that writes it or is not sent; and its
+        point.
+        """
+
         def check():
             self._check_still(ask, e)
             ask.put("send")
@@ -260,8 +265,12 @@
         late = self._ctx.timers.now() >= ask.limit
         if not late:
             self.engines.failed(e)
-        return BackEndError(str(f) or type(f).__name__, code="limit_passed" if late else "lost",
-                            status=504 if late else 502, outcome=ask.outcome)
+        return BackEndError(
+            str(f) or type(f).__name__,
+            code="limit_passed" if late else "lost",
+            status=504 if late else 502,
+            outcome=ask.outcome,
+        )
 
     async def _relay(self, ask, e):
         """One exchange with an engine, given up where that falls silent, sooner where it is not heard from either."""
@@ -282,16 +291,20 @@
         body = {"model": ask.model, "prompt": ask.prompt, "max_tokens": ask.max_tokens, "stream": True}
         client, point = self._client(ask, e, self._engine_pool)
         r = await client.post(
-            f"http://{e.news.address}/v1/completions", data=_Body(json.dumps(body).encode()), unbuffered=True,
+            f"http://{e.news.address}/v1/completions",
+            data=_Body(json.dumps(body).encode()),
+            unbuffered=True,
             headers={"Content-Type": "application/json", "X-Request-Id": ask.id, "X-Prefix-Key": ask.prefix},
-            allow_redirects=False)
+            allow_redirects=False,
+        )
         if r.code in (429, 503):
             await self._discard(r)
             raise Crowded(f"engine {e.name} refused with {r.code}", code="engine_crowded")
         if r.code != 200:
             text = await self._discard(r)
-            raise BackEndError(f"engine {e.name} answered {r.code}: {text[:200]}", code="engine_refused",
-                               outcome="failed")
+            raise BackEndError(
+                f"engine {e.name} answered {r.code}: {text[:200]}", code="engine_refused", outcome="failed"
+            )
         pieces = _Pieces(ask, point.abort, watch.heard)
         r.deliverBody(pieces)
         await pieces.over
--- a/pipitlink/gateway/requests.py
+++ b/pipitlink/gateway/requests.py
@@ -6,9 +6,9 @@
 from prometheus_client.core import HistogramMetricFamily
 from twisted.internet import defer
 
-from ..state_machines import HasStateMachine, state_machine_data
 from ..context import fresh_id
 from ..errors import BackEndError, GatewayError, ReplicatedLogError
+from ..state_machines import HasStateMachine, state_machine_data
 
 __all__ = ["RequestRecord", "RequestTable"]
 
@@ -169,8 +169,15 @@
             ask.give()
             if ask.kind != "live" or not ask.readers:
                 self._retire(ask)
-        self._ctx.journal.trace("ask", ask=ask.id, model=ask.model, state=ask.state, tries=ask.tries,
-                                pieces=len(ask.pieces), code=ask.fault.code if ask.fault else "ok")
+        self._ctx.journal.trace(
+            "ask",
+            ask=ask.id,
+            model=ask.model,
+            state=ask.state,
+            tries=ask.tries,
+            pieces=len(ask.pieces),
+            code=ask.fault.code if ask.fault else "ok",
+        )
 
     async def _pass_mark(self, ask):
         """Before the first byte may leave: what must be durable first."""
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -3,10 +3,10 @@
 import attrs
 from twisted.internet import defer
 
-from ..timers import ms, secs
 from ..errors import Crowded, NotFound, Refused, WireError
-from ..wire.lots_pb2 import EndRequest, EndResponse, LogRecord, Lot
+from ..timers import ms, secs
 from ..web import answered, send_json
+from ..wire.lots_pb2 import EndRequest, EndResponse, LogRecord, Lot
 from .intake import lot_parts
 from .live import whole_number
 from .lots import result_log
@@ -114,8 +114,15 @@
 
     def _shown(self, lot_id: str, lot: Lot, r: _Reader) -> dict:
         state = {"done": "done", "ended": "ended"}.get(r.ended, "open")
-        return {"lot": lot_id, "state": state, "items": len(lot.items), "listed": len(r.results),
-                "customer": lot.customer, "priority": lot.priority, "limit": lot.limit_ms}
+        return {
+            "lot": lot_id,
+            "state": state,
+            "items": len(lot.items),
+            "listed": len(r.results),
+            "customer": lot.customer,
+            "priority": lot.priority,
+            "limit": lot.limit_ms,
+        }
 
     @answered
     async def show_lot(self, request, lot: str):
@@ -131,9 +138,11 @@
         return send_json(request, self.shown_results(lot, found, r, start))
 
     def shown_results(self, lot: str, found: Lot, r: _Reader, start: int) -> dict:
-        page = r.results[start:start + MOST]
-        listed = [{"n": start + k, "item": x.item, "outcome": x.outcome, "code": x.code, "text": x.text,
-                   "engine": x.engine} for k, x in enumerate(page)]
+        page = r.results[start : start + MOST]
+        listed = [
+            {"n": start + k, "item": x.item, "outcome": x.outcome, "code": x.code, "text": x.text, "engine": x.engine}
+            for k, x in enumerate(page)
+        ]
         return {**self._shown(lot, found, r), "from": start, "next": start + len(page), "results": listed}
 
     @answered
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -1,8 +1,8 @@
 from twisted.internet import defer
 
-from ..timers import ms, secs
 from ..context import fresh_id
 from ..errors import GatewayError, NotFound, Refused, WireError
+from ..timers import ms, secs
 from ..wire.membership_pb2 import RunRequest, RunResponse
 
 __all__ = ["Runs", "FarRun"]
@@ -13,7 +13,9 @@
 
 
 class FarRun:
-    """A run that another gateway holds, as far as it has been read here; written out like a run of this gateway's own."""
+    """A run that another gateway holds, as far as it has been read here; written out like a run of this gateway's
+    own.
+    """
 
     feed = None
 
@@ -61,8 +63,9 @@
     def held_run(self, run: str):
         ask = self.asks.get(run)
         if ask is None or ask.kind != "live":
-            raise NotFound("that run is not held any more; what it did is not known here", code="run_not_held",
-                           outcome="unknown")
+            raise NotFound(
+                "that run is not held any more; what it did is not known here", code="run_not_held", outcome="unknown"
+            )
         return ask
 
     def run_place(self, run: str) -> tuple[str, int] | None:
@@ -77,7 +80,9 @@
         held = self.held_run(ask.run)
         start = getattr(ask, "from")
         if start > len(held.pieces):
-            raise GatewayError(f"the run has {len(held.pieces)} pieces", code="bad_field", status=416, outcome="not_run")
+            raise GatewayError(
+                f"the run has {len(held.pieces)} pieces", code="bad_field", status=416, outcome="not_run"
+            )
         held.readers += 1
         held.left_at = None
         try:
@@ -86,7 +91,7 @@
         finally:
             held.readers -= 1
             self._leave(held)
-        out = RunResponse(pieces=held.pieces[start:start + MOST])
+        out = RunResponse(pieces=held.pieces[start : start + MOST])
         if held.settled and start + len(out.pieces) == len(held.pieces):
             out.settled = True
             if held.fault is not None:
--- a/pipitlink/journal.py
+++ b/pipitlink/journal.py
@@ -1,5 +1,5 @@
 import sys
-from datetime import datetime, timezone
+from datetime import UTC, datetime
 
 from loguru import logger
 
@@ -47,7 +47,7 @@
 
 
 def _shape(record) -> str:
-    at = datetime.now(timezone.utc).isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    at = datetime.now(UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
     return f"at={at} level={record['level'].name.lower()} " + "{message}\n"
 
 
--- a/pipitlink/membership/entry.py
+++ b/pipitlink/membership/entry.py
@@ -40,5 +40,6 @@
         self._say("gone")
 
     def _say(self, status):
-        self._journal.note("status", peer=self.member.node, role=self.member.role, status=status,
-                           incarnation=self.member.incarnation)
+        self._journal.note(
+            "status", peer=self.member.node, role=self.member.role, status=status, incarnation=self.member.incarnation
+        )
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -3,8 +3,8 @@
 
 from twisted.internet import defer
 
-from ..timers import ms, secs, spawn
 from ..errors import WireError
+from ..timers import ms, secs, spawn
 from ..wire.frame_pb2 import Nothing
 from ..wire.membership_pb2 import Gossip, Member, ProbeFor, ProbeResponse
 from .entry import Entry
@@ -186,8 +186,7 @@
 
     def tell(self) -> list:
         g = self._gossip()
-        return [spawn(self._tell_one((m.host, m.port), g)).addErrback(lambda f: None)
-                for m in self.members(me=False)]
+        return [spawn(self._tell_one((m.host, m.port), g)).addErrback(lambda f: None) for m in self.members(me=False)]
 
     async def leave(self):
         """Tells all peers that this node ends, so that nobody has to find out."""
@@ -222,8 +221,9 @@
     def _next(self) -> Entry | None:
         while True:
             if not self._round:
-                self._round = [n for n, e in self._entries.items()
-                               if e.state != "gone" or self._ctx.chance.random() < 0.2]
+                self._round = [
+                    n for n, e in self._entries.items() if e.state != "gone" or self._ctx.chance.random() < 0.2
+                ]
                 self._ctx.chance.shuffle(self._round)
                 if not self._round:
                     return None
@@ -243,8 +243,13 @@
         helpers = [m for m in self.members(me=False, status=("alive",)) if m.node != e.member.node]
         for m in self._ctx.chance.sample(helpers, min(3, len(helpers))):
             try:
-                r = await self._ctx.rpc.call((m.host, m.port), "membership.probe_for", ProbeFor(target=e.member.node),
-                                              ProbeResponse, PROBE_LIMIT * 2)
+                r = await self._ctx.rpc.call(
+                    (m.host, m.port),
+                    "membership.probe_for",
+                    ProbeFor(target=e.member.node),
+                    ProbeResponse,
+                    PROBE_LIMIT * 2,
+                )
             except WireError:
                 continue
             if r.alive:
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -64,12 +64,24 @@
     def beliefs(self) -> dict:
         cluster_state = self._cluster_state()
         me = self._ctx.membership.me
-        out = {"node": me.node, "role": me.role, "zone": me.zone,
-               "cluster": {"sequence": cluster_state.sequence, "table": cluster_state.table, "voters": ",".join(cluster_state.voters),
-                         "empty_zones": ",".join(sorted(cluster_state.empty_zones))},
-               "membership": {}, "status": {}, "storage_nodes": dict(cluster_state.storage_nodes),
-               "placement_groups": {str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
-                           for n, s in sorted(cluster_state.placement_groups.items())}}
+        out = {
+            "node": me.node,
+            "role": me.role,
+            "zone": me.zone,
+            "cluster": {
+                "sequence": cluster_state.sequence,
+                "table": cluster_state.table,
+                "voters": ",".join(cluster_state.voters),
+                "empty_zones": ",".join(sorted(cluster_state.empty_zones)),
+            },
+            "membership": {},
+            "status": {},
+            "storage_nodes": dict(cluster_state.storage_nodes),
+            "placement_groups": {
+                str(n): f"{s.sequence}:{','.join(s.storage_nodes)}:{s.joining}:{s.leaving}"
+                for n, s in sorted(cluster_state.placement_groups.items())
+            },
+        }
         for m in [*self._ctx.membership.everyone()]:
             out["membership"][m.node] = f"{m.role} {m.zone} {m.host}:{m.port} {m.incarnation}"
             out["status"][m.node] = self._ctx.membership.status(m.node)
@@ -78,19 +90,35 @@
 
     def status(self) -> dict:
         membership = self._ctx.membership
-        peers = [{"node": m.node, "role": m.role, "zone": m.zone, "place": f"{m.host}:{m.port}",
-                       "http": m.http_port, "operator": m.operator_port, "status": membership.status(m.node)}
-                      for m in sorted(membership.everyone(), key=lambda m: (m.role, m.zone, m.node))]
+        peers = [
+            {
+                "node": m.node,
+                "role": m.role,
+                "zone": m.zone,
+                "place": f"{m.host}:{m.port}",
+                "http": m.http_port,
+                "operator": m.operator_port,
+                "status": membership.status(m.node),
+            }
+            for m in sorted(membership.everyone(), key=lambda m: (m.role, m.zone, m.node))
+        ]
         ok, words = self._node.readiness()
-        return {"node": membership.me.node, "role": membership.me.role, "ready": ok, **words, "peers": peers,
-                "engines": self._node.beliefs().get("engines", {})}
+        return {
+            "node": membership.me.node,
+            "role": membership.me.role,
+            "ready": ok,
+            **words,
+            "peers": peers,
+            "engines": self._node.beliefs().get("engines", {}),
+        }
 
     def collect(self):
         cluster_state = self._cluster_state()
-        yield GaugeMetricFamily("pipitlink_cluster_sequence", "The cluster state's sequence here", cluster_state.sequence)
+        yield GaugeMetricFamily(
+            "pipitlink_cluster_sequence", "The cluster state's sequence here", cluster_state.sequence
+        )
         yield GaugeMetricFamily("pipitlink_table_sequence", "The weight table's sequence here", cluster_state.table)
-        seen = GaugeMetricFamily("pipitlink_peers", "Peers by role and status",
-                                 labels=["role", "status"])
+        seen = GaugeMetricFamily("pipitlink_peers", "Peers by role and status", labels=["role", "status"])
         counts: dict = {}
         for m in self._ctx.membership.everyone():
             key = (m.role, self._ctx.membership.status(m.node))
--- a/pipitlink/plugs.py
+++ b/pipitlink/plugs.py
@@ -1,4 +1,5 @@
 """A place for test-only plugs in the transport. Nothing is plugged in unless a prop names it."""
+
 import importlib
 
 import pluggy
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -7,24 +7,24 @@
 import attrs
 from twisted.internet import reactor
 
-from .timers import Timers, ms, secs, spawn
 from .cache import Cache
 from .changes import Changes
+from .cluster import Cluster
 from .context import Context, fresh_id
-from .storage import StorageNode, node_id
+from .controller import ControlFace, ControllerNode
 from .dialect import Dialect
 from .disk import set_aside
 from .errors import Damaged, SettingsError
 from .journal import open_journal
-from .replicated_log import ReplicatedLog
+from .membership import Membership
 from .operator import OperatorFace
 from .plugs import Gate
+from .replicated_log import ReplicatedLog
 from .settings import Settings
-from .membership import Membership
-from .controller import ControlFace, ControllerNode
-from .cluster import Cluster
-from .wire.rpc import RpcEndpoint
+from .storage import StorageNode, node_id
+from .timers import Timers, ms, secs, spawn
 from .wire.membership_pb2 import Member
+from .wire.rpc import RpcEndpoint
 
 __all__ = ["run"]
 
@@ -40,8 +40,7 @@
         journal = open_journal(settings.log_level, role=role, node=node)
         timers = Timers(reactor)
         rpc = RpcEndpoint(reactor, timers, journal, settings.fleet, node)
-        self.ctx = Context(role, node, settings, reactor, timers, journal, rpc, Random(),
-                           dialect=dialect or Dialect())
+        self.ctx = Context(role, node, settings, reactor, timers, journal, rpc, Random(), dialect=dialect or Dialect())
         if settings.plug:
             rpc.gate = Gate(settings.plug, self.ctx)
         self._reread = reread
@@ -61,8 +60,7 @@
         self._open_kept()
         _, port = await ctx.rpc.listen(p.bind, p.port)
         ctx.rpc.place = (p.host, port)
-        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port,
-                    name=p.name)
+        me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port, name=p.name)
         if ctx.role == "gateway":
             ctx.cache = Cache(ctx)
             self.node = self._gateway_kind()(ctx)
@@ -156,7 +154,8 @@
 def run(role: str, settings: Settings, dialect: Dialect | None = None, reread=None, early=None) -> int:
     """Runs one node until it is told to end.
 
-    `reread`, if given, reads its settings again: on SIGHUP and now and then. `early` is the callers' socket, if it listens
+    `reread`, if given, reads its settings again: on SIGHUP and now and then. `early` is the callers' socket, if it
+    listens
     already.
     """
     process = Process(role, settings, dialect, reread, early)
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -2,13 +2,21 @@
 
 from twisted.internet import defer
 
-from ..timers import ZERO, ms, secs, spawn, wall_ms
-from ..storage.grants import HOLD_SPAN
 from ..disk import frame
 from ..errors import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireError
+from ..storage.grants import HOLD_SPAN
+from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..wire.frame_pb2 import Nothing
-from ..wire.replicated_log_pb2 import (LeaseRequest, LeaseResponse, LogState, MarkRequest, States, StatesRequest, WriteRequest,
-                               WriteResponse)
+from ..wire.replicated_log_pb2 import (
+    LeaseRequest,
+    LeaseResponse,
+    LogState,
+    MarkRequest,
+    States,
+    StatesRequest,
+    WriteRequest,
+    WriteResponse,
+)
 from .placement_group import PlacementGroup
 
 __all__ = ["Leaseholder"]
@@ -52,11 +60,17 @@
         return not self.lost and self._renewed_by_majority()
 
     def _renewed_by_majority(self) -> bool:
-        """Or by one of the placement group as it was until a short while ago: a storage node that joins it is only asked to renew since."""
+        """Or by one of the placement group as it was until a short while ago: a storage node that joins it is only
+        asked to renew since.
+        """
         now = self._ctx.timers.now()
         kept = [d for d, at in self._renewals.items() if now - at < HOLD_SPAN]
-        return self.placement_group.agree(kept) or \
-            self._moved is not None and now - self._moved_at < MOVED_SPAN and self._moved.agree(kept)
+        return (
+            self.placement_group.agree(kept)
+            or self._moved is not None
+            and now - self._moved_at < MOVED_SPAN
+            and self._moved.agree(kept)
+        )
 
     def renewing(self):
         self.look_again()
@@ -98,10 +112,21 @@
         epoch = 1
         for _ in range(4):
             asked = self._ctx.timers.now()
-            ask = LeaseRequest(log=self.log, leaseholder=self._ctx.node, epoch=epoch, placement_group_sequence=self.placement_group.sequence,
-                           usurp=gone is not None, gone=gone or "")
-            got = await self._replicated_log.ask_each(self.placement_group.everyone, "replicated_log.lease", ask, LeaseResponse,
-                                              enough=lambda g: self.placement_group.agree([n for n, r in g.items() if r.granted]))
+            ask = LeaseRequest(
+                log=self.log,
+                leaseholder=self._ctx.node,
+                epoch=epoch,
+                placement_group_sequence=self.placement_group.sequence,
+                usurp=gone is not None,
+                gone=gone or "",
+            )
+            got = await self._replicated_log.ask_each(
+                self.placement_group.everyone,
+                "replicated_log.lease",
+                ask,
+                LeaseResponse,
+                enough=lambda g: self.placement_group.agree([n for n, r in g.items() if r.granted]),
+            )
             granted = [n for n, r in got.items() if r.granted]
             self.granted.update((n, epoch) for n in granted)
             if self.placement_group.agree(granted):
@@ -110,7 +135,9 @@
                 if r.why in ("held", "just_started") and not r.granted:
                     raise NotHeld(f"{self.log} is held", r.state.leaseholder)
             if not self.placement_group.agree(got):
-                raise NoMajority(f"{self.log}: {len(got)} of {len(self.placement_group.everyone)} storage nodes answered")
+                raise NoMajority(
+                    f"{self.log}: {len(got)} of {len(self.placement_group.everyone)} storage nodes answered"
+                )
             epoch = max(r.state.epoch for r in got.values()) + 1
         else:
             raise NotHeld(f"{self.log}: outbid")
@@ -220,15 +247,26 @@
             start = min(state.committed, state.length)
         data = bytes(self.data[start:])
         final = self.final
-        ask = WriteRequest(log=self.log, epoch=self.epoch, placement_group_sequence=self.placement_group.sequence, position=start,
-                       expect_tail_epoch=state.tail_epoch, expect_length=state.length,
-                       committed=self.committed, final=final, reserved=self._reserved, closed_ms=self.closed_ms)
+        ask = WriteRequest(
+            log=self.log,
+            epoch=self.epoch,
+            placement_group_sequence=self.placement_group.sequence,
+            position=start,
+            expect_tail_epoch=state.tail_epoch,
+            expect_length=state.length,
+            committed=self.committed,
+            final=final,
+            reserved=self._reserved,
+            closed_ms=self.closed_ms,
+        )
         while len(data) - ask.staged_bytes > MAX_WRITE:
             at = ask.staged_bytes
-            part = WriteRequest(log=self.log, epoch=self.epoch, staged=True, position=at, data=data[at:at + MAX_WRITE])
+            part = WriteRequest(
+                log=self.log, epoch=self.epoch, staged=True, position=at, data=data[at : at + MAX_WRITE]
+            )
             await self._replicated_log.ask(node, "replicated_log.write", part, WriteResponse, WRITE_LIMIT)
             ask.staged_bytes += len(part.data)
-        ask.data = data[ask.staged_bytes:]
+        ask.data = data[ask.staged_bytes :]
         r = await self._replicated_log.ask(node, "replicated_log.write", ask, WriteResponse, WRITE_LIMIT)
         return r.state
 
--- a/pipitlink/replicated_log/placement_group.py
+++ b/pipitlink/replicated_log/placement_group.py
@@ -11,7 +11,9 @@
 
 @attrs.frozen
 class PlacementGroup:
-    """Where a placement group's logs are kept. While `joining` is to take the place of `leaving`, both sets must agree."""
+    """Where a placement group's logs are kept. While `joining` is to take the place of `leaving`, both sets must
+    agree.
+    """
 
     number: int
     sequence: int
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -1,9 +1,18 @@
 from twisted.internet import defer
 
-from ..timers import ms, secs, spawn
 from ..errors import NoMajority, WireError
-from ..wire.replicated_log_pb2 import (Held, ListRequest, LogState, ReadRequest, ReadResponse, RenewRequest, RenewResponse, States,
-                               StatesRequest)
+from ..timers import ms, secs, spawn
+from ..wire.replicated_log_pb2 import (
+    Held,
+    ListRequest,
+    LogState,
+    ReadRequest,
+    ReadResponse,
+    RenewRequest,
+    RenewResponse,
+    States,
+    StatesRequest,
+)
 from .leaseholder import Leaseholder
 from .placement_group import PlacementGroup, placement_group_of
 
@@ -66,7 +75,8 @@
     async def hold(self, log: str, gone: str | None = None) -> Leaseholder:
         """Takes the lease of a log, settles its tail and returns the leaseholder, ready to write.
 
-        `gone` names a leaseholder that is known to be gone, or is empty where nobody is known to hold the log: then nothing is
+        `gone` names a leaseholder that is known to be gone, or is empty where nobody is known to hold the log: then
+        nothing is
         waited for. Only for logs whose work may be done twice.
         """
         h = Leaseholder(self._ctx, self, log)
@@ -80,10 +90,14 @@
         return h
 
     async def _give_back(self, h: Leaseholder):
-        """What some storage nodes granted of a lease that was not taken, so that another need not wait until it lapses."""
+        """What some storage nodes granted of a lease that was not taken, so that another need not wait until it
+        lapses.
+        """
         for storage_node, epoch in h.granted.items():
             ask = RenewRequest(leaseholder=self._ctx.node, held=[Held(log=h.log, epoch=epoch)], release=True)
-            self._ctx.spawned(self.ask_each([storage_node], "replicated_log.renew", ask, RenewResponse, ms(400)), "give_back")
+            self._ctx.spawned(
+                self.ask_each([storage_node], "replicated_log.renew", ask, RenewResponse, ms(400)), "give_back"
+            )
 
     def drop(self, h: Leaseholder):
         if self.leaseholders.get(h.log) is h:
@@ -133,7 +147,9 @@
 
         async def one(storage_node, names):
             nonlocal left
-            r = (await self.ask_each([storage_node], "replicated_log.states", StatesRequest(logs=names), States)).get(storage_node)
+            r = (await self.ask_each([storage_node], "replicated_log.states", StatesRequest(logs=names), States)).get(
+                storage_node
+            )
             for s in r.states if r else ():
                 heard[s.log][storage_node] = s
             left -= 1
@@ -158,9 +174,11 @@
         return (await self._list(ListRequest(prefix=prefix)))[0]
 
     async def list_open(self, prefix: str) -> tuple[dict[str, LogState], bool]:
-        """Those that some storage node has as not final, and whether enough storage nodes answered that none was missed.
+        """Those that some storage node has as not final, and whether enough storage nodes answered that none was
+        missed.
 
-        Goes on once a majority of each placement group answered: what is durable is on one of them, so a storage node that is away holds
+        Goes on once a majority of each placement group answered: what is durable is on one of them, so a storage node
+        that is away holds
         nobody up.
         """
         return await self._list(ListRequest(prefix=prefix, open_only=True))
@@ -178,7 +196,9 @@
         return found, all(s.agree(got) for s in placement_groups)
 
     async def read(self, log: str, position: int, length: int) -> bytes:
-        """Reads one span from the durable log, whole or not at all; where one storage node is slow, from the next as well."""
+        """Reads one span from the durable log, whole or not at all; where one storage node is slow, from the next as
+        well.
+        """
         nodes = list(self.placement_group(log).everyone)
         self._ctx.chance.shuffle(nodes)
         nodes.sort(key=lambda n: self._ctx.membership.status(n) != "alive")
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -1,7 +1,7 @@
 from datetime import timedelta
 
-from ..timers import Joined, ZERO, ms, secs, wall_ms
-from ..errors import BadRequest, Crowded, GatewayError, ReplicatedLogError, NotHeld, PipitlinkError, WireError
+from ..errors import BadRequest, Crowded, GatewayError, NotHeld, PipitlinkError, ReplicatedLogError, WireError
+from ..timers import ZERO, Joined, ms, secs, wall_ms
 from ..wire.lots_pb2 import Batch, LogRecord
 from .batches import HEAD_ALONE, OpenBatch, batch_log, good_id, head_of
 
@@ -45,11 +45,13 @@
             left = deadline - MARGIN - self._ctx.timers.now()
             if left <= ZERO:
                 raise Crowded("the deadline has passed", code="deadline_passed", retry_after=COME_BACK)
-            same = await self._ctx.timers.within(left, self._batches_taking.run(
-                lot_id, lambda: self._take_once(batch, route, deadline - MARGIN)))
+            same = await self._ctx.timers.within(
+                left, self._batches_taking.run(lot_id, lambda: self._take_once(batch, route, deadline - MARGIN))
+            )
             if not self._same_batch(same, batch):
-                raise GatewayError("this id was used for another batch", code="id_in_use", field="id", status=409,
-                                 outcome="not_run")
+                raise GatewayError(
+                    "this id was used for another batch", code="id_in_use", field="id", status=409, outcome="not_run"
+                )
             return 202, {"Content-Type": "application/json"}, self.dialect.show_taken(lot_id, len(batch.items))
         except GatewayError as e:
             return refusal(e, self.dialect)
@@ -136,8 +138,9 @@
         o.prepare()
         self._adopt_batch(o)
         try:
-            await h.append([LogRecord(head=head_of(batch)).SerializeToString(),
-                            LogRecord(batch=batch).SerializeToString()])
+            await h.append(
+                [LogRecord(head=head_of(batch)).SerializeToString(), LogRecord(batch=batch).SerializeToString()]
+            )
         except PipitlinkError as e:
             if len(h.data) > before:
                 if not h.lost:
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -4,10 +4,10 @@
 import attrs
 from twisted.internet import defer
 
-from ..timers import ZERO, ms, secs
 from ..cache.chunks import CHUNK
 from ..errors import Crowded, GatewayError, NotFound, PipitlinkError, Refused, WireError
-from ..wire.lots_pb2 import Batch, EndRequest, Ended, EndResponse, LogRecord
+from ..timers import ZERO, ms, secs
+from ..wire.lots_pb2 import Batch, Ended, EndRequest, EndResponse, LogRecord
 from .batch_intake import refusal
 from .batches import HEAD_ALONE, Listing, batch_log, good_id
 
@@ -110,8 +110,9 @@
             raise NotFound("there is no such batch", code="no_such_batch", field="id")
         r = self._batch_readers.get(batch_id)
         if r is None:
-            r = self._batch_readers[batch_id] = _Reader(self._ctx.cache.tail(batch_log(batch_id), secs(1)),
-                                                        self._ctx.timers.now())
+            r = self._batch_readers[batch_id] = _Reader(
+                self._ctx.cache.tail(batch_log(batch_id), secs(1)), self._ctx.timers.now()
+            )
         r.used = self._ctx.timers.now()
         if not r.over():
             try:
@@ -141,7 +142,9 @@
             r.close()
 
     async def _say_batch_absent(self, batch_id: str, seen):
-        """404 only where a majority of the storage nodes shows not one byte of it, not even such as may yet be durable."""
+        """404 only where a majority of the storage nodes shows not one byte of it, not even such as may yet be
+        durable.
+        """
         if seen.final:
             raise NotFound("the batch was removed after its retention", code="batch_removed", status=410)
         state = (await self._ctx.replicated_log.states([batch_log(batch_id)])).get(batch_log(batch_id))
@@ -259,7 +262,9 @@
         if m is None:
             return "unsure"
         try:
-            r = await self._ctx.rpc.call((m.host, m.port), "batches.end", EndRequest(lot=batch_id), EndResponse, ASK_LIMIT)
+            r = await self._ctx.rpc.call(
+                (m.host, m.port), "batches.end", EndRequest(lot=batch_id), EndResponse, ASK_LIMIT
+            )
             return r.state
         except (WireError, Refused) as e:
             self._ctx.journal.trace("owner_unheard", batch=batch_id, text=e)
@@ -287,7 +292,9 @@
         if o.leaseholder.final:
             await o.leaseholder.all_durable()
             return "closed"
-        work = o.leaseholder.append([LogRecord(ended=Ended(why="ended")).SerializeToString()], final=True, reserved=True)
+        work = o.leaseholder.append(
+            [LogRecord(ended=Ended(why="ended")).SerializeToString()], final=True, reserved=True
+        )
         try:
             await work
         finally:
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -2,8 +2,8 @@
 
 from twisted.internet import defer
 
+from ..errors import Fenced, NotHeld, Overdue, PipitlinkError, ReplicatedLogError
 from ..timers import ms, secs, spawn, wall_ms
-from ..errors import Fenced, ReplicatedLogError, NotHeld, Overdue, PipitlinkError
 from ..wire.lots_pb2 import Ended, LogRecord, Output
 from .batches import OpenBatch
 from .items import ItemAnswer, ItemCall
@@ -106,9 +106,15 @@
         item = o.batch.items[i]
         call = o.calls.get(i)
         if call is None:
-            call = o.calls[i] = ItemCall(id=item.id, route=route, path=item.path,
-                                         headers=[(h.name, h.value) for h in item.headers], body=item.body,
-                                         tokens=item.tokens, still=lambda: self._check_batch_item(o, i))
+            call = o.calls[i] = ItemCall(
+                id=item.id,
+                route=route,
+                path=item.path,
+                headers=[(h.name, h.value) for h in item.headers],
+                body=item.body,
+                tokens=item.tokens,
+                still=lambda: self._check_batch_item(o, i),
+            )
         call.route = route
         work = spawn(self._try_batch_item(o, i, call))
         o.running[i] = work
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -4,10 +4,10 @@
 import attrs
 from twisted.internet import defer
 
-from ..timers import ZERO, ms, secs
 from ..disk import frames
 from ..errors import PipitlinkError
 from ..rendezvous import rank
+from ..timers import ZERO, ms, secs
 from ..wire.lots_pb2 import Batch, BatchHead, BatchItem, LogRecord, Output
 
 __all__ = ["Batches", "HEAD_ALONE", "Listing", "OpenBatch", "batch_log", "good_id", "head_of"]
@@ -33,13 +33,26 @@
 
 
 def head_of(batch: Batch) -> BatchHead:
-    return BatchHead(id=batch.id, host=batch.host, path=batch.path, route=batch.route, taken_ms=batch.taken_ms,
-                     items=[i.id for i in batch.items], tokens=[i.tokens for i in batch.items])
+    return BatchHead(
+        id=batch.id,
+        host=batch.host,
+        path=batch.path,
+        route=batch.route,
+        taken_ms=batch.taken_ms,
+        items=[i.id for i in batch.items],
+        tokens=[i.tokens for i in batch.items],
+    )
 
 
 def _without_bodies(head: BatchHead) -> Batch:
-    return Batch(id=head.id, host=head.host, path=head.path, route=head.route, taken_ms=head.taken_ms,
-                 items=[BatchItem(id=i, tokens=n) for i, n in zip(head.items, head.tokens, strict=True)])
+    return Batch(
+        id=head.id,
+        host=head.host,
+        path=head.path,
+        route=head.route,
+        taken_ms=head.taken_ms,
+        items=[BatchItem(id=i, tokens=n) for i, n in zip(head.items, head.tokens, strict=True)],
+    )
 
 
 class Listing:
@@ -102,7 +115,7 @@
 
     def learn(self):
         """Takes in what has become durable."""
-        data = bytes(self.leaseholder.data[self.position:self.leaseholder.committed])
+        data = bytes(self.leaseholder.data[self.position : self.leaseholder.committed])
         at = 0
         for _, body, end in frames(data):
             self.listing.learn(LogRecord.FromString(body))
@@ -156,9 +169,11 @@
 
     def batch_metrics(self) -> dict:
         open_ = [o for o in self.batches.values() if not o.leaseholder.final]
-        return {"batches_owned": ("Batches this gateway owns", len(open_)),
-                "batch_items_waiting": ("Items that wait for an engine here", sum(len(o.waiting) for o in open_)),
-                "batch_items_running": ("Items on engines from here", sum(len(o.running) for o in open_))}
+        return {
+            "batches_owned": ("Batches this gateway owns", len(open_)),
+            "batch_items_waiting": ("Items that wait for an engine here", sum(len(o.waiting) for o in open_)),
+            "batch_items_running": ("Items on engines from here", sum(len(o.running) for o in open_)),
+        }
 
     def _batch_routes(self) -> dict:
         return self._ctx.cluster.cluster_state.routes.routes
@@ -185,8 +200,14 @@
         if o.batch is not None:
             o.prepare()
             self._adopt_batch(o)
-            self._ctx.journal.note("batch_adopted", batch=batch_id, epoch=h.epoch, items=len(o.batch.items),
-                                   listed=len(o.done), final=h.final)
+            self._ctx.journal.note(
+                "batch_adopted",
+                batch=batch_id,
+                epoch=h.epoch,
+                items=len(o.batch.items),
+                listed=len(o.done),
+                final=h.final,
+            )
             if h.final:
                 self._batch_moved(o)
             else:
@@ -237,8 +258,11 @@
         now = self._ctx.timers.now()
         me = self._ctx.node
         owned = set(self.batches) | self._taking_up_batches
-        free = {log.removeprefix(PREFIX) for log, s in found.items()
-                if s.leaseholder in ("", me) or self._ctx.membership.status(s.leaseholder) == "gone"} - owned
+        free = {
+            log.removeprefix(PREFIX)
+            for log, s in found.items()
+            if s.leaseholder in ("", me) or self._ctx.membership.status(s.leaseholder) == "gone"
+        } - owned
         self._orphan_batches = {b: self._orphan_batches.get(b, now) for b in free}
         if self._closing_batches or not self._ctx.cluster.usable():
             return
@@ -262,8 +286,11 @@
         state = (await self._ctx.replicated_log.states([log])).get(log)
         if state is not None and state.final:
             return
-        if state is not None and state.leaseholder not in ("", self._ctx.node) \
-                and self._ctx.membership.status(state.leaseholder) != "gone":
+        if (
+            state is not None
+            and state.leaseholder not in ("", self._ctx.node)
+            and self._ctx.membership.status(state.leaseholder) != "gone"
+        ):
             return
         try:
             o = await self._hold_batch(batch_id, state.leaseholder if state is not None else None)
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -2,19 +2,34 @@
 
 import attrs
 
-from ..state_machines import HasStateMachine, state_machine_data
 from ..errors import GatewayError
+from ..state_machines import HasStateMachine, state_machine_data
 from ..wire.cluster_pb2 import Route
 
 __all__ = ["Call", "HOP_HEADERS", "prompt_parts"]
 
 _OUTCOMES = state_machine_data("request")["outcome"]
-HOP_HEADERS = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-                         b"upgrade", b"content-length", b"expect", b"proxy-authenticate", b"proxy-authorization"))
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+    )
+)
 
 
 def prompt_parts(value: bytes | None) -> list[tuple[str, int]]:
-    """The parts of a prompt in order, as (id, tokens), from ID:TOKENS split by commas; what cannot be read is left out."""
+    """The parts of a prompt in order, as (id, tokens), from ID:TOKENS split by commas; what cannot be read is left
+    out.
+    """
     out = []
     for part in (value or b"").decode("ascii", "replace").split(","):
         name, _, tokens = part.strip().rpartition(":")
@@ -25,7 +40,9 @@
 
 @attrs.define(eq=False, slots=False)
 class Call(HasStateMachine):
-    """The record of one request by route on its way to an engine. Head and body are opaque; what is known stands here."""
+    """The record of one request by route on its way to an engine. Head and body are opaque; what is known stands
+    here.
+    """
 
     state_machine = "request"
 
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -2,9 +2,9 @@
 
 from twisted.internet import defer
 
-from ..timers import ms, secs
 from ..errors import Crowded
 from ..rendezvous import rank
+from ..timers import ms, secs
 
 __all__ = ["Choosing"]
 
@@ -31,7 +31,9 @@
 
 
 class Choosing:
-    """Mixin: which engine a call goes to: by pool, status, zone, kept prompt parts, what is read and what runs there."""
+    """Mixin: which engine a call goes to: by pool, status, zone, kept prompt parts, what is read and what runs
+    there.
+    """
 
     def _open_choosing(self):
         self._waiting = 0
@@ -51,15 +53,17 @@
 
     def ready_engines(self, pool: str) -> list:
         empty = self._ctx.cluster.cluster_state.empty_zones
-        return [e for e in self.engines.pool(pool)
-                if e.news.zone not in empty and self.engines.status(e) == "ready"]
+        return [e for e in self.engines.pool(pool) if e.news.zone not in empty and self.engines.status(e) == "ready"]
 
     def _usable(self, call) -> list:
         ready = self.ready_engines(call.pool)
         if not ready and not call.batch:
             empty = self._ctx.cluster.cluster_state.empty_zones
-            ready = [e for e in self.engines.pool(call.pool)
-                     if e.news.zone not in empty and self.engines.status(e) in ("suspect",)]
+            ready = [
+                e
+                for e in self.engines.pool(call.pool)
+                if e.news.zone not in empty and self.engines.status(e) in ("suspect",)
+            ]
         return [e for e in ready if e.name not in call.avoid] or ([] if call.ran else ready)
 
     def _fill(self, call) -> float:
@@ -116,7 +120,7 @@
         if at is None or self._ctx.timers.now() - at > LONG_SPAN or len(usable) < 4:
             return set()
         ranked = sorted(usable, key=lambda e: rank(f"long/{call.pool}", e.name))
-        return {e.name for e in ranked[:round(LONG_SHARE * len(ranked))]}
+        return {e.name for e in ranked[: round(LONG_SHARE * len(ranked))]}
 
     def _apart(self, call, is_long: bool, in_long: bool) -> float:
         if is_long:
@@ -163,7 +167,8 @@
     def batch_room(self, route) -> int:
         """How many items of batches on this route may be started now from here.
 
-        What is free, or what this gateway's share of the room still lacks: shares go by the tokens that wait at each gateway, so
+        What is free, or what this gateway's share of the room still lacks: shares go by the tokens that wait at each
+        gateway, so
         that in a crowd of batches none waits behind the room that others hold.
         """
         free = places = running = 0
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -22,7 +22,9 @@
 
 
 class _KeptParts:
-    """Which prompt parts an engine has likely kept, as far as this gateway's own requests tell: newest last, bounded."""
+    """Which prompt parts an engine has likely kept, as far as this gateway's own requests tell: newest last,
+    bounded.
+    """
 
     def __init__(self, most_tokens: int):
         self._most = most_tokens
@@ -286,7 +288,9 @@
             return
         self._told, self._told_at = mine, now
         for m in self._ctx.membership.members("gateway", me=False):
-            spawn(self._ctx.rpc.call((m.host, m.port), "engines.loads", what, Nothing, ms(400))).addErrback(lambda f: None)
+            spawn(self._ctx.rpc.call((m.host, m.port), "engines.loads", what, Nothing, ms(400))).addErrback(
+                lambda f: None
+            )
 
     async def _told_loads(self, node, what: Loads):
         for _, take in self._carriers:
--- a/pipitlink/router/events.py
+++ b/pipitlink/router/events.py
@@ -20,7 +20,7 @@
             end = self._rest.find(b"\n\n")
             if end < 0:
                 break
-            event, self._rest = self._rest[:end + 2], self._rest[end + 2:]
+            event, self._rest = self._rest[: end + 2], self._rest[end + 2 :]
             n = event_id(event)
             if n is not None:
                 if n != self.last + 1:
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -6,8 +6,8 @@
 from twisted.web import http
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-from ..timers import ms, secs
 from ..errors import BadRequest, Crowded, GatewayError, NotFound
+from ..timers import ms, secs
 from .call import HOP_HEADERS, Call, prompt_parts
 from .relay import passed_headers
 
@@ -170,7 +170,9 @@
 
 
 class Front:
-    """Mixin: callers' HTTP. Heads and bodies pass through; what is this tier's own is answered in the dialect's words."""
+    """Mixin: callers' HTTP. Heads and bodies pass through; what is this tier's own is answered in the dialect's
+    words.
+    """
 
     early = None
 
@@ -201,7 +203,9 @@
         return opened.getHost().port
 
     def _until_ready(self) -> float:
-        """Seconds until a new try is worth while: a gateway that just started has its cluster state in about a second."""
+        """Seconds until a new try is worth while: a gateway that just started has its cluster state in about a
+        second.
+        """
         left = (START_SPAN - (self._ctx.timers.now() - self._opened_at)).total_seconds()
         return round(max(0.2, left) + 0.2 * self._ctx.chance.random(), 3)
 
@@ -243,7 +247,9 @@
 
         meant = words.batch_call(request.method, path, query, header)
         if not self.current():
-            raise Crowded("this gateway cannot prove its cluster state now", code="not_current", retry_after=self._until_ready())
+            raise Crowded(
+                "this gateway cannot prove its cluster state now", code="not_current", retry_after=self._until_ready()
+            )
         if meant is not None:
             name, kwargs = meant
             request.answer(*await getattr(self, name)(**kwargs))
@@ -262,8 +268,11 @@
         call_id = request.header(words.request_id) or b""
         body = request.content.getvalue()
         if route.kind == "bulk":
-            request.answer(*await self.take_batch(route=route, host=host, path=path, lot_id=call_id.decode("latin-1"),
-                                                  raw=body, deadline=limit))
+            request.answer(
+                *await self.take_batch(
+                    route=route, host=host, path=path, lot_id=call_id.decode("latin-1"), raw=body, deadline=limit
+                )
+            )
             return
         call = request.call = self._call_for(request, route, call_id, body, limit, began)
         await self.relay(call)
@@ -271,16 +280,32 @@
 
     def _call_for(self, request, route, call_id, body, limit, began) -> Call:
         words = self._ctx.dialect
-        headers = [(n.lower(), v) for n, vs in request.requestHeaders.getAllRawHeaders() for v in vs
-                   if n.lower() not in HOP_HEADERS]
+        headers = [
+            (n.lower(), v)
+            for n, vs in request.requestHeaders.getAllRawHeaders()
+            for v in vs
+            if n.lower() not in HOP_HEADERS
+        ]
         streaming = route.kind == "streaming"
         event = request.header(words.event_id)
         last = int(event) if event is not None and event.strip().isdigit() else 0
         counts = (request.header(words.token_counts) or b"").split(b",")
-        return Call(id=call_id, method=request.method, target=request.uri, headers=headers, body=body, route=route,
-                    limit=limit, sink=request, began=began, repeatable=route.kind == "idempotent",
-                    resumable=streaming and route.resumable, parts=prompt_parts(request.header(words.prompt_parts)),
-                    tokens=sum(int(n) for n in counts if n.strip().isdigit()), last_event=last)
+        return Call(
+            id=call_id,
+            method=request.method,
+            target=request.uri,
+            headers=headers,
+            body=body,
+            route=route,
+            limit=limit,
+            sink=request,
+            began=began,
+            repeatable=route.kind == "idempotent",
+            resumable=streaming and route.resumable,
+            parts=prompt_parts(request.header(words.prompt_parts)),
+            tokens=sum(int(n) for n in counts if n.strip().isdigit()),
+            last_event=last,
+        )
 
     async def end_front(self, accept_for, until):
         """Says no at readiness, goes on serving for a while, then lets what is under way end."""
--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -3,8 +3,8 @@
 import attrs
 from twisted.internet import defer
 
-from ..timers import ZERO, ms, secs
 from ..errors import GatewayError, ReplicatedLogError
+from ..timers import ZERO, ms, secs
 from .call import Call, prompt_parts
 from .events import event_data
 
@@ -15,7 +15,9 @@
 
 @attrs.define(eq=False)
 class ItemCall:
-    """One item of a batch, and what of its output has come so far: `texts`, the data of whole events 1 to `last_event`."""
+    """One item of a batch, and what of its output has come so far: `texts`, the data of whole events 1 to
+    `last_event`.
+    """
 
     id: str
     route: object
@@ -31,7 +33,9 @@
 
 @attrs.frozen
 class ItemAnswer:
-    """What one try came to: the engine's own status (0: none), whether the output is whole, whether surely nothing ran."""
+    """What one try came to: the engine's own status (0: none), whether the output is whole, whether surely nothing
+    ran.
+    """
 
     status: int = 0
     complete: bool = False
@@ -63,10 +67,24 @@
         heads = [(n, v) for n, v in heads if n not in (b"host", b"content-length", words.request_id)]
         heads += [(b"host", item.route.host.encode()), (words.request_id, item.id.encode())]
         parts = prompt_parts(next((v for n, v in heads if n == words.prompt_parts), None)) if known else []
-        return Call(id=item.id.encode(), method=b"POST", target=item.path.encode(), headers=heads, body=item.body,
-                    route=item.route, limit=now + TRY_LIMIT, sink=_ItemSink(item), began=now, repeatable=True,
-                    resumable=True, batch=True, parts=parts, tokens=item.tokens, last_event=item.last_event,
-                    still=item.still)
+        return Call(
+            id=item.id.encode(),
+            method=b"POST",
+            target=item.path.encode(),
+            headers=heads,
+            body=item.body,
+            route=item.route,
+            limit=now + TRY_LIMIT,
+            sink=_ItemSink(item),
+            began=now,
+            repeatable=True,
+            resumable=True,
+            batch=True,
+            parts=parts,
+            tokens=item.tokens,
+            last_event=item.last_event,
+            still=item.still,
+        )
 
     async def run_item(self, item: ItemCall) -> ItemAnswer:
         """One try of an item at one engine; goes on after the last event that earlier tries brought."""
--- a/pipitlink/router/links.py
+++ b/pipitlink/router/links.py
@@ -8,8 +8,8 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from ..timers import ms, secs
 from ..errors import BackEndError, Crowded
+from ..timers import ms, secs
 
 __all__ = ["Link", "Links"]
 
@@ -116,7 +116,9 @@
         return connectProtocol(point, link)
 
     def take(self, address: str, fresh: timedelta | None = None) -> Link | None:
-        """An idle connection that will hardly be closed right now; with `fresh`, one that was used a shorter time ago."""
+        """An idle connection that will hardly be closed right now; with `fresh`, one that was used a shorter time
+        ago.
+        """
         idle = self._idle.get(address)
         now = self._ctx.timers.now()
         while idle:
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -39,8 +39,9 @@
             app = Klein()
             app.route("/", defaults={"path": ""})(self._show_ready)
             app.route("/<path:path>")(self._show_ready)
-            self._ready_port, _ = await listen(self._ctx.reactor, Site(app.resource(), 1024), host,
-                                               self._ctx.settings.ready_port)
+            self._ready_port, _ = await listen(
+                self._ctx.reactor, Site(app.resource(), 1024), host, self._ctx.settings.ready_port
+            )
         return await self.listen_callers(host, port)
 
     @property
@@ -56,12 +57,19 @@
 
     def readiness(self):
         cluster = self._ctx.cluster
-        ok = not self._draining and self.current() and cluster.cluster_state.routes.version > 0 and bool(self.engines.all())
+        ok = (
+            not self._draining
+            and self.current()
+            and cluster.cluster_state.routes.version > 0
+            and bool(self.engines.all())
+        )
         return ok, {"cluster": cluster.sequence, "currency": cluster.state}
 
     def beliefs(self) -> dict:
         engines = {e.name: f"{self.engines.status(e)} {e.address}" for e in self.engines.all()}
-        leases = {log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.leaseholders.items())}
+        leases = {
+            log: f"{self._ctx.node}@{h.epoch}" for log, h in sorted(self._ctx.replicated_log.leaseholders.items())
+        }
         return {"engines": engines, "leases": leases}
 
     def metrics(self) -> dict:
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from ..timers import Joined, ms, secs
 from ..errors import Crowded, GatewayError, PipitlinkError, Refused, WireError
 from ..rendezvous import rank
+from ..timers import Joined, ms, secs
 from ..wire.membership_pb2 import Loads, QuotaRequest, QuotaResponse, WaitingLot
 
 __all__ = ["Quota"]
@@ -102,13 +102,18 @@
     def _listed_lots(self, names: set[str], started: timedelta, sure: bool):
         """What a list of the open logs says: of which batches nobody has told yet, and which are over."""
         now = self._ctx.timers.now()
-        self._quota_unknown = {b: self._quota_unknown.get(b, now) for b in names
-                              if b not in self._quota_told and b not in self.batches}
+        self._quota_unknown = {
+            b: self._quota_unknown.get(b, now) for b in names if b not in self._quota_told and b not in self.batches
+        }
         if not sure:
             return
         self._lots_listed_at = started
         for b, t in list(self._quota_told.items()):
-            if t.gateway and t.gateway != self._ctx.node and self._ctx.membership.status(t.gateway) in ("gone", "unknown"):
+            if (
+                t.gateway
+                and t.gateway != self._ctx.node
+                and self._ctx.membership.status(t.gateway) in ("gone", "unknown")
+            ):
                 t.gateway, t.at = "", now
             if b not in names and (not t.gateway or not t.tokens) and started - t.at >= LISTED_LATE:
                 del self._quota_told[b]
@@ -130,8 +135,11 @@
         now = self._ctx.timers.now()
         alive = self._ctx.membership.members("gateway", status=("alive",))
         places = {(m.host, m.port) for m in alive}
-        away = [m for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
-                if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN]
+        away = [
+            m
+            for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
+            if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN
+        ]
         if not self._ctx.cluster.usable() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
             return False
         if self._lots_listed_at is None or self._lots_listed_at < self._quota_moved_at + SETTLE_SPAN / 2:
@@ -155,8 +163,11 @@
         finally:
             self._quota_counting.discard(batch_id)
         if batch_id in self._quota_unknown:
-            left = 0 if listing.ended else sum(x.tokens for i, x in enumerate(listing.head.items)
-                                               if i not in listing.listed)
+            left = (
+                0
+                if listing.ended
+                else sum(x.tokens for i, x in enumerate(listing.head.items) if i not in listing.listed)
+            )
             self._quota_told[batch_id] = _Told(listing.head.route, left, "", self._ctx.timers.now())
             del self._quota_unknown[batch_id]
 
@@ -205,8 +216,13 @@
                 self._quota_mine[batch.id] = route.name, tokens
                 return
             if not r.unsure:
-                raise GatewayError(f"route {route.name} has no room for {tokens} more waiting tokens", code="over_quota",
-                                 status=429, outcome="not_run", retry_after=1)
+                raise GatewayError(
+                    f"route {route.name} has no room for {tokens} more waiting tokens",
+                    code="over_quota",
+                    status=429,
+                    outcome="not_run",
+                    retry_after=1,
+                )
             if self._ctx.timers.now() + WAIT_STEP > until:
                 raise Crowded("the tokens that wait cannot be counted now", code="not_counted", retry_after=COME_BACK)
             await self._ctx.timers.pause(WAIT_STEP)
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -1,8 +1,8 @@
 from twisted.internet import defer, protocol
 from twisted.web.client import ResponseDone
 
-from ..timers import ms
 from ..errors import BackEndError, Crowded, GatewayError
+from ..timers import ms
 from .call import HOP_HEADERS
 from .events import EventStream
 
@@ -111,7 +111,9 @@
                 try:
                     await self._try(call, e)
                     call.put("finish")
-                    self._ctx.journal.trace("call", id=call.id.decode("latin-1"), route=call.route.name, tries=call.tries)
+                    self._ctx.journal.trace(
+                        "call", id=call.id.decode("latin-1"), route=call.route.name, tries=call.tries
+                    )
                     return
                 except GatewayError as f:
                     if not self._may_go_on(call, f):
@@ -151,7 +153,10 @@
             raise call.fault("the request was ended", code="ended")
         if call.limit <= self._ctx.timers.now():
             raise call.fault("the deadline has passed", code="limit_passed", status=504)
-        if self.engines.status(e) not in ("ready", "suspect") or e.news.zone in self._ctx.cluster.cluster_state.empty_zones:
+        if (
+            self.engines.status(e) not in ("ready", "suspect")
+            or e.news.zone in self._ctx.cluster.cluster_state.empty_zones
+        ):
             raise Crowded(f"{e.name} may not get new work any more", code="engine_moved_on")
         route = self._ctx.cluster.cluster_state.routes.routes.get(call.route.name)
         if route is not call.route:
@@ -259,13 +264,19 @@
         call.ran += 1
         if code in PROMISES:
             await self._drain(link, response)
-            raise BackEndError(f"{e.name} answered {code} without saying that nothing ran", code="engine_failed",
-                               outcome="unknown")
+            raise BackEndError(
+                f"{e.name} answered {code} without saying that nothing ran", code="engine_failed", outcome="unknown"
+            )
         if 200 <= code < 300 and not heads.hasHeader(words.seal):
             link.discard()
             raise BackEndError(f"{e.name} answered without its seal", code="spoilt", outcome="unknown")
-        if code >= 500 and not call.headed and not call.batch and (call.repeatable or call.resumable) \
-                and call.ran < max(2, call.route.max_tries):
+        if (
+            code >= 500
+            and not call.headed
+            and not call.batch
+            and (call.repeatable or call.resumable)
+            and call.ran < max(2, call.route.max_tries)
+        ):
             await self._drain(link, response)
             raise BackEndError(f"{e.name} answered {code}", code="engine_failed", outcome="unknown")
         if call.headed and code != 200:
--- a/pipitlink/settings.py
+++ b/pipitlink/settings.py
@@ -11,6 +11,9 @@
 __all__ = ["Settings", "read_settings", "ROLES"]
 
 ROLES = ("gateway", "storage", "controller")
+RENAMED = {"shelves": "placement_groups"}
+"""Settings by the names that earlier releases knew, and what they are called now."""
+
 _INTERFACES = ("models", "routes")
 _LEVELS = ("debug", "info", "warning", "error")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,62}$")
@@ -140,6 +143,12 @@
     return lines
 
 
+def _unknown(name: str) -> str:
+    if name in RENAMED:
+        return f"this setting is now called {RENAMED[name]}"
+    return "no such setting"
+
+
 def read_settings(role: str, path: str | None, flags: dict) -> Settings:
     lines: list[str] = []
     raw: dict = {}
@@ -156,7 +165,7 @@
     for name, value in raw.items():
         name = name.replace("-", "_")
         if name not in fields:
-            lines.append(f"{name}: no such prop")
+            lines.append(f"{name}: {_unknown(name)}")
             continue
         a = fields[name]
         try:
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -1,6 +1,6 @@
-from ..timers import ms, secs
-from ..errors import Fenced, ReplicatedLogError, NoMajority, WireError
+from ..errors import Fenced, NoMajority, ReplicatedLogError, WireError
 from ..replicated_log.placement_group import PlacementGroup
+from ..timers import ms, secs
 from ..wire.frame_pb2 import Nothing
 from ..wire.replicated_log_pb2 import CaughtUp, Entry, ListRequest, LogState, States
 from .grants import LEASE_SPAN
@@ -22,7 +22,9 @@
 
 
 class Copying:
-    """Mixin: a storage node brings its copies up to what a majority of the placement group holds, when it joins or has been away."""
+    """Mixin: a storage node brings its copies up to what a majority of the placement group holds, when it joins or has
+    been away.
+    """
 
     def _open_copying(self):
         self._mine: set[int] = set()
@@ -32,7 +34,11 @@
 
     def _placement_groups(self) -> list[PlacementGroup]:
         cluster = self._ctx.cluster
-        return [s for n in sorted(cluster.cluster_state.placement_groups) if self._ctx.node in (s := cluster.placement_group(n)).everyone]
+        return [
+            s
+            for n in sorted(cluster.cluster_state.placement_groups)
+            if self._ctx.node in (s := cluster.placement_group(n)).everyone
+        ]
 
     def _placement_groups_moved(self):
         mine = {s.number for s in self._placement_groups()}
@@ -42,7 +48,9 @@
 
     async def _join_placement_groups(self):
         for placement_group in self._placement_groups():
-            if placement_group.joining == self._ctx.node and await self._copy_placement_group(placement_group, joining=True):
+            if placement_group.joining == self._ctx.node and await self._copy_placement_group(
+                placement_group, joining=True
+            ):
                 await self._tell_caught_up(placement_group)
 
     async def _mend_placement_groups(self):
@@ -51,10 +59,17 @@
                 await self._copy_placement_group(placement_group, joining=False)
 
     async def _copy_placement_group(self, placement_group: PlacementGroup, joining: bool) -> bool:
-        """True once this storage node holds all that a majority of the others, all at this placement, are seen to hold."""
+        """True once this storage node holds all that a majority of the others, all at this placement, are seen to
+        hold.
+        """
         others = [d for d in placement_group.storage_nodes if d != self._ctx.node]
-        got = await self._ctx.replicated_log.ask_each(others, "replicated_log.list", ListRequest(placement_group=placement_group.number, one_placement_group=True),
-                                              States, ASK_LIMIT)
+        got = await self._ctx.replicated_log.ask_each(
+            others,
+            "replicated_log.list",
+            ListRequest(placement_group=placement_group.number, one_placement_group=True),
+            States,
+            ASK_LIMIT,
+        )
         at = {d: r for d, r in got.items() if r.placement_group_sequence >= placement_group.sequence}
         if joining and not 2 * len(at) > len(placement_group.storage_nodes):
             return False
@@ -72,7 +87,9 @@
                 if _rank(state) > _rank(mine) and not (_withered(mine) and mine.tail_epoch >= state.tail_epoch):
                     await self._copy_log(log, state, storage_node)
                 if joining and promised[log] > self.log_store.state(log).epoch:
-                    await self._syncer.put(lambda t, log=log: self.log_store.promise(log, promised[log], t, granted=False))
+                    await self._syncer.put(
+                        lambda t, log=log: self.log_store.promise(log, promised[log], t, granted=False)
+                    )
             except (ReplicatedLogError, WireError) as e:
                 self._ctx.journal.trace("copy_put_off", log=log, text=e)
                 whole = False
@@ -85,8 +102,16 @@
         data = await self._ctx.replicated_log.read_from(storage_node, log, start, state.length - start)
         if len(data) != state.length - start:
             raise NoMajority(f"{log}: {storage_node} did not show all of it")
-        e = Entry(kind=Entry.WRITE, log=log, epoch=state.tail_epoch, position=start, data=data, final=state.final,
-                  committed=min(state.committed, state.length), closed_ms=state.closed_ms)
+        e = Entry(
+            kind=Entry.WRITE,
+            log=log,
+            epoch=state.tail_epoch,
+            position=start,
+            data=data,
+            final=state.final,
+            committed=min(state.committed, state.length),
+            closed_ms=state.closed_ms,
+        )
         done = self._syncer.put(lambda t: self.log_store.copy(e, mine.tail_epoch, mine.length, t))
         if done is None:
             raise Fenced(f"{log} moved meanwhile")
@@ -96,6 +121,8 @@
         await self._ctx.timers.pause(secs(len(data) / (COPY_KB_S * 1024)))
 
     async def _tell_caught_up(self, placement_group: PlacementGroup):
-        told = CaughtUp(storage_node=self._ctx.node, placement_group=placement_group.number, sequence=placement_group.sequence)
+        told = CaughtUp(
+            storage_node=self._ctx.node, placement_group=placement_group.number, sequence=placement_group.sequence
+        )
         controllers = [m.node for m in self._ctx.membership.members("controller", me=False)]
         await self._ctx.replicated_log.ask_each(controllers, "controller.caught_up", told, Nothing, ms(500))
--- a/pipitlink/storage/keeping.py
+++ b/pipitlink/storage/keeping.py
@@ -37,8 +37,9 @@
                 live[spot[0]] += length
         segments = self.log_store.segments
         numbers = segments.numbers()[:-1]
-        shares = {n: live[n] / max(1, segments.size(n)) for n in numbers
-                  if n == numbers[0] or n not in self.log_store.forgets}
+        shares = {
+            n: live[n] / max(1, segments.size(n)) for n in numbers if n == numbers[0] or n not in self.log_store.forgets
+        }
         n = min(shares, key=shares.get, default=None)
         return n if n is not None and shares[n] <= FULL_SHARE else None
 
@@ -50,11 +51,16 @@
         for k in [k for k in self.log_store.logs.values() if k.stands_in(n)]:
             before = (k.epoch, k.tail_epoch, k.length, k.final)
             data = await self._ctx.on_thread(self._gather, self.log_store.spans(k.log, 0, k.length))
-            if before != (k.epoch, k.tail_epoch, k.length, k.final) or len(data) != k.length \
-                    or k.synced != (k.tail_epoch, k.length, k.final):
+            if (
+                before != (k.epoch, k.tail_epoch, k.length, k.final)
+                or len(data) != k.length
+                or k.synced != (k.tail_epoch, k.length, k.final)
+            ):
                 return
             await self._syncer.put(lambda t, k=k, data=data: self.log_store.rewrite(k, data, t))
         if not any(k.stands_in(n) for k in self.log_store.logs.values()):
-            await self._syncer.put(lambda t: self.log_store.segments.put(Entry(kind=Entry.NOTHING).SerializeToString(), t))
+            await self._syncer.put(
+                lambda t: self.log_store.segments.put(Entry(kind=Entry.NOTHING).SerializeToString(), t)
+            )
             self.log_store.segments.drop(n)
             self._ctx.journal.note("room_given_back", file=n, used=self.log_store.used())
--- a/pipitlink/storage/log_store.py
+++ b/pipitlink/storage/log_store.py
@@ -5,8 +5,8 @@
 
 from ..disk import Disk
 from ..errors import Fenced, NoRoom
-from ..wire.replicated_log_pb2 import Entry, LogState
 from ..segments import Segments, Spot
+from ..wire.replicated_log_pb2 import Entry, LogState
 
 __all__ = ["LogStore", "Kept"]
 
@@ -104,8 +104,15 @@
         if k is None:
             return LogState(log=log)
         tail_epoch, length, final = k.synced
-        return LogState(log=log, epoch=k.epoch, tail_epoch=tail_epoch, length=length,
-                        committed=min(k.committed, length), final=final, closed_ms=k.closed_ms)
+        return LogState(
+            log=log,
+            epoch=k.epoch,
+            tail_epoch=tail_epoch,
+            length=length,
+            committed=min(k.committed, length),
+            final=final,
+            closed_ms=k.closed_ms,
+        )
 
     def promise(self, log: str, epoch: int, ticket, granted: bool = True) -> None:
         k = self.logs.setdefault(log, Kept(log))
@@ -127,8 +134,9 @@
         if self.used() + size > most:
             raise NoRoom(f"the data folder holds {self.used()} of {self.budget} bytes")
 
-    def write(self, e: Entry, expect_tail_epoch: int, expect_length: int, reserved: bool, ticket,
-              copied: bool = False) -> bool:
+    def write(
+        self, e: Entry, expect_tail_epoch: int, expect_length: int, reserved: bool, ticket, copied: bool = False
+    ) -> bool:
         """Queues a write; False if this replica does not stand where the writer expects."""
         k = self.logs.setdefault(e.log, Kept(e.log))
         if e.epoch < k.epoch and not copied:
@@ -144,7 +152,9 @@
         return True
 
     def copy(self, e: Entry, expect_tail_epoch: int, expect_length: int, ticket) -> bool:
-        """A copy of another storage node's state; never where a later leaseholder has already counted on what is here."""
+        """A copy of another storage node's state; never where a later leaseholder has already counted on what is
+        here.
+        """
         k = self.logs.get(e.log)
         if k is not None and k.granted > e.epoch:
             raise Fenced(f"{e.log}: epoch {k.granted} was granted here")
@@ -188,8 +198,15 @@
         """The whole log once more, at the end of the newest file."""
         e = Entry(kind=Entry.PROMISE, log=k.log, epoch=k.epoch)
         k.promise_spot = self.segments.put(e.SerializeToString(), None)
-        e = Entry(kind=Entry.WRITE if data or not k.final else Entry.WITHER, log=k.log, epoch=k.tail_epoch, data=data,
-                  final=k.final, committed=k.committed, closed_ms=k.closed_ms)
+        e = Entry(
+            kind=Entry.WRITE if data or not k.final else Entry.WITHER,
+            log=k.log,
+            epoch=k.tail_epoch,
+            data=data,
+            final=k.final,
+            committed=k.committed,
+            closed_ms=k.closed_ms,
+        )
         body = _packed(e)
         spot = self.segments.put(body, ticket)
         if e.kind == Entry.WITHER:
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -6,8 +6,17 @@
 from ..errors import NoRoom, OldPlacementGroup, SettingsError
 from ..replicated_log.placement_group import placement_group_of
 from ..syncing import Syncer
-from ..wire.replicated_log_pb2 import (Entry, ListRequest, MarkRequest, ReadRequest, ReadResponse, States, StatesRequest, WriteRequest,
-                               WriteResponse)
+from ..wire.replicated_log_pb2 import (
+    Entry,
+    ListRequest,
+    MarkRequest,
+    ReadRequest,
+    ReadResponse,
+    States,
+    StatesRequest,
+    WriteRequest,
+    WriteResponse,
+)
 from .copying import Copying
 from .grants import Grants
 from .keeping import Keeping
@@ -38,7 +47,9 @@
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
         budget = ctx.settings.budget_mb * 1024 * 1024
-        self.log_store = LogStore(Path(ctx.settings.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024))
+        self.log_store = LogStore(
+            Path(ctx.settings.data) / "logs", disk or Disk(), budget, max(budget // 10, 1024 * 1024)
+        )
         self._syncer = Syncer(ctx, self.log_store.segments, self.log_store.recover)
         self._staged: dict[tuple[str, int], bytes] = {}
 
@@ -60,13 +71,22 @@
         key = (ask.log, ask.epoch)
         if ask.staged:
             return self._stage(key, ask)
-        data = self._staged.pop(key, b"")[:ask.staged_bytes] + ask.data
+        data = self._staged.pop(key, b"")[: ask.staged_bytes] + ask.data
         if len(data) != ask.staged_bytes + len(ask.data):
             return WriteResponse(why="elsewhere", state=self._state(ask.log))
-        e = Entry(kind=Entry.WRITE, log=ask.log, epoch=ask.epoch, position=ask.position, data=data,
-                  final=ask.final, committed=ask.committed, closed_ms=ask.closed_ms)
+        e = Entry(
+            kind=Entry.WRITE,
+            log=ask.log,
+            epoch=ask.epoch,
+            position=ask.position,
+            data=data,
+            final=ask.final,
+            committed=ask.committed,
+            closed_ms=ask.closed_ms,
+        )
         ticket = self._syncer.put(
-            lambda t: self.log_store.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t))
+            lambda t: self.log_store.write(e, ask.expect_tail_epoch, ask.expect_length, ask.reserved, t)
+        )
         if ticket is None:
             return WriteResponse(why="elsewhere", state=self._state(ask.log))
         end = ask.position + len(data)
@@ -101,15 +121,23 @@
         kept = ((n, k) for n, k in self.log_store.logs.items() if n.startswith(ask.prefix))
         names = sorted(n for n, k in kept if not ask.open_only or k.length and not k.synced[2])
         if ask.one_placement_group:
-            names = (n for n in names if placement_group_of(n, self._ctx.cluster.placement_groups) == ask.placement_group)
-        return States(states=[self._state(n) for n in names],
-                      placement_group_sequence=self._ctx.cluster.placement_group(ask.placement_group).sequence if ask.one_placement_group else 0)
+            names = (
+                n for n in names if placement_group_of(n, self._ctx.cluster.placement_groups) == ask.placement_group
+            )
+        return States(
+            states=[self._state(n) for n in names],
+            placement_group_sequence=self._ctx.cluster.placement_group(ask.placement_group).sequence
+            if ask.one_placement_group
+            else 0,
+        )
 
     def _check_placement_group(self, log: str, sequence: int):
         """A writer that counts on an older placement must look again before it goes on."""
         placement_group = self._ctx.cluster.placement_group(placement_group_of(log, self._ctx.cluster.placement_groups))
         if sequence < placement_group.sequence:
-            raise OldPlacementGroup(f"placement group {placement_group.number} is at sequence {placement_group.sequence}, not {sequence}")
+            raise OldPlacementGroup(
+                f"placement group {placement_group.number} is at sequence {placement_group.sequence}, not {sequence}"
+            )
 
     def readiness(self):
         used, room = self.log_store.used(), self.log_store.room()
@@ -118,13 +146,22 @@
     def beliefs(self) -> dict:
         states = [self._state(n) for n in sorted(self.log_store.logs)]
         placement_groups = self._ctx.cluster.placement_groups
-        return {"logs": {f"{placement_group_of(s.log, placement_groups)}/{s.log}": f"epoch={s.tail_epoch} length={s.length} final={s.final}" for s in states},
-                "leases": {s.log: f"{s.leaseholder}@{s.epoch}" for s in states if s.leaseholder}}
+        return {
+            "logs": {
+                f"{placement_group_of(s.log, placement_groups)}/{s.log}": (
+                    f"epoch={s.tail_epoch} length={s.length} final={s.final}"
+                )
+                for s in states
+            },
+            "leases": {s.log: f"{s.leaseholder}@{s.epoch}" for s in states if s.leaseholder},
+        }
 
     def metrics(self) -> dict:
-        return {"disk_used_bytes": ("Bytes of the data folder in use", self.log_store.used()),
-                "disk_room_bytes": ("Bytes before the reserve is touched", self.log_store.room()),
-                "logs": ("Logs kept", len(self.log_store.logs))}
+        return {
+            "disk_used_bytes": ("Bytes of the data folder in use", self.log_store.used()),
+            "disk_room_bytes": ("Bytes before the reserve is touched", self.log_store.room()),
+            "logs": ("Logs kept", len(self.log_store.logs)),
+        }
 
     async def end(self):
         await self._ctx.membership.leave()
--- a/pipitlink/syncing.py
+++ b/pipitlink/syncing.py
@@ -1,7 +1,7 @@
 from twisted.internet import defer
 
-from .timers import spawn
 from .errors import Damaged, NoRoom
+from .timers import spawn
 
 __all__ = ["Syncer"]
 
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -1,5 +1,5 @@
 import time
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 from inspect import isawaitable
 
 from twisted.internet import defer
@@ -70,7 +70,7 @@
         return timedelta(seconds=self._seconds())
 
     def wall(self) -> datetime:
-        return datetime.now(timezone.utc)
+        return datetime.now(UTC)
 
     def later(self, span: timedelta, do, *words):
         return self._reactor.callLater(max(0.0, span.total_seconds()), do, *words)
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -1,4 +1,5 @@
 """The operators' commands: they ask the fleet over HTTP and print what it said."""
+
 import json
 import os
 import sys
@@ -18,8 +19,9 @@
 def _ask(place: str, method: str, path: str, body=None, headers=None):
     """(status, JSON)"""
     data = json.dumps(body).encode() if body is not None else None
-    r = urllib.request.Request(f"http://{place}{path}", data, {"Content-Type": "application/json", **(headers or {})},
-                               method=method)
+    r = urllib.request.Request(
+        f"http://{place}{path}", data, {"Content-Type": "application/json", **(headers or {})}, method=method
+    )
     try:
         with urllib.request.urlopen(r, timeout=LIMIT) as got:
             return got.status, json.load(got)
@@ -77,7 +79,9 @@
 
 
 def _both_keep(log: str, a: dict, b: dict) -> bool:
-    """Logs are told as PLACEMENT_GROUP/NAME; two storage nodes need to agree on those of the placement groups that both keep."""
+    """Logs are told as PLACEMENT_GROUP/NAME; two storage nodes need to agree on those of the placement groups that
+    both keep.
+    """
     placement_group = a["placement_groups"].get(log.partition("/")[0], "")
     storage_nodes = placement_group.split(":")[1].split(",") if placement_group else []
     return a["node"] in storage_nodes and b["node"] in storage_nodes
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -3,9 +3,22 @@
 from twisted.internet import defer
 from twisted.web import server
 
+from .errors import (
+    BadRows,
+    CutOff,
+    Fenced,
+    GatewayError,
+    NoMajority,
+    NoRoom,
+    NotHeld,
+    NotLeading,
+    Overdue,
+    Refused,
+    Unproven,
+    WireError,
+    WrongBase,
+)
 from .timers import spawn
-from .errors import (BadRows, CutOff, Fenced, GatewayError, NoMajority, NoRoom, NotHeld, NotLeading, Overdue, Refused,
-                     Unproven, WireError, WrongBase)
 
 __all__ = ["Site", "answered", "send_json", "send_fault", "listen"]
 
@@ -26,12 +39,21 @@
         super().handleContentChunk(data)
 
     def _too_long(self):
-        body = json.dumps({"error": {"code": "body_too_long", "outcome": "not_run",
-                                     "message": f"a body may have {self.channel.site.max_body} bytes"}}).encode()
+        body = json.dumps(
+            {
+                "error": {
+                    "code": "body_too_long",
+                    "outcome": "not_run",
+                    "message": f"a body may have {self.channel.site.max_body} bytes",
+                }
+            }
+        ).encode()
         self.content = None
         t = self.channel.transport
-        t.write(b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
-                b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+        t.write(
+            b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
         self.channel.loseConnection()
 
     def process(self):
@@ -119,5 +141,3 @@
 
     handler.__name__ = do.__name__
     return handler
-
-
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -1,8 +1,8 @@
 from twisted.internet import defer, protocol
 from twisted.protocols.basic import Int32StringReceiver
 
-from ..timers import spawn
 from ..errors import CutOff, WireError
+from ..timers import spawn
 from .frame_pb2 import Frame, Hello
 
 __all__ = ["RpcConnection", "RpcConnectionFactory", "MAX_FRAME", "WIRE"]
--- a/pipitlink/wire/make_wire.py
+++ b/pipitlink/wire/make_wire.py
@@ -1,4 +1,5 @@
 """Makes the *_pb2.py files again: python pipitlink/wire/make_wire.py (needs the 'wire' extra)."""
+
 import sys
 from pathlib import Path
 
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -4,10 +4,10 @@
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint, TCP6ClientEndpoint, connectProtocol
 
-from ..timers import Timers, Joined, ms
 from ..errors import CutOff, Overdue, PipitlinkError, Refused, Unmet, WireError
-from .frame_pb2 import Hello, Nothing
+from ..timers import Joined, Timers, ms
 from .connection import WIRE, RpcConnection, RpcConnectionFactory
+from .frame_pb2 import Hello, Nothing
 
 __all__ = ["RpcEndpoint", "Place"]
 
--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -40,6 +40,7 @@
   --picture FILE    Draws them there; needs the extra `capacity`.
   --level LEVEL     The fleet's log level. [default: info]
 """
+
 from docopt import docopt
 
 __all__ = ["main"]
@@ -55,8 +56,15 @@
         if words["--profile"] not in PROFILES or set(faults) - set(FAULTS):
             print(f"profiles: {', '.join(PROFILES)}; faults: {', '.join(FAULTS)}")
             return 2
-        return Soak(words["--profile"], int(words["--seed"]), float(words["--minutes"]), words["--keep"], faults,
-                    words["--level"], int(words["--together"])).run()
+        return Soak(
+            words["--profile"],
+            int(words["--seed"]),
+            float(words["--minutes"]),
+            words["--keep"],
+            faults,
+            words["--level"],
+            int(words["--together"]),
+        ).run()
     if words["bench"] and words["--promise"]:
         from .promises import PROMISES, Promises
 
--- a/rehearsal/backend.py
+++ b/rehearsal/backend.py
@@ -1,4 +1,5 @@
 """A stand-in back end: a model engine with a token stream, or a pool of plain files. It notes every run."""
+
 import hashlib
 import json
 import os
@@ -15,7 +16,7 @@
 def answer_pieces(prompt: str, most: int) -> list[str]:
     """The one right answer to a prompt, so that a checker knows it without asking."""
     seed = hashlib.sha256(prompt.encode()).hexdigest()
-    return [f"{seed[i % 32:i % 32 + 6]}.{i} " for i in range(min(most, 4 + int(seed[:2], 16) % 12))]
+    return [f"{seed[i % 32 : i % 32 + 6]}.{i} " for i in range(min(most, 4 + int(seed[:2], 16) % 12))]
 
 
 def card_bytes(path: str) -> bytes:
@@ -56,14 +57,24 @@
     async def announce(self):
         if self.mode == "silent":
             return
-        body = {"engine": self.name, "address": f"127.0.0.1:{self.port}", "pool": self.pool, "models": self.models,
-                "zone": self.zone, "capacity": self.capacity, "incarnation": self._incarnation, "state": self.state}
+        body = {
+            "engine": self.name,
+            "address": f"127.0.0.1:{self.port}",
+            "pool": self.pool,
+            "models": self.models,
+            "zone": self.zone,
+            "capacity": self.capacity,
+            "incarnation": self._incarnation,
+            "state": self.state,
+        }
         for gateway in list(self.gateways):
             try:
                 r = await treq.post(f"http://{gateway}/v1/engines", json=body, timeout=1)
                 told = await treq.json_content(r)
                 if r.code == 200 and told["gateways"]:
-                    self.gateways = sorted(told["gateways"], key=lambda g: hashlib.sha256((g + self.name).encode()).digest())
+                    self.gateways = sorted(
+                        told["gateways"], key=lambda g: hashlib.sha256((g + self.name).encode()).digest()
+                    )
                     return
             except Exception:
                 continue
@@ -118,7 +129,7 @@
         await task.deferLater(reactor, self.step)
         if self.mode == "cut":
             request.setHeader(b"Content-Length", str(len(data)).encode())
-            request.write(data[:len(data) // 2])
+            request.write(data[: len(data) // 2])
             request.transport.loseConnection()
             return b""
         return data
@@ -137,9 +148,17 @@
 
 
 def run_backend(words: dict) -> int:
-    b = Backend(words["--name"], words["--pool"], [m for m in words["--models"].split(",") if m], words["--zone"],
-                int(words["--capacity"]), words["--gateways"].split(","), words["--notes"], float(words["--step"]),
-                int(words["--port"]))
+    b = Backend(
+        words["--name"],
+        words["--pool"],
+        [m for m in words["--models"].split(",") if m],
+        words["--zone"],
+        int(words["--capacity"]),
+        words["--gateways"].split(","),
+        words["--notes"],
+        float(words["--step"]),
+        int(words["--port"]),
+    )
     reactor.callWhenRunning(lambda: defer.ensureDeferred(b.open()))
     reactor.run()
     return 0
--- a/rehearsal/bench.py
+++ b/rehearsal/bench.py
@@ -1,4 +1,5 @@
 """Measures a healthy fleet: windows with and without lots beside live traffic, in turn."""
+
 import json
 import re
 import threading
@@ -20,8 +21,15 @@
         self.p = PROFILES[profile]
         self.rounds, self.window = rounds, window
         p = self.p
-        self.fleet = Fleet(gateways=p["gateways"], storage_nodes=p["storage_nodes"], controllers=p["controllers"], engines=p["engines"],
-                           cards=p["cards"], capacity=8, step=0.02)
+        self.fleet = Fleet(
+            gateways=p["gateways"],
+            storage_nodes=p["storage_nodes"],
+            controllers=p["controllers"],
+            engines=p["engines"],
+            cards=p["cards"],
+            capacity=8,
+            step=0.02,
+        )
         self.calls = Callers(self.fleet, Random(seed))
         self._n = 0
         self._seen: list[float] = []
@@ -87,14 +95,17 @@
         controller = self.fleet.nodes("controller")[n % len(self.fleet.nodes("controller"))]
         base = self.fleet.call(controller, "GET", "/v1/table")[1]["sequence"]
         began = time.monotonic()
-        status, said, _ = self.fleet.call(controller, "PUT", "/v1/table/rows/bench", {**ROW, "weight": n + 1},
-                                          {"If-Match": str(base)})
+        status, said, _ = self.fleet.call(
+            controller, "PUT", "/v1/table/rows/bench", {**ROW, "weight": n + 1}, {"If-Match": str(base)}
+        )
         acked = time.monotonic()
         assert status == 200, said
 
         def everywhere():
-            return all(self.fleet.call(g, "GET", "/v1/ready")[1]["cluster"] >= said["sequence"]
-                       for g in self.fleet.nodes("gateway"))
+            return all(
+                self.fleet.call(g, "GET", "/v1/ready")[1]["cluster"] >= said["sequence"]
+                for g in self.fleet.nodes("gateway")
+            )
 
         wait_for(everywhere, 5, "every gateway has the edit")
         return {"acked": acked - began, "everywhere": time.monotonic() - began}
@@ -124,15 +135,21 @@
         for n in notes:
             if n["event"] == "done":
                 done[prompts.get(n["run"])] = n["at"]
-        visible = sorted(e["seen"] - done[lots[e["lot"]]["prompts"][e["item"]]] for e in events
-                         if e["event"] == "visible" and lots[e["lot"]]["prompts"][e["item"]] in done)
+        visible = sorted(
+            e["seen"] - done[lots[e["lot"]]["prompts"][e["item"]]]
+            for e in events
+            if e["event"] == "visible" and lots[e["lot"]]["prompts"][e["item"]] in done
+        )
         out = {"profile": self.p, "windows": self.rounds}
         for kind, spans in windows.items():
             inside = [[e for e in told if a <= e["asked"] < b] for a, b in spans]
             out[f"first_piece_{kind}"] = spread(e["first"] for es in inside for e in es)
-            out[f"first_piece_{kind}_p50_by_window"] = [spread(sorted(e["first"] for e in es)).get("p50") for es in inside]
+            out[f"first_piece_{kind}_p50_by_window"] = [
+                spread(sorted(e["first"] for e in es)).get("p50") for es in inside
+            ]
             out[f"first_piece_{kind}_in_gateways_share_within_s"] = {
-                le: round(n / max(1, self.inside[kind]["+Inf"]), 4) for le, n in self.inside[kind].items()}
+                le: round(n / max(1, self.inside[kind]["+Inf"]), 4) for le, n in self.inside[kind].items()
+            }
         out["lot_accept"] = spread(e["took"] for e in lots.values())
         out["result_visible_after_engine"] = spread(visible)
         out["edit_acked"] = spread(e["acked"] for e in edits)
--- a/rehearsal/breaks.py
+++ b/rehearsal/breaks.py
@@ -1,4 +1,5 @@
 """Faults of processes, machines, disks and the network, each as (what it hurts, what it does)."""
+
 import time
 
 from .fleet import ZONES, wait_for
@@ -13,6 +14,7 @@
 
     def _down(self, what, names, span, power=None, wiped=False, settle=3.0):
         """Kills nodes together, by losing power where `power` is a chance, and starts them again."""
+
         def do():
             gateways = {n for n in names if n.startswith("gateway")}
             self.say(f"{what} {','.join(names)} for {span:.1f} s")
@@ -163,7 +165,9 @@
         return [*olds, "core"], do
 
     def plan_retire_storage_node(self, c):
-        """A storage node is added and another retired; while its placement groups move, a third one is killed for a while."""
+        """A storage node is added and another retired; while its placement groups move, a third one is killed for a
+        while.
+        """
         old, other = c.sample(self.fleet.nodes("storage"), 2)
 
         def do():
@@ -171,10 +175,17 @@
             new = f"storage{100 + self._fresh}"
             self.say(f"{new} is added, {old} is retired and {other} is killed meanwhile")
             self.fleet.add_node("storage", new, self.fleet.zones[old]).start()
-            wait_for(lambda: any(d["place"] == self.fleet.place(new) for d in self.storage_nodes().values()), 30, "it is admitted")
+            wait_for(
+                lambda: any(d["place"] == self.fleet.place(new) for d in self.storage_nodes().values()),
+                30,
+                "it is admitted",
+            )
             gone = self.storage_node_id(old)
-            wait_for(lambda: self.fleet.call(self.leader(), "POST", f"/v1/storage_nodes/{gone}/retire", {})[0] == 200, 30,
-                     "retirement is taken")
+            wait_for(
+                lambda: self.fleet.call(self.leader(), "POST", f"/v1/storage_nodes/{gone}/retire", {})[0] == 200,
+                30,
+                "retirement is taken",
+            )
             self._down("kill", [other], 1 + 2 * c.random())[1]()
             wait_for(lambda: self.storage_nodes().get(gone, {}).get("status") == "retired", 120, f"{old} is retired")
             self.say(f"{old} is retired")
@@ -216,8 +227,12 @@
         return self._cut("controllers split", controllers[:k], controllers[k:], 2 + 4 * c.random())
 
     def plan_controllers_away(self, c):
-        return self._cut("controllers away", self.fleet.nodes("controller"),
-                         [n for n in self.nodes() if "controller" not in n], 2 + 5 * c.random())
+        return self._cut(
+            "controllers away",
+            self.fleet.nodes("controller"),
+            [n for n in self.nodes() if "controller" not in n],
+            2 + 5 * c.random(),
+        )
 
     def plan_zone_cut(self, c):
         """A zone's machines hear no other zone; the platform moves its clients."""
@@ -255,9 +270,12 @@
         def placed():
             storage_nodes = self.storage_nodes()
             serving = {d: v for d, v in storage_nodes.items() if v["status"] == "serving"}
-            return len(serving) >= 4 and (retired or lost not in storage_nodes) \
-                and all(d["heard"] == "alive" for d in serving.values()) \
+            return (
+                len(serving) >= 4
+                and (retired or lost not in storage_nodes)
+                and all(d["heard"] == "alive" for d in serving.values())
                 and sum(d["placement_groups"] for d in serving.values()) == 48
+            )
 
         began = time.monotonic()
         wait_for(placed, 120, "the placement groups are placed again")
