--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,4 +1,5 @@
 """The runner itself, on suites of its own."""
+
 import os
 import subprocess
 import sys
@@ -45,8 +46,13 @@
             (Path(folder) / "cases.py").write_text(_CASES)
             if red is not None:
                 (Path(folder) / "KNOWN-RED.txt").write_text(red)
-            r = subprocess.run([sys.executable, "-c", _RUN, *cases], cwd=folder, capture_output=True, text=True,
-                               env={**os.environ, "PYTHONPATH": str(_ROOT)})
+            r = subprocess.run(
+                [sys.executable, "-c", _RUN, *cases],
+                cwd=folder,
+                capture_output=True,
+                text=True,
+                env={**os.environ, "PYTHONPATH": str(_ROOT)},
+            )
         return r.returncode, r.stdout
 
     def test_what_passes_passes(self):
--- a/tests/test_stage_cache.py
+++ b/tests/test_stage_cache.py
@@ -1,14 +1,15 @@
 """The caches: the order of chunk writes, the order of reads, and what holds when they are lost."""
+
 import unittest
 
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from pipitlink.timers import Timers, ms, secs, spawn
 from pipitlink.cache.chunks import CHUNK, chunk_key
 from pipitlink.cache.shadow import Shadow
 from pipitlink.cache.stores import DataStore, LengthStore
 from pipitlink.journal import Journal
+from pipitlink.timers import Timers, ms, secs, spawn
 from pipitlink.wire.cache_pb2 import Lengths
 from rehearsal.stage import Stage
 
@@ -78,7 +79,7 @@
                 chunks, _ = self.cache.waiting[0]
                 n = self.number(0)
                 data = chunks[chunk_key("log", n)]
-                self.assertEqual(data, bytes(self.held.data[n * CHUNK:n * CHUNK + len(data)]))
+                self.assertEqual(data, bytes(self.held.data[n * CHUNK : n * CHUNK + len(data)]))
                 self.cache.let(0)
         self.assertEqual(self.cache.cached, 14100)
 
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -1,4 +1,5 @@
 """The configuration of routes and pools, edited at any controller while others edit it, fail and come back."""
+
 import json
 import unittest
 from unittest import mock
@@ -44,8 +45,11 @@
         self.caller.put(self.other, config_of(1), 0)
         for n in range(1, 6):
             first, second = self.stage.chance.sample(self.controllers, 2)
-            boxes = [self.caller.begin(controller, "PUT", "/v1/config", config_of(10 * n + i), {"If-Match": str(base)})
-                     for base in [max(self.versions("gateway"))] for i, controller in enumerate((first, second))]
+            boxes = [
+                self.caller.begin(controller, "PUT", "/v1/config", config_of(10 * n + i), {"If-Match": str(base)})
+                for base in [max(self.versions("gateway"))]
+                for i, controller in enumerate((first, second))
+            ]
             self.stage.until(lambda: all(boxes), 8, "both are answered")
             told = sorted(b[0][0] for b in boxes)
             self.assertEqual(told, [200, 412])
@@ -55,8 +59,12 @@
 
     def test_a_stale_base_and_an_old_version_are_refused(self):
         self.caller.put(self.other, config_of(5), 0)
-        for base, version, status, code in ((0, 9, 412, "wrong_base"), (4, 9, 412, "wrong_base"),
-                                            (5, 5, 400, "old_version"), (5, 4, 400, "old_version")):
+        for base, version, status, code in (
+            (0, 9, 412, "wrong_base"),
+            (4, 9, 412, "wrong_base"),
+            (5, 5, 400, "old_version"),
+            (5, 4, 400, "old_version"),
+        ):
             told = self.caller.put(self.other, config_of(version), base)
             self.assertEqual((told[0], told[1]["error"]["code"]), (status, code))
             told = self.caller.patch(self.other, {"version": version}, base)
@@ -64,8 +72,12 @@
         self.assertEqual(self.caller.get(self.controllers[0])[1], config_of(5))
 
     def test_an_edit_without_its_base_or_with_a_bad_one_is_refused(self):
-        for headers, status in (({}, 428), ({"If-Match": "five"}, 400), ({"If-Match": "-1"}, 400),
-                                ({"If-Match": str(2 ** 70)}, 400)):
+        for headers, status in (
+            ({}, 428),
+            ({"If-Match": "five"}, 400),
+            ({"If-Match": "-1"}, 400),
+            ({"If-Match": str(2**70)}, 400),
+        ):
             self.assertEqual(self.caller.ask(self.other, "PUT", "/v1/config", config_of(5), headers)[0], status)
         self.assertEqual(self.caller.ask(self.other, "PUT", "/v1/config", config_of(5), {"If-Match": '"0"'})[0], 200)
 
@@ -81,25 +93,40 @@
             return config_of(6, {k: v for k, v in route_of("r").items() if k != field})
 
         bad = {
-            "empty": b"", "cut short": whole[:-9], "not UTF-8": whole[:-1] + b'"\xff"}', "an array": b"[]",
-            "a name twice in an object": whole[:-1] + b',"version":7}', "NaN": whole.replace(b"2500", b"NaN"),
-            "an endless number": whole.replace(b"2500", b"1e999"), "deep": b'{"version":' + b"[" * 100_000,
-            "an unknown pool": config_of(6, route_of("r", "q")), "no time": with_route(deadline_ms=0),
-            "negative time": with_route(deadline_ms=-5), "a true time": with_route(deadline_ms=True),
+            "empty": b"",
+            "cut short": whole[:-9],
+            "not UTF-8": whole[:-1] + b'"\xff"}',
+            "an array": b"[]",
+            "a name twice in an object": whole[:-1] + b',"version":7}',
+            "NaN": whole.replace(b"2500", b"NaN"),
+            "an endless number": whole.replace(b"2500", b"1e999"),
+            "deep": b'{"version":' + b"[" * 100_000,
+            "an unknown pool": config_of(6, route_of("r", "q")),
+            "no time": with_route(deadline_ms=0),
+            "negative time": with_route(deadline_ms=-5),
+            "a true time": with_route(deadline_ms=True),
             "the same place": config_of(6, route_of("a", prefix="/x/"), route_of("b", prefix="/x/")),
             "the same name": config_of(6, route_of("a"), route_of("a", prefix="/x/")),
-            "the same pool": config_of(6, pools=("p", "p")), "a kind": with_route(kind="odd"),
+            "the same pool": config_of(6, pools=("p", "p")),
+            "a kind": with_route(kind="odd"),
             "both": with_route(shares=[{"pool": "p", "share": 1}]),
             "no weight": config_of(6, {**without("pool")["routes"][0], "shares": [{"pool": "p", "share": 0}]}),
-            "negative weight": config_of(6, {**without("pool")["routes"][0], "shares": [
-                {"pool": "p", "share": -1}, {"pool": "p", "share": 3}]}),
+            "negative weight": config_of(
+                6, {**without("pool")["routes"][0], "shares": [{"pool": "p", "share": -1}, {"pool": "p", "share": 3}]}
+            ),
             "no shares": config_of(6, {**without("pool")["routes"][0], "shares": []}),
-            "a bare prefix": with_route(prefix="/x"), "sticky": with_route(sticky=1), "half a try": without("kind"),
-            "a text try": with_route(max_tries="2"), "routes": {**config_of(6), "routes": {}},
+            "a bare prefix": with_route(prefix="/x"),
+            "sticky": with_route(sticky=1),
+            "half a try": without("kind"),
+            "a text try": with_route(max_tries="2"),
+            "routes": {**config_of(6), "routes": {}},
             "no pools": {k: v for k, v in config_of(6).items() if k != "pools"},
             "no bounds": {k: v for k, v in config_of(6).items() if k != "bounds"},
-            "a text version": config_of("6"), "no version": config_of(None), "a fraction": config_of(6.5),
-            "a nameless pool": {**config_of(6), "pools": [{}]}, "a half letter": with_route(host="\ud800"),
+            "a text version": config_of("6"),
+            "no version": config_of(None),
+            "a fraction": config_of(6.5),
+            "a nameless pool": {**config_of(6), "pools": [{}]},
+            "a half letter": with_route(host="\ud800"),
             **{f"no {f}": without(f) for f in ("name", "host", "prefix", "deadline_ms", "pool")},
         }
         for what, body in bad.items():
@@ -110,10 +137,17 @@
 
     def test_a_patch_that_would_leave_an_invalid_whole_is_refused(self):
         self.caller.put(self.other, config_of(5, route_of("a"), route_of("b")), 0)
-        for n, e in enumerate(({"drops": {"pools": ["p"]}}, {"puts": {"routes": [route_of("c", prefix="/a/")]}},
-                               {"puts": {"routes": [route_of("c", "q")]}}, {"puts": [], "drops": {}},
-                               {"puts": {"routes": [{"name": "a"}]}}, {"drops": {"routes": "a"}},
-                               {"puts": {"routes": [route_of("a"), route_of("a")]}})):
+        for n, e in enumerate(
+            (
+                {"drops": {"pools": ["p"]}},
+                {"puts": {"routes": [route_of("c", prefix="/a/")]}},
+                {"puts": {"routes": [route_of("c", "q")]}},
+                {"puts": [], "drops": {}},
+                {"puts": {"routes": [{"name": "a"}]}},
+                {"drops": {"routes": "a"}},
+                {"puts": {"routes": [route_of("a"), route_of("a")]}},
+            )
+        ):
             self.assertEqual(self.caller.patch(self.other, {"version": 6 + n, **e}, 5)[0], 400, e)
         self.assertEqual(self.caller.get(self.controllers[0])[1], config_of(5, route_of("a"), route_of("b")))
 
@@ -122,13 +156,25 @@
         self.caller.put(self.other, first, 0)
         self.assertEqual(self.caller.get(self.controllers[1])[1], first)
         changed = route_of("a", "new", sticky=True, aim_ms=2.5)
-        status, _ = self.caller.patch(self.other, {
-            "version": 8, "puts": {"routes": [changed, route_of("c")], "pools": [{"name": "new", "cold_rate": 0.5}]},
-            "drops": {"routes": ["b", "never"], "pools": ["q"]}}, 5)
+        status, _ = self.caller.patch(
+            self.other,
+            {
+                "version": 8,
+                "puts": {"routes": [changed, route_of("c")], "pools": [{"name": "new", "cold_rate": 0.5}]},
+                "drops": {"routes": ["b", "never"], "pools": ["q"]},
+            },
+            5,
+        )
         self.assertEqual(status, 200)
-        self.assertEqual(self.caller.get(self.controllers[0])[1], {
-            "version": 8, "routes": [changed, route_of("c")], "bounds": first["bounds"],
-            "pools": [{"name": "p"}, {"name": "new", "cold_rate": 0.5}]})
+        self.assertEqual(
+            self.caller.get(self.controllers[0])[1],
+            {
+                "version": 8,
+                "routes": [changed, route_of("c")],
+                "bounds": first["bounds"],
+                "pools": [{"name": "p"}, {"name": "new", "cold_rate": 0.5}],
+            },
+        )
         self.assertEqual(self.caller.patch(self.other, {"version": 9, "bounds": {"idle_timeout_ms": 5}}, 8)[0], 200)
         self.assertEqual(self.caller.get(self.controllers[0])[1]["bounds"], {"idle_timeout_ms": 5})
         table = self.stage.role("gateway")[0].ctx.cluster.cluster_state.routes
@@ -148,7 +194,9 @@
                 self.assertEqual(self.caller.put(controller, config_of(7, route_of("z")), 5)[0], 412)
             self.assertEqual(self.versions("gateway"), {8})
             self.new_leader().start()
-            self.stage.until(lambda: {a.part.leader for a in self.controllers} == {self.stage.leader().node}, 5, "all follow")
+            self.stage.until(
+                lambda: {a.part.leader for a in self.controllers} == {self.stage.leader().node}, 5, "all follow"
+            )
 
     def test_a_call_that_was_cut_off_and_sent_again_elsewhere_is_taken_once(self):
         leader = self.stage.leader()
@@ -192,7 +240,9 @@
         self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
         late = self.stage.add("controller", "controller9", "zone-a", 1900)
         late.start()
-        self.stage.until(lambda: late.part.cluster_state.sequence == leader.part.cluster_state.sequence, 10, "the newcomer follows")
+        self.stage.until(
+            lambda: late.part.cluster_state.sequence == leader.part.cluster_state.sequence, 10, "the newcomer follows"
+        )
         for a in self.stage.role("controller"):
             a.kill(power=True)
             a.start()
@@ -203,8 +253,11 @@
             self.assertEqual(self.caller.put(a, config_of(4), 0)[0], 200)
 
     def test_a_log_of_large_edits_is_trimmed_by_its_size(self):
-        with mock.patch.object(archive, "TRIM_BYTES", 300_000), mock.patch.object(archive, "KEEP_BYTES", 60_000), \
-                mock.patch.object(archive, "SEND_BYTES", 50_000):
+        with (
+            mock.patch.object(archive, "TRIM_BYTES", 300_000),
+            mock.patch.object(archive, "KEEP_BYTES", 60_000),
+            mock.patch.object(archive, "SEND_BYTES", 50_000),
+        ):
             big = [route_of(f"r{n}", note="x" * 300) for n in range(50)]
             for n in range(1, 31):
                 self.assertEqual(self.caller.put(self.other, config_of(n, *big), n - 1)[0], 200)
@@ -215,8 +268,11 @@
                 self.assertEqual(held, a.part.archive._entry_bytes)
             late = self.stage.add("controller", "controller9", "zone-a", 1900)
             late.start()
-            self.stage.until(lambda: late.part.cluster_state.sequence == self.stage.leader().part.cluster_state.sequence, 10,
-                             "the newcomer follows")
+            self.stage.until(
+                lambda: late.part.cluster_state.sequence == self.stage.leader().part.cluster_state.sequence,
+                10,
+                "the newcomer follows",
+            )
             for a in self.stage.role("controller"):
                 a.kill(power=True)
                 a.start()
@@ -251,7 +307,9 @@
         self.storage_node = self.stage.role("storage")[1]
         self.name_storage_node()
         self.stage.ready()
-        self.stage.until(lambda: len(self.stage.leader().part.cluster_state.storage_nodes) == 4, 20, "all storage nodes are admitted")
+        self.stage.until(
+            lambda: len(self.stage.leader().part.cluster_state.storage_nodes) == 4, 20, "all storage nodes are admitted"
+        )
         self.stage.run(3)
         self.caller = Caller(self.stage)
 
@@ -260,7 +318,9 @@
         self.storage_node.ctx.membership.me.incarnation += 1
 
     def ask(self, method, name, controller=None):
-        return self.caller.ask(controller or self.stage.role("controller")[2], method, f"/v1/storage_nodes/{name}/retire")
+        return self.caller.ask(
+            controller or self.stage.role("controller")[2], method, f"/v1/storage_nodes/{name}/retire"
+        )
 
     def test_a_storage_node_is_retired_by_its_name_and_stays_known_when_its_machine_is_gone(self):
         self.assertEqual(self.ask("GET", "box-1"), (200, {"state": "serving"}))
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -1,13 +1,14 @@
 """The agreed cluster state under trouble: edits, reads, delivery and votes, over many seeds."""
+
 import unittest
 import unittest.mock
 
 from twisted.internet import defer
 
-from pipitlink.timers import ms
 from pipitlink.errors import Damaged, NoRoom, NotLeading, PipitlinkError, Unproven, WireError
-from pipitlink.wire.controller_pb2 import EditRequest, EditResponse
+from pipitlink.timers import ms
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
+from pipitlink.wire.controller_pb2 import EditRequest, EditResponse
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
 
@@ -98,8 +99,9 @@
         for _, sequence, text in ops.acked:
             self.assertEqual(done.get(text), sequence, f"seed {seed}: {text} was acknowledged and is gone")
         self.assertFalse(ops.refused & set(done))
-        tables = {a.part.cluster_state.table for a in stage.role("controller")} | {a.ctx.cluster.cluster_state.table
-                                                                      for a in stage.role("gateway")}
+        tables = {a.part.cluster_state.table for a in stage.role("controller")} | {
+            a.ctx.cluster.cluster_state.table for a in stage.role("gateway")
+        }
         self.assertEqual(tables, {cluster_state.table}, f"seed {seed}")
         return len(ops.acked)
 
@@ -107,7 +109,9 @@
         self.assertGreater(sum(self.run_seed(s, ("controller",)) for s in SEEDS), 5 * len(SEEDS))
 
     def test_edits_hold_while_everything_fails(self):
-        self.assertGreater(sum(self.run_seed(s, ("controller", "gateway", "storage", "gateway")) for s in SEEDS), 5 * len(SEEDS))
+        self.assertGreater(
+            sum(self.run_seed(s, ("controller", "gateway", "storage", "gateway")) for s in SEEDS), 5 * len(SEEDS)
+        )
 
 
 class Controllers(unittest.TestCase):
@@ -126,9 +130,18 @@
         lost.start()
         self.assertNotEqual(lost.node, old)
         self.assertEqual(lost.part.state, "newcomer")
-        self.stage.until(lambda: self.stage.leader() and old not in self.stage.leader().part.cluster_state.voters
-                         and len(self.stage.leader().part.cluster_state.voters) == 3, 12, "the standby votes")
-        self.stage.until(lambda: lost.part.cluster_state.sequence == self.stage.leader().part.cluster_state.sequence, 5, "it follows")
+        self.stage.until(
+            lambda: (
+                self.stage.leader()
+                and old not in self.stage.leader().part.cluster_state.voters
+                and len(self.stage.leader().part.cluster_state.voters) == 3
+            ),
+            12,
+            "the standby votes",
+        )
+        self.stage.until(
+            lambda: lost.part.cluster_state.sequence == self.stage.leader().part.cluster_state.sequence, 5, "it follows"
+        )
 
     def test_a_lone_side_refuses_edits_and_reads(self):
         leader = self.stage.leader()
@@ -150,7 +163,12 @@
         other = next(a for a in self.stage.role("controller") if a is not leader and a.part.leader == leader.node)
         self.stage.cut([leader.name], [a for a in self.stage.actors if a != leader.name])
         with self.assertRaises(Unproven):
-            self.stage.do(other.part._ask_leader("controller.edit", EditRequest(command=edit_of("r", 0, "passed on")), EditResponse), 3)
+            self.stage.do(
+                other.part._ask_leader(
+                    "controller.edit", EditRequest(command=edit_of("r", 0, "passed on")), EditResponse
+                ),
+                3,
+            )
 
     def test_service_goes_on_with_all_controllers_cut_off_and_no_edit_is_acknowledged(self):
         controllers = [a.name for a in self.stage.role("controller")]
@@ -159,8 +177,10 @@
         for _ in range(100):
             self.stage.run(0.1)
             if _ > 30:
-                self.assertEqual([a.ctx.cluster.state for a in self.stage.role("gateway") if a.ctx.cluster.ready()],
-                                 ["witnessed"] * 3)
+                self.assertEqual(
+                    [a.ctx.cluster.state for a in self.stage.role("gateway") if a.ctx.cluster.ready()],
+                    ["witnessed"] * 3,
+                )
         with self.assertRaises(PipitlinkError):
             self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "unheard")), 20)
 
@@ -173,8 +193,10 @@
         leader = self.stage.leader().part
         self.stage.do(leader.edit(edit_of("r", cluster_state.table, "two away")), 6)
         newest = leader.cluster_state.table
-        self.stage.cut([a.name for a in self.stage.role("controller")],
-                       [a.name for a in self.stage.actors.values() if a.role != "controller"])
+        self.stage.cut(
+            [a.name for a in self.stage.role("controller")],
+            [a.name for a in self.stage.actors.values() if a.role != "controller"],
+        )
         for a in storage_nodes[:2]:
             a.start()
         for _ in range(100):
@@ -202,14 +224,18 @@
         for a in (storage_node, controller):
             self.stage.until(lambda: len(a.ctx.membership.members(status=("alive",))) == 11, 10, "all are met again")
         storage_node.freeze()
-        self.stage.until(lambda: controller.ctx.membership.status(storage_node.node) == "gone", 10, "it is held for gone")
+        self.stage.until(
+            lambda: controller.ctx.membership.status(storage_node.node) == "gone", 10, "it is held for gone"
+        )
         storage_node.thaw()
-        self.stage.until(lambda: controller.ctx.membership.status(storage_node.node) == "alive", 10, "it has refuted that")
+        self.stage.until(
+            lambda: controller.ctx.membership.status(storage_node.node) == "alive", 10, "it has refuted that"
+        )
         self.assertGreater(storage_node.ctx.membership.me.incarnation, 1)
 
     def test_an_controller_without_room_refuses_edits_up_front(self):
         part = self.stage.leader().part
-        with unittest.mock.patch.object(part.archive, "used", lambda: 10 ** 12), self.assertRaises(NoRoom) as no:
+        with unittest.mock.patch.object(part.archive, "used", lambda: 10**12), self.assertRaises(NoRoom) as no:
             self.stage.do(part.edit(edit_of("r", 0, "no room")))
         self.assertFalse(no.exception.sent)
         self.assertEqual(self.stage.do(part.edit(edit_of("r", 0, "room"))).code, "done")
@@ -226,15 +252,17 @@
             out = self.stage.do(part.edit(edit_of("s", part.cluster_state.table, f"next{n}")))
             self.assertEqual(out.code, "done")
         self.stage.run(3)
-        cluster_states = {(a.part.cluster_state.table, *sorted((r.name, r.model) for r in a.part.cluster_state.rows.values()))
-                  for a in self.stage.role("controller")}
+        cluster_states = {
+            (a.part.cluster_state.table, *sorted((r.name, r.model) for r in a.part.cluster_state.rows.values()))
+            for a in self.stage.role("controller")
+        }
         self.assertEqual(len(cluster_states), 1, cluster_states)
         self.assertIsInstance(no.exception, Unproven)
 
     def test_a_leader_does_not_count_what_its_own_disk_has_not_synced_in_this_term(self):
         """Its mark from an earlier term may lie beyond a log that was cut back since."""
         for a in self.stage.role("controller"):
-            a.part._synced = 10 ** 6
+            a.part._synced = 10**6
         self.stage.leader().part.step_down()
         leader = self.stage.until(self.stage.leader, 10, "a controller leads")
         self.stage.run(2)
@@ -285,7 +313,9 @@
         self.stage.until(lambda: leader.part.archive.snapshot.index > 0, 10, "trimmed")
         late = self.stage.add("controller", "controller9", "zone-a", 1900)
         late.start()
-        self.stage.until(lambda: late.part.cluster_state.sequence == leader.part.cluster_state.sequence, 10, "the newcomer follows")
+        self.stage.until(
+            lambda: late.part.cluster_state.sequence == leader.part.cluster_state.sequence, 10, "the newcomer follows"
+        )
         for a in (leader, late):
             a.kill(power=True)
             a.start()
--- a/tests/test_stage_disk_lost.py
+++ b/tests/test_stage_disk_lost.py
@@ -1,4 +1,7 @@
-"""A storage node's disk is lost while all machines are down: its placement groups are made whole first, and leases outlast that."""
+"""A storage node's disk is lost while all machines are down: its placement groups are made whole first, and leases
+outlast that.
+"""
+
 import unittest
 
 from rehearsal.trouble import seeds
@@ -14,7 +17,11 @@
             with self.subTest(seed=seed):
                 stage = staged(seed, named=True)
                 self.addCleanup(stage.end)
-                stage.until(lambda: len(self._leader(stage).cluster_state.storage_node_names) == 4, 20, "names are in the cluster state")
+                stage.until(
+                    lambda: len(self._leader(stage).cluster_state.storage_node_names) == 4,
+                    20,
+                    "names are in the cluster state",
+                )
                 c = Callers(stage)
                 stage.breaks, stage.step = 0, stage.step * 5
                 for a in stage.actors.values():
@@ -29,8 +36,15 @@
                 names = [c.lot(8) for _ in range(6)]
                 for name in names:
                     self.assertEqual(stage.do(c.hand_in(name)), 202)
-                stage.until(lambda: not any(was in s.storage_nodes for s in self._leader(stage).cluster_state.placement_groups.values()), 6,
-                            "no placement group counts on the lost storage node")
+                stage.until(
+                    lambda: (
+                        not any(
+                            was in s.storage_nodes for s in self._leader(stage).cluster_state.placement_groups.values()
+                        )
+                    ),
+                    6,
+                    "no placement group counts on the lost storage node",
+                )
                 stage.until(lambda: all(c.whole(n) for n in names), 40, "all is listed")
                 ran_out = [x for x in stage.sink.lines if "lease_lost" in x and "ran out" in x]
                 self.assertEqual(ran_out, [])
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -1,4 +1,5 @@
 """What a fleet at rest sends: on the stage, so that nothing depends on the machine."""
+
 import unittest
 from collections import Counter
 
--- a/tests/test_stage_keeping.py
+++ b/tests/test_stage_keeping.py
@@ -1,4 +1,5 @@
 """Room is given back without losing what counts, and damage is met honestly."""
+
 import unittest
 from unittest import mock
 
@@ -13,7 +14,9 @@
         p = mock.patch.object(segments, "SEGMENT", 20_000)
         p.start()
         self.addCleanup(p.stop)
-        self.stage = Stage(3, controllers=3, storage_nodes=3, gateways=2, placement_groups=2, settings={"retention_s": 60})
+        self.stage = Stage(
+            3, controllers=3, storage_nodes=3, gateways=2, placement_groups=2, settings={"retention_s": 60}
+        )
         self.addCleanup(self.stage.end)
         self.stage.start()
         self.stage.ready()
--- a/tests/test_stage_logs.py
+++ b/tests/test_stage_logs.py
@@ -1,10 +1,11 @@
 """Logs and leases under kills, power losses, freezes and cuts, over many seeds."""
+
 import contextlib
 import unittest
 
-from pipitlink.timers import ms
 from pipitlink.disk import frames
 from pipitlink.errors import Fenced, NotHeld, PipitlinkError
+from pipitlink.timers import ms
 from rehearsal.stage import Stage
 from rehearsal.trouble import Trouble, seeds
 
--- a/tests/test_stage_lots.py
+++ b/tests/test_stage_lots.py
@@ -1,4 +1,7 @@
-"""Whole gateways with staged engines under trouble: lots, items, ends, engines and live requests, judged by the checker."""
+"""Whole gateways with staged engines under trouble: lots, items, ends, engines and live requests, judged by the
+checker.
+"""
+
 import unittest
 
 from rehearsal.checker import check
@@ -8,8 +11,18 @@
 
 SEEDS = seeds(3)
 FEW = seeds(1)
-OWNED = ("replicated_log.lease", "replicated_log.write", "replicated_log.renew", "replicated_log.mark", "lots.end", "controller.append", "controller.vote",
-         "controller.follow", "replicated_log.read", "controller.caught_up")
+OWNED = (
+    "replicated_log.lease",
+    "replicated_log.write",
+    "replicated_log.renew",
+    "replicated_log.mark",
+    "lots.end",
+    "controller.append",
+    "controller.vote",
+    "controller.follow",
+    "replicated_log.read",
+    "controller.caught_up",
+)
 ROLES = ("gateway", "gateway", "storage", "controller")
 
 
@@ -33,6 +46,7 @@
         stage.run(9)
         c.note("healed", id=0, settle=0)
         for lot in c.lots:
+
             def closed():
                 return stage.do(c.one_read(lot), 10, "a read")["state"] in ("done", "ended")
 
@@ -50,11 +64,26 @@
         for a in stage.role("gateway"):
             o = a.part.open_lots.get(lot)
             h = o and o.leaseholder
-            out.append((a.name, a.node, "closed" if lot in a.part._closed else "", o and (
-                a.part._owner(lot), sorted(o.results), sorted(o.started), o.waiting, list(o.running), o.again_at, o.taking,
-                o.try_at, h and (h.epoch, h.lost, h.final, h.committed, len(h.data), h.held()))))
-        return "\n".join(map(str, out)) + "\n" + "\n".join(
-            line for line in stage.sink.lines if lot in line)[-4000:]
+            out.append(
+                (
+                    a.name,
+                    a.node,
+                    "closed" if lot in a.part._closed else "",
+                    o
+                    and (
+                        a.part._owner(lot),
+                        sorted(o.results),
+                        sorted(o.started),
+                        o.waiting,
+                        list(o.running),
+                        o.again_at,
+                        o.taking,
+                        o.try_at,
+                        h and (h.epoch, h.lost, h.final, h.committed, len(h.data), h.held()),
+                    ),
+                )
+            )
+        return "\n".join(map(str, out)) + "\n" + "\n".join(line for line in stage.sink.lines if lot in line)[-4000:]
 
     def judge(self, bring, few=SEEDS):
         done = [self.run_seed(s, bring) for s in few]
@@ -72,7 +101,10 @@
         stage.until(lambda: sum(n["event"] == "run" for n in stage.notes) >= 3, 30, "items run")
 
         def owner():
-            return next((a for a in stage.role("gateway", alive=True) if (o := a.part.open_lots.get(lot)) and o.leaseholder), None)
+            return next(
+                (a for a in stage.role("gateway", alive=True) if (o := a.part.open_lots.get(lot)) and o.leaseholder),
+                None,
+            )
 
         owner().kill()
         stage.until(owner, 30, "another gateway owns it")
@@ -89,8 +121,13 @@
         self.addCleanup(stage.end)
         c = Customers(stage)
         lot = stage.until(lambda: stage.do(c.one_lot(12)), 20, "a lot is taken")
-        owner = stage.until(lambda: next((a for a in stage.role("gateway") if (o := a.part.open_lots.get(lot)) and o.leaseholder),
-                                         None), 30, "a gateway owns it")
+        owner = stage.until(
+            lambda: next(
+                (a for a in stage.role("gateway") if (o := a.part.open_lots.get(lot)) and o.leaseholder), None
+            ),
+            30,
+            "a gateway owns it",
+        )
         storage_nodes = [a.name for a in stage.role("storage")]
         stage.cut([owner.name], storage_nodes)
         got, fault = stage.do(c._ask(lambda part: part.end_here(lot), 9.0, owner), 12)
@@ -98,8 +135,19 @@
         stage.heal()
         stage.until(lambda: stage.do(c.one_read(lot), 10)["state"] in ("done", "ended"), 60, "it is done or ended")
         c.note("lot_ended", lot=lot, status=503, said={})
-        self.assertEqual(check([e for e in c.events if e["status"] in (200, 201, 503) and e["event"] != "results" or
-                                e.get("status") == 200], stage.notes, {}, capacity=4), [])
+        self.assertEqual(
+            check(
+                [
+                    e
+                    for e in c.events
+                    if e["status"] in (200, 201, 503) and e["event"] != "results" or e.get("status") == 200
+                ],
+                stage.notes,
+                {},
+                capacity=4,
+            ),
+            [],
+        )
 
     def test_news_of_engines_that_waited_for_a_sleeping_gateway_is_not_fresh(self):
         stage = staged(4, engines=1)
@@ -119,6 +167,7 @@
 
     def test_a_node_that_freezes_in_the_midst_of_each_step_that_has_an_owner(self):
         """Its call has just left; it wakes after its lease, its cluster state and its leadership have ended."""
+
         def bring(stage, trouble, work):
             steps = list(OWNED)
             stage.chance.shuffle(steps)
--- a/tests/test_stage_placement.py
+++ b/tests/test_stage_placement.py
@@ -1,9 +1,10 @@
 """Placement groups move off lost and retired storage nodes, and nothing acknowledged is lost on the way."""
+
 import unittest
 
-from pipitlink.timers import ms
 from pipitlink.disk import frames
 from pipitlink.errors import GatewayError, PipitlinkError
+from pipitlink.timers import ms
 from pipitlink.wire.cluster_pb2 import Command, StorageNodeEdit
 from rehearsal.stage import Stage
 from rehearsal.trouble import seeds
@@ -83,7 +84,11 @@
         lost.wipe()
         lost.start()
         stage.until(lambda: self.placed(stage, node), 6, "the placement groups have moved, and nothing was waited for")
-        stage.until(lambda: stage.leader() and node not in stage.leader().part.cluster_state.storage_nodes, 10, "it is off the cluster state")
+        stage.until(
+            lambda: stage.leader() and node not in stage.leader().part.cluster_state.storage_nodes,
+            10,
+            "it is off the cluster state",
+        )
         self.check(stage, logs)
 
     def test_a_retired_storage_node_gives_up_its_placement_groups_and_then_may_be_switched_off(self):
@@ -92,8 +97,11 @@
         part = stage.leader().part
         part.check_retirement(part.cluster_state, gone.node)
         stage.do(part.edit(Command(storage_node=StorageNodeEdit(storage_node=gone.node, status="retiring"))))
-        stage.until(lambda: stage.leader() and stage.leader().part.cluster_state.storage_nodes.get(gone.node) == "retired", 60,
-                    "it may be switched off")
+        stage.until(
+            lambda: stage.leader() and stage.leader().part.cluster_state.storage_nodes.get(gone.node) == "retired",
+            60,
+            "it may be switched off",
+        )
         with self.assertRaises(GatewayError) as no:
             stage.leader().part.check_retirement(stage.leader().part.cluster_state, stage.role("storage")[0].node)
         self.assertEqual(no.exception.code, "too_few_copies")
@@ -105,7 +113,10 @@
         stage, logs = self.stage(9, storage_nodes=3)
         new = stage.add("storage", "storage7", "zone-d", 1700)
         new.start()
-        stage.until(lambda: stage.leader() and stage.leader().part._holds(stage.leader().part.cluster_state)[new.node] >= 2, 60,
-                    "it has placement groups")
+        stage.until(
+            lambda: stage.leader() and stage.leader().part._holds(stage.leader().part.cluster_state)[new.node] >= 2,
+            60,
+            "it has placement groups",
+        )
         stage.run(5)
         self.check(stage, logs)
--- a/tests/test_stage_restart.py
+++ b/tests/test_stage_restart.py
@@ -1,4 +1,5 @@
 """How soon the controllers lead again after all of them ended, and that nobody else's leader is put aside by it."""
+
 import unittest
 
 from rehearsal.stage import Stage
