--- a/tests/test_platform_serve.py
+++ b/tests/test_platform_serve.py
@@ -156,6 +156,11 @@
 
 
 class Programs(unittest.TestCase):
+    def test_the_deploy_file_lists_what_a_clean_build_calls(self):
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        self.assertIn("python3 -m pip", deploy["build"])
+        self.assertEqual(deploy["packages"], ["python3", "python3-pip", "ca-certificates"])
+
     def test_a_gateway_starts_listens_and_ends_as_the_deploy_file_says(self):
         run = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]["run"].split()
         inner, last, public, ready = _free_ports(4)
