Document modules, public classes and functions

Cause: most modules, many public classes and module-level functions had no docstring, so a reader had to infer units, shapes and errors from the code.

Each module and package now says its one job; public classes and functions say what they return, in which units, and which errors they raise where that is not obvious. Claims were checked against the code (limits in edit_id and text_of, exit codes, header codes).

--- a/pipitlink/__init__.py
+++ b/pipitlink/__init__.py
@@ -1,3 +1,5 @@
+"""A serving tier for model requests: live calls and batches of items on the same engines."""
+
 __all__ = ["__version__"]
 
 __version__ = "0.1.0"
--- a/pipitlink/__main__.py
+++ b/pipitlink/__main__.py
@@ -1,3 +1,5 @@
+"""Runs the command line as `python -m pipitlink`."""
+
 from .command import main
 
 if __name__ == "__main__":
--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -1,3 +1,5 @@
+"""The cache as its users see it: reads and writes of chunks and lengths over the replicas."""
+
 from collections import Counter
 from datetime import timedelta
 
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -1,3 +1,5 @@
+"""Polls the lengths of the logs that readers of this process follow."""
+
 from collections import deque
 from contextlib import contextmanager
 from datetime import timedelta
@@ -14,6 +16,11 @@
 
 @attrs.define
 class Seen:
+    """What is known here of one log's lengths, in bytes: `durable` on a majority, `cached` in the data cache.
+
+    `proved` is when the storage nodes were last asked with an answer; times are on the timers' clock.
+    """
+
     path: str
     durable: int = 0
     cached: int = 0
--- a/pipitlink/cache/ring.py
+++ b/pipitlink/cache/ring.py
@@ -1,3 +1,5 @@
+"""Consistent hashing that places the replicas of cached chunks on gateways."""
+
 import bisect
 from functools import lru_cache
 from hashlib import blake2b
--- a/pipitlink/cache/shadow.py
+++ b/pipitlink/cache/shadow.py
@@ -1,3 +1,5 @@
+"""Copies committed bytes of a log from its leaseholder into the cache."""
+
 from twisted.internet import defer
 
 from ..timers import ms, spawn
--- a/pipitlink/cache/stores.py
+++ b/pipitlink/cache/stores.py
@@ -1,3 +1,5 @@
+"""The in-memory stores that hold a gateway's replicas of cached chunks and lengths."""
+
 from collections import OrderedDict
 from datetime import timedelta
 
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -1,3 +1,5 @@
+"""Follows one log record by record, from the cache where it can and from the storage nodes otherwise."""
+
 from datetime import timedelta
 
 from twisted.internet import defer
--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -1,3 +1,5 @@
+"""Publishes changes of the fleet's state as CloudEvents to an HTTP listener."""
+
 from collections import deque
 
 from twisted.internet import defer
--- a/pipitlink/cluster/cluster_state.py
+++ b/pipitlink/cluster/cluster_state.py
@@ -1,3 +1,5 @@
+"""The deterministic state that the controllers' agreed commands are applied to."""
+
 from collections import OrderedDict
 
 from ..replicated_log.placement_group import PlacementGroup
--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -1,3 +1,5 @@
+"""Follows the cluster state outside the controllers and proves that it is the newest."""
+
 from datetime import timedelta
 
 from twisted.internet import defer
--- a/pipitlink/cluster/routes.py
+++ b/pipitlink/cluster/routes.py
@@ -1,3 +1,5 @@
+"""Lookup and validation of the configuration of routes and pools."""
+
 from ..wire.cluster_pb2 import Config, Pool, Route
 
 __all__ = ["RouteTable", "KINDS"]
--- a/pipitlink/command.py
+++ b/pipitlink/command.py
@@ -1,3 +1,5 @@
+"""The command line: starts a node, or runs one of the operators' commands."""
+
 import sys
 
 import attrs
@@ -51,6 +53,10 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    """Runs one command and returns its exit code; 2 where the command or the settings are refused.
+
+    `argv` is the command line without the program's name; None takes the process's own.
+    """
     try:
         words = docopt(_help(), argv=argv, version=f"pipitlink {__version__}")
     except DocoptExit as e:
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -1,3 +1,5 @@
+"""What the parts of one process share: settings, timers, RPC endpoint, membership and cluster state."""
+
 import secrets
 from random import Random
 
@@ -14,6 +16,7 @@
 
 
 def fresh_id() -> str:
+    """Returns a random id of 16 hexadecimal digits."""
     return secrets.token_hex(8)
 
 
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -1,3 +1,5 @@
+"""Passes engine announcements on to all gateways."""
+
 from datetime import timedelta
 
 import attrs
--- a/pipitlink/controller/archive.py
+++ b/pipitlink/controller/archive.py
@@ -1,3 +1,5 @@
+"""A controller's disk: ballot, agreed log and snapshot."""
+
 import dbm.dumb
 import os
 import shutil
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -1,3 +1,5 @@
+"""The HTTP interface for configurations, zones, retirements and engine announcements."""
+
 from hashlib import blake2b
 
 from klein import Klein
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -1,3 +1,5 @@
+"""The operators' HTTP interface to the weight table, zones and storage nodes."""
+
 import json
 
 from twisted.internet import defer
@@ -31,6 +33,10 @@
 
 
 def edit_base(request) -> int:
+    """Returns the sequence that an edit builds on, from the request's If-Match header.
+
+    Raises BadRequest: 428 where there is none, 400 where it is no number from 0 up.
+    """
     raw = request.getHeader("If-Match")
     if raw is None:
         raise BadRequest(
@@ -46,6 +52,10 @@
 
 
 def edit_id(request, otherwise: str = "") -> str:
+    """Returns the edit's id from the request's Edit-Id header, else `otherwise`, else a fresh one.
+
+    Raises BadRequest where it has more than 100 characters.
+    """
     edit = request.getHeader("Edit-Id") or otherwise or fresh_id()
     if not 1 <= len(edit) <= 100:
         raise BadRequest("Edit-Id must have 1 to 100 characters", code="bad_field", field="Edit-Id")
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -1,3 +1,5 @@
+"""Delivers the cluster state to its followers, leases it, and confirms when an edit is in effect."""
+
 from datetime import timedelta
 
 import attrs
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -1,3 +1,5 @@
+"""Log replication of the controllers' consensus, for leader and followers."""
+
 from datetime import timedelta
 
 from twisted.internet import defer
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -1,3 +1,5 @@
+"""The controller node, put together from its mixins."""
+
 from pathlib import Path
 
 from ..cluster import ClusterState
@@ -27,6 +29,20 @@
 class ControllerNode(
     Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, HasStateMachine
 ):
+    """A controller: takes part in the agreement on the cluster state, and serves it.
+
+    The mixins share one archive (ballot, log, snapshot), one cluster state and one state machine (`voter.toml`):
+
+    - Founding names the first voters of a new fleet; Voting holds elections and writes the ballots.
+    - Leading replicates the log while this node leads, and takes in the leader's entries while it follows.
+    - Gateways leases the cluster state to followers and turns an agreed command into an edit that is in effect.
+    - Edits and Retiring serve operators, at any controller, by way of the leader's Gateways and Leading.
+    - Announcing passes news of engines on to gateways, and depends on neither leader nor majority.
+    - Placement and Voters run on the leader's timers and propose changes of placement groups and of voters.
+
+    This class owns archive, applied cluster state and timers, applies what is committed, and takes snapshots.
+    """
+
     state_machine = "voter"
 
     def __init__(self, ctx, disk: Disk | None = None):
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -1,3 +1,5 @@
+"""Places placement groups on storage nodes and moves them off lost or retiring ones."""
+
 from collections import Counter
 
 from ..cluster import ClusterState
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -1,3 +1,5 @@
+"""Retires storage nodes on an operator's request."""
+
 from ..cluster import ClusterState
 from ..errors import GatewayError, NotFound
 from ..wire.cluster_pb2 import Command, StorageNodeEdit
--- a/pipitlink/controller/rows.py
+++ b/pipitlink/controller/rows.py
@@ -1,3 +1,5 @@
+"""Reads and checks rows of the weight table."""
+
 import math
 import re
 
@@ -56,6 +58,7 @@
 
 
 def row_from(name: str, raw) -> Row:
+    """Returns a row read from its JSON object. Raises BadRows with everything that is wrong with it."""
     row, faults = _check(name, raw)
     if faults:
         raise BadRows(faults)
@@ -80,4 +83,5 @@
 
 
 def row_dict(r: Row) -> dict:
+    """Returns a row as a JSON object, without its name."""
     return {f: getattr(r, f) for f in FIELDS}
--- a/pipitlink/controller/voters.py
+++ b/pipitlink/controller/voters.py
@@ -1,3 +1,5 @@
+"""Changes of the voters: a standby takes the place of a lost one."""
+
 from ..timers import secs
 from ..wire.cluster_pb2 import Command, Controllers
 
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -1,3 +1,5 @@
+"""Elections of the controllers, and the founding of a new fleet."""
+
 from datetime import timedelta
 
 from twisted.internet import defer
--- a/pipitlink/dialect/__init__.py
+++ b/pipitlink/dialect/__init__.py
@@ -1,3 +1,5 @@
+"""The names, paths and JSON shapes of the routes interface, in one replaceable class."""
+
 from .batches import BatchWords
 from .control import ControlWords
 from .headers import HeaderWords
--- a/pipitlink/dialect/batches.py
+++ b/pipitlink/dialect/batches.py
@@ -1,3 +1,5 @@
+"""Paths and JSON shapes of batches."""
+
 import base64
 import binascii
 import json
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -1,3 +1,5 @@
+"""Paths and JSON shapes of the control interface."""
+
 import json
 
 from ..errors import BadRequest
--- a/pipitlink/dialect/headers.py
+++ b/pipitlink/dialect/headers.py
@@ -1,3 +1,5 @@
+"""Names of request and response headers."""
+
 __all__ = ["HeaderWords"]
 
 
--- a/pipitlink/dialect/reading.py
+++ b/pipitlink/dialect/reading.py
@@ -40,6 +40,10 @@
 
 
 def read_json(body: bytes) -> dict:
+    """Returns the JSON object in a body.
+
+    Raises BadRequest where it is no object, holds a name twice or a number that is not finite.
+    """
     try:
         raw = json.loads(body.decode("utf-8"), object_pairs_hook=_pairs, parse_constant=_no_number, parse_float=_float)
     except (ValueError, RecursionError) as e:
@@ -54,6 +58,7 @@
 
 
 def source_of(item) -> bytes:
+    """Returns a JSON value as compact bytes."""
     return json.dumps(item, separators=(",", ":")).encode()
 
 
@@ -62,6 +67,10 @@
 
 
 def text_of(raw: dict, field: str, where: str = "") -> str:
+    """Returns a text field of 1 to 2000 characters; `where` goes before the field's name in errors.
+
+    Raises BadRequest where it is missing or anything else.
+    """
     value = raw.get(field)
     if not _sound(value) or not 1 <= len(value) <= 2000:
         raise _wrong(where + field, "must be a text that is not empty")
@@ -69,6 +78,7 @@
 
 
 def count_of(raw: dict, field: str, least: int = 0) -> int:
+    """Returns a whole number from `least` up, below 2**63. Raises BadRequest where it is missing or anything else."""
     value = raw.get(field)
     if isinstance(value, bool) or not isinstance(value, int) or not least <= value < 2**63:
         raise _wrong(field, f"must be a whole number of {least} or more")
@@ -89,6 +99,7 @@
 
 
 def names_of(raw: dict, field: str) -> list[str]:
+    """Returns a list of texts, empty where the field is missing. Raises BadRequest where it is anything else."""
     names = raw.get(field, [])
     if not isinstance(names, list) or not all(_sound(n) for n in names):
         raise _wrong(field, "must be a list of names")
--- a/pipitlink/disk.py
+++ b/pipitlink/disk.py
@@ -1,3 +1,5 @@
+"""Durable file calls and the checksummed frames that logs are made of."""
+
 import os
 import shutil
 import zlib
@@ -30,6 +32,10 @@
 
 
 def swap_in(path: Path, data: bytes, disk: Disk | None = None):
+    """Replaces a file atomically: writes `data` beside it, syncs, renames it over `path` and syncs the folder.
+
+    Blocks until it is durable. Raises OSError; either the old file or the new one then stands whole.
+    """
     disk = disk or Disk()
     new = path.with_name(path.name + ".new")
     fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
@@ -53,6 +59,7 @@
 
 
 def frame(data: bytes) -> bytes:
+    """Returns one frame: the size and a CRC-32 over size and data, 4 bytes each and big-endian, then the data."""
     size = len(data).to_bytes(4, "big")
     return size + zlib.crc32(data, zlib.crc32(size)).to_bytes(4, "big") + data
 
--- a/pipitlink/gateway/bodies.py
+++ b/pipitlink/gateway/bodies.py
@@ -1,3 +1,5 @@
+"""JSON bodies of the models interface, checked and typed."""
+
 import json
 
 import attrs
@@ -45,6 +47,8 @@
 
 @attrs.frozen(kw_only=True)
 class GenerateBody:
+    """A live request for one model; `limit_ms` is its time limit in milliseconds."""
+
     model: str = attrs.field(validator=_sized(200, 1))
     prompt: str = attrs.field(validator=_sized(512 * 1024))
     prefix_key: str = attrs.field(default="", validator=_sized(200))
@@ -56,6 +60,8 @@
 
 @attrs.frozen(kw_only=True)
 class ItemBody:
+    """One item of a lot."""
+
     model: str = attrs.field(validator=_sized(200, 1))
     prompt: str = attrs.field(validator=_sized(256 * 1024))
     prefix_key: str = attrs.field(default="", validator=_sized(200))
@@ -65,6 +71,8 @@
 
 @attrs.frozen(kw_only=True)
 class LotBody:
+    """A lot handed in; `limit_ms` is how long after its arrival items may still be started, in milliseconds."""
+
     items: list[ItemBody] = attrs.field(validator=_sized(100_000, 1))
     customer: str = attrs.field(default="", validator=_sized(200))
     priority: int = attrs.field(default=0, validator=_between(-100, 100))
@@ -85,6 +93,8 @@
 
 @attrs.frozen(kw_only=True)
 class EngineBody:
+    """An engine's announcement of itself; `address` is IP:PORT, `capacity` the requests it runs at once."""
+
     engine: str = attrs.field(validator=_sized(200, 1))
     address: str = attrs.field(validator=_host_port)
     pool: str = attrs.field(validator=_sized(200, 1))
@@ -114,6 +124,7 @@
 
 
 def structure(raw, kind):
+    """Returns an instance of `kind` built from a JSON value. Raises BadRequest naming the first wrong field."""
     try:
         return _converter.structure(raw, kind)
     except (ClassValidationError, IterableValidationError) as e:
@@ -124,6 +135,7 @@
 
 
 def read_json(request, kind):
+    """Returns the request's JSON body as an instance of `kind`. Raises BadRequest where it cannot be one."""
     data = request.content.read()
     try:
         raw = json.loads(data)
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -1,3 +1,5 @@
+"""Runs the items of the lots that this gateway owns."""
+
 from datetime import timedelta
 
 from twisted.internet import defer
--- a/pipitlink/gateway/engines.py
+++ b/pipitlink/gateway/engines.py
@@ -1,3 +1,5 @@
+"""The engines of the models interface: status, load, and this gateway's part of their capacity."""
+
 from datetime import timedelta
 from hashlib import blake2b
 
@@ -24,6 +26,11 @@
 
 @attrs.define(eq=False)
 class Engine:
+    """One engine as this gateway knows it; times are on the timers' clock.
+
+    `live` and `lots` count this gateway's requests on it; `others` holds what each other gateway last told, and when.
+    """
+
     news: EngineNews
     renewed: timedelta
     ready_since: timedelta
--- a/pipitlink/gateway/fetching.py
+++ b/pipitlink/gateway/fetching.py
@@ -1,3 +1,5 @@
+"""Plain HTTP fetches from back ends, passed through to the caller."""
+
 from twisted.internet import defer, protocol
 from twisted.web.client import ResponseDone
 from twisted.web.iweb import UNKNOWN_LENGTH
--- a/pipitlink/gateway/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -1,3 +1,5 @@
+"""Takes lots in and makes them durable."""
+
 from ..errors import BadRequest, Crowded
 from ..timers import Joined, ms, secs, wall_ms
 from ..web import answered, send_json
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -1,3 +1,5 @@
+"""Takes in lots with an idempotency key, each key at most once."""
+
 from hashlib import blake2b
 
 import attrs
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -1,3 +1,5 @@
+"""Rate and concurrency limits that hold over all gateways."""
+
 import math
 from collections import deque
 from datetime import timedelta
--- a/pipitlink/gateway/live.py
+++ b/pipitlink/gateway/live.py
@@ -1,3 +1,5 @@
+"""Live requests: streaming, resuming, and engines' announcements."""
+
 import json
 from datetime import timedelta
 
@@ -22,6 +24,10 @@
 
 
 def whole_number(request, name: str, default: int = 0) -> int:
+    """Returns a query argument as a number from 0 up, `default` where it is missing.
+
+    Raises BadRequest where it is anything else.
+    """
     raw = request.args.get(name.encode(), [str(default).encode()])[0]
     try:
         n = int(raw)
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -1,3 +1,5 @@
+"""Follows the lot logs of all gateways, so that each knows the open lots."""
+
 from datetime import timedelta
 
 import attrs
@@ -15,6 +17,7 @@
 
 
 def result_log(lot: str) -> str:
+    """Returns the name of the log that holds a lot's results."""
     return f"results/{lot}"
 
 
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -1,3 +1,5 @@
+"""The gateway node of the models interface, put together from its mixins."""
+
 from klein import Klein
 
 from ..errors import NotFound
@@ -25,6 +27,17 @@
 class GatewayNode(
     Admitting, Picking, Limits, Relaying, Live, Runs, Fetching, Intake, Keyed, Lots, Dispatch, Results, RequestTable
 ):
+    """A gateway of the models interface: live requests, fetches and lots on the same engines.
+
+    RequestTable runs each request through named passes, and the mixins supply them:
+
+    - Admitting, Picking (with Limits for rates and concurrency), then Relaying or Fetching are a request's way out.
+    - Live and Runs are the callers' side of a live request: start, stream, resume here or through another gateway.
+    - Intake and Keyed make lots durable, Lots knows the open ones, Dispatch owns and runs them, Results shows them.
+
+    This class owns the engines, the retry budget and the HTTP server, and opens the mixins in the order they need.
+    """
+
     def __init__(self, ctx):
         self._ctx = ctx
         self.engines = ctx.engines = Engines(ctx)
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -1,3 +1,5 @@
+"""The passes that admit a request and pick its engine."""
+
 import math
 
 from twisted.internet import defer
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -1,3 +1,5 @@
+"""Sends a request to its engine and reads the streamed answer."""
+
 import json
 
 import treq
--- a/pipitlink/gateway/requests.py
+++ b/pipitlink/gateway/requests.py
@@ -1,3 +1,5 @@
+"""The record of each running request, and the passes that it goes through."""
+
 import bisect
 from datetime import timedelta
 from itertools import accumulate
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -1,3 +1,5 @@
+"""Shows and ends any lot, whichever gateway owns it."""
+
 from datetime import timedelta
 
 import attrs
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -1,3 +1,5 @@
+"""Reads live runs that another gateway holds."""
+
 from twisted.internet import defer
 
 from ..context import fresh_id
--- a/pipitlink/journal.py
+++ b/pipitlink/journal.py
@@ -1,3 +1,5 @@
+"""Structured logging: one line of key=value pairs for each event."""
+
 import sys
 from datetime import UTC, datetime
 
@@ -52,6 +54,10 @@
 
 
 def open_journal(level: str, stream=None, **always) -> Journal:
+    """Returns a journal on `stream`, stderr by default, with `always` added to each line.
+
+    `level` is the lowest level that is written. Sinks that were opened before are removed.
+    """
     logger.remove()
     logger.add(stream or sys.stderr, level=level.upper(), format=_shape, backtrace=False)
     return Journal(logger, **always)
--- a/pipitlink/membership/entry.py
+++ b/pipitlink/membership/entry.py
@@ -1,3 +1,5 @@
+"""The status of one other member."""
+
 from datetime import timedelta
 
 from ..state_machines import HasStateMachine
@@ -7,6 +9,8 @@
 
 
 class Entry(HasStateMachine):
+    """One other member: alive, suspect or gone, and since when on the timers' clock."""
+
     state_machine = "status"
 
     def __init__(self, member: Member, now: timedelta, journal):
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -1,3 +1,5 @@
+"""Failure detection and gossip: who is in the fleet, and who is heard."""
+
 from datetime import timedelta
 from hashlib import blake2b
 
--- a/pipitlink/membership/memory.py
+++ b/pipitlink/membership/memory.py
@@ -1,3 +1,5 @@
+"""Remembers peers' addresses on disk across restarts."""
+
 import json
 from pathlib import Path
 
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -1,3 +1,5 @@
+"""The HTTP interface of each node for operators: state, health and metrics."""
+
 from klein import Klein
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import GaugeMetricFamily
--- a/pipitlink/plugs.py
+++ b/pipitlink/plugs.py
@@ -21,6 +21,8 @@
 
 
 class Gate:
+    """Calls the hooks of the plug-in that the settings name, given as MODULE:WORDS."""
+
     def __init__(self, plug: str, ctx):
         self._hooks = pluggy.PluginManager("pipitlink")
         self._hooks.add_hookspecs(_Spec)
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -1,3 +1,5 @@
+"""Builds one node from its settings and runs it until it is told to end."""
+
 import gc
 import signal
 import sys
--- a/pipitlink/rendezvous.py
+++ b/pipitlink/rendezvous.py
@@ -1,3 +1,5 @@
+"""Rendezvous (highest random weight) hashing."""
+
 from hashlib import blake2b
 
 __all__ = ["rank"]
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -1,3 +1,5 @@
+"""The writing side of a replicated log: lease, epoch, append, commit."""
+
 from datetime import timedelta
 
 from twisted.internet import defer
--- a/pipitlink/replicated_log/placement_group.py
+++ b/pipitlink/replicated_log/placement_group.py
@@ -1,3 +1,5 @@
+"""Which storage nodes keep a log, and which of them make a quorum."""
+
 from hashlib import blake2b
 
 import attrs
@@ -6,6 +8,7 @@
 
 
 def placement_group_of(log: str, placement_groups: int) -> int:
+    """Returns the number, below `placement_groups`, of the placement group that a log belongs to."""
     return int.from_bytes(blake2b(log.encode(), digest_size=4).digest(), "big") % placement_groups
 
 
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -1,3 +1,5 @@
+"""Clients' access to replicated logs: hold, read, list, and the state of each."""
+
 from twisted.internet import defer
 
 from ..errors import NoMajority, WireError
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -1,3 +1,5 @@
+"""Takes batches in, each at most once."""
+
 from datetime import timedelta
 
 from ..errors import BadRequest, Crowded, GatewayError, NotHeld, PipitlinkError, ReplicatedLogError, WireError
@@ -15,6 +17,7 @@
 
 
 def refusal(e: GatewayError, dialect) -> tuple[int, dict, bytes]:
+    """Returns the HTTP response to a refused batch call: status, headers and body."""
     headers = {"Content-Type": "application/json"}
     if e.retry_after:
         headers["Retry-After"] = str(e.retry_after)
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -1,3 +1,5 @@
+"""Reads and ends batches at any gateway."""
+
 from contextlib import contextmanager
 from datetime import timedelta
 
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -1,3 +1,5 @@
+"""Runs the items of owned batches and writes their outputs."""
+
 from heapq import heapify, heappop, heappush
 
 from twisted.internet import defer
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -1,3 +1,5 @@
+"""Ownership of batches by the leases of their logs."""
+
 import re
 from datetime import timedelta
 
@@ -25,14 +27,17 @@
 
 
 def batch_log(batch_id: str) -> str:
+    """Returns the name of a batch's log."""
     return PREFIX + batch_id
 
 
 def good_id(batch_id: str) -> bool:
+    """Returns whether this can be a batch's id: 1 to 64 letters, digits, `-` and `_`."""
     return bool(_ID.match(batch_id))
 
 
 def head_of(batch: Batch) -> BatchHead:
+    """Returns a batch's head: all of it but the items' paths, headers and bodies."""
     return BatchHead(
         id=batch.id,
         host=batch.host,
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -1,3 +1,5 @@
+"""The record of one request by route."""
+
 from datetime import timedelta
 
 import attrs
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -1,3 +1,5 @@
+"""Chooses the engine of each call by expected wait."""
+
 from datetime import timedelta
 
 from twisted.internet import defer
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -1,3 +1,5 @@
+"""The engines of the routes interface: liveness, load, warm-up, kept prompt parts."""
+
 from collections import OrderedDict
 from datetime import timedelta
 
--- a/pipitlink/router/events.py
+++ b/pipitlink/router/events.py
@@ -1,3 +1,5 @@
+"""Parsing of server-sent events."""
+
 from ..errors import BackEndError
 
 __all__ = ["EventStream", "MAX_EVENT"]
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -1,3 +1,5 @@
+"""The callers' HTTP server: matches routes and passes requests on."""
+
 from io import BytesIO
 from urllib.parse import parse_qsl
 
--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -1,3 +1,5 @@
+"""Items of batches as calls to engines."""
+
 from datetime import timedelta
 
 import attrs
--- a/pipitlink/router/links.py
+++ b/pipitlink/router/links.py
@@ -1,3 +1,5 @@
+"""A pool of HTTP connections to engines, kept by address."""
+
 from collections import deque
 from datetime import timedelta
 
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -1,3 +1,5 @@
+"""The gateway node of the routes interface, put together from its mixins."""
+
 from klein import Klein
 
 from ..timers import ms
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -1,3 +1,5 @@
+"""Admission of batches by the tokens that wait on a route, counted over all gateways."""
+
 from datetime import timedelta
 
 import attrs
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -1,3 +1,5 @@
+"""Sends calls to engines and relays the answers, with retries that double nothing."""
+
 from twisted.internet import defer, protocol
 from twisted.web.client import ResponseDone
 
--- a/pipitlink/segments.py
+++ b/pipitlink/segments.py
@@ -1,3 +1,5 @@
+"""The append-only segment files under a node's logs: group writes, syncs, recovery."""
+
 import os
 import threading
 from collections.abc import Iterator
--- a/pipitlink/settings.py
+++ b/pipitlink/settings.py
@@ -1,3 +1,5 @@
+"""The settings of a node: defaults, checks, and reading them from a TOML file and flags."""
+
 import re
 import tomllib
 from ipaddress import ip_address
@@ -70,6 +72,11 @@
 
 @attrs.frozen(kw_only=True)
 class Settings:
+    """All settings of one node, checked. Spans end in their unit: `_ms`, `_s`; sizes in `_kb` or `_mb`.
+
+    Raises ValueError where a value is out of its bounds.
+    """
+
     fleet: str = attrs.field(default="pipit", validator=_name)
     name: str = attrs.field(default="", validator=_name_or_none)
     zone: str = attrs.field(default="zone-a", validator=_name)
@@ -150,6 +157,10 @@
 
 
 def read_settings(role: str, path: str | None, flags: dict) -> Settings:
+    """Reads a TOML file, if one is named, and flags over it, and checks all of it for a role.
+
+    Raises SettingsError with a line for each setting that is refused.
+    """
     lines: list[str] = []
     raw: dict = {}
     if path:
--- a/pipitlink/state_machines/__init__.py
+++ b/pipitlink/state_machines/__init__.py
@@ -1,3 +1,5 @@
+"""State machines described in data files: states, inputs and moves."""
+
 import tomllib
 import types
 from functools import cache
@@ -11,6 +13,7 @@
 
 @cache
 def state_machine_data(name: str) -> dict:
+    """Returns the parsed data file of a state machine, `NAME.toml` in this package."""
     return tomllib.loads(resources.files(__name__).joinpath(f"{name}.toml").read_text())
 
 
--- a/pipitlink/storage/__init__.py
+++ b/pipitlink/storage/__init__.py
@@ -1,3 +1,5 @@
+"""Storage nodes: durable replicas of logs, and the leases on them."""
+
 from .node import StorageNode, node_id
 
 __all__ = ["StorageNode", "node_id"]
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -1,3 +1,5 @@
+"""Brings a storage node's replicas up to date with those of its peers."""
+
 from ..errors import Fenced, NoMajority, ReplicatedLogError, WireError
 from ..replicated_log.placement_group import PlacementGroup
 from ..timers import ms, secs
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -1,3 +1,5 @@
+"""Grants and renews leases on logs."""
+
 from datetime import timedelta
 
 import attrs
--- a/pipitlink/storage/keeping.py
+++ b/pipitlink/storage/keeping.py
@@ -1,3 +1,5 @@
+"""Retention of ended logs and compaction of segment files."""
+
 from collections import Counter
 
 from ..timers import secs, wall_ms
--- a/pipitlink/storage/log_store.py
+++ b/pipitlink/storage/log_store.py
@@ -1,3 +1,5 @@
+"""The replicas of all logs on one storage node, and the rules of epochs and positions."""
+
 import bisect
 from pathlib import Path
 
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -1,3 +1,5 @@
+"""The storage node, put together from its mixins."""
+
 import json
 from pathlib import Path
 
@@ -44,6 +46,17 @@
 
 
 class StorageNode(Grants, Copying, Keeping):
+    """A storage node: answers reads and writes of its replicas of logs.
+
+    The mixins work on one log store through one syncer, so that their writes share group syncs:
+
+    - Grants grants leases; an epoch that was granted or promised fences the writers of lower ones.
+    - Copying brings replicas up to date from peers when this node joins a placement group or was away.
+    - Keeping drops ended logs after their retention and compacts segment files.
+
+    This class owns log store and syncer, and checks that a writer knows the newest placement.
+    """
+
     def __init__(self, ctx, disk: Disk | None = None):
         self._ctx = ctx
         budget = ctx.settings.budget_mb * 1024 * 1024
--- a/pipitlink/syncing.py
+++ b/pipitlink/syncing.py
@@ -1,3 +1,5 @@
+"""Group commit: turns queued writes of segment files into syncs on a thread."""
+
 from twisted.internet import defer
 
 from .errors import Damaged, NoRoom
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -1,3 +1,5 @@
+"""Monotonic time, delayed and repeated work, and time limits on Deferreds."""
+
 import time
 from datetime import UTC, datetime, timedelta
 from inspect import isawaitable
@@ -12,22 +14,27 @@
 
 
 def ms(n: float) -> timedelta:
+    """Returns a span of `n` milliseconds."""
     return timedelta(milliseconds=n)
 
 
 def secs(n: float) -> timedelta:
+    """Returns a span of `n` seconds."""
     return timedelta(seconds=n)
 
 
 def to_ms(span: timedelta) -> int:
+    """Returns the whole milliseconds in a span, rounded towards zero."""
     return int(span / timedelta(milliseconds=1))
 
 
 def spawn(work) -> defer.Deferred:
+    """Starts a coroutine, without waiting for it, and returns the Deferred of its result."""
     return defer.ensureDeferred(work)
 
 
 def wall_ms(at: datetime) -> int:
+    """Returns a wall-clock time as milliseconds since the Unix epoch."""
     return int(at.timestamp() * 1000)
 
 
--- a/pipitlink/tools.py
+++ b/pipitlink/tools.py
@@ -88,6 +88,10 @@
 
 
 def compare(first: str, second: str, as_json: bool) -> int:
+    """Compares the state of two nodes, by their operator addresses HOST:PORT, and prints the differences.
+
+    Returns the exit code: 0 alike, 1 different, 2 where a node could not be asked.
+    """
     try:
         (sa, a), (sb, b) = _ask(first, "GET", "/v1/beliefs"), _ask(second, "GET", "/v1/beliefs")
     except _Unreached as e:
@@ -166,6 +170,10 @@
 
 
 def run_tool(words: dict) -> int:
+    """Runs one operators' command, given as docopt's words, and returns its exit code.
+
+    0 done, 1 refused by the fleet, 2 where no address answered or a file cannot be read.
+    """
     if words["compare"]:
         return compare(words["A"], words["B"], words["--json"])
     places = [p for p in (words["--at"] or os.environ.get("PIPITLINK_AT", "")).split(",") if p]
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -1,3 +1,5 @@
+"""Shared HTTP server parts: bounded bodies, JSON responses, errors as JSON."""
+
 import json
 
 from twisted.internet import defer
@@ -75,6 +77,7 @@
 
 
 async def listen(reactor, site: Site, host: str, port: int):
+    """Binds an HTTP site and returns the listening port object and the port's number. Raises CannotListenError."""
     from twisted.internet.endpoints import TCP4ServerEndpoint
 
     opened = await TCP4ServerEndpoint(reactor, port, backlog=512, interface=host).listen(site)
@@ -82,6 +85,7 @@
 
 
 def send_json(request, body, status: int = 200, headers: dict | None = None):
+    """Sets status and headers of a JSON response and returns its body, which the handler is to return."""
     request.setResponseCode(status)
     request.setHeader(b"Content-Type", b"application/json")
     for k, v in (headers or {}).items():
@@ -107,6 +111,10 @@
 
 
 def send_fault(request, e: Exception):
+    """Sets up the JSON error response for an exception and returns its body.
+
+    An exception that is no GatewayError is mapped to one first; what is not known becomes a 500 with outcome unknown.
+    """
     f = _plain(e)
     body = {"code": f.code, "message": str(f), "outcome": f.outcome}
     if f.field:
--- a/pipitlink/wire/__init__.py
+++ b/pipitlink/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The wire format between nodes: protobuf messages, and RPC over TCP."""
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -1,3 +1,5 @@
+"""One TCP connection between two nodes: framing, calls and responses."""
+
 from twisted.internet import defer, protocol
 from twisted.protocols.basic import Int32StringReceiver
 
@@ -131,6 +133,8 @@
 
 
 class RpcConnectionFactory(protocol.Factory):
+    """Makes an RpcConnection for each peer that connects, and registers it with the endpoint."""
+
     noisy = False
 
     def __init__(self, rpc):
--- a/pipitlink/wire/make_wire.py
+++ b/pipitlink/wire/make_wire.py
@@ -7,6 +7,7 @@
 
 
 def make() -> int:
+    """Compiles all .proto files of this folder and returns the compiler's exit code."""
     here = Path(__file__).resolve().parent
     root = here.parent.parent
     names = sorted(str(p.relative_to(root)) for p in here.glob("*.proto"))
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -1,3 +1,5 @@
+"""The RPC endpoint of a node: registers handlers and makes calls."""
+
 from datetime import timedelta
 
 from google.protobuf.message import DecodeError
