Say of each mixin what it offers, needs and owns

Cause: the node classes are built from up to thirteen mixins that share self; which attribute belongs to which mixin could only be found by searching all of them.

Each mixin's docstring now lists what it offers, what it needs of the class and of which other mixin, and the attributes that only it writes. The lists come from a pass over the syntax trees (names defined, read and assigned on self for each class of a node) and a search for in-place changes. Docstrings only.

--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -50,7 +50,12 @@
 
 
 class Announcing:
-    """Mixin: engines announce themselves here, and every gateway is told; neither a leader nor a majority is needed."""
+    """Mixin: engines announce themselves here, and every gateway is told; neither a leader nor a majority is needed.
+
+    Offers `announce`.
+    Needs of the node: `_ctx`.
+    Owns `_announced`, `_renewed` and `_owed`.
+    """
 
     def _open_announcing(self):
         self._announced: dict[str, _Announced] = {}
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -73,7 +73,14 @@
 
 
 class Edits:
-    """Mixin: the operators' interface to the cluster state, the same at every controller."""
+    """Mixin: the operators' interface to the cluster state, the same at every controller.
+
+    Offers `newest` and `decide`, here or by way of the leader, the HTTP handlers and their `routes`, and the node's
+    `readiness`, `beliefs` and `metrics`.
+    Needs of the node: `_ctx`, `ask_controller`, `cluster_state`, `commit`, `leader`, `state`; of Gateways: `edit`; of
+    Leading and Voting: `sure_leader`, `term`, `_led_at`.
+    Owns no attributes.
+    """
 
     def _open_edits(self):
         self._ctx.rpc.answer("controller.edit", EditRequest, self._edit_for)
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -20,6 +20,11 @@
 class Placement:
     """Mixin: the leader places placement groups on storage nodes, zones kept distinct where possible, and moves them
     off lost ones.
+
+    Offers `_shelve_beat` for the leader's timers, and `check_retirement`.
+    Needs of the node: `_ctx`, `archive`, `cluster_state`, `commit`, `state`; of Gateways: `edit`, `followers`,
+    `_in_effect`; of Leading and Voting: `_propose`, `_elected_at`, `term`.
+    Owns `_caught_up_placement_groups`.
     """
 
     def _open_placement(self):
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -8,7 +8,12 @@
 
 
 class Retiring:
-    """Mixin: storage nodes are retired by their id or by their name, which outlives their process."""
+    """Mixin: storage nodes are retired by their id or by their name, which outlives their process.
+
+    Offers `retire` and `retirement`.
+    Needs of the node: `_ctx`; of Edits: `newest`, `decide`; of Placement: `check_retirement`.
+    Owns no attributes.
+    """
 
     def _storage_nodes_called(self, cluster_state: ClusterState, name: str) -> list[str]:
         if name in cluster_state.storage_nodes:
--- a/pipitlink/controller/voters.py
+++ b/pipitlink/controller/voters.py
@@ -10,7 +10,13 @@
 
 
 class Voters:
-    """Mixin: a lost voter's place goes to a standby, one membership change at a time."""
+    """Mixin: a lost voter's place goes to a standby, one membership change at a time.
+
+    Offers `_voters_beat` for the leader's timers.
+    Needs of the node: `_ctx`, `archive`, `cluster_state`, `commit`, `voters`, `state`; of Leading and Voting:
+    `_propose`, `_match`, `_acked_at`, `_elected_at`, `term`.
+    Owns no attributes.
+    """
 
     def _caught_up(self, node: str) -> bool:
         now = self._ctx.timers.now()
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -20,7 +20,12 @@
 
 
 class Founding:
-    """Mixin: the first voters, from an explicit list that is used only if every one of them is empty."""
+    """Mixin: the first voters, from an explicit list that is used only if every one of them is empty.
+
+    Offers `_found_beat`, run repeatedly until founded, and `_empty`, the answer to `controller.empty`.
+    Needs of the node: `_ctx`, `founders`, `adopt`, and `state` of its state machine.
+    Owns no attributes.
+    """
 
     async def _found_beat(self):
         if self.state != "newcomer" or not self._ctx.settings.founders:
@@ -56,7 +61,15 @@
 
 
 class Voting:
-    """Mixin: elections with a pre-vote. Ballots are synced before they are answered."""
+    """Mixin: elections with a pre-vote. Ballots are synced before they are answered.
+
+    Offers `term`, `is_majority`, `meet_term`, `step_down`, and for the node's timers `_election_beat` and
+    `_election_due`.
+    Needs of the node: `_ctx`, `archive`, `ask_controller`, `voters`, `state` and `put`; of Leading:
+    `heard_majority_at`, `_elected_at`.
+    Owns `_started_at`, `_fresh_spent`, `_fresh_at` and `_patience`, and alone writes ballots. Shares `leader`,
+    `_heard_at` and `_led_at` with Leading, which sets them when a leader is heard.
+    """
 
     def _open_voting(self):
         now = self._ctx.timers.now()
--- a/pipitlink/dialect/batches.py
+++ b/pipitlink/dialect/batches.py
@@ -26,7 +26,10 @@
 
 
 class BatchWords:
-    """Paths and JSON shapes of batches."""
+    """Paths and JSON shapes of batches.
+
+    Mixin of Dialect: needs and owns nothing. A platform overrides the class attributes, and `batch_call` for its paths.
+    """
 
     poll_wait = b"x-poll-wait-ms"
     batch_start = "from"
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -11,7 +11,10 @@
 
 
 class ControlWords:
-    """Paths and JSON shapes of configurations, engine announcements, zones and retirements."""
+    """Paths and JSON shapes of configurations, engine announcements, zones and retirements.
+
+    Mixin of Dialect: needs and owns nothing. A platform overrides the class attributes, which map its names to ours.
+    """
 
     control_paths = (
         ("GET", "/v1/config", "show_config"),
--- a/pipitlink/dialect/headers.py
+++ b/pipitlink/dialect/headers.py
@@ -4,7 +4,10 @@
 
 
 class HeaderWords:
-    """Names of the headers on requests by route and on their way to engines, in lower case."""
+    """Names of the headers on requests by route and on their way to engines, in lower case.
+
+    Mixin of Dialect: needs and owns nothing. A platform overrides the class attributes.
+    """
 
     request_id = b"x-request-id"
     deadline_ms = b"x-deadline-ms"
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -23,7 +23,13 @@
 
 
 class Dispatch:
-    """Mixin: owns lots by the lease of their result logs and runs their items in the room that is left."""
+    """Mixin: owns lots by the lease of their result logs and runs their items in the room that is left.
+
+    Offers `_owner`, `_lose` and `end_here`, and answers `lots.end`.
+    Needs of the node: `_ctx`, `engines`, `current`, `keep`; of Lots: `open_lots`, `_lot_timers`, `_closed`, `_close`;
+    of RequestTable: `asks`, `run`; of Picking: `candidates`, `lot_reserve`.
+    Owns no attributes of the node, but all of an OpenLot except its `id` and `lot`.
+    """
 
     def _open_dispatch(self):
         self._ctx.rpc.answer("lots.end", EndRequest, self._end_for)
--- a/pipitlink/gateway/fetching.py
+++ b/pipitlink/gateway/fetching.py
@@ -42,7 +42,12 @@
 
 
 class Fetching:
-    """Mixin: plain fetches from other back ends, such as route cards and stock."""
+    """Mixin: plain HTTP fetches from back ends other than engines, passed through unchanged.
+
+    Offers the HTTP handler `fetch` and `_pass_fetch`.
+    Needs of the node: `_ctx`; of RequestTable: `run`; of Relaying: `_send`, `_client`, `_discard`, `_pool`.
+    Owns no attributes.
+    """
 
     @answered
     async def fetch(self, request, pool: str, path: str = ""):
--- a/pipitlink/gateway/intake.py
+++ b/pipitlink/gateway/intake.py
@@ -22,7 +22,12 @@
 
 
 class Intake:
-    """Mixin: takes lots in, each by one append to this gateway's own lot log."""
+    """Mixin: takes lots in, each by one append to this gateway's own lot log.
+
+    Offers the HTTP handler `take_lot`, and `_lot_turn`, the number of the lot log that is written now.
+    Needs of the node: `_ctx`, `current`, `keep`; of Lots: `_known`; of Keyed: `_store_keyed`.
+    Owns `_lot_log`, `_lot_turn`, `_lot_log_at` and `_opening`.
+    """
 
     def _open_intake(self):
         self._lot_log = None
--- a/pipitlink/gateway/keyed.py
+++ b/pipitlink/gateway/keyed.py
@@ -40,7 +40,12 @@
 
 
 class Keyed:
-    """Mixin: lots with an idempotency key are taken by one owner for each shard of keys, so none is taken twice."""
+    """Mixin: lots with an idempotency key are taken by one owner for each shard of keys, so none is taken twice.
+
+    Offers `_store_keyed`, and answers `lots.keyed` as an owner.
+    Needs of the node: `_ctx`, `keep`; of Lots: `_known`; of Dispatch: `_owner`.
+    Owns `_shards` and `_turns`.
+    """
 
     def _open_keyed(self):
         self._shards: dict[str, _Shard] = {}
--- a/pipitlink/gateway/limits.py
+++ b/pipitlink/gateway/limits.py
@@ -87,6 +87,10 @@
     """Mixin: a row's rate and concurrency hold over the whole fleet: one gateway, its steward, hands out all of it.
 
     Every gateway hears which places the others hold with their loads, so that a new steward knows them at once.
+
+    Offers `_keep_rate` and `_keep_concurrency`, and answers `limits.take` as a steward.
+    Needs of the node: `_ctx`, `engines`, `come_back`; of Picking: `candidates`.
+    Owns `_books`, `_held`, `_gateways_then`, `_moved_at` and `_looked_at`.
     """
 
     def _open_limits(self):
--- a/pipitlink/gateway/live.py
+++ b/pipitlink/gateway/live.py
@@ -39,7 +39,13 @@
 
 
 class Live:
-    """Mixin: live requests from callers, and engines that announce themselves."""
+    """Mixin: live requests from callers, and engines that announce themselves.
+
+    Offers the HTTP handlers `generate`, `resume` and `announce`, and `_leave` for readers that go away.
+    Needs of the node: `_ctx`, `engines`, `_hold`; of RequestTable: `asks`, `run`, `_retire`; of Relaying: `hold_back`;
+    of Runs: `new_run`, `held_run`, `run_place`, `_ask_run`, `_follow_run`.
+    Owns no attributes.
+    """
 
     @answered
     async def generate(self, request):
--- a/pipitlink/gateway/lots.py
+++ b/pipitlink/gateway/lots.py
@@ -46,7 +46,12 @@
 
 
 class Lots:
-    """Mixin: every gateway reads all lot logs, so that any of them can take a lot up."""
+    """Mixin: every gateway reads all lot logs, so that any of them can take a lot up.
+
+    Offers `open_lots`, `_known` and `_close`, and wakes the timers in `_lot_timers`, which Dispatch fills.
+    Needs of the node: `_ctx`; of Intake: `_lot_turn`; of Dispatch: `_owner`.
+    Owns `open_lots`, `_closed`, `_tails` and `_lots_of`.
+    """
 
     def _open_lots(self):
         self.open_lots: dict[str, OpenLot] = {}
--- a/pipitlink/gateway/picking.py
+++ b/pipitlink/gateway/picking.py
@@ -23,7 +23,12 @@
 
 
 class Admitting:
-    """Mixin: the pass that lets a request in or sheds it early."""
+    """Mixin: the pass that lets a request in or sheds it early.
+
+    Offers `_pass_admit`.
+    Needs of the node: `_ctx`, `current`, `come_back`; of Limits: `_keep_rate`; of RequestTable: `asks`.
+    Owns no attributes.
+    """
 
     async def _pass_admit(self, ask):
         await self._await_current()
@@ -50,7 +55,12 @@
 
 
 class Picking:
-    """Mixin: the pass that picks a back end: weights, status, zone, warm prefix, bounded load."""
+    """Mixin: the pass that picks a back end: weights, status, zone, warm prefix, bounded load.
+
+    Offers `_pass_pick`, `candidates`, `lot_reserve`, and `_may_go_again` for a second try.
+    Needs of the node: `_ctx`, `engines`, `come_back`, `_retry_budget`, `_opened_at`; of Limits: `_keep_concurrency`.
+    Owns `_waiting`, which the node sets to 0 first.
+    """
 
     def candidates(self, model: str, pool: str = ""):
         out = []
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -187,7 +187,12 @@
 
 
 class Relaying:
-    """Mixin: the pass that sends a request to its back end and takes in the answer."""
+    """Mixin: the pass that sends a request to its back end and takes in the answer.
+
+    Offers `_pass_relay`, `hold_back`, and for Fetching `_send`, `_client`, `_discard` and `_pool`.
+    Needs of the node: `_ctx`, `engines`, `_retry_budget`; of Picking: `candidates`, `_may_go_again`.
+    Owns `_pool` and `_engine_pool`.
+    """
 
     def _open_relaying(self):
         self._engine_pool = _Pool(self._ctx.reactor, persistent=False)
--- a/pipitlink/gateway/requests.py
+++ b/pipitlink/gateway/requests.py
@@ -135,7 +135,13 @@
 
 
 class RequestTable:
-    """Requests are records in this table; named passes are run over each, in order."""
+    """Mixin: requests are records in this table; named passes are run over each, in order.
+
+    Offers `run`, `_retire`, `asks` and `first_pieces`, and the pass `_pass_mark`.
+    Needs of the node: `_ctx`, `_hold`, and a coroutine `_pass_NAME` for each name in `passes`, which returns whether
+    the passes begin again.
+    Owns `asks` and `first_pieces`.
+    """
 
     passes = {
         "live": ("admit", "pick", "relay"),
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -42,7 +42,12 @@
 
 
 class Results:
-    """Mixin: answers for any lot, whichever gateway took it or owns it."""
+    """Mixin: answers for any lot, whichever gateway took it or owns it.
+
+    Offers the HTTP handlers `show_lot`, `show_results` and `end_lot`.
+    Needs of the node: `_ctx`; of Lots: `open_lots`, `_known`; of Dispatch: `end_here`.
+    Owns `_readers` and `_lot_cache`.
+    """
 
     def _open_results(self):
         self._readers: dict[str, _Reader] = {}
--- a/pipitlink/gateway/runs.py
+++ b/pipitlink/gateway/runs.py
@@ -54,7 +54,12 @@
 
 
 class Runs:
-    """Mixin: a run's id names the gateway that holds it, and any gateway passes a resume on to that one."""
+    """Mixin: a run's id names the gateway that holds it, and any gateway passes a resume on to that one.
+
+    Offers `new_run`, `held_run`, `run_place`, `_ask_run` and `_follow_run`, and answers `runs.read`.
+    Needs of the node: `_ctx`; of RequestTable: `asks`; of Live: `_leave`.
+    Owns no attributes.
+    """
 
     def _open_runs(self):
         self._ctx.rpc.answer("runs.read", RunRequest, self._read_run)
--- a/pipitlink/membership/memory.py
+++ b/pipitlink/membership/memory.py
@@ -10,7 +10,12 @@
 
 
 class Memory:
-    """Mixin: peers remembered on disk, where the node has one, so that seeds are not needed again."""
+    """Mixin: peers remembered on disk, where the node has one, so that seeds are not needed again.
+
+    Offers `remember_in`, `_recall` and `_keep`.
+    Needs of Membership: `_ctx`, `_entries`, `_probe`.
+    Owns `_file`, which Membership sets to None first.
+    """
 
     def remember_in(self, folder: Path):
         self._file = folder / "peers.json"
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -32,6 +32,12 @@
     """Mixin: takes batches in. Whoever takes the lease of a batch's empty log writes the batch there, and owns it.
 
     429 and 503 are only said where this try wrote nothing; once a write has left, the answer is 202 or unknown.
+
+    Offers `take_batch`.
+    Needs of the node: `_ctx`, `dialect`; of Batches: `batches`, `_closing_batches`, `_hold_batch`, `_in_batch_turn`,
+    `_adopt_batch`, `_lose_batch`; of BatchRun: `_await_batch_durable`; of BatchRead: `_batch_of`; of Quota:
+    `_await_quota`, `_drop_grant`.
+    Owns `_batches_taking`.
     """
 
     def _open_batch_intake(self):
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -60,7 +60,12 @@
 
 
 class BatchRead:
-    """Mixin: tells any batch's outputs and items at any gateway, and ends batches through their owners."""
+    """Mixin: tells any batch's outputs and items at any gateway, and ends batches through their owners.
+
+    Offers `read_batch`, `read_item`, `end_batch`, `_batch_of` and `_listing_of`, and answers `batches.end`.
+    Needs of the node: `_ctx`, `dialect`; of Batches: `batches`, `_closing_batches`, `_hold_batch`, `_in_batch_turn`.
+    Owns `_batch_readers`.
+    """
 
     def _open_batch_reads(self):
         self._batch_readers: dict[str, _Reader] = {}
--- a/pipitlink/router/batch_run.py
+++ b/pipitlink/router/batch_run.py
@@ -25,7 +25,13 @@
 
 
 class BatchRun:
-    """Mixin: runs the items of the batches that this gateway owns, and lists what became of them."""
+    """Mixin: runs the items of the batches that this gateway owns, and lists what became of them.
+
+    Offers `_wake_feed`, `_finish_if_listed` and `_await_batch_durable`.
+    Needs of the node: `_ctx`, `engines`; of Batches: `batches`, `_closing_batches`, `_batch_routes`; of Choosing:
+    `batch_room`; of Items: `run_item`.
+    Owns `_feed_wake` and `_batch_turn`.
+    """
 
     def _open_batch_run(self):
         self._feed_wake: defer.Deferred | None = None
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -147,7 +147,14 @@
 
 
 class Batches:
-    """Mixin: one log for each batch, whose lease's leaseholder owns it; what nobody owns is taken up again."""
+    """Mixin: one log for each batch, whose lease's leaseholder owns it; what nobody owns is taken up again.
+
+    Opens the other batch mixins. Offers `batches`, `batch_metrics`, `_hold_batch`, `_in_batch_turn`, `_adopt_batch`,
+    `_lose_batch`, `_batch_routes`, `_list_batches` and `_end_batches`.
+    Needs of the node: `_ctx`; of BatchRun: `_wake_feed`, `_finish_if_listed`; of Quota: `_listed_lots`, `_told_done`,
+    `_quota_told`, `_quota_unknown`, `_quota_moved_at`.
+    Owns `batches`, `_closing_batches`, `_batch_turns`, `_adopting_batches`, `_orphan_batches` and `_taking_up_batches`.
+    """
 
     def _open_batches(self):
         self.batches: dict[str, OpenBatch] = {}
--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -33,8 +33,11 @@
 
 
 class Choosing:
-    """Mixin: which engine a call goes to: by pool, status, zone, kept prompt parts, what is read and what runs
-    there.
+    """Mixin: which engine a call goes to: by pool, status, zone, kept prompt parts, what is read and what runs there.
+
+    Offers `choose`, `batch_room`, `ready_engines`, `most_links` and `_come_back`.
+    Needs of the node: `_ctx`, `engines`, `links`; of Quota: `waiting_tokens`.
+    Owns `_waiting` and `_long_at`.
     """
 
     def _open_choosing(self):
--- a/pipitlink/router/front.py
+++ b/pipitlink/router/front.py
@@ -172,8 +172,12 @@
 
 
 class Front:
-    """Mixin: callers' HTTP. Heads and bodies pass through; what is this tier's own is answered in the dialect's
-    words.
+    """Mixin: callers' HTTP. Heads and bodies pass through; what is this tier's own is answered in the dialect's words.
+
+    Offers `listen_callers`, `serve`, `end_front`, and `refused`, counts of refusals by code.
+    Needs of the node: `_ctx`, `current`; of Relay: `relay`; of BatchIntake: `take_batch`; of BatchRead: the calls that
+    the dialect's `batch_call` names. `early` is set before `listen_callers` where a socket listens already.
+    Owns `channels`, `refused`, `ending`, `_ports` and `_opened_at`.
     """
 
     early = None
--- a/pipitlink/router/items.py
+++ b/pipitlink/router/items.py
@@ -59,7 +59,12 @@
 
 
 class Items:
-    """Mixin: items of batches as calls to engines, one try at a time."""
+    """Mixin: items of batches as calls to engines, one try at a time.
+
+    Offers `run_item`.
+    Needs of the node: `_ctx`; of Relay: `relay`.
+    Owns no attributes.
+    """
 
     def _item_call(self, item: ItemCall) -> Call:
         words = self._ctx.dialect
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -20,7 +20,16 @@
 
 
 class RouterNode(Front, Choosing, Relay, Items, Batches, BatchIntake, BatchRun, BatchRead, Quota):
-    """A gateway that serves by routes: opaque requests to engines of pools, and batches on the same engines."""
+    """A gateway that serves by routes: opaque requests to engines of pools, and batches on the same engines.
+
+    The mixins form two paths that meet in Relay:
+
+    - Front takes callers' requests; Relay sends each as a Call to the engine that Choosing picks.
+    - BatchIntake makes batches durable, admitted by Quota; Batches owns them by leases; BatchRun feeds their items
+      through Items to Relay; BatchRead shows and ends them at any gateway.
+
+    This class owns the engines, the connections to them and the readiness server; Batches opens the other batch mixins.
+    """
 
     def __init__(self, ctx):
         self._ctx = ctx
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -44,6 +44,12 @@
     """Mixin: the waiting tokens of a route are counted over all gateways by one of them, its steward.
 
     Owners tell what waits with their loads, so every gateway has the count; grants not told yet are the steward's own.
+
+    Offers `_await_quota`, `_drop_grant`, `_told_done`, `_listed_lots` and `waiting_tokens`, answers `quota.take`, and
+    lets Batches read `_quota_told`, `_quota_unknown` and `_quota_moved_at`.
+    Needs of the node: `_ctx`, `engines`; of Batches: `batches`, `_batch_routes`, `_list_batches`; of BatchRead:
+    `_listing_of`.
+    Owns all attributes that begin with `_quota_`, `_listing_lots` and `_lots_listed_at`.
     """
 
     def _open_quota(self):
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -77,7 +77,12 @@
 
 
 class Relay:
-    """Mixin: sends a call to its engine, takes in the answer, and goes on elsewhere only where nothing is doubled."""
+    """Mixin: sends a call to its engine, takes in the answer, and goes on elsewhere only where nothing is doubled.
+
+    Offers `relay`, `calls` under way, and `counts` of tries and their ends.
+    Needs of the node: `_ctx`, `engines`, `links`; of Choosing: `choose`, `most_links`, `_come_back`.
+    Owns `calls` and `counts`.
+    """
 
     def _open_relay(self):
         self.calls: set = set()
--- a/pipitlink/state_machines/__init__.py
+++ b/pipitlink/state_machines/__init__.py
@@ -58,7 +58,12 @@
 
 
 class HasStateMachine:
-    """Mixin: a state state machine from a data file, with `put` for its inputs and `state` for where it is."""
+    """Mixin: a state machine from a data file, with `put` for its inputs and `state` for where it is.
+
+    Needs of the class: the data file's name in `state_machine`, a method `_NAME` for each `do = "NAME"` of the file's
+    moves, and a call of `_open_state_machine` before first use.
+    Owns `_core` and `_inputs`.
+    """
 
     state_machine = ""
 
--- a/pipitlink/storage/copying.py
+++ b/pipitlink/storage/copying.py
@@ -26,6 +26,10 @@
 class Copying:
     """Mixin: a storage node brings its copies up to what a majority of the placement group holds, when it joins or has
     been away.
+
+    Offers nothing to the node but its timers' work.
+    Needs of the node: `_ctx`, `log_store`, `_syncer`.
+    Owns `_mine`. Shares `_quiet_until` with Grants: it is put off when the node gets a new placement group.
     """
 
     def _open_copying(self):
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -21,7 +21,12 @@
 
 
 class Grants:
-    """Mixin: short log leases with rising, synced epochs."""
+    """Mixin: short log leases with rising, synced epochs.
+
+    Offers `_state`, a log's state with its leaseholder, and answers `replicated_log.lease` and `replicated_log.renew`.
+    Needs of the node: `_ctx`, `log_store`, `_syncer`, `_check_placement_group`.
+    Owns `_grants`. Shares `_quiet_until`, before which a free lease is not granted at once, with Copying.
+    """
 
     def _open_grants(self):
         self._grants: dict[str, _Grant] = {}
--- a/pipitlink/storage/keeping.py
+++ b/pipitlink/storage/keeping.py
@@ -13,7 +13,12 @@
 
 
 class Keeping:
-    """Mixin: drops the bytes of logs that ended long ago, and gives back the room of old files."""
+    """Mixin: drops the bytes of logs that ended long ago, and gives back the room of old files.
+
+    Offers nothing to the node but its timer's work.
+    Needs of the node: `_ctx`, `log_store`, `_syncer`, `_gather`.
+    Owns no attributes.
+    """
 
     def _open_keeping(self):
         self._ctx.timers.every(ELECTION_INTERVAL, self._keep, self._ctx.report("keeping"))
