--- a/tests/test_config_tool.py
+++ b/tests/test_config_tool.py
@@ -1,3 +1,5 @@
+"""The operators' commands for configurations: requests sent, output and exit codes."""
+
 import contextlib
 import io
 import json
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,3 +1,5 @@
+"""Whole fleets of real processes on loopback: requests, lots, edits and change events."""
+
 import subprocess
 import sys
 import threading
--- a/tests/test_router_live.py
+++ b/tests/test_router_live.py
@@ -1,3 +1,5 @@
+"""Live requests by route through one gateway, on an injected clock and in-memory connections."""
+
 import unittest
 
 from pipitlink.wire.cluster_pb2 import Pool
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -1,3 +1,5 @@
+"""How `pipitlink compare` finds, prints and returns the differences between two nodes."""
+
 import contextlib
 import io
 import unittest
