--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -28,7 +28,7 @@
 
 
 class Changes:
-    """Tells each change that the journal notes as a CloudEvent, where a prop names a listener.
+    """Tells each change that the journal notes as a CloudEvent, where a setting names a listener.
 
     It is off the path: the inbox is bounded, one task empties it, and what cannot be told in time is dropped and
     counted.
--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -45,5 +45,5 @@
         return lambda e: self.journal.fault(what, e)
 
     def spawned(self, work, what: str):
-        """Starts work that nobody waits for; its faults go to the journal."""
+        """Starts work that nobody waits for; its errors go to the journal."""
         return spawn(work).addErrback(lambda f: self.journal.fault(what, f.value))
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -94,7 +94,7 @@
         return self.cluster_state.data()
 
     async def newest(self) -> ClusterState:
-        """The newest agreed cluster state, proved by the leader, or a fault; never an older one."""
+        """The newest agreed cluster state, proved by the leader, or an error; never an older one."""
         if self.state == "leader":
             await self.sure_leader()
             return self.cluster_state
@@ -132,7 +132,7 @@
             raise Unproven("the leader changed or was lost before it answered") from None
 
     async def decide(self, c: Command) -> Outcome:
-        """The outcome of an edit, here or at the leader; a fault says whether it may have been taken."""
+        """The outcome of an edit, here or at the leader; an error says whether it may have been taken."""
         try:
             if self.state == "leader":
                 return await self.edit(c)
--- a/pipitlink/controller/rows.py
+++ b/pipitlink/controller/rows.py
@@ -66,7 +66,7 @@
 
 
 def rows_from(raw: dict) -> list[Row]:
-    """The whole cluster state, or every fault in it."""
+    """Returns the rows of a whole table, from JSON objects by name. Raises BadRows with what is wrong with them."""
     rows, faults = [], []
     targets: dict[tuple[str, str], str] = {}
     for name, one in raw.items():
--- a/pipitlink/dialect/batches.py
+++ b/pipitlink/dialect/batches.py
@@ -66,7 +66,7 @@
         return int(text)
 
     def read_lot(self, raw: bytes) -> Batch:
-        """The items of a batch that is handed in; a fault where anything in it is not as it must be."""
+        """The items of a batch that is handed in; an error where anything in it is not as it must be."""
         try:
             doc = json.loads(raw)
         except (ValueError, RecursionError):
--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -252,7 +252,7 @@
         await self._let_go(o)
 
     async def _end_log(self, h, why: str):
-        """The end is a mark of the lease's leaseholder: if it does not get durable, the lot is open for the next
+        """The end is a mark of the leaseholder: if it does not get durable, the lot is open for the next
         one.
         """
         if h.final:
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -23,7 +23,7 @@
 
 
 class _Point:
-    """Where one request goes, the check that it may still go there, and the stream that it went on."""
+    """Where one request goes, the check that it may still go there, and the connection that it went on."""
 
     def __init__(self, reactor, check):
         self._reactor, self.check = reactor, check
@@ -38,12 +38,12 @@
         return self._point.connect(factory)
 
     def abort(self):
-        """Ends the stream at once; what the body's reader is given as its transport cannot."""
+        """Ends the connection at once; what the body's reader is given as its transport cannot."""
         self.stream.transport.abortConnection()
 
 
 class _Pool(HTTPConnectionPool):
-    """Hands a stream over only if the request may still be sent, in the very step that writes its first byte."""
+    """Hands a connection over only if the request may still be sent, in the very step that writes its first byte."""
 
     retryAutomatically = False
     maxPersistentPerHost = 8
--- a/pipitlink/gateway/requests.py
+++ b/pipitlink/gateway/requests.py
@@ -154,7 +154,7 @@
         self.first_pieces = Spread()
 
     async def run(self, ask: RequestRecord):
-        """Runs the passes over one record until it is settled. Faults end up on the record."""
+        """Runs the passes over one record until it is settled. Errors end up on the record."""
         self.asks[ask.id] = ask
         if ask.kind == "live":
             began = self._ctx.timers.now()
--- a/pipitlink/gateway/results.py
+++ b/pipitlink/gateway/results.py
@@ -167,7 +167,7 @@
         raise Crowded("the lot's owner could not be asked", code="no_owner", outcome="unknown")
 
     async def _ask_owner(self, lot: str) -> str:
-        """Asks the lease's leaseholder; where there is none, this gateway takes the lot up itself."""
+        """Asks the log's leaseholder; where there is none, this gateway takes the lot up itself."""
         log = result_log(lot)
         state = (await self._ctx.replicated_log.states([log])).get(log)
         if state is not None and state.final:
--- a/pipitlink/plugs.py
+++ b/pipitlink/plugs.py
@@ -1,4 +1,4 @@
-"""A place for test-only plugs in the transport. Nothing is plugged in unless a prop names it."""
+"""A place for test-only plugs in the transport. Nothing is plugged in unless a setting names it."""
 
 import importlib
 
--- a/pipitlink/router/batch_read.py
+++ b/pipitlink/router/batch_read.py
@@ -88,7 +88,7 @@
         return o if o is not None and o.taken() and o.leaseholder.held() else None
 
     async def _listing_of(self, batch_id: str) -> Listing:
-        """The batch as it surely is by now; a fault where it is not known, or nothing is sure."""
+        """The batch as it surely is by now; an error where it is not known, or nothing is sure."""
         o = self._owned_listing(batch_id)
         return o.listing if o is not None else (await self._read_on(batch_id)).listing
 
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -147,7 +147,7 @@
 
 
 class Batches:
-    """Mixin: one log for each batch, whose lease's leaseholder owns it; what nobody owns is taken up again.
+    """Mixin: one log for each batch, whose leaseholder owns it; what nobody owns is taken up again.
 
     Opens the other batch mixins. Offers `batches`, `batch_metrics`, `_hold_batch`, `_in_batch_turn`, `_adopt_batch`,
     `_lose_batch`, `_batch_routes`, `_list_batches` and `_end_batches`.
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -106,7 +106,7 @@
                 call.link and call.link.discard()
 
     async def relay(self, call):
-        """Runs a call until its answer is whole at the sink; a fault says what is known of it."""
+        """Runs a call until its answer is whole at the sink; an error says what is known of it."""
         self.calls.add(call)
         try:
             while True:
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -116,7 +116,7 @@
         return out
 
     def every(self, span: timedelta, do, report, due=None) -> "Repeat":
-        """Runs `do` on every beat; `due` may tell how long nothing can be due, or None for until it is woken."""
+        """Runs `do` now, then `span` after each end; `due` may tell how long nothing is due, None for until woken."""
         r = Repeat(self, span, do, report, due)
         self._repeats.append(r)
         r.begin()
@@ -130,7 +130,7 @@
 
 
 class Repeat:
-    """Work repeated on a beat. Timers on which nothing is due are left out; the others keep their phase."""
+    """Work repeated at an interval. Runs on which nothing is due are left out; the others keep their phase."""
 
     def __init__(self, timers: Timers, span: timedelta, do, report, due=None):
         self._timers, self._span, self._do, self._report, self._due = timers, span, do, report, due
@@ -177,7 +177,7 @@
         self._call = self._timers.later(at - now, self.begin)
 
     def wake(self):
-        """Something is due: it runs on the next beat."""
+        """Something is due: it runs at the end of the interval."""
         if self._ended or self._next_at is None:
             return
         now = self._timers.now()
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -64,7 +64,7 @@
 
 
 class Site(server.Site):
-    """The HTTP face of a process, with bodies and idle streams bounded."""
+    """The HTTP face of a process, with bodies and idle connections bounded."""
 
     def __init__(self, resource, max_body: int):
         super().__init__(resource, requestFactory=_Request, timeout=60)
@@ -94,7 +94,7 @@
 
 
 def _plain(e: Exception) -> GatewayError:
-    """Turns a fault from a layer below into what a caller is told."""
+    """Turns an error from a layer below into what a caller is told."""
     if isinstance(e, GatewayError):
         return e
     if isinstance(e, WrongBase):
@@ -128,7 +128,7 @@
 
 
 def answered(do):
-    """Wraps a klein handler written as a coroutine: faults become JSON, a lost caller ends the work."""
+    """Wraps a klein handler written as a coroutine: errors become JSON, a lost caller ends the work."""
 
     def handler(self, request, *words, **named):
         work = spawn(do(self, request, *words, **named))
