--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -284,7 +284,7 @@
         self.assertEqual(again.code, "done")
 
     def test_an_controller_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself(self):
-        for name, pattern in (("controller0", "agreed/seg-*.log"), ("controller1", "cluster-*/cluster.dat")):
+        for name, pattern in (("controller0", "agreed/seg-*.log"), ("controller1", "setup-*/setup.dat")):
             a = self.stage.actors[name]
             a.kill()
             for path in a.folder.glob(pattern):
