--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -183,7 +183,7 @@
         self.stage.until(lambda: self.drop()[0] == 200, 3, "the gateways are told")
         self.assertEqual([g.states("e1")[-1] for g in self.gateways], ["gone"] * 3)
 
-    def test_an_controller_that_holds_all_gateways_for_gone_does_not_acknowledge_that_an_engine_leaves(self):
+    def test_a_controller_that_holds_all_gateways_for_gone_does_not_acknowledge_that_an_engine_leaves(self):
         self.beat(1)
         self.stage.cut([self.controller.name], [a for a in self.stage.actors if a != self.controller.name])
         self.stage.run(12)
--- a/tests/test_config_tool.py
+++ b/tests/test_config_tool.py
@@ -32,7 +32,7 @@
         path.write_text(text)
         return str(path)
 
-    def test_show_prints_it_and_goes_on_to_an_controller_that_knows(self):
+    def test_show_prints_it_and_goes_on_to_a_controller_that_knows(self):
         code, calls, out, _ = self.run_tool("config", "show", answers=[(503, {}), (200, {"version": 4})])
         self.assertEqual((code, json.loads(out)), (0, {"version": 4}))
         self.assertEqual([c[:3] for c in calls], [(p, "GET", "/v1/config") for p in ("a:1", "b:2")])
--- a/tests/test_platform_serve.py
+++ b/tests/test_platform_serve.py
@@ -87,7 +87,7 @@
         self.assertEqual(p.interface, "routes")
         self.assertLess(p.drain_ms, 8000)
 
-    def test_an_controller_founds_only_where_the_whole_starts_for_the_first_time(self):
+    def test_a_controller_founds_only_where_the_whole_starts_for_the_first_time(self):
         self.raw.update(
             serves_roles=["control_plane"], state_dir="/data/x", listen_addrs={"control_addr": "127.0.0.1:8146"}
         )
--- a/tests/test_stage_config.py
+++ b/tests/test_stage_config.py
@@ -280,7 +280,7 @@
             self.stage.until(lambda: late.part.leader, 2, "the newcomer hears who leads")
             self.assertEqual(self.caller.get(late)[1], config_of(30, *big))
 
-    def test_an_controller_without_a_leader_says_so_at_once(self):
+    def test_a_controller_without_a_leader_says_so_at_once(self):
         rest = [a.name for a in self.stage.actors.values() if a is not self.other]
         self.stage.cut([self.other.name], rest)
         self.stage.run(2)
--- a/tests/test_stage_controllers.py
+++ b/tests/test_stage_controllers.py
@@ -233,7 +233,7 @@
         )
         self.assertGreater(storage_node.ctx.membership.me.incarnation, 1)
 
-    def test_an_controller_without_room_refuses_edits_up_front(self):
+    def test_a_controller_without_room_refuses_edits_up_front(self):
         part = self.stage.leader().part
         with unittest.mock.patch.object(part.archive, "used", lambda: 10**12), self.assertRaises(NoRoom) as no:
             self.stage.do(part.edit(edit_of("r", 0, "no room")))
@@ -283,7 +283,7 @@
         again = self.stage.do(self.stage.leader().part.edit(edit_of("r", 0, "agreed")))
         self.assertEqual(again.code, "done")
 
-    def test_an_controller_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself(self):
+    def test_a_controller_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself(self):
         for name, pattern in (("controller0", "agreed/seg-*.log"), ("controller1", "setup-*/setup.dat")):
             a = self.stage.actors[name]
             a.kill()
--- a/tests/test_stage_restart.py
+++ b/tests/test_stage_restart.py
@@ -44,7 +44,7 @@
                     a.start()
                 stage.until(stage.leader, 0.55, "a leader after a restart with one disk lost")
 
-    def test_an_controller_that_starts_alone_does_not_put_the_leader_aside(self):
+    def test_a_controller_that_starts_alone_does_not_put_the_leader_aside(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 stage = self._fleet(seed)
