--- a/pipitlink/membership/memory.py
+++ b/pipitlink/membership/memory.py
@@ -18,7 +18,7 @@
     """
 
     def remember_in(self, folder: Path):
-        self._file = folder / "peers.json"
+        self._file = folder / "colleagues.json"
 
     def _recall(self):
         if self._file is None or not self._file.exists():
