Explore all orders of events on connections; a cut connection is left before its calls fail

Found: a connection failed its calls before it left the table of connections, so a call made by one that had just been cut off was refused for the connection that had ended ("the stream has ended"). It now leaves the table first. test_a_call_made_as_another_is_cut_off_goes_on_a_new_connection fails without that.

Two tests take the numbers out and see it found.

--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -50,6 +50,7 @@
 
     def connectionLost(self, reason=protocol.connectionDone):
         self.ended = True
+        self._rpc.gone(self)
         self._wake()
         calls, self._calls = self._calls, {}
         for d in calls.values():
@@ -57,7 +58,6 @@
                 d.errback(CutOff("the stream ended before the response"))
         if not self.ready.called:
             self.ready.errback(CutOff("the stream ended before the hello", sent=False))
-        self._rpc.gone(self)
 
     def _wake(self):
         if self._waiter is not None:
--- a/rehearsal/interleave.py
+++ b/rehearsal/interleave.py
@@ -1,8 +1,71 @@
-"""Runs a few real threads through every order in which they can meet at locks and disk calls."""
+"""Runs real code through every order in which its threads, or the events around it, can come."""
 
 import threading
 
-__all__ = ["Interleave", "StepLock"]
+__all__ = ["Choices", "Interleave", "StepLock", "explore_events", "walk_events"]
+
+
+class Choices:
+    """The choices of one run: those of a prefix, and then the first of each."""
+
+    def __init__(self, prefix: list[int]):
+        self._prefix = prefix
+        self.taken: list[tuple[int, int]] = []
+
+    def pick(self, count: int) -> int:
+        n = len(self.taken)
+        pick = self._prefix[n] if n < len(self._prefix) else 0
+        self.taken.append((pick, count))
+        return pick
+
+    def next_prefix(self) -> list[int] | None:
+        """The choices that lead to the next run, depth first; None after the last one."""
+        taken = list(self.taken)
+        while taken and taken[-1][0] + 1 >= taken[-1][1]:
+            taken.pop()
+        if not taken:
+            return None
+        return [pick for pick, _ in taken[:-1]] + [taken[-1][0] + 1]
+
+
+def _play_events(scene, pick, most_events: int) -> list[str]:
+    names = []
+    try:
+        for _ in range(most_events):
+            events = scene.events()
+            if not events:
+                break
+            name, do = events[pick(len(events))]
+            names.append(name)
+            do()
+            scene.check()
+        scene.finish()
+        scene.check()
+    except BaseException as e:
+        raise AssertionError(f"after {names}: {e!r}") from e
+    return names
+
+
+def explore_events(make_scene, most_events: int, most: int = 200_000) -> int:
+    """Runs a scene through every order of up to so many of its events; returns how many orders were run.
+
+    A scene offers `events()`, the pairs of name and action that may come next, `check()` after each of them, and
+    `finish()`, which lets all that is under way end.
+    """
+    prefix: list[int] | None = []
+    for count in range(1, most + 1):
+        choices = Choices(prefix)
+        _play_events(make_scene(), choices.pick, most_events)
+        prefix = choices.next_prefix()
+        if prefix is None:
+            return count
+    raise AssertionError(f"more than {most} orders")
+
+
+def walk_events(make_scene, chance, most_events: int, walks: int):
+    """Runs a scene through orders of its events that are drawn at random."""
+    for _ in range(walks):
+        _play_events(make_scene(), chance.randrange, most_events)
 
 
 class StepLock:
@@ -48,8 +111,7 @@
     """One run in a given order. `explore` makes as many as there are orders."""
 
     def __init__(self, prefix: list[int]):
-        self._prefix = prefix
-        self.taken: list[tuple[int, int]] = []
+        self._choices = Choices(prefix)
         self.back = threading.Semaphore(0)
         self._threads: list[_Thread] = []
         self._now: _Thread | None = None
@@ -71,10 +133,7 @@
         while not all(t.over for t in self._threads):
             ready = [t for t in self._threads if not t.over and t.may()]
             assert ready, "the threads wait for one another for ever"
-            n = len(self.taken)
-            pick = self._prefix[n] if n < len(self._prefix) else 0
-            self.taken.append((pick, len(ready)))
-            self._now = ready[pick]
+            self._now = ready[self._choices.pick(len(ready))]
             self._now.go.release()
             self.back.acquire(timeout=10)
         self._now = None
@@ -85,7 +144,7 @@
     @classmethod
     def explore(cls, make, most: int = 200_000) -> int:
         """`make(run)` gives (works, check); returns how many orders were run."""
-        prefix: list[int] = []
+        prefix: list[int] | None = []
         for count in range(1, most + 1):
             run = cls(prefix)
             works, check = make(run)
@@ -93,11 +152,8 @@
                 run.play(works)
                 check()
             except BaseException as e:
-                raise AssertionError(f"in the order {[p for p, _ in run.taken]}: {e!r}") from e
-            taken = run.taken
-            while taken and taken[-1][0] + 1 >= taken[-1][1]:
-                taken.pop()
-            if not taken:
+                raise AssertionError(f"in the order {[p for p, _ in run._choices.taken]}: {e!r}") from e
+            prefix = run._choices.next_prefix()
+            if prefix is None:
                 return count
-            prefix = [p for p, _ in taken[:-1]] + [taken[-1][0] + 1]
         raise AssertionError(f"more than {most} orders")
--- /dev/null
+++ b/tests/test_rpc_orders.py
@@ -0,0 +1,52 @@
+"""Every order in which calls between two processes can be answered, answered again, time out and be cut off."""
+
+import unittest
+import unittest.mock
+from random import Random
+
+from pipitlink.timers import secs, spawn
+from pipitlink.wire.connection import RpcConnection
+from pipitlink.wire.frame_pb2 import Hello
+from rehearsal.interleave import explore_events, walk_events
+
+from .rpc_scenes import PLACE, RpcScene
+
+
+class RpcOrders(unittest.TestCase):
+    def test_all_short_orders(self):
+        self.assertGreater(explore_events(RpcScene, 7), 2500)
+
+    def test_long_orders_at_random(self):
+        walk_events(RpcScene, Random(1), 16, 2000)
+
+    def test_a_call_made_as_another_is_cut_off_goes_on_a_new_connection(self):
+        scene = RpcScene()
+
+        def call(name):
+            return spawn(scene.endpoint.call(PLACE, "echo", Hello(node=name), Hello, secs(1)))
+
+        called_again = call("first").addErrback(lambda _: call("second"))
+        scene._cut(scene.endpoint.opened[0])
+        scene._take_in()
+        self.assertEqual([r.name for r in scene.received], ["first", "second"])
+        scene._answer(scene.received[1])
+        self.assertEqual(called_again.result.node, "second")
+
+    def test_numbers_are_needed(self):
+        def settle_any(connection, frame):
+            if connection._calls:
+                connection._calls.pop(min(connection._calls)).callback(frame)
+
+        with unittest.mock.patch.object(RpcConnection, "_settle", settle_any):
+            with self.assertRaisesRegex(AssertionError, "MIXED"):
+                explore_events(RpcScene, 5)
+
+    def test_numbers_are_never_used_again(self):
+        always = property(lambda _: 0, lambda *_: None)
+        with unittest.mock.patch.object(RpcConnection, "_next", always, create=True):
+            with self.assertRaises(AssertionError):
+                explore_events(RpcScene, 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
