Let callers leave in the midst of their answers in the scenes of answers

Cause: the scenes let a caller leave only before anything was shown. After: at any moment of its call.

--- a/tests/answer_scenes.py
+++ b/tests/answer_scenes.py
@@ -183,9 +183,12 @@
         return [
             (f"{c.call_id} leaves", lambda c=c: self._leave(c))
             for c in self.callers
-            if not c.left and not c.channel.transport.gone and not self.rig.seen(c.channel)
+            if not c.left and not c.channel.transport.gone and self._served(c)
         ]
 
+    def _served(self, c) -> bool:
+        return any(call.id == c.call_id.encode() for call in self.rig.node.calls)
+
     def _leave(self, c):
         c.left = True
         c.exchanges_then = self._exchanges_of(c)
@@ -310,8 +313,9 @@
 
     def _check_cut_or_open(self, c, mine):
         """An answer that is not whole is still being served, or its connection has ended."""
-        served = any(call.id == c.call_id.encode() for call in self.rig.node.calls)
-        assert served or c.channel.transport.gone, f"MIXED: {c.call_id} waits for the rest of an answer that ended"
+        assert self._served(c) or c.channel.transport.gone, (
+            f"MIXED: {c.call_id} waits for the rest of an answer that ended"
+        )
 
 
 class ItemScene(AnswerScene):
