Forget the load that a gateway told once it is gone

Cause: Engine.peers kept an entry for each gateway that ever told a load; entries lapse after 3 s for the sums, but were never removed, so each replaced gateway left one on every engine. Before: test_the_load_of_a_gateway_that_is_gone_is_forgotten fails without the removal. After: an entry goes with the membership's word that its gateway is gone.

--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -108,6 +108,7 @@
         self._ctx.rpc.answer("engines.tell", EngineList, self._told_engines)
         self._ctx.rpc.answer("engines.loads", Loads, self._told_loads)
         self._ctx.cluster.watch(self._zones_moved)
+        self._ctx.membership.watch(self._gateway_changed)
         self._ctx.timers.every(LOADS_INTERVAL, self._tell_loads, self._ctx.report("loads"))
 
     def carry(self, fill, take):
@@ -216,6 +217,12 @@
         now = self._ctx.timers.now()
         return e.batch + sum(b for _, b, at in e.peers.values() if now - at < LOADS_SPAN)
 
+    def _gateway_changed(self, member):
+        """What a gateway that is gone told of its load is forgotten."""
+        if self._ctx.membership.status(member.node) == "gone":
+            for e in self._engines.values():
+                e.peers.pop(member.node, None)
+
     def gateways(self) -> int:
         return len(self._ctx.membership.members("gateway"))
 
--- a/tests/router_parts.py
+++ b/tests/router_parts.py
@@ -119,8 +119,12 @@
             routes=RouteTable(Config(version=1, routes=routes, pools=pools, bounds=Bounds(max_body_bytes=100_000))),
         )
         self.cluster = SimpleNamespace(cluster_state=self.cluster_state, watch=lambda do: None, usable=lambda: True)
+        self.gone: set[str] = set()
+        self._member_watchers = []
         membership = SimpleNamespace(
-            members=lambda role=None, status=(), me=True: [Member(node=f"g{i}") for i in range(gateways) if i or me]
+            watch=self._member_watchers.append,
+            status=lambda node: "gone" if node in self.gone else "alive",
+            members=lambda role=None, status=(), me=True: [Member(node=f"g{i}") for i in range(gateways) if i or me],
         )
         rpc = SimpleNamespace(answer=lambda *w: None, call=lambda *w: defer.Deferred())
         self.ctx = SimpleNamespace(
@@ -148,6 +152,11 @@
         self.node = _Node(self.ctx, self)
         self.sequence = 0
 
+    def lose_gateway(self, node):
+        self.gone.add(node)
+        for do in self._member_watchers:
+            do(Member(node=node, role="gateway"))
+
     def engine(self, name, zone="zone-a", state="ready", pool="models", capacity=4, cold_ms=0, address=None):
         self.sequence += 1
         self.node.engines.merge(
--- a/tests/test_router_live.py
+++ b/tests/test_router_live.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from pipitlink.timers import spawn
 from pipitlink.wire.cluster_pb2 import Pool
+from pipitlink.wire.membership_pb2 import Load, Loads
 
 from .router_parts import END, Rig, chunk, event, head, route
 
@@ -220,6 +222,19 @@
         self.assertEqual(len(seen), 1)
 
 
+class PeersLoads(unittest.TestCase):
+    def test_the_load_of_a_gateway_that_is_gone_is_forgotten(self):
+        rig = Rig([FETCH], gateways=3)
+        e = rig.engine("e1")
+        for gateway in ("g1", "g2"):
+            told = Loads(gateway=gateway, loads=[Load(engine="e1", running=2)])
+            spawn(rig.node.engines._told_loads(gateway, told))
+        self.assertEqual(rig.node.engines.load(e), 4)
+        rig.lose_gateway("g1")
+        self.assertEqual(set(e.peers), {"g2"})
+        self.assertEqual(rig.node.engines.load(e), 2)
+
+
 class Cold(unittest.TestCase):
     def test_a_cold_engine_gets_this_gateways_part_of_its_rate(self):
         rig = Rig([FETCH], [Pool(name="models", max_connections=500, places=50, cold_rate=20)], gateways=4)
