Keep an exchange whose engine is not heard of but still sends

Cause: where the control plane had not heard of an engine for 3.6 s, an exchange with it was ended although its bytes kept coming, so a stream was run a second time, and one with no budget left was broken off. Before: test_an_engine_that_is_not_heard_of_but_still_sends_keeps_its_stream fails. After: an exchange is ended for that only once no byte came from the engine for 0.9 s.

--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -106,9 +106,9 @@
                 continue
             if not (call.repeatable or call.resumable):
                 continue
-            status = self.engines.status(e)
+            lost = self.engines.status(e) in ("silent", "gone") and now - e.bytes_at > MUTE_SPAN
             mute = not call.budget_spent and e.bytes_at < call.sent_at and now - call.sent_at > MUTE_SPAN
-            if status == "silent" or status == "gone" and now - e.bytes_at > MUTE_SPAN or mute:
+            if lost or mute:
                 if mute:
                     self.engines.unreached(e)
                 call.link and call.link.discard()
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,7 +8,7 @@
 
 from .router_parts import END, Rig, chunk, event, head, route
 
-RESUMABLE = route("s", "/a/", resumable=True)
+RESUMABLE = route("s", "/a/", resumable=True, deadline_ms=20_000)
 ONCE = route("o", "/once/", kind="mutating")
 IDEMPOTENT = route("f", "/f/", kind="idempotent")
 ONE_ENGINE = route("g", "/g/", kind="idempotent", max_tries=1)
@@ -206,6 +206,23 @@
         self.rig.pass_time(500)
         self.assertEqual(self.rig.asked(), [])
 
+    def test_an_engine_that_is_not_heard_of_but_still_sends_keeps_its_stream(self):
+        self.more_engines("e2")
+        c = self.rig.ask()
+        name, link, _ = self.rig.one()
+        link.dataReceived(head("c1"))
+        for n in range(1, 11):
+            self.rig.pass_time(450)
+            self.rig.engine({"e1": "e2", "e2": "e1"}[name])
+            link.dataReceived(chunk(event(n, "a")))
+        self.assertEqual(self.rig.node.engines.status(self.rig.node.engines._engines[name]), "silent")
+        self.assertFalse(link.transport.gone)
+        self.assertEqual(self.rig.asked(), [])
+        self.rig.pass_time(1200)
+        self.assertTrue(link.transport.gone)
+        self.assertIn(b"last-event-id: 10\r\n", self.rig.one()[2].lower())
+        self.assertFalse(c.transport.gone)
+
 
 class Budget(_Answers):
     """The engines on which one try may run are at most `max_tries`, whatever becomes of the exchanges."""
