--- a/pipitlink/gateway/fetching.py
+++ b/pipitlink/gateway/fetching.py
@@ -45,7 +45,7 @@
     """Mixin: plain HTTP fetches from back ends other than engines, passed through unchanged.
 
     Offers the HTTP handler `fetch` and `_pass_fetch`.
-    Needs of the node: `_ctx`; of RequestTable: `run`; of Relaying: `_send`, `_client`, `_discard`, `_pool`.
+    Needs of the node: `_ctx`; of RequestTable: `run`; of Relaying: `_send`, `_client`, `_discard`.
     Owns no attributes.
     """
 
@@ -82,7 +82,7 @@
 
     async def _fetch(self, ask, e):
         request = ask.feed
-        client, point = self._client(ask, e, self._pool)
+        client, point = self._client(ask, e)
         r = await client.get(
             f"http://{e.news.address}/{ask.model}",
             unbuffered=True,
--- a/pipitlink/gateway/relaying.py
+++ b/pipitlink/gateway/relaying.py
@@ -42,10 +42,13 @@
 
 
 class _Pool(HTTPConnectionPool):
-    """Hands a connection over only if the request may still be sent, in the very step that writes its first byte."""
+    """Hands a connection over only if the request may still be sent, in the very step that writes its first byte.
+
+    Each request has a connection of its own: back ends give no ids, and nothing else tells a late or second answer from
+    the next one.
+    """
 
     retryAutomatically = False
-    maxPersistentPerHost = 8
 
     def getConnection(self, key, endpoint):
         return super().getConnection(key, endpoint).addCallback(self._checked, endpoint)
@@ -170,16 +173,15 @@
 class Relaying:
     """Mixin: the pass that sends a request to its back end and takes in the answer.
 
-    Offers `_pass_relay`, `hold_back`, and for Fetching `_send`, `_client`, `_discard` and `_pool`.
+    Offers `_pass_relay`, `hold_back`, and for Fetching `_send`, `_client` and `_discard`.
     Needs of the node: `_ctx`, `engines`, `_retry_budget`; of Picking: `candidates`, `_may_go_again`.
-    Owns `_pool` and `_engine_pool`.
+    Owns `_pool`.
     """
 
     def _open_relaying(self):
-        self._engine_pool = _Pool(self._ctx.reactor, persistent=False)
-        self._pool = _Pool(self._ctx.reactor)
+        self._pool = _Pool(self._ctx.reactor, persistent=False)
 
-    def _client(self, ask, e, pool):
+    def _client(self, ask, e):
         """A client for one request, which is marked as sent in the step that writes it or is not sent; and its
         point.
         """
@@ -189,7 +191,7 @@
             ask.put("send")
 
         point = _Point(self._ctx.reactor, check)
-        return treq.client.HTTPClient(Agent.usingEndpointFactory(self._ctx.reactor, point, pool)), point
+        return treq.client.HTTPClient(Agent.usingEndpointFactory(self._ctx.reactor, point, self._pool)), point
 
     def _check_still(self, ask, e):
         """What held when the request was admitted and its back end picked must hold as its first byte leaves."""
@@ -277,7 +279,7 @@
 
     async def _exchange(self, ask, e, watch):
         body = {"model": ask.model, "prompt": ask.prompt, "max_tokens": ask.max_tokens, "stream": True}
-        client, point = self._client(ask, e, self._engine_pool)
+        client, point = self._client(ask, e)
         r = await client.post(
             f"http://{e.news.address}/v1/completions",
             data=WholeBody(json.dumps(body).encode()),
