Tell the end of a lot once

Cause: a lot's last item and the look at all lots may both see that it is done; both waited for the end mark to be durable, and both told lot_done. Seen as a flaky failure of test_fleet's test_changes_are_told_as_cloudevents (two events for one lot; 1 of 3 runs here, under load). Before: test_it_is_told_once fails with two. After: who comes second finds that the lot has been let go.

Ruled out: a post sent again (changes are posted once, with no retry).

--- a/pipitlink/gateway/dispatch.py
+++ b/pipitlink/gateway/dispatch.py
@@ -248,6 +248,8 @@
         ):
             return
         await self._end_log(h, "done")
+        if o.leaseholder is not h:
+            return
         self._ctx.journal.note("lot_done", lot=o.id)
         await self._let_go(o)
 
