Fence operators' orders: refusals are judged anew, late copies and shared ids refused

Cause: the replicated state remembered every outcome under an edit's id, which without Edit-Id is a digest of method, base and body. Found, each by a test in tests/test_orders.py that fails without this change: - an order refused because it came before the version it builds on stayed refused when it was sent again once that version was in force (whole configurations, patches, row edits); - the newest configuration, sent again after 2,000 other orders, was refused with 412; - two different changes under one Edit-Id were both confirmed; - two retirements at once passed the check of what would be left each by itself, and both were confirmed; - a copy that had waited in a frozen controller, in its socket, or on its way to the leader was carried out after a later order had taken it back: an emptied zone emptied again after its DELETE; a retired storage node set to retiring again, which also made it a witness again.

Mend: only what took effect is remembered, with its content, and the last outcome of each kind for as long as its effect stands. An operator's order carries a fence, the sequence known where it arrived; it takes effect only if what it changes was not changed since, and is proposed again with a newer fence while its caller waits.

Ruled out: two different changes on one base or under one version, both confirmed; a loser of a race in force later. Before: 15 of 17 tests of tests/test_orders.py failed. After: all pass. Not from this change, and the same without it: test_stage_controllers test_an_controller_that_lost_its_ballot_or_its_snapshot_does_not_start_as_itself fails.

--- a/pipitlink/cluster/cluster_state.py
+++ b/pipitlink/cluster/cluster_state.py
@@ -1,6 +1,7 @@
 """The deterministic state that the controllers' agreed commands are applied to."""
 
 from collections import OrderedDict
+from hashlib import blake2b
 
 from ..replicated_log.placement_group import PlacementGroup
 from ..wire.cluster_pb2 import ClusterStateData, Command, Outcome, PlacementGroupRow, Row, StorageNodeEdit
@@ -10,6 +11,16 @@
 
 MAX_OUTCOMES = 2000
 MAX_ROWS = 100_000
+CONTENT_SIZE = 12
+
+
+def _content(c: Command) -> bytes:
+    """A digest of what an edit asks for, whatever its id."""
+    what = Command()
+    what.CopyFrom(c)
+    what.ClearField("edit")
+    what.ClearField("fence")
+    return blake2b(what.SerializeToString(deterministic=True), digest_size=CONTENT_SIZE).digest()
 
 
 class ClusterState:
@@ -30,7 +41,10 @@
         self.voters: tuple[str, ...] = tuple(data.voters)
         self.witnesses_at = data.witnesses_at
         self.settled = data.settled
-        self.outcomes: OrderedDict[str, Outcome] = OrderedDict((o.edit, o) for o in data.outcomes)
+        self.config_at = data.config_at
+        self.zones_at = data.zones_at
+        self.storage_nodes_at = data.storage_nodes_at
+        self.outcomes: OrderedDict[str, Outcome] = OrderedDict((o.edit, o) for o in data.outcomes if o.code == "done")
         self._by_target: dict[tuple[str, str], Row] | None = None
 
     def data(self) -> ClusterStateData:
@@ -49,23 +63,57 @@
             ],
             outcomes=self.outcomes.values(),
             config=self.routes.config(),
+            config_at=self.config_at,
+            zones_at=self.zones_at,
+            storage_nodes_at=self.storage_nodes_at,
         )
 
+    def known(self, c: Command) -> Outcome | None:
+        """What became of this edit, where it was taken before; the same id with another content is refused."""
+        out = self.outcomes.get(c.edit) if c.edit else None
+        if out is None or out.content in (b"", _content(c)):
+            return out
+        return Outcome(edit=c.edit, code="edit_id_used", sequence=self.sequence)
+
     def apply(self, sequence: int, c: Command) -> Outcome:
-        """Applies one agreed command. The same edit id never takes effect twice."""
+        """Applies one agreed command. The same edit id never takes effect twice; only what took effect is remembered,
+        so that an edit that was refused is judged anew when it is sent again.
+        """
         self.sequence = sequence
-        if c.edit and c.edit in self.outcomes:
-            return self.outcomes[c.edit]
+        known = self.known(c)
+        if known is not None:
+            return known
         what = c.WhichOneof("of")
+        if self._late(c, what):
+            return Outcome(edit=c.edit, code="late", sequence=sequence)
         code = getattr(self, "_apply_" + what)(getattr(c, what), sequence) if what else "done"
         at = {"table": self.table, "config": self.routes.version}.get(what, sequence)
         out = Outcome(edit=c.edit, code=code, sequence=at)
-        if c.edit:
-            self.outcomes[c.edit] = out
-            while len(self.outcomes) > MAX_OUTCOMES:
-                self.outcomes.popitem(last=False)
+        if c.edit and code == "done":
+            self._remember(out, c, what)
         return out
 
+    def _late(self, c: Command, what: str | None) -> bool:
+        """Whether what the command changes was changed after the command's order had arrived."""
+        changed_at = {
+            "config": self.config_at,
+            "table": self.table,
+            "zone": self.zones_at,
+            "storage_node": self.storage_nodes_at,
+        }
+        return c.HasField("fence") and c.fence < changed_at.get(what, 0)
+
+    def _remember(self, out: Outcome, c: Command, what: str):
+        """Keeps the newest outcomes, and of each kind of edit the last one for as long as its effect stands."""
+        out.kind, out.content = what, _content(c)
+        self.outcomes[c.edit] = out
+        while len(self.outcomes) > MAX_OUTCOMES:
+            oldest = next(iter(self.outcomes.values()))
+            if any(o.kind == oldest.kind for o in self.outcomes.values() if o is not oldest):
+                del self.outcomes[oldest.edit]
+            else:
+                self.outcomes.move_to_end(oldest.edit)
+
     def _apply_table(self, e, sequence) -> str:
         if e.base != self.table:
             return "wrong_base"
@@ -93,14 +141,17 @@
         if edited.problems():
             return "invalid"
         self.routes = edited
+        self.config_at = sequence
         return "done"
 
     def _apply_zone(self, e, sequence) -> str:
+        self.zones_at = sequence
         (self.empty_zones.add if e.empty else self.empty_zones.discard)(e.zone)
         return "done"
 
     def _apply_storage_node(self, e, sequence) -> str:
         before = self.witnesses()
+        self.storage_nodes_at = sequence
         if e.status == "removed":
             self.storage_nodes.pop(e.storage_node, None)
             self.storage_node_names.pop(e.storage_node, None)
--- a/pipitlink/controller/control.py
+++ b/pipitlink/controller/control.py
@@ -65,7 +65,7 @@
                     "; ".join(f"{f['row']}.{f['field']}: {f['message']}" for f in faults[:20]), code="invalid"
                 )
         c = Command(edit=edit_id(request, _digest(request, base, body)), config=edit)
-        out = await self._controller.decide(c)
+        out = await self._controller.order(c)
         if out.code == "wrong_base":
             raise GatewayError(
                 f"the configuration is at version {out.sequence}", code=out.code, status=412, outcome="not_run"
@@ -84,7 +84,7 @@
 
     async def _edit_zone(self, request, zone: str, empty: bool):
         c = Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty))
-        out = await self._controller.decide(c)
+        out = await self._controller.order(c)
         if out.code != "done":
             raise GatewayError(f"the edit was refused: {out.code}", code=out.code, status=422, outcome="not_run")
         return send_json(request, {"sequence": out.sequence, "edit": c.edit})
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -158,7 +158,7 @@
             ) from e
 
     async def _do_edit(self, request, c: Command):
-        out = await self.decide(c)
+        out = await self.order(c)
         if out.code == "wrong_base":
             raise WrongBase(out.sequence)
         if out.code == "no_such_row":
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -123,7 +123,7 @@
         end = self._ctx.timers.now() + limit
         if self.archive.used() + 3 * c.ByteSize() > self._ctx.settings.budget_mb * 1024 * 1024 * ROOM_SHARE:
             raise NoRoom("the controller's data folder has no room for this edit", sent=False)
-        out = self.cluster_state.outcomes.get(c.edit) if c.edit else None
+        out = self.cluster_state.known(c)
         known = out is not None
         if not known:
             out = await self._ctx.timers.within(limit, self._propose(c))
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -16,6 +16,7 @@
 from .edits import Edits
 from .gateways import Gateways
 from .leading import Leading
+from .orders import Orders
 from .placement import Placement
 from .retiring import Retiring
 from .voters import Voters
@@ -27,7 +28,7 @@
 
 
 class ControllerNode(
-    Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, HasStateMachine
+    Founding, Voting, Leading, Gateways, Edits, Orders, Retiring, Announcing, Placement, Voters, HasStateMachine
 ):
     """A controller: takes part in the agreement on the cluster state, and serves it.
 
@@ -65,6 +66,7 @@
         self._open_leading()
         self._open_gateways()
         self._open_edits()
+        self._open_orders()
         self._open_placement()
         self._open_announcing()
         self._ctx.rpc.answer("controller.empty", Nothing, self._empty)
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -3,6 +3,7 @@
 from ..cluster import ClusterState
 from ..errors import GatewayError, NotFound
 from ..wire.cluster_pb2 import Command, StorageNodeEdit
+from .orders import HANG_UP_SPAN
 
 __all__ = ["Retiring"]
 
@@ -35,21 +36,30 @@
 
     async def retire(self, name: str, edit: str) -> int:
         """Has the storage node emptied; returns the sequence at which that is in effect. To ask again changes
-        nothing.
+        nothing. The room that is left is checked again where any storage node changed before this took effect.
         """
-        cluster_state = await self.newest()
-        serving = [
-            d for d in self._storage_nodes_called(cluster_state, name) if cluster_state.storage_nodes[d] == "serving"
-        ]
-        for d in serving:
-            self.check_retirement(cluster_state, d)
-        sequence = cluster_state.sequence
-        for n, d in enumerate(serving):
-            c = Command(
-                edit=f"{edit}/{n}" if n else edit, storage_node=StorageNodeEdit(storage_node=d, status="retiring")
-            )
-            sequence = (await self.decide(c)).sequence
-        return sequence
+        arrived = self._ctx.timers.now()
+        self.check_timely(arrived)
+        await self._ctx.timers.pause(HANG_UP_SPAN)
+        while True:
+            cluster_state = await self.newest()
+            serving = self._serving_called(cluster_state, name)
+            if not serving:
+                return cluster_state.sequence
+            self.check_retirement(cluster_state, serving[0])
+            self.check_timely(arrived)
+            await self._retire_one(serving[0], f"{edit}/{serving[0]}", cluster_state.sequence)
+
+    def _serving_called(self, cluster_state: ClusterState, name: str) -> list[str]:
+        called = self._storage_nodes_called(cluster_state, name)
+        return [d for d in called if cluster_state.storage_nodes[d] == "serving"]
+
+    async def _retire_one(self, storage_node: str, edit: str, read_at: int):
+        """Has one storage node emptied, unless any storage node changed since its room was checked."""
+        c = Command(
+            edit=edit, storage_node=StorageNodeEdit(storage_node=storage_node, status="retiring"), fence=read_at
+        )
+        await self.decide(c)
 
     async def retirement(self, name: str) -> str:
         cluster_state = await self.newest()
--- a/tests/control_calls.py
+++ b/tests/control_calls.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from twisted.internet import defer
+from twisted.internet.error import ConnectionDone
 
 from pipitlink.controller.control import Control
 from pipitlink.dialect.control import ControlWords
@@ -62,7 +63,20 @@
         self.status = status
 
     def notifyFinish(self):
-        return defer.Deferred()
+        self.finish = defer.Deferred()
+        return self.finish
+
+
+class _Answer(list):
+    """Holds (status, body) once a call is answered; its caller may hang up before."""
+
+    def __init__(self, request):
+        super().__init__()
+        self._request = request
+
+    def hang_up(self):
+        if not self:
+            self._request.finish.errback(ConnectionDone())
 
 
 class Caller:
@@ -77,9 +91,9 @@
         raw = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
         request = _Request(method, raw, headers or {})
         action, named = self._find(method, path)
-        box = []
+        box = _Answer(request)
         d = getattr(Control(controller.ctx, controller.part, words or self.words), action)(request, **named)
-        d.addCallback(lambda out: box.append((request.status, json.loads(out))))
+        d.addCallback(lambda out: box.append((request.status, json.loads(out or b"null"))))
         return box
 
     def _find(self, method, path):
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,258 @@
+"""Orders that are sent again, late, reordered, or raced under one number or one edit id."""
+
+import unittest
+from unittest import mock
+
+from pipitlink.cluster import ClusterState, cluster_state
+from pipitlink.wire.cluster_pb2 import Command, ConfigEdit, StorageNodeEdit, TableEdit, ZoneEdit
+from rehearsal.stage import Stage
+
+from .control_calls import Caller, config_of, route_of
+
+ZONE = "/v1/zones/zone-b/empty"
+CONFIG = "/v1/config"
+
+
+def config_command(edit, base, version, **more):
+    return Command(edit=edit, config=ConfigEdit(base=base, version=version, whole=True), **more)
+
+
+class _Orders(unittest.TestCase):
+    def setUp(self):
+        self.stage = Stage(41, placement_groups=2)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.stage.ready()
+        self.stage.until(
+            lambda: len(self.stage.leader().part.cluster_state.storage_nodes) == 4, 20, "all storage nodes are admitted"
+        )
+        self.stage.run(2)
+        self.caller = Caller(self.stage)
+        self.controllers = self.stage.role("controller")
+        self.leader = self.stage.leader()
+        self.held, self.other, *_ = [a for a in self.controllers if a is not self.leader]
+
+    def put(self, config, base, controller=None):
+        return self.caller.put(controller or self.other, config, base)
+
+    def zone(self, method, controller=None):
+        return self.caller.ask(controller or self.other, method, ZONE)[0]
+
+    def empty(self):
+        return "zone-b" in self.stage.leader().part.cluster_state.empty_zones
+
+    def version(self):
+        return self.stage.leader().part.cluster_state.routes.version
+
+    def new_leader(self):
+        old = self.stage.leader()
+        old.kill(power=True)
+        self.stage.until(lambda: self.stage.leader() not in (None, old), 15, "another leads")
+        self.stage.run(2)
+        old.start()
+        self.stage.until(
+            lambda: {a.part.leader for a in self.controllers} == {self.stage.leader().node}, 5, "all follow"
+        )
+
+    def arriving_while_frozen(self, controller, *words):
+        """A call whose bytes wait in the controller's socket until it is run again."""
+        box = []
+        controller.clock.callLater(0, lambda: box.append(self.caller.begin(controller, *words)))
+        return box
+
+
+class Repeats(_Orders):
+    def test_an_order_that_came_before_its_base_is_taken_when_it_is_sent_again_once_its_base_is_in_force(self):
+        early = config_of(9, route_of("early"))
+        self.put(config_of(3), 0)
+        self.assertEqual(self.put(early, 5)[0], 412)
+        self.assertEqual(self.put(config_of(5), 3)[0], 200)
+        self.assertEqual(self.put(early, 5)[0], 200)
+        self.assertEqual(self.version(), 9)
+
+    def test_a_patch_that_was_refused_is_taken_when_it_is_proper(self):
+        patch = {"version": 9, "puts": {"routes": [route_of("c", "q")]}}
+        self.put(config_of(3), 0)
+        self.assertEqual(self.caller.patch(self.other, patch, 5)[0], 412)
+        self.assertEqual(self.put(config_of(5, pools=("p", "q")), 3)[0], 200)
+        self.assertEqual(self.caller.patch(self.other, patch, 5)[0], 200)
+
+    def test_a_row_edit_that_was_refused_is_taken_under_its_id_when_it_is_proper(self):
+        state = ClusterState()
+        early = Command(edit="e", table=TableEdit(base=2, drops=["r"]))
+        self.assertEqual(state.apply(1, early).code, "wrong_base")
+        state.apply(2, Command(edit="f", table=TableEdit(base=0)))
+        self.assertEqual(state.apply(3, early).code, "no_such_row")
+        self.assertEqual(state.apply(4, Command(edit="e", table=TableEdit(base=2))).code, "done")
+
+    def test_the_newest_change_is_acknowledged_again_however_many_other_orders_came_since(self):
+        with mock.patch.object(cluster_state, "MAX_OUTCOMES", 20):
+            newest = config_of(4)
+            self.assertEqual(self.put(newest, 0)[0], 200)
+            for _ in range(15):
+                self.assertEqual(self.zone("PUT"), 200)
+                self.assertEqual(self.zone("DELETE"), 200)
+            for _ in range(2):
+                for controller in self.controllers:
+                    self.assertEqual(self.put(newest, 0, controller)[0], 200)
+                self.new_leader()
+            for a in self.controllers:
+                a.kill(power=True)
+                a.start()
+            self.stage.ready()
+            self.assertEqual(self.put(newest, 0)[0], 200)
+            self.assertEqual(self.version(), 4)
+
+    def test_a_refusal_is_the_same_again_as_long_as_another_version_is_in_force(self):
+        lost = config_of(7, route_of("lost"))
+        self.put(config_of(7, route_of("won")), 0)
+        for _ in range(2):
+            for controller in self.controllers:
+                self.assertEqual(self.put(lost, 0, controller)[0], 412)
+            self.new_leader()
+        self.assertEqual(self.caller.get(self.other)[1]["routes"], [route_of("won")])
+
+
+class Races(_Orders):
+    def test_two_changes_under_one_edit_id_are_not_both_confirmed(self):
+        words = {"If-Match": "0", "Edit-Id": "mine"}
+        first = self.caller.ask(self.other, "PUT", CONFIG, config_of(4, route_of("a")), words)
+        second = self.caller.ask(self.held, "PUT", CONFIG, config_of(4, route_of("b")), words)
+        self.assertEqual(first[0], 200)
+        self.assertEqual((second[0], second[1]["error"]["code"]), (409, "edit_id_used"))
+        self.assertEqual(self.caller.ask(self.held, "PUT", CONFIG, config_of(4, route_of("a")), words)[0], 200)
+
+    def test_a_zone_order_under_the_id_of_another_order_is_refused_and_not_confirmed_for_it(self):
+        words = {"Edit-Id": "mine"}
+        self.assertEqual(self.caller.ask(self.other, "PUT", ZONE, headers=words)[0], 200)
+        self.assertEqual(self.caller.ask(self.other, "DELETE", ZONE, headers=words)[0], 409)
+        self.assertTrue(self.empty())
+
+    def test_of_two_retirements_at_once_only_one_is_taken_where_two_would_leave_too_few(self):
+        for n in range(3):
+            with self.subTest(n):
+                stage = Stage(50 + n, placement_groups=2)
+                self.addCleanup(stage.end)
+                stage.start()
+                stage.ready()
+                stage.until(lambda: len(stage.leader().part.cluster_state.storage_nodes) == 4, 20, "admitted")
+                stage.run(2)
+                caller = Caller(stage)
+                boxes = [
+                    caller.begin(
+                        stage.role("controller")[(n + i) % 4],
+                        "POST",
+                        f"/v1/storage_nodes/{stage.actors[s].node}/retire",
+                    )
+                    for i, s in enumerate(("storage1", "storage2"))
+                ]
+                stage.until(lambda: all(boxes), 10, "both are answered")
+                self.assertEqual(sorted(b[0][0] for b in boxes), [200, 409])
+                statuses = stage.leader().part.cluster_state.storage_nodes.values()
+                self.assertEqual(sum(s != "serving" for s in statuses), 1)
+
+    def test_eight_orders_at_once_on_two_zones_are_all_taken(self):
+        boxes = [
+            self.caller.begin(
+                self.controllers[n % 4], "PUT" if n % 3 else "DELETE", f"/v1/zones/zone-{'ab'[n % 2]}/empty"
+            )
+            for n in range(8)
+        ]
+        self.stage.until(lambda: all(boxes), 3, "all are answered")
+        self.assertEqual([b[0][0] for b in boxes], [200] * 8)
+
+
+class Late(_Orders):
+    def test_an_emptied_zone_is_not_emptied_again_by_a_copy_that_waited_in_a_frozen_controllers_socket(self):
+        self.held.freeze()
+        self.stage.run(0.1)
+        late = self.arriving_while_frozen(self.held, "PUT", ZONE)
+        self.stage.run(1.2)
+        self.assertEqual(self.zone("PUT"), 200)
+        self.assertEqual(self.zone("DELETE"), 200)
+        self.stage.run(8)
+        self.held.thaw()
+        self.stage.run(3)
+        self.assertFalse(self.empty())
+        self.assertEqual(late[0][0][0], 503)
+        self.assertEqual(self.zone("PUT", self.held), 200)
+
+    def test_nor_by_one_that_was_frozen_just_after_the_order_was_read(self):
+        for controller in (self.held, self.leader):
+            late = self.caller.begin(controller, "PUT", ZONE)
+            self.stage.run(0.005)
+            controller.freeze()
+            self.stage.until(lambda: self.stage.leader() not in (None, controller), 15, "another leads")
+            self.stage.run(2)
+            self.assertEqual(self.zone("PUT"), 200)
+            self.assertEqual(self.zone("DELETE"), 200)
+            controller.thaw()
+            self.stage.run(3)
+            self.assertFalse(self.empty(), controller.name)
+            self.assertGreaterEqual(late[0][0], 500)
+
+    def test_nor_by_one_that_was_held_up_on_its_way_to_the_leader(self):
+        fenced = self.held.part.cluster_state.sequence
+        self.assertEqual(self.zone("PUT"), 200)
+        self.assertEqual(self.zone("DELETE"), 200)
+        late = Command(edit="late", zone=ZoneEdit(zone="zone-b", empty=True), fence=fenced)
+        out = self.stage.do(self.leader.part.edit(late))
+        self.assertEqual(out.code, "late")
+        self.assertFalse(self.empty())
+
+    def test_an_order_whose_caller_has_hung_up_is_not_carried_out(self):
+        late = self.caller.begin(self.held, "PUT", ZONE)
+        self.stage.run(0.01)
+        late.hang_up()
+        self.stage.run(2)
+        self.assertFalse(self.empty())
+
+    def test_an_order_that_was_refused_as_early_does_not_come_in_force_by_a_copy_that_was_held_up(self):
+        early = config_of(9, route_of("early"))
+        self.put(config_of(3), 0)
+        held = config_command("early", 5, 9, fence=self.held.part.cluster_state.sequence)
+        self.assertEqual(self.put(early, 5)[0], 412)
+        self.assertEqual(self.put(config_of(5), 3)[0], 200)
+        self.assertEqual(self.stage.do(self.leader.part.edit(held)).code, "late")
+        self.assertEqual(self.version(), 5)
+
+    def test_a_retirement_that_was_held_up_does_not_take_a_retired_storage_node_back(self):
+        state = ClusterState()
+        state.apply(1, Command(storage_node=StorageNodeEdit(storage_node="s", status="serving")))
+        for sequence, status in ((2, "retiring"), (3, "retired")):
+            state.apply(sequence, Command(storage_node=StorageNodeEdit(storage_node="s", status=status)))
+        late = Command(edit="l", storage_node=StorageNodeEdit(storage_node="s", status="retiring"), fence=1)
+        self.assertEqual(state.apply(4, late).code, "late")
+        self.assertEqual(state.storage_nodes, {"s": "retired"})
+
+    def test_a_controller_that_lags_takes_an_order_at_once(self):
+        self.stage.cut([self.leader.name], [self.held.name], one_way=True)
+        self.stage.run(0.2)
+        self.assertEqual(self.zone("PUT"), 200)
+        self.assertLess(self.held.part.cluster_state.zones_at, self.leader.part.cluster_state.zones_at)
+        self.stage.heal()
+        before = self.stage.clock.seconds()
+        self.assertEqual(self.zone("DELETE", self.held), 200)
+        self.assertLess(self.stage.clock.seconds() - before, 0.3)
+
+
+class Kept(unittest.TestCase):
+    def test_marks_and_outcomes_come_back_from_a_snapshot(self):
+        state = ClusterState()
+        state.apply(3, config_command("c", 0, 4))
+        state.apply(5, Command(edit="z", zone=ZoneEdit(zone="a", empty=True)))
+        state.apply(7, Command(storage_node=StorageNodeEdit(storage_node="s", status="serving")))
+        again = ClusterState(state.data())
+        self.assertEqual((again.config_at, again.zones_at, again.storage_nodes_at), (3, 5, 7))
+        for late in (
+            config_command("n", 4, 9, fence=2),
+            Command(edit="n", zone=ZoneEdit(zone="a"), fence=4),
+            Command(edit="n", storage_node=StorageNodeEdit(storage_node="s", status="retiring"), fence=6),
+        ):
+            self.assertEqual(again.apply(8, late).code, "late")
+        self.assertEqual(again.apply(9, config_command("c", 0, 4, fence=8)).code, "done")
+        self.assertEqual(again.apply(9, config_command("c", 0, 5, fence=8)).code, "edit_id_used")
+        self.assertEqual(again.data().outcomes, state.data().outcomes)
+
+
+del _Orders
