--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -7,7 +7,7 @@
 
 from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
 from ..errors import NoRoom, NotLeading, Overdue, Unproven
-from ..timers import ms, secs
+from ..timers import Joined, ms, secs
 from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome
 
 __all__ = ["Gateways"]
@@ -46,6 +46,7 @@
         self.followers: dict[str, _Follower] = {}
         self._news: dict[defer.Deferred, None] = {}
         self._confirmations: dict[defer.Deferred, None] = {}
+        self._proposals = Joined()
         self._ctx.rpc.answer("controller.follow", FollowRequest, self._follow)
 
     def _fresh(self) -> bool:
@@ -119,14 +120,18 @@
         return f is not None and f.sequence >= sequence
 
     async def edit(self, c: Command, limit: timedelta = EDIT_LIMIT) -> Outcome:
-        """Proposes an edit and returns once it is agreed and in effect everywhere."""
+        """Proposes an edit and returns once it is agreed and in effect everywhere.
+
+        A proposal runs to its end also where its caller has left: the leader's own disk counts for it.
+        """
         end = self._ctx.timers.now() + limit
         if self.archive.used() + 3 * c.ByteSize() > self._ctx.settings.budget_mb * 1024 * 1024 * ROOM_SHARE:
             raise NoRoom("the controller's data folder has no room for this edit", sent=False)
         out = self.cluster_state.known(c)
         known = out is not None
         if not known:
-            out = await self._ctx.timers.within(limit, self._propose(c))
+            proposal = self._proposals.run(object(), lambda: self._propose(c))
+            out = await self._ctx.timers.within(limit, proposal)
         if known or out.code != "done":
             await self.sure_leader()
         if out.code != "done":
--- /dev/null
+++ b/rehearsal/history.py
@@ -0,0 +1,210 @@
+"""Checks histories of operators' orders: some order of the confirmed changes must explain all that was seen.
+
+The configuration is a versioned register, and each zone a register of its own; a history is accepted where it is
+linearizable. A change of the configuration is one operation from its first sending to its clear answer, however often
+it was sent, since it takes effect once. A zone's order bears no number, so that each copy of it is an operation; one
+without an answer may take effect until the order as a whole is confirmed, and not after that. What a gateway serves
+may lag behind what others see, but for what was confirmed in time, and never goes back.
+"""
+
+from enum import Enum
+
+import attrs
+
+__all__ = ["Answer", "ConfigOrder", "ConfigSeen", "ZoneOrder", "ZoneSeen", "check_history"]
+
+
+class Answer(Enum):
+    """What an operator was told of an order in the end."""
+
+    TAKEN = "taken"
+    OTHER_VERSION = "refused for another version"
+    REFUSED = "refused"
+    UNKNOWN = "not answered clearly"
+
+
+@attrs.frozen
+class ConfigOrder:
+    """A change of the configuration; `content` stands for all of it, and is the same when it is sent again."""
+
+    content: str
+    base: int
+    version: int
+    sent: float
+    ended: float
+    answer: Answer
+    valid: bool = True
+
+    def steps(self, chain: tuple) -> list[tuple]:
+        """The states that may follow, a chain of (version, content) taken so far; none where it cannot come here."""
+        newest = chain[-1][0] if chain else 0
+        taken = any(content == self.content for _, content in chain)
+        fits = self.valid and not taken and newest == self.base and self.version > newest
+        if self.answer in (Answer.TAKEN, Answer.UNKNOWN):
+            if taken:
+                return [chain]
+            return [(*chain, (self.version, self.content))] if fits else []
+        if self.answer is Answer.OTHER_VERSION:
+            return [chain] if not taken and newest != self.base or not self.valid else []
+        return [chain] if not fits and not taken else []
+
+
+@attrs.frozen
+class ConfigSeen:
+    """A configuration that was in force at some time between `sent` and `ended`, read back, or served by a gateway."""
+
+    version: int
+    content: str
+    sent: float
+    ended: float
+    server: str = ""
+    answer = Answer.TAKEN
+
+    def steps(self, chain: tuple) -> list[tuple]:
+        newest = chain[-1] if chain else (0, "")
+        return [chain] if newest == (self.version, self.content) else []
+
+
+@attrs.frozen
+class ZoneOrder:
+    """One copy of an order to empty or fill a zone."""
+
+    zone: str
+    empty: bool
+    sent: float
+    ended: float
+    answer: Answer
+
+    def steps(self, empty: bool) -> list[bool]:
+        return [self.empty] if self.answer in (Answer.TAKEN, Answer.UNKNOWN) else [empty]
+
+
+@attrs.frozen
+class ZoneSeen:
+    """Whether a zone was empty at some time between `sent` and `ended`, read back, or served by a gateway."""
+
+    zone: str
+    empty: bool
+    sent: float
+    ended: float
+    server: str = ""
+    answer = Answer.TAKEN
+
+    def steps(self, empty: bool) -> list[bool]:
+        return [empty] if empty == self.empty else []
+
+
+def check_history(records: list) -> list[str]:
+    """Every register whose records no order explains, with the record at which the longest order ends."""
+    out = _double_confirmations([r for r in records if isinstance(r, ConfigOrder)])
+    out += _explain("the configuration", [r for r in records if isinstance(r, ConfigOrder | ConfigSeen)], ())
+    for zone in sorted({r.zone for r in records if isinstance(r, ZoneOrder | ZoneSeen)}):
+        of_zone = [r for r in records if isinstance(r, ZoneOrder | ZoneSeen) and r.zone == zone]
+        out += _explain(f"zone {zone}", of_zone, False)
+    return out
+
+
+def _double_confirmations(orders: list[ConfigOrder]) -> list[str]:
+    """Implied by the search, and said in plain words: two changes confirmed on one base or under one version."""
+    out = []
+    for what in ("base", "version"):
+        confirmed: dict[int, str] = {}
+        for r in orders:
+            if r.answer is Answer.TAKEN and confirmed.setdefault(getattr(r, what), r.content) != r.content:
+                out.append(f"two changes were confirmed with {what} {getattr(r, what)}")
+    return out
+
+
+def _explain(what: str, records: list, state) -> list[str]:
+    search = _Search(sorted(records, key=lambda r: (r.sent, r.ended)))
+    if search.explains(state):
+        return []
+    return [f"no order explains {what}, at the latest from {search.stuck} on"]
+
+
+def _is_view(record) -> bool:
+    return isinstance(record, ConfigSeen | ZoneSeen)
+
+
+def _precedes(a, b) -> bool:
+    """Whether one must come before the other. What a gateway serves must only follow its own earlier views and what
+    was confirmed.
+    """
+    if a.ended >= b.sent:
+        return False
+    if not _is_view(b) or not b.server:
+        return True
+    return a.server == b.server if _is_view(a) else a.answer is Answer.TAKEN
+
+
+class _Search:
+    """Looks for an order of operations that respects their times and their answers (Wing and Gong, with the states
+    that were tried kept). Sets of operations are bit masks.
+    """
+
+    def __init__(self, records: list):
+        self._records = records
+        self._owed = sum(1 << i for i, r in enumerate(records) if r.answer is not Answer.UNKNOWN)
+        self._before = [sum(1 << i for i, a in enumerate(records) if _precedes(a, b)) & self._owed for b in records]
+        self._after = [sum(1 << i for i, b in enumerate(records) if _precedes(a, b)) for a in records]
+        self._free = [self._changes_nothing(r) for r in records]
+        self._closing = [
+            sum(1 << i for i, a in enumerate(records) if a.answer is Answer.UNKNOWN and _precedes(a, b))
+            for b in records
+        ]
+        self._deepest = -1
+        self.stuck = None
+
+    def explains(self, state) -> bool:
+        tried = set()
+        ways = [(0, state)]
+        while ways:
+            done, state = self._take_free(*ways.pop())
+            if done & self._owed == self._owed:
+                return True
+            if (done, state) in tried:
+                continue
+            tried.add((done, state))
+            self._note(done)
+            ways += self._next(done, state)
+        return False
+
+    def _open(self, done: int):
+        """Operations that may come next."""
+        for i, r in enumerate(self._records):
+            if not (done >> i & 1 or self._before[i] & ~done or self._after[i] & done):
+                yield i, r
+
+    def _take_free(self, done: int, state):
+        """Takes what changes nothing, may come now and closes the time of nothing else: to put it off gains nothing."""
+        while done & self._owed != self._owed:
+            free = [
+                i
+                for i, r in self._open(done)
+                if self._free[i] and not self._closing[i] & ~done and state in r.steps(state)
+            ]
+            if not free:
+                break
+            done |= sum(1 << i for i in free)
+        return done, state
+
+    def _changes_nothing(self, r) -> bool:
+        return _is_view(r) or r.answer in (Answer.OTHER_VERSION, Answer.REFUSED)
+
+    def _next(self, done: int, state) -> list:
+        """The ways on from here, the likeliest last: what is owed goes first, and of this what ended first."""
+        ways = [
+            (r.answer is Answer.UNKNOWN, r.ended, done | 1 << i, after)
+            for i, r in self._open(done)
+            for after in r.steps(state)
+            if r.answer is not Answer.UNKNOWN or after != state
+        ]
+        ways.sort(key=lambda w: w[:2], reverse=True)
+        return [(mask, after) for _, _, mask, after in ways]
+
+    def _note(self, done: int):
+        depth = (done & self._owed).bit_count()
+        if depth > self._deepest:
+            self._deepest = depth
+            left = [r for i, r in enumerate(self._records) if not done >> i & 1 and r.answer is not Answer.UNKNOWN]
+            self.stuck = min(left, key=lambda r: r.ended)
--- /dev/null
+++ b/tests/order_parts.py
@@ -0,0 +1,234 @@
+"""Operators on a stage whose orders are lost, held up, answered late or never, and sent again; all is recorded."""
+
+from math import inf
+
+import attrs
+
+from pipitlink.timers import ms, spawn
+from rehearsal.history import Answer, ConfigOrder, ConfigSeen, ZoneOrder, ZoneSeen
+from rehearsal.stage import Stage
+
+from .control_calls import Caller, config_of, route_of
+
+__all__ = ["HoldingStage", "Operators", "IN_EFFECT"]
+
+IN_EFFECT = 2.0
+PATIENCE = 1.0
+HOLD_LIMIT = 8.0
+ZONES = ("zone-a", "zone-b")
+CONFIG = "/v1/config"
+
+
+class HoldingStage(Stage):
+    """Edits that controllers pass on wait in a cut connection and arrive once it is healed."""
+
+    def carry(self, sender, place, verb, body):
+        goal = next((a for a in self.actors.values() if a.place == place), None)
+        if verb == "controller.edit" and goal is not None and (sender.name, goal.name) in self.cuts:
+            self._hold(sender, goal, verb, body, sender.ctx, goal.ctx, self.clock.seconds() + HOLD_LIMIT)
+        return super().carry(sender, place, verb, body)
+
+    def _hold(self, sender, goal, verb, body, sending, receiving, end):
+        if goal.ctx is not receiving or not goal.alive or sender.ctx is not sending or self.clock.seconds() > end:
+            return
+        if (sender.name, goal.name) in self.cuts:
+            self.clock.callLater(0.05, self._hold, sender, goal, verb, body, sending, receiving, end)
+            return
+        self.clock.callLater(0.002, self._let_go, sender, goal, verb, body)
+
+    def _let_go(self, sender, goal, verb, body):
+        super().carry(sender, goal.place, verb, body).addErrback(lambda f: None)
+
+
+@attrs.define
+class _Told:
+    """What became of an order: when its copies were sent, and its clear answer, if there was one."""
+
+    copies: list[float] = attrs.Factory(list)
+    answer: Answer = Answer.UNKNOWN
+    ended: float = inf
+
+
+@attrs.define
+class _Sent:
+    """One copy of an order on its way: the controller's life that it reached, and whether its caller has left."""
+
+    life: object = None
+    answer: list | None = None
+    failed: bool = False
+    left: bool = False
+
+
+class Operators:
+    """Several operators who change one fleet at once, each as a caller with a second of patience."""
+
+    def __init__(self, stage, tries: int = 8, lost: float = 0.05, held: float = 0.12, unanswered: float = 0.1):
+        self.stage, self.caller, self.timers = stage, Caller(stage), stage.timers()
+        self.tries, self.lost, self.held, self.unanswered = tries, lost, held, unanswered
+        self.records: list = []
+        self.over = False
+        self._number = 0
+        self._views: dict = {}
+        self.timers.every(ms(200), self._watch, self._fault)
+        self.faults: list[str] = []
+
+    def _fault(self, error):
+        self.faults.append(repr(error))
+
+    def taken(self) -> int:
+        return sum(isinstance(r, ConfigOrder | ZoneOrder) and r.answer is Answer.TAKEN for r in self.records)
+
+    async def call(self, controller, *words):
+        """One copy of a call: (status, body), or None where no clear answer came in time."""
+        stage, chance = self.stage, self.stage.chance
+        sent = _Sent()
+        lost_answer = chance.random() < self.unanswered
+        span = 0.001 + 0.003 * chance.random()
+        if chance.random() < self.held:
+            span = chance.choice((0.2, 0.6, 1.5, 3.0, 6.0))
+        if chance.random() >= self.lost:
+            stage.clock.callLater(span, self._arrive, controller, sent, words)
+        until = stage.clock.seconds() + PATIENCE
+        while stage.clock.seconds() < until:
+            await self.timers.pause(ms(10))
+            if sent.failed or sent.life is not None and (not controller.alive or controller.ctx is not sent.life):
+                return None
+            if sent.answer and not lost_answer:
+                return sent.answer[0] if sent.answer[0][0] < 500 else None
+        sent.left = True
+        if sent.answer is not None:
+            stage.clock.callLater(0.002, self._hang_up, controller, sent)
+        return None
+
+    def _arrive(self, controller, sent, words):
+        if not controller.alive:
+            sent.failed = True
+            return
+        sent.life = controller.ctx
+        controller.clock.callLater(0, self._read, controller, sent, words)
+
+    def _read(self, controller, sent, words):
+        sent.answer = self.caller.begin(controller, *words)
+        if sent.left:
+            self.stage.clock.callLater(0.008 * self.stage.chance.random(), self._hang_up, controller, sent)
+
+    def _hang_up(self, controller, sent):
+        if controller.alive and controller.ctx is sent.life:
+            controller.clock.callLater(0, sent.answer.hang_up)
+
+    async def send(self, *words) -> _Told:
+        """An order sent until it has a clear answer."""
+        told, pause = _Told(), 50
+        await self.timers.pause(ms(5))
+        for _ in range(self.tries):
+            told.copies.append(self.stage.clock.seconds())
+            got = await self.call(self.stage.chance.choice(self.stage.role("controller")), *words)
+            if got is not None:
+                told.answer, told.ended = _meaning(got[0]), self.stage.clock.seconds()
+                return told
+            await self.timers.pause(ms(pause))
+            pause = min(400, 2 * pause)
+        return told
+
+    async def change(self, content, base, version, valid=True, replaced=None) -> Answer:
+        """A change of the configuration to one route that is named like its content; a patch where it replaces one."""
+        route = route_of(content, "p" if valid else "unknown")
+        words = ("PUT", CONFIG, config_of(version, route))
+        if replaced:
+            words = (
+                "PATCH",
+                CONFIG,
+                {"version": version, "puts": {"routes": [route]}, "drops": {"routes": [replaced]}},
+            )
+        told = await self.send(*words, {"If-Match": str(base)})
+        self.records.append(ConfigOrder(content, base, version, told.copies[0], told.ended, told.answer, valid))
+        return told.answer
+
+    async def change_zone(self, zone, empty):
+        told = await self.send("PUT" if empty else "DELETE", f"/v1/zones/{zone}/empty")
+        for n, sent in enumerate(told.copies, 1):
+            answer = told.answer if n == len(told.copies) else Answer.UNKNOWN
+            self.records.append(ZoneOrder(zone, empty, sent, told.ended, answer))
+
+    async def read(self, controller=None):
+        """The version and content that were read back, or None."""
+        began = self.stage.clock.seconds()
+        controller = controller or self.stage.chance.choice(self.stage.role("controller"))
+        told = await self.call(controller, "GET", CONFIG)
+        if told is None:
+            return None
+        version, routes = told[1]["version"], told[1]["routes"]
+        content = routes[0]["name"] if routes else ""
+        self.records.append(ConfigSeen(version, content, began, self.stage.clock.seconds()))
+        return version, content
+
+    async def operate(self):
+        chance = self.stage.chance
+        while not self.over:
+            await self.timers.pause(ms(50 + chance.randrange(500)))
+            got = await self.read()
+            if got is not None:
+                await self._one(*got)
+
+    async def _one(self, base: int, content: str):
+        chance = self.stage.chance
+        name, version = self._name(), base + 1 + chance.randrange(2)
+        roll = chance.random()
+        if roll < 0.3:
+            zone, empty = chance.choice(ZONES), chance.random() < 0.5
+            await self.change_zone(zone, empty)
+            if chance.random() < 0.7:
+                await self.change_zone(zone, not empty)
+        elif roll < 0.37:
+            await self.change(name, base, version, valid=False)
+        elif roll < 0.47:
+            await self._early(name, base + 1 + chance.randrange(2))
+        elif roll < 0.6:
+            second = spawn(self._early(self._name(), version))
+            await self.change(name, base, version)
+            await second
+        else:
+            replaced = content if content and chance.random() < 0.3 else None
+            answer = await self.change(name, base, version, replaced=replaced)
+            if answer is Answer.TAKEN and chance.random() < 0.3:
+                await self.change(name, base, version, replaced=replaced)
+
+    async def _early(self, name: str, base: int):
+        """A change on a version that may not be in force yet; sent again once where that was refused."""
+        if await self.change(name, base, base + 2) is Answer.OTHER_VERSION:
+            await self.timers.pause(ms(300))
+            await self.change(name, base, base + 2)
+
+    def _name(self) -> str:
+        self._number += 1
+        return f"c{self._number}"
+
+    def _watch(self):
+        """What gateways that may admit work serve by: in force at some time within the last two seconds."""
+        now = self.stage.clock.seconds()
+        for a in self.stage.role("gateway", alive=True):
+            if not a.ctx.cluster.ready():
+                continue
+            state = a.ctx.cluster.cluster_state
+            content = next(iter(state.routes.routes), "")
+            self._note_view(a, ConfigSeen(state.routes.version, content, now - IN_EFFECT, now, a.node))
+            for zone in ZONES:
+                self._note_view(a, ZoneSeen(zone, zone in state.empty_zones, now - IN_EFFECT, now, a.node))
+
+    def _note_view(self, gateway, view):
+        """One record for each second of an unchanged view; a version that goes back is a fault of its own."""
+        key = (gateway.node, getattr(view, "zone", ""))
+        last = self._views.get(key)
+        same = last is not None and attrs.evolve(last, sent=view.sent, ended=view.ended) == view
+        if same and view.ended - last.ended < 1:
+            return
+        if isinstance(view, ConfigSeen) and last is not None and view.version < last.version:
+            self.faults.append(f"{gateway.name} went back from {last.version} to {view.version}")
+        self._views[key] = view
+        self.records.append(view)
+
+
+def _meaning(status: int) -> Answer:
+    if status == 200:
+        return Answer.TAKEN
+    return Answer.OTHER_VERSION if status == 412 else Answer.REFUSED
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,178 @@
+"""The history checker: what it accepts, and false accounts that it must refuse."""
+
+import unittest
+from math import inf
+from random import Random
+
+from rehearsal.history import Answer, ConfigOrder, ConfigSeen, ZoneOrder, ZoneSeen, check_history
+
+TAKEN, OTHER, REFUSED, UNKNOWN = Answer.TAKEN, Answer.OTHER_VERSION, Answer.REFUSED, Answer.UNKNOWN
+
+
+def order(content, base, version, sent, ended, answer=TAKEN, valid=True):
+    return ConfigOrder(content, base, version, sent, ended, answer, valid)
+
+
+def seen(version, content, sent, ended, server=""):
+    return ConfigSeen(version, content, sent, ended, server)
+
+
+def zone(empty, sent, ended, answer=TAKEN, name="a"):
+    return ZoneOrder(name, empty, sent, ended, answer)
+
+
+def zone_seen(empty, sent, ended, name="a", server=""):
+    return ZoneSeen(name, empty, sent, ended, server)
+
+
+A = order("a", 0, 3, 0, 1)
+B = order("b", 3, 5, 2, 3)
+
+ACCEPTED = {
+    "nothing": [],
+    "one after the other": [A, B, seen(3, "a", 1, 2), seen(5, "b", 3, 4)],
+    "read while it is made, old or new": [A, B, seen(3, "a", 2, 3), seen(5, "b", 2, 3)],
+    "a race with one winner": [A, order("b", 3, 5, 2, 3), order("c", 3, 5, 2, 3, OTHER), seen(5, "b", 4, 5)],
+    "sent again and confirmed again": [A, B, order("a", 0, 3, 4, 5), order("b", 3, 5, 4, 5)],
+    "no answer, not in force": [A, order("b", 3, 5, 2, inf, UNKNOWN), seen(3, "a", 9, 10)],
+    "no answer, in force late": [A, order("b", 3, 5, 2, inf, UNKNOWN), seen(3, "a", 9, 10), seen(5, "b", 11, 12)],
+    "no answer, and one builds on it": [A, order("b", 3, 5, 2, inf, UNKNOWN), order("c", 5, 6, 9, 10)],
+    "early, refused, sent again": [order("b", 3, 5, 0, 1, OTHER), order("a", 0, 3, 2, 3), order("b", 3, 5, 4, 5)],
+    "early beside its base": [order("b", 3, 5, 0, 4), order("a", 0, 3, 1, 3)],
+    "invalid, refused": [A, order("x", 3, 5, 2, 3, REFUSED, valid=False)],
+    "an old version, refused": [A, order("x", 3, 3, 2, 3, REFUSED)],
+    "a zone emptied and filled": [zone(True, 0, 1), zone_seen(True, 1, 2), zone(False, 3, 4), zone_seen(False, 5, 6)],
+    "zones at once": [zone(True, 0, 5), zone(False, 0, 5), zone_seen(True, 6, 7)],
+    "another zone": [zone(True, 0, 1), zone_seen(False, 2, 3, name="b")],
+    "a zone emptied twice by two copies of one order, before it is confirmed": [
+        zone(True, 0, 8, UNKNOWN),
+        zone_seen(True, 1, 2),
+        zone(False, 3, 4),
+        zone_seen(False, 4, 5),
+        zone(True, 6, 8),
+        zone_seen(True, 9, 10),
+    ],
+    "a copy that takes effect within its order": [zone(True, 0, 3, UNKNOWN), zone(True, 2, 3), zone_seen(True, 1, 2)],
+    "a gateway behind another, before it is confirmed": [
+        order("a", 0, 3, 0, 9),
+        seen(3, "a", 1, 2, "g"),
+        seen(0, "", 4, 5, "h"),
+        seen(3, "a", 6, 7, "h"),
+    ],
+    "a gateway behind what was read, before it is confirmed": [
+        A,
+        order("b", 3, 5, 2, 9),
+        seen(5, "b", 3, 4),
+        order("c", 3, 6, 3, 4, OTHER),
+        seen(3, "a", 5, 6, "g"),
+    ],
+    "a zone order without an answer, late": [
+        zone(True, 0, inf, UNKNOWN),
+        zone_seen(False, 3, 4),
+        zone_seen(True, 5, 6),
+    ],
+}
+
+REFUSED_ACCOUNTS = {
+    "two confirmed on one base": [A, order("b", 3, 5, 2, 3), order("c", 3, 6, 2, 3)],
+    "two confirmed under one number": [A, order("b", 3, 5, 2, 3), order("c", 3, 5, 2, 3)],
+    "confirmed, and an older one read": [A, B, seen(3, "a", 4, 5)],
+    "confirmed, and another content read": [A, seen(3, "z", 4, 5)],
+    "confirmed, and gone": [A, seen(0, "", 4, 5)],
+    "goes back": [A, order("b", 3, 5, 2, inf, UNKNOWN), seen(5, "b", 4, 5), seen(3, "a", 6, 7)],
+    "seen before it was sent": [A, B, seen(5, "b", 1, 1.5)],
+    "refused, and in force": [A, order("b", 3, 5, 2, 3, OTHER), seen(5, "b", 4, 5)],
+    "refused early, and in force by a copy held up": [
+        order("b", 3, 5, 0, 1, OTHER),
+        order("a", 0, 3, 2, 3),
+        seen(5, "b", 4, 5),
+    ],
+    "a proper one refused": [A, order("b", 3, 5, 2, 3, OTHER)],
+    "a proper one refused for good": [
+        order("b", 3, 5, 0, 1, OTHER),
+        order("a", 0, 3, 2, 3),
+        order("b", 3, 5, 4, 5, OTHER),
+    ],
+    "a confirmed one sent again and refused": [A, order("a", 0, 3, 4, 5, OTHER)],
+    "a confirmed one sent again and refused as invalid": [A, order("a", 0, 3, 4, 5, REFUSED)],
+    "an invalid one confirmed": [A, order("x", 3, 5, 2, 3, valid=False)],
+    "an invalid one in force": [A, order("x", 3, 5, 2, inf, UNKNOWN, valid=False), seen(5, "x", 4, 5)],
+    "the loser of a race built upon": [A, B, order("c", 3, 6, 2, 3, OTHER), order("d", 6, 9, 4, 5)],
+    "a zone emptied again by a copy held up": [
+        zone(True, 0, 2),
+        zone(False, 3, 4),
+        zone_seen(False, 4, 5),
+        zone_seen(True, 6, 7),
+    ],
+    "a gateway behind what was confirmed": [A, seen(0, "", 2, 4, "g")],
+    "read behind what a gateway served": [A, order("b", 3, 5, 2, 9), seen(5, "b", 3, 4, "g"), seen(3, "a", 5, 6)],
+    "a gateway that goes back": [order("a", 0, 3, 0, 9), seen(3, "a", 1, 2, "g"), seen(0, "", 4, 5, "g")],
+    "a zone emptied once more by a copy without an answer, after its order was confirmed": [
+        zone(True, 0, 2, UNKNOWN),
+        zone(True, 1, 2),
+        zone(False, 3, 4),
+        zone_seen(False, 4, 5, server="g"),
+        zone_seen(True, 6, 7, server="g"),
+    ],
+    "a zone not emptied though confirmed": [zone(True, 0, 1), zone_seen(False, 2, 3)],
+    "a zone emptied though refused": [zone(True, 0, 1, REFUSED), zone_seen(True, 2, 3)],
+    "a zone emptied that nobody emptied": [zone(True, 0, 1, name="b"), zone_seen(True, 2, 3)],
+}
+
+
+def made(seed: int, orders: int = 12) -> list:
+    """A true account with overlapping orders: each takes effect at a moment of its own between its two ends."""
+    chance = Random(seed)
+    now, chain, records = 0.0, [(0, "")], []
+    moments = []
+    for n in range(orders):
+        now += chance.random()
+        version, content = chain[-1]
+        moments.append((now, version, content))
+        goes = (version + 1 + chance.randrange(3), f"c{n}")
+        sent, ended = now - chance.random(), now + chance.random()
+        kind = chance.randrange(4)
+        if kind == 0:
+            records.append(order(f"l{n}", version + 7, version + 9, sent, ended, OTHER))
+        else:
+            records.append(
+                order(goes[1], version, goes[0], sent, inf if kind == 1 else ended, UNKNOWN if kind == 1 else TAKEN)
+            )
+            chain.append(goes)
+            moments.append((now, *goes))
+        records.append(seen(*chain[-1], now - chance.random(), now + chance.random()))
+        records.append(zone(n % 2 == 0, sent, ended))
+        records.append(zone_seen(n % 2 == 0, now - chance.random(), now + chance.random()))
+    return records
+
+
+class Accounts(unittest.TestCase):
+    def test_true_accounts_are_accepted(self):
+        for name, records in ACCEPTED.items():
+            with self.subTest(name):
+                self.assertEqual(check_history(records), [])
+
+    def test_false_accounts_are_refused(self):
+        for name, records in REFUSED_ACCOUNTS.items():
+            with self.subTest(name):
+                self.assertNotEqual(check_history(records), [])
+
+    def test_the_order_in_which_records_are_given_does_not_matter(self):
+        chance = Random(3)
+        for accounts, good in ((ACCEPTED, True), (REFUSED_ACCOUNTS, False)):
+            for name, records in accounts.items():
+                with self.subTest(name):
+                    self.assertEqual(check_history(chance.sample(records, len(records))) == [], good)
+
+    def test_what_stands_in_the_way_is_named(self):
+        late = zone_seen(True, 6, 7)
+        found = check_history([zone(True, 0, 2), zone(False, 3, 4), late])
+        self.assertEqual(found, [f"no order explains zone a, at the latest from {late} on"])
+
+    def test_made_accounts_are_accepted_and_refused_once_a_later_view_is_turned_back(self):
+        for seed in range(60):
+            records = made(seed)
+            self.assertEqual(check_history(records), [], seed)
+            end = max(r.ended for r in records if r.ended < inf)
+            self.assertNotEqual(check_history([*records, seen(0, "", end + 1, end + 2)]), [], seed)
+            self.assertNotEqual(check_history([*records, seen(99, "none", end + 1, end + 2)]), [], seed)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -235,6 +235,15 @@
         self.assertEqual(self.zone("DELETE", self.held), 200)
         self.assertLess(self.stage.clock.seconds() - before, 0.3)
 
+    def test_an_order_whose_caller_left_while_it_was_being_agreed_still_counts_on_the_leaders_disk(self):
+        part = self.leader.part
+        late = self.caller.begin(self.leader, "PUT", ZONE)
+        self.stage.until(lambda: part._proposed, 1, "it is proposed")
+        index = max(part._proposed)
+        late.hang_up()
+        self.stage.run(1)
+        self.assertGreaterEqual(part._synced, index)
+
 
 class Kept(unittest.TestCase):
     def test_marks_and_outcomes_come_back_from_a_snapshot(self):
--- /dev/null
+++ b/tests/test_stage_orders.py
@@ -0,0 +1,56 @@
+"""Histories of orders under cuts, freezes, lost answers, races, kills and losses of power, judged by the checker."""
+
+import unittest
+
+from rehearsal.history import check_history
+from rehearsal.trouble import Trouble, seeds
+
+from .order_parts import HoldingStage, Operators
+
+SEEDS = seeds(3)
+OPERATORS = 4
+LEAST_TAKEN = 10
+IN_ALL_VIEWS = 3.0
+
+
+def run_history(test, seed: int, roles=("controller",), faults: int = 10) -> list[str]:
+    """Runs one seed; returns what is wrong with its history."""
+    stage = HoldingStage(seed, controllers=4, storage_nodes=4, gateways=3, placement_groups=2)
+    test.addCleanup(stage.end)
+    stage.start()
+    stage.ready()
+    operators = Operators(stage)
+    trouble = Trouble(stage, roles=roles)
+    trouble.during([operators.operate() for _ in range(OPERATORS)], faults=faults)
+    if seed % 3 == 0:
+        _lose_power(stage)
+    stage.run(4)
+    operators.over = True
+    stage.run(14)
+    stage.ready()
+    for a in stage.role("controller"):
+        stage.until(lambda a=a: stage.do(operators.read(a), 5), 10, f"{a.name} is read")
+    stage.run(IN_ALL_VIEWS)
+    found = operators.faults + [t for t in trouble.told if "work ended" in t] + check_history(operators.records)
+    if operators.taken() < LEAST_TAKEN:
+        found.append(f"only {operators.taken()} orders were confirmed")
+    return [f"seed {seed}: {line}" for line in found]
+
+
+def _lose_power(stage):
+    """Every controller loses power at once, right among the orders."""
+    controllers = stage.role("controller")
+    for a in controllers:
+        a.kill(power=True)
+    stage.run(0.5)
+    for a in controllers:
+        a.start()
+
+
+class Histories(unittest.TestCase):
+    def test_histories_hold_while_controllers_fail(self):
+        self.assertEqual([line for s in SEEDS for line in run_history(self, s)], [])
+
+    def test_histories_hold_while_everything_fails(self):
+        roles = ("controller", "controller", "storage", "gateway")
+        self.assertEqual([line for s in SEEDS for line in run_history(self, 1000 + s, roles)], [])
