Test that an order whose caller leaves with its bytes is not carried out

The connection of the control interface gets the bytes of an order and its caller's leaving in one go: nothing is carried out; without the leaving it is.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,7 +3,14 @@
 import unittest
 from unittest import mock
 
+from klein import Klein
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
 from pipitlink.cluster import ClusterState, cluster_state
+from pipitlink.controller.control import Control
+from pipitlink.web import Site
 from pipitlink.wire.cluster_pb2 import Command, ConfigEdit, StorageNodeEdit, TableEdit, ZoneEdit
 from rehearsal.stage import Stage
 
@@ -235,6 +242,21 @@
         self.assertEqual(self.zone("DELETE", self.held), 200)
         self.assertLess(self.stage.clock.seconds() - before, 0.3)
 
+    def test_an_order_whose_bytes_arrive_together_with_its_callers_leaving_is_not_carried_out(self):
+        app = Klein()
+        Control(self.held.ctx, self.held.part, self.caller.words).routes(app.route)
+        for leaves in (True, False):
+            connection = Site(app.resource(), 1000).buildProtocol(None)
+            transport = StringTransport()
+            connection.makeConnection(transport)
+            connection.dataReceived(b"PUT %b HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n" % ZONE.encode())
+            if leaves:
+                connection.connectionLost(Failure(ConnectionDone()))
+            self.stage.run(1)
+            self.assertNotEqual(self.empty(), leaves)
+        self.assertIn(b"200 OK", transport.value())
+        connection.connectionLost(Failure(ConnectionDone()))
+
     def test_an_order_whose_caller_left_while_it_was_being_agreed_still_counts_on_the_leaders_disk(self):
         part = self.leader.part
         late = self.caller.begin(self.leader, "PUT", ZONE)
