--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -78,7 +78,7 @@
     Offers `newest` and `decide`, here or by way of the leader, the HTTP handlers and their `routes`, and the node's
     `readiness`, `beliefs` and `metrics`.
     Needs of the node: `_ctx`, `ask_controller`, `cluster_state`, `commit`, `leader`, `state`; of Gateways: `edit`; of
-    Leading and Voting: `sure_leader`, `term`, `_led_at`.
+    Orders: `order`; of Leading and Voting: `sure_leader`, `term`, `_led_at`.
     Owns no attributes.
     """
 
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -39,7 +39,7 @@
     `controller.follow`.
     Needs of the node: `_ctx`, `archive`, `cluster_state`, `leader`, `state`; of Leading: `_propose`, `sure_leader`,
     `heard_majority_at`, `_elected_at`.
-    Owns `followers`, `_news` and `_confirmations`.
+    Owns `followers`, `_news`, `_confirmations` and `_proposals`.
     """
 
     def _open_gateways(self):
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -37,7 +37,8 @@
     - Founding names the first voters of a new fleet; Voting holds elections and writes the ballots.
     - Leading replicates the log while this node leads, and takes in the leader's entries while it follows.
     - Gateways leases the cluster state to followers and turns an agreed command into an edit that is in effect.
-    - Edits and Retiring serve operators, at any controller, by way of the leader's Gateways and Leading.
+    - Edits and Retiring serve operators, at any controller, by way of the leader's Gateways and Leading; Orders fences
+      what operators order, so that no copy takes effect late.
     - Announcing passes news of engines on to gateways, and depends on neither leader nor majority.
     - Placement and Voters run on the leader's timers and propose changes of placement groups and of voters.
 
--- a/pipitlink/controller/orders.py
+++ b/pipitlink/controller/orders.py
@@ -20,8 +20,9 @@
 class Orders:
     """Mixin: fences the operators' orders, so that a copy that was held up anywhere cannot undo a later order.
 
-    Offers `order` and `check_timely`. Needs `decide`, `cluster_state` and the timers. Owns when this controller last
-    slept.
+    Offers `order` and `check_timely`.
+    Needs of the node: `_ctx`, `cluster_state`; of Edits: `decide`.
+    Owns `_awake_at` and `_woke_at`: when this controller last ran, and when it last woke after it was not run.
     """
 
     def _open_orders(self):
--- a/pipitlink/controller/retiring.py
+++ b/pipitlink/controller/retiring.py
@@ -12,7 +12,8 @@
     """Mixin: storage nodes are retired by their id or by their name, which outlives their process.
 
     Offers `retire` and `retirement`.
-    Needs of the node: `_ctx`; of Edits: `newest`, `decide`; of Placement: `check_retirement`.
+    Needs of the node: `_ctx`; of Edits: `newest`, `decide`; of Orders: `check_timely`; of Placement:
+    `check_retirement`.
     Owns no attributes.
     """
 
