--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -16,6 +16,7 @@
 from .edits import Edits
 from .gateways import Gateways
 from .leading import Leading
+from .orders import Orders
 from .placement import Placement
 from .retiring import Retiring
 from .voters import Voters
@@ -27,7 +28,7 @@
 
 
 class ControllerNode(
-    Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, HasStateMachine
+    Founding, Voting, Leading, Gateways, Edits, Orders, Retiring, Announcing, Placement, Voters, HasStateMachine
 ):
     """A controller: takes part in the agreement on the cluster state, and serves it.
 
@@ -36,7 +37,8 @@
     - Founding names the first voters of a new fleet; Voting holds elections and writes the ballots.
     - Leading replicates the log while this node leads, and takes in the leader's entries while it follows.
     - Gateways leases the cluster state to followers and turns an agreed command into an edit that is in effect.
-    - Edits and Retiring serve operators, at any controller, by way of the leader's Gateways and Leading.
+    - Edits and Retiring serve operators, at any controller, by way of the leader's Gateways and Leading; Orders fences
+      what operators order, so that no copy takes effect late.
     - Announcing passes news of engines on to gateways, and depends on neither leader nor majority.
     - Placement and Voters run on the leader's timers and propose changes of placement groups and of voters.
 
@@ -65,6 +67,7 @@
         self._open_leading()
         self._open_gateways()
         self._open_edits()
+        self._open_orders()
         self._open_placement()
         self._open_announcing()
         self._ctx.rpc.answer("controller.empty", Nothing, self._empty)
