Refuse a call that names a node where another one answers at its place

Cause: calls went to a place (host:port), and only votes compared who answered. A voter or storage node that lost its disk and was back at the same place under a new id was counted as the lost one, whose ballots, entries, epochs and synced tails it does not know, until membership had caught up.

Now a call may name the node that is meant. The Hello of a connection is the first frame of the process at its other end, so the caller compares it before it sends: WrongPeer, provably not sent. Own calls at the own place are compared with the own id. All calls that count towards a quorum name their node: append, vote, lease, renew, states, list, write, mark, read, witness, follow, pass_on, caught_up, and the lists of engines told to gateways. Probes and calls to seeds and founders stay without a name. No field of the wire was needed.

Before (guard taken out in the tests): an order was confirmed that one of three voters had on disk, the second down and the third emptied; an acknowledged record was lost, with a lease granted by an emptied replica and one that lacked it. After: the order is not confirmed, the lease is refused for want of a majority.

Ruled out: a check at the callee alone, as it would cost an id in every frame and prove no more than the Hello.

--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -10,6 +10,7 @@
 from ..timers import ms, secs
 from ..wire.cluster_pb2 import FollowRequest, FollowResponse, WitnessResponse
 from ..wire.frame_pb2 import Nothing
+from ..wire.membership_pb2 import Member
 from .cluster_state import ClusterState
 
 __all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
@@ -134,12 +135,12 @@
                 await self._ctx.timers.within(PAUSE, self._nudged).addErrback(lambda f: None)
 
     async def _follow_once(self, failures: int):
-        place, verb = self._whom(failures)
+        m, verb = self._whom(failures)
         asked = self._ctx.timers.now()
         ask = FollowRequest(
             node=self._ctx.node, role=self._ctx.role, sequence=self.sequence, at_once=self._leased_at is None
         )
-        r = await self._ctx.rpc.call(place, verb, ask, FollowResponse, FOLLOW_LIMIT)
+        r = await self._ctx.rpc.call((m.host, m.port), verb, ask, FollowResponse, FOLLOW_LIMIT, node=m.node)
         if r.controller and verb == "controller.follow":
             self._controller = r.controller
         if not self._absorb(r):
@@ -149,26 +150,26 @@
             self._followed = True
             self.ready()
 
-    def _whom(self, failures: int):
+    def _whom(self, failures: int) -> tuple[Member, str]:
         controllers = self._ctx.membership.members("controller", me=False)
         known = [m for m in controllers if m.node == self._controller]
         if known and not failures:
-            return (known[0].host, known[0].port), "controller.follow"
+            return known[0], "controller.follow"
         peers = self._ctx.membership.members("gateway", status=("alive",), me=False)
         if controllers and (failures % 3 or not peers):
-            m = self._ctx.chance.choice(controllers)
-            return (m.host, m.port), "controller.follow"
+            return self._ctx.chance.choice(controllers), "controller.follow"
         if not peers:
             raise WireError("neither a controller nor a peer is known")
-        m = self._ctx.chance.choice(peers)
-        return (m.host, m.port), "cluster.pass_on"
+        return self._ctx.chance.choice(peers), "cluster.pass_on"
 
     async def _pass_on(self, node, ask: FollowRequest) -> FollowResponse:
         """A peer that hears no controller follows through this node."""
         m = self._ctx.membership.find(self._controller) if self._controller else None
         if m is None:
             raise WireError("no controller is heard here either")
-        return await self._ctx.rpc.call((m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT)
+        return await self._ctx.rpc.call(
+            (m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT, node=m.node
+        )
 
     async def _witness(self, node, _) -> WitnessResponse:
         return WitnessResponse(current=self._followed, sequence=self.sequence)
--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -116,7 +116,9 @@
         if m is None:
             return False
         try:
-            await self._ctx.rpc.call((m.host, m.port), "engines.tell", self._list(engines), Nothing, PUSH_LIMIT)
+            await self._ctx.rpc.call(
+                (m.host, m.port), "engines.tell", self._list(engines), Nothing, PUSH_LIMIT, node=node
+            )
         except WireError as e:
             self._ctx.journal.trace("engines_untold", gateway=node, text=e)
             return False
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -102,7 +102,7 @@
         m = self._ctx.membership.find(node)
         if m is None:
             raise WireError(f"controller {node} is not on the membership")
-        return await self._ctx.rpc.call((m.host, m.port), verb, what, kind, limit)
+        return await self._ctx.rpc.call((m.host, m.port), verb, what, kind, limit, node=node)
 
     def apply(self):
         while self.cluster_state.sequence < self.commit:
--- a/pipitlink/controller/voting.py
+++ b/pipitlink/controller/voting.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from ..errors import WireError
+from ..errors import WireError, WrongPeer
 from ..timers import ZERO, ms, spawn
 from ..wire.cluster_pb2 import ClusterStateData
 from ..wire.controller_pb2 import FoundResponse, Snapshot, VoteRequest, VoteResponse
@@ -172,12 +172,14 @@
             nonlocal left
             try:
                 r = await self.ask_controller(node, "controller.vote", ask, VoteResponse, ASK_LIMIT)
-                if r.fresh or r.node != node:
+                if r.fresh:
                     started.add(node)
                 if r.granted and r.node == node:
                     granted.add(node)
                 elif r.term > self.term and not pre:
                     await self.meet_term(r.term)
+            except WrongPeer:
+                started.add(node)
             except WireError:
                 pass
             left -= 1
--- a/pipitlink/errors.py
+++ b/pipitlink/errors.py
@@ -18,6 +18,7 @@
     "SettingsError",
     "WireError",
     "CutOff",
+    "WrongPeer",
     "Overdue",
     "Refused",
     "Unmet",
@@ -73,6 +74,15 @@
         self.sent = sent
 
 
+class WrongPeer(CutOff):
+    """Another node answers at the place of the one that was meant: the call was not carried out."""
+
+    code = "wrong_peer"
+
+    def __init__(self, meant: str, answering: str):
+        super().__init__(f"node {meant} was meant, {answering} answers there", sent=False)
+
+
 class Overdue(WireError):
     """No result within the time limit; what was asked for may still happen. Raised by Timers, RPC and edits."""
 
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -49,7 +49,7 @@
         place = self.place(node)
         if place is None:
             raise WireError(f"storage node {node} is not on the membership")
-        return await self._ctx.rpc.call(place, verb, what, kind, limit)
+        return await self._ctx.rpc.call(place, verb, what, kind, limit, node=node)
 
     async def ask_each(self, nodes, verb: str, what, kind, limit=ASK_LIMIT, enough=None) -> dict:
         """Asks all at once; returns the responses that came, early once `enough` of them are in."""
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -6,17 +6,23 @@
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint, TCP6ClientEndpoint, connectProtocol
 
-from ..errors import CutOff, Overdue, PipitlinkError, Refused, Unmet, WireError
+from ..errors import CutOff, Overdue, PipitlinkError, Refused, Unmet, WireError, WrongPeer
 from ..timers import Joined, Timers, ms
 from .connection import WIRE, RpcConnection, RpcConnectionFactory
 from .frame_pb2 import Hello, Nothing
 
-__all__ = ["RpcEndpoint", "Place"]
+__all__ = ["RpcEndpoint", "Place", "require_peer"]
 
 Place = tuple[str, int]
 _CONNECT = ms(600)
 
 
+def require_peer(meant: str, answering: str):
+    """Refuses a call that names a node where another one answers; calls without a name are for whoever is there."""
+    if meant and meant != answering:
+        raise WrongPeer(meant, answering)
+
+
 class RpcEndpoint:
     """Where calls from peers are answered and calls to them are made."""
 
@@ -97,14 +103,16 @@
             return defer.succeed(self._streams[place])
         return self._opening.run(place, lambda: self._open(place))
 
-    async def call(self, place: Place, verb: str, ask, kind, limit: timedelta):
+    async def call(self, place: Place, verb: str, ask, kind, limit: timedelta, node: str = ""):
+        """Calls whoever answers at a place, or only the node that is named: WrongPeer, not run, from another one."""
         try:
-            return await self._timers.within(limit, self._call(place, verb, ask, kind))
+            return await self._timers.within(limit, self._call(place, verb, ask, kind, node))
         except Overdue as e:
             raise Overdue(f"{verb} to {place[0]}:{place[1]}: {e}") from e
 
-    async def _call(self, place: Place, verb: str, ask, kind):
+    async def _call(self, place: Place, verb: str, ask, kind, node: str = ""):
         if place == self.place:
+            require_peer(node, self.node)
             try:
                 return await self.attend(self.hello(), verb, ask.SerializeToString())
             except PipitlinkError as e:
@@ -112,6 +120,7 @@
         if self.gate is not None:
             await self.gate.outbound(place, verb)
         s = await self._stream(place)
+        require_peer(node, s.peer.node)
         f = await s.call(verb, ask.SerializeToString())
         if f.fault:
             raise Refused(f.fault, f.note)
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -70,11 +70,11 @@
             self._note("out", f"{verb}:response", r.ByteSize() + RESPONSE_FRAME)
         return r
 
-    async def _call(self, place, verb, ask, kind):
+    async def _call(self, place, verb, ask, kind, node=""):
         away = place != self.place
         if away:
             self._note("out", verb, ask.ByteSize() + len(verb) + CALL_FRAME)
-        r = await super()._call(place, verb, ask, kind)
+        r = await super()._call(place, verb, ask, kind, node)
         if away:
             self._note("in", f"{verb}:response", r.ByteSize() + RESPONSE_FRAME)
         return r
--- a/rehearsal/inner.py
+++ b/rehearsal/inner.py
@@ -74,7 +74,7 @@
     return ctx, part
 
 
-async def _unheard(*_):
+async def _unheard(*_, **__):
     return Gossip()
 
 
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -13,7 +13,7 @@
 from pipitlink.cluster import Cluster
 from pipitlink.context import Context
 from pipitlink.controller import ControllerNode
-from pipitlink.errors import CutOff, Overdue, PipitlinkError, Refused, Unmet
+from pipitlink.errors import CutOff, Overdue, PipitlinkError, Refused, Unmet, WrongPeer
 from pipitlink.journal import Journal
 from pipitlink.membership import Membership
 from pipitlink.replicated_log import ReplicatedLog
@@ -22,6 +22,7 @@
 from pipitlink.timers import Timers, spawn
 from pipitlink.wire.frame_pb2 import Nothing
 from pipitlink.wire.membership_pb2 import Member
+from pipitlink.wire.rpc import require_peer
 
 from .disks import LosingDisk
 from .staged_time import StagedTime, Watch
@@ -58,11 +59,11 @@
         r = await do(node, kind.FromString(body))
         return (Nothing() if r is None else r).SerializeToString()
 
-    async def call(self, place, verb, ask, kind, limit):
+    async def call(self, place, verb, ask, kind, limit, node=""):
         body = ask.SerializeToString()
         try:
             return kind.FromString(
-                await self._actor.ctx.timers.within(limit, self._stage.carry(self._actor, place, verb, body))
+                await self._actor.ctx.timers.within(limit, self._stage.carry(self._actor, place, verb, body, node))
             )
         except Overdue as e:
             raise Overdue(f"{verb} to {place}: {e}") from e
@@ -254,7 +255,8 @@
     def _delay(self) -> float:
         return 0.0005 + 0.003 * self.chance.random()
 
-    def carry(self, sender: Actor, place, verb, body) -> defer.Deferred:
+    def carry(self, sender: Actor, place, verb, body, node="") -> defer.Deferred:
+        """Carries one call; one that names a node is refused by any other that answers at its place."""
         goal = next((a for a in self.actors.values() if a.place == place and a.alive), None)
         d = defer.Deferred()
         mine = sender.ctx
@@ -274,6 +276,12 @@
             goal.clock.callLater(0, attend)
 
         def attend():
+            try:
+                require_peer(node, goal.node)
+            except WrongPeer as e:
+                back(e)
+                return
+
             def turned(f):
                 e = f.value
                 back(Refused(e.code, str(e)) if isinstance(e, PipitlinkError) else Refused("fault", repr(e)))
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -63,8 +63,8 @@
         got = []
         call = gateway.ctx.rpc.call
 
-        async def counted(place, verb, ask, kind, limit):
-            r = await call(place, verb, ask, kind, limit)
+        async def counted(place, verb, ask, kind, limit, node=""):
+            r = await call(place, verb, ask, kind, limit, node=node)
             if verb in ("cache.get", "replicated_log.read"):
                 got.append(len(r.SerializeToString()))
             return r
--- /dev/null
+++ b/tests/test_wrong_peer.py
@@ -0,0 +1,169 @@
+"""A call that names a node is refused, and not run, by any other that answers at its place."""
+
+import unittest
+import unittest.mock
+
+from twisted.internet.task import Clock
+from twisted.test import iosim
+
+from pipitlink.errors import NoMajority, PipitlinkError, WrongPeer
+from pipitlink.journal import Journal
+from pipitlink.timers import Timers, secs, spawn
+from pipitlink.wire.cluster_pb2 import Command, FollowRequest, FollowResponse, Row, TableEdit, WitnessResponse
+from pipitlink.wire.connection import RpcConnection
+from pipitlink.wire.frame_pb2 import Nothing
+from pipitlink.wire.membership_pb2 import ProbeFor, ProbeResponse
+from pipitlink.wire.replicated_log_pb2 import States, StatesRequest
+from pipitlink.wire.rpc import RpcEndpoint
+from rehearsal.stage import Stage
+
+PLACE = ("10.0.0.2", 7)
+LOG = "log"
+
+
+class _Quiet:
+    def log(self, *words):
+        pass
+
+
+class Connections(unittest.TestCase):
+    """Two real endpoints on one connection in memory."""
+
+    def setUp(self):
+        self.timers = Timers(Clock(), seconds=lambda: 0.0)
+        self.caller, self.callee = self._endpoint("caller"), self._endpoint("callee")
+        self.asked: list[str] = []
+        self.callee.answer("probe", ProbeFor, self._probe)
+        here, there = RpcConnection(self.caller), RpcConnection(self.callee)
+        self.pump = iosim.connect(there, iosim.makeFakeServer(there), here, iosim.makeFakeClient(here))
+        self.caller._streams[PLACE] = here
+
+    def _endpoint(self, node):
+        return RpcEndpoint(None, self.timers, Journal(_Quiet()), "pipit", node)
+
+    async def _probe(self, node, ask):
+        self.asked.append(ask.target)
+        return ProbeResponse(alive=True)
+
+    def call(self, endpoint, place, target, **named):
+        box = []
+        work = endpoint.call(place, "probe", ProbeFor(target=target), ProbeResponse, secs(1), **named)
+        spawn(work).addBoth(box.append)
+        self.pump.flush()
+        return box[0]
+
+    def test_the_named_node_and_whoever_is_there_answer(self):
+        self.assertTrue(self.call(self.caller, PLACE, "a", node="callee").alive)
+        self.assertTrue(self.call(self.caller, PLACE, "b").alive)
+        self.assertEqual(self.asked, ["a", "b"])
+
+    def test_another_node_refuses_and_does_not_run_it(self):
+        f = self.call(self.caller, PLACE, "a", node="its predecessor")
+        self.assertIsInstance(f.value, WrongPeer)
+        self.assertFalse(f.value.sent)
+        self.assertEqual(self.asked, [])
+
+    def test_a_node_at_its_own_place_does_not_answer_for_its_predecessor(self):
+        self.callee.place = PLACE
+        self.assertTrue(self.call(self.callee, PLACE, "a", node="callee").alive)
+        self.assertIsInstance(self.call(self.callee, PLACE, "b", node="its predecessor").value, WrongPeer)
+        self.assertEqual(self.asked, ["a"])
+
+
+def without_the_guard():
+    return unittest.mock.patch("rehearsal.stage.require_peer", lambda meant, answering: None)
+
+
+class EmptiedMembers(unittest.TestCase):
+    """A member that lost its disk is back at the same place under a new id before anybody has heard of that."""
+
+    def setUp(self):
+        self.stage = Stage(11, controllers=3, storage_nodes=3, gateways=2, placement_groups=1)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.stage.ready()
+        self.stage.run(3)
+
+    def empty(self, actor):
+        actor.kill(power=True)
+        actor.wipe()
+        actor.start()
+
+    def order_with_one_voter_left(self):
+        """One of three voters is down and one is emptied; whether the leader confirms an order with them."""
+        leader = self.stage.leader()
+        down, emptied = [a for a in self.stage.role("controller") if a is not leader]
+        down.kill()
+        self.empty(emptied)
+        edit = TableEdit(base=leader.part.cluster_state.table, puts=[Row(name="r", model="m")])
+        try:
+            self.stage.do(leader.part.edit(Command(edit="alone", table=edit)), 10)
+        except PipitlinkError:
+            return False
+        return True
+
+    def test_an_order_is_not_confirmed_by_an_emptied_voter(self):
+        self.assertFalse(self.order_with_one_voter_left())
+
+    def test_without_the_guard_an_order_is_confirmed_that_one_voter_has(self):
+        with without_the_guard():
+            self.assertTrue(self.order_with_one_voter_left())
+
+    def read_after_a_loss(self):
+        """Two of three replicas have an acknowledged record; one of these is emptied and the other one goes down."""
+        first, second = self.stage.role("gateway")
+        behind, emptied, down = self.stage.role("storage")
+        behind.kill()
+        h = self.stage.do(first.ctx.replicated_log.hold(LOG), 10)
+        self.stage.do(h.append([b"acknowledged"]), 10)
+        first.kill()
+        down.kill()
+        behind.start()
+        self.empty(emptied)
+        self.stage.until(lambda: emptied.ctx.cluster.sequence and behind.ctx.cluster.sequence, 10, "they follow")
+        return self.stage.do(second.ctx.replicated_log.hold(LOG, gone=first.node), 10).data
+
+    def test_an_emptied_storage_node_grants_no_lease_in_the_name_of_the_lost_one(self):
+        with self.assertRaises(NoMajority):
+            self.read_after_a_loss()
+
+    def test_without_the_guard_an_acknowledged_record_is_lost(self):
+        with without_the_guard():
+            self.assertNotIn(b"acknowledged", bytes(self.read_after_a_loss()))
+
+    def test_an_emptied_storage_node_is_no_witness_and_shows_no_state_for_the_lost_one(self):
+        storage_node, gateway = self.stage.role("storage")[0], self.stage.role("gateway")[0]
+        lost = storage_node.node
+        self.empty(storage_node)
+        replicated_log = gateway.ctx.replicated_log
+        for verb, ask, kind in (
+            ("cluster.witness", Nothing(), WitnessResponse),
+            ("replicated_log.states", StatesRequest(logs=[LOG]), States),
+        ):
+            self.assertIsNotNone(gateway.ctx.membership.find(lost))
+            with self.assertRaises(WrongPeer):
+                self.stage.do(replicated_log.ask(lost, verb, ask, kind), 3)
+
+    def test_followers_name_the_controller_that_they_follow(self):
+        named = []
+        plain = self.stage.carry
+
+        def carry(sender, place, verb, body, node=""):
+            if verb in ("controller.follow", "cluster.pass_on"):
+                named.append(node)
+            return plain(sender, place, verb, body, node)
+
+        with unittest.mock.patch.object(self.stage, "carry", carry):
+            self.stage.run(1)
+        self.assertTrue(named)
+        self.assertTrue(all(named))
+
+    def test_a_follow_call_is_not_answered_by_the_successor_of_the_controller_that_is_meant(self):
+        leader, gateway = self.stage.leader(), self.stage.role("gateway")[0]
+        lost = leader.node
+        self.empty(leader)
+        ask = FollowRequest(node=gateway.node, role="gateway", sequence=1)
+        with self.assertRaises(WrongPeer):
+            self.stage.do(
+                gateway.ctx.rpc.call(leader.place, "controller.follow", ask, FollowResponse, secs(1), node=lost), 3
+            )
