Refuse orders and engine news at once at a controller that is cut off

Cause: a follower held an order for its leader until 1.5 s without a word from it, and for 4.6 s where only its own calls were lost, since what the leader sent still arrived; a leader waited 2 s for a majority, and 5 s for proof of effect where it reached the controllers alone. Engines were acknowledged by a controller that reached no gateway, and an engine that leaves as soon as one gateway knew, although that one may be cut off together with the controller.

Now contact counts both ways: the leader's heartbeat tells how long ago the latest answered call to this follower was sent (optional field acked_ms of AppendRequest). Without contact for 0.7 s reads and orders are refused at once with 503; one that was under way then is answered as open, and the entry may still be agreed. A leader holds an order no longer than 0.9 s, or until the leases of the leader before have run out. News of engines are kept and told on, but acknowledged only where the last lists came through to more than half of the gateways, those counted that were lost in the last minute; leaving once more than half have confirmed it. A gateway that did not take a list within 3 s is owed it until it does; before, it was never told again.

The heal leaves leader and term alone, and the controller takes orders again within 1.5 s.

A test is replaced by a stricter one: it took for granted that an engine's renewal is acknowledged by a controller that holds all gateways for gone; that is refused now like leaving. The counting wrapper of the test at rest passes the name of the called node on.

--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -19,6 +19,7 @@
 CONFIRM_SPAN = ms(700)
 FORGET_SPAN = secs(30)
 GONE_SPAN = secs(60)
+LOST_SPAN = secs(60)
 FINAL = ("leaving", "gone")
 
 
@@ -50,17 +51,21 @@
 
 
 class Announcing:
-    """Mixin: engines announce themselves here, and every gateway is told; neither a leader nor a majority is needed.
+    """Mixin: engines announce themselves here, and every gateway is told; no leader is needed.
+
+    What most gateways cannot be told is kept and told on, but not acknowledged, so that the engine asks another
+    controller.
 
     Offers `announce`.
     Needs of the node: `_ctx`.
-    Owns `_announced`, `_renewed` and `_owed`.
+    Owns `_announced`, `_renewed`, `_owed` and `_unreached`.
     """
 
     def _open_announcing(self):
         self._announced: dict[str, _Announced] = {}
         self._renewed: set[str] = set()
         self._owed: dict[str, set[str]] = {}
+        self._unreached: set[str] = set()
         self._ctx.membership.watch(self._gateway_changed)
         self._ctx.timers.every(BATCH_INTERVAL, self._tell_renewed, self._ctx.report("renewed_engines"))
 
@@ -68,12 +73,17 @@
         """Takes an engine's news; returns once it may be acknowledged. The newest sequence wins, leaving is for
         good.
         """
+        have = self._keep_news(n)
+        if n.state in FINAL and have.news.state in FINAL:
+            await self._confirmed(have)
+        elif not self._reaches_most():
+            raise Crowded("most gateways cannot be told of this engine", code="untold")
+
+    def _keep_news(self, n: EngineNews) -> _Announced:
         have = self._announced.get(n.engine)
         late = have is not None and n.state != "gone" and n.sequence <= have.news.sequence
         if have is not None and have.news.state == "gone" or late:
-            if have.news.state in FINAL and n.state in FINAL:
-                await self._confirmed(have)
-            return
+            return have
         if have is None:
             have = self._announced[n.engine] = _Announced(EngineNews(), self._ctx.timers.now())
         before, have.news = have.news, n
@@ -86,12 +96,27 @@
             self._tell(have)
         else:
             self._renewed.add(n.engine)
-        if n.state in FINAL:
-            await self._confirmed(have)
+        return have
 
     def _gateways(self, status=("alive", "suspect")):
         return self._ctx.membership.members("gateway", status=status, me=False)
 
+    def _most(self, nodes) -> bool:
+        """Whether these are more than half of the gateways, those among them that were lost in the last minute."""
+        membership = self._ctx.membership
+        places = {
+            (m.host, m.port)
+            for m in self._gateways(("alive", "suspect", "gone"))
+            if membership.status(m.node) != "gone" or membership.since(m.node) < LOST_SPAN
+        }
+        found = [m for n in nodes if (m := membership.find(n)) is not None]
+        return 2 * len({(m.host, m.port) for m in found} & places) > len(places)
+
+    def _reaches_most(self) -> bool:
+        """Whether the last lists came through to more than half of the gateways, as far as any are known."""
+        known = self._gateways(("alive", "suspect", "gone"))
+        return not known or self._most(m.node for m in self._gateways() if m.node not in self._unreached)
+
     def _tell(self, have: _Announced):
         have.telling = t = _Telling(m.node for m in self._gateways())
         for node in t.gateways:
@@ -105,6 +130,7 @@
                     t.confirmed.add(node)
                     return
                 if self._ctx.timers.now() + PUSH_PAUSE > until:
+                    self._owed.setdefault(node, set()).update(engines)
                     return
                 await self._ctx.timers.pause(PUSH_PAUSE)
         finally:
@@ -121,7 +147,9 @@
             )
         except WireError as e:
             self._ctx.journal.trace("engines_untold", gateway=node, text=e)
+            self._unreached.add(node)
             return False
+        self._unreached.discard(node)
         return True
 
     def _list(self, engines) -> EngineList:
@@ -136,22 +164,23 @@
         return out
 
     async def _confirmed(self, have: _Announced):
-        """Waits until all live gateways have confirmed the change, for a short while; one gateway must have.
+        """Waits until all live gateways have confirmed the change, for a short while; more than half of all must have.
 
-        A controller that reaches none may be cut off from those who still send, so the engine has to ask another.
+        A controller that reaches fewer may be cut off from those who still send, so the engine has to ask another.
+        The others are told until they confirm.
         """
-        if have.telling is None or not have.telling.running and not have.telling.confirmed:
+        if have.telling is None or not have.telling.running and not self._most(have.telling.confirmed):
             self._tell(have)
         t = have.telling
         end = self._ctx.timers.now() + CONFIRM_SPAN
-        while True:
+        while self._reaches_most():
             live = {m.node for m in self._gateways(("alive",))}
             left = end - self._ctx.timers.now()
             if (live & t.gateways) <= t.confirmed or not t.running or left <= ms(0):
                 break
             await self._ctx.timers.await_or_lapse(t.wait(), left)
-        if not t.confirmed:
-            raise Crowded("no gateway has confirmed that this engine leaves", code="untold")
+        if not self._most(t.confirmed):
+            raise Crowded("too few gateways have confirmed that this engine leaves", code="untold")
 
     async def _tell_renewed(self):
         self._forget_engines()
@@ -168,6 +197,7 @@
 
     def _forget_engines(self):
         now = self._ctx.timers.now()
+        self._unreached = {n for n in self._unreached if self._ctx.membership.find(n) is not None}
         for name, have in list(self._announced.items()):
             if now - have.heard_at > (GONE_SPAN if have.news.state == "gone" else FORGET_SPAN):
                 del self._announced[name]
--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -19,7 +19,7 @@
     WireError,
     WrongBase,
 )
-from ..timers import ms, secs, spawn
+from ..timers import ms, secs
 from ..web import answered, send_json
 from ..wire.cluster_pb2 import ClusterStateData, Command, Outcome, TableEdit, ZoneEdit
 from ..wire.controller_pb2 import EditRequest, EditResponse, ReadTableRequest
@@ -29,7 +29,6 @@
 
 FORWARD_LIMIT = secs(7)
 LOOK_INTERVAL = ms(50)
-LEADER_SPAN = secs(1.5)
 
 
 def edit_base(request) -> int:
@@ -87,7 +86,7 @@
         self._ctx.rpc.answer("controller.read", ReadTableRequest, self._read_for)
 
     async def _edit_for(self, node, ask: EditRequest) -> EditResponse:
-        return EditResponse(outcome=await self.edit(ask.command))
+        return EditResponse(outcome=await self.edit(ask.command, self._order_limit()))
 
     async def _read_for(self, node, _) -> ClusterStateData:
         await self.sure_leader()
@@ -95,10 +94,10 @@
 
     async def newest(self) -> ClusterState:
         """The newest agreed cluster state, proved by the leader, or an error; never an older one."""
-        if self.state == "leader":
-            await self.sure_leader()
-            return self.cluster_state
         try:
+            if self.state == "leader":
+                await self.sure_leader()
+                return self.cluster_state
             return ClusterState(await self._ask_leader("controller.read", ReadTableRequest(), ClusterStateData))
         except (WireError, NotLeading, Unproven) as e:
             raise GatewayError(
@@ -109,25 +108,16 @@
                 retry_after=1,
             ) from e
 
-    def _leader_silent(self) -> bool:
-        return self._ctx.timers.now() - self._led_at > LEADER_SPAN
-
     async def _ask_leader(self, verb, what, kind):
-        """Passes a call on to the leader, and waits for it no longer than that one is held for the leader."""
+        """Passes a call on to the leader, and waits for it no longer than that one leads and is in touch."""
         leader = self.leader
-        if not leader or leader == self._ctx.node or self._leader_silent():
+        if not leader or leader == self._ctx.node or not self.in_touch():
             raise NotLeading("no leader is known")
-        d = spawn(self.ask_controller(leader, verb, what, kind, FORWARD_LIMIT))
-
-        def look():
-            if not d.called:
-                if self.leader != leader or self._leader_silent():
-                    d.cancel()
-                self._ctx.timers.later(LOOK_INTERVAL, look)
-
-        look()
+        work = self.ask_controller(leader, verb, what, kind, FORWARD_LIMIT)
         try:
-            return await d
+            return await self._ctx.timers.while_true(
+                lambda: self.leader == leader and self.in_touch(), LOOK_INTERVAL, work
+            )
         except defer.CancelledError:
             raise Unproven("the leader changed or was lost before it answered") from None
 
@@ -135,7 +125,7 @@
         """The outcome of an edit, here or at the leader; an error says whether it may have been taken."""
         try:
             if self.state == "leader":
-                return await self.edit(c)
+                return await self.edit(c, self._order_limit())
             return (await self._ask_leader("controller.edit", EditRequest(command=c), EditResponse)).outcome
         except (Overdue, Unproven, CutOff, Refused, NotLeading) as e:
             sent = not (
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -7,13 +7,16 @@
 
 from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
 from ..errors import NoRoom, NotLeading, Overdue, Unproven
-from ..timers import ms, secs
+from ..timers import Joined, ms, secs
 from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome
 
 __all__ = ["Gateways"]
 
 FRESH_SPAN = ms(500)
 EDIT_LIMIT = secs(5)
+ORDER_LIMIT = ms(900)
+SETTLE_SPAN = ms(500)
+LOOK_INTERVAL = ms(50)
 ROOM_SHARE = 0.9
 
 
@@ -118,15 +121,25 @@
         f = self.followers.get(storage_node)
         return f is not None and f.sequence >= sequence
 
+    def _order_limit(self) -> timedelta:
+        """How long an order may be held: until leases of the leader before have ended, else no more than a second."""
+        now = self._ctx.timers.now()
+        return max(ORDER_LIMIT, self._elected_at + LEASE_SPAN + SETTLE_SPAN - now)
+
     async def edit(self, c: Command, limit: timedelta = EDIT_LIMIT) -> Outcome:
-        """Proposes an edit and returns once it is agreed and in effect everywhere."""
+        """Proposes an edit and returns once it is agreed and in effect everywhere.
+
+        Where no majority was heard of late it is refused, not run; where none is heard any more, its outcome is open.
+        """
+        if self.state == "leader" and not self.in_touch():
+            raise NotLeading("a majority of the controllers was not heard")
         end = self._ctx.timers.now() + limit
         if self.archive.used() + 3 * c.ByteSize() > self._ctx.settings.budget_mb * 1024 * 1024 * ROOM_SHARE:
             raise NoRoom("the controller's data folder has no room for this edit", sent=False)
         out = self.cluster_state.outcomes.get(c.edit) if c.edit else None
         known = out is not None
         if not known:
-            out = await self._ctx.timers.within(limit, self._propose(c))
+            out = await self._ctx.timers.within(limit, self._agreed(c))
         if known or out.code != "done":
             await self.sure_leader()
         if out.code != "done":
@@ -135,11 +148,21 @@
         while not self._in_effect(sequence):
             if self.state != "leader":
                 raise Unproven("the edit is agreed, but this controller no longer leads to see it in effect")
+            if not self.in_touch():
+                raise Unproven("the edit is agreed, but a majority of the controllers is not heard any more")
             if self._ctx.timers.now() >= end:
                 raise Overdue("the edit is agreed but not yet shown to be in effect everywhere")
             await self._wait(self._confirmations, ms(50), lambda: self._in_effect(sequence))
         return out
 
+    async def _agreed(self, c: Command) -> Outcome:
+        """Waits for the agreement as long as a majority is heard; the entry may be agreed later all the same."""
+        try:
+            proposed = Joined().run(c.edit, lambda: self._propose(c))
+            return await self._ctx.timers.while_true(self.in_touch, LOOK_INTERVAL, proposed)
+        except defer.CancelledError:
+            raise Unproven("a majority of the controllers was not heard before the edit was agreed") from None
+
     def _forget_followers(self):
         now = self._ctx.timers.now()
         for node, f in list(self.followers.items()):
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 
 from ..errors import NoRoom, NotLeading, Unproven, WireError
-from ..timers import ZERO, ms, secs
+from ..timers import ZERO, ms, secs, to_ms
 from ..wire.cluster_pb2 import Command, Outcome
 from ..wire.controller_pb2 import AppendRequest, AppendResponse, ControllerEntry
 from .archive import told_by_the_last
@@ -15,6 +15,7 @@
 HEART_INTERVAL = ms(100)
 APPEND_LIMIT = ms(500)
 SNAPSHOT_LIMIT = secs(5)
+CONTACT_SPAN = ms(700)
 
 
 class Leading:
@@ -38,6 +39,7 @@
         self._proposed: dict[int, tuple[int, defer.Deferred]] = {}
         self._synced = 0
         self._elected_at = timedelta(0)
+        self._contact_at = self._ctx.timers.now()
         self._ctx.rpc.answer("controller.append", AppendRequest, self._append)
 
     def _lead(self):
@@ -64,6 +66,16 @@
         at = sorted((now if v == self._ctx.node else self._acked_at.get(v, ZERO) for v in self.voters()), reverse=True)
         return at[len(at) // 2] if at else ZERO
 
+    def in_touch(self) -> bool:
+        """Whether calls went both ways a short while ago: with a majority as the leader, else with the leader."""
+        if self.state == "leader":
+            at = max(self.heard_majority_at(), self._elected_at)
+        elif self.leader:
+            at = self._contact_at
+        else:
+            return False
+        return self._ctx.timers.now() - at < CONTACT_SPAN
+
     def _send_to_all(self):
         for m in self._ctx.membership.members("controller", me=False):
             if m.node not in self._senders:
@@ -100,6 +112,7 @@
 
     def _entries_for(self, node: str, after: int) -> AppendRequest:
         ask = AppendRequest(term=self.term, leader=self._ctx.node, commit=self.commit)
+        ask.acked_ms = self._silent_ms(node)
         prev = self.archive.term_at(after)
         if prev is None or (after == 0 and self.archive.snapshot.index == 0 and not self._match.get(node)):
             ask.snapshot.CopyFrom(self.archive.snapshot)
@@ -108,6 +121,11 @@
         ask.entries.extend(self.archive.after(after))
         return ask
 
+    def _silent_ms(self, node: str) -> int:
+        """How long ago the latest call that this controller answered was sent, or since when this one leads."""
+        acked_at = max(self._elected_at, self._acked_at.get(node, ZERO))
+        return to_ms(self._ctx.timers.now() - acked_at)
+
     async def _wait_wake(self, node: str):
         d = self._wakes[node] = defer.Deferred()
         await self._ctx.timers.await_or_lapse(d, HEART_INTERVAL)
@@ -162,18 +180,21 @@
                 got[1].errback(Unproven("another leader's entry stands in its place"))
 
     async def sure_leader(self):
-        """Returns once a majority has answered this leader after the call began, and its term has an agreed entry."""
+        """Returns once a majority has answered this leader after the call began, and its term has an agreed entry.
+
+        Refuses at once where none was heard of late, and waits for one no longer than that.
+        """
         if self.state != "leader":
             raise NotLeading(self.leader, self.leader)
         asked = self._ctx.timers.now()
         term = self.term
-        until = asked + secs(2)
+        until = asked + CONTACT_SPAN
         while True:
             if self.state != "leader" or self.term != term:
                 raise NotLeading(self.leader, self.leader)
             if self.heard_majority_at() >= asked and self.archive.term_at(self.commit) == term:
                 return
-            if self._ctx.timers.now() > until:
+            if not self.in_touch() or self._ctx.timers.now() > until:
                 raise Unproven("a majority of the controllers was not heard")
             self._wake_all()
             await self._ctx.timers.pause(ms(10))
@@ -188,6 +209,7 @@
             return AppendResponse(term=self.term)
         now = self._ctx.timers.now()
         self._heard_at = self._led_at = now
+        self._contact_at = max(self._contact_at, now - ms(ask.acked_ms))
         self.leader = ask.leader
         if ask.HasField("snapshot") and (self.state == "newcomer" or ask.snapshot.index > self.archive.last_index()):
             await self.adopt(ask.snapshot)
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -96,6 +96,19 @@
             if beat.active():
                 beat.cancel()
 
+    async def while_true(self, holds, interval: timedelta, work):
+        """Waits for work as long as a condition holds; then cancels it and raises CancelledError."""
+        d = work if isinstance(work, defer.Deferred) else spawn(work)
+
+        def look():
+            if not d.called:
+                if not holds():
+                    d.cancel()
+                self.later(interval, look)
+
+        look()
+        return await d
+
     def within(self, span: timedelta, work) -> defer.Deferred:
         d = work if isinstance(work, defer.Deferred) else spawn(work)
         out = defer.Deferred(lambda _: d.cancel())
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -188,8 +188,7 @@
         self.stage.cut([self.controller.name], [a for a in self.stage.actors if a != self.controller.name])
         self.stage.run(12)
         self.assertEqual(self.controller.ctx.membership.members("gateway"), [])
-        self.assertEqual(self.beat(2)[0], 200)
-        for ask in (lambda: self.beat(3, "leaving"), self.drop):
+        for ask in (lambda: self.beat(2), lambda: self.beat(3, "leaving"), self.drop):
             self.assertEqual(ask()[0], 503)
         self.stage.heal()
         self.stage.until(lambda: self.drop()[0] == 200, 10, "the gateways are told")
--- /dev/null
+++ b/tests/test_stage_cut_off.py
@@ -0,0 +1,328 @@
+"""A controller that is cut off for twenty seconds: what it answers meanwhile, and when it is back."""
+
+import unittest
+import unittest.mock
+from datetime import UTC, datetime
+
+import attrs
+
+from pipitlink.controller import announcing, gateways
+from pipitlink.controller.leading import Leading
+from pipitlink.timers import secs
+from pipitlink.wire.membership_pb2 import EngineList
+from rehearsal.stage import Stage
+
+from .control_calls import Caller, config_of, route_of
+
+CUT_SPAN = 20.0
+LONGEST_ANSWER = 1.0
+SETTLED_AFTER = 1.5
+AT_ONCE = 0.05
+BACK_WITHIN = 1.5
+CALLS_AT = (0.0, 0.2, 0.5, 0.9, 1.6, 2.5, 4.0, 7.0, 12.0, 19.0)
+ENGINE = {"pool": "p", "address": "10.9.0.1:80", "zone": "zone-a", "capacity": 4, "state": "ready"}
+WAYS = ("both", "in", "out")
+
+
+@attrs.define
+class _Call:
+    """One call to the controller that is cut off, and its answer."""
+
+    what: str
+    at: float
+    floor: int
+    box: list
+    span: float | None = None
+
+    def __str__(self):
+        return f"{self.what} at {self.at:.1f} s: {self.box[:1]} after {self.span} s"
+
+
+class Scene:
+    """Controllers, one of them cut off while operators and engines call it; others go on changing the configuration."""
+
+    def __init__(self, test, seed=5):
+        self.stage = Stage(seed, placement_groups=2)
+        test.addCleanup(self.stage.end)
+        self.stage.start()
+        for gateway in self.stage.role("gateway"):
+            self.listen(gateway)
+        self.stage.ready()
+        self.stage.run(3)
+        self.caller = Caller(self.stage)
+        self.version = 0
+        self.calls: list[_Call] = []
+        self.change(self.stage.leader())
+
+    def listen(self, gateway):
+        """Stands in for a gateway's list of engines."""
+
+        async def told(node, engines):
+            pass
+
+        gateway.ctx.rpc.answer("engines.tell", EngineList, told)
+
+    def now(self) -> float:
+        return self.stage.clock.seconds()
+
+    def controller(self, role: str):
+        """The leader, a voter that follows it, or a standby."""
+        leader = self.stage.leader()
+        if role == "leader":
+            return leader
+        voters = leader.part.voters()
+        return next(
+            a for a in self.stage.role("controller") if a is not leader and (a.node in voters) == (role == "voter")
+        )
+
+    def change(self, controller) -> int:
+        """Confirms one configuration more; returns the status."""
+        config = config_of(self.version + 1, route_of(f"r{self.version + 1}"))
+        status, _ = self.caller.put(controller, config, self.version)
+        if status == 200:
+            self.version += 1
+        return status
+
+    def cut(self, actor, way: str, others=None):
+        names = others or [a for a in self.stage.actors if a != actor.name]
+        if way in ("both", "out"):
+            self.stage.cut([actor.name], names, one_way=True)
+        if way in ("both", "in"):
+            self.stage.cut(names, [actor.name], one_way=True)
+
+    def call_all(self, actor, began: float):
+        """Every kind of call at once."""
+        n = len(self.calls)
+        config = config_of(10_000 + n, route_of(f"lone{n}"))
+        for what, *words in (
+            ("GET config", "GET", "/v1/config"),
+            ("PUT config", "PUT", "/v1/config", config, {"If-Match": str(self.version)}),
+            ("PUT empty", "PUT", "/v1/zones/zone-c/empty"),
+            ("PUT engine", "PUT", "/v1/engines/e1", {**ENGINE, "sequence": n}),
+            ("PUT leaving", "PUT", f"/v1/engines/l{n}", {**ENGINE, "state": "leaving", "sequence": n}),
+            ("DELETE engine", "DELETE", f"/v1/engines/d{n}"),
+            ("POST retire", "POST", f"/v1/storage_nodes/{self.stage.role('storage')[3].node}/retire"),
+        ):
+            box = self.caller.begin(actor, *words)
+            self.calls.append(_Call(what, self.now() - began, self.version, box))
+
+    def watch(self, span: float):
+        end = self.now() + span
+        while self.now() < end:
+            self.stage.run(0.01)
+            for call in self.calls:
+                if call.box and call.span is None:
+                    call.span = self.now() - self.began - call.at
+
+    def play(self, actor, way: str, others=None, changing=True):
+        """Cuts the controller off, calls it again and again, and has the others confirm changes meanwhile."""
+        self.began = self.now()
+        self.cut(actor, way, others)
+        for at, after in zip(CALLS_AT, (*CALLS_AT[1:], CUT_SPAN)):
+            self.call_all(actor, self.began)
+            self.watch(after - at)
+            leader = self.stage.leader()
+            if changing and leader is not None and leader is not actor:
+                self.change(leader)
+
+    def slow(self) -> list[str]:
+        """Calls that were held for over a second, or not refused at once though the cut was known."""
+        held = [str(c) for c in self.calls if c.span is None or c.span > LONGEST_ANSWER]
+        late = [str(c) for c in self.calls if c.at > SETTLED_AFTER and c.span is not None and c.span > AT_ONCE]
+        return held + late
+
+    def wrong(self) -> list[str]:
+        """Orders and announcements that were confirmed, and reads older than what was confirmed before them."""
+        out = []
+        for c in self.calls:
+            status, body = c.box[0] if c.box else (None, None)
+            if c.what == "GET config" and status == 200:
+                if body["version"] < c.floor:
+                    out.append(f"old configuration: {c}")
+            elif status != 503 and not (c.what == "PUT engine" and c.at < SETTLED_AFTER):
+                out.append(f"not refused: {c}")
+        return out
+
+    def back(self, actor) -> float:
+        """Heals the cut; returns how long the controller took to take an order again."""
+        self.stage.heal()
+        healed = self.now()
+        while self.change_newest(actor) != 200:
+            if self.now() - healed > 10:
+                raise AssertionError("it takes no order")
+            self.stage.run(0.05)
+        return self.now() - healed
+
+    def change_newest(self, actor) -> int:
+        """A change on top of what stands: one of the refused orders may have been taken before the cut was known."""
+        leader = self.stage.leader()
+        if leader is not None:
+            self.version = leader.part.cluster_state.routes.version
+        return self.change(actor)
+
+
+class CutOffForTwentySeconds(unittest.TestCase):
+    def check(self, role, way):
+        s = Scene(self)
+        actor = s.controller(role)
+        s.play(actor, way)
+        self.assertEqual(s.slow(), [])
+        self.assertEqual(s.wrong(), [])
+        self.assertIsNot(s.stage.leader(), None)
+        led, term = s.stage.leader(), s.stage.leader().part.term
+        self.assertIsNot(led, actor)
+        self.assertEqual(s.change_newest(led), 200)
+        self.assertLess(s.back(actor), BACK_WITHIN)
+        self.assertEqual(s.caller.get(actor)[1]["version"], s.version)
+        s.stage.run(3)
+        self.assertEqual((s.stage.leader(), s.stage.leader().part.term), (led, term), "the heal disturbed the leader")
+        self.assertEqual(s.caller.ask(actor, "PUT", "/v1/engines/e9", {**ENGINE, "sequence": 1})[0], 200)
+        self.assertEqual(s.caller.ask(actor, "DELETE", "/v1/engines/e9")[0], 200)
+
+    def test_a_leader(self):
+        for way in WAYS:
+            with self.subTest(way):
+                self.check("leader", way)
+
+    def test_a_voter(self):
+        for way in WAYS:
+            with self.subTest(way):
+                self.check("voter", way)
+
+    def test_a_standby(self):
+        for way in WAYS:
+            with self.subTest(way):
+                self.check("standby", way)
+
+    def test_a_leader_whose_wall_clock_is_stepped(self):
+        s = Scene(self)
+        actor = s.controller("leader")
+        for shift in (-86_400, 86_400):
+            actor.ctx.timers.wall = lambda shift=shift: datetime.fromtimestamp(1_700_000_000 + shift + s.now(), UTC)
+            s.play(actor, "both")
+            s.back(actor)
+        self.assertEqual(s.slow(), [])
+
+    def test_a_voter_and_the_leader_from_each_other_only(self):
+        """The others hear both: no election comes of it, and the voter refuses what it cannot pass on."""
+        for way in WAYS:
+            with self.subTest(way):
+                s = Scene(self)
+                leader, voter = s.controller("leader"), s.controller("voter")
+                term = leader.part.term
+                s.play(voter, way, [leader.name])
+                self.assertEqual((s.stage.leader(), leader.part.term), (leader, term))
+                orders = [c for c in s.calls if c.what in ("GET config", "PUT config", "PUT empty")]
+                self.assertEqual([str(c) for c in orders if c.span is None or c.span > LONGEST_ANSWER], [])
+                self.assertEqual([str(c) for c in orders if c.at > SETTLED_AFTER and c.box[0][0] != 503], [])
+                self.assertLess(s.back(voter), BACK_WITHIN)
+
+    def test_a_leader_that_is_frozen_answers_what_waited_with_503_when_it_is_thawed(self):
+        s = Scene(self)
+        leader = s.controller("leader")
+        leader.freeze()
+        s.began = s.now()
+        leader.clock.callLater(0, s.call_all, leader, s.began)
+        new = s.stage.until(s.stage.leader, 10, "another leads")
+        for _ in range(3):
+            self.assertEqual(s.change(new), 200)
+        s.watch(CUT_SPAN - 5)
+        floor = s.version
+        leader.thaw()
+        s.watch(1)
+        for c in s.calls:
+            c.floor = floor
+        self.assertEqual([str(c) for c in s.calls if not c.box], [])
+        self.assertEqual([line for line in s.wrong() if "engine" not in line and "leaving" not in line], [])
+        self.assertLess(s.back(leader), BACK_WITHIN)
+        self.assertEqual(s.caller.get(leader)[1]["version"], s.version)
+
+    def test_a_leader_that_reaches_the_controllers_alone_does_not_hold_orders(self):
+        """It cannot show an order in effect: the outcome is open, and the order is acknowledged when it is repeated."""
+        s = Scene(self)
+        leader = s.controller("leader")
+        s.stage.cut([leader.name], [a.name for a in s.stage.actors.values() if a.role != "controller"])
+        s.stage.run(3)
+        order = (leader, "PUT", "/v1/config", config_of(2, route_of("r2")), {"If-Match": "1"})
+        began = s.now()
+        self.assertEqual(s.caller.ask(*order)[0], 503)
+        self.assertLess(s.now() - began, LONGEST_ANSWER)
+        s.stage.heal()
+        s.stage.run(2)
+        self.assertEqual(s.caller.ask(*order)[0], 200)
+
+
+class WithoutItsGuard(unittest.TestCase):
+    """Each guard is taken out: then the scene shows the failure that it prevents."""
+
+    def slow(self, role, way, *patch):
+        s = Scene(self)
+        with unittest.mock.patch.object(*patch):
+            s.play(s.controller(role), way, changing=False)
+        return s.slow()
+
+    def test_orders_are_held_where_contact_is_not_asked_for(self):
+        found = self.slow("voter", "both", Leading, "in_touch", lambda self: bool(self.leader))
+        self.assertTrue(any("PUT config" in line for line in found), found)
+
+    def test_orders_are_held_where_only_one_way_counts_as_contact(self):
+        found = self.slow("voter", "out", Leading, "_silent_ms", lambda self, node: 0)
+        self.assertTrue(any("PUT config" in line for line in found), found)
+
+    def test_orders_are_held_for_seconds_without_a_bound(self):
+        with unittest.mock.patch.object(gateways, "ORDER_LIMIT", secs(5)):
+            s = Scene(self)
+            leader = s.controller("leader")
+            s.stage.cut([leader.name], [a.name for a in s.stage.actors.values() if a.role != "controller"])
+            s.stage.run(3)
+            began = s.now()
+            order = (leader, "PUT", "/v1/config", config_of(2, route_of("r2")), {"If-Match": "1"})
+            self.assertEqual(s.caller.ask(*order)[0], 503)
+            self.assertGreater(s.now() - began, LONGEST_ANSWER)
+
+    def test_announcements_are_acknowledged_that_no_gateway_hears(self):
+        s = Scene(self)
+        with unittest.mock.patch.object(announcing.Announcing, "_reaches_most", lambda self: True):
+            s.play(s.controller("voter"), "both", changing=False)
+        self.assertTrue(any("PUT engine" in line for line in s.wrong()), s.wrong())
+
+
+class Leaving(unittest.TestCase):
+    """Engines that leave, at a controller that reaches only some of the gateways."""
+
+    def acknowledged(self, seen=1):
+        """Whether one gateway of three, cut off together with the controller, is enough for an engine that leaves."""
+        s = Scene(self)
+        controller = s.controller("voter")
+        side = [controller.name, *(g.name for g in s.stage.role("gateway")[:seen])]
+        s.stage.cut(side, [a for a in s.stage.actors if a not in side])
+        out = []
+        for n in range(4):
+            out.append(s.caller.ask(controller, "PUT", "/v1/engines/e1", {**ENGINE, "state": "leaving", "sequence": n}))
+            s.stage.run(4)
+        return [status for status, _ in out]
+
+    def test_leaving_is_acknowledged_only_once_most_gateways_know(self):
+        self.assertEqual(self.acknowledged(seen=1), [503] * 4)
+        self.assertEqual(self.acknowledged(seen=2)[0], 200)
+
+    def test_without_the_guard_one_gateway_is_enough(self):
+        with unittest.mock.patch.object(announcing.Announcing, "_most", lambda self, nodes: bool(list(nodes))):
+            self.assertIn(200, self.acknowledged(seen=1))
+
+
+class Starting(unittest.TestCase):
+    def test_a_gateway_that_starts_and_reaches_only_the_controller_that_is_cut_off_does_not_serve(self):
+        for role in ("leader", "voter"):
+            with self.subTest(role):
+                s = Scene(self)
+                controller, gateway = s.controller(role), s.stage.role("gateway")[0]
+                gateway.kill()
+                side = [controller.name, gateway.name]
+                s.stage.cut(side, [a for a in s.stage.actors if a not in side])
+                gateway.start()
+                for _ in range(int(CUT_SPAN)):
+                    s.stage.run(1)
+                    self.assertFalse(gateway.ctx.cluster.usable())
+                s.stage.heal()
+                s.stage.until(lambda g=gateway: g.ctx.cluster.ready(), 5, "it serves with the newest state")
--- a/tests/test_stage_idle.py
+++ b/tests/test_stage_idle.py
@@ -30,8 +30,8 @@
         s.run(SPAN)
         self._at_rest = False
 
-    def _count(self, sender, place, verb, body):
-        d = self._carry(sender, place, verb, body)
+    def _count(self, sender, place, verb, body, node=""):
+        d = self._carry(sender, place, verb, body, node)
         if self._at_rest:
             goal = next(a for a in self.stage.actors.values() if a.place == place)
             self.asks[verb] += 1
