Drop a connection on which nothing comes any more, so that a heal is found at once

Cause: calls between nodes share one connection for each place. After a cut of 20 s the kernel sends again what was lost only after a pause that has doubled each time, up to some 12 s, so that calls over that connection go on failing after the heal; and what was held up in it, such as an old order, still arrives then.

Now a call that runs into its limit looks at its connection: where nothing has come since a call was sent, for a second and the time that the bytes take at 512 KiB/s, it is dropped, and the next call opens another. It is looked at once more after a read, since a process that was stopped finds its own calls late before it reads what has come.

Before (guard taken out in the test): all 40 calls of 0.4 s wait for the old connection and none opens another. After: calls fail at once as not sent, from the fourth on, and the first call after the heal is answered.

Ruled out: TCP_USER_TIMEOUT, which would do the same for kernels that have it, but cannot be tested on a staged clock.

--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -4,7 +4,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from ..errors import CutOff, WireError
-from ..timers import spawn
+from ..timers import secs, spawn
 from .frame_pb2 import Frame, Hello
 
 __all__ = ["RpcConnection", "RpcConnectionFactory", "MAX_FRAME", "WIRE"]
@@ -13,6 +13,8 @@
 MAX_INBOX = 512
 MAX_ATTENDED = 256
 WIRE = 1
+SILENT_SPAN = secs(1)
+SLOWEST_BYTES_S = 512 * 1024
 
 
 class RpcConnection(Int32StringReceiver):
@@ -28,6 +30,8 @@
         self._next = 0
         self._attended = 0
         self._held = False
+        self._silent_since = None
+        self._silent_bytes = 0
         self.peer = Hello()
         self.ended = False
         self.ready: defer.Deferred = defer.Deferred(lambda d: None)
@@ -37,6 +41,17 @@
         self.sendString(self._rpc.hello().SerializeToString())
         self._task = spawn(self._serve())
 
+    def dataReceived(self, data):
+        self._silent_since, self._silent_bytes = None, 0
+        super().dataReceived(data)
+
+    def hangs(self) -> bool:
+        """Whether nothing has come since a call was sent, for longer than its bytes may take on a slow link."""
+        if self._silent_since is None or self.ended:
+            return False
+        span = SILENT_SPAN + secs(self._silent_bytes / SLOWEST_BYTES_S)
+        return self._rpc.now() - self._silent_since > span
+
     def stringReceived(self, data):
         self._inbox.append(data)
         if len(self._inbox) + self._attended >= MAX_INBOX and not self._held:
@@ -128,6 +143,9 @@
         n = self._next
         d = defer.Deferred(lambda _: self._calls.pop(n, None))
         self._calls[n] = d
+        if self._silent_since is None:
+            self._silent_since = self._rpc.now()
+        self._silent_bytes += len(body)
         self._send(Frame(call=n, verb=verb, body=body))
         return d
 
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -15,6 +15,7 @@
 
 Place = tuple[str, int]
 _CONNECT = ms(600)
+_READ_SPAN = ms(50)
 
 
 def require_peer(meant: str, answering: str):
@@ -108,8 +109,23 @@
         try:
             return await self._timers.within(limit, self._call(place, verb, ask, kind, node))
         except Overdue as e:
+            if place in self._streams and self._streams[place].hangs():
+                self._timers.later(_READ_SPAN, self._drop_if_hanging, self._streams[place])
             raise Overdue(f"{verb} to {place[0]}:{place[1]}: {e}") from e
 
+    def now(self) -> timedelta:
+        return self._timers.now()
+
+    def _drop_if_hanging(self, s: RpcConnection):
+        """Ends a connection on which nothing comes any more, so that the next call opens another.
+
+        Looked at once more after what has come was read: a process that was stopped finds its own calls late first.
+        """
+        if s.hangs():
+            self.journal.note("connection_dropped", peer=s.peer.node)
+            self.gone(s)
+            s.transport.abortConnection()
+
     async def _call(self, place: Place, verb: str, ask, kind, node: str = ""):
         if place == self.place:
             require_peer(node, self.node)
