Let a restarted storage node hear the newest placement before it takes writes

Cause: a storage node keeps its logs and epochs on disk, but not the placement it has seen. A majority of the old set of a placement group knows of a move before the move ends, and so refuses writers of the old placement; a member that restarted had forgotten it. Beside a machine that was cut off before the move, it made a majority of the old set again.

Now a storage node that has started takes no lease and no write before it has followed a leader once. It holds such a call for half a second at most, since after a loss of power everywhere the gateways are ready a moment before it.

Before (guard taken out in the test): both sides are told that different first bytes of one log are durable. After: the cut-off side is refused, the other one goes on.

--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -22,6 +22,7 @@
 WITNESS_INTERVAL = ms(300)
 WITNESS_SPAN = secs(1)
 PAUSE = ms(100)
+START_INTERVAL = ms(20)
 
 
 class Cluster(HasStateMachine):
@@ -57,6 +58,18 @@
     def sequence(self) -> int:
         return self.cluster_state.sequence
 
+    @property
+    def followed(self) -> bool:
+        """Whether the newest cluster state was heard from a leader since this node started."""
+        return self._followed
+
+    async def wait_followed(self, span: timedelta) -> bool:
+        """Waits a while for `followed` on a node that has just started."""
+        end = self._ctx.timers.now() + span
+        while not self.followed and self._ctx.timers.now() < end:
+            await self._ctx.timers.pause(START_INTERVAL)
+        return self.followed
+
     def watch(self, do):
         self._watchers.append(do)
 
@@ -172,7 +185,7 @@
         )
 
     async def _witness(self, node, _) -> WitnessResponse:
-        return WitnessResponse(current=self._followed, sequence=self.sequence)
+        return WitnessResponse(current=self.followed, sequence=self.sequence)
 
     async def _whole(self, node, _) -> FollowResponse:
         return FollowResponse(sequence=self.sequence, cluster_state=self.cluster_state.data())
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -54,7 +54,7 @@
         so one
         whose leaseholder is gone may be asked for by its name, and one that nobody is known to hold without a wait
         (usurp)."""
-        self._check_placement_group(ask.log, ask.placement_group_sequence)
+        await self._check_placement_group(ask.log, ask.placement_group_sequence)
         now = self._ctx.timers.now()
         g = self._live_grant(ask.log)
         state = self._state(ask.log)
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -8,6 +8,7 @@
 from ..errors import NoRoom, OldPlacementGroup, SettingsError
 from ..replicated_log.placement_group import placement_group_of
 from ..syncing import Syncer
+from ..timers import ms
 from ..wire.replicated_log_pb2 import (
     Entry,
     ListRequest,
@@ -29,6 +30,7 @@
 MAX_READ = 8 * 1024 * 1024
 MAX_LOG = 64 * 1024 * 1024
 MAX_STAGED = 16
+START_SPAN = ms(500)
 
 
 def node_id(folder: Path, fleet: str) -> str:
@@ -80,7 +82,7 @@
         d.answer("replicated_log.list", ListRequest, self._list)
 
     async def _write(self, node, ask: WriteRequest):
-        self._check_placement_group(ask.log, ask.placement_group_sequence)
+        await self._check_placement_group(ask.log, ask.placement_group_sequence)
         key = (ask.log, ask.epoch)
         if ask.staged:
             return self._stage(key, ask)
@@ -144,8 +146,14 @@
             else 0,
         )
 
-    def _check_placement_group(self, log: str, sequence: int):
-        """A writer that counts on an older placement must look again before it goes on."""
+    async def _check_placement_group(self, log: str, sequence: int):
+        """A writer that counts on an older placement must look again before it goes on.
+
+        The placement is not kept on disk: a storage node that has just started knows it only once it has followed a
+        leader, and until then it might agree with a writer that was left behind.
+        """
+        if not await self._ctx.cluster.wait_followed(START_SPAN):
+            raise OldPlacementGroup("this storage node has not heard the newest placement since it started")
         placement_group = self._ctx.cluster.placement_group(placement_group_of(log, self._ctx.cluster.placement_groups))
         if sequence < placement_group.sequence:
             raise OldPlacementGroup(
--- a/tests/test_stage_cut_off.py
+++ b/tests/test_stage_cut_off.py
@@ -8,6 +8,7 @@
 
 from pipitlink.controller import announcing, gateways
 from pipitlink.controller.leading import Leading
+from pipitlink.errors import PipitlinkError
 from pipitlink.timers import secs
 from pipitlink.wire.membership_pb2 import EngineList
 from rehearsal.stage import Stage
@@ -326,3 +327,50 @@
                     self.assertFalse(gateway.ctx.cluster.usable())
                 s.stage.heal()
                 s.stage.until(lambda g=gateway: g.ctx.cluster.ready(), 5, "it serves with the newest state")
+
+    def write_on_both_sides(self):
+        """A machine with a storage node and a gateway is cut off until its copy has been moved. Then a storage node of
+        the new placement restarts, and reaches that machine alone. Returns what each side was told is durable.
+        """
+        stage = Stage(5, controllers=3, storage_nodes=4, gateways=2, placement_groups=1)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        stage.run(6)
+        group = stage.leader().part.cluster_state.placement_group(0)
+        kept = {a.node: a for a in stage.role("storage")}
+        first, _, behind = (kept[n] for n in group.storage_nodes)
+        old, new = stage.role("gateway")
+        side = [behind.name, old.name]
+        stage.cut(side, [a for a in stage.actors if a not in side])
+        stage.until(
+            lambda: behind.node not in stage.leader().part.cluster_state.placement_group(0).everyone,
+            40,
+            "its copy is moved",
+        )
+        stage.run(1)
+        first.kill()
+        side.append(first.name)
+        stage.heal()
+        stage.cut(side, [a for a in stage.actors if a not in side])
+        first.start()
+        stage.run(1)
+        return [self.written(stage, g) for g in (old, new)]
+
+    def written(self, stage, gateway) -> bool:
+        async def write():
+            h = await gateway.ctx.replicated_log.hold("log", gone="")
+            return await h.append([gateway.name.encode()])
+
+        try:
+            stage.do(write(), 20)
+        except PipitlinkError:
+            return False
+        return True
+
+    def test_a_storage_node_that_restarts_beside_a_machine_that_was_left_behind_takes_no_write(self):
+        self.assertEqual(self.write_on_both_sides(), [False, True])
+
+    def test_without_the_guard_two_sides_write_the_same_log(self):
+        with unittest.mock.patch("pipitlink.cluster.Cluster.followed", True):
+            self.assertEqual(self.write_on_both_sides(), [True, True])
