--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pipitlink.router.engines import Engines
 from pipitlink.wire.membership_pb2 import EngineList
 from rehearsal.stage import Stage
 
@@ -228,3 +229,67 @@
         ):
             self.assertEqual(self.caller.ask(self.controller, "PUT", "/v1/engines/e1", bad)[0], 400, bad)
         self.assertEqual(self.controller.part._announced, {})
+
+
+class LateCalls(unittest.TestCase):
+    """Calls of an engine that reach a controller long after, and after a restart, with the real list of a gateway."""
+
+    def setUp(self):
+        self.stage = Stage(5, placement_groups=2)
+        self.addCleanup(self.stage.end)
+        self.stage.start()
+        self.gateways = self.stage.role("gateway")
+        self.lists = {g.name: self.list_of(g) for g in self.gateways}
+        self.stage.ready()
+        self.caller = Caller(self.stage)
+        self.controller, self.second = self.stage.role("controller")[1:3]
+        self.stage.run(1)
+
+    def list_of(self, gateway):
+        engines = Engines(gateway.ctx)
+        engines.open()
+        return engines
+
+    def tell(self, sequence, state="ready", controller=None):
+        news = {"pool": "p", "address": "10.9.0.1:80", "zone": "zone-a", "state": state, "sequence": sequence}
+        return self.caller.ask(controller or self.controller, "PUT", "/v1/engines/e1", news)[0]
+
+    def restart(self, actor):
+        actor.kill()
+        actor.start()
+        self.stage.until(lambda: actor.ctx.membership.members("gateway", status=("alive",)), 5, "it has met gateways")
+        self.stage.run(1)
+
+    def states(self):
+        return [e.status(found[0]) if (found := e.all()) else "none" for e in self.lists.values()]
+
+    def test_a_late_call_at_a_controller_that_restarted_brings_no_leaving_engine_back(self):
+        self.tell(0)
+        self.stage.run(0.2)
+        self.assertEqual(self.states(), ["ready"] * 3)
+        self.assertEqual((self.tell(1), self.tell(5, "leaving")), (200, 200))
+        self.restart(self.controller)
+        for sequence in (3, 9):
+            self.tell(sequence)
+            self.stage.run(1)
+            self.assertEqual(self.states(), ["leaving"] * 3)
+
+    def test_a_late_call_at_a_controller_that_restarted_brings_no_ended_engine_back(self):
+        self.tell(1)
+        self.assertEqual(self.caller.ask(self.controller, "DELETE", "/v1/engines/e1")[0], 200)
+        self.restart(self.controller)
+        for sequence in (3, 9):
+            self.tell(sequence)
+            self.stage.run(1)
+            self.assertEqual(self.states(), ["none"] * 3)
+
+    def test_a_gateway_that_restarts_learns_from_the_controller_that_was_told_and_not_from_a_late_call(self):
+        self.assertEqual((self.tell(1), self.tell(5, "leaving")), (200, 200))
+        gateway = self.gateways[0]
+        gateway.kill()
+        gateway.start()
+        self.lists[gateway.name] = self.list_of(gateway)
+        self.stage.until(lambda: self.lists[gateway.name].all(), 5, "it is told of the engine")
+        self.tell(3, controller=self.second)
+        self.stage.run(1)
+        self.assertEqual(self.states(), ["leaving"] * 3)
