--- a/pipitlink/controller/edits.py
+++ b/pipitlink/controller/edits.py
@@ -76,8 +76,8 @@
 
     Offers `newest` and `decide`, here or by way of the leader, the HTTP handlers and their `routes`, and the node's
     `readiness`, `beliefs` and `metrics`.
-    Needs of the node: `_ctx`, `ask_controller`, `cluster_state`, `commit`, `leader`, `state`; of Gateways: `edit`; of
-    Leading and Voting: `sure_leader`, `term`, `_led_at`.
+    Needs of the node: `_ctx`, `ask_controller`, `cluster_state`, `commit`, `leader`, `state`; of Gateways: `edit` and
+    `_order_limit`; of Leading and Voting: `sure_leader`, `in_touch`, `term`.
     Owns no attributes.
     """
 
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -38,10 +38,10 @@
 class Gateways:
     """Mixin: delivers the cluster state, leases it to gateways, and knows when an edit is in effect everywhere.
 
-    Offers `edit` for commands whose effect is waited for, `wake_news`, `_in_effect`, `_forget_followers`, and answers
-    `controller.follow`.
+    Offers `edit` for commands whose effect is waited for, `_order_limit`, `wake_news`, `_in_effect`,
+    `_forget_followers`, and answers `controller.follow`.
     Needs of the node: `_ctx`, `archive`, `cluster_state`, `leader`, `state`; of Leading: `_propose`, `sure_leader`,
-    `heard_majority_at`, `_elected_at`.
+    `heard_majority_at`, `in_touch`, `_elected_at`.
     Owns `followers`, `_news` and `_confirmations`.
     """
 
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -21,14 +21,14 @@
 class Leading:
     """Mixin: log replication of the agreement: one task for each other controller while this one leads.
 
-    Offers `_propose` for commands, `sure_leader` and `heard_majority_at` as proofs of leadership, `settle` for outcomes
-    of applied entries, `_send_to_all`; answers `controller.append` as a follower. The state machine calls `_lead` and
-    `_yielded`.
+    Offers `_propose` for commands, `sure_leader` and `heard_majority_at` as proofs of leadership, `in_touch` for
+    whether orders can be decided now, `settle` for outcomes of applied entries, `_send_to_all`; answers
+    `controller.append` as a follower. The state machine calls `_lead` and `_yielded`.
     Needs of the node: `_ctx`, `archive`, `voters`, `ask_controller`, `adopt`, `apply`, `lead_timers`, `_elections`,
     `state` and `put`; of Voting: `term`, `meet_term`, `step_down`.
-    Owns `_match`, `_acked_at`, `_senders`, `_wakes`, `_proposed`, `_synced` and `_elected_at`, and alone appends
-    entries. Shares `commit` with the node, which moves it past adopted snapshots, and `leader`, `_heard_at`, `_led_at`
-    with Voting.
+    Owns `_match`, `_acked_at`, `_senders`, `_wakes`, `_proposed`, `_synced`, `_elected_at` and `_contact_at`, and alone
+    appends entries. Shares `commit` with the node, which moves it past adopted snapshots, and `leader`, `_heard_at`,
+    `_led_at` with Voting.
     """
 
     def _open_leading(self):
