--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -10,6 +10,7 @@
 from ..timers import ms, secs
 from ..wire.cluster_pb2 import FollowRequest, FollowResponse, WitnessResponse
 from ..wire.frame_pb2 import Nothing
+from ..wire.membership_pb2 import Member
 from .cluster_state import ClusterState
 
 __all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
@@ -21,6 +22,7 @@
 WITNESS_INTERVAL = ms(300)
 WITNESS_SPAN = secs(1)
 PAUSE = ms(100)
+START_INTERVAL = ms(20)
 
 
 class Cluster(HasStateMachine):
@@ -56,6 +58,18 @@
     def sequence(self) -> int:
         return self.cluster_state.sequence
 
+    @property
+    def followed(self) -> bool:
+        """Whether the newest cluster state was heard from a leader since this node started."""
+        return self._followed
+
+    async def wait_followed(self, span: timedelta) -> bool:
+        """Waits a while for `followed` on a node that has just started."""
+        end = self._ctx.timers.now() + span
+        while not self.followed and self._ctx.timers.now() < end:
+            await self._ctx.timers.pause(START_INTERVAL)
+        return self.followed
+
     def watch(self, do):
         self._watchers.append(do)
 
@@ -134,12 +148,12 @@
                 await self._ctx.timers.within(PAUSE, self._nudged).addErrback(lambda f: None)
 
     async def _follow_once(self, failures: int):
-        place, verb = self._whom(failures)
+        m, verb = self._whom(failures)
         asked = self._ctx.timers.now()
         ask = FollowRequest(
             node=self._ctx.node, role=self._ctx.role, sequence=self.sequence, at_once=self._leased_at is None
         )
-        r = await self._ctx.rpc.call(place, verb, ask, FollowResponse, FOLLOW_LIMIT)
+        r = await self._ctx.rpc.call((m.host, m.port), verb, ask, FollowResponse, FOLLOW_LIMIT, node=m.node)
         if r.controller and verb == "controller.follow":
             self._controller = r.controller
         if not self._absorb(r):
@@ -149,29 +163,29 @@
             self._followed = True
             self.ready()
 
-    def _whom(self, failures: int):
+    def _whom(self, failures: int) -> tuple[Member, str]:
         controllers = self._ctx.membership.members("controller", me=False)
         known = [m for m in controllers if m.node == self._controller]
         if known and not failures:
-            return (known[0].host, known[0].port), "controller.follow"
+            return known[0], "controller.follow"
         peers = self._ctx.membership.members("gateway", status=("alive",), me=False)
         if controllers and (failures % 3 or not peers):
-            m = self._ctx.chance.choice(controllers)
-            return (m.host, m.port), "controller.follow"
+            return self._ctx.chance.choice(controllers), "controller.follow"
         if not peers:
             raise WireError("neither a controller nor a peer is known")
-        m = self._ctx.chance.choice(peers)
-        return (m.host, m.port), "cluster.pass_on"
+        return self._ctx.chance.choice(peers), "cluster.pass_on"
 
     async def _pass_on(self, node, ask: FollowRequest) -> FollowResponse:
         """A peer that hears no controller follows through this node."""
         m = self._ctx.membership.find(self._controller) if self._controller else None
         if m is None:
             raise WireError("no controller is heard here either")
-        return await self._ctx.rpc.call((m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT)
+        return await self._ctx.rpc.call(
+            (m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT, node=m.node
+        )
 
     async def _witness(self, node, _) -> WitnessResponse:
-        return WitnessResponse(current=self._followed, sequence=self.sequence)
+        return WitnessResponse(current=self.followed, sequence=self.sequence)
 
     async def _whole(self, node, _) -> FollowResponse:
         return FollowResponse(sequence=self.sequence, cluster_state=self.cluster_state.data())
