Keep a controller's promised entries through a loss of power at any disk call

Cause: found by a test that loses power at each disk call of founding, trim, another branch and adoption, with torn ends and each unsynced name kept or lost by itself (rehearsal/disks.py, names=True).

Also: segments that a trim drops are those older than its mark, whatever is newest by then, and what is queued while a failed flush is told is flushed.

The fix for what is queued after a failed flush has no test of its own.

--- a/pipitlink/controller/archive.py
+++ b/pipitlink/controller/archive.py
@@ -14,6 +14,7 @@
 from ..syncing import Syncer
 from ..wire.cluster_pb2 import ClusterStateData, Row
 from ..wire.controller_pb2 import Ballot, ControllerEntry, ControllerRecord, Snapshot
+from .log_replay import LogReplay
 
 __all__ = ["Archive", "told_by_the_last"]
 
@@ -21,7 +22,7 @@
 KEEP_ENTRIES = 500
 TRIM_BYTES = 24 * 1024 * 1024
 KEEP_BYTES = 6 * 1024 * 1024
-SEND_BYTES = 4 * 1024 * 1024
+SEND_BYTES = 128 * 1024
 
 
 def told_by_the_last(_):
@@ -40,6 +41,7 @@
         self.snapshot = Snapshot()
         self.entries: list[ControllerEntry] = []
         self._entry_bytes = 0
+        self._owes_mark = False
         self._votes: list[tuple[int, tuple[str, ...]]] = []
 
     def recover(self):
@@ -50,18 +52,16 @@
         self._replayed()
 
     def _replayed(self):
-        self.entries, self._votes, self._entry_bytes = [], [], 0
+        replay = LogReplay()
         for _, body in self._segments.recover():
-            r = ControllerRecord.FromString(body)
-            what = r.WhichOneof("of")
-            if what == "ballot":
-                self.ballot = r.ballot
-            elif what == "entry":
-                self._place(r.entry)
-            elif what == "snapshot" and r.snapshot.index > self.last_index():
-                self.entries, self._entry_bytes = [], 0
-                if r.snapshot.index > self.snapshot.index:
-                    raise Damaged(f"the snapshot at {r.snapshot.index} is missing")
+            replay.add(ControllerRecord.FromString(body))
+        if replay.mark.index > self.snapshot.index:
+            raise Damaged(f"the snapshot at {replay.mark.index} is missing")
+        self.ballot = replay.ballot or self.ballot
+        self._owes_mark = not replay.marks(self.snapshot)
+        self.entries, self._votes, self._entry_bytes = [], [], 0
+        for e in replay.entries_after(self.snapshot):
+            self._place(e)
 
     def _place(self, e: ControllerEntry):
         if e.index <= self.snapshot.index:
@@ -122,8 +122,16 @@
 
     def put_entry(self, e: ControllerEntry):
         self._place(e)
+        if self._owes_mark:
+            self._put_mark()
         return self._put(ControllerRecord(entry=e))
 
+    def _put_mark(self):
+        """Entries follow a snapshot on disk only behind its mark, so that none counts for another branch's."""
+        self._owes_mark = False
+        mark = Snapshot(index=self.snapshot.index, term=self.snapshot.term, cluster_state=ClusterStateData())
+        self._put(ControllerRecord(snapshot=mark)).addErrback(told_by_the_last)
+
     def _put(self, r: ControllerRecord):
         body = r.SerializeToString()
         return self._syncer.put(lambda ticket: self._segments.put(body, ticket))
@@ -153,7 +161,7 @@
         for p in new.iterdir():
             fd = os.open(p, os.O_RDONLY)
             try:
-                os.fsync(fd)
+                self._disk.sync(fd)
             finally:
                 os.close(fd)
         self._disk.sync_folder(new)
@@ -195,11 +203,12 @@
         for e in rest:
             self._place(e)
         self._segments.roll()
-        mark = Snapshot(index=s.index, term=s.term, cluster_state=ClusterStateData())
-        for r in (ControllerRecord(snapshot=mark), *(ControllerRecord(entry=e) for e in rest)):
-            self._put(r).addErrback(told_by_the_last)
+        first = self._segments.newest()
+        self._put_mark()
+        for e in rest:
+            self._put(ControllerRecord(entry=e)).addErrback(told_by_the_last)
         done = self._put(ControllerRecord(ballot=self.ballot))
-        done.addCallback(lambda _: [self._segments.drop(n) for n in old if n != self._segments.newest()])
+        done.addCallback(lambda _: [self._segments.drop(n) for n in old if n < first])
         return done
 
     def close(self):
--- a/pipitlink/segments.py
+++ b/pipitlink/segments.py
@@ -55,11 +55,16 @@
         if not numbers:
             self._open(last)
             self._sizes[last] = 0
-            self._disk.sync_folder(self._folder)
+            self._sync_names()
         with self._lock:
             self._pending = []
             self._next = (last, self._sizes[last])
 
+    def _sync_names(self):
+        """The folder's own name must last as well, or all files in it go with it."""
+        self._disk.sync_folder(self._folder)
+        self._disk.sync_folder(self._folder.parent)
+
     def _open(self, n: int):
         self._fds[n] = os.open(self._path(n), os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
 
@@ -87,6 +92,7 @@
             touched = set()
             for data, ((n, at), _) in batch:
                 if n not in self._fds:
+                    self._finish(touched)
                     self._open(n)
                     self._sizes[n] = 0
                     self._disk.sync_folder(self._folder)
@@ -94,14 +100,22 @@
                 touched.add(n)
                 with self._lock:
                     self._sizes[n] = at + len(data)
-            try:
-                for n in sorted(touched):
-                    self._disk.sync(self._fds[n])
-            except OSError as e:
-                raise Damaged(f"sync failed: {e}") from e
+            self._sync(touched)
             self._taken = []
             return [ticket for _, (_, ticket) in batch]
 
+    def _finish(self, touched: set[int]):
+        """Goes before a new file is made: only the newest one may have a torn end after a loss of power."""
+        self._sync(touched)
+
+    def _sync(self, touched: set[int]):
+        try:
+            for n in sorted(touched):
+                self._disk.sync(self._fds[n])
+        except OSError as e:
+            raise Damaged(f"sync failed: {e}") from e
+        touched.clear()
+
     def waiting(self) -> bool:
         with self._lock:
             return bool(self._pending)
--- a/pipitlink/syncing.py
+++ b/pipitlink/syncing.py
@@ -23,10 +23,13 @@
         if queue(ticket) is False:
             return None
         if not self.busy:
-            self.busy = True
-            spawn(self._flush())
+            self._start()
         return ticket
 
+    def _start(self):
+        self.busy = True
+        spawn(self._flush())
+
     async def _flush(self):
         try:
             while self._segments.waiting():
@@ -44,3 +47,5 @@
                 ticket.errback(NoRoom(f"the disk refused: {e}"))
         finally:
             self.busy = False
+            if self._segments.waiting():
+                self._start()
--- a/rehearsal/disks.py
+++ b/rehearsal/disks.py
@@ -1,6 +1,9 @@
 """Disks that lose what was not synced, on a stage and under real processes."""
 
 import os
+import shutil
+import tempfile
+from pathlib import Path
 from random import Random
 
 from pipitlink.disk import Disk
@@ -9,41 +12,94 @@
 
 
 class LosingDisk(Disk):
-    """Knows what was synced; `lose_power` drops the rest, and may leave a torn part of it."""
+    """Knows what was synced; `lose_power` drops the rest, and may leave a torn part of it.
 
-    def __init__(self, chance: Random):
+    With `names` each file that was made, renamed or removed without a sync of its folder is kept or lost by itself.
+    """
+
+    def __init__(self, chance: Random, names: bool = False):
         self._chance = chance
-        self._synced: dict[str, int] = {}
-        self._held: dict[str, int] = {}
+        self._synced: dict[int, int] = {}
+        self._seen: set[Path] = set()
+        self._durable: dict[Path, Path] = {}
+        self._shadows = tempfile.TemporaryDirectory(prefix="durable-") if names else None
         self.full = False
 
-    def _name(self, fd: int) -> str:
-        return os.readlink(f"/proc/self/fd/{fd}")
-
     def append(self, fd, data):
         if self.full:
             raise OSError(28, "No space left on device")
+        if os.fstat(fd).st_size == 0:
+            self._synced[os.fstat(fd).st_ino] = 0
         super().append(fd, data)
-        name = self._name(fd)
-        self._synced.setdefault(name, 0)
+        self._see(fd)
+
+    def _see(self, fd):
+        self._seen.add(Path(os.readlink(f"/proc/self/fd/{fd}")).parent)
 
     def sync(self, fd):
-        self._synced[self._name(fd)] = os.fstat(fd).st_size
+        self._see(fd)
+        self._synced[os.fstat(fd).st_ino] = os.fstat(fd).st_size
 
     def cut(self, fd, length):
         super().cut(fd, length)
-        name = self._name(fd)
-        self._synced[name] = min(self._synced.get(name, 0), length)
+        number = os.fstat(fd).st_ino
+        self._synced[number] = min(self._synced.get(number, 0), length)
 
     def sync_folder(self, folder):
-        pass
+        if self._shadows is not None:
+            self.mark_durable(folder)
+
+    def mark_durable(self, folder):
+        """Keeps links to all that the folder names now, to bring it back after a loss of power."""
+        self._forget(Path(folder))
+        shadow = self._durable[Path(folder)] = Path(tempfile.mkdtemp(dir=self._shadows.name))
+        for path in Path(folder).iterdir():
+            self._link(path, shadow / path.name)
+
+    def _forget(self, folder: Path):
+        old = self._durable.pop(folder, None)
+        if old is not None:
+            shutil.rmtree(old)
+
+    def _link(self, path: Path, goal: Path):
+        if path.is_dir():
+            shutil.copytree(path, goal, copy_function=os.link)
+        else:
+            os.link(path, goal)
 
     def lose_power(self):
-        for name, synced in self._synced.items():
-            if os.path.exists(name):
-                size = os.path.getsize(name)
-                if size > synced:
-                    os.truncate(name, synced + self._chance.randrange(size - synced + 1))
+        for folder, durable in sorted(self._durable.items()):
+            self._lose_names(folder, durable)
+        tops = [folder for folder in (*self._seen, *self._durable) if folder.exists()]
+        for path in sorted({p for top in tops for p in top.rglob("*") if p.is_file()}):
+            self._lose_end(path)
+        for folder in list(self._durable):
+            if folder.exists():
+                self.mark_durable(folder)
+            else:
+                self._forget(folder)
+
+    def _lose_names(self, folder: Path, durable: Path):
+        if not folder.exists():
+            return
+        for name in sorted({p.name for p in (*folder.iterdir(), *durable.iterdir())}):
+            now, before = folder / name, durable / name
+            same = now.exists() and before.exists() and (now.is_dir() or now.samefile(before))
+            if same or self._chance.random() < 0.5:
+                continue
+            if now.is_dir():
+                shutil.rmtree(now)
+            else:
+                now.unlink(missing_ok=True)
+            if before.exists():
+                self._link(before, now)
+
+    def _lose_end(self, path: Path):
+        synced = self._synced.get(path.stat().st_ino)
+        size = path.stat().st_size
+        if synced is not None and size > synced:
+            os.truncate(path, synced + self._chance.randrange(size - synced + 1))
+            self._synced[path.stat().st_ino] = path.stat().st_size
 
 
 class TellingDisk(Disk):
