--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -11,6 +11,7 @@
 from ..wire.cluster_pb2 import FollowRequest, FollowResponse, WitnessResponse
 from ..wire.frame_pb2 import Nothing
 from .cluster_state import ClusterState
+from .state_transfer import StateReceipt
 
 __all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
 
@@ -39,6 +40,7 @@
         self._controller = ""
         self._followed = False
         self._watchers: list = []
+        self._receipt = StateReceipt()
         self._nudged: defer.Deferred | None = None
         self._open_state_machine()
 
@@ -106,6 +108,10 @@
         before = self.sequence
         if r.HasField("cluster_state") and r.cluster_state.sequence > self.sequence:
             self.cluster_state = ClusterState(r.cluster_state)
+        if r.HasField("piece"):
+            state = self._receipt.add(r.piece)
+            if state is not None and state.sequence > self.sequence:
+                self.cluster_state = state
         for delta in r.deltas:
             if delta.sequence == self.sequence + 1:
                 self.cluster_state.apply(delta.sequence, delta.command)
@@ -137,7 +143,11 @@
         place, verb = self._whom(failures)
         asked = self._ctx.timers.now()
         ask = FollowRequest(
-            node=self._ctx.node, role=self._ctx.role, sequence=self.sequence, at_once=self._leased_at is None
+            node=self._ctx.node,
+            role=self._ctx.role,
+            sequence=self.sequence,
+            at_once=self._leased_at is None,
+            have=self._receipt.have(),
         )
         r = await self._ctx.rpc.call(place, verb, ask, FollowResponse, FOLLOW_LIMIT)
         if r.controller and verb == "controller.follow":
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -6,15 +6,19 @@
 from twisted.internet import defer
 
 from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
+from ..cluster.state_transfer import StateTransfer
 from ..errors import NoRoom, NotLeading, Overdue, Unproven
 from ..timers import ms, secs
-from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome
+from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome, StatePiece
 
 __all__ = ["Gateways"]
 
 FRESH_SPAN = ms(500)
 EDIT_LIMIT = secs(5)
 ROOM_SHARE = 0.9
+MOST_DELTAS = 4096
+MOST_BEHIND = 50
+MOST_TRANSFERS = 4
 
 
 @attrs.define
@@ -44,6 +48,7 @@
 
     def _open_gateways(self):
         self.followers: dict[str, _Follower] = {}
+        self._transfers: list[StateTransfer] = []
         self._news: dict[defer.Deferred, None] = {}
         self._confirmations: dict[defer.Deferred, None] = {}
         self._ctx.rpc.answer("controller.follow", FollowRequest, self._follow)
@@ -60,17 +65,33 @@
             await self._wait(self._news, HOLD_FOLLOW, lambda: self.cluster_state.sequence > ask.sequence)
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
+        return self._follow_response(ask)
+
+    def _follow_response(self, ask: FollowRequest) -> FollowResponse:
+        """What follows on the asker's sequence; a piece of the whole state where the log no longer reaches back."""
         out = FollowResponse(sequence=self.cluster_state.sequence, leased=True, controller=self._ctx.node)
-        if ask.sequence < self.cluster_state.sequence:
-            entries = [e for e in self.archive.after(ask.sequence, 4096) if e.index <= self.cluster_state.sequence]
-            if entries and entries[0].index == ask.sequence + 1 and ask.sequence:
-                out.deltas.extend(Delta(sequence=e.index, command=e.command) for e in entries)
-                out.sequence = entries[-1].index
-                out.leased = out.sequence == self.cluster_state.sequence
-            else:
-                out.cluster_state.CopyFrom(self.cluster_state.data())
+        base = ask.sequence
+        if base == 0 or base < self.archive.snapshot.index:
+            out.piece.CopyFrom(self._state_piece(ask.have))
+            if out.piece.offset + len(out.piece.data) < out.piece.total:
+                return out
+            base = out.piece.sequence
+        entries = [e for e in self.archive.after(base, MOST_DELTAS) if e.index <= self.cluster_state.sequence]
+        out.deltas.extend(Delta(sequence=e.index, command=e.command) for e in entries)
+        out.leased = (entries[-1].index if entries else base) >= self.cluster_state.sequence
         return out
 
+    def _state_piece(self, have: StatePiece) -> StatePiece:
+        """The next piece of the state that the asker has a part of, or else of one that is not far behind."""
+        kept = [t for t in self._transfers if t.term == self.term and t.sequence >= self.archive.snapshot.index]
+        going_on = next((t for t in kept if t.is_of(have)), None)
+        if going_on is None:
+            if not kept or self.cluster_state.sequence - kept[-1].sequence > MOST_BEHIND:
+                kept.append(StateTransfer.of(self.cluster_state, self.term))
+            going_on = kept[-1]
+        self._transfers = kept[-MOST_TRANSFERS:]
+        return going_on.piece_after(have)
+
     def wake_news(self):
         """The cluster state has moved: those that follow it hear of it, and those that wait for its effect look
         again.
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -9,12 +9,13 @@
 from ..wire.cluster_pb2 import Command, Outcome
 from ..wire.controller_pb2 import AppendRequest, AppendResponse, ControllerEntry
 from .archive import told_by_the_last
+from .snapshots import OutgoingSnapshot
 
 __all__ = ["Leading"]
 
 HEART_INTERVAL = ms(100)
 APPEND_LIMIT = ms(500)
-SNAPSHOT_LIMIT = secs(5)
+SLOWEST_BYTES_PER_S = 250_000
 
 
 class Leading:
@@ -33,7 +34,7 @@
     def _open_leading(self):
         self._match: dict[str, int] = {}
         self._acked_at: dict[str, timedelta] = {}
-        self._senders: set[str] = set()
+        self._senders: set[tuple[str, int]] = set()
         self._wakes: dict[str, defer.Deferred] = {}
         self._proposed: dict[int, tuple[int, defer.Deferred]] = {}
         self._synced = 0
@@ -66,17 +67,21 @@
 
     def _send_to_all(self):
         for m in self._ctx.membership.members("controller", me=False):
-            if m.node not in self._senders:
-                self._senders.add(m.node)
+            key = (m.node, self.term)
+            if key not in self._senders:
+                self._senders.add(key)
                 self._ctx.spawned(self._send(m.node, self.term), "send_entries")
 
     async def _send(self, node: str, term: int):
         after = self.archive.last_index()
+        outgoing: OutgoingSnapshot | None = None
         try:
-            while self.state == "leader" and self.term == term and self._ctx.membership.status(node) != "gone":
+            while self._leads(term) and self._ctx.membership.status(node) != "gone":
                 sent = self._ctx.timers.now()
-                ask = self._entries_for(node, after)
-                limit = SNAPSHOT_LIMIT if ask.HasField("snapshot") else APPEND_LIMIT
+                if outgoing is None and self._needs_snapshot(node, after):
+                    outgoing = OutgoingSnapshot.of(self.archive.snapshot)
+                ask = self._append_request(after, outgoing)
+                limit = APPEND_LIMIT + secs(ask.ByteSize() / SLOWEST_BYTES_PER_S)
                 try:
                     r = await self.ask_controller(node, "controller.append", ask, AppendResponse, limit)
                 except WireError:
@@ -85,27 +90,45 @@
                 if r.term > self.term:
                     await self.meet_term(r.term)
                     return
-                if self.term != term or self.state != "leader":
+                if not self._leads(term):
                     return
                 self._acked_at[node] = sent
                 if r.done:
+                    outgoing = None
                     after = self._match[node] = r.last
                     self._advance()
+                elif outgoing is None:
+                    after = min(r.last, max(0, after - 1))
                 else:
-                    after = min(r.last, max(0, after - 1)) if not ask.HasField("snapshot") else 0
-                if after >= self.archive.last_index() or not r.done and ask.HasField("snapshot"):
+                    progress, outgoing = self._sent_on(outgoing, r.received)
+                    if not progress:
+                        await self._wait_wake(node)
+                if after >= self.archive.last_index() and r.done:
                     await self._wait_wake(node)
         finally:
-            self._senders.discard(node)
+            self._senders.discard((node, term))
 
-    def _entries_for(self, node: str, after: int) -> AppendRequest:
+    def _leads(self, term: int) -> bool:
+        return self.state == "leader" and self.term == term
+
+    def _sent_on(self, outgoing: OutgoingSnapshot, received: int) -> tuple[bool, OutgoingSnapshot | None]:
+        """Goes on where the follower is. One that has nothing of it gets whichever snapshot is the newest now."""
+        progress = received > outgoing.offset
+        outgoing.offset = min(received, len(outgoing.data))
+        return progress, outgoing if received else None
+
+    def _needs_snapshot(self, node: str, after: int) -> bool:
+        """Where the log no longer reaches back; and a newcomer, which has none, needs the first voters."""
+        return self.archive.term_at(after) is None or after == 0 and node not in self._match
+
+    def _append_request(self, after: int, outgoing: OutgoingSnapshot | None) -> AppendRequest:
         ask = AppendRequest(term=self.term, leader=self._ctx.node, commit=self.commit)
-        prev = self.archive.term_at(after)
-        if prev is None or (after == 0 and self.archive.snapshot.index == 0 and not self._match.get(node)):
-            ask.snapshot.CopyFrom(self.archive.snapshot)
-            after, prev = self.archive.snapshot.index, self.archive.snapshot.term
-        ask.prev_index, ask.prev_term = after, prev
-        ask.entries.extend(self.archive.after(after))
+        if outgoing is not None:
+            ask.piece.CopyFrom(outgoing.piece())
+            ask.prev_index, ask.prev_term = outgoing.index, outgoing.term
+        else:
+            ask.prev_index, ask.prev_term = after, self.archive.term_at(after)
+            ask.entries.extend(self.archive.after(after))
         return ask
 
     async def _wait_wake(self, node: str):
@@ -189,8 +212,8 @@
         now = self._ctx.timers.now()
         self._heard_at = self._led_at = now
         self.leader = ask.leader
-        if ask.HasField("snapshot") and (self.state == "newcomer" or ask.snapshot.index > self.archive.last_index()):
-            await self.adopt(ask.snapshot)
+        if ask.HasField("piece") and self.lacks(ask.piece):
+            return AppendResponse(term=self.term, received=self.take_piece(ask))
         if self.state == "newcomer" or self.archive.term_at(ask.prev_index) != ask.prev_term:
             return AppendResponse(term=self.term, last=min(self.archive.last_index(), max(0, ask.prev_index - 1)))
         for e in ask.entries:
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -18,6 +18,7 @@
 from .leading import Leading
 from .placement import Placement
 from .retiring import Retiring
+from .snapshots import Snapshots
 from .voters import Voters
 from .voting import Founding, Voting
 
@@ -27,7 +28,7 @@
 
 
 class ControllerNode(
-    Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, HasStateMachine
+    Founding, Voting, Leading, Gateways, Edits, Retiring, Announcing, Placement, Voters, Snapshots, HasStateMachine
 ):
     """A controller: takes part in the agreement on the cluster state, and serves it.
 
@@ -52,8 +53,6 @@
         self.commit = 0
         self.leader = ""
         self.founders: tuple[str, ...] = ()
-        self._adopting = False
-        self._trimming = False
         self.lead_timers: list[Repeat] = []
         self._elections: Repeat | None = None
         self._open_state_machine()
@@ -61,6 +60,7 @@
     def open(self):
         self.archive.recover()
         self._take_cluster_state(self.archive.snapshot)
+        self._open_snapshots()
         self._open_voting()
         self._open_leading()
         self._open_gateways()
@@ -110,41 +110,7 @@
             outcome = self.cluster_state.apply(e.index, e.command)
             self.settle(e.index, e.term, outcome)
         self.wake_news()
-        if self.archive.long() and not self._trimming:
-            self._trimming = True
-            self._ctx.spawned(self._trim(), "trim")
-
-    async def _trim(self):
-        """Keeps a snapshot of what is agreed, less the newest entries, and drops the log below it."""
-        try:
-            base = self.archive.snapshot
-            index = self.archive.trim_at(self.commit)
-            if index <= base.index:
-                return
-            cluster_state = ClusterState(base.cluster_state)
-            for e in self.archive.entries[: index - base.index]:
-                cluster_state.apply(e.index, e.command)
-            s = Snapshot(index=index, term=self.archive.term_at(index), cluster_state=cluster_state.data())
-            await self._ctx.on_thread(self.archive.keep_snapshot, s)
-            if self.archive.snapshot is base:
-                await self.archive.use_snapshot(s)
-                self._ctx.journal.note("trimmed", index=index)
-        finally:
-            self._trimming = False
-
-    async def adopt(self, s: Snapshot):
-        """Takes a whole snapshot in place of the own log."""
-        if self._adopting or self._trimming:
-            return
-        self._adopting = True
-        try:
-            await self._ctx.on_thread(self.archive.keep_snapshot, s)
-            await self.archive.use_snapshot(s)
-            self._take_cluster_state(s)
-            if self.state == "newcomer":
-                self.put("founded")
-        finally:
-            self._adopting = False
+        self.trim_when_long()
 
     def _lead_beat(self):
         if self.state == "leader":
--- a/rehearsal/interleave.py
+++ b/rehearsal/interleave.py
@@ -2,7 +2,7 @@
 
 import threading
 
-__all__ = ["Interleave", "StepLock"]
+__all__ = ["Choices", "Interleave", "StepLock"]
 
 
 class StepLock:
@@ -101,3 +101,35 @@
                 return count
             prefix = [p for p, _ in taken[:-1]] + [taken[-1][0] + 1]
         raise AssertionError(f"more than {most} orders")
+
+
+class Choices:
+    """Runs one piece of work once for each sequence of choices that it can make."""
+
+    def __init__(self, prefix: list[int]):
+        self._prefix = prefix
+        self.taken: list[tuple[int, int]] = []
+
+    def pick(self, options: int) -> int:
+        n = len(self.taken)
+        pick = self._prefix[n] if n < len(self._prefix) else 0
+        self.taken.append((pick, options))
+        return pick
+
+    @classmethod
+    def explore(cls, run, most: int = 200_000) -> int:
+        """`run(choices)` is run for every sequence; returns how many there were."""
+        prefix: list[int] = []
+        for count in range(1, most + 1):
+            choices = cls(prefix)
+            try:
+                run(choices)
+            except Exception as e:
+                raise AssertionError(f"with the choices {[p for p, _ in choices.taken]}: {e!r}") from e
+            taken = choices.taken
+            while taken and taken[-1][0] + 1 >= taken[-1][1]:
+                taken.pop()
+            if not taken:
+                return count
+            prefix = [p for p, _ in taken[:-1]] + [taken[-1][0] + 1]
+        raise AssertionError(f"more than {most} sequences of choices")
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -200,6 +200,8 @@
         self.engines = self.gateway_kind = None
         self.notes: list[dict] = []
         self.watch_calls = None
+        self.bytes_per_s: float | None = None
+        self._link_free_at: dict[tuple[str, str], float] = {}
         self._tokens = mock.patch(
             "pipitlink.context.secrets.token_hex", lambda n: f"{self.chance.getrandbits(8 * n):0{2 * n}x}"
         )
@@ -254,6 +256,14 @@
     def _delay(self) -> float:
         return 0.0005 + 0.003 * self.chance.random()
 
+    def _transfer(self, sender: Actor, goal: Actor, body) -> float:
+        """How long a message is on its way: each pair of nodes has a link of its own, where there is a rate."""
+        if self.bytes_per_s is None or isinstance(body, Exception):
+            return self._delay()
+        now, link = self.clock.seconds(), (sender.name, goal.name)
+        self._link_free_at[link] = max(now, self._link_free_at.get(link, now)) + len(body) / self.bytes_per_s
+        return self._link_free_at[link] - now + self._delay()
+
     def carry(self, sender: Actor, place, verb, body) -> defer.Deferred:
         goal = next((a for a in self.actors.values() if a.place == place and a.alive), None)
         d = defer.Deferred()
@@ -261,7 +271,7 @@
 
         def back(result):
             if (goal.name, sender.name) not in self.cuts and goal.alive:
-                self.clock.callLater(self._delay(), settle, result)
+                self.clock.callLater(self._transfer(goal, sender, result), settle, result)
 
         def settle(result):
             if sender.alive and sender.ctx is mine and not d.called:
@@ -285,7 +295,7 @@
         elif (sender.name, goal.name) not in self.cuts:
             if self.watch_calls is not None:
                 self.watch_calls(sender, verb)
-            self.clock.callLater(self._delay(), arrive)
+            self.clock.callLater(self._transfer(sender, goal, body), arrive)
         return d
 
     def run(self, seconds: float, step: float = 0.005):
--- /dev/null
+++ b/tests/test_snapshot_orders.py
@@ -0,0 +1,274 @@
+"""Every order in which a follower can meet snapshots, appends, commits, its own trims and the ends of disk calls."""
+
+import unittest
+import zlib
+from unittest import mock
+
+from twisted.internet import defer
+
+from pipitlink.cluster import ClusterState
+from pipitlink.controller import archive
+from pipitlink.controller.snapshots import Snapshots
+from pipitlink.timers import spawn
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
+from pipitlink.wire.controller_pb2 import AppendRequest, ControllerEntry, Snapshot, SnapshotPiece
+from rehearsal.interleave import Choices
+from rehearsal.stage import Stage
+
+LEADER = "the leader"
+OLD_TERM = 1
+TERM = 2
+OLD_LAST = 3
+NEWEST = 13
+SNAPSHOT_AT = 10
+STEP_S = 0.003
+MOST_STEPS = 60
+
+
+def term_of(index: int) -> int:
+    """The agreed log's first entries are of an earlier leader."""
+    if index == 0:
+        return 0
+    return OLD_TERM if index <= OLD_LAST else TERM
+
+
+class _History:
+    """The agreed entries, and the state after each of them."""
+
+    def __init__(self, voters):
+        self._voters = voters
+        self.entries: dict[int, ControllerEntry] = {}
+        self.states: dict[int, bytes] = {}
+        state = self.first()
+        for n in range(1, NEWEST + 1):
+            edit = TableEdit(base=state.table, puts=[Row(name=f"row{n}", model=f"m{n}")])
+            self.entries[n] = ControllerEntry(index=n, term=term_of(n), command=Command(edit=f"e{n}", table=edit))
+            state.apply(n, self.entries[n].command)
+            self.states[n] = told(state)
+            if n == SNAPSHOT_AT:
+                self.snapshot = Snapshot(index=n, term=TERM, cluster_state=state.data())
+
+    def first(self) -> ClusterState:
+        state = ClusterState()
+        state.voters = self._voters
+        return state
+
+    def append(self, prev: int, last: int) -> AppendRequest:
+        entries = [self.entries[n] for n in range(prev + 1, last + 1)]
+        return AppendRequest(
+            term=TERM, leader=LEADER, prev_index=prev, prev_term=term_of(prev), entries=entries, commit=last
+        )
+
+    def other_branch(self, last: int) -> AppendRequest:
+        """What the earlier leader wrote on and never got agreed."""
+        entries = [
+            ControllerEntry(index=n, term=OLD_TERM, command=Command(edit=f"lost{n}", nothing=True))
+            for n in range(OLD_LAST + 1, last + 1)
+        ]
+        return AppendRequest(
+            term=OLD_TERM, leader=LEADER, prev_index=OLD_LAST, prev_term=OLD_TERM, entries=entries, commit=OLD_LAST
+        )
+
+    def poll(self) -> AppendRequest:
+        """What the leader sends once all pieces are there, until they are adopted."""
+        ask = self.whole()
+        ask.piece.offset, ask.piece.data = ask.piece.total, b""
+        return ask
+
+    def whole(self) -> AppendRequest:
+        data = zlib.compress(self.snapshot.SerializeToString())
+        piece = SnapshotPiece(index=SNAPSHOT_AT, term=TERM, total=len(data), data=data)
+        ask = self.append(SNAPSHOT_AT, SNAPSHOT_AT)
+        ask.piece.CopyFrom(piece)
+        return ask
+
+
+def told(state: ClusterState) -> bytes:
+    data = state.data()
+    data.rows.sort(key=lambda r: r.name)
+    return data.SerializeToString(deterministic=True)
+
+
+class _Follower:
+    """One controller whose disk calls end, and whose messages arrive, in the order that the choices give."""
+
+    def __init__(self, test, choices, other_branch=False):
+        self.stage = Stage(3, controllers=1, storage_nodes=0, gateways=0)
+        test.addCleanup(self.stage.end)
+        self.actor = self.stage.role("controller")[0]
+        self.stage.start()
+        self.part = self.actor.part
+        self.stage.until(lambda: self.part.state != "newcomer", 5, "it is founded")
+        self.history = _History((self.actor.node, LEADER, "third"))
+        self._begin()
+        self.choices = choices
+        if other_branch:
+            self.stage.do(self.part._append(LEADER, self.history.other_branch(NEWEST)))
+        self._jobs: list = []
+        self.actor.ctx.on_thread = self._hold
+        self.results: list = []
+        self.sequence = 0
+        self.refusals = 0
+
+    def _begin(self):
+        """Three voters, none of whom it hears, and the first three entries."""
+        part = self.part
+        s = Snapshot(index=0, term=0, cluster_state=self.history.first().data())
+        part.archive.ballot.CopyFrom(type(part.archive.ballot)())
+        part.put("yield")
+        part.archive.entries.clear()
+        part.archive._entry_bytes = 0
+        part.commit = 0
+        part.archive.snapshot = s
+        part._take_cluster_state(s)
+        first = self.history.append(0, OLD_LAST)
+        first.term = OLD_TERM
+        self.stage.do(part._append(LEADER, first))
+
+    def _hold(self, do, *words):
+        d = defer.Deferred()
+        self._jobs.append((d, do, words))
+        return d
+
+    def play(self, messages):
+        messages = list(messages)
+        for _ in range(MOST_STEPS):
+            options = [*messages, *self._jobs]
+            if not options:
+                break
+            chosen = options[self.choices.pick(len(options)) if len(options) > 1 else 0]
+            if chosen in messages:
+                messages.remove(chosen)
+                spawn(self.part._append(LEADER, chosen)).addBoth(self.results.append)
+            else:
+                self._jobs.remove(chosen)
+                self._end(*chosen)
+            self.stage.clock.advance(STEP_S)
+            self.check()
+        assert not messages and not self._jobs, "it goes on for ever"
+
+    def _end(self, d, do, words):
+        try:
+            d.callback(do(*words))
+        except Exception as e:
+            d.errback(e)
+
+    def faults(self) -> list[str]:
+        """What the journal says of snapshots and trims that failed."""
+        return [line for line in self.stage.sink.lines if "event=snapshot " in line or "event=trim " in line]
+
+    def check(self):
+        part, kept = self.part, self.part.archive
+        sequence = part.cluster_state.sequence
+        assert sequence >= self.sequence, f"back from {self.sequence} to {sequence}"
+        self.sequence = sequence
+        assert told(part.cluster_state) == self.history.states[sequence], f"another state at {sequence}"
+        assert part.commit <= kept.last_index(), f"commit {part.commit} beyond {kept.last_index()}"
+        assert kept.snapshot.index <= sequence, f"snapshot {kept.snapshot.index} beyond the state {sequence}"
+        indexes = [e.index for e in kept.entries]
+        first = kept.snapshot.index + 1
+        assert indexes == list(range(first, first + len(indexes))), indexes
+        assert self.refusals or not self.faults(), self.faults()
+        for r in self.results:
+            assert not isinstance(getattr(r, "value", None), Exception), r
+
+    def restart(self):
+        """What is on the disk after all that is the same history as well."""
+        told_last = max((r.last for r in self.results if r.done), default=0)
+        self.actor.kill(power=True)
+        self.actor.start()
+        kept = self.actor.part.archive
+        assert kept.last_index() >= told_last, f"{told_last} was answered, {kept.last_index()} is kept"
+        state = self.actor.part.cluster_state
+        assert state.sequence == 0 or told(state) == self.history.states[state.sequence]
+
+
+async def _state_after_the_disk(self, s):
+    if self.lacks(s):
+        await self._ctx.on_thread(self.archive.keep_snapshot, s)
+        await self.archive.use_snapshot(s)
+        self._take_cluster_state(s)
+
+
+async def _state_always_taken(self, s):
+    if self.lacks(s):
+        await self._ctx.on_thread(self.archive.keep_snapshot, s)
+        synced = self.archive.use_snapshot(s)
+        self._take_cluster_state(s)
+        await synced
+
+
+async def _adopt_beside_a_trim(self, s):
+    await self._adopt_locked(s)
+
+
+GUARDS = {
+    "the state is taken in the same step as the snapshot": ("_adopt_locked", _state_after_the_disk),
+    "a state that has gone further stays": ("_adopt_locked", _state_always_taken),
+    "one snapshot at a time": ("adopt", _adopt_beside_a_trim),
+}
+
+
+class SnapshotOrders(unittest.TestCase):
+    def setUp(self):
+        for name, value in (("TRIM_EVERY", 3), ("KEEP_ENTRIES", 1)):
+            patch = mock.patch.object(archive, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def explore(self, make, most=20_000, other_branch=False) -> int:
+        def run(choices):
+            follower = _Follower(self, choices, other_branch)
+            try:
+                follower.play(make(follower.history))
+                assert not other_branch or follower.sequence >= SNAPSHOT_AT, "the snapshot was not taken"
+                follower.restart()
+            finally:
+                follower.stage.end()
+
+        return Choices.explore(run, most)
+
+    def all_messages(self, history):
+        return [history.whole(), history.append(3, 8), history.append(8, 11), history.append(10, 13)]
+
+    def test_the_same_state_whatever_the_order(self):
+        self.assertGreater(self.explore(self.all_messages), 500)
+
+    def snapshot_and_on(self, history):
+        return [history.whole(), history.append(SNAPSHOT_AT, NEWEST)]
+
+    def test_a_snapshot_replaces_another_branch_that_is_longer(self):
+        self.assertGreater(self.explore(self.snapshot_and_on, other_branch=True), 1)
+
+    def test_a_longer_branch_would_keep_the_snapshot_out(self):
+        def shorter(self, s):
+            return self.state == "newcomer" or s.index > self.archive.last_index()
+
+        with mock.patch.object(Snapshots, "lacks", shorter), self.assertRaises(AssertionError):
+            self.explore(self.snapshot_and_on, other_branch=True)
+
+    def test_a_disk_that_refuses_a_snapshot_is_tried_again_without_sending_it_again(self):
+        follower = _Follower(self, Choices([]))
+        follower.refusals = 2
+        keep = follower.part.archive.keep_snapshot
+        tries = []
+
+        def refusing(s):
+            tries.append(s.index)
+            if len(tries) <= follower.refusals:
+                raise OSError(28, "No space left on device")
+            keep(s)
+
+        with mock.patch.object(follower.part.archive, "keep_snapshot", refusing):
+            for ask in (follower.history.whole(), follower.history.poll(), follower.history.poll()):
+                follower.play([ask])
+        self.assertEqual(len(follower.faults()), follower.refusals)
+        self.assertEqual(tries, [SNAPSHOT_AT] * 3)
+        self.assertEqual(follower.part.cluster_state.sequence, SNAPSHOT_AT)
+        follower.restart()
+        self.assertEqual(follower.part.archive.snapshot.index, SNAPSHOT_AT)
+
+    def test_without_a_guard_some_order_breaks_it(self):
+        for name, (part, instead) in GUARDS.items():
+            with self.subTest(name), mock.patch.object(Snapshots, part, instead), self.assertRaises(AssertionError):
+                self.explore(self.all_messages)
--- /dev/null
+++ b/tests/test_stage_slow_link.py
@@ -0,0 +1,173 @@
+"""Members that are far behind, on links of 15 Mbit/s: what they need arrives in time, and the leader keeps leading."""
+
+import unittest
+from random import Random
+from unittest import mock
+
+from pipitlink.cluster import state_transfer
+from pipitlink.controller import archive, snapshots
+from pipitlink.errors import PipitlinkError
+from pipitlink.timers import ms, spawn
+from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
+from rehearsal.stage import Stage
+
+LINK_BYTES_PER_S = 15_000_000 / 8
+CATCH_UP_S = 4.7
+LARGE_EDIT = 60_000
+
+
+class SlowLink(unittest.TestCase):
+    def fleet(self, controllers=3, gateways=0, storage_nodes=0):
+        stage = Stage(5, controllers=controllers, storage_nodes=storage_nodes, gateways=gateways, placement_groups=2)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        stage.run(2)
+        stage.bytes_per_s = LINK_BYTES_PER_S
+        self.random = Random(1)
+        return stage
+
+    def change(self, stage, name, size):
+        """One agreed change of so many bytes, that no compression makes smaller than half."""
+        part = stage.leader().part
+        row = Row(name=name, model=self.random.randbytes(size // 2).hex())
+        stage.do(part._propose(Command(table=TableEdit(base=part.cluster_state.table, puts=[row]))), 20)
+
+    def current(self, stage, actor) -> bool:
+        leader = stage.leader()
+        return leader is not None and actor.part.commit == leader.part.commit
+
+    def test_a_log_of_large_edits_reaches_a_member_that_the_leader_needs(self):
+        stage = self.fleet()
+        late, other = (a for a in stage.role("controller") if a is not stage.leader())
+        late.kill()
+        for n in range(40):
+            self.change(stage, f"row{n % 3}", LARGE_EDIT)
+        other.kill()
+        late.start()
+        stage.until(lambda: self.current(stage, late), CATCH_UP_S, "the member is current")
+        self.change(stage, "row", LARGE_EDIT)
+
+    def test_a_leader_that_needs_a_member_without_its_log_keeps_leading_while_that_gets_the_snapshot(self):
+        self.leader_needs_a_member_without_its_log()
+
+    def leader_needs_a_member_without_its_log(self):
+        with mock.patch.object(archive, "TRIM_EVERY", 20), mock.patch.object(archive, "KEEP_ENTRIES", 4):
+            stage = self.fleet()
+            leader = stage.leader()
+            late, other = (a for a in stage.role("controller") if a is not leader)
+            late.kill()
+            for n in range(80):
+                self.change(stage, f"row{n}", 2 * LARGE_EDIT)
+            stage.run(1)
+            self.assertGreater(stage.leader().part.archive.snapshot.ByteSize(), 4_000_000)
+            term = stage.leader().part.term
+            other.kill()
+            late.start()
+            stage.until(lambda: self.current(stage, late), CATCH_UP_S, "the member is current")
+            self.assertEqual(stage.leader().part.term, term, "the leader had to be elected again")
+
+    def test_a_snapshot_arrives_while_changes_go_on(self):
+        with mock.patch.object(archive, "TRIM_EVERY", 20), mock.patch.object(archive, "KEEP_ENTRIES", 8):
+            stage = self.fleet()
+            late = next(a for a in stage.role("controller") if a is not stage.leader())
+            late.kill()
+            for n in range(40):
+                self.change(stage, f"row{n}", LARGE_EDIT)
+            over, timers = [], stage.timers()
+
+            async def on():
+                while not over:
+                    await timers.pause(ms(100))
+                    leader = stage.leader()
+                    if leader is not None:
+                        try:
+                            await leader.part._propose(Command(nothing=True))
+                        except PipitlinkError:
+                            pass
+
+            spawn(on())
+            late.start()
+            stage.run(CATCH_UP_S)
+            behind = stage.leader().part.commit - late.part.commit
+            over.append(True)
+            stage.run(1)
+            self.assertLess(behind, 3)
+            self.assertGreater(late.part.archive.snapshot.index, 0)
+
+    def test_a_broken_transfer_goes_on_where_it_was(self):
+        with mock.patch.object(archive, "TRIM_EVERY", 20), mock.patch.object(archive, "KEEP_ENTRIES", 4):
+            stage = self.fleet()
+            leader = stage.leader()
+            late = next(a for a in stage.role("controller") if a is not leader)
+            late.kill()
+            for n in range(60):
+                self.change(stage, f"row{n}", 2 * LARGE_EDIT)
+            stage.run(1)
+            late.start()
+            stage.until(lambda: late.part._incoming and len(late.part._incoming.data) > 10**6, 5, "a part arrives")
+            stage.cut([leader.name], [late.name])
+            stage.run(0.3)
+            before = len(late.part._incoming.data)
+            stage.heal()
+            sizes = []
+            while late.part._incoming:
+                sizes.append(len(late.part._incoming.data))
+                stage.run(0.02)
+            self.assertGreaterEqual(min(sizes), before)
+            stage.until(lambda: self.current(stage, late), CATCH_UP_S, "the member is current")
+
+    def gateway_is_current(self, stage, gateway):
+        cluster = gateway.ctx.cluster
+        stage.until(
+            lambda: cluster.ready() and cluster.sequence == stage.leader().part.commit,
+            CATCH_UP_S,
+            "the gateway is current",
+        )
+
+    def test_a_gateway_far_behind_follows_in_time(self):
+        self.gateway_far_behind()
+
+    def gateway_far_behind(self):
+        stage = self.fleet(controllers=3, gateways=2, storage_nodes=3)
+        late = stage.role("gateway")[0]
+        stage.cut([late.name], [a for a in stage.actors if a != late.name])
+        for n in range(50):
+            self.change(stage, f"row{n}", LARGE_EDIT)
+        stage.heal()
+        self.gateway_is_current(stage, late)
+
+    def test_a_gateway_that_starts_gets_a_large_state_in_time(self):
+        self.gateway_starts()
+
+    def gateway_starts(self):
+        with mock.patch.object(archive, "TRIM_EVERY", 20), mock.patch.object(archive, "KEEP_ENTRIES", 4):
+            stage = self.fleet(controllers=3, gateways=2, storage_nodes=3)
+            for n in range(60):
+                self.change(stage, f"row{n}", 2 * LARGE_EDIT)
+            late = stage.role("gateway")[0]
+            late.kill()
+            late.start()
+            self.gateway_is_current(stage, late)
+
+    def test_without_a_bound_on_one_message_they_do_not_arrive(self):
+        for module, bound, scene in (
+            (snapshots, "PIECE_BYTES", self.leader_needs_a_member_without_its_log),
+            (archive, "SEND_BYTES", self.gateway_far_behind),
+            (state_transfer, "PIECE_BYTES", self.gateway_starts),
+        ):
+            with self.subTest(bound), mock.patch.object(module, bound, 10**9), self.assertRaises(AssertionError):
+                scene()
+
+
+class Pieces(unittest.TestCase):
+    def test_the_pieces_make_the_snapshot_and_none_is_larger_than_its_bound(self):
+        data = Random(2).randbytes(300_000)
+        out = snapshots.OutgoingSnapshot(7, 2, data)
+        got = b""
+        while out.offset < len(data):
+            piece = out.piece()
+            self.assertLessEqual(len(piece.data), snapshots.PIECE_BYTES)
+            got += piece.data
+            out.offset += len(piece.data)
+        self.assertEqual(got, data)
