Test senders by term, and what is queued while a refusal of the disk is told

With senders kept by node alone the test of tests/test_stage_slow_link.py fails: the leader elected again is not heard while its hung call lasts. The flush of what is queued by a handler of a failed one was left until the next put.

--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -67,12 +67,17 @@
 
     def _send_to_all(self):
         for m in self._ctx.membership.members("controller", me=False):
-            key = (m.node, self.term)
+            key = self._sender_key(m.node)
             if key not in self._senders:
                 self._senders.add(key)
                 self._ctx.spawned(self._send(m.node, self.term), "send_entries")
 
+    def _sender_key(self, node: str) -> tuple[str, int]:
+        """A call of an earlier term that hangs must not hold up this term's sender."""
+        return node, self.term
+
     async def _send(self, node: str, term: int):
+        key = self._sender_key(node)
         after = self.archive.last_index()
         outgoing: OutgoingSnapshot | None = None
         try:
@@ -106,7 +111,7 @@
                 if after >= self.archive.last_index() and r.done:
                     await self._wait_wake(node)
         finally:
-            self._senders.discard((node, term))
+            self._senders.discard(key)
 
     def _leads(self, term: int) -> bool:
         return self.state == "leader" and self.term == term
--- a/tests/test_controller_archive.py
+++ b/tests/test_controller_archive.py
@@ -264,3 +264,23 @@
         for name, (owner, part, instead) in GUARDS.items():
             with self.subTest(name), mock.patch.object(owner, part, instead):
                 self.assertTrue(self.lost())
+
+
+class Refused(unittest.TestCase):
+    def test_what_is_queued_while_a_refusal_is_told_goes_to_the_disk(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        disk = LosingDisk(Random(1))
+        member = _Member(Path(folder.name), disk).start()
+        disk.full = True
+        told = []
+
+        def again(f):
+            f.trap(NoRoom)
+            disk.full = False
+            member.archive.put_ballot(3, "b").addCallback(lambda _: told.append("ballot"))
+
+        member.archive.put_entry(entry(1, 1)).addErrback(again)
+        member.ctx.step()
+        self.assertEqual(told, ["ballot"])
+        member.archive.close()
--- a/tests/test_stage_slow_link.py
+++ b/tests/test_stage_slow_link.py
@@ -6,14 +6,16 @@
 
 from pipitlink.cluster import state_transfer
 from pipitlink.controller import archive, snapshots
+from pipitlink.controller.leading import Leading
 from pipitlink.errors import PipitlinkError
-from pipitlink.timers import ms, spawn
+from pipitlink.timers import ms, secs, spawn
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
 from rehearsal.stage import Stage
 
 LINK_BYTES_PER_S = 15_000_000 / 8
 CATCH_UP_S = 4.7
 LARGE_EDIT = 60_000
+LEAD_AGAIN_S = 3.5
 
 
 class SlowLink(unittest.TestCase):
@@ -117,6 +119,32 @@
             self.assertGreaterEqual(min(sizes), before)
             stage.until(lambda: self.current(stage, late), CATCH_UP_S, "the member is current")
 
+    def test_a_call_that_hangs_does_not_hold_up_the_same_leader_in_its_next_term(self):
+        self.elected_again_while_a_call_hangs()
+
+    def elected_again_while_a_call_hangs(self):
+        stage = self.fleet()
+        leader = stage.leader()
+        needed, other = (a for a in stage.role("controller") if a is not leader)
+        other.kill()
+        stage.cut([leader.name], [needed.name])
+        row = Row(name="large", model="x" * 20 * LARGE_EDIT)
+        lost = leader.part._propose(Command(table=TableEdit(base=leader.part.cluster_state.table, puts=[row])))
+        spawn(lost).addErrback(lambda f: f.trap(PipitlinkError))
+        stage.run(0.8)
+        stage.heal()
+        leader.part.step_down()
+        needed.part._patience = secs(60)
+        stage.until(lambda: stage.leader() is leader, LEAD_AGAIN_S, "the same one leads again")
+        self.change(stage, "row", 100)
+
+    def test_senders_by_node_alone_would_be_held_up(self):
+        with (
+            mock.patch.object(Leading, "_sender_key", lambda self, node: (node, 0)),
+            self.assertRaises(AssertionError),
+        ):
+            self.elected_again_while_a_call_hangs()
+
     def gateway_is_current(self, stage, gateway):
         cluster = gateway.ctx.cluster
         stage.until(
