--- a/rehearsal/interleave.py
+++ b/rehearsal/interleave.py
@@ -18,6 +18,21 @@
         self.taken.append((pick, count))
         return pick
 
+    @classmethod
+    def explore(cls, run, most: int = 200_000) -> int:
+        """`run(choices)` is run for every sequence of choices; returns how many there were."""
+        prefix: list[int] | None = []
+        for count in range(1, most + 1):
+            choices = cls(prefix)
+            try:
+                run(choices)
+            except Exception as e:
+                raise AssertionError(f"with the choices {[pick for pick, _ in choices.taken]}: {e!r}") from e
+            prefix = choices.next_prefix()
+            if prefix is None:
+                return count
+        raise AssertionError(f"more than {most} sequences of choices")
+
     def next_prefix(self) -> list[int] | None:
         """The choices that lead to the next run, depth first; None after the last one."""
         taken = list(self.taken)
