Hold follow questions longer, probe and list less often in large clusters

Cause: at 95 nodes each node probed 15 times a second and asked the leader 4 times; each of 76 gateways listed open batches at 14 storage nodes each second (counted inside the processes).

Follow: the leader holds a question for up to 600 ms (250 as before in a small cluster) and says for how long it held it. Both sides count the lease from the answer then: the leader keeps it on record until 1.5 s after the answer, the gateway serves by it for 1.2 s after the same moment, taken as its asking plus the time held, so the argument of design.md section 6 stands with the time of the answer. A leader that yields lets go of the questions that it holds. Probes: each node is probed as often in sum whatever the size, so the number a node sends need not grow. Lists: among many gateways each looks less often, at once where one came or went.

Guard shown: without the leader's record from the answer on, the test of the gateway that is cut off fails.

--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -7,17 +7,20 @@
 from ..errors import Refused, WireError
 from ..replicated_log.placement_group import PlacementGroup
 from ..state_machines import HasStateMachine
-from ..timers import ms, secs
+from ..timers import ms, secs, to_ms
 from ..wire.cluster_pb2 import FollowRequest, FollowResponse, WitnessResponse
 from ..wire.frame_pb2 import Nothing
 from .cluster_state import ClusterState
 
-__all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW"]
+__all__ = ["Cluster", "LEASE_SPAN", "OWN_SPAN", "HOLD_FOLLOW", "MOST_HELD"]
 
 LEASE_SPAN = secs(1.5)
 OWN_SPAN = secs(1.2)
 HOLD_FOLLOW = ms(250)
-FOLLOW_LIMIT = ms(700)
+MOST_HELD = ms(600)
+HOLD_NODES = 24
+FOLLOW_LIMIT = ms(450)
+WITNESS_AFTER = ms(300)
 WITNESS_INTERVAL = ms(300)
 WITNESS_SPAN = secs(1)
 PAUSE = ms(100)
@@ -137,18 +140,27 @@
         place, verb = self._whom(failures)
         asked = self._ctx.timers.now()
         ask = FollowRequest(
-            node=self._ctx.node, role=self._ctx.role, sequence=self.sequence, at_once=self._leased_at is None
+            node=self._ctx.node,
+            role=self._ctx.role,
+            sequence=self.sequence,
+            at_once=self._leased_at is None,
+            hold_ms=to_ms(self._hold()),
         )
-        r = await self._ctx.rpc.call(place, verb, ask, FollowResponse, FOLLOW_LIMIT)
+        r = await self._ctx.rpc.call(place, verb, ask, FollowResponse, FOLLOW_LIMIT + ms(ask.hold_ms))
         if r.controller and verb == "controller.follow":
             self._controller = r.controller
         if not self._absorb(r):
             return
         if r.leased:
-            self._leased_at = asked
+            self._leased_at = min(asked + ms(r.held_ms), self._ctx.timers.now())
             self._followed = True
             self.ready()
 
+    def _hold(self) -> timedelta:
+        """How long the leader may hold this node's question: longer where many ask it, within what a lease allows."""
+        nodes = len(self._ctx.membership.members())
+        return max(HOLD_FOLLOW, min(MOST_HELD, HOLD_FOLLOW * nodes / HOLD_NODES))
+
     def _whom(self, failures: int):
         controllers = self._ctx.membership.members("controller", me=False)
         known = [m for m in controllers if m.node == self._controller]
@@ -168,7 +180,9 @@
         m = self._ctx.membership.find(self._controller) if self._controller else None
         if m is None:
             raise WireError("no controller is heard here either")
-        return await self._ctx.rpc.call((m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT)
+        return await self._ctx.rpc.call(
+            (m.host, m.port), "controller.follow", ask, FollowResponse, FOLLOW_LIMIT + ms(ask.hold_ms)
+        )
 
     async def _witness(self, node, _) -> WitnessResponse:
         return WitnessResponse(current=self._followed, sequence=self.sequence)
@@ -181,7 +195,7 @@
         self.ready()
         witnesses = self.cluster_state.witnesses()
         now = self._ctx.timers.now()
-        if not witnesses or (self._leased_at is not None and now - self._leased_at < OWN_SPAN / 2):
+        if not witnesses or (self._leased_at is not None and now - self._leased_at < self._hold() + WITNESS_AFTER):
             return
         got = await self._ctx.replicated_log.ask_each(witnesses, "cluster.witness", Nothing(), WitnessResponse, ms(500))
         sure = {n: r.sequence for n, r in got.items() if r.current}
--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -5,9 +5,9 @@
 import attrs
 from twisted.internet import defer
 
-from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN
+from ..cluster.follower import HOLD_FOLLOW, LEASE_SPAN, MOST_HELD
 from ..errors import NoRoom, NotLeading, Overdue, Unproven
-from ..timers import Joined, ms, secs
+from ..timers import Joined, ms, secs, to_ms
 from ..wire.cluster_pb2 import Command, Delta, FollowRequest, FollowResponse, Outcome
 
 __all__ = ["Gateways"]
@@ -55,13 +55,15 @@
     async def _follow(self, node, ask: FollowRequest) -> FollowResponse:
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
-        self.followers[ask.node] = _Follower(ask.role, ask.sequence, self._ctx.timers.now() + LEASE_SPAN)
+        asked = self._ctx.timers.now()
+        self.followers[ask.node] = _Follower(ask.role, ask.sequence, asked + LEASE_SPAN)
         _wake(self._confirmations)
         if ask.sequence >= self.cluster_state.sequence and not ask.at_once:
-            await self._wait(self._news, HOLD_FOLLOW, lambda: self.cluster_state.sequence > ask.sequence)
+            await self._hold_question(ask)
         if not self._fresh():
             raise NotLeading(self.leader if self.leader != self._ctx.node else "", self.leader)
         out = FollowResponse(sequence=self.cluster_state.sequence, leased=True, controller=self._ctx.node)
+        out.held_ms = self._lease_from_now(ask.node, asked)
         if ask.sequence < self.cluster_state.sequence:
             entries = [e for e in self.archive.after(ask.sequence, 4096) if e.index <= self.cluster_state.sequence]
             if entries and entries[0].index == ask.sequence + 1 and ask.sequence:
@@ -72,6 +74,21 @@
                 out.cluster_state.CopyFrom(self.cluster_state.data())
         return out
 
+    async def _hold_question(self, ask: FollowRequest):
+        span = min(ms(ask.hold_ms) or HOLD_FOLLOW, MOST_HELD)
+        await self._wait(self._news, span, lambda: self.cluster_state.sequence > ask.sequence or self.state != "leader")
+
+    def _lease_from_now(self, node: str, asked: timedelta) -> int:
+        """The lease is counted anew from the answer: both sides take it to begin after the time the question was held.
+
+        Returns that time in whole milliseconds, rounded down, so that the node's own end of it is never the later one.
+        """
+        now = self._ctx.timers.now()
+        f = self.followers.get(node)
+        if f is not None:
+            f.until = max(f.until, now + LEASE_SPAN)
+        return to_ms(now - asked)
+
     def wake_news(self):
         """The cluster state has moved: those that follow it hear of it, and those that wait for its effect look
         again.
--- a/pipitlink/controller/leading.py
+++ b/pipitlink/controller/leading.py
@@ -57,6 +57,7 @@
         for _, d in proposed.values():
             d.callback(Unproven("the leader changed before the outcome was known"))
         self._wake_all()
+        self.wake_news()
 
     def heard_majority_at(self) -> timedelta:
         """The latest time for which a majority of the voters is known to have followed this leader."""
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -29,7 +29,18 @@
 
 
 class ControllerNode(
-    Founding, Voting, Leading, Gateways, Edits, Orders, Retiring, Announcing, LoadHub, Placement, Voters, HasStateMachine
+    Founding,
+    Voting,
+    Leading,
+    Gateways,
+    Edits,
+    Orders,
+    Retiring,
+    Announcing,
+    LoadHub,
+    Placement,
+    Voters,
+    HasStateMachine,
 ):
     """A controller: takes part in the agreement on the cluster state, and serves it.
 
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -16,6 +16,8 @@
 
 PROBE_INTERVAL = ms(200)
 PROBE_LIMIT = ms(400)
+BEAT_NODES = 40
+MOST_BEATS = 3
 SUSPECT_SPAN = secs(1.5)
 FORGET_SPAN = secs(600)
 RECENT_SPAN = secs(3)
@@ -26,6 +28,8 @@
 class Membership(Memory):
     """Who is in the fleet: direct probes, probes through peers, suspicion that the accused can refute.
 
+    Each node probes one other on a beat, in a large cluster on each second or third. Others probe it as often, whatever
+    the size, so that a node that ended is found in the same time.
     Gossip carries the members that changed lately and a digest of all; the whole is sent where the digests differ.
     """
 
@@ -33,6 +37,7 @@
         self._ctx = ctx
         self._entries: dict[str, Entry] = {}
         self._round: list[str] = []
+        self._beats = 0
         self._watchers: list = []
         self._carriers: list = []
         self.me = Member()
@@ -215,7 +220,8 @@
                 self._changed(e)
             elif e.state == "gone" and now - e.since > FORGET_SPAN:
                 del self._entries[e.member.node]
-        for _ in range(1 + len(self._entries) // 40):
+        self._beats = (self._beats + 1) % min(MOST_BEATS, 1 + len(self._entries) // BEAT_NODES)
+        if self._beats == 0:
             e = self._next()
             if e is not None:
                 spawn(self._check(e)).addErrback(lambda f: self._ctx.journal.fault("probe", f.value))
--- a/pipitlink/router/batches.py
+++ b/pipitlink/router/batches.py
@@ -9,7 +9,7 @@
 from ..disk import frames
 from ..errors import PipitlinkError
 from ..rendezvous import rank
-from ..timers import ZERO, ms, secs
+from ..timers import ZERO, Repeat, ms, secs
 from ..wire.lots_pb2 import Batch, BatchHead, BatchItem, LogRecord, Output
 
 __all__ = ["Batches", "HEAD_ALONE", "Listing", "OpenBatch", "batch_log", "good_id", "head_of"]
@@ -18,6 +18,8 @@
 HEAD_ALONE = "head_alone"
 LIST_INTERVAL = secs(1)
 LIST_SELDOM = secs(4)
+LIST_RESTLESS = secs(2)
+LISTING_GATEWAYS = 16
 RESTLESS = secs(10)
 NEXT_OWNER = secs(1.5)
 RELEASE_AFTER = secs(1)
@@ -156,6 +158,8 @@
     Owns `batches`, `_closing_batches`, `_batch_turns`, `_adopting_batches`, `_orphan_batches` and `_taking_up_batches`.
     """
 
+    _list_timer: Repeat | None = None
+
     def _open_batches(self):
         self.batches: dict[str, OpenBatch] = {}
         self._batch_turns: dict[str, defer.DeferredLock] = {}
@@ -167,7 +171,9 @@
         self._open_batch_intake()
         self._open_batch_run()
         self._open_batch_reads()
-        self._ctx.timers.every(LIST_INTERVAL, self._list_batches, self._ctx.report("list_batches"), due=self._list_due)
+        self._list_timer = self._ctx.timers.every(
+            LIST_INTERVAL, self._list_batches, self._ctx.report("list_batches"), due=self._list_due
+        )
 
     async def _end_batches(self):
         """Takes nothing new, lets what runs end for a short while, and hands the leases over."""
@@ -257,11 +263,21 @@
         await self._ctx.timers.pause(RELEASE_AFTER)
         await self._ctx.replicated_log.release([o.leaseholder])
 
+    def _list_soon(self):
+        if self._list_timer is not None:
+            self._list_timer.wake()
+
     def _list_due(self) -> timedelta:
-        """Seldom where no gateway tells of open batches and none has come or gone of late."""
+        """Seldom where no gateway tells of open batches and none has come or gone of late.
+
+        Among many gateways each lists less often, since all of them look: more often while one has come or gone.
+        """
         quiet = not (self.batches or self._quota_told or self._quota_unknown or self._orphan_batches)
         settled = self._ctx.timers.now() - self._quota_moved_at > RESTLESS
-        return LIST_SELDOM if quiet and settled else ZERO
+        if quiet and settled:
+            return LIST_SELDOM
+        many = len(self._quota_gateways) / LISTING_GATEWAYS
+        return max(ZERO, min(LIST_SELDOM if settled else LIST_RESTLESS, LIST_INTERVAL * many))
 
     async def _list_batches(self):
         started = self._ctx.timers.now()
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -18,6 +18,8 @@
 LOADS_AT_LEAST = secs(1)
 LOADS_SPAN = secs(3)
 MOST_TOLD = 15
+TOLD_SPAN = ms(350)
+TOLD_BY_TOTALS_SPAN = ms(600)
 SLEPT_SPAN = secs(1.5)
 WOKE_SPAN = ms(500)
 SUSPECT_SPAN = ms(700)
@@ -294,6 +296,10 @@
         self._told, self._told_at = mine, now
         self._ctx.rpc.post(self._whom_to_tell(), "engines.loads", what)
 
+    def told_span(self) -> timedelta:
+        """Within which all gateways have heard what one of them tells."""
+        return TOLD_SPAN if self.gateways() <= MOST_TOLD + 1 else TOLD_BY_TOTALS_SPAN
+
     def _forget_silent(self, now: timedelta):
         for e in list(self._engines.values()):
             if now - e.heard > FORGET_SPAN and not e.running:
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -11,7 +11,6 @@
 
 __all__ = ["Quota"]
 
-SETTLE_SPAN = ms(350)
 SLEPT_SPAN = secs(1.5)
 GRANT_SPAN = secs(5)
 LISTED_LATE = secs(1)
@@ -131,6 +130,7 @@
         gateways = frozenset(m.node for m in self._ctx.membership.members("gateway", status=("alive",)))
         if gateways != self._quota_gateways or now - self._quota_looked_at > SLEPT_SPAN:
             self._quota_gateways, self._quota_moved_at = gateways, now
+            self._list_soon()
         self._quota_looked_at = now
 
     def _quota_steward(self, route: str) -> str:
@@ -148,9 +148,13 @@
             for m in self._ctx.membership.members("gateway", status=("suspect", "gone"), me=False)
             if (m.host, m.port) not in places and self._ctx.membership.since(m.node) < KNOWN_SPAN
         ]
-        if not self._ctx.cluster.usable() or len(alive) < len(away) or now - self._quota_moved_at < SETTLE_SPAN:
+        if (
+            not self._ctx.cluster.usable()
+            or len(alive) < len(away)
+            or now - self._quota_moved_at < self.engines.told_span()
+        ):
             return False
-        if self._lots_listed_at is None or self._lots_listed_at < self._quota_moved_at + SETTLE_SPAN / 2:
+        if self._lots_listed_at is None or self._lots_listed_at < self._quota_moved_at + self.engines.told_span() / 2:
             self._ctx.spawned(self._listing_lots.run("list", self._list_batches), "list_batches")
             return False
         unread = [b for b, at in self._quota_unknown.items() if now - at < UNREAD_SPAN]
--- /dev/null
+++ b/tests/test_stage_follow.py
@@ -0,0 +1,100 @@
+"""Questions that a leader holds long, and the leases counted from its answers."""
+
+import unittest
+from unittest import mock
+
+from pipitlink.cluster.follower import HOLD_FOLLOW, MOST_HELD, OWN_SPAN
+from pipitlink.timers import spawn
+from rehearsal.stage import Stage
+
+from . import test_stage_controllers as under_trouble
+from .test_stage_controllers import edit_of
+
+
+def held_long():
+    return mock.patch("pipitlink.cluster.follower.HOLD_FOLLOW", MOST_HELD)
+
+
+class HeldQuestions(unittest.TestCase):
+    def stage(self, gateways=3, seed=4):
+        stage = Stage(seed, controllers=3, storage_nodes=3, gateways=gateways, placement_groups=2)
+        self.addCleanup(stage.end)
+        stage.start()
+        stage.ready()
+        stage.run(2)
+        return stage
+
+    def asked(self, stage, seconds) -> float:
+        """Questions of one gateway in a second."""
+        asks = []
+        stage.watch_calls = lambda sender, verb: (
+            sender.role == "gateway" and verb == "controller.follow" and asks.append(sender.name)
+        )
+        stage.run(seconds)
+        stage.watch_calls = None
+        return len(asks) / seconds / len(stage.role("gateway"))
+
+    def test_a_large_cluster_asks_less_often_and_never_without_a_proof(self):
+        few = self.asked(self.stage(4), 5)
+        self.assertAlmostEqual(few, 1 / HOLD_FOLLOW.total_seconds(), delta=0.2)
+        stage = self.stage(60)
+        self.assertAlmostEqual(self.asked(stage, 5), 1 / MOST_HELD.total_seconds(), delta=0.2)
+        for _ in range(40):
+            stage.run(0.05)
+            self.assertEqual({a.ctx.cluster.ready() and a.ctx.cluster.state for a in stage.role("gateway")}, {"led"})
+
+    def test_an_edit_is_in_effect_as_soon_while_questions_are_held_long(self):
+        with held_long():
+            stage = self.stage()
+            leader = stage.leader().part
+            for n in range(5):
+                stage.run(0.13)
+                began = stage.clock.seconds()
+                stage.do(leader.edit(edit_of("row", leader.cluster_state.table, f"edit{n}")))
+                self.assertLess(stage.clock.seconds() - began, 0.1)
+
+    def test_an_edit_waits_for_a_gateway_that_was_answered_last_just_before_it_was_cut_off(self):
+        """The lease is counted from the answer on both sides: the gateway's own end of it comes before the leader's."""
+        with held_long():
+            stage = self.stage()
+            one, leader = stage.role("gateway")[0], stage.leader()
+            cluster = one.ctx.cluster
+            others = [a for a in stage.actors if a != one.name]
+            for told in ("a question is held", "it was answered, and its next question is lost"):
+                before = cluster._leased_at
+                stage.until(lambda before=before: cluster._leased_at != before, 2, told)
+                stage.run(0.02)
+                stage.cut([one.name], others, one_way=True)
+            stage.cut([one.name], others)
+            box = []
+            spawn(leader.part.edit(edit_of("row", leader.part.cluster_state.table, "e"))).addBoth(box.append)
+            led = 0
+            while not box:
+                stage.run(0.01)
+                led += cluster.ready() and cluster.state == "led"
+            self.assertEqual(box[0].code, "done")
+            self.assertLess(cluster.sequence, leader.part.cluster_state.sequence)
+            self.assertFalse(cluster.ready() and cluster.state == "led", "it lacks an edit that was acknowledged")
+            self.assertGreater(led * 0.01, OWN_SPAN.total_seconds() - 0.1, "its lease counts from the answer")
+
+    def test_a_leader_that_yields_lets_go_of_the_questions_that_it_holds(self):
+        with held_long():
+            stage = self.stage()
+            leader = stage.leader()
+            stage.until(lambda: len(leader.part._news) >= 5, 2, "questions are held")
+            leader.part.step_down()
+            stage.run(0.01)
+            self.assertEqual(len(leader.part._news), 0)
+
+
+class LongHeldUnderTrouble(under_trouble.ClusterUnderTrouble):
+    """The same troubles as with short holds."""
+
+    def setUp(self):
+        patched = held_long()
+        patched.start()
+        self.addCleanup(patched.stop)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_stage_large.py
@@ -0,0 +1,71 @@
+"""What a large cluster sends at rest and with open batches, and that it still finds in time what ended."""
+
+import unittest
+from collections import Counter
+
+from pipitlink.timers import ms
+from rehearsal.stage import Stage
+
+from .batch_parts import Callers, staged
+
+SPAN = 8
+GATEWAYS = 48
+
+
+class Large(unittest.TestCase):
+    def count(self, stage) -> dict:
+        """Calls and notes that a node of each role sends in a second."""
+        counts: Counter = Counter()
+        stage.watch_calls = lambda sender, verb: counts.update([(sender.role, verb)])
+        stage.run(SPAN)
+        stage.watch_calls = None
+        return {k: n / SPAN / len(stage.role(k[0])) for k, n in counts.items()}
+
+    def test_a_dead_node_is_gone_at_every_node_as_soon_as_in_a_small_one(self):
+        for seed in range(3):
+            s = Stage(seed, controllers=3, storage_nodes=5, gateways=GATEWAYS)
+            self.addCleanup(s.end)
+            s.start()
+            s.ready(60)
+            s.run(6)
+            dead = [s.actors["storage1"], s.actors["gateway7"]]
+            for a in dead:
+                a.kill()
+            rest = [a for a in s.actors.values() if a.alive]
+            s.until(
+                lambda: all(a.ctx.membership.status(d.node) == "gone" for a in rest for d in dead), 4, "they are gone"
+            )
+
+    def test_a_nodes_messages_at_rest(self):
+        s = Stage(5, controllers=3, storage_nodes=5, gateways=GATEWAYS)
+        self.addCleanup(s.end)
+        s.start()
+        s.ready(60)
+        s.run(12)
+        c = self.count(s)
+        for role in ("controller", "storage", "gateway"):
+            self.assertLessEqual(c[role, "membership.probe"], 2.6, role)
+        self.assertLessEqual(c["gateway", "controller.follow"], 2.0)
+        self.assertLessEqual(sum(n for (role, _), n in c.items() if role == "gateway"), 4.8)
+
+    def test_open_batches_are_listed_as_often_by_all_together_and_what_is_left_over_is_taken_up(self):
+        s = staged(6, gateways=GATEWAYS, settle=14.0)
+        self.addCleanup(s.end)
+        s.step = ms(3000)
+        callers = Callers(s)
+        name = callers.lot(6)
+        self.assertEqual(s.do(callers.hand_in(name)), 202)
+        s.run(1)
+        depots = len(s.role("storage"))
+        self.assertLessEqual(self.count(s)["gateway", "replicated_log.list"], depots / 3 + 0.1)
+        owner = next(a for a in s.role("gateway") if name in a.part.batches)
+        owner.kill()
+
+        def taken_up():
+            return any(name in a.part.batches for a in s.role("gateway", alive=True))
+
+        s.until(taken_up, 8, "another gateway has it")
+
+
+if __name__ == "__main__":
+    unittest.main()
