Load only what a role needs at its start, and sort members out once for each change

Each role loads its own part; the operator's face (klein, werkzeug, prometheus_client) is built when it is first asked, the readiness port needs none of it; pluggy, cattrs and twisted.web.client are left out where nothing uses them; garbage is not looked for while modules load.

Ruled out: leaving out site (-S), 0.02 s, since it also leaves out what an environment may rely on.

--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -43,6 +43,7 @@
         self.me = Member()
         self._file = None
         self._digest: int | None = None
+        self._sorted: dict[tuple, list[Member]] = {}
         self._changed_at = self._me_changed_at = ctx.timers.now()
 
     def open(self, me: Member):
@@ -63,11 +64,24 @@
         self._carriers.append((fill, take))
 
     def members(self, role: str | None = None, status=("alive", "suspect"), me: bool = True) -> list[Member]:
+        """Those of a role, in the order of their ids; they are sorted out once for each change."""
+        key = role, status, me
+        kept = self._sorted.get(key)
+        if kept is None:
+            kept = self._sorted[key] = self._sort_out(role, status, me)
+        return list(kept)
+
+    def _sort_out(self, role: str | None, status: tuple[str, ...], me: bool) -> list[Member]:
         out = [e.member for e in self._entries.values() if e.state in status]
         if me:
             out.append(self.me)
         return sorted((m for m in out if role is None or m.role == role), key=lambda m: m.node)
 
+    def _believe_anew(self):
+        """What was worked out from the entries no longer holds."""
+        self._digest = None
+        self._sorted.clear()
+
     def find(self, node: str) -> Member | None:
         if node == self.me.node:
             return self.me
@@ -91,7 +105,7 @@
         for name, value in fields.items():
             setattr(self.me, name, value)
         self._me_changed_at = self._ctx.timers.now()
-        self._digest = None
+        self._believe_anew()
 
     def digest(self) -> int:
         """Stands for all that is believed of the members that are not gone: alike where two nodes believe alike."""
@@ -164,7 +178,7 @@
 
     def _changed(self, e: Entry):
         e.changed = self._changed_at = self._ctx.timers.now()
-        self._digest = None
+        self._believe_anew()
         self._keep()
         for do in self._watchers:
             do(e.member)
@@ -220,6 +234,7 @@
                 self._changed(e)
             elif e.state == "gone" and now - e.since > FORGET_SPAN:
                 del self._entries[e.member.node]
+                self._believe_anew()
         self._beats = (self._beats + 1) % min(MOST_BEATS, 1 + len(self._entries) // BEAT_NODES)
         if self._beats == 0:
             e = self._next()
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -1,11 +1,7 @@
 """The HTTP interface of each node for operators: state, health and metrics."""
 
-from klein import Klein
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import GaugeMetricFamily
-
 from .errors import NotFound
-from .web import Site, listen, send_fault, send_json
+from .web import Late, Site, listen, send_fault, send_json
 
 __all__ = ["OperatorFace"]
 
@@ -17,10 +13,14 @@
         self._ctx = ctx
         self._node = node
         self._port = None
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
 
     async def listen(self, host: str, port: int) -> int:
+        self._port, port = await listen(self._ctx.reactor, Site(Late(self._resource), 32 * 1024 * 1024), host, port)
+        return port
+
+    def _resource(self):
+        from klein import Klein
+
         app = Klein()
         add = app.route
         add("/v1/beliefs", methods=["GET"])(self._show_beliefs)
@@ -32,9 +32,7 @@
             self._node.routes(add)
         add("/", defaults={"path": ""})(self._nowhere)
         add("/<path:path>")(self._nowhere)
-        site = Site(app.resource(), 32 * 1024 * 1024)
-        self._port, port = await listen(self._ctx.reactor, site, host, port)
-        return port
+        return app.resource()
 
     async def end(self):
         if self._port is not None:
@@ -57,8 +55,12 @@
         return send_json(request, {"ready": ok, **words}, 200 if ok else 503)
 
     def _metrics(self, request):
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
         request.setHeader(b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
-        return generate_latest(self._registry)
+        return generate_latest(registry)
 
     def _cluster_state(self):
         return getattr(self._node, "cluster_state", None) or self._ctx.cluster.cluster_state
@@ -115,6 +117,8 @@
         }
 
     def collect(self):
+        from prometheus_client.core import GaugeMetricFamily
+
         cluster_state = self._cluster_state()
         yield GaugeMetricFamily(
             "pipitlink_cluster_sequence", "The cluster state's sequence here", cluster_state.sequence
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -9,21 +9,17 @@
 import attrs
 from twisted.internet import reactor
 
-from .cache import Cache
 from .changes import Changes
 from .cluster import Cluster
 from .context import Context, fresh_id
-from .controller import ControlFace, ControllerNode
 from .dialect import Dialect
 from .disk import set_aside
 from .errors import Damaged, SettingsError
 from .journal import open_journal
 from .membership import Membership
 from .operator import OperatorFace
-from .plugs import Gate
 from .replicated_log import ReplicatedLog
 from .settings import Settings
-from .storage import StorageNode, node_id
 from .timers import Timers, ms, secs, spawn
 from .wire.membership_pb2 import Member
 from .wire.rpc import RpcEndpoint
@@ -34,16 +30,41 @@
 REREAD_INTERVAL = secs(2)
 
 
+def _node_id(role: str, settings: Settings) -> str:
+    """A gateway's is new at each start; the others keep theirs in the data folder."""
+    if role == "gateway":
+        return fresh_id()
+    from .storage import node_id
+
+    return node_id(Path(settings.data), settings.fleet)
+
+
+def _node_kind(role: str, interface: str):
+    """Loads a role's own part and no other role's, since a start's processor time is mostly the loading."""
+    if role == "controller":
+        from .controller import ControllerNode as Kind
+    elif role == "storage":
+        from .storage import StorageNode as Kind
+    elif interface == "routes":
+        from .router import RouterNode as Kind
+    else:
+        from .gateway import GatewayNode as Kind
+    return Kind
+
+
 class Process:
     """One gateway, storage node or controller, from its settings to its end."""
 
     def __init__(self, role: str, settings: Settings, dialect: Dialect | None = None, reread=None, early=None):
-        node = fresh_id() if role == "gateway" else node_id(Path(settings.data), settings.fleet)
+        self._kind = _node_kind(role, settings.interface)
+        node = _node_id(role, settings)
         journal = open_journal(settings.log_level, role=role, node=node)
         timers = Timers(reactor)
         rpc = RpcEndpoint(reactor, timers, journal, settings.fleet, node)
         self.ctx = Context(role, node, settings, reactor, timers, journal, rpc, Random(), dialect=dialect or Dialect())
         if settings.plug:
+            from .plugs import Gate
+
             rpc.gate = Gate(settings.plug, self.ctx)
         self._reread = reread
         self._early = early
@@ -64,9 +85,7 @@
         ctx.rpc.place = (p.host, port)
         me = Member(node=ctx.node, incarnation=1, role=ctx.role, zone=p.zone, host=p.host, port=port, name=p.name)
         if ctx.role == "gateway":
-            ctx.cache = Cache(ctx)
-            self.node = self._gateway_kind()(ctx)
-            self.node.open()
+            self._open_gateway()
             if self._early is not None:
                 self.node.early = self._early
             me.http_port = await self.node.listen(p.bind, p.http_port)
@@ -75,6 +94,8 @@
         self._face = OperatorFace(ctx, self.node)
         me.operator_port = await self._face.listen(p.bind, p.operator_port)
         if ctx.role == "controller" and p.control_port:
+            from .controller import ControlFace
+
             self._control = ControlFace(ctx, self.node)
             await self._control.listen(p.bind, p.control_port)
         ctx.changes = Changes(ctx)
@@ -84,31 +105,29 @@
             ctx.cluster.open()
         ctx.journal.note("started", zone=p.zone, place=f"{p.host}:{port}", http=me.http_port)
 
-    def _gateway_kind(self):
-        if self.ctx.settings.interface == "routes":
-            from .router import RouterNode
+    def _open_gateway(self):
+        from .cache import Cache
 
-            return RouterNode
-        from .gateway import GatewayNode
-
-        return GatewayNode
+        self.ctx.cache = Cache(self.ctx)
+        self.node = self._kind(self.ctx)
+        self.node.open()
 
     def _open_kept(self):
         """Opens what is on disk. Damage that replicas can mend is set aside, and the node begins anew and empty."""
-        ctx, kinds = self.ctx, {"storage": StorageNode, "controller": ControllerNode}
-        if ctx.role not in kinds:
+        ctx = self.ctx
+        if ctx.role == "gateway":
             return
         disk = ctx.rpc.gate.disk() if ctx.rpc.gate is not None else None
-        self.node = kinds[ctx.role](ctx, disk)
+        self.node = self._kind(ctx, disk)
         try:
             self.node.open()
         except Damaged as e:
             ctx.journal.fault("set_aside", e)
             folder = Path(ctx.settings.data)
             set_aside(folder)
-            ctx.node = ctx.rpc.node = node_id(folder, ctx.settings.fleet)
+            ctx.node = ctx.rpc.node = _node_id(ctx.role, ctx.settings)
             ctx.journal = ctx.rpc.journal = ctx.journal.bind(node=ctx.node)
-            self.node = kinds[ctx.role](ctx, disk)
+            self.node = self._kind(ctx, disk)
             self.node.open()
 
     async def end(self):
@@ -165,6 +184,7 @@
     def begin():
         gc.collect()
         gc.freeze()
+        gc.enable()
         gc.set_threshold(20_000, 20, 20)
         if reread is not None:
             signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(process.reread))
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -6,7 +6,6 @@
 
 from ..disk import frame
 from ..errors import Fenced, NoMajority, NoRoom, NotHeld, Refused, WireError
-from ..storage.grants import HOLD_SPAN
 from ..timers import ZERO, ms, secs, spawn, wall_ms
 from ..wire.frame_pb2 import Nothing
 from ..wire.replicated_log_pb2 import (
@@ -20,6 +19,7 @@
     WriteResponse,
 )
 from .placement_group import PlacementGroup
+from .spans import HOLD_SPAN
 
 __all__ = ["Leaseholder"]
 
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -1,6 +1,6 @@
 """The gateway node of the routes interface, put together from its mixins."""
 
-from klein import Klein
+from twisted.web import resource
 
 from ..timers import ms
 from ..web import Site, listen, send_json
@@ -19,6 +19,20 @@
 __all__ = ["RouterNode"]
 
 
+class _Readiness(resource.Resource):
+    """Says at every path whether the gateway takes requests."""
+
+    isLeaf = True
+
+    def __init__(self, node):
+        super().__init__()
+        self._node = node
+
+    def render(self, request):
+        ok, words = self._node.readiness()
+        return send_json(request, {"ready": ok, **words}, 200 if ok else 503)
+
+
 class RouterNode(Front, Choosing, Relay, Items, Batches, BatchIntake, BatchRun, BatchRead, Quota):
     """A gateway that serves by routes: opaque requests to engines of pools, and batches on the same engines.
 
@@ -47,12 +61,8 @@
 
     async def listen(self, host: str, port: int) -> int:
         if self._ctx.settings.ready_port:
-            app = Klein()
-            app.route("/", defaults={"path": ""})(self._show_ready)
-            app.route("/<path:path>")(self._show_ready)
-            self._ready_port, _ = await listen(
-                self._ctx.reactor, Site(app.resource(), 1024), host, self._ctx.settings.ready_port
-            )
+            site = Site(_Readiness(self), 1024)
+            self._ready_port, _ = await listen(self._ctx.reactor, site, host, self._ctx.settings.ready_port)
         return await self.listen_callers(host, port)
 
     @property
@@ -62,10 +72,6 @@
     def current(self) -> bool:
         return self._ctx.cluster.usable()
 
-    def _show_ready(self, request, path):
-        ok, words = self.readiness()
-        return send_json(request, {"ready": ok, **words}, 200 if ok else 503)
-
     def readiness(self):
         cluster = self._ctx.cluster
         ok = (
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -1,7 +1,7 @@
 """Sends calls to engines and relays the answers, with retries that double nothing."""
 
 from twisted.internet import defer, protocol
-from twisted.web.client import ResponseDone
+from twisted.web._newclient import ResponseDone
 
 from ..errors import BackEndError, Crowded, GatewayError
 from ..timers import ms
--- a/pipitlink/settings.py
+++ b/pipitlink/settings.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 import attrs
-import cattrs
 
 from .errors import SettingsError
 
@@ -161,6 +160,8 @@
 
     Raises SettingsError with a line for each setting that is refused.
     """
+    import cattrs
+
     lines: list[str] = []
     raw: dict = {}
     if path:
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -4,13 +4,10 @@
 
 import attrs
 
-from ..timers import secs
+from ..replicated_log.spans import LEASE_SPAN
 from ..wire.replicated_log_pb2 import LeaseRequest, LeaseResponse, RenewRequest, RenewResponse
 
-__all__ = ["Grants", "LEASE_SPAN", "HOLD_SPAN"]
-
-LEASE_SPAN = secs(3)
-HOLD_SPAN = secs(2)
+__all__ = ["Grants", "LEASE_SPAN"]
 
 
 @attrs.define
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -3,7 +3,7 @@
 import json
 
 from twisted.internet import defer
-from twisted.web import server
+from twisted.web import resource, server
 
 from .errors import (
     BadRows,
@@ -22,7 +22,7 @@
 )
 from .timers import spawn
 
-__all__ = ["Site", "answered", "send_json", "send_fault", "listen"]
+__all__ = ["Late", "Site", "answered", "send_json", "send_fault", "listen"]
 
 
 class _Request(server.Request):
@@ -76,6 +76,22 @@
         pass
 
 
+class Late(resource.Resource):
+    """A face that is built when it is first asked, since most processes end without that."""
+
+    isLeaf = True
+
+    def __init__(self, make):
+        super().__init__()
+        self._make = make
+        self._made = None
+
+    def render(self, request):
+        if self._made is None:
+            self._made = self._make()
+        return self._made.render(request)
+
+
 async def listen(reactor, site: Site, host: str, port: int):
     """Binds an HTTP site and returns the listening port object and the port's number. Raises CannotListenError."""
     from twisted.internet.endpoints import TCP4ServerEndpoint
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,41 @@
+"""What a process loads before it serves: what its role needs, since a start's processor time is mostly the loading."""
+
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LOAD = """
+import sys
+sys.path[:0] = [{platform!r}, {root!r}]
+import serve
+from pipitlink.process import _node_kind
+_node_kind({role!r}, "routes")
+print("\\n".join(sys.modules))
+"""
+NOT_BEFORE_ASKED = {"klein", "werkzeug", "prometheus_client", "pluggy", "cattrs", "treq", "twisted.web.client"}
+OTHERS = {
+    "gateway": {"pipitlink.controller", "pipitlink.storage", "pipitlink.gateway"},
+    "storage": {"pipitlink.controller", "pipitlink.router", "pipitlink.gateway"},
+    "controller": {"pipitlink.storage", "pipitlink.router", "pipitlink.gateway"},
+}
+
+
+class Loaded(unittest.TestCase):
+    def loaded(self, role) -> set[str]:
+        code = LOAD.format(platform=str(ROOT / "platform"), root=str(ROOT), role=role)
+        out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=True)
+        return set(out.stdout.split())
+
+    def test_no_role_loads_what_only_another_needs(self):
+        for role, others in OTHERS.items():
+            with self.subTest(role=role):
+                have = self.loaded(role)
+                self.assertEqual(have & others, set())
+                faces = {"klein", "werkzeug"} if role == "controller" else set()
+                self.assertEqual(have & (NOT_BEFORE_ASKED - faces), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
