Use a connection that a peer opened for calls to it

Cause: each pair of peers kept two connections, one dialled by each: 188 of a gateway's 271 open files among 95 nodes, and as many to open at each start. A peer's hello now says its place, and calls to that place go over the connection that it opened; the connection of another life at a place takes over from the earlier one's.

--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -83,6 +83,7 @@
                 return
             self.peer.ParseFromString(first)
             self._rpc.check(self.peer)
+            self._rpc.greeted(self)
             self.ready.callback(self)
             while (data := await self._take()) is not None:
                 f = Frame.FromString(data)
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -36,7 +36,8 @@
         self.place: Place = ("", 0)
 
     def hello(self) -> Hello:
-        return Hello(fleet=self._fleet, wire=WIRE, node=self.node, incarnation=self.incarnation)
+        host, port = self.place
+        return Hello(fleet=self._fleet, wire=WIRE, node=self.node, incarnation=self.incarnation, host=host, port=port)
 
     def check(self, hello: Hello):
         if hello.fleet != self._fleet:
@@ -64,6 +65,13 @@
     def met(self, s: RpcConnection):
         self._met.add(s)
 
+    def greeted(self, s: RpcConnection):
+        """A connection that a peer opened also serves for calls to it, so that a pair of peers needs only one."""
+        place = s.peer.host, s.peer.port
+        have = self._streams.get(place)
+        if s in self._met and s.peer.port and (have is None or have.peer.node != s.peer.node):
+            self._streams[place] = s
+
     def gone(self, s: RpcConnection):
         self._met.discard(s)
         for place, held in list(self._streams.items()):
--- a/tests/test_rpc_notes.py
+++ b/tests/test_rpc_notes.py
@@ -1,4 +1,4 @@
-"""Notes between RPC endpoints: frames that nobody responds to, over connections in memory."""
+"""Notes between RPC endpoints, frames that nobody responds to, and one connection for both ways; all in memory."""
 
 import unittest
 
@@ -29,6 +29,7 @@
         self.lines = _Lines()
         self.ends = [self.endpoint(n) for n in ("a", "b")]
         self.connections = [RpcConnection(e) for e in self.ends]
+        self.ends[1].met(self.connections[1])
         self.pump = iosim.connect(
             self.connections[0],
             iosim.FakeTransport(self.connections[0], False, peerAddress=IPv4Address("TCP", "h", 2)),
@@ -42,9 +43,11 @@
 
     def endpoint(self, node):
         clock = Clock()
-        return RpcEndpoint(
+        out = RpcEndpoint(
             MemoryReactorClock(), Timers(clock, seconds=clock.seconds), Journal(self.lines), "fleet", node
         )
+        out.place = ("h", 1 if node == "a" else 2)
+        return out
 
     async def take(self, node, what):
         if what.gateway == "bad":
@@ -84,6 +87,32 @@
         self.assertTrue(box[1].check(Refused))
         self.assertEqual([name for _, name in self.told], ["note", "one", "note"])
 
+    def test_a_peer_is_called_over_the_connection_that_it_opened(self):
+        box = []
+        self.ends[0].answer("engines.loads", Loads, self.take)
+        for end, place in ((1, ("h", 1)), (0, ("h", 2))):
+            spawn(
+                self.ends[end].call(place, "engines.loads", Loads(gateway="one"), Nothing, ms(100))
+            ).addBoth(box.append)  # fmt: skip
+        self.pump.flush()
+        self.assertEqual(box, [Nothing(), Nothing()])
+        self.assertEqual(self.told, [("b", "one"), ("a", "one")])
+        for e in self.ends:
+            self.assertEqual(e._reactor.tcpClients, [])
+
+    def test_another_life_at_a_place_takes_its_connection_over(self):
+        first, place = self.connections[1], ("h", 1)
+        again, other = self.endpoint("a"), self.endpoint("a")
+        other.node = "c"
+        for peer, expected in ((again, False), (other, True)):
+            s, t = RpcConnection(self.ends[1]), RpcConnection(peer)
+            self.ends[1].met(s)
+            iosim.connect(t, iosim.FakeTransport(t, False), s, iosim.FakeTransport(s, True)).flush()
+            self.assertEqual(self.ends[1]._streams[place] is s, expected)
+        first.transport.loseConnection()
+        self.pump.flush()
+        self.assertIs(self.ends[1]._streams[place], s)
+
     def test_a_note_where_no_connection_is_open_opens_one(self):
         self.ends[0].post([("h", 9)], "engines.loads", Loads(gateway="one"))
         (opened,) = self.ends[0]._reactor.tcpClients
