--- a/pipitlink/controller/load_hub.py
+++ b/pipitlink/controller/load_hub.py
@@ -1,3 +1,5 @@
+"""Loads of many gateways, summed up at one controller and told to all of them."""
+
 from datetime import timedelta
 
 from ..timers import ZERO, ms, secs
