--- a/pipitlink/router/choosing.py
+++ b/pipitlink/router/choosing.py
@@ -89,11 +89,12 @@
             key = "/".join(name for name, _ in shared)
             homes = [e for e in usable if e.name in long] if is_long and long else usable
             home = max(homes, key=lambda e: rank(key, e.name)).name
+        now, most = self._ctx.timers.now(), self._most_links(call.pool)
         for e in usable:
-            load, batch = self.engines.load(e), self.engines.batch_load(e)
+            load, batch = self.engines.loads(e, now)
             if not call.batch:
                 load -= batch
-            if load >= fill * e.places or not self.engines.admit(e) or not self._reachable(e):
+            if load >= fill * e.places or not self.engines.admit(e) or not self._reachable(e, most):
                 continue
             missing = call.parts[-1][1] if call.parts else 0
             if e.name != home:
@@ -136,12 +137,15 @@
             return 0.0 if in_long else ITEM_AWAY_MS
         return NEAR_LONG_MS if in_long else 0.0
 
-    def _reachable(self, e) -> bool:
-        return self.links.idle(e.address) > 0 or self.links.count(e.address) < self.most_links(e)
+    def _reachable(self, e, most: int) -> bool:
+        return self.links.idle(e.address) > 0 or self.links.count(e.address) < most
 
     def most_links(self, e) -> int:
         """This gateway's part of the engine's connection bound, with some left for gateways that come."""
-        pool = self._ctx.cluster.cluster_state.routes.pools.get(e.news.pool)
+        return self._most_links(e.news.pool)
+
+    def _most_links(self, pool_name: str) -> int:
+        pool = self._ctx.cluster.cluster_state.routes.pools.get(pool_name)
         bound = pool.max_connections if pool is not None and pool.max_connections else 1000
         return max(1, int(0.9 * bound / max(1, self.engines.gateways())))
 
@@ -183,7 +187,7 @@
             if s.share > 0:
                 for e in self.ready_engines(s.pool):
                     if not self.engines.cold(e):
-                        load, batch = self.engines.load(e), self.engines.batch_load(e)
+                        load, batch = self.engines.loads(e, self._ctx.timers.now())
                         free += max(0, int(BATCH_FILL * e.places) - load)
                         places += max(0, int(BATCH_FILL * e.places) - (load - batch))
                         running += e.batch
--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -211,15 +211,14 @@
     def served(self, e: Engine):
         e.failures = 0
 
-    def load(self, e: Engine) -> int:
-        """Requests on it, from here and, as last told, from the peers."""
-        now = self._ctx.timers.now()
-        return e.running + sum(n for n, _, at in e.peers.values() if now - at < LOADS_SPAN)
-
-    def batch_load(self, e: Engine) -> int:
-        """How many of them are items of batches."""
-        now = self._ctx.timers.now()
-        return e.batch + sum(b for _, b, at in e.peers.values() if now - at < LOADS_SPAN)
+    def loads(self, e: Engine, now: timedelta) -> tuple[int, int]:
+        """Requests on it, and how many of them are items of batches: from here and, as last told, from the peers."""
+        running, batch = e.running, e.batch
+        for n, b, at in e.peers.values():
+            if now - at < LOADS_SPAN:
+                running += n
+                batch += b
+        return running, batch
 
     def _gateway_changed(self, member):
         """What a gateway that is gone told of its load is forgotten."""
--- a/pipitlink/router/relay.py
+++ b/pipitlink/router/relay.py
@@ -55,7 +55,8 @@
         if not call.headed:
             call.headed = True
             call.sink.head(self._response)
-        call.put("piece")
+        if call.state != "shown":
+            call.put("piece")
         call.sink.data(data)
 
     def _fail(self, e):
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -44,7 +44,7 @@
 
     def seen(self, gateway):
         part = gateway.part.engines
-        return {e.name: (part.load(e), part.batch_load(e)) for e in part.all()}
+        return {e.name: part.loads(e, gateway.ctx.timers.now()) for e in part.all()}
 
     def true(self, s):
         totals: Counter = Counter()
