--- a/tests/order_parts.py
+++ b/tests/order_parts.py
@@ -22,11 +22,11 @@
 class HoldingStage(Stage):
     """Edits that controllers pass on wait in a cut connection and arrive once it is healed."""
 
-    def carry(self, sender, place, verb, body):
+    def carry(self, sender, place, verb, body, node=""):
         goal = next((a for a in self.actors.values() if a.place == place), None)
         if verb == "controller.edit" and goal is not None and (sender.name, goal.name) in self.cuts:
             self._hold(sender, goal, verb, body, sender.ctx, goal.ctx, self.clock.seconds() + HOLD_LIMIT)
-        return super().carry(sender, place, verb, body)
+        return super().carry(sender, place, verb, body, node)
 
     def _hold(self, sender, goal, verb, body, sending, receiving, end):
         if goal.ctx is not receiving or not goal.alive or sender.ctx is not sending or self.clock.seconds() > end:
--- a/tests/test_currency_orders.py
+++ b/tests/test_currency_orders.py
@@ -20,7 +20,7 @@
     StorageNodeEdit,
     TableEdit,
 )
-from pipitlink.wire.controller_pb2 import ControllerEntry
+from pipitlink.wire.controller_pb2 import ControllerEntry, Snapshot
 
 TICK = 0.5
 BASE = ClusterStateData(sequence=1, placement_groups=[PlacementGroupRow(number=0, sequence=1, storage_nodes=["d"])])
@@ -45,7 +45,7 @@
         self.state, self.leader = "leader", "controller"
         self.cluster_state = ClusterState(BASE)
         self.followers, self._news, self._confirmations = {}, {}, {}
-        self.archive = self
+        self.archive, self.snapshot = self, Snapshot()
 
     def heard_majority_at(self):
         now = self._ctx.timers.now()
