--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -51,7 +51,8 @@
     - Gateways leases the cluster state to followers and turns an agreed command into an edit that is in effect.
     - Edits and Retiring serve operators, at any controller, by way of the leader's Gateways and Leading; Orders fences
       what operators order, so that no copy takes effect late.
-    - Announcing passes news of engines on to gateways, and depends on neither leader nor majority.
+    - Announcing passes news of engines on to gateways, and LoadHub sums of loads; both depend on neither leader nor
+      majority.
     - Placement and Voters run on the leader's timers and propose changes of placement groups and of voters.
 
     This class owns archive, applied cluster state and timers, applies what is committed, and takes snapshots.
