--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -226,6 +226,10 @@
             for e in self._engines.values():
                 e.peers.pop(member.node, None)
 
+    def load(self, e: Engine) -> int:
+        """Requests on it, as `loads` has them now."""
+        return self.loads(e, self._ctx.timers.now())[0]
+
     def gateways(self) -> int:
         return len(self._ctx.membership.members("gateway"))
 
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -11,7 +11,6 @@
 __all__ = ["Timers", "Repeat", "ms", "secs", "to_ms", "wall_ms", "ZERO", "spawn", "Joined"]
 
 ZERO = timedelta(0)
-TICK = timedelta(milliseconds=100)
 
 
 def ms(n: float) -> timedelta:
@@ -73,7 +72,6 @@
         self._seconds = seconds
         self.ended = False
         self._repeats: list[Repeat] = []
-        self._ticks_from = self.now()
 
     def now(self) -> timedelta:
         return timedelta(seconds=self._seconds())
@@ -117,10 +115,6 @@
         d.addBoth(settle)
         return out
 
-    def tick_near(self, at: timedelta) -> timedelta:
-        """The tick that is nearest: what repeats falls on ticks, so that one wake-up serves many timers."""
-        return self._ticks_from + TICK * round((at - self._ticks_from) / TICK)
-
     def every(self, span: timedelta, do, report, due=None) -> "Repeat":
         """Runs `do` now, then `span` after each end; `due` may tell how long nothing is due, None for until woken."""
         r = Repeat(self, span, do, report, due)
@@ -170,17 +164,13 @@
 
     def _rest(self):
         now = self._timers.now()
-        self._next_at = self._after(now, 1)
+        self._next_at = now + self._span
         if self._due is None:
             self._hang(self._next_at, now)
             return
         due = self._due()
         if due is not None:
-            self._hang(self._after(now, max(1, -(-due // self._span))), now)
-
-    def _after(self, now: timedelta, times: int) -> timedelta:
-        at = now + self._span * times
-        return at if self._span < 2 * TICK else self._timers.tick_near(at)
+            self._hang(now + self._span * max(1, -(-due // self._span)), now)
 
     def _hang(self, at: timedelta, now: timedelta):
         self._at = at
