--- a/tests/test_platform_serve.py
+++ b/tests/test_platform_serve.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from pipitlink.dialect import Dialect
+from rehearsal.fleet import free_ports
 
 from .router_parts import Rig, route
 
@@ -59,18 +60,6 @@
             sys.modules.pop(other, None)
 
 
-def _free_ports(n):
-    import socket
-
-    held = [socket.socket() for _ in range(n)]
-    for s in held:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
-
-
 class Settings(unittest.TestCase):
     def setUp(self):
         self.serve = _load("serve")
@@ -163,7 +152,7 @@
 
     def test_a_gateway_starts_listens_and_ends_as_the_deploy_file_says(self):
         run = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]["run"].split()
-        inner, last, public, ready = _free_ports(4)
+        inner, last, public, ready = free_ports(4)
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as f:
             f.write(
                 EDGE.format(inner=inner, last=last, public=public, ready=ready).replace("grace_s = 8", "grace_s = 3")
