Keep what is left of an ended life off the next one's disk on the stage

Cause: a coroutine of a killed node that is collected runs its finally clauses, which may wake another of that life; it then reached the disk and the network through the actor, whose clock is the next life's by then. Disk work is bound to the clock of the life that asks, and calls of an ended life are never sent.

--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -3,6 +3,7 @@
 import shutil
 import tempfile
 from datetime import UTC, datetime, timedelta
+from functools import partial
 from pathlib import Path
 from random import Random
 from unittest import mock
@@ -59,6 +60,8 @@
         return (Nothing() if r is None else r).SerializeToString()
 
     async def call(self, place, verb, ask, kind, limit):
+        if self is not self._actor.ctx.rpc or not self._actor.alive:
+            await defer.Deferred()  # what is left of an ended life says nothing more
         body = ask.SerializeToString()
         try:
             return kind.FromString(
@@ -113,7 +116,7 @@
         )
         ctx = self.ctx
         ctx.rpc = _Rpc(stage, self)
-        ctx.on_thread = self._on_thread
+        ctx.on_thread = partial(self._on_thread, self.clock)
         ctx.membership = Membership(ctx)
         if self.role != "gateway":
             ctx.membership.remember_in(self.folder)
@@ -147,7 +150,8 @@
         if self.role != "controller":
             ctx.cluster.open()
 
-    def _on_thread(self, do, *words):
+    def _on_thread(self, clock, do, *words):
+        """On the clock of the life that asks: what is left of an ended life must not reach the next one's disk."""
         d = defer.Deferred()
         span = self.slow + 0.001 + 0.004 * self.stage.chance.random()
 
@@ -155,11 +159,11 @@
             try:
                 r = do(*words)
             except Exception as e:
-                self.clock.callLater(span, d.errback, e)
+                clock.callLater(span, d.errback, e)
                 return
-            self.clock.callLater(span, d.callback, r)
+            clock.callLater(span, d.callback, r)
 
-        self.clock.callLater(0, work)
+        clock.callLater(0, work)
         return d
 
     def kill(self, power: bool = False):
