Show by a test that a stale leaseholder acknowledges an append over a move

Cause: look_again keeps what was told of copies at the old placement, and a joining node takes writes before it has copied the promises. After the move an old count and the joining node are a majority of the new set: the leaseholder of epoch 1 tells its caller that an append is durable, though epoch 2 has acknowledged another in its place.

--- /dev/null
+++ b/tests/test_stale_leaseholder.py
@@ -0,0 +1,67 @@
+"""A leaseholder whose epoch has passed must not gather a majority over a move from what it was told before it."""
+
+import unittest
+
+from pipitlink.timers import spawn
+from pipitlink.wire.cluster_pb2 import Command, PlacementGroupRow
+from pipitlink.wire.cluster_pb2 import Placement as PlacementRow
+from rehearsal.stage import Stage
+
+from .model.recorder import Recorder
+from .test_model_conformance import IN_EFFECT
+
+LOG = "results/x"
+
+
+class StaleLeaseholder(unittest.TestCase):
+    def run_seed(self, seed: int) -> list[str]:
+        """The first leaseholder reaches one old storage node, which then ends, and the one that joins.
+
+        Another has taken over by the rest of the old set, and its append is acknowledged before the move.
+        """
+        stage = Stage(seed, controllers=3, storage_nodes=4, gateways=2, placement_groups=1)
+        recorder = Recorder(stage)
+        try:
+            with recorder.recording():
+                self.play(stage)
+            return recorder.found(IN_EFFECT)
+        finally:
+            stage.end()
+
+    def play(self, stage: Stage):
+        stage.start()
+        stage.ready()
+        stage.run(6)
+        first, second = stage.role("gateway")
+        group = stage.leader().part.cluster_state.placement_groups[0]
+        nodes = {a.node: a for a in stage.role("storage")}
+        stays, ends, leaves = (nodes[n] for n in group.storage_nodes)
+        joins = next(a for n, a in nodes.items() if n not in group.storage_nodes)
+        stale = stage.do(first.ctx.replicated_log.hold(LOG))
+        stage.run(0.7)
+        stage.cut([first.name], [stays.name, leaves.name])
+        spawn(stale.append([b"stale"])).addErrback(lambda f: None)
+        stage.run(0.03)
+        ends.kill()
+        stage.cut([joins.name], [stays.name, leaves.name])
+        newer = stage.do(second.ctx.replicated_log.hold(LOG, first.node))
+        stage.do(newer.append([b"acknowledged"]))
+        row = PlacementGroupRow(
+            number=0,
+            sequence=group.sequence + 1,
+            storage_nodes=group.storage_nodes,
+            joining=joins.node,
+            leaving=leaves.node,
+        )
+        stage.do(stage.leader().part._propose(Command(placement=PlacementRow(placement_groups=[row]))))
+        until = stage.clock.seconds() + 4
+        while stage.clock.seconds() < until:
+            stage.run(0.05)
+            told = stale._states.get(joins.node)
+            if told is not None and told.tail_epoch == stale.epoch:
+                stage.cuts = {c for c in stage.cuts if joins.name not in c}
+
+    def test_it_acknowledges_nothing_after_the_move(self):
+        for seed in (1, 3, 4):
+            with self.subTest(seed=seed):
+                self.assertEqual(self.run_seed(seed), [])
