--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -80,13 +80,16 @@
             self.lapse("lease ran out")
 
     def look_again(self):
-        """Follows its placement group where the cluster state has moved it."""
+        """Follows its placement group where the cluster state has moved it.
+
+        What storage nodes told before the move counts no longer: a later leaseholder may have been granted the log by
+        a majority that a joining node does not know of, and that majority must refuse for the count to be told apart.
+        """
         placement_group = self._replicated_log.placement_group(self.log)
         if placement_group.sequence > self.placement_group.sequence:
             self._moved, self._moved_at = self.placement_group, self._ctx.timers.now()
             self.placement_group = placement_group
-            for n in [n for n in self._states if n not in placement_group.everyone]:
-                del self._states[n]
+            self._states.clear()
             if self.data and not self.lost:
                 for n in placement_group.everyone:
                     self._send_to(n)
@@ -212,13 +215,16 @@
         """One task for each replica, while it lacks anything."""
         while not self.lost and node in self.placement_group.everyone:
             state = self._states.get(node)
+            placement = self.placement_group
             try:
                 if state is None:
-                    state = self._states[node] = await self._ask_state(node)
-                    self._advance()
-                if self._settled(state):
+                    told = await self._ask_state(node)
+                elif self._settled(state):
                     return
-                self._states[node] = await self._write_to(node, state)
+                else:
+                    told = await self._write_to(node, state)
+                if self.placement_group is placement:
+                    self._states[node] = told
             except Refused as e:
                 if e.fault == "fenced":
                     self.lapse(str(e))
--- a/rehearsal/stage.py
+++ b/rehearsal/stage.py
@@ -3,6 +3,7 @@
 import shutil
 import tempfile
 from datetime import UTC, datetime, timedelta
+from functools import partial
 from pathlib import Path
 from random import Random
 from unittest import mock
@@ -65,6 +66,8 @@
             self._stage.carry(self._actor, place, verb, body).addErrback(lambda f: None)
 
     async def call(self, place, verb, ask, kind, limit, node=""):
+        if self is not self._actor.ctx.rpc or not self._actor.alive:
+            await defer.Deferred()  # what is left of an ended life says nothing more
         body = ask.SerializeToString()
         try:
             return kind.FromString(
@@ -119,7 +122,7 @@
         )
         ctx = self.ctx
         ctx.rpc = _Rpc(stage, self)
-        ctx.on_thread = self._on_thread
+        ctx.on_thread = partial(self._on_thread, self.clock)
         ctx.membership = Membership(ctx)
         if self.role != "gateway":
             ctx.membership.remember_in(self.folder)
@@ -153,7 +156,8 @@
         if self.role != "controller":
             ctx.cluster.open()
 
-    def _on_thread(self, do, *words):
+    def _on_thread(self, clock, do, *words):
+        """On the clock of the life that asks: what is left of an ended life must not reach the next one's disk."""
         d = defer.Deferred()
         span = self.slow + 0.001 + 0.004 * self.stage.chance.random()
 
@@ -161,11 +165,11 @@
             try:
                 r = do(*words)
             except Exception as e:
-                self.clock.callLater(span, d.errback, e)
+                clock.callLater(span, d.errback, e)
                 return
-            self.clock.callLater(span, d.callback, r)
+            clock.callLater(span, d.callback, r)
 
-        self.clock.callLater(0, work)
+        clock.callLater(0, work)
         return d
 
     def kill(self, power: bool = False):
