--- a/pipitlink/controller/gateways.py
+++ b/pipitlink/controller/gateways.py
@@ -78,16 +78,24 @@
         """What follows on the asker's sequence; a piece of the whole state where the log no longer reaches back."""
         out = FollowResponse(sequence=self.cluster_state.sequence, leased=True, controller=self._ctx.node)
         base = ask.sequence
-        if base == 0 or base < self.archive.snapshot.index:
+        deltas = self._deltas_after(base)
+        if base == 0 or base < self.cluster_state.sequence and not deltas:
             out.piece.CopyFrom(self._state_piece(ask.have))
             if out.piece.offset + len(out.piece.data) < out.piece.total:
                 return out
             base = out.piece.sequence
-        entries = [e for e in self.archive.after(base, MOST_DELTAS) if e.index <= self.cluster_state.sequence]
-        out.deltas.extend(Delta(sequence=e.index, command=e.command) for e in entries)
-        out.leased = (entries[-1].index if entries else base) >= self.cluster_state.sequence
+            deltas = self._deltas_after(base)
+        out.deltas.extend(deltas)
+        out.leased = base + len(deltas) >= self.cluster_state.sequence
         return out
 
+    def _deltas_after(self, base: int) -> list[Delta]:
+        """The first agreed commands that follow a sequence; none where the log no longer reaches back to it."""
+        agreed = [e for e in self.archive.after(base, MOST_DELTAS) if e.index <= self.cluster_state.sequence]
+        if not agreed or agreed[0].index != base + 1:
+            return []
+        return [Delta(sequence=e.index, command=e.command) for e in agreed]
+
     def _state_piece(self, have: StatePiece) -> StatePiece:
         """The next piece of the state that the asker has a part of, or else of one that is not far behind."""
         kept = [t for t in self._transfers if t.term == self.term and t.sequence >= self.archive.snapshot.index]
