Keep what is owed to a gateway that did not confirm a change in time

Cause: two parts merged side by side: one keeps lists that a gateway did not confirm within 3 s, the other sends renewals as notes; the merged code asked for a table that no longer was. The new test fails without the mend (AttributeError, the gateway never learns) and passes with it; renewals stay notes, owed lists are calls.

--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -64,6 +64,7 @@
     def _open_announcing(self):
         self._announced: dict[str, _Announced] = {}
         self._renewed: set[str] = set()
+        self._owed: dict[str, set[str]] = {}
         self._unreached: set[str] = set()
         self._ctx.membership.watch(self._gateway_changed)
         self._ctx.timers.every(BATCH_INTERVAL, self._tell_renewed, self._ctx.report("renewed_engines"))
@@ -190,12 +191,24 @@
             raise Crowded("too few gateways have confirmed that this engine leaves", code="untold")
 
     def _tell_renewed(self):
-        """As notes: what is lost of a batch is made good by the engines' next renewals, before they count as silent."""
+        """As notes: what is lost of a batch is made good by the engines' next renewals, before they count as silent.
+
+        A gateway that did not confirm a change in time is called until it does.
+        """
         self._forget_engines()
         renewed, self._renewed = self._renewed, set()
-        if renewed:
-            places = [(m.host, m.port) for m in self._gateways()]
+        owed, self._owed = self._owed, {}
+        gateways = self._gateways()
+        places = [(m.host, m.port) for m in gateways if m.node not in owed]
+        if renewed and places:
             self._ctx.rpc.post(places, "engines.tell", self._list(sorted(renewed)))
+        for m in gateways:
+            if m.node in owed:
+                self._ctx.spawned(self._tell_owed(m.node, renewed | owed[m.node]), "tell_engines")
+
+    async def _tell_owed(self, node: str, engines: set[str]):
+        if not await self._push(node, sorted(engines)):
+            self._owed.setdefault(node, set()).update(engines)
 
     def _forget_engines(self):
         now = self._ctx.timers.now()
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -188,6 +188,18 @@
         self.stage.run(0.7)
         self.assertEqual(slow.states("e1")[-1], "leaving")
 
+    def test_a_change_that_a_gateway_did_not_confirm_for_seconds_is_still_owed_to_it(self):
+        self.beat(1)
+        self.stage.run(0.2)
+        slow = self.gateways[1]
+        self.stage.cut([self.controller.name], [slow.actor.name])
+        self.assertEqual(self.beat(2, "leaving")[0], 200)
+        self.stage.run(5)
+        self.assertEqual(slow.states("e1")[-1], "ready")
+        self.stage.heal()
+        self.stage.run(1.5)
+        self.assertEqual(slow.states("e1")[-1], "leaving")
+
     def test_leaving_that_no_gateway_has_confirmed_is_not_acknowledged(self):
         self.beat(1)
         self.stage.run(0.2)
