Write the file of known peers beside the event loop, and once for many changes

Cause: each change of a member's status rewrote the file with two syncs in the event loop of storage nodes and controllers. A cut changes the status of every member at once, and on a slow disk (median 43 ms, up to 332 ms a sync here while others used it) a node stood still for seconds; its peers then suspected it, which was written in turn. Found in a short soak on real processes: all storage nodes and controllers told one change each 0.45 s for 7 s after a cut of 2.4 s, the leader lost its majority, and batches could not be read (503 no_majority, up to 14 s after they were taken).

Now one write at a time goes to a thread, with the places as they are then, and only where they differ from what was written. The file is a hint; a node that loses its last write asks its seeds.

Also a connection that hangs is told as dropped once, not once for each call.

--- a/pipitlink/membership/memory.py
+++ b/pipitlink/membership/memory.py
@@ -14,9 +14,13 @@
 
     Offers `remember_in`, `_recall` and `_keep`.
     Needs of Membership: `_ctx`, `_entries`, `_probe`.
-    Owns `_file`, which Membership sets to None first.
+    Owns `_file`, which Membership sets to None first, `_kept`, `_unkept` and `_keeping`.
     """
 
+    _kept: list | None = None
+    _unkept = False
+    _keeping = False
+
     def remember_in(self, folder: Path):
         self._file = folder / "colleagues.json"
 
@@ -34,8 +38,24 @@
     def _keep(self):
         if self._file is None:
             return
-        places = sorted({e.place for e in self._entries.values() if e.state == "alive"})
+        self._unkept = True
+        if not self._keeping:
+            self._keeping = True
+            self._ctx.spawned(self._write(), "keep_peers")
+
+    async def _write(self):
+        """Writes the places of the live peers beside the event loop, one write at a time and only where they changed.
+
+        A cut changes the status of every member, and each write waits twice for the disk.
+        """
         try:
-            swap_in(self._file, json.dumps(places).encode())
+            while self._unkept:
+                self._unkept = False
+                places = sorted({e.place for e in self._entries.values() if e.state == "alive"})
+                if places != self._kept:
+                    await self._ctx.on_thread(swap_in, self._file, json.dumps(places).encode())
+                    self._kept = places
         except OSError as e:
             self._ctx.journal.fault("peers_not_kept", e)
+        finally:
+            self._keeping = False
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -121,7 +121,7 @@
 
         Looked at once more after what has come was read: a process that was stopped finds its own calls late first.
         """
-        if s.hangs():
+        if s in self._streams.values() and s.hangs():
             self.journal.note("connection_dropped", peer=s.peer.node)
             self.gone(s)
             s.transport.abortConnection()
