--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -1,16 +1,24 @@
 """Histories of orders under cuts, freezes, lost answers, races, kills and losses of power, judged by the checker."""
 
 import unittest
+from contextlib import ExitStack
+from unittest import mock
 
 from rehearsal.history import check_history
 from rehearsal.trouble import Trouble, seeds
 
 from .order_parts import HoldingStage, Operators
+from .test_order_guards import GUARDS
 
 SEEDS = seeds(3)
 OPERATORS = 4
 LEAST_TAKEN = 10
 IN_ALL_VIEWS = 3.0
+LATE_GUARDS = (
+    "an order is fenced",
+    "a controller that woke takes no order",
+    "an order's caller is still there",
+)
 
 
 def run_history(seed: int, roles=("controller",), faults: int = 10) -> list[str]:
@@ -60,3 +68,10 @@
     def test_histories_hold_while_everything_fails(self):
         roles = ("controller", "controller", "storage", "gateway")
         self.assertEqual([line for s in SEEDS for line in run_history(1000 + s, roles)], [])
+
+    def test_without_the_guards_against_late_copies_some_history_is_found_wrong(self):
+        with ExitStack() as out:
+            for name in LATE_GUARDS:
+                _, owner, part, instead = GUARDS[name]
+                out.enter_context(mock.patch.object(owner, part, instead))
+            self.assertTrue(any(run_history(s) for s in range(1, 5)))
