--- a/pipitlink/membership/memory.py
+++ b/pipitlink/membership/memory.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from ..disk import swap_in
-from ..timers import spawn
+from ..timers import ZERO, spawn
 
 __all__ = ["Memory"]
 
@@ -41,7 +41,11 @@
         self._unkept = True
         if not self._keeping:
             self._keeping = True
-            self._ctx.spawned(self._write(), "keep_peers")
+            self._ctx.timers.later(ZERO, self._begin_write)
+
+    def _begin_write(self):
+        """On the next turn of the event loop, so that all that changes in this one is a single write."""
+        self._ctx.spawned(self._write(), "keep_peers")
 
     async def _write(self):
         """Writes the places of the live peers beside the event loop, one write at a time and only where they changed.
