--- a/tests/test_stage_large.py
+++ b/tests/test_stage_large.py
@@ -34,7 +34,7 @@
                 a.kill()
             rest = [a for a in s.actors.values() if a.alive]
             s.until(
-                lambda: all(a.ctx.membership.status(d.node) == "gone" for a in rest for d in dead), 5, "they are gone"
+                lambda: all(a.ctx.membership.status(d.node) == "gone" for a in rest for d in dead), 4, "they are gone"
             )
 
     def test_a_nodes_messages_at_rest(self):
