Call gateways with renewals by turns, and all where one does not answer

Cause: two parts merged side by side. One counts a gateway as not reached once a list does not come through, the other sends renewals of engines as notes that nobody answers.

Now each batch of renewals goes to one gateway by turns as a call, to the others as notes; to all as calls where one did not answer or the controller is out of touch with the leader.

Before (guard taken out in the new test): acknowledged for more than 2.5 s of either cut. Ruled out: calls while out of touch with the leader only, which leaves the second kind of cut as it was.

--- a/pipitlink/controller/announcing.py
+++ b/pipitlink/controller/announcing.py
@@ -57,8 +57,8 @@
     controller.
 
     Offers `announce`.
-    Needs of the node: `_ctx`.
-    Owns `_announced`, `_renewed`, `_owed` and `_unreached`.
+    Needs of the node: `_ctx`; of Leading: `in_touch`.
+    Owns `_announced`, `_renewed`, `_owed`, `_unreached` and `_turn`.
     """
 
     def _open_announcing(self):
@@ -66,6 +66,7 @@
         self._renewed: set[str] = set()
         self._owed: dict[str, set[str]] = {}
         self._unreached: set[str] = set()
+        self._turn = 0
         self._ctx.membership.watch(self._gateway_changed)
         self._ctx.timers.every(BATCH_INTERVAL, self._tell_renewed, self._ctx.report("renewed_engines"))
 
@@ -193,12 +194,14 @@
     def _tell_renewed(self):
         """As notes: what is lost of a batch is made good by the engines' next renewals, before they count as silent.
 
-        A gateway that did not confirm a change in time is called until it does.
+        A gateway that did not confirm a change in time is called until it does, and so are those of `_to_call`.
         """
         self._forget_engines()
         renewed, self._renewed = self._renewed, set()
         owed, self._owed = self._owed, {}
         gateways = self._gateways()
+        if renewed:
+            owed |= {m.node: owed.get(m.node, set()) for m in self._to_call(gateways)}
         places = [(m.host, m.port) for m in gateways if m.node not in owed]
         if renewed and places:
             self._ctx.rpc.post(places, "engines.tell", self._list(sorted(renewed)))
@@ -206,6 +209,16 @@
             if m.node in owed:
                 self._ctx.spawned(self._tell_owed(m.node, renewed | owed[m.node]), "tell_engines")
 
+    def _to_call(self, gateways: list) -> list:
+        """Those that are told renewals by a call, since only an answer shows that they are reached.
+
+        One of them by turns; all where one did not answer, or where this controller is out of touch with the leader.
+        """
+        if not self.in_touch() or any(m.node in self._unreached for m in gateways):
+            return gateways
+        self._turn += 1
+        return [gateways[self._turn % len(gateways)]] if gateways else []
+
     async def _tell_owed(self, node: str, engines: set[str]):
         if not await self._push(node, sorted(engines)):
             self._owed.setdefault(node, set()).update(engines)
--- a/tests/test_stage_cut_off.py
+++ b/tests/test_stage_cut_off.py
@@ -253,6 +253,32 @@
         self.assertEqual(s.caller.ask(*order)[0], 200)
 
 
+class RenewalsOnly(unittest.TestCase):
+    def last_acknowledged(self, role=None) -> float:
+        """How long into a cut a controller acknowledges an engine that only renews itself, and changes nothing."""
+        s = Scene(self)
+        voter = s.controller("voter")
+        others = [a.name for a in s.stage.role(role)] if role else None
+        last = 0.0
+        for n in range(16):
+            if n == 4:
+                s.cut(voter, "both", others)
+            status, _ = s.caller.ask(voter, "PUT", "/v1/engines/e1", {**ENGINE, "sequence": n})
+            last = (n - 4) * 0.5 if status == 200 else last
+            s.stage.run(0.5)
+        return last
+
+    def test_renewals_are_refused_before_the_engine_counts_as_silent(self):
+        for role in (None, "gateway"):
+            with self.subTest(cut_off_from=role or "all"):
+                self.assertLess(self.last_acknowledged(role), 2.5)
+
+    def test_without_the_guard_notes_that_nobody_answers_are_taken_for_told(self):
+        with unittest.mock.patch.object(announcing.Announcing, "_to_call", lambda self, gateways: []):
+            for role in (None, "gateway"):
+                self.assertGreater(self.last_acknowledged(role), 2.5)
+
+
 class WithoutItsGuard(unittest.TestCase):
     """Each guard is taken out: then the scene shows the failure that it prevents."""
 
