Share a cold engine's rate among eight gateways at most, however many there are

Ruled out: the rate itself, which was divided rightly. After: the eight gateways that rank highest for the engine share its rate, the others use engines that are warm or rank them; with eight gateways or fewer nothing changes.

--- a/pipitlink/router/engines.py
+++ b/pipitlink/router/engines.py
@@ -24,6 +24,7 @@
 WOKE_SPAN = ms(500)
 SUSPECT_SPAN = ms(700)
 LONGEST_SUSPECT = secs(6)
+MOST_COLD_SHARERS = 8
 
 
 class _KeptParts:
@@ -75,6 +76,8 @@
     allowance: float = 0.0
     allowed_at: timedelta = ZERO
     peers: dict[str, tuple[int, int, timedelta]] = attrs.field(factory=dict)
+    sharers_of: tuple[str, ...] = ()
+    sharers: frozenset[str] = frozenset()
 
     @property
     def name(self) -> str:
@@ -249,16 +252,30 @@
         return at is not None and pool is not None and now - at < ms(pool.warmup_ms)
 
     def admit(self, e: Engine) -> bool:
-        """Whether a cold engine may be sent one more request now: its rate is shared out among the gateways."""
+        """Whether a cold engine may be sent one more request now: its rate is shared out among a few gateways.
+
+        Each of these may have saved up one request, so the most that an engine can get at once grows with their number.
+        """
         pool = self._ctx.cluster.cluster_state.routes.pools.get(e.news.pool)
         if pool is None or not pool.cold_rate or not self.cold(e):
             return True
+        sharers = self._cold_sharers(e)
+        if self._ctx.node not in sharers:
+            return False
         now = self._ctx.timers.now()
-        rate = 0.9 * pool.cold_rate / max(1, self.gateways())
+        rate = 0.9 * pool.cold_rate / len(sharers)
         e.allowance = min(1.0, e.allowance + rate * (now - e.allowed_at).total_seconds())
         e.allowed_at = now
         return e.allowance >= 1.0
 
+    def _cold_sharers(self, e: Engine) -> frozenset[str]:
+        """The gateways that share the rate of this engine while it is cold: all who know the same ones agree."""
+        nodes = tuple(m.node for m in self._ctx.membership.members("gateway"))
+        if e.sharers_of != nodes:
+            ranked = sorted(nodes, key=lambda node: rank(e.name, node), reverse=True)
+            e.sharers_of, e.sharers = nodes, frozenset(ranked[:MOST_COLD_SHARERS])
+        return e.sharers
+
     def take(self, e: Engine, reading: int, batch: bool):
         """Takes a place on it; returns what gives the prompt's reading back, and what gives the place back."""
         e.running += 1
--- a/tests/test_router_live.py
+++ b/tests/test_router_live.py
@@ -247,6 +247,23 @@
         self.assertLessEqual(sent, 1 + 20 / 4)
         self.assertGreaterEqual(sent, 3)
 
+    def test_many_gateways_together_hold_the_rate_of_a_cold_engine(self):
+        """Each of them has saved up a request when all begin to use the engine in the same second."""
+        rig = Rig([FETCH], [Pool(name="models", max_connections=500, places=200, cold_rate=20)], gateways=76)
+        rig.engine("e1", capacity=200, cold_ms=3_600_000)
+        (e,) = rig.node.engines.all()
+        sent = 0
+        for n in range(76):
+            rig.ctx.node = f"g{n}"
+            e.allowance, e.allowed_at = 1.0, rig.ctx.timers.now()
+            for _ in range(100):
+                rig.clock.advance(0.01)
+                if rig.node.engines.admit(e):
+                    e.allowance -= 1
+                    sent += 1
+        self.assertLessEqual(sent, 30)
+        self.assertGreaterEqual(sent, 15)
+
 
 if __name__ == "__main__":
     unittest.main()
