--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -7,6 +7,8 @@
 
 from twisted.logger import globalLogPublisher
 
+from .side_by_side import run_files
+
 __all__ = ["run"]
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -100,6 +102,9 @@
 def main() -> int:
     here = Path(__file__).resolve().parent
     pattern = sys.argv[1] if len(sys.argv) > 1 else "test_*.py"
+    names = sorted((p.name for p in here.glob(pattern)), reverse=True)
+    if len(names) > 1:
+        return run_files(names, sys.stdout)
     suite = unittest.TestLoader().discover(str(here), pattern=pattern, top_level_dir=str(ROOT))
     return run(suite, sys.stdout, ROOT / "KNOWN-RED.txt")
 
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,5 +1,6 @@
 """The runner itself, on suites of its own."""
 
+import io
 import os
 import subprocess
 import sys
@@ -13,6 +14,8 @@
 from pipitlink.timers import Timers, ms
 from rehearsal.stage import Stage
 
+from .side_by_side import FileResult, run_files
+
 _CASES = """
 import unittest
 from twisted.internet import defer
@@ -75,6 +78,27 @@
         self.assertEqual(self.run_these("Bad", "Leaves", red="cases.Bad.test_bad: a cause, issue 1")[0], 1)
         self.assertEqual(self.run_these("Bad")[0], 1)
 
+    def test_files_side_by_side_close_with_one_count_and_fail_together(self):
+        said = {
+            "test_a.py": ("a ... ok\n3 passed, 0 failed, 1 skipped\n", 0),
+            "test_b.py": ("b ... FAIL\n1 passed, 2 failed, 0 skipped\n", 1),
+            "test_c.py": ("ended without a count\n", -9),
+        }
+
+        def run(*names):
+            out = io.StringIO()
+            code = run_files(list(names), out, lambda name: FileResult.of(name, *said[name]))
+            return code, out.getvalue().splitlines()
+
+        code, lines = run("test_a.py", "test_b.py")
+        self.assertEqual((code, lines[-1]), (1, "4 passed, 2 failed, 1 skipped"))
+        self.assertIn("failed: test_b.py", lines)
+        self.assertLess(lines.index("a ... ok"), lines.index("b ... FAIL"))
+        self.assertEqual(run("test_a.py")[0], 0)
+        code, lines = run("test_a.py", "test_c.py")
+        self.assertEqual((code, lines[-1]), (1, "3 passed, 1 failed, 1 skipped"))
+        self.assertEqual(run()[0], 1)
+
     def test_a_known_red_test_that_passes_is_to_be_taken_off(self):
         rc, out = self.run_these("Fine", red="cases.Fine.test_fine: a cause, issue 1")
         self.assertEqual(rc, 0)
