--- a/pipitlink/cluster/follower.py
+++ b/pipitlink/cluster/follower.py
@@ -83,7 +83,7 @@
         now = self._ctx.timers.now()
         if self.sequence == 0 or not self.cluster_state.placement_groups:
             return False
-        if self._leased_at is not None and now - self._leased_at < OWN_SPAN:
+        if self.led():
             state, what = "led", "leased"
         elif self._proved_at is not None and now - self._proved_at < WITNESS_SPAN:
             state, what = "witnessed", "proved"
@@ -93,6 +93,10 @@
             self.put(what)
         return self.state in ("led", "witnessed")
 
+    def led(self) -> bool:
+        """Whether a leader answered lately that this node has all that is agreed."""
+        return self._leased_at is not None and self._ctx.timers.now() - self._leased_at < OWN_SPAN
+
     def usable(self) -> bool:
         """Whether requests may be served: proved, or without proof for as long as the settings allow that."""
         if self.ready():
--- a/pipitlink/controller/node.py
+++ b/pipitlink/controller/node.py
@@ -93,13 +93,14 @@
         b.every(ms(300), self._found_beat, report("founding"), due=lambda: ZERO if self.state == "newcomer" else None)
         for span, do, what in (
             (ms(100), self._lead_beat, "leading"),
-            (ms(300), self._shelve_beat, "placement"),
-            (ms(500), self._voters_beat, "voters"),
+            (ms(300), self._voters_beat, "voters"),
         ):
             self.lead_timers.append(
                 b.every(span, do, report(what), due=lambda: ZERO if self.state == "leader" else None)
             )
 
+        self._open_placement_timers()
+
     def _say(self):
         self._ctx.journal.note("controller_founded", term=self.term, last=self.archive.last_index())
 
--- a/pipitlink/controller/placement.py
+++ b/pipitlink/controller/placement.py
@@ -1,51 +1,78 @@
 """Places placement groups on storage nodes and moves them off lost or retiring ones."""
 
 from collections import Counter
+from datetime import timedelta
 
 from ..cluster import ClusterState
 from ..errors import GatewayError
-from ..timers import secs
+from ..timers import ZERO, Repeat, ms, secs
 from ..wire.cluster_pb2 import Command, PlacementGroupRow, StorageNodeEdit
 from ..wire.cluster_pb2 import Placement as PlacementRow
+from ..wire.membership_pb2 import Member
 from ..wire.replicated_log_pb2 import CaughtUp
+from .moves import Moves
 
 __all__ = ["Placement"]
 
-COPIES = 3
 SETTLE = secs(1)
-REPAIR_AFTER = secs(5)
-MAX_MOVES = 4
+FEWER_AFTER = secs(5)
+BACK_SPAN = secs(15)
+LEAST_COPIES = 3
+LOOK_INTERVAL = ms(100)
+IDLE_LOOK = ms(300)
 
 
-class Placement:
+class Placement(Moves):
     """Mixin: the leader places placement groups on storage nodes, zones kept distinct where possible, and moves them
     off lost ones.
 
-    Offers `_shelve_beat` for the leader's timers, and `check_retirement`.
+    Offers `_open_placement_timers` and `check_retirement`.
     Needs of the node: `_ctx`, `archive`, `cluster_state`, `commit`, `state`; of Gateways: `edit`, `followers`,
     `_in_effect`; of Leading and Voting: `_propose`, `_elected_at`, `term`.
-    Owns `_caught_up_placement_groups`.
+    Owns `_caught_up_placement_groups` and `_look_at_placement`.
     """
 
     def _open_placement(self):
         self._caught_up_placement_groups: set[tuple[int, int, str]] = set()
+        self._look_at_placement: Repeat | None = None
         self._ctx.rpc.answer("controller.caught_up", CaughtUp, self._told_caught_up)
 
+    def _open_placement_timers(self):
+        every, report = self._ctx.timers.every, self._ctx.report
+        self._look_at_placement = every(
+            LOOK_INTERVAL, self._placement_beat, report("placement"), due=self._placement_due
+        )
+        witnesses = every(LOOK_INTERVAL, self._witnesses_beat, report("witnesses"), due=self._witnesses_due)
+        self.lead_timers += [self._look_at_placement, witnesses]
+
     async def _told_caught_up(self, node, told: CaughtUp):
         self._caught_up_placement_groups.add((told.placement_group, told.sequence, told.storage_node))
         if len(self._caught_up_placement_groups) > 10_000:
             self._caught_up_placement_groups.clear()
+        self._look_at_placement.wake()
 
-    async def _shelve_beat(self):
-        if self.state != "leader" or self.archive.term_at(self.commit) != self.term:
-            return
-        if self._ctx.timers.now() - self._elected_at < SETTLE:
-            return
-        if await self._settle_witnesses():
+    def _placement_due(self) -> timedelta | None:
+        return IDLE_LOOK if self.state == "leader" else None
+
+    def _witnesses_due(self) -> timedelta | None:
+        if self.state != "leader":
+            return None
+        return ZERO if self.cluster_state.settled != self.cluster_state.witnesses_at else IDLE_LOOK
+
+    def _may_place(self) -> bool:
+        agreed = self.state == "leader" and self.archive.term_at(self.commit) == self.term
+        return agreed and self._ctx.timers.now() - self._elected_at >= SETTLE
+
+    async def _witnesses_beat(self):
+        """Settles the last change of the witnesses, then makes the next."""
+        if not self._may_place():
             return
-        if self.cluster_state.settled == self.cluster_state.witnesses_at and (
+        await self._settle_witnesses()
+        if self.cluster_state.settled == self.cluster_state.witnesses_at:
             await self._admit_storage_node() or await self._let_storage_node_go()
-        ):
+
+    async def _placement_beat(self):
+        if not self._may_place():
             return
         if not self.cluster_state.placement_groups:
             await self._first_placement_groups()
@@ -67,28 +94,23 @@
         """One change of the witnesses at a time, each in effect before the next, by more than half of them."""
         await self.edit(c, secs(3))
 
-    async def _settle_witnesses(self) -> bool:
+    async def _settle_witnesses(self):
         """Says in the cluster state that the last change of the witnesses is in effect; only then is half of them
         enough.
         """
         at = self.cluster_state.witnesses_at
-        if at == self.cluster_state.settled or not self._in_effect(at):
-            return False
-        await self._propose(Command(settled=at))
-        return True
+        if at != self.cluster_state.settled and self._in_effect(at):
+            await self._propose(Command(settled=at))
 
     async def _admit_storage_node(self) -> bool:
-        for m in self._ctx.membership.members("storage", status=("alive",)):
-            if (
-                m.node not in self.cluster_state.storage_nodes
-                and m.node in self.followers
-                and not self._name_retired(m.name)
-            ):
-                await self._proved(
-                    Command(storage_node=StorageNodeEdit(storage_node=m.node, status="serving", name=m.name))
-                )
-                self._ctx.journal.note("storage_node_admitted", storage_node=m.node, zone=m.zone)
-                return True
+        for m in self._newcomers(self.cluster_state):
+            if m.node not in self.followers:
+                continue
+            await self._proved(
+                Command(storage_node=StorageNodeEdit(storage_node=m.node, status="serving", name=m.name))
+            )
+            self._ctx.journal.note("storage_node_admitted", storage_node=m.node, zone=m.zone)
+            return True
         return False
 
     def _name_retired(self, name: str) -> bool:
@@ -113,140 +135,59 @@
                 return True
         return False
 
-    def _holds(self, cluster_state: ClusterState) -> Counter:
-        return Counter(d for s in cluster_state.placement_groups.values() for d in (*s.storage_nodes, s.joining) if d)
-
-    def _zone(self, storage_node: str) -> str:
-        m = self._ctx.membership.find(storage_node)
-        return m.zone if m is not None else ""
-
-    def _lost(self, storage_node: str) -> bool:
-        status = self._ctx.membership.status(storage_node)
-        if status not in ("unknown", "gone"):
-            return False
-        away = (
-            self._ctx.timers.now() - self._elected_at - REPAIR_AFTER
-            if status == "unknown"
-            else self._ctx.membership.since(storage_node)
-        )
-        return away > REPAIR_AFTER or self._replaced(storage_node)
-
-    def _replaced(self, storage_node: str) -> bool:
-        """Another storage node answers at its place or by its name: it lost its disk and cannot come back, so nothing
-        is waited for.
-
-        Its name is in the cluster state, so that it is known also where no controller has met it since all of them
-        started.
-        """
-        m, name = self._ctx.membership.find(storage_node), self.cluster_state.storage_node_names.get(storage_node)
-        return any(
-            o.node != storage_node
-            and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
-            for o in self._ctx.membership.members("storage", status=("alive",))
-        )
-
-    def _serving(self) -> list[str]:
-        return [
-            d
-            for d, s in self.cluster_state.storage_nodes.items()
-            if s == "serving" and self._ctx.membership.status(d) == "alive"
-        ]
-
     async def _first_placement_groups(self):
-        storage_nodes = self._serving()
-        if len(storage_nodes) < COPIES:
+        if self._newcomers(self.cluster_state):
             return
+        storage_nodes = self._serving()
+        copies = self._ctx.settings.copies
+        if len(storage_nodes) < copies:
+            waited = self._ctx.timers.now() - self._elected_at > FEWER_AFTER
+            if not waited or len(storage_nodes) < LEAST_COPIES:
+                return
+            copies = LEAST_COPIES
         held: Counter = Counter()
         rows = []
         for n in range(self._ctx.settings.placement_groups):
             picked: list[str] = []
-            while len(picked) < COPIES:
+            while len(picked) < copies:
                 picked.append(self._pick_storage_node(storage_nodes, picked, held))
                 held[picked[-1]] += 1
             rows.append(PlacementGroupRow(number=n, sequence=1, storage_nodes=picked))
         await self._propose(Command(placement=PlacementRow(placement_groups=rows)))
         self._ctx.journal.note("shelved", placement_groups=len(rows), storage_nodes=len(storage_nodes))
 
-    def _pick_storage_node(self, storage_nodes, beside, held) -> str:
-        zones = {self._zone(d) for d in beside}
-        free = [d for d in storage_nodes if d not in beside]
-        return min(free, key=lambda d: (self._zone(d) in zones, held[d], d), default="")
-
-    def _next_moves(self) -> list[PlacementGroupRow]:
-        """Moves that can end now, else a few that can begin; one replica of a placement group at a time."""
-        ending, moving = [], 0
-        for s in self.cluster_state.placement_groups.values():
-            if not s.joining:
-                continue
-            moving += 1
-            if (s.number, s.sequence, s.joining) in self._caught_up_placement_groups:
-                storage_nodes = [s.joining if d == s.leaving else d for d in s.storage_nodes]
-                ending.append(PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=storage_nodes))
-            elif self._lost(s.joining):
-                ending.append(
-                    PlacementGroupRow(number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes)
-                )
-        if ending:
-            return ending
-        starting = []
-        held = self._holds(self.cluster_state)
-        serving = self._serving()
-        for s in sorted(self.cluster_state.placement_groups.values(), key=lambda s: s.number):
-            if s.joining or moving + len(starting) >= MAX_MOVES:
-                continue
-            leaving = next((d for d in s.storage_nodes if self._lost(d)), "") or next(
-                (d for d in s.storage_nodes if self.cluster_state.storage_nodes.get(d) == "retiring"), ""
-            )
-            if leaving:
-                beside = [d for d in s.storage_nodes if d != leaving]
-                joining = self._pick_storage_node([d for d in serving if d not in s.storage_nodes], beside, held)
-                if joining:
-                    held[joining] += 1
-                    starting.append(self._move(s, leaving, joining))
-        return starting or ([] if moving else self._evening_out(held, serving))
-
-    def _move(self, s: PlacementGroupRow, leaving: str, joining: str) -> PlacementGroupRow:
-        return PlacementGroupRow(
-            number=s.number, sequence=s.sequence + 1, storage_nodes=s.storage_nodes, joining=joining, leaving=leaving
-        )
-
-    def _evening_out(self, held: Counter, serving: list[str]) -> list[PlacementGroupRow]:
-        """A new storage node takes a fair share, one placement group at a time, where zones stay as distinct as they
-        were.
-
-        Not while a placement group lacks one of its storage nodes: a move needs a majority of both its sets.
-        """
-        away = any(
-            self._ctx.membership.status(d) != "alive"
-            for s in self.cluster_state.placement_groups.values()
-            for d in s.storage_nodes
-        )
-        if len(serving) <= COPIES or away:
-            return []
-        low = min(serving, key=lambda d: (held[d], d))
-        for high in sorted(serving, key=lambda d: -held[d]):
-            if held[high] - held[low] < 2:
-                return []
-            for s in self.cluster_state.placement_groups.values():
-                rest = {self._zone(d) for d in s.storage_nodes if d != high}
-                if (
-                    high in s.storage_nodes
-                    and low not in s.storage_nodes
-                    and (self._zone(low) not in rest or self._zone(high) in rest)
-                ):
-                    return [self._move(s, high, low)]
-        return []
-
     def check_retirement(self, cluster_state: ClusterState, storage_node: str):
+        """Refuses where too few machines would be left; one that is away for a while, or not admitted yet, counts."""
         rest = [
             d
             for d, s in cluster_state.storage_nodes.items()
-            if s == "serving" and d != storage_node and self._ctx.membership.status(d) == "alive"
+            if s == "serving" and d != storage_node and not self._replaced(d)
         ]
-        if len(rest) < COPIES:
+        copies = self._ctx.settings.copies
+        left = len(rest) + len(self._newcomers(cluster_state))
+        if left < copies:
+            soon = left + self._just_gone(cluster_state) >= copies
             raise GatewayError(
-                f"{len(rest)} live storage nodes would be left and each placement group needs {COPIES}",
-                code="too_few_copies",
-                status=409,
+                f"{left} storage nodes would be left and each placement group needs {copies}",
+                code="too_few_copies_now" if soon else "too_few_copies",
+                status=503 if soon else 409,
                 outcome="not_run",
+                retry_after=1 if soon else 0,
             )
+
+    def _just_gone(self, cluster_state: ClusterState) -> int:
+        """How many were taken off the cluster state a short while ago, and may be back at any time."""
+        return sum(
+            m.node not in cluster_state.storage_nodes
+            and self._ctx.membership.since(m.node) < BACK_SPAN
+            and not self._replaced(m.node)
+            for m in self._ctx.membership.members("storage", status=("gone",))
+        )
+
+    def _newcomers(self, cluster_state: ClusterState) -> list[Member]:
+        """Live storage nodes that are still to be admitted."""
+        return [
+            m
+            for m in self._ctx.membership.members("storage", status=("alive",))
+            if m.node not in cluster_state.storage_nodes and not self._name_retired(m.name)
+        ]
--- a/pipitlink/membership/entry.py
+++ b/pipitlink/membership/entry.py
@@ -15,7 +15,7 @@
 
     def __init__(self, member: Member, now: timedelta, journal):
         self.member = member
-        self.since = self.changed = now
+        self.met = self.since = self.changed = now
         self._journal = journal
         self._open_state_machine()
         if member.status == "suspect":
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -98,6 +98,23 @@
         e = self._entries.get(node)
         return self._ctx.timers.now() - e.since if e else timedelta(0)
 
+    def replaced(self, node: str, name: str = "") -> bool:
+        """Whether another node answers at its place, or by its name: it lost its disk and cannot come back.
+
+        `name` is the name of a node that may not have been met since this one started.
+        """
+        m = self.find(node)
+        name = name or (m.name if m is not None else "")
+        return self.status(node) != "alive" and any(
+            o.node != node and (m is not None and (o.host, o.port) == (m.host, m.port) or name and o.name == name)
+            for o in self.members(m.role if m is not None else None, status=("alive",))
+        )
+
+    def met_ago(self, node: str) -> timedelta | None:
+        """How long ago the node was met first."""
+        e = self._entries.get(node)
+        return self._ctx.timers.now() - e.met if e else None
+
     def everyone(self) -> list[Member]:
         return self.members(status=("alive", "suspect", "gone"))
 
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -136,9 +136,7 @@
             self.granted.update((n, epoch) for n in granted)
             if self.placement_group.agree(granted):
                 break
-            for r in got.values():
-                if r.why in ("held", "just_started") and not r.granted:
-                    raise NotHeld(f"{self.log} is held", r.state.leaseholder)
+            self._refuse_to_duel(got)
             if not self.placement_group.agree(got):
                 raise NoMajority(
                     f"{self.log}: {len(got)} of {len(self.placement_group.everyone)} storage nodes answered"
@@ -152,6 +150,17 @@
             self._states[n] = got[n].state
         await self._settle_tail(granted)
 
+    def _refuse_to_duel(self, got: dict[str, LeaseResponse]):
+        """A live lease is known to a majority, so those that cannot know of one yet count only where they are needed
+        for it.
+        """
+        for r in got.values():
+            if r.why == "held" and not r.granted:
+                raise NotHeld(f"{self.log} is held", r.state.leaseholder)
+        know = [n for n, r in got.items() if r.why != "just_started"]
+        if not self.placement_group.agree(know) and len(know) < len(got):
+            raise NotHeld(f"{self.log} may be held")
+
     async def _settle_tail(self, granted):
         """Makes the newest-epoch tail that a majority shows durable under the own epoch."""
         best = max(granted, key=lambda n: (self._states[n].tail_epoch, self._states[n].length))
--- a/pipitlink/settings.py
+++ b/pipitlink/settings.py
@@ -96,6 +96,7 @@
     budget_mb: int = attrs.field(default=1024, validator=_positive)
     log_level: str = attrs.field(default="info", validator=_level)
     placement_groups: int = attrs.field(default=16, validator=_positive)
+    machine_losses: int = attrs.field(default=1, validator=_positive)
     max_body_kb: int = attrs.field(default=1024, validator=_positive)
     max_items: int = attrs.field(default=1000, validator=_positive)
     max_running: int = attrs.field(default=512, validator=_positive)
@@ -139,6 +140,11 @@
     def host(self) -> str:
         return self.advertise or self.bind
 
+    @property
+    def copies(self) -> int:
+        """How many voters, and how many copies of each log: a majority is left after all losses to be borne at once."""
+        return 2 * self.machine_losses + 1
+
 
 def _check(role: str, p: Settings) -> list[str]:
     lines = []
--- a/pipitlink/storage/grants.py
+++ b/pipitlink/storage/grants.py
@@ -4,7 +4,9 @@
 
 import attrs
 
+from ..replicated_log.placement_group import placement_group_of
 from ..replicated_log.spans import LEASE_SPAN
+from ..timers import ZERO
 from ..wire.replicated_log_pb2 import LeaseRequest, LeaseResponse, RenewRequest, RenewResponse
 
 __all__ = ["Grants", "LEASE_SPAN"]
@@ -22,12 +24,14 @@
 
     Offers `_state`, a log's state with its leaseholder, and answers `replicated_log.lease` and `replicated_log.renew`.
     Needs of the node: `_ctx`, `log_store`, `_syncer`, `_check_placement_group`.
-    Owns `_grants`. Shares `_quiet_until`, before which a free lease is not granted at once, with Copying.
+    Owns `_grants` and `_quiet_until`, and `_quiet_groups`, to which Copying adds: until then a free lease is not
+    granted at once.
     """
 
     def _open_grants(self):
         self._grants: dict[str, _Grant] = {}
         self._quiet_until = self._ctx.timers.now() + LEASE_SPAN
+        self._quiet_groups: dict[int, timedelta] = {}
         d = self._ctx.rpc
         d.answer("replicated_log.lease", LeaseRequest, self._lease)
         d.answer("replicated_log.renew", RenewRequest, self._renew)
@@ -46,6 +50,11 @@
             s.lease_ms = int((g.until - self._ctx.timers.now()).total_seconds() * 1000)
         return s
 
+    def _quiet_left(self, log: str) -> timedelta:
+        """How long a lease may be live that this storage node cannot know of, since it started or joined."""
+        group = placement_group_of(log, self._ctx.cluster.placement_groups)
+        return max(self._quiet_until, self._quiet_groups.get(group, ZERO)) - self._ctx.timers.now()
+
     async def _lease(self, node, ask: LeaseRequest):
         """Grants a lease that nobody else has. Epochs alone keep a log whole; waiting for a lease only spares duels,
         so one
@@ -57,8 +66,9 @@
         state = self._state(ask.log)
         if g is not None and g.leaseholder not in (ask.leaseholder, ask.gone):
             return LeaseResponse(why="held", state=state)
-        if g is None and now < self._quiet_until and state.epoch > 0 and not ask.usurp:
-            state.lease_ms = int((self._quiet_until - now).total_seconds() * 1000)
+        quiet = self._quiet_left(ask.log)
+        if g is None and quiet > ZERO and state.epoch > 0 and not ask.usurp:
+            state.lease_ms = int(quiet.total_seconds() * 1000)
             return LeaseResponse(why="just_started", state=state)
         if ask.epoch <= state.epoch:
             return LeaseResponse(why="epoch", state=state)
--- a/tests/test_platform_serve.py
+++ b/tests/test_platform_serve.py
@@ -86,6 +86,12 @@
         self.assertLess(p.budget_mb, 128)
         self.assertEqual(self.serve.settings_from({**self.raw, "bootstrap": False}).founders, ())
 
+    def test_the_losses_to_bear_are_those_of_the_fault_budget(self):
+        self.assertEqual(self.serve.settings_from(self.raw).machine_losses, 1)
+        for budget, losses in (({"machine_losses": 2, "zones": 1}, 2), ({"machine_losses": 0, "zones": 0}, 1)):
+            p = self.serve.settings_from({**self.raw, "fault_budget": budget})
+            self.assertEqual((p.machine_losses, p.copies), (losses, 2 * losses + 1))
+
     def test_what_is_missing_is_told_and_not_guessed(self):
         del self.raw["ip"]
         with self.assertRaises(KeyError):
--- a/tests/test_stage_long_logs.py
+++ b/tests/test_stage_long_logs.py
@@ -8,7 +8,6 @@
 import rehearsal.stage
 from pipitlink.cluster.cluster_state import MAX_OUTCOMES
 from pipitlink.controller import archive, snapshots
-from pipitlink.controller.voters import VOTERS
 from pipitlink.errors import PipitlinkError
 from pipitlink.timers import ms, spawn
 from pipitlink.wire.cluster_pb2 import Command, Row, TableEdit
@@ -196,7 +195,11 @@
         while stage.clock.seconds() < end:
             nodes = {a.node for a in stage.role("controller", alive=True)}
             leader = stage.leader()
-            if leader is not None and len(leader.part.voters()) == VOTERS and nodes.issuperset(leader.part.voters()):
+            if (
+                leader is not None
+                and len(leader.part.voters()) == leader.ctx.settings.copies
+                and nodes.issuperset(leader.part.voters())
+            ):
                 return
             self.run_for(stage, judge, LOOK_S)
         judge.fault(f"the voters are not whole after {WHOLE_S} s")
