--- a/tests/test_platform_serve.py
+++ b/tests/test_platform_serve.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -13,7 +14,7 @@
 from pathlib import Path
 
 from pipitlink.dialect import Dialect
-from rehearsal.fleet import free_ports
+from rehearsal.fleet import free_ports, wait_for
 
 from .router_parts import Rig, route
 
@@ -60,6 +61,11 @@
             sys.modules.pop(other, None)
 
 
+def _listens(port: int) -> bool:
+    with socket.socket() as s:
+        return s.connect_ex(("127.0.0.1", port)) == 0
+
+
 class Settings(unittest.TestCase):
     def setUp(self):
         self.serve = _load("serve")
@@ -187,6 +193,30 @@
                 p.wait()
                 p.stderr.close()
 
+    def test_a_hangup_while_it_starts_does_not_end_it(self):
+        """Sent once the callers' socket listens, while the rest of the program is still being loaded."""
+        run = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]["run"].split()
+        inner, last, public, ready = free_ports(4)
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as f:
+            f.write(EDGE.format(inner=inner, last=last, public=public, ready=ready))
+            f.flush()
+            p = subprocess.Popen(
+                [sys.executable, *run[1:]],
+                cwd=ROOT,
+                stderr=subprocess.PIPE,
+                text=True,
+                env={**os.environ, "PIPITLINK_NODE_FILE": f.name},
+            )
+            try:
+                wait_for(lambda: _listens(public), 20, "the callers' socket listens")
+                p.send_signal(signal.SIGHUP)
+                line = next((line for line in p.stderr if "event=started" in line), "")
+                self.assertIn(f"http={public}", line)
+            finally:
+                p.kill()
+                p.wait()
+                p.stderr.close()
+
 
 if __name__ == "__main__":
     unittest.main()
