--- /dev/null
+++ b/tests/cut_off_scene.py
@@ -0,0 +1,154 @@
+"""The scene of a controller that is cut off for twenty seconds, with the calls to it and their answers."""
+
+import attrs
+
+from pipitlink.wire.membership_pb2 import EngineList
+from rehearsal.stage import Stage
+
+from .control_calls import Caller, config_of, route_of
+
+CUT_SPAN = 20.0
+LONGEST_ANSWER = 1.0
+SETTLED_AFTER = 1.5
+AT_ONCE = 0.05
+BACK_WITHIN = 1.5
+CALLS_AT = (0.0, 0.2, 0.5, 0.9, 1.6, 2.5, 4.0, 7.0, 12.0, 19.0)
+ENGINE = {"pool": "p", "address": "10.9.0.1:80", "zone": "zone-a", "capacity": 4, "state": "ready"}
+WAYS = ("both", "in", "out")
+
+
+@attrs.define
+class _Call:
+    """One call to the controller that is cut off, and its answer."""
+
+    what: str
+    at: float
+    floor: int
+    box: list
+    span: float | None = None
+
+    def __str__(self):
+        return f"{self.what} at {self.at:.1f} s: {self.box[:1]} after {self.span} s"
+
+
+class Scene:
+    """Controllers, one of them cut off while operators and engines call it; others go on changing the configuration."""
+
+    def __init__(self, test, seed=5):
+        self.stage = Stage(seed, placement_groups=2)
+        test.addCleanup(self.stage.end)
+        self.stage.start()
+        for gateway in self.stage.role("gateway"):
+            self.listen(gateway)
+        self.stage.ready()
+        self.stage.run(3)
+        self.caller = Caller(self.stage)
+        self.version = 0
+        self.calls: list[_Call] = []
+        self.change(self.stage.leader())
+
+    def listen(self, gateway):
+        """Stands in for a gateway's list of engines."""
+
+        async def told(node, engines):
+            pass
+
+        gateway.ctx.rpc.answer("engines.tell", EngineList, told)
+
+    def now(self) -> float:
+        return self.stage.clock.seconds()
+
+    def controller(self, role: str):
+        """The leader, a voter that follows it, or a standby."""
+        leader = self.stage.leader()
+        if role == "leader":
+            return leader
+        voters = leader.part.voters()
+        return next(
+            a for a in self.stage.role("controller") if a is not leader and (a.node in voters) == (role == "voter")
+        )
+
+    def change(self, controller) -> int:
+        """Confirms one configuration more; returns the status."""
+        config = config_of(self.version + 1, route_of(f"r{self.version + 1}"))
+        status, _ = self.caller.put(controller, config, self.version)
+        if status == 200:
+            self.version += 1
+        return status
+
+    def cut(self, actor, way: str, others=None):
+        names = others or [a for a in self.stage.actors if a != actor.name]
+        if way in ("both", "out"):
+            self.stage.cut([actor.name], names, one_way=True)
+        if way in ("both", "in"):
+            self.stage.cut(names, [actor.name], one_way=True)
+
+    def call_all(self, actor, began: float):
+        """Every kind of call at once."""
+        n = len(self.calls)
+        config = config_of(10_000 + n, route_of(f"lone{n}"))
+        for what, *words in (
+            ("GET config", "GET", "/v1/config"),
+            ("PUT config", "PUT", "/v1/config", config, {"If-Match": str(self.version)}),
+            ("PUT empty", "PUT", "/v1/zones/zone-c/empty"),
+            ("PUT engine", "PUT", "/v1/engines/e1", {**ENGINE, "sequence": n}),
+            ("PUT leaving", "PUT", f"/v1/engines/l{n}", {**ENGINE, "state": "leaving", "sequence": n}),
+            ("DELETE engine", "DELETE", f"/v1/engines/d{n}"),
+            ("POST retire", "POST", f"/v1/storage_nodes/{self.stage.role('storage')[3].node}/retire"),
+        ):
+            box = self.caller.begin(actor, *words)
+            self.calls.append(_Call(what, self.now() - began, self.version, box))
+
+    def watch(self, span: float):
+        end = self.now() + span
+        while self.now() < end:
+            self.stage.run(0.01)
+            for call in self.calls:
+                if call.box and call.span is None:
+                    call.span = self.now() - self.began - call.at
+
+    def play(self, actor, way: str, others=None, changing=True):
+        """Cuts the controller off, calls it again and again, and has the others confirm changes meanwhile."""
+        self.began = self.now()
+        self.cut(actor, way, others)
+        for at, after in zip(CALLS_AT, (*CALLS_AT[1:], CUT_SPAN)):
+            self.call_all(actor, self.began)
+            self.watch(after - at)
+            leader = self.stage.leader()
+            if changing and leader is not None and leader is not actor:
+                self.change(leader)
+
+    def slow(self) -> list[str]:
+        """Calls that were held for over a second, or not refused at once though the cut was known."""
+        held = [str(c) for c in self.calls if c.span is None or c.span > LONGEST_ANSWER]
+        late = [str(c) for c in self.calls if c.at > SETTLED_AFTER and c.span is not None and c.span > AT_ONCE]
+        return held + late
+
+    def wrong(self) -> list[str]:
+        """Orders and announcements that were confirmed, and reads older than what was confirmed before them."""
+        out = []
+        for c in self.calls:
+            status, body = c.box[0] if c.box else (None, None)
+            if c.what == "GET config" and status == 200:
+                if body["version"] < c.floor:
+                    out.append(f"old configuration: {c}")
+            elif status != 503 and not (c.what == "PUT engine" and c.at < SETTLED_AFTER):
+                out.append(f"not refused: {c}")
+        return out
+
+    def back(self, actor) -> float:
+        """Heals the cut; returns how long the controller took to take an order again."""
+        self.stage.heal()
+        healed = self.now()
+        while self.change_newest(actor) != 200:
+            if self.now() - healed > 10:
+                raise AssertionError("it takes no order")
+            self.stage.run(0.05)
+        return self.now() - healed
+
+    def change_newest(self, actor) -> int:
+        """A change on top of what stands: one of the refused orders may have been taken before the cut was known."""
+        leader = self.stage.leader()
+        if leader is not None:
+            self.version = leader.part.cluster_state.routes.version
+        return self.change(actor)
