Log where the time of a batch's intake and of its items goes

Change: events batch_accepted and batch_closed carry the phases, and the bytes sent by RPC so far. No change of logic.

--- a/pipitlink/router/batch_calls.py
+++ b/pipitlink/router/batch_calls.py
@@ -13,7 +13,10 @@
 
 
 class Submission(NamedTuple):
-    """A batch as a caller submits it; `deadline` is on the timers' clock."""
+    """A batch as a caller submits it.
+
+    `deadline` and `began_at`, when the head of the request had come, are on the timers' clock.
+    """
 
     route: Route
     host: str
@@ -21,6 +24,7 @@
     batch_id: str
     body: bytes
     deadline: timedelta
+    began_at: timedelta
 
 
 class BatchCalls(Protocol):
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -22,6 +22,7 @@
 from .batch_followers import HEAD_ALONE, BatchFollowers
 from .batch_progress import batch_head, batch_log, is_valid_batch_id
 from .batch_table import BatchTable
+from .batch_timings import IntakePhase, IntakeTimings
 from .http_response import HttpResponse, json_error, json_response
 from .owned_batch import OwnedBatch
 from .quota import QuotaCoordinator
@@ -71,13 +72,17 @@
     async def submit(self, submission: Submission) -> HttpResponse:
         """Takes a batch in, or answers for one that was taken under its id before."""
         dialect = self._ctx.dialect
+        timings = IntakeTimings(self._ctx.timers, submission.began_at)
+        timings.end_phase(IntakePhase.RECEIVE)
         try:
             batch = self._parse(submission)
-            taken = await self._take_in_time(batch, submission)
+            timings.end_phase(IntakePhase.PARSE)
+            taken = await self._take_in_time(batch, submission, timings)
             if taken.batch is not None and not _is_same(taken.batch, batch):
                 raise ApiError(
                     "this id was used for another batch", code="id_in_use", field="id", status=409, outcome="not_run"
                 )
+            self._log_accepted(batch, submission, timings)
             return json_response(202, dialect.format_accepted(batch.id, len(batch.items)))
         except ApiError as error:
             return json_error(error, dialect.format_error(error))
@@ -85,6 +90,21 @@
             unknown = _unknown_outcome(f"the batch may yet be taken: {error}")
             return json_error(unknown, dialect.format_error(unknown))
 
+    def _log_accepted(self, batch: Batch, submission: Submission, timings: IntakeTimings) -> None:
+        self._ctx.logger.info(
+            "batch_accepted",
+            batch=batch.id,
+            items=len(batch.items),
+            bytes=len(submission.body),
+            receive_ms=timings.phase_ms(IntakePhase.RECEIVE),
+            parse_ms=timings.phase_ms(IntakePhase.PARSE),
+            reserve_ms=timings.phase_ms(IntakePhase.RESERVE),
+            acquire_ms=timings.phase_ms(IntakePhase.ACQUIRE),
+            append_ms=timings.phase_ms(IntakePhase.APPEND),
+            total_ms=timings.total_ms(),
+            rpc_sent_bytes=self._ctx.rpc.sent_bytes,
+        )
+
     def _parse(self, submission: Submission) -> Batch:
         batch_id = submission.batch_id
         if not is_valid_batch_id(batch_id):
@@ -99,15 +119,15 @@
             items=parsed.items,
         )
 
-    async def _take_in_time(self, batch: Batch, submission: Submission) -> _TakenBatch:
+    async def _take_in_time(self, batch: Batch, submission: Submission, timings: IntakeTimings) -> _TakenBatch:
         deadline = submission.deadline - RESPONSE_MARGIN
         remaining = deadline - self._ctx.timers.now()
         if remaining <= ZERO:
             raise _unavailable("the deadline has passed", "deadline_passed")
-        work = self._submissions.run(batch.id, lambda: self._take(batch, submission.route, deadline))
+        work = self._submissions.run(batch.id, lambda: self._take(batch, submission.route, deadline, timings))
         return await self._ctx.timers.with_timeout(remaining, work)
 
-    async def _take(self, batch: Batch, route: Route, deadline: timedelta) -> _TakenBatch:
+    async def _take(self, batch: Batch, route: Route, deadline: timedelta, timings: IntakeTimings) -> _TakenBatch:
         """Returns the batch as it is durable under its id now."""
         owned = self._table.get(batch.id)
         if owned is None or owned.leaseholder.lost:
@@ -115,8 +135,9 @@
                 await self._admit(batch, route, deadline)
             except ApiError as error:
                 return await self._taken_before(batch.id, error)
+            timings.end_phase(IntakePhase.RESERVE)
         try:
-            return await self._table.run_exclusively(batch.id, lambda: self._write(batch, deadline))
+            return await self._table.run_exclusively(batch.id, lambda: self._write(batch, deadline, timings))
         finally:
             self._quota.release(batch.id)
             self._hand_over_if_closing(batch.id)
@@ -159,8 +180,9 @@
             return None if is_head_alone else _TakenBatch()
         return _TakenBatch(batch)
 
-    async def _write(self, batch: Batch, deadline: timedelta) -> _TakenBatch:
+    async def _write(self, batch: Batch, deadline: timedelta, timings: IntakeTimings) -> _TakenBatch:
         owned = await self._acquire(batch.id, deadline)
+        timings.end_phase(IntakePhase.ACQUIRE)
         if isinstance(owned, _TakenBatch):
             return owned
         if owned.batch is None:
@@ -170,6 +192,7 @@
             await self._append(owned, batch)
         elif not owned.is_durable():
             await self._wait_durable(owned)
+        timings.end_phase(IntakePhase.APPEND)
         return _TakenBatch(owned.batch)
 
     async def _acquire(self, batch_id: str, deadline: timedelta) -> OwnedBatch | _TakenBatch:
--- a/pipitlink/router/batch_table.py
+++ b/pipitlink/router/batch_table.py
@@ -10,6 +10,7 @@
 from ..context import Context
 from ..timers import ms, secs
 from .batch_progress import batch_log
+from .batch_timings import ItemPhase, ItemTimings
 from .owned_batch import OwnedBatch
 
 __all__ = ["BatchListener", "BatchTable"]
@@ -86,7 +87,7 @@
         if batch is not None and not batch.leaseholder.lost:
             return batch
         leaseholder = await self._ctx.replicated_log.acquire(batch_log(batch_id), lost_leaseholder)
-        batch = OwnedBatch(batch_id, leaseholder)
+        batch = OwnedBatch(batch_id, leaseholder, ItemTimings(self._ctx.timers))
         batch.read_durable()
         batch.batch = batch.progress.batch
         if batch.batch is not None:
@@ -134,6 +135,7 @@
             batch.is_closing = True
             self._ctx.run_in_background(self._close(batch), "close_batch")
         elif not was_durable:
+            batch.timings.batch_durable()
             self.announce_work()
 
     def remove(self, batch: OwnedBatch) -> None:
@@ -149,7 +151,16 @@
             listener.batch_closed(batch)
         progress = batch.progress
         self._ctx.logger.info(
-            "batch_closed", batch=batch.id, reason=progress.end_reason, finished=len(progress.outputs)
+            "batch_closed",
+            batch=batch.id,
+            reason=progress.end_reason,
+            finished=len(progress.outputs),
+            attempts=batch.timings.attempts,
+            waiting_ms=batch.timings.summary(ItemPhase.WAITING),
+            first_event_ms=batch.timings.summary(ItemPhase.FIRST_EVENT),
+            running_ms=batch.timings.summary(ItemPhase.RUNNING),
+            append_ms=batch.timings.summary(ItemPhase.APPEND),
+            rpc_sent_bytes=self._ctx.rpc.sent_bytes,
         )
         await self._ctx.timers.sleep(RELEASE_DELAY)
         await self._ctx.replicated_log.release([batch.leaseholder])
--- /dev/null
+++ b/pipitlink/router/batch_timings.py
@@ -0,0 +1,120 @@
+"""Where the time of batches goes: the phases of their intake, and of their items until the outputs are durable."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import timedelta
+from enum import StrEnum
+from statistics import mean
+
+import attrs
+
+from ..timers import ZERO, Timers, to_ms
+
+__all__ = ["IntakePhase", "IntakeTimings", "ItemPhase", "ItemTimings"]
+
+
+class IntakePhase(StrEnum):
+    """The phases of an intake, in their order."""
+
+    RECEIVE = "receive"
+    PARSE = "parse"
+    RESERVE = "reserve"
+    ACQUIRE = "acquire"
+    APPEND = "append"
+
+
+class IntakeTimings:
+    """How long each phase of one batch's intake took, from `started_at` on.
+
+    Phases of an intake that another request for the same batch had begun are 0.
+    """
+
+    def __init__(self, timers: Timers, started_at: timedelta) -> None:
+        self._timers = timers
+        self._started_at = self._phase_started_at = started_at
+        self._durations: dict[IntakePhase, timedelta] = {}
+
+    def end_phase(self, phase: IntakePhase) -> None:
+        """Ends a phase, which began with the end of the one before."""
+        now = self._timers.now()
+        self._durations[phase] = now - self._phase_started_at
+        self._phase_started_at = now
+
+    def phase_ms(self, phase: IntakePhase) -> int:
+        """Returns the whole milliseconds of a phase."""
+        return to_ms(self._durations.get(phase, ZERO))
+
+    def total_ms(self) -> int:
+        """Returns the whole milliseconds since the start."""
+        return to_ms(self._timers.now() - self._started_at)
+
+
+class ItemPhase(StrEnum):
+    """The phases of an item; the last one is entered once, the others anew with each attempt."""
+
+    WAITING = "waiting"
+    FIRST_EVENT = "first_event"
+    RUNNING = "running"
+    APPEND = "append"
+
+
+@attrs.define
+class _PresentPhase:
+    """The phase that an item is in, and since when."""
+
+    phase: ItemPhase
+    since: timedelta
+
+
+class ItemTimings:
+    """How long the items of one batch spent in each phase, and the number of `attempts` at them."""
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._durable_at = timers.now()
+        self._present: dict[int, _PresentPhase] = {}
+        self._durations_ms: dict[ItemPhase, list[int]] = {phase: [] for phase in ItemPhase}
+        self.attempts = 0
+
+    def batch_durable(self) -> None:
+        """Notes that the items wait from now on."""
+        self._durable_at = self._timers.now()
+
+    def attempt_started(self, index: int) -> None:
+        """Notes that an attempt at an item begins."""
+        self.attempts += 1
+        self._present.setdefault(index, _PresentPhase(ItemPhase.WAITING, self._durable_at))
+        self._enter(index, ItemPhase.FIRST_EVENT)
+
+    def event_received(self, index: int) -> None:
+        """Notes an event of an item's output."""
+        present = self._present.get(index)
+        if present is not None and present.phase == ItemPhase.FIRST_EVENT:
+            self._enter(index, ItemPhase.RUNNING)
+
+    def attempt_failed(self, index: int) -> None:
+        """Notes that an item waits for another attempt."""
+        self._enter(index, ItemPhase.WAITING)
+
+    def finished(self, index: int) -> None:
+        """Notes that the output of an item is to be appended."""
+        self._enter(index, ItemPhase.APPEND)
+
+    def appended(self, indexes: Iterable[int]) -> None:
+        """Notes that the outputs of items are durable."""
+        for index in indexes:
+            self._leave(self._present.pop(index, None))
+
+    def _enter(self, index: int, phase: ItemPhase) -> None:
+        self._leave(self._present.get(index))
+        self._present[index] = _PresentPhase(phase, self._timers.now())
+
+    def _leave(self, present: _PresentPhase | None) -> None:
+        if present is not None:
+            self._durations_ms[present.phase].append(to_ms(self._timers.now() - present.since))
+
+    def summary(self, phase: ItemPhase) -> str:
+        """Returns mean and maximum of a phase in whole milliseconds, as in `120/340`; `0/0` where none has ended."""
+        durations = self._durations_ms[phase]
+        return f"{round(mean(durations))}/{max(durations)}" if durations else "0/0"
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -60,6 +60,10 @@
         self.is_draining = False
         self.refused: dict[str, int] = {}
 
+    def now(self) -> timedelta:
+        """Returns the monotonic time of the gateway's timers."""
+        return self._ctx.timers.now()
+
     def max_body_bytes(self) -> int:
         """Returns how long the body of a request may be."""
         return self._ctx.cluster.cluster_state.routes.bounds.max_body_bytes or DEFAULT_MAX_BODY_BYTES
@@ -126,7 +130,7 @@
         call_id = request.header(self._ctx.dialect.request_id) or b""
         body = request.take_body()
         if route.kind == RouteKind.BATCH:
-            submission = Submission(route, host, path, call_id.decode("latin-1"), body, deadline)
+            submission = Submission(route, host, path, call_id.decode("latin-1"), body, deadline, request.began_at)
             request.respond(await self._batch_calls.submit(submission))
             return
         request.call = self._make_call(request, route, call_id, body, deadline)
--- a/pipitlink/router/inbound_request.py
+++ b/pipitlink/router/inbound_request.py
@@ -30,6 +30,9 @@
     channels: set[CallerChannel]
     is_draining: bool
 
+    def now(self) -> timedelta:
+        """Returns the monotonic time of the gateway's timers."""
+
     def max_body_bytes(self) -> int:
         """Returns how long the body of a request may be."""
 
@@ -71,10 +74,12 @@
     content: BytesIO
     call: Call | None = None
     is_too_long = False
+    began_at: timedelta
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802 - twisted's interface
         """Takes the length of the body, where the caller states one."""
         self.content = BytesIO()
+        self.began_at = self.channel.frontend.now()
         if length is not None and length > self.channel.frontend.max_body_bytes():
             self.is_too_long = True
 
--- a/pipitlink/router/item_attempts.py
+++ b/pipitlink/router/item_attempts.py
@@ -44,6 +44,7 @@
         if call is None:
             call = batch.calls[index] = self._make_call(batch, index, route)
         call.route = route
+        batch.timings.attempt_started(index)
         attempt = spawn(self._attempt(batch, index, call))
         batch.running[index] = attempt
         attempt.addBoth(self._attempt_ended, batch, index, attempt)
@@ -58,6 +59,7 @@
             body=item.body,
             token_count=item.tokens,
             precondition=partial(self._check_may_send, batch, index),
+            on_event=partial(batch.timings.event_received, index),
         )
 
     def _check_may_send(self, batch: OwnedBatch, index: int) -> None:
@@ -91,6 +93,7 @@
         return bool(batch.failures[index] >= max(1, call.route.max_attempts))
 
     def _back_off(self, batch: OwnedBatch, index: int, result: ItemResult, has_progressed: bool) -> None:
+        batch.timings.attempt_failed(index)
         backoff = MIN_BACKOFF if has_progressed else batch.backoffs.get(index, MIN_BACKOFF)
         batch.backoffs[index] = min(MAX_BACKOFF, backoff * 2)
         batch.retry_at[index] = self._ctx.timers.now() + max(backoff, min(result.backoff, MAX_BACKOFF))
--- a/pipitlink/router/item_runner.py
+++ b/pipitlink/router/item_runner.py
@@ -30,7 +30,7 @@
     """One item of a batch, and what of its output has come so far.
 
     `texts` are the data of the complete events 1 to `last_event`. `precondition` is checked before each attempt is
-    sent, and raises where the item must not be sent any more.
+    sent, and raises where the item must not be sent any more; `on_event` is called with each event that comes.
     """
 
     id: str
@@ -40,6 +40,7 @@
     body: bytes
     token_count: int
     precondition: Callable[[], None] | None = None
+    on_event: Callable[[], None] | None = None
     texts: list[bytes] = attrs.field(factory=list)
     last_event: int = 0
 
@@ -72,6 +73,8 @@
         """Takes the next event of the output."""
         if self.status == HTTPStatus.OK:
             self._item.texts.append(event_data(data))
+            if self._item.on_event is not None:
+                self._item.on_event()
 
 
 class ItemRunner:
--- a/pipitlink/router/output_writer.py
+++ b/pipitlink/router/output_writer.py
@@ -45,6 +45,7 @@
         if index in batch.finished:
             return
         batch.finished.add(index)
+        batch.timings.finished(index)
         batch.unfinished_tokens -= batch.content.items[index].tokens
         if index in batch.waiting:
             batch.waiting.remove(index)
@@ -93,6 +94,7 @@
                 await leaseholder.append(records, final=is_final, reserved=True)
             except DeadlineExceeded:
                 await batch.wait_durable()
+            batch.timings.appended(output.item for output in outputs)
 
     def _give_up(self, batch: OwnedBatch, error: ReplicatedLogError) -> None:
         """Gives up the lease after outputs could not be appended; the next owner finishes the batch."""
--- a/pipitlink/router/owned_batch.py
+++ b/pipitlink/router/owned_batch.py
@@ -13,6 +13,7 @@
 from ..timers import Timers
 from ..wire.lots_pb2 import Batch, LogRecord, Output
 from .batch_progress import BatchProgress
+from .batch_timings import ItemTimings
 from .item_runner import ItemCall
 
 __all__ = ["OwnedBatch"]
@@ -28,6 +29,7 @@
 
     id: str
     leaseholder: Leaseholder
+    timings: ItemTimings
     batch: Batch | None = None
     progress: BatchProgress = attrs.field(factory=BatchProgress)
     position: int = 0
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -217,6 +217,7 @@
             self._write(frame.SerializeToString())
 
     def _write(self, data: bytes) -> None:
+        self._rpc.sent_bytes += len(data)
         self.sendString(data)  # type: ignore[no-untyped-call] # twisted has no types here
 
 
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -85,6 +85,8 @@
         # Where peers reach this node; set once it listens.
         self.address: Address = ("", 0)
         self.fault_injector: FaultInjection | None = None
+        # What was written to all connections since the start, without the headers of TCP.
+        self.sent_bytes = 0
         self._handlers: dict[str, _Handler] = {}
         self._connections: dict[Address, RpcConnection] = {}
         self._accepted: set[RpcConnection] = set()
--- a/testbed/simulator/simulation.py
+++ b/testbed/simulator/simulation.py
@@ -60,6 +60,7 @@
         self.address = node.address
         self.node = node.node
         self.incarnation = 1
+        self.sent_bytes = 0
         self._handlers: dict[str, tuple[Any, Any]] = {}
 
     def register_handler(self, method: str, request_type: Any, handler: Any) -> None:
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -66,7 +66,8 @@
 
     def submit(self, route, path, name, raw, span):
         """Hands a batch in, `span` before its deadline."""
-        return self.service.submit(Submission(route, "h", path, name, raw, self._ctx.timers.now() + span))
+        now = self._ctx.timers.now()
+        return self.service.submit(Submission(route, "h", path, name, raw, now + span, now))
 
     async def run(self, call):
         self.busy += 1
