--- a/testbed/simulator/simulation.py
+++ b/testbed/simulator/simulation.py
@@ -28,6 +28,7 @@
 from pipitlink.wire.rpc import require_peer
 
 from ..faults.disks import PowerLossDisk
+from .uplink import Uplink
 from .virtual_time import NodeReactor, VirtualTime
 
 __all__ = ["SimulatedNode", "SimulatedRpcEndpoint", "Simulation"]
@@ -111,6 +112,7 @@
         self.start_count = 0
         self.alive = False
         self.frozen = False
+        self.uplink: Uplink | None = None  # what the node sends shares its rate; None: no limit
         self.slow = 0.0  # seconds that each piece of work in a thread takes longer
         self.ctx = None
 
@@ -337,6 +339,19 @@
         self._link_free_at[link] = max(now, self._link_free_at.get(link, now)) + len(body) / self.bytes_per_s
         return self._link_free_at[link] - now + self._delay()
 
+    def _send(
+        self,
+        sender: SimulatedNode,
+        receiver: SimulatedNode,
+        body: bytes | Exception,
+        arrive: Callable[[], object],
+    ) -> None:
+        """Calls `arrive` once a message has passed the sender's uplink, where it has one, and the network."""
+        if sender.uplink is None or not body or isinstance(body, Exception):
+            self.clock.callLater(self._transfer(sender, receiver, body), arrive)
+            return
+        sender.uplink.send(receiver.name, len(body), lambda: self.clock.callLater(self._delay(), arrive))
+
     def carry(
         self, sender: SimulatedNode, address: Address, method: str, body: bytes, node: str = ""
     ) -> "defer.Deferred[Any]":
@@ -352,7 +367,7 @@
             call = _CarriedCall(self, sender, receiver, response)
             if self.watch_calls is not None:
                 self.watch_calls(sender, method)
-            self.clock.callLater(self._transfer(sender, receiver, body), call.arrive, method, body, node)
+            self._send(sender, receiver, body, partial(call.arrive, method, body, node))
         return response
 
     def run(self, seconds: float, step: float = STEP_SECONDS) -> None:
@@ -460,8 +475,7 @@
     def _respond(self, result: bytes | Exception) -> None:
         simulation = self._simulation
         if (self._receiver.name, self._sender.name) not in simulation.cuts and self._receiver.alive:
-            delay = simulation._transfer(self._receiver, self._sender, result)
-            simulation.clock.callLater(delay, self.finish, result)
+            simulation._send(self._receiver, self._sender, result, partial(self.finish, result))
 
     def finish(self, result: bytes | Exception) -> None:
         """Hands the result to the sender, unless that was restarted or has given up."""
