Send a large append once, and have the other replicas fetch it

Cause: a leaseholder sent each of five replicas its own copy at once over the one link of its gateway (15 Mbit/s); the quorum was there when nearly all had come.

Change: CopyPlanner has one replica at a time get a write of 4 KiB or more directly; the others read it from that one (replicated_log.fetch), where the source was last written under the same epoch and the bytes have the leaseholder's checksum. Another direct copy leaves where the first fails or is overdue; a storage node of an earlier release gets direct copies. Commit, epochs and positions are as before.

--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -14,6 +14,7 @@
 from ..wire.frame_pb2 import Empty
 from ..wire.replicated_log_pb2 import CommitRequest, LeaseRequest, LeaseResponse
 from .commit_waiters import CommitWaiters
+from .copy_planner import CopyPlanner
 from .lease_refusal import LeaseRefusal
 from .lease_validity import LeaseValidity
 from .replica_progress import ReplicaProgress, TailPosition
@@ -51,6 +52,7 @@
         self.uses_reserve = False
         self.granted_epochs: dict[str, int] = {}
         self.progress = ReplicaProgress()
+        self.copy_planner = CopyPlanner(ctx.timers, self.progress)
         self.recovered_tail = TailPosition()
         self._validity = LeaseValidity(ctx.timers)
         self._senders: dict[str, ReplicaSender] = {}
@@ -233,11 +235,18 @@
         await self._ctx.timers.with_timeout(COMMIT_TIMEOUT, committed)
 
     def _replicate(self) -> None:
-        for node in self.placement_group.all_nodes:
+        """Starts the senders, those first that a direct copy is best sent to: of known state, alive and near."""
+        for node in sorted(self.placement_group.all_nodes, key=self._distance):
             if node not in self._senders:
                 self._senders[node] = ReplicaSender(self._ctx, self._client, self, node)
             self._senders[node].start()
 
+    def _distance(self, node: str) -> tuple[bool, bool, bool]:
+        member = self._ctx.membership.find(node)
+        is_near = member is not None and member.zone == self._ctx.settings.zone
+        is_alive = self._ctx.membership.status(node) == "alive"
+        return self.progress.get(node) is None, not is_alive, not is_near
+
     def storage_full(self, node: str) -> None:
         """Ends the lease where the storage nodes that are not full are no quorum; `node` has just refused a write."""
         self._full_nodes.add(node)
--- a/pipitlink/replicated_log/replica_sender.py
+++ b/pipitlink/replicated_log/replica_sender.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+import zlib
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from twisted.python.failure import Failure
 
 from ..context import Context
-from ..errors import RemoteError, StaleEpoch, StalePlacement, StorageFull, WireError
+from ..errors import RemoteError, StaleEpoch, StalePlacement, StorageFull, UnknownMethod, WireError
 from ..timers import ms, secs, spawn
-from ..wire.replicated_log_pb2 import LogState, StatesRequest, StatesResponse, WriteRequest, WriteResponse
+from ..wire.replicated_log_pb2 import (
+    FetchRequest,
+    LogState,
+    StatesRequest,
+    StatesResponse,
+    WriteRequest,
+    WriteResponse,
+)
+from .copy_planner import MIN_FETCH_BYTES, CopySource
 from .replica_progress import TailPosition
 from .storage_client import StorageClient
 
@@ -23,10 +32,15 @@
 RETRY_INTERVAL: timedelta = ms(150)
 IDLE_RETRY_INTERVAL: timedelta = secs(1)
 MAX_WRITE_BYTES = 4 * 1024 * 1024
+# How long a replica from which another could not fetch is not tried as its source again.
+EXCLUDE_SOURCE_FOR: timedelta = secs(5)
 
 
 class ReplicaSender:
-    """Writes to one replica, in one task at a time, until it has all that the leaseholder has."""
+    """Brings one replica forward, in one task at a time, until it has all that the leaseholder has.
+
+    Large writes the replica fetches from another one, where one has them or is about to.
+    """
 
     def __init__(self, ctx: Context, client: StorageClient, leaseholder: Leaseholder, node: str) -> None:
         self._ctx = ctx
@@ -34,6 +48,8 @@
         self._leaseholder = leaseholder
         self._node = node
         self._is_running = False
+        self._can_fetch = True
+        self._excluded_until: dict[str, timedelta] = {}
 
     def start(self) -> None:
         """Starts the task unless it runs already or the lease is lost."""
@@ -67,18 +83,18 @@
             leaseholder.advance_commit()
 
     async def _bring_forward(self) -> bool:
-        """Returns True where the replica is up to date; else writes what it lacks, or asks how far it is."""
+        """Returns True where the replica is up to date; else has it get what it lacks, or asks how far it is."""
         leaseholder = self._leaseholder
         state = leaseholder.progress.get(self._node)
         placement_group = leaseholder.placement_group
-        if state is None:
-            reported = await self._request_state()
-        elif self._is_up_to_date(state):
+        if state is not None and self._is_up_to_date(state):
             return True
-        else:
-            reported = await self._write(state)
-        if leaseholder.placement_group is placement_group:
-            leaseholder.progress.record(self._node, reported)
+        try:
+            reported = await (self._request_state() if state is None else self._write_or_fetch(state))
+            if leaseholder.placement_group is placement_group:
+                leaseholder.progress.record(self._node, reported)
+        finally:
+            leaseholder.copy_planner.direct_copy_ended(self._node)
         return False
 
     def _is_final(self, error: RemoteError) -> bool:
@@ -106,10 +122,53 @@
         response = await self._client.call(self._node, "replicated_log.states", request, StatesResponse)
         return response.states[0]
 
-    async def _write(self, state: LogState) -> LogState:
+    async def _write_or_fetch(self, state: LogState) -> LogState:
+        """Has the replica get what it lacks, and returns its new state; the same one where it is to look again."""
+        leaseholder, planner = self._leaseholder, self._leaseholder.copy_planner
         start = self._first_difference(state)
-        data = bytes(self._leaseholder.data[start:])
-        request = self._write_request(state, start)
+        size = len(leaseholder.data) - start
+        if size < MIN_FETCH_BYTES or not self._can_fetch:
+            return await self._write(state, start)
+        excluded = self._excluded_sources()
+        source = planner.source_for(state, start, leaseholder.epoch, leaseholder.recovered_tail, excluded)
+        if source is not None:
+            return await self._fetch(state, start, source)
+        if planner.must_wait():
+            await planner.wait_for_copy()
+            return state
+        planner.direct_copy_started(self._node, size)
+        return await self._write(state, start)
+
+    def _excluded_sources(self) -> set[str]:
+        """Returns the replicas that this one does not fetch from now."""
+        now = self._ctx.timers.now()
+        return {self._node, *(node for node, until in self._excluded_until.items() if now < until)}
+
+    async def _fetch(self, state: LogState, start: int, source: CopySource) -> LogState:
+        """Has the replica fetch what it lacks from another one; returns its new state."""
+        leaseholder = self._leaseholder
+        request = FetchRequest(
+            write=self._write_request(state, start, source.end),
+            source=source.storage_node,
+            length=source.end - start,
+            checksum=zlib.crc32(memoryview(leaseholder.data)[start : source.end]),
+        )
+        try:
+            response = await self._client.call(
+                self._node, "replicated_log.fetch", request, WriteResponse, WRITE_TIMEOUT
+            )
+        except RemoteError as error:
+            if error.remote_code != UnknownMethod.code:
+                raise
+            self._can_fetch = False  # a storage node of an earlier release
+            return state
+        if not response.written:
+            self._excluded_until[source.storage_node] = self._ctx.timers.now() + EXCLUDE_SOURCE_FOR
+        return response.state
+
+    async def _write(self, state: LogState, start: int) -> LogState:
+        data = bytes(memoryview(self._leaseholder.data)[start:])
+        request = self._write_request(state, start, len(self._leaseholder.data))
         while len(data) - request.buffered_bytes > MAX_WRITE_BYTES:
             request.buffered_bytes += await self._write_partial(data, request.buffered_bytes)
         request.data = data[request.buffered_bytes :]
@@ -125,8 +184,10 @@
             return min(state.length, recovered.length)
         return min(state.committed, state.length)
 
-    def _write_request(self, state: LogState, start: int) -> WriteRequest:
+    def _write_request(self, state: LogState, start: int, end: int) -> WriteRequest:
+        """Returns the request for the bytes from `start` to `end`, without them."""
         leaseholder = self._leaseholder
+        is_final = leaseholder.final and end == len(leaseholder.data)
         expected = TailPosition.of(state)
         return WriteRequest(
             log=leaseholder.log,
@@ -136,9 +197,9 @@
             expect_tail_epoch=expected.epoch,
             expect_length=expected.length,
             committed=leaseholder.committed,
-            final=leaseholder.final,
+            final=is_final,
             reserved=leaseholder.uses_reserve,
-            closed_ms=leaseholder.closed_ms,
+            closed_ms=leaseholder.closed_ms if is_final else 0,
         )
 
     async def _write_partial(self, data: bytes, offset: int) -> int:
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -144,9 +144,12 @@
         """Returns a committed range of a log; raises NoQuorum where no storage node returns all of it."""
         return await self._reader.read(log, position, length)
 
-    async def read_from(self, node: str, log: str, position: int, length: int) -> bytes:
-        """Returns the bytes of a range that one storage node has: fewer where it has less or cannot be reached."""
-        return await self._client.read_from(node, log, position, length)
+    async def read_from(self, node: str, log: str, position: int, length: int, tail_epoch: int = 0) -> bytes:
+        """Returns the bytes of a range that one storage node has: fewer where it has less or cannot be reached.
+
+        Where `tail_epoch` is not 0, only as the last writer of that epoch left them.
+        """
+        return await self._client.read_from(node, log, position, length, tail_epoch)
 
 
 def _held_lease(leaseholder: Leaseholder) -> HeldLease:
--- a/pipitlink/replicated_log/storage_client.py
+++ b/pipitlink/replicated_log/storage_client.py
@@ -101,12 +101,18 @@
     def _log_failure(self, failure: Failure) -> None:
         self._ctx.logger.failure("storage_call_error", failure.value)
 
-    async def read_from(self, node: str, log: str, position: int, length: int) -> bytes:
-        """Returns the bytes of a range that one storage node has: fewer where it has less or cannot be reached."""
+    async def read_from(self, node: str, log: str, position: int, length: int, tail_epoch: int = 0) -> bytes:
+        """Returns the bytes of a range that one storage node has: fewer where it has less or cannot be reached.
+
+        Where `tail_epoch` is not 0, only as the last writer of that epoch left them.
+        """
         content = b""
         while len(content) < length:
             request = ReadRequest(
-                log=log, position=position + len(content), length=min(MAX_READ_BYTES, length - len(content))
+                log=log,
+                position=position + len(content),
+                length=min(MAX_READ_BYTES, length - len(content)),
+                tail_epoch=tail_epoch,
             )
             try:
                 response = await self.call(node, "replicated_log.read", request, ReadResponse, READ_TIMEOUT)
--- a/pipitlink/storage/log_store.py
+++ b/pipitlink/storage/log_store.py
@@ -167,6 +167,11 @@
         replica = self.logs.get(log)
         return replica.synced_extents(position, length) if replica is not None else []
 
+    def is_written_under(self, log: str, epoch: int) -> bool:
+        """Returns whether the last writer of a log had this epoch, of all that is on disk and of what is queued."""
+        replica = self.logs.get(log)
+        return replica is not None and replica.tail_epoch == replica.synced.epoch == epoch
+
     def read_extents(self, extents: list[Extent]) -> bytes:
         """Reads bytes from disk; blocks, so it is called on a thread."""
         return b"".join(self.segments.read_bytes(extent.location, extent.length) for extent in extents)
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -60,6 +60,8 @@
         self._ctx.rpc.register_handler("replicated_log.list", ListRequest, self._list)
 
     async def _read(self, _peer: str, request: ReadRequest) -> ReadResponse:
+        if request.tail_epoch and not self.log_store.is_written_under(request.log, request.tail_epoch):
+            return ReadResponse()
         extents = self.log_store.extents(request.log, request.position, min(request.length, MAX_READ_BYTES))
         return ReadResponse(data=await self._ctx.run_in_thread(self.log_store.read_extents, extents))
 
--- a/pipitlink/storage/write_handler.py
+++ b/pipitlink/storage/write_handler.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import zlib
 from functools import partial
 
 import attrs
 
 from ..context import Context
-from ..errors import StorageFull
+from ..errors import DeadlineExceeded, StorageFull
 from ..group_commit import GroupCommit
-from ..wire.replicated_log_pb2 import CommitRequest, Entry, WriteRequest, WriteResponse
+from ..timers import ms
+from ..wire.replicated_log_pb2 import CommitRequest, Entry, FetchRequest, WriteRequest, WriteResponse
 from .durable import sync
 from .lease_grants import LeaseGrants
 from .log_store import LogStore
@@ -23,6 +25,11 @@
 POSITION_MISMATCH = "elsewhere"
 """The `reason` of a response to a write that expected another end of the replica."""
 
+SOURCE_UNREADABLE = "source"
+"""The `reason` of a response to a fetch whose bytes the other replica did not show in time."""
+
+FETCH_TIMEOUT = ms(600)
+
 
 @attrs.frozen
 class _WriterKey:
@@ -51,7 +58,7 @@
 
 
 class WriteHandler:
-    """Answers `replicated_log.write` and `replicated_log.mark`."""
+    """Answers `replicated_log.write`, `replicated_log.fetch` and `replicated_log.mark`."""
 
     def __init__(
         self,
@@ -71,6 +78,7 @@
     def open(self) -> None:
         """Registers the handlers."""
         self._ctx.rpc.register_handler("replicated_log.write", WriteRequest, self._write)
+        self._ctx.rpc.register_handler("replicated_log.fetch", FetchRequest, self._fetch)
         self._ctx.rpc.register_handler("replicated_log.mark", CommitRequest, self._commit)
 
     async def _write(self, _peer: str, request: WriteRequest) -> WriteResponse:
@@ -88,6 +96,21 @@
         self._log_store.record_synced(request.log, request.epoch, request.position + len(data), request.final)
         return WriteResponse(written=True, state=self._lease_grants.log_state(request.log))
 
+    async def _fetch(self, peer: str, request: FetchRequest) -> WriteResponse:
+        """Handles a write once its data was read from another replica, which has them on disk under the same epoch."""
+        write = request.write
+        reading = self._ctx.replicated_log.read_from(
+            request.source, write.log, write.position, request.length, tail_epoch=write.epoch
+        )
+        try:
+            data = await self._ctx.timers.with_timeout(FETCH_TIMEOUT, reading)
+        except DeadlineExceeded:
+            data = b""
+        if len(data) != request.length or zlib.crc32(data) != request.checksum:
+            return WriteResponse(reason=SOURCE_UNREADABLE, state=self._lease_grants.log_state(write.log))
+        write.data = data
+        return await self._write(peer, write)
+
     def _position_mismatch(self, request: WriteRequest) -> WriteResponse:
         return WriteResponse(reason=POSITION_MISMATCH, state=self._lease_grants.log_state(request.log))
 
--- a/tests/test_append_copies.py
+++ b/tests/test_append_copies.py
@@ -1,4 +1,4 @@
-"""Appends of large records on a writer's slow link, which five copies would keep busy for five times as long."""
+"""Appends of large records on a writer's slow link, and what goes before the answer that waits for them."""
 
 import unittest
 from random import Random
@@ -107,6 +107,29 @@
         self.assertIn(name, callers.taken)
         self.assertLess(simulation.clock.seconds() - started_at, seconds_for(1, 140 * 1_400) + ROUND_TRIPS_S)
 
+    def test_a_batch_is_acknowledged_before_its_items_are_started_and_its_log_is_cached(self):
+        simulation = start_simulation(5, gateways=3)
+        self.addCleanup(simulation.end)
+        gateway = simulation.role("gateway")[0]
+        gateway.part.places = 200
+        callers = Callers(simulation)
+        name = callers.lot(items=140, path="/bulk/" + "x" * 1_300)
+        cache_writes = []
+        simulation.watch_calls = lambda sender, method: method == "cache.put" and cache_writes.append(sender.name)
+        at_answer = []
+
+        async def submit():
+            await callers.hand_in(name, gateway)
+            at_answer.append((len(gateway.part.batches[name].running), len(cache_writes)))
+
+        spawn(submit())
+        simulation.until(lambda: at_answer, 5, "the batch is acknowledged")
+        started, cached = at_answer[0]
+        self.assertLessEqual(started, 4, "items that were started before the answer")
+        self.assertEqual(cached, 0, "writes to the cache before the answer")
+        simulation.until(lambda: len(gateway.part.batches[name].running) == 140, 2, "all items are started")
+        simulation.until(lambda: cache_writes, 2, "the log is cached")
+
 
 if __name__ == "__main__":
     unittest.main()
