Answer a batch before its items start and its log is cached

Change: the scheduler starts four items in a turn and lets the reactor go on in between; the cache is written 20 ms behind the commit, complete chunks 16 at once, so that commits that follow share the writes.

Ruled out: the copies on the link, sent once since the commit before.

--- a/pipitlink/cache/log_writer.py
+++ b/pipitlink/cache/log_writer.py
@@ -19,6 +19,10 @@
 __all__ = ["CommittedLog", "LogCacheWriter"]
 
 RETRY_INTERVAL = ms(250)
+# How long the cache waits behind a commit: those who wait for it go first, and commits that follow share the writes.
+WRITE_DELAY = ms(20)
+# How many complete chunks are written at once.
+MAX_CHUNKS_PER_WRITE = 16
 
 
 class CommittedLog(Protocol):
@@ -47,6 +51,7 @@
         self._path = path
         self._log = log
         self._started_to = 0
+        self._is_write_due = False
         self._cached = 0
         self._last_writes: dict[int, defer.Deferred[None]] = {}
         self._written: dict[int, int] = {}
@@ -54,8 +59,14 @@
         self._log_changed(log)
 
     def _log_changed(self, log: CommittedLog) -> None:
-        if log.committed > self._started_to and not log.lost:
-            start, self._started_to = self._started_to, log.committed
+        if log.committed > self._started_to and not log.lost and not self._is_write_due:
+            self._is_write_due = True
+            self._ctx.timers.call_later(WRITE_DELAY, self._start_write)
+
+    def _start_write(self) -> None:
+        self._is_write_due = False
+        if not self._log.lost:
+            start, self._started_to = self._started_to, self._log.committed
             spawn(self._write_range(start, self._started_to)).addErrback(self._log_failure)
 
     def _log_failure(self, failure: Failure) -> None:
@@ -63,13 +74,28 @@
 
     async def _write_range(self, start: int, end: int) -> None:
         first, last = start // CHUNK, (end - 1) // CHUNK
-        writes = [self._write(number) for number in range(first + 1, last)]
+        writes = [self._write_complete(range(first + 1, last))]
         writes += [self._write_in_turn(number) for number in {first, last}]
         durable = Lengths(path=self._path, durable=end, writer=self._ctx.node)
         spawn(self._publish(durable)).addErrback(self._log_failure)
         await defer.gatherResults([spawn(write) for write in writes])
         await self._raise_cached_length()
 
+    async def _write_complete(self, numbers: range) -> None:
+        """Writes complete chunks, some of them at once, again and again until a majority of their replicas has them."""
+        pending = list(numbers)
+        while pending and not self._log.lost:
+            chunks = {
+                chunk_key(self._path, number): bytes(self._log.data[number * CHUNK : (number + 1) * CHUNK])
+                for number in pending[:MAX_CHUNKS_PER_WRITE]
+            }
+            stored = await self._cache.store_chunks(chunks)
+            if not stored:
+                await self._ctx.timers.sleep(RETRY_INTERVAL)
+            done = [number for number in pending if chunk_key(self._path, number) in stored]
+            self._written.update(dict.fromkeys(done, CHUNK))
+            pending = [number for number in pending if number not in set(done)]
+
     async def _write_in_turn(self, number: int) -> None:
         """Writes a chunk that is not complete after the writes before, so that its prefix is always right."""
         done: defer.Deferred[None] = defer.Deferred()
--- a/pipitlink/router/batch_scheduler.py
+++ b/pipitlink/router/batch_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from enum import Enum, auto
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
@@ -23,6 +24,10 @@
 INTERVAL = ms(25)
 IDLE_INTERVAL = secs(1)
 IDLE_INTERVAL_WITHOUT_BATCHES = secs(60)
+# How many items are started in one turn of the reactor, and the pause before the next ones. Starting an item takes
+# milliseconds on a small machine, and what else is due, an acknowledgement or a live request, must not wait for all.
+MAX_STARTS_PER_TURN = 4
+TURN_PAUSE = ms(1)
 # Batches whose deadlines lie in the same interval of this length are equally urgent, and take turns.
 DEADLINE_CLASS_MS = 2000
 # By how much the clocks of gateways may differ.
@@ -31,6 +36,15 @@
 ROUTE_GONE_AFTER = secs(3)
 
 
+class _Round(Enum):
+    """How one look for items to start has ended."""
+
+    NOTHING_WAITS = auto()
+    NO_CAPACITY = auto()
+    TURN_OVER = auto()
+    """There may be capacity for more, in another turn of the reactor."""
+
+
 class _Urgency(NamedTuple):
     """Orders batches: what can still be in time goes before what is late, then by deadline, then by turns."""
 
@@ -99,27 +113,30 @@
 
     async def _run(self) -> None:
         while not self._ctx.timers.stopped:
-            has_waiting = self._start_items_safely()
+            await self._ctx.timers.sleep(TURN_PAUSE)
+            outcome = self._start_items_safely()
+            if outcome == _Round.TURN_OVER:
+                continue
             wake: defer.Deferred[None] = defer.Deferred()
             self._wake = wake
-            if has_waiting:
+            if outcome == _Round.NO_CAPACITY:
                 self._engines.wait_for_capacity(wake)
                 await self._ctx.timers.wait_at_most(wake, INTERVAL)
             else:
                 interval = IDLE_INTERVAL if self._table.batches else IDLE_INTERVAL_WITHOUT_BATCHES
                 await self._ctx.timers.wait_at_most(wake, interval)
 
-    def _start_items_safely(self) -> bool:
+    def _start_items_safely(self) -> _Round:
         try:
             return self._start_items()
         except Exception as error:
             self._ctx.logger.failure("schedule_batches", error)
-            return True
+            return _Round.NO_CAPACITY
 
-    def _start_items(self) -> bool:
-        """Starts items while there is capacity; returns whether some may be waiting."""
+    def _start_items(self) -> _Round:
+        """Starts items while there is capacity, as many as may be started in one turn."""
         if self._table.is_closing or not self._ctx.cluster.usable():
-            return bool(self._table.batches)
+            return _Round.NO_CAPACITY if self._table.batches else _Round.NOTHING_WAITS
         moment = _Moment(self._ctx.timers.now(), wall_ms(self._ctx.timers.utc_now()))
         routes = self._routes()
         slots: dict[str, int] = {}
@@ -137,13 +154,15 @@
                 slots[route.name] = self._capacity.available(route, self._waiting.backlog(route.name))
             if slots[route.name] > 0:
                 ready.append(_ReadyBatch(_urgency(batch, route, moment.wall_ms), batch.id, batch, route))
-        self._fill_slots(ready, slots, moment)
-        return has_waiting
+        if self._fill_slots(ready, slots, moment) == MAX_STARTS_PER_TURN:
+            return _Round.TURN_OVER
+        return _Round.NO_CAPACITY if has_waiting else _Round.NOTHING_WAITS
 
-    def _fill_slots(self, ready: list[_ReadyBatch], slots: dict[str, int], moment: _Moment) -> None:
-        """Starts one item after the other, of the most urgent batch whose route has slots left."""
+    def _fill_slots(self, ready: list[_ReadyBatch], slots: dict[str, int], moment: _Moment) -> int:
+        """Starts one item after the other, of the most urgent batch whose route has slots left; returns how many."""
         heapify(ready)
-        while ready:
+        started = 0
+        while ready and started < MAX_STARTS_PER_TURN:
             _, _, batch, route = heappop(ready)
             index = self._next_item(batch, moment.now) if slots[route.name] > 0 else None
             if index is None:
@@ -153,7 +172,9 @@
             self._turn += 1
             batch.last_turn = self._turn
             self._attempts.start(batch, index, route)
+            started += 1
             heappush(ready, _ReadyBatch(_urgency(batch, route, moment.wall_ms), batch.id, batch, route))
+        return started
 
     def _next_item(self, batch: OwnedBatch, now: timedelta) -> int | None:
         """Returns the index of the first waiting item whose backoff is over, or None."""
