Write the cache a few chunks in a turn, and test fetches under faults

Change: each chunk is written by a call of its own again, at most eight in a turn. The tests of the cache let the 20 ms pass that a write now waits behind its commit; what they ask for is the same, and two are added. Tests of fetches: a replica that stops, that the others cannot reach, of an earlier release, that reads wrongly, a later writer's bytes, the bound on one fetch, the whole recovered tail; and logs of large records on five replicas under random faults.

--- a/pipitlink/cache/log_writer.py
+++ b/pipitlink/cache/log_writer.py
@@ -21,8 +21,9 @@
 RETRY_INTERVAL = ms(250)
 # How long the cache waits behind a commit: those who wait for it go first, and commits that follow share the writes.
 WRITE_DELAY = ms(20)
-# How many complete chunks are written at once.
-MAX_CHUNKS_PER_WRITE = 16
+# How many writes are begun in one turn of the reactor, and the pause before the next ones.
+MAX_WRITES_PER_TURN = 8
+TURN_PAUSE = ms(1)
 
 
 class CommittedLog(Protocol):
@@ -74,28 +75,16 @@
 
     async def _write_range(self, start: int, end: int) -> None:
         first, last = start // CHUNK, (end - 1) // CHUNK
-        writes = [self._write_complete(range(first + 1, last))]
-        writes += [self._write_in_turn(number) for number in {first, last}]
         durable = Lengths(path=self._path, durable=end, writer=self._ctx.node)
         spawn(self._publish(durable)).addErrback(self._log_failure)
-        await defer.gatherResults([spawn(write) for write in writes])
+        writes = [spawn(self._write_in_turn(number)) for number in {first, last}]
+        for number in range(first + 1, last):
+            if len(writes) % MAX_WRITES_PER_TURN == 0:
+                await self._ctx.timers.sleep(TURN_PAUSE)
+            writes.append(spawn(self._write(number)))
+        await defer.gatherResults(writes)
         await self._raise_cached_length()
 
-    async def _write_complete(self, numbers: range) -> None:
-        """Writes complete chunks, some of them at once, again and again until a majority of their replicas has them."""
-        pending = list(numbers)
-        while pending and not self._log.lost:
-            chunks = {
-                chunk_key(self._path, number): bytes(self._log.data[number * CHUNK : (number + 1) * CHUNK])
-                for number in pending[:MAX_CHUNKS_PER_WRITE]
-            }
-            stored = await self._cache.store_chunks(chunks)
-            if not stored:
-                await self._ctx.timers.sleep(RETRY_INTERVAL)
-            done = [number for number in pending if chunk_key(self._path, number) in stored]
-            self._written.update(dict.fromkeys(done, CHUNK))
-            pending = [number for number in pending if number not in set(done)]
-
     async def _write_in_turn(self, number: int) -> None:
         """Writes a chunk that is not complete after the writes before, so that its prefix is always right."""
         done: defer.Deferred[None] = defer.Deferred()
--- a/tests/test_append_copies.py
+++ b/tests/test_append_copies.py
@@ -2,8 +2,13 @@
 
 import unittest
 from random import Random
+from unittest import mock
 
-from pipitlink.timers import spawn
+from pipitlink.replicated_log.copy_planner import MAX_FETCH_BYTES, MIN_FETCH_BYTES, CopyPlanner, CopySource
+from pipitlink.replicated_log.replica_progress import ReplicaProgress, TailPosition
+from pipitlink.storage.log_store import LogStore
+from pipitlink.timers import Timers, spawn
+from pipitlink.wire.replicated_log_pb2 import LogState
 from testbed.simulator.simulation import Simulation
 from testbed.simulator.uplink import Uplink
 from testbed.simulator.virtual_time import VirtualTime
@@ -16,6 +21,9 @@
 ROUND_TRIPS_S = 0.06
 """What the calls and syncs of one append take beside its bytes, at most."""
 
+ALLOWANCE_S = 0.15 + RECORD_BYTES / (1024 * 1024)
+"""How long a direct copy may take before another replica gets one."""
+
 
 def seconds_for(copies, size=RECORD_BYTES):
     return copies * size / LINK_BYTES_PER_S + ROUND_TRIPS_S
@@ -37,7 +45,9 @@
         self.assertEqual(uplink.sent_bytes, 101_000)
 
 
-class AppendCopies(unittest.TestCase):
+class AppendCopiesCase(unittest.TestCase):
+    """A gateway on a slow link, and six storage nodes, of which five have replicas of its log."""
+
     def setUp(self):
         self.simulation = simulation = Simulation(
             7,
@@ -81,6 +91,8 @@
                 found.append(node)
         return found
 
+
+class AppendCopies(AppendCopiesCase):
     def test_an_append_is_committed_in_the_time_of_one_copy(self):
         leaseholder = self.acquire()
         self.assertLess(self.append(leaseholder), seconds_for(1))
@@ -93,6 +105,116 @@
         self.assertLess(self.gateway.uplink.sent_bytes - before, 1.1 * RECORD_BYTES)
 
 
+class FetchFaults(AppendCopiesCase):
+    def append_and_complete(self, leaseholder, without=()):
+        """Appends a record; returns the seconds that it took. Then all replicas but some have to be complete."""
+        seconds = self.append(leaseholder)
+        expected = {node.name for node in self.replicas(leaseholder)} - set(without)
+        self.simulation.until(
+            lambda: expected <= {node.name for node in self.complete(leaseholder)}, 8, "the replicas are complete"
+        )
+        return seconds
+
+    def test_whichever_replica_stops_another_one_gets_the_direct_copy_in_time(self):
+        names = [node.name for node in self.replicas(self.acquire())]
+        for number, name in enumerate(names):
+            with self.subTest(name):
+                leaseholder = self.acquire(f"batch/{number}")
+                node = self.simulation.simulated_nodes[name]
+                node.freeze()
+                seconds = self.append_and_complete(leaseholder, without=(name,))
+                node.thaw()
+                self.assertLess(seconds, ALLOWANCE_S + seconds_for(1))
+                self.simulation.run(4)
+
+    def test_whichever_replica_the_others_cannot_reach_all_get_the_record(self):
+        replicas = self.replicas(self.acquire())
+        storage = {node.name for node in self.simulation.role("storage")}
+        for number, node in enumerate(replicas):
+            with self.subTest(node.name):
+                leaseholder = self.acquire(f"batch/{number}")
+                self.simulation.cut([node.name], storage - {node.name})
+                self.append_and_complete(leaseholder)
+                self.simulation.heal()
+                self.simulation.run(4)
+
+    def test_whichever_replica_is_of_an_earlier_release_gets_the_record_directly(self):
+        for number, node in enumerate(self.replicas(self.acquire())):
+            with self.subTest(node.name):
+                leaseholder = self.acquire(f"batch/{number}")
+                fetch = node.ctx.rpc._handlers.pop("replicated_log.fetch")
+                self.append_and_complete(leaseholder)
+                node.ctx.rpc._handlers["replicated_log.fetch"] = fetch
+
+    def test_bytes_that_a_replica_read_wrongly_are_not_taken(self):
+        leaseholder = self.acquire()
+        damaged = []
+
+        def read_wrongly(store, extents):
+            data = b"".join(store.segments.read_bytes(extent.location, extent.length) for extent in extents)
+            if len(damaged) < 2:
+                damaged.append(len(data))
+                return data[:-1] + bytes([data[-1] ^ 1])
+            return data
+
+        with mock.patch.object(LogStore, "read_extents", read_wrongly):
+            self.simulation.do(leaseholder.append([self.record]))
+            self.simulation.run(3)
+        self.assertEqual(len(damaged), 2)
+        self.assertEqual(len(self.complete(leaseholder)), 5)
+
+    def test_bytes_of_a_later_writer_are_not_shown_for_those_of_an_earlier_one(self):
+        leaseholder = self.acquire()
+        self.append(leaseholder)
+        self.simulation.do(self.gateway.ctx.replicated_log.release([leaseholder]))
+        later = self.acquire()
+        self.append(later, b"later")
+        self.simulation.run(1)
+        log = self.gateway.ctx.replicated_log
+        node = self.replicas(later)[0].node
+
+        def read(tail_epoch):
+            return self.simulation.do(log.read_from(node, "batch/x", 0, 100, tail_epoch=tail_epoch))
+
+        self.assertEqual(read(later.epoch), bytes(later.data[:100]))
+        self.assertEqual(read(leaseholder.epoch), b"")
+        with mock.patch.object(LogStore, "is_written_under", lambda *_: True):
+            self.assertEqual(len(read(leaseholder.epoch)), 100, "the guard is what holds them back")
+
+
+class Planning(unittest.TestCase):
+    """From where a replica is to fetch, by what is known of the others."""
+
+    EPOCH = 5
+
+    def source_for(self, state, start, recovered=TailPosition(), **lengths):  # noqa: B008 - immutable
+        progress = ReplicaProgress()
+        for node, length in lengths.items():
+            progress.record(node, LogState(tail_epoch=self.EPOCH, length=length))
+        planner = CopyPlanner(Timers(VirtualTime()), progress)
+        return planner.source_for(state, start, self.EPOCH, recovered, {"own"})
+
+    def test_the_replica_that_has_most_is_the_source_unless_it_is_excluded_or_has_little_more(self):
+        state = LogState(tail_epoch=self.EPOCH, length=100)
+        self.assertEqual(self.source_for(state, 100, a=9_000, b=8_000), CopySource("a", 9_000))
+        self.assertIsNone(self.source_for(state, 100, own=9_000))
+        self.assertIsNone(self.source_for(state, 100, a=100 + MIN_FETCH_BYTES - 1))
+
+    def test_one_fetch_is_bounded(self):
+        state = LogState(tail_epoch=self.EPOCH, length=100)
+        found = self.source_for(state, 100, a=50_000_000)
+        self.assertEqual(found, CopySource("a", 100 + MAX_FETCH_BYTES))
+
+    def test_a_replica_of_an_earlier_writer_gets_the_whole_recovered_tail_or_nothing(self):
+        earlier = LogState(tail_epoch=3, length=100)
+        recovered = TailPosition(4, MAX_FETCH_BYTES + 50)
+        self.assertIsNotNone(self.source_for(earlier, 100, recovered, a=recovered.length))
+        longer = TailPosition(4, MAX_FETCH_BYTES + 200)
+        self.assertIsNone(self.source_for(earlier, 100, longer, a=longer.length))
+        current = LogState(tail_epoch=self.EPOCH, length=100)
+        self.assertIsNotNone(self.source_for(current, 100, longer, a=longer.length))
+
+
 class Intake(unittest.TestCase):
     def test_a_large_batch_is_acknowledged_in_the_time_of_one_copy(self):
         simulation = start_simulation(5, gateways=2, settings={"machine_losses": 2})
--- a/tests/test_simulated_cache.py
+++ b/tests/test_simulated_cache.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from pipitlink.cache.chunks import CHUNK, chunk_key
-from pipitlink.cache.log_writer import LogCacheWriter
+from pipitlink.cache.log_writer import MAX_WRITES_PER_TURN, TURN_PAUSE, WRITE_DELAY, LogCacheWriter
 from pipitlink.cache.stores import DataStore, LengthStore
 from pipitlink.structured_log import StructuredLogger
 from pipitlink.timers import Timers, ms, secs, spawn
@@ -68,13 +68,18 @@
         self.ctx, self.cache, self.held = _Ctx(), _Cache(), _Held()
         self.writer = LogCacheWriter(self.ctx, self.cache, "log", self.held)
 
+    def grow(self, n):
+        """Commits so many bytes more, and lets the cache come behind."""
+        self.held.grow(n)
+        self.ctx.clock.advance(WRITE_DELAY.total_seconds())
+
     def number(self, i):
         chunks, _ = self.cache.waiting[i]
         return next(n for n in range(64) if chunk_key("log", n) in chunks)
 
     def test_every_write_begins_at_the_chunks_start(self):
         for n in (100, 5000, 9000):
-            self.held.grow(n)
+            self.grow(n)
             while self.cache.waiting:
                 chunks, _ = self.cache.waiting[0]
                 n = self.number(0)
@@ -84,9 +89,9 @@
         self.assertEqual(self.cache.cached, 14100)
 
     def test_writes_of_a_partial_chunk_wait_for_one_another(self):
-        self.held.grow(100)
-        self.held.grow(100)
-        self.held.grow(100)
+        self.grow(100)
+        self.grow(100)
+        self.grow(100)
         self.assertEqual(len(self.cache.waiting), 1)
         self.cache.let(0)
         self.assertEqual(len(self.cache.waiting), 1)
@@ -95,7 +100,7 @@
         self.assertEqual((self.cache.waiting, self.cache.cached), ([], 300))
 
     def test_the_cached_length_waits_for_every_chunk_below_it(self):
-        self.held.grow(5 * CHUNK + 10)
+        self.grow(5 * CHUNK + 10)
         self.assertEqual(len(self.cache.waiting), 6)
         self.cache.waiting.sort(key=lambda w: -len(next(iter(w[0].values()))))
         order = [self.number(i) for i in range(6)]
@@ -107,13 +112,28 @@
         self.assertEqual((self.cache.cached, self.cache.durable), (5 * CHUNK + 10, 5 * CHUNK + 10))
 
     def test_a_write_that_too_few_replicas_took_is_made_again(self):
-        self.held.grow(10)
+        self.grow(10)
         self.cache.let(0, took=False)
         self.assertEqual(self.cache.cached, 0)
         self.ctx.clock.advance(1)
         self.cache.let(0)
         self.assertEqual(self.cache.cached, 10)
 
+    def test_nothing_is_written_in_the_turn_of_a_commit_and_commits_that_follow_share_a_write(self):
+        for _ in range(3):
+            self.held.grow(100)
+            self.assertEqual(self.cache.waiting, [])
+        self.ctx.clock.advance(WRITE_DELAY.total_seconds())
+        self.assertEqual([len(data) for chunks, _ in self.cache.waiting for data in chunks.values()], [300])
+
+    def test_the_writes_of_a_long_record_begin_a_few_in_a_turn(self):
+        self.grow(20 * CHUNK)
+        begun = [len(self.cache.waiting)]
+        while len(self.cache.waiting) < 20:
+            self.ctx.clock.advance(TURN_PAUSE.total_seconds())
+            begun.append(len(self.cache.waiting))
+        self.assertLessEqual(max(b - a for a, b in zip([0, *begun], begun, strict=False)), MAX_WRITES_PER_TURN)
+
 
 class Stores(unittest.TestCase):
     def setUp(self):
--- a/tests/test_simulated_logs.py
+++ b/tests/test_simulated_logs.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 from pipitlink.disk import decode_frames
 from pipitlink.errors import LeaseNotHeld, PipitlinkError, StaleEpoch
+from pipitlink.storage.write_handler import WriteHandler
 from pipitlink.timers import ms
 from testbed.simulator.random_faults import RandomFaults, seeds
 from testbed.simulator.simulation import Simulation
@@ -15,8 +17,8 @@
 class _Writers:
     """Gateways that race for one log, and readers that note every byte they were shown."""
 
-    def __init__(self, simulation, log="results/x"):
-        self.simulation, self.log = simulation, log
+    def __init__(self, simulation, log="results/x", max_bytes=3000):
+        self.simulation, self.log, self.max_bytes = simulation, log, max_bytes
         self.acked: dict[int, bytes] = {}
         self.shown = b""
         self.faults: list[str] = []
@@ -34,7 +36,7 @@
                 self.holds += 1
                 for _ in range(ctx.rng.randrange(1, 12)):
                     n += 1
-                    body = f"{ctx.node}/{n}".encode() + b"." * ctx.rng.randrange(3000)
+                    body = f"{ctx.node}/{n}".encode() + b"." * ctx.rng.randrange(self.max_bytes)
                     at = await h.append([body])
                     self.acked[at] = body
                     await ctx.timers.sleep(ms(ctx.rng.randrange(60)))
@@ -63,12 +65,15 @@
 
 
 class LogsUnderFaults(unittest.TestCase):
-    def run_seed(self, seed):
-        simulation = Simulation(seed, controllers=3, storage_nodes=3, gateways=3, placement_groups=2)
+    def run_seed(self, seed, **sizes):
+        """Plays one seed with three replicas and small records, or other sizes of the simulation and the records."""
+        max_bytes = sizes.pop("max_bytes", 3000)
+        sizes = {"controllers": 3, "storage_nodes": 3, "gateways": 3, "placement_groups": 2, **sizes}
+        simulation = Simulation(seed, **sizes)
         self.addCleanup(simulation.end)
         simulation.start()
         simulation.ready()
-        w = _Writers(simulation)
+        w = _Writers(simulation, max_bytes=max_bytes)
         random_faults = RandomFaults(simulation, roles=("storage", "storage", "gateway"))
         work = [x for a in simulation.role("gateway") for x in (w.write(a), w.read(a))]
         random_faults.during(work, faults=10)
@@ -106,6 +111,28 @@
         self.assertGreater(acked, 20 * len(SEEDS))
         self.assertGreater(holds, 3 * len(SEEDS))
 
+    def test_nothing_is_lost_where_five_replicas_fetch_large_records_from_each_other(self):
+        fetches = []
+        acked = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed), mock.patch.object(WriteHandler, "_fetch", noting(fetches)):
+                acked += self.run_seed(
+                    seed, controllers=5, storage_nodes=6, max_bytes=40_000, settings={"machine_losses": 2}
+                )[0]
+        self.assertGreater(acked, 15 * len(SEEDS))
+        self.assertGreater(len(fetches), 20 * len(SEEDS))
+
+
+def noting(calls):
+    """Returns the handler of fetches, which notes each call."""
+    handle = WriteHandler._fetch
+
+    async def note(handler, peer, request):
+        calls.append(request.length)
+        return await handle(handler, peer, request)
+
+    return note
+
 
 class Leases(unittest.TestCase):
     def setUp(self):
