Start the items of lots a few in a turn as well, and name the wait for the next turn once

Cause: the models interface had the same fault as the batches: one tick of its dispatcher started all items that had free slots, and what was written before, a lot's 202 for instance, left only after them.

Change: ItemDispatcher starts four items in a turn. Timers.next_turn is the one wait between turns for it, the batch scheduler and the writer of the cache.

--- a/pipitlink/cache/log_writer.py
+++ b/pipitlink/cache/log_writer.py
@@ -21,9 +21,8 @@
 RETRY_INTERVAL = ms(250)
 # How long the cache waits behind a commit: those who wait for it go first, and commits that follow share the writes.
 WRITE_DELAY = ms(20)
-# How many writes are begun in one turn of the reactor, and the pause before the next ones.
+# How many writes are begun in one turn of the reactor.
 MAX_WRITES_PER_TURN = 8
-TURN_PAUSE = ms(1)
 
 
 class CommittedLog(Protocol):
@@ -80,7 +79,7 @@
         writes = [spawn(self._write_in_turn(number)) for number in {first, last}]
         for number in range(first + 1, last):
             if len(writes) % MAX_WRITES_PER_TURN == 0:
-                await self._ctx.timers.sleep(TURN_PAUSE)
+                await self._ctx.timers.next_turn()
             writes.append(spawn(self._write(number)))
         await defer.gatherResults(writes)
         await self._raise_cached_length()
--- a/pipitlink/gateway/item_dispatcher.py
+++ b/pipitlink/gateway/item_dispatcher.py
@@ -29,6 +29,8 @@
 ITEM_TIMEOUT = secs(120)
 MIN_RETRY_DELAY = ms(100)
 MAX_ATTEMPTS = 8
+# How many items are started in one turn of the reactor, so that requests and responses go in between.
+MAX_STARTS_PER_TURN = 4
 URGENCY_STEPS_MS = (5_000, 30_000, 300_000, 3_600_000, 21_600_000)
 
 
@@ -75,12 +77,21 @@
         )
         self._open_jobs.add_timer(timer)
 
-    def dispatch(self) -> None:
-        """Starts items while there are free slots."""
+    def dispatch(self) -> defer.Deferred[None]:
+        """Starts items while there are free slots; returns a Deferred that fires once there is no more to start."""
+        return spawn(self._dispatch_in_turns())
+
+    async def _dispatch_in_turns(self) -> None:
+        while self._start_items() == MAX_STARTS_PER_TURN:
+            await self._ctx.timers.next_turn()
+
+    def _start_items(self) -> int:
+        """Starts items while there are free slots, as many as may be started in one turn; returns how many."""
         if not self._serving.is_current() or self._ctx.cluster.zone_empty(self._ctx.settings.zone):
-            return
+            return 0
         current = self._begin_round()
-        while current.jobs:
+        started = 0
+        while current.jobs and started < MAX_STARTS_PER_TURN:
             job = min(current.jobs, key=lambda job: self._order_key(job, current))
             index = self._next_item(job, current)
             if index is None or job.leaseholder is None or not job.leaseholder.is_held():
@@ -90,6 +101,8 @@
             if not overdue and not self._reserve_slot(job.spec.items[index].model, current):
                 continue
             self._start_item(job, index, overdue, current)
+            started += 1
+        return started
 
     def _begin_round(self) -> _DispatchRound:
         running_by_customer: dict[str, int] = {}
--- a/pipitlink/router/batch_scheduler.py
+++ b/pipitlink/router/batch_scheduler.py
@@ -24,10 +24,9 @@
 INTERVAL = ms(25)
 IDLE_INTERVAL = secs(1)
 IDLE_INTERVAL_WITHOUT_BATCHES = secs(60)
-# How many items are started in one turn of the reactor, and the pause before the next ones. Starting an item takes
-# milliseconds on a small machine, and what else is due, an acknowledgement or a live request, must not wait for all.
+# How many items are started in one turn of the reactor. Starting one takes milliseconds on a small machine, and what
+# else is due, an acknowledgement or a live request, must not wait for all of them.
 MAX_STARTS_PER_TURN = 4
-TURN_PAUSE = ms(1)
 # Batches whose deadlines lie in the same interval of this length are equally urgent, and take turns.
 DEADLINE_CLASS_MS = 2000
 # By how much the clocks of gateways may differ.
@@ -113,7 +112,7 @@
 
     async def _run(self) -> None:
         while not self._ctx.timers.stopped:
-            await self._ctx.timers.sleep(TURN_PAUSE)
+            await self._ctx.timers.next_turn()
             outcome = self._start_items_safely()
             if outcome == _Round.TURN_OVER:
                 continue
--- a/pipitlink/timers.py
+++ b/pipitlink/timers.py
@@ -22,6 +22,7 @@
     "ErrorReporter",
     "RepeatingCall",
     "SingleFlight",
+    "TURN_PAUSE",
     "Timers",
     "ZERO",
     "ms",
@@ -34,6 +35,8 @@
 ResultT = TypeVar("ResultT")
 
 ZERO = timedelta(0)
+# Shorter than any wait that matters, and long enough for what was written before to leave.
+TURN_PAUSE = timedelta(milliseconds=1)
 
 
 def ms(n: float) -> timedelta:
@@ -122,6 +125,13 @@
         timer = self.call_later(duration, done.callback, None)
         return done
 
+    def next_turn(self) -> defer.Deferred[None]:
+        """Returns a Deferred that fires in a later turn of the reactor.
+
+        For work in many parts: responses that are written, and requests that are due, go between them.
+        """
+        return self.sleep(TURN_PAUSE)
+
     async def wait_at_most(self, event: defer.Deferred[None], timeout: timedelta) -> None:
         """Waits until a Deferred fires, and fires it with None once the timeout has passed."""
         timer = self.call_later(timeout, _fire_unless_called, event)
--- a/tests/test_gateway_components.py
+++ b/tests/test_gateway_components.py
@@ -24,7 +24,7 @@
 from pipitlink.gateway.retry_after import RetryAfterEstimator
 from pipitlink.gateway.retry_policy import RetryBudget
 from pipitlink.settings import ROLES, Settings, read_settings
-from pipitlink.timers import Timers, secs, spawn, wall_ms
+from pipitlink.timers import TURN_PAUSE, Timers, secs, spawn, wall_ms
 from pipitlink.wire.cluster_pb2 import Row
 from pipitlink.wire.lots_pb2 import Item, Lot
 
@@ -283,6 +283,12 @@
         capacity = JobCapacity(self.slots, self.candidates)
         self.dispatcher = _Dispatcher(self, capacity, RequestTable(self), None)
 
+    def dispatch(self):
+        """Has items started until there is no more to start, in as many turns of the reactor as that takes."""
+        dispatched = self.dispatcher.dispatch()
+        while not dispatched.called:
+            self.clock.advance(TURN_PAUSE.total_seconds())
+
     def lot(self, name, customer, items, due_s, priority=0):
         wall = wall_ms(self.timers.utc_now())
         self.open_jobs.add(
@@ -305,21 +311,32 @@
         g.lot("night-b", "b", 20, 30_000)
         g.lot("raised", "a", 2, 30_000, priority=3)
         g.lot("due", "c", 2, 4)
-        g.dispatcher.dispatch()
+        g.dispatch()
         self.assertEqual(g.began[:4], ["due", "due", "raised", "raised"])
         self.assertEqual(sorted(g.began[4:]), ["night-a"] * 3 + ["night-b"] * 5)
-        g.dispatcher.dispatch()
+        g.dispatch()
         self.assertEqual(len(g.began), 12)
         g.engines.all()[0].job_items = 0
         g.engines.all()[0].live_requests = 14
-        g.dispatcher.dispatch()
+        g.dispatch()
         self.assertEqual(len(g.began), 12)
 
+    def test_a_few_items_are_started_in_each_turn_of_the_reactor(self):
+        g = _JobOwner()
+        g.later(10, "e", capacity=16)
+        g.lot("night", "a", 20, 30_000)
+        g.dispatcher.dispatch()
+        begun = [len(g.began)]
+        for _ in range(4):
+            g.clock.advance(TURN_PAUSE.total_seconds())
+            begun.append(len(g.began))
+        self.assertEqual(begun, [4, 8, 12, 12, 12])
+
     def test_what_is_past_its_limit_is_listed_and_takes_no_room(self):
         g = _JobOwner()
         g.later(10, "e", capacity=4)
         g.lot("past", "a", 2, -1)
-        g.dispatcher.dispatch()
+        g.dispatch()
         self.assertEqual(g.began, ["late", "late"])
 
 
--- a/tests/test_simulated_cache.py
+++ b/tests/test_simulated_cache.py
@@ -6,10 +6,10 @@
 from twisted.internet.task import Clock
 
 from pipitlink.cache.chunks import CHUNK, chunk_key
-from pipitlink.cache.log_writer import MAX_WRITES_PER_TURN, TURN_PAUSE, WRITE_DELAY, LogCacheWriter
+from pipitlink.cache.log_writer import MAX_WRITES_PER_TURN, WRITE_DELAY, LogCacheWriter
 from pipitlink.cache.stores import DataStore, LengthStore
 from pipitlink.structured_log import StructuredLogger
-from pipitlink.timers import Timers, ms, secs, spawn
+from pipitlink.timers import TURN_PAUSE, Timers, ms, secs, spawn
 from pipitlink.wire.cache_pb2 import Lengths
 from testbed.simulator.simulation import Simulation
 
