Leave a source out only where it could not be read, and export the bytes sent

Cause: found on reading the change again: a fetch that the replica refused for its position also left the source out for 5 s, though it was sound.

Change: the reasons of refused writes are one enum, and only an unreadable source is left out. Metric pipitlink_rpc_sent_bytes.

--- a/pipitlink/node_metrics.py
+++ b/pipitlink/node_metrics.py
@@ -37,6 +37,7 @@
             "pipitlink_table_sequence", "The weight table's sequence here", cluster_state.table_sequence
         )
         yield self._peers()
+        yield GaugeMetricFamily("pipitlink_rpc_sent_bytes", "Bytes sent to other nodes", self._ctx.rpc.sent_bytes)
         changes = self._ctx.changes
         yield GaugeMetricFamily("pipitlink_changes_told", "Changes told as CloudEvents", changes.published)
         yield GaugeMetricFamily("pipitlink_changes_dropped", "Changes that could not be told", changes.dropped)
--- a/pipitlink/replicated_log/replica_sender.py
+++ b/pipitlink/replicated_log/replica_sender.py
@@ -22,6 +22,7 @@
 from .copy_planner import MIN_FETCH_BYTES, CopySource
 from .replica_progress import TailPosition
 from .storage_client import StorageClient
+from .write_refusal import WriteRefusal
 
 if TYPE_CHECKING:
     from .leaseholder import Leaseholder
@@ -162,7 +163,7 @@
                 raise
             self._can_fetch = False  # a storage node of an earlier release
             return state
-        if not response.written:
+        if response.reason == WriteRefusal.SOURCE_UNREADABLE:
             self._excluded_until[source.storage_node] = self._ctx.timers.now() + EXCLUDE_SOURCE_FOR
         return response.state
 
--- a/pipitlink/storage/write_handler.py
+++ b/pipitlink/storage/write_handler.py
@@ -10,6 +10,7 @@
 from ..context import Context
 from ..errors import DeadlineExceeded, StorageFull
 from ..group_commit import GroupCommit
+from ..replicated_log.write_refusal import WriteRefusal
 from ..timers import ms
 from ..wire.replicated_log_pb2 import CommitRequest, Entry, FetchRequest, WriteRequest, WriteResponse
 from .durable import sync
@@ -22,12 +23,7 @@
 
 MAX_LOG_BYTES = 64 * 1024 * 1024
 MAX_PARTIAL_WRITES = 16
-POSITION_MISMATCH = "elsewhere"
-"""The `reason` of a response to a write that expected another end of the replica."""
-
-SOURCE_UNREADABLE = "source"
-"""The `reason` of a response to a fetch whose bytes the other replica did not show in time."""
-
+# How long another replica is read from: less than the writer waits for the whole fetch.
 FETCH_TIMEOUT = ms(600)
 
 
@@ -88,11 +84,11 @@
             return WriteResponse(written=True)
         data = self._partial_writes.complete(request)
         if data is None:
-            return self._position_mismatch(request)
+            return self._refuse(WriteRefusal.POSITION_MISMATCH, request.log)
         entry = _write_entry(request, data)
         expected = Tail(request.expect_tail_epoch, request.expect_length)
         if not await sync(self._group_commit, partial(self._log_store.write, entry, expected, request.reserved)):
-            return self._position_mismatch(request)
+            return self._refuse(WriteRefusal.POSITION_MISMATCH, request.log)
         self._log_store.record_synced(request.log, request.epoch, request.position + len(data), request.final)
         return WriteResponse(written=True, state=self._lease_grants.log_state(request.log))
 
@@ -107,12 +103,12 @@
         except DeadlineExceeded:
             data = b""
         if len(data) != request.length or zlib.crc32(data) != request.checksum:
-            return WriteResponse(reason=SOURCE_UNREADABLE, state=self._lease_grants.log_state(write.log))
+            return self._refuse(WriteRefusal.SOURCE_UNREADABLE, write.log)
         write.data = data
         return await self._write(peer, write)
 
-    def _position_mismatch(self, request: WriteRequest) -> WriteResponse:
-        return WriteResponse(reason=POSITION_MISMATCH, state=self._lease_grants.log_state(request.log))
+    def _refuse(self, reason: WriteRefusal, log: str) -> WriteResponse:
+        return WriteResponse(reason=reason.value, state=self._lease_grants.log_state(log))
 
     async def _commit(self, _peer: str, request: CommitRequest) -> None:
         self._log_store.commit(request.log, request.epoch, request.committed)
