Read outputs both behind and ahead of the cache in the test of their bytes

Cause: test_outputs_are_read_with_less_than_a_tenth_of_the_bytes took for granted that the cache has a commit's bytes in the same turn.

Change: the test reads once the cache has all, with the bound as it was, and a second one reads at once as well and allows one chunk more than that and nothing else, over six seeds.

Measured: test_batches_head.py 13 passed. No change of the code.

--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -21,6 +21,8 @@
 from .batch_builders import Callers, route, start_simulation
 
 BODY = 5000
+CHUNK_OVERHEAD = 64
+"""What the message around a chunk takes, at most."""
 
 
 class SimulatedHeads(unittest.TestCase):
@@ -92,16 +94,41 @@
                 name = self.large(c, pad=pad, size=size)
                 self.assertEqual(simulation.do(c.hand_in(name, simulation.role("gateway")[0])), 202)
                 simulation.until(lambda: c.whole(name), 30, "all is listed")
+                simulation.until(lambda: self.is_cached(simulation, name), 1, "all is cached")
                 for a in simulation.role("gateway")[1:]:
-                    for b, r in list(a.part.service.followers.followers.items()):
-                        a.part.service.followers.drop(b, r)
-                    got = self.count(a)
-                    status, doc = simulation.do(c.read(name, gateway=a))
-                    self.assertEqual((status, len(doc["outputs"])), (200, 40))
-                    self.assertTrue(got)
-                    self.assertLess(sum(got) * 10, 40 * size)
+                    self.assertLess(self.read_anew(simulation, c, name, a) * 10, 40 * size)
                 self.assertEqual(c.wrong, [])
 
+    def test_a_reader_ahead_of_the_cache_reads_one_chunk_more_at_most(self):
+        for seed, pad in ((1, 0), (2, 30), (3, 110), (4, 60), (5, 10), (6, 90)):
+            with self.subTest(seed=seed, pad=pad):
+                simulation, c = self.simulation(seed)
+                name = self.large(c, pad=pad)
+                self.assertEqual(simulation.do(c.hand_in(name, simulation.role("gateway")[0])), 202)
+                simulation.until(lambda: c.whole(name), 30, "all is listed")
+                ahead, behind = simulation.role("gateway")[1:]
+                at_once = self.read_anew(simulation, c, name, ahead)
+                simulation.until(lambda: self.is_cached(simulation, name), 1, "all is cached")
+                self.assertLess(at_once, self.read_anew(simulation, c, name, behind) + CHUNK + CHUNK_OVERHEAD)
+
+    def is_cached(self, simulation, name):
+        """Whether the cache has all that is durable of a batch's log."""
+        log = batch_log(name)
+        lengths = simulation.do(simulation.role("gateway")[1].ctx.cache.get_lengths([log]))[log]
+        return (
+            lengths.cached == lengths.durable == len(self.owner(simulation, name).part.batches[name].leaseholder.data)
+        )
+
+    def read_anew(self, simulation, c, name, gateway):
+        """Reads all outputs at a gateway that knows nothing of the batch; returns how many bytes it was given."""
+        for b, r in list(gateway.part.service.followers.followers.items()):
+            gateway.part.service.followers.drop(b, r)
+        got = self.count(gateway)
+        status, doc = simulation.do(c.read(name, gateway=gateway))
+        self.assertEqual((status, len(doc["outputs"])), (200, 40))
+        self.assertTrue(got)
+        return sum(got)
+
     def test_outputs_are_read_as_cheaply_where_the_caches_know_nothing(self):
         simulation, c = self.simulation(4)
         name = self.large(c)
