--- a/pipitlink/router/batch_scheduler.py
+++ b/pipitlink/router/batch_scheduler.py
@@ -112,9 +112,9 @@
 
     async def _run(self) -> None:
         while not self._ctx.timers.stopped:
-            await self._ctx.timers.next_turn()
             outcome = self._start_items_safely()
             if outcome == _Round.TURN_OVER:
+                await self._ctx.timers.next_turn()
                 continue
             wake: defer.Deferred[None] = defer.Deferred()
             self._wake = wake
