--- a/pipitlink/cache/log_writer.py
+++ b/pipitlink/cache/log_writer.py
@@ -51,7 +51,7 @@
         self._path = path
         self._log = log
         self._started_to = 0
-        self._is_write_due = False
+        self._is_write_scheduled = False
         self._cached = 0
         self._last_writes: dict[int, defer.Deferred[None]] = {}
         self._written: dict[int, int] = {}
@@ -59,12 +59,12 @@
         self._log_changed(log)
 
     def _log_changed(self, log: CommittedLog) -> None:
-        if log.committed > self._started_to and not log.lost and not self._is_write_due:
-            self._is_write_due = True
+        if log.committed > self._started_to and not log.lost and not self._is_write_scheduled:
+            self._is_write_scheduled = True
             self._ctx.timers.call_later(WRITE_DELAY, self._start_write)
 
     def _start_write(self) -> None:
-        self._is_write_due = False
+        self._is_write_scheduled = False
         if not self._log.lost:
             start, self._started_to = self._started_to, self._log.committed
             spawn(self._write_range(start, self._started_to)).addErrback(self._log_failure)
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -14,7 +14,7 @@
 from ..wire.frame_pb2 import Empty
 from ..wire.replicated_log_pb2 import CommitRequest, LeaseRequest, LeaseResponse
 from .commit_waiters import CommitWaiters
-from .copy_planner import CopyPlanner
+from .fetch_planner import FetchPlanner
 from .lease_refusal import LeaseRefusal
 from .lease_validity import LeaseValidity
 from .replica_progress import ReplicaProgress, TailPosition
@@ -52,7 +52,7 @@
         self.uses_reserve = False
         self.granted_epochs: dict[str, int] = {}
         self.progress = ReplicaProgress()
-        self.copy_planner = CopyPlanner(ctx.timers, self.progress)
+        self.fetch_planner = FetchPlanner(ctx.timers, self.progress)
         self.recovered_tail = TailPosition()
         self._validity = LeaseValidity(ctx.timers)
         self._senders: dict[str, ReplicaSender] = {}
@@ -235,7 +235,7 @@
         await self._ctx.timers.with_timeout(COMMIT_TIMEOUT, committed)
 
     def _replicate(self) -> None:
-        """Starts the senders, those first that a direct copy is best sent to: of known state, alive and near."""
+        """Starts the senders, those first that a direct write is best sent to: of known state, alive and near."""
         for node in sorted(self.placement_group.all_nodes, key=self._distance):
             if node not in self._senders:
                 self._senders[node] = ReplicaSender(self._ctx, self._client, self, node)
--- a/pipitlink/replicated_log/replica_sender.py
+++ b/pipitlink/replicated_log/replica_sender.py
@@ -19,7 +19,7 @@
     WriteRequest,
     WriteResponse,
 )
-from .copy_planner import MIN_FETCH_BYTES, CopySource
+from .fetch_planner import MIN_FETCH_BYTES, FetchSource
 from .replica_progress import TailPosition
 from .storage_client import StorageClient
 from .write_refusal import WriteRefusal
@@ -95,7 +95,7 @@
             if leaseholder.placement_group is placement_group:
                 leaseholder.progress.record(self._node, reported)
         finally:
-            leaseholder.copy_planner.direct_copy_ended(self._node)
+            leaseholder.fetch_planner.direct_write_ended(self._node)
         return False
 
     def _is_final(self, error: RemoteError) -> bool:
@@ -125,7 +125,7 @@
 
     async def _write_or_fetch(self, state: LogState) -> LogState:
         """Has the replica get what it lacks, and returns its new state; the same one where it is to look again."""
-        leaseholder, planner = self._leaseholder, self._leaseholder.copy_planner
+        leaseholder, planner = self._leaseholder, self._leaseholder.fetch_planner
         start = self._first_difference(state)
         size = len(leaseholder.data) - start
         if size < MIN_FETCH_BYTES or not self._can_fetch:
@@ -135,9 +135,9 @@
         if source is not None:
             return await self._fetch(state, start, source)
         if planner.must_wait():
-            await planner.wait_for_copy()
+            await planner.wait_for_direct_write()
             return state
-        planner.direct_copy_started(self._node, size)
+        planner.direct_write_started(self._node, size)
         return await self._write(state, start)
 
     def _excluded_sources(self) -> set[str]:
@@ -145,7 +145,7 @@
         now = self._ctx.timers.now()
         return {self._node, *(node for node, until in self._excluded_until.items() if now < until)}
 
-    async def _fetch(self, state: LogState, start: int, source: CopySource) -> LogState:
+    async def _fetch(self, state: LogState, start: int, source: FetchSource) -> LogState:
         """Has the replica fetch what it lacks from another one; returns its new state."""
         leaseholder = self._leaseholder
         request = FetchRequest(
--- a/tests/test_append_copies.py
+++ b/tests/test_append_copies.py
@@ -4,7 +4,7 @@
 from random import Random
 from unittest import mock
 
-from pipitlink.replicated_log.copy_planner import MAX_FETCH_BYTES, MIN_FETCH_BYTES, CopyPlanner, CopySource
+from pipitlink.replicated_log.fetch_planner import MAX_FETCH_BYTES, MIN_FETCH_BYTES, FetchPlanner, FetchSource
 from pipitlink.replicated_log.replica_progress import ReplicaProgress, TailPosition
 from pipitlink.storage.log_store import LogStore
 from pipitlink.timers import Timers, spawn
@@ -22,7 +22,7 @@
 """What the calls and syncs of one append take beside its bytes, at most."""
 
 ALLOWANCE_S = 0.15 + RECORD_BYTES / (1024 * 1024)
-"""How long a direct copy may take before another replica gets one."""
+"""How long a direct write may take before another replica gets one."""
 
 
 def seconds_for(copies, size=RECORD_BYTES):
@@ -191,19 +191,19 @@
         progress = ReplicaProgress()
         for node, length in lengths.items():
             progress.record(node, LogState(tail_epoch=self.EPOCH, length=length))
-        planner = CopyPlanner(Timers(VirtualTime()), progress)
+        planner = FetchPlanner(Timers(VirtualTime()), progress)
         return planner.source_for(state, start, self.EPOCH, recovered, {"own"})
 
     def test_the_replica_that_has_most_is_the_source_unless_it_is_excluded_or_has_little_more(self):
         state = LogState(tail_epoch=self.EPOCH, length=100)
-        self.assertEqual(self.source_for(state, 100, a=9_000, b=8_000), CopySource("a", 9_000))
+        self.assertEqual(self.source_for(state, 100, a=9_000, b=8_000), FetchSource("a", 9_000))
         self.assertIsNone(self.source_for(state, 100, own=9_000))
         self.assertIsNone(self.source_for(state, 100, a=100 + MIN_FETCH_BYTES - 1))
 
     def test_one_fetch_is_bounded(self):
         state = LogState(tail_epoch=self.EPOCH, length=100)
         found = self.source_for(state, 100, a=50_000_000)
-        self.assertEqual(found, CopySource("a", 100 + MAX_FETCH_BYTES))
+        self.assertEqual(found, FetchSource("a", 100 + MAX_FETCH_BYTES))
 
     def test_a_replica_of_an_earlier_writer_gets_the_whole_recovered_tail_or_nothing(self):
         earlier = LogState(tail_epoch=3, length=100)
