Keep a request's body until something of its answer was passed on

Change: the body is forgotten where the head is passed on, after which such a call is not sent again.

Measured: the test fails before at one of all cuts of the head (the last), passes after; test_answers.py 29 passed.

--- a/pipitlink/router/engine_exchange.py
+++ b/pipitlink/router/engine_exchange.py
@@ -122,8 +122,6 @@
         ):
             await self._refused(call, engine, connection, response)
         await self._check_response(call, engine, connection, response)
-        if not call.is_resumable:
-            call.forget_body()
         stream = ResponseStream(call, connection, response, slot)
         response.deliverBody(stream)
         try:
--- a/pipitlink/router/response_stream.py
+++ b/pipitlink/router/response_stream.py
@@ -60,6 +60,8 @@
     def _pass_on_head(self) -> None:
         if not self._call.head_passed:
             self._call.head_passed = True
+            if not self._call.is_resumable:
+                self._call.forget_body()
             self._call.sink.head(self._response)
 
     def _fail(self, error: Exception) -> None:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -343,6 +343,19 @@
         self.assertEqual(call.body, b"")
         self.assertEqual(call.sink.content.getvalue(), b"")
 
+    def test_it_is_sent_again_whole_after_an_answer_that_ended_before_its_body(self):
+        whole = head("c1", length=6)
+        for cut in range(len(whole) + 1):
+            with self.subTest(whole[:cut]):
+                self.setUp()
+                self.more_engines("e2")
+                self.rig.ask("/f/x", body=b"hello")
+                _, link, _ = self.rig.one()
+                link.dataReceived(whole[:cut])
+                link.transport.close()
+                self.rig.pass_time(20)
+                self.assertTrue(self.rig.one()[2].endswith(b"\r\n\r\nhello"))
+
     def test_it_is_kept_while_the_engine_may_still_refuse(self):
         self.more_engines("e2")
         self.rig.ask("/once/x", body=b"hello")
