Count traffic by purpose and zone, and log the phases of each live call

Change: each RPC frame is counted by method and zone of the peer, exchanges with engines by kind and zone of the engine; the totals are a metric (pipitlink_traffic_bytes) and a log line every 10 s. call_completed has the phases of a call. PhaseTimings is the former IntakeTimings, shared by batches and calls.

Ruled out: a zone in the hello of a connection (a change of the wire for what the membership knows already).

--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -15,6 +15,7 @@
 from .settings import Settings
 from .structured_log import StructuredLogger
 from .timers import ErrorReporter, Timers, spawn
+from .traffic import TrafficCounter
 from .wire.rpc import RpcEndpoint
 
 if TYPE_CHECKING:
@@ -70,6 +71,7 @@
     # Tests inject one that runs on virtual time.
     run_in_thread: RunInThread = deferToThread
     dialect: Dialect = attrs.field(factory=Dialect)
+    traffic: TrafficCounter = attrs.field(factory=TrafficCounter)
 
     def error_reporter(self, event: str) -> ErrorReporter:
         """Returns a function that logs an error as a failure named `event`."""
--- a/pipitlink/membership/membership.py
+++ b/pipitlink/membership/membership.py
@@ -84,6 +84,11 @@
         """Returns the member with this id, or None where it is not known."""
         return self.table.find(node)
 
+    def zone_of(self, node: str) -> str:
+        """Returns the zone of the member with this id, or "" where it is not known."""
+        member = self.table.find(node)
+        return member.zone if member is not None else ""
+
     def status(self, node: str) -> MemberStatus:
         """Returns the status of a node; this node is always alive."""
         return self.table.status(node)
--- a/pipitlink/node_metrics.py
+++ b/pipitlink/node_metrics.py
@@ -38,6 +38,7 @@
         )
         yield self._peers()
         yield GaugeMetricFamily("pipitlink_rpc_sent_bytes", "Bytes sent to other nodes", self._ctx.rpc.sent_bytes)
+        yield self._traffic()
         changes = self._ctx.changes
         yield GaugeMetricFamily("pipitlink_changes_told", "Changes told as CloudEvents", changes.published)
         yield GaugeMetricFamily("pipitlink_changes_dropped", "Changes that could not be told", changes.dropped)
@@ -46,6 +47,17 @@
         if isinstance(self._node, MetricFamilySource):
             yield from self._node.metric_families()
 
+    def _traffic(self) -> Metric:
+        traffic = GaugeMetricFamily(
+            "pipitlink_traffic_bytes",
+            "Bytes exchanged by purpose, and with nodes of which zone",
+            labels=["purpose", "zone"],
+        )
+        for total in self._ctx.traffic.totals():
+            traffic.add_metric([total.purpose, "own"], total.own_zone_bytes)
+            traffic.add_metric([total.purpose, "other"], total.other_zone_bytes)
+        return traffic
+
     def _peers(self) -> Metric:
         membership = self._ctx.membership
         peers = GaugeMetricFamily("pipitlink_peers", "Peers by role and status", labels=["role", "status"])
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -26,6 +26,7 @@
 from .settings import Settings
 from .structured_log import open_logger
 from .timers import Timers, ms, secs, spawn
+from .traffic import TrafficCounter, TrafficLog
 from .wire.membership_pb2 import Member
 from .wire.rpc import RpcEndpoint
 
@@ -86,9 +87,19 @@
         node_id = _node_id(role, settings)
         logger = open_logger(settings.log_level, role=role, node=node_id)
         timers = Timers(reactor)
-        rpc = RpcEndpoint(reactor, timers, logger, settings.fleet, node_id)
+        traffic = TrafficCounter(settings.zone)
+        rpc = RpcEndpoint(reactor, timers, logger, settings.fleet, node_id, traffic)
         self.ctx = Context(
-            role, node_id, settings, reactor, timers, logger, rpc, Random(), dialect=dialect or Dialect()
+            role,
+            node_id,
+            settings,
+            reactor,
+            timers,
+            logger,
+            rpc,
+            Random(),
+            dialect=dialect or Dialect(),
+            traffic=traffic,
         )
         if settings.plug:
             from .fault_injection import FaultInjector
@@ -123,11 +134,13 @@
         ctx.membership.open(local_member)
         if ctx.role != "controller":
             ctx.cluster.open()
+        TrafficLog(ctx.traffic, ctx.timers, ctx.logger).open(ctx.error_reporter("log_traffic"))
         ctx.logger.info("started", zone=settings.zone, address=f"{settings.host}:{port}", http=local_member.http_port)
 
     def _create_services(self) -> None:
         ctx = self.ctx
         ctx.membership = Membership(ctx)
+        ctx.rpc.zone_of = ctx.membership.zone_of
         if ctx.role != "gateway":
             ctx.membership.persist_peers_in(Path(ctx.settings.data))
         ctx.cluster = ClusterFollower(ctx)
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -22,9 +22,10 @@
 from .batch_followers import HEAD_ALONE, BatchFollowers
 from .batch_progress import batch_head, batch_log, is_valid_batch_id
 from .batch_table import BatchTable
-from .batch_timings import IntakePhase, IntakeTimings
+from .batch_timings import IntakePhase
 from .http_response import HttpResponse, json_error, json_response
 from .owned_batch import OwnedBatch
+from .phase_timings import PhaseTimings
 from .quota import QuotaCoordinator
 
 __all__ = ["BatchIntake"]
@@ -72,7 +73,7 @@
     async def submit(self, submission: Submission) -> HttpResponse:
         """Takes a batch in, or answers for one that was taken under its id before."""
         dialect = self._ctx.dialect
-        timings = IntakeTimings(self._ctx.timers, submission.began_at)
+        timings = PhaseTimings(self._ctx.timers, submission.began_at)
         timings.end_phase(IntakePhase.RECEIVE)
         try:
             batch = self._parse(submission)
@@ -90,7 +91,7 @@
             unknown = _unknown_outcome(f"the batch may yet be taken: {error}")
             return json_error(unknown, dialect.format_error(unknown))
 
-    def _log_accepted(self, batch: Batch, submission: Submission, timings: IntakeTimings) -> None:
+    def _log_accepted(self, batch: Batch, submission: Submission, timings: PhaseTimings) -> None:
         self._ctx.logger.info(
             "batch_accepted",
             batch=batch.id,
@@ -119,7 +120,7 @@
             items=parsed.items,
         )
 
-    async def _take_in_time(self, batch: Batch, submission: Submission, timings: IntakeTimings) -> _TakenBatch:
+    async def _take_in_time(self, batch: Batch, submission: Submission, timings: PhaseTimings) -> _TakenBatch:
         deadline = submission.deadline - RESPONSE_MARGIN
         remaining = deadline - self._ctx.timers.now()
         if remaining <= ZERO:
@@ -127,7 +128,7 @@
         work = self._submissions.run(batch.id, lambda: self._take(batch, submission.route, deadline, timings))
         return await self._ctx.timers.with_timeout(remaining, work)
 
-    async def _take(self, batch: Batch, route: Route, deadline: timedelta, timings: IntakeTimings) -> _TakenBatch:
+    async def _take(self, batch: Batch, route: Route, deadline: timedelta, timings: PhaseTimings) -> _TakenBatch:
         """Returns the batch as it is durable under its id now."""
         owned = self._table.get(batch.id)
         if owned is None or owned.leaseholder.lost:
@@ -180,7 +181,7 @@
             return None if is_head_alone else _TakenBatch()
         return _TakenBatch(batch)
 
-    async def _write(self, batch: Batch, deadline: timedelta, timings: IntakeTimings) -> _TakenBatch:
+    async def _write(self, batch: Batch, deadline: timedelta, timings: PhaseTimings) -> _TakenBatch:
         owned = await self._acquire(batch.id, deadline)
         timings.end_phase(IntakePhase.ACQUIRE)
         if isinstance(owned, _TakenBatch):
--- a/pipitlink/router/batch_timings.py
+++ b/pipitlink/router/batch_timings.py
@@ -9,9 +9,9 @@
 
 import attrs
 
-from ..timers import ZERO, Timers, to_ms
+from ..timers import Timers, to_ms
 
-__all__ = ["IntakePhase", "IntakeTimings", "ItemPhase", "ItemTimings"]
+__all__ = ["IntakePhase", "ItemPhase", "ItemTimings"]
 
 
 class IntakePhase(StrEnum):
@@ -24,32 +24,6 @@
     APPEND = "append"
 
 
-class IntakeTimings:
-    """How long each phase of one batch's intake took, from `started_at` on.
-
-    Phases of an intake that another request for the same batch had begun are 0.
-    """
-
-    def __init__(self, timers: Timers, started_at: timedelta) -> None:
-        self._timers = timers
-        self._started_at = self._phase_started_at = started_at
-        self._durations: dict[IntakePhase, timedelta] = {}
-
-    def end_phase(self, phase: IntakePhase) -> None:
-        """Ends a phase, which began with the end of the one before."""
-        now = self._timers.now()
-        self._durations[phase] = now - self._phase_started_at
-        self._phase_started_at = now
-
-    def phase_ms(self, phase: IntakePhase) -> int:
-        """Returns the whole milliseconds of a phase."""
-        return to_ms(self._durations.get(phase, ZERO))
-
-    def total_ms(self) -> int:
-        """Returns the whole milliseconds since the start."""
-        return to_ms(self._timers.now() - self._started_at)
-
-
 class ItemPhase(StrEnum):
     """The phases of an item; the last one is entered once, the others anew with each attempt."""
 
--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
+from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import attrs
@@ -13,6 +14,7 @@
 from ..state_machines import StateMachineMixin
 from ..state_machines.request_state import reportable_outcome
 from ..wire.cluster_pb2 import PoolShare, Route
+from .phase_timings import PhaseTimings
 
 if TYPE_CHECKING:
     from .engine import Engine
@@ -21,6 +23,7 @@
 __all__ = [
     "HOP_HEADERS",
     "Call",
+    "CallPhase",
     "Header",
     "PromptPart",
     "ResponseSink",
@@ -47,6 +50,16 @@
 )
 
 
+class CallPhase(StrEnum):
+    """The phases of a call, in their order; all but the first are entered anew with each attempt."""
+
+    READ = "read"
+    CHOOSE = "choose"
+    CONNECT = "connect"
+    FIRST_BYTE = "first_byte"
+    RELAY = "relay"
+
+
 class PromptPart(NamedTuple):
     """A part of a prompt: equal ids mean equal text, of which an engine may have computed the prefix already."""
 
@@ -80,6 +93,7 @@
 
     `precondition` is checked right before each attempt is sent, and raises where the call must not be sent any more.
     `executions` counts by engine the attempts that may have run there, and `reached_engine` says that one was lost.
+    `timings` are taken for calls of callers only.
     """
 
     state_machine = "request"
@@ -109,6 +123,7 @@
     head_passed: bool = False
     reached_engine: bool = False
     abort_reason: str = ""
+    timings: PhaseTimings | None = None
 
     def __attrs_post_init__(self) -> None:
         self._init_state_machine()
@@ -119,6 +134,15 @@
             self.avoided_engines.add(self.engine.name)
         self.engine = self.connection = None
 
+    def end_phase(self, phase: CallPhase) -> None:
+        """Notes the end of a phase where the timings of this call are taken."""
+        if self.timings is not None:
+            self.timings.end_phase(phase)
+
+    def phase_ms(self, phase: CallPhase) -> int:
+        """Returns the whole milliseconds of a phase; 0 where the timings of this call are not taken."""
+        return self.timings.phase_ms(phase) if self.timings is not None else 0
+
     @property
     def outcome(self) -> str:
         """What may be said of its execution: `not_run`, `unknown` or `failed`."""
--- a/pipitlink/router/call_relay.py
+++ b/pipitlink/router/call_relay.py
@@ -10,7 +10,7 @@
 from ..errors import ApiError, ServiceUnavailable
 from ..state_machines.request_state import RequestState
 from ..timers import ms
-from .call import Call, weighted_pools
+from .call import Call, CallPhase, weighted_pools
 from .connection_pool import ConnectionPool
 from .engine import Engine, EngineStatus
 from .engine_connection import EngineConnection
@@ -107,6 +107,7 @@
     async def _run(self, call: Call) -> None:
         while True:
             engine = await self._selector.choose(call)
+            call.end_phase(CallPhase.CHOOSE)
             call.engine = engine
             call.attempts += 1
             self.counters.attempts += 1
@@ -119,8 +120,21 @@
                     raise
             await self._prepare_retry(call)
         call.trigger("finish")
+        call.end_phase(CallPhase.RELAY)
+        self._log_completed(call)
+
+    def _log_completed(self, call: Call) -> None:
         self._ctx.logger.debug(
-            "call_completed", id=call.id.decode("latin-1"), route=call.route.name, attempts=call.attempts
+            "call_completed",
+            id=call.id.decode("latin-1"),
+            route=call.route.name,
+            attempts=call.attempts,
+            tokens=call.token_count,
+            read_ms=call.phase_ms(CallPhase.READ),
+            choose_ms=call.phase_ms(CallPhase.CHOOSE),
+            connect_ms=call.phase_ms(CallPhase.CONNECT),
+            first_byte_ms=call.phase_ms(CallPhase.FIRST_BYTE),
+            relay_ms=call.phase_ms(CallPhase.RELAY),
         )
 
     def _may_retry(self, call: Call, error: ApiError) -> bool:
@@ -148,6 +162,7 @@
         slot = self._engines.acquire_slot(engine, prefill_tokens, call.is_batch_item)
         try:
             connection = await self._connect(call, engine)
+            call.end_phase(CallPhase.CONNECT)
             await self._send(call, engine, connection, slot)
         except ApiError as error:
             if call.state == RequestState.ENGINE_CHOSEN:
--- a/pipitlink/router/engine_connection.py
+++ b/pipitlink/router/engine_connection.py
@@ -61,7 +61,7 @@
         self.unserved: set[bytes] = set()
         self.idle_since: timedelta | None = None
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
-        self.on_bytes: Callable[[], None] | None = None
+        self.on_bytes: Callable[[int], None] | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -86,7 +86,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - twisted's interface
         """Takes bytes of the engine; some that nobody has asked for end the connection."""
         if self.on_bytes is not None:
-            self.on_bytes()
+            self.on_bytes(len(data))
         if self._parser is None:
             self.discard()
             return
--- a/pipitlink/router/engine_exchange.py
+++ b/pipitlink/router/engine_exchange.py
@@ -27,6 +27,8 @@
 # Statuses that promise that nothing ran; an engine has to say so in a header as well.
 RETRYABLE_STATUSES = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 DRAIN_TIMEOUT = ms(100)
+# The colon, the space and the line end of a header.
+HEADER_SEPARATOR_BYTES = 4
 
 
 @attrs.define
@@ -44,6 +46,14 @@
     return max(0, min(MAX_LIVE_URGENCY, route.latency_target_ms // URGENCY_STEP_MS + route.priority))
 
 
+def _request_purpose(call: Call) -> str:
+    return "engine.item_request" if call.is_batch_item else "engine.call_request"
+
+
+def _response_purpose(call: Call) -> str:
+    return "engine.item_response" if call.is_batch_item else "engine.call_response"
+
+
 def _is_success(code: int) -> bool:
     return 200 <= code < 300
 
@@ -62,7 +72,7 @@
 
         The connection is closed unless it is in order after that.
         """
-        connection.on_bytes = partial(self._on_bytes, engine)
+        connection.on_bytes = partial(self._on_bytes, engine, _response_purpose(call))
         response = await self._send(call, engine, connection)
         try:
             await self._handle_response(call, engine, connection, response, slot)
@@ -71,13 +81,16 @@
                 connection.discard()
             raise
 
-    def _on_bytes(self, engine: Engine) -> None:
+    def _on_bytes(self, engine: Engine, purpose: str, size: int) -> None:
         engine.last_bytes_at = self._ctx.timers.now()
+        self._ctx.traffic.add(purpose, engine.update.zone, size)
 
     async def _send(self, call: Call, engine: Engine, connection: EngineConnection) -> Response:
         try:
             call.executions[engine.name] += 1
             headers = self._request_headers(call, engine)
+            size = len(call.body) + sum(len(name) + len(value) + HEADER_SEPARATOR_BYTES for name, value in headers)
+            self._ctx.traffic.add(_request_purpose(call), engine.update.zone, size)
             return await connection.send(call.id, call.method, call.target, headers, call.body)
         except defer.CancelledError:
             connection.discard()
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -17,10 +17,11 @@
 from ..timers import ms
 from ..wire.cluster_pb2 import Route
 from .batch_calls import BatchCalls, Submission
-from .call import HOP_HEADERS, Call, parse_prompt_parts
+from .call import HOP_HEADERS, Call, CallPhase, parse_prompt_parts
 from .call_relay import CallRelay
 from .http_response import HttpResponse
 from .inbound_request import CallerChannel, CallerFactory, InboundRequest
+from .phase_timings import PhaseTimings
 
 __all__ = ["HttpFrontend", "RouteKind"]
 
@@ -134,6 +135,7 @@
             request.respond(await self._batch_calls.submit(submission))
             return
         request.call = self._make_call(request, route, call_id, body, deadline)
+        request.call.end_phase(CallPhase.READ)
         await self._relay.relay(request.call)
         request.complete()
 
@@ -192,6 +194,7 @@
             prompt_parts=parse_prompt_parts(request.header(dialect.prompt_parts)),
             token_count=sum(int(count) for count in token_counts if count.strip().isdigit()),
             last_event=int(last_event) if last_event.isdigit() else 0,
+            timings=PhaseTimings(self._ctx.timers, request.began_at),
         )
 
     async def drain(self, accept_time: timedelta, deadline: timedelta) -> None:
--- a/pipitlink/router/response_stream.py
+++ b/pipitlink/router/response_stream.py
@@ -9,7 +9,7 @@
 
 from ..errors import EngineError
 from ..state_machines.request_state import RequestState
-from .call import Call
+from .call import Call, CallPhase
 from .engine_connection import EngineConnection, Response, ResponseDone
 from .engine_registry import EngineSlot
 from .server_sent_events import EventStream
@@ -59,6 +59,7 @@
 
     def _pass_on_head(self) -> None:
         if not self._call.head_passed:
+            self._call.end_phase(CallPhase.FIRST_BYTE)
             self._call.head_passed = True
             if not self._call.is_resumable:
                 self._call.forget_body()
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -28,6 +28,8 @@
 # Calls of one peer that run at the same time; further ones are rejected.
 MAX_CONCURRENT_CALLS = 256
 OVERLOADED_CODE = "crowded"
+# As what the first frame of each side counts in the traffic of a node.
+HELLO_PURPOSE = "hello"
 STALL_TIMEOUT = secs(1)
 MIN_LINK_BYTES_PER_S = 512 * 1024
 
@@ -64,7 +66,7 @@
     def connectionMade(self) -> None:  # noqa: N802 - twisted's interface
         """Sends this side's Hello and starts to read."""
         self.tcp.setTcpNoDelay(True)
-        self._write(self._rpc.hello().SerializeToString())
+        self._write(HELLO_PURPOSE, self._rpc.hello().SerializeToString())
         self._reader = spawn(self._read_frames())
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - twisted's interface
@@ -119,13 +121,13 @@
         if self._unanswered_since is None:
             self._unanswered_since = self._rpc.now()
         self._bytes_unanswered += len(body)
-        self._send(Frame(call_id=call_id, method=method, body=body))
+        self._send(method, Frame(call_id=call_id, method=method, body=body))
         return pending_call
 
-    def notify(self, frame: bytes) -> None:
-        """Writes the serialized frame of a notification; it is dropped where the connection is closed."""
+    def notify(self, method: str, frame: bytes) -> None:
+        """Writes the serialized frame of a method's notification; it is dropped where the connection is closed."""
         if not self.closed:
-            self._write(frame)
+            self._write(method, frame)
 
     async def _read_frames(self) -> None:
         try:
@@ -192,7 +194,7 @@
         response = Frame(
             call_id=frame.call_id, response=True, error_code=OVERLOADED_CODE, error_message="too many calls at once"
         )
-        self._send(response)
+        self._send(frame.method, response)
 
     async def _handle_call(self, frame: Frame) -> None:
         self._running_calls += 1
@@ -207,17 +209,17 @@
                 self._rpc.logger.failure("call_failed", error, method=frame.method)
         finally:
             self._running_calls -= 1
-        self._send(response)
+        self._send(frame.method, response)
 
     def _forget_call(self, call_id: int) -> None:
         self._pending_calls.pop(call_id, None)
 
-    def _send(self, frame: Frame) -> None:
+    def _send(self, method: str, frame: Frame) -> None:
         if not self.closed:
-            self._write(frame.SerializeToString())
+            self._write(method, frame.SerializeToString())
 
-    def _write(self, data: bytes) -> None:
-        self._rpc.sent_bytes += len(data)
+    def _write(self, method: str, data: bytes) -> None:
+        self._rpc.count_sent(method, self.peer.node, len(data))
         self.sendString(data)  # type: ignore[no-untyped-call] # twisted has no types here
 
 
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -21,6 +21,7 @@
     WrongPeer,
 )
 from ..timers import SingleFlight, Timers, ms, spawn
+from ..traffic import TrafficCounter
 from .connection import PROTOCOL_VERSION, RpcConnection, RpcConnectionFactory
 from .frame_pb2 import Empty, Frame, Hello
 
@@ -48,6 +49,10 @@
         raise WrongPeer(expected, actual)
 
 
+def _unknown_zone(_: str) -> str:
+    return ""
+
+
 def _text(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
 
@@ -75,7 +80,15 @@
     It keeps one connection to each address, which serves both directions where the peer listens as well.
     """
 
-    def __init__(self, reactor: Reactor, timers: Timers, logger: StructuredLogger, fleet: str, node: str) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        timers: Timers,
+        logger: StructuredLogger,
+        fleet: str,
+        node: str,
+        traffic: TrafficCounter | None = None,
+    ) -> None:
         self._reactor = reactor
         self._timers = timers
         self.logger = logger
@@ -87,6 +100,9 @@
         self.fault_injector: FaultInjection | None = None
         # What was written to all connections since the start, without the headers of TCP.
         self.sent_bytes = 0
+        # Counts the same by method and zone; zones are known once the process has a membership.
+        self._traffic = traffic or TrafficCounter()
+        self.zone_of: Callable[[str], str] = _unknown_zone
         self._handlers: dict[str, _Handler] = {}
         self._connections: dict[Address, RpcConnection] = {}
         self._accepted: set[RpcConnection] = set()
@@ -110,6 +126,11 @@
         """Returns the monotonic time of the node's timers."""
         return self._timers.now()
 
+    def count_sent(self, method: str, node: str, size: int) -> None:
+        """Counts bytes that a connection has written to a node for a method."""
+        self.sent_bytes += size
+        self._traffic.add(method, self.zone_of(node), size)
+
     def register_handler(
         self,
         method: str,
@@ -191,7 +212,7 @@
         for address in addresses:
             connection = self._connections.get(address)
             if connection is not None and self.fault_injector is None:
-                connection.notify(frame)
+                connection.notify(method, frame)
             else:
                 self.run_in_background(self._connect_and_notify(address, method, frame), method)
 
@@ -200,7 +221,7 @@
             if self.fault_injector is not None:
                 await self.fault_injector.outbound(address, method)
             connection = await self._timers.with_timeout(CONNECT_TIMEOUT, self._connection_to(address))
-            connection.notify(frame)
+            connection.notify(method, frame)
         except WireError as error:
             self.logger.debug("notification_not_sent", address=_text(address), method=method, text=error)
 
--- a/tests/router_builders.py
+++ b/tests/router_builders.py
@@ -24,6 +24,7 @@
 from pipitlink.settings import Settings
 from pipitlink.structured_log import StructuredLogger
 from pipitlink.timers import Timers, ms
+from pipitlink.traffic import TrafficCounter
 from pipitlink.wire.cluster_pb2 import Bounds, Config, Pool, PoolShare, Route
 from pipitlink.wire.membership_pb2 import EngineUpdate, Member
 
@@ -151,6 +152,7 @@
             reactor=self.clock,
             settings=Settings(zone="zone-a"),
             logger=StructuredLogger(SimpleNamespace(log=lambda level, shape, line: self.lines.append(line))),
+            traffic=TrafficCounter("a"),
             error_reporter=lambda what: lambda e: self.lines.append(f"{what} {e!r}"),
         )
 
--- a/tests/test_batch_timings.py
+++ b/tests/test_batch_timings.py
@@ -3,7 +3,8 @@
 import re
 import unittest
 
-from pipitlink.router.batch_timings import IntakePhase, IntakeTimings, ItemPhase, ItemTimings
+from pipitlink.router.batch_timings import IntakePhase, ItemPhase, ItemTimings
+from pipitlink.router.phase_timings import PhaseTimings
 from pipitlink.timers import Timers, ms
 from testbed.simulator.virtual_time import VirtualTime
 from tests.batch_builders import Callers, start_simulation
@@ -24,7 +25,7 @@
         self.timers = Timers(self.clock, seconds=self.clock.seconds)
 
     def test_each_phase_of_an_intake_lasts_from_the_end_of_the_one_before(self):
-        timings = IntakeTimings(self.timers, self.timers.now() - ms(40))
+        timings = PhaseTimings(self.timers, self.timers.now() - ms(40))
         for phase, passed in ((IntakePhase.RECEIVE, 0), (IntakePhase.PARSE, 0.02), (IntakePhase.APPEND, 0.3)):
             self.clock.advance(passed)
             timings.end_phase(phase)
--- a/tests/test_rpc_notifications.py
+++ b/tests/test_rpc_notifications.py
@@ -121,7 +121,7 @@
     def test_a_note_after_the_end_of_its_connection_is_dropped(self):
         self.connections[0].transport.loseConnection()
         self.pump.flush()
-        self.connections[0].notify(Frame(method="engines.loads").SerializeToString())
+        self.connections[0].notify("engines.loads", Frame(method="engines.loads").SerializeToString())
         self.pump.flush()
         self.assertEqual(self.told, [])
         self.assertNotIn(("h", 2), self.ends[0]._connections)
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,69 @@
+"""What a node counts of its traffic, and what a gateway logs of the time that each call took."""
+
+import re
+import unittest
+from types import SimpleNamespace
+
+from pipitlink.router.call import CallPhase
+from pipitlink.router.phase_timings import PhaseTimings
+from pipitlink.structured_log import StructuredLogger
+from pipitlink.timers import Timers, ms
+from pipitlink.traffic import TrafficCounter, TrafficLog, TrafficTotal
+from testbed.simulator.virtual_time import VirtualTime
+
+from .router_builders import END, Rig, chunk, event, head, route
+
+
+class Counting(unittest.TestCase):
+    def test_bytes_are_counted_by_purpose_and_zone(self):
+        traffic = TrafficCounter("zone-a")
+        for purpose, zone, size in (("probe", "zone-a", 10), ("probe", "zone-b", 7), ("write", "", 5)):
+            traffic.add(purpose, zone, size)
+        self.assertEqual(list(traffic.totals()), [TrafficTotal("probe", 10, 7), TrafficTotal("write", 0, 5)])
+
+    def test_the_log_has_what_crosses_zones_first_and_no_line_without_traffic(self):
+        clock, lines = VirtualTime(), []
+        logger = StructuredLogger(SimpleNamespace(log=lambda level, shape, text: lines.append(text)))
+        traffic = TrafficCounter("zone-a")
+        TrafficLog(traffic, Timers(clock, seconds=clock.seconds), logger).open(lambda error: self.fail(error))
+        self.assertEqual(lines, [])
+        traffic.add("probe", "zone-a", 90)
+        traffic.add("write", "zone-b", 40)
+        clock.advance(10)
+        self.assertEqual(lines, ["event=traffic_counted totals=write:0/40,probe:90/0"])
+
+
+class Phases(unittest.TestCase):
+    def test_phases_that_are_entered_again_add_up(self):
+        clock = VirtualTime()
+        timers = Timers(clock, seconds=clock.seconds)
+        timings = PhaseTimings(timers, timers.now() - ms(5))
+        for phase, seconds in ((CallPhase.READ, 0), (CallPhase.CHOOSE, 0.02), (CallPhase.CHOOSE, 0.03)):
+            clock.advance(seconds)
+            timings.end_phase(phase)
+        self.assertEqual([timings.phase_ms(phase) for phase in CallPhase], [5, 50, 0, 0, 0])
+        self.assertEqual(timings.total_ms(), 55)
+
+    def test_a_call_logs_its_phases_and_counts_what_it_exchanged_by_the_zone_of_its_engine(self):
+        rig = Rig([route("s", "/a/", resumable=True)])
+        rig.engine("e1", zone="zone-b")
+        rig.ask(body=b"x" * 1000)
+        rig.pass_time(40)
+        _, link, sent = rig.one()
+        response = head("c1") + chunk(event(1, "a"))
+        link.dataReceived(response)
+        rig.pass_time(25)
+        link.dataReceived(END)
+        completed = next(logged for logged in rig.lines if "event=call_completed" in logged)
+        phases = dict(re.findall(r"(\w+)_ms=(\d+)", completed))
+        self.assertEqual(
+            phases, {"read": "0", "choose": "0", "connect": "0", "first_byte": "40", "relay": "25"}, completed
+        )
+        requests, responses = [total for total in rig.ctx.traffic.totals() if total.purpose.startswith("engine.")]
+        self.assertEqual(responses, TrafficTotal("engine.call_response", 0, len(response) + len(END)))
+        self.assertEqual((requests.purpose, requests.own_zone_bytes), ("engine.call_request", 0))
+        self.assertAlmostEqual(requests.other_zone_bytes, len(sent), delta=80)
+
+
+if __name__ == "__main__":
+    unittest.main()
