--- a/testbed/__main__.py
+++ b/testbed/__main__.py
@@ -10,6 +10,7 @@
   testbed capacity [--series LIST] [--within M] [--cores N] [--keep PATH] [--picture FILE]
   testbed capacity --from LIST [--picture FILE]
   testbed capacity --inner
+  testbed losses REPORT [--log FILE] [--worths LIST] [--picture FILE]
   testbed host
   testbed -h | --help
 
@@ -38,6 +39,8 @@
   --inner           Times single steps of a gateway's own code at full size instead.
   --from LIST       Files of points that were kept, with commas: shows these and measures none.
   --picture FILE    Draws them there; needs the extra `capacity`.
+  --log FILE        What the nodes logged on the day of the report.
+  --worths LIST     The worth of one request of each kind, KIND=WORTH with commas; else 1.
   --level LEVEL     The fleet's log level. [default: info]
 """
 
@@ -84,6 +87,10 @@
         return Bench(
             arguments["--profile"], int(arguments["--seed"]), int(arguments["--rounds"]), float(arguments["--window"])
         ).run()
+    if arguments["losses"]:
+        from .benchmarks.day_losses import run
+
+        return run(arguments["REPORT"], arguments["--log"], arguments["--worths"], arguments["--picture"])
     if arguments["host"]:
         from .processes.lightweight_nodes import run_host
 
