--- a/pipitlink/cache/hedged_read.py
+++ b/pipitlink/cache/hedged_read.py
@@ -17,7 +17,10 @@
 
 
 class HedgedRead:
-    """One read of chunks: each from a random replica, and after a short delay what is still missing from another."""
+    """One read of chunks: each from one replica, and after a short delay what is still missing from another.
+
+    The first is a random one of the replicas in the reader's zone, or of all where that zone has none.
+    """
 
     def __init__(self, ctx: Context, cache: Cache, needed: dict[bytes, int]) -> None:
         self._ctx = ctx
@@ -54,6 +57,7 @@
             if not replicas:
                 continue
             self._ctx.rng.shuffle(replicas)
+            replicas.sort(key=lambda node: ring.nodes[node] != self._ctx.settings.zone)
             first.setdefault(replicas[0], []).append(key)
             second.setdefault(replicas[-1], []).append(key)
         return first, second
