Have one replica in each zone fetch a large write, and its neighbours from that one

Change: a replica fetches from one in its own zone where that has enough, and waits for a neighbour's fetch under way, no longer than a slow link takes. A quorum never needs the second replica of a zone, so that commits do not wait. The test of the copies fails with the guard taken out (4 crossings for 3 zones).

--- a/pipitlink/replicated_log/fetch_planner.py
+++ b/pipitlink/replicated_log/fetch_planner.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from typing import NamedTuple
 
 import attrs
 from twisted.internet import defer
 
-from ..timers import ZERO, Timers, ms, secs
+from ..timers import Timers, ms, secs
 from ..wire.replicated_log_pb2 import LogState
 from .replica_progress import ReplicaProgress, TailPosition
 
@@ -32,10 +32,11 @@
 
 
 @attrs.frozen
-class _DirectWrite:
-    """A large write on its way from the leaseholder to one replica."""
+class _Transfer:
+    """A large write on its way to one replica, from the leaseholder or from another replica."""
 
     storage_node: str
+    zone: str
     overdue_at: timedelta
 
 
@@ -43,58 +44,101 @@
     """Has the leaseholder send each large write once, to one replica, from which the others fetch it.
 
     The leaseholder's link is the narrowest on the way, and all that it sends shares it. Another replica gets a direct
-    write where the first one fails, or does not confirm it in time.
+    write where the first one fails, or does not confirm it in time. Of the replicas in one zone, one fetches from
+    another zone, and the others from that one. `zone_of` returns the zone of a storage node, "" where it is not known.
     """
 
-    def __init__(self, timers: Timers, progress: ReplicaProgress) -> None:
+    def __init__(self, timers: Timers, progress: ReplicaProgress, zone_of: Callable[[str], str]) -> None:
         self._timers = timers
         self._progress = progress
-        self._direct: _DirectWrite | None = None
+        self._zone_of = zone_of
+        self._direct: _Transfer | None = None
+        self._fetches: dict[str, _Transfer] = {}
         self._waiters: list[defer.Deferred[None]] = []
 
     def source_for(
-        self, state: LogState, start: int, epoch: int, recovered: TailPosition, excluded: Collection[str]
+        self,
+        storage_node: str,
+        state: LogState,
+        start: int,
+        epoch: int,
+        recovered: TailPosition,
+        excluded: Collection[str],
     ) -> FetchSource | None:
-        """Returns from which replica one that has `state` may fetch the bytes from `start` on; None for none.
+        """Returns from which replica a storage node that has `state` may fetch the bytes from `start` on; or None.
 
         Only replicas written under `epoch` count, and all of these have the recovered tail. A replica whose tail is of
         an earlier epoch has to get the rest of the recovered tail in one write, lest a part of it outrank the whole.
         """
         lengths = self._progress.match_lengths(epoch)
-        sources = [FetchSource(node, length) for node, length in lengths.items() if node not in excluded]
-        best = max(sources, key=lambda source: source.end, default=None)
-        if best is None or best.end - start < MIN_FETCH_BYTES:
+        sources = [
+            FetchSource(node, length)
+            for node, length in lengths.items()
+            if node not in excluded and length - start >= MIN_FETCH_BYTES
+        ]
+        best = max(
+            sources, key=lambda source: (self._are_near(source.storage_node, storage_node), source.end), default=None
+        )
+        if best is None:
             return None
         end = min(best.end, start + MAX_FETCH_BYTES)
         if state.tail_epoch != epoch and end < recovered.length:
             return None
         return FetchSource(best.storage_node, end)
 
+    def _are_near(self, node: str, other: str) -> bool:
+        zone = self._zone_of(node)
+        return bool(zone) and zone == self._zone_of(other)
+
     def must_wait(self) -> bool:
         """Returns whether a direct write is on its way that another replica should wait for."""
         return self._direct is not None and self._timers.now() < self._direct.overdue_at
 
-    def direct_write_started(self, storage_node: str, size: int) -> None:
-        """Notes that a large write leaves for one replica."""
+    def must_wait_for_neighbor(self, storage_node: str, source: FetchSource) -> bool:
+        """Returns whether a replica in a storage node's zone fetches from another zone what both of them lack."""
+        if self._are_near(source.storage_node, storage_node):
+            return False
+        zone, now = self._zone_of(storage_node), self._timers.now()
+        return bool(zone) and any(
+            fetch.zone == zone and now < fetch.overdue_at
+            for node, fetch in self._fetches.items()
+            if node != storage_node
+        )
+
+    def _transfer(self, storage_node: str, size: int) -> _Transfer:
         allowance = DIRECT_WRITE_ALLOWANCE + secs(size / SLOW_LINK_BYTES_PER_S)
-        self._direct = _DirectWrite(storage_node, self._timers.now() + allowance)
+        return _Transfer(storage_node, self._zone_of(storage_node), self._timers.now() + allowance)
 
-    def direct_write_ended(self, storage_node: str) -> None:
-        """Notes that a direct write has arrived or failed, and has those that wait for it look again."""
-        if self._direct is None or self._direct.storage_node != storage_node:
+    def direct_write_started(self, storage_node: str, size: int) -> None:
+        """Notes that a large write leaves for one replica."""
+        self._direct = self._transfer(storage_node, size)
+
+    def fetch_started(self, storage_node: str, size: int) -> None:
+        """Notes that a storage node fetches from another one."""
+        self._fetches[storage_node] = self._transfer(storage_node, size)
+
+    def transfer_ended(self, storage_node: str) -> None:
+        """Notes that what was on its way to a storage node has arrived or failed; those that wait look again."""
+        is_direct = self._direct is not None and self._direct.storage_node == storage_node
+        fetch = self._fetches.pop(storage_node, None)
+        if is_direct:
+            self._direct = None
+        if not is_direct and fetch is None:
             return
-        self._direct = None
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             if not waiter.called:
                 waiter.callback(None)
 
-    async def wait_for_direct_write(self) -> None:
-        """Returns once the direct write under way has ended, or is overdue."""
-        if self._direct is None:
+    async def wait_for_transfer(self) -> None:
+        """Returns once a transfer under way has ended, or one becomes overdue; at once where there is none."""
+        now = self._timers.now()
+        transfers = [*self._fetches.values(), *([self._direct] if self._direct is not None else [])]
+        overdue_at = min((transfer.overdue_at for transfer in transfers if transfer.overdue_at > now), default=now)
+        if overdue_at <= now:
             return
         waiter: defer.Deferred[None] = defer.Deferred()
         self._waiters.append(waiter)
-        await self._timers.wait_at_most(waiter, max(ZERO, self._direct.overdue_at - self._timers.now()))
+        await self._timers.wait_at_most(waiter, overdue_at - now)
         if waiter in self._waiters:
             self._waiters.remove(waiter)
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -52,7 +52,7 @@
         self.uses_reserve = False
         self.granted_epochs: dict[str, int] = {}
         self.progress = ReplicaProgress()
-        self.fetch_planner = FetchPlanner(ctx.timers, self.progress)
+        self.fetch_planner = FetchPlanner(ctx.timers, self.progress, ctx.membership.zone_of)
         self.recovered_tail = TailPosition()
         self._validity = LeaseValidity(ctx.timers)
         self._senders: dict[str, ReplicaSender] = {}
--- a/pipitlink/replicated_log/replica_sender.py
+++ b/pipitlink/replicated_log/replica_sender.py
@@ -95,7 +95,7 @@
             if leaseholder.placement_group is placement_group:
                 leaseholder.progress.record(self._node, reported)
         finally:
-            leaseholder.fetch_planner.direct_write_ended(self._node)
+            leaseholder.fetch_planner.transfer_ended(self._node)
         return False
 
     def _is_final(self, error: RemoteError) -> bool:
@@ -131,12 +131,14 @@
         if size < MIN_FETCH_BYTES or not self._can_fetch:
             return await self._write(state, start)
         excluded = self._excluded_sources()
-        source = planner.source_for(state, start, leaseholder.epoch, leaseholder.recovered_tail, excluded)
+        source = planner.source_for(self._node, state, start, leaseholder.epoch, leaseholder.recovered_tail, excluded)
+        must_wait = planner.must_wait() if source is None else planner.must_wait_for_neighbor(self._node, source)
+        if must_wait:
+            await planner.wait_for_transfer()
+            return state
         if source is not None:
+            planner.fetch_started(self._node, source.end - start)
             return await self._fetch(state, start, source)
-        if planner.must_wait():
-            await planner.wait_for_direct_write()
-            return state
         planner.direct_write_started(self._node, size)
         return await self._write(state, start)
 
--- a/tests/test_append_copies.py
+++ b/tests/test_append_copies.py
@@ -6,6 +6,7 @@
 
 from pipitlink.replicated_log.fetch_planner import MAX_FETCH_BYTES, MIN_FETCH_BYTES, FetchPlanner, FetchSource
 from pipitlink.replicated_log.replica_progress import ReplicaProgress, TailPosition
+from pipitlink.replicated_log.storage_client import StorageClient
 from pipitlink.storage.log_store import LogStore
 from pipitlink.timers import Timers, spawn
 from pipitlink.wire.replicated_log_pb2 import LogState
@@ -191,8 +192,8 @@
         progress = ReplicaProgress()
         for node, length in lengths.items():
             progress.record(node, LogState(tail_epoch=self.EPOCH, length=length))
-        planner = FetchPlanner(Timers(VirtualTime()), progress)
-        return planner.source_for(state, start, self.EPOCH, recovered, {"own"})
+        planner = FetchPlanner(Timers(VirtualTime()), progress, lambda node: "")
+        return planner.source_for("own", state, start, self.EPOCH, recovered, {"own"})
 
     def test_the_replica_that_has_most_is_the_source_unless_it_is_excluded_or_has_little_more(self):
         state = LogState(tail_epoch=self.EPOCH, length=100)
@@ -215,6 +216,78 @@
         self.assertIsNotNone(self.source_for(current, 100, longer, a=longer.length))
 
 
+class NearSources(unittest.TestCase):
+    """Of the replicas in one zone, one fetches from another zone and the others from that one."""
+
+    ZONES = {"a1": "a", "b1": "b", "b2": "b", "c1": "c", "d1": ""}
+
+    def setUp(self):
+        self.clock = VirtualTime()
+        self.progress = ReplicaProgress()
+        timers = Timers(self.clock, seconds=self.clock.seconds)
+        self.planner = FetchPlanner(timers, self.progress, self.ZONES.get)
+
+    def source_for(self, node, start=100):
+        state = LogState(tail_epoch=5, length=start)
+        return self.planner.source_for(node, state, start, 5, TailPosition(), {node})
+
+    def has(self, node, length):
+        self.progress.record(node, LogState(tail_epoch=5, length=length))
+
+    def test_a_source_in_the_own_zone_goes_before_one_that_has_more(self):
+        self.has("a1", 90_000)
+        self.has("b1", 80_000)
+        self.assertEqual(self.source_for("b2"), FetchSource("b1", 80_000))
+        self.assertEqual(self.source_for("c1"), FetchSource("a1", 90_000))
+        self.assertEqual(self.source_for("b2", start=79_000), FetchSource("a1", 90_000))
+
+    def test_the_second_of_a_zone_waits_for_the_first_and_not_for_longer_than_a_slow_link_takes(self):
+        self.has("a1", 90_000)
+        source = self.source_for("b1")
+        self.assertFalse(self.planner.must_wait_for_neighbor("b1", source))
+        self.planner.fetch_started("b1", 90_000)
+        self.assertTrue(self.planner.must_wait_for_neighbor("b2", self.source_for("b2")))
+        for other in ("c1", "d1"):
+            self.assertFalse(self.planner.must_wait_for_neighbor(other, self.source_for(other)), other)
+        woken = []
+        spawn(self.planner.wait_for_transfer()).addBoth(woken.append)
+        self.clock.advance(1)
+        self.assertEqual(woken, [None])
+        self.assertFalse(self.planner.must_wait_for_neighbor("b2", self.source_for("b2")))
+        spawn(self.planner.wait_for_transfer()).addBoth(woken.append)
+        self.assertEqual(woken, [None, None], "an overdue transfer is not waited for")
+
+    def test_the_end_of_a_fetch_wakes_those_who_wait(self):
+        self.has("a1", 90_000)
+        self.planner.fetch_started("b1", 90_000)
+        woken = []
+        spawn(self.planner.wait_for_transfer()).addBoth(woken.append)
+        self.planner.transfer_ended("c1")
+        self.assertEqual(woken, [])
+        self.planner.transfer_ended("b1")
+        self.assertEqual(woken, [None])
+
+
+class CopiesBetweenZones(AppendCopiesCase):
+    def test_a_large_record_crosses_once_into_each_other_zone(self):
+        leaseholder = self.acquire()
+        zones = {node.node: node.zone for node in self.simulation.role("storage")}
+        fetches = []
+        read_from = StorageClient.read_from
+
+        async def noted_read(client, source, *args, **kwargs):
+            fetches.append((client._ctx.settings.zone, zones[source]))
+            return await read_from(client, source, *args, **kwargs)
+
+        with mock.patch.object(StorageClient, "read_from", noted_read):
+            self.append(leaseholder)
+            self.simulation.until(lambda: len(self.complete(leaseholder)) == 5, 2, "all replicas have the record")
+        entered = [target for target, source in fetches if target != source]
+        self.assertEqual(len(fetches), 4)
+        self.assertEqual(len(entered), len(set(entered)), f"fetches into and from zones: {fetches}")
+        self.assertNotIn(self.gateway.zone, entered)
+
+
 class Intake(unittest.TestCase):
     def test_a_large_batch_is_acknowledged_in_the_time_of_one_copy(self):
         simulation = start_simulation(5, gateways=2, settings={"machine_losses": 2})
