Leave the bodies of a batch out of the cache; who wants one reads the durable log

Cause: a third of what the leaseholder copies into three caches are the items' bodies, random bytes that readers of outputs skip and hardly anybody asks for.

Change: the writer leaves out chunks that lie inside of a batch's record; readers of bodies go to the storage nodes at once. Head, outputs and all other logs are cached as before.

The fixture of test_batches_head reads skipped records through its cache now, with the same bound on bytes.

--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -96,9 +96,12 @@
             self._ring = Ring(nodes)
         return self._ring
 
-    def start_log_writer(self, path: str, log: CommittedLog) -> LogCacheWriter:
-        """Copies a log into the cache from now on, as long as this process holds its lease."""
-        return LogCacheWriter(self._ctx, self, path, log)
+    def start_log_writer(self, path: str, log: CommittedLog, uncached_prefix: bytes = b"") -> LogCacheWriter:
+        """Copies a log into the cache from now on, as long as this process holds its lease.
+
+        Leaves out the insides of records whose payload begins with `uncached_prefix`, if one is given.
+        """
+        return LogCacheWriter(self._ctx, self, path, log, uncached_prefix)
 
     def tail(self, path: str, limit: timedelta | None = None) -> Tail:
         """Returns a reader at the start of a log; `limit` is the time that it may lag behind, 1 s by default."""
--- a/pipitlink/cache/log_writer.py
+++ b/pipitlink/cache/log_writer.py
@@ -12,6 +12,7 @@
 from ..timers import ms, spawn
 from ..wire.cache_pb2 import Lengths
 from .chunks import CHUNK, chunk_key
+from .uncached_records import UncachedRecords
 
 if TYPE_CHECKING:
     from .cache import Cache
@@ -42,14 +43,16 @@
 class LogCacheWriter:
     """Copies a log's committed bytes into the caches while this process holds its lease.
 
-    It works behind the log, and writes a chunk always from its start.
+    It works behind the log, and writes a chunk always from its start. Chunks inside of records whose payload begins
+    with `uncached_prefix` are not written: readers get them from the storage nodes.
     """
 
-    def __init__(self, ctx: Context, cache: Cache, path: str, log: CommittedLog) -> None:
+    def __init__(self, ctx: Context, cache: Cache, path: str, log: CommittedLog, uncached_prefix: bytes = b"") -> None:
         self._ctx = ctx
         self._cache = cache
         self._path = path
         self._log = log
+        self._uncached = UncachedRecords(uncached_prefix)
         self._started_to = 0
         self._is_write_scheduled = False
         self._cached = 0
@@ -73,6 +76,7 @@
         self._ctx.logger.failure("cache_write_failed", failure.value, path=self._path)
 
     async def _write_range(self, start: int, end: int) -> None:
+        self._uncached.scan(self._log.data, self._log.committed)
         first, last = start // CHUNK, (end - 1) // CHUNK
         durable = Lengths(path=self._path, durable=end, writer=self._ctx.node)
         spawn(self._publish(durable)).addErrback(self._log_failure)
@@ -100,6 +104,9 @@
 
     async def _write(self, number: int) -> None:
         """Writes a chunk as far as it is committed, again and again until a majority of its replicas has it."""
+        if self._uncached.cover(number * CHUNK, (number + 1) * CHUNK):
+            self._written[number] = CHUNK
+            return
         while not self._log.lost:
             end = min((number + 1) * CHUNK, self._log.committed)
             data = bytes(self._log.data[number * CHUNK : end])
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -96,9 +96,12 @@
         return start, end
 
     async def read_record(self, start: int, end: int) -> bytes:
-        """Returns the payload of a record that was skipped. Raises CorruptData where none is there."""
+        """Returns the payload of a record that was skipped, from the storage nodes, since the cache may lack it.
+
+        Raises CorruptData where none is there.
+        """
         await self._keep_rate(end - start)
-        for _, payload, frame_end in decode_frames(await self.read(start, end)):
+        for _, payload, frame_end in decode_frames(await self._cache.read_durable(self.path, start, end - start)):
             if frame_end == end - start:
                 return bytes(payload)
         raise CorruptData(f"{self.path}: no record stands at {start}")
--- a/pipitlink/router/batch_follower.py
+++ b/pipitlink/router/batch_follower.py
@@ -11,14 +11,11 @@
 from ..cache.chunks import CHUNK
 from ..cache.poller import KnownLengths
 from ..cache.tail import Tail
-from ..wire.lots_pb2 import Batch, LogRecord
-from .batch_progress import BatchProgress
+from ..wire.lots_pb2 import LogRecord
+from .batch_progress import BATCH_RECORD_PREFIX, BatchProgress
 
 __all__ = ["BatchFollower"]
 
-# With what the payload of a record begins that is a batch.
-BATCH_RECORD_PREFIX = LogRecord(batch=Batch()).SerializeToString()[:1]
-
 
 class BatchFollower:
     """A batch that another gateway owns, or nobody any more, read in order from its log.
--- a/pipitlink/router/batch_progress.py
+++ b/pipitlink/router/batch_progress.py
@@ -6,9 +6,11 @@
 
 from ..wire.lots_pb2 import Batch, BatchHead, BatchItem, LogRecord, Output
 
-__all__ = ["LOG_PREFIX", "BatchProgress", "batch_head", "batch_log", "is_valid_batch_id"]
+__all__ = ["BATCH_RECORD_PREFIX", "LOG_PREFIX", "BatchProgress", "batch_head", "batch_log", "is_valid_batch_id"]
 
 LOG_PREFIX = "batch/"
+# With what the payload of a record begins that is a batch.
+BATCH_RECORD_PREFIX = LogRecord(batch=Batch()).SerializeToString()[:1]
 _BATCH_ID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
 
 
--- a/pipitlink/router/batch_table.py
+++ b/pipitlink/router/batch_table.py
@@ -9,7 +9,7 @@
 
 from ..context import Context
 from ..timers import ms, secs
-from .batch_progress import batch_log
+from .batch_progress import BATCH_RECORD_PREFIX, batch_log
 from .batch_timings import ItemPhase, ItemTimings
 from .owned_batch import OwnedBatch
 
@@ -117,7 +117,7 @@
     def add(self, batch: OwnedBatch) -> None:
         """Adds a batch whose lease is held here, and follows its log."""
         self.batches[batch.id] = batch
-        self._ctx.cache.start_log_writer(batch.leaseholder.log, batch.leaseholder)
+        self._ctx.cache.start_log_writer(batch.leaseholder.log, batch.leaseholder, BATCH_RECORD_PREFIX)
         batch.leaseholder.watch(lambda _: self._on_progress(batch))
         self.announce_work()
 
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -323,7 +323,8 @@
             rng=Random(1),
             settings=SimpleNamespace(reader_kb_s=10**9, postpone_ms=0, poll_ms=1, durable_poll_ms=1),
         )
-        tail = Tail(ctx, SimpleNamespace(poller=log), "log", None)
+        cache = SimpleNamespace(poller=log, read_durable=lambda path, start, length: read(start, start + length))
+        tail = Tail(ctx, cache, "log", None)
         self.got = 0
 
         async def read(start, end):
--- /dev/null
+++ b/tests/test_uncached_records.py
@@ -0,0 +1,60 @@
+"""The bodies of a batch stay out of the cache, and all that readers want of it is there or in the storage nodes."""
+
+import unittest
+
+from pipitlink.cache.chunks import CHUNK, chunk_key
+from pipitlink.cache.uncached_records import UncachedRecords
+from pipitlink.disk import encode_frame
+from pipitlink.router.batch_progress import batch_log
+
+from .batch_builders import Callers, start_simulation
+
+
+class Scanning(unittest.TestCase):
+    def test_only_committed_records_with_the_prefix_are_covered(self):
+        records = [encode_frame(payload) for payload in (b"h" * 10, b"b" * 9000, b"o" * 5000, b"b" * 100)]
+        data = bytearray(b"".join(records))
+        start, end = len(records[0]), len(records[0]) + len(records[1])
+        uncached = UncachedRecords(b"b")
+        uncached.scan(data, end - 1)
+        self.assertFalse(uncached.cover(start, end))
+        for committed in (end, end + 3, len(data)):
+            uncached.scan(data, committed)
+            self.assertTrue(uncached.cover(start, end))
+        self.assertFalse(uncached.cover(start - 1, end))
+        self.assertFalse(uncached.cover(start, end + 1))
+        self.assertFalse(uncached.cover(end, end + 10))
+
+    def test_without_a_prefix_all_is_cached(self):
+        uncached = UncachedRecords(b"")
+        uncached.scan(bytearray(encode_frame(b"")), 8)
+        self.assertFalse(uncached.cover(0, 8))
+
+
+class Bodies(unittest.TestCase):
+    def test_chunks_of_bodies_are_not_written_and_bodies_and_outputs_are_read_all_the_same(self):
+        simulation = start_simulation(3, gateways=4)
+        self.addCleanup(simulation.end)
+        callers = Callers(simulation)
+        owner, reader = simulation.role("gateway")[:2]
+        name = callers.lot(items=20, path="/bulk/" + "x" * 2000)
+        self.assertEqual(simulation.do(callers.hand_in(name, owner)), 202)
+        simulation.until(lambda: callers.whole(name), 30, "all is listed")
+        simulation.run(1)
+        leaseholder_data = 20 * 2000
+        cached = [
+            number
+            for number in range(leaseholder_data // CHUNK)
+            if any(
+                gateway.ctx.cache.chunks.get(chunk_key(batch_log(name), number))
+                for gateway in simulation.role("gateway")
+            )
+        ]
+        self.assertEqual(cached, [0], "chunks inside of the bodies that some gateway has")
+        self.assertEqual(simulation.do(callers.body(name, 19, reader)), 200)
+        status, _ = simulation.do(callers.read(name, 0, 0, reader))
+        self.assertEqual((status, callers.wrong), (200, []))
+
+
+if __name__ == "__main__":
+    unittest.main()
