Let the count of waiting tokens go on while other gateways restart

Cause: the gateway that counts a route's waiting tokens granted nothing for 350 to 600 ms after any gateway had come or gone.

Change: what matters is since when this gateway has had the duty to count a route without a break; others that come and go meanwhile are none. A suspension, and a suspicion that was refuted, are. The grants of a gateway that is gone stay until all open batches were listed after they had expired, since its batch may be durable without a report; what is granted and not reported yet is no longer counted from the log, which had held up the next reservations.

Ruled out: a shorter settling time (the duty itself may have changed hands), state handed over by a gateway that leaves (a crash leaves none).

--- a/pipitlink/router/backlog_counter.py
+++ b/pipitlink/router/backlog_counter.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 from ..context import Context
 from ..errors import PipitlinkError
 from ..timers import SingleFlight, ms, secs
 from .batch_adopter import BatchAdopter
 from .batch_followers import BatchFollowers
-from .gateway_watch import GatewayWatch
 from .load_exchange import LoadExchange
 from .waiting_tokens import WaitingTokens
 
@@ -27,34 +28,32 @@
         self,
         ctx: Context,
         waiting: WaitingTokens,
-        gateway_watch: GatewayWatch,
         loads: LoadExchange,
         adopter: BatchAdopter,
         followers: BatchFollowers,
     ) -> None:
         self._ctx = ctx
         self._waiting = waiting
-        self._gateway_watch = gateway_watch
         self._loads = loads
         self._adopter = adopter
         self._followers = followers
         self._counting: set[str] = set()
         self._listing: SingleFlight[str, None] = SingleFlight()
 
-    def is_reliable(self) -> bool:
+    def is_reliable(self, counting_since: timedelta) -> bool:
         """Returns whether the count of waiting tokens has all open batches; otherwise begins to count.
 
-        It is not while gateways change, nor on the smaller side of a network partition, nor before all open batches
-        are counted.
+        `counting_since` is since when this gateway has granted all of them. The count is not reliable before what
+        others granted until then was reported, nor on the smaller side of a network partition, nor before all open
+        batches are counted. Gateways that come and go since then make no difference: what they were granted counts
+        until they, or those that adopt their batches, report it.
         """
-        self._gateway_watch.check()
-        changed_at = self._gateway_watch.changed_at
         propagation_time = self._loads.propagation_time()
-        has_settled = self._ctx.timers.now() - changed_at >= propagation_time
+        has_settled = self._ctx.timers.now() - counting_since >= propagation_time
         if not self._ctx.cluster.usable() or self._is_partitioned() or not has_settled:
             return False
         listed_at = self._waiting.listed_at
-        if listed_at is None or listed_at < changed_at + propagation_time / 2:
+        if listed_at is None or listed_at < counting_since + propagation_time / 2:
             self._ctx.run_in_background(self._list(), "list_batches")
             return False
         return not self._begin_counting()
--- a/pipitlink/router/gateway_watch.py
+++ b/pipitlink/router/gateway_watch.py
@@ -1,10 +1,12 @@
-"""Notices when gateways come and go, or this one was suspended."""
+"""Notices when gateways come and go, or this one was suspended or suspected."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 
 from ..context import Context
+from ..rendezvous import rank
 from ..timers import secs
 
 __all__ = ["GatewayWatch"]
@@ -13,12 +15,18 @@
 
 
 class GatewayWatch:
-    """The gateways that are alive, and when they changed last; a suspension of this process counts as a change."""
+    """The gateways that are alive, when they changed last, and since when this one has had a duty among them.
+
+    A suspension of this process counts as a change, and so does a suspicion that it has refuted: meanwhile the others
+    may have considered it gone.
+    """
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self.gateways: frozenset[str] = frozenset()
         self.changed_at = self._checked_at = ctx.timers.now()
+        self._incarnation = 0
+        self._held_since: dict[str, timedelta] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -30,8 +38,33 @@
         now = self._ctx.timers.now()
         alive = self._ctx.membership.members("gateway", statuses=("alive",))
         gateways = frozenset(member.node for member in alive)
-        if gateways != self.gateways or now - self._checked_at > SUSPENDED_AFTER:
-            self.gateways, self.changed_at = gateways, now
+        incarnation = self._ctx.membership.local_member.incarnation
+        was_away = now - self._checked_at > SUSPENDED_AFTER or incarnation != self._incarnation
+        if was_away or gateways != self.gateways:
+            self.gateways, self.changed_at, self._incarnation = gateways, now, incarnation
+            self._drop_lost_duties(was_away)
             for listener in self._listeners:
                 listener()
         self._checked_at = now
+
+    def _drop_lost_duties(self, was_away: bool) -> None:
+        if was_away:
+            self._held_since.clear()
+        for duty in [duty for duty in self._held_since if self.holder(duty) != self._ctx.node]:
+            del self._held_since[duty]
+
+    def holder(self, duty: str) -> str:
+        """Returns the gateway that has a duty: one of those alive, by rendezvous hashing of the duty's name."""
+        alive = {member.node for member in self._ctx.membership.members("gateway", statuses=("alive",))}
+        alive.add(self._ctx.node)
+        return max(alive, key=lambda gateway: rank(duty, gateway))
+
+    def held_since(self, duty: str) -> timedelta | None:
+        """Returns since when this gateway has had a duty without a break; None where another one has it.
+
+        Others that come and go meanwhile are no break.
+        """
+        self.check()
+        if self.holder(duty) != self._ctx.node:
+            return None
+        return self._held_since.setdefault(duty, self.changed_at)
--- a/pipitlink/router/quota.py
+++ b/pipitlink/router/quota.py
@@ -6,13 +6,13 @@
 
 from ..context import Context
 from ..errors import ApiError, RemoteError, ServiceUnavailable, WireError
-from ..rendezvous import rank
 from ..timers import ms, secs
 from ..wire.cluster_pb2 import Route
 from ..wire.lots_pb2 import Batch
 from ..wire.membership_pb2 import QuotaRequest, QuotaResponse
 from .backlog_counter import BacklogCounter
 from .batch_table import BatchTable
+from .gateway_watch import GatewayWatch
 from .interfaces import RoutesView
 from .waiting_tokens import TokenGrant, TokenReservation, WaitingTokens
 
@@ -33,13 +33,20 @@
     """
 
     def __init__(
-        self, ctx: Context, routes: RoutesView, table: BatchTable, waiting: WaitingTokens, counter: BacklogCounter
+        self,
+        ctx: Context,
+        routes: RoutesView,
+        table: BatchTable,
+        waiting: WaitingTokens,
+        counter: BacklogCounter,
+        gateway_watch: GatewayWatch,
     ) -> None:
         self._ctx = ctx
         self._routes = routes
         self._table = table
         self._waiting = waiting
         self._counter = counter
+        self._gateway_watch = gateway_watch
 
     def open(self) -> None:
         """Begins to answer requests of other gateways."""
@@ -47,9 +54,7 @@
 
     def coordinator_of(self, route: str) -> str:
         """Returns the gateway that counts the tokens of a route."""
-        gateways = {member.node for member in self._ctx.membership.members("gateway", statuses=("alive",))}
-        gateways.add(self._ctx.node)
-        return max(gateways, key=lambda gateway: rank(f"quota/{route}", gateway))
+        return self._gateway_watch.holder(_duty(route))
 
     async def reserve(self, route: Route, batch: Batch, deadline: timedelta) -> None:
         """Reserves tokens for a whole batch.
@@ -89,7 +94,7 @@
     async def _call_coordinator(self, request: QuotaRequest) -> QuotaResponse:
         coordinator = self.coordinator_of(request.route)
         if coordinator == self._ctx.node:
-            return self._grant(request)
+            return self._grant(self._ctx.node, request)
         member = self._ctx.membership.find(coordinator)
         if member is None:
             return QuotaResponse(uncertain=True)
@@ -99,17 +104,17 @@
         except (WireError, RemoteError):
             return QuotaResponse(uncertain=True)
 
-    async def _on_request(self, _node: str, request: QuotaRequest) -> QuotaResponse:
-        return self._grant(request)
+    async def _on_request(self, node: str, request: QuotaRequest) -> QuotaResponse:
+        return self._grant(node, request)
 
-    def _grant(self, request: QuotaRequest) -> QuotaResponse:
+    def _grant(self, gateway: str, request: QuotaRequest) -> QuotaResponse:
         """Answers a request as the coordinator of its route; one for no tokens returns a grant."""
         if not request.tokens:
             self._waiting.grants.pop(request.lot, None)
             return QuotaResponse()
         route = self._routes().get(request.route)
-        is_coordinator = self.coordinator_of(request.route) == self._ctx.node
-        if not is_coordinator or route is None or not self._counter.is_reliable():
+        counting_since = self._gateway_watch.held_since(_duty(request.route))
+        if route is None or counting_since is None or not self._counter.is_reliable(counting_since):
             return QuotaResponse(uncertain=True)
         if not route.max_waiting_tokens:
             return QuotaResponse(granted=True)
@@ -119,10 +124,15 @@
         if committed + request.tokens > route.max_waiting_tokens:
             return QuotaResponse(wait_ms=OVER_QUOTA_WAIT_MS)
         valid_until = self._ctx.timers.now() + GRANT_VALIDITY
-        self._waiting.grants[request.lot] = TokenGrant(request.route, request.tokens, valid_until)
+        self._waiting.grants[request.lot] = TokenGrant(request.route, request.tokens, gateway, valid_until)
         return QuotaResponse(granted=True)
 
 
+def _duty(route: str) -> str:
+    """Returns the name of the duty to count a route's tokens."""
+    return f"quota/{route}"
+
+
 def _over_quota(route: Route, tokens: int) -> ApiError:
     return ApiError(
         f"route {route.name} has no room for {tokens} more waiting tokens",
--- a/pipitlink/router/waiting_tokens.py
+++ b/pipitlink/router/waiting_tokens.py
@@ -41,10 +41,11 @@
 
 
 class TokenGrant(NamedTuple):
-    """Tokens of a route that this gateway, as its coordinator, has granted for a batch."""
+    """Tokens of a route that this gateway, as its coordinator, has granted to a gateway for a batch."""
 
     route: str
     tokens: int
+    gateway: str
     valid_until: timedelta
 
 
@@ -142,13 +143,14 @@
         del self.uncounted[batch_id]
 
     def apply_listing(self, names: set[str], started_at: timedelta, is_complete: bool) -> None:
-        """Takes in a list of the open batches: which nobody has reported yet and, where it is complete, which ended."""
+        """Takes in a list of the open batches: which nobody has reported yet and, where it is complete, which ended.
+
+        What was granted and is not reported yet counts by its grant.
+        """
         now = self._ctx.timers.now()
-        self.uncounted = {
-            batch_id: self.uncounted.get(batch_id, now)
-            for batch_id in names
-            if batch_id not in self.reported and batch_id not in self._table.batches
-        }
+        granted = {batch_id for batch_id, grant in self.grants.items() if grant.valid_until > started_at}
+        counted = granted.union(self.reported, self._table.batches)
+        self.uncounted = {batch_id: self.uncounted.get(batch_id, now) for batch_id in names - counted}
         if not is_complete:
             return
         self.listed_at = started_at
@@ -166,10 +168,21 @@
         return self._ctx.membership.status(gateway) in ("gone", "unknown")
 
     def drop_expired_grants(self) -> None:
-        """Drops the grants that are not valid any more."""
+        """Drops the grants that are not valid any more.
+
+        A gateway that is alive has reported what it took in. The batch of one that is gone may be durable without a
+        report, so its grant stays until all open batches were listed after it had expired.
+        """
         now = self._ctx.timers.now()
-        for batch_id in [batch_id for batch_id, grant in self.grants.items() if grant.valid_until <= now]:
-            del self.grants[batch_id]
+        for batch_id, grant in list(self.grants.items()):
+            if grant.valid_until <= now and (self._is_alive(grant.gateway) or self._was_listed_since(grant)):
+                del self.grants[batch_id]
+
+    def _is_alive(self, gateway: str) -> bool:
+        return gateway == self._ctx.node or self._ctx.membership.status(gateway) == "alive"
+
+    def _was_listed_since(self, grant: TokenGrant) -> bool:
+        return self.listed_at is not None and self.listed_at >= grant.valid_until
 
     def committed_tokens(self, route: str, except_batch: str) -> int:
         """Returns the tokens of a route that are reported or granted, but for one batch."""
