Choose engines by chance weighted by cost, spread by what other gateways run

Loads are 200 to 400 ms old, and all gateways that know the same chose the same least loaded engine until the next report.

Change: the cost's random part is that of a choice with a probability that falls exponentially with the cost; it spreads by half of what the average engine runs for other gateways, and hardly at all where that is little.

--- a/pipitlink/router/engine_selector.py
+++ b/pipitlink/router/engine_selector.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
+from math import log
 from typing import NamedTuple
 
 from twisted.internet import defer
@@ -26,6 +27,9 @@
 OTHER_ZONE_COST_MS = 5.0
 CONNECT_COST_MS = 5.0
 FULL_COST_MS = 20.0
+# The random part of costs: this part of what the requests of other gateways cost on the average engine.
+SPREAD_FRACTION = 0.5
+MIN_SPREAD_MS = 0.5
 # An engine whose free slots are taken by items of batches has to preempt one of them.
 PREEMPTION_COST_MS = 6.0
 # How far engines are filled, in parts of their slots.
@@ -182,16 +186,31 @@
         candidates = self._candidates(call)
         traits = self._traits(call, candidates)
         now = self._ctx.timers.now()
+        loads = [engine.load(now) for engine in candidates]
+        spread_ms = self._spread_ms(candidates, loads, traits)
         best, least_cost = None, 0.0
-        for engine in candidates:
-            load = engine.load(now)
+        for engine, load in zip(candidates, loads, strict=True):
             if not self._has_capacity(engine, load, traits):
                 continue
-            cost = self._cost(engine, load, traits)
+            cost = self._cost(engine, load, traits) + spread_ms * log(self._ctx.rng.expovariate(1))
             if best is None or cost < least_cost:
                 best, least_cost = engine, cost
         return best
 
+    def _spread_ms(self, candidates: Sequence[Engine], loads: Sequence[EngineLoad], traits: _CallTraits) -> float:
+        """Returns how far the random part of the costs spreads, so that an engine is chosen with a probability that
+        falls exponentially with its cost.
+
+        What other gateways run is known as of some hundred ms ago, and all that know the same would choose the same
+        engine until the next report. The more of the load is theirs, the less a difference in it says.
+        """
+        if not candidates:
+            return 0.0
+        running = sum(traits.competing(load) for load in loads)
+        own_running = sum(traits.competing(EngineLoad(engine.running, engine.batch_items)) for engine in candidates)
+        peers_running = running - own_running
+        return max(MIN_SPREAD_MS, SPREAD_FRACTION * RUNNING_COST_MS * peers_running / len(candidates))
+
     def _traits(self, call: Call, candidates: Sequence[Engine]) -> _CallTraits:
         is_long = sum(part.tokens for part in call.prompt_parts) >= LONG_PROMPT_TOKENS
         shared_parts = call.shared_parts
@@ -218,13 +237,13 @@
         return self._connections.open_count(engine.address) < traits.max_connections
 
     def _cost(self, engine: Engine, load: EngineLoad, traits: _CallTraits) -> float:
-        """Returns the expected wait in ms, with a random part that spreads the calls of gateways that agree."""
+        """Returns the expected wait in ms."""
         slots, competing = engine.slots, traits.competing(load)
         missing_tokens = traits.own_part_tokens
         if engine.name != traits.preferred_engine and traits.shared_parts:
             missing_tokens += engine.prefix_cache.missing_tokens(traits.shared_parts)
         prefill_ms = (missing_tokens + engine.prefill_tokens) / PREFILL_TOKENS_PER_MS
-        cost = prefill_ms + RUNNING_COST_MS * competing + self._ctx.rng.random()
+        cost = prefill_ms + RUNNING_COST_MS * competing
         if competing >= slots:
             cost += FULL_COST_MS * (1 + competing - slots)
         elif not traits.is_batch_item and load.running >= slots:
