Give each gateway a share of the slots for items, and let few items start at once

Change: a gateway runs at most its share, by waiting tokens, of 0.85 of the slots that live requests leave, whether or not others have reported what they started; of these few wait for their first event at once, so that starts slow down where engines answer late; one item goes on in any case.

--- a/pipitlink/router/batch_capacity.py
+++ b/pipitlink/router/batch_capacity.py
@@ -12,10 +12,13 @@
 
 __all__ = ["BatchCapacity"]
 
-# How far engines are filled by items of batches, in parts of their slots.
-BATCH_FILL = 1.0
-# How many items a gateway may start into slots that other gateways' items still hold.
-MAX_AHEAD = 8
+# How far engines are filled by items of batches, in parts of their slots; the rest is left to live requests that come.
+BATCH_FILL = 0.85
+# How many items of a gateway may wait for their engines' first event. While engines are crowded and answer late, a
+# gateway starts fewer, and other gateways have heard of them before the next ones.
+MAX_STARTING_ITEMS = 6
+# What each gateway may run even where live requests leave nothing, so that no batch comes to rest.
+MIN_OWN_SLOTS = 1
 
 
 class BatchCapacity:
@@ -30,19 +33,21 @@
     def available(self, route: Route, backlog: RouteBacklog) -> int:
         """Returns how many items of batches on this route may be started now from this gateway.
 
-        These are as many as fit into free slots, or into what its share of all slots still lacks. Shares go by the
-        tokens that wait at each gateway, so that in a crowd of batches none waits behind the slots that others hold.
+        All gateways together may fill the slots that live requests leave. Each has a share of them by the tokens that
+        wait at it, so that what the others have started since their last reports does not matter, and in a crowd of
+        batches none waits behind the slots that others hold.
         """
-        free = slots = running = 0
-        for weighted_pool in weighted_pools(route):
-            for engine in self._selector.ready_engines(weighted_pool.pool):
-                if self._slow_start.is_warming_up(engine):
-                    free += self._slow_start.admits(engine)
-                    continue
-                load, batch_items = engine.load(self._ctx.timers.now())
-                batch_slots = int(BATCH_FILL * engine.slots)
-                free += max(0, batch_slots - load)
-                slots += max(0, batch_slots - (load - batch_items))
-                running += engine.batch_items
-        own_slots = int(slots * backlog.own_tokens / backlog.total_tokens) if backlog.total_tokens else 0
-        return max(free, min(own_slots - running, MAX_AHEAD))
+        slots = running = 0
+        engines = [engine for share in weighted_pools(route) for engine in self._selector.ready_engines(share.pool)]
+        for engine in engines:
+            if self._slow_start.is_warming_up(engine):
+                slots += self._slow_start.admits(engine)
+                continue
+            load, batch_items = engine.load(self._ctx.timers.now())
+            slots += max(0, int(BATCH_FILL * engine.slots) - (load - batch_items))
+            running += engine.batch_items
+        if not engines:
+            return 0
+        share = backlog.own_tokens / backlog.total_tokens if backlog.total_tokens else 1.0
+        own_slots = max(MIN_OWN_SLOTS, int(slots * share))
+        return min(own_slots - running, MAX_STARTING_ITEMS - self._engines.starting_items)
--- a/pipitlink/router/engine_registry.py
+++ b/pipitlink/router/engine_registry.py
@@ -36,6 +36,8 @@
         self._engine = engine
         self._prefill_tokens = prefill_tokens
         self._is_batch_item = is_batch_item
+        self._is_starting_item = is_batch_item
+        registry.starting_items += is_batch_item
         engine.running += 1
         engine.batch_items += is_batch_item
         engine.prefill_tokens += prefill_tokens
@@ -45,6 +47,8 @@
         """Notes that the engine has begun to answer; may be called more than once."""
         self._engine.prefill_tokens -= self._prefill_tokens
         self._prefill_tokens = 0
+        self._registry.starting_items -= self._is_starting_item
+        self._is_starting_item = False
 
     def release(self) -> None:
         """Frees the slot; to be called once."""
@@ -57,11 +61,13 @@
 class EngineRegistry:
     """The engines that the control plane has announced to this gateway, by name and by pool, and their health.
 
-    Owns them and what this gateway has running on them. Waiters for capacity are woken on every release.
+    Owns them and what this gateway has running on them; of that, `starting_items` are the items of batches that wait
+    for their first event. Waiters for capacity are woken on every release.
     """
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
+        self.starting_items = 0
         self._engines: dict[str, Engine] = {}
         self._pools: dict[str, list[Engine]] = {}
         self._capacity_waiters: list[defer.Deferred[None]] = []
--- /dev/null
+++ b/tests/test_batch_capacity.py
@@ -0,0 +1,80 @@
+"""How many items of batches a gateway starts: its share of the slots that live requests leave, and few at once."""
+
+import unittest
+
+from pipitlink.router.batch_capacity import MAX_STARTING_ITEMS, BatchCapacity
+from pipitlink.router.waiting_tokens import RouteBacklog
+from pipitlink.timers import spawn
+from pipitlink.wire.cluster_pb2 import Pool
+from pipitlink.wire.membership_pb2 import Load, Loads
+
+from .router_builders import Rig, route
+
+SLOTS = 20
+BULK = route("bulk", "/b/", kind="bulk")
+
+
+class Capacity(unittest.TestCase):
+    def setUp(self):
+        self.rig = Rig([BULK], [Pool(name="models", max_connections=100, slots=SLOTS)], gateways=4)
+        for name in ("e1", "e2"):
+            self.rig.engine(name, capacity=SLOTS)
+        node = self.rig.node
+        self.capacity = BatchCapacity(self.rig.ctx, node.engines, node.selector, node.slow_start)
+
+    def available(self, own, total):
+        return self.capacity.available(BULK, RouteBacklog(own, total))
+
+    def start(self, count, first_event=True):
+        """Starts items on the engines by turns."""
+        engines = self.rig.node.engines
+        for number in range(count):
+            slot = engines.acquire_slot(engines.get(f"e{1 + number % 2}"), 10, True)
+            if first_event:
+                slot.prefill_done()
+
+    def peers(self, running, batch):
+        loads = [Load(engine=name, running=running, batch=batch) for name in ("e1", "e2")]
+        spawn(self.rig.node.loads.on_peer_loads("g1", Loads(gateway="g1", loads=loads)))
+
+    def test_gateways_together_start_no_more_than_the_slots_that_live_requests_leave(self):
+        self.peers(running=7, batch=0)
+        for own in (10, 30, 50):
+            self.setUp()
+            self.peers(running=7, batch=0)
+            self.start(int(2 * (17 - 7) * own / 100))
+            self.assertEqual(self.available(own, 100), 0)
+            self.assertGreater(self.available(2 * own, 100), 0)
+
+    def test_items_of_others_that_were_reported_late_change_nothing(self):
+        before = self.available(10, 100)
+        self.peers(running=15, batch=15)
+        self.assertEqual(self.available(10, 100), before)
+
+    def test_few_items_wait_for_their_first_event_at_once(self):
+        self.assertEqual(self.available(100, 100), MAX_STARTING_ITEMS)
+        self.start(MAX_STARTING_ITEMS, first_event=False)
+        self.assertEqual(self.available(100, 100), 0)
+
+    def test_a_batch_goes_on_by_one_item_where_live_requests_take_all(self):
+        self.peers(running=SLOTS, batch=0)
+        self.assertEqual(self.available(10, 100), 1)
+        self.start(1)
+        self.assertEqual(self.available(10, 100), 0)
+
+    def test_without_an_engine_nothing_starts(self):
+        for engine in self.rig.node.engines.unordered():
+            self.rig.node.engines.remove(engine)
+        self.assertEqual(self.available(10, 100), 0)
+
+    def test_what_ended_or_failed_is_not_counted_as_starting(self):
+        engines = self.rig.node.engines
+        slots = [engines.acquire_slot(engines.get("e1"), 10, True) for _ in range(3)]
+        slots[0].prefill_done()
+        for slot in slots:
+            slot.release()
+        self.assertEqual(engines.starting_items, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
