--- a/pipitlink/router/batch_capacity.py
+++ b/pipitlink/router/batch_capacity.py
@@ -14,11 +14,12 @@
 
 # How far engines are filled by items of batches, in parts of their slots; the rest is left to live requests that come.
 BATCH_FILL = 0.85
-# How many items of a gateway may wait for their engines' first event. While engines are crowded and answer late, a
-# gateway starts fewer, and other gateways have heard of them before the next ones.
-MAX_STARTING_ITEMS = 6
-# What each gateway may run even where live requests leave nothing, so that no batch comes to rest.
+# How many items may wait for their engines' first event, in parts of the engines' slots, shared as these are. While
+# engines are crowded and answer late, fewer start, and other gateways have heard of them before the next ones.
+STARTING_FRACTION = 0.3
+# What each gateway may run, and start at once, even where its share is less, so that no batch comes to rest.
 MIN_OWN_SLOTS = 1
+MIN_STARTING = 2
 
 
 class BatchCapacity:
@@ -37,12 +38,13 @@
         wait at it, so that what the others have started since their last reports does not matter, and in a crowd of
         batches none waits behind the slots that others hold.
         """
-        slots = running = 0
+        slots = all_slots = running = 0
         engines = [engine for share in weighted_pools(route) for engine in self._selector.ready_engines(share.pool)]
         for engine in engines:
             if self._slow_start.is_warming_up(engine):
                 slots += self._slow_start.admits(engine)
                 continue
+            all_slots += engine.slots
             load, batch_items = engine.load(self._ctx.timers.now())
             slots += max(0, int(BATCH_FILL * engine.slots) - (load - batch_items))
             running += engine.batch_items
@@ -50,4 +52,5 @@
             return 0
         share = backlog.own_tokens / backlog.total_tokens if backlog.total_tokens else 1.0
         own_slots = max(MIN_OWN_SLOTS, int(slots * share))
-        return min(own_slots - running, MAX_STARTING_ITEMS - self._engines.starting_items)
+        max_starting = max(MIN_STARTING, int(STARTING_FRACTION * all_slots * share))
+        return min(own_slots - running, max_starting - self._engines.starting_items)
