Log reads beyond a replica's commit position and the tails that leaseholders recover

A storage node logs reads of bytes that it does not know to be committed, with the epoch of its last writer; a new leaseholder logs which tail it took over.

--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -190,6 +190,15 @@
         self.recovered_tail = TailPosition.of(state)
         self.committed = self.progress.max_committed()
         if state.length:
+            self._ctx.logger.info(
+                "tail_recovered",
+                log=self.log,
+                epoch=self.epoch,
+                source=source,
+                tail_epoch=state.tail_epoch,
+                length=state.length,
+                committed=self.committed,
+            )
             await self._commit(state.length)
 
     async def append(self, records: list[bytes], final: bool = False, reserved: bool = False) -> int:
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -59,12 +59,30 @@
         self._ctx.rpc.register_handler("replicated_log.states", StatesRequest, self._read_states)
         self._ctx.rpc.register_handler("replicated_log.list", ListRequest, self._list)
 
-    async def _read(self, _peer: str, request: ReadRequest) -> ReadResponse:
+    async def _read(self, peer: str, request: ReadRequest) -> ReadResponse:
         if request.tail_epoch and not self.log_store.is_written_under(request.log, request.tail_epoch):
             return ReadResponse()
+        if not request.tail_epoch:
+            self._log_read_beyond_commit(peer, request)
         extents = self.log_store.extents(request.log, request.position, min(request.length, MAX_READ_BYTES))
         return ReadResponse(data=await self._ctx.run_in_thread(self.log_store.read_extents, extents))
 
+    def _log_read_beyond_commit(self, peer: str, request: ReadRequest) -> None:
+        """Logs a read of bytes that this storage node does not know to be committed."""
+        state = self.log_store.state(request.log)
+        end = min(request.position + request.length, state.length)
+        if max(request.position, state.committed) < end:
+            self._ctx.logger.info(
+                "read_beyond_commit",
+                log=request.log,
+                reader=peer,
+                position=request.position,
+                end=end,
+                committed=state.committed,
+                tail_epoch=state.tail_epoch,
+                epoch=state.epoch,
+            )
+
     async def _read_states(self, _peer: str, request: StatesRequest) -> StatesResponse:
         return StatesResponse(states=[self._lease_grants.log_state(log) for log in request.logs[:MAX_STATES]])
 
