--- a/pipitlink/cache/cache.py
+++ b/pipitlink/cache/cache.py
@@ -20,7 +20,7 @@
 from .log_writer import CommittedLog, LogCacheWriter
 from .poller import Poller
 from .ring import Ring
-from .stores import DataStore, LengthStore
+from .stores import DataStore, LengthStore, durable_end
 from .tail import Tail
 
 __all__ = ["Cache"]
@@ -39,11 +39,15 @@
 
 @attrs.frozen
 class _DurableSpan:
-    """A part of a durable log. Concurrent readers of the same span share one read."""
+    """A part of a log that is committed under an epoch (0 if none is known).
+
+    Concurrent readers of the same span share one read.
+    """
 
     path: str
     start: int
     length: int
+    committed_epoch: int
 
 
 @attrs.define(eq=False)
@@ -108,9 +112,12 @@
         """Returns a reader at the start of a log; `max_lag` is how far it may lag behind the log, 1 s by default."""
         return Tail(self._ctx, self, path, max_lag)
 
-    async def read_durable(self, path: str, start: int, length: int) -> bytes:
-        """Returns bytes of the durable log; concurrent readers of the same bytes share one read."""
-        span = _DurableSpan(path, start, length)
+    async def read_durable(self, path: str, start: int, length: int, committed_epoch: int) -> bytes:
+        """Returns bytes of a log that are committed under an epoch, or 0 if none is known.
+
+        Concurrent readers of the same bytes share one read. Raises NoQuorum if no storage node returns them.
+        """
+        span = _DurableSpan(path, start, length, committed_epoch)
         return await self._durable_reads.run(span, partial(self._read_span, span))
 
     async def store_chunks(self, chunks: dict[bytes, bytes]) -> set[bytes]:
@@ -139,7 +146,8 @@
             for lengths in response.lengths:
                 found = highest.get(lengths.path)
                 if found is not None:
-                    found.durable = max(found.durable, lengths.durable)
+                    durable = durable_end(found).merge(durable_end(lengths))
+                    found.durable, found.durable_epoch = durable.length, durable.epoch
                     found.cached = max(found.cached, lengths.cached)
         return highest
 
@@ -163,7 +171,7 @@
 
     async def _read_span(self, span: _DurableSpan) -> bytes:
         self.counts["durable_reads"] += 1
-        data: bytes = await self._ctx.replicated_log.read(span.path, span.start, span.length)
+        data: bytes = await self._ctx.replicated_log.read(span.path, span.start, span.length, span.committed_epoch)
         return data
 
     async def _call(self, node: str, method: str, request: Message, kind: type[Response]) -> Response:
--- a/pipitlink/cache/log_writer.py
+++ b/pipitlink/cache/log_writer.py
@@ -30,11 +30,12 @@
 class CommittedLog(Protocol):
     """The part of a leaseholder's log that the cache uses.
 
-    The first `committed` bytes of `data` are committed; `lost` is the reason why the lease was lost, "" while it is
-    held.
+    The first `committed` bytes of `data` are committed under `epoch` or an earlier one; `lost` is the reason why the
+    lease was lost, "" while it is held.
     """
 
     data: bytearray
+    epoch: int
     committed: int
     lost: str
 
@@ -80,8 +81,7 @@
     async def _write_range(self, start: int, end: int) -> None:
         self._uncached.scan(self._log.data, self._log.committed)
         first, last = start // CHUNK_BYTES, (end - 1) // CHUNK_BYTES
-        durable = Lengths(path=self._path, durable=end, writer=self._ctx.node)
-        spawn(self._publish(durable)).addErrback(self._log_failure)
+        spawn(self._publish(durable=end)).addErrback(self._log_failure)
         writes = [spawn(self._write_serialized(number)) for number in {first, last}]
         for number in range(first + 1, last):
             if len(writes) % MAX_WRITES_PER_TURN == 0:
@@ -128,8 +128,7 @@
         self._cached = cached
         for number in [number for number in self._written if (number + 1) * CHUNK_BYTES <= cached]:
             del self._written[number]
-        durable = self._log.committed
-        await self._publish(Lengths(path=self._path, durable=durable, cached=cached, writer=self._ctx.node))
+        await self._publish(durable=self._log.committed, cached=cached)
 
     def _written_length(self) -> int:
         """Returns the length up to which every chunk is written."""
@@ -143,5 +142,8 @@
             if length < (number + 1) * CHUNK_BYTES:
                 return length
 
-    async def _publish(self, lengths: Lengths) -> None:
+    async def _publish(self, durable: int, cached: int = 0) -> None:
+        lengths = Lengths(
+            path=self._path, durable=durable, durable_epoch=self._log.epoch, cached=cached, writer=self._ctx.node
+        )
         await self._cache.store_lengths({self._path: lengths})
--- a/pipitlink/cache/poller.py
+++ b/pipitlink/cache/poller.py
@@ -12,7 +12,9 @@
 from twisted.internet import defer
 
 from ..context import Context
+from ..replicated_log.commit_proof import CommittedEnd
 from ..timers import ZERO, RepeatingCall, ms
+from .stores import durable_end
 
 if TYPE_CHECKING:
     from .cache import Cache
@@ -35,22 +37,24 @@
     """The lengths of a log, in bytes, from a response."""
 
     path: str
-    durable: int
-    cached: int
-    final: bool
+    durable: CommittedEnd
+    cached: int = 0
+    final: bool = False
 
 
 @attrs.define
 class KnownLengths:
     """The known lengths of one log, in bytes: `durable` on a majority of its replicas, `cached` in the data cache.
 
-    `final` means that the log has ended. `cached_at` is the time at which `cached` last grew, `confirmed_at` the time
-    of the last request that the storage nodes responded to, both on the timers' clock. The log has `readers` readers,
-    of which `waiting_readers` wait for a length that is expected soon.
+    The bytes below `durable` are known to be committed under `durable_epoch`, which is 0 if none is known. `final`
+    means that the log has ended. `cached_at` is the time at which `cached` last grew, `confirmed_at` the time of the
+    last request that the storage nodes responded to, both on the timers' clock. The log has `readers` readers, of
+    which `waiting_readers` wait for a length that is expected soon.
     """
 
     path: str
     durable: int = 0
+    durable_epoch: int = 0
     cached: int = 0
     final: bool = False
     uncached_steps: deque[_UncachedStep] = attrs.field(factory=deque)
@@ -59,6 +63,11 @@
     waiting_readers: int = 0
     confirmed_at: timedelta | None = None
 
+    @property
+    def durable_end(self) -> CommittedEnd:
+        """The end of the durable bytes, with the epoch under which they are known to be committed."""
+        return CommittedEnd(self.durable, self.durable_epoch)
+
     def uncached_since(self, now: timedelta) -> timedelta:
         """Returns when the oldest byte that is durable but not cached became known; `now` if there is none."""
         return self.uncached_steps[0].known_at if self.uncached_steps else now
@@ -115,7 +124,7 @@
 
     def restore_lengths(self, known: KnownLengths, before: KnownLengths) -> None:
         """Restores lengths that were known before a reader left; they are still valid, since lengths only grow."""
-        self._raise_lengths(known, before.durable, before.cached, before.final)
+        self._raise_lengths(known, _LengthUpdate(known.path, before.durable_end, before.cached, before.final))
         if known.confirmed_at is None:
             known.confirmed_at = before.confirmed_at
 
@@ -123,7 +132,10 @@
         """Requests the durable lengths of logs from the storage nodes themselves."""
         requested_at = self._ctx.timers.now()
         states = await self._ctx.replicated_log.states(paths)
-        self._update(_LengthUpdate(path, state.committed, 0, state.final) for path, state in states.items())
+        self._update(
+            _LengthUpdate(path, CommittedEnd(state.committed, state.committed_epoch), final=state.final)
+            for path, state in states.items()
+        )
         for path in states:
             if path in self._known:
                 self._known[path].confirmed_at = requested_at
@@ -154,19 +166,21 @@
         for call in self._calls:
             call.wake()
 
-    def _raise_lengths(self, known: KnownLengths, durable: int, cached: int, final: bool = False) -> bool:
+    def _raise_lengths(self, known: KnownLengths, update: _LengthUpdate) -> bool:
         """Raises known lengths to those of a response; returns whether the response contained anything new."""
-        grew = durable > known.durable or cached > known.cached or (final and not known.final)
-        if durable > known.durable:
-            known.durable = durable
+        has_grown = update.durable.length > known.durable
+        has_news = has_grown or update.cached > known.cached or (update.final and not known.final)
+        durable = known.durable_end.merge(update.durable)
+        known.durable, known.durable_epoch = durable.length, durable.epoch
+        if has_grown:
             self._add_uncached_step(known)
-        if min(cached, known.durable) > known.cached:
-            known.cached = min(cached, known.durable)
+        if min(update.cached, known.durable) > known.cached:
+            known.cached = min(update.cached, known.durable)
             known.cached_at = self._ctx.timers.now()
         while known.uncached_steps and known.uncached_steps[0].length <= known.cached:
             known.uncached_steps.popleft()
-        known.final = known.final or final
-        return grew
+        known.final = known.final or update.final
+        return has_news
 
     def _add_uncached_step(self, known: KnownLengths) -> None:
         steps = known.uncached_steps
@@ -184,7 +198,7 @@
     async def _poll_cache(self, paths: list[str]) -> None:
         if paths:
             lengths = await self._cache.get_lengths(paths)
-            self._update(_LengthUpdate(path, found.durable, found.cached, False) for path, found in lengths.items())
+            self._update(_LengthUpdate(path, durable_end(found), found.cached) for path, found in lengths.items())
 
     async def _poll_durable(self) -> None:
         if self._known:
@@ -195,7 +209,7 @@
         for update in updates:
             known = self._known.get(update.path)
             if known is not None:
-                grew = self._raise_lengths(known, update.durable, update.cached, update.final) or grew
+                grew = self._raise_lengths(known, update) or grew
         if grew:
             waiters, self._growth_waiters = self._growth_waiters, []
             for waiter in waiters:
--- a/pipitlink/cache/stores.py
+++ b/pipitlink/cache/stores.py
@@ -7,14 +7,20 @@
 
 import attrs
 
+from ..replicated_log.commit_proof import CommittedEnd
 from ..timers import Timers
 from ..wire.cache_pb2 import Chunk, ChunkKeys, Chunks, Lengths, LengthsList, Paths
 
-__all__ = ["DataStore", "LengthStore"]
+__all__ = ["DataStore", "LengthStore", "durable_end"]
 
 MAX_LENGTHS = 65536
 
 
+def durable_end(lengths: Lengths) -> CommittedEnd:
+    """Returns the end of the durable bytes of a log, with the epoch under which they are known to be committed."""
+    return CommittedEnd(lengths.durable, lengths.durable_epoch)
+
+
 @attrs.frozen
 class _StoredChunk:
     data: bytes
@@ -94,7 +100,8 @@
         """Raises the stored lengths of a log to those given; evicts the oldest entries when the store is full."""
         stored = self._lengths.pop(new.path, None)
         lengths = stored.lengths if stored is not None else Lengths(path=new.path)
-        lengths.durable = max(lengths.durable, new.durable)
+        durable = durable_end(lengths).merge(durable_end(new))
+        lengths.durable, lengths.durable_epoch = durable.length, durable.epoch
         lengths.cached = max(lengths.cached, new.cached)
         if new.writer:
             lengths.writer = new.writer
--- a/pipitlink/cache/tail.py
+++ b/pipitlink/cache/tail.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NoReturn
 
 from ..context import Context
 from ..disk import FRAME_HEADER_BYTES, decode_frames
@@ -106,19 +106,25 @@
         Raises CorruptData where there is no such record.
         """
         await self._throttle(end - start)
-        for _, payload, frame_end in decode_frames(await self._cache.read_durable(self.path, start, end - start)):
+        data = await self._cache.read_durable(self.path, start, end - start, self.lengths.durable_epoch)
+        for _, payload, frame_end in decode_frames(data):
             if frame_end == end - start:
                 return bytes(payload)
         raise CorruptData(f"{self.path}: there is no record at {start}")
 
     async def read_records(self, max_bytes: int = MAX_READ_BYTES) -> list[tuple[int, bytes]]:
-        """Returns the next complete records as (position, payload); an empty list where there is nothing new yet."""
+        """Returns the next complete records as (position, payload); an empty list where there is nothing new yet.
+
+        Raises CorruptData if the bytes that follow are no records. The next call then reads them again; whatever was
+        returned before may be wrong as well.
+        """
         end = self.readable_end()
         if end <= self.position:
             return []
         end = min(end, self.position + min(max_bytes, MAX_READ_BYTES))
         await self._throttle(end - self.position)
-        self._partial += await self.read(self.position, end)
+        data = await self.read(self.position, end)
+        self._partial += data
         self.position = end
         return self._extract_records()
 
@@ -165,7 +171,7 @@
         start = missing[0] * CHUNK_BYTES
         end = missing[-1] * CHUNK_BYTES + needed[missing[-1]]
         self._cache.counts["durable"] += len(missing)
-        data = await self._cache.read_durable(self.path, start, end - start)
+        data = await self._cache.read_durable(self.path, start, end - start, self.lengths.durable_epoch)
         return {
             number: data[number * CHUNK_BYTES - start : number * CHUNK_BYTES - start + needed[number]]
             for number in missing
@@ -179,13 +185,25 @@
         for start, payload, frame_end in decode_frames(bytes(self._partial)):
             records.append((base + start, payload))
             end = frame_end
-        del self._partial[:end]
-        if self._partial and not records and len(self._partial) > MAX_RECORD_BYTES:
-            raise CorruptData(f"{self.path}: no complete record follows {base}")
+        remaining = self._partial[end:]
+        if _is_corrupt(remaining):
+            self._raise_corrupt()
+        self._partial = remaining
         return records
 
+    def _raise_corrupt(self) -> NoReturn:
+        """Drops the bytes that no record was returned from, so that they are read again, and raises CorruptData."""
+        self.position -= len(self._partial)
+        self._partial.clear()
+        raise CorruptData(f"{self.path}: there are bytes after {self.position} that are no record")
+
+    def check_end(self) -> None:
+        """Raises CorruptData if the log has ended and was read completely, but not up to the end of a record."""
+        if self._partial and self.lengths.final and self.position >= self.lengths.durable:
+            self._raise_corrupt()
+
     def _next_payload_size(self) -> int:
-        return int.from_bytes(self._partial[:4], "big")
+        return _payload_size(self._partial)
 
     def _is_durable_read_postponed(self) -> bool:
         """Returns whether the cache is likely to have the next bytes soon, well within the reader's maximum lag."""
@@ -201,3 +219,15 @@
         if self._next_read_at > now:
             await self._ctx.timers.sleep(self._next_read_at - now)
         self._next_read_at = max(self._next_read_at, now) + timedelta(seconds=size / self._bytes_per_s)
+
+
+def _payload_size(frame: bytearray) -> int:
+    return int.from_bytes(frame[:4], "big")
+
+
+def _is_corrupt(undecoded: bytearray) -> bool:
+    """Returns whether bytes that follow the last complete record are not the beginning of another one."""
+    if len(undecoded) < FRAME_HEADER_BYTES:
+        return False
+    frame_bytes = FRAME_HEADER_BYTES + _payload_size(undecoded)
+    return frame_bytes > MAX_RECORD_BYTES or frame_bytes <= len(undecoded)
--- a/pipitlink/gateway/result_reader.py
+++ b/pipitlink/gateway/result_reader.py
@@ -9,7 +9,7 @@
 
 from ..cache.tail import Tail
 from ..context import Context
-from ..errors import NotFound, ServiceUnavailable
+from ..errors import CorruptData, NotFound, ServiceUnavailable
 from ..timers import ms, secs
 from ..wire.lots_pb2 import LogRecord, Lot, Result
 from .batch_ids import BatchLocation, parse_batch_id, result_log
@@ -106,7 +106,11 @@
                 "the results of the batch were removed after their retention time", code="results_removed", status=GONE
             )
         async with results.lock:
-            await self.read_to(results, lengths.durable)
+            try:
+                await self.read_to(results, lengths.durable)
+            except CorruptData:
+                self._drop(batch_id, results)
+                raise
         return results
 
     async def read_to(self, results: BatchResults, end: int) -> None:
@@ -119,6 +123,7 @@
                 results.apply(LogRecord.FromString(body))
             if tail.position == before:
                 await tail.wait_for_growth()
+        tail.check_end()
 
     async def _read_spec(self, tail: Tail, location: BatchLocation) -> Lot:
         await self._ctx.cache.poller.confirm_durable([location.log])
@@ -142,8 +147,13 @@
         now = self._ctx.timers.now()
         for batch_id, results in list(self._results.items()):
             if now - results.used_at > UNUSED_RESULTS_RETENTION:
-                results.tail.close()
-                del self._results[batch_id]
+                self._drop(batch_id, results)
+
+    def _drop(self, batch_id: str, results: BatchResults) -> None:
+        """Drops what was read of a batch; the next read starts from the beginning of the log."""
+        results.tail.close()
+        if self._results.get(batch_id) is results:
+            del self._results[batch_id]
 
 
 def _no_such_batch() -> NotFound:
--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -182,7 +182,8 @@
         source = self.progress.most_up_to_date(granted)
         state = self.progress.known(source)
         if state.length:
-            self.data = bytearray(await self._client.read_from(source, self.log, 0, state.length))
+            data = await self._client.read_from(source, self.log, 0, state.length, state.tail_epoch)
+            self.data = bytearray(data)
             if len(self.data) != state.length:
                 raise NoQuorum(f"{self.log}: could not read the tail of storage node {source}")
         self.final = state.final
@@ -266,7 +267,7 @@
 
     def advance_commit(self) -> None:
         """Advances the commit position to the one that a quorum of replicas has reached under the current epoch."""
-        lengths = self.progress.match_lengths(self.epoch)
+        lengths = self.progress.counted_lengths(self.epoch)
         if not self.placement_group.is_quorum(lengths):
             return
         position = self.placement_group.quorum_position(lengths)
--- a/pipitlink/replicated_log/log_reader.py
+++ b/pipitlink/replicated_log/log_reader.py
@@ -1,8 +1,10 @@
-"""Hedged reads of committed log content from the replicas."""
+"""Hedged reads of committed bytes of logs from their replicas."""
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 
 from twisted.internet import defer
 
@@ -13,23 +15,39 @@
 
 __all__ = ["LogReader"]
 
+ReadFromNode = Callable[[str], Awaitable[bytes]]
+
 HEDGE_DELAY: timedelta = ms(100)
 """How long to wait for one storage node before also reading from the next."""
 
 
 class LogReader:
-    """Reads ranges of logs from whichever replica responds first."""
+    """Reads committed ranges of logs from whichever replica returns them first."""
 
     def __init__(self, ctx: Context, client: StorageClient) -> None:
         self._ctx = ctx
         self._client = client
 
-    async def read(self, log: str, position: int, length: int) -> bytes:
-        """Returns a committed range of a log; raises NoQuorum if no storage node returns all of it."""
+    async def read(self, log: str, position: int, length: int, committed_epoch: int) -> bytes:
+        """Returns a range of a log that is known to be committed; raises NoQuorum if no storage node returns all of it.
+
+        `committed_epoch` is an epoch under which the range is known to be committed (see `CommittedEnd`). If it is 0,
+        only a storage node that knows by itself that the range is committed returns it.
+        """
         nodes = list(self._client.placement_group(log).all_nodes)
         self._ctx.rng.shuffle(nodes)
         nodes.sort(key=self._preference)
-        read = _HedgedRead(self._ctx, self._client, log, position, length)
+        read = _HedgedRead(
+            self._ctx,
+            partial(
+                self._client.read_committed_from,
+                log=log,
+                position=position,
+                length=length,
+                committed_epoch=committed_epoch,
+            ),
+            length,
+        )
         for count, node in enumerate(nodes, 1):
             self._ctx.run_in_background(read.read_from(node), "read_log")
             content = await read.wait(count, HEDGE_DELAY if count < len(nodes) else READ_TIMEOUT)
@@ -44,20 +62,18 @@
 
 
 class _HedgedRead:
-    """The read of one range from several storage nodes."""
+    """The read of one range of `length` bytes from several storage nodes; `read_from_node` reads it from one."""
 
-    def __init__(self, ctx: Context, client: StorageClient, log: str, position: int, length: int) -> None:
+    def __init__(self, ctx: Context, read_from_node: ReadFromNode, length: int) -> None:
         self._ctx = ctx
-        self._client = client
-        self._log = log
-        self._position = position
+        self._read_from_node = read_from_node
         self._length = length
         self._results: list[bytes] = []
         self._next_result: defer.Deferred[None] | None = None
 
     async def read_from(self, node: str) -> None:
         """Reads the range from one storage node and wakes the waiting reader."""
-        self._results.append(await self._client.read_from(node, self._log, self._position, self._length))
+        self._results.append(await self._read_from_node(node))
         if self._next_result is not None and not self._next_result.called:
             self._next_result.callback(None)
 
--- a/pipitlink/replicated_log/log_states.py
+++ b/pipitlink/replicated_log/log_states.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -11,10 +11,11 @@
 from ..context import Context
 from ..timers import ms, secs
 from ..wire.replicated_log_pb2 import ListRequest, LogState, StatesRequest, StatesResponse
+from .commit_proof import merge_states
 from .placement_group import PlacementGroup
 from .storage_client import StorageClient
 
-__all__ = ["LogListing", "LogStates", "merge_states"]
+__all__ = ["LogListing", "LogStates"]
 
 GRACE_PERIOD: timedelta = ms(50)
 """How long to wait for the remaining storage nodes once a quorum of each placement group has responded."""
@@ -24,33 +25,6 @@
 StatesByNode = dict[str, LogState]
 
 
-def merge_states(placement_group: PlacementGroup, states: Mapping[str, LogState]) -> LogState:
-    """Merges the states of a log's replicas, given by storage node, into the state of its committed part.
-
-    A length counts as committed if a replica reports it as committed, or if a quorum has it under one tail epoch.
-    """
-    merged = LogState(log=next(iter(states.values())).log)
-    merged.committed = _committed(placement_group, states)
-    merged.epoch = max(state.epoch for state in states.values())
-    merged.tail_epoch = max(state.tail_epoch for state in states.values())
-    merged.length = merged.committed
-    merged.final = any(state.final and state.length <= merged.committed for state in states.values())
-    for state in states.values():
-        if state.leaseholder and state.lease_ms >= merged.lease_ms:
-            merged.leaseholder = state.leaseholder
-            merged.lease_ms = state.lease_ms
-    return merged
-
-
-def _committed(placement_group: PlacementGroup, states: Mapping[str, LogState]) -> int:
-    committed = max(state.committed for state in states.values())
-    for epoch in {state.tail_epoch for state in states.values()}:
-        lengths = {node: state.length for node, state in states.items() if state.tail_epoch == epoch}
-        if placement_group.is_quorum(lengths):
-            committed = max(committed, placement_group.quorum_position(lengths))
-    return committed
-
-
 class LogListing(NamedTuple):
     """The logs that were found, by name; `complete` if enough storage nodes responded that none is missing."""
 
--- a/pipitlink/replicated_log/replica_progress.py
+++ b/pipitlink/replicated_log/replica_progress.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..wire.replicated_log_pb2 import LogState
+from .commit_proof import counted_lengths
 
 __all__ = ["ReplicaProgress", "TailPosition"]
 
@@ -59,3 +60,7 @@
     def match_lengths(self, epoch: int) -> dict[str, int]:
         """Returns the length of each replica whose tail was written under `epoch`."""
         return {node: state.length for node, state in self._states.items() if state.tail_epoch == epoch}
+
+    def counted_lengths(self, epoch: int) -> dict[str, int]:
+        """Returns the length of each replica that counts towards a quorum under `epoch`."""
+        return counted_lengths(self._states, epoch)
--- a/pipitlink/replicated_log/replicated_log.py
+++ b/pipitlink/replicated_log/replicated_log.py
@@ -141,14 +141,17 @@
         """
         return await self._states.list(ListRequest(prefix=prefix, open_only=True))
 
-    async def read(self, log: str, position: int, length: int) -> bytes:
-        """Returns a committed range of a log; raises NoQuorum if no storage node returns all of it."""
-        return await self._reader.read(log, position, length)
+    async def read(self, log: str, position: int, length: int, committed_epoch: int) -> bytes:
+        """Returns a range of a log that is known to be committed; raises NoQuorum if no storage node returns all of it.
 
-    async def read_from(self, node: str, log: str, position: int, length: int, tail_epoch: int = 0) -> bytes:
-        """Reads a range from one storage node; returns fewer bytes if the node has less or cannot be reached.
+        `committed_epoch` is an epoch under which it is known to be committed, or 0 if none is known.
+        """
+        return await self._reader.read(log, position, length, committed_epoch)
+
+    async def read_from(self, node: str, log: str, position: int, length: int, tail_epoch: int) -> bytes:
+        """Reads a range, committed or not, from one storage node while its last writer has the epoch `tail_epoch`.
 
-        If `tail_epoch` is not 0, the node returns bytes only while the last writer of its replica has that epoch.
+        Returns fewer bytes if the node has less, if another writer follows meanwhile, or if it cannot be reached.
         """
         return await self._client.read_from(node, log, position, length, tail_epoch)
 
--- a/pipitlink/replicated_log/storage_client.py
+++ b/pipitlink/replicated_log/storage_client.py
@@ -101,19 +101,29 @@
     def _log_failure(self, failure: Failure) -> None:
         self._ctx.logger.failure("storage_call_error", failure.value)
 
-    async def read_from(self, node: str, log: str, position: int, length: int, tail_epoch: int = 0) -> bytes:
-        """Reads a range from one storage node; returns fewer bytes if the node has less or cannot be reached.
+    async def read_from(self, node: str, log: str, position: int, length: int, tail_epoch: int) -> bytes:
+        """Reads a range, committed or not, from one storage node while its last writer has the epoch `tail_epoch`.
 
-        If `tail_epoch` is not 0, the node returns bytes only while the last writer of its replica has that epoch.
+        Returns fewer bytes if the node has less, if another writer follows meanwhile, or if it cannot be reached.
         """
+        return await self._read(node, ReadRequest(log=log, position=position, tail_epoch=tail_epoch), length)
+
+    async def read_committed_from(self, node: str, log: str, position: int, length: int, committed_epoch: int) -> bytes:
+        """Reads a range that is committed under the epoch `committed_epoch` from one storage node.
+
+        Returns fewer bytes if the node cannot be reached, has less, or has bytes that may not be the committed ones.
+        With `committed_epoch` 0 it returns only what it knows by itself to be committed.
+        """
+        return await self._read(node, ReadRequest(log=log, position=position, committed_epoch=committed_epoch), length)
+
+    async def _read(self, node: str, first: ReadRequest, length: int) -> bytes:
+        """Reads `length` bytes with as many calls as it takes; `first` has everything but the length."""
+        request = ReadRequest()
+        request.CopyFrom(first)
         content = b""
         while len(content) < length:
-            request = ReadRequest(
-                log=log,
-                position=position + len(content),
-                length=min(MAX_READ_BYTES, length - len(content)),
-                tail_epoch=tail_epoch,
-            )
+            request.position = first.position + len(content)
+            request.length = min(MAX_READ_BYTES, length - len(content))
             try:
                 response = await self.call(node, "replicated_log.read", request, ReadResponse, READ_TIMEOUT)
             except WireError:
--- a/pipitlink/router/batch_follower.py
+++ b/pipitlink/router/batch_follower.py
@@ -59,9 +59,13 @@
         return self.progress.announced is not None and self.tail.at_record_boundary()
 
     async def catch_up(self, known: KnownLengths) -> None:
-        """Reads up to the length known to be durable by the time the lock is acquired, and whatever more is cached."""
+        """Reads up to the length known to be durable by the time the lock is acquired, and whatever more is cached.
+
+        Raises CorruptData if what was read is not the log; this follower must then be dropped.
+        """
         async with self._lock:
             await self._read_up_to(known.durable)
+            self.tail.check_end()
 
     async def _read_up_to(self, end: int) -> None:
         known = self.tail.lengths
--- a/pipitlink/router/batch_followers.py
+++ b/pipitlink/router/batch_followers.py
@@ -6,7 +6,7 @@
 
 from ..cache.poller import KnownLengths
 from ..context import Context
-from ..errors import ApiError, NotFound, PipitlinkError, ServiceUnavailable
+from ..errors import ApiError, CorruptData, NotFound, PipitlinkError, ServiceUnavailable
 from ..timers import ms, secs
 from ..wire.lots_pb2 import Batch
 from .batch_follower import BatchFollower
@@ -94,8 +94,8 @@
             try:
                 with follower.in_use():
                     await self._ctx.timers.with_timeout(READ_TIMEOUT, self._read(batch_id, follower))
-            except ApiError:
-                if follower.progress.head is None:
+            except (ApiError, CorruptData) as error:
+                if follower.progress.head is None or isinstance(error, CorruptData):
                     self.drop(batch_id, follower)
                 raise
         return follower
--- a/pipitlink/router/batch_reader.py
+++ b/pipitlink/router/batch_reader.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from ..context import Context
-from ..errors import ApiError, NotFound, PipitlinkError, ServiceUnavailable
+from ..errors import ApiError, CorruptData, NotFound, PipitlinkError, ServiceUnavailable
 from ..timers import ZERO, secs
 from .batch_followers import BatchFollowers
 from .batch_progress import BatchProgress
@@ -43,8 +43,8 @@
         while True:
             try:
                 progress = await self._followers.get_progress(batch_id)
-            except PipitlinkError:
-                if progress is None:
+            except PipitlinkError as error:
+                if progress is None or isinstance(error, CorruptData):
                     raise
                 return progress
             remaining = deadline - self._ctx.timers.now()
--- a/pipitlink/storage/log_store.py
+++ b/pipitlink/storage/log_store.py
@@ -149,6 +149,7 @@
             raise StaleEpoch(f"{entry.log}: bytes below {replica.committed} are committed")
         self._check_capacity(len(entry.data) + WRITE_OVERHEAD_BYTES, reserved)
         replica.epoch = max(replica.epoch, entry.epoch)
+        replica.begin_write(entry.epoch)
         body = encode(entry)
         _apply_write(replica, entry, self.segments.append(body, completion), len(body))
         return True
@@ -173,7 +174,20 @@
     def is_written_under(self, log: str, epoch: int) -> bool:
         """Returns whether the last writer of a log had this epoch, both on disk and including queued writes."""
         replica = self.logs.get(log)
-        return replica is not None and replica.tail_epoch == replica.synced.epoch == epoch
+        return replica is not None and replica.is_synced_under(epoch)
+
+    def committed_length(self, log: str, committed_epoch: int) -> int:
+        """Returns the length up to which the bytes on disk are certain to be those of the log.
+
+        See `Replica.committed_length`.
+        """
+        replica = self.logs.get(log)
+        return replica.committed_length(committed_epoch) if replica is not None else 0
+
+    def has_bytes_beyond_commit(self, log: str) -> bool:
+        """Returns whether a replica has bytes on disk that are not known here to be committed."""
+        replica = self.logs.get(log)
+        return replica is not None and replica.synced_commit() < replica.synced.length
 
     def read_extents(self, extents: list[Extent]) -> bytes:
         """Reads bytes from disk. Blocks, so it must be called in a thread."""
--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -46,6 +46,7 @@
         self._replica_repair = ReplicaRepair(ctx, self._lease_grants, transfer)
         self._retention = Retention(ctx, self.log_store, group_commit)
         self._write_handler = WriteHandler(ctx, self.log_store, group_commit, self._lease_grants, placement_check)
+        self._refused_reads = 0
 
     def open(self) -> None:
         """Recovers the log store, starts the periodic tasks and registers the RPC handlers. Raises CorruptData."""
@@ -60,28 +61,38 @@
         self._ctx.rpc.register_handler("replicated_log.list", ListRequest, self._list)
 
     async def _read(self, peer: str, request: ReadRequest) -> ReadResponse:
+        """Returns bytes of one replica, and only those that the reader may take for bytes of the log.
+
+        These are all of them while the last writer has the epoch for which the reader asks, or else what is certain to
+        be committed.
+        """
         if request.tail_epoch and not self.log_store.is_written_under(request.log, request.tail_epoch):
             return ReadResponse()
+        length = request.length
         if not request.tail_epoch:
-            self._log_read_beyond_commit(peer, request)
-        extents = self.log_store.extents(request.log, request.position, min(request.length, MAX_READ_BYTES))
+            end = self.log_store.committed_length(request.log, request.committed_epoch)
+            self._record_refusal(peer, request, end)
+            length = max(0, min(length, end - request.position))
+        extents = self.log_store.extents(request.log, request.position, min(length, MAX_READ_BYTES))
         return ReadResponse(data=await self._ctx.run_in_thread(self.log_store.read_extents, extents))
 
-    def _log_read_beyond_commit(self, peer: str, request: ReadRequest) -> None:
-        """Logs a read of bytes that this storage node does not know to be committed."""
+    def _record_refusal(self, peer: str, request: ReadRequest, committed: int) -> None:
+        """Counts and logs a read of bytes that are on disk, but may not be those of the log."""
         state = self.log_store.state(request.log)
         end = min(request.position + request.length, state.length)
-        if max(request.position, state.committed) < end:
-            self._ctx.logger.info(
-                "read_beyond_commit",
-                log=request.log,
-                reader=peer,
-                position=request.position,
-                end=end,
-                committed=state.committed,
-                tail_epoch=state.tail_epoch,
-                epoch=state.epoch,
-            )
+        if max(request.position, committed) >= end:
+            return
+        self._refused_reads += 1
+        self._ctx.logger.info(
+            "read_refused",
+            log=request.log,
+            reader=peer,
+            position=request.position,
+            end=end,
+            committed=committed,
+            tail_epoch=state.tail_epoch,
+            committed_epoch=request.committed_epoch,
+        )
 
     async def _read_states(self, _peer: str, request: StatesRequest) -> StatesResponse:
         return StatesResponse(states=[self._lease_grants.log_state(log) for log in request.logs[:MAX_STATES]])
@@ -90,8 +101,7 @@
         logs = sorted(
             log
             for log, replica in self.log_store.logs.items()
-            if log.startswith(request.prefix)
-            and (not request.open_only or (replica.length and not replica.synced.final))
+            if log.startswith(request.prefix) and (not request.open_only or replica.is_open())
         )
         if not request.by_placement_group:
             return StatesResponse(states=[self._lease_grants.log_state(log) for log in logs])
@@ -132,6 +142,7 @@
             "disk_used_bytes": ("Bytes of the data folder in use", self.log_store.used_bytes()),
             "disk_room_bytes": ("Bytes before the reserve is touched", self.log_store.free_bytes()),
             "logs": ("Logs kept", len(self.log_store.logs)),
+            "refused_reads": ("Reads of bytes on disk that may not be committed", self._refused_reads),
         }
 
     async def shut_down(self) -> None:
--- a/pipitlink/storage/replica.py
+++ b/pipitlink/storage/replica.py
@@ -46,7 +46,8 @@
 
     `epoch` is the highest granted epoch known to this storage node, including copied grants of other storage nodes;
     `leased_epoch` is the highest epoch that it granted itself. `tail_epoch` is the epoch of the last writer, and
-    `synced` is the tail on disk. `epoch_location` and `tail_location` locate the entries from which `epoch` and
+    `synced` is the tail on disk. While a write under a new epoch is not on disk yet, `committed_before_write` is what
+    was known to be committed before it. `epoch_location` and `tail_location` locate the entries from which `epoch` and
     `tail_epoch` can be recovered.
     """
 
@@ -63,6 +64,7 @@
     extent_starts: list[int] = attrs.field(factory=list)
     extents: list[Extent] = attrs.field(factory=list)
     synced: Tail = Tail()
+    committed_before_write: int = 0
 
     @property
     def tail(self) -> Tail:
@@ -76,11 +78,53 @@
             epoch=self.epoch,
             tail_epoch=self.synced.epoch,
             length=self.synced.length,
-            committed=min(self.committed, self.synced.length),
+            committed=self.synced_commit(),
             final=self.synced.final,
             closed_ms=self.closed_ms,
         )
 
+    def is_synced_under(self, epoch: int) -> bool:
+        """Returns whether the last writer had this epoch, both on disk and including queued writes."""
+        return self.tail_epoch == self.synced.epoch == epoch
+
+    def begin_write(self, epoch: int) -> None:
+        """Prepares for a write under an epoch, which replaces uncommitted bytes if the epoch is new."""
+        if epoch != self.tail_epoch and self.is_synced_under(self.tail_epoch):
+            self.committed_before_write = self.synced_commit()
+
+    def synced_commit(self) -> int:
+        """Returns the length up to which the bytes on disk are known here to be committed.
+
+        A queued write under a new epoch may replace uncommitted bytes. Its commit position is not true of the bytes
+        that are still on disk.
+        """
+        if self.is_synced_under(self.tail_epoch):
+            return min(self.committed, self.synced.length)
+        return self.committed_before_write
+
+    def committed_length(self, committed_epoch: int) -> int:
+        """Returns the length up to which the bytes on disk are certain to be those of the log.
+
+        The caller must know that what it reads is committed under `committed_epoch`; then a replica that was last
+        written under this epoch or a later one has it. Without such an epoch (0), only the replica's own knowledge
+        counts.
+        """
+        if committed_epoch and self.is_synced_under(self.tail_epoch) and self.tail_epoch >= committed_epoch:
+            return self.synced.length
+        return self.synced_commit()
+
+    def is_open(self) -> bool:
+        """Returns whether the log has bytes and is not known to have ended.
+
+        An end does not count if a later leaseholder, for which an epoch was granted, may have recovered the log without
+        it. That leaseholder or the next one commits the end or replaces it.
+        """
+        if not self.length:
+            return False
+        if not self.synced.final:
+            return True
+        return self.epoch > self.synced.epoch and self.synced_commit() < self.synced.length
+
     def uses_segment(self, segment: int) -> bool:
         """Returns whether the replica needs any data in this segment file."""
         entries = [self.epoch_location, self.tail_location]
--- a/pipitlink/storage/replica_transfer.py
+++ b/pipitlink/storage/replica_transfer.py
@@ -12,6 +12,7 @@
 from ..context import Context
 from ..errors import NoQuorum, ReplicatedLogError, StaleEpoch, WireError
 from ..group_commit import GroupCommit
+from ..replicated_log.commit_proof import merge_states
 from ..replicated_log.placement_group import PlacementGroup, majority
 from ..replicated_log.replica_progress import TailPosition
 from ..timers import secs, spawn
@@ -92,12 +93,30 @@
         )
         if not has_majority(responses):
             return None
+        current = _at_placement(responses, placement_group.sequence)
+        self._learn_commit_positions(placement_group, current)
         peers = _PeerReplicas()
-        for storage_node, response in _at_placement(responses, placement_group.sequence).items():
+        for storage_node, response in current.items():
             for state in response.states:
                 peers.add(storage_node, state)
         return peers
 
+    def _learn_commit_positions(self, placement_group: PlacementGroup, responses: Mapping[str, StatesResponse]) -> None:
+        """Records what the peers' replicas and the local ones together show to be committed.
+
+        A storage node that starts has forgotten the last commit positions that leaseholders sent to it.
+        """
+        states: dict[str, dict[str, LogState]] = {}
+        for storage_node, response in responses.items():
+            for state in response.states:
+                if self._log_store.has_bytes_beyond_commit(state.log):
+                    states.setdefault(state.log, {})[storage_node] = state
+        for log, by_node in states.items():
+            local = self._log_store.state(log)
+            merged = merge_states(placement_group, {**by_node, self._ctx.node: local})
+            if 0 < merged.committed_epoch <= local.tail_epoch:
+                self._log_store.commit(log, local.tail_epoch, merged.committed)
+
     def _has_majority(self, placement_group: PlacementGroup, responses: Mapping[str, StatesResponse]) -> bool:
         """Returns whether this node and the peers that responded at this placement are a majority."""
         current = _at_placement(responses, placement_group.sequence)
@@ -131,7 +150,9 @@
         log, state = peer.state.log, peer.state
         local = self._log_store.state(log)
         start = local.length if local.tail_epoch == state.tail_epoch else min(local.committed, state.length)
-        data = await self._ctx.replicated_log.read_from(peer.storage_node, log, start, state.length - start)
+        data = await self._ctx.replicated_log.read_from(
+            peer.storage_node, log, start, state.length - start, state.tail_epoch
+        )
         if len(data) != state.length - start:
             raise NoQuorum(f"{log}: storage node {peer.storage_node} returned only {len(data)} bytes")
         expected = Tail(local.tail_epoch, local.length)
--- a/tests/model/leases.py
+++ b/tests/model/leases.py
@@ -1,10 +1,11 @@
 """A model of one replicated log while its placement group replaces a storage node.
 
-It covers leases, epochs, log tails, quorums in the old and the new set of nodes, and wiped disks. Leases have no
-duration here: any gateway may request one at any time, since epochs alone must keep the log consistent. A write and its
-response are one step. A leaseholder may learn the state of a replica that it wrote at any later time. A transfer to the
-joining node is two steps, since the source may change between the list of tails and the read of its data. A storage
-node responds only after what it granted or wrote is on its disk.
+It covers leases, epochs, log tails, quorums in the old and the new set of nodes, repairs, readers and wiped disks.
+Leases have no duration here: any gateway may request one at any time, since epochs alone must keep the log consistent.
+A write and its response are one step. A leaseholder may learn the state of a replica that it wrote at any later time. A
+transfer to the joining node is two steps, since the source may change between the list of tails and the read of its
+data; so is the recovery of a tail. A repair is one step. A reader collects the states of replicas one by one, at any
+times, and then reads from any one replica. A storage node responds only after what it granted or wrote is on its disk.
 """
 
 from collections.abc import Collection, Iterator
@@ -13,7 +14,9 @@
 
 import attrs
 
+from pipitlink.replicated_log.commit_proof import merge_states
 from pipitlink.replicated_log.placement_group import PlacementGroup
+from pipitlink.wire.replicated_log_pb2 import LogState
 
 from . import properties
 from .properties import Acknowledged, LogReplicas, RecoveredTail, Tail
@@ -44,7 +47,7 @@
     lost: bool = False
 
     def reported(self) -> "Reported":
-        return Reported(self.tail_epoch, len(self.data), self.committed)
+        return Reported(self.tail_epoch, len(self.data), self.committed, self.epoch)
 
 
 class Reported(NamedTuple):
@@ -53,6 +56,7 @@
     tail_epoch: int
     length: int
     committed: int
+    epoch: int = 0
 
 
 NOTHING_REPORTED = Reported(0, 0, 0)
@@ -100,6 +104,8 @@
     transfer: Transfer = Transfer()
     recovered: frozenset = frozenset()
     acknowledged: frozenset = frozenset()
+    reported_to_reader: tuple = ()
+    read: frozenset = frozenset()
     moved: tuple = ()
     wiped: int = 0
 
@@ -122,7 +128,9 @@
 class Leases:
     """The model: its size, and the safeguards of the protocol, which mutation tests disable.
 
-    With `starts_held`, the first gateway already holds the lease of the empty log, with epoch 1, granted by a majority.
+    With `reads`, a reader reads the log, and leaseholders tell replicas how much is committed. With `repairs`, replicas
+    copy from each other at any time. With `starts_held`, the first gateway already holds the lease of the empty log,
+    with epoch 1, granted by a majority.
     """
 
     replicas: int = 3
@@ -131,6 +139,8 @@
     appends: int = 2
     moves: bool = False
     starts_held: bool = False
+    reads: bool = False
+    repairs: bool = False
     wipes: int = 0
     grant_is_durable: bool = True
     write_checks_epoch: bool = True
@@ -141,6 +151,10 @@
     stale_placement_is_rejected: bool = True
     transfers_before_join: bool = True
     transfer_is_fenced: bool = True
+    transfer_checks_epoch: bool = True
+    recovery_checks_epoch: bool = True
+    counts_current_epoch_only: bool = True
+    reader_checks_epoch: bool = True
     resets_progress_after_move: bool = True
     wiped_node_has_new_identity: bool = True
     needs_majority: bool = True
@@ -176,6 +190,8 @@
             *properties.one_tail_per_epoch(tails),
             *properties.acknowledged_in_later_tails(state.acknowledged, state.recovered),
             *properties.acknowledged_in_later_tails(shown, state.recovered),
+            *properties.acknowledged_in_later_tails(state.read, state.recovered),
+            *properties.reads_agree([*state.read, *state.acknowledged]),
             *properties.enough_replicas_keep_acknowledged(
                 state.acknowledged, (LogReplicas(LOG, 1, replicas), *state.moved)
             ),
@@ -195,6 +211,12 @@
             yield from self._wipe(state, node, replica)
         if self.moves:
             yield from self._move(state)
+        if self.repairs:
+            yield from self._repair(state)
+        if self.reads:
+            yield from self._mark(state)
+            yield from self._inform_reader(state)
+            yield from self._read(state)
 
     def _request(self, state: State, index: int, leaseholder: Leaseholder):
         newest = max([r.epoch for r in state.replicas] + [other.epoch for other in state.leaseholders])
@@ -254,6 +276,8 @@
         data = state.replicas[source].data[: progress[source].length]
         if state.replicas[source].lost or len(data) < progress[source].length:
             return
+        if self.recovery_checks_epoch and state.replicas[source].tail_epoch != progress[source].tail_epoch:
+            return
         after = leaseholder._replace(
             phase=RECOVERING if data and self.recovers_tail else HELD,
             data=data,
@@ -277,11 +301,11 @@
         for node in self._reachable(state, leaseholder):
             replica = state.replicas[node]
             reported = replica.reported()
-            if replica.epoch > leaseholder.epoch and self.write_checks_epoch:
-                continue
             if replica.tail_epoch == leaseholder.epoch and leaseholder.known(node) != reported:
                 informed = leaseholder.with_progress(node, reported)
                 yield f"see {node} by {index}", state.with_leaseholder(index, informed)
+            if replica.epoch > leaseholder.epoch and self.write_checks_epoch:
+                continue
             for start, end in self._ranges(leaseholder, reported):
                 is_same = (replica.tail_epoch, replica.data) == (leaseholder.epoch, leaseholder.data[:end])
                 if is_same or start < replica.committed:
@@ -303,7 +327,11 @@
         return [(first, end) for first in range(start + 1) for end in ends]
 
     def _advance_commit(self, state: State, index: int, leaseholder: Leaseholder):
-        lengths = {str(n): r.length for n, r in leaseholder.progress if r.tail_epoch == leaseholder.epoch}
+        lengths = {
+            str(n): r.length
+            for n, r in leaseholder.progress
+            if r.tail_epoch == leaseholder.epoch and self._counts(r, leaseholder.epoch)
+        }
         if leaseholder.phase not in (RECOVERING, HELD) or not self._is_quorum(leaseholder, lengths):
             return
         group = self.group(leaseholder.sequence)
@@ -319,6 +347,72 @@
                 after._replace(acknowledged=state.acknowledged | {acknowledged}),
             )
 
+    def _counts(self, reported: Reported, epoch: int) -> bool:
+        """Whether the length of a replica counts towards a quorum under an epoch that is that of its tail."""
+        return reported.epoch == epoch or not self.counts_current_epoch_only
+
+    def _mark(self, state: State):
+        """A leaseholder tells a replica that it has written how much is committed."""
+        for index, leaseholder in enumerate(state.leaseholders):
+            for node, replica in enumerate(state.replicas):
+                committed = min(leaseholder.committed, len(replica.data))
+                if replica.tail_epoch == leaseholder.epoch and not replica.lost and committed > replica.committed:
+                    yield f"mark {node} by {index}", state.with_replica(node, replica._replace(committed=committed))
+
+    def _inform_reader(self, state: State):
+        known = dict(state.reported_to_reader)
+        for node in map(int, self.group(state.sequence).all_nodes):
+            replica = state.replicas[node]
+            if not replica.lost and replica.tail_epoch and known.get(node) != replica.reported():
+                informed = tuple(sorted({**known, node: replica.reported()}.items()))
+                yield f"tell {node}", state._replace(reported_to_reader=informed)
+
+    def _read(self, state: State):
+        """The reader determines the end of the committed log, and reads it from any one replica that returns it."""
+        if not state.reported_to_reader:
+            return
+        merged = merge_states(
+            self.group(state.sequence),
+            {str(node): self._log_state(reported) for node, reported in state.reported_to_reader},
+        )
+        for node, replica in enumerate(state.replicas):
+            if merged.committed and not replica.lost and self._returns(replica, merged):
+                read = Acknowledged(LOG, merged.committed_epoch, replica.data[: merged.committed])
+                if read not in state.read:
+                    yield f"read {node}", state._replace(read=state.read | {read})
+
+    def _log_state(self, reported: Reported) -> LogState:
+        epoch = reported.epoch if self.counts_current_epoch_only else reported.tail_epoch
+        return LogState(
+            log=LOG,
+            epoch=epoch,
+            tail_epoch=reported.tail_epoch,
+            length=reported.length,
+            committed=reported.committed,
+        )
+
+    def _returns(self, replica: Replica, merged: LogState) -> bool:
+        """Whether a storage node returns the bytes below the reader's end."""
+        if len(replica.data) < merged.committed:
+            return False
+        is_certain = replica.committed >= merged.committed or replica.tail_epoch >= merged.committed_epoch
+        return is_certain or not self.reader_checks_epoch
+
+    def _repair(self, state: State):
+        """A replica copies the tail of one that is more up to date."""
+        members = [int(node) for node in self.group(state.sequence).all_nodes if int(node) < self.replicas]
+        for node in members:
+            local = state.replicas[node]
+            for other in members:
+                source = state.replicas[other]
+                if local.lost or source.lost:
+                    continue
+                if (source.tail_epoch, len(source.data)) <= (local.tail_epoch, len(local.data)):
+                    continue
+                if local.leased_epoch > source.tail_epoch and self.transfer_is_fenced:
+                    continue
+                yield f"repair {node} from {other}", state.with_replica(node, _copied(local, source))
+
     def _append(self, state: State, index: int, leaseholder: Leaseholder):
         logs = [h.data for h in state.leaseholders] + [r.data for r in state.replicas]
         written = {record for data in logs for record in data}
@@ -354,7 +448,7 @@
             yield "move", state._replace(sequence=1)
         if state.sequence == 1 and state.replicas[self.replicas].sequence == 1 and not state.transfer.complete:
             yield from self._list(state)
-            yield from self._read(state)
+            yield from self._copy(state)
         if state.sequence == 1 and (state.transfer.complete or not self.transfers_before_join):
             members = [state.replicas[int(n)] for n in self.group(2).storage_nodes]
             lost = sum(r.lost for r in members)
@@ -373,7 +467,7 @@
             transfer = Transfer(source, state.replicas[source].reported(), granted_epoch)
             yield f"list {nodes}", state._replace(transfer=transfer)
 
-    def _read(self, state: State):
+    def _copy(self, state: State):
         transfer, local = state.transfer, state.replicas[self.replicas]
         if transfer.source < 0:
             return
@@ -383,7 +477,8 @@
             start = len(local.data) if is_same_epoch else min(local.committed, listed.length)
             data = (*local.data[:start], *source.data[start : listed.length])
             is_fenced = local.leased_epoch > listed.tail_epoch and self.transfer_is_fenced
-            if source.lost or len(data) < listed.length or is_fenced:
+            is_overwritten = source.tail_epoch != listed.tail_epoch and self.transfer_checks_epoch
+            if source.lost or len(data) < listed.length or is_fenced or is_overwritten:
                 yield "list_again", state._replace(transfer=Transfer())
                 return
             committed = min(listed.committed, len(data))
@@ -410,5 +505,15 @@
     )
 
 
+def _copied(local: Replica, source: Replica) -> Replica:
+    start = len(local.data) if local.tail_epoch == source.tail_epoch else min(local.committed, len(source.data))
+    return local._replace(
+        epoch=max(local.epoch, source.tail_epoch),
+        tail_epoch=source.tail_epoch,
+        data=(*local.data[:start], *source.data[start:]),
+        committed=max(local.committed, source.committed),
+    )
+
+
 def _majorities(nodes: list[int], replicas: int) -> Iterator[tuple[int, ...]]:
     return combinations(nodes, replicas // 2 + 1)
--- a/tests/model/properties.py
+++ b/tests/model/properties.py
@@ -28,6 +28,7 @@
     "one_tail_per_epoch",
     "acknowledged_in_later_tails",
     "enough_replicas_keep_acknowledged",
+    "reads_agree",
     "no_stale_admission",
 ]
 
@@ -222,6 +223,18 @@
     ]
 
 
+def reads_agree(reads: Iterable[Acknowledged]) -> list[str]:
+    """Of two reads or acknowledged contents of a log, both from its start, one is a prefix of the other."""
+    longest: dict[Any, Acknowledged] = {}
+    out = []
+    for read in sorted(reads, key=lambda read: len(read.data)):
+        shorter = longest.get(read.log)
+        if shorter is not None and read.data[: len(shorter.data)] != shorter.data:
+            out.append(f"two reads of {read.log} differ below {len(shorter.data)}")
+        longest[read.log] = read
+    return out
+
+
 def enough_replicas_keep_acknowledged(
     acknowledged: Iterable[Acknowledged], log_replicas: Iterable[LogReplicas]
 ) -> list[str]:
--- a/tests/test_batches_head.py
+++ b/tests/test_batches_head.py
@@ -332,7 +332,7 @@
             rng=Random(1),
             settings=SimpleNamespace(reader_kb_s=10**9, postpone_ms=0, poll_ms=1, durable_poll_ms=1),
         )
-        cache = SimpleNamespace(poller=log, read_durable=lambda path, start, length: read(start, start + length))
+        cache = SimpleNamespace(poller=log, read_durable=lambda path, start, length, _: read(start, start + length))
         tail = Tail(ctx, cache, "log", None)
         self.bytes_read = 0
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -31,6 +31,16 @@
     "voters": (Consensus(standbys=2, terms=4, entries=5, changes=3, crashes=1, atomic_elections=True), 300, 80),
     "leases": (Leases(leaseholders=3, epochs=4, appends=4, moves=True, wipes=1), 300, 80),
     "leases, five replicas": (Leases(replicas=5, leaseholders=3, epochs=4, appends=4, moves=True, wipes=2), 200, 90),
+    "readers and repairs": (
+        Leases(leaseholders=3, epochs=4, appends=4, moves=True, wipes=1, reads=True, repairs=True),
+        200,
+        90,
+    ),
+    "readers, the first lease held": (
+        Leases(epochs=3, appends=3, moves=True, reads=True, repairs=True, starts_held=True),
+        200,
+        90,
+    ),
     "proofs": (Proofs(witnesses=4), 500, 80),
 }
 
@@ -77,6 +87,35 @@
     "resets_progress_after_move": {"moves": True},
 }
 
+STALE_TAIL = ("append 0", "write 0 by 0", "ask 1 for 2", "grant 1 to 1", "grant 2 to 1", "settle 1")
+COPIED_STALE_TAIL = (*STALE_TAIL, "move", "follow 0", "follow 1", "follow 3", "list (0, 1)", "copy", "end")
+STALE_TAIL_OF_FIVE = (
+    "append 0",
+    "write 0 by 0",
+    "write 1 by 0",
+    "ask 1 for 2",
+    "grant 2 to 1",
+    "grant 3 to 1",
+    "grant 4 to 1",
+    "settle 1",
+    "append 1",
+)
+LEASE_GUARDS_AFTER_STEPS = {
+    "a reader that ignores epochs": ({"reads": True, "reader_checks_epoch": False}, STALE_TAIL),
+    "a reader that counts under old epochs": (
+        {"reads": True, "moves": True, "counts_current_epoch_only": False},
+        COPIED_STALE_TAIL,
+    ),
+    "a leaseholder that counts fenced replicas": (
+        {"moves": True, "counts_current_epoch_only": False},
+        COPIED_STALE_TAIL,
+    ),
+    "a copy of a tail that was overwritten": (
+        {"replicas": 5, "moves": True, "transfer_checks_epoch": False},
+        (*STALE_TAIL_OF_FIVE, "move", *(f"follow {n}" for n in (0, 2, 3, 5)), "look 1 at 1", "list (0, 2, 3)"),
+    ),
+}
+
 LEADER_PROOF_GUARDS = (
     "voters_wait",
     "leader_needs_recent_quorum",
@@ -126,6 +165,12 @@
             model = Leases(**size, epochs=3, appends=3, starts_held=True, **{guard: False})
             self.assert_found(guard, walk(model, 1, 4000, 60, RARE_STEPS))
 
+    def test_a_disabled_guard_against_stale_replicas_is_detected(self):
+        """Guards against readers, leaseholders and joining nodes that take a dead writer's tail for the log."""
+        for name, (options, first_steps) in LEASE_GUARDS_AFTER_STEPS.items():
+            model = Leases(epochs=2, appends=2, starts_held=True, **options)
+            self.assert_found(name, explore(model, 100_000, first_steps))
+
     def test_a_disabled_guard_of_the_proofs_is_detected(self):
         for guard in LEADER_PROOF_GUARDS:
             self.assert_found(guard, explore(Proofs(by_witnesses=False, **{guard: False}), 100_000))
--- a/tests/test_simulated_cache.py
+++ b/tests/test_simulated_cache.py
@@ -16,7 +16,7 @@
 
 class _FakeLog:
     def __init__(self):
-        self.data, self.committed, self.lost = bytearray(), 0, ""
+        self.data, self.epoch, self.committed, self.lost = bytearray(), 1, 0, ""
         self._callback = None
 
     def watch(self, callback):
--- a/tests/test_simulated_logs.py
+++ b/tests/test_simulated_logs.py
@@ -52,7 +52,7 @@
             try:
                 state = (await ctx.replicated_log.states([self.log])).get(self.log)
                 if state is not None and state.committed:
-                    self.check(await ctx.replicated_log.read(self.log, 0, state.committed))
+                    self.check(await ctx.replicated_log.read(self.log, 0, state.committed, state.committed_epoch))
             except PipitlinkError:
                 pass
             await ctx.timers.sleep(ms(150))
@@ -160,7 +160,9 @@
             self.simulation.do(leaseholder.append([b"late"]))
         self.simulation.run(3)
         state = self.simulation.do(self.second.ctx.replicated_log.states(["results/a"]))["results/a"]
-        data = self.simulation.do(self.second.ctx.replicated_log.read("results/a", 0, state.committed))
+        data = self.simulation.do(
+            self.second.ctx.replicated_log.read("results/a", 0, state.committed, state.committed_epoch)
+        )
         self.assertEqual([body for _, body, _ in decode_frames(data)], [b"one", b"two"])
 
     def test_a_new_leaseholder_recovers_a_log_after_an_append_reached_only_one_storage_node(self):
--- a/tests/test_simulated_retention.py
+++ b/tests/test_simulated_retention.py
@@ -60,7 +60,9 @@
         states = self.simulation.do(self.other.replicated_log.list("results/"))
         self.assertEqual([(state.final, state.length) for state in states.values()], [(True, 0)] * 12)
         state = self.simulation.do(self.other.replicated_log.states(["lots/kept"]))["lots/kept"]
-        data = self.simulation.do(self.other.replicated_log.read("lots/kept", 0, state.committed))
+        data = self.simulation.do(
+            self.other.replicated_log.read("lots/kept", 0, state.committed, state.committed_epoch)
+        )
         self.assertEqual(data, bytes(kept.data))
 
     def test_a_torn_segment_end_is_truncated_and_repaired_from_other_replicas(self):
@@ -76,7 +78,7 @@
             lambda: member.part.log_store.state("lots/torn").length == len(leaseholder.data), 20, "repaired"
         )
         data = self.simulation.do(
-            self.other.replicated_log.read_from(member.node, "lots/torn", 0, len(leaseholder.data))
+            self.other.replicated_log.read_from(member.node, "lots/torn", 0, len(leaseholder.data), leaseholder.epoch)
         )
         self.assertEqual(data, bytes(leaseholder.data))
 
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -80,7 +80,8 @@
 
     def read(self, log: str) -> tuple[bytes, bool]:
         state = self.simulation.do(self.replicated_log().states([log]))[log]
-        return self.simulation.do(self.replicated_log().read(log, 0, state.committed)), state.final
+        read = self.replicated_log().read(log, 0, state.committed, state.committed_epoch)
+        return self.simulation.do(read), state.final
 
     def restart(self):
         for node in self.stateful_nodes:
