--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -68,16 +68,17 @@
         """
         if request.tail_epoch and not self.log_store.is_written_under(request.log, request.tail_epoch):
             return ReadResponse()
-        length = request.length
+        length = min(request.length, MAX_READ_BYTES)
         if not request.tail_epoch:
-            end = self.log_store.committed_length(request.log, request.committed_epoch)
-            self._record_refusal(peer, request, end)
-            length = max(0, min(length, end - request.position))
-        extents = self.log_store.extents(request.log, request.position, min(length, MAX_READ_BYTES))
+            committed = self.log_store.committed_length(request.log, request.committed_epoch)
+            if committed < request.position + length:
+                self._record_refusal(peer, request, committed)
+            length = max(0, min(length, committed - request.position))
+        extents = self.log_store.extents(request.log, request.position, length)
         return ReadResponse(data=await self._ctx.run_in_thread(self.log_store.read_extents, extents))
 
     def _record_refusal(self, peer: str, request: ReadRequest, committed: int) -> None:
-        """Counts and logs a read of bytes that are on disk, but may not be those of the log."""
+        """Counts and logs a read beyond `committed`, if the bytes are on disk, but may not be those of the log."""
         state = self.log_store.state(request.log)
         end = min(request.position + request.length, state.length)
         if max(request.position, committed) >= end:
