Draw writes that only a storage node about to end receives, and read parts of logs

Readers of the simulated logs only read whole logs, which a replica with a stale tail is mostly too short for; they now also read parts near the end, as followers of batches do, and compare all bytes that anyone has read.

--- a/testbed/simulator/random_faults.py
+++ b/testbed/simulator/random_faults.py
@@ -11,11 +11,17 @@
 if TYPE_CHECKING:
     from .simulation import SimulatedNode, Simulation
 
-__all__ = ["RandomFaults", "seeds"]
+__all__ = ["LOG_FAULTS", "RandomFaults", "seeds"]
 
 SEEDS_VARIABLE = "REHEARSAL_SEEDS"
 FAULT_SECONDS = (0.3, 1.0, 2.5, 5.0)
 CUT_PROBABILITY = 0.7  # probability that a partition separates a node from each other node
+FAULTS = ("kill", "power", "freeze", "cut", "one_way", "full", "slow")
+ORPHANED_WRITE = "orphaned_write"
+LOG_FAULTS = (*FAULTS, ORPHANED_WRITE)
+"""The faults for runs that write logs."""
+ORPHANED_WRITE_SECONDS = 0.4  # how long the gateway reaches only one storage node before both end
+GATEWAY_RESTART_SECONDS = 0.3
 
 
 def seeds(usual: int) -> range:
@@ -31,7 +37,7 @@
         self,
         simulation: "Simulation",
         roles: Sequence[str] = ("controller", "storage", "gateway"),
-        kinds: Sequence[str] = ("kill", "power", "freeze", "cut", "one_way", "full", "slow"),
+        kinds: Sequence[str] = FAULTS,
     ) -> None:
         self._simulation = simulation
         self._roles = roles
@@ -45,6 +51,8 @@
         node = rng.choice(simulation.role(role))
         kind = rng.choice(self._kinds)
         duration = rng.choice(FAULT_SECONDS)
+        if kind == ORPHANED_WRITE:
+            node = rng.choice(simulation.role("storage"))
         self.injected.append(f"{simulation.clock.seconds():.3f} {kind} {node.name} {duration}")
         if node.alive and not node.frozen:
             self._inject(node, kind, duration)
@@ -63,6 +71,8 @@
         elif kind == "freeze":
             node.freeze()
             clock.callLater(duration, self._thaw, node)
+        elif kind == ORPHANED_WRITE:
+            self._orphan_writes(node, duration)
         else:
             self._partition(node, kind == "cut", duration)
 
@@ -76,6 +86,32 @@
         simulation.blocked_links |= pairs
         simulation.clock.callLater(duration, self._reconnect, pairs)
 
+    def _orphan_writes(self, storage_node: "SimulatedNode", duration: float) -> None:
+        """Has the writes of one gateway reach only one storage node, and then ends both.
+
+        The gateway returns first, so that other writers go on while the storage node still lacks what they commit. It
+        returns after `duration` with the tail of a writer that is gone.
+        """
+        simulation = self._simulation
+        gateways = simulation.role("gateway", alive=True)
+        writers = [node for node in gateways if node.ctx.replicated_log.leaseholders]
+        if not writers:
+            return
+        gateway = simulation.rng.choice(writers)
+        others = [node.name for node in simulation.role("storage") if node is not storage_node]
+        pairs = {pair for other in others for pair in ((gateway.name, other), (other, gateway.name))}
+        simulation.blocked_links |= pairs
+        self.injected.append(f"{simulation.clock.seconds():.3f} {gateway.name} reaches only {storage_node.name}")
+        simulation.clock.callLater(ORPHANED_WRITE_SECONDS, self._end_writer, gateway, storage_node, duration)
+        simulation.clock.callLater(ORPHANED_WRITE_SECONDS, self._reconnect, pairs)
+
+    def _end_writer(self, gateway: "SimulatedNode", storage_node: "SimulatedNode", duration: float) -> None:
+        clock = self._simulation.clock
+        for node, down_seconds in ((gateway, GATEWAY_RESTART_SECONDS), (storage_node, duration)):
+            if node.alive:
+                node.kill()
+                clock.callLater(down_seconds, self._start, node)
+
     def _end_slowness(self, node: "SimulatedNode") -> None:
         node.slow = 0.0
 
--- a/tests/test_simulated_logs.py
+++ b/tests/test_simulated_logs.py
@@ -8,10 +8,13 @@
 from pipitlink.errors import LeaseNotHeld, PipitlinkError, StaleEpoch
 from pipitlink.storage.write_handler import WriteHandler
 from pipitlink.timers import ms
-from testbed.simulator.random_faults import RandomFaults, seeds
+from testbed.simulator.random_faults import LOG_FAULTS, RandomFaults, seeds
 from testbed.simulator.simulation import Simulation
 
 SEEDS = seeds(4)
+MAX_PART_BYTES = 6000
+LAST_BYTES = 100_000
+"""Parts are read from the last bytes of the log, which replicas may differ in."""
 
 
 class _Writers:
@@ -21,6 +24,7 @@
         self.simulation, self.log, self.max_bytes = simulation, log, max_bytes
         self.acknowledged: dict[int, bytes] = {}
         self.last_read = b""
+        self.parts_read = _PartsRead()
         self.violations: list[str] = []
         self.stopped = False
         self.lease_count = 0
@@ -52,18 +56,49 @@
             try:
                 state = (await ctx.replicated_log.states([self.log])).get(self.log)
                 if state is not None and state.committed:
+                    await self.read_part(ctx, state)
                     self.check(await ctx.replicated_log.read(self.log, 0, state.committed, state.committed_epoch))
             except PipitlinkError:
                 pass
             await ctx.timers.sleep(ms(150))
 
+    async def read_part(self, ctx, state):
+        """Reads a part of the committed log, as followers do, which a replica that lacks the rest may have."""
+        start = max(0, state.committed - ctx.rng.randrange(1, LAST_BYTES))
+        end = min(state.committed, start + 1 + ctx.rng.randrange(MAX_PART_BYTES))
+        data = await ctx.replicated_log.read(self.log, start, end - start, state.committed_epoch)
+        if not self.parts_read.add(start, data):
+            self.violations.append(f"committed bytes from {start} to {end} changed")
+
     def check(self, data: bytes):
+        if not self.parts_read.add(0, data):
+            self.violations.append(f"committed bytes below {len(data)} differ from parts that were read")
         shorter, longer = sorted((data, self.last_read), key=len)
         if not longer.startswith(shorter):
             self.violations.append(f"committed bytes changed below position {len(shorter)}")
         self.last_read = longer
 
 
+class _PartsRead:
+    """The bytes of a log that any reader has got; `_mask` is 255 where a byte is known and 0 elsewhere."""
+
+    def __init__(self):
+        self._data, self._mask = bytearray(), bytearray()
+
+    def add(self, start: int, data: bytes) -> bool:
+        """Adds a part; returns whether it agrees with all parts before it."""
+        end = start + len(data)
+        missing = max(0, end - len(self._data))
+        self._data += bytes(missing)
+        self._mask += bytes(missing)
+        before, mask, now = (
+            int.from_bytes(part, "big") for part in (self._data[start:end], self._mask[start:end], data)
+        )
+        self._data[start:end] = data
+        self._mask[start:end] = b"\xff" * len(data)
+        return not (before ^ now) & mask
+
+
 class LogsUnderFaults(unittest.TestCase):
     def run_seed(self, seed, **options):
         """Runs one seed, by default with three replicas and small records. Returns the append and lease counts."""
@@ -74,7 +109,7 @@
         simulation.start()
         simulation.ready()
         writers = _Writers(simulation, max_bytes=max_bytes)
-        random_faults = RandomFaults(simulation, roles=("storage", "storage", "gateway"))
+        random_faults = RandomFaults(simulation, roles=("storage", "storage", "gateway"), kinds=LOG_FAULTS)
         tasks = [
             task for member in simulation.role("gateway") for task in (writers.write(member), writers.read(member))
         ]
