--- a/testbed/faults/component_failures.py
+++ b/testbed/faults/component_failures.py
@@ -58,6 +58,39 @@
     def plan_kill_storage_node(self, rng):
         return self._stop_and_restart("kill", [self._random_node(rng, "storage")], 3 * rng.random())
 
+    def plan_orphaned_write(self, rng):
+        """A gateway and the storage node of its zone are killed, so that one replica may have a write that is orphaned.
+
+        The gateway returns at once. The storage node returns later, together with other gateways, whose caches are then
+        empty, so that readers turn to the storage nodes.
+        """
+        inside = self.nodes_in_zone(rng.choice(ZONES), False)
+        gateway = rng.choice([n for n in inside if n.startswith("gateway")] or self.cluster.nodes("gateway"))
+        storage = rng.choice([n for n in inside if n.startswith("storage")] or self.cluster.nodes("storage"))
+        gateways = [n for n in self.cluster.nodes("gateway") if n != gateway]
+        others = rng.sample(gateways, max(0, len(gateways) // 2 - 1))
+        span = 2 + 3 * rng.random()
+
+        def inject():
+            names = [gateway, storage, *others]
+            self.log(
+                f"kill {gateway} and {storage}; after {span:.1f} s start {storage}, and restart {','.join(others)}"
+            )
+            with self.clients.record_fault("orphaned write", names, settle=3):
+                self.clients.excluded_gateways |= {gateway, *others}
+                for n in (gateway, storage):
+                    self.cluster.programs[n].kill()
+                self.cluster.programs[gateway].start()
+                time.sleep(span)
+                for n in others:
+                    self.cluster.programs[n].kill()
+                for n in (storage, *others):
+                    self.cluster.programs[n].start()
+                self._wait_until_ready(names)
+                self.clients.excluded_gateways -= {gateway, *others}
+
+        return [gateway, storage, *others], inject
+
     def plan_kill_controller(self, rng):
         return self._stop_and_restart("kill", [self._random_node(rng, "controller")], 2 * rng.random())
 
--- a/testbed/faults/final_fault.py
+++ b/testbed/faults/final_fault.py
@@ -36,12 +36,18 @@
         self.clients.excluded_gateways.clear()
         self.clients.stop()
         wait_for(self._all_edits_resolved, 60, "every edit's outcome is known")
-        batches = {e["lot"] for e in self.clients.recorded_events() if e["event"] == "lot" and e["lot"]}
         self.clients.stopped.clear()
-        wait_for(lambda: all(self._is_done(batch) for batch in batches), 240, "every batch is done or ended")
+        wait_for(self._all_batches_done, 240, "every batch is done or ended")
         for n in self.cluster.nodes("controller"):
             self.clients.read_table(n)
 
+    def _all_batches_done(self):
+        """Whether all accepted batches are done, among them those that were accepted after the clients were stopped."""
+        if self.clients.has_requests():
+            return False
+        batches = {e["lot"] for e in self.clients.recorded_events() if e["event"] == "lot" and e["lot"]}
+        return all(self._is_done(batch) for batch in batches)
+
     def _all_edits_resolved(self):
         self.clients.resolve_unknown_edits(self.leader())
         return not self.clients.unresolved_edits()
--- a/testbed/standins/clients.py
+++ b/testbed/standins/clients.py
@@ -23,6 +23,7 @@
         while not self.clients.stopped.wait(self.interval):
             n += 1
             if self._slots.acquire(blocking=False):
+                self.clients.request_started()
                 threading.Thread(target=self._one, args=(n,), daemon=True).start()
             else:
                 self.clients.note("skipped", caller=self.name)
@@ -34,6 +35,7 @@
             self.clients.note("caller_failed", caller=self.name, text=repr(e))
         finally:
             self._slots.release()
+            self.clients.request_ended()
 
 
 def _error(said) -> dict | None:
@@ -48,6 +50,7 @@
         self._lock = threading.Lock()
         self.events: list[dict] = []
         self._threads: list[threading.Thread] = []
+        self._requests_in_progress = 0
         self._fault_count = 0
         self.excluded_gateways: set[str] = set()
         self._init_operators()
@@ -87,6 +90,19 @@
         for t in self._threads:
             t.join(5)
 
+    def request_started(self):
+        with self._lock:
+            self._requests_in_progress += 1
+
+    def request_ended(self):
+        with self._lock:
+            self._requests_in_progress -= 1
+
+    def has_requests(self) -> bool:
+        """Whether a request of a client is in progress, which may be after the clients were stopped."""
+        with self._lock:
+            return self._requests_in_progress > 0
+
     def pick_gateway(self, exclude: str = "") -> str:
         """Picks a random gateway as a load balancer would: none that is known to be down, unless all are."""
         up = [g for g in self.cluster.nodes("gateway") if g not in self.excluded_gateways and g != exclude]
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -1,9 +1,12 @@
 """The checker reports each violation that is planted in a correct history."""
 
 import copy
+import threading
 import unittest
+from random import Random
 
 from testbed.checks.checker import check
+from testbed.standins.clients import Client, Clients
 from testbed.standins.engine import card_bytes, response_pieces
 
 PROMPT = "tell me"
@@ -250,5 +253,27 @@
                 self.assertTrue(any(finding in line for line in violations), violations)
 
 
+class StoppedClients(unittest.TestCase):
+    def test_a_request_that_outlasts_the_stop_is_known_to_be_in_progress(self):
+        """Guards against a soak that lists the batches to wait for before the last one is accepted."""
+        started, released, ended = threading.Event(), threading.Event(), threading.Event()
+
+        def send(clients, name):
+            started.set()
+            released.wait(5)
+            ended.set()
+
+        clients = Clients(None, Random(1))
+        clients.start(Client(clients, "late", 0.001, send, max_threads=1))
+        self.assertTrue(started.wait(5))
+        clients.stop()
+        self.assertTrue(clients.has_requests())
+        released.set()
+        self.assertTrue(ended.wait(5))
+        for thread in [thread for thread in threading.enumerate() if thread.daemon and thread.name.endswith("(_one)")]:
+            thread.join(5)
+        self.assertFalse(clients.has_requests())
+
+
 if __name__ == "__main__":
     unittest.main()
