Drop headers of one connection from items of batches, as from live requests

Cause: only live requests dropped hop-by-hop headers; items are made into calls in another place, which dropped three headers by name.

Change: one function for both paths, which also drops the headers that a Connection header names, except the host and the request id.

--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple, Protocol
@@ -27,6 +27,7 @@
     "Header",
     "PromptPart",
     "ResponseSink",
+    "end_to_end_headers",
     "parse_prompt_parts",
     "weighted_pools",
 ]
@@ -50,6 +51,18 @@
 )
 
 
+def end_to_end_headers(headers: Iterable[Header], kept: Collection[bytes]) -> list[Header]:
+    """Returns the headers of a request that are passed on to an engine, with their names in lower case.
+
+    These are all but those that concern only one connection: the hop-by-hop headers, and those that a Connection header
+    names (RFC 9110, section 7.6.1). A Connection header cannot remove the headers in `kept`.
+    """
+    named = [(name.lower(), value) for name, value in headers]
+    options = {option.strip().lower() for name, value in named if name == b"connection" for option in value.split(b",")}
+    dropped = HOP_BY_HOP_HEADERS | (options - set(kept))
+    return [(name, value) for name, value in named if name not in dropped]
+
+
 class CallPhase(StrEnum):
     """The phases of a call, in order; each attempt passes through all but the first again."""
 
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -17,7 +17,7 @@
 from ..timers import ms
 from ..wire.cluster_pb2 import Route
 from .batch_api import BatchApi, Submission
-from .call import HOP_BY_HOP_HEADERS, Call, CallPhase, parse_prompt_parts
+from .call import Call, CallPhase, end_to_end_headers, parse_prompt_parts
 from .call_relay import CallRelay
 from .http_response import HttpResponse
 from .inbound_request import ClientChannel, ClientChannelFactory, InboundRequest
@@ -174,12 +174,8 @@
         self, request: InboundRequest, route: Route, call_id: bytes, body: bytes, deadline: timedelta
     ) -> Call:
         dialect = self._ctx.dialect
-        headers = [
-            (name.lower(), value)
-            for name, values in request.requestHeaders.getAllRawHeaders()
-            for value in values
-            if name.lower() not in HOP_BY_HOP_HEADERS
-        ]
+        received = ((name, value) for name, values in request.requestHeaders.getAllRawHeaders() for value in values)
+        headers = end_to_end_headers(received, kept=(b"host", dialect.request_id))
         last_event = (request.header(dialect.event_id) or b"").strip()
         token_counts = (request.header(dialect.token_counts) or b"").split(b",")
         return Call(
--- a/pipitlink/router/item_runner.py
+++ b/pipitlink/router/item_runner.py
@@ -14,7 +14,7 @@
 from ..errors import ApiError, ReplicatedLogError
 from ..timers import ZERO, ms, secs
 from ..wire.cluster_pb2 import Route
-from .call import Call, Header, parse_prompt_parts
+from .call import Call, Header, end_to_end_headers, parse_prompt_parts
 from .call_relay import CallRelay
 from .engine_connection import Response
 from .server_sent_events import event_data
@@ -107,9 +107,11 @@
 
     def _make_call(self, item: ItemCall, sink: _ItemSink) -> Call:
         dialect = self._ctx.dialect
-        headers: list[Header] = [(name.lower().encode(), value.encode("utf-8")) for name, value in item.headers]
-        replaced = (b"host", b"content-length", dialect.request_id)
-        headers = [(name, value) for name, value in headers if name not in replaced]
+        submitted = ((name.encode(), value.encode("utf-8")) for name, value in item.headers)
+        replaced = (b"host", dialect.request_id)
+        headers: list[Header] = [
+            (name, value) for name, value in end_to_end_headers(submitted, kept=replaced) if name not in replaced
+        ]
         headers += [(b"host", item.route.host.encode()), (dialect.request_id, item.id.encode())]
         prompt_parts = next((value for name, value in headers if name == dialect.prompt_parts), None)
         return Call(
