Measure the age of a batch by monotonic clocks

Cause: the acceptor's time of day was compared with the owner's.

Change: a storage node tells each leaseholder for how long it has known the log; the leaseholder goes on counting from the longest such time of its quorum. The age is never too high, since a batch is sent before the first lease.

--- a/pipitlink/replicated_log/leaseholder.py
+++ b/pipitlink/replicated_log/leaseholder.py
@@ -10,7 +10,7 @@
 from ..context import Context
 from ..disk import encode_frame
 from ..errors import LeaseNotHeld, NoQuorum, StaleEpoch, StorageFull
-from ..timers import spawn, wall_ms
+from ..timers import ms, spawn, wall_ms
 from ..wire.frame_pb2 import Empty
 from ..wire.replicated_log_pb2 import CommitRequest, LeaseRequest, LeaseResponse
 from .commit_waiters import CommitWaiters
@@ -51,6 +51,7 @@
         self.lost = ""
         self.uses_reserve = False
         self.granted_epochs: dict[str, int] = {}
+        self._opened_at = ctx.timers.now()
         self.progress = ReplicaProgress()
         self.fetch_planner = FetchPlanner(ctx.timers, self.progress, ctx.membership.zone_of)
         self.recovered_tail = TailPosition()
@@ -66,6 +67,14 @@
         """Whether an append is waiting for its commit."""
         return bool(self._waiters)
 
+    def age(self) -> timedelta:
+        """Returns for how long the log has existed, at least.
+
+        It counts from the first lease that any storage node of the quorum knows of, by the monotonic clocks of these
+        nodes and then of this one. Nodes that have restarted since know of later leases only.
+        """
+        return self._ctx.timers.now() - self._opened_at
+
     def is_held(self) -> bool:
         """Returns whether the lease is valid by the local clock; it ends earlier here than on the storage nodes."""
         return not self.lost and self._validity.is_valid(self.placement_group)
@@ -173,6 +182,7 @@
     async def _begin_epoch(self, epoch: int, requested_at: timedelta, grants: Mapping[str, LeaseResponse]) -> None:
         self.epoch = epoch
         for node, response in grants.items():
+            self._opened_at = min(self._opened_at, self._ctx.timers.now() - ms(response.known_ms))
             self.record_renewal(node, requested_at, response.free_bytes)
             self.progress.record(node, response.state)
         await self._recover_tail(list(grants))
--- a/pipitlink/router/batch_scheduler.py
+++ b/pipitlink/router/batch_scheduler.py
@@ -29,8 +29,6 @@
 MAX_STARTS_PER_TURN = 4
 # Batches whose deadlines fall into the same interval of this length are equally urgent, and are served round-robin.
 DEADLINE_CLASS_MS = 2000
-# The maximum difference between the clocks of gateways.
-MAX_CLOCK_SKEW_MS = 1500
 # A route that has been missing for this long counts as removed.
 ROUTE_GONE_AFTER = secs(3)
 
@@ -70,6 +68,7 @@
 
 
 def _urgency(batch: OwnedBatch, route: Route, wall_clock_ms: int) -> _Urgency:
+    """Returns the urgency of a batch, for the order of starts only: the wall clocks that it compares may differ."""
     deadline_ms = batch.content.taken_ms + route.due_ms
     is_late = deadline_ms < wall_clock_ms
     return _Urgency(
@@ -180,11 +179,13 @@
         return next((index for index in batch.waiting if batch.retry_at.get(index, now) <= now), None)
 
     def _abandon_expired(self, batch: OwnedBatch, route: Route | None, moment: _Moment) -> None:
-        """Abandons all unfinished items of a batch once its route is removed or its retention has passed."""
+        """Abandons all unfinished items of a batch once its route is removed or its retention has passed.
+
+        The age of its log counts, by monotonic clocks: the wall clocks of acceptor and owner may differ by any time.
+        """
         if route is not None:
             batch.route_missing_since = None
-            expires_ms = batch.content.taken_ms + route.retain_ms + MAX_CLOCK_SKEW_MS
-            is_expired = bool(route.retain_ms) and moment.wall_ms > expires_ms
+            is_expired = bool(route.retain_ms) and batch.leaseholder.age() > ms(route.retain_ms)
         else:
             batch.route_missing_since = batch.route_missing_since or moment.now
             is_expired = moment.now - batch.route_missing_since >= ROUTE_GONE_AFTER
--- a/pipitlink/storage/lease_grants.py
+++ b/pipitlink/storage/lease_grants.py
@@ -95,7 +95,19 @@
             return refusal
         self._grants[request.log] = _Grant(request.leaseholder, request.epoch, now + LEASE_DURATION)
         await sync(self._group_commit, partial(self._log_store.grant_epoch, request.log, request.epoch))
-        return LeaseResponse(granted=True, state=self.log_state(request.log), free_bytes=self._log_store.free_bytes())
+        return LeaseResponse(
+            granted=True,
+            state=self.log_state(request.log),
+            free_bytes=self._log_store.free_bytes(),
+            known_ms=_milliseconds(self._known_for(request.log)),
+        )
+
+    def _known_for(self, log: str) -> timedelta:
+        """Returns how long ago this process granted the first lease on a log, which now begins if it has not."""
+        replica = self._log_store.logs[log]
+        if replica.known_since is None:
+            replica.known_since = self._ctx.timers.now()
+        return self._ctx.timers.now() - replica.known_since
 
     def _check_refusal(self, request: LeaseRequest) -> LeaseResponse | None:
         """Returns the response that refuses a lease, or None if the lease can be granted."""
--- a/pipitlink/storage/replica.py
+++ b/pipitlink/storage/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from datetime import timedelta
 
 import attrs
 
@@ -48,7 +49,7 @@
     `leased_epoch` is the highest epoch that it granted itself. `tail_epoch` is the epoch of the last writer, and
     `synced` is the tail on disk. While a write under a new epoch is not on disk yet, `committed_before_write` is what
     was known to be committed before it. `epoch_location` and `tail_location` locate the entries from which `epoch` and
-    `tail_epoch` can be recovered.
+    `tail_epoch` can be recovered. `known_since` is when this process granted its first lease, on the timers' clock.
     """
 
     log: str
@@ -65,6 +66,7 @@
     extents: list[Extent] = attrs.field(factory=list)
     synced: Tail = Tail()
     committed_before_write: int = 0
+    known_since: timedelta | None = None
 
     @property
     def tail(self) -> Tail:
