Drop a follower whose batch cannot be read, also when only its bodies are damaged

A gateway that finds bytes that are no records starts the batch anew, whether it was reading outputs or bodies. Test: test_stale_replicas, class Followers.

--- a/pipitlink/replicated_log/log_reader.py
+++ b/pipitlink/replicated_log/log_reader.py
@@ -37,17 +37,14 @@
         nodes = list(self._client.placement_group(log).all_nodes)
         self._ctx.rng.shuffle(nodes)
         nodes.sort(key=self._preference)
-        read = _HedgedRead(
-            self._ctx,
-            partial(
-                self._client.read_committed_from,
-                log=log,
-                position=position,
-                length=length,
-                committed_epoch=committed_epoch,
-            ),
-            length,
+        read_from_node = partial(
+            self._client.read_committed_from,
+            log=log,
+            position=position,
+            length=length,
+            committed_epoch=committed_epoch,
         )
+        read = _HedgedRead(self._ctx, read_from_node, length)
         for count, node in enumerate(nodes, 1):
             self._ctx.run_in_background(read.read_from(node), "read_log")
             content = await read.wait(count, HEDGE_DELAY if count < len(nodes) else READ_TIMEOUT)
--- a/pipitlink/router/batch_followers.py
+++ b/pipitlink/router/batch_followers.py
@@ -75,8 +75,8 @@
         if follower.progress.batch is None:
             try:
                 await self._ctx.timers.with_timeout(READ_TIMEOUT, follower.read_bodies())
-            except PipitlinkError:
-                if follower.has_ended():
+            except PipitlinkError as error:
+                if follower.has_ended() or isinstance(error, CorruptData):
                     self.drop(batch_id, follower)
                 raise
         return follower.progress.complete_batch
--- a/tests/test_stale_replicas.py
+++ b/tests/test_stale_replicas.py
@@ -26,6 +26,8 @@
 from pipitlink.wire.replicated_log_pb2 import Entry, LogState, WriteRequest, WriteResponse
 from testbed.simulator.simulation import Simulation
 
+from .batch_builders import BatchClients, start_simulation
+
 LOG = "results/x"
 FIRST = b"first" + b"." * 200
 STALE = [letter * 6000 for letter in (b"a", b"b", b"c")]
@@ -187,6 +189,34 @@
         self.assertEqual(self.simulation.do(read_records(tail, 4), READ_LIMIT_S), [FIRST, *COMMITTED])
 
 
+class Followers(unittest.TestCase):
+    """A gateway that follows a batch of another one."""
+
+    def test_a_follower_that_read_damaged_bytes_is_dropped_and_the_next_read_is_right(self):
+        """Guards against a gateway that keeps answering 200 with what it had read before it stood still."""
+        simulation = start_simulation(1)
+        self.addCleanup(simulation.end)
+        clients = BatchClients(simulation)
+        name = clients.new_batch(4)
+        self.assertEqual(simulation.do(clients.submit_batch(name)), 202)
+        listing = simulation.until(lambda: clients.read_if_complete(name), 30, "the batch is complete")
+        gateways = simulation.role("gateway")
+        reader = next(node for node in gateways if name not in node.part.batches)
+        followers = reader.part.service.followers.followers
+        followers.pop(name, None)
+        read = Tail.read
+
+        async def read_damaged(tail, start, end):
+            data = await read(tail, start, end)
+            return data[:-20] + bytes(10) + data[-10:]
+
+        with mock.patch.object(Tail, "read", read_damaged):
+            status, _ = simulation.do(clients.read(name, gateway=reader))
+        self.assertEqual((status, name in followers), (503, False))
+        status, again = simulation.do(clients.read(name, gateway=reader))
+        self.assertEqual((status, again["outputs"]), (200, listing["outputs"]))
+
+
 class Recovery(StaleReplicaCase):
     def hold_reads(self, node):
         """Holds back all reads at a storage node until the returned function is called."""
