--- a/testbed/simulator/random_faults.py
+++ b/testbed/simulator/random_faults.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from .simulation import SimulatedNode, Simulation
 
-__all__ = ["LOG_FAULTS", "RandomFaults", "seeds"]
+__all__ = ["LOG_FAULTS", "ORPHANED_WRITE", "RandomFaults", "seeds"]
 
 SEEDS_VARIABLE = "REHEARSAL_SEEDS"
 FAULT_SECONDS = (0.3, 1.0, 2.5, 5.0)
--- a/tests/test_batches_faults.py
+++ b/tests/test_batches_faults.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from testbed.simulator.random_faults import RandomFaults, seeds
+from testbed.simulator.random_faults import ORPHANED_WRITE, RandomFaults, seeds
 
 from .batch_builders import BatchClients, start_simulation
 
@@ -98,3 +98,8 @@
     def test_batches_survive_faults_of_gateways(self):
         for seed in SEEDS:
             self.run_seed(100 + seed, roles=("gateway",))
+
+    def test_batches_keep_their_positions_if_writes_are_orphaned(self):
+        """Guards against results of a dead owner, read from a storage node that returns with its last write."""
+        for seed in SEEDS:
+            self.run_seed(200 + seed, kinds=(ORPHANED_WRITE, ORPHANED_WRITE, "kill", "power"))
