Show the state of each batch and item; log and count those that stand still

Cause: nothing told where an item of a batch was, since when, at which engine, or why it was not started, so the hypotheses of the postmortem could not be told apart.

Change: a batch monitor at each gateway reports owner, epoch and item states of its batches (topic batches of the node's state), and logs and counts items without progress for 5 s although their engines have room (item_stalled) and items in no state. The adopter logs and counts open batches that have had no owner for 5 s (batch_unowned).

--- a/pipitlink/router/batch_adopter.py
+++ b/pipitlink/router/batch_adopter.py
@@ -10,7 +10,7 @@
 from ..context import Context
 from ..errors import PipitlinkError
 from ..rendezvous import rank
-from ..timers import ZERO, RepeatingCall, secs
+from ..timers import ZERO, RepeatingCall, secs, to_ms
 from ..wire.replicated_log_pb2 import LogState
 from .batch_progress import LOG_PREFIX, batch_log
 from .batch_table import BatchTable
@@ -30,6 +30,8 @@
 # The delay between the attempts of successive gateways, by rank, to adopt the same batch.
 ADOPTION_STAGGER = secs(1.5)
 MAX_CONCURRENT_ADOPTIONS = 16
+# A batch that has had no owner for this long is logged and counted.
+UNOWNED_TIMEOUT = secs(5)
 
 
 class BatchAdopter:
@@ -39,7 +41,8 @@
     as the new one, which is allowed: items may run more than once, and the old owner's outputs are rejected because
     they carry a lower epoch.
 
-    `adopting` has the batches whose leases are being acquired.
+    `adopting` has the batches whose leases are being acquired, `unowned_since` the time at which each batch without an
+    owner was first listed.
     """
 
     def __init__(self, ctx: Context, table: BatchTable, waiting: WaitingTokens, gateway_watch: GatewayWatch) -> None:
@@ -50,6 +53,9 @@
         self._adoption_semaphore = defer.DeferredSemaphore(MAX_CONCURRENT_ADOPTIONS)
         self._orphaned_at: dict[str, timedelta] = {}
         self.adopting: set[str] = set()
+        self.unowned_since: dict[str, timedelta] = {}
+        self._logged_unowned: set[str] = set()
+        self.unowned_count = 0
         self._list_timer: RepeatingCall | None = None
 
     def open(self) -> None:
@@ -85,6 +91,7 @@
         now = self._ctx.timers.now()
         orphans = self._orphans(states)
         self._orphaned_at = {batch_id: self._orphaned_at.get(batch_id, now) for batch_id in orphans}
+        self._log_unowned(states, now)
         if self._table.is_closing or not self._ctx.cluster.usable():
             return
         alive = self._ctx.membership.members("gateway", statuses=("alive",))
@@ -95,6 +102,37 @@
                 self._orphaned_at[batch_id] = now
                 self._ctx.run_in_background(self._adopt(batch_id), "adopt_batch")
 
+    def _log_unowned(self, states: Mapping[str, LogState], now: timedelta) -> None:
+        """Logs and counts each batch that has had no owner for UNOWNED_TIMEOUT, once."""
+        by_batch = {log.removeprefix(LOG_PREFIX): state for log, state in states.items()}
+        unowned = {batch_id for batch_id, state in by_batch.items() if self._is_unowned(batch_id, state)}
+        self.unowned_since = {batch_id: self.unowned_since.get(batch_id, now) for batch_id in unowned}
+        overdue = {batch_id for batch_id, since in self.unowned_since.items() if now - since >= UNOWNED_TIMEOUT}
+        for batch_id in sorted(overdue - self._logged_unowned):
+            self.unowned_count += 1
+            state = by_batch[batch_id]
+            self._ctx.logger.warning(
+                "batch_unowned",
+                batch=batch_id,
+                epoch=state.epoch,
+                leaseholder=state.leaseholder,
+                unowned_ms=to_ms(now - self.unowned_since[batch_id]),
+                adopting=batch_id in self.adopting,
+            )
+        self._logged_unowned = overdue
+
+    def _is_unowned(self, batch_id: str, state: LogState) -> bool:
+        owned = self._table.get(batch_id)
+        is_owned_here = owned is not None and not owned.leaseholder.lost
+        return not state.final and not is_owned_here and not self._has_owner(state)
+
+    def metrics(self) -> dict[str, tuple[str, float]]:
+        """Returns the description and value of each metric about batches without an owner, by name."""
+        return {
+            "batches_unowned": ("Open batches without an owner as of the last listing", len(self.unowned_since)),
+            "batches_unowned_long": ("Batches that had no owner for long, since the start", self.unowned_count),
+        }
+
     def _orphans(self, states: Mapping[str, LogState]) -> set[str]:
         owned = set(self._table.batches) | self.adopting
         orphans = {log.removeprefix(LOG_PREFIX) for log, state in states.items() if not self._has_owner(state)}
--- a/pipitlink/router/batch_capacity.py
+++ b/pipitlink/router/batch_capacity.py
@@ -5,6 +5,7 @@
 from ..context import Context
 from ..wire.cluster_pb2 import Route
 from .call import weighted_pools
+from .engine import Engine
 from .engine_registry import EngineRegistry
 from .engine_selector import EngineSelector
 from .slow_start import SlowStart
@@ -22,6 +23,8 @@
 # makes progress.
 MIN_OWN_SLOTS = 1
 MIN_STARTING_ITEMS = 2
+# Engines have room while fewer than this fraction of their slots is in use.
+ROOM_FRACTION = 0.5
 
 
 class BatchCapacity:
@@ -43,11 +46,7 @@
         is limited in the same proportion (but at least MIN_STARTING_ITEMS).
         """
         slots = total_slots = running = 0
-        engines = [
-            engine
-            for weighted_pool in weighted_pools(route)
-            for engine in self._selector.ready_engines(weighted_pool.pool)
-        ]
+        engines = self._ready_engines(route)
         for engine in engines:
             if self._slow_start.in_slow_start(engine):
                 slots += self._slow_start.admits(engine)
@@ -62,3 +61,17 @@
         own_slots = max(MIN_OWN_SLOTS, int(slots * fraction))
         max_starting = max(MIN_STARTING_ITEMS, int(MAX_STARTING_FRACTION * total_slots * fraction))
         return min(own_slots - running, max_starting - self._engines.starting_items)
+
+    def has_room(self, route: Route) -> bool:
+        """Returns whether fewer than ROOM_FRACTION of the slots of a route's ready engines are in use."""
+        now = self._ctx.timers.now()
+        engines = self._ready_engines(route)
+        running = sum(engine.load(now).running for engine in engines)
+        return running < ROOM_FRACTION * sum(engine.slots for engine in engines)
+
+    def _ready_engines(self, route: Route) -> list[Engine]:
+        return [
+            engine
+            for weighted_pool in weighted_pools(route)
+            for engine in self._selector.ready_engines(weighted_pool.pool)
+        ]
--- a/pipitlink/router/batch_service.py
+++ b/pipitlink/router/batch_service.py
@@ -10,6 +10,7 @@
 from .batch_canceller import BatchCanceller
 from .batch_followers import BatchFollowers
 from .batch_intake import BatchIntake
+from .batch_monitor import BatchMonitor
 from .batch_reader import BatchReader
 from .batch_scheduler import BatchScheduler
 from .batch_table import BatchTable
@@ -30,8 +31,8 @@
     """Handles batches in a gateway.
 
     The intake makes batches durable once the quota admits them. The table holds the leases of the batches that this
-    gateway owns, and the adopter takes over batches without an owner. The scheduler runs the items of owned batches.
-    The reader and the canceller serve clients at any gateway.
+    gateway owns, and the adopter takes over batches without an owner. The scheduler runs the items of owned batches,
+    and the monitor reports their states. The reader and the canceller serve clients at any gateway.
     """
 
     def __init__(
@@ -55,12 +56,13 @@
         self.writer = OutputWriter(ctx, routes, self.table)
         self.attempts = ItemAttempts(ctx, self.table, executor, self.writer)
         self.scheduler = BatchScheduler(ctx, engines, self.table, self.waiting, capacity, self.attempts, routes)
+        self.monitor = BatchMonitor(ctx, self.table, self.waiting, capacity, routes)
         self.reader = BatchReader(ctx, self.table, self.followers)
         self.canceller = BatchCanceller(ctx, self.table)
 
     def open(self) -> None:
         """Starts serving batches, and taking over those without an owner."""
-        for listener in (self.scheduler, self.writer, self.waiting):
+        for listener in (self.scheduler, self.writer, self.waiting, self.monitor):
             self.table.add_listener(listener)
         self.quota.open()
         self._loads.add_contributor(self.waiting)
@@ -68,6 +70,11 @@
         self.canceller.open()
         self.followers.open()
         self.adopter.open()
+        self.monitor.open()
+
+    def metrics(self) -> dict[str, tuple[str, float]]:
+        """Returns the description and value of each batch metric, by name."""
+        return {**self.table.metrics(), **self.adopter.metrics(), **self.monitor.metrics()}
 
     async def submit(self, submission: Submission) -> HttpResponse:
         """Accepts or refuses a submitted batch."""
--- a/pipitlink/router/batch_timings.py
+++ b/pipitlink/router/batch_timings.py
@@ -11,7 +11,7 @@
 
 from ..timers import Timers, to_ms
 
-__all__ = ["IntakePhase", "ItemPhase", "ItemTimings"]
+__all__ = ["IntakePhase", "ItemPhase", "ItemProgress", "ItemTimings"]
 
 
 class IntakePhase(StrEnum):
@@ -34,11 +34,12 @@
 
 
 @attrs.define
-class _CurrentPhase:
-    """The phase that an item is in, and the time at which it entered it."""
+class ItemProgress:
+    """The phase that an item is in, since when, and when it last made progress: by an event, or by a new phase."""
 
     phase: ItemPhase
     since: timedelta
+    progressed_at: timedelta
 
 
 class ItemTimings:
@@ -47,7 +48,7 @@
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
         self._durable_at = timers.now()
-        self._current: dict[int, _CurrentPhase] = {}
+        self._current: dict[int, ItemProgress] = {}
         self._durations_ms: dict[ItemPhase, list[int]] = {phase: [] for phase in ItemPhase}
         self.attempts = 0
 
@@ -58,14 +59,18 @@
     def attempt_started(self, index: int) -> None:
         """Records the start of an attempt to run an item."""
         self.attempts += 1
-        self._current.setdefault(index, _CurrentPhase(ItemPhase.WAITING, self._durable_at))
+        self._current.setdefault(index, self.progress(index))
         self._enter(index, ItemPhase.FIRST_EVENT)
 
     def event_received(self, index: int) -> None:
         """Records an event of an item's output."""
         current = self._current.get(index)
-        if current is not None and current.phase == ItemPhase.FIRST_EVENT:
+        if current is None:
+            return
+        if current.phase == ItemPhase.FIRST_EVENT:
             self._enter(index, ItemPhase.RUNNING)
+        else:
+            current.progressed_at = self._timers.now()
 
     def attempt_failed(self, index: int) -> None:
         """Records that an item waits for another attempt."""
@@ -82,12 +87,18 @@
 
     def _enter(self, index: int, phase: ItemPhase) -> None:
         self._leave(self._current.get(index))
-        self._current[index] = _CurrentPhase(phase, self._timers.now())
+        now = self._timers.now()
+        self._current[index] = ItemProgress(phase, now, now)
 
-    def _leave(self, current: _CurrentPhase | None) -> None:
+    def _leave(self, current: ItemProgress | None) -> None:
         if current is not None:
             self._durations_ms[current.phase].append(to_ms(self._timers.now() - current.since))
 
+    def progress(self, index: int) -> ItemProgress:
+        """Returns the progress of an item; one that was never attempted has waited since its batch became durable."""
+        current = self._current.get(index)
+        return current or ItemProgress(ItemPhase.WAITING, self._durable_at, self._durable_at)
+
     def summary(self, phase: ItemPhase) -> str:
         """Returns the mean and maximum duration of a phase in whole milliseconds, such as `120/340`.
 
--- a/pipitlink/router/interfaces.py
+++ b/pipitlink/router/interfaces.py
@@ -21,6 +21,9 @@
     def available(self, route: Route, backlog: RouteBacklog) -> int:
         """Returns how many batch items of this route this gateway may start now."""
 
+    def has_room(self, route: Route) -> bool:
+        """Returns whether the engines of this route have so much free capacity that no item should have to wait."""
+
 
 class ItemExecutor(Protocol):
     """Runs batch items."""
--- a/pipitlink/router/item_runner.py
+++ b/pipitlink/router/item_runner.py
@@ -30,7 +30,8 @@
     """One item of a batch, and the output received so far.
 
     `texts` has the data of the complete events 1 to `last_event`. `precondition` is called before each attempt is sent,
-    and raises where the item must no longer be sent; `on_event` is called for each event that is received.
+    and raises where the item must no longer be sent; `on_event` is called for each event that is received. `attempt` is
+    the call of the attempt in progress.
     """
 
     id: str
@@ -43,6 +44,13 @@
     on_event: Callable[[], None] | None = None
     texts: list[bytes] = attrs.field(factory=list)
     last_event: int = 0
+    attempt: Call | None = None
+
+    @property
+    def engine_name(self) -> str:
+        """The engine of the attempt in progress, or an empty string."""
+        engine = self.attempt.engine if self.attempt is not None else None
+        return engine.name if engine is not None else ""
 
 
 class ItemResult(NamedTuple):
@@ -90,7 +98,7 @@
         Raises ReplicatedLogError where the precondition of the item raises it.
         """
         sink = _ItemSink(item)
-        call = self._make_call(item, sink)
+        item.attempt = call = self._make_call(item, sink)
         try:
             await self._relay.relay(call)
             return ItemResult(status=sink.status, is_complete=sink.status == HTTPStatus.OK)
@@ -104,6 +112,7 @@
             return ItemResult(not_run=error.outcome == "not_run", backoff=backoff)
         finally:
             item.last_event = call.last_event
+            item.attempt = None
 
     def _make_call(self, item: ItemCall, sink: _ItemSink) -> Call:
         dialect = self._ctx.dialect
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -88,13 +88,13 @@
         return is_ready, {"cluster": cluster.sequence, "currency": cluster.state}
 
     def reported_state(self) -> dict[str, Any]:
-        """Returns the state of engines and leases as seen by this gateway, by name."""
+        """Returns the state of engines, leases and owned batches as seen by this gateway, by name."""
         engines = {engine.name: f"{self.engines.status(engine)} {engine.address}" for engine in self.engines.all()}
         leases = {
             log: f"{self._ctx.node}@{leaseholder.epoch}"
             for log, leaseholder in sorted(self._ctx.replicated_log.leaseholders.items())
         }
-        return {"engines": engines, "leases": leases}
+        return {"engines": engines, "leases": leases, "batches": self.batches.monitor.reported_state()}
 
     def metrics(self) -> dict[str, tuple[str, float]]:
         """Returns the description and the value of each metric, by name."""
@@ -112,7 +112,7 @@
         metrics["links_opened"] = ("Connections opened to engines", self.connections.opened)
         for code, count in self.frontend.refused.items():
             metrics[f"refused_{code}"] = (f"Requests refused: {code}", count)
-        metrics.update(self.batches.table.metrics())
+        metrics.update(self.batches.metrics())
         return metrics
 
     async def shut_down(self) -> None:
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -64,6 +64,9 @@
     def available(self, route, backlog):
         return self.slots - self.running_items
 
+    def has_room(self, route):
+        return 2 * self.running_items < self.slots
+
     def submit(self, route, path, name, raw, timeout):
         """Submits a batch whose deadline is `timeout` from now."""
         now = self._ctx.timers.now()
@@ -90,6 +93,8 @@
                 if call.path.endswith(suffix):
                     await self._ctx.timers.sleep(ms(20))
                     return ItemResult(status=status, not_run=status == 503)
+            if call.path.endswith("/mute"):
+                await defer.Deferred()
             for n in range(call.last_event + 1, EVENTS + 1):
                 await self._ctx.timers.sleep(simulation.event_interval)
                 if simulation.rng.random() < simulation.break_probability:
--- a/tests/test_batch_capacity.py
+++ b/tests/test_batch_capacity.py
@@ -46,6 +46,11 @@
             self.assertEqual(self.available(own, 100), 0)
             self.assertGreater(self.available(2 * own, 100), 0)
 
+    def test_engines_have_room_while_less_than_half_of_their_slots_is_in_use(self):
+        for running, has_room in ((0, True), (SLOTS // 2 - 1, True), (SLOTS // 2, False)):
+            self.report_peer_loads(running=running, batch=0)
+            self.assertEqual(self.capacity.has_room(BULK), has_room)
+
     def test_batch_items_reported_by_peers_do_not_change_the_capacity(self):
         before = self.available(10, 100)
         self.report_peer_loads(running=15, batch=15)
