Enable TCP keepalive on connections to engines

Cause: an engine resets a connection while the path to the gateway is cut. The reset is lost, the engine no longer has the request, and the gateway waits on a half-open connection that never carries a packet again. The checks on attempts need an engine that is silent or gone, or that sends nothing to anybody; a ready engine that goes on serving others is neither, so the attempt lasted for ATTEMPT_TIMEOUT, 120 s, and kept its start and its slot in the counts.

Change: connections to engines are probed after 1 s without a packet, every second; a peer that no longer has the connection answers with a reset, and the attempt ends as for any broken answer. Silence of an engine that still has the connection ends nothing. Ten unanswered probes end a connection to a machine that is gone.

--- a/pipitlink/router/engine_connection.py
+++ b/pipitlink/router/engine_connection.py
@@ -19,6 +19,7 @@
 from twisted.web.http_headers import Headers
 
 from ..body_producer import BytesBodyProducer
+from ..keepalive import enable_keepalive
 from ..timers import ZERO, secs
 
 __all__ = ["ConnectionOwner", "EngineConnection", "HeaderList", "Response", "ResponseDone"]
@@ -63,6 +64,11 @@
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.on_bytes: Callable[[int], None] | None = None
 
+    def connectionMade(self) -> None:  # noqa: N802 - twisted's interface
+        """Enables keepalive, since the engine's last packet may be lost."""
+        super().connectionMade()
+        enable_keepalive(self.transport)
+
     @property
     def is_idle(self) -> bool:
         """Whether it is open and carries no request."""
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from typing import Any
 
 from twisted.internet import defer
 
@@ -15,7 +16,7 @@
 from pipitlink.wire.cluster_pb2 import Route
 from testbed.simulator.simulation import Simulation
 
-__all__ = ["BatchClients", "BatchGateway", "expected_text", "route", "start_simulation"]
+__all__ = ["BatchClients", "BatchGateway", "BatchServiceHolder", "expected_text", "route", "start_simulation"]
 
 EVENTS = 6
 
@@ -39,13 +40,29 @@
     return "\n".join(f"{item} event {n}" for n in range(1, EVENTS + 1))
 
 
-class BatchGateway:
-    """The batch service of a gateway with simulated engines; an item's path determines their response."""
+class BatchServiceHolder:
+    """A gateway in a simulation, with a batch service for the simulated clients."""
 
-    simulation = None
+    simulation: Any = None
 
     def __init__(self, ctx):
         self._ctx = ctx
+
+    @property
+    def batches(self):
+        return self.service.table.batches
+
+    def submit(self, route, path, name, raw, timeout):
+        """Submits a batch whose deadline is `timeout` from now."""
+        now = self._ctx.timers.now()
+        return self.service.submit(Submission(route, "h", path, name, raw, now + timeout, now))
+
+
+class BatchGateway(BatchServiceHolder):
+    """The batch service of a gateway with simulated engines; an item's path determines their response."""
+
+    def __init__(self, ctx):
+        super().__init__(ctx)
         self.engines = EngineRegistry(ctx)
         self.loads = LoadExchange(ctx, self.engines)
         self.service = BatchService(ctx, self.engines, self.loads, self, self, lambda: self.simulation.routes)
@@ -57,21 +74,12 @@
         self.loads.open()
         self.service.open()
 
-    @property
-    def batches(self):
-        return self.service.table.batches
-
     def available(self, route, backlog):
         return self.slots - self.running_items
 
     def has_room(self, route):
         return 2 * self.running_items < self.slots
 
-    def submit(self, route, path, name, raw, timeout):
-        """Submits a batch whose deadline is `timeout` from now."""
-        now = self._ctx.timers.now()
-        return self.service.submit(Submission(route, "h", path, name, raw, now + timeout, now))
-
     async def run(self, call):
         self.running_items += 1
         simulation = self.simulation
