Start an item again elsewhere when its engine sends nothing for it for long

Callers saw: an item of a batch could stay at an engine that sends nothing more for up to 120 s, also with other engines free.

Cause: an attempt whose engine is ready or draining, has sent a byte to this or another call, and then sends nothing, ends only with ATTEMPT_TIMEOUT. Keepalive does not help where the engine keeps the connection: a request that hangs in the engine, or a draining engine that never ends.

Change: an attempt of an item ends after 10 s without a byte on its own connection. The next one avoids that engine where another has capacity, continues after the last event, and may be silent for twice as long, up to 120 s; an event resets the limit. So an engine that is rightly silent for longer still gets to finish. Live requests keep their deadlines.

--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -107,6 +107,8 @@
     `precondition` is called right before each attempt is sent, and raises if the call must not be sent any more.
     `executions` counts, by engine, the attempts that may have run there. `has_lost_attempt` tells whether the outcome
     of an earlier attempt is unknown. `timings` are recorded only for requests of clients, not for batch items.
+    `silence_limit` is how long the engine of an attempt may send nothing, if that is limited; `exceeded_silence_limit`
+    tells whether an attempt was ended for that reason.
     """
 
     state_machine = "request"
@@ -136,6 +138,8 @@
     head_forwarded: bool = False
     has_lost_attempt: bool = False
     abort_reason: str = ""
+    silence_limit: timedelta | None = None
+    exceeded_silence_limit: bool = False
     timings: PhaseTimings | None = None
 
     def __attrs_post_init__(self) -> None:
--- a/pipitlink/router/call_relay.py
+++ b/pipitlink/router/call_relay.py
@@ -56,7 +56,7 @@
         self._ctx.timers.call_repeatedly(CHECK_INTERVAL, self._check_calls, self._ctx.error_reporter("watch_calls"))
 
     def _check_calls(self) -> None:
-        """Ends attempts that are past their deadline, and attempts on engines that are gone or send nothing.
+        """Ends attempts that are past their deadline or silence limit, and attempts on engines that are gone or silent.
 
         The latter are only ended if the call can be resumed or repeated on another engine.
         """
@@ -72,6 +72,10 @@
             return
         if not (call.is_idempotent or call.is_resumable):
             return
+        if self._exceeds_silence_limit(call, sent_at, now):
+            call.exceeded_silence_limit = True
+            call.discard_connection()
+            return
         is_gone = self._engines.status(engine) in (EngineStatus.SILENT, EngineStatus.GONE)
         is_lost = is_gone and now - engine.last_bytes_at > NO_BYTES_TIMEOUT
         has_sent_nothing = engine.last_bytes_at < sent_at and now - sent_at > NO_BYTES_TIMEOUT
@@ -81,6 +85,12 @@
         if is_lost or is_unresponsive:
             call.discard_connection()
 
+    def _exceeds_silence_limit(self, call: Call, sent_at: timedelta, now: timedelta) -> bool:
+        """Returns whether the engine has sent nothing for this call, though perhaps for others, for too long."""
+        if call.silence_limit is None or call.connection is None:
+            return False
+        return now - max(sent_at, call.connection.last_bytes_at) > call.silence_limit
+
     def abort_all(self, reason: str) -> None:
         """Ends all calls in progress."""
         for call in list(self.calls):
--- a/pipitlink/router/engine_connection.py
+++ b/pipitlink/router/engine_connection.py
@@ -48,7 +48,8 @@
 class EngineConnection(HTTP11ClientProtocol):
     """A connection to an engine, for one request at a time; it is reused only after responses without any error.
 
-    `unserved_call_ids` are the ids of the calls that were sent on it and were not served.
+    `unserved_call_ids` are the ids of the calls that were sent on it and were not served. `last_bytes_at` is the time
+    at which the engine last sent bytes on it.
     """
 
     transport: Any
@@ -62,6 +63,7 @@
         self.unserved_call_ids: set[bytes] = set()
         self.idle_since: timedelta | None = None
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
+        self.last_bytes_at: timedelta = ZERO
         self.on_bytes: Callable[[int], None] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's interface
--- a/pipitlink/router/engine_exchange.py
+++ b/pipitlink/router/engine_exchange.py
@@ -72,7 +72,7 @@
 
         Afterwards, the connection is closed unless it can be reused.
         """
-        connection.on_bytes = partial(self._on_bytes, engine, _response_purpose(call))
+        connection.on_bytes = partial(self._on_bytes, engine, connection, _response_purpose(call))
         response = await self._send(call, engine, connection)
         try:
             await self._handle_response(call, engine, connection, response, slot)
@@ -81,8 +81,8 @@
                 connection.discard()
             raise
 
-    def _on_bytes(self, engine: Engine, purpose: str, size: int) -> None:
-        engine.last_bytes_at = self._ctx.timers.now()
+    def _on_bytes(self, engine: Engine, connection: EngineConnection, purpose: str, size: int) -> None:
+        engine.last_bytes_at = connection.last_bytes_at = self._ctx.timers.now()
         self._ctx.traffic.add(purpose, engine.update.zone, size)
 
     async def _send(self, call: Call, engine: Engine, connection: EngineConnection) -> Response:
--- a/pipitlink/router/item_runner.py
+++ b/pipitlink/router/item_runner.py
@@ -22,6 +22,10 @@
 __all__ = ["ItemCall", "ItemResult", "ItemRunner"]
 
 ATTEMPT_TIMEOUT = secs(120)
+# How long an engine may send nothing before an item is started again on another engine. A full engine may be silent for
+# seconds, so the limit doubles each time, and returns to this one once there is an event.
+MIN_SILENCE_LIMIT = secs(10)
+MAX_SILENCE_LIMIT = ATTEMPT_TIMEOUT
 DEFAULT_BACKOFF = ms(50)
 
 
@@ -31,7 +35,8 @@
 
     `texts` has the data of the complete events 1 to `last_event`. `precondition` is called before each attempt is sent,
     and raises where the item must no longer be sent; `on_event` is called for each event that is received. `attempt` is
-    the call of the attempt in progress.
+    the call of the attempt in progress. `silent_engines` are those that sent nothing for the silence limit in earlier
+    attempts; they are avoided where possible.
     """
 
     id: str
@@ -45,6 +50,8 @@
     texts: list[bytes] = attrs.field(factory=list)
     last_event: int = 0
     attempt: Call | None = None
+    silence_limit: timedelta = MIN_SILENCE_LIMIT
+    silent_engines: set[str] = attrs.field(factory=set)
 
     @property
     def engine_name(self) -> str:
@@ -111,9 +118,18 @@
             backoff = ms(1000 * error.retry_after) if error.retry_after else DEFAULT_BACKOFF
             return ItemResult(not_run=error.outcome == "not_run", backoff=backoff)
         finally:
+            self._update_silence_limit(item, call)
             item.last_event = call.last_event
             item.attempt = None
 
+    def _update_silence_limit(self, item: ItemCall, call: Call) -> None:
+        if call.last_event != item.last_event:
+            item.silence_limit = MIN_SILENCE_LIMIT
+        elif call.exceeded_silence_limit:
+            item.silence_limit = min(2 * item.silence_limit, MAX_SILENCE_LIMIT)
+        if call.exceeded_silence_limit:
+            item.silent_engines |= call.avoided_engines
+
     def _make_call(self, item: ItemCall, sink: _ItemSink) -> Call:
         dialect = self._ctx.dialect
         submitted = ((name.encode(), value.encode("utf-8")) for name, value in item.headers)
@@ -139,4 +155,6 @@
             token_count=item.token_count,
             last_event=item.last_event,
             precondition=item.precondition,
+            avoided_engines=set(item.silent_engines),
+            silence_limit=item.silence_limit,
         )
