Adopt batches whose lease is this gateway's own without waiting for a turn

Callers would see: a batch stands still for the gateway's rank times 1.5 s, 10 s with eight gateways, 150 s with a hundred.

Cause (by reading, not seen at the users'): a batch whose lease the storage nodes count as held by a live gateway is an orphan for that gateway only. Its turn still came by its rank among all gateways, none of which tries before it.

Change: such a batch is adopted at the next listing. The ranks remain for batches that several gateways may adopt.

--- a/pipitlink/router/batch_adopter.py
+++ b/pipitlink/router/batch_adopter.py
@@ -97,7 +97,8 @@
         alive = self._ctx.membership.members("gateway", statuses=("alive",))
         gateways = [member.node for member in alive]
         for batch_id in sorted(orphans):
-            adoption_rank = self._adoption_rank(batch_id, gateways)
+            is_own = states[batch_log(batch_id)].leaseholder == self._ctx.node
+            adoption_rank = 0 if is_own else self._adoption_rank(batch_id, gateways)
             if now - self._orphaned_at[batch_id] >= adoption_rank * ADOPTION_STAGGER:
                 self._orphaned_at[batch_id] = now
                 self._ctx.run_in_background(self._adopt(batch_id), "adopt_batch")
@@ -145,7 +146,10 @@
         return bool(self._ctx.membership.status(state.leaseholder) != "gone")
 
     def _adoption_rank(self, batch_id: str, gateways: list[str]) -> int:
-        """Returns this gateway's position in the order in which gateways try to adopt a batch."""
+        """Returns this gateway's position in the order in which gateways try to adopt a batch.
+
+        It does not apply to a batch whose lease the storage nodes still count as this gateway's: no other one tries.
+        """
         ranked = sorted(gateways, key=lambda gateway: rank(batch_id, gateway), reverse=True)
         return ranked.index(self._ctx.node)
 
--- a/tests/test_batches_adoption.py
+++ b/tests/test_batches_adoption.py
@@ -6,8 +6,8 @@
 
 
 class BatchAdoption(unittest.TestCase):
-    def simulation(self, seed):
-        simulation = start_simulation(seed)
+    def simulation(self, seed, **args):
+        simulation = start_simulation(seed, **args)
         self.addCleanup(simulation.end)
         simulation.break_probability = 0
         return simulation, BatchClients(simulation)
@@ -64,6 +64,29 @@
                 simulation.until(lambda: clients.read_if_complete(name), 30, "all outputs are listed")
                 self.assertEqual(clients.violations, [])
 
+    def accept_at_last_rank(self, simulation, clients):
+        """Has a batch accepted by the gateway that would be the last one to adopt it; returns both."""
+        gateways = simulation.role("gateway")
+        nodes = [node.node for node in gateways]
+        while True:
+            name = clients.new_batch(9)
+            last = max(gateways, key=lambda node: node.part.service.adopter._adoption_rank(name, nodes))
+            if simulation.do(clients.submit_batch(name, last)) == 202 and self.owner(simulation, name) is last:
+                return name, last
+
+    def test_a_gateway_whose_own_lease_has_no_batch_adopts_it_without_waiting_for_its_turn(self):
+        """Guards against a batch that no other gateway adopts, since its lease is renewed, while its owner waits."""
+        simulation, clients = self.simulation(5, gateways=5)
+        simulation.event_interval = simulation.event_interval * 20
+        name, owner = self.accept_at_last_rank(simulation, clients)
+        batch = owner.part.batches.pop(name)
+        batch.waiting.clear()
+        batch.cancel_running()
+        simulation.until(lambda: self.owner(simulation, name), 2.6, "the gateway owns the batch again")
+        self.assertIs(self.owner(simulation, name), owner)
+        simulation.until(lambda: clients.read_if_complete(name), 30, "all outputs are listed")
+        self.assertEqual(clients.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
