Adopt a batch again whose lost lease was left in the table

Callers would see: a batch stands still for as long as its gateway runs, where no other gateway adopts it.

Cause (by reading, not seen at the users'): the adopter took every batch in the table for owned. A batch leaves the table only by a callback of its leaseholder, so a callback that is not made leaves a lost lease there for good; the scheduler starts nothing under it, and this gateway never adopts the batch.

Change: only a lease that is not lost counts as owned, and acquiring the batch again first removes the old entry and ends its attempts.

--- a/pipitlink/router/batch_adopter.py
+++ b/pipitlink/router/batch_adopter.py
@@ -123,9 +123,7 @@
         self._logged_unowned = overdue
 
     def _is_unowned(self, batch_id: str, state: LogState) -> bool:
-        owned = self._table.get(batch_id)
-        is_owned_here = owned is not None and not owned.leaseholder.lost
-        return not state.final and not is_owned_here and not self._has_owner(state)
+        return not (state.final or self._table.holds_lease(batch_id) or self._has_owner(state))
 
     def metrics(self) -> dict[str, tuple[str, float]]:
         """Returns the description and value of each metric about batches without an owner, by name."""
@@ -135,9 +133,8 @@
         }
 
     def _orphans(self, states: Mapping[str, LogState]) -> set[str]:
-        owned = set(self._table.batches) | self.adopting
         orphans = {log.removeprefix(LOG_PREFIX) for log, state in states.items() if not self._has_owner(state)}
-        return orphans - owned
+        return {batch_id for batch_id in orphans - self.adopting if not self._table.holds_lease(batch_id)}
 
     def _has_owner(self, state: LogState) -> bool:
         """Returns whether the lease of a log is held by another gateway that the membership does not report as gone."""
--- a/pipitlink/router/batch_table.py
+++ b/pipitlink/router/batch_table.py
@@ -64,6 +64,11 @@
             return batch
         return None
 
+    def holds_lease(self, batch_id: str) -> bool:
+        """Returns whether a batch is in this table with a lease that is not lost."""
+        batch = self.batches.get(batch_id)
+        return batch is not None and not batch.leaseholder.lost
+
     def owns(self, batch: OwnedBatch) -> bool:
         """Returns whether a batch is still owned under this lease."""
         return self.batches.get(batch.id) is batch
@@ -87,6 +92,8 @@
         batch = self.batches.get(batch_id)
         if batch is not None and not batch.leaseholder.lost:
             return batch
+        if batch is not None:
+            self.remove(batch)
         leaseholder = await self._ctx.replicated_log.acquire(batch_log(batch_id), lost_leaseholder)
         batch = OwnedBatch(batch_id, leaseholder, ItemTimings(self._ctx.timers))
         batch.read_durable()
--- a/tests/test_batches_adoption.py
+++ b/tests/test_batches_adoption.py
@@ -1,6 +1,7 @@
 """How soon another gateway adopts a batch whose owner is gone."""
 
 import unittest
+from unittest import mock
 
 from .batch_builders import BatchClients, start_simulation
 
@@ -87,6 +88,19 @@
         simulation.until(lambda: clients.read_if_complete(name), 30, "all outputs are listed")
         self.assertEqual(clients.violations, [])
 
+    def test_a_batch_with_a_lost_lease_in_the_table_is_adopted_again(self):
+        """Guards against a batch that its only gateway takes for owned, though its lease is lost."""
+        simulation, clients = self.simulation(6, gateways=1)
+        simulation.event_interval = simulation.event_interval * 20
+        name = clients.new_batch(9)
+        self.assertEqual(simulation.do(clients.submit_batch(name)), 202)
+        leaseholder = self.owner(simulation, name).part.batches[name].leaseholder
+        with mock.patch.object(leaseholder, "_call_watchers"):
+            leaseholder.invalidate("not reported")
+        simulation.until(lambda: self.owner(simulation, name), 6, "the gateway owns the batch again")
+        simulation.until(lambda: clients.read_if_complete(name), 30, "all outputs are listed")
+        self.assertEqual(clients.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
