End the lease of a batch after any error in writing its outputs

Callers would see: items without a result for as long as their gateway holds the lease.

Cause (by reading, not seen at the users'): outputs are taken off the queue before they are appended, and their items count as finished. After an error that is no error of the log they were neither written nor run again, and the lease was kept.

Change: any error of the write ends the lease, so that the next owner reads the log and runs what has no output.

Evidence: the new test makes one append fail with a RuntimeError; the batch is not finished within 20 s before.

--- a/pipitlink/router/output_writer.py
+++ b/pipitlink/router/output_writer.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from ..context import Context
-from ..errors import DeadlineExceeded, LeaseNotHeld, ReplicatedLogError, StaleEpoch
+from ..errors import DeadlineExceeded, LeaseNotHeld, StaleEpoch
 from ..timers import ms, wall_ms
 from ..wire.lots_pb2 import Ended, LogRecord, Output
 from .batch_table import BatchListener, BatchTable
@@ -74,7 +74,7 @@
             if self._may_delay(batch):
                 await self._ctx.timers.sleep(BATCHING_DELAY)
             await self._write_pending(batch)
-        except ReplicatedLogError as error:
+        except Exception as error:
             self._invalidate_lease(batch, error)
         finally:
             batch.is_writing = False
@@ -96,7 +96,7 @@
                 await batch.wait_durable()
             batch.timings.appended(output.item for output in outputs)
 
-    def _invalidate_lease(self, batch: OwnedBatch, error: ReplicatedLogError) -> None:
+    def _invalidate_lease(self, batch: OwnedBatch, error: Exception) -> None:
         """Invalidates the lease after outputs could not be appended; the next owner finishes the batch."""
         leaseholder = batch.leaseholder
         if not isinstance(error, (StaleEpoch, LeaseNotHeld)):
--- a/tests/test_batches_adoption.py
+++ b/tests/test_batches_adoption.py
@@ -101,6 +101,17 @@
         simulation.until(lambda: clients.read_if_complete(name), 30, "all outputs are listed")
         self.assertEqual(clients.violations, [])
 
+    def test_a_batch_whose_outputs_fail_to_be_written_by_an_unexpected_error_is_finished(self):
+        """Guards against items that count as finished, but whose outputs nobody writes any more."""
+        simulation, clients = self.simulation(7)
+        name = clients.new_batch(9)
+        self.assertEqual(simulation.do(clients.submit_batch(name)), 202)
+        leaseholder = self.owner(simulation, name).part.batches[name].leaseholder
+        with mock.patch.object(leaseholder, "append", side_effect=RuntimeError("unexpected")) as append:
+            simulation.until(lambda: append.called, 5, "outputs are written")
+        simulation.until(lambda: clients.read_if_complete(name), 20, "all outputs are listed")
+        self.assertEqual(clients.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
