Check in random runs that no accepted item is left lying

Simulated clusters run items on engines that speak HTTP over connections which lose packets. The check fails if an accepted item that is not listed is at no engine for 12 s while it is calm and there is room.

--- a/tests/engine_network.py
+++ b/tests/engine_network.py
@@ -252,6 +252,11 @@
         link.send_to_gateway(chunk(event(sent + 1, f"{run.item} event {sent + 1}")))
         self.network.later(self.network.event_seconds, self._send_next, link, run, sent + 1)
 
+    def hang(self) -> None:
+        """Forgets all its requests, but keeps their connections and says nothing on them."""
+        for link in self.links:
+            link.end_run()
+
     def lose_power(self) -> None:
         """Ends the engine at once: its connections say nothing, and it is announced no more."""
         self.is_up = False
@@ -336,11 +341,15 @@
         self.later(TICK_SECONDS, self._tick)
 
     def _announce(self) -> None:
+        self.announce()
+        self.later(ANNOUNCEMENT_SECONDS, self._announce)
+
+    def announce(self) -> None:
+        """Announces all engines that are up to all gateways."""
         self._sequence += 1
         for engine in self.engines.values():
             if engine.is_up:
                 self._announce_engine(engine)
-        self.later(ANNOUNCEMENT_SECONDS, self._announce)
 
     def _announce_engine(self, engine: HttpEngine) -> None:
         update = EngineUpdate(
--- a/tests/test_items_left_lying.py
+++ b/tests/test_items_left_lying.py
@@ -1,12 +1,24 @@
 """An accepted item that is not listed is at an engine, or starts again soon, whatever was lost on the way."""
 
 import unittest
+from unittest import mock
 
+from pipitlink.router.call_relay import CallRelay
+from pipitlink.router.item_runner import MIN_SILENCE_LIMIT
+from pipitlink.timers import ms
+from testbed.simulator.random_faults import seeds
 from testbed.simulator.simulation import Simulation
 
 from .batch_builders import BatchClients, route
 from .control_client import ControlClient, config_of, route_of
+from .engine_faults import EngineFaults
 from .engine_network import POOL, EngineNetwork, NetworkedBatchGateway
+from .item_liveness import MAX_IDLE_SECONDS, ItemLiveness
+
+SEEDS = seeds(4)
+READ_INTERVAL = ms(200)
+FAULTS = 10
+CALM_SECONDS = 40
 
 
 def start_networked(seed, gateways=2, engines=3):
@@ -72,6 +84,61 @@
         self.simulation.until(lambda: self.clients.read_if_complete(name), 10, "the item is listed")
         self.assertEqual(self.clients.violations, [])
 
+    def test_an_item_that_hangs_in_its_engine_starts_again(self):
+        self.start()
+        self.network.event_seconds = 0.5
+        name = self.submit()
+        self.network.engines[self.run_of(name).engine].hang()
+        limit_s = MIN_SILENCE_LIMIT.total_seconds()
+        self.simulation.until(lambda: len(self.network.runs) > 1, limit_s + 1, "the item starts again")
+        self.simulation.until(lambda: self.clients.read_if_complete(name), 10, "the item is listed")
+        self.assertEqual(self.clients.violations, [])
+
+    def test_without_keepalive_and_silence_limit_the_check_finds_the_item_left_lying(self):
+        with (
+            mock.patch("pipitlink.router.engine_connection.enable_keepalive"),
+            mock.patch.object(CallRelay, "_exceeds_silence_limit", lambda *_: False),
+        ):
+            self.start()
+            self.network.event_seconds = 0.5
+            liveness = ItemLiveness(self.simulation, self.network, self.clients, lambda: True)
+            self.break_off_behind_a_cut(self.submit())
+            self.simulation.run(MAX_IDLE_SECONDS + 1)
+        self.assertEqual(len(liveness.violations), 1)
+        self.assertIn("running=1", liveness.violations[0])
+
+    async def read_open_batches(self):
+        """Reads what is listed of all batches that are not complete, at any gateways."""
+        clients = self.clients
+        while True:
+            await clients.timers.sleep(READ_INTERVAL)
+            for name in list(clients.accepted):
+                if len(clients.seen.get(name, ())) < len(clients.items[name]):
+                    await clients.read(name, len(clients.seen.get(name, ())))
+
+    def run_with_random_faults(self, seed):
+        """Runs a seed; returns its faults and the liveness check."""
+        self.start(seed, gateways=3, engines=4)
+        self.network.break_probability, self.network.event_seconds = 0.02, 0.2
+        faults = EngineFaults(self.simulation, self.network)
+        liveness = ItemLiveness(self.simulation, self.network, self.clients, faults.is_calm)
+        work = [self.clients.submit_repeatedly(), self.clients.submit_repeatedly(), self.read_open_batches()]
+        faults.run_with_faults(work, FAULTS)
+        self.simulation.run(CALM_SECONDS / 4)
+        self.clients.stopped = True
+        self.simulation.run(CALM_SECONDS)
+        return faults, liveness
+
+    def test_no_item_is_left_lying_under_random_faults_of_engines_and_nodes(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                faults, liveness = self.run_with_random_faults(seed)
+                self.assertEqual(liveness.violations, [], faults.injected)
+                self.assertEqual(self.clients.violations, [], faults.injected)
+                self.assertGreater(len(self.clients.accepted), 5)
+                unlisted = [name for name in self.clients.accepted if not self.clients.read_if_complete(name)]
+                self.assertEqual(unlisted, [], faults.injected)
+
 
 if __name__ == "__main__":
     unittest.main()
