Limit the silence of an item's engine to 5 s at first; count and log attempts ended by it

Cause: a connection that an engine closes, and does not reset, behind a cut path ends with a retransmission of its last packet, 1, 3, 7, 15 or 31 s after it was sent; keepalive probes are answered meanwhile.

Change: the limit is 5 s for the first attempt without an event, and still doubles up to 120 s. Attempts that it ends are logged (engine_silent) and counted (calls_silent). A stall is logged once, also if the engines are full in between. The simulated network retransmits the end of a connection, and the random faults include it.

--- a/pipitlink/router/batch_monitor.py
+++ b/pipitlink/router/batch_monitor.py
@@ -63,7 +63,7 @@
 
 @attrs.frozen
 class _LoggedStall:
-    """A stall that was logged: the item, its stage, and when it last made progress."""
+    """A stall that was logged, of one item. It lasts until the item makes progress, whether or not there is room."""
 
     batch_id: str
     index: int
@@ -105,16 +105,20 @@
 
     def check(self) -> None:
         """Logs and counts the items that are stalled and were not logged for this stall before."""
-        stalls = {
-            self._stall(batch, status): (batch, status)
-            for batch in self._table.batches.values()
-            for status in self.stalled_items(batch)
-        }
-        for stall, (batch, status) in stalls.items():
-            if stall not in self._logged:
-                self.stall_count += 1
-                self._log_stall(batch, status)
-        self._logged = set(stalls)
+        self._logged = {stall for stall in self._logged if self._lasts(stall)}
+        for batch in self._table.batches.values():
+            for status in self.stalled_items(batch):
+                stall = self._stall(batch, status)
+                if stall not in self._logged:
+                    self._logged.add(stall)
+                    self.stall_count += 1
+                    self._log_stall(batch, status)
+
+    def _lasts(self, stall: _LoggedStall) -> bool:
+        batch = self._table.get(stall.batch_id)
+        if batch is None or stall.index in batch.progress.finished_items:
+            return False
+        return batch.timings.progress(stall.index).progressed_at == stall.progressed_at
 
     def _stall(self, batch: OwnedBatch, status: ItemStatus) -> _LoggedStall:
         progressed_at = batch.timings.progress(status.index).progressed_at
--- a/pipitlink/router/call_relay.py
+++ b/pipitlink/router/call_relay.py
@@ -9,7 +9,7 @@
 from ..context import Context
 from ..errors import ApiError, ServiceUnavailable
 from ..state_machines.request_state import RequestState
-from ..timers import ms
+from ..timers import ZERO, ms, to_ms
 from .call import Call, CallPhase, weighted_pools
 from .connection_pool import ConnectionPool
 from .engine import Engine, EngineStatus
@@ -73,8 +73,7 @@
         if not (call.is_idempotent or call.is_resumable):
             return
         if self._exceeds_silence_limit(call, sent_at, now):
-            call.exceeded_silence_limit = True
-            call.discard_connection()
+            self._end_silent_attempt(call, engine)
             return
         is_gone = self._engines.status(engine) in (EngineStatus.SILENT, EngineStatus.GONE)
         is_lost = is_gone and now - engine.last_bytes_at > NO_BYTES_TIMEOUT
@@ -91,6 +90,18 @@
             return False
         return now - max(sent_at, call.connection.last_bytes_at) > call.silence_limit
 
+    def _end_silent_attempt(self, call: Call, engine: Engine) -> None:
+        self.counters.silent += 1
+        self._ctx.logger.info(
+            "engine_silent",
+            id=call.id.decode("latin-1"),
+            engine=engine.name,
+            limit_ms=to_ms(call.silence_limit or ZERO),
+            last_event=call.last_event,
+        )
+        call.exceeded_silence_limit = True
+        call.discard_connection()
+
     def abort_all(self, reason: str) -> None:
         """Ends all calls in progress."""
         for call in list(self.calls):
--- a/pipitlink/router/engine_exchange.py
+++ b/pipitlink/router/engine_exchange.py
@@ -39,6 +39,7 @@
     resumed: int = 0
     mismatched: int = 0
     refused: int = 0
+    silent: int = 0
 
 
 def live_urgency(route: Route) -> int:
--- a/pipitlink/router/item_runner.py
+++ b/pipitlink/router/item_runner.py
@@ -24,7 +24,7 @@
 ATTEMPT_TIMEOUT = secs(120)
 # How long an engine may send nothing before an item is started again on another engine. A full engine may be silent for
 # seconds, so the limit doubles each time, and returns to this one once there is an event.
-MIN_SILENCE_LIMIT = secs(10)
+MIN_SILENCE_LIMIT = secs(5)
 MAX_SILENCE_LIMIT = ATTEMPT_TIMEOUT
 DEFAULT_BACKOFF = ms(50)
 
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -104,6 +104,7 @@
             "resumed": counters.resumed,
             "spoilt": counters.mismatched,
             "refused": counters.refused,
+            "silent": counters.silent,
         }
         metrics: dict[str, tuple[str, float]] = {
             f"calls_{name}": (f"Calls to engines: {name}", count) for name, count in calls.items()
--- a/tests/engine_faults.py
+++ b/tests/engine_faults.py
@@ -5,7 +5,7 @@
 
 __all__ = ["ENGINE_FAULTS", "EngineFaults"]
 
-ENGINE_FAULTS = ("cut", "reset_behind_cut", "hang", "power", "power_while_draining", "drain")
+ENGINE_FAULTS = ("cut", "reset_behind_cut", "close_behind_cut", "hang", "power", "power_while_draining", "drain")
 ENGINE_FAULT_PROBABILITY = 0.6
 GATEWAY_RESTART_PROBABILITY = 0.1
 GATEWAY_DRAIN_SECONDS = 3.5
@@ -67,13 +67,16 @@
 
     def _inject_engine_fault(self, engine, kind: str, duration: float) -> None:
         network = self._network
-        if kind in ("cut", "reset_behind_cut"):
+        if kind in ("cut", "reset_behind_cut", "close_behind_cut"):
             paths = {(node.name, engine.name) for node in self._simulation.role("gateway")}
             network.cut_paths |= paths
             network.later(duration, self._reconnect_engine, paths)
         if kind == "reset_behind_cut":
             for link in list(engine.links):
                 link.reset_by_engine()
+        elif kind == "close_behind_cut":
+            for link in list(engine.links):
+                link.close_by_engine()
         elif kind == "hang":
             engine.hang()
         elif kind in ("power", "power_while_draining"):
--- a/tests/engine_network.py
+++ b/tests/engine_network.py
@@ -2,7 +2,8 @@
 
 A connection behaves as in TCP: bytes that meet a cut path arrive once it is healed, unless their sender resets the
 connection; a reset that meets a cut path is lost, so that the other side keeps a half-open connection. It learns of the
-reset by its next packet, which may be a keepalive probe.
+reset by its next packet, which may be a keepalive probe. The end of a connection that is closed, and not reset, is sent
+again after intervals that double; until it has arrived, probes are answered.
 """
 
 import socket
@@ -11,7 +12,7 @@
 
 import attrs
 from twisted.internet import defer
-from twisted.internet.error import ConnectionLost, TimeoutError
+from twisted.internet.error import ConnectionDone, ConnectionLost, TimeoutError
 from twisted.internet.interfaces import ITCPTransport
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
@@ -37,6 +38,7 @@
 PACKET_SECONDS = 0.001
 TICK_SECONDS = 0.25
 ANNOUNCEMENT_SECONDS = 1.0
+FIRST_RETRANSMISSION_SECONDS = 1.0
 
 
 class NetworkedBatchGateway(BatchServiceHolder):
@@ -121,6 +123,15 @@
         if not self.is_cut():
             self.network.later(PACKET_SECONDS, self.transport.lose, ConnectionLost("reset"))
 
+    def close_by_engine(self, retry_seconds: float = FIRST_RETRANSMISSION_SECONDS) -> None:
+        """Ends the run and closes the connection; the end is sent again until it meets no cut path."""
+        self.end_run()
+        if self.is_cut():
+            self.network.later(retry_seconds, self.close_by_engine, 2 * retry_seconds)
+        else:
+            self.engine_has_it = False
+            self.network.later(PACKET_SECONDS, self.transport.lose, ConnectionDone("closed by the engine"))
+
     def forget_at_engine(self) -> None:
         """Ends the engine's side without a packet, as a loss of power does."""
         self.engine_has_it = False
--- a/tests/test_batch_monitor.py
+++ b/tests/test_batch_monitor.py
@@ -43,6 +43,14 @@
         self.assertEqual([metrics[name][1] for name in ("batch_items_stalled", "batch_item_stalls")], [2, 2])
         self.assertIn("starting=2", owner.part.service.monitor.reported_state()[batch.id])
 
+    def test_a_stall_is_not_logged_again_when_engines_have_room_again(self):
+        owner, _ = self.submit(items=2, path="/bulk/mute")
+        self.simulation.run(STALL_S + CHECK_S)
+        for slots in (0, 6, 0, 6):
+            owner.part.slots = slots
+            self.simulation.run(CHECK_S)
+        self.assertEqual(len(self.stalls("state=starting")), 2)
+
     def test_items_that_engines_have_no_room_for_are_not_stalled(self):
         for node in self.simulation.role("gateway"):
             node.part.slots = 0
--- a/tests/test_items_left_lying.py
+++ b/tests/test_items_left_lying.py
@@ -62,11 +62,16 @@
         self.simulation.until(lambda: call.attempt.last_event, 3, "an event arrives")
         return run
 
-    def break_off_behind_a_cut(self, name):
-        """Has the engine of an item reset its connection while the path is cut for a moment."""
+    def cut_path_of(self, name):
+        """Cuts the path between the gateway and the engine of an item; returns the run and the engine."""
         run = self.run_of(name)
         engine = self.network.engines[run.engine]
         self.network.cut_paths.add((self.owner_of(name).name, engine.name))
+        return run, engine
+
+    def break_off_behind_a_cut(self, name):
+        """Has the engine of an item reset its connection while the path is cut for a moment."""
+        run, engine = self.cut_path_of(name)
         for link in list(engine.links):
             link.reset_by_engine()
         self.simulation.run(0.5)
@@ -84,6 +89,20 @@
         self.simulation.until(lambda: self.clients.read_if_complete(name), 10, "the item is listed")
         self.assertEqual(self.clients.violations, [])
 
+    def test_an_item_whose_engine_closed_the_connection_behind_a_long_cut_starts_again(self):
+        """Guards against waiting for the retransmission of the end of a connection, here 15 s after it was sent."""
+        self.start()
+        self.network.event_seconds = 0.5
+        name = self.submit()
+        _, engine = self.cut_path_of(name)
+        for link in list(engine.links):
+            link.close_by_engine()
+        self.simulation.run(MIN_SILENCE_LIMIT.total_seconds() - 1)
+        self.assertEqual(len(self.network.runs), 1)
+        self.simulation.until(lambda: len(self.network.runs) > 1, 2, "the item starts again")
+        self.simulation.until(lambda: self.clients.read_if_complete(name), 10, "the item is listed")
+        self.assertEqual(self.clients.violations, [])
+
     def test_an_item_that_hangs_in_its_engine_starts_again(self):
         self.start()
         self.network.event_seconds = 0.5
