Enable TCP keepalive on engine connections of the models interface too

Cause: the same as for routes: an engine's reset that meets a cut path is lost. Here the wait was bounded by engine_silence_s, 30 s, so an item was late by that.

Change: connections are probed as those of the routes interface are.

Evidence: the new test reads the options of a real socket; it fails before.

--- a/pipitlink/gateway/checked_connection.py
+++ b/pipitlink/gateway/checked_connection.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IProtocolFactory
 from twisted.web.client import HTTPConnectionPool
 
+from ..keepalive import enable_keepalive
 from ..reactor_types import TcpTransport
 from ..timers import secs
 
@@ -76,5 +77,6 @@
         except Exception:
             connection.transport.abortConnection()
             raise
+        enable_keepalive(connection.transport)
         endpoint.connection = connection
         return connection
--- a/pipitlink/keepalive.py
+++ b/pipitlink/keepalive.py
@@ -4,8 +4,9 @@
 
 import socket
 from datetime import timedelta
+from typing import Any
 
-from twisted.internet.interfaces import ITCPTransport, ITransport
+from twisted.internet.interfaces import ITCPTransport
 
 from .timers import secs
 
@@ -22,7 +23,7 @@
 A peer that no longer has the connection answers the first probe that reaches it with a reset."""
 
 
-def enable_keepalive(transport: ITransport) -> None:
+def enable_keepalive(transport: Any) -> None:
     """Enables keepalive probes on a TCP connection; has no effect on other transports."""
     if not ITCPTransport.providedBy(transport):
         return
