--- a/tests/test_stale_leaseholder.py
+++ b/tests/test_stale_leaseholder.py
@@ -3,11 +3,10 @@
 import unittest
 
 from pipitlink.timers import spawn
-from pipitlink.wire.cluster_pb2 import Command, PlacementGroupRow
-from pipitlink.wire.cluster_pb2 import Placement as PlacementRow
 from testbed.simulator.simulation import Simulation
 
 from .model.recorder import Recorder
+from .placement_changes import start_replacing
 from .test_model_conformance import IN_EFFECT_WITHIN_S
 
 LOG = "results/x"
@@ -47,16 +46,7 @@
         simulation.cut([joining.name], [staying.name, leaving.name])
         newer = simulation.do(second.ctx.replicated_log.acquire(LOG, first.node))
         simulation.do(newer.append([b"acknowledged"]))
-        row = PlacementGroupRow(
-            number=0,
-            sequence=group.sequence + 1,
-            storage_nodes=group.storage_nodes,
-            joining=joining.node,
-            leaving=leaving.node,
-        )
-        simulation.do(
-            simulation.leader().part.log_replication.propose(Command(placement=PlacementRow(placement_groups=[row])))
-        )
+        start_replacing(simulation, joining.node, leaving.node)
         end_at = simulation.clock.seconds() + 4
         while simulation.clock.seconds() < end_at:
             simulation.run(0.05)
--- a/tests/test_stale_replicas.py
+++ b/tests/test_stale_replicas.py
@@ -21,12 +21,11 @@
 from pipitlink.storage.replica import Replica
 from pipitlink.storage.replica import Tail as StoredTail
 from pipitlink.timers import spawn
-from pipitlink.wire.cluster_pb2 import Command, PlacementGroupRow
-from pipitlink.wire.cluster_pb2 import Placement as PlacementRow
 from pipitlink.wire.replicated_log_pb2 import Entry, LogState, WriteRequest, WriteResponse
 from testbed.simulator.simulation import Simulation
 
 from .batch_builders import BatchClients, start_simulation
+from .placement_changes import start_replacing
 
 LOG = "results/x"
 FIRST = b"first" + b"." * 200
@@ -297,19 +296,6 @@
 
     storage_nodes = 4
 
-    def move(self, joining, leaving):
-        """Starts to replace one storage node of the placement group by another."""
-        group = self.simulation.leader().part.consensus.cluster_state.placement_groups[0]
-        row = PlacementGroupRow(
-            number=0,
-            sequence=group.sequence + 1,
-            storage_nodes=group.storage_nodes,
-            joining=joining.node,
-            leaving=leaving.node,
-        )
-        command = Command(placement=PlacementRow(placement_groups=[row]))
-        self.simulation.do(self.simulation.leader().part.log_replication.propose(command))
-
     def hold_reports(self):
         """Lets no placement change end until the reports are released; returns the handlers."""
         controllers = self.simulation.role("controller")
@@ -341,7 +327,7 @@
         self.reconnect(stale, self.successor)
         self.simulation.cut([spare.name], [leaving.name])
         reports = self.hold_reports()
-        self.move(spare, leaving)
+        start_replacing(self.simulation, spare.node, leaving.node)
         self.simulation.until(lambda: spare.part.log_store.state(LOG).epoch == 2, 5, "the joining node has copied")
         self.simulation.run(RENEWAL_S)
         self.release_reports(reports)
