Leave items at engines that are at least half full for longer

Cause: the limit on silence of 5 s also ended attempts at full engines behind short cuts, whose events a retransmission would have brought after 7 s. Their prompts were read again on engines that had no capacity to spare.

Change: while an engine is at least half full, the limit is four times longer. Once it has room, the short limit applies.

New tests: a half full engine, a full one.

--- a/pipitlink/router/batch_capacity.py
+++ b/pipitlink/router/batch_capacity.py
@@ -5,7 +5,7 @@
 from ..context import Context
 from ..wire.cluster_pb2 import Route
 from .call import weighted_pools
-from .engine import Engine
+from .engine import ROOM_FRACTION, Engine
 from .engine_registry import EngineRegistry
 from .engine_selector import EngineSelector
 from .slow_start import SlowStart
@@ -23,8 +23,6 @@
 # makes progress.
 MIN_OWN_SLOTS = 1
 MIN_STARTING_ITEMS = 2
-# Engines have room while fewer than this fraction of their slots is in use.
-ROOM_FRACTION = 0.5
 
 
 class BatchCapacity:
--- a/pipitlink/router/call_relay.py
+++ b/pipitlink/router/call_relay.py
@@ -31,6 +31,8 @@
 MAX_IDLE_TIME_NON_IDEMPOTENT = ms(3000)
 RETRY_BACKOFF = ms(15)
 IMMEDIATE_ATTEMPTS = 2
+# The silence limit is this many times longer while the engine has no room, since it may then rightly be silent.
+BUSY_SILENCE_FACTOR = 4
 
 
 class CallRelay:
@@ -72,7 +74,7 @@
             return
         if not (call.is_idempotent or call.is_resumable):
             return
-        if self._exceeds_silence_limit(call, sent_at, now):
+        if self._exceeds_silence_limit(call, engine, sent_at, now):
             self._end_silent_attempt(call, engine)
             return
         is_gone = self._engines.status(engine) in (EngineStatus.SILENT, EngineStatus.GONE)
@@ -84,11 +86,12 @@
         if is_lost or is_unresponsive:
             call.discard_connection()
 
-    def _exceeds_silence_limit(self, call: Call, sent_at: timedelta, now: timedelta) -> bool:
+    def _exceeds_silence_limit(self, call: Call, engine: Engine, sent_at: timedelta, now: timedelta) -> bool:
         """Returns whether the engine has sent nothing for this call, though perhaps for others, for too long."""
         if call.silence_limit is None or call.connection is None:
             return False
-        return now - max(sent_at, call.connection.last_bytes_at) > call.silence_limit
+        limit = call.silence_limit if engine.has_room(now) else BUSY_SILENCE_FACTOR * call.silence_limit
+        return now - max(sent_at, call.connection.last_bytes_at) > limit
 
     def _end_silent_attempt(self, call: Call, engine: Engine) -> None:
         self.counters.silent += 1
--- a/pipitlink/router/engine.py
+++ b/pipitlink/router/engine.py
@@ -14,9 +14,11 @@
 from ..wire.membership_pb2 import EngineUpdate
 from .call import PromptPart
 
-__all__ = ["Engine", "EngineLoad", "EngineStatus", "PeerLoad", "PrefixCache"]
+__all__ = ["ROOM_FRACTION", "Engine", "EngineLoad", "EngineStatus", "PeerLoad", "PrefixCache"]
 
 PEER_LOAD_VALIDITY = secs(3)
+# Engines have room while fewer than this fraction of their slots is in use.
+ROOM_FRACTION = 0.5
 
 
 class EngineStatus(StrEnum):
@@ -121,3 +123,7 @@
                 running += peer_running
                 batch_items += peer_batch_items
         return EngineLoad(running, batch_items)
+
+    def has_room(self, now: timedelta) -> bool:
+        """Returns whether fewer than ROOM_FRACTION of its slots are in use."""
+        return self.load(now).running < ROOM_FRACTION * self.slots
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pipitlink.router.call_relay import BUSY_SILENCE_FACTOR
 from pipitlink.router.item_runner import MAX_SILENCE_LIMIT, MIN_SILENCE_LIMIT, ItemCall
 from pipitlink.timers import spawn, to_ms
 
@@ -9,6 +10,7 @@
 
 BULK = route("bulk", "/b/", kind="bulk")
 LIVE = route("live", "/live/", resumable=False, deadline_ms=600_000)
+CAPACITY = 20
 LIMIT_MS = to_ms(MIN_SILENCE_LIMIT)
 CHECK_MS = 250
 HEARTBEAT_MS = 1000
@@ -24,7 +26,7 @@
 
     def announce(self):
         for name, state in self.engines.items():
-            self.harness.announce_engine(name, state=state)
+            self.harness.announce_engine(name, state=state, capacity=CAPACITY)
 
     def run_item(self):
         """Starts an attempt; returns the engine and the connection to it."""
@@ -72,6 +74,27 @@
         self.advance(2 * CHECK_MS, other)
         self.assertFalse(self.results[0].is_complete)
 
+    def test_an_item_is_left_for_longer_at_an_engine_that_is_half_full(self):
+        name, connection = self.run_item()
+        connection.dataReceived(head("i1") + chunk(event(1, "a")))
+        engines = self.harness.node.engines
+        slots = [engines.acquire_slot(engines.get(name), 1, False) for _ in range(CAPACITY // 2)]
+        self.advance(BUSY_SILENCE_FACTOR * LIMIT_MS - CHECK_MS)
+        self.assertEqual(self.results, [])
+        for slot in slots:
+            slot.release()
+        self.advance(CHECK_MS)
+        self.assertFalse(self.results[0].is_complete)
+
+    def test_an_item_is_taken_from_a_full_engine_in_the_end(self):
+        name, connection = self.run_item()
+        connection.dataReceived(head("i1") + chunk(event(1, "a")))
+        engines = self.harness.node.engines
+        for _ in range(CAPACITY):
+            engines.acquire_slot(engines.get(name), 1, False)
+        self.advance(BUSY_SILENCE_FACTOR * LIMIT_MS + CHECK_MS)
+        self.assertFalse(self.results[0].is_complete)
+
     def test_an_item_stays_at_an_engine_that_is_silent_for_less_than_the_limit_between_events(self):
         _, connection = self.run_item()
         connection.dataReceived(head("i1"))
