Wait at most 10 s for a silent engine that is half full

Cause: attempts that hang count in the load by which their engine looks full, and hold the starts of their gateway. With four times the limit, 20 s, its other items waited as long, with engines free.

Change: twice the limit, 10 s. That covers retransmissions after 1, 3 and 7 s, and is below the bound of 12 s.

--- a/pipitlink/router/call_relay.py
+++ b/pipitlink/router/call_relay.py
@@ -32,7 +32,7 @@
 RETRY_BACKOFF = ms(15)
 IMMEDIATE_ATTEMPTS = 2
 # The silence limit is this many times longer while the engine has no room, since it may then rightly be silent.
-BUSY_SILENCE_FACTOR = 4
+BUSY_SILENCE_FACTOR = 2
 
 
 class CallRelay:
