--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins_2.engine import Engine, Plan  # noqa: E402
-from standins_2.fleet import CannotRun, Fleet, Record, configuration, route, service  # noqa: E402
+from standins_2.fleet import CannotRunError, Fleet, Record, configuration, route, service  # noqa: E402
 from standins_2.http import Answer, Connection, Message  # noqa: E402
 from standins_2.lots import HOST, hand_in, lot_body  # noqa: E402
 
@@ -54,9 +54,7 @@
     try:
         for number in range(3):
             zone = fleet.of("gateway")[number].zone
-            engine = Engine(
-                f"i-{number}", fleet.engine_address(number), "lm", zone, fleet.controllers(), plan=plan
-            )
+            engine = Engine(f"i-{number}", fleet.engine_address(number), "lm", zone, fleet.controllers(), plan=plan)
             engines.append(engine)
             await engine.start()
         bulk = {"queue_cap_tokens": 1_200_000, "completion_target_ms": 10_000, "retain_s": 40.0, "max_tries": 3}
@@ -80,7 +78,7 @@
     answer = await hand_in(gateway, "lot1", "/rounds/", lot_body("lot1", ITEMS, "/rounds/", events=ITEM_EVENTS))
     record(f"lot lot1 handed in at {machine.name}: {answer.status}")
     if answer.status != 202:
-        raise CannotRun("the lot was not accepted")
+        raise CannotRunError("the lot was not accepted")
     connection = Connection(gateway)
     first = asyncio.create_task(ask_stream(connection, "a1", FIRST_STREAM_EVENTS))
     await asyncio.sleep(0.3)
@@ -100,7 +98,8 @@
     runs = [run for engine in engines for run in engine.runs if run.request_id == "a2"]
     record(
         f"a2: status={answer.status} complete={answer.complete} error={answer.error!r} "
-        f"events={answer.body.count(b'id: ')} of {SECOND_STREAM_EVENTS}, {ended_at - stopped_at:.2f} s after the SIGTERM"
+        f"events={answer.body.count(b'id: ')} of {SECOND_STREAM_EVENTS}, "
+        f"{ended_at - stopped_at:.2f} s after the SIGTERM"
     )
     for run in runs:
         record(f"a2 ran at {run.engine} from event {run.first_event}, {run.at - stopped_at:.2f} s after the SIGTERM")
@@ -117,7 +116,7 @@
         record = Record(file)
         try:
             return asyncio.run(asyncio.wait_for(play(record), 110))
-        except (CannotRun, TimeoutError) as error:
+        except (CannotRunError, TimeoutError) as error:
             record(f"could not run: {error}")
             return CANNOT
 
--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -106,7 +106,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while (request := await read_head(reader)) is not None:
                 await read_body(reader, request)
                 if not request.complete:
@@ -143,9 +143,7 @@
                 self.running -= 1
                 self._free.notify()
 
-    async def _stream(
-        self, run: Run, plan: Plan, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _stream(self, run: Run, plan: Plan, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Sends the events, each in a chunk; stops where the gateway closes the connection."""
         await asyncio.sleep(plan.first_s)
         head = {
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -58,7 +58,7 @@
 INTERNAL_PORTS = 8
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not run: the cluster did not start, or the script could not bring the situation about."""
 
 
@@ -170,7 +170,7 @@
             listen = {"control_addr": self.control(machine)}
         disk_mb = {"controller": 128, "storage": 480, "gateway": 0}[machine.role]
         sections = {
-            "zones": {zone: "region-1" for zone in ZONES},
+            "zones": dict.fromkeys(ZONES, "region-1"),
             "listen_addrs": listen,
             "limits": {
                 "cpu_fraction": 1.0,
@@ -211,7 +211,7 @@
             self.start(machine)
         answer = await self.operate("PUT", "/config", config, 0, START_TIMEOUT_S)
         if answer.status != 200:
-            raise CannotRun(f"the first configuration got {answer.status} {answer.error}")
+            raise CannotRunError(f"the first configuration got {answer.status} {answer.error}")
         self.record(f"configuration {config['version']} acknowledged")
 
     async def wait_ready(self, machines: list[Machine]) -> None:
@@ -220,7 +220,7 @@
         for machine in machines:
             while (await ask_once(self.readiness(machine), "GET", "/ready", {"Host": "r"}, timeout=1)).status != 200:
                 if time.monotonic() > deadline:
-                    raise CannotRun(f"{machine.name} is not ready")
+                    raise CannotRunError(f"{machine.name} is not ready")
                 await asyncio.sleep(0.1)
 
     async def operate(
@@ -276,7 +276,7 @@
             return first
         except OSError:
             continue
-    raise CannotRun("no free ports")
+    raise CannotRunError("no free ports")
 
 
 def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
