--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,7 +20,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GRACE_S = 8.0
 EVENT_GAP_S = 0.1
-FIRST_STREAM_EVENTS = 26
+FIRST_STREAM_EVENTS = 28
 SECOND_STREAM_EVENTS = 12
 PAUSE_S = 0.15
 ITEM_EVENTS = 60
