Keep a gateway serving until no connection of a client is left

Cause: the drain ended at the first moment without a request in progress. Connections stayed open beyond it, if their response had begun before the SIGTERM and so did not announce the close. The hand-over of batches, which takes up to 3 s, went on beside them, and the end of the process cut what they had brought meanwhile. The same moment was taken for the end by a response that was complete but not yet sent (a client that reads slowly), by a request queued behind another (the first response announced the close, and the second request, already read, was dropped), and by requests in progress at the deadline, which were cut even if no engine had got them.

Change: a gateway counts connections instead of requests. Its server has phases, each of which keeps what the earlier ones do: serving; announcing the close; closing, in which no connection is accepted and each one closes as soon as it has no request; refusing, in which requests in progress have got an error and others get 503. The drain returns once the set of connections is empty, and only then does the gateway stop what serves them. A response announces the close only if no further request has arrived behind it. An idle connection is closed one turn of the reactor later, so that a request which had arrived by then is read and served. The log has `clients_disconnected`, with what the deadline ended.

--- a/pipitlink/router/batch_table.py
+++ b/pipitlink/router/batch_table.py
@@ -181,6 +181,10 @@
             idle = [batch.leaseholder for batch in self.batches.values() if batch.is_idle()]
             self._ctx.run_in_background(self._ctx.replicated_log.release(idle), "hand_over")
             await self._ctx.timers.sleep(DRAIN_CHECK_INTERVAL)
+        await self.release_all()
+
+    async def release_all(self) -> None:
+        """Releases the leases of all batches."""
         await self._ctx.replicated_log.release([batch.leaseholder for batch in list(self.batches.values())])
 
     def metrics(self) -> dict[str, tuple[str, float]]:
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -14,13 +14,14 @@
 from ..context import Context
 from ..dialect.batches import BatchRequest
 from ..errors import ApiError, BadRequest, NotFound, ServiceUnavailable
+from ..http_connections import HttpConnections, ServerPhase
 from ..timers import ms
 from ..wire.cluster_pb2 import Route
 from .batch_api import BatchApi, Submission
 from .call import Call, CallPhase, end_to_end_headers, parse_prompt_parts
 from .call_relay import CallRelay
 from .http_response import HttpResponse
-from .inbound_request import ClientChannel, ClientChannelFactory, InboundRequest
+from .inbound_request import ClientChannelFactory, InboundRequest
 from .phase_timings import PhaseTimings
 
 __all__ = ["HttpFrontend", "RouteKind"]
@@ -31,7 +32,8 @@
 STARTUP_TIME = ms(600)
 MIN_RETRY_AFTER_S = 0.2
 RETRY_AFTER_JITTER_S = 0.2
-DRAIN_CHECK_INTERVAL = ms(50)
+# How long after the end of a drain its last responses may take to be sent.
+FLUSH_TIMEOUT = ms(200)
 # Statuses by which clients infer that nothing was executed.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -48,7 +50,7 @@
 class HttpFrontend:
     """The HTTP server for clients. Heads and bodies pass through; the body of its own responses is only an error code.
 
-    Owns `channels`, the connections of clients, and `refused`, the number of refused requests by code.
+    Owns `connections`, those of clients, and `refused`, the number of refused requests by code.
     """
 
     def __init__(self, ctx: Context, relay: CallRelay, batch_api: BatchApi) -> None:
@@ -57,8 +59,7 @@
         self._batch_api = batch_api
         self._opened_at = ctx.timers.now()
         self._ports: list[Any] = []
-        self.channels: set[ClientChannel] = set()
-        self.is_draining = False
+        self.connections = HttpConnections()
         self.refused: dict[str, int] = {}
 
     def now(self) -> timedelta:
@@ -82,7 +83,10 @@
         return int(opened.getHost().port)
 
     def start_serving(self, request: InboundRequest) -> None:
-        """Serves a completely received request in the background."""
+        """Serves a completely received request in the background, unless it is too late to begin with it."""
+        if self.connections.phase >= ServerPhase.REFUSING:
+            self._respond_error(request, _shutting_down())
+            return
         self._ctx.run_in_background(self._serve(request), "serve")
 
     async def _serve(self, request: InboundRequest) -> None:
@@ -196,16 +200,37 @@
         )
 
     async def drain(self, accept_time: timedelta, deadline: timedelta) -> None:
-        """Accepts requests for a time, then closes idle connections, and returns once all requests have ended.
+        """Ends all connections of clients; none is left, and none can be opened, once it has returned.
 
-        Returns at the deadline at the latest, even if requests are still in progress.
+        Accepts connections for a time. After that, each connection closes as soon as it has no request. At the deadline
+        the requests in progress get an error, and then all connections are closed.
         """
-        self.is_draining = True
+        self.connections.announce_close()
         await self._ctx.timers.sleep(accept_time)
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
-        for channel in list(self.channels):
-            if channel.is_idle():
-                channel.close_connection()
-        while any(not channel.is_idle() for channel in self.channels) and self._ctx.timers.now() < deadline:
-            await self._ctx.timers.sleep(DRAIN_CHECK_INTERVAL)
+        await self.connections.close_when_idle(self._ctx.timers, deadline - self._ctx.timers.now())
+        requests = self._requests_in_progress()
+        for request in requests:
+            self._end(request)
+        aborted = await self.connections.abort(self._ctx.timers, FLUSH_TIMEOUT)
+        self._ctx.logger.info("clients_disconnected", ended=len(requests), aborted=aborted)
+
+    def _requests_in_progress(self) -> list[InboundRequest]:
+        requests = [request for channel in self.connections.open for request in channel.requests]
+        return [request for request in requests if request.is_received and not request.is_finished]
+
+    def _end(self, request: InboundRequest) -> None:
+        """Ends a request that takes too long, with what is known about its execution."""
+        call = request.call
+        if call is None:
+            self._respond_error(request, _shutting_down(outcome="unknown"))
+            return
+        outcome = call.outcome
+        call.abort("gateway shutting down")
+        if outcome == "not_run":
+            self._respond_error(request, _shutting_down())
+
+
+def _shutting_down(outcome: str = "not_run") -> ApiError:
+    return ServiceUnavailable("this gateway is shutting down", code="shutting_down", outcome=outcome)
--- a/pipitlink/router/inbound_request.py
+++ b/pipitlink/router/inbound_request.py
@@ -7,12 +7,12 @@
 from io import BytesIO
 from typing import Any, Protocol
 
-from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web import http
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
 
+from ..http_connections import HttpConnection, HttpConnections
 from ..timers import secs
 from .call import HOP_BY_HOP_HEADERS, Call, Header
 from .engine_connection import Response
@@ -27,8 +27,7 @@
 class Frontend(Protocol):
     """The server that the connections and requests of clients belong to."""
 
-    channels: set[ClientChannel]
-    is_draining: bool
+    connections: HttpConnections
 
     def now(self) -> timedelta:
         """Returns the monotonic time of the gateway's timers."""
@@ -74,6 +73,7 @@
     content: BytesIO
     call: Call | None = None
     is_too_long = False
+    is_received = False
     started_at: timedelta
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802 - twisted's interface
@@ -96,6 +96,7 @@
         """Starts to serve the request once it was received completely."""
         self.method, self.uri, self.clientproto = command, path, version
         self.path, _, self.query = path.partition(b"?")
+        self.is_received = True
         self.notifyFinish().addErrback(self._on_disconnect)
         self.channel.frontend.start_serving(self)
 
@@ -132,7 +133,6 @@
             self.responseHeaders.addRawHeader(name, value)
         if response.length is not UNKNOWN_LENGTH and not self.call.is_resumable:
             self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % int(response.length)])
-        self._close_if_draining()
         self.registerProducer(_ClientBackpressure(self.call), True)
 
     def data(self, data: bytes) -> None:
@@ -140,11 +140,6 @@
         if not self.is_finished:
             self.write(data)
 
-    def _close_if_draining(self) -> None:
-        if self.channel.frontend.is_draining:
-            self.channel.persistent = 0
-            self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-
     def complete(self) -> None:
         """Completes the response."""
         if self.is_finished:
@@ -173,38 +168,22 @@
         for name, value in response.headers.items():
             self.responseHeaders.setRawHeaders(name.encode(), [value.encode()])
         self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % len(response.body)])
-        self._close_if_draining()
         self.write(response.body)
         self.finish()
 
 
-class ClientChannel(http.HTTPChannel):
+class ClientChannel(HttpConnection):
     """One connection of a client."""
 
     requestFactory = InboundRequest  # noqa: N815 - twisted's interface
     totalHeadersSize = MAX_HEADERS_BYTES  # noqa: N815 - twisted's interface
     frontend: Frontend
-    transport: Any
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's interface
         """Starts to read requests."""
-        self.frontend.channels.add(self)
         self.transport.setTcpNoDelay(True)
         super().connectionMade()
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802 - twisted's interface
-        """Notifies the requests in progress that the client has disconnected."""
-        self.frontend.channels.discard(self)
-        super().connectionLost(reason)
-
-    def is_idle(self) -> bool:
-        """Returns whether no request is in progress."""
-        return not self.requests and not self._handlingRequest
-
-    def close_connection(self) -> None:
-        """Closes the connection after all written bytes were sent."""
-        self.loseConnection()
-
 
 class ClientChannelFactory(http.HTTPFactory):
     """Creates the connections of one frontend; writes no access log."""
@@ -220,6 +199,7 @@
         """Returns the protocol for a new connection."""
         channel: Any = super().buildProtocol(addr)
         channel.frontend = self._frontend
+        channel.connections = self._frontend.connections
         return channel
 
     def log(self, request: http.Request) -> None:
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -119,8 +119,8 @@
     async def shut_down(self) -> None:
         """Drains the gateway and leaves the cluster.
 
-        It reports itself as not ready immediately, accepts new requests for a time, lets running requests finish, and
-        hands its leases over.
+        It reports itself as not ready immediately, accepts new requests for a time, and hands its leases over. It
+        serves clients as before until none of their connections is left, and only then stops what serves them.
         """
         self._is_draining = True
         settings = self._ctx.settings
@@ -128,6 +128,7 @@
         batches = self._ctx.run_in_background(self.batches.table.drain(), "drain_batches")
         await self.frontend.drain(ms(settings.accept_ms), deadline)
         await batches
+        await self.batches.table.release_all()
         self.relay.abort_all("gateway shutting down")
         self.connections.close_all_idle()
         if self._readiness_port is not None:
--- a/tests/router_builders.py
+++ b/tests/router_builders.py
@@ -65,13 +65,17 @@
 
 
 class _Transport(StringTransport):
-    """Stores what one side writes, and notifies the protocol of its close as a network connection does."""
+    """Stores what one side writes, and notifies the protocol of its close as a network connection does.
+
+    While `holds_unsent`, the peer does not read, so that a close waits for `send_rest`.
+    """
 
     protocol = None
 
     def __init__(self):
         super().__init__()
         self.closed = False
+        self.holds_unsent = False
 
     def setTcpNoDelay(self, on):
         pass
@@ -82,7 +86,14 @@
     forceAbortClient = abortConnection
 
     def loseConnection(self):
-        self.close()
+        self.disconnecting = True
+        if not self.holds_unsent:
+            self.close()
+
+    def send_rest(self):
+        self.holds_unsent = False
+        if self.disconnecting:
+            self.close()
 
     def close(self):
         if not self.closed:
