Answer requests in progress at all HTTP servers of a node that stops

What callers saw: a client that followed a stream through another gateway than its own lost it when that gateway stopped, since it had no request of its own. Orders and announcements in progress at a controller that stops, and reads at any node's interface for operators, were cut too.

Change: the sites of web.py count their connections as the server for routes does. `HttpServer` holds a bound site; its `close` announces the end, closes each connection once it has no request, and returns once none is left, or at a timeout: 6 s for clients that name a model, 2 s for operators and engines at a controller (before it steps down and leaves, so that orders can still be committed), 0.3 s for operators at other nodes. After it, a request that had not been received is refused with 503.

--- a/pipitlink/controller/control_api.py
+++ b/pipitlink/controller/control_api.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from hashlib import blake2b
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from klein import Klein
 from twisted.web.server import Request
@@ -14,7 +14,8 @@
 from ..context import Context
 from ..dialect.control import ControlFormat
 from ..errors import ApiError, BadRequest, NotFound
-from ..web import Site, http_handler, listen, send_error, send_json
+from ..timers import secs
+from ..web import HttpServer, Site, http_handler, listen, send_error, send_json
 from ..wire.cluster_pb2 import Command, ConfigEdit, ZoneEdit
 from ..wire.membership_pb2 import EngineUpdate
 from .edit_fencing import EditFencing
@@ -24,14 +25,12 @@
 from .engine_registry import EngineState
 from .storage_retirement import StorageRetirement
 
-if TYPE_CHECKING:
-    from ..reactor_types import ListeningPort
-
 __all__ = ["ControlApi", "ControlServer", "ControllerServices"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 DIGEST_BYTES = 16
 MAX_SHOWN_PROBLEMS = 20
+CLOSE_TIMEOUT = secs(2)
 
 
 class ControllerServices(Protocol):
@@ -167,7 +166,7 @@
     def __init__(self, ctx: Context, services: ControllerServices) -> None:
         self._ctx = ctx
         self._api = ControlApi(ctx, services, ctx.dialect)
-        self._port: ListeningPort | None = None
+        self._server: HttpServer | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """Listens on the address and returns the bound port. Raises CannotListenError."""
@@ -175,13 +174,13 @@
         self._api.add_routes(app.route)
         app.route("/", defaults={"path": ""})(self._not_found)
         app.route("/<path:path>")(self._not_found)
-        self._port, bound_port = await listen(self._ctx.reactor, Site(app.resource(), MAX_BODY_BYTES), host, port)
-        return int(bound_port)
+        self._server = await listen(self._ctx, Site(app.resource(), MAX_BODY_BYTES), host, port)
+        return self._server.port
 
     async def close(self) -> None:
-        """Stops listening; open connections continue."""
-        if self._port is not None:
-            await self._port.stopListening()
+        """Stops listening, and closes connections once the requests in progress have their responses."""
+        if self._server is not None:
+            await self._server.close(CLOSE_TIMEOUT)
 
     def _not_found(self, request: Request, path: str) -> bytes:
         return send_error(request, NotFound(f"nothing is at /{path}", code="no_such_path"))
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -11,9 +11,8 @@
 
 from ..context import Context
 from ..errors import NotFound
-from ..reactor_types import ListeningPort
 from ..timers import ms, secs
-from ..web import Site, listen, send_error, send_json
+from ..web import HttpServer, Site, listen, send_error, send_json
 from .admission import Admission
 from .batch_api import BatchApi
 from .batch_capacity import BatchCapacity
@@ -68,7 +67,7 @@
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
-        self._port: ListeningPort | None = None
+        self._server: HttpServer | None = None
         self.serving = ServingState(ctx)
         self.engines = EngineRegistry(ctx)
         self.slots = EngineSlots(ctx, self.engines)
@@ -131,8 +130,8 @@
     async def listen(self, host: str, port: int) -> int:
         """Listens for clients; returns the bound port."""
         site = Site(self._routes().resource(), self._ctx.settings.max_body_kb * 1024)
-        self._port, bound_port = await listen(self._ctx.reactor, site, host, port)
-        return int(bound_port)
+        self._server = await listen(self._ctx, site, host, port)
+        return self._server.port
 
     def _routes(self) -> Klein:
         app = Klein()
@@ -206,12 +205,15 @@
         return [self.table.first_chunk_latency.family(name, "From a live request's arrival to its first piece")]
 
     async def shut_down(self) -> None:
-        """Shuts down gracefully: rejects new requests, waits for running ones and releases the leases."""
+        """Shuts down gracefully: rejects new requests, waits for running ones and releases the leases.
+
+        What serves clients stops only once none of their connections is left.
+        """
         self.serving.draining = True
-        if self._port is not None:
-            await self._port.stopListening()
         timers = self._ctx.timers
         deadline = timers.now() + DRAIN_TIMEOUT
+        if self._server is not None:
+            await self._server.close(DRAIN_TIMEOUT)
         while self.table.has_unsettled() and timers.now() < deadline:
             await timers.sleep(DRAIN_CHECK_INTERVAL)
         self.batch_ownership.release_all()
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -6,7 +6,8 @@
 
 from .errors import NotFound
 from .node_interfaces import ClusterStateEditor
-from .web import LazyResource, Site, listen, send_error, send_json
+from .timers import ms
+from .web import HttpServer, LazyResource, Site, listen, send_error, send_json
 
 if TYPE_CHECKING:
     from twisted.web.resource import Resource
@@ -14,11 +15,11 @@
 
     from .context import Context
     from .node_interfaces import Node
-    from .reactor_types import ListeningPort
 
 __all__ = ["OperatorServer"]
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
+CLOSE_TIMEOUT = ms(300)
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -28,18 +29,18 @@
     def __init__(self, ctx: Context, node: Node) -> None:
         self._ctx = ctx
         self._node = node
-        self._listening_port: ListeningPort | None = None
+        self._server: HttpServer | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """Binds the address for operators and returns the port number. Raises CannotListenError."""
         site = Site(LazyResource(self._build_resource), MAX_BODY_BYTES)
-        self._listening_port, bound_port = await listen(self._ctx.reactor, site, host, port)
-        return bound_port
+        self._server = await listen(self._ctx, site, host, port)
+        return self._server.port
 
     async def close(self) -> None:
-        """Stops listening."""
-        if self._listening_port is not None:
-            await self._listening_port.stopListening()
+        """Stops listening, and closes connections once the requests in progress have their responses."""
+        if self._server is not None:
+            await self._server.close(CLOSE_TIMEOUT)
 
     def _build_resource(self) -> Resource:
         from klein import Klein
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -223,13 +223,13 @@
         reactor.stop()
 
     async def _close(self) -> None:
+        if self._control_server is not None:
+            await self._control_server.close()
         if self.node is not None:
             await self.node.shut_down()
         if self._operator_server is None:
             raise RuntimeError("shutdown was requested before start-up was complete")
         await self._operator_server.close()
-        if self._control_server is not None:
-            await self._control_server.close()
         self.ctx.timers.stop()
         await self.ctx.rpc.close()
 
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -8,7 +8,7 @@
 
 from ..context import Context
 from ..timers import ms
-from ..web import Site, listen
+from ..web import HttpServer, Site, listen
 from ..wire.cluster_pb2 import Route
 from .batch_capacity import BatchCapacity
 from .batch_service import BatchService
@@ -25,6 +25,7 @@
 __all__ = ["RouterNode"]
 
 MAX_READINESS_BODY_BYTES = 1024
+READINESS_CLOSE_TIMEOUT = ms(100)
 
 
 class RouterNode:
@@ -54,7 +55,7 @@
             self._routes,
         )
         self.frontend = HttpFrontend(ctx, self.relay, self.batches)
-        self._readiness_port: Any = None
+        self._readiness_server: HttpServer | None = None
         self._is_draining = False
 
     def _routes(self) -> Mapping[str, Route]:
@@ -73,7 +74,7 @@
         """Starts to accept clients, and returns the port."""
         if self._ctx.settings.ready_port:
             site = Site(ReadinessResource(self.readiness), MAX_READINESS_BODY_BYTES)
-            self._readiness_port, _ = await listen(self._ctx.reactor, site, host, self._ctx.settings.ready_port)
+            self._readiness_server = await listen(self._ctx, site, host, self._ctx.settings.ready_port)
         return await self.frontend.listen(host, port, self.listening_socket)
 
     def readiness(self) -> tuple[bool, dict[str, Any]]:
@@ -131,6 +132,6 @@
         await self.batches.table.release_all()
         self.relay.abort_all("gateway shutting down")
         self.connections.close_all_idle()
-        if self._readiness_port is not None:
-            await self._readiness_port.stopListening()
+        if self._readiness_server is not None:
+            await self._readiness_server.close(READINESS_CLOSE_TIMEOUT)
         await self._ctx.membership.leave()
--- a/pipitlink/web.py
+++ b/pipitlink/web.py
@@ -20,24 +20,30 @@
     NotLeader,
     PipitlinkError,
     RemoteError,
+    ServiceUnavailable,
     StaleEpoch,
     StorageFull,
     Unconfirmed,
     VersionConflict,
     WireError,
 )
-from .timers import spawn
+from .http_connections import HttpConnection, HttpConnections, ServerPhase
+from .timers import ms, spawn
 
 if TYPE_CHECKING:
+    from datetime import timedelta
+
     from twisted.python.failure import Failure
 
     from .context import Context
     from .reactor_types import ListeningPort
 
-__all__ = ["LazyResource", "Site", "http_handler", "listen", "send_error", "send_json"]
+__all__ = ["HttpServer", "LazyResource", "Site", "http_handler", "listen", "send_error", "send_json"]
 
 IDLE_TIMEOUT_S = 60
 LISTEN_BACKLOG = 512
+# How long the last responses of a server that closes may take to be sent.
+FLUSH_TIMEOUT = ms(100)
 
 _Params = ParamSpec("_Params")
 
@@ -75,8 +81,14 @@
 
     def process(self) -> None:
         """Serves a request whose body has been received, unless it was rejected."""
-        if self.content is not None:
-            server.Request.process(self)
+        if self.content is None:
+            return
+        if self.channel.connections.phase >= ServerPhase.REFUSING:
+            error = ServiceUnavailable("this node is shutting down", code="shutting_down")
+            server.Request.write(self, send_error(self, error))
+            server.Request.finish(self)
+            return
+        server.Request.process(self)
 
     def _reject_body(self) -> None:
         error = {
@@ -94,14 +106,23 @@
 
 
 class Site(server.Site):
-    """An HTTP server with a limit on request bodies and a timeout for idle connections."""
+    """The resources of an HTTP server, with a limit on request bodies and a timeout for idle connections."""
+
+    protocol = HttpConnection  # type: ignore[assignment]  # Twisted declares a private wrapper of HTTPChannel
 
     def __init__(self, root: resource.Resource, max_body_bytes: int) -> None:
         server.Site.__init__(self, root, requestFactory=_BoundedRequest, timeout=IDLE_TIMEOUT_S)
         self.max_body_bytes = max_body_bytes
+        self.connections = HttpConnections()
         self.displayTracebacks = False
         self.noisy = False
 
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802 - Twisted's interface
+        """Returns the protocol for a new connection."""
+        connection = server.Site.buildProtocol(self, addr)
+        connection.connections = self.connections
+        return connection
+
     def log(self, request: http.Request) -> None:
         """Writes no access log."""
 
@@ -123,13 +144,36 @@
         return self._resource.render(request)
 
 
-async def listen(reactor: Any, site: Site, host: str, port: int) -> tuple[ListeningPort, int]:
-    """Binds an HTTP site and returns the listening port object and the port number. Raises CannotListenError."""
+class HttpServer:
+    """An HTTP server that listens on an address."""
+
+    def __init__(self, ctx: Context, site: Site, listening_port: ListeningPort) -> None:
+        self._timers = ctx.timers
+        self._connections = site.connections
+        self._listening_port = listening_port
+
+    @property
+    def port(self) -> int:
+        """The port that it is bound to."""
+        return self._listening_port.getHost().port
+
+    async def close(self, timeout: timedelta) -> None:
+        """Accepts no further connection and closes each one as soon as it has no request.
+
+        Returns once none is left. Those with requests in progress at the timeout are aborted.
+        """
+        self._connections.announce_close()
+        await defer.maybeDeferred(self._listening_port.stopListening)
+        await self._connections.close_when_idle(self._timers, timeout)
+        await self._connections.abort(self._timers, FLUSH_TIMEOUT)
+
+
+async def listen(ctx: Context, site: Site, host: str, port: int) -> HttpServer:
+    """Binds an HTTP site to an address. Raises CannotListenError."""
     from twisted.internet.endpoints import TCP4ServerEndpoint
 
-    endpoint = TCP4ServerEndpoint(reactor, port, backlog=LISTEN_BACKLOG, interface=host)
-    listening_port: ListeningPort = await endpoint.listen(site)
-    return listening_port, listening_port.getHost().port
+    endpoint = TCP4ServerEndpoint(ctx.reactor, port, backlog=LISTEN_BACKLOG, interface=host)
+    return HttpServer(ctx, site, await endpoint.listen(site))
 
 
 def send_json(
--- a/tests/router_builders.py
+++ b/tests/router_builders.py
@@ -28,7 +28,7 @@
 from pipitlink.wire.cluster_pb2 import Bounds, Config, Pool, PoolShare, Route
 from pipitlink.wire.membership_pb2 import EngineUpdate, Member
 
-__all__ = ["RouterHarness", "route", "head", "chunk", "END"]
+__all__ = ["ClientTransport", "RouterHarness", "route", "head", "chunk", "END"]
 
 END = b"0\r\n\r\n"
 
@@ -64,7 +64,7 @@
     )
 
 
-class _Transport(StringTransport):
+class ClientTransport(StringTransport):
     """Stores what one side writes, and notifies the protocol of its close as a network connection does.
 
     While `holds_unsent`, the peer does not read, so that a close waits for `send_rest`.
@@ -208,7 +208,7 @@
     def connect(self, connection):
         if connection.address in self.refused_addresses:
             return defer.fail(ConnectionRefusedError(connection.address))
-        transport = _Transport()
+        transport = ClientTransport()
         transport.protocol = connection
         self.connections.setdefault(connection.address, []).append(connection)
         connection.makeConnection(transport)
@@ -238,7 +238,7 @@
 
     def connect_client(self):
         channel = ClientChannelFactory(self.node.frontend, self.clock).buildProtocol(None)
-        transport = _Transport()
+        transport = ClientTransport()
         transport.protocol = channel
         channel.makeConnection(transport)
         return channel
