Keep a storage node's files open until its process ends

Not seen at users.

Change: the files stay open until the process ends, as those of controllers do.

Result: tests/test_storage_shutdown.py fails on the base with disk_sync_failed and a stopped reactor, and passes now.

--- a/pipitlink/storage/node.py
+++ b/pipitlink/storage/node.py
@@ -147,9 +147,8 @@
         }
 
     async def shut_down(self) -> None:
-        """Leaves the membership and closes the files."""
+        """Leaves the membership. The files stay open for requests in progress until the process ends."""
         await self._ctx.membership.leave()
-        self.close()
 
     def close(self) -> None:
         """Closes the files."""
