Add soak runs of the programs that the deploy file starts

A schedule that depends on the seed alone has SIGTERM, a second SIGTERM or SIGHUP meanwhile, restarts, configurations and races of them, evacuations, engines that leave; every third seed also SIGKILL and crashes of engines. All gateways stop at once at the end, under load.

--- a/testbed/__main__.py
+++ b/testbed/__main__.py
@@ -5,6 +5,7 @@
                     [--port N] [--step S] [--notes FILE]
   testbed soak [--profile NAME] [--seed N] [--minutes M] [--keep PATH] [--faults LIST] [--level LEVEL]
                  [--together N]
+  testbed soak --deployed [--seed N] [--seeds N] [--minutes M] [--keep PATH] [--machines LIST] [--root PATH]
   testbed bench [--profile NAME] [--seed N] [--rounds N] [--window S]
   testbed bench --promise LIST [--profile NAME] [--seed N] [--rounds N]
   testbed capacity [--series LIST] [--within M] [--cores N] [--keep PATH] [--picture FILE]
@@ -26,6 +27,12 @@
   --notes FILE      File in which it records its runs.
   --profile NAME    periplous, maizes or small. [default: small]
   --seed N          Seed of the schedule of faults and of the load. [default: 1]
+  --deployed        Runs the programs of the deploy file instead of gateways whose clients name a model. Seeds that are
+                    divisible by 3 also kill processes and crash engines, the others have planned work only; even ones
+                    have many clients, odd ones few.
+  --seeds N         Number of seeds to run one after the other. [default: 1]
+  --machines LIST   Numbers of controllers, storage nodes and gateways. [default: 3,3,6]
+  --root PATH       Folder of the project whose programs are run, instead of this one.
   --minutes M       Minutes during which faults are injected. [default: 2]
   --keep PATH       Keeps data and logs in this folder, or the points of a capacity run in this file.
   --faults LIST     Injects only these faults, separated by commas.
@@ -56,6 +63,10 @@
 def main(argv: list[str] | None = None, program: str = "testbed") -> int:
     """Runs the command line and returns its exit status; its help shows the name of the program."""
     arguments = docopt(_usage(program), argv=argv)
+    if arguments["--deployed"]:
+        from .deployment.command import run_soaks
+
+        return run_soaks(arguments)
     if arguments["soak"]:
         from .benchmarks.deployment_profiles import PROFILES
         from .benchmarks.soak import FAULTS, Soak
