Fence zone edits at the last contact with their client

Cause: the fencing token was the sequence at the arrival of a copy. Only a wait of 20 ms for the client's disconnection told a held-up copy from a new one, and the disconnection arrives a round trip later.

Change: a connection keeps what its server knew at the last contact with the client, when it was accepted or its last request was answered. That sequence is the token of a zone edit, since the client can't have sent the edit before. An edit that is fenced, and arrived more than 0.4 s after that contact, gets 503; others are submitted again as before. The contact counts the outcomes of zone edits that this controller has passed on and not applied yet, so that a lagging controller does not refuse the next order on the same connection.

--- a/pipitlink/controller/control_api.py
+++ b/pipitlink/controller/control_api.py
@@ -18,7 +18,7 @@
 from ..web import HttpServer, Site, http_handler, listen, send_error, send_json
 from ..wire.cluster_pb2 import Command, ConfigEdit, ZoneEdit
 from ..wire.membership_pb2 import EngineUpdate
-from .edit_fencing import EditFencing
+from .edit_fencing import EditFencing, last_contact
 from .edit_requests import edit_base, edit_id, read_body
 from .edit_submission import EditSubmission
 from .engine_announcements import EngineAnnouncements
@@ -128,7 +128,7 @@
 
     async def _edit_zone(self, request: Request, zone: str, empty: bool) -> bytes:
         command = Command(edit=edit_id(request), zone=ZoneEdit(zone=zone, empty=empty))
-        outcome = await self._services.edit_fencing.submit(command)
+        outcome = await self._services.edit_fencing.submit(command, last_contact(request))
         if outcome.code != OutcomeCode.DONE:
             raise ApiError(f"the edit was rejected: {outcome.code}", code=outcome.code, status=422, outcome="not_run")
         return send_json(request, {"sequence": outcome.sequence, "edit": command.edit})
@@ -165,17 +165,24 @@
 
     def __init__(self, ctx: Context, services: ControllerServices) -> None:
         self._ctx = ctx
+        self._services = services
         self._api = ControlApi(ctx, services, ctx.dialect)
         self._server: HttpServer | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """Listens on the address and returns the bound port. Raises CannotListenError."""
+        self._server = await listen(self._ctx, self.build_site(), host, port)
+        return self._server.port
+
+    def build_site(self) -> Site:
+        """Returns the site that it serves."""
         app = Klein()
         self._api.add_routes(app.route)
         app.route("/", defaults={"path": ""})(self._not_found)
         app.route("/<path:path>")(self._not_found)
-        self._server = await listen(self._ctx, Site(app.resource(), MAX_BODY_BYTES), host, port)
-        return self._server.port
+        site = Site(app.resource(), MAX_BODY_BYTES)
+        site.connections.observe_contact = self._services.edit_fencing.contact
+        return site
 
     async def close(self) -> None:
         """Stops listening, and closes connections once the requests in progress have their responses."""
--- a/pipitlink/http_connections.py
+++ b/pipitlink/http_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
 from enum import IntEnum
 from typing import Any
@@ -38,9 +39,13 @@
 
     Once the phase is `CLOSING`, no connection is added that stays open, and each of those left has a request or unsent
     bytes. So when none is left, no client can have a request here.
+
+    `observe_contact`, if set, is called at each contact with a client: when its connection is accepted, and when it has
+    been sent a response. The connection keeps the result of the last call as its `last_contact`.
     """
 
     def __init__(self) -> None:
+        self.observe_contact: Callable[[], object] | None = None
         self.phase = ServerPhase.SERVING
         self.open: set[HttpConnection] = set()
         self._all_closed: defer.Deferred[None] | None = None
@@ -96,12 +101,18 @@
     """One connection of a client; its factory sets `connections`."""
 
     connections: HttpConnections
+    last_contact: object = None
     transport: Any
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's interface
         """Starts to read requests."""
         super().connectionMade()
         self.connections.add(self)
+        self._note_contact()
+
+    def _note_contact(self) -> None:
+        if self.connections.observe_contact is not None:
+            self.last_contact = self.connections.observe_contact()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802 - Twisted's interface
         """Notifies the requests in progress that the client has disconnected."""
@@ -122,6 +133,7 @@
 
     def requestDone(self, request: http.Request) -> None:  # noqa: N802 - Twisted's interface
         """Ends a request whose response is complete, and begins with the next one, if it has arrived."""
+        self._note_contact()
         super().requestDone(request)
         if self.connections.phase >= ServerPhase.CLOSING:
             self.close_when_idle()
--- a/tests/test_operator_edits.py
+++ b/tests/test_operator_edits.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from pipitlink.cluster import ClusterState, cluster_state
-from pipitlink.controller.control_api import ControlApi
+from pipitlink.controller.control_api import ControlApi, ControlServer
 from pipitlink.web import Site
 from pipitlink.wire.cluster_pb2 import Command, ConfigEdit, StorageNodeEdit, TableEdit, ZoneEdit
 from testbed.simulator.simulation import Simulation
@@ -299,4 +299,61 @@
         self.assertEqual(restored.data().outcomes, state.data().outcomes)
 
 
+class HeldUpEdits(_OperatorEdits):
+    """Edits on real connections to a controller, whose bytes a cut link holds up."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = ControlServer(self.delayed.ctx, self.delayed.part).build_site()
+
+    def connect(self):
+        connection = self.site.buildProtocol(None)
+        self.addCleanup(connection.connectionLost, Failure(ConnectionDone()))
+        connection.makeConnection(StringTransport())
+        return connection
+
+    def send(self, connection, method):
+        """Delivers an edit of the zone, and returns the status of its response."""
+        connection.transport.clear()
+        connection.dataReceived(b"%b %b HTTP/1.1\r\nHost: a\r\n\r\n" % (method, ZONE.encode()))
+        self.simulation.run(1)
+        return int(connection.transport.value().split(b" ")[1])
+
+    def test_a_copy_that_was_held_up_does_not_undo_a_later_edit(self):
+        """Guards against a late copy that is taken for a new edit as its client's disconnection comes later."""
+        self.assertEqual(self.put(config_of(1_000_000), 0, self.delayed)[0], 200)
+        self.assertEqual(self.zone("PUT"), 200)
+        connection = self.connect()
+        self.assertEqual(self.zone("DELETE"), 200)
+        self.simulation.run(1)
+        self.assertEqual(self.zone("PUT"), 200)
+        self.simulation.run(1)
+        self.assertEqual(self.send(connection, b"DELETE"), 503)
+        self.assertTrue(self.empty())
+
+    def test_a_copy_that_was_held_up_on_a_used_connection_does_not_undo_a_later_edit(self):
+        connection = self.connect()
+        self.assertEqual(self.send(connection, b"PUT"), 200)
+        self.assertEqual(self.zone("DELETE"), 200)
+        self.assertEqual(self.zone("PUT"), 200)
+        self.simulation.run(1)
+        self.assertEqual(self.send(connection, b"DELETE"), 503)
+        self.assertTrue(self.empty())
+
+    def test_a_client_that_waits_succeeds_at_its_next_attempt(self):
+        connection = self.connect()
+        self.assertEqual(self.zone("PUT"), 200)
+        self.simulation.run(1)
+        self.assertEqual(self.send(connection, b"DELETE"), 503)
+        self.assertEqual(self.send(connection, b"DELETE"), 200)
+        self.assertFalse(self.empty())
+
+    def test_a_connection_that_was_idle_succeeds_at_once_if_nothing_has_changed(self):
+        connection = self.connect()
+        self.simulation.run(5)
+        self.assertEqual(self.send(connection, b"PUT"), 200)
+        self.simulation.run(5)
+        self.assertEqual(self.send(connection, b"DELETE"), 200)
+
+
 del _OperatorEdits
