Split web.py into the HTTP servers and the JSON interfaces on them

Cause: the module had two jobs, and the close of servers had made it longer.

Change: http_server.py has sites, their limits and their close; json_api.py has responses, errors and handlers. Imports follow. The contact of the edit fencing says what it assumes of clients; an unused method of HttpConnections is gone.

--- a/pipitlink/controller/control_api.py
+++ b/pipitlink/controller/control_api.py
@@ -14,8 +14,9 @@
 from ..context import Context
 from ..dialect.control import ControlFormat
 from ..errors import ApiError, BadRequest, NotFound
+from ..http_server import HttpServer, Site, listen
+from ..json_api import http_handler, send_error, send_json
 from ..timers import secs
-from ..web import HttpServer, Site, http_handler, listen, send_error, send_json
 from ..wire.cluster_pb2 import Command, ConfigEdit, ZoneEdit
 from ..wire.membership_pb2 import EngineUpdate
 from .edit_fencing import EditFencing, last_contact
--- a/pipitlink/controller/edit_fencing.py
+++ b/pipitlink/controller/edit_fencing.py
@@ -30,9 +30,10 @@
 
 
 class ClientContact(NamedTuple):
-    """A moment at which a client was certain to have sent nothing on a connection that this process has not read.
+    """A moment at which a client had sent nothing on a connection that this process had not read.
 
-    `sequence` is the newest one that was known here at the time `at`.
+    That holds if it sends no request before it has the response to the one before. `sequence` is the newest one that
+    was known here at the time `at`.
     """
 
     at: timedelta
--- a/pipitlink/controller/table_api.py
+++ b/pipitlink/controller/table_api.py
@@ -10,7 +10,7 @@
 from ..cluster import ClusterState, OutcomeCode
 from ..context import Context
 from ..errors import ApiError, BadRequest, NotFound, VersionConflict
-from ..web import http_handler, send_json
+from ..json_api import http_handler, send_json
 from ..wire.cluster_pb2 import Command, TableEdit, ZoneEdit
 from .edit_fencing import EditFencing
 from .edit_requests import edit_base, edit_id, read_json_object
--- a/pipitlink/gateway/batch_api.py
+++ b/pipitlink/gateway/batch_api.py
@@ -8,8 +8,8 @@
 
 from ..context import Context
 from ..errors import RemoteError, ServiceUnavailable, WireError
+from ..json_api import http_handler, send_json
 from ..timers import ms, secs
-from ..web import http_handler, send_json
 from ..wire.lots_pb2 import EndRequest, EndResponse, Lot, Result
 from .batch_ids import result_log
 from .batch_intake import BatchIntake
--- a/pipitlink/gateway/engine_api.py
+++ b/pipitlink/gateway/engine_api.py
@@ -5,7 +5,7 @@
 from twisted.web.server import Request
 
 from ..context import Context
-from ..web import http_handler, send_json
+from ..json_api import http_handler, send_json
 from ..wire.membership_pb2 import EngineUpdate
 from .engine_registry import EngineRegistry
 from .request_bodies import EngineBody, read_json
--- a/pipitlink/gateway/fetch_api.py
+++ b/pipitlink/gateway/fetch_api.py
@@ -9,8 +9,8 @@
 
 from ..context import Context
 from ..errors import BadRequest
+from ..json_api import http_handler, send_error
 from ..timers import secs, spawn
-from ..web import http_handler, send_error
 from .request_pipeline import RequestPipeline
 from .request_record import RequestKind, RequestRecord
 
--- a/pipitlink/gateway/live_api.py
+++ b/pipitlink/gateway/live_api.py
@@ -7,8 +7,8 @@
 
 from ..context import Context
 from ..errors import BadRequest, NotFound, RemoteError, WireError
+from ..json_api import http_handler, send_json
 from ..timers import ms, spawn
-from ..web import http_handler, send_json
 from ..wire.rpc import Address
 from .query_parameters import non_negative_number
 from .remote_run import RemoteRun
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -11,8 +11,9 @@
 
 from ..context import Context
 from ..errors import NotFound
+from ..http_server import HttpServer, Site, listen
+from ..json_api import send_error, send_json
 from ..timers import ms, secs
-from ..web import HttpServer, Site, listen, send_error, send_json
 from .admission import Admission
 from .batch_api import BatchApi
 from .batch_capacity import BatchCapacity
--- a/pipitlink/gateway/run_stream.py
+++ b/pipitlink/gateway/run_stream.py
@@ -10,9 +10,9 @@
 
 from ..context import Context
 from ..errors import ApiError, DeadlineExceeded
+from ..json_api import send_error
 from ..reactor_types import TcpTransport
 from ..timers import secs
-from ..web import send_error
 from .request_table import RequestTable
 from .run import Run
 
--- a/pipitlink/http_connections.py
+++ b/pipitlink/http_connections.py
@@ -50,9 +50,6 @@
         self.open: set[HttpConnection] = set()
         self._all_closed: defer.Deferred[None] | None = None
 
-    def __len__(self) -> int:
-        return len(self.open)
-
     def add(self, connection: HttpConnection) -> None:
         """Adds a connection that was accepted."""
         self.open.add(connection)
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING, Any
 
 from .errors import NotFound
+from .http_server import HttpServer, LazyResource, Site, listen
+from .json_api import send_error, send_json
 from .node_interfaces import ClusterStateEditor
 from .timers import ms
-from .web import HttpServer, LazyResource, Site, listen, send_error, send_json
 
 if TYPE_CHECKING:
     from twisted.web.resource import Resource
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from ..context import Context
+from ..http_server import HttpServer, Site, listen
 from ..timers import ms
-from ..web import HttpServer, Site, listen
 from ..wire.cluster_pb2 import Route
 from .batch_capacity import BatchCapacity
 from .batch_service import BatchService
--- a/pipitlink/router/readiness.py
+++ b/pipitlink/router/readiness.py
@@ -8,7 +8,7 @@
 from twisted.web import resource
 from twisted.web.server import Request
 
-from ..web import send_json
+from ..json_api import send_json
 
 __all__ = ["ReadinessResource"]
 
--- a/tests/test_http_server_close.py
+++ b/tests/test_http_server_close.py
@@ -7,8 +7,8 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
+from pipitlink.http_server import HttpServer, Site
 from pipitlink.timers import Timers, secs, spawn
-from pipitlink.web import HttpServer, Site
 
 from .router_builders import END, ClientTransport
 
--- a/tests/test_operator_edits.py
+++ b/tests/test_operator_edits.py
@@ -10,7 +10,7 @@
 
 from pipitlink.cluster import ClusterState, cluster_state
 from pipitlink.controller.control_api import ControlApi, ControlServer
-from pipitlink.web import Site
+from pipitlink.http_server import Site
 from pipitlink.wire.cluster_pb2 import Command, ConfigEdit, StorageNodeEdit, TableEdit, ZoneEdit
 from testbed.simulator.simulation import Simulation
 
