Do not count requests that a program never read because it was being loaded

A program listens before it is loaded, and the next SIGTERM came while it was being loaded.

Trace, one gateway alone: it listens 0.075 s after its start, a request is sent, SIGTERM comes at 0.379 s, the connection is reset at 0.388 s; the exit code is -15, and the log is empty. The rule counts a request once "a process has read all of it", and this one was queued in the socket.

Change: the record tells such an end of a process from others by its exit code, and the checker excuses connections that ended with it and reached no engine.

Result: a test of the checker has both sides; nothing of the product changes.

--- a/testbed/deployment/faults.py
+++ b/testbed/deployment/faults.py
@@ -197,8 +197,8 @@
                 self._record.failures.append(f"{machine.name} still ran {seconds('grace_s'):g} s after a signal")
                 machine.send_signal(signal.SIGKILL)
             await asyncio.sleep(EXIT_POLL_S)
-        self._record.act(ActionKind.EXIT, machine.name)
         code = machine.process.returncode if machine.process is not None else 0
+        self._record.act(ActionKind.EXIT_LOADING if code == -signal.SIGTERM else ActionKind.EXIT, machine.name)
         if code not in EXPECTED_EXIT_CODES:
             self._record.failures.append(f"{machine.name} ended with {code}")
 
--- a/testbed/deployment/record.py
+++ b/testbed/deployment/record.py
@@ -103,11 +103,15 @@
 
 
 class ActionKind(StrEnum):
-    """What was done to a machine, or what an engine did."""
+    """What was done to a machine, or what an engine did.
+
+    A process exits while loading if a signal ends it that its program does not handle yet; it has read nothing.
+    """
 
     START = "start"
     TERMINATE = "terminate"
     EXIT = "exit"
+    EXIT_LOADING = "exit_loading"
     KILL = "kill"
     RELOAD = "reload"
     ENGINE_CRASH = "engine_crash"
--- a/testbed/deployment/rules.py
+++ b/testbed/deployment/rules.py
@@ -86,6 +86,8 @@
             return False
         if exchange.ended_at >= exchange.started_at + exchange.deadline_s:
             return False
+        if not runs and self._touch.was_loading(exchange.gateway, exchange.ended_at):
+            return False
         if any(run.end == RunEnd.CRASHED for run in runs):
             return False
         late = action.at + seconds("grace_s") / 2
--- a/testbed/deployment/touch.py
+++ b/testbed/deployment/touch.py
@@ -7,7 +7,16 @@
 
 __all__ = ["Touch"]
 
-DISTURBING = (ActionKind.START, ActionKind.TERMINATE, ActionKind.EXIT, ActionKind.KILL)
+DISTURBING = (
+    ActionKind.START,
+    ActionKind.TERMINATE,
+    ActionKind.EXIT,
+    ActionKind.EXIT_LOADING,
+    ActionKind.KILL,
+)
+
+# How far apart clients and the injector may notice the end of a process.
+EXIT_NOTICE_S = 0.2
 
 
 class Touch:
@@ -28,6 +37,15 @@
         """Returns whether there was unplanned trouble anywhere in a span."""
         return any(action.is_unplanned and since <= action.at <= until for action in self._actions)
 
+    def was_loading(self, machine: str, ended_at: float) -> bool:
+        """Returns whether a connection ended with a process of the machine that was still being loaded."""
+        return any(
+            action.kind == ActionKind.EXIT_LOADING
+            and action.subject == machine
+            and abs(action.at - ended_at) <= EXIT_NOTICE_S
+            for action in self._actions
+        )
+
     def is_settled(self, since: float, until: float) -> bool:
         """Returns whether the core was settled for a whole span."""
         return not self._disturbances(self._disk_machines, since - seconds("contact_ms"), until)
--- a/tests/test_deployment_rules.py
+++ b/tests/test_deployment_rules.py
@@ -78,6 +78,14 @@
         exchange.ended_at = T + 0.1
         self.assertEqual(self.broken(), [])
 
+    def test_a_request_that_waits_for_a_program_to_be_loaded_was_not_read(self):
+        self.exchange()
+        self.act(ActionKind.TERMINATE, GATEWAY, T - 2)
+        self.act(ActionKind.EXIT_LOADING, GATEWAY, T + 1.1)
+        self.assertEqual(self.broken(), [])
+        self.record.actions[-1].at = T + 3
+        self.assertEqual(self.broken(), ["LOST"])
+
     def test_a_request_cut_after_a_reload_is_lost(self):
         self.run_of(self.exchange(), end=RunEnd.DROPPED)
         self.act(ActionKind.RELOAD, GATEWAY, T + 0.5)
