Take the token of an edit without a known contact from the applied state alone

Cause: the fencing of zone edits at the last contact also raised the token of edits whose contact is not known, by the outcomes that the controller had passed on.

Change: without a contact the token is what the controller has applied, as before.

Result: test_behaviour_record and test_operator_edits pass.

--- a/pipitlink/controller/edit_fencing.py
+++ b/pipitlink/controller/edit_fencing.py
@@ -113,7 +113,8 @@
         that the client may have retried the edit at another controller, or if the edit is FENCED and may have been
         held up for that long on its way since the last contact.
         """
-        contact = contact or self.contact()
+        sequence = self._consensus.cluster_state.sequence
+        contact = contact or ClientContact(self._ctx.timers.now(), sequence)
         command.fencing_token = contact.sequence
         arrived_at = await self.admit()
         while True:
