Start crowds of clients that do not behave against each address in tests

Clients that stay within the limits on one request, or stop just short of its end, ended processes for lack of memory. Nothing in the tests had more than a few such clients.

The runner plays the file alone, after all others.

--- a/testbed/deployment/configurations.py
+++ b/testbed/deployment/configurations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
 from .bounds import LIMITS
@@ -67,7 +68,9 @@
     return {**service, "engine": ENGINE} if name == "lm" else service
 
 
-def configuration(version: int, swapped_service: str, extra_routes: list[str]) -> dict[str, Any]:
+def configuration(
+    version: int, swapped_service: str, extra_routes: list[str], limits: Mapping[str, int] = LIMITS
+) -> dict[str, Any]:
     """Returns a whole configuration with the routes of all kinds, and more idempotent ones by name."""
     bulk = {"queue_cap_tokens": QUEUE_TOKENS, "completion_target_ms": 10_000, "retain_s": RETAIN_S}
     routes = [
@@ -83,7 +86,7 @@
         "version": version,
         "routes": routes,
         "backends": [_service(name) for name in SERVICES],
-        "limits": LIMITS,
+        "limits": dict(limits),
     }
 
 
--- a/testbed/deployment/engines.py
+++ b/testbed/deployment/engines.py
@@ -51,7 +51,10 @@
 
 @attrs.define(eq=False)
 class Engine:
-    """One engine from its start to its end. `controllers` are the addresses to which it announces itself."""
+    """One engine from its start to its end. `controllers` are the addresses to which it announces itself.
+
+    While it `stops_reading`, it reads the heads of requests but not their bodies.
+    """
 
     service: str
     zone: str
@@ -59,6 +62,7 @@
     controllers: list[str]
     record: Record
     slots: int = 24
+    stops_reading: bool = False
     name: str = attrs.field(init=False)
     address: str = ""
     state: EngineState = EngineState.READY
@@ -151,6 +155,8 @@
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while (head := await read_head(reader)) is not None:
+                    while self.stops_reading:
+                        await asyncio.sleep(EVENT_GAP_S)
                     body = await read_request_body(reader, head)
                     await self._respond(head, body, reader, writer)
         finally:
--- a/testbed/deployment/machines.py
+++ b/testbed/deployment/machines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import random
@@ -20,7 +21,7 @@
 
 from .bounds import BOUNDS, ZONES
 
-__all__ = ["Deployment", "Machine", "Role"]
+__all__ = ["Deployment", "Machine", "Role", "peak_memory_bytes"]
 
 ROOT = Path(__file__).resolve().parents[2]
 DEPLOY_FILE = ROOT / "deploy" / "system.toml"
@@ -33,6 +34,22 @@
 GUARANTEES = ("base", "drain", "config", "cost", "recover", "batch", "stream", "engine", "places")
 
 
+def _descriptors(pid: int) -> list[Path]:
+    return list(Path(f"/proc/{pid}/fd").iterdir())
+
+
+def peak_memory_bytes(pid: int) -> int:
+    """Returns the most memory that a process has had, with the files that it has open and that have no name."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    kilobytes = next(line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:"))
+    size = 1024 * int(kilobytes)
+    for path in _descriptors(pid):
+        with contextlib.suppress(FileNotFoundError):
+            if str(path.readlink()).endswith(" (deleted)"):
+                size += path.stat().st_size
+    return size
+
+
 class Role(StrEnum):
     """The roles of the deploy file."""
 
@@ -62,6 +79,26 @@
         """Whether its process has been started and has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    def peak_memory_bytes(self) -> int:
+        """Returns the most memory that its process has had."""
+        assert self.process is not None
+        return peak_memory_bytes(self.process.pid)
+
+    def descriptor_count(self) -> int:
+        """Returns how many descriptors its process has open."""
+        assert self.process is not None
+        return len(_descriptors(self.process.pid))
+
+    @property
+    def internal_address(self) -> str:
+        """The address for other nodes."""
+        return f"{self.ip}:{self.first_port}"
+
+    @property
+    def operator_address(self) -> str:
+        """The address of the node's state and metrics."""
+        return f"{self.ip}:{self.first_port + 1}"
+
     @property
     def public_address(self) -> str:
         """The address for clients."""
@@ -90,10 +127,20 @@
 
 
 class Deployment:
-    """All machines of one cluster, their settings, disks and logs in one folder."""
-
-    def __init__(self, counts: Mapping[Role, int], keep: str | None = None, root: Path = ROOT) -> None:
+    """All machines of one cluster, their settings, disks and logs in one folder.
+
+    `limits` replaces limits of the settings file, such as `ram_mb` and `max_fds` of each process.
+    """
+
+    def __init__(
+        self,
+        counts: Mapping[Role, int],
+        keep: str | None = None,
+        root: Path = ROOT,
+        limits: Mapping[str, int] | None = None,
+    ) -> None:
         self._root = root
+        self._limits = {"cpu_fraction": 1.0, "ram_mb": 300, "max_fds": 4100, **(limits or {})}
         self._keep = keep
         self.folder = Path(keep or tempfile.mkdtemp(prefix="deployment-"))
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -162,7 +209,7 @@
         sections: dict[str, Mapping[str, object]] = {
             "zones": dict.fromkeys(ZONES, "region"),
             "listen_addrs": machine.listen_addresses(),
-            "limits": {"cpu_fraction": 1.0, "ram_mb": 300, "max_fds": 4100, "disk_mb": DISK_MB[machine.role]},
+            "limits": {**self._limits, "disk_mb": DISK_MB[machine.role]},
             "fault_budget": {"machine_losses": 1, "zones": 1, "region_losses": 0},
             "bounds": BOUNDS,
         }
--- a/testbed/deployment/operator.py
+++ b/testbed/deployment/operator.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import json
+from collections.abc import Mapping
 from random import Random
 from typing import Any
 
-from .bounds import ZONES, seconds
+from .bounds import LIMITS, ZONES, seconds
 from .client_connection import fetch_once
 from .configurations import SWAPPED_SERVICES, configuration
 from .record import Order, Record, now
@@ -23,10 +24,16 @@
 
 
 class Operator:
-    """Sends each order to one controller after another until there is a clear answer."""
+    """Sends each order to one controller after another until there is a clear answer.
 
-    def __init__(self, controllers: list[str], record: Record, rng: Random) -> None:
+    `limits` replaces limits of the configurations that it hands in.
+    """
+
+    def __init__(
+        self, controllers: list[str], record: Record, rng: Random, limits: Mapping[str, int] | None = None
+    ) -> None:
         self._controllers = controllers
+        self._limits = {**LIMITS, **(limits or {})}
         self._record = record
         self._rng = rng
         self._version = 0
@@ -58,7 +65,7 @@
         self._used_versions.add(version)
         self._route_number += 1
         extra = [*self._extra_routes, f"extra{self._route_number}"][-self._rng.randint(1, MAX_EXTRA_ROUTES) :]
-        return configuration(version, self._rng.choice(SWAPPED_SERVICES), extra)
+        return configuration(version, self._rng.choice(SWAPPED_SERVICES), extra, self._limits)
 
     async def _hand_in(self, config: dict[str, Any]) -> None:
         order = Order("config", str(config["version"]), config, self._version)
--- a/tests/parallel_runner.py
+++ b/tests/parallel_runner.py
@@ -13,6 +13,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 MAX_PARALLEL_FILES = 4
+FILES_RUN_ALONE = frozenset({"test_abusive_clients.py"})
 _COUNT = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$")
 
 
@@ -44,13 +45,26 @@
     return FileResult.of(name, run.stdout, run.returncode)
 
 
+def _runs_alone(name: str) -> bool:
+    return name in FILES_RUN_ALONE
+
+
 def run_files(names: list[str], out, run_file=_run_file) -> int:
-    """Runs all files, prints their outputs in the order given, and returns 1 if any file failed or none was given."""
+    """Runs all files, prints their outputs, and returns 1 if any file failed or none was given.
+
+    Files run in the order given; those that need the machine for themselves come last, one after the other.
+    """
     results = []
+
+    def report(result: FileResult) -> None:
+        print(f"{result.name}:\n{result.output}", file=out, flush=True)
+        results.append(result)
+
     with ThreadPoolExecutor(min(MAX_PARALLEL_FILES, os.cpu_count() or 1)) as pool:
-        for result in pool.map(run_file, names):
-            print(f"{result.name}:\n{result.output}", file=out, flush=True)
-            results.append(result)
+        for result in pool.map(run_file, [name for name in names if not _runs_alone(name)]):
+            report(result)
+    for name in filter(_runs_alone, names):
+        report(run_file(name))
     passed, failed, skipped = (sum(getattr(r, field) for r in results) for field in ("passed", "failed", "skipped"))
     for result in results:
         if result.code:
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -104,6 +104,17 @@
         self.assertEqual(rc, 0)
         self.assertIn("passes now: take it off the list", out)
 
+    def test_files_that_need_the_machine_for_themselves_run_last(self):
+        order = []
+
+        def run_file(name):
+            order.append(name)
+            return FileResult(name, "", 0, passed=1, failed=0)
+
+        run_files(["test_abusive_clients.py", "test_a.py", "test_b.py"], io.StringIO(), run_file)
+        self.assertEqual(order[-1], "test_abusive_clients.py")
+        self.assertEqual(len(order), 3)
+
 
 class Repeats(unittest.TestCase):
     def setUp(self):
