Count what is held for clients; bound connections to the internal port

Cause: nobody counted what a process holds for clients. At the port for other nodes a caller that never said who it is could announce a frame of 96 MiB and send almost all of it (each read copied the whole again), and any number of connections could stay open without a Hello.

Until its Hello is accepted, a connection may announce 4 KiB, has 3 s, and gives way to newer ones beyond the limit on connections. Frames are assembled in one buffer without copying it at each read; those of known peers are counted, not refused.

--- a/pipitlink/context.py
+++ b/pipitlink/context.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.threads import deferToThread
 
+from .client_memory import ClientMemory
 from .dialect import Dialect
 from .settings import Settings
 from .structured_log import StructuredLogger
@@ -72,6 +73,7 @@
     run_in_thread: RunInThread = deferToThread
     dialect: Dialect = attrs.field(factory=Dialect)
     traffic: TrafficCounter = attrs.field(factory=TrafficCounter)
+    client_memory: ClientMemory = attrs.field(factory=ClientMemory)
 
     def error_reporter(self, event: str) -> ErrorReporter:
         """Returns a function that logs an error as a failure named `event`."""
--- a/pipitlink/node_metrics.py
+++ b/pipitlink/node_metrics.py
@@ -42,7 +42,8 @@
         changes = self._ctx.changes
         yield GaugeMetricFamily("pipitlink_changes_told", "Changes told as CloudEvents", changes.published)
         yield GaugeMetricFamily("pipitlink_changes_dropped", "Changes that could not be told", changes.dropped)
-        for name, (help_text, value) in self._node.metrics().items():
+        metrics = {**self._ctx.client_memory.metrics(), **self._node.metrics()}
+        for name, (help_text, value) in metrics.items():
             yield GaugeMetricFamily(f"pipitlink_{name}", help_text, value)
         if isinstance(self._node, MetricFamilySource):
             yield from self._node.metric_families()
--- a/pipitlink/process.py
+++ b/pipitlink/process.py
@@ -14,6 +14,7 @@
 from twisted.internet import reactor as installed_reactor
 
 from .changes import ChangePublisher
+from .client_memory import ClientMemory
 from .cluster import ClusterFollower
 from .context import Context, random_id
 from .dialect import Dialect
@@ -88,7 +89,9 @@
         logger = open_logger(settings.log_level, role=role, node=node_id)
         timers = Timers(reactor)
         traffic = TrafficCounter(settings.zone)
-        rpc = RpcEndpoint(reactor, timers, logger, settings.fleet, node_id, traffic)
+        cache_mb = settings.cache_mb if role == "gateway" else 0
+        client_memory = ClientMemory(settings.memory_mb, cache_mb, settings.max_descriptors)
+        rpc = RpcEndpoint(reactor, timers, logger, settings.fleet, node_id, traffic, client_memory)
         self.ctx = Context(
             role,
             node_id,
@@ -100,6 +103,7 @@
             Random(),
             dialect=dialect or Dialect(),
             traffic=traffic,
+            client_memory=client_memory,
         )
         if settings.plug:
             from .fault_injection import FaultInjector
--- a/pipitlink/settings.py
+++ b/pipitlink/settings.py
@@ -144,6 +144,10 @@
     placement_groups: int = attrs.field(default=16, validator=_check_positive)
     machine_losses: int = attrs.field(default=1, validator=_check_positive)
 
+    # What the process may use; what it holds for clients follows these limits.
+    memory_mb: int = attrs.field(default=512, validator=_check_positive)
+    max_descriptors: int = attrs.field(default=4096, validator=_check_positive)
+
     # Limits on requests and batches.
     max_body_kb: int = attrs.field(default=1024, validator=_check_positive)
     max_items: int = attrs.field(default=1000, validator=_check_positive)
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -9,9 +9,11 @@
 from twisted.internet import defer, protocol
 from twisted.protocols.basic import Int32StringReceiver
 
+from ..client_memory import Reservation
 from ..errors import ConnectionFailed, PipitlinkError, WireError
 from ..timers import secs, spawn
 from .compression import compress_body, decompress_body
+from .frame_assembler import FrameAssembler
 from .frame_pb2 import Frame, Hello
 
 if TYPE_CHECKING:
@@ -26,6 +28,8 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 96 * 1024 * 1024
+# The limit before the peer's Hello is accepted.
+MAX_HELLO_BYTES = 4096
 # With this many queued frames and running calls, reading from the peer is paused.
 MAX_INBOUND_FRAMES = 512
 # The maximum number of concurrent calls of one connection; further calls are rejected.
@@ -80,10 +84,10 @@
     fails with WireError if the Hello is rejected or the connection is lost first.
     """
 
-    MAX_LENGTH = MAX_FRAME_BYTES
-
     def __init__(self, rpc: RpcEndpoint) -> None:
         self._rpc = rpc
+        self._assembler = FrameAssembler(MAX_HELLO_BYTES)
+        self._held = Reservation(rpc.client_memory)
         self.peer = Hello()
         self.closed = False
         self.ready: defer.Deferred[RpcConnection] = defer.Deferred(lambda _: None)
@@ -112,7 +116,13 @@
         """Receives bytes from the peer; any bytes show that the connection is not stalled."""
         self._unacknowledged_since = None
         self._unanswered_bytes = 0
-        super().dataReceived(data)  # type: ignore[no-untyped-call] # twisted has no types here
+        try:
+            for frame in self._assembler.feed(data):
+                self.stringReceived(frame)
+        except WireError as error:
+            self._rpc.logger.warning("frame_too_long", text=error, peer=self.peer.node)
+            self.tcp.abortConnection()
+        self._held.resize(len(self._assembler))
 
     def stringReceived(self, data: bytes) -> None:  # noqa: N802 - twisted's interface
         """Queues a frame, and pauses reading if too many frames are queued or being handled."""
@@ -122,17 +132,13 @@
             self.tcp.pauseProducing()
         self._wake_reader()
 
-    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802 - twisted's interface
-        """Closes the connection if the peer announces a frame longer than the limit."""
-        self._rpc.logger.warning("frame_too_long", length=length, peer=self.peer.node)
-        self.tcp.abortConnection()
-
     def connectionLost(  # noqa: N802 - twisted's interface
         self,
         reason: Failure = protocol.connectionDone,  # noqa: ARG002 - twisted's interface
     ) -> None:
         """Fails all pending calls."""
         self.closed = True
+        self._held.release()
         self._rpc.connection_closed(self)
         self._wake_reader()
         pending_calls, self._pending_calls = self._pending_calls, {}
@@ -210,6 +216,7 @@
     def _accept_hello(self, data: bytes) -> None:
         self.peer.ParseFromString(data)
         self._rpc.validate_hello(self.peer)
+        self._assembler.max_frame_bytes = MAX_FRAME_BYTES
         self._rpc.handshake_done(self)
         self.ready.callback(self)
 
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint, TCP6ClientEndpoint, connectProtocol
 
+from ..client_memory import ClientMemory
 from ..errors import (
     ConnectionFailed,
     DeadlineExceeded,
@@ -20,7 +21,7 @@
     WireError,
     WrongPeer,
 )
-from ..timers import SingleFlight, Timers, ms, spawn
+from ..timers import SingleFlight, Timers, ms, secs, spawn
 from ..traffic import TrafficCounter
 from .connection import PROTOCOL_VERSION, Notification, RpcConnection, RpcConnectionFactory
 from .frame_pb2 import Empty, Hello
@@ -39,6 +40,8 @@
 Address = tuple[str, int]
 
 CONNECT_TIMEOUT = ms(600)
+# How long a node that has connected may take to send its Hello.
+HELLO_TIMEOUT = secs(3)
 # How long to keep a stalled connection, so that data buffered by the kernel can still be read.
 STALLED_DROP_DELAY = ms(50)
 
@@ -88,7 +91,9 @@
         cluster_name: str,
         node: str,
         traffic: TrafficCounter | None = None,
+        client_memory: ClientMemory | None = None,
     ) -> None:
+        self.client_memory = client_memory or ClientMemory()
         self._reactor = reactor
         self._timers = timers
         self.logger = logger
@@ -106,6 +111,8 @@
         self._handlers: dict[str, _Handler] = {}
         self._connections: dict[Address, RpcConnection] = {}
         self._accepted: set[RpcConnection] = set()
+        # Accepted connections whose Hello has not come yet, oldest first.
+        self._unidentified: dict[RpcConnection, None] = {}
         self._connecting: SingleFlight[Address, RpcConnection] = SingleFlight()
         self._listening_port: ListeningPort | None = None
 
@@ -258,8 +265,18 @@
             raise WireError(f"peer uses protocol version {hello.protocol_version}, this node {PROTOCOL_VERSION}")
 
     def connection_opened(self, connection: RpcConnection) -> None:
-        """Is called for each connection opened by a peer."""
+        """Is called for each connection opened by a peer, whose Hello must come soon."""
         self._accepted.add(connection)
+        self._unidentified[connection] = None
+        if len(self._unidentified) > self.client_memory.max_connections:
+            self._drop_unidentified(next(iter(self._unidentified)))
+        self._timers.call_later(HELLO_TIMEOUT, self._drop_unidentified, connection)
+
+    def _drop_unidentified(self, connection: RpcConnection) -> None:
+        if connection in self._unidentified:
+            del self._unidentified[connection]
+            if connection.transport is not None:
+                connection.tcp.abortConnection()
 
     def handshake_done(self, connection: RpcConnection) -> None:
         """Is called once the peer's Hello is accepted; makes calls use a connection that a listening peer opened.
@@ -267,6 +284,7 @@
         A pair of nodes therefore needs only one connection. If another node is now at the same address, its connection
         replaces the earlier one.
         """
+        self._unidentified.pop(connection, None)
         peer = connection.peer
         address = peer.host, peer.port
         current = self._connections.get(address)
@@ -277,6 +295,7 @@
     def connection_closed(self, connection: RpcConnection) -> None:
         """Is called when a connection is lost or dropped; no further call uses it."""
         self._accepted.discard(connection)
+        self._unidentified.pop(connection, None)
         for address, current in list(self._connections.items()):
             if current is connection:
                 del self._connections[address]
