Refuse requests for which there is no memory before their bodies are read

What callers saw: many large bodies at once, in pieces or in chunks of any size, most of them left unfinished, ended a gateway for lack of memory.

Cause: each connection of any HTTP server held what its client sent or did not read, without any count: bodies, heads parsed line by line, trailers, a list of pieces queued behind a request, responses to pipelined requests, and connections without limit. JSON servers put bodies into temporary files.

Change: all HTTP servers share one connection class, which counts all this in ClientMemory. - A head is kept as bytes until it is whole; max_header_bytes (431), header_timeout_ms (408) and idle_timeout_ms of the configuration hold. - The cost of a body with its copies is reserved before it is read, in steps if its length is not stated; without room the answer is 503 with Retry-After, a body announced beyond the limit gets 413 at once. - A quarter of the limit is kept for small requests. Under pressure clients that exchange less than 32 KiB/s are evicted, the oldest first. - Further requests of a connection are parsed once the response is sent, and at most 8 requests or 64 chunks in one turn of the reactor. - Connections beyond the limit take the place of idle or slow ones.

A whole request of the largest size is served in calm, as before.

--- a/pipitlink/controller/control_api.py
+++ b/pipitlink/controller/control_api.py
@@ -14,6 +14,7 @@
 from ..context import Context
 from ..dialect.control import ControlFormat
 from ..errors import ApiError, BadRequest, NotFound
+from ..http_connections import HttpConnections
 from ..http_server import HttpServer, Site, listen
 from ..json_api import http_handler, send_error, send_json
 from ..timers import secs
@@ -181,7 +182,7 @@
         self._api.add_routes(app.route)
         app.route("/", defaults={"path": ""})(self._not_found)
         app.route("/<path:path>")(self._not_found)
-        site = Site(app.resource(), MAX_BODY_BYTES)
+        site = Site(app.resource(), MAX_BODY_BYTES, HttpConnections(self._ctx.client_memory))
         site.connections.observe_contact = self._services.edit_fencing.contact
         return site
 
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -11,6 +11,7 @@
 
 from ..context import Context
 from ..errors import NotFound
+from ..http_connections import HttpConnections
 from ..http_server import HttpServer, Site, listen
 from ..json_api import send_error, send_json
 from ..timers import ms, secs
@@ -130,7 +131,8 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Listens for clients; returns the bound port."""
-        site = Site(self._routes().resource(), self._ctx.settings.max_body_kb * 1024)
+        connections = HttpConnections(self._ctx.client_memory)
+        site = Site(self._routes().resource(), self._ctx.settings.max_body_kb * 1024, connections)
         self._server = await listen(self._ctx, site, host, port)
         return self._server.port
 
--- a/pipitlink/http_connections.py
+++ b/pipitlink/http_connections.py
@@ -2,20 +2,23 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 from enum import IntEnum
-from typing import Any
+from typing import TYPE_CHECKING
 
+import attrs
 from twisted.internet import defer
-from twisted.internet.protocol import connectionDone
-from twisted.python.failure import Failure
-from twisted.web import http
-from twisted.web.http_headers import Headers
 
-from .timers import YIELD_DELAY, Timers
+from .client_memory import ClientMemory
+from .http_refusals import RefusalFormat, json_body
+from .timers import Timers
 
-__all__ = ["HttpConnection", "HttpConnections", "ServerPhase"]
+if TYPE_CHECKING:
+    from .http_connection import HttpConnection
+
+__all__ = ["ConnectionLimits", "HttpConnections", "ServerPhase"]
 
 
 class ServerPhase(IntEnum):
@@ -34,6 +37,15 @@
     """Requests that were not received before are refused."""
 
 
+@attrs.frozen
+class ConnectionLimits:
+    """What a client may send, and how long it may take; times are in seconds."""
+
+    max_header_bytes: int = 16_384
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
 class HttpConnections:
     """The open connections of one HTTP server.
 
@@ -42,23 +54,56 @@
 
     `observe_contact`, if set, is called at each contact with a client: when its connection is accepted, and when it has
     been sent a response. The connection keeps the result of the last call as its `last_contact`.
+
+    There are at most `max_connections`; a further one takes the place of one that is idle or slow, or is closed.
+    `refused` counts the requests that were refused while they were received, by code.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        memory: ClientMemory | None = None,
+        max_connections: int | None = None,
+        limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+        refusal_format: RefusalFormat = json_body,
+    ) -> None:
+        self.memory = memory or ClientMemory()
+        self.max_connections = max_connections or self.memory.max_connections
+        self.limits = limits
+        self.refusal_format = refusal_format
+        self.refused: Counter[str] = Counter()
         self.observe_contact: Callable[[], object] | None = None
         self.phase = ServerPhase.SERVING
-        self.open: set[HttpConnection] = set()
+        self.open: dict[HttpConnection, None] = {}
+        self._dropped: set[HttpConnection] = set()
         self._all_closed: defer.Deferred[None] | None = None
 
     def add(self, connection: HttpConnection) -> None:
         """Adds a connection that was accepted."""
-        self.open.add(connection)
+        self._make_place(connection)
+        self.open[connection] = None
+        self.memory.add_holder(connection)
         if self.phase >= ServerPhase.CLOSING:
             connection.close_when_idle()
 
+    def _make_place(self, added: HttpConnection) -> None:
+        if len(self.open) - len(self._dropped) < self.max_connections:
+            return
+        now_s = added.now_s()
+        replaced = (
+            connection
+            for connection in self.open
+            if connection not in self._dropped and (connection.is_idle() or connection.is_slow(now_s))
+        )
+        dropped = next(replaced, added)
+        self._dropped.add(dropped)
+        self.memory.evicted += 1
+        dropped.drop()
+
     def remove(self, connection: HttpConnection) -> None:
         """Removes a connection that is closed on both sides."""
-        self.open.discard(connection)
+        self.open.pop(connection, None)
+        self._dropped.discard(connection)
+        self.memory.remove_holder(connection)
         if not self.open and self._all_closed is not None and not self._all_closed.called:
             self._all_closed.callback(None)
 
@@ -92,64 +137,3 @@
         if self.open:
             self._all_closed = defer.Deferred()
             await timers.wait_at_most(self._all_closed, timeout)
-
-
-class HttpConnection(http.HTTPChannel):
-    """One connection of a client; its factory sets `connections`."""
-
-    connections: HttpConnections
-    last_contact: object = None
-    transport: Any
-
-    def connectionMade(self) -> None:  # noqa: N802 - Twisted's interface
-        """Starts to read requests."""
-        super().connectionMade()
-        self.connections.add(self)
-        self._note_contact()
-
-    def _note_contact(self) -> None:
-        if self.connections.observe_contact is not None:
-            self.last_contact = self.connections.observe_contact()
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802 - Twisted's interface
-        """Notifies the requests in progress that the client has disconnected."""
-        self.connections.remove(self)
-        super().connectionLost(reason)
-
-    def writeHeaders(  # noqa: N802 - Twisted's interface
-        self, version: bytes, code: bytes, reason: bytes, headers: Headers
-    ) -> None:
-        """Writes the head of a response; it may announce that the connection closes after the response.
-
-        It does not do so while a further request has arrived, which a client would take for one that was not handled.
-        """
-        if self.connections.phase >= ServerPhase.ANNOUNCING and not self._has_further_input():
-            self.persistent = 0
-            headers.setRawHeaders(b"Connection", [b"close"])
-        super().writeHeaders(version, code, reason, headers)
-
-    def requestDone(self, request: http.Request) -> None:  # noqa: N802 - Twisted's interface
-        """Ends a request whose response is complete, and begins with the next one, if it has arrived."""
-        self._note_contact()
-        super().requestDone(request)
-        if self.connections.phase >= ServerPhase.CLOSING:
-            self.close_when_idle()
-
-    def is_idle(self) -> bool:
-        """Returns whether no part of a request without a complete response has been received."""
-        return not self.requests and not self._handlingRequest and not self._has_further_input()
-
-    def _has_further_input(self) -> bool:
-        return bool(self._buffer) or any(self._dataBuffer)
-
-    def close_when_idle(self) -> None:
-        """Closes the connection if it still has no request after the reactor has read what had arrived by now."""
-        self.callLater(YIELD_DELAY.total_seconds(), self._close_if_idle)
-
-    def _close_if_idle(self) -> None:
-        if self in self.connections.open and self.is_idle():
-            self.loseConnection()
-
-    def abort(self) -> None:
-        """Closes the connection at once; what was written and not yet sent is lost."""
-        self.transport.abortConnection()
--- a/pipitlink/http_server.py
+++ b/pipitlink/http_server.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
+from io import BytesIO
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
 from twisted.web import http, resource, server
+from twisted.web.http import parse_qs
 
 from .errors import ServiceUnavailable
-from .http_connections import HttpConnection, HttpConnections, ServerPhase
+from .http_connection import HttpConnection
+from .http_connections import HttpConnections, ServerPhase
+from .http_refusals import BODY_TOO_LONG
 from .json_api import send_error
 from .timers import ms
 
@@ -20,40 +23,51 @@
     from .context import Context
     from .reactor_types import ListeningPort
 
-__all__ = ["HttpServer", "LazyResource", "Site", "listen"]
+__all__ = ["HttpServer", "LazyResource", "Site", "listen", "side_connections"]
 
-IDLE_TIMEOUT_S = 60
 LISTEN_BACKLOG = 512
+# What each byte of a JSON body costs, with the values that are parsed from it.
+JSON_BODY_COST = 4
 # How long the last responses of a server that closes may take to be sent.
 FLUSH_TIMEOUT = ms(100)
 
 
 class _BoundedRequest(server.Request):
-    """A request that is rejected with status 413, and its connection closed, if its body exceeds the site's limit."""
+    """A request whose body is kept in memory, within the site's limit and the memory for clients."""
 
     channel: Any
-    """An HTTPChannel, whose `site` is a Site of this module."""
+    """An HttpConnection, whose `site` is a Site of this module."""
+
+    content: BytesIO
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802 - Twisted's interface
         """Receives the body's length in bytes, or None if the request does not state it."""
+        self.content = BytesIO()
         if length is not None and length > self.channel.site.max_body_bytes:
-            self._reject_body()
-            return
-        server.Request.gotLength(self, length)
+            self.channel.refuse(BODY_TOO_LONG)
+        elif length != 0:
+            self.channel.reserve_body(length, JSON_BODY_COST)
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 - Twisted's interface
         """Receives a part of the body."""
-        if self.content is None:
-            return
-        if self.content.tell() + len(data) > self.channel.site.max_body_bytes:
-            self._reject_body()
-            return
-        server.Request.handleContentChunk(self, data)
+        received = self.content.tell() + len(data)
+        if received > self.channel.site.max_body_bytes:
+            self.channel.refuse(BODY_TOO_LONG)
+        elif self.channel.receive_chunk(received):
+            self.content.write(data)
+
+    def requestReceived(  # noqa: N802 - Twisted's interface
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Serves a request whose body has been received; bodies of forms are not parsed."""
+        self.content.seek(0)
+        self.method, self.uri, self.clientproto = command, path, version
+        self.path, _, query = path.partition(b"?")
+        self.args = parse_qs(query, keep_blank_values=True) if query else {}
+        self.process()
 
     def process(self) -> None:
-        """Serves a request whose body has been received, unless it was rejected."""
-        if self.content is None:
-            return
+        """Passes the request to its resource, unless the server refuses requests."""
         if self.channel.connections.phase >= ServerPhase.REFUSING:
             error = ServiceUnavailable("this node is shutting down", code="shutting_down")
             server.Request.write(self, send_error(self, error))
@@ -61,30 +75,19 @@
             return
         server.Request.process(self)
 
-    def _reject_body(self) -> None:
-        error = {
-            "code": "body_too_long",
-            "outcome": "not_run",
-            "message": f"the body exceeds the limit of {self.channel.site.max_body_bytes} bytes",
-        }
-        body = json.dumps({"error": error}).encode()
-        self.content = None
-        self.channel.transport.write(
-            b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
-            b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
-        )
-        self.channel.loseConnection()
-
 
 class Site(server.Site):
-    """The resources of an HTTP server, with a limit on request bodies and a timeout for idle connections."""
+    """The resources of an HTTP server, with a limit on request bodies."""
 
     protocol = HttpConnection  # type: ignore[assignment]  # Twisted declares a private wrapper of HTTPChannel
 
-    def __init__(self, root: resource.Resource, max_body_bytes: int) -> None:
-        server.Site.__init__(self, root, requestFactory=_BoundedRequest, timeout=IDLE_TIMEOUT_S)
+    def __init__(
+        self, root: resource.Resource, max_body_bytes: int, connections: HttpConnections | None = None
+    ) -> None:
+        self.connections = connections or HttpConnections()
+        idle_timeout_s = self.connections.limits().idle_timeout_s
+        server.Site.__init__(self, root, requestFactory=_BoundedRequest, timeout=idle_timeout_s)
         self.max_body_bytes = max_body_bytes
-        self.connections = HttpConnections()
         self.displayTracebacks = False
         self.noisy = False
 
@@ -98,6 +101,11 @@
         """Writes no access log."""
 
 
+def side_connections(ctx: Context) -> HttpConnections:
+    """Returns the connections of a server beside the one for clients, which may have only a part of them."""
+    return HttpConnections(ctx.client_memory, ctx.client_memory.max_side_connections)
+
+
 class LazyResource(resource.Resource):
     """A resource that is built at its first request, since most processes never receive one."""
 
--- a/pipitlink/operator.py
+++ b/pipitlink/operator.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from .errors import NotFound
-from .http_server import HttpServer, LazyResource, Site, listen
+from .http_server import HttpServer, LazyResource, Site, listen, side_connections
 from .json_api import send_error, send_json
 from .node_interfaces import ClusterStateEditor
 from .timers import ms
@@ -34,7 +34,7 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Binds the address for operators and returns the port number. Raises CannotListenError."""
-        site = Site(LazyResource(self._build_resource), MAX_BODY_BYTES)
+        site = Site(LazyResource(self._build_resource), MAX_BODY_BYTES, side_connections(self._ctx))
         self._server = await listen(self._ctx, site, host, port)
         return self._server.port
 
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -13,8 +13,9 @@
 
 from ..context import Context
 from ..dialect.batches import BatchRequest
-from ..errors import ApiError, BadRequest, NotFound, ServiceUnavailable
-from ..http_connections import HttpConnections, ServerPhase
+from ..errors import ApiError, NotFound, ServiceUnavailable
+from ..http_connections import ConnectionLimits, HttpConnections, ServerPhase
+from ..http_refusals import NO_MEMORY, code_only_body
 from ..timers import ms
 from ..wire.cluster_pb2 import Route
 from .batch_api import BatchApi, Submission
@@ -28,6 +29,13 @@
 
 LISTEN_BACKLOG = 1024
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+DEFAULT_MAX_HEADER_BYTES = 32_768
+DEFAULT_HEADER_TIMEOUT_MS = 10_000
+DEFAULT_IDLE_TIMEOUT_MS = 15_000
+# What each byte of a body costs: the body and its copy on the way to an engine; for a batch, what is parsed from it and
+# its copies on the way to the replicas of its log.
+LIVE_BODY_COST = 2
+BATCH_BODY_COST = 8
 # The approximate time after its start at which a gateway has received its cluster state.
 STARTUP_TIME = ms(600)
 MIN_RETRY_AFTER_S = 0.2
@@ -59,13 +67,30 @@
         self._batch_api = batch_api
         self._opened_at = ctx.timers.now()
         self._ports: list[Any] = []
-        self.connections = HttpConnections()
+        self.connections = HttpConnections(
+            ctx.client_memory, limits=self.connection_limits, refusal_format=code_only_body
+        )
         self.refused: dict[str, int] = {}
 
     def now(self) -> timedelta:
         """Returns the monotonic time of the gateway's timers."""
         return self._ctx.timers.now()
 
+    def connection_limits(self) -> ConnectionLimits:
+        """Returns the limits of the configuration on heads and times."""
+        bounds = self._ctx.cluster.cluster_state.routes.bounds
+        return ConnectionLimits(
+            bounds.max_header_bytes or DEFAULT_MAX_HEADER_BYTES,
+            (bounds.header_timeout_ms or DEFAULT_HEADER_TIMEOUT_MS) / 1000,
+            (bounds.idle_timeout_ms or DEFAULT_IDLE_TIMEOUT_MS) / 1000,
+        )
+
+    def body_cost(self, host: bytes, target: bytes) -> int:
+        """Returns how many bytes each byte of the body of a request costs, with the copies that are made of it."""
+        path = target.partition(b"?")[0].decode("latin-1")
+        route: Route | None = self._ctx.cluster.cluster_state.routes.match(_host_name(host), path)
+        return BATCH_BODY_COST if route is not None and route.kind == RouteKind.BATCH else LIVE_BODY_COST
+
     def max_body_bytes(self) -> int:
         """Returns the maximum length of a request body."""
         return self._ctx.cluster.cluster_state.routes.bounds.max_body_bytes or DEFAULT_MAX_BODY_BYTES
@@ -85,6 +110,7 @@
     def start_serving(self, request: InboundRequest) -> None:
         """Serves a completely received request in the background, unless it is too late to begin with it."""
         if self.connections.phase >= ServerPhase.REFUSING:
+            request.reservation.release()
             self._respond_error(request, _shutting_down())
             return
         self._ctx.run_in_background(self._serve(request), "serve")
@@ -92,8 +118,6 @@
     async def _serve(self, request: InboundRequest) -> None:
         """Serves one request, from the last byte received to the last byte of the response."""
         try:
-            if request.is_too_long:
-                raise BadRequest("the request body is too long", code="body_too_long", status=413)
             await self._handle(request)
         except ApiError as error:
             self._respond_error(request, error)
@@ -103,6 +127,8 @@
                 request.abort_response()
             else:
                 request.respond(HttpResponse(500, {}, b""))
+        finally:
+            request.reservation.release()
 
     def _respond_error(self, request: InboundRequest, error: ApiError) -> None:
         self.refused[error.code] = self.refused.get(error.code, 0) + 1
@@ -129,9 +155,9 @@
                 retry_after=self._retry_after(),
             )
         if batch_call is not None:
-            request.respond(await self._batch_api.handle(batch_call))
+            self._respond_if_room(request, await self._batch_api.handle(batch_call))
             return
-        host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0]
+        host = _host_name(request.header(b"host") or b"")
         route = self._match_route(host, path)
         deadline = self._deadline(request, route, started_at)
         call_id = request.header(self._ctx.dialect.request_id) or b""
@@ -145,6 +171,12 @@
         await self._relay.relay(request.call)
         request.complete()
 
+    def _respond_if_room(self, request: InboundRequest, response: HttpResponse) -> None:
+        """Sends a response that may be large. Raises ServiceUnavailable if there is no memory for it."""
+        if not request.is_finished and not request.channel.has_room_for_response(len(response.body)):
+            raise ServiceUnavailable("no memory for the response", code=NO_MEMORY.code, retry_after=MIN_RETRY_AFTER_S)
+        request.respond(response)
+
     def _parse_batch_call(self, request: InboundRequest, path: str) -> BatchRequest | None:
         """Returns the batch API call that a request contains according to the dialect, or None."""
         query = dict(parse_qsl(request.query.decode("latin-1")))
@@ -232,5 +264,9 @@
             self._respond_error(request, _shutting_down())
 
 
+def _host_name(header: bytes) -> str:
+    return header.decode("latin-1").partition(":")[0]
+
+
 def _shutting_down(outcome: str = "not_run") -> ApiError:
     return ServiceUnavailable("this gateway is shutting down", code="shutting_down", outcome=outcome)
--- a/pipitlink/router/inbound_request.py
+++ b/pipitlink/router/inbound_request.py
@@ -12,17 +12,16 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-from ..http_connections import HttpConnection, HttpConnections
-from ..timers import secs
+from ..client_memory import Reservation
+from ..http_connection import HttpConnection
+from ..http_connections import HttpConnections
+from ..http_refusals import BODY_TOO_LONG
 from .call import HOP_BY_HOP_HEADERS, Call, Header
 from .engine_connection import Response
 from .http_response import HttpResponse
 
 __all__ = ["ClientChannel", "ClientChannelFactory", "Frontend", "InboundRequest", "forwarded_headers"]
 
-IDLE_TIMEOUT: timedelta = secs(15)
-MAX_HEADERS_BYTES = 32768
-
 
 class Frontend(Protocol):
     """The server that the connections and requests of clients belong to."""
@@ -35,6 +34,9 @@
     def max_body_bytes(self) -> int:
         """Returns the maximum length of a request body."""
 
+    def body_cost(self, host: bytes, target: bytes) -> int:
+        """Returns how many bytes each byte of the body of a request costs, with the copies that are made of it."""
+
     def start_serving(self, request: InboundRequest) -> None:
         """Serves a completely received request."""
 
@@ -72,24 +74,27 @@
     channel: ClientChannel
     content: BytesIO
     call: Call | None = None
-    is_too_long = False
+    reservation: Reservation
     is_received = False
     started_at: timedelta
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802 - twisted's interface
-        """Receives the length of the body, if the client states it."""
+        """Receives the length of the body, if the client states it, and decides whether the body is read."""
+        frontend = self.channel.frontend
         self.content = BytesIO()
-        self.started_at = self.channel.frontend.now()
-        if length is not None and length > self.channel.frontend.max_body_bytes():
-            self.is_too_long = True
+        self.started_at = frontend.now()
+        if length is not None and length > frontend.max_body_bytes():
+            self.channel.refuse(BODY_TOO_LONG)
+        elif length != 0:
+            cost = frontend.body_cost(self.header(b"host") or b"", self.channel.request_target)
+            self.channel.reserve_body(length, cost)
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 - twisted's interface
-        """Receives the next bytes of the body, and discards those of a body that is too long."""
-        if self.is_too_long:
-            return
-        if self.content.tell() + len(data) > self.channel.frontend.max_body_bytes():
-            self.is_too_long = True
-        else:
+        """Receives the next bytes of the body."""
+        received = self.content.tell() + len(data)
+        if received > self.channel.frontend.max_body_bytes():
+            self.channel.refuse(BODY_TOO_LONG)
+        elif self.channel.receive_chunk(received):
             self.content.write(data)
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802 - twisted's interface
@@ -97,6 +102,7 @@
         self.method, self.uri, self.clientproto = command, path, version
         self.path, _, self.query = path.partition(b"?")
         self.is_received = True
+        self.reservation = self.channel.take_reservation()
         self.notifyFinish().addErrback(self._on_disconnect)
         self.channel.frontend.start_serving(self)
 
@@ -176,7 +182,6 @@
     """One connection of a client."""
 
     requestFactory = InboundRequest  # noqa: N815 - twisted's interface
-    totalHeadersSize = MAX_HEADERS_BYTES  # noqa: N815 - twisted's interface
     frontend: Frontend
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's interface
@@ -192,7 +197,7 @@
     noisy = False
 
     def __init__(self, frontend: Frontend, reactor: Any) -> None:
-        super().__init__(timeout=IDLE_TIMEOUT.total_seconds(), reactor=reactor)
+        super().__init__(timeout=frontend.connections.limits().idle_timeout_s, reactor=reactor)
         self._frontend = frontend
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802 - twisted's interface
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ..context import Context
-from ..http_server import HttpServer, Site, listen
+from ..http_server import HttpServer, Site, listen, side_connections
 from ..timers import ms
 from ..wire.cluster_pb2 import Route
 from .batch_capacity import BatchCapacity
@@ -73,7 +73,8 @@
     async def listen(self, host: str, port: int) -> int:
         """Starts to accept clients, and returns the port."""
         if self._ctx.settings.ready_port:
-            site = Site(ReadinessResource(self.readiness), MAX_READINESS_BODY_BYTES)
+            connections = side_connections(self._ctx)
+            site = Site(ReadinessResource(self.readiness), MAX_READINESS_BODY_BYTES, connections)
             self._readiness_server = await listen(self._ctx, site, host, self._ctx.settings.ready_port)
         return await self.frontend.listen(host, port, self.listening_socket)
 
@@ -114,6 +115,9 @@
         metrics["links_opened"] = ("Connections opened to engines", self.connections.opened)
         for code, count in self.frontend.refused.items():
             metrics[f"refused_{code}"] = (f"Requests refused: {code}", count)
+        metrics["client_connections"] = ("Connections of clients", len(self.frontend.connections.open))
+        for code, count in self.frontend.connections.refused.items():
+            metrics[f"refused_{code}"] = (f"Requests refused while they were received: {code}", count)
         metrics.update(self.batches.metrics())
         return metrics
 
--- a/tests/router_builders.py
+++ b/tests/router_builders.py
@@ -10,6 +10,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from pipitlink.client_memory import ClientMemory
 from pipitlink.cluster.routes import RouteTable
 from pipitlink.dialect import Dialect
 from pipitlink.router.call_relay import CallRelay
@@ -157,6 +158,7 @@
             register_handler=lambda *w: None, call=lambda *w: defer.Deferred(), notify=lambda *w: None
         )
         self.ctx = SimpleNamespace(
+            client_memory=ClientMemory(now_s=self.clock.seconds),
             node="g0",
             timers=timers,
             cluster=self.cluster,
