Refuse batches that a gateway has no memory to keep until their end

What callers saw: forty batches of about 1 MB at once took a gateway from 58 to over 120 MB (models interface: 656 MB with 80), though their tokens were within the quota. Bodies of followed batches were kept for 30 s uncounted.

Cause: the quota counts tokens that clients state; nobody counted the bytes that an accepted batch keeps in its log, in messages and in followers.

A document with over 200,000 values, each of which would take many times its text, is malformed.

--- a/pipitlink/dialect/batches.py
+++ b/pipitlink/dialect/batches.py
@@ -23,6 +23,9 @@
 """The maximum size of a page of outputs without the outputs themselves."""
 
 MAX_WAIT_MS = 60_000
+# Each value of a document takes far more memory than its text.
+MAX_JSON_VALUES = 200_000
+JSON_SEPARATORS = (b",", b"[", b"{")
 MAX_TOKENS = 2**53
 MAX_DIGITS = 15
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}\Z")
@@ -138,6 +141,8 @@
 
     def parse_batch(self, raw: bytes) -> Batch:
         """Returns a batch with the submitted items. Raises BadRequest where the body is malformed."""
+        if sum(map(raw.count, JSON_SEPARATORS)) > MAX_JSON_VALUES:
+            raise BadRequest("the body has too many values", code="bad_json")
         try:
             document = json.loads(raw)
         except (ValueError, RecursionError):
--- a/pipitlink/gateway/batch_intake.py
+++ b/pipitlink/gateway/batch_intake.py
@@ -4,6 +4,7 @@
 
 from ..context import Context
 from ..errors import BadRequest, ServiceUnavailable
+from ..http_refusals import NO_MEMORY
 from ..timers import ms, wall_ms
 from ..wire.lots_pb2 import Item, LogRecord, Lot
 from .batch_ids import batch_id_at
@@ -16,6 +17,7 @@
 __all__ = ["BatchIntake"]
 
 OPEN_LOG_TIMEOUT = ms(2500)
+RETRY_AFTER_S = 1
 
 
 class BatchIntake:
@@ -38,6 +40,10 @@
         if len(body.items) > max_items:
             raise BadRequest(f"items: a batch may have at most {max_items} items", code="bad_field", field="items")
         spec = self._spec_from(body)
+        if not self._open_batches.has_room_for(spec):
+            raise ServiceUnavailable(
+                "no memory for a further batch now", code=NO_MEMORY.code, retry_after=RETRY_AFTER_S
+            )
         if spec.key:
             return await self._keys.store(spec)
         return StoredBatch(await self.store(spec), duplicate=False)
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -106,7 +106,7 @@
     def _compose_batches(self) -> None:
         ctx = self._ctx
         own_log = BatchLog(ctx)
-        self.open_batches = OpenBatches()
+        self.open_batches = OpenBatches(ctx.client_memory)
         self.idempotency_keys = IdempotencyKeys(ctx, self.open_batches)
         self.batch_intake = BatchIntake(ctx, self.serving, self.open_batches, own_log, self.idempotency_keys)
         self.batch_log_follower = BatchLogFollower(ctx, self.open_batches, own_log)
--- a/pipitlink/gateway/open_batches.py
+++ b/pipitlink/gateway/open_batches.py
@@ -8,12 +8,16 @@
 import attrs
 from twisted.internet import defer
 
+from ..client_memory import ClientMemory
 from ..replicated_log import Leaseholder
 from ..timers import ZERO, RepeatingCall
 from ..wire.lots_pb2 import LogRecord, Lot, Result
 
 __all__ = ["OpenBatch", "OpenBatches"]
 
+# A batch is held as a message and as the record of its log.
+KEPT_COPIES = 2
+
 
 @attrs.define(eq=False)
 class OpenBatch:
@@ -62,13 +66,18 @@
         return self.leaseholder is not None and self.leaseholder.epoch > 1
 
 
+def _kept_bytes(spec: Lot) -> int:
+    return KEPT_COPIES * spec.ByteSize()
+
+
 class OpenBatches:
     """The batches that are known to be open, and the ids of those that are known to be closed.
 
     Timers that are idle without open batches are woken when one is added.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ClientMemory | None = None) -> None:
+        self._memory = memory or ClientMemory()
         self._batches: dict[str, OpenBatch] = {}
         self._closed: set[str] = set()
         self._timers: list[RepeatingCall] = []
@@ -82,13 +91,20 @@
         if batch_id in self._closed or batch_id in self._batches:
             return
         self._batches[batch_id] = OpenBatch(batch_id, spec)
+        self._memory.count_batch(_kept_bytes(spec))
         for timer in self._timers:
             timer.wake()
 
     def close(self, batch_id: str) -> None:
         """Marks a batch as closed, after it is done or cancelled."""
         self._closed.add(batch_id)
-        self._batches.pop(batch_id, None)
+        batch = self._batches.pop(batch_id, None)
+        if batch is not None:
+            self._memory.count_batch(-_kept_bytes(batch.spec))
+
+    def has_room_for(self, spec: Lot) -> bool:
+        """Returns whether there is memory for a further batch until its end."""
+        return self._memory.has_room_for_batch(_kept_bytes(spec))
 
     def remove_closed(self, batch_ids: set[str]) -> None:
         """Removes the ids of closed batches whose log is no longer followed."""
--- a/pipitlink/router/batch_follower.py
+++ b/pipitlink/router/batch_follower.py
@@ -20,7 +20,8 @@
 class BatchFollower:
     """A batch that another gateway owns, or that has no owner any more, read in order from its log.
 
-    Bodies of items are only read on request. `used_at` is the time of the last request for the batch.
+    Bodies of items are only read on request. `used_at` is the time of the last request for the batch, and `held_bytes`
+    the length of the records that it keeps.
     """
 
     def __init__(self, tail: Tail, used_at: timedelta) -> None:
@@ -28,6 +29,7 @@
         self.used_at = used_at
         self.progress = BatchProgress()
         self.is_closed = False
+        self.held_bytes = 0
         self._batch_extent: tuple[int, int] | None = None
         self._lock = defer.DeferredLock()
         self._reader_count = 0
@@ -80,6 +82,7 @@
 
     def _apply(self, records: Iterable[tuple[int, bytes]]) -> None:
         for _, body in records:
+            self.held_bytes += len(body)
             self.progress.apply(LogRecord.FromString(body))
 
     async def _read_head(self) -> None:
@@ -92,9 +95,17 @@
             if self._batch_extent is not None:
                 self.progress.skip_batch()
 
+    def missing_body_bytes(self) -> int:
+        """Returns the length of the record with the bodies of the items if it was skipped, else 0."""
+        if self.progress.batch is not None or self._batch_extent is None:
+            return 0
+        start, end = self._batch_extent
+        return end - start
+
     async def read_bodies(self) -> None:
         """Reads the bodies of the items if they were skipped before."""
         async with self._lock:
             if self.progress.batch is None and self._batch_extent is not None:
                 start, end = self._batch_extent
+                self.held_bytes += end - start
                 self.progress.batch = LogRecord.FromString(await self.tail.read_record(start, end)).batch
--- a/pipitlink/router/batch_followers.py
+++ b/pipitlink/router/batch_followers.py
@@ -7,6 +7,7 @@
 from ..cache.poller import KnownLengths
 from ..context import Context
 from ..errors import ApiError, CorruptData, NotFound, PipitlinkError, ServiceUnavailable
+from ..http_refusals import NO_MEMORY
 from ..timers import ms, secs
 from ..wire.lots_pb2 import Batch
 from .batch_follower import BatchFollower
@@ -39,6 +40,7 @@
         self._ctx = ctx
         self._table = table
         self.followers: dict[str, BatchFollower] = {}
+        self._counted_bytes: dict[BatchFollower, int] = {}
 
     def open(self) -> None:
         """Starts dropping unused followers periodically."""
@@ -53,6 +55,7 @@
     def drop(self, batch_id: str, follower: BatchFollower) -> None:
         """Closes a follower; the next read of its batch starts from the beginning of the log."""
         follower.close()
+        self._ctx.client_memory.count_batch(-self._counted_bytes.pop(follower, 0))
         if self.followers.get(batch_id) is follower:
             del self.followers[batch_id]
 
@@ -73,14 +76,23 @@
             return owned.progress.complete_batch
         follower = await self._updated_follower(batch_id)
         if follower.progress.batch is None:
+            if not self._ctx.client_memory.has_room_for_batch(follower.missing_body_bytes()):
+                raise ServiceUnavailable("no memory to read the bodies of the items", code=NO_MEMORY.code)
             try:
                 await self._ctx.timers.with_timeout(READ_TIMEOUT, follower.read_bodies())
             except PipitlinkError as error:
                 if follower.has_ended() or isinstance(error, CorruptData):
                     self.drop(batch_id, follower)
                 raise
+            finally:
+                self._count_memory(batch_id, follower)
         return follower.progress.complete_batch
 
+    def _count_memory(self, batch_id: str, follower: BatchFollower) -> None:
+        if self.followers.get(batch_id) is follower:
+            self._ctx.client_memory.count_batch(follower.held_bytes - self._counted_bytes.get(follower, 0))
+            self._counted_bytes[follower] = follower.held_bytes
+
     async def _updated_follower(self, batch_id: str) -> BatchFollower:
         """Returns the follower of a batch, after it has read all that is durable."""
         if not is_valid_batch_id(batch_id):
@@ -98,6 +110,8 @@
                 if follower.progress.head is None or isinstance(error, CorruptData):
                     self.drop(batch_id, follower)
                 raise
+            finally:
+                self._count_memory(batch_id, follower)
         return follower
 
     async def _read(self, batch_id: str, follower: BatchFollower) -> None:
--- a/pipitlink/router/batch_intake.py
+++ b/pipitlink/router/batch_intake.py
@@ -15,6 +15,7 @@
     ServiceUnavailable,
     WireError,
 )
+from ..http_refusals import NO_MEMORY
 from ..timers import ZERO, SingleFlight, ms, secs, wall_ms
 from ..wire.cluster_pb2 import Route
 from ..wire.lots_pb2 import Batch, LogRecord
@@ -128,15 +129,17 @@
         remaining = deadline - self._ctx.timers.now()
         if remaining <= ZERO:
             raise _unavailable("the deadline has passed", "deadline_passed")
-        work = self._submissions.run(batch.id, lambda: self._accept(batch, submission.route, deadline, timings))
+        work = self._submissions.run(batch.id, lambda: self._accept(batch, submission, deadline, timings))
         return await self._ctx.timers.with_timeout(remaining, work)
 
-    async def _accept(self, batch: Batch, route: Route, deadline: timedelta, timings: PhaseTimings) -> _AcceptedBatch:
+    async def _accept(
+        self, batch: Batch, submission: Submission, deadline: timedelta, timings: PhaseTimings
+    ) -> _AcceptedBatch:
         """Returns the batch that is durable under this id, whether this attempt wrote it or an earlier one."""
         owned = self._table.get(batch.id)
         if owned is None or owned.leaseholder.lost:
             try:
-                await self._admit(batch, route, deadline)
+                await self._admit(batch, submission.route, deadline, len(submission.body))
             except ApiError as error:
                 return await self._accepted_earlier(batch.id, error)
             timings.end_phase(IntakePhase.RESERVE)
@@ -146,9 +149,11 @@
             self._quota.release(batch.id)
             self._hand_over_if_closing(batch.id)
 
-    async def _admit(self, batch: Batch, route: Route, deadline: timedelta) -> None:
+    async def _admit(self, batch: Batch, route: Route, deadline: timedelta, body_bytes: int) -> None:
         if not self._ctx.cluster.usable():
             raise _unavailable("this gateway cannot accept batches now", "not_current")
+        if not self._table.has_room_for(body_bytes):
+            raise _unavailable("this gateway has no memory for a further batch now", NO_MEMORY.code)
         await self._quota.reserve(route, batch, min(deadline, self._ctx.timers.now() + QUOTA_TIMEOUT))
 
     def _hand_over_if_closing(self, batch_id: str) -> None:
--- a/pipitlink/router/batch_table.py
+++ b/pipitlink/router/batch_table.py
@@ -21,6 +21,8 @@
 DRAIN_CHECK_INTERVAL = ms(25)
 # The lease of an ended batch is released after this delay, so that the last replica can catch up.
 RELEASE_DELAY = secs(1)
+# An owned batch is held as the content of its log and twice as the messages that are parsed from it.
+KEPT_COPIES = 3
 
 
 class BatchListener:
@@ -46,6 +48,7 @@
         self._ctx = ctx
         self.batches: dict[str, OwnedBatch] = {}
         self.is_closing = False
+        self._counted_bytes: dict[str, int] = {}
         self._locks: dict[str, defer.DeferredLock] = {}
         self._listeners: list[BatchListener] = []
 
@@ -125,10 +128,24 @@
     def add(self, batch: OwnedBatch) -> None:
         """Adds a batch whose lease is held here, and starts following its log."""
         self.batches[batch.id] = batch
+        self._count_memory(batch)
         self._ctx.cache.start_log_writer(batch.leaseholder.log, batch.leaseholder, BATCH_RECORD_PREFIX)
         batch.leaseholder.watch(lambda _: self._on_progress(batch))
         self.announce_work()
 
+    def has_room_for(self, body_bytes: int) -> bool:
+        """Returns whether there is memory to keep a batch that is submitted with a body of this size."""
+        return self._ctx.client_memory.has_room_for_batch(KEPT_COPIES * body_bytes)
+
+    def _count_memory(self, batch: OwnedBatch) -> None:
+        """Counts the memory of a batch: its log, and what is parsed from it."""
+        size = KEPT_COPIES * len(batch.leaseholder.data) if self.owns(batch) else 0
+        self._ctx.client_memory.count_batch(size - self._counted_bytes.get(batch.id, 0))
+        if size:
+            self._counted_bytes[batch.id] = size
+        else:
+            self._counted_bytes.pop(batch.id, None)
+
     def announce_work(self) -> None:
         """Notifies the listeners that there may be items to start."""
         for listener in self._listeners:
@@ -137,6 +154,7 @@
     def _on_progress(self, batch: OwnedBatch) -> None:
         was_durable = batch.is_durable()
         batch.read_durable()
+        self._count_memory(batch)
         if batch.leaseholder.lost:
             self.remove(batch)
         elif batch.leaseholder.final and batch.progress.end_reason and not batch.is_closing:
@@ -150,6 +168,7 @@
         """Removes a batch whose lease is no longer held, and cancels its items."""
         if self.owns(batch):
             del self.batches[batch.id]
+            self._count_memory(batch)
         batch.waiting.clear()
         batch.cancel_running()
 
--- a/tests/test_abusive_clients.py
+++ b/tests/test_abusive_clients.py
@@ -1,10 +1,14 @@
 """Crowds of clients that do not behave, against each address of the deploy file's programs, with lowered limits."""
 
 import asyncio
+import json
+import os
 import struct
 import unittest
 
 from testbed.deployment.abusive_clients import AbuseKind, AbuseTarget, AbusiveClient
+from testbed.deployment.machines import peak_memory_bytes
+from testbed.processes.process_cluster import ProcessCluster, wait_for
 from tests.abuse_scenario import (
     BODY,
     BYTES_PER_MB,
@@ -12,6 +16,7 @@
     HEAD_BYTES,
     LOT_ID,
     RAM_MB,
+    SEND_S,
     AbuseScenario,
     lot_body,
 )
@@ -25,6 +30,10 @@
 DRIP_PAUSE_S = 0.2
 # Far beyond the lowered timeouts, and below the default ones.
 CLOSE_TIMEOUT_S = 12.0
+# The default of the setting of that name, which the process needs beside.
+CACHE_MB = 64
+MODELS_ITEM = {"model": "pipit-small", "prompt": "p" * 250_000, "max_tokens": 30_000}
+MODELS_BODY = json.dumps({"items": [MODELS_ITEM] * 4}).encode()
 FRAME_CLIENTS = 20
 FRAME_BYTES = 8 * 1024 * 1024
 
@@ -286,5 +295,61 @@
         self.play(abuse, max_fds=700)
 
 
+class ModelsGateway(unittest.TestCase):
+    """The address for clients of a gateway that chooses engines by model."""
+
+    @classmethod
+    def setUpClass(cls):
+        settings = {} if "DEPLOYMENT_ROOT" in os.environ else {"memory_mb": RAM_MB + CACHE_MB, "max_descriptors": 1600}
+        cls.cluster = ProcessCluster(gateways=1, storage_nodes=3, controllers=3, engines=1, cards=0, settings=settings)
+        cls.addClassCleanup(cls.cluster.stop)
+        cls.cluster.start()
+
+    def setUp(self):
+        self.program = self.cluster.programs["gateway0"]
+        self.program.end()
+        self.program.start()
+        self.wait_for_answer()
+
+    def wait_for_answer(self):
+        body = {"model": "pipit-small", "prompt": "a"}
+        wait_for(lambda: self.cluster.call("gateway0", "POST", "/v1/generate", body)[0] == 200, 30, "an answer")
+
+    def play(self, kind, count, path="/v1/lots", body=MODELS_BODY):
+        async def run():
+            address = f"127.0.0.1:{self.program.ports[1]}"
+            headers = {"Host": "a", "Content-Type": "application/json"}
+            target = AbuseTarget(address, "POST", path, headers, body, HEAD_BYTES)
+            clients = [AbusiveClient(kind, target) for _ in range(count)]
+            tasks = [asyncio.create_task(client.run()) for client in clients]
+            await asyncio.wait(tasks, timeout=SEND_S)
+            await asyncio.sleep(1.0)
+            self.check()
+            for client in clients:
+                client.close()
+
+        asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+        self.wait_for_answer()
+        self.check()
+
+    def check(self):
+        peak = peak_memory_bytes(self.program.process.pid) / BYTES_PER_MB
+        print(f"most memory: {peak:.0f} MB")
+        self.assertLess(peak, RAM_MB + CACHE_MB)
+        self.assertIsNone(self.program.process.poll())
+
+    def test_bodies_that_stop_short_of_their_end(self):
+        self.play(AbuseKind.UNFINISHED_BODY, 200)
+
+    def test_large_chunks_that_stop_short_of_their_end(self):
+        self.play(AbuseKind.UNFINISHED_LARGE_CHUNKS, 250)
+
+    def test_heads_that_stop_short_of_their_end(self):
+        self.play(AbuseKind.UNFINISHED_HEAD, 2000)
+
+    def test_large_batches_at_once(self):
+        self.play(AbuseKind.WHOLE_BODY, 80)
+
+
 if __name__ == "__main__":
     unittest.main()
