Let abusive clients join the soak runs of the deployed programs

Cause: soak runs had ordinary clients only, so stops, reloads and restarts were never seen while processes refuse and evict clients.

Change: twelve clients at a time (--abusive N) come and go at the addresses for clients, operators and engines, state and other nodes, with bodies of 4 MiB, while each process has 160 MB. A process beyond that is a violation.

--- a/testbed/__main__.py
+++ b/testbed/__main__.py
@@ -6,6 +6,7 @@
   testbed soak [--profile NAME] [--seed N] [--minutes M] [--keep PATH] [--faults LIST] [--level LEVEL]
                  [--together N]
   testbed soak --deployed [--seed N] [--seeds N] [--minutes M] [--keep PATH] [--machines LIST] [--root PATH]
+                            [--abusive N]
   testbed bench [--profile NAME] [--seed N] [--rounds N] [--window S]
   testbed bench --promise LIST [--profile NAME] [--seed N] [--rounds N]
   testbed capacity [--series LIST] [--within M] [--cores N] [--keep PATH] [--picture FILE]
@@ -33,6 +34,7 @@
   --seeds N         Number of seeds to run one after the other. [default: 1]
   --machines LIST   Numbers of controllers, storage nodes and gateways. [default: 3,3,6]
   --root PATH       Folder of the project whose programs are run, instead of this one.
+  --abusive N       Number of clients at a time that use up memory and connections. [default: 12]
   --minutes M       Minutes during which faults are injected. [default: 2]
   --keep PATH       Keeps data and logs in this folder, or the points of a capacity run in this file.
   --faults LIST     Injects only these faults, separated by commas.
--- a/testbed/deployment/command.py
+++ b/testbed/deployment/command.py
@@ -31,7 +31,14 @@
     root = Path(arguments["--root"]) if arguments["--root"] else ROOT
     broken = 0
     for seed in range(first, first + count):
-        plan = plan_for(seed, float(arguments["--minutes"]), counts=counts, keep=arguments["--keep"], root=root)
+        plan = plan_for(
+            seed,
+            float(arguments["--minutes"]),
+            counts=counts,
+            keep=arguments["--keep"],
+            root=root,
+            abusive_clients=int(arguments["--abusive"]),
+        )
         soak = DeployedSoak(plan)
         lines = soak.run()
         broken += bool(lines)
--- a/testbed/deployment/soak.py
+++ b/testbed/deployment/soak.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from .abuse import AbuseLoop, MemoryMonitor
 from .balancer import Balancer
 from .bounds import ZONES
 from .client_connection import exchange_once
@@ -30,6 +31,8 @@
 LIGHT_LOAD = {Style.STREAMS: 5}
 HEAVY_LOAD = {Style.KEPT: 12, Style.FRESH: 4, Style.QUEUED: 3, Style.HALF_SENT: 2, Style.SLOW: 1}
 LOT_CLIENTS = 6
+ABUSIVE_CLIENTS = 12
+RAM_MB = 160
 START_TIMEOUT_S = 30.0
 SETTLE_S = 3.0
 AFTER_FAULTS_S = 3.0
@@ -41,13 +44,18 @@
 
 @attrs.frozen
 class SoakPlan:
-    """What one run does; `minutes` is the duration of its faults, and `clients` the number of clients by style."""
+    """What one run does; `minutes` is the duration of its faults, and `clients` the number of clients by style.
+
+    `abusive_clients` come beside those, and each process has `ram_mb` of memory.
+    """
 
     seed: int
     minutes: float
     profile: Profile
     clients: Mapping[Style, int] = attrs.field(factory=lambda: HEAVY_LOAD)
     counts: Mapping[Role, int] = attrs.field(factory=lambda: DEFAULT_COUNTS)
+    abusive_clients: int = ABUSIVE_CLIENTS
+    ram_mb: int = RAM_MB
     keep: str | None = None
     root: Path = ROOT
 
@@ -59,7 +67,7 @@
         self._plan = plan
         self._rng = Random(plan.seed)
         self.record = Record()
-        self._deployment = Deployment(plan.counts, plan.keep, plan.root)
+        self._deployment = Deployment(plan.counts, plan.keep, plan.root, {"ram_mb": plan.ram_mb})
         gateways = self._deployment.of(Role.GATEWAY)
         self._controllers = [machine.control_address for machine in self._deployment.of(Role.CONTROLLER)]
         self._operator = Operator(self._controllers, self.record, Random(plan.seed + 1))
@@ -68,6 +76,8 @@
         self._injector = FaultInjector(self._deployment, self._engines, self._operator, self.record, self._start_engine)
         self._clients = [self._live_client(style) for style, count in plan.clients.items() for _ in range(count)]
         self._lot_clients = [self._lot_client(number) for number in range(LOT_CLIENTS)]
+        self._abuse = [self._abuse_loop(number) for number in range(plan.abusive_clients)]
+        self._memory = MemoryMonitor(self._deployment, self.record, plan.ram_mb)
 
     def _live_client(self, style: Style) -> LiveClient:
         rng = Random(self._rng.getrandbits(32))
@@ -77,6 +87,10 @@
         rng = Random(self._rng.getrandbits(32))
         return LotClient(self._balancer, self.record, rng, keeps_connection=number % 2 == 0)
 
+    def _abuse_loop(self, number: int) -> AbuseLoop:
+        rng = Random(f"{self._plan.seed}/{number}")
+        return AbuseLoop(self._deployment, self._balancer, self.record, rng)
+
     def run(self) -> list[str]:
         """Runs the soak and returns a line for each broken rule."""
         try:
@@ -90,16 +104,20 @@
     async def _run(self) -> None:
         await self._start()
         balancer = asyncio.create_task(self._balancer.run())
+        memory = asyncio.create_task(self._memory.run())
         await asyncio.sleep(SETTLE_S)
         live = [asyncio.create_task(client.run()) for client in self._clients]
         lots = [asyncio.create_task(client.run()) for client in self._lot_clients]
+        abuse = [asyncio.create_task(loop.run()) for loop in self._abuse]
         await self._injector.inject(schedule(self._plan.seed, self._plan.profile, 60 * self._plan.minutes))
         await asyncio.sleep(AFTER_FAULTS_S)
         await self._finish_lots(lots)
         self.record.final_config = await self._operator.read_back()
         await self._stop_all_gateways()
         await self._stop_clients(live)
+        await self._stop_abuse(abuse)
         balancer.cancel()
+        memory.cancel()
         self._check_own_ends()
         for client in self._lot_clients:
             client.close()
@@ -156,6 +174,12 @@
             client.is_stopped = True
         await self._wait_for(tasks)
 
+    async def _stop_abuse(self, tasks: list[asyncio.Task[None]]) -> None:
+        for loop in self._abuse:
+            loop.is_stopped = True
+        if tasks:
+            await self._wait_for(tasks)
+
     async def _wait_for(self, tasks: list[asyncio.Task[None]]) -> None:
         done, pending = await asyncio.wait(tasks, timeout=CLIENT_STOP_TIMEOUT_S)
         for task in pending:
@@ -177,5 +201,6 @@
         return (
             f"{len(record.exchanges)} exchanges, live {dict(statuses)}; {len(record.runs)} runs; "
             f"{sum(lot.accepted_at is not None for lot in record.lots)} of {len(record.lots)} lots accepted; "
-            f"{dict(actions)}; {len(record.orders)} orders; {self._injector.skipped} faults skipped"
+            f"{dict(actions)}; {len(record.orders)} orders; {self._injector.skipped} faults skipped; "
+            f"{len(self._abuse)} abusive clients at a time, most memory {self._memory.most_mb:.0f} MB"
         )
