--- a/testbed/deployment/soak.py
+++ b/testbed/deployment/soak.py
@@ -196,7 +196,8 @@
     def summary(self) -> str:
         """Returns counts of what happened in one line."""
         record = self.record
-        statuses = Counter(x.status if x.is_complete else "cut" for x in record.exchanges if not x.is_lot_call)
+        live = [x for x in record.exchanges if not x.is_lot_call and x.sent_at is not None]
+        statuses = Counter(x.status if x.is_complete else "cut" for x in live)
         actions = Counter(action.kind.value for action in record.actions)
         return (
             f"{len(record.exchanges)} exchanges, live {dict(statuses)}; {len(record.runs)} runs; "
