Count the progress of a client without a look at each write

Cause: the count of written bytes, the limits made anew for each head and the route of each small body cost a gateway time on every request.

Change: progress of reading is the change of what is unsent; limits are kept until the configuration changes; a body up to 2 KiB has the highest cost without a look at its route.

--- a/pipitlink/http_connection.py
+++ b/pipitlink/http_connection.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Any, NamedTuple, cast
+from typing import Any, cast
 
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import connectionDone
+from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 from twisted.web import http
 from twisted.web.http_headers import Headers
@@ -30,18 +30,13 @@
 # What a parsed header takes beside its bytes.
 HEADER_LINE_BYTES = 256
 LARGE_WRITE_BYTES = 16_384
+# Less than this of a response, part of CONNECTION_BYTES, is not counted by itself.
+UNCOUNTED_BYTES = 4096
 REFUSAL_LINGER_S = 1.0
 PROGRESS_INTERVAL_S = 1.0
 MIN_BYTES_PER_S = 32_768
 
 
-class _Progress(NamedTuple):
-    """How many bytes had been exchanged with a client at a time in seconds."""
-
-    at_s: float
-    exchanged_bytes: int
-
-
 def unsent_bytes(transport: Any) -> int:
     """Returns how many bytes written to a transport of Twisted have not been given to the kernel; 0 for others."""
     buffer: bytes = getattr(transport, "dataBuffer", b"")
@@ -74,8 +69,9 @@
         self._read_control: ReadControl | None = None
         self._head_timer: Any = None
         self._received_bytes = 0
-        self._written_bytes = 0
-        self._progress_mark = _Progress(float("-inf"), 0)
+        self._progress_at_s = 0.0
+        self._progress_bytes = 0
+        self._last_unsent_bytes = 0
         self._request_cost_factor = 1
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's interface
@@ -88,7 +84,7 @@
         super().connectionMade()
         self._read_control = ReadControl(self._networkProducer)
         self._networkProducer = cast(IPushProducer, self._read_control)
-        self._progress_mark = _Progress(self.now_s(), 0)
+        self._progress_at_s = self.now_s()
         self._held.resize(CONNECTION_BYTES)
         self.connections.add(self)
         self._note_contact()
@@ -116,14 +112,16 @@
         if self._is_refused:
             return
         self.resetTimeout()
-        if self.is_idle():
-            self._progress_mark = _Progress(self.now_s(), self._exchanged_bytes())
-        if not self._input and self._may_parse() and self._is_inside_plain_body(len(data)):
+        if not self.requests and not self._input:
+            self._progress_at_s = self.now_s()
+            self._progress_bytes = self._received_bytes
+        if not self._input and self._is_inside_plain_body(len(data)) and self._may_parse():
             self._feed(data)
             return
         self._input.append(data)
         self._parse()
-        self._count_held()
+        if self._input or self._held.size > CONNECTION_BYTES:
+            self._count_held()
 
     def _is_inside_plain_body(self, size: int) -> bool:
         return self._is_receiving_body() and self._body_left is not None and size <= self._body_left
@@ -186,7 +184,7 @@
         was_receiving_body = self._is_receiving_body()
         if was_receiving_body and self._body_left is not None:
             self._body_left -= len(piece)
-        super().dataReceived(piece)
+        LineReceiver.dataReceived(self, piece)
         if was_receiving_body and self._body_left is None and self._transferDecoder is not None:
             self._transferDecoder._trailerHeaders.clear()  # they are not used, and may be many
         elif not was_receiving_body and self._is_receiving_body():
@@ -300,19 +298,17 @@
 
     def is_slow(self, now_s: float) -> bool:
         """Returns whether little has been exchanged since the last call, with a client that is to send or to read."""
-        unsent = unsent_bytes(self.transport)
-        self._held.resize(CONNECTION_BYTES + len(self._input) + unsent)
-        progress = self._exchanged_bytes()
-        elapsed_s = now_s - self._progress_mark.at_s
+        self._count_unsent()
+        elapsed_s = now_s - self._progress_at_s
         if elapsed_s < PROGRESS_INTERVAL_S:
             return False
+        unsent = unsent_bytes(self.transport)
+        received = self._received_bytes - self._progress_bytes
+        sent = abs(self._last_unsent_bytes - unsent)
+        self._progress_at_s, self._progress_bytes = now_s, self._received_bytes
+        self._last_unsent_bytes = unsent
         is_waiting_for_client = not self._handlingRequest or unsent > 0
-        made = progress - self._progress_mark.exchanged_bytes
-        self._progress_mark = _Progress(now_s, progress)
-        return is_waiting_for_client and made < MIN_BYTES_PER_S * elapsed_s
-
-    def _exchanged_bytes(self) -> int:
-        return self._received_bytes + self._written_bytes - unsent_bytes(self.transport)
+        return is_waiting_for_client and received + sent < MIN_BYTES_PER_S * elapsed_s
 
     def evict(self) -> None:
         """Ends the connection: refuses a request that is being received, and cuts off a response that is not read."""
@@ -330,28 +326,18 @@
         else:
             self.abort()
 
-    def write(self, data: bytes) -> None:
-        """Writes a part of a response."""
-        self._written_bytes += len(data)
-        super().write(data)
-        self._count_unsent(len(data))
-
-    def writeSequence(self, iovec: Iterable[bytes]) -> None:  # noqa: N802 - Twisted's interface
-        """Writes parts of a response."""
-        parts = list(iovec)
-        size = sum(map(len, parts))
-        self._written_bytes += size
-        super().writeSequence(parts)
-        self._count_unsent(size)
+    def _count_unsent(self) -> None:
+        self._held.resize(CONNECTION_BYTES + len(self._input) + unsent_bytes(self.transport))
 
-    def _count_unsent(self, size: int) -> None:
-        if size >= LARGE_WRITE_BYTES or self._waitingForTransport:
-            self._held.resize(CONNECTION_BYTES + len(self._input) + unsent_bytes(self.transport))
+    def pauseProducing(self) -> None:  # noqa: N802 - Twisted's interface
+        """Pauses what writes responses, since the client does not read them."""
+        self._count_unsent()
+        super().pauseProducing()
 
     def resumeProducing(self) -> None:  # noqa: N802 - Twisted's interface
         """Goes on once all that was written has been sent."""
         super().resumeProducing()
-        self._held.resize(CONNECTION_BYTES + len(self._input))
+        self._count_unsent()
         if self._input:
             self._parse_later()
 
@@ -372,6 +358,8 @@
         self._note_contact()
         self._held_request.release()
         super().requestDone(request)
+        if unsent_bytes(self.transport) > UNCOUNTED_BYTES:
+            self._count_unsent()
         if self._input:
             self._parse()
         if self.connections.phase >= ServerPhase.CLOSING:
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -17,7 +17,7 @@
 from ..http_connections import ConnectionLimits, HttpConnections, ServerPhase
 from ..http_refusals import NO_MEMORY, code_only_body
 from ..timers import ms
-from ..wire.cluster_pb2 import Route
+from ..wire.cluster_pb2 import Bounds, Route
 from .batch_api import BatchApi, Submission
 from .call import Call, CallPhase, end_to_end_headers, parse_prompt_parts
 from .call_relay import CallRelay
@@ -67,6 +67,9 @@
         self._batch_api = batch_api
         self._opened_at = ctx.timers.now()
         self._ports: list[Any] = []
+        # The limits on connections, and the configuration's message that they were read from.
+        self._bounds: Bounds | None = None
+        self._limits = ConnectionLimits()
         self.connections = HttpConnections(
             ctx.client_memory, limits=self.connection_limits, refusal_format=code_only_body
         )
@@ -79,11 +82,15 @@
     def connection_limits(self) -> ConnectionLimits:
         """Returns the limits of the configuration on heads and times."""
         bounds = self._ctx.cluster.cluster_state.routes.bounds
-        return ConnectionLimits(
+        if bounds is self._bounds:
+            return self._limits
+        self._bounds = bounds
+        self._limits = ConnectionLimits(
             bounds.max_header_bytes or DEFAULT_MAX_HEADER_BYTES,
             (bounds.header_timeout_ms or DEFAULT_HEADER_TIMEOUT_MS) / 1000,
             (bounds.idle_timeout_ms or DEFAULT_IDLE_TIMEOUT_MS) / 1000,
         )
+        return self._limits
 
     def body_cost(self, host: bytes, target: bytes) -> int:
         """Returns how many bytes each byte of the body of a request costs, with the copies that are made of it."""
--- a/pipitlink/router/inbound_request.py
+++ b/pipitlink/router/inbound_request.py
@@ -23,6 +23,11 @@
 __all__ = ["ClientChannel", "ClientChannelFactory", "Frontend", "InboundRequest", "forwarded_headers"]
 
 
+# A small body is counted with the highest cost, without a look at its route.
+SMALL_BODY_BYTES = 2048
+SMALL_BODY_COST = 8
+
+
 class Frontend(Protocol):
     """The server that the connections and requests of clients belong to."""
 
@@ -85,9 +90,11 @@
         self.started_at = frontend.now()
         if length is not None and length > frontend.max_body_bytes():
             self.channel.refuse(BODY_TOO_LONG)
-        elif length != 0:
+        elif length is None or length > SMALL_BODY_BYTES:
             cost = frontend.body_cost(self.header(b"host") or b"", self.channel.request_target)
             self.channel.reserve_body(length, cost)
+        elif length:
+            self.channel.reserve_body(length, SMALL_BODY_COST)
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 - twisted's interface
         """Receives the next bytes of the body."""
