Reserve steps of a body only where its length is unknown; unit tests

What callers saw: under pressure, small requests of stated length were refused too.

Cause: the first part of every body reserved a step of 64 KiB times its cost, 512 KiB for a small one, which then counted as large. Found by a new unit test on a simulated clock: 522889 bytes asked for by a body of five.

Change: a body of stated length has its reservation from the head on. What is queued is counted anew when a request is refused, and a turn of the reactor takes 256 chunks, so that chunks of 1 KiB and more fill it with 64 KiB reads.

Evidence: test_a_small_request_is_served_while_there_is_no_room_for_large_ones failed before.

--- a/pipitlink/http_connection.py
+++ b/pipitlink/http_connection.py
@@ -24,7 +24,7 @@
 # With more input than this behind a request in progress, reading is paused.
 MAX_QUEUED_BYTES = 16_384
 CHUNKED_PIECE_BYTES = 1024
-MAX_CHUNKS_PER_TURN = 64
+MAX_CHUNKS_PER_TURN = 256
 MAX_REQUESTS_PER_TURN = 8
 BODY_STEP_BYTES = 65_536
 # What a parsed header takes beside its bytes.
@@ -219,10 +219,13 @@
         return self._reserve(self._held_request.size, BODY_STEP_BYTES if length is None else length)
 
     def receive_chunk(self, received: int) -> bool:
-        """Notes a part of a body whose length is unknown, `received` bytes being its length so far.
+        """Notes a part of a body, `received` bytes being its length so far.
 
-        Reserves memory for the next step; may refuse the request. Returns whether more may be read.
+        Reserves memory for the next step if its length is unknown; may refuse the request. Returns whether the part may
+        be kept.
         """
+        if self._body_left is not None:
+            return True
         self._chunk_count += 1
         next_step = BODY_STEP_BYTES * (received // BODY_STEP_BYTES + 1)
         cost = min(next_step * self._request_cost_factor, self.connections.memory.max_request_bytes)
@@ -261,6 +264,7 @@
         self.setTimeout(None)
         self._input.clear()
         self._held_request.release()
+        self._count_unsent()
         self.connections.refused[refusal.code] += 1
         self.transport.write(refusal_response(refusal, self.connections.refusal_format(refusal)))
         if self._read_control is not None:
