Keep what follows a chunked body in order; drop the body of a refused request

Cause: bytes behind the end of a chunked body stayed in Twisted's buffers, while later ones were queued here, so a request that was cut inside its last empty line waited for its timeout (by reading). A request that was refused in the middle of its body kept that part, uncounted, for up to two seconds.

Change: what follows a body goes back to the front of the queue; a refusal drops what was received of the body.

Evidence: two new tests, one with a pipelined request cut at each byte.

--- a/pipitlink/http_connection.py
+++ b/pipitlink/http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from io import BytesIO
 from typing import Any, cast
 
 from twisted.internet.interfaces import IPushProducer
@@ -263,6 +264,8 @@
         self._stop_head_timer()
         self.setTimeout(None)
         self._input.clear()
+        for request in self.requests:
+            request.content = BytesIO()
         self._held_request.release()
         self._count_unsent()
         self.connections.refused[refusal.code] += 1
@@ -290,6 +293,11 @@
             self._request_count += 1
             super().allContentReceived()
 
+    def _finishRequestBody(self, data: bytes) -> None:  # noqa: N802 - Twisted's interface
+        """Ends the body of a request; `data` follows it, and is parsed after the response."""
+        self._input.prepend(data)
+        self.allContentReceived()
+
     def _count_held(self) -> None:
         """Counts input and responses; closes the connection if there is no room for its input."""
         size = CONNECTION_BYTES + len(self._input) + unsent_bytes(self.transport)
--- a/pipitlink/http_input.py
+++ b/pipitlink/http_input.py
@@ -24,6 +24,12 @@
         """Adds bytes at the end."""
         self._bytes += data
 
+    def prepend(self, data: bytes) -> None:
+        """Adds bytes at the start."""
+        if data:
+            self._bytes[:0] = data
+            self._scanned = 0
+
     def clear(self) -> None:
         """Drops all bytes."""
         self._bytes = bytearray()
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -194,6 +194,28 @@
         _, _, request = self.harness.take_engine_request()
         self.assertTrue(request.endswith(b"c" * 5000))
 
+    def test_a_request_behind_a_chunked_one_is_served_wherever_it_is_cut(self):
+        lines = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\n{}\r\n\r\n"
+        first = lines.format("c1", "Transfer-Encoding: chunked").encode() + b"3\r\nabc\r\n0\r\n\r\n"
+        second = lines.format("c2", "Content-Length: 3").encode() + b"def"
+        for cut in range(len(first), len(first) + len(second) + 1):
+            channel = self.harness.connect_client()
+            channel.dataReceived((first + second)[:cut])
+            channel.dataReceived((first + second)[cut:])
+            for call_id, body in (("c1", b"abc"), ("c2", b"def")):
+                _, connection, request = self.harness.take_engine_request()
+                self.assertTrue(request.endswith(body), (cut, request))
+                connection.dataReceived(head(call_id, length=2) + b"ok")
+            self.assertEqual(self.harness.client_output(channel).count(b" 200 "), 2)
+            connection.discard()
+
+    def test_the_body_of_a_refused_request_is_dropped(self):
+        channel = self.begin(["Transfer-Encoding: chunked"], b"ff00\r\n" + b"c" * 0xFF00 + b"\r\n")
+        self.harness.advance_ms(1500)
+        channel.evict()
+        self.assertEqual([request.content.getvalue() for request in channel.requests], [b""])
+        self.assert_refused(channel, 503)
+
     def test_pipelined_requests_are_handled_in_turns_and_in_order(self):
         channel = self.harness.connect_client()
         request = b"GET /missing/%d HTTP/1.1\r\nHost: h.example\r\n\r\n"
