Do not read the second of two responses once a client gave up on the first

Change: the second is given up too. A head that is none is a rule broken (MIXED) instead of an error of the run; a test covers the rule.

--- a/testbed/deployment/clients.py
+++ b/testbed/deployment/clients.py
@@ -130,6 +130,10 @@
         await connection.receive(first)
         if first.announces_close and first.head_at is not None and second.sent_at is not None:
             second.is_after_close = first.head_at - second.sent_at < ANNOUNCEMENT_DELAY_S
+        if first.gave_up:
+            # The rest of the first response would be taken for the second one.
+            second.gave_up = True
+            return
         await connection.receive(second)
 
     def _next_exchange(self, gateway: Machine) -> Exchange:
--- a/testbed/deployment/http_messages.py
+++ b/testbed/deployment/http_messages.py
@@ -6,11 +6,15 @@
 
 import attrs
 
-__all__ = ["Headers", "MessageHead", "encode_head", "read_chunk", "read_head", "read_request_body"]
+__all__ = ["Headers", "MalformedHead", "MessageHead", "encode_head", "read_chunk", "read_head", "read_request_body"]
 
 Headers = dict[str, str]
 
 
+class MalformedHead(ValueError):
+    """The bytes where the head of a response should begin are none."""
+
+
 @attrs.define
 class MessageHead:
     """The first line of a message and its headers, with names in lower case."""
@@ -20,8 +24,11 @@
 
     @property
     def status(self) -> int:
-        """The status code of a response."""
-        return int(self.start_line.split(" ")[1])
+        """The status code of a response. Raises MalformedHead."""
+        version, _, rest = self.start_line.partition(" ")
+        if not version.startswith("HTTP/") or not rest[:3].isdigit():
+            raise MalformedHead(self.start_line)
+        return int(rest[:3])
 
     @property
     def is_chunked(self) -> bool:
--- a/testbed/deployment/record.py
+++ b/testbed/deployment/record.py
@@ -67,6 +67,7 @@
     headers: Headers = attrs.field(factory=dict)
     response: bytes = b""
     is_complete: bool = False
+    is_malformed: bool = False
     gave_up: bool = False
     connection: int = 0
     error: str = ""
--- a/testbed/deployment/rules.py
+++ b/testbed/deployment/rules.py
@@ -115,6 +115,8 @@
 
     def _mixed(self) -> Iterator[str]:
         for exchange in self._live.values():
+            if exchange.is_malformed:
+                yield f"MIXED {exchange.request_id}: bytes that are no response: {exchange.error[:100]}"
             if exchange.status == 0:
                 continue
             seal = exchange.headers.get("pipitlink-server-seal")
--- a/tests/test_deployment_rules.py
+++ b/tests/test_deployment_rules.py
@@ -120,6 +120,10 @@
         exchange.response, exchange.is_complete = exchange.response.replace(b"id: 2", b"id: 3"), False
         self.assertEqual(self.broken(), ["ORDER"])
 
+    def test_bytes_that_are_no_response_are_mixed(self):
+        self.exchange(is_malformed=True)
+        self.assertEqual(self.broken(), ["MIXED"])
+
     def test_bytes_that_no_request_waits_for_are_mixed(self):
         self.record.unasked_bytes.append("somewhere")
         self.assertEqual(self.broken(), ["MIXED"])
