--- a/testbed/deployment/client_connection.py
+++ b/testbed/deployment/client_connection.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from .http_messages import Headers, MalformedHead, MessageHead, encode_head, read_chunk, read_head
+from .http_messages import Headers, MalformedHeadError, MessageHead, encode_head, read_chunk, read_head
 from .record import Exchange, RouteKind, now
 
 __all__ = ["ClientConnection", "exchange_once", "fetch_once"]
@@ -98,7 +98,7 @@
             await asyncio.wait_for(self._read_response(exchange), exchange.deadline_s + DEADLINE_GRACE_S)
         except TimeoutError:
             exchange.gave_up = True
-        except MalformedHead as error:
+        except MalformedHeadError as error:
             exchange.is_malformed, exchange.error = True, repr(error)
         except (OSError, asyncio.IncompleteReadError, ValueError) as error:
             exchange.error = repr(error)
--- a/testbed/deployment/http_messages.py
+++ b/testbed/deployment/http_messages.py
@@ -6,12 +6,20 @@
 
 import attrs
 
-__all__ = ["Headers", "MalformedHead", "MessageHead", "encode_head", "read_chunk", "read_head", "read_request_body"]
+__all__ = [
+    "Headers",
+    "MalformedHeadError",
+    "MessageHead",
+    "encode_head",
+    "read_chunk",
+    "read_head",
+    "read_request_body",
+]
 
 Headers = dict[str, str]
 
 
-class MalformedHead(ValueError):
+class MalformedHeadError(ValueError):
     """The bytes where the head of a response should begin are none."""
 
 
@@ -24,10 +32,10 @@
 
     @property
     def status(self) -> int:
-        """The status code of a response. Raises MalformedHead."""
+        """The status code of a response. Raises MalformedHeadError."""
         version, _, rest = self.start_line.partition(" ")
         if not version.startswith("HTTP/") or not rest[:3].isdigit():
-            raise MalformedHead(self.start_line)
+            raise MalformedHeadError(self.start_line)
         return int(rest[:3])
 
     @property
