Bound connections that are accepted before dropped ones are closed

Cause: a dropped connection is closed in the next turn of the reactor, and one turn accepts as many as wait. Connections that were refused, and linger for up to two seconds, did not give way to new ones either.

Change: with more than 64 connections beyond the limit, a new one is closed at once, at HTTP addresses and at the port for other nodes; refused ones give way like idle ones.

Two unit tests.

--- a/pipitlink/client_memory.py
+++ b/pipitlink/client_memory.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-__all__ = ["BYTES_PER_MB", "CONNECTION_BYTES", "ClientMemory", "MemoryHolder", "Reservation"]
+__all__ = ["BYTES_PER_MB", "CONNECTION_BYTES", "MAX_CLOSING_CONNECTIONS", "ClientMemory", "MemoryHolder", "Reservation"]
 
 BYTES_PER_MB = 1024 * 1024
 PROCESS_MB = 64
@@ -25,6 +25,9 @@
 RELIEF_INTERVAL_S = 0.1
 CONNECTION_BYTES = 16 * 1024
 CONNECTION_FRACTION = 0.25
+MAX_CLOSING_CONNECTIONS = 64
+"""How many connections beyond the limit may be open because they were dropped and are not closed yet."""
+
 MIN_CONNECTIONS = 64
 FILE_DESCRIPTORS = 200
 """The descriptors that a process needs for files."""
--- a/pipitlink/http_connection.py
+++ b/pipitlink/http_connection.py
@@ -331,6 +331,10 @@
         else:
             self.refuse(NO_MEMORY)
 
+    def may_give_way(self, now_s: float) -> bool:
+        """Returns whether a new connection may take the place of this one."""
+        return self._is_refused or self.is_idle() or self.is_slow(now_s)
+
     def drop(self) -> None:
         """Ends the connection in favour of another one, without a response."""
         if self.is_idle():
--- a/pipitlink/http_connections.py
+++ b/pipitlink/http_connections.py
@@ -11,7 +11,7 @@
 import attrs
 from twisted.internet import defer
 
-from .client_memory import ClientMemory
+from .client_memory import MAX_CLOSING_CONNECTIONS, ClientMemory
 from .http_refusals import RefusalFormat, json_body
 from .timers import Timers
 
@@ -77,6 +77,10 @@
         self._dropped: set[HttpConnection] = set()
         self._all_closed: defer.Deferred[None] | None = None
 
+    def may_accept(self) -> bool:
+        """Returns whether a further connection may be opened before those that were dropped are closed."""
+        return len(self.open) < self.max_connections + MAX_CLOSING_CONNECTIONS
+
     def add(self, connection: HttpConnection) -> None:
         """Adds a connection that was accepted."""
         self._make_place(connection)
@@ -90,9 +94,7 @@
             return
         now_s = added.now_s()
         replaced = (
-            connection
-            for connection in self.open
-            if connection not in self._dropped and (connection.is_idle() or connection.is_slow(now_s))
+            connection for connection in self.open if connection not in self._dropped and connection.may_give_way(now_s)
         )
         dropped = next(replaced, added)
         self._dropped.add(dropped)
--- a/pipitlink/http_server.py
+++ b/pipitlink/http_server.py
@@ -92,7 +92,9 @@
         self.noisy = False
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802 - Twisted's interface
-        """Returns the protocol for a new connection."""
+        """Returns the protocol for a new connection; None, which closes it at once, if there are too many."""
+        if not self.connections.may_accept():
+            return None
         connection = server.Site.buildProtocol(self, addr)
         connection.connections = self.connections
         return connection
--- a/pipitlink/router/inbound_request.py
+++ b/pipitlink/router/inbound_request.py
@@ -208,7 +208,9 @@
         self._frontend = frontend
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802 - twisted's interface
-        """Returns the protocol for a new connection."""
+        """Returns the protocol for a new connection; None, which closes it at once, if there are too many."""
+        if not self._frontend.connections.may_accept():
+            return None
         channel: Any = super().buildProtocol(addr)
         channel.frontend = self._frontend
         channel.connections = self._frontend.connections
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -288,8 +288,10 @@
     def __init__(self, rpc: RpcEndpoint) -> None:
         self._rpc = rpc
 
-    def buildProtocol(self, addr: IAddress | None) -> RpcConnection:  # noqa: N802, ARG002 - twisted's interface
-        """Returns the connection of a peer that has connected."""
+    def buildProtocol(self, addr: IAddress | None) -> RpcConnection | None:  # noqa: N802, ARG002 - twisted's interface
+        """Returns the connection of a peer that has connected; None, which closes it at once, if there are too many."""
+        if not self._rpc.may_accept():
+            return None
         connection = RpcConnection(self._rpc)
         connection.ready.addErrback(lambda _: None)
         self._rpc.connection_opened(connection)
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint, TCP6ClientEndpoint, connectProtocol
 
-from ..client_memory import ClientMemory
+from ..client_memory import MAX_CLOSING_CONNECTIONS, ClientMemory
 from ..errors import (
     ConnectionFailed,
     DeadlineExceeded,
@@ -113,6 +113,8 @@
         self._accepted: set[RpcConnection] = set()
         # Accepted connections whose Hello has not come yet, oldest first.
         self._unidentified: dict[RpcConnection, None] = {}
+        # Those of them that were dropped and are not closed yet.
+        self._dropped: set[RpcConnection] = set()
         self._connecting: SingleFlight[Address, RpcConnection] = SingleFlight()
         self._listening_port: ListeningPort | None = None
 
@@ -264,6 +266,11 @@
         if hello.protocol_version != PROTOCOL_VERSION:
             raise WireError(f"peer uses protocol version {hello.protocol_version}, this node {PROTOCOL_VERSION}")
 
+    def may_accept(self) -> bool:
+        """Returns whether a further peer may connect before the connections that were dropped are closed."""
+        unidentified = len(self._unidentified) + len(self._dropped)
+        return unidentified < self.client_memory.max_connections + MAX_CLOSING_CONNECTIONS
+
     def connection_opened(self, connection: RpcConnection) -> None:
         """Is called for each connection opened by a peer, whose Hello must come soon."""
         self._accepted.add(connection)
@@ -275,6 +282,7 @@
     def _drop_unidentified(self, connection: RpcConnection) -> None:
         if connection in self._unidentified:
             del self._unidentified[connection]
+            self._dropped.add(connection)
             if connection.transport is not None:
                 connection.tcp.abortConnection()
 
@@ -296,6 +304,7 @@
         """Is called when a connection is lost or dropped; no further call uses it."""
         self._accepted.discard(connection)
         self._unidentified.pop(connection, None)
+        self._dropped.discard(connection)
         for address, current in list(self._connections.items()):
             if current is connection:
                 del self._connections[address]
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from pipitlink.client_memory import BYTES_PER_MB, CONNECTION_BYTES, ClientMemory, Reservation
+from pipitlink.client_memory import BYTES_PER_MB, CONNECTION_BYTES, MAX_CLOSING_CONNECTIONS, ClientMemory, Reservation
 from pipitlink.dialect import Dialect
 from pipitlink.dialect.batches import MAX_JSON_VALUES
 from pipitlink.errors import BadRequest, WireError
 from pipitlink.http_connection import MAX_CHUNKS_PER_TURN, MAX_QUEUED_BYTES, MAX_REQUESTS_PER_TURN
 from pipitlink.http_input import RequestInput
-from pipitlink.router.inbound_request import InboundRequest
+from pipitlink.router.inbound_request import ClientChannelFactory, InboundRequest
 from pipitlink.wire.frame_assembler import FrameAssembler
 
 from .router_builders import RouterHarness, head, route
@@ -172,6 +172,22 @@
         closed = [channel.transport.closed for channel in (first, second, third)]
         self.assertEqual(closed, [True, False, False])
 
+    def test_connections_that_are_not_closed_yet_bound_those_that_are_accepted(self):
+        """Guards against a burst of connections in one turn of the reactor, before any can be closed."""
+        connections = self.harness.node.frontend.connections
+        connections.max_connections = 2
+        for _ in range(2 + MAX_CLOSING_CONNECTIONS):
+            self.assertTrue(connections.may_accept())
+            connections.open[object()] = None
+        self.assertIsNone(ClientChannelFactory(self.harness.node.frontend, self.harness.clock).buildProtocol(None))
+
+    def test_a_refused_connection_gives_way_to_a_new_one(self):
+        self.fill(0)
+        self.harness.node.frontend.connections.max_connections = 1
+        refused = self.begin([f"Content-Length: {len(LARGE_BODY)}"])
+        new = self.harness.connect_client()
+        self.assertEqual((refused.transport.closed, new.transport.closed), (True, False))
+
     def test_a_connection_in_use_does_not_give_way(self):
         self.harness.node.frontend.connections.max_connections = 1
         used = self.harness.send_request("/once/x")
