--- a/testbed/deployment/abusive_clients.py
+++ b/testbed/deployment/abusive_clients.py
@@ -19,7 +19,9 @@
 PIECE_PAUSE_S = 0.002
 LARGE_CHUNK_BYTES = 65_536
 SMALL_CHUNK_BYTES = 48
+TINY_CHUNK_BYTES = 1
 HEAD_LINE_BYTES = 40
+SHORT_LINE = b"a:\r\n"
 TRAILER_LINE = b"a:\r\n"
 TRAILER_BYTES = 60_000
 QUEUED_BYTES = 60_000
@@ -36,8 +38,10 @@
     UNFINISHED_BODY = "unfinished_body"
     UNFINISHED_LARGE_CHUNKS = "unfinished_large_chunks"
     UNFINISHED_SMALL_CHUNKS = "unfinished_small_chunks"
+    UNFINISHED_TINY_CHUNKS = "unfinished_tiny_chunks"
     UNFINISHED_TRAILERS = "unfinished_trailers"
     UNFINISHED_HEAD = "unfinished_head"
+    UNFINISHED_SHORT_LINES = "unfinished_short_lines"
     QUEUED_INPUT = "queued_input"
     UNREAD_RESPONSES = "unread_responses"
     RAW_INPUT = "raw_input"
@@ -45,7 +49,10 @@
 
 @attrs.frozen
 class AbuseTarget:
-    """The request that a client abuses; `body` has the largest allowed size, and a head `head_bytes`."""
+    """The request that a client abuses; `body` has the largest allowed size, and a head `head_bytes`.
+
+    `queued_bytes` follow a request whose response is not complete.
+    """
 
     address: str
     method: str
@@ -54,6 +61,7 @@
     body: bytes = b""
     head_bytes: int = 0
     id_header: str = ""
+    queued_bytes: int = QUEUED_BYTES
 
     def head(self, headers: Headers) -> bytes:
         """Returns the head of a request with an id of its own."""
@@ -134,15 +142,21 @@
             case AbuseKind.UNFINISHED_SMALL_CHUNKS:
                 yield target.head(chunked)
                 yield from _chunks(target.body, SMALL_CHUNK_BYTES)
+            case AbuseKind.UNFINISHED_TINY_CHUNKS:
+                yield target.head(chunked)
+                yield from _chunks(target.body, TINY_CHUNK_BYTES)
             case AbuseKind.UNFINISHED_TRAILERS:
                 yield target.head(chunked) + b"0\r\n" + TRAILER_LINE * (TRAILER_BYTES // len(TRAILER_LINE))
             case AbuseKind.UNFINISHED_HEAD:
                 head = target.head({})[:-2]
                 lines = (target.head_bytes - len(head)) // HEAD_LINE_BYTES
                 yield head + b"".join(b"x-%08d: %b\r\n" % (number, b"v" * 26) for number in range(lines))
+            case AbuseKind.UNFINISHED_SHORT_LINES:
+                head = target.head({})[:-2]
+                yield head + SHORT_LINE * ((target.head_bytes - len(head)) // len(SHORT_LINE))
             case AbuseKind.QUEUED_INPUT:
                 yield target.head(length) + target.body
-                yield b"x" * QUEUED_BYTES
+                yield b"x" * target.queued_bytes
             case AbuseKind.UNREAD_RESPONSES:
                 yield b"".join(target.head({}) for _ in range(PIPELINED_REQUESTS))
             case AbuseKind.RAW_INPUT:
--- a/testbed/deployment/configurations.py
+++ b/testbed/deployment/configurations.py
@@ -9,7 +9,16 @@
 from .bounds import LIMITS
 from .record import RouteKind
 
-__all__ = ["HOST", "ROUTE_KINDS", "SERVICES", "SWAPPED_SERVICES", "configuration", "service_of", "with_routes"]
+__all__ = [
+    "HOST",
+    "ROUTE_KINDS",
+    "SERVICES",
+    "SWAPPED_SERVICES",
+    "configuration",
+    "padding_routes",
+    "service_of",
+    "with_routes",
+]
 
 HOST = "soak.example"
 SERVICES = ("lm", "api", "alt")
@@ -18,6 +27,7 @@
 LIVE_DEADLINE_MS = 6000
 PLAIN_DEADLINE_MS = 4000
 RETAIN_S = 120.0
+PADDING_ROUTE_BYTES = 1000
 QUEUE_TOKENS = 4_000_000
 ENGINE = {
     "slots": 24,
@@ -90,6 +100,12 @@
     }
 
 
+def padding_routes(size: int) -> list[dict[str, Any]]:
+    """Returns routes that nobody uses and that take about `size` bytes."""
+    prefix = "p" * PADDING_ROUTE_BYTES
+    return [_route(f"{prefix}{number}", RouteKind.IDEMPOTENT, "api") for number in range(size // PADDING_ROUTE_BYTES)]
+
+
 def service_of(config: dict[str, Any], route: str) -> str | None:
     """Returns the service of a route in a configuration, or None if it has no such route."""
     return next((str(row["backend"]) for row in config["routes"] if row["name"] == route), None)
--- a/testbed/deployment/machines.py
+++ b/testbed/deployment/machines.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import tomllib
+from collections import Counter
 from collections.abc import Mapping
 from enum import StrEnum
 from pathlib import Path
@@ -30,6 +31,8 @@
 PORT_RANGE = (20_000, 30_000)
 HEARTBEAT_MS = 1200
 SEEDS = 3
+# The state of a listening socket in /proc/net/tcp, where the queue is that of connections.
+TCP_LISTEN = "0A"
 DISK_MB = {"gateway": 0, "storage": 480, "controller": 128}
 GUARANTEES = ("base", "drain", "config", "cost", "recover", "batch", "stream", "engine", "places")
 
@@ -50,6 +53,18 @@
     return size
 
 
+def _kernel_bytes_by_host() -> Counter[str]:
+    """Returns the bytes that have arrived and are not read, or are not sent, by the local host of TCP connections."""
+    sizes: Counter[str] = Counter()
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        host = socket.inet_ntoa(int(fields[1].partition(":")[0], 16).to_bytes(4, sys.byteorder))
+        unsent, _, unread = fields[4].partition(":")
+        if fields[3] != TCP_LISTEN:
+            sizes[host] += int(unsent, 16) + int(unread, 16)
+    return sizes
+
+
 class Role(StrEnum):
     """The roles of the deploy file."""
 
@@ -186,6 +201,11 @@
             )
         machine.starts += 1
 
+    def kernel_bytes(self) -> dict[str, int]:
+        """Returns how many bytes the kernel holds for the connections of each machine."""
+        sizes = _kernel_bytes_by_host()
+        return {machine.name: sizes[machine.ip] for machine in self.machines.values()}
+
     def _settings(self, machine: Machine) -> str:
         top: dict[str, object] = {
             "node_name": machine.name,
--- a/testbed/deployment/operator.py
+++ b/testbed/deployment/operator.py
@@ -10,7 +10,7 @@
 
 from .bounds import LIMITS, ZONES, seconds
 from .client_connection import fetch_once
-from .configurations import SWAPPED_SERVICES, configuration
+from .configurations import SWAPPED_SERVICES, configuration, padding_routes
 from .record import Order, Record, now
 
 __all__ = ["Operator"]
@@ -40,6 +40,7 @@
         self._used_versions = {0}
         self._extra_routes: list[str] = []
         self._route_number = 0
+        self._padding: list[dict[str, Any]] = []
         self.evacuated: str | None = None
 
     async def hand_in_first(self) -> None:
@@ -60,12 +61,18 @@
         """Lets two operators hand in different configurations on top of the same version."""
         await asyncio.gather(self._hand_in(self._next_config()), self._hand_in(self._next_config()))
 
+    def add_padding(self, size: int) -> None:
+        """Adds routes that nobody uses, of about `size` bytes, to all further configurations."""
+        self._padding = padding_routes(size)
+
     def _next_config(self) -> dict[str, Any]:
         version = max(self._used_versions) + self._rng.randint(1, 3)
         self._used_versions.add(version)
         self._route_number += 1
         extra = [*self._extra_routes, f"extra{self._route_number}"][-self._rng.randint(1, MAX_EXTRA_ROUTES) :]
-        return configuration(version, self._rng.choice(SWAPPED_SERVICES), extra, self._limits)
+        config = configuration(version, self._rng.choice(SWAPPED_SERVICES), extra, self._limits)
+        config["routes"] += self._padding
+        return config
 
     async def _hand_in(self, config: dict[str, Any]) -> None:
         order = Order("config", str(config["version"]), config, self._version)
--- a/tests/abuse_scenario.py
+++ b/tests/abuse_scenario.py
@@ -4,13 +4,14 @@
 import base64
 import json
 import os
+import unittest
 from pathlib import Path
 from random import Random
 
 from testbed.deployment.abusive_clients import AbuseTarget, AbusiveClient
 from testbed.deployment.client_connection import ClientConnection, exchange_once
 from testbed.deployment.configurations import HOST
-from testbed.deployment.engines import Engine
+from testbed.deployment.engines import HEARTBEAT_S, Engine
 from testbed.deployment.machines import ROOT, Deployment, Role
 from testbed.deployment.operator import Operator
 from testbed.deployment.record import Exchange, Record, RouteKind
@@ -35,6 +36,7 @@
 ITEM_EVENTS = 100_000
 LOT_ID = "watched"
 SEND_S = 12.0
+SCENARIO_TIMEOUT_S = 120
 REQUEST_DEADLINE_S = 4.0
 REQUEST_TRIES = 30
 RETRY_PAUSE_S = 0.5
@@ -71,6 +73,7 @@
         ]
         self.clients: list[AbusiveClient] = []
         self.most_descriptors: dict[str, int] = {}
+        self.most_kernel_bytes: dict[str, int] = {}
 
     async def start(self):
         for machine in self.deployment.machines.values():
@@ -90,13 +93,14 @@
             engine.end()
         self.deployment.close()
 
-    async def exchange(self, method, path, body, request_id="ordinary", **connection_fields):
+    async def exchange(self, method, path, body, request_id="ordinary", more_headers=None, **connection_fields):
         exchange = Exchange(request_id, "", "read", RouteKind.IDEMPOTENT, path, body, REQUEST_DEADLINE_S)
         connection = ClientConnection(self.gateway.public_address, **connection_fields)
         headers = {
             "Host": HOST,
             "Pipitlink-Request-Id": request_id,
             "Pipitlink-Deadline-Ms": str(int(1000 * REQUEST_DEADLINE_S)),
+            **(more_headers or {}),
         }
         try:
             await connection.open()
@@ -110,7 +114,16 @@
     async def hand_in_lot(self, name=LOT_ID, body=None):
         return await self.exchange("POST", f"/rounds/{name}", body or lot_body(name), name)
 
-    def target(self, method="POST", path="/read/abuse", body=BODY):
+    async def hand_in_large_config(self, padding_bytes):
+        """Hands in a configuration whose routes take about so many bytes more."""
+        self.operator.add_padding(padding_bytes)
+        await self.operator.change_config()
+
+    async def wait_for_engines(self):
+        """Returns once the engines have announced themselves again."""
+        await asyncio.sleep(2 * HEARTBEAT_S)
+
+    def target(self, method="POST", path="/read/abuse", body=BODY, **fields):
         return AbuseTarget(
             self.gateway.public_address,
             method,
@@ -119,6 +132,7 @@
             body,
             HEAD_BYTES,
             "Pipitlink-Request-Id",
+            **fields,
         )
 
     async def abuse(self, kind, target, count):
@@ -141,6 +155,8 @@
                 if machine.is_running:
                     most = self.most_descriptors.get(machine.name, 0)
                     self.most_descriptors[machine.name] = max(most, machine.descriptor_count())
+            for name, size in self.deployment.kernel_bytes().items():
+                self.most_kernel_bytes[name] = max(size, self.most_kernel_bytes.get(name, 0))
             await asyncio.sleep(SAMPLE_PAUSE_S)
 
     def peaks(self):
@@ -169,3 +185,33 @@
                 return True
             await asyncio.sleep(RETRY_PAUSE_S)
         return False
+
+
+class AbuseCase(unittest.TestCase):
+    """Runs a scenario and checks the processes."""
+
+    def play(self, abuse, **fields):
+        """Runs a scenario; checks that no process ends, and that all stay within their memory and descriptors."""
+        asyncio.run(asyncio.wait_for(self._play(abuse, fields), SCENARIO_TIMEOUT_S))
+
+    async def _play(self, abuse, fields):
+        scenario = AbuseScenario(**fields)
+        try:
+            await scenario.start()
+            await abuse(scenario)
+            self.check(scenario)
+            self.assertTrue(await scenario.has_answer(), "an ordinary request while the clients are there")
+            for client in scenario.clients:
+                client.close()
+            self.assertTrue(await scenario.has_answer(), "an ordinary request once the clients are gone")
+            self.check(scenario)
+        finally:
+            scenario.close()
+
+    def check(self, scenario):
+        print(f"most memory (MB) and descriptors: {scenario.peaks()}")
+        for machine in scenario.deployment.machines.values():
+            with self.subTest(machine=machine.name):
+                self.assertTrue(machine.is_running)
+                self.assertLess(machine.peak_memory_bytes() / BYTES_PER_MB, RAM_MB)
+                self.assertLess(scenario.most_descriptors.get(machine.name, 0), scenario.max_fds)
--- a/tests/parallel_runner.py
+++ b/tests/parallel_runner.py
@@ -13,7 +13,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 MAX_PARALLEL_FILES = 4
-FILES_RUN_ALONE = frozenset({"test_abusive_clients.py"})
+FILES_RUN_ALONE = frozenset(f"test_abusive_{name}.py" for name in ("clients", "documents", "input", "peers"))
 _COUNT = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$")
 
 
--- a/tests/test_abusive_clients.py
+++ b/tests/test_abusive_clients.py
@@ -16,12 +16,13 @@
     HEAD_BYTES,
     LOT_ID,
     RAM_MB,
+    SCENARIO_TIMEOUT_S,
     SEND_S,
+    AbuseCase,
     AbuseScenario,
     lot_body,
 )
 
-SCENARIO_TIMEOUT_S = 120
 LARGEST_ITEM_BYTES = 780_000
 SLOW_BODY = b"slow"
 SLOW_BODY_PAUSE_S = 1.0
@@ -38,35 +39,7 @@
 FRAME_BYTES = 8 * 1024 * 1024
 
 
-class _AbuseCase(unittest.TestCase):
-    def play(self, abuse, **fields):
-        """Runs a scenario; checks that no process ends, and that all stay within their memory and descriptors."""
-        asyncio.run(asyncio.wait_for(self._play(abuse, fields), SCENARIO_TIMEOUT_S))
-
-    async def _play(self, abuse, fields):
-        scenario = AbuseScenario(**fields)
-        try:
-            await scenario.start()
-            await abuse(scenario)
-            self.check(scenario)
-            self.assertTrue(await scenario.has_answer(), "an ordinary request while the clients are there")
-            for client in scenario.clients:
-                client.close()
-            self.assertTrue(await scenario.has_answer(), "an ordinary request once the clients are gone")
-            self.check(scenario)
-        finally:
-            scenario.close()
-
-    def check(self, scenario):
-        print(f"most memory (MB) and descriptors: {scenario.peaks()}")
-        for machine in scenario.deployment.machines.values():
-            with self.subTest(machine=machine.name):
-                self.assertTrue(machine.is_running)
-                self.assertLess(machine.peak_memory_bytes() / BYTES_PER_MB, RAM_MB)
-                self.assertLess(scenario.most_descriptors.get(machine.name, 0), scenario.max_fds)
-
-
-class GatewayAddress(_AbuseCase):
+class GatewayAddress(AbuseCase):
     """The address for clients."""
 
     def abuse_gateway(self, kind, count, **target):
@@ -220,7 +193,7 @@
         self.assertEqual(self.play(send, idle_timeout_ms=1000), b"")
 
 
-class OtherAddresses(_AbuseCase):
+class OtherAddresses(AbuseCase):
     """The addresses for operators, engines, the platform and other nodes."""
 
     def abuse_address(self, kind, count, choose, path, method="PUT", **fields):
