Count the names of prompt parts that a gateway remembers for its engines

What callers saw: a gateway ran out of memory under requests of legal size whose Pipitlink-Prompt-Prefix names parts that nobody else uses.

Cause: the estimate of each engine's prefix cache was bounded by the tokens that clients state. Parts of no tokens were kept for ever, and a part of one token may have a name as long as a head. Nobody counted the names.

Change: the caches of all engines share an eighth of the memory for clients and are counted in it; beyond that the largest one shrinks, the least recently used parts first.

--- a/pipitlink/client_memory.py
+++ b/pipitlink/client_memory.py
@@ -21,6 +21,7 @@
 """The part of the limit that reservations above SMALL_BYTES may fill; the rest is left to ordinary requests."""
 
 BATCH_FRACTION = 0.5
+PREFIX_CACHE_FRACTION = 0.125
 RELIEVED_FRACTION = 0.5
 RELIEF_INTERVAL_S = 0.1
 CONNECTION_BYTES = 16 * 1024
@@ -105,6 +106,11 @@
         """The most that a single request may reserve; two of them always have room beside ordinary requests."""
         return int(self.limit_bytes * LARGE_FRACTION / 2)
 
+    @property
+    def max_prefix_cache_bytes(self) -> int:
+        """The most that the names of prompt parts may take, which a gateway remembers for each engine."""
+        return int(self.limit_bytes * PREFIX_CACHE_FRACTION)
+
     def add_holder(self, holder: MemoryHolder) -> None:
         """Adds a client that may be evicted."""
         self._holders[holder] = None
--- a/pipitlink/router/engine.py
+++ b/pipitlink/router/engine.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from collections.abc import Sequence
 from datetime import timedelta
 from enum import StrEnum
 from typing import NamedTuple
@@ -12,9 +10,9 @@
 
 from ..timers import ZERO, secs
 from ..wire.membership_pb2 import EngineUpdate
-from .call import PromptPart
+from .prefix_cache import PrefixCache
 
-__all__ = ["ROOM_FRACTION", "Engine", "EngineLoad", "EngineStatus", "PeerLoad", "PrefixCache"]
+__all__ = ["ROOM_FRACTION", "Engine", "EngineLoad", "EngineStatus", "PeerLoad"]
 
 PEER_LOAD_VALIDITY = secs(3)
 # Engines have room while fewer than this fraction of their slots is in use.
@@ -49,37 +47,6 @@
     reported_at: timedelta
 
 
-class PrefixCache:
-    """An estimate of the prompt parts that an engine has cached, based on the requests of this gateway.
-
-    The least recently used parts are evicted once the total exceeds `max_tokens`.
-    """
-
-    def __init__(self, max_tokens: int) -> None:
-        self._max_tokens = max_tokens
-        self._parts: OrderedDict[str, int] = OrderedDict()
-        self._tokens = 0
-
-    def missing_tokens(self, parts: Sequence[PromptPart]) -> int:
-        """Returns the number of prompt tokens that need prefill: all from the first part that is not cached."""
-        for position, (part_id, _) in enumerate(parts):
-            if part_id not in self._parts:
-                return sum(tokens for _, tokens in parts[position:])
-        return 0
-
-    def add(self, parts: Sequence[PromptPart]) -> None:
-        """Records that a prompt with these parts is sent to the engine."""
-        for part_id, tokens in parts:
-            if part_id in self._parts:
-                self._parts.move_to_end(part_id)
-            else:
-                self._parts[part_id] = tokens
-                self._tokens += tokens
-        while self._tokens > self._max_tokens and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
-
-
 @attrs.define(eq=False)
 class Engine:
     """One incarnation of an engine as this gateway knows it; times are in the time of the node's timers."""
--- a/pipitlink/router/engine_registry.py
+++ b/pipitlink/router/engine_registry.py
@@ -10,7 +10,8 @@
 from ..context import Context
 from ..timers import ZERO, ms, secs
 from ..wire.membership_pb2 import EngineList, EngineUpdate
-from .engine import Engine, EngineStatus, PrefixCache
+from .engine import Engine, EngineStatus
+from .prefix_cache import PrefixCacheMemory
 
 __all__ = ["EngineRegistry", "EngineSlot"]
 
@@ -73,6 +74,7 @@
         self._capacity_waiters: list[defer.Deferred[None]] = []
         self._gone_listeners: list[Callable[[Engine], None]] = []
         self._gone_at: dict[str, timedelta] = {}
+        self._prefix_caches = PrefixCacheMemory(ctx.client_memory)
         self._checked_at = ctx.timers.now()
         self._resumed_at = ZERO
 
@@ -132,7 +134,7 @@
             return
         own_update = EngineUpdate()
         own_update.CopyFrom(update)
-        prefix_cache = PrefixCache(self._prefix_cache_tokens(update.pool))
+        prefix_cache = self._prefix_caches.create(self._prefix_cache_tokens(update.pool))
         engine = Engine(own_update, updated_at, updated_at + ms(update.slow_start_ms), prefix_cache)
         engine.last_bytes_at = now
         self._engines[name] = engine
@@ -166,6 +168,7 @@
         if self._engines.pop(engine.name, None) is None:
             return
         self._pools[engine.update.pool].remove(engine)
+        engine.prefix_cache.close()
         self._ctx.logger.info("engine_status_changed", engine=engine.name, state=EngineStatus.GONE.value)
         engine.update.state = EngineStatus.GONE.value
         self._gone_at[engine.name] = self._ctx.timers.now()
--- a/tests/test_abusive_input.py
+++ b/tests/test_abusive_input.py
@@ -23,6 +23,23 @@
 PARTS_HEADER_BYTES = 14_000
 
 
+class PromptParts(AbuseCase):
+    """Names of prompt parts, which a gateway remembers for each engine."""
+
+    def test_many_parts_without_tokens(self):
+        async def abuse(scenario):
+            await asyncio.gather(*(self.send_parts(scenario, number) for number in range(SENDERS)))
+
+        self.play(abuse)
+
+    async def send_parts(self, scenario, sender):
+        for number in range(REQUESTS_OF_SENDER):
+            names = (f"{sender:x}{number:x}{part:x}:0" for part in itertools.count())
+            parts = list(itertools.islice(names, PARTS_HEADER_BYTES // 9))
+            headers = {"Pipitlink-Prompt-Prefix": ",".join(parts)}
+            await scenario.exchange("POST", "/read/parts", b"x", f"parts-{sender}-{number}", headers)
+
+
 class AllAddresses(AbuseCase):
     """Clients of all addresses of a process at once, which share its descriptors."""
 
