Take absurdly large numbers in headers of clients for malformed ones

What callers saw: while a request that states a prompt of 10^400 tokens waited for its first byte, every other request to that engine's service ended with 500.

Cause: the number was added to the tokens that the engine has to read, and the cost of the engine, a float, overflowed for all requests that considered it. Numbers of more than 4300 digits, and deadlines beyond what a time can express, ended their own request with 500.

Change: a number of more than 15 digits counts as malformed, as batches have it; deadlines are capped.

Result: test_prompt_headers.StatedNumbers: on the base the second request never reached the engine (1 != 2), and four headers with 400 or 5000 digits ended with an error; all pass now.

--- a/pipitlink/router/call.py
+++ b/pipitlink/router/call.py
@@ -29,11 +29,14 @@
     "ResponseSink",
     "end_to_end_headers",
     "parse_prompt_parts",
+    "parse_whole_number",
     "weighted_pools",
 ]
 
 Header = tuple[bytes, bytes]
 
+MAX_DIGITS = 15
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -90,13 +93,22 @@
         """Receives a part of the body."""
 
 
+def parse_whole_number(text: str | bytes | None) -> int | None:
+    """Returns the number that a client states in a header, or None if it is missing, malformed or absurdly large."""
+    if text is None:
+        return None
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS else None
+
+
 def parse_prompt_parts(value: bytes | None) -> list[PromptPart]:
     """Parses the parts of a prompt, ID:TOKENS separated by commas, in order; skips those that are malformed."""
     parts = []
     for item in (value or b"").decode("ascii", "replace").split(","):
-        part_id, _, tokens = item.strip().rpartition(":")
-        if part_id and tokens.isdigit():
-            parts.append(PromptPart(part_id, int(tokens)))
+        part_id, _, text = item.strip().rpartition(":")
+        tokens = parse_whole_number(text)
+        if part_id and tokens is not None:
+            parts.append(PromptPart(part_id, tokens))
     return parts
 
 
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -19,7 +19,7 @@
 from ..timers import ms
 from ..wire.cluster_pb2 import Bounds, Route
 from .batch_api import BatchApi, Submission
-from .call import Call, CallPhase, end_to_end_headers, parse_prompt_parts
+from .call import Call, CallPhase, end_to_end_headers, parse_prompt_parts, parse_whole_number
 from .call_relay import CallRelay
 from .http_response import HttpResponse
 from .inbound_request import ClientChannelFactory, InboundRequest
@@ -38,6 +38,8 @@
 BATCH_BODY_COST = 8
 # The approximate time after its start at which a gateway has received its cluster state.
 STARTUP_TIME = ms(600)
+# Batches may ask for more time than their routes give.
+MAX_DEADLINE_MS = 366 * 24 * 3600 * 1000
 MIN_RETRY_AFTER_S = 0.2
 RETRY_AFTER_JITTER_S = 0.2
 # How long after the end of a drain its last responses may take to be sent.
@@ -207,10 +209,10 @@
     def _deadline(self, request: InboundRequest, route: Route, started_at: timedelta) -> timedelta:
         """Returns the deadline of a request; its header may shorten the route's, and for batches also extend it."""
         deadline = started_at + ms(route.deadline_ms)
-        requested_ms = request.header(self._ctx.dialect.deadline_ms)
-        if requested_ms is None or not requested_ms.strip().isdigit():
+        requested_ms = parse_whole_number(request.header(self._ctx.dialect.deadline_ms))
+        if requested_ms is None:
             return deadline
-        requested = started_at + ms(int(requested_ms))
+        requested = started_at + ms(min(requested_ms, MAX_DEADLINE_MS))
         return requested if route.kind == RouteKind.BATCH else min(deadline, requested)
 
     def _make_call(
@@ -219,7 +221,6 @@
         dialect = self._ctx.dialect
         received = ((name, value) for name, values in request.requestHeaders.getAllRawHeaders() for value in values)
         headers = end_to_end_headers(received, kept=(b"host", dialect.request_id))
-        last_event = (request.header(dialect.event_id) or b"").strip()
         token_counts = (request.header(dialect.token_counts) or b"").split(b",")
         return Call(
             id=call_id,
@@ -233,8 +234,8 @@
             is_idempotent=route.kind == RouteKind.IDEMPOTENT,
             is_resumable=route.kind == RouteKind.STREAMING and route.resumable,
             prompt_parts=parse_prompt_parts(request.header(dialect.prompt_parts)),
-            token_count=sum(int(count) for count in token_counts if count.strip().isdigit()),
-            last_event=int(last_event) if last_event.isdigit() else 0,
+            token_count=sum(parse_whole_number(count) or 0 for count in token_counts),
+            last_event=parse_whole_number(request.header(dialect.event_id)) or 0,
             timings=PhaseTimings(self._ctx.timers, request.started_at),
         )
 
--- a/tests/test_prompt_headers.py
+++ b/tests/test_prompt_headers.py
@@ -3,11 +3,14 @@
 import unittest
 
 from pipitlink.client_memory import ClientMemory
-from pipitlink.router.call import PromptPart
+from pipitlink.router.call import PromptPart, parse_prompt_parts, parse_whole_number
 from pipitlink.router.prefix_cache import PART_BYTES, PrefixCacheMemory
 
 from .router_builders import RouterHarness, route
 
+ABSURD_NUMBER = "9" * 400
+UNPARSABLE_NUMBER = "9" * 5000
+
 
 class PrefixCaches(unittest.TestCase):
     def setUp(self):
@@ -54,5 +57,29 @@
         self.assertEqual(harness.ctx.client_memory.held_bytes, 0)
 
 
+class StatedNumbers(unittest.TestCase):
+    def test_absurd_numbers_count_as_malformed(self):
+        for text in (ABSURD_NUMBER, UNPARSABLE_NUMBER, "\u00b2", "-1", "", None):
+            self.assertIsNone(parse_whole_number(text))
+        self.assertEqual(parse_whole_number(b" 12 "), 12)
+        self.assertEqual(parse_prompt_parts(f"a:{ABSURD_NUMBER},b:2".encode()), [PromptPart("b", 2)])
+
+    def test_a_prompt_of_absurd_length_does_not_keep_others_from_its_engine(self):
+        harness = RouterHarness([route("o", "/once/", kind="mutating")])
+        harness.announce_engine("e1", capacity=100)
+        harness.send_request(call_id="c1", path="/once/x", headers=[f"X-Prompt-Parts: a:1,b:{ABSURD_NUMBER}"])
+        harness.send_request(call_id="c2", path="/once/x")
+        self.assertEqual(len(harness.take_engine_requests()), 2)
+
+    def test_absurd_headers_are_no_error_of_the_gateway(self):
+        for name in ("X-Prompt-Parts", "X-Token-Counts", "X-Deadline-Ms", "Last-Event-Id"):
+            for number in (ABSURD_NUMBER, UNPARSABLE_NUMBER, "9" * 15):
+                with self.subTest(name=name, digits=len(number)):
+                    harness = RouterHarness([route("o", "/once/", kind="mutating")])
+                    harness.announce_engine("e1", capacity=100)
+                    harness.send_request(call_id="c1", path="/once/x", headers=[f"{name}: {number}"])
+                    self.assertEqual(len(harness.take_engine_requests()), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
