Bound JSON bodies and the values in them by the memory for clients

What operators saw: one configuration of 8 MiB that consists of empty lists, or three operators' bodies of 32 MiB, took a controller beyond its memory.

Cause: the limits on bodies, 8 and 32 MiB, did not follow the memory, and a body that exceeded its share was counted with the share. The values parsed from a body, some 64 bytes for 3 bytes of text, were not counted at all; only batches had a limit on them.

Change: a site's limit is lower where the memory does not hold such a body four times; values are counted before the document is parsed, from the separators outside strings, and are reserved with 128 bytes each. A document with more values than half of the large share gets 413, one without room now 503.

--- a/pipitlink/http_connection.py
+++ b/pipitlink/http_connection.py
@@ -15,7 +15,14 @@
 from .client_memory import CONNECTION_BYTES, Reservation
 from .http_connections import HttpConnections, ServerPhase
 from .http_input import HEAD_END, ReadControl, RequestInput
-from .http_refusals import HEADERS_TOO_LONG, NO_MEMORY, REQUEST_TIMEOUT, Refusal, refusal_response
+from .http_refusals import (
+    HEADERS_TOO_LONG,
+    NO_MEMORY,
+    REQUEST_TIMEOUT,
+    TOO_MANY_VALUES,
+    Refusal,
+    refusal_response,
+)
 from .timers import YIELD_DELAY
 
 __all__ = ["HttpConnection"]
@@ -241,6 +248,14 @@
         self.refuse(NO_MEMORY)
         return False
 
+    def reserve_parsed(self, size: int) -> bool:
+        """Reserves `size` more bytes for what is parsed from a body; refuses the request, also if it is too large."""
+        if size > self.connections.memory.max_request_bytes:
+            self.refuse(TOO_MANY_VALUES)
+        elif not self._held_request.try_resize(self._held_request.size + size):
+            self.refuse(NO_MEMORY)
+        return not self._is_refused
+
     @property
     def request_target(self) -> bytes:
         """The target of the request that is being received."""
--- a/pipitlink/http_refusals.py
+++ b/pipitlink/http_refusals.py
@@ -13,6 +13,7 @@
     "HEADERS_TOO_LONG",
     "NO_MEMORY",
     "REQUEST_TIMEOUT",
+    "TOO_MANY_VALUES",
     "Refusal",
     "RefusalFormat",
     "code_only_body",
@@ -37,6 +38,9 @@
     HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers_too_long", "the head of the request exceeds the limit"
 )
 BODY_TOO_LONG = Refusal(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_long", "the body exceeds the limit")
+TOO_MANY_VALUES = Refusal(
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "too_many_values", "the body contains more values than fit into the memory"
+)
 REQUEST_TIMEOUT = Refusal(HTTPStatus.REQUEST_TIMEOUT, "request_timeout", "the request did not arrive in time")
 NO_MEMORY = Refusal(
     HTTPStatus.SERVICE_UNAVAILABLE, "no_memory", "there is no memory for this request now", RETRY_AFTER_S
--- a/pipitlink/http_server.py
+++ b/pipitlink/http_server.py
@@ -15,6 +15,7 @@
 from .http_connections import HttpConnections, ServerPhase
 from .http_refusals import BODY_TOO_LONG
 from .json_api import send_error
+from .json_values import JSON_VALUE_BYTES, value_count
 from .timers import ms
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
 LISTEN_BACKLOG = 512
 # What each byte of a JSON body costs, with the values that are parsed from it.
 JSON_BODY_COST = 4
+# The values of a smaller body are not counted.
+SMALL_DOCUMENT_BYTES = 16_384
 # How long the last responses of a server that closes may take to be sent.
 FLUSH_TIMEOUT = ms(100)
 
@@ -60,12 +63,20 @@
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
         """Serves a request whose body has been received; bodies of forms are not parsed."""
+        if len(self.content.getbuffer()) > SMALL_DOCUMENT_BYTES and not self._reserve_values():
+            return
         self.content.seek(0)
         self.method, self.uri, self.clientproto = command, path, version
         self.path, _, query = path.partition(b"?")
         self.args = parse_qs(query, keep_blank_values=True) if query else {}
         self.process()
 
+    def _reserve_values(self) -> bool:
+        """Reserves memory for the values that are parsed from the body; may refuse the request."""
+        memory = self.channel.connections.memory
+        count = value_count(self.content.getvalue(), memory.max_request_bytes // JSON_VALUE_BYTES // 2)
+        return bool(self.channel.reserve_parsed(count * JSON_VALUE_BYTES))
+
     def process(self) -> None:
         """Passes the request to its resource, unless the server refuses requests."""
         if self.channel.connections.phase >= ServerPhase.REFUSING:
@@ -77,7 +88,10 @@
 
 
 class Site(server.Site):
-    """The resources of an HTTP server, with a limit on request bodies."""
+    """The resources of an HTTP server, with a limit on request bodies.
+
+    The limit is lower where the memory for clients does not suffice for such a body and its copies.
+    """
 
     protocol = HttpConnection  # type: ignore[assignment]  # Twisted declares a private wrapper of HTTPChannel
 
@@ -87,7 +101,7 @@
         self.connections = connections or HttpConnections()
         idle_timeout_s = self.connections.limits().idle_timeout_s
         server.Site.__init__(self, root, requestFactory=_BoundedRequest, timeout=idle_timeout_s)
-        self.max_body_bytes = max_body_bytes
+        self.max_body_bytes = min(max_body_bytes, self.connections.memory.max_request_bytes // JSON_BODY_COST)
         self.displayTracebacks = False
         self.noisy = False
 
--- /dev/null
+++ b/tests/test_abusive_documents.py
@@ -0,0 +1,60 @@
+"""Crowds that send and ask for JSON documents, which take far more memory than their text, with lowered limits."""
+
+import unittest
+
+from testbed.deployment.abusive_clients import AbuseKind, AbuseTarget, AbusiveClient
+from tests.abuse_scenario import BYTES_PER_MB, AbuseCase
+
+CONTROL_BODY_BYTES = 8 * BYTES_PER_MB
+SMALLER_BODY_BYTES = 3_000_000
+OPERATOR_BODY_BYTES = 32 * BYTES_PER_MB
+
+
+def document_of_many_values(size):
+    """Returns a JSON object of a size in bytes that consists of empty lists."""
+    return b'{"routes":[' + b"[]," * (size // 3 - 10) + b"[]]}"
+
+
+class Documents(AbuseCase):
+    """JSON documents whose values take far more memory than their text."""
+
+    def test_documents_of_many_values_at_the_control_address(self):
+        async def abuse(scenario):
+            body = document_of_many_values(CONTROL_BODY_BYTES)
+            target = AbuseTarget(
+                scenario.controller.control_address, "PUT", "/config", {"Host": "node", "If-Match": "0"}, body
+            )
+            await scenario.abuse(AbuseKind.WHOLE_BODY, target, 3)
+            self.assertTrue(await scenario.is_alive(target.address, "/config"))
+
+        self.play(abuse)
+
+    def test_documents_of_many_values_in_bodies_that_fit(self):
+        async def abuse(scenario):
+            body = document_of_many_values(SMALLER_BODY_BYTES)
+            target = AbuseTarget(
+                scenario.controller.control_address, "PUT", "/config", {"Host": "node", "If-Match": "0"}, body
+            )
+            await scenario.abuse(AbuseKind.WHOLE_BODY, target, 3)
+            self.assertTrue(await scenario.is_alive(target.address, "/config"))
+
+        self.play(abuse)
+
+    def test_large_documents_at_the_operators_port_of_each_role(self):
+        async def abuse(scenario):
+            body = b'{"rows":"' + b"r" * (OPERATOR_BODY_BYTES - 20) + b'"}'
+            clients = [
+                AbusiveClient(
+                    AbuseKind.WHOLE_BODY,
+                    AbuseTarget(machine.operator_address, "PUT", "/v1/table", {"Host": "node", "If-Match": "0"}, body),
+                )
+                for machine in (scenario.gateway, scenario.controller, scenario.storage)
+                for _ in range(3)
+            ]
+            await scenario.abuse_all(clients)
+
+        self.play(abuse)
+
+
+if __name__ == "__main__":
+    unittest.main()
