Refuse large JSON responses for which there is no memory

What operators saw: a controller went beyond its memory while 300 clients asked for a configuration of 800 kB and did not read it.

Cause: the servers for JSON documents counted a response once it was written, without a look at the room; responses that became ready in one turn of the reactor were all written.

The unit test shows it each time: on the base 40 responses of 500 kB are written into a limit of 8 MB.

--- a/pipitlink/http_server.py
+++ b/pipitlink/http_server.py
@@ -13,7 +13,7 @@
 from .errors import ServiceUnavailable
 from .http_connection import HttpConnection
 from .http_connections import HttpConnections, ServerPhase
-from .http_refusals import BODY_TOO_LONG
+from .http_refusals import BODY_TOO_LONG, NO_MEMORY
 from .json_api import send_error
 from .json_values import JSON_VALUE_BYTES, value_count
 from .timers import ms
@@ -86,6 +86,18 @@
             return
         server.Request.process(self)
 
+    def write(self, data: bytes) -> None:
+        """Writes a response, or an error in its place if there is no memory for it."""
+        if self.startedWriting or self.channel is None or self.channel.has_room_for_response(len(data)):
+            server.Request.write(self, data)
+            return
+        error = ServiceUnavailable(
+            "no memory for the response", code=NO_MEMORY.code, retry_after=NO_MEMORY.retry_after_s
+        )
+        refusal = send_error(self, error)
+        self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % len(refusal)])
+        server.Request.write(self, refusal)
+
 
 class Site(server.Site):
     """The resources of an HTTP server, with a limit on request bodies.
--- a/tests/test_abusive_documents.py
+++ b/tests/test_abusive_documents.py
@@ -8,6 +8,7 @@
 CONTROL_BODY_BYTES = 8 * BYTES_PER_MB
 SMALLER_BODY_BYTES = 3_000_000
 OPERATOR_BODY_BYTES = 32 * BYTES_PER_MB
+CONFIG_PADDING_BYTES = 600_000
 
 
 def document_of_many_values(size):
@@ -55,6 +56,15 @@
 
         self.play(abuse)
 
+    def test_a_configuration_that_is_not_read(self):
+        async def abuse(scenario):
+            await scenario.hand_in_large_config(CONFIG_PADDING_BYTES)
+            headers = {"Host": "node"}
+            target = AbuseTarget(scenario.controller.control_address, "GET", "/config", headers)
+            await scenario.abuse(AbuseKind.UNREAD_RESPONSES, target, 300)
+
+        self.play(abuse)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_json_documents.py
+++ b/tests/test_json_documents.py
@@ -16,6 +16,14 @@
 MAX_BODY_BYTES = 32 * BYTES_PER_MB
 
 
+class _UnreadTransport(ClientTransport):
+    """A connection whose client reads nothing."""
+
+    @property
+    def dataBuffer(self):
+        return self.value()
+
+
 class Documents(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
@@ -35,10 +43,10 @@
 
         self.site = Site(app.resource(), MAX_BODY_BYTES, HttpConnections(self.memory))
 
-    def send(self, body=b"", method="PUT"):
+    def send(self, body=b"", method="PUT", transport_class=ClientTransport):
         channel = self.site.buildProtocol(None)
         channel.callLater = self.clock.callLater
-        transport = ClientTransport()
+        transport = transport_class()
         transport.protocol = channel
         channel.makeConnection(transport)
         head = f"{method} /document HTTP/1.1\r\nHost: n\r\nContent-Length: {len(body)}\r\n\r\n"
@@ -67,6 +75,16 @@
         self.assertEqual(self.status(self.send(body)), 200)
         self.assertEqual(self.bodies, [body])
 
+    def test_large_responses_that_are_not_taken_are_refused_beyond_the_limit(self):
+        self.response = b"r" * 500_000
+        channels = [self.send(method="GET", transport_class=_UnreadTransport) for _ in range(40)]
+        statuses = [self.status(channel) for channel in channels]
+        self.assertEqual(set(statuses), {200, 503})
+        self.assertLessEqual(self.memory.held_bytes, self.memory.limit_bytes)
+        refused = channels[statuses.index(503)].transport.value()
+        self.assertIn(b"Retry-After", refused)
+        self.assertIn(b"no_memory", refused)
+
     def test_the_memory_of_a_document_is_given_back(self):
         self.send(b"[" + b"1," * 20_000 + b"1]").transport.loseConnection()
         self.assertEqual(len(self.bodies), 1)
