Bound the connections of peers that have said who they are

What was seen: 1000 clients that name the right cluster and say nothing else took more descriptors than each role has.

Cause: only connections without a Hello were limited in number.

Change: AcceptedConnections, split from RpcEndpoint, bounds all connections that others have opened to the part of the descriptors that clients have. Beyond it the one that is worth least gives way: without a Hello, then without a further frame, then silent for longest, so that nodes that call outlast such a crowd.

Among connections without a Hello the oldest one still gives way, as before; they are no longer limited by memory, of which each may hold 4 KiB.

--- a/pipitlink/client_memory.py
+++ b/pipitlink/client_memory.py
@@ -34,6 +34,8 @@
 """The descriptors that a process needs for files."""
 
 CLIENT_DESCRIPTOR_FRACTION = 0.4
+"""The part of the other descriptors that clients may have, and also the part that other nodes may have."""
+
 SIDE_SERVER_FRACTION = 0.125
 """The part of the connections that a server other than the one for clients may have."""
 
@@ -91,6 +93,7 @@
         by_memory = int(self.limit_bytes * CONNECTION_FRACTION) // CONNECTION_BYTES
         by_descriptors = int((max_descriptors - FILE_DESCRIPTORS) * CLIENT_DESCRIPTOR_FRACTION)
         self.max_connections = max(MIN_CONNECTIONS, min(by_memory, by_descriptors))
+        self.max_peer_connections = max(MIN_CONNECTIONS, by_descriptors)
         self.max_side_connections = max(MIN_CONNECTIONS, int(self.max_connections * SIDE_SERVER_FRACTION))
         self.now_s = now_s
         self.held_bytes = 0
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -81,7 +81,8 @@
     """A connection to one peer, with one task that processes its frames in order.
 
     The first frame of each side is its Hello. `ready` fires with the connection once the peer's Hello is accepted, and
-    fails with WireError if the Hello is rejected or the connection is lost first.
+    fails with WireError if the Hello is rejected or the connection is lost first. `is_identified` tells whether the
+    Hello is accepted, `is_used` whether the peer has sent another frame since.
     """
 
     def __init__(self, rpc: RpcEndpoint) -> None:
@@ -89,6 +90,9 @@
         self._assembler = FrameAssembler(MAX_HELLO_BYTES)
         self._held = Reservation(rpc.client_memory)
         self.peer = Hello()
+        self.is_identified = False
+        self.is_used = False
+        self.last_received_at = rpc.now()
         self.closed = False
         self.ready: defer.Deferred[RpcConnection] = defer.Deferred(lambda _: None)
         self._inbound_frames: list[bytes] = []
@@ -116,6 +120,7 @@
         """Receives bytes from the peer; any bytes show that the connection is not stalled."""
         self._unacknowledged_since = None
         self._unanswered_bytes = 0
+        self.last_received_at = self._rpc.now()
         try:
             for frame in self._assembler.feed(data):
                 self.stringReceived(frame)
@@ -217,10 +222,12 @@
         self.peer.ParseFromString(data)
         self._rpc.validate_hello(self.peer)
         self._assembler.max_frame_bytes = MAX_FRAME_BYTES
+        self.is_identified = True
         self._rpc.handshake_done(self)
         self.ready.callback(self)
 
     def _handle_frame(self, frame: Frame) -> None:
+        self.is_used = True
         if frame.response:
             self._resolve_call(frame)
         elif not frame.call_id:
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -23,6 +23,7 @@
 )
 from ..timers import SingleFlight, Timers, ms, secs, spawn
 from ..traffic import TrafficCounter
+from .accepted_connections import AcceptedConnections
 from .connection import PROTOCOL_VERSION, Notification, RpcConnection, RpcConnectionFactory
 from .frame_pb2 import Empty, Hello
 
@@ -110,11 +111,7 @@
         self.zone_of: Callable[[str], str] = _unknown_zone
         self._handlers: dict[str, _Handler] = {}
         self._connections: dict[Address, RpcConnection] = {}
-        self._accepted: set[RpcConnection] = set()
-        # Accepted connections whose Hello has not come yet, oldest first.
-        self._unidentified: dict[RpcConnection, None] = {}
-        # Those of them that were dropped and are not closed yet.
-        self._dropped: set[RpcConnection] = set()
+        self._accepted = AcceptedConnections(self.client_memory.max_peer_connections, MAX_CLOSING_CONNECTIONS)
         self._connecting: SingleFlight[Address, RpcConnection] = SingleFlight()
         self._listening_port: ListeningPort | None = None
 
@@ -268,23 +265,12 @@
 
     def may_accept(self) -> bool:
         """Returns whether a further peer may connect before the connections that were dropped are closed."""
-        unidentified = len(self._unidentified) + len(self._dropped)
-        return unidentified < self.client_memory.max_connections + MAX_CLOSING_CONNECTIONS
+        return self._accepted.may_add()
 
     def connection_opened(self, connection: RpcConnection) -> None:
         """Is called for each connection opened by a peer, whose Hello must come soon."""
         self._accepted.add(connection)
-        self._unidentified[connection] = None
-        if len(self._unidentified) > self.client_memory.max_connections:
-            self._drop_unidentified(next(iter(self._unidentified)))
-        self._timers.call_later(HELLO_TIMEOUT, self._drop_unidentified, connection)
-
-    def _drop_unidentified(self, connection: RpcConnection) -> None:
-        if connection in self._unidentified:
-            del self._unidentified[connection]
-            self._dropped.add(connection)
-            if connection.transport is not None:
-                connection.tcp.abortConnection()
+        self._timers.call_later(HELLO_TIMEOUT, self._accepted.drop_unidentified, connection)
 
     def handshake_done(self, connection: RpcConnection) -> None:
         """Is called once the peer's Hello is accepted; makes calls use a connection that a listening peer opened.
@@ -292,7 +278,6 @@
         A pair of nodes therefore needs only one connection. If another node is now at the same address, its connection
         replaces the earlier one.
         """
-        self._unidentified.pop(connection, None)
         peer = connection.peer
         address = peer.host, peer.port
         current = self._connections.get(address)
@@ -302,9 +287,7 @@
 
     def connection_closed(self, connection: RpcConnection) -> None:
         """Is called when a connection is lost or dropped; no further call uses it."""
-        self._accepted.discard(connection)
-        self._unidentified.pop(connection, None)
-        self._dropped.discard(connection)
+        self._accepted.remove(connection)
         for address, current in list(self._connections.items()):
             if current is connection:
                 del self._connections[address]
