Pause peers whose frames find no memory; count frames until they are handled

What was seen: 20 connections that name the right cluster and stop one byte short of a frame of 8 MiB took each role beyond its memory, and ordinary requests got no answer.

Cause: frames of peers were counted but never refused, and only until they were complete; calls in progress were not counted.

Change: a connection that holds more than 64 KiB while the memory for clients is full is paused. It reads on once there is room; a frame that still has none after 2 s is given up with its connection (frame_given_up), so that others complete. Frames count until they are handled.

The three unit tests are new.

--- a/pipitlink/client_memory.py
+++ b/pipitlink/client_memory.py
@@ -6,7 +6,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
-__all__ = ["BYTES_PER_MB", "CONNECTION_BYTES", "MAX_CLOSING_CONNECTIONS", "ClientMemory", "MemoryHolder", "Reservation"]
+__all__ = [
+    "BYTES_PER_MB",
+    "CONNECTION_BYTES",
+    "MAX_CLOSING_CONNECTIONS",
+    "SMALL_BYTES",
+    "ClientMemory",
+    "MemoryHolder",
+    "Reservation",
+]
 
 BYTES_PER_MB = 1024 * 1024
 PROCESS_MB = 64
@@ -137,6 +145,12 @@
             return False
         return True
 
+    def is_full(self) -> bool:
+        """Returns whether no more bytes fit; may evict clients."""
+        if self.held_bytes >= self.limit_bytes:
+            self._relieve()
+        return self.held_bytes >= self.limit_bytes
+
     def count_batch(self, size: int) -> None:
         """Counts bytes of batches that are kept until their end, or given back if `size` is negative."""
         self.batch_bytes += size
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -9,9 +9,9 @@
 from twisted.internet import defer, protocol
 from twisted.protocols.basic import Int32StringReceiver
 
-from ..client_memory import Reservation
+from ..client_memory import SMALL_BYTES, Reservation
 from ..errors import ConnectionFailed, PipitlinkError, WireError
-from ..timers import secs, spawn
+from ..timers import ms, secs, spawn
 from .compression import compress_body, decompress_body
 from .frame_assembler import FrameAssembler
 from .frame_pb2 import Frame, Hello
@@ -38,6 +38,9 @@
 # The method under which the traffic counter counts the first frame of each side.
 HELLO_TRAFFIC_LABEL = "hello"
 STALL_TIMEOUT = secs(1)
+# How often a connection that waits for memory looks for it, and how often before its frame is given up.
+MEMORY_RETRY_INTERVAL = ms(50)
+MAX_MEMORY_RETRIES = 40
 MIN_LINK_BYTES_PER_S = 512 * 1024
 
 
@@ -96,7 +99,10 @@
         self.closed = False
         self.ready: defer.Deferred[RpcConnection] = defer.Deferred(lambda _: None)
         self._inbound_frames: list[bytes] = []
+        self._inbound_bytes = 0
         self._reader_wakeup: defer.Deferred[None] | None = None
+        self._is_queue_full = False
+        self._is_waiting_for_memory = False
         self._reading_paused = False
         self._running_calls = 0
         self._pending_calls: dict[int, defer.Deferred[Frame]] = {}
@@ -127,16 +133,51 @@
         except WireError as error:
             self._rpc.logger.warning("frame_too_long", text=error, peer=self.peer.node)
             self.tcp.abortConnection()
-        self._held.resize(len(self._assembler))
+        self._count_held()
 
     def stringReceived(self, data: bytes) -> None:  # noqa: N802 - twisted's interface
         """Queues a frame, and pauses reading if too many frames are queued or being handled."""
         self._inbound_frames.append(data)
-        if self._inbound_count() >= MAX_INBOUND_FRAMES and not self._reading_paused:
-            self._reading_paused = True
-            self.tcp.pauseProducing()
+        self._inbound_bytes += len(data)
+        if self._inbound_count() >= MAX_INBOUND_FRAMES:
+            self._is_queue_full = True
+            self._update_reading()
         self._wake_reader()
 
+    def _update_reading(self) -> None:
+        is_paused = self._is_queue_full or self._is_waiting_for_memory
+        if is_paused == self._reading_paused or self.closed:
+            return
+        self._reading_paused = is_paused
+        if is_paused:
+            self.tcp.pauseProducing()
+        else:
+            self.tcp.resumeProducing()
+
+    def _count_held(self) -> None:
+        """Counts frames that are not complete or not handled; without memory for more of them, pauses reading."""
+        if self.closed:
+            return
+        self._held.resize(len(self._assembler) + self._inbound_bytes)
+        if self._held.size > SMALL_BYTES and not self._is_waiting_for_memory and self._rpc.client_memory.is_full():
+            self._is_waiting_for_memory = True
+            self._update_reading()
+            self._rpc.call_later(MEMORY_RETRY_INTERVAL, self._retry_reading, MAX_MEMORY_RETRIES)
+
+    def _retry_reading(self, retries: int) -> None:
+        """Reads on once there is memory; gives up a frame that is not complete if there is none for too long."""
+        if self.closed:
+            return
+        if self._rpc.client_memory.is_full() and len(self._assembler):
+            if retries:
+                self._rpc.call_later(MEMORY_RETRY_INTERVAL, self._retry_reading, retries - 1)
+                return
+            self._rpc.logger.warning("frame_given_up", peer=self.peer.node, bytes=len(self._assembler))
+            self.tcp.abortConnection()
+            return
+        self._is_waiting_for_memory = False
+        self._update_reading()
+
     def connectionLost(  # noqa: N802 - twisted's interface
         self,
         reason: Failure = protocol.connectionDone,  # noqa: ARG002 - twisted's interface
@@ -189,8 +230,9 @@
             if hello is None:
                 return
             self._accept_hello(hello)
+            self._frame_handled(len(hello))
             while (data := await self._next_frame()) is not None:
-                self._handle_frame(_parse_frame(data))
+                self._handle_frame(_parse_frame(data), len(data))
         except Exception as error:
             self._rpc.logger.failure("connection_rejected", error, peer=self.peer.node)
             if not self.ready.called:
@@ -205,9 +247,9 @@
             self._reader_wakeup = defer.Deferred()
             await self._reader_wakeup
         data = self._inbound_frames.pop(0)
-        if self._reading_paused and self._inbound_count() < MAX_INBOUND_FRAMES // 2 and not self.closed:
-            self._reading_paused = False
-            self.tcp.resumeProducing()
+        if self._is_queue_full and self._inbound_count() < MAX_INBOUND_FRAMES // 2:
+            self._is_queue_full = False
+            self._update_reading()
         return data
 
     def _inbound_count(self) -> int:
@@ -226,16 +268,23 @@
         self._rpc.handshake_done(self)
         self.ready.callback(self)
 
-    def _handle_frame(self, frame: Frame) -> None:
+    def _handle_frame(self, frame: Frame, size: int) -> None:
         self.is_used = True
+        if frame.call_id and not frame.response and self._running_calls < MAX_CONCURRENT_CALLS:
+            spawn(self._handle_call(frame, size))
+            return
         if frame.response:
             self._resolve_call(frame)
         elif not frame.call_id:
             self._handle_notification(frame)
-        elif self._running_calls >= MAX_CONCURRENT_CALLS:
-            self._reject_call(frame)
         else:
-            spawn(self._handle_call(frame))
+            self._reject_call(frame)
+        self._frame_handled(size)
+
+    def _frame_handled(self, size: int) -> None:
+        self._inbound_bytes -= size
+        if self._held.size > SMALL_BYTES:
+            self._count_held()
 
     def _resolve_call(self, frame: Frame) -> None:
         pending_call = self._pending_calls.pop(frame.call_id, None)
@@ -253,7 +302,7 @@
         )
         self._send(frame.method, response)
 
-    async def _handle_call(self, frame: Frame) -> None:
+    async def _handle_call(self, frame: Frame, size: int) -> None:
         self._running_calls += 1
         response = Frame(call_id=frame.call_id, response=True)
         try:
@@ -266,6 +315,7 @@
                 self._rpc.logger.failure("call_failed", error, method=frame.method)
         finally:
             self._running_calls -= 1
+            self._frame_handled(size)
         self._send(frame.method, response)
 
     def _forget_call(self, call_id: int) -> None:
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -132,6 +132,10 @@
         """Returns the monotonic time of this node's timers."""
         return self._timers.now()
 
+    def call_later(self, delay: timedelta, function: Callable[..., object], *arguments: object) -> None:
+        """Calls a function after a delay, on this node's timers."""
+        self._timers.call_later(delay, function, *arguments)
+
     def is_in_other_zone(self, node: str) -> bool:
         """Returns whether a peer is known to be in a different zone than this node."""
         zones = {self.zone_of(node), self.zone_of(self.node)}
--- a/tests/test_rpc_notifications.py
+++ b/tests/test_rpc_notifications.py
@@ -1,7 +1,9 @@
 """Notifications between RPC endpoints, and one connection for both directions, on in-memory transports."""
 
+import struct
 import unittest
 
+from twisted.internet import defer
 from twisted.internet.address import IPv4Address
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
@@ -113,6 +115,44 @@
         self.pump.flush()
         self.assertIs(self.endpoints[1]._connections[address], server)
 
+    def fill_memory(self):
+        memory = self.endpoints[1].client_memory
+        memory.count(memory.limit_bytes)
+        return memory
+
+    def begin_frame(self):
+        """Lets the first endpoint send a frame of 1 MB without its end; returns the server's side."""
+        server = self.connections[1]
+        server.dataReceived(struct.pack("!I", 1_000_000) + b"f" * 100_000)
+        return server
+
+    def test_a_frame_waits_while_there_is_no_memory_for_its_rest(self):
+        memory = self.fill_memory()
+        server = self.begin_frame()
+        self.assertTrue(server._reading_paused)
+        memory.count(-memory.limit_bytes)
+        self.endpoints[1]._timers._reactor.advance(0.1)
+        self.assertFalse(server._reading_paused)
+        self.assertFalse(server.closed)
+
+    def test_a_frame_is_given_up_if_there_is_no_memory_for_long(self):
+        memory = self.fill_memory()
+        server = self.begin_frame()
+        for _ in range(50):
+            self.endpoints[1]._timers._reactor.advance(0.1)
+            self.pump.flush()
+        self.assertTrue(server.closed)
+        self.assertEqual(memory.held_bytes, memory.limit_bytes)
+
+    def test_frames_are_counted_until_they_are_handled(self):
+        memory, waiting = self.endpoints[1].client_memory, defer.Deferred()
+        self.endpoints[1].register_handler("wait", Loads, lambda node, loads: waiting)
+        self.connections[0].call("wait", Loads(gateway="g" * 100_000).SerializeToString())
+        self.pump.flush()
+        self.assertGreater(memory.held_bytes, 100_000)
+        waiting.callback(None)
+        self.assertEqual(memory.held_bytes, 0)
+
     def test_a_notification_without_an_open_connection_opens_one(self):
         self.endpoints[0].notify([("h", 9)], "engines.loads", Loads(gateway="one"))
         (opened,) = self.endpoints[0]._reactor.tcpClients
