Bound the ids of refused requests that a connection to an engine remembers

What would be seen: with ids as long as a head, 64 refused requests keep 1 MB for each connection to an engine. Found by reading; not shown with processes.

Cause: the ids were bounded by their number, not by their length.

Change: a connection that remembers more than 4 KiB of ids closes after its response, as one that remembers more than 64 ids does.

Result: the test fails on the base, where the connection with an id of 5000 bytes stays open.

--- a/pipitlink/router/engine_connection.py
+++ b/pipitlink/router/engine_connection.py
@@ -26,6 +26,8 @@
 
 DEFAULT_IDLE_TIMEOUT = secs(15)
 MAX_UNSERVED_CALLS = 64
+# Clients choose the ids of their requests.
+MAX_UNSERVED_ID_BYTES = 4096
 
 HeaderList = Sequence[tuple[bytes, bytes]]
 
@@ -103,12 +105,16 @@
     def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802 - twisted's interface
         if self._parser is not None:
             self._read_connection_headers(self._parser.connHeaders)
-        if rest or len(self.unserved_call_ids) > MAX_UNSERVED_CALLS:
+        if rest or self._has_too_many_unserved_calls():
             self.is_unusable = True
         super()._finishResponse_WAITING(rest)
 
     _finishResponse_TRANSMITTING = _finishResponse_WAITING  # noqa: N815 - twisted's interface
 
+    def _has_too_many_unserved_calls(self) -> bool:
+        ids = self.unserved_call_ids
+        return len(ids) > MAX_UNSERVED_CALLS or sum(map(len, ids)) > MAX_UNSERVED_ID_BYTES
+
     def _read_connection_headers(self, headers: Headers) -> None:
         """Reads whether the engine closes the connection, and its idle timeout."""
         if b"close" in _tokens(headers, b"connection"):
--- a/tests/test_router_live.py
+++ b/tests/test_router_live.py
@@ -103,6 +103,15 @@
         connection.dataReceived(head("c1", length=2) + b"ok")
         self.assertTrue(self.harness.client_output(client).endswith(b"ok"))
 
+    def test_a_connection_does_not_remember_long_ids_of_requests_that_were_refused(self):
+        for call_id, is_closed in (("c" * 16, False), ("c" * 5000, True)):
+            self.harness.send_request("/once/x", call_id=call_id)
+            _, connection, _ = self.harness.take_engine_request()
+            connection.dataReceived(head(call_id, "503 Busy", seal=False, more=("X-Not-Executed: 1",), length=0))
+            self.assertEqual(connection.transport.closed, is_closed)
+            self.harness.advance_ms(20)
+            self.harness.take_engine_requests()
+
     def test_a_503_without_confirmation_counts_as_executed(self):
         client = self.harness.send_request("/once/x")
         _, connection, _ = self.harness.take_engine_request()
