Bound what nodes keep of announced engines

What operators saw: announcements of engines that do not exist, each of legal size, took a controller beyond its memory; an announcement may name 900 kB of models, and one that an engine is gone has a name as long as a head.

Cause: announcements were kept until they expired, 30 or 60 s, without a limit on their size or number.

Change: an announcement has at most 16 KiB (413) and its engine's name at most 200 characters (400). Controllers and both kinds of gateways count what they keep, 2 KiB each and its bytes, up to an eighth of the memory for clients; beyond that a further engine gets 503 no_memory and those that are known are renewed. With 200 MB at a gateway that is some 3,500 engines.

--- a/pipitlink/client_memory.py
+++ b/pipitlink/client_memory.py
@@ -30,6 +30,7 @@
 
 BATCH_FRACTION = 0.5
 PREFIX_CACHE_FRACTION = 0.125
+ENGINE_FRACTION = 0.125
 RELIEVED_FRACTION = 0.5
 RELIEF_INTERVAL_S = 0.1
 CONNECTION_BYTES = 16 * 1024
@@ -122,6 +123,11 @@
         """The most that the names of prompt parts may take, which a gateway remembers for each engine."""
         return int(self.limit_bytes * PREFIX_CACHE_FRACTION)
 
+    @property
+    def max_engine_bytes(self) -> int:
+        """The most that the announcements of engines may take."""
+        return int(self.limit_bytes * ENGINE_FRACTION)
+
     def add_holder(self, holder: MemoryHolder) -> None:
         """Adds a client that may be evicted."""
         self._holders[holder] = None
--- a/pipitlink/controller/control_api.py
+++ b/pipitlink/controller/control_api.py
@@ -13,6 +13,7 @@
 from ..cluster.routes import RouteTable
 from ..context import Context
 from ..dialect.control import ControlFormat
+from ..engine_memory import MAX_ENGINE_NAME_LENGTH
 from ..errors import ApiError, BadRequest, NotFound
 from ..http_connections import HttpConnections
 from ..http_server import HttpServer, Site, listen
@@ -57,6 +58,12 @@
     return "config-" + blake2b(prefix + body, digest_size=DIGEST_BYTES).hexdigest()
 
 
+def _check_engine_name(name: str) -> None:
+    """Raises BadRequest if a name is longer than that of any engine."""
+    if len(name) > MAX_ENGINE_NAME_LENGTH:
+        raise BadRequest(f"an engine's name must have at most {MAX_ENGINE_NAME_LENGTH} characters", code="bad_field")
+
+
 def _check_config(edit: ConfigEdit) -> None:
     """Raises BadRequest if a complete configuration is not valid."""
     problems = RouteTable().with_edit(edit).validation_problems()
@@ -138,12 +145,14 @@
     @http_handler
     async def put_engine(self, request: Request, engine: str) -> bytes:
         """Handles an engine's announcement."""
+        _check_engine_name(engine)
         await self._services.announcements.announce(self._dialect.parse_engine_update(engine, read_body(request)))
         return _send_body(request, self._dialect.format_engine_response())
 
     @http_handler
     async def drop_engine(self, request: Request, engine: str) -> bytes:
         """Handles an engine's announcement that it is gone."""
+        _check_engine_name(engine)
         update = EngineUpdate(engine=engine, incarnation=1, state=EngineState.GONE)
         await self._services.announcements.announce(update)
         return _send_body(request, self._dialect.format_engine_response())
--- a/pipitlink/controller/engine_announcements.py
+++ b/pipitlink/controller/engine_announcements.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from ..context import Context
+from ..engine_memory import EngineMemory
 from ..errors import ServiceUnavailable
+from ..http_refusals import NO_MEMORY
 from ..timers import ms
 from ..wire.membership_pb2 import EngineUpdate, Member
 from .engine_registry import AnnouncedEngine, EngineRegistry, EngineState
@@ -27,7 +29,7 @@
 
     def __init__(self, ctx: Context, leader_log: LeaderLog) -> None:
         self._ctx = ctx
-        self.registry = EngineRegistry(ctx.timers)
+        self.registry = EngineRegistry(ctx.timers, EngineMemory(ctx.client_memory))
         self._notifier = GatewayNotifier(ctx, self.registry, leader_log)
 
     def open(self) -> None:
@@ -39,7 +41,7 @@
         """Records an engine's announcement and returns once it may be acknowledged.
 
         The newest sequence wins, and draining cannot be undone. Raises ServiceUnavailable if too few gateways can be
-        reached.
+        reached, or there is no memory.
         """
         engine = self._record(update)
         if EngineState.is_final(update.state) and EngineState.is_final(engine.update.state):
@@ -50,10 +52,15 @@
             )
 
     def _record(self, update: EngineUpdate) -> AnnouncedEngine:
-        """Records an announcement unless it is outdated, and has it sent; returns the engine's record."""
+        """Records an announcement unless it is outdated, and has it sent; returns the engine's record.
+
+        Raises ServiceUnavailable if there is no memory for it.
+        """
         engine = self.registry.find(update.engine)
         if engine is not None and self._is_outdated(update, engine.update):
             return engine
+        if not self.registry.try_keep(update):
+            raise ServiceUnavailable("there is no memory for this announcement now", code=NO_MEMORY.code)
         announced_elsewhere = engine is None and self._is_renewal(update)
         if engine is None:
             engine = self.registry.add(update.engine)
--- a/pipitlink/controller/engine_registry.py
+++ b/pipitlink/controller/engine_registry.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ..engine_memory import EngineMemory
 from ..timers import Timers, secs, to_ms
 from ..wire.membership_pb2 import EngineList, EngineUpdate
 from .propagation import Propagation
@@ -44,14 +45,19 @@
 class EngineRegistry:
     """The newest announcement of each engine, removed after it has not been renewed for some time."""
 
-    def __init__(self, timers: Timers) -> None:
+    def __init__(self, timers: Timers, memory: EngineMemory) -> None:
         self._timers = timers
+        self._memory = memory
         self.engines: dict[str, AnnouncedEngine] = {}
 
     def find(self, name: str) -> AnnouncedEngine | None:
         """Returns the record of an engine, or None."""
         return self.engines.get(name)
 
+    def try_keep(self, update: EngineUpdate) -> bool:
+        """Reserves memory to keep an announcement; returns whether there is any."""
+        return self._memory.try_keep(update)
+
     def add(self, name: str) -> AnnouncedEngine:
         """Adds a record with an empty announcement and returns it."""
         engine = AnnouncedEngine(EngineUpdate(), self._timers.now())
@@ -77,3 +83,4 @@
             expiry = GONE_EXPIRY if engine.update.state == EngineState.GONE else EXPIRY
             if now - engine.received_at > expiry:
                 del self.engines[name]
+                self._memory.forget(name)
--- a/pipitlink/dialect/control.py
+++ b/pipitlink/dialect/control.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any, NamedTuple
 
+from ..engine_memory import MAX_ENGINE_UPDATE_BYTES
 from ..errors import BadRequest
 from ..wire.cluster_pb2 import Bounds, Config, ConfigEdit, Pool, PoolShare, Route
 from ..wire.membership_pb2 import EngineUpdate
@@ -184,6 +185,10 @@
             raise _bad_field(f"state must be one of {', '.join(self.engine_states)}", "state")
         update.state = self.engine_states[state]
         update.models.extend(self.parse_models(document.get(self.models_key) or []))
+        if update.ByteSize() > MAX_ENGINE_UPDATE_BYTES:
+            raise BadRequest(
+                f"an announcement must have at most {MAX_ENGINE_UPDATE_BYTES} bytes", code="bad_field", status=413
+            )
         return update
 
     def parse_models(self, raw: Any) -> list[str]:
--- a/pipitlink/gateway/engine_registry.py
+++ b/pipitlink/gateway/engine_registry.py
@@ -6,6 +6,9 @@
 from datetime import timedelta
 
 from ..context import Context
+from ..engine_memory import EngineMemory
+from ..errors import ServiceUnavailable
+from ..http_refusals import NO_MEMORY
 from ..timers import ZERO, ms, secs, spawn, to_ms
 from ..wire.frame_pb2 import Empty
 from ..wire.membership_pb2 import EngineList, EngineUpdate, Gossip
@@ -33,6 +36,7 @@
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._engines: dict[str, Engine] = {}
+        self._memory = EngineMemory(ctx.client_memory)
         self._new_engine_listeners: list[Callable[[], None]] = []
         self._checked_at = ctx.timers.now()
         self._resumed_at = ZERO
@@ -59,9 +63,14 @@
         return self._engines.get(name)
 
     def announce(self, update: EngineUpdate) -> None:
-        """Merges an engine's own announcement, and pushes it to the other gateways."""
+        """Merges an engine's own announcement, and pushes it to the other gateways.
+
+        Raises ServiceUnavailable if there is no memory for it.
+        """
         update.age_ms = 0
         self.merge(update)
+        if update.engine not in self._engines:
+            raise ServiceUnavailable("there is no memory for this announcement now", code=NO_MEMORY.code)
         self._push(EngineList(engines=[self._engines[update.engine].update]))
 
     def merge(self, update: EngineUpdate) -> None:
@@ -107,6 +116,7 @@
         for name, engine in list(self._engines.items()):
             if now - engine.updated_at > ENGINE_RETENTION and not engine.local_requests:
                 del self._engines[name]
+                self._memory.forget(name)
 
     def _push(self, engines: EngineList) -> None:
         for member in self._ctx.membership.members("gateway", include_self=False):
@@ -139,6 +149,9 @@
         return self._resumed_at > ZERO and now - self._resumed_at < RESUME_GRACE
 
     def _add_incarnation(self, update: EngineUpdate, updated_at: timedelta, previous: Engine | None) -> None:
+        if not self._memory.try_keep(update):
+            self._ctx.logger.debug("engine_ignored", engine=update.engine, text="no memory for its announcement")
+            return
         stored = EngineUpdate()
         stored.CopyFrom(update)
         engine = Engine(stored, updated_at, self._ctx.timers.now())
--- a/pipitlink/gateway/request_bodies.py
+++ b/pipitlink/gateway/request_bodies.py
@@ -103,6 +103,11 @@
     idempotency_key: str = attrs.field(default="", validator=_sized(MAX_NAME_LENGTH))
 
 
+def _model_names(_: Any, __: "attrs.Attribute[Any]", value: list[str]) -> None:
+    if len(value) > MAX_ENGINE_MODELS or any(len(name) > MAX_NAME_LENGTH for name in value):
+        raise ValueError(f"must have at most {MAX_ENGINE_MODELS} entries of {MAX_NAME_LENGTH} characters")
+
+
 def _engine_state(_: Any, __: "attrs.Attribute[Any]", value: str) -> None:
     if value not in ("ready", "leaving"):
         raise ValueError("must be 'ready' or 'leaving'")
@@ -122,7 +127,7 @@
     address: str = attrs.field(validator=_host_port)
     pool: str = attrs.field(validator=_sized(MAX_NAME_LENGTH, 1))
     zone: str = attrs.field(validator=_sized(MAX_ZONE_LENGTH, 1))
-    models: list[str] = attrs.field(factory=list, validator=_sized(MAX_ENGINE_MODELS))
+    models: list[str] = attrs.field(factory=list, validator=_model_names)
     capacity: int = attrs.field(default=1, validator=_between(1, MAX_ENGINE_CAPACITY))
     incarnation: int = attrs.field(default=1, validator=_between(0, MAX_INCARNATION))
     state: str = attrs.field(default="ready", validator=_engine_state)
--- a/pipitlink/router/engine_registry.py
+++ b/pipitlink/router/engine_registry.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 
 from ..context import Context
+from ..engine_memory import EngineMemory
 from ..timers import ZERO, ms, secs
 from ..wire.membership_pb2 import EngineList, EngineUpdate
 from .engine import Engine, EngineStatus
@@ -74,6 +75,7 @@
         self._capacity_waiters: list[defer.Deferred[None]] = []
         self._gone_listeners: list[Callable[[Engine], None]] = []
         self._gone_at: dict[str, timedelta] = {}
+        self._memory = EngineMemory(ctx.client_memory)
         self._prefix_caches = PrefixCacheMemory(ctx.client_memory)
         self._checked_at = ctx.timers.now()
         self._resumed_at = ZERO
@@ -132,6 +134,9 @@
             self._gone_at[name] = now
         if name in self._gone_at or now - updated_at > SILENCE_TIMEOUT or not name:
             return
+        if not self._memory.try_keep(update):
+            self._ctx.logger.debug("engine_ignored", engine=name, text="no memory for its announcement")
+            return
         own_update = EngineUpdate()
         own_update.CopyFrom(update)
         prefix_cache = self._prefix_caches.create(self._prefix_cache_tokens(update.pool))
@@ -169,6 +174,7 @@
             return
         self._pools[engine.update.pool].remove(engine)
         engine.prefix_cache.close()
+        self._memory.forget(engine.name)
         self._ctx.logger.info("engine_status_changed", engine=engine.name, state=EngineStatus.GONE.value)
         engine.update.state = EngineStatus.GONE.value
         self._gone_at[engine.name] = self._ctx.timers.now()
--- a/tests/abuse_scenario.py
+++ b/tests/abuse_scenario.py
@@ -139,11 +139,11 @@
         """Lets clients send for a time, and leaves their connections open."""
         await self.abuse_all([AbusiveClient(kind, target) for _ in range(count)])
 
-    async def abuse_all(self, clients):
+    async def abuse_all(self, clients, send_s=SEND_S):
         self.clients += clients
         sampling = asyncio.create_task(self._sample())
         tasks = [asyncio.create_task(client.run()) for client in clients]
-        await asyncio.wait(tasks, timeout=SEND_S)
+        await asyncio.wait(tasks, timeout=send_s)
         await asyncio.sleep(1.0)
         sampling.cancel()
         for task in tasks:
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.task import Clock
 
+from pipitlink.client_memory import ClientMemory
 from pipitlink.cluster import ClusterState
 from pipitlink.errors import ConnectionFailed
 from pipitlink.gateway.engine_candidates import EngineCandidates
@@ -84,6 +85,7 @@
         self.rpc = _Rpc(self.node, {} if network is None else network)
         self.membership, self.cluster = _Membership(self.node, gateways), _Cluster()
         self.settings = type("Settings", (), {"lot_reserve": 0.25})
+        self.client_memory = ClientMemory()
         self.engines = EngineRegistry(self)
         self.slots = EngineSlots(self, self.engines)
         self.rpc.register_handler("engines.loads", Loads, self.slots.handle_loads)
