--- a/pipitlink/http_connection.py
+++ b/pipitlink/http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from io import BytesIO
 from typing import Any, cast
 
@@ -38,7 +39,7 @@
 # What a parsed header takes beside its bytes.
 HEADER_LINE_BYTES = 256
 LARGE_WRITE_BYTES = 16_384
-# Less than this of a response, part of CONNECTION_BYTES, is not counted by itself.
+# Less than this of earlier writes that a client has not taken is part of CONNECTION_BYTES.
 UNCOUNTED_BYTES = 4096
 REFUSAL_LINGER_S = 1.0
 PROGRESS_INTERVAL_S = 1.0
@@ -360,6 +361,20 @@
     def _count_unsent(self) -> None:
         self._held.resize(CONNECTION_BYTES + len(self._input) + unsent_bytes(self.transport))
 
+    def write(self, data: bytes) -> None:
+        """Writes a part of a response."""
+        self._count_earlier_writes()
+        super().write(data)
+
+    def writeSequence(self, iovec: Iterable[bytes]) -> None:  # noqa: N802 - Twisted's interface
+        """Writes a part of a response in several pieces."""
+        self._count_earlier_writes()
+        super().writeSequence(iovec)
+
+    def _count_earlier_writes(self) -> None:
+        if unsent_bytes(self.transport) > UNCOUNTED_BYTES:
+            self._count_unsent()
+
     def pauseProducing(self) -> None:  # noqa: N802 - Twisted's interface
         """Pauses what writes responses, since the client does not read them."""
         self._count_unsent()
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -94,8 +94,13 @@
         self.harness.announce_engine("e1", capacity=100)
         self.memory = self.harness.ctx.client_memory
         self.memory.limit_bytes = LIMIT_BYTES
+        self.engine_bytes = self.memory.held_bytes
         self.other = Reservation(self.memory)
 
+    def client_bytes(self):
+        """Returns what is held for clients, beside the announcement of the engine."""
+        return self.memory.held_bytes - self.engine_bytes
+
     def fill(self, left_bytes):
         """Leaves so much room for large requests."""
         held_bytes = self.memory.held_bytes - self.other.size
@@ -126,7 +131,7 @@
         self.fill(0)
         channel = self.begin([f"Content-Length: {len(LARGE_BODY)}"], LARGE_BODY)
         channel.dataReceived(b"POST /once/y HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c2\r\n\r\n")
-        self.assertEqual(self.memory.held_bytes, self.other.size + CONNECTION_BYTES)
+        self.assertEqual(self.client_bytes(), self.other.size + CONNECTION_BYTES)
         self.assert_refused(channel, 503)
 
     def test_a_chunked_body_is_refused_once_there_is_no_room_for_its_next_step(self):
@@ -148,16 +153,16 @@
         self.assertGreater(self.memory.held_bytes, LARGE_BODY_COST)
         _, connection, _ = self.harness.take_engine_request()
         connection.dataReceived(head("c1", length=2) + b"ok")
-        self.assertEqual(self.memory.held_bytes, CONNECTION_BYTES)
+        self.assertEqual(self.client_bytes(), CONNECTION_BYTES)
         channel.transport.close()
-        self.assertEqual(self.memory.held_bytes, 0)
+        self.assertEqual(self.client_bytes(), 0)
 
     def test_nothing_is_counted_for_a_client_that_has_left_in_the_middle(self):
         for kind in (f"Content-Length: {len(LARGE_BODY)}", "Transfer-Encoding: chunked"):
             self.begin([kind], b"5\r\nhello").transport.close()
         self.harness.send_request("/once/x", body=LARGE_BODY).transport.close()
         self.harness.advance_ms(100)
-        self.assertEqual(self.memory.held_bytes, 0)
+        self.assertEqual(self.client_bytes(), 0)
 
     def test_a_client_that_sends_too_little_is_evicted_with_a_promise(self):
         channel = self.begin([f"Content-Length: {len(LARGE_BODY)}"], b"some")
@@ -262,6 +267,15 @@
         self.assertFalse(channel.has_room_for_response(LARGE_BODY_COST))
         self.assertTrue(channel.has_room_for_response(1000))
 
+    def test_a_response_in_progress_is_counted_while_it_is_not_taken(self):
+        channel = self.harness.connect_client()
+        held_bytes = self.memory.held_bytes
+        channel.transport.dataBuffer = b"u" * 30_000
+        for write in (lambda: channel.write(b"w"), lambda: channel.writeSequence([b"w", b"s"])):
+            write()
+            self.assertEqual(self.memory.held_bytes, held_bytes + 30_000)
+            channel._count_unsent()
+
     def test_bytes_of_a_request_may_arrive_one_by_one(self):
         channel = self.harness.connect_client()
         for byte in b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c1\r\nContent-Length: 3\r\n\r\nabc":
