--- a/testbed/deployment/abuse.py
+++ b/testbed/deployment/abuse.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from .abusive_clients import AbuseKind, AbuseTarget, AbusiveClient
+from .abusive_input import document_of_many_values, hello_frame
 from .balancer import Balancer
 from .configurations import HOST
 from .machines import Deployment, Machine, Role
@@ -17,12 +18,18 @@
 BODY_BYTES = 4_194_304
 HEAD_BYTES = 15_000
 FRAME_BYTES = 4_194_304
+TINY_CHUNKED_BODY_BYTES = 32_768
+DOCUMENT_BYTES = 1_000_000
+ENGINE_NAME_BYTES = 4000
+PROMPT_PARTS = 400
 DEADLINE_S = 6.0
 MAX_HOLD_S = 3.0
 MAX_PAUSE_S = 0.3
 SEND_S = 4.0
 CLIENTS_ADDRESS_SHARE = 0.75
 CONTROL_ADDRESS_SHARE = 0.5
+HELLO_SHARE = 0.5
+DOCUMENT_SHARE = 0.5
 BYTES_PER_MB = 1024 * 1024
 SAMPLE_INTERVAL_S = 0.25
 
@@ -32,8 +39,10 @@
     AbuseKind.UNFINISHED_BODY,
     AbuseKind.UNFINISHED_LARGE_CHUNKS,
     AbuseKind.UNFINISHED_SMALL_CHUNKS,
+    AbuseKind.UNFINISHED_TINY_CHUNKS,
     AbuseKind.UNFINISHED_TRAILERS,
     AbuseKind.UNFINISHED_HEAD,
+    AbuseKind.UNFINISHED_SHORT_LINES,
     AbuseKind.QUEUED_INPUT,
     AbuseKind.UNREAD_RESPONSES,
 )
@@ -55,6 +64,7 @@
         self._record = record
         self._rng = rng
         self._body = b"a" * BODY_BYTES
+        self._document = document_of_many_values(DOCUMENT_BYTES)
         self.is_stopped = False
 
     async def run(self) -> None:
@@ -76,13 +86,32 @@
         machine = self._rng.choice(list(self._deployment.machines.values()))
         if self._rng.random() < CONTROL_ADDRESS_SHARE:
             return self._client_of_operators(machine.operator_address, "/v1/live")
-        target = AbuseTarget(machine.internal_address, "", "", {}, FRAME_BYTES.to_bytes(4) + self._body[:-1])
+        return self._client_of_peers(machine.internal_address)
+
+    def _client_of_peers(self, address: str) -> AbusiveClient:
+        """Returns a client that begins a large frame, with or without a Hello before it."""
+        hello = hello_frame(f"{self._rng.getrandbits(64):016x}") if self._rng.random() < HELLO_SHARE else b""
+        target = AbuseTarget(address, "", "", {}, hello + FRAME_BYTES.to_bytes(4) + self._body[:-1])
         return AbusiveClient(self._rng.choice(INTERNAL_KINDS), target)
 
     def _client_of_operators(self, address: str, path: str) -> AbusiveClient:
+        if self._rng.random() < DOCUMENT_SHARE:
+            return self._client_with_document(address, path)
         target = AbuseTarget(address, "PUT", path, {"Host": "node"}, self._body, HEAD_BYTES)
         return AbusiveClient(self._rng.choice(CONTROL_KINDS), target)
 
+    def _client_with_document(self, address: str, path: str) -> AbusiveClient:
+        """Returns a client that sends a document of many values, or the end of an engine with a long name."""
+        headers = {"Host": "node", "If-Match": "0"}
+        if self._rng.random() < DOCUMENT_SHARE:
+            return AbusiveClient(AbuseKind.WHOLE_BODY, AbuseTarget(address, "PUT", path, headers, self._document))
+        name = f"{self._rng.getrandbits(64):016x}".ljust(ENGINE_NAME_BYTES, "n")
+        return AbusiveClient(AbuseKind.WHOLE_BODY, AbuseTarget(address, "DELETE", f"/instances/{name}", headers))
+
+    def _prompt_parts(self) -> str:
+        """Returns names of parts that nobody else uses, without tokens."""
+        return ",".join(f"{self._rng.getrandbits(64):016x}:0" for _ in range(PROMPT_PARTS))
+
     def _client_of_gateway(self, gateway: Machine) -> AbusiveClient:
         kind = self._rng.choice(CLIENT_KINDS)
         request_id = f"{self._rng.getrandbits(64):016x}"
@@ -98,7 +127,10 @@
         # Not sent, as far as the rules about ordinary clients go, but asked for, if an engine runs it.
         asked = Exchange(request_id, gateway.name, "read", RouteKind.IDEMPOTENT, path, self._body, DEADLINE_S)
         self._record.exchanges.append(asked)
-        target = AbuseTarget(gateway.public_address, "POST", path, headers, self._body, HEAD_BYTES)
+        if kind == AbuseKind.WHOLE_BODY:
+            headers["Pipitlink-Prompt-Prefix"] = self._prompt_parts()
+        size = TINY_CHUNKED_BODY_BYTES if kind == AbuseKind.UNFINISHED_TINY_CHUNKS else BODY_BYTES
+        target = AbuseTarget(gateway.public_address, "POST", path, headers, self._body[:size], HEAD_BYTES)
         return AbusiveClient(kind, target)
 
 
--- a/tests/test_abusive_documents.py
+++ b/tests/test_abusive_documents.py
@@ -4,6 +4,7 @@
 import unittest
 
 from testbed.deployment.abusive_clients import AbuseKind, AbuseTarget, AbusiveClient
+from testbed.deployment.abusive_input import document_of_many_values
 from tests.abuse_scenario import BYTES_PER_MB, AbuseCase
 
 CONTROL_BODY_BYTES = 8 * BYTES_PER_MB
@@ -15,11 +16,6 @@
 ROUND_S = 1.0
 
 
-def document_of_many_values(size):
-    """Returns a JSON object of a size in bytes that consists of empty lists."""
-    return b'{"routes":[' + b"[]," * (size // 3 - 10) + b"[]]}"
-
-
 class Documents(AbuseCase):
     """JSON documents whose values take far more memory than their text."""
 
