Count what outlasts a request by its use; metrics of each use and of peers

Cause: batches, prompt parts and engines each had their own sum, check and limit.

Change: MemoryUse names what is kept for longer than a request; the memory for clients counts each use, bounds it by its fraction and shows it as a metric. Connections that other nodes have opened, and their limit, are metrics too.

Result: limits and behaviour are the same; the unit tests of the three uses pass.

--- a/pipitlink/client_memory.py
+++ b/pipitlink/client_memory.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Protocol
 
 __all__ = [
@@ -13,6 +14,7 @@
     "SMALL_BYTES",
     "ClientMemory",
     "MemoryHolder",
+    "MemoryUse",
     "Reservation",
 ]
 
@@ -28,9 +30,6 @@
 LARGE_FRACTION = 0.75
 """The part of the limit that reservations above SMALL_BYTES may fill; the rest is left to ordinary requests."""
 
-BATCH_FRACTION = 0.5
-PREFIX_CACHE_FRACTION = 0.125
-ENGINE_FRACTION = 0.125
 RELIEVED_FRACTION = 0.5
 RELIEF_INTERVAL_S = 0.1
 CONNECTION_BYTES = 16 * 1024
@@ -49,6 +48,24 @@
 """The part of the connections that a server other than the one for clients may have."""
 
 
+class MemoryUse(StrEnum):
+    """What is kept for longer than a request, and has a limit of its own; the values are parts of metrics' names."""
+
+    BATCHES = "batch"
+    PROMPT_PARTS = "prompt_part"
+    ENGINES = "engine"
+
+
+USE_FRACTIONS = {MemoryUse.BATCHES: 0.5, MemoryUse.PROMPT_PARTS: 0.125, MemoryUse.ENGINES: 0.125}
+"""The part of the limit that each use may fill."""
+
+USE_DESCRIPTIONS = {
+    MemoryUse.BATCHES: "Memory held for batches that this node owns or follows",
+    MemoryUse.PROMPT_PARTS: "Memory held for the names of prompt parts",
+    MemoryUse.ENGINES: "Memory held for announced engines",
+}
+
+
 class MemoryHolder(Protocol):
     """Something that holds memory for a client and can give it up."""
 
@@ -107,7 +124,7 @@
         self.now_s = now_s
         self.held_bytes = 0
         self.peak_bytes = 0
-        self.batch_bytes = 0
+        self._used_bytes = dict.fromkeys(MemoryUse, 0)
         self.refused = 0
         self.evicted = 0
         self._holders: dict[MemoryHolder, None] = {}
@@ -118,16 +135,6 @@
         """The most that a single request may reserve; two of them always have room beside ordinary requests."""
         return int(self.limit_bytes * LARGE_FRACTION / 2)
 
-    @property
-    def max_prefix_cache_bytes(self) -> int:
-        """The most that the names of prompt parts may take, which a gateway remembers for each engine."""
-        return int(self.limit_bytes * PREFIX_CACHE_FRACTION)
-
-    @property
-    def max_engine_bytes(self) -> int:
-        """The most that the announcements of engines may take."""
-        return int(self.limit_bytes * ENGINE_FRACTION)
-
     def add_holder(self, holder: MemoryHolder) -> None:
         """Adds a client that may be evicted."""
         self._holders[holder] = None
@@ -157,14 +164,14 @@
             self._relieve()
         return self.held_bytes >= self.limit_bytes
 
-    def count_batch(self, size: int) -> None:
-        """Counts bytes of batches that are kept until their end, or given back if `size` is negative."""
-        self.batch_bytes += size
+    def count_use(self, use: MemoryUse, size: int) -> None:
+        """Counts bytes that are kept for longer than a request, or given back if `size` is negative."""
+        self._used_bytes[use] += size
         self.count(size)
 
-    def has_room_for_batch(self, size: int) -> bool:
-        """Returns whether a batch that is kept until its end fits beside the others."""
-        return self.batch_bytes + size <= self.limit_bytes * BATCH_FRACTION
+    def has_room_for(self, use: MemoryUse, size: int) -> bool:
+        """Returns whether `size` more bytes are within the limit of a use."""
+        return self._used_bytes[use] + size <= self.limit_bytes * USE_FRACTIONS[use]
 
     def _relieve(self) -> None:
         """Evicts slow clients, those who came first first, until enough is free."""
@@ -189,8 +196,8 @@
             "client_memory_limit_bytes": ("Limit of the memory held for clients", self.limit_bytes),
             "client_memory_bytes": ("Memory held for clients", self.held_bytes),
             "client_memory_peak_bytes": ("The most memory held for clients since the start", self.peak_bytes),
-            "client_memory_batch_bytes": ("Memory held for batches that this node owns", self.batch_bytes),
             "client_memory_refused": ("Reservations of memory that were refused", self.refused),
             "client_memory_evicted": ("Clients evicted for memory or connections", self.evicted),
             "client_connections_limit": ("Limit of the connections of clients", self.max_connections),
+            **{f"client_memory_{use}_bytes": (USE_DESCRIPTIONS[use], size) for use, size in self._used_bytes.items()},
         }
--- a/pipitlink/engine_memory.py
+++ b/pipitlink/engine_memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .client_memory import ClientMemory
+from .client_memory import ClientMemory, MemoryUse
 from .wire.membership_pb2 import EngineUpdate
 
 __all__ = ["MAX_ENGINE_NAME_LENGTH", "MAX_ENGINE_UPDATE_BYTES", "EngineMemory"]
@@ -19,22 +19,17 @@
     def __init__(self, memory: ClientMemory) -> None:
         self._memory = memory
         self._sizes: dict[str, int] = {}
-        self._total = 0
 
     def try_keep(self, update: EngineUpdate) -> bool:
         """Counts an announcement in place of the engine's earlier one, if there is room; returns whether there is."""
         size = ENGINE_BYTES + update.ByteSize()
         change = size - self._sizes.get(update.engine, 0)
-        if change > 0 and self._total + change > self._memory.max_engine_bytes:
+        if change > 0 and not self._memory.has_room_for(MemoryUse.ENGINES, change):
             return False
         self._sizes[update.engine] = size
-        self._count(change)
+        self._memory.count_use(MemoryUse.ENGINES, change)
         return True
 
     def forget(self, name: str) -> None:
         """Gives back what an engine takes; has no effect if the engine is not kept."""
-        self._count(-self._sizes.pop(name, 0))
-
-    def _count(self, change: int) -> None:
-        self._total += change
-        self._memory.count(change)
+        self._memory.count_use(MemoryUse.ENGINES, -self._sizes.pop(name, 0))
--- a/pipitlink/gateway/open_batches.py
+++ b/pipitlink/gateway/open_batches.py
@@ -8,7 +8,7 @@
 import attrs
 from twisted.internet import defer
 
-from ..client_memory import ClientMemory
+from ..client_memory import ClientMemory, MemoryUse
 from ..replicated_log import Leaseholder
 from ..timers import ZERO, RepeatingCall
 from ..wire.lots_pb2 import LogRecord, Lot, Result
@@ -91,7 +91,7 @@
         if batch_id in self._closed or batch_id in self._batches:
             return
         self._batches[batch_id] = OpenBatch(batch_id, spec)
-        self._memory.count_batch(_kept_bytes(spec))
+        self._memory.count_use(MemoryUse.BATCHES, _kept_bytes(spec))
         for timer in self._timers:
             timer.wake()
 
@@ -100,11 +100,11 @@
         self._closed.add(batch_id)
         batch = self._batches.pop(batch_id, None)
         if batch is not None:
-            self._memory.count_batch(-_kept_bytes(batch.spec))
+            self._memory.count_use(MemoryUse.BATCHES, -_kept_bytes(batch.spec))
 
     def has_room_for(self, spec: Lot) -> bool:
         """Returns whether there is memory for a further batch until its end."""
-        return self._memory.has_room_for_batch(_kept_bytes(spec))
+        return self._memory.has_room_for(MemoryUse.BATCHES, _kept_bytes(spec))
 
     def remove_closed(self, batch_ids: set[str]) -> None:
         """Removes the ids of closed batches whose log is no longer followed."""
--- a/pipitlink/node_metrics.py
+++ b/pipitlink/node_metrics.py
@@ -37,12 +37,11 @@
             "pipitlink_table_sequence", "The weight table's sequence here", cluster_state.table_sequence
         )
         yield self._peers()
-        yield GaugeMetricFamily("pipitlink_rpc_sent_bytes", "Bytes sent to other nodes", self._ctx.rpc.sent_bytes)
         yield self._traffic()
         changes = self._ctx.changes
         yield GaugeMetricFamily("pipitlink_changes_told", "Changes told as CloudEvents", changes.published)
         yield GaugeMetricFamily("pipitlink_changes_dropped", "Changes that could not be told", changes.dropped)
-        metrics = {**self._ctx.client_memory.metrics(), **self._node.metrics()}
+        metrics = {**self._ctx.rpc.metrics(), **self._ctx.client_memory.metrics(), **self._node.metrics()}
         for name, (help_text, value) in metrics.items():
             yield GaugeMetricFamily(f"pipitlink_{name}", help_text, value)
         if isinstance(self._node, MetricFamilySource):
--- a/pipitlink/router/batch_followers.py
+++ b/pipitlink/router/batch_followers.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from ..cache.poller import KnownLengths
+from ..client_memory import MemoryUse
 from ..context import Context
 from ..errors import ApiError, CorruptData, NotFound, PipitlinkError, ServiceUnavailable
 from ..http_refusals import NO_MEMORY
@@ -55,7 +56,7 @@
     def drop(self, batch_id: str, follower: BatchFollower) -> None:
         """Closes a follower; the next read of its batch starts from the beginning of the log."""
         follower.close()
-        self._ctx.client_memory.count_batch(-self._counted_bytes.pop(follower, 0))
+        self._ctx.client_memory.count_use(MemoryUse.BATCHES, -self._counted_bytes.pop(follower, 0))
         if self.followers.get(batch_id) is follower:
             del self.followers[batch_id]
 
@@ -76,7 +77,7 @@
             return owned.progress.complete_batch
         follower = await self._updated_follower(batch_id)
         if follower.progress.batch is None:
-            if not self._ctx.client_memory.has_room_for_batch(follower.missing_body_bytes()):
+            if not self._ctx.client_memory.has_room_for(MemoryUse.BATCHES, follower.missing_body_bytes()):
                 raise ServiceUnavailable("no memory to read the bodies of the items", code=NO_MEMORY.code)
             try:
                 await self._ctx.timers.with_timeout(READ_TIMEOUT, follower.read_bodies())
@@ -90,7 +91,9 @@
 
     def _count_memory(self, batch_id: str, follower: BatchFollower) -> None:
         if self.followers.get(batch_id) is follower:
-            self._ctx.client_memory.count_batch(follower.held_bytes - self._counted_bytes.get(follower, 0))
+            self._ctx.client_memory.count_use(
+                MemoryUse.BATCHES, follower.held_bytes - self._counted_bytes.get(follower, 0)
+            )
             self._counted_bytes[follower] = follower.held_bytes
 
     async def _updated_follower(self, batch_id: str) -> BatchFollower:
--- a/pipitlink/router/batch_table.py
+++ b/pipitlink/router/batch_table.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import defer
 
+from ..client_memory import MemoryUse
 from ..context import Context
 from ..timers import ms, secs
 from .batch_progress import BATCH_RECORD_PREFIX, batch_log
@@ -135,12 +136,12 @@
 
     def has_room_for(self, body_bytes: int) -> bool:
         """Returns whether there is memory to keep a batch that is submitted with a body of this size."""
-        return self._ctx.client_memory.has_room_for_batch(KEPT_COPIES * body_bytes)
+        return self._ctx.client_memory.has_room_for(MemoryUse.BATCHES, KEPT_COPIES * body_bytes)
 
     def _count_memory(self, batch: OwnedBatch) -> None:
         """Counts the memory of a batch: its log, and what is parsed from it."""
         size = KEPT_COPIES * len(batch.leaseholder.data) if self.owns(batch) else 0
-        self._ctx.client_memory.count_batch(size - self._counted_bytes.get(batch.id, 0))
+        self._ctx.client_memory.count_use(MemoryUse.BATCHES, size - self._counted_bytes.get(batch.id, 0))
         if size:
             self._counted_bytes[batch.id] = size
         else:
--- a/pipitlink/router/prefix_cache.py
+++ b/pipitlink/router/prefix_cache.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
-from ..client_memory import ClientMemory
+from ..client_memory import ClientMemory, MemoryUse
 from .call import PromptPart
 
 __all__ = ["PrefixCache", "PrefixCacheMemory"]
@@ -23,7 +23,6 @@
     def __init__(self, memory: ClientMemory) -> None:
         self._memory = memory
         self._caches: set[PrefixCache] = set()
-        self.size = 0
 
     def create(self, max_tokens: int) -> PrefixCache:
         """Returns an empty cache; its owner closes it at its end."""
@@ -33,12 +32,11 @@
 
     def count(self, size: int) -> None:
         """Counts bytes of a cache, or gives them back if `size` is negative."""
-        self.size += size
-        self._memory.count(size)
+        self._memory.count_use(MemoryUse.PROMPT_PARTS, size)
 
     def enforce_limit(self) -> None:
         """Shrinks the largest caches until all of them are within the limit."""
-        while self.size > self._memory.max_prefix_cache_bytes:
+        while not self._memory.has_room_for(MemoryUse.PROMPT_PARTS, 0):
             largest = max(self._caches, key=lambda cache: cache.size)
             largest.shrink(int(largest.size * KEPT_FRACTION))
 
--- a/pipitlink/wire/accepted_connections.py
+++ b/pipitlink/wire/accepted_connections.py
@@ -30,6 +30,9 @@
         self._open: dict[RpcConnection, None] = {}
         self._dropped: set[RpcConnection] = set()
 
+    def __len__(self) -> int:
+        return len(self._open)
+
     def __iter__(self) -> Iterator[RpcConnection]:
         return iter(list(self._open))
 
--- a/pipitlink/wire/rpc.py
+++ b/pipitlink/wire/rpc.py
@@ -267,6 +267,14 @@
         if hello.protocol_version != PROTOCOL_VERSION:
             raise WireError(f"peer uses protocol version {hello.protocol_version}, this node {PROTOCOL_VERSION}")
 
+    def metrics(self) -> dict[str, tuple[str, float]]:
+        """Returns the description and the value of each metric, by name."""
+        return {
+            "rpc_sent_bytes": ("Bytes sent to other nodes", self.sent_bytes),
+            "peer_connections": ("Connections that other nodes have opened", len(self._accepted)),
+            "peer_connections_limit": ("Limit of these connections", self.client_memory.max_peer_connections),
+        }
+
     def may_accept(self) -> bool:
         """Returns whether a further peer may connect before the connections that were dropped are closed."""
         return self._accepted.may_add()
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from pipitlink.client_memory import BYTES_PER_MB, CONNECTION_BYTES, MAX_CLOSING_CONNECTIONS, ClientMemory, Reservation
+from pipitlink.client_memory import (
+    BYTES_PER_MB,
+    CONNECTION_BYTES,
+    MAX_CLOSING_CONNECTIONS,
+    ClientMemory,
+    MemoryUse,
+    Reservation,
+)
 from pipitlink.dialect import Dialect
 from pipitlink.dialect.batches import MAX_JSON_VALUES
 from pipitlink.errors import BadRequest, WireError
@@ -81,9 +88,9 @@
         self.assertTrue(all(client.reservation.size for client in clients))
 
     def test_batches_fill_half_of_the_limit_at_most(self):
-        self.assertTrue(self.memory.has_room_for_batch(LIMIT_BYTES // 2))
-        self.memory.count_batch(LIMIT_BYTES // 2)
-        self.assertFalse(self.memory.has_room_for_batch(1))
+        self.assertTrue(self.memory.has_room_for(MemoryUse.BATCHES, LIMIT_BYTES // 2))
+        self.memory.count_use(MemoryUse.BATCHES, LIMIT_BYTES // 2)
+        self.assertFalse(self.memory.has_room_for(MemoryUse.BATCHES, 1))
 
 
 class Connections(unittest.TestCase):
--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.task import Clock
 
-from pipitlink.client_memory import ClientMemory
+from pipitlink.client_memory import USE_FRACTIONS, ClientMemory, MemoryUse
 from pipitlink.controller.engine_registry import EXPIRY, EngineRegistry
 from pipitlink.dialect import Dialect
 from pipitlink.engine_memory import ENGINE_BYTES, EngineMemory
@@ -25,8 +25,8 @@
 
     def test_announcements_beyond_the_limit_are_not_kept(self):
         kept = sum(self.engines.try_keep(update(f"e{number}")) for number in range(1000))
-        self.assertLessEqual(self.memory.held_bytes, self.memory.max_engine_bytes)
-        self.assertGreater((kept + 1) * (ENGINE_BYTES + 50), self.memory.max_engine_bytes)
+        self.assertLessEqual(self.memory.held_bytes, self.memory.limit_bytes * USE_FRACTIONS[MemoryUse.ENGINES])
+        self.assertGreater((kept + 1) * (ENGINE_BYTES + 50), self.memory.limit_bytes * USE_FRACTIONS[MemoryUse.ENGINES])
 
     def test_an_engine_that_is_kept_is_renewed_while_there_is_no_room(self):
         while self.engines.try_keep(update(f"e{self.memory.held_bytes}", 5000)):
@@ -61,7 +61,7 @@
         engines = harness.node.engines.all()
         self.assertGreater(len(engines), 2)
         self.assertLess(len(engines), 20)
-        self.assertLessEqual(memory.held_bytes, memory.max_engine_bytes)
+        self.assertLessEqual(memory.held_bytes, memory.limit_bytes * USE_FRACTIONS[MemoryUse.ENGINES])
         for engine in engines:
             harness.node.engines.remove(engine)
         self.assertEqual(memory.held_bytes, 0)
--- a/tests/test_prompt_headers.py
+++ b/tests/test_prompt_headers.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from pipitlink.client_memory import ClientMemory
+from pipitlink.client_memory import USE_FRACTIONS, ClientMemory, MemoryUse
 from pipitlink.router.call import PromptPart, parse_prompt_parts, parse_whole_number
 from pipitlink.router.prefix_cache import PART_BYTES, PrefixCacheMemory
 
@@ -21,14 +21,14 @@
     def test_parts_without_tokens_take_no_more_than_the_limit(self):
         for number in range(20_000):
             self.cache.add([PromptPart(f"{number:x}", 0)])
-        self.assertLessEqual(self.memory.held_bytes, self.memory.max_prefix_cache_bytes)
+        self.assertLessEqual(self.memory.held_bytes, self.memory.limit_bytes * USE_FRACTIONS[MemoryUse.PROMPT_PARTS])
         self.assertEqual(self.cache.missing_tokens([PromptPart("4e1f", 7)]), 0)
         self.assertEqual(self.cache.missing_tokens([PromptPart("0", 7)]), 7)
 
     def test_long_names_are_counted_with_their_length(self):
         for number in range(900):
             self.cache.add([PromptPart(f"{number}" + "n" * 14_000, 1)])
-        self.assertLessEqual(self.memory.held_bytes, self.memory.max_prefix_cache_bytes)
+        self.assertLessEqual(self.memory.held_bytes, self.memory.limit_bytes * USE_FRACTIONS[MemoryUse.PROMPT_PARTS])
 
     def test_the_largest_cache_gives_way(self):
         other = self.caches.create(1000)
