Bound the logs of closed batches in the memory of a models gateway

What callers saw: batches that were cancelled at once took a gateway of the models interface beyond its memory.

Change: logs that this gateway writes count against the part for batches; when they leave no room, logs whose batches are all closed end at once.

--- a/pipitlink/gateway/batch_ids.py
+++ b/pipitlink/gateway/batch_ids.py
@@ -6,10 +6,19 @@
 
 from ..errors import BadRequest
 
-__all__ = ["BATCH_LOG_PREFIX", "BatchLocation", "batch_id_at", "batch_of_result_log", "parse_batch_id", "result_log"]
+__all__ = [
+    "BATCH_LOG_PREFIX",
+    "KEYED_LOG_PREFIX",
+    "BatchLocation",
+    "batch_id_at",
+    "batch_of_result_log",
+    "parse_batch_id",
+    "result_log",
+]
 
 BATCH_LOG_PREFIX = "lots/"
 RESULT_LOG_PREFIX = "results/"
+KEYED_LOG_PREFIX = "keyed"
 MAX_ID_LENGTH = 79
 SHOWN_ID_LENGTH = 80
 
--- a/pipitlink/gateway/batch_intake.py
+++ b/pipitlink/gateway/batch_intake.py
@@ -9,6 +9,7 @@
 from ..wire.lots_pb2 import Item, LogRecord, Lot
 from .batch_ids import batch_id_at
 from .batch_log import BatchLog
+from .batch_log_memory import BatchLogMemory
 from .idempotency_keys import IdempotencyKeys, StoredBatch
 from .open_batches import OpenBatches
 from .request_bodies import BatchBody, ItemBody
@@ -24,13 +25,20 @@
     """Stores each batch with one append, to this gateway's own batch log or to the log for its idempotency key."""
 
     def __init__(
-        self, ctx: Context, serving: ServingState, open_batches: OpenBatches, own_log: BatchLog, keys: IdempotencyKeys
+        self,
+        ctx: Context,
+        serving: ServingState,
+        open_batches: OpenBatches,
+        own_log: BatchLog,
+        keys: IdempotencyKeys,
+        log_memory: BatchLogMemory,
     ) -> None:
         self._ctx = ctx
         self._serving = serving
         self._open_batches = open_batches
         self._own_log = own_log
         self._keys = keys
+        self._log_memory = log_memory
 
     async def submit(self, body: BatchBody) -> StoredBatch:
         """Stores a submitted batch. Raises ApiError if it is not acceptable or cannot be stored."""
@@ -40,7 +48,7 @@
         if len(body.items) > max_items:
             raise BadRequest(f"items: a batch may have at most {max_items} items", code="bad_field", field="items")
         spec = self._spec_from(body)
-        if not self._open_batches.has_room_for(spec):
+        if not self._log_memory.has_room_for(spec):
             raise ServiceUnavailable(
                 "no memory for a further batch now", code=NO_MEMORY.code, retry_after=RETRY_AFTER_S
             )
--- a/pipitlink/gateway/batch_log_follower.py
+++ b/pipitlink/gateway/batch_log_follower.py
@@ -9,7 +9,7 @@
 from ..errors import PipitlinkError
 from ..timers import secs, wall_ms
 from ..wire.lots_pb2 import Ended, LogRecord
-from .batch_ids import BATCH_LOG_PREFIX, batch_id_at, batch_of_result_log, result_log
+from .batch_ids import BATCH_LOG_PREFIX, KEYED_LOG_PREFIX, batch_id_at, batch_of_result_log, result_log
 from .batch_log import BatchLog
 from .open_batches import OpenBatches
 from .owner_selection import choose_owner
@@ -21,7 +21,6 @@
 READ_BACKOFF = secs(1)
 DAY_MS = 86_400_000
 MAX_LOGS_PER_CALL = 2000
-KEYED_LOG_PREFIX = "keyed"
 
 
 @attrs.define(eq=False)
@@ -75,6 +74,10 @@
         followed.tail.close()
         self._open_batches.remove_closed(followed.batch_ids)
 
+    def end_idle_logs(self) -> None:
+        """Ends logs now that are otherwise ended some time after their batches."""
+        self._ctx.run_in_background(self._end_idle_logs(), "finalize_lot_logs")
+
     async def _end_idle_logs(self) -> None:
         """Ends batch logs that no longer have a writer, once every batch in them is closed."""
         for log, followed in list(self._followed.items()):
--- a/pipitlink/gateway/idempotency_keys.py
+++ b/pipitlink/gateway/idempotency_keys.py
@@ -18,10 +18,12 @@
     ServiceUnavailable,
     WireError,
 )
+from ..http_refusals import NO_MEMORY
 from ..replicated_log import Leaseholder
 from ..timers import secs, wall_ms
 from ..wire.lots_pb2 import KeyedLotRequest, KeyedLotResponse, LogRecord, Lot
 from .batch_ids import batch_id_at
+from .batch_log_memory import BatchLogMemory
 from .open_batches import OpenBatches
 from .owner_selection import acquire_log, choose_owner
 
@@ -89,9 +91,10 @@
     A key is remembered for the current day and the day before.
     """
 
-    def __init__(self, ctx: Context, open_batches: OpenBatches) -> None:
+    def __init__(self, ctx: Context, open_batches: OpenBatches, log_memory: BatchLogMemory) -> None:
         self._ctx = ctx
         self._open_batches = open_batches
+        self._log_memory = log_memory
         self._shard_logs: dict[str, _ShardLog] = {}
         self._locks = [defer.DeferredLock() for _ in range(SHARDS)]
 
@@ -154,6 +157,8 @@
     async def _append(self, spec: Lot, shard_logs: list[_ShardLog]) -> KeyedLotResponse:
         if not all(shard_log.leaseholder.is_held() for shard_log in shard_logs):
             raise LeaseNotHeld("the lease of the log for this idempotency key is not held")
+        if not self._log_memory.has_room_for_keyed(spec):
+            raise ServiceUnavailable("no memory for a further batch with a key now", code=NO_MEMORY.code)
         leaseholder = shard_logs[0].leaseholder
         offset = await leaseholder.append([LogRecord(lot=spec).SerializeToString()])
         batch_id = batch_id_at(leaseholder.log, offset)
@@ -175,4 +180,4 @@
 def _definitely_not_stored(error: WireError) -> bool:
     if isinstance(error, ConnectionFailed):
         return not error.sent
-    return isinstance(error, RemoteError) and error.remote_code == LeaseNotHeld.code
+    return isinstance(error, RemoteError) and error.remote_code in (LeaseNotHeld.code, NO_MEMORY.code)
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -21,6 +21,7 @@
 from .batch_intake import BatchIntake
 from .batch_log import BatchLog
 from .batch_log_follower import BatchLogFollower
+from .batch_log_memory import BatchLogMemory
 from .batch_ownership import BatchOwnership
 from .engine_api import EngineApi
 from .engine_candidates import EngineCandidates
@@ -107,9 +108,13 @@
         ctx = self._ctx
         own_log = BatchLog(ctx)
         self.open_batches = OpenBatches(ctx.client_memory)
-        self.idempotency_keys = IdempotencyKeys(ctx, self.open_batches)
-        self.batch_intake = BatchIntake(ctx, self.serving, self.open_batches, own_log, self.idempotency_keys)
+        log_memory = BatchLogMemory(ctx, self.open_batches)
+        self.idempotency_keys = IdempotencyKeys(ctx, self.open_batches, log_memory)
+        self.batch_intake = BatchIntake(
+            ctx, self.serving, self.open_batches, own_log, self.idempotency_keys, log_memory
+        )
         self.batch_log_follower = BatchLogFollower(ctx, self.open_batches, own_log)
+        log_memory.free_logs = self.batch_log_follower.end_idle_logs
         self.results = ResultReader(ctx, self.open_batches)
         self.batch_ownership = BatchOwnership(ctx, self.serving, self.open_batches)
         capacity = BatchCapacity(self.slots, self.candidates)
--- a/pipitlink/gateway/open_batches.py
+++ b/pipitlink/gateway/open_batches.py
@@ -102,9 +102,9 @@
         if batch is not None:
             self._memory.count_use(MemoryUse.BATCHES, -_kept_bytes(batch.spec))
 
-    def has_room_for(self, spec: Lot) -> bool:
-        """Returns whether there is memory for a further batch until its end."""
-        return self._memory.has_room_for(MemoryUse.BATCHES, _kept_bytes(spec))
+    def has_room_for(self, spec: Lot, log_bytes: int) -> bool:
+        """Returns whether there is memory for a further batch until its end, beside logs of `log_bytes`."""
+        return self._memory.has_room_for(MemoryUse.BATCHES, _kept_bytes(spec) + log_bytes)
 
     def remove_closed(self, batch_ids: set[str]) -> None:
         """Removes the ids of closed batches whose log is no longer followed."""
--- a/pipitlink/http_server.py
+++ b/pipitlink/http_server.py
@@ -63,7 +63,7 @@
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
         """Serves a request whose body has been received; bodies of forms are not parsed."""
-        if len(self.content.getbuffer()) > SMALL_DOCUMENT_BYTES and not self._reserve_values():
+        if self.content.tell() > SMALL_DOCUMENT_BYTES and not self._reserve_values():
             return
         self.content.seek(0)
         self.method, self.uri, self.clientproto = command, path, version
--- a/tests/test_abusive_clients.py
+++ b/tests/test_abusive_clients.py
@@ -323,6 +323,35 @@
     def test_large_batches_at_once(self):
         self.play(AbuseKind.WHOLE_BODY, 80)
 
+    def submit_and_cancel(self, count, **fields):
+        """Submits batches and cancels each at once, so that none is open."""
+        accepted = 0
+        for number in range(count):
+            keys = {name: f"{prefix}{number}" for name, prefix in fields.items()}
+            body = {"items": [MODELS_ITEM] * 4, **keys}
+            status, response, _ = self.cluster.call("gateway0", "POST", "/v1/lots", body)
+            if status == 201:
+                accepted += 1
+                self.cluster.call("gateway0", "DELETE", f"/v1/lots/{response['lot']}")
+        print(f"{accepted} of {count} batches were accepted")
+        self.assertGreater(accepted, 0)
+        self.wait_for_answer()
+        self.check()
+
+    def test_batches_that_are_cancelled(self):
+        self.submit_and_cancel(120)
+
+    def test_batches_with_keys_that_are_cancelled(self):
+        self.submit_and_cancel(120, idempotency_key="key")
+
+    def test_announcements_of_large_engines(self):
+        announcement = {"address": "127.0.0.1:9", "pool": "models", "zone": "zone-a", "models": ["m" * 900_000]}
+        for number in range(200):
+            body = {"engine": f"unknown{number}", **announcement}
+            self.cluster.call("gateway0", "POST", "/v1/engines", body)
+        self.wait_for_answer()
+        self.check()
+
 
 if __name__ == "__main__":
     unittest.main()
