Bound frames of peers by the memory, also once they are decompressed

What was seen: three connections that name the right cluster and send a frame of 90 kB took each role to 250 MB of 120.

Cause: a frame may have 96 MiB whatever the memory of the process, and a compressed body as much once decompressed, which was not counted.

Change: a frame may be as large as all large requests together, a decompressed body a quarter of that for the copies made of it; 8 MiB always. A decompressed body counts with its size until it is handled.

--- a/pipitlink/client_memory.py
+++ b/pipitlink/client_memory.py
@@ -130,10 +130,15 @@
         self._holders: dict[MemoryHolder, None] = {}
         self._relieved_at_s = float("-inf")
 
+    @property
+    def max_large_bytes(self) -> int:
+        """The most that all reservations above SMALL_BYTES may fill."""
+        return int(self.limit_bytes * LARGE_FRACTION)
+
     @property
     def max_request_bytes(self) -> int:
         """The most that a single request may reserve; two of them always have room beside ordinary requests."""
-        return int(self.limit_bytes * LARGE_FRACTION / 2)
+        return self.max_large_bytes // 2
 
     def add_holder(self, holder: MemoryHolder) -> None:
         """Adds a client that may be evicted."""
@@ -150,7 +155,7 @@
 
     def make_room(self, size: int, total: int) -> bool:
         """Returns whether `size` more bytes fit for a reservation that then has `total` bytes; may evict clients."""
-        limit = self.limit_bytes if total <= SMALL_BYTES else int(self.limit_bytes * LARGE_FRACTION)
+        limit = self.limit_bytes if total <= SMALL_BYTES else self.max_large_bytes
         if self.held_bytes + size > limit:
             self._relieve()
         if self.held_bytes + size > limit:
--- a/pipitlink/wire/connection.py
+++ b/pipitlink/wire/connection.py
@@ -28,6 +28,9 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 96 * 1024 * 1024
+# Frames of this size are accepted whatever the memory; larger ones where it holds several copies of them.
+SUPPORTED_FRAME_BYTES = 8 * 1024 * 1024
+DECOMPRESSED_COPIES = 4
 # The limit before the peer's Hello is accepted.
 MAX_HELLO_BYTES = 4096
 # With this many queued frames and running calls, reading from the peer is paused.
@@ -51,14 +54,18 @@
         frame.body, frame.compressed = body, True
 
 
-def _parse_frame(data: bytes) -> Frame:
-    """Parses a frame and decompresses its body. Raises WireError or DecodeError."""
+def _parse_frame(data: bytes, max_body_bytes: int) -> Frame:
+    """Parses a frame and decompresses its body, up to a size. Raises WireError or DecodeError."""
     frame = Frame.FromString(data)
     if frame.compressed:
-        frame.body, frame.compressed = decompress_body(frame.body, MAX_FRAME_BYTES), False
+        frame.body, frame.compressed = decompress_body(frame.body, max_body_bytes), False
     return frame
 
 
+def _frame_limit(available_bytes: int) -> int:
+    return min(MAX_FRAME_BYTES, max(SUPPORTED_FRAME_BYTES, available_bytes))
+
+
 class Notification:
     """A notification to any number of peers; its frame is serialized at most once per form, plain and compressed."""
 
@@ -232,7 +239,10 @@
             self._accept_hello(hello)
             self._frame_handled(len(hello))
             while (data := await self._next_frame()) is not None:
-                self._handle_frame(_parse_frame(data), len(data))
+                frame = _parse_frame(data, _frame_limit(self._rpc.client_memory.max_large_bytes // DECOMPRESSED_COPIES))
+                decompressed_bytes = max(0, len(frame.body) - len(data))
+                self._inbound_bytes += decompressed_bytes
+                self._handle_frame(frame, len(data) + decompressed_bytes)
         except Exception as error:
             self._rpc.logger.failure("connection_rejected", error, peer=self.peer.node)
             if not self.ready.called:
@@ -263,7 +273,7 @@
     def _accept_hello(self, data: bytes) -> None:
         self.peer.ParseFromString(data)
         self._rpc.validate_hello(self.peer)
-        self._assembler.max_frame_bytes = MAX_FRAME_BYTES
+        self._assembler.max_frame_bytes = _frame_limit(self._rpc.client_memory.max_large_bytes)
         self.is_identified = True
         self._rpc.handshake_done(self)
         self.ready.callback(self)
