Do not evict a client because an event was written in the same turn

What callers saw: a stream may be cut although its client reads all of it, while the gateway has no room for others.

Cause: a response counted as not taken if any byte was unsent, also one that was written in this turn of the reactor and would be sent in the next. A stream sends less than 32 KiB a second, so its client then looked slow and was evicted.

The unit test shows the fault each time.

Change: only bytes that the kernel did not take count as not taken.

Result: test_a_client_that_takes_what_is_written_to_it_is_not_slow fails on the base, and passes now; the one of a client that takes nothing passes on both.

--- a/pipitlink/http_connection.py
+++ b/pipitlink/http_connection.py
@@ -46,10 +46,18 @@
 MIN_BYTES_PER_S = 32_768
 
 
-def unsent_bytes(transport: Any) -> int:
-    """Returns how many bytes written to a transport of Twisted have not been given to the kernel; 0 for others."""
+def blocked_bytes(transport: Any) -> int:
+    """Returns how many bytes a transport of Twisted could not give to the kernel, since the client takes too few."""
     buffer: bytes = getattr(transport, "dataBuffer", b"")
-    return len(buffer) - int(getattr(transport, "offset", 0)) + int(getattr(transport, "_tempDataLen", 0))
+    return len(buffer) - int(getattr(transport, "offset", 0))
+
+
+def unsent_bytes(transport: Any) -> int:
+    """Returns how many bytes written to a transport of Twisted have not been given to the kernel; 0 for others.
+
+    Among them are those that were written in this turn of the reactor, and may be given to it in the next.
+    """
+    return blocked_bytes(transport) + int(getattr(transport, "_tempDataLen", 0))
 
 
 class HttpConnection(http.HTTPChannel):
@@ -335,7 +343,7 @@
         sent = abs(self._last_unsent_bytes - unsent)
         self._progress_at_s, self._progress_bytes = now_s, self._received_bytes
         self._last_unsent_bytes = unsent
-        is_waiting_for_client = not self._handlingRequest or unsent > 0
+        is_waiting_for_client = not self._handlingRequest or blocked_bytes(self.transport) > 0
         return is_waiting_for_client and received + sent < MIN_BYTES_PER_S * elapsed_s
 
     def evict(self) -> None:
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -178,6 +178,30 @@
         self.assertTrue(self.memory.make_room(LARGE_BODY_COST, LARGE_BODY_COST))
         self.assert_refused(channel, 503)
 
+    def begin_stream(self):
+        """Lets a response be in progress for a time; returns the client's side."""
+        channel = self.harness.send_request("/once/x")
+        _, connection, _ = self.harness.take_engine_request()
+        connection.dataReceived(head("c1", length=100) + b"begin")
+        self.harness.advance_ms(1500)
+        return channel
+
+    def test_a_client_that_takes_what_is_written_to_it_is_not_slow(self):
+        """Guards against streams that are cut because an event was written in the turn in which memory is short."""
+        channel = self.begin_stream()
+        channel.transport._tempDataLen = 36
+        self.assertFalse(channel.is_slow(self.memory.now_s()))
+        self.fill(0)
+        self.begin([f"Content-Length: {len(LARGE_BODY)}"])
+        self.assertFalse(channel.transport.closed)
+
+    def test_a_client_that_does_not_take_its_response_is_evicted(self):
+        channel = self.begin_stream()
+        channel.transport.dataBuffer = b"u" * 36
+        self.fill(0)
+        self.begin([f"Content-Length: {len(LARGE_BODY)}"])
+        self.assertTrue(channel.transport.closed)
+
     def test_an_idle_connection_gives_way_to_a_new_one(self):
         self.harness.node.frontend.connections.max_connections = 2
         first, second, third = (self.harness.connect_client() for _ in range(3))
