Excuse a program that a SIGHUP behind SIGTERM ends while it is being loaded

Its schedule sends SIGTERM and then SIGHUP to a machine, also to one that was just started. A program blocks SIGHUP in its first line; before that, SIGHUP ends it as SIGTERM does, which the checker excuses, and which the schedule avoids for reloads alone.

Trace: a gateway that is stopped right after its start and gets SIGTERM, SIGHUP and SIGCONT exits with -1: of two signals that wait, the kernel delivers the one with the lower number first. SIGTERM had asked for the end.

Change: the checker excuses -SIGHUP only where the program has logged nothing since its start.

--- a/testbed/deployment/faults.py
+++ b/testbed/deployment/faults.py
@@ -198,8 +198,9 @@
                 machine.send_signal(signal.SIGKILL)
             await asyncio.sleep(EXIT_POLL_S)
         code = machine.process.returncode if machine.process is not None else 0
-        self._record.act(ActionKind.EXIT_LOADING if code == -signal.SIGTERM else ActionKind.EXIT, machine.name)
-        if code not in EXPECTED_EXIT_CODES:
+        was_loading = code == -signal.SIGTERM or _was_reloaded_while_loading(machine, code)
+        self._record.act(ActionKind.EXIT_LOADING if was_loading else ActionKind.EXIT, machine.name)
+        if code not in EXPECTED_EXIT_CODES and not was_loading:
             self._record.failures.append(f"{machine.name} ended with {code}")
 
     def _plan_reload(self, choice: float) -> Coroutine[None, None, None] | None:
@@ -242,5 +243,13 @@
         await self._start_engine(engine.service, engine.zone)
 
 
+def _was_reloaded_while_loading(machine: Machine, code: int) -> bool:
+    """Returns whether a program got SIGHUP behind SIGTERM before its first line ran.
+
+    Of two signals that wait for a process, the kernel delivers the one with the lower number, SIGHUP, first.
+    """
+    return code == -signal.SIGHUP and not machine.has_logged
+
+
 def _pick(choices: list[PickedT], choice: float) -> PickedT:
     return choices[int(choice * len(choices))]
--- a/testbed/deployment/machines.py
+++ b/testbed/deployment/machines.py
@@ -88,12 +88,19 @@
     first_port: int
     process: subprocess.Popen[bytes] | None = None
     starts: int = 0
+    log: Path | None = None
+    log_bytes_at_start: int = 0
 
     @property
     def is_running(self) -> bool:
         """Whether its process has been started and has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def has_logged(self) -> bool:
+        """Whether its program has logged anything since it was started, which it does not do while it is loaded."""
+        return self.log is not None and self.log.stat().st_size > self.log_bytes_at_start
+
     def peak_memory_bytes(self) -> int:
         """Returns the most memory that its process has had."""
         assert self.process is not None
@@ -190,7 +197,9 @@
         environment["PYTHONPATH"] = os.pathsep.join([str(self._root / "target" / "deps"), str(self._root)])
         environment["PIPITLINK_NODE_FILE"] = str(settings)
         program, *arguments = self._commands[machine.role]
-        with (self.folder / f"{machine.name}.log").open("ab") as log:
+        machine.log = self.folder / f"{machine.name}.log"
+        with machine.log.open("ab") as log:
+            machine.log_bytes_at_start = log.tell()
             machine.process = subprocess.Popen(
                 [sys.executable if program == "python3" else program, *arguments],
                 cwd=self._root,
