Check each response against RFC 9112 before it is parsed

What callers saw: an engine's response with status 000 reached clients as an answer, and so did many others that RFC 9112 forbids: statuses like 2000, +200 and 600, other versions, control bytes in reasons and values, folded fields, a length beside a coding (the body of one message for that of another), broken trailers. A refusal in such a head was believed.

Cause: Twisted's response parser accepts all of these, and whatever reads responses believed what it had made of them.

Change: ResponseValidator checks the bytes of a response as they arrive, and HttpClientConnection, under the connections of both kinds of gateways, passes a piece on to the parser only if it is sound. At the first byte that breaks the grammar the connection closes, and the call goes on as after a lost connection: the engine's failure counts, the call runs elsewhere where it may, and else gets 502 with the outcome unknown. calls_malformed counts these responses, and engine_response_malformed logs each with engine and reason.

Evidence: test_malformed_responses, with deployed programs over real sockets: 109 malformed heads (4 of them refusals), 24 malformed chunks and 23 sound responses, whole and in pieces, on all live routes and as items.

--- a/pipitlink/errors.py
+++ b/pipitlink/errors.py
@@ -6,6 +6,7 @@
 - WireError: RPC between nodes. After ConnectionFailed (unless `sent` is False) and DeadlineExceeded it is unknown
   whether the peer ran the call. RemoteError means that the peer responded with an error. UnknownMethod is raised at the
   node that received the call.
+- MalformedResponse: bytes of an HTTP response that break its grammar. Whether the request was run is unknown.
 - ReplicatedLogError: storage nodes and the clients of their logs. StaleEpoch and LeaseNotHeld are final for a
   leaseholder; NoQuorum and StorageFull may be transient; after StalePlacement the writer looks up the placement again;
   CorruptData means bytes that cannot be read back.
@@ -31,6 +32,7 @@
     "DeadlineExceeded",
     "RemoteError",
     "UnknownMethod",
+    "MalformedResponse",
     "ReplicatedLogError",
     "StaleEpoch",
     "NoQuorum",
@@ -123,6 +125,12 @@
     code = "unmet"
 
 
+class MalformedResponse(PipitlinkError):
+    """The bytes of an HTTP response break its grammar, so that no part of it may be believed."""
+
+    code = "malformed_response"
+
+
 class ReplicatedLogError(PipitlinkError):
     """The base class of the errors of storage nodes and their logs; never raised itself."""
 
--- a/pipitlink/gateway/checked_connection.py
+++ b/pipitlink/gateway/checked_connection.py
@@ -3,39 +3,41 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.interfaces import IProtocolFactory
-from twisted.web.client import HTTPConnectionPool
 
+from ..errors import MalformedResponse
+from ..http_client import HttpClientConnection
+from ..http_client_pool import HttpClientPool
 from ..keepalive import enable_keepalive
-from ..reactor_types import TcpTransport
 from ..timers import secs
 
-__all__ = ["CheckedConnectionPool", "CheckedEndpoint", "HttpConnection"]
+__all__ = ["CheckedConnectionPool", "CheckedEndpoint"]
 
 CONNECT_TIMEOUT = secs(1)
 
 
-class HttpConnection(Protocol):
-    """The part of a connection of Twisted's HTTP client that is used here."""
-
-    transport: TcpTransport
-
-
 class CheckedEndpoint:
     """The endpoint of one request, the check that the request may still be sent to it, and the connection it uses.
 
-    It is its own endpoint factory, for an Agent that sends only this request.
+    It is its own endpoint factory, for an Agent that sends only this request. `on_malformed` is called if the response
+    is malformed.
     """
 
-    def __init__(self, reactor: Any, check: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        check: Callable[[], None],
+        on_malformed: Callable[[MalformedResponse], None] | None = None,
+    ) -> None:
         self._reactor = reactor
         self._endpoint: TCP4ClientEndpoint | TCP6ClientEndpoint | None = None
         self.check = check
-        self.connection: HttpConnection | None = None
+        self.on_malformed = on_malformed
+        self.connection: HttpClientConnection | None = None
 
     def endpointForURI(self, uri: Any) -> CheckedEndpoint:  # noqa: N802 - twisted's interface
         """Takes the address from a URI; returns itself."""
@@ -54,7 +56,7 @@
         self.connection.transport.abortConnection()
 
 
-class CheckedConnectionPool(HTTPConnectionPool):
+class CheckedConnectionPool(HttpClientPool):
     """Opens connections, and checks that a request may still be sent in the same step that writes its first byte.
 
     Each request has its own connection: engine responses carry no ids, so on a shared connection a late or duplicate
@@ -71,12 +73,13 @@
         opening: defer.Deferred[Any] = super().getConnection(key, twisted_endpoint)
         return opening.addCallback(self._check, endpoint)
 
-    def _check(self, connection: HttpConnection, endpoint: CheckedEndpoint) -> HttpConnection:
+    def _check(self, connection: HttpClientConnection, endpoint: CheckedEndpoint) -> HttpClientConnection:
         try:
             endpoint.check()
         except Exception:
             connection.transport.abortConnection()
             raise
         enable_keepalive(connection.transport)
+        connection.on_malformed = endpoint.on_malformed
         endpoint.connection = connection
         return connection
--- a/pipitlink/gateway/node.py
+++ b/pipitlink/gateway/node.py
@@ -90,7 +90,7 @@
         self.rate_limits = RateLimits(ctx, self.slots, self.candidates, retry_after)
         admission = Admission(ctx, self.serving, self.table, self.rate_limits, retry_after)
         selector = EngineSelector(ctx, self.serving, self.slots, self.candidates, self.rate_limits, retry_after)
-        sender = RequestSender(ctx, self.engines, self.slots, self.candidates, RetryPolicy(ctx.timers))
+        self._sender = sender = RequestSender(ctx, self.engines, self.slots, self.candidates, RetryPolicy(ctx.timers))
         relay = self._make_engine_relay(sender)
         fetch_relay = FetchRelay(sender)
         steps: dict[RequestKind, tuple[PipelineStep, ...]] = {
@@ -204,6 +204,7 @@
         gauges["open_lots"] = ("Lots known to be open", len(self.open_batches))
         gauges["owned_lots"] = ("Lots this gateway owns", owned_batches)
         gauges["running"] = ("Requests on engines from here", running)
+        gauges["calls_malformed"] = ("Calls to engines: malformed", self._sender.malformed)
         gauges["cache_bytes"] = ("Bytes in the data cache here", cache.chunks.size)
         return gauges
 
--- a/pipitlink/gateway/request_sender.py
+++ b/pipitlink/gateway/request_sender.py
@@ -15,7 +15,7 @@
 from twisted.web.client import Agent
 
 from ..context import Context
-from ..errors import ApiError, EngineError, ReplicatedLogError, ServiceUnavailable
+from ..errors import ApiError, EngineError, MalformedResponse, ReplicatedLogError, ServiceUnavailable
 from ..state_machines.request_state import RequestState
 from ..timers import secs
 from .checked_connection import CheckedConnectionPool, CheckedEndpoint
@@ -47,7 +47,10 @@
 
 
 class RequestSender:
-    """Runs exchanges with engines, and maps a failure to the request's state and an error or a retry."""
+    """Runs exchanges with engines, and maps a failure to the request's state and an error or a retry.
+
+    `malformed` counts the responses of engines that break the grammar of HTTP.
+    """
 
     def __init__(
         self,
@@ -62,6 +65,7 @@
         self._slots = slots
         self._candidates = candidates
         self._retry_policy = retry_policy
+        self.malformed = 0
         pool_type: Any = CheckedConnectionPool  # twisted's constructor has no annotations
         self._pool: CheckedConnectionPool = pool_type(ctx.reactor, persistent=False)
 
@@ -96,7 +100,11 @@
         In the step that writes the first byte, the client checks that the request may still be sent and marks it as
         sent.
         """
-        endpoint = CheckedEndpoint(self._ctx.reactor, partial(self._begin_sending, request, engine))
+        endpoint = CheckedEndpoint(
+            self._ctx.reactor,
+            check=partial(self._begin_sending, request, engine),
+            on_malformed=partial(self._on_malformed, request, engine),
+        )
         agent = Agent.usingEndpointFactory(self._ctx.reactor, endpoint, self._pool)
         return EngineClient(HTTPClient(agent), endpoint)
 
@@ -117,6 +125,10 @@
         self.check_still_valid(request, engine)
         request.trigger("send")
 
+    def _on_malformed(self, request: RequestRecord, engine: Engine, error: MalformedResponse) -> None:
+        self.malformed += 1
+        self._ctx.logger.warning("engine_response_malformed", id=request.id, engine=engine.name, text=error)
+
     async def discard(self, response: Response) -> str:
         """Reads the rest of the response, up to a timeout; returns the beginning of its text, empty on any error."""
         try:
--- a/pipitlink/router/engine_connection.py
+++ b/pipitlink/router/engine_connection.py
@@ -1,24 +1,23 @@
 """One HTTP connection to an engine.
 
-This is the only module that imports from `twisted.web._newclient`. Twisted's public client, `twisted.web.client.Agent`,
-does not expose a single connection: it chooses the connection itself, repeats idempotent requests on its own, keeps a
-connection even if bytes follow the response, and hides the time at which bytes arrive. Each of these would change which
-requests engines get and which responses are accepted.
+Twisted's public client, `twisted.web.client.Agent`, does not expose a single connection: it chooses the connection
+itself, repeats idempotent requests on its own, keeps a connection even if bytes follow the response, and hides the time
+at which bytes arrive. Each of these would change which requests engines get and which responses are accepted.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import Any, Protocol, cast
+from typing import Protocol, cast
 
 from twisted.internet import defer
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol, Request, Response, ResponseDone
 from twisted.web.http_headers import Headers
 
 from ..body_producer import BytesBodyProducer
+from ..http_client import HttpClientConnection, Request, Response, ResponseDone
 from ..keepalive import enable_keepalive
 from ..timers import ZERO, secs
 
@@ -47,15 +46,13 @@
     return [token.strip().lower() for value in values for token in value.split(b",")]
 
 
-class EngineConnection(HTTP11ClientProtocol):
+class EngineConnection(HttpClientConnection):
     """A connection to an engine, for one request at a time; it is reused only after responses without any error.
 
     `unserved_call_ids` are the ids of the calls that were sent on it and were not served. `last_bytes_at` is the time
     at which the engine last sent bytes on it.
     """
 
-    transport: Any
-
     def __init__(self, owner: ConnectionOwner, address: str) -> None:
         super().__init__(self._on_quiescent)
         self._owner = owner
@@ -87,7 +84,7 @@
         """Returns for how long it has been idle."""
         return now - self.idle_since if self.idle_since is not None else ZERO
 
-    def _on_quiescent(self, _: HTTP11ClientProtocol) -> None:
+    def _on_quiescent(self, _: HttpClientConnection) -> None:
         if not self.is_unusable:
             self._owner.release(self)
         else:
--- a/pipitlink/router/engine_exchange.py
+++ b/pipitlink/router/engine_exchange.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from ..context import Context
-from ..errors import ApiError, EngineError, ServiceUnavailable
+from ..errors import ApiError, EngineError, MalformedResponse, ServiceUnavailable
 from ..timers import ms
 from ..wire.cluster_pb2 import Route
 from .call import Call, Header
@@ -33,11 +33,15 @@
 
 @attrs.define
 class CallCounters:
-    """Counts of attempts and their outcomes since the start."""
+    """Counts of attempts and their outcomes since the start.
+
+    `mismatched` are sound responses to other requests, `malformed` those that break the grammar of HTTP.
+    """
 
     attempts: int = 0
     resumed: int = 0
     mismatched: int = 0
+    malformed: int = 0
     refused: int = 0
     silent: int = 0
 
@@ -74,6 +78,7 @@
         Afterwards, the connection is closed unless it can be reused.
         """
         connection.on_bytes = partial(self._on_bytes, engine, connection, _response_purpose(call))
+        connection.on_malformed = partial(self._on_malformed, call, engine)
         response = await self._send(call, engine, connection)
         try:
             await self._handle_response(call, engine, connection, response, slot)
@@ -86,6 +91,12 @@
         engine.last_bytes_at = connection.last_bytes_at = self._ctx.timers.now()
         self._ctx.traffic.add(purpose, engine.update.zone, size)
 
+    def _on_malformed(self, call: Call, engine: Engine, error: MalformedResponse) -> None:
+        self._counters.malformed += 1
+        self._ctx.logger.warning(
+            "engine_response_malformed", id=call.id.decode("latin-1"), engine=engine.name, text=error
+        )
+
     async def _send(self, call: Call, engine: Engine, connection: EngineConnection) -> Response:
         try:
             call.executions[engine.name] += 1
--- a/pipitlink/router/node.py
+++ b/pipitlink/router/node.py
@@ -105,6 +105,7 @@
             "tries": counters.attempts,
             "resumed": counters.resumed,
             "spoilt": counters.mismatched,
+            "malformed": counters.malformed,
             "refused": counters.refused,
             "silent": counters.silent,
         }
