Check the responses that the operators' commands read

What operators saw: a response that HTTP forbids was printed as an answer, a head that was cut short as a whole one, so that a refusal could be read out of half a line; status 000, or a body that was cut short, ended the command with a traceback.

Cause: http.client accepts both, ends a head where its connection ends, reads a field with a blank in its name as the end of the head, and raises errors of its own that send_request did not know.

Change: the opener that send_request uses hands the bytes of each response to ResponseValidator before http.client parses them, notices where they end too early, and skips all interim responses. All such errors are UnreachableError, after which the next address is tried, as after a lost connection.

--- a/pipitlink/tools/client.py
+++ b/pipitlink/tools/client.py
@@ -6,10 +6,14 @@
 import urllib.error
 import urllib.request
 from collections.abc import Mapping, Sequence
+from http.client import HTTPException
 from typing import Any
 
 import attrs
 
+from ..errors import MalformedResponse
+from .checked_http import checked_opener
+
 __all__ = ["OperatorClient", "Response", "UnreachableError", "edit_headers", "send_request"]
 
 REQUEST_TIMEOUT_S = 10
@@ -17,7 +21,7 @@
 
 
 class UnreachableError(Exception):
-    """No response arrived, or its body is not JSON."""
+    """No response arrived, or none that HTTP allows, or its body is cut short or not JSON."""
 
 
 @attrs.frozen
@@ -36,17 +40,23 @@
     all_headers = {"Content-Type": "application/json", **(headers or {})}
     request = urllib.request.Request(f"http://{address}{path}", data, all_headers, method=method)
     try:
-        with urllib.request.urlopen(request, timeout=REQUEST_TIMEOUT_S) as response:
+        return _exchange(request)
+    except (OSError, ValueError, HTTPException, MalformedResponse) as error:
+        raise UnreachableError(f"{address}: {error}") from error
+
+
+def _exchange(request: urllib.request.Request) -> Response:
+    try:
+        with checked_opener().open(request, timeout=REQUEST_TIMEOUT_S) as response:
             return Response(response.status, json.load(response))
     except urllib.error.HTTPError as error:
         return Response(error.code, _error_body(error))
-    except (OSError, ValueError) as error:
-        raise UnreachableError(f"{address}: {error}") from error
 
 
 def _error_body(error: urllib.error.HTTPError) -> Any:
+    content = error.read()
     try:
-        return json.load(error)
+        return json.loads(content)
     except ValueError:
         return {"error": {"code": "http", "message": str(error)}}
 
