Check the responses that acknowledge published changes

What operators saw: a change counted as published although the listener's response was none that HTTP allows, such as one with status 000.

Cause: treq used a pool of Twisted's, whose parser accepts these.

Change: the publisher posts through HttpClientPool, whose connections check each response. The pool has a typed constructor, so the gateway's work-around for the untyped one goes.

--- a/pipitlink/changes.py
+++ b/pipitlink/changes.py
@@ -102,6 +102,8 @@
     async def _post(self, message: HTTPMessage) -> None:
         import treq
 
+        from .http_client_pool import HttpClientPool
+
         headers: dict[bytes | str, bytes | str] = dict(message.headers.items())
         reactor: Any = self._ctx.reactor
         response = await treq.post(
@@ -109,7 +111,7 @@
             data=message.body,
             headers=headers,
             reactor=reactor,
-            persistent=False,
+            pool=HttpClientPool(reactor, persistent=False),
             allow_redirects=False,
         )
         await treq.content(response)
--- a/pipitlink/gateway/request_sender.py
+++ b/pipitlink/gateway/request_sender.py
@@ -66,8 +66,7 @@
         self._candidates = candidates
         self._retry_policy = retry_policy
         self.malformed = 0
-        pool_type: Any = CheckedConnectionPool  # twisted's constructor has no annotations
-        self._pool: CheckedConnectionPool = pool_type(ctx.reactor, persistent=False)
+        self._pool = CheckedConnectionPool(ctx.reactor, persistent=False)
 
     async def send(self, request: RequestRecord, exchange: Exchange) -> bool:
         """Runs an exchange with the request's engine; returns whether to retry the request.
--- a/pipitlink/http_client_pool.py
+++ b/pipitlink/http_client_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory
@@ -27,6 +28,12 @@
 
 
 class HttpClientPool(HTTPConnectionPool):
-    """Connections of an Agent, to whose users a malformed response is a lost connection."""
+    """Connections of an Agent, to whose users a malformed response is a lost connection.
+
+    Those that are `persistent` are used for further requests.
+    """
 
     _factory = _ConnectionFactory  # type: ignore[assignment]  # Twisted declares its own private factory
+
+    def __init__(self, reactor: Any, persistent: bool = True) -> None:
+        super().__init__(reactor, persistent)
