--- a/pipitlink/response_validator.py
+++ b/pipitlink/response_validator.py
@@ -72,6 +72,8 @@
         while position < len(data) and self._part is not _Part.REST:
             if self._part is _Part.CHUNK_DATA:
                 position += self._skip_chunk_data(len(data) - position)
+            elif self._part is _Part.CHUNK_END:
+                position += self._receive_chunk_end(data[position : position + len(CRLF)])
             else:
                 position = self._receive_line(data, position)
 
@@ -83,13 +85,24 @@
             self._part = _Part.CHUNK_END
         return skipped
 
+    def _receive_chunk_end(self, data: bytes) -> int:
+        """Checks the next bytes of the CRLF after a chunk; returns how many of them belong to it."""
+        received = len(self._line)
+        self._line += data[: len(CRLF) - received]
+        if not CRLF.startswith(self._line):
+            raise MalformedResponse(f"a chunk is not followed by CRLF: {_quoted(self._line)}")
+        taken = len(self._line) - received
+        if len(self._line) == len(CRLF):
+            self._line = bytearray()
+            self._part = _Part.CHUNK_SIZE
+        return taken
+
     def _receive_line(self, data: bytes, start: int) -> int:
         """Checks the line that begins or goes on at `start`, if it is complete; returns the position after it."""
         end = data.find(b"\n", start) + 1
         self._line += data[start : end or len(data)]
-        max_bytes = len(CRLF) if self._part is _Part.CHUNK_END else MAX_LINE_BYTES
-        if len(self._line) > max_bytes:
-            raise MalformedResponse(f"a line of more than {max_bytes} bytes: {_quoted(self._line)}")
+        if len(self._line) > MAX_LINE_BYTES:
+            raise MalformedResponse(f"a line of more than {MAX_LINE_BYTES} bytes: {_quoted(self._line)}")
         if not end:
             return len(data)
         line, self._line = bytes(self._line), bytearray()
@@ -103,8 +116,6 @@
             self._check_status_line(line)
         elif self._part is _Part.CHUNK_SIZE:
             self._check_chunk_size(line)
-        elif self._part is _Part.CHUNK_END:
-            self._check_chunk_end(line)
         elif line:
             self._check_field_line(line)
         elif self._part is _Part.FIELDS:
@@ -174,11 +185,6 @@
         self._chunk_bytes_left = int(match[1], 16)
         self._part = _Part.CHUNK_DATA if self._chunk_bytes_left else _Part.TRAILERS
 
-    def _check_chunk_end(self, line: bytes) -> None:
-        if line:
-            raise MalformedResponse(f"a chunk is not followed by CRLF: {_quoted(line)}")
-        self._part = _Part.CHUNK_SIZE
-
 
 def _list_elements(value: bytes) -> list[bytes]:
     return [element.strip(b" \t") for element in value.split(b",")]
