Never answer 503 or 429 for a request by model that may have run

What callers saw: a request that may be repeated, whose first engine sent a malformed response or lost the connection, got 503 (or 429) with the outcome unknown if the retry found no free slot or the gateway's state had lapsed. By the status a client concludes that it did not run.

Cause: settling corrected the outcome of the retry's error, but not its status; requests by route had the correction of both.

Change: such an error gets 502. The list of these statuses stands once, in errors.

Evidence: test_a_request_that_may_have_run_gets_no_status_that_promises_that_it_did_not got 503 in both cases before, 502 now.

--- a/pipitlink/errors.py
+++ b/pipitlink/errors.py
@@ -23,6 +23,7 @@
 from typing import Any
 
 __all__ = [
+    "NOT_RUN_STATUSES",
     "ExecutionOutcome",
     "PipitlinkError",
     "SettingsError",
@@ -53,6 +54,10 @@
 ]
 
 
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses by which clients infer that a request did not run, and may be sent again."""
+
+
 class ExecutionOutcome(StrEnum):
     """Whether a failed request was run, as reported to clients."""
 
--- a/pipitlink/gateway/request_record.py
+++ b/pipitlink/gateway/request_record.py
@@ -12,7 +12,7 @@
 from twisted.web.server import Request
 
 from ..context import random_id
-from ..errors import ApiError, EngineError
+from ..errors import NOT_RUN_STATUSES, ApiError, EngineError
 from ..state_machines import StateMachineMixin
 from ..state_machines.request_state import RequestState, reportable_outcome
 from .engine import Engine
@@ -123,13 +123,18 @@
         self.notify_waiters()
 
     def fail(self, error: Exception) -> None:
-        """Settles the request with an error, whose outcome is never `not_run` if the request may have run."""
+        """Settles the request with an error.
+
+        If the request may have run, neither the outcome nor the status says that it did not.
+        """
         if isinstance(error, ApiError):
             api_error = error
         else:
             api_error = EngineError(str(error) or type(error).__name__, outcome=self.outcome)
         if self.may_have_run and api_error.outcome == "not_run":
             api_error.outcome = "unknown"
+        if api_error.outcome == "unknown" and api_error.status in NOT_RUN_STATUSES:
+            api_error.status = EngineError.status
         self.error = api_error
         self.notify_waiters()
 
--- a/pipitlink/router/http_frontend.py
+++ b/pipitlink/router/http_frontend.py
@@ -13,7 +13,7 @@
 
 from ..context import Context
 from ..dialect.batches import BatchRequest
-from ..errors import ApiError, NotFound, ServiceUnavailable
+from ..errors import NOT_RUN_STATUSES, ApiError, NotFound, ServiceUnavailable
 from ..http_connections import ConnectionLimits, HttpConnections, ServerPhase
 from ..http_refusals import NO_MEMORY, code_only_body
 from ..timers import ms
@@ -44,8 +44,6 @@
 RETRY_AFTER_JITTER_S = 0.2
 # How long after the end of a drain its last responses may take to be sent.
 FLUSH_TIMEOUT = ms(200)
-# Statuses by which clients infer that nothing was executed.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class RouteKind(StrEnum):
--- a/tests/test_response_checks.py
+++ b/tests/test_response_checks.py
@@ -105,6 +105,7 @@
         request = gateway.start_request(kind=RequestKind.LIVE)
         request.idempotent = idempotent
         self.first = request.engine
+        self.other = gateway.engines.get({"e": "f", "f": "e"}[self.first.name])
         return gateway, request, gateway.connect()
 
     def test_a_malformed_head_counts_as_a_failure_of_the_engine(self):
@@ -117,6 +118,24 @@
                 self.assertEqual(gateway.engines.status(self.first), "suspect")
                 self.assertEqual(len(gateway.reactor.tcpClients), 1)
 
+    def test_a_request_that_may_have_run_gets_no_status_that_promises_that_it_did_not(self):
+        def fill(gateway):
+            while gateway.slots.free_slots(self.other, 0) > 0:
+                gateway.slots.acquire(self.other, is_batch_item=False)
+
+        def lapse(gateway):
+            gateway.cluster.state_confirmed = False
+
+        for change in (fill, lapse):
+            with self.subTest(change.__name__):
+                gateway, request, connection = self.lose_first(idempotent=True)
+                change(gateway)
+                send_bytewise(connection.protocol.dataReceived, HEADS[0].encode(FIELDS, BODY))
+                for _ in range(40):
+                    gateway.reactor.advance(0.05)
+                self.assertEqual(request.error.outcome, "unknown")
+                self.assertEqual(request.error.status, 502)
+
 
 if __name__ == "__main__":
     unittest.main()
