Let the engines of the soaks send malformed responses, and judge what becomes of them

One run in 40 of the deployed soak's engines ends with a malformed response, whole or in two pieces; engines of the other soak have a mode for it. The checker reports a success for which engines sent nothing else (MIXED), and its clients take no malformed head for a response. A client's response that is cut after a malformed one of its engine is not lost: the engine broke off.

--- a/testbed/deployment/engines.py
+++ b/testbed/deployment/engines.py
@@ -8,9 +8,11 @@
 import json
 import socket
 from enum import StrEnum
+from random import Random
 
 import attrs
 
+from ..standins.response_cases import MALFORMED_CHUNKS, MALFORMED_HEADS, REFUSED_STATUSES, malformed_refusal
 from .bounds import seconds
 from .client_connection import exchange_once
 from .http_messages import Headers, MessageHead, encode_head, read_head, read_request_body
@@ -28,6 +30,12 @@
 DRAIN_EXTRA_S = 0.5
 LARGE_BODY_BYTES = 3_000_000
 LARGE_PATH = "/large"
+NOT_EXECUTED = "Pipitlink-Not-Executed"
+MALFORMED = (
+    *MALFORMED_HEADS,
+    *MALFORMED_CHUNKS,
+    *(malformed_refusal(status, NOT_EXECUTED) for status in REFUSED_STATUSES),
+)
 
 _numbers = itertools.count(1)
 
@@ -53,7 +61,8 @@
 class Engine:
     """One engine from its start to its end. `controllers` are the addresses to which it announces itself.
 
-    While it `stops_reading`, it reads the heads of requests but not their bodies.
+    While it `stops_reading`, it reads the heads of requests but not their bodies. One run in `malformed_every` ends
+    with a malformed response; none does with 0.
     """
 
     service: str
@@ -63,6 +72,7 @@
     record: Record
     slots: int = 24
     stops_reading: bool = False
+    malformed_every: int = 0
     name: str = attrs.field(init=False)
     address: str = ""
     state: EngineState = EngineState.READY
@@ -195,7 +205,7 @@
             self._queued -= 1
 
     def _turn_away(self, writer: asyncio.StreamWriter, status: str, request_id: str) -> None:
-        headers = {"Pipitlink-Request-Id": request_id, "Pipitlink-Not-Executed": "1", "Content-Length": "0"}
+        headers = {"Pipitlink-Request-Id": request_id, NOT_EXECUTED: "1", "Content-Length": "0"}
         writer.write(encode_head(f"HTTP/1.1 {status}", headers))
 
     async def _run(
@@ -210,15 +220,21 @@
         first_event = int(head.headers.get("last-event-id", "0")) + 1
         run = EngineRun(request_id, self.name, self.service, self.zone, target, body, first_event)
         self.record.runs.append(run)
+        events = int(head.headers.get("pipitlink-token-counts", "0,0").split(",")[1])
+        rng = Random(f"{request_id}/{self.name}")
         try:
-            if "pipitlink-token-counts" in head.headers:
-                events = int(head.headers["pipitlink-token-counts"].split(",")[1])
+            if self.malformed_every and not rng.randrange(self.malformed_every):
+                run.end = RunEnd.MALFORMED
+                await self._send_malformed(run, events, writer, rng)
+                return
+            if events:
                 await self._stream(run, events, reader, writer)
             else:
                 await self._send_plain(run, writer)
             run.end = RunEnd.COMPLETE
         except (OSError, asyncio.IncompleteReadError):
-            run.end = RunEnd.CRASHED if self.has_ended else RunEnd.DROPPED
+            if run.end != RunEnd.MALFORMED:
+                run.end = RunEnd.CRASHED if self.has_ended else RunEnd.DROPPED
             raise
         finally:
             run.ended_at = now()
@@ -230,9 +246,23 @@
             "Pipitlink-Weight-Versions": "1",
         }
 
+    async def _send_malformed(self, run: EngineRun, events: int, writer: asyncio.StreamWriter, rng: Random) -> None:
+        """Sends a response with the whole body, but malformed, in one piece or in two."""
+        await asyncio.sleep(FIRST_EVENT_S)
+        numbers = range(run.first_event, events + 1)
+        body = b"".join(_event(run, number) for number in numbers) if events else _plain_body(run)
+        cases = MALFORMED if body else MALFORMED_HEADS
+        response = rng.choice(cases).encode(self._response_headers(run), body)
+        divided_at = rng.randrange(len(response))
+        writer.write(response[:divided_at])
+        await writer.drain()
+        await asyncio.sleep(rng.choice((0.0, EVENT_GAP_S)))
+        writer.write(response[divided_at:])
+        await writer.drain()
+
     async def _send_plain(self, run: EngineRun, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(PLAIN_WORK_S)
-        body = large_body(run.request_id) if LARGE_PATH in run.path else f"plain {run.request_id}".encode()
+        body = _plain_body(run)
         headers = {**self._response_headers(run), "Content-Length": str(len(body))}
         writer.write(encode_head("HTTP/1.1 200 OK", headers) + body)
         await writer.drain()
@@ -251,10 +281,18 @@
         for number in range(run.first_event, events + 1):
             if reader.at_eof() or writer.is_closing():
                 raise ConnectionResetError("the gateway closed the connection")
-            event = f"id: {number}\ndata: {event_data(run.request_id, number)}\n\n".encode()
+            event = _event(run, number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             if number < events:
                 await asyncio.sleep(EVENT_GAP_S)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
+
+
+def _plain_body(run: EngineRun) -> bytes:
+    return large_body(run.request_id) if LARGE_PATH in run.path else f"plain {run.request_id}".encode()
+
+
+def _event(run: EngineRun, number: int) -> bytes:
+    return f"id: {number}\ndata: {event_data(run.request_id, number)}\n\n".encode()
--- a/testbed/deployment/http_messages.py
+++ b/testbed/deployment/http_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 import attrs
 
@@ -18,9 +19,12 @@
 
 Headers = dict[str, str]
 
+STATUS_LINE = re.compile(r"HTTP/1\.[01] ([1-5]\d\d)(?: |$)", re.ASCII)
+HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~\w-]+", re.ASCII)
+
 
 class MalformedHeadError(ValueError):
-    """The bytes where the head of a response should begin are none."""
+    """The bytes where a head should be are none."""
 
 
 @attrs.define
@@ -33,10 +37,10 @@
     @property
     def status(self) -> int:
         """The status code of a response. Raises MalformedHeadError."""
-        version, _, rest = self.start_line.partition(" ")
-        if not version.startswith("HTTP/") or not rest[:3].isdigit():
+        match = STATUS_LINE.match(self.start_line)
+        if match is None:
             raise MalformedHeadError(self.start_line)
-        return int(rest[:3])
+        return int(match[1])
 
     @property
     def is_chunked(self) -> bool:
@@ -56,7 +60,10 @@
 
 
 async def read_head(reader: asyncio.StreamReader) -> MessageHead | None:
-    """Returns the head of the next message, or None if the connection ends before it is complete."""
+    """Returns the head of the next message, or None if the connection ends before it is complete.
+
+    Raises MalformedHeadError if a header has no valid name.
+    """
     start_line = await reader.readline()
     if not start_line.endswith(b"\n"):
         return None
@@ -65,7 +72,9 @@
         if not line.endswith(b"\n"):
             return None
         name, _, value = line.decode("latin-1").partition(":")
-        headers[name.strip().lower()] = value.strip()
+        if not HEADER_NAME.fullmatch(name):
+            raise MalformedHeadError(line.decode("latin-1"))
+        headers[name.lower()] = value.strip()
     return MessageHead(start_line.decode("latin-1").strip(), headers)
 
 
--- a/testbed/deployment/lot_rules.py
+++ b/testbed/deployment/lot_rules.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 
 from .bounds import seconds
 from .engines import event_data
-from .record import EngineRun, LotRecord, Record
+from .record import EngineRun, LotRecord, Record, RunEnd
 from .touch import Touch
 
-__all__ = ["LotRules"]
+__all__ = ["LotRules", "is_malformed_only"]
 
 PROMISES = (408, 421, 429, 503)
 GONE = (404, 410)
 
 
+def is_malformed_only(runs: Sequence[EngineRun]) -> bool:
+    """Returns whether a request ran, and each run ended with a malformed response."""
+    return bool(runs) and all(run.end == RunEnd.MALFORMED for run in runs)
+
+
 class LotRules:
     """Judges what clients read of their lots, and what engines ran of them."""
 
@@ -64,6 +69,8 @@
                 yield f"MIXED lot {lot.lot_id}: an output names the item {item}"
             elif output["state"] == "complete":
                 whole = "\n".join(event_data(item, number) for number in range(1, events[item] + 1))
+                if is_malformed_only(self._runs.get(item, [])):
+                    yield f"MIXED item {item}: all that engines sent for it was malformed"
                 if output["message"] != whole:
                     yield f"MIXED item {item}: {len(str(output['message']))} of {len(whole)} characters"
             elif lot.end_sent_at is None:
--- a/testbed/deployment/record.py
+++ b/testbed/deployment/record.py
@@ -79,12 +79,13 @@
 
 
 class RunEnd(StrEnum):
-    """How the work of an engine on a request ended."""
+    """How the work of an engine on a request ended; after a malformed response, nobody may believe any part of it."""
 
     RUNNING = "running"
     COMPLETE = "complete"
     DROPPED = "dropped"
     CRASHED = "crashed"
+    MALFORMED = "malformed"
 
 
 @attrs.define(eq=False)
--- a/testbed/deployment/rules.py
+++ b/testbed/deployment/rules.py
@@ -8,7 +8,7 @@
 from .bounds import seconds
 from .configurations import ROUTE_KINDS, service_of, with_routes
 from .engines import LARGE_PATH, event_data, large_body
-from .lot_rules import LotRules
+from .lot_rules import LotRules, is_malformed_only
 from .record import Action, ActionKind, EngineRun, Exchange, Record, RouteKind, RunEnd
 from .touch import Touch
 
@@ -88,7 +88,7 @@
             return False
         if not runs and self._touch.was_loading(exchange.gateway, exchange.ended_at):
             return False
-        if any(run.end == RunEnd.CRASHED for run in runs):
+        if any(run.end in (RunEnd.CRASHED, RunEnd.MALFORMED) for run in runs):
             return False
         late = action.at + seconds("grace_s") / 2
         was_at_work_late = any((run.ended_at or late) >= late for run in runs)
@@ -128,6 +128,8 @@
                 yield f"MIXED {exchange.request_id}: the seal of a success is {seal}"
             if exchange.headers.get("pipitlink-request-id") != exchange.request_id:
                 yield f"MIXED {exchange.request_id}: the response has another id"
+            if exchange.is_complete and is_malformed_only(self._runs[exchange.request_id]):
+                yield f"MIXED {exchange.request_id}: all that engines sent for it was malformed"
             whole = _whole_body(exchange)
             if exchange.is_complete and exchange.response != whole:
                 size = len(exchange.response)
--- a/testbed/deployment/soak.py
+++ b/testbed/deployment/soak.py
@@ -21,7 +21,7 @@
 from .lots import LotClient
 from .machines import ROOT, Deployment, Role
 from .operator import Operator
-from .record import ActionKind, LotRecord, Record
+from .record import ActionKind, LotRecord, Record, RunEnd
 from .rules import violations
 
 __all__ = ["DEFAULT_COUNTS", "HEAVY_LOAD", "LIGHT_LOAD", "DeployedSoak", "SoakPlan"]
@@ -32,6 +32,7 @@
 HEAVY_LOAD = {Style.KEPT: 12, Style.FRESH: 4, Style.QUEUED: 3, Style.HALF_SENT: 2, Style.SLOW: 1}
 LOT_CLIENTS = 6
 ABUSIVE_CLIENTS = 12
+MALFORMED_EVERY = 40
 RAM_MB = 160
 START_TIMEOUT_S = 30.0
 SETTLE_S = 3.0
@@ -142,7 +143,7 @@
 
     async def _start_engine(self, service: str, zone: str) -> None:
         host = self._deployment.engine_host(len(self.record.runs))
-        engine = Engine(service, zone, host, self._controllers, self.record)
+        engine = Engine(service, zone, host, self._controllers, self.record, malformed_every=MALFORMED_EVERY)
         await engine.start()
         self._engines.append(engine)
 
@@ -198,9 +199,11 @@
         record = self.record
         live = [x for x in record.exchanges if not x.is_lot_call and x.sent_at is not None]
         statuses = Counter(x.status if x.is_complete else "cut" for x in live)
+        malformed = sum(run.end == RunEnd.MALFORMED for run in record.runs)
         actions = Counter(action.kind.value for action in record.actions)
         return (
-            f"{len(record.exchanges)} exchanges, live {dict(statuses)}; {len(record.runs)} runs; "
+            f"{len(record.exchanges)} exchanges, live {dict(statuses)}; "
+            f"{len(record.runs)} runs, {malformed} of them with a malformed response; "
             f"{sum(lot.accepted_at is not None for lot in record.lots)} of {len(record.lots)} lots accepted; "
             f"{dict(actions)}; {len(record.orders)} orders; {self._injector.skipped} faults skipped; "
             f"{len(self._abuse)} abusive clients at a time, most memory {self._memory.most_mb:.0f} MB"
--- a/testbed/faults/overload.py
+++ b/testbed/faults/overload.py
@@ -8,6 +8,9 @@
 __all__ = ["OverloadFaults"]
 
 
+BROKEN_MODES = ("mixed", "error", "unclosed", "malformed")
+
+
 class OverloadFaults:
     """Mixin like `ComponentFailures`, for faults of engines and for what clients and operators do to the cluster."""
 
@@ -41,7 +44,7 @@
         return self._switch_mode(self._random_engine(rng), "silent", 5 + 2 * rng.random())
 
     def plan_engine_broken(self, rng):
-        return self._switch_mode(self._random_engine(rng), rng.choice(("mixed", "error", "unclosed")), 2)
+        return self._switch_mode(self._random_engine(rng), rng.choice(BROKEN_MODES), 2)
 
     def plan_engine_vanish(self, rng):
         """An engine becomes unresponsive without closing its connections, as if its machine had failed."""
--- a/testbed/standins/engine.py
+++ b/testbed/standins/engine.py
@@ -4,12 +4,15 @@
 import json
 import os
 import time
+import zlib
 
 import treq
 from klein import Klein
 from twisted.internet import defer, endpoints, reactor, task
 from twisted.web.server import Site
 
+from .response_cases import MALFORMED_HEADS
+
 __all__ = ["StandInEngine", "response_pieces", "card_bytes"]
 
 
@@ -97,6 +100,9 @@
                     await task.deferLater(reactor, 0.1)
                 self.note("left", run=run, pieces=0)
                 return b""
+            if self.mode == "malformed":
+                await self._send_malformed(request, run, gone)
+                return b""
             request.setHeader(b"Content-Type", b"text/event-stream")
             pieces = response_pieces(body["prompt"], body["max_tokens"])
             for n, text in enumerate(pieces):
@@ -122,6 +128,14 @@
         finally:
             self.running -= 1
 
+    async def _send_malformed(self, request, run, gone):
+        """Sends a response with a malformed head, and waits until the gateway closes the connection."""
+        case = MALFORMED_HEADS[zlib.crc32(run.encode()) % len(MALFORMED_HEADS)]
+        request.transport.write(case.encode({"Content-Type": "text/event-stream"}, b"data: [DONE]\n\n"))
+        while not gone:
+            await task.deferLater(reactor, self.step)
+        self.note("cut", run=run)
+
     @app.route("/cards/<path:path>", methods=["GET"])
     async def card(self, request, path):
         data = card_bytes(path)
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -3,6 +3,7 @@
 import unittest
 
 from testbed.deployment.command import plan_for
+from testbed.deployment.record import RunEnd
 from testbed.deployment.soak import DeployedSoak
 
 MINUTES = 0.4
@@ -15,6 +16,7 @@
         complete = [exchange for exchange in soak.record.exchanges if exchange.is_complete]
         self.assertGreater(len(complete), 100, soak.summary())
         self.assertGreater(sum(lot.accepted_at is not None for lot in soak.record.lots), 5, soak.summary())
+        self.assertTrue(any(run.end == RunEnd.MALFORMED for run in soak.record.runs), soak.summary())
 
     def test_planned_work_with_few_clients(self):
         self.check(1)
--- a/tests/test_deployment_rules.py
+++ b/tests/test_deployment_rules.py
@@ -1,10 +1,12 @@
 """The checker of the soak runs of deployed programs: each broken rule is found, and what the rules excuse is not."""
 
+import asyncio
 import unittest
 
 from testbed.deployment.configurations import configuration
 from testbed.deployment.engines import event_data
 from testbed.deployment.faults import FaultKind, Profile, schedule
+from testbed.deployment.http_messages import MalformedHeadError, MessageHead, read_head
 from testbed.deployment.record import (
     Action,
     ActionKind,
@@ -124,6 +126,48 @@
         self.exchange(is_malformed=True)
         self.assertEqual(self.broken(), ["MIXED"])
 
+    def test_a_success_for_which_engines_sent_only_malformed_responses_is_mixed(self):
+        exchange = self.success(self.exchange())
+        self.run_of(exchange, end=RunEnd.MALFORMED)
+        self.assertEqual(self.broken(), ["MIXED"])
+        self.run_of(exchange)
+        self.assertEqual(self.broken(), [])
+
+    def test_an_item_for_which_engines_sent_only_malformed_responses_is_mixed(self):
+        whole = {"id": "lot-0", "state": "complete", "message": f"{event_data('lot-0', 1)}\n{event_data('lot-0', 2)}"}
+        page = self.page(whole)
+        self.lot(reads=[LotRead(GATEWAY, 0, T + 2, 200, page)], final_outputs=[whole])
+        run = EngineRun("lot-0", "i-1", "lm", "zone-a", "/rounds/lot-0", b"body", 1, T + 1, T + 1, RunEnd.MALFORMED)
+        self.record.runs.append(run)
+        self.assertEqual(self.broken(), ["MIXED"])
+        run.end = RunEnd.COMPLETE
+        self.assertEqual(self.broken(), [])
+
+    def test_a_response_that_is_cut_after_a_malformed_one_of_the_engine_is_not_lost(self):
+        self.run_of(self.exchange(), end=RunEnd.MALFORMED)
+        self.act(ActionKind.TERMINATE, GATEWAY, T - 2)
+        self.assertEqual(self.broken(), [])
+
+    def test_a_client_takes_no_malformed_head_for_a_response(self):
+        for line in ("HTTP/1.1 000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/2.0 200 OK", ""):
+            with self.subTest(line), self.assertRaises(MalformedHeadError):
+                _ = MessageHead(line, {}).status
+        self.assertEqual([MessageHead(f"HTTP/1.1 200{rest}", {}).status for rest in ("", " ", " OK")], [200] * 3)
+
+    def test_a_client_takes_no_line_without_a_valid_name_for_a_header(self):
+        for line in (b"X Own: 1", b"X-Own : 1", b"X\x01Own: 1", b": 1", b" folded"):
+            with self.subTest(line), self.assertRaises(MalformedHeadError):
+                self.read_head(b"HTTP/1.1 200 OK\r\n" + line + b"\r\n\r\n")
+        self.assertEqual(self.read_head(b"HTTP/1.1 200 OK\r\nX-Own: 1\r\n\r\n").headers, {"x-own": "1"})
+
+    def read_head(self, data):
+        async def read():
+            reader = asyncio.StreamReader()
+            reader.feed_data(data)
+            return await read_head(reader)
+
+        return asyncio.run(read())
+
     def test_bytes_that_no_request_waits_for_are_mixed(self):
         self.record.unasked_bytes.append("somewhere")
         self.assertEqual(self.broken(), ["MIXED"])
