Tidy: statuses that promise, rejections of engines and the only gateway stand once

The four statuses stood in the router's frontend and exchange and in three modules of the soak, the rejection of a request by an engine in two relays, a balancer with one gateway in two tests. The guard test that empties the exchange's list patches the new name, and still detects REFUSED.

--- a/pipitlink/gateway/engine_relay.py
+++ b/pipitlink/gateway/engine_relay.py
@@ -10,12 +10,12 @@
 
 from ..body_producer import BytesBodyProducer
 from ..context import Context
-from ..errors import EngineError, ServiceUnavailable
+from ..errors import EngineError
 from ..timers import secs, spawn
 from .engine import Engine, EngineStatus
 from .engine_registry import EngineRegistry
 from .request_record import RequestRecord
-from .request_sender import REJECTED_CODES, RequestSender
+from .request_sender import RequestSender
 from .token_stream import TokenStreamReader
 
 __all__ = ["EngineRelay"]
@@ -115,11 +115,7 @@
             headers=headers,
             allow_redirects=False,
         )
-        if response.code in REJECTED_CODES:
-            await self._sender.discard(response)
-            raise ServiceUnavailable(
-                f"engine {engine.name} rejected the request with status {response.code}", code="engine_crowded"
-            )
+        await self._sender.check_accepted(engine, response)
         if response.code != OK:
             text = await self._sender.discard(response)
             raise EngineError(
--- a/pipitlink/gateway/fetch_relay.py
+++ b/pipitlink/gateway/fetch_relay.py
@@ -12,10 +12,10 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 from twisted.web.server import Request
 
-from ..errors import EngineError, ServiceUnavailable
+from ..errors import EngineError
 from .engine import Engine
 from .request_record import RequestRecord
-from .request_sender import REJECTED_CODES, RequestSender
+from .request_sender import RequestSender
 
 __all__ = ["FetchRelay"]
 
@@ -78,11 +78,7 @@
             headers=headers,
             allow_redirects=False,
         )
-        if response.code in REJECTED_CODES:
-            await self._sender.discard(response)
-            raise ServiceUnavailable(
-                f"engine {engine.name} rejected the request with status {response.code}", code="engine_crowded"
-            )
+        await self._sender.check_accepted(engine, response)
         _copy_head(response, client_request)
         body = _BodyForwarder(record, client_request, client.endpoint.abort)
         response.deliverBody(body)
--- a/pipitlink/gateway/request_sender.py
+++ b/pipitlink/gateway/request_sender.py
@@ -128,6 +128,15 @@
         self.malformed += 1
         self._ctx.logger.warning("engine_response_malformed", id=request.id, engine=engine.name, text=error)
 
+    async def check_accepted(self, engine: Engine, response: Response) -> None:
+        """Raises ServiceUnavailable for a response by which the engine rejected the request."""
+        if response.code not in REJECTED_CODES:
+            return
+        await self.discard(response)
+        raise ServiceUnavailable(
+            f"engine {engine.name} rejected the request with status {response.code}", code="engine_crowded"
+        )
+
     async def discard(self, response: Response) -> str:
         """Reads the rest of the response, up to a timeout; returns the beginning of its text, empty on any error."""
         try:
--- a/pipitlink/router/engine_exchange.py
+++ b/pipitlink/router/engine_exchange.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from ..context import Context
-from ..errors import ApiError, EngineError, MalformedResponse, ServiceUnavailable
+from ..errors import NOT_RUN_STATUSES, ApiError, EngineError, MalformedResponse, ServiceUnavailable
 from ..timers import ms
 from ..wire.cluster_pb2 import Route
 from .call import Call, Header
@@ -24,8 +24,6 @@
 URGENCY_STEP_MS = 250
 MAX_LIVE_URGENCY = 5
 BATCH_URGENCY = 7
-# Statuses by which clients infer that nothing was executed; an engine must also confirm it with a header.
-RETRYABLE_STATUSES = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 DRAIN_TIMEOUT = ms(100)
 # The colon, the space and the CRLF of a header line.
 HEADER_SEPARATOR_BYTES = 4
@@ -193,9 +191,12 @@
     async def _check_response(
         self, call: Call, engine: Engine, connection: EngineConnection, response: Response
     ) -> None:
-        """Raises EngineError for a response that must not be forwarded to the sink."""
+        """Raises EngineError for a response that must not be forwarded to the sink.
+
+        Clients believe the status of a refusal, but an engine must also confirm by a header that it executed nothing.
+        """
         code = response.code
-        if code in RETRYABLE_STATUSES:
+        if code in NOT_RUN_STATUSES:
             await self._drain(connection, response)
             raise _engine_failed(
                 f"engine {engine.name} responded with {code} but did not confirm that nothing was executed"
--- a/testbed/deployment/balancer.py
+++ b/testbed/deployment/balancer.py
@@ -9,7 +9,7 @@
 from .client_connection import exchange_once
 from .machines import Machine
 
-__all__ = ["Balancer"]
+__all__ = ["Balancer", "OnlyGateway"]
 
 PROBE_INTERVAL_S = 1.0
 MISSES_UNTIL_OUT = 2
@@ -41,3 +41,14 @@
         """Returns a gateway; any of them while less than half are in."""
         ready = self.ready()
         return self._rng.choice(ready if 2 * len(ready) >= len(self._gateways) else list(self._gateways))
+
+
+class OnlyGateway:
+    """A balancer that knows one gateway, and gives it all connections."""
+
+    def __init__(self, gateway: Machine) -> None:
+        self._gateway = gateway
+
+    def pick(self) -> Machine:
+        """Returns the gateway."""
+        return self._gateway
--- a/testbed/deployment/clients.py
+++ b/testbed/deployment/clients.py
@@ -13,7 +13,7 @@
 from .engines import LARGE_PATH
 from .http_messages import Headers
 from .machines import Machine
-from .record import Exchange, Record, RouteKind
+from .record import PROMISES, Exchange, Record, RouteKind
 
 __all__ = ["LiveClient", "Style", "request_headers"]
 
@@ -31,7 +31,6 @@
 ANNOUNCEMENT_DELAY_S = 0.05
 RETRY_PAUSE_S = 0.2
 REQUESTS_PER_CONNECTION = 40
-PROMISES = (408, 421, 429, 503)
 
 
 class Style(StrEnum):
--- a/testbed/deployment/lot_rules.py
+++ b/testbed/deployment/lot_rules.py
@@ -6,12 +6,11 @@
 
 from .bounds import seconds
 from .engines import event_data
-from .record import EngineRun, LotRecord, Record, RunEnd
+from .record import PROMISES, EngineRun, LotRecord, Record, RunEnd
 from .touch import Touch
 
 __all__ = ["LotRules", "is_malformed_only"]
 
-PROMISES = (408, 421, 429, 503)
 GONE = (404, 410)
 
 
--- a/testbed/deployment/record.py
+++ b/testbed/deployment/record.py
@@ -11,6 +11,7 @@
 from .http_messages import Headers
 
 __all__ = [
+    "PROMISES",
     "Action",
     "ActionKind",
     "EngineRun",
@@ -24,6 +25,9 @@
     "now",
 ]
 
+PROMISES = (408, 421, 429, 503)
+"""Statuses by which a gateway promises that a request did not run and never will."""
+
 
 def now() -> float:
     """Returns the monotonic time in seconds."""
--- a/testbed/deployment/rules.py
+++ b/testbed/deployment/rules.py
@@ -9,12 +9,11 @@
 from .configurations import ROUTE_KINDS, service_of, with_routes
 from .engines import LARGE_PATH, event_data, large_body
 from .lot_rules import LotRules, is_malformed_only
-from .record import Action, ActionKind, EngineRun, Exchange, Record, RouteKind, RunEnd
+from .record import PROMISES, Action, ActionKind, EngineRun, Exchange, Record, RouteKind, RunEnd
 from .touch import Touch
 
 __all__ = ["violations"]
 
-PROMISES = (408, 421, 429, 503)
 DENIED_ALLOWANCE = 5
 DENIED_DIVISOR = 500
 
--- a/testbed/standins/response_cases.py
+++ b/testbed/standins/response_cases.py
@@ -1,4 +1,4 @@
-"""Responses that stand-in engines send: such that RFC 9112 forbids, in parsers' reach or not, and unusual sound ones.
+"""Responses for stand-in engines to send: some that RFC 9112 forbids and parsers often take, and unusual sound ones.
 
 A case is a template: `<fields>` stands for the fields of the engine, each with its CRLF, `<length>` for the length of
 the body, `<body>` for the body, and `<chunk>` for the body as one chunk.
@@ -20,7 +20,6 @@
 ]
 
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 REFUSED_STATUSES = (408, 421, 429, 503)
 TCHAR = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
--- a/tests/test_deployed_stops.py
+++ b/tests/test_deployed_stops.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from random import Random
 
+from testbed.deployment.balancer import OnlyGateway
 from testbed.deployment.client_connection import ClientConnection, exchange_once
 from testbed.deployment.clients import request_headers
 from testbed.deployment.configurations import HOST
@@ -28,16 +29,6 @@
 AFTER_ACCEPTING_S = 2.5
 
 
-class _OnlyGateway:
-    """A balancer that knows one gateway."""
-
-    def __init__(self, gateway):
-        self._gateway = gateway
-
-    def pick(self):
-        return self._gateway
-
-
 class _Stop:
     """Starts a small deployment, stops its gateways, and records what clients saw meanwhile.
 
@@ -90,7 +81,7 @@
 
     async def _hand_in_lot(self, lot_id, gateway):
         lot = LotRecord(lot_id, [(f"{lot_id}-0", LOT_EVENTS)], {f"{lot_id}-0": b"body"})
-        client = LotClient(_OnlyGateway(gateway), self.record, Random(1), keeps_connection=False)
+        client = LotClient(OnlyGateway(gateway), self.record, Random(1), keeps_connection=False)
         await client._hand_in(lot)
         assert lot.accepted_at is not None, lot.tries
 
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from random import Random
 
+from testbed.deployment.balancer import OnlyGateway
 from testbed.deployment.bounds import ZONES
 from testbed.deployment.client_connection import ClientConnection, exchange_once, fetch_once
 from testbed.deployment.clients import request_headers
@@ -54,16 +55,6 @@
 CLOSE_TIMEOUT_S = 5.0
 
 
-class _OnlyGateway:
-    """A balancer that knows one gateway."""
-
-    def __init__(self, gateway):
-        self._gateway = gateway
-
-    def pick(self):
-        return self._gateway
-
-
 class _Scenario:
     """Sends a request of each kind for each case, whose responses come whole or in pieces, and an item for each."""
 
@@ -143,7 +134,7 @@
         self.items.update({(mode, case): ids[number] for number, case in cases.items()})
         items = [(item, EVENTS["item"]) for item in ids.values()]
         lot = LotRecord(f"lot-{mode}", items, dict.fromkeys(ids.values(), b"body"))
-        client = LotClient(_OnlyGateway(self.gateway), self.record, Random(1), keeps_connection=False)
+        client = LotClient(OnlyGateway(self.gateway), self.record, Random(1), keeps_connection=False)
         await client._hand_in(lot)
         assert lot.accepted_at is not None, lot.tries
         await client.read_all(lot)
--- a/tests/test_response_orders.py
+++ b/tests/test_response_orders.py
@@ -77,7 +77,7 @@
         Call, "budget_spent", False, "BUDGET", _live_scenario("resumable")
     ),
     "a retryable status requires confirmation by the engine": SafetyCheck(
-        engine_exchange, "RETRYABLE_STATUSES", (), "REFUSED", _live_scenario("mutating")
+        engine_exchange, "NOT_RUN_STATUSES", (), "REFUSED", _live_scenario("mutating")
     ),
     "a call that may have run is not reported as not executed": SafetyCheck(
         Call,
