Excuse a cut only where the last run of the request ended with a malformed response

The soak's rule LOST excused a request if any of its runs had ended so, also one whose later run was sound and was cut around planned work.

--- a/testbed/deployment/rules.py
+++ b/testbed/deployment/rules.py
@@ -87,7 +87,9 @@
             return False
         if not runs and self._touch.was_loading(exchange.gateway, exchange.ended_at):
             return False
-        if any(run.end in (RunEnd.CRASHED, RunEnd.MALFORMED) for run in runs):
+        if any(run.end == RunEnd.CRASHED for run in runs):
+            return False
+        if runs and runs[-1].end == RunEnd.MALFORMED:
             return False
         late = action.at + seconds("grace_s") / 2
         was_at_work_late = any((run.ended_at or late) >= late for run in runs)
--- a/tests/test_deployment_rules.py
+++ b/tests/test_deployment_rules.py
@@ -144,9 +144,12 @@
         self.assertEqual(self.broken(), [])
 
     def test_a_response_that_is_cut_after_a_malformed_one_of_the_engine_is_not_lost(self):
-        self.run_of(self.exchange(), end=RunEnd.MALFORMED)
+        exchange = self.exchange()
+        self.run_of(exchange, end=RunEnd.MALFORMED)
         self.act(ActionKind.TERMINATE, GATEWAY, T - 2)
         self.assertEqual(self.broken(), [])
+        self.run_of(exchange, end=RunEnd.DROPPED)
+        self.assertEqual(self.broken(), ["LOST"])
 
     def test_a_client_takes_no_malformed_head_for_a_response(self):
         for line in ("HTTP/1.1 000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/2.0 200 OK", ""):
