--- a/testbed/standins/response_cases.py
+++ b/testbed/standins/response_cases.py
@@ -11,12 +11,14 @@
 import attrs
 
 __all__ = [
+    "CUT",
     "MALFORMED_CHUNKS",
     "MALFORMED_HEADS",
     "REFUSED_STATUSES",
     "SOUND",
     "ResponseCase",
     "malformed_refusal",
+    "pieces_of",
 ]
 
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
@@ -24,6 +26,7 @@
 REFUSED_STATUSES = (408, 421, 429, 503)
 TCHAR = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 LONG_VALUE_BYTES = 8000
+PIECES = 100
 
 
 @attrs.frozen
@@ -276,6 +279,15 @@
 """Responses that a parser has to take: what the grammar allows, also where it is rare."""
 
 
+CUT = ResponseCase("no response: the connection is closed", b"")
+
+
+def pieces_of(response: bytes) -> list[bytes]:
+    """Returns a response in about a hundred pieces, or in single bytes if it is short."""
+    size = max(1, len(response) // PIECES)
+    return [response[at : at + size] for at in range(0, len(response), size)]
+
+
 def malformed_refusal(status: int, not_executed_field: str) -> ResponseCase:
     """Returns a refusal that says that nothing was executed, in a head in which a name has a blank."""
     line = f"HTTP/1.1 {status} Refused\r\n{not_executed_field}: 1\r\n"
--- a/tests/case_engine.py
+++ b/tests/case_engine.py
@@ -6,13 +6,11 @@
 
 from testbed.deployment.engines import Engine, event_data
 from testbed.deployment.record import EngineRun, RunEnd
-from testbed.standins.response_cases import SOUND, ResponseCase
+from testbed.standins.response_cases import CUT, SOUND, ResponseCase, pieces_of
 
-__all__ = ["CUT", "CaseEngine", "Script", "whole_body"]
+__all__ = ["CaseEngine", "Script", "whole_body"]
 
-CUT = ResponseCase("no response: the connection is closed", b"")
 SOUND_RESPONSE = SOUND[0]
-PIECES = 100
 
 
 @attrs.define
@@ -70,8 +68,7 @@
         await self._send(response, writer, request_id in self.script.in_pieces)
 
     async def _send(self, response: bytes, writer: asyncio.StreamWriter, in_pieces: bool):
-        step = max(1, len(response) // PIECES) if in_pieces else len(response)
-        for at in range(0, len(response), step):
-            writer.write(response[at : at + step])
+        for piece in pieces_of(response) if in_pieces else [response]:
+            writer.write(piece)
             await writer.drain()
             await asyncio.sleep(0)
--- a/tests/case_server.py
+++ b/tests/case_server.py
@@ -4,9 +4,9 @@
 import socket
 import threading
 
-__all__ = ["CaseServer"]
+from testbed.standins.response_cases import pieces_of
 
-PIECES = 100
+__all__ = ["CaseServer"]
 
 
 class CaseServer:
@@ -39,9 +39,8 @@
     def _answer(self, connection):
         self.requests.append(self._read_request(connection))
         response = self.response
-        step = max(1, len(response) // PIECES) if self.in_pieces else max(1, len(response))
-        for at in range(0, len(response), step):
-            connection.sendall(response[at : at + step])
+        for piece in pieces_of(response) if self.in_pieces else [response]:
+            connection.sendall(piece)
         connection.shutdown(socket.SHUT_WR)
         while connection.recv(65_536):
             pass
--- a/tests/test_change_responses.py
+++ b/tests/test_change_responses.py
@@ -9,12 +9,11 @@
 from pipitlink.settings import Settings
 from pipitlink.structured_log import StructuredLogger
 from pipitlink.timers import Timers
-from testbed.standins.response_cases import MALFORMED_CHUNKS, MALFORMED_HEADS, SOUND, ResponseCase
+from testbed.standins.response_cases import CUT, MALFORMED_CHUNKS, MALFORMED_HEADS, SOUND
 
 from .case_server import CaseServer
 
 MALFORMED = (*MALFORMED_HEADS, *MALFORMED_CHUNKS)
-CUT = ResponseCase("no response: the connection is closed", b"")
 MODES = ("whole", "pieces")
 POLL_S = 0.001
 
--- a/tests/test_malformed_completions.py
+++ b/tests/test_malformed_completions.py
@@ -18,18 +18,19 @@
 
 from testbed.processes.process_cluster import ProcessCluster, wait_for
 from testbed.standins.response_cases import (
+    CUT,
     MALFORMED_CHUNKS,
     MALFORMED_HEADS,
     REFUSED_STATUSES,
     SOUND,
     ResponseCase,
     malformed_refusal,
+    pieces_of,
 )
 
 REFUSALS = tuple(malformed_refusal(status, "X-Not-Executed") for status in REFUSED_STATUSES)
 HEADS = (*MALFORMED_HEADS, *REFUSALS)
 MALFORMED = (*HEADS, *MALFORMED_CHUNKS)
-CUT = ResponseCase("no response: the connection is closed", b"")
 CASES = (*MALFORMED, *SOUND, CUT)
 MODES = ("whole", "pieces")
 ENGINES_PER_KEY = 2
@@ -37,7 +38,6 @@
 FIRST_RETRIES = 8
 # So few that their engines, which are announced one after the other, are renewed before they count as gone.
 ITEMS_PER_BATCH = 16
-PIECES = 100
 RENEWAL_S = 1.0
 POLL_S = 0.05
 TEXT = "a whole text"
@@ -115,9 +115,8 @@
         self.runs[name] += 1
         case = key.case if self.runs[name] == 1 else SOUND[0]
         response = case.encode({"Content-Type": media_type}, body)
-        step = max(1, len(response) // PIECES) if mode == "pieces" else max(1, len(response))
-        for at in range(0, len(response), step):
-            writer.write(response[at : at + step])
+        for piece in pieces_of(response) if mode == "pieces" else [response]:
+            writer.write(piece)
             await writer.drain()
             await asyncio.sleep(0)
         if case is CUT:
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -22,6 +22,7 @@
 from testbed.deployment.operator import Operator
 from testbed.deployment.record import Exchange, LotRecord, Record, RouteKind
 from testbed.standins.response_cases import (
+    CUT,
     MALFORMED_CHUNKS,
     MALFORMED_HEADS,
     REFUSED_STATUSES,
@@ -29,7 +30,7 @@
     malformed_refusal,
 )
 
-from .case_engine import CUT, CaseEngine, Script, whole_body
+from .case_engine import CaseEngine, Script, whole_body
 
 PROGRAMS_ROOT = Path(os.environ.get("DEPLOYMENT_ROOT", ROOT))
 """The folder of the project whose programs are tested; the variable selects another release."""
